The whole path, thin, as separate processes

Change: entry instances (aiohttp on uvloop via aiomisc) answer callers which entries to use (rendezvous hashing of accounts over live entries), admit requests against escrow grants taken from the account ledger on the log by conditional append, route them to engine or service stand-ins, stream SSE back, and bill each request once in batches appended by conditional append to the entry's own bill stream.

Settings are attrs classes checked by cattrs.

--- /dev/null
+++ b/src/celerytrack/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The console scripts: entry, stand-ins, operator tool and load tool."""
--- /dev/null
+++ b/src/celerytrack/cli/ctl.py
@@ -0,0 +1,254 @@
+"""``celerytrackctl``: the operators' tool.
+
+Commands: ``validate``, ``apply``, ``topup``, ``drain``, ``status``. Each
+talks to the platform log or to entries; none keeps state of its own.
+"""
+
+import asyncio
+import json
+import time
+import uuid
+from typing import Any
+
+import aiohttp
+from cleo.application import Application
+from cleo.commands.command import Command
+from cleo.helpers import argument, option
+from returns.result import Failure, Success
+
+from celerytrack.entry.config_follower import CONFIG, config_record
+from celerytrack.entry.ledger_keeper import LEDGER
+from celerytrack.logclient import LogClient, LogErrorKind
+from celerytrack.settings import Config, FleetSettings, SettingsError, load_json
+
+_SETTINGS = option("settings", "s", "Fleet settings JSON.", flag=False)
+_ATTEMPTS = 10
+_RETRY_S = 0.3
+
+
+class ValidateCommand(Command):
+    """Check a configuration file without publishing it."""
+
+    name = "validate"
+    description = "Check a configuration file; print each bad field and why."
+    arguments = [argument("file", "Configuration JSON.")]
+
+    def handle(self) -> int:
+        try:
+            config = load_json(str(self.argument("file")), Config)
+        except SettingsError as exc:
+            self.line_error(f"<error>invalid: {exc}</error>")
+            return 2
+        self.line(
+            f"valid: {config.deployment}, {len(config.classes)} classes, "
+            f"{len(config.accounts)} accounts"
+        )
+        return 0
+
+
+async def apply_config(
+    log: LogClient, config: dict[str, Any], base_version: int | None
+) -> tuple[int, str]:
+    """Publish ``config`` if the version in force is still ``base_version``.
+
+    :param base_version: the version the operator's change was based on;
+        ``None`` means whatever is in force now.
+    :returns: ``(version, "")`` on success, ``(-1, why)`` otherwise.
+    """
+    for _ in range(_ATTEMPTS):
+        match await log.last(CONFIG):
+            case Success(last):
+                in_force = last[0] if last is not None else -1
+            case Failure(_):
+                await asyncio.sleep(_RETRY_S)
+                continue
+        if base_version is not None and base_version != in_force:
+            return -1, (
+                f"conflict: version {in_force} is in force, your change is "
+                f"based on {base_version}; merge and apply again"
+            )
+        base = in_force if base_version is None else base_version
+        record = config_record(config, base, time.time())
+        match await log.append(CONFIG, [record], base + 1):
+            case Success(appended):
+                return appended.first_offset, ""
+            case Failure(error) if error.kind is LogErrorKind.CONFLICT:
+                # Another operator applied in between: never merge silently.
+                return -1, (
+                    f"conflict: another change was applied after version "
+                    f"{base}; merge and apply again"
+                )
+            case Failure(error) if error.kind is LogErrorKind.UNKNOWN_OUTCOME:
+                # The reply was lost: look whether our record is the last one.
+                match await log.last(CONFIG):
+                    case Success((offset, found)) if found == record:
+                        return offset, ""
+        await asyncio.sleep(_RETRY_S)
+    return -1, "the log could not be reached"
+
+
+class ApplyCommand(Command):
+    """Publish a configuration on the log."""
+
+    name = "apply"
+    description = "Validate and publish a configuration; refuse if it raced."
+    arguments = [argument("file", "Configuration JSON.")]
+    options = [
+        _SETTINGS,
+        option("base-version", "b", "Version your change is based on.", flag=False),
+    ]
+
+    def handle(self) -> int:
+        try:
+            config = load_json(str(self.argument("file")), Config)
+            fleet = load_json(str(self.option("settings")), FleetSettings)
+        except SettingsError as exc:
+            self.line_error(f"<error>invalid: {exc}</error>")
+            return 2
+        raw = json.loads(open(str(self.argument("file"))).read())
+        base = self.option("base-version")
+        base_version = int(base) if base is not None else None
+
+        async def go() -> tuple[int, str]:
+            log = LogClient(fleet.platform.log_address, "celerytrackctl")
+            try:
+                return await apply_config(log, raw, base_version)
+            finally:
+                await log.close()
+
+        version, why = asyncio.run(go())
+        if version < 0:
+            self.line_error(f"<error>{why}</error>")
+            return 3
+        self.line(f"applied {config.deployment} as version {version}")
+        return 0
+
+
+async def topup(log: LogClient, account: str, tokens: int, topup_id: str) -> bool:
+    """Append a top-up; retried with the same id, so it counts once."""
+    record = {
+        "type": "topup",
+        "account": account,
+        "tokens": tokens,
+        "topup_id": topup_id,
+    }
+    for _ in range(_ATTEMPTS):
+        match await log.append(LEDGER, [record]):
+            case Success(_):
+                return True
+        await asyncio.sleep(_RETRY_S)
+    return False
+
+
+class TopupCommand(Command):
+    """Add tokens to an account's prepaid budget."""
+
+    name = "topup"
+    description = "Add tokens to an account's budget (idempotent by --topup-id)."
+    arguments = [argument("account", "Account id."), argument("tokens", "Tokens.")]
+    options = [
+        _SETTINGS,
+        option("topup-id", None, "Id making retries safe.", flag=False),
+    ]
+
+    def handle(self) -> int:
+        fleet = load_json(str(self.option("settings")), FleetSettings)
+        topup_id = str(self.option("topup-id") or uuid.uuid4().hex)
+
+        async def go() -> bool:
+            log = LogClient(fleet.platform.log_address, "celerytrackctl")
+            try:
+                return await topup(
+                    log,
+                    str(self.argument("account")),
+                    int(self.argument("tokens")),
+                    topup_id,
+                )
+            finally:
+                await log.close()
+
+        if not asyncio.run(go()):
+            self.line_error("<error>the log could not be reached</error>")
+            return 3
+        self.line(f"topped up {self.argument('account')} by {self.argument('tokens')}")
+        return 0
+
+
+class DrainCommand(Command):
+    """Take an entry or a replica out of service without cutting anything."""
+
+    name = "drain"
+    description = "Mark an entry or replica leaving; an entry also drains."
+    arguments = [argument("instance", "Entry or replica id.")]
+    options = [_SETTINGS]
+
+    def handle(self) -> int:
+        fleet = load_json(str(self.option("settings")), FleetSettings)
+        target = str(self.argument("instance"))
+
+        async def go() -> None:
+            async with aiohttp.ClientSession() as http:
+                url = f"http://{fleet.platform.instances_address}/instances/{target}"
+                await http.post(url, json={"state": "leaving"})
+                for spec in fleet.entries:
+                    if spec.entry_id == target:
+                        await http.post(f"http://{spec.address}/admin/drain")
+
+        asyncio.run(go())
+        self.line(f"{target} is leaving")
+        return 0
+
+
+class StatusCommand(Command):
+    """Show each entry's configuration version, escrow and backlog."""
+
+    name = "status"
+    description = "Show every entry's status."
+    options = [_SETTINGS, option("json", None, "Print JSON.")]
+
+    def handle(self) -> int:
+        fleet = load_json(str(self.option("settings")), FleetSettings)
+
+        async def one(http: aiohttp.ClientSession, address: str) -> dict[str, Any]:
+            try:
+                timeout = aiohttp.ClientTimeout(total=2.0)
+                async with http.get(f"http://{address}/status", timeout=timeout) as r:
+                    return dict(await r.json())
+            except (aiohttp.ClientError, TimeoutError):
+                return {"error": "unreachable"}
+
+        async def go() -> list[dict[str, Any]]:
+            async with aiohttp.ClientSession() as http:
+                return list(
+                    await asyncio.gather(*(one(http, e.address) for e in fleet.entries))
+                )
+
+        rows = asyncio.run(go())
+        if self.option("json"):
+            self.line(json.dumps(rows))
+            return 0
+        for spec, row in zip(fleet.entries, rows, strict=True):
+            if "error" in row:
+                self.line(f"{spec.entry_id:10} {spec.zone:12} unreachable")
+                continue
+            self.line(
+                f"{spec.entry_id:10} {spec.zone:12} config v{row['config_version']}"
+                f" held {row['held_tokens']:>7} in_flight {row['in_flight']:>3}"
+                f" bills queued {row['bill_backlog']:>3}"
+                f"{' draining' if row['draining'] else ''}"
+            )
+        return 0
+
+
+def main() -> int:
+    """Console script entry point."""
+    app = Application("celerytrackctl", "0.1.0")
+    for command in (
+        ValidateCommand(),
+        ApplyCommand(),
+        TopupCommand(),
+        DrainCommand(),
+        StatusCommand(),
+    ):
+        app.add(command)
+    return app.run()
--- /dev/null
+++ b/src/celerytrack/cli/load.py
@@ -0,0 +1,67 @@
+"""``celerytrack-load``: send a deployment's mix through its entries and
+print latency, outcomes and the checker's audit.
+"""
+
+import asyncio
+import json
+
+from cleo.application import Application
+from cleo.commands.command import Command
+from cleo.helpers import option
+
+from celerytrack.load.checker import audit
+from celerytrack.load.mix import MIXES
+from celerytrack.load.report import summarise, table
+from celerytrack.load.runner import Plan, run_plan
+from celerytrack.settings import Config, FleetSettings, SettingsError, load_json
+
+
+class RunCommand(Command):
+    """Run a bounded load against a running fleet."""
+
+    name = "run"
+    description = "Send a deployment's mix; bounded by --requests and --seconds."
+    options = [
+        option("settings", "s", "Fleet settings JSON.", flag=False),
+        option("config", "c", "Configuration JSON (for keys and targets).", flag=False),
+        option("rate", "r", "Arrivals a second.", flag=False, default="50"),
+        option("seconds", None, "Longest run.", flag=False, default="10"),
+        option("requests", None, "Most arrivals.", flag=False, default="500"),
+        option("seed", None, "Random seed.", flag=False, default="1"),
+        option("json", None, "Print JSON."),
+    ]
+
+    def handle(self) -> int:
+        try:
+            fleet = load_json(str(self.option("settings")), FleetSettings)
+            config = load_json(str(self.option("config")), Config)
+        except SettingsError as exc:
+            self.line_error(f"<error>settings: {exc}</error>")
+            return 2
+        plan = Plan(
+            float(self.option("rate")),
+            float(self.option("seconds")),
+            int(self.option("requests")),
+            int(self.option("seed")),
+        )
+        keys = {a.account_id: a.key for a in config.accounts}
+        entries = [e.address for e in fleet.entries]
+        once = {c.name for c in config.classes if not c.idempotent}
+
+        async def go() -> dict[str, object]:
+            results = await run_plan(plan, MIXES[fleet.deployment], entries, keys)
+            await asyncio.sleep(fleet.tuning.bill_flush_s * 5)
+            found = await audit(fleet, once)
+            targets = {c.name: c.ttft_target_s for c in config.classes}
+            return summarise(results, found, targets)
+
+        summary = asyncio.run(go())
+        self.line(json.dumps(summary) if self.option("json") else table(summary))
+        return 0
+
+
+def main() -> int:
+    """Console script entry point."""
+    app = Application("celerytrack-load", "0.1.0")
+    app.add(RunCommand())
+    return app.run()
--- /dev/null
+++ b/src/celerytrack/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The entry instance: admits, routes, streams and bills requests."""
--- /dev/null
+++ b/src/celerytrack/entry/_tail.py
@@ -0,0 +1,92 @@
+"""Following one stream of the log: read from an offset, long-poll for more."""
+
+import asyncio
+import logging
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+from returns.result import Failure, Success
+
+from celerytrack.events import Event, log_event
+from celerytrack.logclient import LogClient, LogErrorKind
+
+_log = logging.getLogger(__name__)
+
+_RETRY_S = 0.2
+
+
+Restore = Callable[[int], Awaitable[int]]
+"""Called when records below the given start offset are gone; returns the
+offset to go on from (after restoring a snapshot)."""
+
+
+async def _skip_to_start(start_offset: int) -> int:
+    return start_offset
+
+
+async def catch_up(
+    log: LogClient,
+    stream: str,
+    start: int,
+    apply: Callable[[int, Any], None],
+    restore: Restore = _skip_to_start,
+) -> int | None:
+    """Read ``stream`` from ``start`` to its end, applying each record.
+
+    :returns: the next offset, or ``None`` if the log could not be read.
+    """
+    offset = start
+    while True:
+        result = await log.read(stream, offset)
+        match result:
+            case Success(batch):
+                for at, record in batch.records:
+                    apply(at, record)
+                offset = batch.next_offset
+                if not batch.records:
+                    return offset
+            case Failure(error) if error.kind is LogErrorKind.TRIMMED:
+                offset = await _trimmed(stream, offset, error.start_offset, restore)
+            case _:
+                return None
+
+
+async def _trimmed(
+    stream: str, wanted: int, start: int | None, restore: Restore
+) -> int:
+    # Retention dropped records before this reader got them: folding on from
+    # the first kept record would miss them. ``restore`` loads a snapshot
+    # taken at or after the new start (snapshots are written well inside
+    # retention), so the fold stays whole.
+    log_event(
+        _log,
+        Event.LEDGER_GAP,
+        logging.WARNING,
+        stream=stream,
+        wanted=wanted,
+        start=start,
+    )
+    return await restore(int(start or 0))
+
+
+async def follow(
+    log: LogClient,
+    stream: str,
+    start: int,
+    apply: Callable[[int, Any], None],
+    wait_s: float = 1.0,
+    restore: Restore = _skip_to_start,
+) -> None:
+    """Apply every record of ``stream`` from ``start`` on, forever."""
+    offset = start
+    while True:
+        result = await log.read(stream, offset, wait_s=wait_s)
+        match result:
+            case Success(batch):
+                for at, record in batch.records:
+                    apply(at, record)
+                offset = batch.next_offset
+            case Failure(error) if error.kind is LogErrorKind.TRIMMED:
+                offset = await _trimmed(stream, offset, error.start_offset, restore)
+            case _:
+                await asyncio.sleep(_RETRY_S)
--- /dev/null
+++ b/src/celerytrack/events.py
@@ -0,0 +1,64 @@
+"""Numbered log events and the JSON log setup.
+
+Every log line names one event of :class:`Event` by number; the catalogue
+with each event's meaning is ``docs/EVENTS.md``. Lines are JSON objects
+written by python-json-logger through the standard ``logging`` module.
+"""
+
+import enum
+import logging
+import sys
+from typing import Any
+
+from pythonjsonlogger.json import JsonFormatter
+
+
+class Event(enum.IntEnum):
+    """The events a process logs; the value is the event number."""
+
+    PROCESS_STARTED = 100
+    PROCESS_STOPPING = 101
+    PROCESS_STOPPED = 102
+    SETTINGS_REJECTED = 103
+    CONFIG_APPLIED = 200
+    CONFIG_IGNORED_STALE = 201
+    CONFIG_SNAPSHOT_WRITTEN = 202
+    GRANT_TAKEN = 300
+    GRANT_REFUSED = 301
+    GRANT_SETTLED = 302
+    LEDGER_UNREACHABLE = 303
+    LEDGER_GAP = 304
+    BILLS_FLUSHED = 310
+    BILLS_FLUSH_FAILED = 311
+    REQUEST_REFUSED = 400
+    REQUEST_DONE = 401
+    REQUEST_CUT = 402
+    REQUEST_REPLAYED = 403
+    INTENT_RECORDED = 404
+    REPLICA_LEAVING = 500
+    REPLICA_JOINED = 501
+    ENTRY_DRAINING = 502
+    ORDER_DROPPED_STALE = 503
+    STANDIN_FAULT_SET = 900
+
+
+def log_event(
+    logger: logging.Logger, event: Event, level: int = logging.INFO, **fields: Any
+) -> None:
+    """Write one event with its number, name and fields."""
+    logger.log(level, event.name.lower(), extra={"event": int(event), **fields})
+
+
+def setup_logging(process: str, level: str = "INFO") -> None:
+    """Send JSON log lines to standard error, tagged with ``process``."""
+    handler = logging.StreamHandler(sys.stderr)
+    handler.setFormatter(
+        JsonFormatter(
+            "%(asctime)s %(levelname)s %(name)s %(message)s",
+            static_fields={"process": process},
+        )
+    )
+    root = logging.getLogger()
+    root.handlers[:] = [handler]
+    root.setLevel(level)
+    logging.getLogger("aiohttp.access").setLevel(logging.WARNING)
--- /dev/null
+++ b/src/celerytrack/ids.py
@@ -0,0 +1,12 @@
+"""Typed identifiers, so an account id is never passed where a replica id goes."""
+
+from typing import NewType
+
+AccountId = NewType("AccountId", str)
+EntryId = NewType("EntryId", str)
+ReplicaId = NewType("ReplicaId", str)
+RequestId = NewType("RequestId", str)
+GrantId = NewType("GrantId", str)
+ClassName = NewType("ClassName", str)
+Zone = NewType("Zone", str)
+"""A failure domain, named as the brief names it (``nasr-hall``, ``salt-lake``)."""
--- /dev/null
+++ b/src/celerytrack/load/report.py
@@ -0,0 +1,90 @@
+"""Tables of a run: latency percentiles from HDR histograms, outcomes, and
+the checker's audit; also as JSON for machines.
+"""
+
+from collections import Counter, defaultdict
+from typing import Any
+
+from hdrh.histogram import HdrHistogram
+
+from celerytrack.load.caller import Outcome, Result
+from celerytrack.load.checker import Audit
+
+_MAX_US = 120_000_000
+
+
+def _histogram(values_s: list[float]) -> HdrHistogram:
+    hist = HdrHistogram(1, _MAX_US, 3)
+    for value in values_s:
+        hist.record_value(max(1, min(int(value * 1e6), _MAX_US)))
+    return hist
+
+
+def summarise(
+    results: list[Result], audit: Audit, targets_s: dict[str, float]
+) -> dict[str, Any]:
+    """Per-class percentiles and counts, and the audit's figures.
+
+    :param targets_s: each class's first-token target.
+    """
+    by_class: dict[str, list[Result]] = defaultdict(list)
+    for result in results:
+        by_class[result.work_class].append(result)
+    classes: dict[str, Any] = {}
+    for name, items in sorted(by_class.items()):
+        ttft = _histogram(
+            [
+                r.ttft_s
+                for r in items
+                if r.ttft_s is not None and r.outcome == Outcome.DONE
+            ]
+        )
+        gaps = _histogram([g for r in items for g in r.gaps_s])
+        outcomes = Counter(r.outcome for r in items)
+        refusals = Counter(
+            f"{r.reason}/{r.verdict}" for r in items if r.outcome == Outcome.REFUSED
+        )
+        target = targets_s.get(name)
+        classes[name] = {
+            "requests": len(items),
+            "ttft_p50_ms": ttft.get_value_at_percentile(50) / 1000,
+            "ttft_p95_ms": ttft.get_value_at_percentile(95) / 1000,
+            "ttft_p99_ms": ttft.get_value_at_percentile(99) / 1000,
+            "gap_p95_ms": gaps.get_value_at_percentile(95) / 1000,
+            "target_ms": target * 1000 if target else None,
+            "outcomes": dict(outcomes),
+            "refusals": dict(refusals),
+        }
+    return {
+        "classes": classes,
+        "overspend_tokens": audit.overspend_tokens,
+        "double_bills": audit.double_bills,
+        "double_runs": audit.double_runs,
+        "bills": audit.bills,
+        "lost_or_cut": sum(
+            1 for r in results if r.outcome in (Outcome.CUT, Outcome.FAILED)
+        ),
+        "wrong_answers": sum(1 for r in results if r.outcome == Outcome.WRONG),
+    }
+
+
+def table(summary: dict[str, Any]) -> str:
+    """A plain-text table of :func:`summarise`'s output."""
+    lines = [
+        f"{'class':15} {'n':>5} {'ttft p50':>9} {'p95':>8} {'p99':>8} "
+        f"{'target':>7} {'gap p95':>8}  outcomes"
+    ]
+    for name, row in summary["classes"].items():
+        target = f"{row['target_ms']:.0f}" if row["target_ms"] else "-"
+        lines.append(
+            f"{name:15} {row['requests']:>5} {row['ttft_p50_ms']:>8.1f}m "
+            f"{row['ttft_p95_ms']:>7.1f}m {row['ttft_p99_ms']:>7.1f}m {target:>7} "
+            f"{row['gap_p95_ms']:>7.1f}m  {row['outcomes']} {row['refusals'] or ''}"
+        )
+    lines.append(
+        f"overspend {summary['overspend_tokens']} tokens, double bills "
+        f"{summary['double_bills']}, double runs {summary['double_runs']}, lost or "
+        f"cut {summary['lost_or_cut']}, wrong answers {summary['wrong_answers']}, "
+        f"bills {summary['bills']}"
+    )
+    return "\n".join(lines)
--- /dev/null
+++ b/src/celerytrack/load/runner.py
@@ -0,0 +1,80 @@
+"""Open-loop arrivals: requests start on a Poisson clock, whatever the
+answers do, bounded in count and in time.
+"""
+
+import asyncio
+import random
+import time
+
+import aiohttp
+import attrs
+
+from celerytrack.load.caller import Caller, Outcome, Result
+from celerytrack.load.mix import Kind, Mix
+
+
+@attrs.frozen
+class Plan:
+    """How much load to send.
+
+    :ivar rate_per_s: mean arrivals a second.
+    :ivar duration_s: how long arrivals go on.
+    :ivar max_requests: arrivals at most.
+    :ivar seed: the random seed, so a run can be repeated.
+    """
+
+    rate_per_s: float
+    duration_s: float
+    max_requests: int
+    seed: int = 1
+
+
+def prompt_for(kind: Kind, account: str, rng: random.Random) -> str:
+    """A prompt whose first part is shared by an account's class of work.
+
+    Shared prefixes are what the engines' prefix caches hold.
+    """
+    if kind.service:
+        return ""
+    head = (f"[{account}/{kind.work_class} syllabus] " * 64)[:256]
+    tail = " ".join(rng.choice("abcdefgh") * 4 for _ in range(kind.prompt_chars // 5))
+    return (head + tail)[: max(kind.prompt_chars, 256)]
+
+
+async def run_plan(
+    plan: Plan, mix: Mix, entries: list[str], keys: dict[str, str]
+) -> list[Result]:
+    """Send ``plan``'s arrivals through ``entries``; every request's result."""
+    rng = random.Random(plan.seed)
+    accounts = list(keys)
+    connector = aiohttp.TCPConnector(limit=0)
+    timeout = aiohttp.ClientTimeout(total=60.0)
+    async with aiohttp.ClientSession(connector=connector, timeout=timeout) as http:
+        caller = Caller(entries, keys, http)
+        tasks: list[asyncio.Task[Result]] = []
+        started = time.monotonic()
+        next_at = started
+        while len(tasks) < plan.max_requests:
+            next_at += rng.expovariate(plan.rate_per_s)
+            if next_at - started > plan.duration_s:
+                break
+            await asyncio.sleep(max(0.0, next_at - time.monotonic()))
+            kind, account = mix.draw(rng, accounts)
+            prompt = prompt_for(kind, account, rng)
+            tasks.append(
+                asyncio.create_task(
+                    caller.send(
+                        kind.work_class,
+                        account,
+                        prompt,
+                        kind.max_tokens,
+                        kind.service,
+                        key=f"{plan.seed}-{len(tasks)}",
+                    )
+                )
+            )
+        results = list(await asyncio.gather(*tasks, return_exceptions=True))
+    return [
+        r if isinstance(r, Result) else Result("?", "?", Outcome.FAILED, reason=repr(r))
+        for r in results
+    ]
--- /dev/null
+++ b/src/celerytrack/settings.py
@@ -0,0 +1,254 @@
+"""Settings in JSON, checked on load.
+
+Two documents exist:
+
+- :class:`Config`, the operators' declaration of classes of work and accounts.
+  It is kept in version control and published on the platform log by
+  ``celerytrackctl apply``; entries read it from there.
+- :class:`FleetSettings`, what each process learns at start: its own address
+  and failure domain, and where the platform's services are.
+
+Both are attrs value classes; cattrs turns JSON into them, and a bad document
+raises :class:`SettingsError` naming the field path and the reason.
+"""
+
+import enum
+import json
+import pathlib
+import re
+from typing import Any
+
+import attrs
+import cattrs
+from attrs import validators as v
+
+from celerytrack.ids import AccountId, ClassName, EntryId, ReplicaId, Zone
+
+_NAME = re.compile(r"^[a-z0-9][a-z0-9._-]{0,62}$")
+_ADDRESS = re.compile(r"^127\.\d{1,3}\.\d{1,3}\.\d{1,3}:\d{1,5}$|^[\w.-]+:\d{1,5}$")
+
+
+def _name(instance: object, attribute: "attrs.Attribute[Any]", value: str) -> None:
+    if not _NAME.match(value):
+        raise ValueError(f"{attribute.name} {value!r} must match {_NAME.pattern}")
+
+
+def _address(instance: object, attribute: "attrs.Attribute[Any]", value: str) -> None:
+    if not _ADDRESS.match(value):
+        raise ValueError(f"{attribute.name} {value!r} must be host:port")
+
+
+_positive: Any = v.gt(0)
+_non_negative: Any = v.ge(0)
+
+
+class BackendKind(enum.Enum):
+    """What kind of back end a class of work is served by."""
+
+    ENGINE = "engine"
+    SERVICE = "service"
+
+
+@attrs.frozen
+class WorkClass:
+    """A class of work, as operators declare it.
+
+    :ivar name: used by callers as the ``model`` of a request.
+    :ivar kind: model engine or plain service.
+    :ivar model: the model (engine) or service name that serves it.
+    :ivar ttft_target_s: target time to the first token (engine) or answer.
+    :ivar max_output_tokens: cap on generated tokens; admission reserves it.
+    :ivar priority: 0 is the most urgent; refused last when capacity is short.
+    :ivar idempotent: whether a call may be run twice.
+    :ivar service_cost_tokens: tokens billed for one plain-service call.
+    """
+
+    name: ClassName = attrs.field(validator=_name)
+    kind: BackendKind
+    model: str = attrs.field(validator=_name)
+    ttft_target_s: float = attrs.field(validator=_positive)
+    max_output_tokens: int = attrs.field(default=256, validator=_non_negative)
+    priority: int = attrs.field(default=1, validator=v.and_(v.ge(0), v.le(9)))
+    idempotent: bool = True
+    service_cost_tokens: int = attrs.field(default=1, validator=_non_negative)
+
+
+@attrs.frozen
+class Account:
+    """A client account: who it is and the key it signs requests with."""
+
+    account_id: AccountId = attrs.field(validator=_name)
+    key: str = attrs.field(validator=v.min_len(8))
+
+
+@attrs.frozen
+class GrantPolicy:
+    """How entries take escrow grants from the ledger.
+
+    :ivar grant_tokens: size of one grant taken for one account.
+    :ivar low_water_tokens: take the next grant when what is held falls below.
+    :ivar lease_s: an entry stops spending a grant this long after asking.
+    """
+
+    grant_tokens: int = attrs.field(default=4000, validator=_positive)
+    low_water_tokens: int = attrs.field(default=1000, validator=_non_negative)
+    lease_s: float = attrs.field(default=60.0, validator=_positive)
+
+
+def _unique(field: str) -> Any:
+    def check(instance: object, attribute: "attrs.Attribute[Any]", value: Any) -> None:
+        names = [getattr(item, field) for item in value]
+        dupes = sorted({n for n in names if names.count(n) > 1})
+        if dupes:
+            raise ValueError(f"{attribute.name}: duplicate {field} {dupes}")
+
+    return check
+
+
+@attrs.frozen
+class Config:
+    """The operators' declaration, published on the log as one record."""
+
+    deployment: str = attrs.field(validator=_name)
+    classes: tuple[WorkClass, ...] = attrs.field(validator=_unique("name"))
+    accounts: tuple[Account, ...] = attrs.field(validator=_unique("account_id"))
+    grant: GrantPolicy = GrantPolicy()
+
+    def work_class(self, name: str) -> WorkClass | None:
+        """The class named ``name``, or ``None``."""
+        return next((c for c in self.classes if c.name == name), None)
+
+    def account_by_key(self, key: str) -> Account | None:
+        """The account whose key is ``key``, or ``None``."""
+        return next((a for a in self.accounts if a.key == key), None)
+
+
+@attrs.frozen
+class EntrySpec:
+    """One entry instance: its id, address and failure domain."""
+
+    entry_id: EntryId = attrs.field(validator=_name)
+    address: str = attrs.field(validator=_address)
+    zone: Zone = attrs.field(validator=_name)
+
+
+@attrs.frozen
+class ReplicaSpec:
+    """One back-end replica: a model engine or a plain service."""
+
+    replica_id: ReplicaId = attrs.field(validator=_name)
+    address: str = attrs.field(validator=_address)
+    zone: Zone = attrs.field(validator=_name)
+    kind: BackendKind
+    model: str = attrs.field(validator=_name)
+    ignores_fence: bool = False
+
+
+@attrs.frozen
+class PlatformSpec:
+    """Where the platform's services listen."""
+
+    log_address: str = attrs.field(validator=_address)
+    instances_address: str = attrs.field(validator=_address)
+    weights_address: str = attrs.field(validator=_address)
+
+
+@attrs.frozen
+class EntryTuning:
+    """Timings of an entry instance.
+
+    :ivar bill_flush_s: longest wait before bills are appended.
+    :ivar route_ttl_s: how long callers keep an address answer.
+    :ivar drain_grace_s: on a planned stop, how long to keep serving streams.
+    :ivar upstream_timeout_s: longest wait for a back end's first byte.
+    """
+
+    bill_flush_s: float = attrs.field(default=0.02, validator=_positive)
+    route_ttl_s: float = attrs.field(default=2.0, validator=_positive)
+    drain_grace_s: float = attrs.field(default=30.0, validator=_positive)
+    upstream_timeout_s: float = attrs.field(default=30.0, validator=_positive)
+    instance_poll_s: float = attrs.field(default=0.5, validator=_positive)
+
+
+@attrs.frozen
+class FleetSettings:
+    """The layout a process reads at start: who is where."""
+
+    deployment: str = attrs.field(validator=_name)
+    zones: tuple[Zone, ...]
+    platform: PlatformSpec
+    entries: tuple[EntrySpec, ...] = attrs.field(validator=_unique("entry_id"))
+    replicas: tuple[ReplicaSpec, ...] = attrs.field(validator=_unique("replica_id"))
+    tuning: EntryTuning = EntryTuning()
+
+    def __attrs_post_init__(self) -> None:
+        known = set(self.zones)
+        zones = [e.zone for e in self.entries] + [r.zone for r in self.replicas]
+        for zone in zones:
+            if zone not in known:
+                raise ValueError(f"zone {zone!r} is not in zones {self.zones}")
+
+    def entry(self, entry_id: str) -> EntrySpec:
+        """The entry named ``entry_id``.
+
+        :raises SettingsError: if there is none.
+        """
+        for spec in self.entries:
+            if spec.entry_id == entry_id:
+                return spec
+        raise SettingsError(f"$.entries: no entry_id {entry_id!r}")
+
+    def replica(self, replica_id: str) -> ReplicaSpec:
+        """The replica named ``replica_id``.
+
+        :raises SettingsError: if there is none.
+        """
+        for spec in self.replicas:
+            if spec.replica_id == replica_id:
+                return spec
+        raise SettingsError(f"$.replicas: no replica_id {replica_id!r}")
+
+
+class SettingsError(ValueError):
+    """A settings document is not valid; the message names path and reason."""
+
+
+_converter = cattrs.Converter(forbid_extra_keys=True)
+
+
+def _describe(exc: BaseException, type_: Any) -> str:
+    if isinstance(exc, KeyError):
+        return f"required field missing {exc}"
+    return f"{type(exc).__name__}: {exc}"
+
+
+def structure(data: Any, cls: type[Any]) -> Any:
+    """Turn parsed JSON into ``cls``.
+
+    :raises SettingsError: naming each bad field path and why.
+    """
+    try:
+        return _converter.structure(data, cls)
+    except cattrs.BaseValidationError as exc:
+        lines = cattrs.transform_error(exc, path="$", format_exception=_describe)
+        raise SettingsError("; ".join(lines)) from None
+    except (ValueError, TypeError) as exc:
+        raise SettingsError(f"$: {exc}") from None
+
+
+def unstructure(value: Any) -> Any:
+    """Turn a settings value back into plain JSON data."""
+    return _converter.unstructure(value)
+
+
+def load_json(path: str | pathlib.Path, cls: type[Any]) -> Any:
+    """Read and check the JSON file at ``path`` as ``cls``.
+
+    :raises SettingsError: if the file is not JSON or not a valid ``cls``.
+    """
+    text = pathlib.Path(path).read_text()
+    try:
+        data = json.loads(text)
+    except json.JSONDecodeError as exc:
+        raise SettingsError(f"{path}: not JSON: {exc}") from None
+    return structure(data, cls)
--- /dev/null
+++ b/src/celerytrack/standins/service.py
@@ -0,0 +1,71 @@
+"""A stand-in of a plain service: a status lookup and a claim filing.
+
+``POST /call/{operation}`` runs an operation. Filing does not check for
+repeats, like the real services the brief describes: running it twice files
+twice. ``GET /_stats`` counts runs by request id, so a test sees doubles.
+"""
+
+import asyncio
+import hashlib
+import time
+from typing import Any
+
+import attrs
+from aiohttp import web
+
+from celerytrack.standins._common import Faults, apply_faults, faults_routes
+
+
+@attrs.define
+class ServiceState:
+    """Runs counted by request id and operation."""
+
+    replica_id: str
+    latency_s: float = 0.005
+    faults: Faults = attrs.field(factory=Faults)
+    runs: dict[str, int] = attrs.field(factory=dict)
+    running: int = 0
+
+
+def answer_for(request_id: str, operation: str) -> dict[str, Any]:
+    """The answer the stand-in gives, a pure function of its inputs."""
+    digest = hashlib.sha256(f"{operation}:{request_id}".encode()).hexdigest()[:12]
+    return {"operation": operation, "request_id": request_id, "result": digest}
+
+
+def make_app(state: ServiceState) -> web.Application:
+    """The plain service stand-in as an aiohttp application."""
+
+    async def call(request: web.Request) -> web.Response:
+        if (refused := await apply_faults(state.faults, request)) is not None:
+            return refused
+        operation = request.match_info["operation"]
+        request_id = request.headers.get("X-Request-Id", "")
+        await request.read()
+        key = f"{operation}:{request_id}"
+        state.runs[key] = state.runs.get(key, 0) + 1
+        state.running += 1
+        try:
+            await asyncio.sleep(state.latency_s)
+        finally:
+            state.running -= 1
+        return web.json_response(answer_for(request_id, operation))
+
+    async def load(request: web.Request) -> web.Response:
+        return web.json_response(
+            {"running": state.running, "at_s": time.time(), "capacity": 64}
+        )
+
+    async def stats(request: web.Request) -> web.Response:
+        return web.json_response({"replica_id": state.replica_id, "runs": state.runs})
+
+    app = web.Application()
+    app.add_routes(
+        [
+            web.post("/call/{operation}", call),
+            web.get("/_stats", stats),
+            web.get("/load", load),
+            *faults_routes(state.faults),
+        ]
+    )
+    return app
--- /dev/null
+++ b/src/celerytrack/verdict.py
@@ -0,0 +1,94 @@
+"""The answer a caller gets when a request is refused or fails.
+
+A refusal must say whether the request may have run: a caller may retry a
+``DID_NOT_RUN`` request freely, but must not blindly retry a ``MAY_HAVE_RUN``
+request of a non-idempotent class.
+"""
+
+import enum
+
+import attrs
+
+
+class Verdict(enum.Enum):
+    """Whether a request that did not succeed may have had an effect."""
+
+    DID_NOT_RUN = "did_not_run"
+    MAY_HAVE_RUN = "may_have_run"
+
+
+class Reason(enum.Enum):
+    """Why a request was refused or failed; each maps to one verdict."""
+
+    BAD_KEY = "bad_key"
+    UNKNOWN_CLASS = "unknown_class"
+    BAD_REQUEST = "bad_request"
+    BUDGET_EXHAUSTED = "budget_exhausted"
+    LEDGER_UNREACHABLE = "ledger_unreachable"
+    NO_CAPACITY = "no_capacity"
+    DRAINING = "draining"
+    DUPLICATE_IN_FLIGHT = "duplicate_in_flight"
+    UPSTREAM_FAILED = "upstream_failed"
+    UPSTREAM_CUT = "upstream_cut"
+    DEADLINE = "deadline"
+
+
+_HTTP_STATUS = {
+    Reason.BAD_KEY: 401,
+    Reason.UNKNOWN_CLASS: 404,
+    Reason.BAD_REQUEST: 400,
+    Reason.BUDGET_EXHAUSTED: 402,
+    Reason.LEDGER_UNREACHABLE: 503,
+    Reason.NO_CAPACITY: 503,
+    Reason.DRAINING: 503,
+    Reason.DUPLICATE_IN_FLIGHT: 409,
+    Reason.UPSTREAM_FAILED: 502,
+    Reason.UPSTREAM_CUT: 502,
+    Reason.DEADLINE: 504,
+}
+
+
+@attrs.frozen
+class Refusal:
+    """A final answer for a request that did not succeed.
+
+    :ivar reason: why.
+    :ivar verdict: whether the request may have run.
+    :ivar retry_after_s: when the caller may come back; ``None`` means do not.
+    :ivar detail: one line for people.
+    """
+
+    reason: Reason = attrs.field(validator=attrs.validators.instance_of(Reason))
+    verdict: Verdict = attrs.field(validator=attrs.validators.instance_of(Verdict))
+    retry_after_s: float | None = None
+    detail: str = ""
+
+    @property
+    def http_status(self) -> int:
+        """The HTTP status code this refusal is sent with."""
+        return _HTTP_STATUS[self.reason]
+
+    def to_json(self) -> dict[str, object]:
+        """The JSON body sent to the caller."""
+        return {
+            "error": {
+                "reason": self.reason.value,
+                "verdict": self.verdict.value,
+                "retry_after_s": self.retry_after_s,
+                "detail": self.detail,
+            }
+        }
+
+
+def did_not_run(
+    reason: Reason, retry_after_s: float | None = None, detail: str = ""
+) -> Refusal:
+    """A refusal for a request that was never sent to any back end."""
+    return Refusal(reason, Verdict.DID_NOT_RUN, retry_after_s, detail)
+
+
+def may_have_run(
+    reason: Reason, retry_after_s: float | None = None, detail: str = ""
+) -> Refusal:
+    """A failure after the request may have reached a back end."""
+    return Refusal(reason, Verdict.MAY_HAVE_RUN, retry_after_s, detail)
--- /dev/null
+++ b/tests/fleet.py
@@ -0,0 +1,233 @@
+"""A local fleet on loopback for tests, benches and the demo.
+
+This harness is not part of the system: it is what an operator's process
+supervisor does, starting each process of a deployment from its settings.
+"""
+
+import asyncio
+import json
+import os
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+import time
+from typing import Any
+
+import aiohttp
+
+from celerytrack.cli.ctl import apply_config, topup
+from celerytrack.logclient import LogClient
+from celerytrack.settings import Config, FleetSettings, load_json
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+BIN = pathlib.Path(sys.executable).parent
+_READY_TRIES = 300
+_POLL_S = 0.05
+
+
+def _port_open(address: str) -> bool:
+    host, port = address.rsplit(":", 1)
+    with socket.socket() as sock:
+        sock.settimeout(0.2)
+        return sock.connect_ex((host, int(port))) == 0
+
+
+class Fleet:
+    """Starts and controls one deployment's processes.
+
+    :param example: ``haddad`` or ``padma`` (a folder under ``examples/``),
+        or a path to a folder with ``fleet.json`` and ``config.json``.
+    :param entries: how many of the settings' entries to start.
+    """
+
+    def __init__(
+        self,
+        example: str,
+        entries: int | None = None,
+        engine_args: tuple[str, ...] = (),
+    ) -> None:
+        folder = pathlib.Path(example)
+        if not folder.is_dir():
+            folder = ROOT / "examples" / example
+        self.folder = folder
+        self.settings_path = folder / "fleet.json"
+        self.config_path = folder / "config.json"
+        self.fleet: FleetSettings = load_json(self.settings_path, FleetSettings)
+        self.config: Config = load_json(self.config_path, Config)
+        self.entry_specs = self.fleet.entries[: entries or len(self.fleet.entries)]
+        self.engine_args = engine_args
+        self.procs: dict[str, subprocess.Popen[bytes]] = {}
+        self.logs = ROOT / "run" / self.fleet.deployment
+        self.logs.mkdir(parents=True, exist_ok=True)
+
+    def _spawn(self, name: str, args: list[str]) -> None:
+        out = open(self.logs / f"{name}.log", "ab")
+        self.procs[name] = subprocess.Popen(
+            args, stdout=out, stderr=out, cwd=ROOT, start_new_session=True
+        )
+
+    def _wait_ready(self, addresses: list[str]) -> None:
+        for _ in range(_READY_TRIES):
+            if all(_port_open(a) for a in addresses):
+                return
+            time.sleep(_POLL_S)
+        raise RuntimeError(
+            f"not listening: {[a for a in addresses if not _port_open(a)]}"
+        )
+
+    def start_platform(self) -> None:
+        """Start the log, instance list, weight store and every replica."""
+        standin = str(BIN / "celerytrack-standin")
+        settings = ["-s", str(self.settings_path)]
+        for role in ("log", "instances", "weights"):
+            self._spawn(role, [standin, "run", role, *settings])
+        for spec in self.fleet.replicas:
+            extra = list(self.engine_args) if spec.kind.value == "engine" else []
+            self._spawn(
+                spec.replica_id,
+                [standin, "run", "replica", *settings, "-r", spec.replica_id, *extra],
+            )
+        p = self.fleet.platform
+        self._wait_ready(
+            [
+                p.log_address,
+                p.instances_address,
+                p.weights_address,
+                *(r.address for r in self.fleet.replicas),
+            ]
+        )
+
+    def publish(self, budget_tokens: int) -> None:
+        """Apply the example's config and top every account up."""
+        raw = json.loads(self.config_path.read_text())
+
+        async def go() -> None:
+            log = LogClient(self.fleet.platform.log_address, "harness")
+            version, why = await apply_config(log, raw, None)
+            assert version >= 0, why
+            for account in self.config.accounts:
+                await topup(
+                    log, account.account_id, budget_tokens, f"seed-{account.account_id}"
+                )
+            await log.close()
+
+        asyncio.run(go())
+
+    def start_entry(self, entry_id: str) -> None:
+        """Start one entry and wait until it listens."""
+        self._spawn(
+            entry_id,
+            [
+                str(BIN / "celerytrack-entry"),
+                "run",
+                "-s",
+                str(self.settings_path),
+                "-e",
+                entry_id,
+            ],
+        )
+        self._wait_ready([self.fleet.entry(entry_id).address])
+
+    def start(self, budget_tokens: int = 200_000) -> "Fleet":
+        """Start everything and publish the config."""
+        self.start_platform()
+        self.publish(budget_tokens)
+        for spec in self.entry_specs:
+            self._spawn(
+                spec.entry_id,
+                [
+                    str(BIN / "celerytrack-entry"),
+                    "run",
+                    "-s",
+                    str(self.settings_path),
+                    "-e",
+                    spec.entry_id,
+                ],
+            )
+        self._wait_ready([e.address for e in self.entry_specs])
+        return self
+
+    def signal(self, name: str, sig: int) -> None:
+        """Send ``sig`` to the process ``name`` (by its pid)."""
+        os.kill(self.procs[name].pid, sig)
+
+    def wait_exit(self, name: str, timeout_s: float = 60.0) -> int:
+        """Wait for ``name`` to exit; its exit code."""
+        return self.procs[name].wait(timeout_s)
+
+    def stop(self) -> None:
+        """Stop every process this fleet started, by pid."""
+        for proc in self.procs.values():
+            if proc.poll() is None:
+                try:
+                    os.kill(proc.pid, signal.SIGCONT)
+                    os.kill(proc.pid, signal.SIGTERM)
+                except ProcessLookupError:
+                    pass
+        for proc in self.procs.values():
+            try:
+                proc.wait(40)
+            except subprocess.TimeoutExpired:
+                os.kill(proc.pid, signal.SIGKILL)
+                proc.wait()
+
+    def __enter__(self) -> "Fleet":
+        return self.start()
+
+    def __exit__(self, *exc: object) -> None:
+        self.stop()
+
+
+def get_json(address: str, path: str) -> Any:
+    """``GET http://address/path`` as JSON."""
+
+    async def go() -> Any:
+        async with aiohttp.ClientSession() as http:
+            async with http.get(f"http://{address}{path}") as resp:
+                return await resp.json()
+
+    return asyncio.run(go())
+
+
+def post_json(address: str, path: str, body: Any) -> Any:
+    """``POST http://address/path`` with a JSON body; the JSON answer."""
+
+    async def go() -> Any:
+        async with aiohttp.ClientSession() as http:
+            async with http.post(f"http://{address}{path}", json=body) as resp:
+                return await resp.json(content_type=None)
+
+    return asyncio.run(go())
+
+
+def demo(example: str, rate: float, seconds: float, requests: int) -> int:
+    """Bring a deployment up, run the load tool on it, bring it down."""
+    with Fleet(example) as fleet:
+        cmd = [
+            str(BIN / "celerytrack-load"),
+            "run",
+            "-s",
+            str(fleet.settings_path),
+            "-c",
+            str(fleet.config_path),
+            "-r",
+            str(rate),
+            "--seconds",
+            str(seconds),
+            "--requests",
+            str(requests),
+        ]
+        print(
+            f"== {fleet.fleet.deployment}: {len(fleet.entry_specs)} entries, "
+            f"{len(fleet.fleet.replicas)} replicas, {rate}/s for {seconds}s"
+        )
+        return subprocess.call(cmd, cwd=ROOT)
+
+
+if __name__ == "__main__":
+    code = 0
+    for name in sys.argv[1:] or ["haddad", "padma"]:
+        code |= demo(name, 40.0, 10.0, 400)
+    sys.exit(code)
