--- a/tests/test_escrow_model.py
+++ b/tests/test_escrow_model.py
@@ -14,8 +14,6 @@
 
 import unittest
 
-from nose2.tools import params
-
 from hypothesis import HealthCheck, settings
 from hypothesis import strategies as st
 from hypothesis.stateful import (
@@ -25,6 +23,7 @@
     rule,
     run_state_machine_as_test,
 )
+from nose2.tools import params
 
 from celerytrack.escrow import EscrowBook, HeldGrant
 from celerytrack.ids import AccountId, EntryId, GrantId, RequestId
