--- a/src/celerytrack/entry/ledger_keeper.py
+++ b/src/celerytrack/entry/ledger_keeper.py
@@ -16,7 +16,7 @@
 from returns.result import Failure, Success
 
 from celerytrack.entry._tail import catch_up, follow
-from celerytrack.escrow import EscrowBook, HeldGrant
+from celerytrack.escrow import EscrowBook, HeldGrant, grant_size
 from celerytrack.events import Event, log_event
 from celerytrack.ids import AccountId, EntryId
 from celerytrack.ledger import Ledger
@@ -145,7 +145,7 @@
         policy = self._policy()
         grant_id = self.book.new_grant_id(self._boot_id)
         for backoff_s in (*_BACKOFF_S, None):
-            size = min(max(policy.grant_tokens, tokens), self.free_tokens(account))
+            size = grant_size(self.free_tokens(account), tokens, policy.grant_tokens)
             if size <= 0:
                 log_event(_log, Event.GRANT_REFUSED, account=account, free_tokens=0)
                 return
--- a/src/celerytrack/escrow.py
+++ b/src/celerytrack/escrow.py
@@ -141,6 +141,23 @@
         self.grants.pop(grant_id, None)
 
 
+GRANT_SHARE = 4
+"""A grant takes at most a quarter of what is free, so one entry cut off
+from the ledger never sits on the whole budget while others refuse."""
+
+
+def grant_size(free_tokens: int, wanted_tokens: int, grant_tokens: int) -> int:
+    """How many tokens to ask the ledger for.
+
+    :param free_tokens: the account's free tokens in this entry's fold.
+    :param wanted_tokens: what the waiting request needs beyond what is held.
+    :param grant_tokens: the policy's usual grant.
+    :returns: a size no larger than ``free_tokens`` (0 means none can be had).
+    """
+    usual = min(grant_tokens, free_tokens // GRANT_SHARE)
+    return max(0, min(free_tokens, max(wanted_tokens, usual)))
+
+
 def budget_refusal(
     available_tokens: int,
     free_tokens: int,
--- a/src/celerytrack/load/caller.py
+++ b/src/celerytrack/load/caller.py
@@ -41,6 +41,7 @@
     reason: str = ""
     verdict: str = ""
     retry_after_s: float | None = None
+    key: str = ""
 
 
 @attrs.define
@@ -107,7 +108,9 @@
                     continue
                 if last.outcome == Outcome.FAILED:
                     continue
+                last.key = key
                 return last
+        last.key = key
         return last
 
     def _headers(self, account: str, key: str) -> dict[str, str]:
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -4,7 +4,7 @@
 
 from nose2.tools import params
 
-from celerytrack.escrow import EscrowBook, HeldGrant
+from celerytrack.escrow import EscrowBook, HeldGrant, grant_size
 from celerytrack.ids import AccountId, EntryId, GrantId, RequestId
 from celerytrack.ledger import Ledger
 
@@ -91,3 +91,16 @@
         assert reservation is not None
         self.assertEqual(book.commit(reservation, spent), counted)
         self.assertEqual(book.available(A, 0.0), left)
+
+
+class GrantSizeTest(unittest.TestCase):
+    @params(
+        # free, wanted, usual grant, size
+        (100_000, 100, 4000, 4000),
+        (8000, 100, 4000, 2000),  # a quarter of what is free
+        (8000, 3000, 4000, 3000),  # but at least what the request needs
+        (200, 300, 4000, 200),  # never more than is free
+        (0, 100, 4000, 0),
+    )
+    def test_grant_size(self, free, wanted, usual, size):
+        self.assertEqual(grant_size(free, wanted, usual), size)
