--- a/src/celerytrack/entry/app.py
+++ b/src/celerytrack/entry/app.py
@@ -305,7 +305,10 @@
             live[self.entry_id] = self.view.entries.get(self.entry_id) or _self_info(
                 self
             )
-        chosen = rendezvous(account.account_id, list(live), ENTRIES_PER_ACCOUNT)
+        chosen = [
+            EntryId(e)
+            for e in rendezvous(account.account_id, list(live), ENTRIES_PER_ACCOUNT)
+        ]
         return web.json_response(
             {
                 "entries": [live[e].address for e in chosen],
--- a/src/celerytrack/load/checker.py
+++ b/src/celerytrack/load/checker.py
@@ -88,7 +88,7 @@
     finally:
         await log.close()
     doubles = await _non_idempotent_runs(fleet, once_classes)
-    budgets = {a: t.budget_tokens for a, t in ledger.accounts.items()}
+    budgets = {str(a): t.budget_tokens for a, t in ledger.accounts.items()}
     return Audit(
         budgets,
         dict(billed),
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -11,8 +11,8 @@
 ``leave REPLICA``; ``apply [base=V]``; ``hold S`` (let a fault last S
 seconds); ``expect WHAT OP N`` where WHAT is one of ``overspend``,
 ``double-bills``, ``double-runs``, ``cut``, ``wrong``, ``done``,
-``refused``, ``refused-may-have-run``, ``refused-but-ran``, ``unbilled-done``, ``runs-on:REPLICA``,
-``config-lag-s``, ``apply-conflicts``.
+``refused``, ``refused-may-have-run``, ``refused-but-ran``,
+``unbilled-done``, ``runs-on:REPLICA``, ``config-lag-s``, ``apply-conflicts``.
 """
 
 import asyncio
