--- /dev/null
+++ b/bench/core_slopes.py
@@ -0,0 +1,133 @@
+"""Bench: memory and CPU slopes of the I/O-free core, per item held.
+
+Measures, with tracemalloc and perf_counter, what an entry's state costs per
+account budget folded, per grant held, per replica tracked and per
+configuration change applied, at several sizes, so the slope can be read.
+
+    .venv/bin/python -m bench.core_slopes
+"""
+
+import json
+import time
+import tracemalloc
+from collections.abc import Callable
+from typing import Any
+
+from celerytrack.escrow import EscrowBook, HeldGrant
+from celerytrack.ids import AccountId, EntryId, GrantId, ReplicaId, Zone
+from celerytrack.ledger import Ledger
+from celerytrack.routing import ReplicaLoad, choose_replica
+from celerytrack.settings import Config, structure
+
+
+def _bytes(build: Callable[[int], Any], n: int) -> float:
+    tracemalloc.start()
+    before = tracemalloc.take_snapshot()
+    kept = build(n)
+    after = tracemalloc.take_snapshot()
+    tracemalloc.stop()
+    total = sum(s.size_diff for s in after.compare_to(before, "filename"))
+    del kept
+    return total / n
+
+
+def _ledger(n: int) -> Ledger:
+    ledger = Ledger()
+    for i in range(n):
+        ledger.apply(
+            2 * i,
+            {
+                "type": "topup",
+                "account": f"acct-{i:06d}",
+                "tokens": 1000,
+                "topup_id": f"t{i}",
+            },
+        )
+        ledger.apply(
+            2 * i + 1,
+            {
+                "type": "grant",
+                "account": f"acct-{i:06d}",
+                "entry": "entry-1",
+                "grant_id": f"g{i}",
+                "tokens": 100,
+            },
+        )
+    return ledger
+
+
+def _book(n: int) -> EscrowBook:
+    book = EscrowBook(EntryId("entry-1"))
+    for i in range(n):
+        book.add(
+            HeldGrant(GrantId(f"entry-1.b.{i}"), AccountId(f"acct-{i:06d}"), 4000, 60.0)
+        )
+    return book
+
+
+def _replicas(n: int) -> list[ReplicaLoad]:
+    return [
+        ReplicaLoad(ReplicaId(f"rep-{i:05d}"), Zone(f"z{i % 8}"), f"m{i % 9}")
+        for i in range(n)
+    ]
+
+
+def _config_doc(accounts: int) -> dict[str, Any]:
+    return {
+        "deployment": "big",
+        "classes": [
+            {
+                "name": f"class-{i}",
+                "kind": "engine",
+                "model": f"m{i % 9}",
+                "ttft_target_s": 1.6,
+            }
+            for i in range(30)
+        ],
+        "accounts": [
+            {"account_id": f"acct-{i:06d}", "key": f"key-{i:012d}"}
+            for i in range(accounts)
+        ],
+    }
+
+
+def _time_per(fn: Callable[[], Any], repeat: int) -> float:
+    started = time.perf_counter()
+    for _ in range(repeat):
+        fn()
+    return (time.perf_counter() - started) / repeat
+
+
+def main() -> None:
+    out: dict[str, Any] = {}
+    for name, build in (
+        ("ledger_bytes_per_account", _ledger),
+        ("escrow_bytes_per_grant", _book),
+        ("replica_bytes_per_tracked", _replicas),
+    ):
+        out[name] = {n: round(_bytes(build, n), 1) for n in (1000, 10000, 100000)}
+    for n in (100, 1000, 6000):
+        replicas = _replicas(n)
+        out.setdefault("choose_replica_us", {})[n] = round(
+            1e6
+            * _time_per(
+                lambda r=replicas: choose_replica(
+                    r, "m1", "prompt " * 40, Zone("z1"), 0
+                ),
+                200,
+            ),
+            1,
+        )
+    for accounts in (250, 2500):
+        doc = _config_doc(accounts)
+        out.setdefault("config_apply_ms", {})[accounts] = round(
+            1e3 * _time_per(lambda d=doc: structure(d, Config), 5), 2
+        )
+        out.setdefault("config_record_kb", {})[accounts] = round(
+            len(json.dumps(doc)) / 1024, 1
+        )
+    print(json.dumps(out, indent=2))
+
+
+if __name__ == "__main__":
+    main()
--- a/src/celerytrack/settings.py
+++ b/src/celerytrack/settings.py
@@ -12,6 +12,7 @@
 raises :class:`SettingsError` naming the field path and the reason.
 """
 
+import collections
 import enum
 import json
 import pathlib
@@ -97,8 +98,8 @@
 
 def _unique(field: str) -> Any:
     def check(instance: object, attribute: "attrs.Attribute[Any]", value: Any) -> None:
-        names = [getattr(item, field) for item in value]
-        dupes = sorted({n for n in names if names.count(n) > 1})
+        counts = collections.Counter(getattr(item, field) for item in value)
+        dupes = sorted(n for n, c in counts.items() if c > 1)
         if dupes:
             raise ValueError(f"{attribute.name}: duplicate {field} {dupes}")
 
@@ -113,14 +114,21 @@
     classes: tuple[WorkClass, ...] = attrs.field(validator=_unique("name"))
     accounts: tuple[Account, ...] = attrs.field(validator=_unique("account_id"))
     grant: GrantPolicy = GrantPolicy()
+    _by_name: dict[str, WorkClass] = attrs.field(init=False, eq=False, repr=False)
+    _by_key: dict[str, Account] = attrs.field(init=False, eq=False, repr=False)
+
+    def __attrs_post_init__(self) -> None:
+        # Indexes, so a request's look-ups do not scan 2,500 accounts.
+        object.__setattr__(self, "_by_name", {c.name: c for c in self.classes})
+        object.__setattr__(self, "_by_key", {a.key: a for a in self.accounts})
 
     def work_class(self, name: str) -> WorkClass | None:
         """The class named ``name``, or ``None``."""
-        return next((c for c in self.classes if c.name == name), None)
+        return self._by_name.get(name)
 
     def account_by_key(self, key: str) -> Account | None:
         """The account whose key is ``key``, or ``None``."""
-        return next((a for a in self.accounts if a.key == key), None)
+        return self._by_key.get(key)
 
 
 @attrs.frozen
