Round-robin and least-loaded baselines for replica choice; routing bench

Change: routing.make_chooser returns our score-based choice or one of the two baselines (a closure for round-robin's turn); entries take it from tuning.placement in the fleet settings (default score).

--- a/src/celerytrack/cli/standin.py
+++ b/src/celerytrack/cli/standin.py
@@ -32,6 +32,13 @@
             flag=False,
             default="16",
         ),
+        option(
+            "cache-entries",
+            None,
+            "Engine: prompt prefixes cached.",
+            flag=False,
+            default="64",
+        ),
     ]
 
     def handle(self) -> int:
@@ -63,6 +70,7 @@
                         spec.replica_id,
                         capacity=int(self.option("capacity")),
                         token_s=float(self.option("token-s")),
+                        cache_entries=int(self.option("cache-entries")),
                         ignores_fence=spec.ignores_fence,
                     )
                 )
--- a/src/celerytrack/entry/app.py
+++ b/src/celerytrack/entry/app.py
@@ -36,7 +36,7 @@
 from celerytrack.events import Event, log_event
 from celerytrack.ids import AccountId, EntryId, RequestId
 from celerytrack.logclient import LogClient
-from celerytrack.routing import choose_replica, rendezvous, retry_after_s
+from celerytrack.routing import make_chooser, rendezvous, retry_after_s
 from celerytrack.settings import (
     Account,
     BackendKind,
@@ -113,6 +113,7 @@
         )
         self.journal = IntentJournal(self.log, f"{entry_id}/{self.boot_id}")
         self.answers = AnswerCache()
+        self.choose = make_chooser(fleet.tuning.placement)
         self.metrics = EntryMetrics()
         self.draining = False
         self.in_flight = 0
@@ -378,7 +379,7 @@
         )
         cost = count_tokens(prompt) + max_tokens
         reservation = await self._reserve(rid, account.account_id, cost)
-        replica = choose_replica(
+        replica = self.choose(
             list(self.view.replicas.values()),
             work.model,
             prompt,
@@ -633,7 +634,7 @@
         reservation = await self._reserve(
             rid, account.account_id, work.service_cost_tokens
         )
-        replica = choose_replica(
+        replica = self.choose(
             list(self.view.replicas.values()),
             work.model,
             "",
--- a/src/celerytrack/routing.py
+++ b/src/celerytrack/routing.py
@@ -11,8 +11,9 @@
 likely cold) and where it sits in another failure domain.
 """
 
+import itertools
 from collections import deque
-from collections.abc import Iterable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 
 import attrs
 import mmh3
@@ -119,11 +120,7 @@
     :param zone: this entry's failure domain.
     :param priority: the class priority; lower numbers are shed last.
     """
-    candidates = [r for r in replicas if r.model == model and not r.leaving]
-    if not candidates:
-        return None
-    threshold = SHED_THRESHOLDS[min(priority, len(SHED_THRESHOLDS) - 1)]
-    open_ = [r for r in candidates if r.estimate() < r.capacity * threshold]
+    open_ = _open(replicas, model, priority)
     if not open_:
         return None
     home = rendezvous(prefix_key(prompt), [r.replica_id for r in open_], 1)[0]
@@ -140,6 +137,61 @@
     return min(open_, key=lambda r: (score(r), r.replica_id))
 
 
+Chooser = Callable[[Sequence[ReplicaLoad], str, str, Zone, int], "ReplicaLoad | None"]
+"""The shape of a replica choice: replicas, model, prompt, zone, priority."""
+
+
+def _open(
+    replicas: Sequence[ReplicaLoad], model: str, priority: int
+) -> list[ReplicaLoad]:
+    threshold = SHED_THRESHOLDS[min(priority, len(SHED_THRESHOLDS) - 1)]
+    return [
+        r
+        for r in replicas
+        if r.model == model and not r.leaving and r.estimate() < r.capacity * threshold
+    ]
+
+
+def make_round_robin() -> Chooser:
+    """A baseline: each request to the next replica with room, in turn."""
+    turn = itertools.count()
+
+    def choose(
+        replicas: Sequence[ReplicaLoad],
+        model: str,
+        prompt: str,
+        zone: Zone,
+        priority: int,
+    ) -> ReplicaLoad | None:
+        open_ = sorted(_open(replicas, model, priority), key=lambda r: r.replica_id)
+        return open_[next(turn) % len(open_)] if open_ else None
+
+    return choose
+
+
+def least_loaded(
+    replicas: Sequence[ReplicaLoad], model: str, prompt: str, zone: Zone, priority: int
+) -> ReplicaLoad | None:
+    """A baseline: the replica with the fewest estimated sequences."""
+    open_ = _open(replicas, model, priority)
+    return min(open_, key=lambda r: (r.estimate(), r.replica_id)) if open_ else None
+
+
+def make_chooser(policy: str) -> Chooser:
+    """The replica choice named ``policy``: ``score`` (ours), ``round_robin``
+    or ``least_loaded`` (baselines for benches).
+
+    :raises ValueError: for another name.
+    """
+    if policy == "score":
+        return choose_replica
+    if policy == "round_robin":
+        return make_round_robin()
+    if policy == "least_loaded":
+        return least_loaded
+    raise ValueError(f"unknown placement policy {policy!r}")
+
+
 def retry_after_s(replicas: Sequence[ReplicaLoad], model: str) -> float:
     """When a caller refused for capacity should come back, in seconds."""
     candidates = [r for r in replicas if r.model == model and not r.leaving]
--- a/src/celerytrack/settings.py
+++ b/src/celerytrack/settings.py
@@ -176,6 +176,10 @@
     drain_grace_s: float = attrs.field(default=30.0, validator=_positive)
     upstream_timeout_s: float = attrs.field(default=30.0, validator=_positive)
     instance_poll_s: float = attrs.field(default=0.5, validator=_positive)
+    placement: str = attrs.field(
+        default="score", validator=v.in_(("score", "round_robin", "least_loaded"))
+    )
+    """Replica choice: ``score`` (ours); the others are baselines for benches."""
 
 
 @attrs.frozen
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -5,7 +5,7 @@
 from nose2.tools import params
 
 from celerytrack.ids import ReplicaId, Zone
-from celerytrack.routing import ReplicaLoad, choose_replica, rendezvous
+from celerytrack.routing import ReplicaLoad, choose_replica, make_chooser, rendezvous
 
 Z1, Z2 = Zone("z1"), Zone("z2")
 
@@ -60,3 +60,17 @@
             for _ in range(5)
         }
         self.assertEqual(len(chosen), 1)
+
+
+class BaselineTest(unittest.TestCase):
+    def test_round_robin_takes_turns(self):
+        choose = make_chooser("round_robin")
+        replicas = [_replica(n) for n in "abc"]
+        got = [choose(replicas, "m", "", Z1, 0).replica_id for _ in range(6)]
+        self.assertEqual(got, list("abcabc"))
+
+    @params(("least_loaded", "b"), ("score", "b"))
+    def test_least_loaded_picks_the_emptiest(self, policy, expected):
+        replicas = [_replica("a", running=5), _replica("b", running=1)]
+        got = make_chooser(policy)(replicas, "m", "", Z1, 0)
+        self.assertEqual(got.replica_id if got else None, expected)
