Record a filing's intent only after budget and replica are found; one admission path

A filing refused for budget (did_not_run) then looked started to every other entry, so its retry after a top-up was refused may_have_run for ever.

Change: the service path reserves, then places, then claims the intent, and releases the reservation if the claim is refused or finds the call done. The admission checks (body, key, class, draining, idempotency key of a non-idempotent class) are one method, _admit, returning an Admitted value; the in-flight guard of an idempotency key is one context manager; the no-capacity refusal is one method, _place, for both paths.

--- a/src/celerytrack/entry/app.py
+++ b/src/celerytrack/entry/app.py
@@ -14,14 +14,17 @@
 """
 
 import asyncio
+import contextlib
 import hashlib
 import json
 import logging
 import time
 import uuid
+from collections.abc import Iterator
 from typing import Any
 
 import aiohttp
+import attrs
 from aiohttp import web
 from prometheus_client import generate_latest
 
@@ -36,7 +39,7 @@
 from celerytrack.events import Event, log_event
 from celerytrack.ids import AccountId, EntryId, RequestId
 from celerytrack.logclient import LogClient
-from celerytrack.routing import make_chooser, rendezvous, retry_after_s
+from celerytrack.routing import ReplicaLoad, make_chooser, rendezvous, retry_after_s
 from celerytrack.settings import (
     Account,
     BackendKind,
@@ -60,11 +63,31 @@
 
 
 class RefusedError(Exception):
-    """Raised inside a handler to answer with a :class:`Refusal`."""
+    """Raised inside a handler to answer with a :class:`Refusal`.
 
-    def __init__(self, refusal: Refusal) -> None:
+    :param work_class: the class named by the request, for metrics.
+    """
+
+    def __init__(self, refusal: Refusal, work_class: str = "?") -> None:
         super().__init__(refusal.reason.value)
         self.refusal = refusal
+        self.work_class = work_class
+
+
+@attrs.frozen
+class Admitted:
+    """A request that passed the checks, before anything is reserved.
+
+    :ivar key: the caller's idempotency key, if it sent one.
+    :ivar cache_key: ``account:key``, where answers and intents are kept.
+    """
+
+    body: Any
+    account: Account
+    work: WorkClass
+    key: str | None
+    request_id: RequestId
+    cache_key: str
 
 
 def refusal_response(refusal: Refusal) -> web.Response:
@@ -216,6 +239,77 @@
                 )
             )
 
+    async def _admit(self, request: web.Request, kind: BackendKind) -> Admitted:
+        """The checks every request passes before anything is reserved.
+
+        :raises RefusedError: ``did_not_run`` for a bad body, key or class,
+            while draining, or for a non-idempotent call without a key.
+        """
+        name = request.match_info.get("work_class", "?")
+        try:
+            body = await request.json()
+        except json.JSONDecodeError:
+            raise RefusedError(
+                did_not_run(Reason.BAD_REQUEST, None, "body is not JSON"), name
+            ) from None
+        if kind is BackendKind.ENGINE:
+            name = str(body.get("model", ""))
+        try:
+            config = self._current()
+            account = self._authenticate(request, config)
+            work = self._work_class(config, name, kind)
+            self._refuse_if_draining()
+        except RefusedError as exc:
+            raise RefusedError(exc.refusal, name) from None
+        key = request.headers.get("Idempotency-Key")
+        if not work.idempotent and key is None:
+            raise RefusedError(
+                did_not_run(
+                    Reason.BAD_REQUEST,
+                    None,
+                    "a non-idempotent class needs an Idempotency-Key",
+                ),
+                name,
+            )
+        return Admitted(
+            body,
+            account,
+            work,
+            key,
+            request_id_for(account.account_id, key),
+            f"{account.account_id}:{key}",
+        )
+
+    def _stored(self, admitted: Admitted) -> StoredAnswer | None:
+        """The answer kept for this idempotency key, if any."""
+        if admitted.key is None:
+            return None
+        return self.answers.get(admitted.cache_key)
+
+    @contextlib.contextmanager
+    def _in_progress(self, admitted: Admitted) -> Iterator[None]:
+        """Count a request in flight, and hold its idempotency key.
+
+        :raises RefusedError: ``may_have_run`` if the same key is in flight:
+            the first may already be running, so this one must not start.
+        """
+        held = admitted.key is not None
+        if held and admitted.cache_key in self.answers.running:
+            raise RefusedError(
+                may_have_run(
+                    Reason.DUPLICATE_IN_FLIGHT, 1.0, "same idempotency key in progress"
+                )
+            )
+        self._enter()
+        if held:
+            self.answers.running.add(admitted.cache_key)
+        try:
+            yield
+        finally:
+            if held:
+                self.answers.running.discard(admitted.cache_key)
+            self._leave()
+
     async def _reserve(
         self, rid: RequestId, account: AccountId, cost: int
     ) -> Reservation:
@@ -246,6 +340,29 @@
             )
         )
 
+    def _place(
+        self, work: WorkClass, prompt: str, reservation: Reservation
+    ) -> ReplicaLoad:
+        """The replica for a request, or a ``no_capacity`` refusal.
+
+        :raises RefusedError: ``did_not_run`` with ``Retry-After``; the
+            reservation is released first.
+        """
+        replicas = list(self.view.replicas.values())
+        replica = self.choose(
+            replicas, work.model, prompt, self.spec.zone, work.priority
+        )
+        if replica is None:
+            self.keeper.book.release(reservation)
+            raise RefusedError(
+                did_not_run(
+                    Reason.NO_CAPACITY,
+                    retry_after_s(replicas, work.model),
+                    f"no replica of {work.model} has room for priority {work.priority}",
+                )
+            )
+        return replica
+
     def _refuse(self, work_class: str, refusal: Refusal) -> web.Response:
         self.metrics.refusals.labels(refusal.reason.value, refusal.verdict.value).inc()
         self.metrics.requests.labels(work_class, "refused").inc()
@@ -320,57 +437,26 @@
     async def chat(self, request: web.Request) -> web.StreamResponse:
         """``POST /v1/chat/completions``: admit, route, stream, bill."""
         started = time.monotonic()
-        name = "?"
         try:
-            body = await request.json()
-            name = str(body.get("model", ""))
-            config = self._current()
-            account = self._authenticate(request, config)
-            work = self._work_class(config, name, BackendKind.ENGINE)
-            self._refuse_if_draining()
-        except (RefusedError, json.JSONDecodeError) as exc:
-            refusal = (
-                exc.refusal
-                if isinstance(exc, RefusedError)
-                else did_not_run(Reason.BAD_REQUEST, None, "body is not JSON")
-            )
-            return self._refuse(name, refusal)
-        key = request.headers.get("Idempotency-Key")
-        rid = request_id_for(account.account_id, key)
-        cache_key = f"{account.account_id}:{key}"
-        if key is not None and (stored := self.answers.get(cache_key)) is not None:
-            log_event(_log, Event.REQUEST_REPLAYED, request_id=rid)
-            return await self._replay_stream(request, stored, name)
-        if key is not None and cache_key in self.answers.running:
-            return self._refuse(
-                name,
-                may_have_run(
-                    Reason.DUPLICATE_IN_FLIGHT, 1.0, "same idempotency key in progress"
-                ),
-            )
-        self._enter()
-        if key is not None:
-            self.answers.running.add(cache_key)
+            admitted = await self._admit(request, BackendKind.ENGINE)
+        except RefusedError as exc:
+            return self._refuse(exc.work_class, exc.refusal)
+        stored = self._stored(admitted)
+        if stored is not None:
+            log_event(_log, Event.REQUEST_REPLAYED, request_id=admitted.request_id)
+            return await self._replay_stream(request, stored, admitted.work.name)
         try:
-            return await self._serve_chat(
-                request, body, account, work, rid, cache_key if key else None, started
-            )
+            with self._in_progress(admitted):
+                return await self._serve_chat(request, admitted, started)
         except RefusedError as exc:
-            return self._refuse(name, exc.refusal)
-        finally:
-            self.answers.running.discard(cache_key)
-            self._leave()
+            return self._refuse(admitted.work.name, exc.refusal)
 
     async def _serve_chat(
-        self,
-        request: web.Request,
-        body: dict[str, Any],
-        account: Account,
-        work: WorkClass,
-        rid: RequestId,
-        cache_key: str | None,
-        started: float,
+        self, request: web.Request, admitted: Admitted, started: float
     ) -> web.StreamResponse:
+        body, account, work = admitted.body, admitted.account, admitted.work
+        rid = admitted.request_id
+        cache_key = admitted.cache_key if admitted.key is not None else None
         messages = body.get("messages") or []
         prompt = "".join(str(m.get("content", "")) for m in messages)
         max_tokens = min(
@@ -379,22 +465,7 @@
         )
         cost = count_tokens(prompt) + max_tokens
         reservation = await self._reserve(rid, account.account_id, cost)
-        replica = self.choose(
-            list(self.view.replicas.values()),
-            work.model,
-            prompt,
-            self.spec.zone,
-            work.priority,
-        )
-        if replica is None:
-            self.keeper.book.release(reservation)
-            raise RefusedError(
-                did_not_run(
-                    Reason.NO_CAPACITY,
-                    retry_after_s(list(self.view.replicas.values()), work.model),
-                    f"no replica of {work.model} has room for priority {work.priority}",
-                )
-            )
+        replica = self._place(work, prompt, reservation)
         address = self.view.addresses[replica.replica_id]
         upstream_body = {
             "model": work.model,
@@ -567,89 +638,44 @@
     async def service_call(self, request: web.Request) -> web.Response:
         """``POST /v1/services/{class}``: a plain-service call, JSON body."""
         started = time.monotonic()
-        name = request.match_info["work_class"]
         try:
-            body = await request.json()
-            config = self._current()
-            account = self._authenticate(request, config)
-            work = self._work_class(config, name, BackendKind.SERVICE)
-            self._refuse_if_draining()
-            key = request.headers.get("Idempotency-Key")
-            if not work.idempotent and key is None:
-                raise RefusedError(
-                    did_not_run(
-                        Reason.BAD_REQUEST,
-                        None,
-                        "a non-idempotent class needs an Idempotency-Key",
-                    )
-                )
-        except (RefusedError, json.JSONDecodeError) as exc:
-            refusal = (
-                exc.refusal
-                if isinstance(exc, RefusedError)
-                else did_not_run(Reason.BAD_REQUEST, None, "body is not JSON")
-            )
-            return self._refuse(name, refusal)
-        rid = request_id_for(account.account_id, key)
-        cache_key = f"{account.account_id}:{key}"
-        if key is not None and (stored := self.answers.get(cache_key)) is not None:
+            admitted = await self._admit(request, BackendKind.SERVICE)
+        except RefusedError as exc:
+            return self._refuse(exc.work_class, exc.refusal)
+        stored = self._stored(admitted)
+        if stored is not None:
             return web.json_response(stored.body, headers={"X-Replayed": "1"})
-        if key is not None and cache_key in self.answers.running:
-            return self._refuse(
-                name,
-                may_have_run(
-                    Reason.DUPLICATE_IN_FLIGHT, 1.0, "same idempotency key in progress"
-                ),
-            )
-        self._enter()
-        if key is not None:
-            self.answers.running.add(cache_key)
         try:
-            answer = await self._serve_service(
-                body, account, work, rid, cache_key, started
-            )
+            with self._in_progress(admitted):
+                answer = await self._serve_service(admitted, started)
         except RefusedError as exc:
-            return self._refuse(name, exc.refusal)
-        finally:
-            self.answers.running.discard(cache_key)
-            self._leave()
-        if key is not None:
-            self.answers.put(cache_key, StoredAnswer(rid, body=answer))
-        return web.json_response(answer, headers={"X-Request-Id": rid})
+            return self._refuse(admitted.work.name, exc.refusal)
+        if admitted.key is not None:
+            self.answers.put(
+                admitted.cache_key, StoredAnswer(admitted.request_id, body=answer)
+            )
+        return web.json_response(answer, headers={"X-Request-Id": admitted.request_id})
 
-    async def _serve_service(
-        self,
-        body: Any,
-        account: Account,
-        work: WorkClass,
-        rid: RequestId,
-        cache_key: str,
-        started: float,
-    ) -> Any:
+    async def _serve_service(self, admitted: Admitted, started: float) -> Any:
         assert self._upstream is not None
-        if not work.idempotent:
-            done = await self._claim_once(cache_key, rid)
-            if done is not None:
-                return done
+        body, account, work = admitted.body, admitted.account, admitted.work
+        rid, cache_key = admitted.request_id, admitted.cache_key
         reservation = await self._reserve(
             rid, account.account_id, work.service_cost_tokens
         )
-        replica = self.choose(
-            list(self.view.replicas.values()),
-            work.model,
-            "",
-            self.spec.zone,
-            work.priority,
-        )
-        if replica is None:
-            self.keeper.book.release(reservation)
-            raise RefusedError(
-                did_not_run(
-                    Reason.NO_CAPACITY,
-                    retry_after_s(list(self.view.replicas.values()), work.model),
-                    f"no replica of {work.model} has room",
-                )
-            )
+        replica = self._place(work, "", reservation)
+        if not work.idempotent:
+            # The intent is recorded only once budget and a replica are
+            # found: an intent recorded for a call then refused would make
+            # every later retry look started ("may have run") for ever.
+            try:
+                done = await self._claim_once(cache_key, rid)
+            except RefusedError:
+                self.keeper.book.release(reservation)
+                raise
+            if done is not None:
+                self.keeper.book.release(reservation)
+                return done
         url = f"http://{self.view.addresses[replica.replica_id]}/call/{work.name}"
         replica.sent(time.time())
         try:
