--- a/src/celerytrack/load/report.py
+++ b/src/celerytrack/load/report.py
@@ -11,6 +11,8 @@
 from celerytrack.load.checker import Audit
 
 _MAX_US = 120_000_000
+SLO_SHARE = 0.95
+"""The share of a class's requests that must meet its first-token target."""
 
 
 def _histogram(values_s: list[float]) -> HdrHistogram:
@@ -46,6 +48,7 @@
         )
         target = targets_s.get(name)
         classes[name] = {
+            "slo_burn": _burn(items, target),
             "requests": len(items),
             "ttft_p50_ms": ttft.get_value_at_percentile(50) / 1000,
             "ttft_p95_ms": ttft.get_value_at_percentile(95) / 1000,
@@ -68,18 +71,34 @@
     }
 
 
+def _burn(items: list[Result], target_s: float | None) -> float | None:
+    """How fast the class spends its error budget: the share of requests that
+    missed the target (late, refused or failed) over the share allowed
+    (``1 - SLO_SHARE``). 1.0 spends it exactly; above 1 the SLO is broken.
+    """
+    if target_s is None or not items:
+        return None
+    missed = sum(
+        1
+        for r in items
+        if r.outcome != Outcome.DONE or r.ttft_s is None or r.ttft_s > target_s
+    )
+    return round(missed / len(items) / (1 - SLO_SHARE), 2)
+
+
 def table(summary: dict[str, Any]) -> str:
     """A plain-text table of :func:`summarise`'s output."""
     lines = [
         f"{'class':15} {'n':>5} {'ttft p50':>9} {'p95':>8} {'p99':>8} "
-        f"{'target':>7} {'gap p95':>8}  outcomes"
+        f"{'target':>7} {'gap p95':>8} {'burn':>5}  outcomes"
     ]
     for name, row in summary["classes"].items():
         target = f"{row['target_ms']:.0f}" if row["target_ms"] else "-"
         lines.append(
             f"{name:15} {row['requests']:>5} {row['ttft_p50_ms']:>8.1f}m "
             f"{row['ttft_p95_ms']:>7.1f}m {row['ttft_p99_ms']:>7.1f}m {target:>7} "
-            f"{row['gap_p95_ms']:>7.1f}m  {row['outcomes']} {row['refusals'] or ''}"
+            f"{row['gap_p95_ms']:>7.1f}m {row['slo_burn'] or 0:>5.2f}  "
+            f"{row['outcomes']} {row['refusals'] or ''}"
         )
     lines.append(
         f"overspend {summary['overspend_tokens']} tokens, double bills "
