--- a/bench/entry_bench.py
+++ b/bench/entry_bench.py
@@ -129,10 +129,16 @@
     parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
     parser.add_argument("--rate", type=float, default=150.0)
     parser.add_argument("--seconds", type=float, default=6.0)
+    parser.add_argument("--tokens-per-event", type=int, default=1)
     args = parser.parse_args()
     out: dict[str, object] = {"rate_per_s": args.rate, "seconds": args.seconds}
     fleet = Fleet(
-        "haddad", entries=1, engine_args=("--token-s", "0.002", "--capacity", "64")
+        "haddad",
+        entries=1,
+        engine_args=(
+            *("--token-s", "0.002", "--capacity", "64", "--prefill-s", "0.000005"),
+            *("--tokens-per-event", str(args.tokens_per_event)),
+        ),
     )
     with fleet:
         pid = fleet.procs[fleet.entry_specs[0].entry_id].pid
--- a/src/celerytrack/__init__.py
+++ b/src/celerytrack/__init__.py
@@ -15,14 +15,19 @@
     RequestId,
     Zone,
 )
-from celerytrack.ledger import AccountLedger, Ledger, OpenGrant
-from celerytrack.routing import ReplicaLoad, choose_replica, rendezvous
+from celerytrack.ledger import AccountLedger, Bill, BillOutcome, Ledger, OpenGrant
+from celerytrack.replica_load import Ask, PrefixIndex, ReplicaLoad
+from celerytrack.retries import RetryBudget, backoff_s, may_retry
+from celerytrack.routing import Placement, make_chooser, predicted_s, rendezvous
 from celerytrack.settings import Config, FleetSettings, SettingsError, load_json
 from celerytrack.verdict import Reason, Refusal, Verdict, did_not_run, may_have_run
 
 __all__ = [
     "AccountId",
     "AccountLedger",
+    "Ask",
+    "Bill",
+    "BillOutcome",
     "ClassName",
     "Config",
     "EntryId",
@@ -32,19 +37,25 @@
     "HeldGrant",
     "Ledger",
     "OpenGrant",
+    "Placement",
+    "PrefixIndex",
     "Reason",
     "Refusal",
     "ReplicaId",
     "ReplicaLoad",
     "RequestId",
     "Reservation",
+    "RetryBudget",
     "SettingsError",
     "Verdict",
     "Zone",
+    "backoff_s",
     "budget_refusal",
-    "choose_replica",
     "did_not_run",
     "load_json",
+    "make_chooser",
     "may_have_run",
+    "may_retry",
+    "predicted_s",
     "rendezvous",
 ]
--- a/src/celerytrack/cli/ctl.py
+++ b/src/celerytrack/cli/ctl.py
@@ -17,7 +17,7 @@
 from returns.result import Failure, Success
 
 from celerytrack.entry.config_follower import CONFIG, config_record
-from celerytrack.entry.ledger_keeper import LEDGER
+from celerytrack.entry.ledger_writer import LEDGER
 from celerytrack.logclient import LogClient, LogErrorKind
 from celerytrack.settings import Config, FleetSettings, SettingsError, load_json
 
--- a/src/celerytrack/cli/entry.py
+++ b/src/celerytrack/cli/entry.py
@@ -7,7 +7,8 @@
 from cleo.helpers import option
 
 from celerytrack.cli._serve import run, serve
-from celerytrack.entry.app import Entry, make_app
+from celerytrack.entry.app import make_app
+from celerytrack.entry.state import EntryState
 from celerytrack.events import Event, log_event, setup_logging
 from celerytrack.settings import FleetSettings, SettingsError, load_json
 
@@ -34,7 +35,7 @@
         except SettingsError as exc:
             self.line_error(f"<error>settings: {exc}</error>")
             return 2
-        entry = Entry(fleet, entry_id)
+        entry = EntryState(fleet, entry_id)
 
         async def main() -> None:
             async def stop() -> None:
--- a/src/celerytrack/cli/load.py
+++ b/src/celerytrack/cli/load.py
@@ -50,7 +50,7 @@
 
         async def go() -> dict[str, object]:
             results = await run_plan(plan, MIXES[fleet.deployment], entries, keys)
-            await asyncio.sleep(fleet.tuning.bill_flush_s * 5)
+            await asyncio.sleep(fleet.tuning.ledger_flush_s * 5)
             found = await audit(fleet, once)
             targets = {c.name: c.ttft_target_s for c in config.classes}
             return summarise(results, found, targets)
--- a/src/celerytrack/entry/_tail.py
+++ b/src/celerytrack/entry/_tail.py
@@ -76,17 +76,23 @@
     apply: Callable[[int, Any], None],
     wait_s: float = 1.0,
     restore: Restore = _skip_to_start,
+    on_contact: Callable[[bool], None] = lambda reachable: None,
 ) -> None:
-    """Apply every record of ``stream`` from ``start`` on, forever."""
+    """Apply every record of ``stream`` from ``start`` on, forever.
+
+    :param on_contact: told after each read whether the log answered.
+    """
     offset = start
     while True:
         result = await log.read(stream, offset, wait_s=wait_s)
         match result:
             case Success(batch):
+                on_contact(True)
                 for at, record in batch.records:
                     apply(at, record)
                 offset = batch.next_offset
             case Failure(error) if error.kind is LogErrorKind.TRIMMED:
                 offset = await _trimmed(stream, offset, error.start_offset, restore)
             case _:
+                on_contact(False)
                 await asyncio.sleep(_RETRY_S)
--- a/src/celerytrack/entry/answers.py
+++ b/src/celerytrack/entry/answers.py
@@ -1,30 +1,44 @@
 """Answers kept by idempotency key, so a retry gets the same answer.
 
-Bounded: the oldest answers are forgotten first.
+Bounded in bytes; the answers least recently used are forgotten first. A
+retry whose answer was forgotten runs again and is still not billed twice:
+the ledger remembers request ids for longer.
 """
 
-from collections import OrderedDict
+import json
 from typing import Any
 
 import attrs
+from cachetools import LRUCache
 
-_KEEP = 20000
+KEPT_BYTES = 16 * 1024 * 1024
+_OVERHEAD_BYTES = 512
 
 
 @attrs.frozen
 class StoredAnswer:
-    """A finished request's answer: streamed text or a service's JSON."""
+    """A finished request's answer: a stream's events or a service's JSON."""
 
     request_id: str
-    text: str = ""
+    stream: bytes = b""
     body: Any = None
 
+    @property
+    def size_bytes(self) -> int:
+        """About what keeping it costs."""
+        body = 0 if self.body is None else len(json.dumps(self.body))
+        return len(self.stream) + body + _OVERHEAD_BYTES
+
+
+def _cache() -> LRUCache[str, StoredAnswer]:
+    return LRUCache(KEPT_BYTES, getsizeof=lambda answer: answer.size_bytes)
+
 
 @attrs.define
 class AnswerCache:
     """Finished answers and keys in progress, by ``account:key``."""
 
-    done: OrderedDict[str, StoredAnswer] = attrs.field(factory=OrderedDict)
+    done: LRUCache[str, StoredAnswer] = attrs.field(factory=_cache)
     running: set[str] = attrs.field(factory=set)
 
     def get(self, key: str) -> StoredAnswer | None:
@@ -32,7 +46,6 @@
         return self.done.get(key)
 
     def put(self, key: str, answer: StoredAnswer) -> None:
-        """Keep ``answer`` for ``key``."""
-        self.done[key] = answer
-        while len(self.done) > _KEEP:
-            self.done.popitem(last=False)
+        """Keep ``answer`` for ``key``, if it is not too large to keep."""
+        if answer.size_bytes <= KEPT_BYTES:
+            self.done[key] = answer
--- /dev/null
+++ b/src/celerytrack/entry/chat.py
@@ -0,0 +1,291 @@
+"""``POST /v1/chat/completions``: admit, route, stream, bill."""
+
+import asyncio
+import logging
+import time
+from typing import Any
+
+import aiohttp
+import attrs
+from aiohttp import web
+from returns.result import Failure, Result, Success
+
+from celerytrack.entry.admission import (
+    Admitted,
+    admit,
+    in_progress,
+    reserve,
+    stored_answer,
+)
+from celerytrack.entry.answers import StoredAnswer
+from celerytrack.entry.charging import charge
+from celerytrack.entry.refusals import RefusedError, refuse
+from celerytrack.entry.state import EntryState
+from celerytrack.entry.upstream import (
+    CONNECTION_FAILED,
+    NEVER_CONNECTED,
+    bad_status,
+    failed,
+    try_replicas,
+    unreachable,
+)
+from celerytrack.escrow import Reservation
+from celerytrack.events import Event, log_event
+from celerytrack.prompts import count_tokens, prompt_blocks, prompt_text
+from celerytrack.replica_load import Ask, ReplicaLoad
+from celerytrack.routing import Placement, predicted_s
+from celerytrack.settings import BackendKind
+from celerytrack.sse import DONE_EVENT, AnswerRelay, event_bytes
+from celerytrack.verdict import Reason, Refusal, did_not_run, may_have_run
+
+_log = logging.getLogger(__name__)
+
+_END_WAIT_S = 0.1
+"""Longest to wait for the end of a response behind its last event."""
+
+
+class _CallerGoneError(Exception):
+    """The caller closed its connection before the answer was whole."""
+
+
+class _EngineCutError(Exception):
+    """The engine's stream broke before its end."""
+
+
+@attrs.define
+class _Answer:
+    """One answer on its way to its caller."""
+
+    admitted: Admitted
+    prompt_tokens: int
+    max_tokens: int
+    ask: Ask
+    started_s: float
+    relay: AnswerRelay
+    response: web.StreamResponse | None = None
+    sent_s: float = 0.0
+    predicted_s: float = 0.0
+
+    @property
+    def spent_tokens(self) -> int:
+        return self.prompt_tokens + self.relay.tokens
+
+
+async def chat(state: EntryState, request: web.Request) -> web.StreamResponse:
+    """Handle one request."""
+    started_s = time.monotonic()
+    try:
+        admitted = await admit(state, request, BackendKind.ENGINE)
+    except RefusedError as exc:
+        return refuse(state.metrics, exc.work_class, exc.refusal)
+    stored = stored_answer(state, admitted)
+    if stored is not None:
+        log_event(_log, Event.REQUEST_REPLAYED, request_id=admitted.request_id)
+        return await _replay(request, stored)
+    try:
+        with in_progress(state, admitted):
+            return await _serve(state, request, _answer(admitted, started_s))
+    except RefusedError as exc:
+        return refuse(state.metrics, admitted.work.name, exc.refusal)
+
+
+def _answer(admitted: Admitted, started_s: float) -> _Answer:
+    work = admitted.work
+    prompt = prompt_text(admitted.body)
+    asked = admitted.body.get("max_tokens")
+    if asked is not None and (not isinstance(asked, int) or asked < 1):
+        detail = "max_tokens must be a positive integer"
+        raise RefusedError(did_not_run(Reason.BAD_REQUEST, None, detail))
+    max_tokens = min(asked or work.max_output_tokens, work.max_output_tokens)
+    ask = Ask(work.model, work.priority, prompt_blocks(prompt), max_tokens)
+    relay = AnswerRelay(admitted.request_id)
+    return _Answer(admitted, count_tokens(prompt), max_tokens, ask, started_s, relay)
+
+
+async def _serve(
+    state: EntryState, request: web.Request, answer: _Answer
+) -> web.StreamResponse:
+    cost = answer.prompt_tokens + answer.max_tokens
+    reservation = await reserve(state, answer.admitted, cost)
+    try:
+        streamed = await try_replicas(
+            state,
+            answer.admitted.work,
+            answer.ask,
+            lambda replica: _stream_from(state, request, replica, answer),
+        )
+    except _CallerGoneError:
+        await _end_unwanted(state, answer, reservation)
+        raise ConnectionResetError from None
+    except asyncio.CancelledError:
+        state.keeper.book.release(reservation)
+        raise
+    match streamed:
+        case Failure(refusal):
+            state.keeper.book.release(reservation)
+            return await _fail(state, answer, refusal)
+    try:
+        await charge(state, answer.admitted, reservation, answer.spent_tokens)
+    except RefusedError as exc:
+        lost = may_have_run(exc.refusal.reason, None, "grant lost while it ran")
+        return await _fail(state, answer, lost)
+    return await _finish(state, answer)
+
+
+async def _stream_from(
+    state: EntryState, request: web.Request, replica: ReplicaLoad, answer: _Answer
+) -> Result[None, Refusal]:
+    """Stream (the rest of) the answer from ``replica``."""
+    answer.sent_s = time.monotonic()
+    answer.predicted_s = predicted_s(replica, answer.ask, Placement(), time.time())
+    body = {
+        "model": answer.admitted.work.model,
+        "messages": answer.admitted.body.get("messages") or [],
+        "max_tokens": answer.max_tokens,
+        "stream": True,
+        "priority": answer.admitted.work.priority,
+        # Tokens the caller has already: the engine goes on behind them.
+        "resume_from": answer.relay.tokens,
+    }
+    url = f"http://{state.view.addresses[replica.replica_id]}/v1/chat/completions"
+    headers = {"X-Request-Id": answer.admitted.request_id}
+    try:
+        upstream = await state.upstream.post(url, json=body, headers=headers)
+    except NEVER_CONNECTED:
+        return Failure(unreachable())
+    except CONNECTION_FAILED:
+        return Failure(failed())
+    try:
+        if upstream.status != 200:
+            return Failure(bad_status(upstream.status))
+        await _pump(state, request, replica, upstream, answer)
+        return Success(None)
+    except _EngineCutError:
+        answer.relay.resumed()
+        return Failure(may_have_run(Reason.UPSTREAM_CUT, 1.0, "engine stream cut"))
+    finally:
+        # An engine stops work when its connection closes, and bytes left of
+        # this answer must not meet the next request: the connection is used
+        # again only once the engine has ended its response.
+        if not (answer.relay.complete and await _ended(upstream)):
+            upstream.close()
+
+
+async def _ended(upstream: aiohttp.ClientResponse) -> bool:
+    """Whether the engine ends its response now that ``[DONE]`` was read."""
+    try:
+        async with asyncio.timeout(_END_WAIT_S):
+            return await upstream.content.readany() == b""
+    except CONNECTION_FAILED:
+        return False
+
+
+async def _pump(
+    state: EntryState,
+    request: web.Request,
+    replica: ReplicaLoad,
+    upstream: aiohttp.ClientResponse,
+    answer: _Answer,
+) -> None:
+    """Pass the engine's events on until the answer is whole.
+
+    :raises _EngineCutError: if the engine's stream ends before.
+    :raises _CallerGoneError: if the caller's connection is closed.
+    """
+    relay = answer.relay
+    while not relay.complete:
+        try:
+            data = await upstream.content.readany()
+        except CONNECTION_FAILED:
+            raise _EngineCutError from None
+        if not data:
+            raise _EngineCutError
+        out = relay.feed(data)
+        if not out:
+            continue
+        try:
+            if answer.response is None:
+                answer.response = await _open(state, request, replica, answer)
+            await answer.response.write(out)
+        except ConnectionError:
+            raise _CallerGoneError from None
+
+
+async def _open(
+    state: EntryState, request: web.Request, replica: ReplicaLoad, answer: _Answer
+) -> web.StreamResponse:
+    work, rid = answer.admitted.work, answer.admitted.request_id
+    now_s = time.monotonic()
+    state.metrics.ttft.labels(work.name).observe(now_s - answer.started_s)
+    replica.observed(now_s - answer.sent_s, answer.predicted_s)
+    response = web.StreamResponse(
+        headers={"Content-Type": "text/event-stream", "X-Request-Id": rid}
+    )
+    await response.prepare(request)
+    return response
+
+
+async def _fail(
+    state: EntryState, answer: _Answer, refusal: Refusal
+) -> web.StreamResponse:
+    """Answer with ``refusal``: as the last event, if the answer had begun."""
+    if answer.response is None:
+        raise RefusedError(refusal)
+    log_event(
+        _log,
+        Event.REQUEST_CUT,
+        logging.WARNING,
+        request_id=answer.admitted.request_id,
+        tokens=answer.relay.tokens,
+    )
+    state.metrics.requests.labels(answer.admitted.work.name, "cut").inc()
+    await answer.response.write(event_bytes(refusal.to_json()))
+    return answer.response
+
+
+async def _finish(state: EntryState, answer: _Answer) -> web.StreamResponse:
+    admitted, relay = answer.admitted, answer.relay
+    if admitted.key is not None:
+        stored = StoredAnswer(admitted.request_id, stream=bytes(relay.passed))
+        state.answers.put(admitted.cache_key, stored)
+    assert answer.response is not None
+    await answer.response.write(DONE_EVENT)
+    state.metrics.requests.labels(admitted.work.name, "done").inc()
+    state.metrics.tokens.labels(admitted.work.name).inc(relay.tokens)
+    log_event(
+        _log,
+        Event.REQUEST_DONE,
+        logging.DEBUG,
+        request_id=admitted.request_id,
+        tokens=relay.tokens,
+    )
+    return answer.response
+
+
+async def _end_unwanted(
+    state: EntryState, answer: _Answer, reservation: Reservation
+) -> None:
+    """The caller left: what it got is billed, and the engine stops.
+
+    Otherwise a caller could read every answer but its last event for free.
+    """
+    state.metrics.requests.labels(answer.admitted.work.name, "caller_left").inc()
+    if not answer.relay.tokens:
+        state.keeper.book.release(reservation)
+        return
+    try:
+        await charge(state, answer.admitted, reservation, answer.spent_tokens)
+    except RefusedError:
+        return
+
+
+async def _replay(request: web.Request, stored: StoredAnswer) -> web.StreamResponse:
+    headers: dict[str, Any] = {
+        "Content-Type": "text/event-stream",
+        "X-Request-Id": stored.request_id,
+        "X-Replayed": "1",
+    }
+    response = web.StreamResponse(headers=headers)
+    await response.prepare(request)
+    await response.write(stored.stream + DONE_EVENT)
+    return response
--- a/src/celerytrack/entry/ledger_keeper.py
+++ b/src/celerytrack/entry/ledger_keeper.py
@@ -1,46 +1,86 @@
 """The task that owns this entry's view of the ledger and its escrow.
 
 It follows the ``ledger`` stream into a :class:`~celerytrack.ledger.Ledger`,
-takes grants by conditional append when the escrow runs low, settles grants
-whose lease ended, and writes snapshots so that readers survive retention.
-Request handlers only touch the in-memory :class:`EscrowBook` and send this
-task a message (an account that needs tokens).
+asks for grants when the escrow runs low, settles grants whose lease ended,
+gives idle ones back when another entry wants them, takes back those of
+entries that are gone, and writes snapshots so that readers survive
+retention. Request handlers only touch the in-memory :class:`EscrowBook` and
+this keeper's methods; all writing goes through the :class:`LedgerWriter`.
 """
 
 import asyncio
+import enum
+import itertools
 import logging
 import time
 from collections.abc import Callable
 from typing import Any
 
-from returns.result import Failure, Success
+import attrs
+from returns.result import Success
 
 from celerytrack.entry._tail import catch_up, follow
-from celerytrack.escrow import EscrowBook, HeldGrant, grant_size
+from celerytrack.entry.ledger_writer import LEDGER, LedgerWriter, Record
+from celerytrack.escrow import Charges, EscrowBook, HeldGrant, grant_size, reclaimable
 from celerytrack.events import Event, log_event
-from celerytrack.ids import AccountId, EntryId
-from celerytrack.ledger import Ledger
-from celerytrack.logclient import LogClient, LogErrorKind
+from celerytrack.ids import AccountId, EntryId, GrantId
+from celerytrack.ledger import Bill, BillOutcome, IntentState, Ledger
+from celerytrack.logclient import Appended, LogClient
 from celerytrack.settings import GrantPolicy
 
 _log = logging.getLogger(__name__)
 
-LEDGER = "ledger"
 SNAPSHOTS = "ledger.snapshots"
 SNAPSHOT_EVERY = 500
 """Records between ledger snapshots; retention must keep several times this."""
-_BACKOFF_S = (0.05, 0.1, 0.2, 0.4, 0.8)
+SNAPSHOT_AFTER_S = 60.0
+"""Longest between ledger snapshots; the log's retention must be longer."""
+_RESTORE_RETRY_S = 0.2
 _SETTLE_EVERY_S = 1.0
+_WANT_EVERY_S = 1.0
+"""How often an entry repeats that it wants tokens others hold."""
+_SYNC_EVERY_S = 0.02
+_CLAIM_WAIT_S = 2.0
+"""Longest a non-idempotent call waits for its intent to be recorded."""
+_MAX_ANSWER_BYTES = 16_384
+
+
+class ClaimState(enum.Enum):
+    """The outcome of claiming a non-idempotent call."""
+
+    OWNED = "owned"
+    """The ledger shows our intent first: we may send the call, once."""
+    STARTED = "started"
+    """Another attempt owns the call and it may have run."""
+    FINISHED = "finished"
+    """The call ran; its answer is at hand."""
+    UNREACHABLE = "unreachable"
+    """The intent could not be recorded in time: do not send the call."""
+
+
+@attrs.frozen
+class Claim:
+    """Who may send a non-idempotent call.
+
+    :ivar claim_id: this attempt's id, named again when it finishes.
+    :ivar answer: the stored answer, when finished.
+    """
+
+    state: ClaimState
+    claim_id: str = ""
+    answer: Any = None
 
 
 class LedgerKeeper:
-    """Owns the ledger fold, the escrow book and the ledger's I/O.
+    """Owns the ledger fold and the escrow book.
 
     :param log: client of the platform log.
     :param entry: this entry's id.
     :param boot_id: unique per process start, part of every grant id.
     :param policy: the grant policy now in force (read on each use).
-    :param snapshot_writer: says whether this entry writes snapshot *k*.
+    :param flush_s: the shortest time between two appends.
+    :param chosen: says whether this entry does the fleet's duty named so.
+    :param is_gone: says whether the platform lists an entry as gone.
     """
 
     def __init__(
@@ -49,19 +89,31 @@
         entry: EntryId,
         boot_id: str,
         policy: Callable[[], GrantPolicy],
-        snapshot_writer: Callable[[int], bool] = lambda k: True,
+        flush_s: float,
+        chosen: Callable[[str], bool] = lambda duty: True,
+        is_gone: Callable[[EntryId], bool] = lambda entry: False,
     ) -> None:
         self.ledger = Ledger()
         self.book = EscrowBook(entry)
         self.reachable = False
+        self.writer = LedgerWriter(
+            log, f"{entry}/{boot_id}", flush_s, self._appended, self._contact
+        )
         self._log = log
         self._entry = entry
         self._boot_id = boot_id
         self._policy = policy
-        self._snapshot_writer = snapshot_writer
-        self._wanted: asyncio.Queue[tuple[AccountId, int]] = asyncio.Queue()
+        self._chosen = chosen
+        self._is_gone = is_gone
         self._changed = asyncio.Event()
         self._last_snapshot = 0
+        self._first_seen_s: dict[GrantId, float] = {}
+        self._wanted_at_s: dict[AccountId, float] = {}
+        self._settling: set[GrantId] = set()
+        self._snapshot_at_s = float("-inf")
+        self._claims = itertools.count(1)
+        self._sync_lock = asyncio.Lock()
+        self._next_sync: asyncio.Task[None] | None = None
 
     async def start(self) -> list[asyncio.Task[None]]:
         """Load the latest snapshot, catch up, and start the keeper's tasks."""
@@ -76,21 +128,34 @@
                     self.ledger.next_offset,
                     self._apply,
                     restore=self._restore,
+                    on_contact=self._contact,
                 )
             ),
-            asyncio.create_task(self._grant_loop()),
+            asyncio.create_task(self.writer.run()),
             asyncio.create_task(self._settle_loop()),
         ]
 
+    # -- what request handlers ask ----------------------------------------
+
     def want(self, account: AccountId, tokens: int, now_s: float) -> None:
-        """Ask for a grant of ``account`` if the escrow needs one."""
-        low = max(self._policy().low_water_tokens, tokens)
-        if self.book.wants_grant(account, low, now_s):
-            self.book.pending.add(account)
-            self._wanted.put_nowait((account, tokens))
+        """See that a request of ``tokens`` can be covered: ask for a grant
+        if the escrow runs low, and for other entries' idle tokens if the
+        account has too little free."""
+        policy = self._policy()
+        if not self.book.wants_grant(
+            account, max(policy.low_water_tokens, tokens), now_s
+        ):
+            return
+        missing = max(0, tokens - self.book.available(account, now_s))
+        free = self.free_tokens(account)
+        size = grant_size(free, missing, policy.grant_tokens)
+        if size > 0:
+            self._ask_grant(account, size, policy.lease_s)
+        if missing > free and self.elsewhere_tokens(account) > 0:
+            self._ask_others(account, missing, now_s)
 
     async def wait_changed(self, timeout_s: float) -> None:
-        """Wait until a grant is taken or refused, or ``timeout_s`` passes."""
+        """Wait until the ledger changed, or ``timeout_s`` passes."""
         try:
             await asyncio.wait_for(self._changed.wait(), timeout_s)
         except TimeoutError:
@@ -100,137 +165,281 @@
         """The account's free tokens in this entry's fold of the ledger."""
         return self.ledger.account(account).free_tokens
 
-    async def settle_all(self) -> None:
-        """On drain: give every grant back (all reservations must be done)."""
-        await self._settle(time.monotonic(), all_grants=True)
+    def elsewhere_tokens(self, account: AccountId) -> int:
+        """Tokens that other entries' open grants of ``account`` hold."""
+        ours = sum(
+            self.ledger.grants[g.grant_id].left_tokens
+            for g in self.book.held(account)
+            if g.grant_id in self.ledger.grants
+        )
+        return self.ledger.account(account).open_tokens - ours
 
-    def _apply(self, offset: int, record: Any) -> None:
-        self.ledger.apply(offset, record)
-        if record.get("type") == "grant" and record.get("entry") == self._entry:
-            self._changed.set()
-        k = self.ledger.next_offset // SNAPSHOT_EVERY
-        if k > self._last_snapshot:
-            self._last_snapshot = k
-            if self._snapshot_writer(k):
-                asyncio.get_running_loop().create_task(self._write_snapshot())
+    async def sync(self) -> None:
+        """Read the ledger to its end, so that what follows rests on what was
+        true after this call began. Callers that wait together share a read.
+        """
+        if self._next_sync is None:
+            self._next_sync = asyncio.create_task(self._sync())
+        await asyncio.shield(self._next_sync)
 
-    async def _write_snapshot(self) -> None:
-        record = {**self.ledger.snapshot(), "at_offset": self.ledger.next_offset}
-        await self._log.append(SNAPSHOTS, [record])
+    async def _sync(self) -> None:
+        async with self._sync_lock:
+            # Who comes from here on needs a read that begins later.
+            self._next_sync = None
+            offset = await catch_up(
+                self._log, LEDGER, self.ledger.next_offset, self._apply, self._restore
+            )
+            self._contact(offset is not None)
+            # A flood of refusals must not become a flood of reads.
+            await asyncio.sleep(_SYNC_EVERY_S)
 
-    async def _restore(self, start_offset: int) -> int:
-        match await self._log.last(SNAPSHOTS):
-            case Success((_, record)) if record["at_offset"] >= start_offset:
-                fresh = Ledger()
-                fresh.apply(int(record["at_offset"]) - 1, record)
-                if fresh.next_offset > self.ledger.next_offset:
-                    self.ledger = fresh
-                return max(self.ledger.next_offset, start_offset)
-        return start_offset
+    async def bill(self, bill: Bill) -> BillOutcome:
+        """Append ``bill`` and take the ledger's word on it."""
+        outcome = await self.writer.bill(bill)
+        self._confirm(bill.charges, outcome)
+        if outcome is not BillOutcome.CHARGED:
+            log_event(
+                _log,
+                Event.BILL_NOT_CHARGED,
+                logging.WARNING,
+                request_id=bill.request_id,
+                outcome=outcome.value,
+            )
+        return outcome
+
+    async def claim(self, key: str) -> Claim:
+        """Record the intent to run the non-idempotent call ``key``.
+
+        The call may be sent only if the fold shows our intent as the first:
+        whatever was known before is no proof, since another entry may be
+        recording its own at this moment.
+        """
+        if key in self.ledger.intents:
+            return self._known_claim(key)
+        claim_id = f"{self.writer.writer_id}.{next(self._claims)}"
+        folded = asyncio.Event()
+        self.writer.submit(
+            {"type": "intent", "key": key, "claim_id": claim_id},
+            lambda _: folded.set(),
+        )
+        try:
+            await asyncio.wait_for(folded.wait(), _CLAIM_WAIT_S)
+        except TimeoutError:
+            self.abandon(key, claim_id)
+            return Claim(ClaimState.UNREACHABLE)
+        found = self.ledger.intents.get(key)
+        if found is not None and found.claim_id == claim_id:
+            return Claim(ClaimState.OWNED, claim_id)
+        return self._known_claim(key)
+
+    def abandon(self, key: str, claim_id: str) -> None:
+        """Free ``key``: the call it stands for was never sent.
+
+        Queued behind the intent, so it also frees an intent that lands late.
+        """
+        self.writer.submit({"type": "abandoned", "key": key, "claim_id": claim_id})
+
+    def finish(self, key: str, claim_id: str, answer: Any) -> None:
+        """Record the answer of the call ``key`` for its retries."""
+        if len(str(answer)) > _MAX_ANSWER_BYTES:
+            return
+        self.writer.submit(
+            {"type": "finished", "key": key, "claim_id": claim_id, "answer": answer}
+        )
+
+    async def settle_all(self, timeout_s: float) -> None:
+        """On drain: wait for the bills, then give every idle grant back."""
+        await self.writer.wait_idle(timeout_s)
+        self._settle_own(time.monotonic(), all_grants=True)
+        await self.writer.wait_idle(timeout_s)
+
+    # -- the fold ---------------------------------------------------------
+
+    def _apply(self, offset: int, record: Record) -> None:
+        if offset < self.ledger.next_offset:
+            return
+        outcomes = self.ledger.apply(offset, record)
+        match record.get("type"):
+            case "grant" if record["grant_id"] in self.ledger.grants:
+                self._first_seen_s.setdefault(record["grant_id"], time.monotonic())
+            case "settle":
+                self._first_seen_s.pop(record["grant_id"], None)
+                self._settling.discard(record["grant_id"])
+            case "want" if record["entry"] != self._entry:
+                self._give_back(AccountId(record["account"]), int(record["tokens"]))
+        if record.get("writer") == self.writer.writer_id:
+            self.writer.folded(int(record["seq"]), outcomes)
+        self._notify()
+        self._maybe_snapshot()
+
+    def _appended(self, appended: Appended, batch: list[Record]) -> None:
+        # Our own records need not wait for the tail to bring them, unless
+        # others wrote in between: the fold takes records in offset order.
+        if appended.first_offset == self.ledger.next_offset:
+            for i, record in enumerate(batch):
+                self._apply(appended.first_offset + i, record)
+
+    def _contact(self, reachable: bool) -> None:
+        if self.reachable and not reachable:
+            log_event(_log, Event.LEDGER_UNREACHABLE, logging.WARNING)
+        self.reachable = reachable
 
     def _notify(self) -> None:
         self._changed.set()
         self._changed = asyncio.Event()
 
-    async def _grant_loop(self) -> None:
+    def _maybe_snapshot(self) -> None:
+        # Also written by age: on a quiet stream the last snapshot itself would
+        # fall out of the log's retention, and a new entry find nothing.
+        now_s = time.monotonic()
+        k = self.ledger.next_offset // SNAPSHOT_EVERY
+        aged = now_s - self._snapshot_at_s >= SNAPSHOT_AFTER_S
+        if k <= self._last_snapshot and not aged:
+            return
+        self._last_snapshot = max(k, self._last_snapshot)
+        self._snapshot_at_s = now_s
+        if self._chosen("snapshot"):
+            asyncio.get_running_loop().create_task(self._write_snapshot())
+
+    async def _write_snapshot(self) -> None:
+        at_offset = self.ledger.next_offset
+        record = {**self.ledger.snapshot(), "at_offset": at_offset}
+        match await self._log.append(SNAPSHOTS, [record]):
+            case Success(_):
+                log_event(_log, Event.LEDGER_SNAPSHOT_WRITTEN, at_offset=at_offset)
+
+    async def _restore(self, start_offset: int) -> int:
+        """Load the last snapshot if it is newer than the fold.
+
+        Waits for one that covers ``start_offset``: folding on over records
+        that retention dropped would miss grants, and hand out tokens that
+        are spent.
+
+        :returns: the offset to read on from.
+        """
         while True:
-            account, tokens = await self._wanted.get()
-            try:
-                await self._take_grant(account, tokens)
-            finally:
-                self.book.pending.discard(account)
-                self._notify()
-
-    async def _take_grant(self, account: AccountId, tokens: int) -> None:
-        policy = self._policy()
+            match await self._log.last(SNAPSHOTS):
+                case Success((_, record)) if (
+                    int(record["at_offset"]) > self.ledger.next_offset
+                ):
+                    self._load(record)
+            if self.ledger.next_offset >= start_offset:
+                return self.ledger.next_offset
+            self._contact(False)
+            await asyncio.sleep(_RESTORE_RETRY_S)
+
+    def _load(self, record: Record) -> None:
+        fresh = Ledger()
+        fresh.apply(int(record["at_offset"]) - 1, record)
+        self.ledger = fresh
+        now_s = time.monotonic()
+        self._first_seen_s = {g: self._first_seen_s.get(g, now_s) for g in fresh.grants}
+        self.writer.skipped_to(fresh.writers.get(self.writer.writer_id, -1))
+
+    # -- grants -----------------------------------------------------------
+
+    def _ask_grant(self, account: AccountId, size: int, lease_s: float) -> None:
         grant_id = self.book.new_grant_id(self._boot_id)
-        for backoff_s in (*_BACKOFF_S, None):
-            size = grant_size(self.free_tokens(account), tokens, policy.grant_tokens)
-            if size <= 0:
-                log_event(_log, Event.GRANT_REFUSED, account=account, free_tokens=0)
+        # The lease counts from before the append: a pause anywhere after
+        # that only makes this entry stop spending sooner.
+        usable_until_s = time.monotonic() + lease_s
+        self.book.pending.add(account)
+
+        def folded(_: list[BillOutcome]) -> None:
+            self.book.pending.discard(account)
+            if grant_id not in self.ledger.grants:
+                free = self.free_tokens(account)
+                log_event(_log, Event.GRANT_REFUSED, account=account, free_tokens=free)
                 return
-            asked_at = time.monotonic()
-            record = {
-                "type": "grant",
+            self.book.add(HeldGrant(grant_id, account, size, usable_until_s))
+            log_event(
+                _log, Event.GRANT_TAKEN, account=account, grant_id=grant_id, tokens=size
+            )
+
+        record = {
+            "type": "grant",
+            "account": account,
+            "entry": self._entry,
+            "boot_id": self._boot_id,
+            "grant_id": grant_id,
+            "tokens": size,
+        }
+        self.writer.submit(record, folded)
+
+    def _ask_others(self, account: AccountId, tokens: int, now_s: float) -> None:
+        if now_s - self._wanted_at_s.get(account, float("-inf")) < _WANT_EVERY_S:
+            return
+        self._wanted_at_s[account] = now_s
+        self.writer.submit(
+            {
+                "type": "want",
                 "account": account,
                 "entry": self._entry,
-                "grant_id": grant_id,
-                "tokens": size,
+                "tokens": tokens,
             }
-            result = await self._log.append(LEDGER, [record], self.ledger.next_offset)
-            match result:
-                case Success(appended):
-                    self.reachable = True
-                    self._apply(appended.first_offset, record)
-                    self._hold(grant_id, account, size, asked_at, policy)
-                    return
-                case Failure(error) if error.kind is LogErrorKind.CONFLICT:
-                    pass
-                case Failure(error) if error.kind is LogErrorKind.UNKNOWN_OUTCOME:
-                    # The reply was lost after the log may have taken the grant.
-                    # Read back: if our grant id is in the fold, it is ours to
-                    # spend; if not, the append did not happen and we go again.
-                    if await self._catch_up() and grant_id in self.ledger.grants:
-                        self._hold(grant_id, account, size, asked_at, policy)
-                        return
-                case Failure(_):
-                    self.reachable = False
-                    log_event(
-                        _log, Event.LEDGER_UNREACHABLE, logging.WARNING, account=account
-                    )
-            if backoff_s is None:
+        )
+
+    def _give_back(self, account: AccountId, tokens: int) -> None:
+        # Near the end of a budget its last tokens sit idle in several
+        # entries' grants, and callers would be refused a budget that is not
+        # used up until those leases end.
+        for grant in self.book.spare(account):
+            if tokens <= 0:
                 return
-            await asyncio.sleep(backoff_s)
-            await self._catch_up()
+            tokens -= grant.tokens - grant.spent_tokens
+            self._settle(grant.grant_id, Event.GRANT_GIVEN_BACK)
 
-    def _hold(
-        self,
-        grant_id: Any,
-        account: AccountId,
-        size: int,
-        asked_at: float,
-        policy: GrantPolicy,
-    ) -> None:
-        # The lease counts from before the append was sent: a pause anywhere
-        # after that only makes this entry stop spending sooner.
-        self.book.add(HeldGrant(grant_id, account, size, asked_at + policy.lease_s))
-        log_event(
-            _log, Event.GRANT_TAKEN, account=account, grant_id=grant_id, tokens=size
-        )
+    def _confirm(self, charges: Charges, outcome: BillOutcome) -> None:
+        self.book.confirm(charges, outcome)
+        if outcome is BillOutcome.VOID:
+            for grant_id, _ in charges:
+                if grant_id not in self.ledger.grants:
+                    self.book.forget(grant_id)
 
-    async def _catch_up(self) -> bool:
-        offset = await catch_up(
-            self._log, LEDGER, self.ledger.next_offset, self._apply, self._restore
-        )
-        self.reachable = offset is not None
-        return self.reachable
+    def _known_claim(self, key: str) -> Claim:
+        found = self.ledger.intents.get(key)
+        if found is None:
+            return Claim(ClaimState.UNREACHABLE)
+        if found.state is IntentState.FINISHED:
+            return Claim(ClaimState.FINISHED, found.claim_id, found.answer)
+        return Claim(ClaimState.STARTED, found.claim_id)
 
     async def _settle_loop(self) -> None:
         while True:
             await asyncio.sleep(_SETTLE_EVERY_S)
-            await self._settle(time.monotonic())
+            now_s = time.monotonic()
+            self._settle_own(now_s)
+            self._reclaim(now_s)
+            self._maybe_snapshot()
 
-    async def _settle(self, now_s: float, *, all_grants: bool = False) -> None:
-        grants = self.book.settleable(now_s, all_grants=all_grants)
-        if not grants:
-            return
-        records = [
-            {"type": "settle", "grant_id": g.grant_id, "spent_tokens": g.spent_tokens}
-            for g in grants
+    def _settle_own(self, now_s: float, *, all_grants: bool = False) -> None:
+        for grant in self.book.settleable(now_s, all_grants=all_grants):
+            self._settle(grant.grant_id, Event.GRANT_SETTLED)
+
+    def _reclaim(self, now_s: float) -> None:
+        holders = {g.entry for g in self.ledger.grants.values()}
+        gone = [
+            e
+            for e in holders
+            if e != self._entry and self._is_gone(e) and self._chosen(f"reclaim-{e}")
         ]
-        # A settle is idempotent in the fold (a grant settles once), so a
-        # lost reply is handled by sending it again on the next round. It is
-        # not folded here: others may have appended before it, and the fold
-        # must take records in offset order; the tail brings it.
-        match await self._log.append(LEDGER, records):
-            case Success(_):
-                for grant in grants:
-                    self.book.forget(grant.grant_id)
-                    log_event(
-                        _log,
-                        Event.GRANT_SETTLED,
-                        grant_id=grant.grant_id,
-                        spent_tokens=grant.spent_tokens,
-                    )
-            case Failure(_):
-                self.reachable = False
+        for grant_id in reclaimable(
+            self.ledger.grants,
+            self._first_seen_s,
+            gone,
+            self._entry,
+            self._boot_id,
+            self._policy().lease_s,
+            now_s,
+        ):
+            self._settle(grant_id, Event.GRANT_RECLAIMED)
+
+    def _settle(self, grant_id: GrantId, event: Event) -> None:
+        # Forgotten before the record is written: no request may reserve from
+        # a grant whose settle is on its way.
+        self.book.forget(grant_id)
+        if grant_id in self._settling:
+            return
+        self._settling.add(grant_id)
+        self.writer.submit({"type": "settle", "grant_id": grant_id})
+        log_event(_log, event, grant_id=grant_id)
--- /dev/null
+++ b/src/celerytrack/entry/service_calls.py
@@ -0,0 +1,145 @@
+"""``POST /v1/services/{class}``: a plain-service call, JSON in and out."""
+
+import asyncio
+import logging
+import time
+from typing import Any
+
+from aiohttp import web
+from returns.result import Failure, Result, Success
+
+from celerytrack.entry.admission import (
+    Admitted,
+    admit,
+    in_progress,
+    place,
+    reserve,
+    stored_answer,
+)
+from celerytrack.entry.answers import StoredAnswer
+from celerytrack.entry.charging import charge
+from celerytrack.entry.ledger_keeper import Claim, ClaimState
+from celerytrack.entry.refusals import RefusedError, refuse
+from celerytrack.entry.state import EntryState
+from celerytrack.entry.upstream import (
+    CONNECTION_FAILED,
+    NEVER_CONNECTED,
+    bad_status,
+    failed,
+    try_replicas,
+    unreachable,
+)
+from celerytrack.events import Event, log_event
+from celerytrack.replica_load import Ask, ReplicaLoad
+from celerytrack.settings import BackendKind
+from celerytrack.verdict import Reason, Refusal, Verdict, did_not_run, may_have_run
+
+_log = logging.getLogger(__name__)
+
+
+async def service_call(state: EntryState, request: web.Request) -> web.Response:
+    """Handle one call."""
+    started_s = time.monotonic()
+    try:
+        admitted = await admit(state, request, BackendKind.SERVICE)
+    except RefusedError as exc:
+        return refuse(state.metrics, exc.work_class, exc.refusal)
+    stored = stored_answer(state, admitted)
+    if stored is not None:
+        return web.json_response(stored.body, headers={"X-Replayed": "1"})
+    try:
+        with in_progress(state, admitted):
+            answer = await _serve(state, admitted)
+    except RefusedError as exc:
+        return refuse(state.metrics, admitted.work.name, exc.refusal)
+    state.metrics.ttft.labels(admitted.work.name).observe(time.monotonic() - started_s)
+    state.metrics.requests.labels(admitted.work.name, "done").inc()
+    if admitted.key is not None:
+        stored = StoredAnswer(admitted.request_id, body=answer)
+        state.answers.put(admitted.cache_key, stored)
+    return web.json_response(answer, headers={"X-Request-Id": admitted.request_id})
+
+
+async def _serve(state: EntryState, admitted: Admitted) -> Any:
+    cost = admitted.work.service_cost_tokens
+    reservation = await reserve(state, admitted, cost)
+    ask = Ask(admitted.work.model, admitted.work.priority)
+    claim = Claim(ClaimState.OWNED)
+    try:
+        # A replica with room is looked for before the intent is recorded,
+        # so that a call refused for capacity stays free to be tried again.
+        place(state, admitted.work, ask, frozenset())
+        if not admitted.work.idempotent:
+            claim = await _claim(state, admitted)
+        if claim.state is ClaimState.FINISHED:
+            state.keeper.book.release(reservation)
+            return claim.answer
+        answer = await _send(state, admitted, ask)
+    except RefusedError as exc:
+        state.keeper.book.release(reservation)
+        if claim.claim_id and exc.refusal.verdict is Verdict.DID_NOT_RUN:
+            # Never sent, so the key is freed: left claimed, every retry
+            # elsewhere would be refused "may have run" for ever.
+            state.keeper.abandon(admitted.cache_key, claim.claim_id)
+        raise
+    except asyncio.CancelledError:
+        state.keeper.book.release(reservation)
+        raise
+    if claim.claim_id:
+        state.keeper.finish(admitted.cache_key, claim.claim_id, answer)
+    try:
+        await charge(state, admitted, reservation, cost)
+    except RefusedError as exc:
+        lost = may_have_run(exc.refusal.reason, None, "grant lost while it ran")
+        raise RefusedError(lost) from None
+    return answer
+
+
+async def _send(state: EntryState, admitted: Admitted, ask: Ask) -> Any:
+    sent = await try_replicas(
+        state,
+        admitted.work,
+        ask,
+        lambda replica: _attempt(state, replica, admitted),
+    )
+    match sent:
+        case Failure(refusal):
+            raise RefusedError(refusal)
+    return sent.unwrap()
+
+
+async def _claim(state: EntryState, admitted: Admitted) -> Claim:
+    """Claim a non-idempotent call for this attempt.
+
+    :returns: an owned claim, or a finished one with its answer.
+    :raises RefusedError: if another attempt owns the call (it may have
+        run), or the intent could not be recorded (nothing was sent).
+    """
+    claim = await state.keeper.claim(admitted.cache_key)
+    match claim.state:
+        case ClaimState.OWNED:
+            log_event(_log, Event.INTENT_RECORDED, request_id=admitted.request_id)
+        case ClaimState.STARTED:
+            detail = "this call was started before"
+            raise RefusedError(may_have_run(Reason.DUPLICATE_IN_FLIGHT, 2.0, detail))
+        case ClaimState.UNREACHABLE:
+            detail = "the intent could not be recorded"
+            raise RefusedError(did_not_run(Reason.LEDGER_UNREACHABLE, 2.0, detail))
+    return claim
+
+
+async def _attempt(
+    state: EntryState, replica: ReplicaLoad, admitted: Admitted
+) -> Result[Any, Refusal]:
+    address = state.view.addresses[replica.replica_id]
+    url = f"http://{address}/call/{admitted.work.name}"
+    headers = {"X-Request-Id": admitted.request_id}
+    try:
+        async with state.upstream.post(url, json=admitted.body, headers=headers) as r:
+            if r.status != 200:
+                return Failure(bad_status(r.status))
+            return Success(await r.json())
+    except NEVER_CONNECTED:
+        return Failure(unreachable())
+    except (*CONNECTION_FAILED, ValueError):
+        return Failure(failed())
--- /dev/null
+++ b/src/celerytrack/entry/state.py
@@ -0,0 +1,159 @@
+"""What one entry instance knows, and the tasks that keep it up to date."""
+
+import asyncio
+import logging
+import random
+import time
+import uuid
+
+import aiohttp
+
+from celerytrack.entry.answers import AnswerCache
+from celerytrack.entry.config_follower import ConfigFollower
+from celerytrack.entry.fleet_view import EntryInfo, FleetView
+from celerytrack.entry.ledger_keeper import LedgerKeeper
+from celerytrack.entry.metrics import EntryMetrics
+from celerytrack.events import Event, log_event
+from celerytrack.ids import EntryId
+from celerytrack.logclient import LogClient
+from celerytrack.retries import RetryBudget
+from celerytrack.routing import make_chooser, rendezvous
+from celerytrack.settings import FleetSettings, GrantPolicy
+
+_log = logging.getLogger(__name__)
+
+REPUBLISH_CONFIG_AFTER_S = 60.0
+"""Age at which the configuration in force is written to the log again."""
+_SETTLE_WAIT_S = 5.0
+"""Longest a planned stop waits for the log to take the last bills, twice."""
+
+
+class EntryState:
+    """One entry instance: its state and its tasks.
+
+    :param fleet: the layout read at start.
+    :param entry_id: which entry of ``fleet`` this process is.
+    """
+
+    def __init__(self, fleet: FleetSettings, entry_id: str) -> None:
+        self.spec = fleet.entry(entry_id)
+        self.tuning = fleet.tuning
+        self.entry_id = EntryId(entry_id)
+        self.boot_id = uuid.uuid4().hex[:8]
+        self.log = LogClient(fleet.platform.log_address, entry_id)
+        self.config = ConfigFollower(self.log, REPUBLISH_CONFIG_AFTER_S)
+        self.view = FleetView(
+            fleet.platform.instances_address, fleet.tuning.instance_poll_s
+        )
+        self.keeper = LedgerKeeper(
+            self.log,
+            self.entry_id,
+            self.boot_id,
+            self._grant_policy,
+            fleet.tuning.ledger_flush_s,
+            self._is_chosen,
+            lambda entry: self.view.is_gone(entry, time.monotonic()),
+        )
+        self.answers = AnswerCache()
+        self.choose = make_chooser(fleet.tuning.placement)
+        self.retries = RetryBudget()
+        self.rng = random.Random(self.boot_id)
+        self.metrics = EntryMetrics()
+        self.draining = False
+        self.in_flight = 0
+        self._idle = asyncio.Event()
+        self._tasks: list[asyncio.Task[None]] = []
+        self._upstream: aiohttp.ClientSession | None = None
+
+    @property
+    def upstream(self) -> aiohttp.ClientSession:
+        """The session to engines and services."""
+        assert self._upstream is not None, "not started"
+        return self._upstream
+
+    def usable_entries(self, now_s: float) -> dict[EntryId, EntryInfo]:
+        """The entries to name to callers now, this one included."""
+        within_s = self.tuning.instance_poll_s * 3
+        live = {e: i for e, i in self.view.entries.items() if i.usable(now_s, within_s)}
+        if self.draining:
+            live.pop(self.entry_id, None)
+        else:
+            me = EntryInfo(self.entry_id, self.spec.address, self.spec.zone)
+            live[self.entry_id] = self.view.entries.get(self.entry_id) or me
+        return live
+
+    def enter(self) -> None:
+        """Count a request in flight."""
+        self.in_flight += 1
+        self.metrics.in_flight.set(self.in_flight)
+
+    def leave(self) -> None:
+        """A request ended."""
+        self.in_flight -= 1
+        self.metrics.in_flight.set(self.in_flight)
+        if self.in_flight == 0:
+            self._idle.set()
+
+    async def start(self) -> None:
+        """Read the platform's state and start the tasks."""
+        self._upstream = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(limit=0),
+            timeout=aiohttp.ClientTimeout(
+                total=None,
+                sock_connect=2.0,
+                sock_read=self.tuning.upstream_timeout_s,
+            ),
+        )
+        await self.view.refresh()
+        self._tasks = [
+            asyncio.create_task(self.config.run()),
+            asyncio.create_task(self.view.run()),
+        ]
+        self._tasks += await self.keeper.start()
+        await asyncio.wait_for(self.config.wait_for_config(), 30.0)
+        log_event(
+            _log,
+            Event.PROCESS_STARTED,
+            entry=self.entry_id,
+            address=self.spec.address,
+            zone=self.spec.zone,
+            config_version=self.config.version,
+        )
+
+    async def drain(self) -> None:
+        """Planned stop: take no new work, finish streams, bill, settle."""
+        if self.draining:
+            return
+        self.draining = True
+        log_event(
+            _log, Event.ENTRY_DRAINING, entry=self.entry_id, in_flight=self.in_flight
+        )
+        if self.in_flight:
+            self._idle.clear()
+            try:
+                await asyncio.wait_for(self._idle.wait(), self.tuning.drain_grace_s)
+            except TimeoutError:
+                pass
+        await self.keeper.settle_all(_SETTLE_WAIT_S)
+
+    async def stop(self) -> None:
+        """Cancel the tasks and close sessions."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        if self._upstream is not None:
+            await self._upstream.close()
+        await self.view.close()
+        await self.log.close()
+
+    def _grant_policy(self) -> GrantPolicy:
+        return self.config.config.grant if self.config.config else GrantPolicy()
+
+    def _is_chosen(self, duty: str) -> bool:
+        """Whether this entry does the fleet's duty named ``duty``.
+
+        Rendezvous over the live entries: one entry does it as a rule; two
+        may for a moment when their views differ, which every duty bears.
+        """
+        live = [e for e, info in self.view.entries.items() if not info.leaving]
+        return rendezvous(duty, live or [self.entry_id], 1)[0] == self.entry_id
--- a/src/celerytrack/escrow.py
+++ b/src/celerytrack/escrow.py
@@ -11,10 +11,12 @@
 """
 
 import itertools
+from collections.abc import Iterable, Mapping
 
 import attrs
 
 from celerytrack.ids import AccountId, EntryId, GrantId, RequestId
+from celerytrack.ledger import BillOutcome, OpenGrant
 from celerytrack.verdict import Reason, Refusal, did_not_run
 
 
@@ -23,6 +25,7 @@
     """A grant this entry holds.
 
     :ivar usable_until_s: the lease end; no reservation is made after it.
+    :ivar unconfirmed: bills on this grant whose outcome is not known yet.
     """
 
     grant_id: GrantId
@@ -31,6 +34,7 @@
     usable_until_s: float
     reserved_tokens: int = 0
     spent_tokens: int = 0
+    unconfirmed: int = 0
 
     def available(self, now_s: float) -> int:
         """Tokens that can still be reserved at ``now_s``."""
@@ -38,6 +42,11 @@
             return 0
         return self.tokens - self.reserved_tokens - self.spent_tokens
 
+    @property
+    def idle(self) -> bool:
+        """Whether nothing depends on it: no reservation and no open bill."""
+        return self.reserved_tokens == 0 and self.unconfirmed == 0
+
 
 @attrs.frozen
 class Reservation:
@@ -53,16 +62,22 @@
         return sum(n for _, n in self.parts)
 
 
+Charges = tuple[tuple[GrantId, int], ...]
+"""What a request cost, as ``(grant id, tokens)`` pairs."""
+
+
 @attrs.define
 class EscrowBook:
     """All grants one entry holds, and their reservations.
 
     :ivar entry: this entry's id, used to make grant ids.
+    :ivar pending: accounts for which a grant was asked and not answered yet.
     """
 
     entry: EntryId
     grants: dict[GrantId, HeldGrant] = attrs.field(factory=dict)
     pending: set[AccountId] = attrs.field(factory=set)
+    _by_account: dict[AccountId, dict[GrantId, HeldGrant]] = attrs.field(factory=dict)
     _serial: itertools.count = attrs.field(factory=lambda: itertools.count(1))
 
     def new_grant_id(self, boot_id: str) -> GrantId:
@@ -72,13 +87,15 @@
     def add(self, grant: HeldGrant) -> None:
         """Hold a grant that the ledger accepted."""
         self.grants[grant.grant_id] = grant
-        self.pending.discard(grant.account)
+        self._by_account.setdefault(grant.account, {})[grant.grant_id] = grant
+
+    def held(self, account: AccountId) -> Iterable[HeldGrant]:
+        """The grants of ``account`` held now."""
+        return self._by_account.get(account, {}).values()
 
     def available(self, account: AccountId, now_s: float) -> int:
         """Tokens of ``account`` that can be reserved at ``now_s``."""
-        return sum(
-            g.available(now_s) for g in self.grants.values() if g.account == account
-        )
+        return sum(g.available(now_s) for g in self.held(account))
 
     def reserve(
         self, request_id: RequestId, account: AccountId, tokens: int, now_s: float
@@ -89,11 +106,7 @@
         parts: list[tuple[GrantId, int]] = []
         left = tokens
         # Soonest-ending grants first, so tokens are used before leases end.
-        held = sorted(
-            (g for g in self.grants.values() if g.account == account),
-            key=lambda g: g.usable_until_s,
-        )
-        for grant in held:
+        for grant in sorted(self.held(account), key=lambda g: g.usable_until_s):
             take = min(left, grant.available(now_s))
             if take > 0:
                 grant.reserved_tokens += take
@@ -103,20 +116,40 @@
                 break
         return Reservation(request_id, account, tuple(parts))
 
-    def commit(self, reservation: Reservation, spent_tokens: int) -> int:
+    def commit(self, reservation: Reservation, spent_tokens: int) -> Charges:
         """Turn a reservation into spend of ``spent_tokens``; free the rest.
 
-        :returns: the tokens counted as spent (never above the reservation).
+        :returns: the charges to bill (never above the reservation). Each
+            grant in them counts as unconfirmed until :meth:`confirm`.
         """
         left = min(max(spent_tokens, 0), reservation.tokens)
-        counted = left
+        charges: list[tuple[GrantId, int]] = []
         for grant_id, tokens in reservation.parts:
-            grant = self.grants[grant_id]
-            grant.reserved_tokens -= tokens
             spend = min(left, tokens)
-            grant.spent_tokens += spend
             left -= spend
-        return counted
+            if spend > 0:
+                charges.append((grant_id, spend))
+            grant = self.grants.get(grant_id)
+            if grant is None:
+                # Closed under us by a reclaim while the request ran: the
+                # bill will come back void, and the caller of this decides.
+                continue
+            grant.reserved_tokens -= tokens
+            if spend > 0:
+                grant.spent_tokens += spend
+                grant.unconfirmed += 1
+        return tuple(charges)
+
+    def confirm(self, charges: Charges, outcome: BillOutcome) -> None:
+        """Take the ledger's word on a bill: what it did not charge is ours
+        to spend again."""
+        for grant_id, tokens in charges:
+            grant = self.grants.get(grant_id)
+            if grant is None:
+                continue
+            grant.unconfirmed -= 1
+            if outcome is not BillOutcome.CHARGED:
+                grant.spent_tokens -= tokens
 
     def release(self, reservation: Reservation) -> None:
         """Give a reservation back unspent: the request never ran."""
@@ -129,16 +162,22 @@
         return self.available(account, now_s) < low_water
 
     def settleable(self, now_s: float, *, all_grants: bool = False) -> list[HeldGrant]:
-        """Grants to settle: leases ended (or all, on drain), none reserved."""
+        """Idle grants whose lease has ended (or all idle ones, on drain)."""
         return [
             g
             for g in self.grants.values()
-            if g.reserved_tokens == 0 and (all_grants or now_s >= g.usable_until_s)
+            if g.idle and (all_grants or now_s >= g.usable_until_s)
         ]
 
+    def spare(self, account: AccountId) -> list[HeldGrant]:
+        """Idle grants of ``account``, to give back when others want them."""
+        return [g for g in self.held(account) if g.idle]
+
     def forget(self, grant_id: GrantId) -> None:
-        """Drop a grant once its settle record is on the log."""
-        self.grants.pop(grant_id, None)
+        """Drop a grant that is closed, or whose settle is being written."""
+        grant = self.grants.pop(grant_id, None)
+        if grant is not None:
+            self._by_account[grant.account].pop(grant_id, None)
 
 
 GRANT_SHARE = 4
@@ -158,9 +197,44 @@
     return max(0, min(free_tokens, max(wanted_tokens, usual)))
 
 
+def reclaimable(
+    open_grants: Mapping[GrantId, OpenGrant],
+    first_seen_s: Mapping[GrantId, float],
+    gone: Iterable[EntryId],
+    me: EntryId,
+    boot_id: str,
+    lease_s: float,
+    now_s: float,
+) -> list[GrantId]:
+    """Open grants that no process can be spending any more.
+
+    A killed entry never settles: its idle tokens would stay locked away
+    from their account for good, and callers be refused a budget they paid
+    for. A grant is taken back when its holder is gone from the platform's
+    instance list and the whole lease has passed on *our* clock since we saw
+    the grant (the holder's lease began earlier, so it has ended whatever
+    its clock says), or when it was taken by an earlier life of this very
+    entry. Should the holder act on it all the same, the ledger's fold voids
+    its bills: the settled grant id is the fencing token.
+
+    :param first_seen_s: when this entry folded each grant.
+    :param gone: entries the platform lists as gone.
+    """
+    missing = set(gone)
+
+    def ended(grant: OpenGrant) -> bool:
+        if grant.entry == me:
+            return grant.boot_id != boot_id
+        seen_s = first_seen_s.get(grant.grant_id, now_s)
+        return grant.entry in missing and now_s - seen_s >= lease_s
+
+    return [grant_id for grant_id, grant in open_grants.items() if ended(grant)]
+
+
 def budget_refusal(
     available_tokens: int,
     free_tokens: int,
+    elsewhere_tokens: int,
     cost_tokens: int,
     ledger_reachable: bool,
     retry_after_s: float,
@@ -169,19 +243,24 @@
 
     :param available_tokens: what this entry's grants still hold.
     :param free_tokens: the account's free tokens in this entry's fold.
+    :param elsewhere_tokens: what other entries' open grants hold, in it.
     :param ledger_reachable: whether the last ledger call got through.
-    :returns: ``budget_exhausted`` if the whole budget cannot cover the
-        cost, else ``ledger_unreachable`` with a time to come back; both
-        ``did_not_run``, since nothing was sent.
+    :returns: ``did_not_run`` in each case, since nothing was sent:
+        ``ledger_unreachable`` if no grant can be asked for now,
+        ``budget_exhausted`` if the whole budget cannot cover the cost, and
+        ``budget_held`` if other entries hold what is missing.
     """
-    if ledger_reachable and available_tokens + free_tokens < cost_tokens:
+    if not ledger_reachable:
+        return did_not_run(
+            Reason.LEDGER_UNREACHABLE, retry_after_s, "the ledger cannot be reached"
+        )
+    left = available_tokens + free_tokens
+    if left + elsewhere_tokens < cost_tokens:
         return did_not_run(
             Reason.BUDGET_EXHAUSTED,
             None,
-            f"needs {cost_tokens} tokens, budget has {available_tokens + free_tokens}",
+            f"needs {cost_tokens} tokens, budget has {left + elsewhere_tokens}",
         )
     return did_not_run(
-        Reason.LEDGER_UNREACHABLE,
-        retry_after_s,
-        "no grant could be taken from the ledger",
+        Reason.BUDGET_HELD, retry_after_s, "the tokens left are held by other entries"
     )
--- a/src/celerytrack/ledger.py
+++ b/src/celerytrack/ledger.py
@@ -1,32 +1,103 @@
-"""The account ledger: a fold over records on the platform log.
+"""The account ledger: a fold over the ``ledger`` stream of the platform log.
 
-The ledger stream holds four kinds of record (JSON objects with a ``type``):
+Every change to an account is a record on the stream (a JSON object with a
+``type``), and the fold alone decides what each record did:
 
 - ``topup``: an operator adds ``tokens`` to an account's budget.
-- ``grant``: an entry moves ``tokens`` of an account into its escrow.
-- ``settle``: an entry closes a grant, saying how much of it was spent;
-  the rest goes back to the account.
+- ``grant``: an entry moves ``tokens`` of an account into its escrow; void if
+  the account has not that much free at the record's place in the stream.
+- ``bills``: an entry charges finished requests to its grants; a request id
+  billed before is a duplicate and charges nothing, and a charge to a grant
+  that is closed is void (the grant id is the fencing token).
+- ``settle``: closes a grant, by its holder or, once the holder is gone, by
+  another entry; what no bill charged goes back to the account.
+- ``want``: an entry needs tokens that are not free; holders of idle grants
+  of the account answer by settling them. Totals do not change.
+- ``intent``, ``finished``, ``abandoned``: the at-most-once record of a
+  non-idempotent call; the first intent for an idempotency key owns it.
 - ``snapshot``: the whole fold at an offset, so readers survive retention.
 
-The fold is the source of truth and never lets grants outrun the budget: a
-grant that does not fit at its place in the stream is void. Entries append
-grants by conditional append at the offset they folded up to, so a grant they
-see accepted by the log is one the fold counts as valid.
+Because the fold decides, writers append without conditions and learn the
+outcome by folding their own record. Each entry numbers its records
+(``writer``, ``seq``); a record whose number was folded before is skipped, so
+a writer may append it again after a lost reply, even an hour later. All that
+recognises repeats is bounded by count and part of the snapshot: two readers
+at the same offset always agree, whether they folded the whole stream or
+started from a snapshot.
 """
 
+import enum
+from collections import OrderedDict
 from collections.abc import Iterable, Mapping
 from typing import Any
 
 import attrs
 
-from celerytrack.ids import AccountId, EntryId, GrantId
+from celerytrack._recent import RecentKeys
+from celerytrack.ids import AccountId, EntryId, GrantId, RequestId
+
+REMEMBERED = 20_000
+"""Request ids and top-up ids kept: the window in which a caller's retry at
+another entry is recognised (71 s at 281 requests/s, 8 min at 40/s)."""
+REMEMBERED_INTENTS = 10_000
+"""Intents of non-idempotent calls kept, with their answers."""
+REMEMBERED_WRITERS = 5_000
+"""Entry processes whose last sequence number is kept."""
+
+
+class BillOutcome(enum.Enum):
+    """What the fold made of one bill."""
+
+    CHARGED = "charged"
+    DUPLICATE = "duplicate"
+    """The request id was billed before: nothing is charged again."""
+    VOID = "void"
+    """A grant it names is closed or too small: nothing is charged."""
+
+
+class IntentState(enum.Enum):
+    """How far a non-idempotent call is known to have got."""
+
+    STARTED = "started"
+    FINISHED = "finished"
+
+
+@attrs.frozen
+class Bill:
+    """One request's charge.
+
+    :ivar charges: ``(grant id, tokens)`` pairs, all of the same account.
+    """
+
+    request_id: RequestId
+    account: AccountId
+    work_class: str
+    charges: tuple[tuple[GrantId, int], ...]
+
+    @property
+    def tokens(self) -> int:
+        """The total charged, in tokens."""
+        return sum(n for _, n in self.charges)
+
+    def to_json(self) -> list[Any]:
+        """The bill as it stands in a ``bills`` record."""
+        charges = [[g, n] for g, n in self.charges]
+        return [self.request_id, self.account, self.work_class, charges]
+
+    @classmethod
+    def from_json(cls, item: list[Any]) -> "Bill":
+        """The bill that :meth:`to_json` wrote."""
+        request_id, account, work_class, charges = item
+        pairs = tuple((GrantId(g), int(n)) for g, n in charges)
+        return cls(RequestId(request_id), AccountId(account), work_class, pairs)
 
 
 @attrs.define
 class AccountLedger:
     """One account's totals, in tokens.
 
-    ``budget_tokens = free + open grants + settled spend`` always holds.
+    ``budget_tokens = free_tokens + open_tokens + spent_tokens`` always
+    holds; ``open_tokens`` counts what open grants hold and no bill charged.
     """
 
     budget_tokens: int = 0
@@ -35,57 +106,97 @@
 
     @property
     def free_tokens(self) -> int:
-        """Tokens not yet granted to any entry."""
+        """Tokens not granted to any entry."""
         return self.budget_tokens - self.open_tokens - self.spent_tokens
 
 
-@attrs.frozen
+@attrs.define
 class OpenGrant:
-    """A grant that its entry has not settled yet."""
+    """A grant that is not settled yet.
+
+    :ivar boot_id: the life of the entry process that took it.
+    :ivar spent_tokens: charged to it by bills so far.
+    """
 
     grant_id: GrantId
     account: AccountId
     entry: EntryId
+    boot_id: str
     tokens: int
+    spent_tokens: int = 0
+
+    @property
+    def left_tokens(self) -> int:
+        """Tokens no bill has charged yet."""
+        return self.tokens - self.spent_tokens
+
+
+@attrs.frozen
+class Intent:
+    """The record of a non-idempotent call.
+
+    :ivar claim_id: which attempt owns the call.
+    """
+
+    claim_id: str
+    state: IntentState = IntentState.STARTED
+    answer: Any = None
+
+
+def _recent() -> RecentKeys:
+    return RecentKeys(REMEMBERED)
 
 
 @attrs.define
 class Ledger:
     """The fold of the ledger stream up to ``next_offset``.
 
-    Apply records in offset order with :meth:`apply`; read totals from
-    :attr:`accounts` and open grants from :attr:`grants`.
+    :ivar billed: request ids that were charged.
+    :ivar writers: each writer's last sequence number.
     """
 
     next_offset: int = 0
     accounts: dict[AccountId, AccountLedger] = attrs.field(factory=dict)
     grants: dict[GrantId, OpenGrant] = attrs.field(factory=dict)
-    settled: set[GrantId] = attrs.field(factory=set)
-    topups: set[str] = attrs.field(factory=set)
-    void_grants: set[GrantId] = attrs.field(factory=set)
+    topups: RecentKeys = attrs.field(factory=_recent)
+    billed: RecentKeys = attrs.field(factory=_recent)
+    intents: OrderedDict[str, Intent] = attrs.field(factory=OrderedDict)
+    writers: OrderedDict[str, int] = attrs.field(factory=OrderedDict)
 
     def account(self, account: AccountId) -> AccountLedger:
         """The totals of ``account``, created empty if unseen."""
         return self.accounts.setdefault(account, AccountLedger())
 
-    def apply(self, offset: int, record: Mapping[str, Any]) -> None:
+    def apply(self, offset: int, record: Mapping[str, Any]) -> list[BillOutcome]:
         """Fold one record found at ``offset``; unknown types are skipped.
 
         A record below :attr:`next_offset` was folded already and is skipped,
         so a reader may see the same offsets twice (a catch-up and a tail).
+
+        :returns: for a ``bills`` record, each bill's outcome in order.
         """
         if offset < self.next_offset:
-            return
-        kind = record.get("type")
-        if kind == "topup":
-            self._topup(record)
-        elif kind == "grant":
-            self._grant(record)
-        elif kind == "settle":
-            self._settle(record)
-        elif kind == "snapshot":
-            self._restore(record)
+            return []
         self.next_offset = offset + 1
+        if self._is_repeat(record):
+            return []
+        outcomes: list[BillOutcome] = []
+        match record.get("type"):
+            case "topup":
+                self._topup(record)
+            case "grant":
+                self._grant(record)
+            case "bills":
+                outcomes = [
+                    self._bill(Bill.from_json(item)) for item in record["bills"]
+                ]
+            case "settle":
+                self._settle(GrantId(record["grant_id"]))
+            case "intent" | "finished" | "abandoned":
+                self._intent(record)
+            case "snapshot":
+                self._restore(record)
+        return outcomes
 
     def apply_all(self, records: Iterable[tuple[int, Mapping[str, Any]]]) -> None:
         """Fold ``(offset, record)`` pairs in order."""
@@ -104,57 +215,113 @@
                 a: [t.budget_tokens, t.open_tokens, t.spent_tokens]
                 for a, t in self.accounts.items()
             },
-            "grants": [
-                [g.grant_id, g.account, g.entry, g.tokens] for g in self.grants.values()
+            "grants": [list(attrs.astuple(g)) for g in self.grants.values()],
+            "topups": list(self.topups),
+            "billed": list(self.billed),
+            "intents": [
+                [key, i.claim_id, i.state.value, i.answer]
+                for key, i in self.intents.items()
             ],
-            "topups": sorted(self.topups),
+            "writers": list(self.writers.items()),
         }
 
+    def _is_repeat(self, record: Mapping[str, Any]) -> bool:
+        # The log may take an append whose reply is lost, so the writer sends
+        # it again: without the number, a grant would be held twice and a
+        # settled grant could open again.
+        writer = record.get("writer")
+        if writer is None:
+            return False
+        seq = int(record["seq"])
+        if seq <= self.writers.get(writer, -1):
+            return True
+        self.writers[writer] = seq
+        self.writers.move_to_end(writer)
+        if len(self.writers) > REMEMBERED_WRITERS:
+            self.writers.popitem(last=False)
+        return False
+
     def _topup(self, record: Mapping[str, Any]) -> None:
         # A topup whose reply was lost may be appended twice by a retrying
         # operator; the topup id makes the second one a no-op.
-        topup_id = str(record["topup_id"])
-        if topup_id in self.topups:
-            return
-        self.topups.add(topup_id)
-        self.account(AccountId(record["account"])).budget_tokens += int(
-            record["tokens"]
-        )
+        if self.topups.add(str(record["topup_id"])):
+            totals = self.account(AccountId(record["account"]))
+            totals.budget_tokens += int(record["tokens"])
 
     def _grant(self, record: Mapping[str, Any]) -> None:
         grant_id = GrantId(record["grant_id"])
         account = AccountId(record["account"])
         tokens = int(record["tokens"])
-        if grant_id in self.grants or grant_id in self.settled:
-            return
-        # Void a grant that would overrun: if two writers ever raced past the
-        # conditional append, the fold still never hands out tokens twice.
-        if not self.fits(account, tokens):
-            self.void_grants.add(grant_id)
+        # Two entries that saw the same free tokens may both ask for them:
+        # the second grant in the stream does not fit and is void here, in
+        # every reader's fold, so tokens are never handed out twice.
+        if grant_id in self.grants or not self.fits(account, tokens):
             return
         self.grants[grant_id] = OpenGrant(
-            grant_id, account, EntryId(record["entry"]), tokens
+            grant_id, account, EntryId(record["entry"]), str(record["boot_id"]), tokens
         )
         self.account(account).open_tokens += tokens
 
-    def _settle(self, record: Mapping[str, Any]) -> None:
-        grant = self.grants.pop(GrantId(record["grant_id"]), None)
+    def _bill(self, bill: Bill) -> BillOutcome:
+        # The same request may be billed by two entries (its caller retried
+        # elsewhere after the first entry's answer was cut) or appended twice
+        # (a lost reply): only the first bill in the stream charges.
+        if bill.request_id in self.billed:
+            return BillOutcome.DUPLICATE
+        for grant_id, tokens in bill.charges:
+            grant = self.grants.get(grant_id)
+            # A holder that was paused past its lease may bill a grant that
+            # was settled for it meanwhile and granted to others: charging it
+            # would overrun the budget, so the whole bill is void.
+            if (
+                grant is None
+                or grant.account != bill.account
+                or tokens > grant.left_tokens
+            ):
+                return BillOutcome.VOID
+        self.billed.add(bill.request_id)
+        totals = self.account(bill.account)
+        for grant_id, tokens in bill.charges:
+            self.grants[grant_id].spent_tokens += tokens
+        totals.open_tokens -= bill.tokens
+        totals.spent_tokens += bill.tokens
+        return BillOutcome.CHARGED
+
+    def _settle(self, grant_id: GrantId) -> None:
+        grant = self.grants.pop(grant_id, None)
         if grant is None:
             return
-        spent = min(max(int(record["spent_tokens"]), 0), grant.tokens)
-        totals = self.account(grant.account)
-        totals.open_tokens -= grant.tokens
-        totals.spent_tokens += spent
-        self.settled.add(grant.grant_id)
+        self.account(grant.account).open_tokens -= grant.left_tokens
+
+    def _intent(self, record: Mapping[str, Any]) -> None:
+        key, claim_id = str(record["key"]), str(record["claim_id"])
+        known = self.intents.get(key)
+        match record["type"]:
+            case "intent":
+                self.intents.setdefault(key, Intent(claim_id))
+            case "finished":
+                if known is None or known.claim_id == claim_id:
+                    self.intents[key] = Intent(
+                        claim_id, IntentState.FINISHED, record.get("answer")
+                    )
+            case "abandoned":
+                # Only the owner gives a call up, and only when it was never
+                # sent: a stray copy must not free a call that ran since.
+                if known == Intent(claim_id):
+                    del self.intents[key]
+        while len(self.intents) > REMEMBERED_INTENTS:
+            self.intents.popitem(last=False)
 
     def _restore(self, record: Mapping[str, Any]) -> None:
         self.accounts = {
             AccountId(a): AccountLedger(*t) for a, t in record["accounts"].items()
         }
-        self.grants = {
-            GrantId(g[0]): OpenGrant(
-                GrantId(g[0]), AccountId(g[1]), EntryId(g[2]), g[3]
-            )
-            for g in record["grants"]
-        }
-        self.topups = set(record["topups"])
+        grants = [OpenGrant(*item) for item in record["grants"]]
+        self.grants = {g.grant_id: g for g in grants}
+        self.topups = RecentKeys(REMEMBERED, record["topups"])
+        self.billed = RecentKeys(REMEMBERED, record["billed"])
+        self.intents = OrderedDict(
+            (key, Intent(claim_id, IntentState(state), answer))
+            for key, claim_id, state, answer in record["intents"]
+        )
+        self.writers = OrderedDict((w, int(n)) for w, n in record["writers"])
--- a/src/celerytrack/load/checker.py
+++ b/src/celerytrack/load/checker.py
@@ -1,4 +1,4 @@
-"""The checker: reads the ledger and bills from the log and counts what the
+"""The checker: reads the ledger from the log and counts what the
 users measure: overspend, double bills, doubled non-idempotent calls.
 """
 
@@ -10,10 +10,8 @@
 import attrs
 from returns.result import Success
 
-from celerytrack.entry.bills import bills_stream
-from celerytrack.entry.ledger_keeper import LEDGER
-from celerytrack.ids import AccountId
-from celerytrack.ledger import Ledger
+from celerytrack.entry.ledger_writer import LEDGER
+from celerytrack.ledger import Bill, BillOutcome, Ledger
 from celerytrack.logclient import LogClient
 from celerytrack.settings import FleetSettings
 
@@ -70,32 +68,33 @@
 
 
 async def audit(fleet: FleetSettings, once_classes: set[str]) -> Audit:
-    """Read the ledger and every entry's bills; ask services for doubles.
+    """Read the ledger stream whole; ask services for doubles.
 
     :param once_classes: classes that must run at most once per key.
     """
     log = LogClient(fleet.platform.log_address, "checker")
     try:
-        ledger = Ledger()
-        ledger.apply_all(await _read_all(log, LEDGER))
-        per_request: Counter[str] = Counter()
-        billed: Counter[str] = Counter()
-        for spec in fleet.entries:
-            for _, record in await _read_all(log, bills_stream(spec.entry_id)):
-                for request_id, account, _, tokens in record["bills"]:
-                    per_request[request_id] += 1
-                    billed[account] += int(tokens)
+        records = await _read_all(log, LEDGER)
     finally:
         await log.close()
+    ledger = Ledger()
+    per_request: Counter[str] = Counter()
+    billed: Counter[str] = Counter()
+    for offset, record in records:
+        outcomes = ledger.apply(offset, record)
+        for item, outcome in zip(record.get("bills", ()), outcomes, strict=False):
+            if outcome is BillOutcome.CHARGED:
+                bill = Bill.from_json(item)
+                per_request[bill.request_id] += 1
+                billed[bill.account] += bill.tokens
     doubles = await _non_idempotent_runs(fleet, once_classes)
-    budgets = {str(a): t.budget_tokens for a, t in ledger.accounts.items()}
     return Audit(
-        budgets,
+        {str(a): t.budget_tokens for a, t in ledger.accounts.items()},
         dict(billed),
         sum(per_request.values()),
         sum(n - 1 for n in per_request.values() if n > 1),
         doubles,
-        sum(ledger.account(AccountId(a)).open_tokens for a in budgets),
+        sum(t.open_tokens for t in ledger.accounts.values()),
     )
 
 
--- /dev/null
+++ b/src/celerytrack/prompts.py
@@ -0,0 +1,39 @@
+"""What a prompt costs and what of it replicas may have cached, without I/O."""
+
+from typing import Any
+
+import mmh3
+
+BLOCK_CHARS = 256
+"""Characters in one block of a prompt; engines cache whole blocks."""
+CHARS_PER_TOKEN = 4
+BLOCK_TOKENS = BLOCK_CHARS // CHARS_PER_TOKEN
+_MAX_BLOCKS = 256
+_SEED_MASK = 0xFFFFFFFF
+
+
+def prompt_text(body: dict[str, Any]) -> str:
+    """The prompt of a chat request: its messages' contents, joined."""
+    messages = body.get("messages") or []
+    return "".join(str(m.get("content", "")) for m in messages)
+
+
+def count_tokens(text: str) -> int:
+    """Tokens in a prompt, as entries and the stand-ins count them."""
+    return max(1, len(text) // CHARS_PER_TOKEN)
+
+
+def prompt_blocks(prompt: str) -> tuple[int, ...]:
+    """Hashes of the prompt's whole blocks, each covering all before it.
+
+    Two prompts share their first *n* hashes exactly when they share their
+    first *n* blocks, which is what a prefix cache can reuse.
+    """
+    hashes: list[int] = []
+    last = 0
+    whole = min(len(prompt) // BLOCK_CHARS, _MAX_BLOCKS)
+    for i in range(whole):
+        block = prompt[i * BLOCK_CHARS : (i + 1) * BLOCK_CHARS]
+        last = mmh3.hash64(block, seed=last & _SEED_MASK, signed=False)[0]
+        hashes.append(last)
+    return tuple(hashes)
--- /dev/null
+++ b/src/celerytrack/retries.py
@@ -0,0 +1,54 @@
+"""How often a failed attempt may be tried again, without I/O.
+
+Retries are what turns a short overload into a long one: each refused request
+comes back as several. A budget ties them to the requests that came in, so
+they add at most a fixed share of load, whatever fails.
+"""
+
+import random
+
+import attrs
+
+from celerytrack.verdict import Refusal, Verdict
+
+RETRY_RATIO = 0.1
+"""Retries allowed per request: at most a tenth more load."""
+_BURST = 10.0
+_BASE_S = 0.02
+_MAX_S = 0.5
+
+
+@attrs.define
+class RetryBudget:
+    """A token bucket filled by requests and emptied by retries.
+
+    :ivar ratio: what one request adds.
+    """
+
+    ratio: float = attrs.field(default=RETRY_RATIO, validator=attrs.validators.ge(0))
+    _level: float = _BURST
+
+    def request(self) -> None:
+        """Count a request that came in."""
+        self._level = min(self._level + self.ratio, _BURST)
+
+    def take(self) -> bool:
+        """Take one retry; ``False`` means give up now."""
+        if self._level < 1:
+            return False
+        self._level -= 1
+        return True
+
+
+def may_retry(refusal: Refusal, idempotent: bool) -> bool:
+    """Whether sending the request again elsewhere is safe.
+
+    :param idempotent: whether the class may run twice.
+    """
+    return refusal.verdict is Verdict.DID_NOT_RUN or idempotent
+
+
+def backoff_s(attempt: int, rng: random.Random) -> float:
+    """How long to wait before retry number ``attempt`` (from 0): full
+    jitter under an exponential cap, so retries of one fault spread out."""
+    return rng.uniform(0.0, min(_BASE_S * 2**attempt, _MAX_S))
--- a/src/celerytrack/settings.py
+++ b/src/celerytrack/settings.py
@@ -165,21 +165,22 @@
 class EntryTuning:
     """Timings of an entry instance.
 
-    :ivar bill_flush_s: longest wait before bills are appended.
+    :ivar ledger_flush_s: shortest time between two appends to the ledger.
     :ivar route_ttl_s: how long callers keep an address answer.
     :ivar drain_grace_s: on a planned stop, how long to keep serving streams.
     :ivar upstream_timeout_s: longest wait for a back end's first byte.
     """
 
-    bill_flush_s: float = attrs.field(default=0.02, validator=_positive)
+    ledger_flush_s: float = attrs.field(default=0.02, validator=_positive)
     route_ttl_s: float = attrs.field(default=2.0, validator=_positive)
     drain_grace_s: float = attrs.field(default=30.0, validator=_positive)
     upstream_timeout_s: float = attrs.field(default=30.0, validator=_positive)
     instance_poll_s: float = attrs.field(default=0.5, validator=_positive)
     placement: str = attrs.field(
-        default="score", validator=v.in_(("score", "round_robin", "least_loaded"))
+        default="predicted",
+        validator=v.in_(("predicted", "round_robin", "least_loaded")),
     )
-    """Replica choice: ``score`` (ours); the others are baselines for benches."""
+    """Replica choice: ``predicted`` (ours); the others are baselines for benches."""
 
 
 @attrs.frozen
--- a/src/celerytrack/verdict.py
+++ b/src/celerytrack/verdict.py
@@ -24,6 +24,7 @@
     UNKNOWN_CLASS = "unknown_class"
     BAD_REQUEST = "bad_request"
     BUDGET_EXHAUSTED = "budget_exhausted"
+    BUDGET_HELD = "budget_held"
     LEDGER_UNREACHABLE = "ledger_unreachable"
     NO_CAPACITY = "no_capacity"
     DRAINING = "draining"
@@ -38,6 +39,7 @@
     Reason.UNKNOWN_CLASS: 404,
     Reason.BAD_REQUEST: 400,
     Reason.BUDGET_EXHAUSTED: 402,
+    Reason.BUDGET_HELD: 503,
     Reason.LEDGER_UNREACHABLE: 503,
     Reason.NO_CAPACITY: 503,
     Reason.DRAINING: 503,
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -28,7 +28,7 @@
 import aiohttp
 
 from celerytrack.cli.ctl import apply_config, topup
-from celerytrack.entry.app import request_id_for
+from celerytrack.entry.admission import request_id_for
 from celerytrack.load.caller import Caller, Outcome, Result
 from celerytrack.load.checker import audit_sync
 from celerytrack.load.mix import MIXES
--- /dev/null
+++ b/tests/test_sse.py
@@ -0,0 +1,60 @@
+"""Table tests of the relay of an engine's event stream."""
+
+import unittest
+
+from nose2.tools import params
+
+from celerytrack.ids import RequestId
+from celerytrack.sse import DONE_EVENT, AnswerRelay, event_bytes
+
+
+def _event(rid: str, text: str, tokens: int | None = None) -> bytes:
+    data = {"id": rid, "choices": [{"delta": {"content": text}}]}
+    if tokens is not None:
+        data["usage"] = {"completion_tokens": tokens}
+    return event_bytes(data)
+
+
+OURS = _event("r1", "a", 1) + _event("r1", "b", 2) + DONE_EVENT
+
+
+class AnswerRelayTest(unittest.TestCase):
+    @params(1, 2, 7, 40, 1000)
+    def test_any_split_of_the_bytes_gives_the_same_answer(self, size):
+        relay = AnswerRelay(RequestId("r1"))
+        out = b"".join(
+            relay.feed(OURS[i : i + size]) for i in range(0, len(OURS), size)
+        )
+        self.assertEqual(out + DONE_EVENT, OURS)
+        self.assertEqual((relay.tokens, relay.complete), (2, True))
+
+    @params(
+        # fed, passed on, tokens
+        (_event("r2", "x") + _event("r1", "a"), _event("r1", "a"), 1),
+        (b"garbage\n\n" + _event("r1", "a"), _event("r1", "a"), 1),
+        (b"data: {broken\n\n", b"", 0),
+        (_event("r1", "a") + _event("r1", "b"), None, 2),  # no usage: one each
+        (_event("r1", "abc", 7), None, 7),  # several tokens in one event
+        # Another request's id quoted in our text does not make it theirs.
+        (_event("r1", 'data: {"id": "r1"'), None, 1),
+    )
+    def test_only_own_events_pass(self, fed, passed, tokens):
+        relay = AnswerRelay(RequestId("r1"))
+        self.assertEqual(relay.feed(fed), fed if passed is None else passed)
+        self.assertEqual(relay.tokens, tokens)
+
+    def test_bytes_after_the_end_are_dropped(self):
+        """Symptom: a caller finds tokens behind its whole answer. Sequence:
+        the engine ends our stream, then late bytes of another follow on the
+        same connection. Cause: relaying until the connection closes."""
+        relay = AnswerRelay(RequestId("r1"))
+        relay.feed(OURS)
+        self.assertEqual(relay.feed(_event("r1", "late")), b"")
+
+    def test_a_cut_event_comes_again_whole(self):
+        relay = AnswerRelay(RequestId("r1"))
+        first, second = _event("r1", "a", 1), _event("r1", "b", 2)
+        out = relay.feed(first + second[:10])
+        relay.resumed()
+        out += relay.feed(second + DONE_EVENT)
+        self.assertEqual(out, first + second)
