--- a/bench/entry_bench.py
+++ b/bench/entry_bench.py
@@ -91,7 +91,7 @@
         for i in range(count):
             account = rng.choice(list(keys))
             caller.routes[account] = (float("inf"), [address])
-            prompt = prompt_for(kind, account, rng)
+            prompt = prompt_for(kind, rng)
             if direct is None:
                 tasks.append(
                     asyncio.create_task(
--- a/src/celerytrack/__init__.py
+++ b/src/celerytrack/__init__.py
@@ -16,7 +16,7 @@
     Zone,
 )
 from celerytrack.ledger import AccountLedger, Bill, BillOutcome, Ledger, OpenGrant
-from celerytrack.replica_load import Ask, PrefixIndex, ReplicaLoad
+from celerytrack.replica_load import Ask, Attempt, Load, PrefixIndex, ReplicaLoad
 from celerytrack.retries import RetryBudget, backoff_s, may_retry
 from celerytrack.routing import Placement, make_chooser, predicted_s, rendezvous
 from celerytrack.settings import Config, FleetSettings, SettingsError, load_json
@@ -26,6 +26,7 @@
     "AccountId",
     "AccountLedger",
     "Ask",
+    "Attempt",
     "Bill",
     "BillOutcome",
     "ClassName",
@@ -36,6 +37,7 @@
     "GrantId",
     "HeldGrant",
     "Ledger",
+    "Load",
     "OpenGrant",
     "Placement",
     "PrefixIndex",
--- a/src/celerytrack/entry/admission.py
+++ b/src/celerytrack/entry/admission.py
@@ -195,12 +195,18 @@
         come back.
     """
     replicas = [r for r in state.view.replicas.values() if r.replica_id not in avoid]
-    replica = state.choose(replicas, ask, state.spec.zone, time.time())
+    if avoid:
+        # A request that failed once is not put on trial at another replica
+        # that failed lately, or it would use up its attempts on trials.
+        sound = [r for r in replicas if r.sound and r.model == ask.model]
+        replicas = sound or replicas
+    now_s = time.time()
+    replica = state.choose(replicas, ask, state.spec.zone, now_s)
     if replica is None:
         raise RefusedError(
             did_not_run(
                 Reason.NO_CAPACITY,
-                retry_after_s(replicas, work.model),
+                retry_after_s(replicas, work.model, now_s),
                 f"no replica of {work.model} has room for priority {work.priority}",
             )
         )
--- a/src/celerytrack/entry/chat.py
+++ b/src/celerytrack/entry/chat.py
@@ -32,8 +32,7 @@
 from celerytrack.escrow import Reservation
 from celerytrack.events import Event, log_event
 from celerytrack.prompts import count_tokens, prompt_blocks, prompt_text
-from celerytrack.replica_load import Ask, ReplicaLoad
-from celerytrack.routing import Placement, predicted_s
+from celerytrack.replica_load import Ask, Attempt
 from celerytrack.settings import BackendKind
 from celerytrack.sse import DONE_EVENT, AnswerRelay, event_bytes
 from celerytrack.verdict import Reason, Refusal, did_not_run, may_have_run
@@ -63,8 +62,6 @@
     started_s: float
     relay: AnswerRelay
     response: web.StreamResponse | None = None
-    sent_s: float = 0.0
-    predicted_s: float = 0.0
 
     @property
     def spent_tokens(self) -> int:
@@ -97,7 +94,7 @@
         detail = "max_tokens must be a positive integer"
         raise RefusedError(did_not_run(Reason.BAD_REQUEST, None, detail))
     max_tokens = min(asked or work.max_output_tokens, work.max_output_tokens)
-    ask = Ask(work.model, work.priority, prompt_blocks(prompt), max_tokens)
+    ask = Ask(work.model, work.priority, prompt_blocks(prompt))
     relay = AnswerRelay(admitted.request_id)
     return _Answer(admitted, count_tokens(prompt), max_tokens, ask, started_s, relay)
 
@@ -112,7 +109,7 @@
             state,
             answer.admitted.work,
             answer.ask,
-            lambda replica: _stream_from(state, request, replica, answer),
+            lambda sent: _stream_from(state, request, sent, answer),
         )
     except _CallerGoneError:
         await _end_unwanted(state, answer, reservation)
@@ -133,11 +130,9 @@
 
 
 async def _stream_from(
-    state: EntryState, request: web.Request, replica: ReplicaLoad, answer: _Answer
+    state: EntryState, request: web.Request, sent: Attempt, answer: _Answer
 ) -> Result[None, Refusal]:
-    """Stream (the rest of) the answer from ``replica``."""
-    answer.sent_s = time.monotonic()
-    answer.predicted_s = predicted_s(replica, answer.ask, Placement(), time.time())
+    """Stream (the rest of) the answer from the replica of ``sent``."""
     body = {
         "model": answer.admitted.work.model,
         "messages": answer.admitted.body.get("messages") or [],
@@ -147,7 +142,7 @@
         # Tokens the caller has already: the engine goes on behind them.
         "resume_from": answer.relay.tokens,
     }
-    url = f"http://{state.view.addresses[replica.replica_id]}/v1/chat/completions"
+    url = f"http://{state.view.addresses[sent.replica.replica_id]}/v1/chat/completions"
     headers = {"X-Request-Id": answer.admitted.request_id}
     try:
         upstream = await state.upstream.post(url, json=body, headers=headers)
@@ -158,7 +153,7 @@
     try:
         if upstream.status != 200:
             return Failure(bad_status(upstream.status))
-        await _pump(state, request, replica, upstream, answer)
+        await _pump(state, request, sent, upstream, answer)
         return Success(None)
     except _EngineCutError:
         answer.relay.resumed()
@@ -183,7 +178,7 @@
 async def _pump(
     state: EntryState,
     request: web.Request,
-    replica: ReplicaLoad,
+    sent: Attempt,
     upstream: aiohttp.ClientResponse,
     answer: _Answer,
 ) -> None:
@@ -205,19 +200,18 @@
             continue
         try:
             if answer.response is None:
-                answer.response = await _open(state, request, replica, answer)
+                sent.first_token(time.time())
+                answer.response = await _open(state, request, answer)
             await answer.response.write(out)
         except ConnectionError:
             raise _CallerGoneError from None
 
 
 async def _open(
-    state: EntryState, request: web.Request, replica: ReplicaLoad, answer: _Answer
+    state: EntryState, request: web.Request, answer: _Answer
 ) -> web.StreamResponse:
     work, rid = answer.admitted.work, answer.admitted.request_id
-    now_s = time.monotonic()
-    state.metrics.ttft.labels(work.name).observe(now_s - answer.started_s)
-    replica.observed(now_s - answer.sent_s, answer.predicted_s)
+    state.metrics.ttft.labels(work.name).observe(time.monotonic() - answer.started_s)
     response = web.StreamResponse(
         headers={"Content-Type": "text/event-stream", "X-Request-Id": rid}
     )
--- a/src/celerytrack/entry/fleet_view.py
+++ b/src/celerytrack/entry/fleet_view.py
@@ -1,26 +1,32 @@
 """The task that keeps this entry's view of the fleet: which entries and
 replicas exist, which are leaving, and how loaded each replica is.
 
-The instance list lags, so a replica's own load report and an entry's
-refusal to take work are also read; a replica marked leaving is taken out of
-routing at once.
+The instance list lags, so replicas' own load reports and cache events and
+the entries' heartbeats are taken too; a replica marked leaving is taken out
+of routing at once.
 """
 
 import asyncio
 import logging
 import time
+from collections.abc import Callable
 from typing import Any
 
 import aiohttp
 import attrs
 
+from celerytrack.entry.peers import PeerNews
 from celerytrack.events import Event, log_event
 from celerytrack.ids import EntryId, ReplicaId, Zone
-from celerytrack.replica_load import ReplicaLoad
+from celerytrack.replica_load import Load, ReplicaLoad
 
 _log = logging.getLogger(__name__)
 
 
+HEARD_WITHIN_S = 1.0
+"""How old an entry's last heartbeat may be for it to count as running."""
+
+
 @attrs.define
 class EntryInfo:
     """Another entry (or this one) as the instance list shows it."""
@@ -31,13 +37,16 @@
     leaving: bool = False
     gone: bool = False
     draining: bool = False
-    answered_at_s: float = float("-inf")
-    """When it last answered a health probe (monotonic seconds)."""
+    heard_at_s: float = float("-inf")
+    """When its last heartbeat came (monotonic seconds)."""
+
+    def runs(self, now_s: float) -> bool:
+        """Whether a heartbeat of it came lately."""
+        return now_s - self.heard_at_s <= HEARD_WITHIN_S
 
-    def usable(self, now_s: float, within_s: float) -> bool:
+    def usable(self, now_s: float) -> bool:
         """Whether to name this entry to callers at ``now_s``."""
-        recent = now_s - self.answered_at_s <= within_s
-        return recent and not self.leaving and not self.draining
+        return self.runs(now_s) and not self.leaving and not self.draining
 
 
 class FleetView:
@@ -45,9 +54,16 @@
 
     :param instances_address: ``host:port`` of the instance list.
     :param poll_s: how often to read both.
+    :param on_entry: told the peer address of each entry first listed.
     """
 
-    def __init__(self, instances_address: str, poll_s: float) -> None:
+    def __init__(
+        self,
+        instances_address: str,
+        poll_s: float,
+        on_entry: Callable[[str], None] = lambda address: None,
+    ) -> None:
+        self._on_entry = on_entry
         self._url = f"http://{instances_address}/instances"
         self._poll_s = poll_s
         self.replicas: dict[ReplicaId, ReplicaLoad] = {}
@@ -60,13 +76,12 @@
     def is_gone(self, entry_id: EntryId, now_s: float) -> bool:
         """Whether the platform says ``entry_id`` no longer runs.
 
-        An entry that still answers probes is not gone, whatever the list says.
+        An entry whose heartbeats come is not gone, whatever the list says.
         """
         info = self.entries.get(entry_id)
         if info is None:
             return self._listed
-        answers = now_s - info.answered_at_s <= self._poll_s * 3
-        return info.gone and not answers
+        return info.gone and not info.runs(now_s)
 
     async def refresh(self) -> None:
         """Read the instance list and the replicas' loads once."""
@@ -82,10 +97,7 @@
             self._take(item)
         self._mark_missing({item["id"] for item in data["instances"]})
         self._listed = True
-        await asyncio.gather(
-            *(self._poll_replica(r) for r in list(self.replicas)),
-            *(self._probe(e) for e in list(self.entries.values())),
-        )
+        await asyncio.gather(*(self._poll_replica(r) for r in list(self.replicas)))
 
     async def run(self) -> None:
         """Refresh forever."""
@@ -98,6 +110,21 @@
         if self._session is not None:
             await self._session.close()
 
+    def heard(self, news: PeerNews, now_s: float) -> None:
+        """Take a peer's heartbeat.
+
+        The instance list lags and shows a crashed entry live for a while;
+        naming it to callers would send them to a dead address. Heartbeats
+        tell which entries run now, and a draining one says so at once.
+        """
+        info = self.entries.get(news.entry)
+        if info is not None:
+            info.heard_at_s = now_s
+            info.draining = news.draining
+        wall_s = time.time()
+        for replica_id, replica in self.replicas.items():
+            replica.heard(news.entry, news.loads.get(replica_id, Load()), wall_s)
+
     def mark_leaving(self, replica_id: ReplicaId) -> None:
         """Take a replica out of routing (it refused work as leaving)."""
         if replica_id in self.replicas and not self.replicas[replica_id].leaving:
@@ -120,6 +147,7 @@
             if known_entry is None:
                 known_entry = EntryInfo(entry_id, item["address"], Zone(item["zone"]))
                 self.entries[entry_id] = known_entry
+                self._on_entry(item["peer_address"])
             known_entry.leaving = leaving
             known_entry.gone = item["state"] == "gone"
             return
@@ -135,20 +163,13 @@
         elif not leaving:
             known.leaving = False
 
-    async def _probe(self, info: EntryInfo) -> None:
-        # The instance list lags and shows a crashed entry live for a while;
-        # naming it to callers would send them to a dead address. A health
-        # probe each round tells which entries answer now.
-        health = await self._get_json(info.address, "/healthz")
-        if health is None:
-            return
-        info.answered_at_s = time.monotonic()
-        info.draining = bool(health.get("draining"))
-
     async def _poll_replica(self, replica_id: ReplicaId) -> None:
         load = self.replicas[replica_id]
         report = await self._get_json(self.addresses[replica_id], "/load")
         if report is None:
+            # Dead or unreachable, though the list may show it live for a
+            # while: no request has to find that out.
+            load.failed(time.time())
             return
         load.capacity = int(report.get("capacity", load.capacity))
         load.cache.capacity_blocks = int(
@@ -156,7 +177,7 @@
         )
         running = int(report.get("running", 0)) + int(report.get("queued", 0))
         at_s = float(report.get("at_s", time.time()))
-        load.report(running, at_s, int(report.get("prefill_tokens", 0)))
+        load.report(Load(running, int(report.get("prefill_tokens", 0))), at_s)
         if "cache_blocks" in report:
             await self._poll_cache(replica_id)
 
--- a/src/celerytrack/entry/ledger_keeper.py
+++ b/src/celerytrack/entry/ledger_keeper.py
@@ -26,18 +26,16 @@
 from celerytrack.ids import AccountId, EntryId, GrantId
 from celerytrack.ledger import Bill, BillOutcome, IntentState, Ledger
 from celerytrack.logclient import Appended, LogClient
-from celerytrack.settings import GrantPolicy
+from celerytrack.settings import EntryTuning, GrantPolicy
 
 _log = logging.getLogger(__name__)
 
 SNAPSHOTS = "ledger.snapshots"
 SNAPSHOT_EVERY = 500
 """Records between ledger snapshots; retention must keep several times this."""
-SNAPSHOT_AFTER_S = 60.0
-"""Longest between ledger snapshots; the log's retention must be longer."""
 _RESTORE_RETRY_S = 0.2
 _SETTLE_EVERY_S = 1.0
-_WANT_EVERY_S = 1.0
+_WANT_EVERY_S = 0.25
 """How often an entry repeats that it wants tokens others hold."""
 _SYNC_EVERY_S = 0.02
 _CLAIM_WAIT_S = 2.0
@@ -78,7 +76,7 @@
     :param entry: this entry's id.
     :param boot_id: unique per process start, part of every grant id.
     :param policy: the grant policy now in force (read on each use).
-    :param flush_s: the shortest time between two appends.
+    :param tuning: how often to append and to write snapshots.
     :param chosen: says whether this entry does the fleet's duty named so.
     :param is_gone: says whether the platform lists an entry as gone.
     """
@@ -89,7 +87,7 @@
         entry: EntryId,
         boot_id: str,
         policy: Callable[[], GrantPolicy],
-        flush_s: float,
+        tuning: EntryTuning,
         chosen: Callable[[str], bool] = lambda duty: True,
         is_gone: Callable[[EntryId], bool] = lambda entry: False,
     ) -> None:
@@ -97,8 +95,13 @@
         self.book = EscrowBook(entry)
         self.reachable = False
         self.writer = LedgerWriter(
-            log, f"{entry}/{boot_id}", flush_s, self._appended, self._contact
+            log,
+            f"{entry}/{boot_id}",
+            tuning.ledger_flush_s,
+            self._appended,
+            self._contact,
         )
+        self._snapshot_every_s = tuning.snapshot_every_s
         self._log = log
         self._entry = entry
         self._boot_id = boot_id
@@ -152,7 +155,7 @@
         if size > 0:
             self._ask_grant(account, size, policy.lease_s)
         if missing > free and self.elsewhere_tokens(account) > 0:
-            self._ask_others(account, missing, now_s)
+            self._ask_others(account, max(missing, policy.low_water_tokens), now_s)
 
     async def wait_changed(self, timeout_s: float) -> None:
         """Wait until the ledger changed, or ``timeout_s`` passes."""
@@ -214,8 +217,9 @@
         whatever was known before is no proof, since another entry may be
         recording its own at this moment.
         """
-        if key in self.ledger.intents:
-            return self._known_claim(key)
+        known = self.known_claim(key)
+        if known is not None:
+            return known
         claim_id = f"{self.writer.writer_id}.{next(self._claims)}"
         folded = asyncio.Event()
         self.writer.submit(
@@ -230,7 +234,16 @@
         found = self.ledger.intents.get(key)
         if found is not None and found.claim_id == claim_id:
             return Claim(ClaimState.OWNED, claim_id)
-        return self._known_claim(key)
+        return self.known_claim(key) or Claim(ClaimState.UNREACHABLE)
+
+    def known_claim(self, key: str) -> Claim | None:
+        """The claim that the fold shows for ``key``, if any."""
+        found = self.ledger.intents.get(key)
+        if found is None:
+            return None
+        if found.state is IntentState.FINISHED:
+            return Claim(ClaimState.FINISHED, found.claim_id, found.answer)
+        return Claim(ClaimState.STARTED, found.claim_id)
 
     def abandon(self, key: str, claim_id: str) -> None:
         """Free ``key``: the call it stands for was never sent.
@@ -293,7 +306,7 @@
         # fall out of the log's retention, and a new entry find nothing.
         now_s = time.monotonic()
         k = self.ledger.next_offset // SNAPSHOT_EVERY
-        aged = now_s - self._snapshot_at_s >= SNAPSHOT_AFTER_S
+        aged = now_s - self._snapshot_at_s >= self._snapshot_every_s
         if k <= self._last_snapshot and not aged:
             return
         self._last_snapshot = max(k, self._last_snapshot)
@@ -396,14 +409,6 @@
                 if grant_id not in self.ledger.grants:
                     self.book.forget(grant_id)
 
-    def _known_claim(self, key: str) -> Claim:
-        found = self.ledger.intents.get(key)
-        if found is None:
-            return Claim(ClaimState.UNREACHABLE)
-        if found.state is IntentState.FINISHED:
-            return Claim(ClaimState.FINISHED, found.claim_id, found.answer)
-        return Claim(ClaimState.STARTED, found.claim_id)
-
     async def _settle_loop(self) -> None:
         while True:
             await asyncio.sleep(_SETTLE_EVERY_S)
--- /dev/null
+++ b/src/celerytrack/entry/peers.py
@@ -0,0 +1,132 @@
+"""What entries tell each other: that they live, whether they drain, and what
+they have running at each replica.
+
+Each entry publishes its news several times a second on a ZeroMQ PUB socket
+and subscribes to its peers'. A heartbeat that stays away takes an entry out
+of the address answers; the load in it is what the replicas' own reports,
+which lag, cannot say. News may be lost or late: the next one replaces it.
+"""
+
+import asyncio
+import itertools
+import logging
+from collections.abc import Callable
+
+import attrs
+import msgpack
+import zmq
+import zmq.asyncio
+
+from celerytrack.events import Event, log_event
+from celerytrack.ids import EntryId, ReplicaId
+from celerytrack.replica_load import Load
+
+_log = logging.getLogger(__name__)
+
+HEARTBEAT_S = 0.1
+_PING_MS = 1000
+"""A connection that went silent without a reset is found by pings."""
+_PING_TIMEOUT_MS = 3000
+
+
+@attrs.frozen
+class PeerNews:
+    """One heartbeat.
+
+    :ivar seq: rises within one life (``boot_id``) of the entry.
+    :ivar loads: what the entry has at each replica; none where absent.
+    """
+
+    entry: EntryId
+    boot_id: str
+    seq: int
+    draining: bool
+    loads: dict[ReplicaId, Load]
+
+    def to_bytes(self) -> bytes:
+        """The heartbeat on the wire."""
+        loads = {r: [n.running, n.prefill_tokens] for r, n in self.loads.items()}
+        return msgpack.packb([self.entry, self.boot_id, self.seq, self.draining, loads])
+
+    @classmethod
+    def from_bytes(cls, data: bytes) -> "PeerNews":
+        """What :meth:`to_bytes` wrote.
+
+        :raises ValueError: for bytes that are no heartbeat.
+        """
+        try:
+            entry, boot_id, seq, draining, loads = msgpack.unpackb(data)
+            parsed = {ReplicaId(r): Load(n, t) for r, (n, t) in loads.items()}
+        except (msgpack.UnpackException, TypeError, AttributeError) as exc:
+            raise ValueError(f"not a heartbeat: {exc}") from None
+        return cls(EntryId(entry), boot_id, seq, draining, parsed)
+
+
+class PeerLink:
+    """Owns the sockets between this entry and its peers.
+
+    :param address: ``host:port`` this entry publishes on.
+    :param describe: makes the next heartbeat, given its sequence number.
+    :param on_news: takes a peer's heartbeat.
+    """
+
+    def __init__(
+        self,
+        address: str,
+        describe: Callable[[int], PeerNews],
+        on_news: Callable[[PeerNews], None],
+    ) -> None:
+        self._address = address
+        self._describe = describe
+        self._on_news = on_news
+        self._context = zmq.asyncio.Context()
+        self._pub = self._socket(zmq.PUB)
+        self._sub = self._socket(zmq.SUB)
+        self._sub.setsockopt(zmq.SUBSCRIBE, b"")
+        self._connected: set[str] = set()
+        self._last: dict[str, int] = {}
+
+    def start(self) -> list[asyncio.Task[None]]:
+        """Open the publishing port and start the link's tasks."""
+        self._pub.bind(f"tcp://{self._address}")
+        return [
+            asyncio.create_task(self._publish()),
+            asyncio.create_task(self._listen()),
+        ]
+
+    def connect(self, address: str) -> None:
+        """Subscribe to the peer at ``address``, once."""
+        if address != self._address and address not in self._connected:
+            self._connected.add(address)
+            self._sub.connect(f"tcp://{address}")
+
+    def close(self) -> None:
+        """Close the sockets."""
+        self._context.destroy(linger=0)
+
+    def _socket(self, kind: int) -> zmq.asyncio.Socket:
+        sock = self._context.socket(kind)
+        sock.setsockopt(zmq.LINGER, 0)
+        sock.setsockopt(zmq.HEARTBEAT_IVL, _PING_MS)
+        sock.setsockopt(zmq.HEARTBEAT_TIMEOUT, _PING_TIMEOUT_MS)
+        return sock
+
+    async def _publish(self) -> None:
+        for seq in itertools.count():
+            await self._pub.send(self._describe(seq).to_bytes())
+            await asyncio.sleep(HEARTBEAT_S)
+
+    async def _listen(self) -> None:
+        while True:
+            data = await self._sub.recv()
+            try:
+                news = PeerNews.from_bytes(data)
+            except ValueError as exc:
+                log_event(_log, Event.PEER_NEWS_BAD, logging.WARNING, error=str(exc))
+                continue
+            # After a reconnect, queued heartbeats of the same life may come
+            # behind a newer one: they must not bring an old state back.
+            life = f"{news.entry}/{news.boot_id}"
+            if news.seq > self._last.get(life, -1):
+                self._last[life] = news.seq
+                self._on_news(news)
--- a/src/celerytrack/entry/refusals.py
+++ b/src/celerytrack/entry/refusals.py
@@ -43,5 +43,6 @@
         work_class=work_class,
         reason=refusal.reason.value,
         verdict=refusal.verdict.value,
+        detail=refusal.detail,
     )
     return refusal_response(refusal)
--- a/src/celerytrack/entry/service_calls.py
+++ b/src/celerytrack/entry/service_calls.py
@@ -30,7 +30,7 @@
     unreachable,
 )
 from celerytrack.events import Event, log_event
-from celerytrack.replica_load import Ask, ReplicaLoad
+from celerytrack.replica_load import Ask, Attempt
 from celerytrack.settings import BackendKind
 from celerytrack.verdict import Reason, Refusal, Verdict, did_not_run, may_have_run
 
@@ -61,6 +61,12 @@
 
 
 async def _serve(state: EntryState, admitted: Admitted) -> Any:
+    if not admitted.work.idempotent:
+        # A call known to have been started must not be refused
+        # "did not run" below, for want of budget or of a replica.
+        known = state.keeper.known_claim(admitted.cache_key)
+        if known is not None:
+            return _answer_of(known)
     cost = admitted.work.service_cost_tokens
     reservation = await reserve(state, admitted, cost)
     ask = Ask(admitted.work.model, admitted.work.priority)
@@ -73,7 +79,7 @@
             claim = await _claim(state, admitted)
         if claim.state is ClaimState.FINISHED:
             state.keeper.book.release(reservation)
-            return claim.answer
+            return _answer_of(claim)
         answer = await _send(state, admitted, ask)
     except RefusedError as exc:
         state.keeper.book.release(reservation)
@@ -100,7 +106,7 @@
         state,
         admitted.work,
         ask,
-        lambda replica: _attempt(state, replica, admitted),
+        lambda sent: _attempt(state, sent, admitted),
     )
     match sent:
         case Failure(refusal):
@@ -120,18 +126,28 @@
         case ClaimState.OWNED:
             log_event(_log, Event.INTENT_RECORDED, request_id=admitted.request_id)
         case ClaimState.STARTED:
-            detail = "this call was started before"
-            raise RefusedError(may_have_run(Reason.DUPLICATE_IN_FLIGHT, 2.0, detail))
+            _answer_of(claim)
         case ClaimState.UNREACHABLE:
             detail = "the intent could not be recorded"
             raise RefusedError(did_not_run(Reason.LEDGER_UNREACHABLE, 2.0, detail))
     return claim
 
 
+def _answer_of(claim: Claim) -> Any:
+    """The answer of a call that another attempt owns.
+
+    :raises RefusedError: ``may_have_run`` if it has none yet.
+    """
+    if claim.state is ClaimState.FINISHED:
+        return claim.answer
+    detail = "this call was started before"
+    raise RefusedError(may_have_run(Reason.DUPLICATE_IN_FLIGHT, 2.0, detail))
+
+
 async def _attempt(
-    state: EntryState, replica: ReplicaLoad, admitted: Admitted
+    state: EntryState, sent: Attempt, admitted: Admitted
 ) -> Result[Any, Refusal]:
-    address = state.view.addresses[replica.replica_id]
+    address = state.view.addresses[sent.replica.replica_id]
     url = f"http://{address}/call/{admitted.work.name}"
     headers = {"X-Request-Id": admitted.request_id}
     try:
--- a/src/celerytrack/entry/state.py
+++ b/src/celerytrack/entry/state.py
@@ -13,17 +13,17 @@
 from celerytrack.entry.fleet_view import EntryInfo, FleetView
 from celerytrack.entry.ledger_keeper import LedgerKeeper
 from celerytrack.entry.metrics import EntryMetrics
+from celerytrack.entry.peers import PeerLink, PeerNews
 from celerytrack.events import Event, log_event
 from celerytrack.ids import EntryId
 from celerytrack.logclient import LogClient
+from celerytrack.replica_load import Load
 from celerytrack.retries import RetryBudget
 from celerytrack.routing import make_chooser, rendezvous
 from celerytrack.settings import FleetSettings, GrantPolicy
 
 _log = logging.getLogger(__name__)
 
-REPUBLISH_CONFIG_AFTER_S = 60.0
-"""Age at which the configuration in force is written to the log again."""
 _SETTLE_WAIT_S = 5.0
 """Longest a planned stop waits for the log to take the last bills, twice."""
 
@@ -41,16 +41,19 @@
         self.entry_id = EntryId(entry_id)
         self.boot_id = uuid.uuid4().hex[:8]
         self.log = LogClient(fleet.platform.log_address, entry_id)
-        self.config = ConfigFollower(self.log, REPUBLISH_CONFIG_AFTER_S)
+        self.config = ConfigFollower(self.log, fleet.tuning.snapshot_every_s)
+        self.link = PeerLink(self.spec.peer_address, self._news, self._heard)
         self.view = FleetView(
-            fleet.platform.instances_address, fleet.tuning.instance_poll_s
+            fleet.platform.instances_address,
+            fleet.tuning.instance_poll_s,
+            self.link.connect,
         )
         self.keeper = LedgerKeeper(
             self.log,
             self.entry_id,
             self.boot_id,
             self._grant_policy,
-            fleet.tuning.ledger_flush_s,
+            fleet.tuning,
             self._is_chosen,
             lambda entry: self.view.is_gone(entry, time.monotonic()),
         )
@@ -73,8 +76,7 @@
 
     def usable_entries(self, now_s: float) -> dict[EntryId, EntryInfo]:
         """The entries to name to callers now, this one included."""
-        within_s = self.tuning.instance_poll_s * 3
-        live = {e: i for e, i in self.view.entries.items() if i.usable(now_s, within_s)}
+        live = {e: i for e, i in self.view.entries.items() if i.usable(now_s)}
         if self.draining:
             live.pop(self.entry_id, None)
         else:
@@ -109,6 +111,7 @@
             asyncio.create_task(self.config.run()),
             asyncio.create_task(self.view.run()),
         ]
+        self._tasks += self.link.start()
         self._tasks += await self.keeper.start()
         await asyncio.wait_for(self.config.wait_for_config(), 30.0)
         log_event(
@@ -145,6 +148,19 @@
             await self._upstream.close()
         await self.view.close()
         await self.log.close()
+        self.link.close()
+
+    def _news(self, seq: int) -> PeerNews:
+        loads = {
+            r: replica.own
+            for r, replica in self.view.replicas.items()
+            if replica.own != Load()
+        }
+        return PeerNews(self.entry_id, self.boot_id, seq, self.draining, loads)
+
+    def _heard(self, news: PeerNews) -> None:
+        if news.entry != self.entry_id:
+            self.view.heard(news, time.monotonic())
 
     def _grant_policy(self) -> GrantPolicy:
         return self.config.config.grant if self.config.config else GrantPolicy()
@@ -155,5 +171,7 @@
         Rendezvous over the live entries: one entry does it as a rule; two
         may for a moment when their views differ, which every duty bears.
         """
-        live = [e for e, info in self.view.entries.items() if not info.leaving]
+        # Over the entries that answer: the instance list shows a dead entry
+        # live for a while, and a duty given to it would be nobody's.
+        live = list(self.usable_entries(time.monotonic()))
         return rendezvous(duty, live or [self.entry_id], 1)[0] == self.entry_id
--- a/src/celerytrack/entry/upstream.py
+++ b/src/celerytrack/entry/upstream.py
@@ -13,8 +13,9 @@
 from celerytrack.entry.refusals import RefusedError
 from celerytrack.entry.state import EntryState
 from celerytrack.ids import ReplicaId
-from celerytrack.replica_load import Ask, ReplicaLoad
+from celerytrack.replica_load import Ask, Attempt
 from celerytrack.retries import backoff_s, may_retry
+from celerytrack.routing import Placement, predicted_s
 from celerytrack.settings import WorkClass
 from celerytrack.verdict import Reason, Refusal, Verdict, did_not_run, may_have_run
 
@@ -52,7 +53,7 @@
     state: EntryState,
     work: WorkClass,
     ask: Ask,
-    attempt: Callable[[ReplicaLoad], Awaitable[Result[T, Refusal]]],
+    attempt: Callable[[Attempt], Awaitable[Result[T, Refusal]]],
 ) -> Result[T, Refusal]:
     """Make ``attempt`` on one replica after another until one succeeds.
 
@@ -67,16 +68,19 @@
             replica = place(state, work, ask, tried)
         except RefusedError as exc:
             return Failure(verdict or exc.refusal)
-        replica.sent(time.time(), ask)
+        now_s = time.time()
+        guess_s = predicted_s(replica, ask, Placement(), now_s)
+        sent = replica.send(ask, guess_s, now_s)
         try:
-            result = await attempt(replica)
+            result = await attempt(sent)
         finally:
-            replica.finished()
+            sent.ended(time.time())
         match result:
             case Success(_):
+                replica.succeeded()
                 return result
             case Failure(refusal):
-                replica.failed()
+                replica.failed(time.time())
                 if verdict is None or refusal.verdict is Verdict.MAY_HAVE_RUN:
                     verdict = refusal
                 if not may_retry(refusal, work.idempotent) or not state.retries.take():
--- a/src/celerytrack/events.py
+++ b/src/celerytrack/events.py
@@ -43,6 +43,7 @@
     REPLICA_JOINED = 501
     ENTRY_DRAINING = 502
     ORDER_DROPPED_STALE = 503
+    PEER_NEWS_BAD = 504
     STANDIN_FAULT_SET = 900
 
 
--- a/src/celerytrack/load/caller.py
+++ b/src/celerytrack/load/caller.py
@@ -88,6 +88,7 @@
         """Send one request, failing over across the entries named for it."""
         key = key or uuid.uuid4().hex
         last = Result(work_class, account, Outcome.FAILED, reason="no entry")
+        unknown = False
         for attempt in range(3):
             entries = await self._route(account, refresh=attempt > 0)
             for address in entries:
@@ -102,7 +103,11 @@
                     last = Result(
                         work_class, account, Outcome.FAILED, reason="connection"
                     )
+                    unknown = True
                     continue
+                if unknown and last.outcome == Outcome.REFUSED:
+                    # This entry ran nothing, but the one that broke off may.
+                    last.verdict = "may_have_run"
                 # Going elsewhere is right only when nothing ran here.
                 if last.outcome == Outcome.REFUSED and last.reason == "draining":
                     continue
--- a/src/celerytrack/load/mix.py
+++ b/src/celerytrack/load/mix.py
@@ -4,6 +4,9 @@
 answers) mostly at night, answer-checks that must not run twice. Padma: long
 claim drafts, follow-up questions, status lookups, claim filings that must
 not run twice.
+
+Prompts are about a quarter of the sizes the users publish (5,382 shared and
+6,610 own tokens for a full paper), so that one machine can carry them.
 """
 
 import random
@@ -18,6 +21,9 @@
     :ivar work_class: the class of work it names.
     :ivar share: its share of arrivals.
     :ivar prompt_chars: prompt length (engine classes).
+    :ivar shared_chars: how much of it is one of a few texts that many share
+        (an exam paper, a form), which engines' prefix caches can hold.
+    :ivar texts: how many such texts there are.
     :ivar max_tokens: tokens asked for (engine classes).
     :ivar service: whether it is a plain-service call.
     """
@@ -25,6 +31,8 @@
     work_class: str
     share: float
     prompt_chars: int = 0
+    shared_chars: int = 0
+    texts: int = 1
     max_tokens: int = 0
     service: bool = False
 
@@ -50,16 +58,20 @@
 MIXES = {
     "haddad": Mix(
         (
-            Kind("live-hint", 0.6, prompt_chars=400, max_tokens=32),
-            Kind("marking-job", 0.25, prompt_chars=4000, max_tokens=128),
+            Kind("live-hint", 0.6, 2400, shared_chars=1024, texts=20, max_tokens=32),
+            Kind(
+                "marking-job", 0.25, 12_000, shared_chars=6144, texts=20, max_tokens=128
+            ),
             Kind("answer-check", 0.15, service=True),
         ),
         _FEW_LARGE,
     ),
     "padma": Mix(
         (
-            Kind("claim-draft", 0.3, prompt_chars=6000, max_tokens=128),
-            Kind("follow-up", 0.3, prompt_chars=800, max_tokens=32),
+            Kind(
+                "claim-draft", 0.3, 12_000, shared_chars=6144, texts=20, max_tokens=128
+            ),
+            Kind("follow-up", 0.3, 2400, shared_chars=1024, texts=20, max_tokens=32),
             Kind("status-lookup", 0.3, service=True),
             Kind("claim-filing", 0.1, service=True),
         ),
--- a/src/celerytrack/load/runner.py
+++ b/src/celerytrack/load/runner.py
@@ -29,16 +29,20 @@
     seed: int = 1
 
 
-def prompt_for(kind: Kind, account: str, rng: random.Random) -> str:
-    """A prompt whose first part is shared by an account's class of work.
+def prompt_for(kind: Kind, rng: random.Random) -> str:
+    """A prompt that begins with one of the texts its kind shares.
 
-    Shared prefixes are what the engines' prefix caches hold.
+    Some texts are much more common than others (Zipf, exponent 1).
     """
     if kind.service:
         return ""
-    head = (f"[{account}/{kind.work_class} syllabus] " * 64)[:256]
-    tail = " ".join(rng.choice("abcdefgh") * 4 for _ in range(kind.prompt_chars // 5))
-    return (head + tail)[: max(kind.prompt_chars, 256)]
+    weights = [1 / (i + 1) for i in range(kind.texts)]
+    text = rng.choices(range(kind.texts), weights)[0]
+    title = f"[{kind.work_class} text {text}] "
+    head = (title * (kind.shared_chars // len(title) + 1))[: kind.shared_chars]
+    own = rng.getrandbits(64)
+    words = f"{own:016x} " * ((kind.prompt_chars - len(head)) // 17 + 1)
+    return (head + words)[: kind.prompt_chars]
 
 
 async def run_plan(
@@ -60,7 +64,7 @@
                 break
             await asyncio.sleep(max(0.0, next_at - time.monotonic()))
             kind, account = mix.draw(rng, accounts)
-            prompt = prompt_for(kind, account, rng)
+            prompt = prompt_for(kind, rng)
             tasks.append(
                 asyncio.create_task(
                     caller.send(
--- a/src/celerytrack/replica_load.py
+++ b/src/celerytrack/replica_load.py
@@ -1,7 +1,8 @@
 """What one entry knows of one replica: its load and its prefix cache.
 
-Both reports lag and miss things, so what this entry did itself is added: a
-burst must not all go to the replica that looked idle a moment ago.
+A replica's own reports lag, so they are used only for what nothing fresher
+tells: an entry knows exactly what it has running there itself, and hears
+from its peers several times a second what they have.
 """
 
 import bisect
@@ -10,14 +11,18 @@
 
 import attrs
 
-from celerytrack.ids import ReplicaId, Zone
+from celerytrack.ids import EntryId, ReplicaId, Zone
 from celerytrack.prompts import BLOCK_TOKENS
 
-_MAX_SENDS = 4096
+PEER_FRESH_S = 1.0
+"""How long what a peer said of its own load counts."""
+_HISTORY = 4096
 _CACHE_BLOCKS = 4096
 _SLOWNESS_GAIN = 0.1
 _SLOWNESS_RANGE = (0.5, 8.0)
-_FAILURE_SLOWNESS = 2.0
+_EJECT_S = 0.5
+_EJECT_GROWTH = 4
+_EJECT_MAX_S = 30.0
 
 
 @attrs.frozen
@@ -27,13 +32,11 @@
     :ivar model: the model or plain service.
     :ivar priority: the class priority; 0 is refused last.
     :ivar blocks: hashes of the prompt's blocks (empty for plain services).
-    :ivar output_tokens: the most tokens it may generate.
     """
 
     model: str
     priority: int
     blocks: tuple[int, ...] = ()
-    output_tokens: int = 0
 
 
 class PrefixIndex:
@@ -78,89 +81,166 @@
         )
 
 
+@attrs.frozen
+class Load:
+    """Work at a replica.
+
+    :ivar running: sequences (or calls) running or queued.
+    :ivar prefill_tokens: prompt tokens that are still to be read in.
+    """
+
+    running: int = 0
+    prefill_tokens: int = 0
+
+
 @attrs.define
-class _Sent:
-    at_s: float
+class Attempt:
+    """One request sent to a replica, until it ends.
+
+    :ivar prefill_tokens: prompt tokens counted as not read in yet.
+    :ivar predicted_s: the first token's time as predicted when it was sent.
+    """
+
+    replica: "ReplicaLoad"
+    sent_at_s: float
     prefill_tokens: int
+    predicted_s: float
+
+    def first_token(self, now_s: float) -> None:
+        """Its first token came: the prompt is read in."""
+        self.replica._read_in(self.prefill_tokens)
+        self.prefill_tokens = 0
+        self.replica._learn((now_s - self.sent_at_s) / max(self.predicted_s, 1e-3))
+
+    def ended(self, now_s: float) -> None:
+        """It ended, well or not."""
+        self.replica._read_in(self.prefill_tokens)
+        self.prefill_tokens = 0
+        self.replica._ended(now_s)
 
 
 @attrs.define
 class ReplicaLoad:
-    """One replica's load, report lag corrected.
+    """One replica's load as this entry sees it.
 
     Times are wall-clock seconds, since reports carry the replica's own.
 
     :ivar capacity: sequences the replica batches at once.
-    :ivar reported_running: sequences running or queued, per the last report.
-    :ivar reported_prefill_tokens: prompt tokens not yet read in, the same.
+    :ivar own: what this entry has there now.
+    :ivar peers: what each peer said it has there, and when.
+    :ivar reported: the replica's last report, which lags.
     :ivar reported_at_s: the moment the report describes.
-    :ivar in_flight: this entry's requests running there now.
     :ivar slowness: its first tokens' times over the predicted ones, averaged:
-        what tells a slow or failing replica whose reports look well.
+        what tells a slow replica whose reports look well.
+    :ivar ejected_until_s: takes no new work before, after failed attempts.
     """
 
     replica_id: ReplicaId
     zone: Zone
     model: str
     capacity: int = 16
-    reported_running: int = 0
-    reported_prefill_tokens: int = 0
+    own: Load = Load()
+    peers: dict[EntryId, tuple[float, Load]] = attrs.field(factory=dict)
+    reported: Load = Load()
     reported_at_s: float = 0.0
-    in_flight: int = 0
     leaving: bool = False
     slowness: float = 1.0
+    ejected_until_s: float = 0.0
     cache: PrefixIndex = attrs.field(factory=PrefixIndex)
-    _sends: deque[_Sent] = attrs.field(factory=lambda: deque(maxlen=_MAX_SENDS))
-    _sent_tokens: int = 0
-
-    def estimate(self) -> int:
-        """Estimated sequences running now."""
-        return max(self.reported_running + len(self._sends), self.in_flight)
-
-    def prefill_backlog(self, now_s: float, tokens_per_s: float) -> float:
-        """Estimated prompt tokens waiting to be read in at ``now_s``.
-
-        :param tokens_per_s: how fast the replica reads them.
+    _own_history: deque[tuple[float, Load]] = attrs.field(
+        factory=lambda: deque([(0.0, Load())], maxlen=_HISTORY)
+    )
+    """``(time, own from then on)``, from just before the last report."""
+    _failures: int = 0
+
+    def load(self, now_s: float) -> Load:
+        """All work there at ``now_s``: this entry's own and that of others.
+
+        Others' work is what peers said lately. With no fresh word from any
+        (this entry is cut off, or alone), it is what the last report shows
+        beyond what this entry had there at that moment: adding later sends
+        to the whole report would count those twice that ended since, and
+        make a busy replica look full.
         """
-        drained = max(0.0, now_s - self.reported_at_s) * tokens_per_s
-        return max(0.0, self.reported_prefill_tokens + self._sent_tokens - drained)
+        fresh = [p for at_s, p in self.peers.values() if now_s - at_s <= PEER_FRESH_S]
+        if not fresh:
+            then = self._own_history[0][1]
+            fresh = [
+                Load(
+                    max(0, self.reported.running - then.running),
+                    max(0, self.reported.prefill_tokens - then.prefill_tokens),
+                )
+            ]
+        return Load(
+            self.own.running + sum(p.running for p in fresh),
+            self.own.prefill_tokens + sum(p.prefill_tokens for p in fresh),
+        )
 
     def uncached_tokens(self, ask: Ask) -> int:
         """Prompt tokens of ``ask`` that this replica would have to read."""
         missing = len(ask.blocks) - self.cache.cached_blocks(ask.blocks)
         return missing * BLOCK_TOKENS
 
-    def report(self, running: int, at_s: float, prefill_tokens: int = 0) -> None:
+    def report(self, load: Load, at_s: float) -> None:
         """Take a load report describing ``at_s``; older ones are ignored."""
         if at_s < self.reported_at_s:
             return
-        self.reported_running = running
-        self.reported_prefill_tokens = prefill_tokens
+        self.reported = load
         self.reported_at_s = at_s
-        while self._sends and self._sends[0].at_s <= at_s:
-            self._sent_tokens -= self._sends.popleft().prefill_tokens
+        while len(self._own_history) > 1 and self._own_history[1][0] <= at_s:
+            self._own_history.popleft()
+
+    def heard(self, peer: EntryId, load: Load, now_s: float) -> None:
+        """Take a peer's word on what it has here."""
+        self.peers[peer] = (now_s, load)
 
-    def sent(self, now_s: float, ask: Ask) -> None:
+    def send(self, ask: Ask, predicted_s: float, now_s: float) -> Attempt:
         """Count a request this entry sends at ``now_s``."""
         tokens = self.uncached_tokens(ask)
-        if len(self._sends) == _MAX_SENDS:
-            self._sent_tokens -= self._sends[0].prefill_tokens
-        self._sends.append(_Sent(now_s, tokens))
-        self._sent_tokens += tokens
-        self.in_flight += 1
+        self._set_own(1, tokens, now_s)
         self.cache.touch(ask.blocks)
+        return Attempt(self, now_s, tokens, predicted_s)
+
+    @property
+    def sound(self) -> bool:
+        """Whether its last attempt went well."""
+        return self._failures == 0
+
+    def trusted(self, now_s: float) -> bool:
+        """Whether it may take work at ``now_s``: after failures, one request
+        at a time once the ejection is over, so a trial costs one retry."""
+        if self.sound:
+            return True
+        return now_s >= self.ejected_until_s and self.own.running == 0
+
+    def succeeded(self) -> None:
+        """An attempt here went well: it is trusted again."""
+        self._failures = 0
+        self.ejected_until_s = 0.0
+
+    def failed(self, now_s: float) -> None:
+        """An attempt here failed: no new work for a while, longer each time.
+
+        A replica that fails at once looks idle, so without this it would
+        draw every request and use up the retries of all of them.
+        """
+        self._failures += 1
+        away_s = _EJECT_S * _EJECT_GROWTH ** min(self._failures - 1, 4)
+        self.ejected_until_s = now_s + min(away_s, _EJECT_MAX_S)
 
-    def finished(self) -> None:
-        """Count a request of this entry's that ended."""
-        self.in_flight = max(self.in_flight - 1, 0)
+    def _read_in(self, tokens: int) -> None:
+        if tokens:
+            self._set_own(0, -tokens, self._own_history[-1][0])
 
-    def observed(self, took_s: float, predicted_s: float) -> None:
-        """Learn from one first token: how long it took against the guess."""
-        self._learn(took_s / max(predicted_s, 1e-3))
+    def _ended(self, now_s: float) -> None:
+        self._set_own(-1, 0, now_s)
 
-    def failed(self) -> None:
-        """Learn from a failed attempt: as if it had been very slow."""
-        self._learn(max(_FAILURE_SLOWNESS, self.slowness * _FAILURE_SLOWNESS))
+    def _set_own(self, running: int, tokens: int, now_s: float) -> None:
+        self.own = Load(
+            max(0, self.own.running + running),
+            max(0, self.own.prefill_tokens + tokens),
+        )
+        self._own_history.append((now_s, self.own))
 
     def _learn(self, ratio: float) -> None:
         low, high = _SLOWNESS_RANGE
--- a/src/celerytrack/retries.py
+++ b/src/celerytrack/retries.py
@@ -11,8 +11,8 @@
 
 from celerytrack.verdict import Refusal, Verdict
 
-RETRY_RATIO = 0.1
-"""Retries allowed per request: at most a tenth more load."""
+RETRY_RATIO = 0.2
+"""Retries allowed per request: at most a fifth more load."""
 _BURST = 10.0
 _BASE_S = 0.02
 _MAX_S = 0.5
--- a/src/celerytrack/routing.py
+++ b/src/celerytrack/routing.py
@@ -58,12 +58,11 @@
     replica: ReplicaLoad, ask: Ask, placement: Placement, now_s: float
 ) -> float:
     """Seconds until ``replica`` would give the first token of ``ask``."""
-    rate = placement.prefill_tokens_per_s
-    tokens = replica.prefill_backlog(now_s, rate) + replica.uncached_tokens(ask)
-    running = replica.estimate()
-    over = max(0, running + 1 - replica.capacity)
-    batch = placement.batch_s * (running / max(replica.capacity, 1) + over)
-    return replica.slowness * (tokens / rate + batch)
+    load = replica.load(now_s)
+    tokens = load.prefill_tokens + replica.uncached_tokens(ask)
+    over = max(0, load.running + 1 - replica.capacity)
+    batch = placement.batch_s * (load.running / max(replica.capacity, 1) + over)
+    return replica.slowness * (tokens / placement.prefill_tokens_per_s + batch)
 
 
 Chooser = Callable[[Sequence[ReplicaLoad], Ask, Zone, float], "ReplicaLoad | None"]
@@ -81,23 +80,29 @@
             away = 0.0 if r.zone == zone else placement.other_zone_s
             return predicted_s(r, ask, placement, now_s) + away
 
-        open_ = with_room(replicas, ask)
+        open_ = with_room(replicas, ask, now_s)
         return min(open_, key=lambda r: (cost(r), r.replica_id)) if open_ else None
 
     return choose
 
 
-def with_room(replicas: Sequence[ReplicaLoad], ask: Ask) -> list[ReplicaLoad]:
+def with_room(
+    replicas: Sequence[ReplicaLoad], ask: Ask, now_s: float
+) -> list[ReplicaLoad]:
     """The replicas that may take ``ask``: the lower the class's rank, the
-    sooner a filling replica counts as full, so the most urgent is shed last."""
+    sooner a filling replica counts as full, so the most urgent is shed last.
+
+    Those ejected after failures are left out, unless there is no other.
+    """
     threshold = SHED_THRESHOLDS[min(ask.priority, len(SHED_THRESHOLDS) - 1)]
-    return [
+    open_ = [
         r
         for r in replicas
         if r.model == ask.model
         and not r.leaving
-        and r.estimate() < r.capacity * threshold
+        and r.load(now_s).running < r.capacity * threshold
     ]
+    return [r for r in open_ if r.trusted(now_s)] or open_
 
 
 def make_round_robin() -> Chooser:
@@ -107,7 +112,7 @@
     def choose(
         replicas: Sequence[ReplicaLoad], ask: Ask, zone: Zone, now_s: float
     ) -> ReplicaLoad | None:
-        open_ = sorted(with_room(replicas, ask), key=lambda r: r.replica_id)
+        open_ = sorted(with_room(replicas, ask, now_s), key=lambda r: r.replica_id)
         return open_[next(turn) % len(open_)] if open_ else None
 
     return choose
@@ -117,8 +122,12 @@
     replicas: Sequence[ReplicaLoad], ask: Ask, zone: Zone, now_s: float
 ) -> ReplicaLoad | None:
     """A baseline: the replica with the fewest estimated sequences."""
-    open_ = with_room(replicas, ask)
-    return min(open_, key=lambda r: (r.estimate(), r.replica_id)) if open_ else None
+    open_ = with_room(replicas, ask, now_s)
+    return (
+        min(open_, key=lambda r: (r.load(now_s).running, r.replica_id))
+        if open_
+        else None
+    )
 
 
 def make_chooser(policy: str) -> Chooser:
@@ -137,10 +146,10 @@
     raise ValueError(f"unknown placement policy {policy!r}")
 
 
-def retry_after_s(replicas: Sequence[ReplicaLoad], model: str) -> float:
+def retry_after_s(replicas: Sequence[ReplicaLoad], model: str, now_s: float) -> float:
     """When a caller refused for capacity should come back, in seconds."""
     candidates = [r for r in replicas if r.model == model and not r.leaving]
     if not candidates:
         return 5.0
-    busiest = min(r.estimate() / max(r.capacity, 1) for r in candidates)
+    busiest = min(r.load(now_s).running / max(r.capacity, 1) for r in candidates)
     return round(min(0.5 + busiest, 5.0), 2)
--- a/src/celerytrack/settings.py
+++ b/src/celerytrack/settings.py
@@ -133,10 +133,15 @@
 
 @attrs.frozen
 class EntrySpec:
-    """One entry instance: its id, address and failure domain."""
+    """One entry instance: its id, addresses and failure domain.
+
+    :ivar address: where callers connect.
+    :ivar peer_address: where the other entries connect.
+    """
 
     entry_id: EntryId = attrs.field(validator=_name)
     address: str = attrs.field(validator=_address)
+    peer_address: str = attrs.field(validator=_address)
     zone: Zone = attrs.field(validator=_name)
 
 
@@ -169,6 +174,9 @@
     :ivar route_ttl_s: how long callers keep an address answer.
     :ivar drain_grace_s: on a planned stop, how long to keep serving streams.
     :ivar upstream_timeout_s: longest wait for a back end's first byte.
+    :ivar instance_poll_s: how often the instance list, loads and peers are read.
+    :ivar snapshot_every_s: how often what is in force is written to the log
+        again; well under half of the log's retention.
     """
 
     ledger_flush_s: float = attrs.field(default=0.02, validator=_positive)
@@ -176,6 +184,7 @@
     drain_grace_s: float = attrs.field(default=30.0, validator=_positive)
     upstream_timeout_s: float = attrs.field(default=30.0, validator=_positive)
     instance_poll_s: float = attrs.field(default=0.5, validator=_positive)
+    snapshot_every_s: float = attrs.field(default=60.0, validator=_positive)
     placement: str = attrs.field(
         default="predicted",
         validator=v.in_(("predicted", "round_robin", "least_loaded")),
--- a/src/celerytrack/standins/instances.py
+++ b/src/celerytrack/standins/instances.py
@@ -47,6 +47,7 @@
             "id": entry.entry_id,
             "role": "entry",
             "address": entry.address,
+            "peer_address": entry.peer_address,
             "zone": entry.zone,
             "state": "live",
         }
--- a/src/celerytrack/standins/service.py
+++ b/src/celerytrack/standins/service.py
@@ -13,7 +13,7 @@
 import attrs
 from aiohttp import web
 
-from celerytrack.standins._common import Faults, apply_faults, faults_routes
+from celerytrack.standins._common import Faults, apply_faults, faults_routes, lose_reply
 
 
 @attrs.define
@@ -49,6 +49,8 @@
             await asyncio.sleep(state.latency_s)
         finally:
             state.running -= 1
+        if lose_reply(state.faults, request):
+            return web.Response(status=503)
         return web.json_response(answer_for(request_id, operation))
 
     async def load(request: web.Request) -> web.Response:
