Cover partitions by recent spend; republished configuration is no conflict

(3) Reading the operators' tool: a configuration written again ahead of retention lies at a new offset, which `apply` took for another version, so every operator with a change in hand would have got a conflict. (4) The ledger keeper mixed the decision what to ask for with its I/O.

Change: escrow.plan_refill decides, without I/O, what to ask the ledger and other entries for: an entry keeps cover_s (300 s) of its own recent spend, at most half of what it holds and what is free together; leases are 600 s. apply compares versions and not offsets, and looks again after a lost race.

--- a/src/celerytrack/cli/ctl.py
+++ b/src/celerytrack/cli/ctl.py
@@ -46,6 +46,19 @@
         return 0
 
 
+def _in_force(last: tuple[int, Any] | None) -> tuple[int, int]:
+    """The last record's offset, and the version it stands for.
+
+    Entries write the version in force again ahead of retention: such a
+    record lies at a later offset and is still the old version, or every
+    operator with a change in hand would be told of a conflict.
+    """
+    if last is None:
+        return -1, -1
+    offset, record = last
+    return offset, int(record.get("version_of", offset))
+
+
 async def apply_config(
     log: LogClient, config: dict[str, Any], base_version: int | None
 ) -> tuple[int, str]:
@@ -58,7 +71,7 @@
     for _ in range(_ATTEMPTS):
         match await log.last(CONFIG):
             case Success(last):
-                in_force = last[0] if last is not None else -1
+                last_offset, in_force = _in_force(last)
             case Failure(_):
                 await asyncio.sleep(_RETRY_S)
                 continue
@@ -67,17 +80,16 @@
                 f"conflict: version {in_force} is in force, your change is "
                 f"based on {base_version}; merge and apply again"
             )
-        base = in_force if base_version is None else base_version
+        base = base_version = in_force
         record = config_record(config, base, time.time())
-        match await log.append(CONFIG, [record], base + 1):
+        match await log.append(CONFIG, [record], last_offset + 1):
             case Success(appended):
                 return appended.first_offset, ""
             case Failure(error) if error.kind is LogErrorKind.CONFLICT:
-                # Another operator applied in between: never merge silently.
-                return -1, (
-                    f"conflict: another change was applied after version "
-                    f"{base}; merge and apply again"
-                )
+                # Someone wrote in between. Look again: the same version
+                # written anew is no matter; another operator's change is a
+                # conflict, and is never merged silently.
+                continue
             case Failure(error) if error.kind is LogErrorKind.UNKNOWN_OUTCOME:
                 # The reply was lost: look whether our record is the last one.
                 match await log.last(CONFIG):
--- a/src/celerytrack/entry/ledger_keeper.py
+++ b/src/celerytrack/entry/ledger_keeper.py
@@ -21,7 +21,13 @@
 
 from celerytrack.entry._tail import catch_up, follow
 from celerytrack.entry.ledger_writer import LEDGER, LedgerWriter, Record
-from celerytrack.escrow import Charges, EscrowBook, HeldGrant, grant_size, reclaimable
+from celerytrack.escrow import (
+    Charges,
+    EscrowBook,
+    HeldGrant,
+    plan_refill,
+    reclaimable,
+)
 from celerytrack.events import Event, log_event
 from celerytrack.ids import AccountId, EntryId, GrantId
 from celerytrack.ledger import Bill, BillOutcome, IntentState, Ledger
@@ -145,17 +151,18 @@
         if the escrow runs low, and for other entries' idle tokens if the
         account has too little free."""
         policy = self._policy()
-        if not self.book.wants_grant(
-            account, max(policy.low_water_tokens, tokens), now_s
-        ):
-            return
-        missing = max(0, tokens - self.book.available(account, now_s))
-        free = self.free_tokens(account)
-        size = grant_size(free, missing, policy.grant_tokens)
-        if size > 0:
-            self._ask_grant(account, size, policy.lease_s)
-        if missing > free and self.elsewhere_tokens(account) > 0:
-            self._ask_others(account, max(missing, policy.low_water_tokens), now_s)
+        refill = plan_refill(
+            tokens,
+            self.book.available(account, now_s),
+            self.free_tokens(account),
+            self.elsewhere_tokens(account),
+            self.book.rate_tokens_per_s(account, now_s),
+            policy,
+        )
+        if refill.grant_tokens and account not in self.book.pending:
+            self._ask_grant(account, refill.grant_tokens, policy.lease_s)
+        if refill.others_tokens:
+            self._ask_others(account, refill.others_tokens, now_s)
 
     async def wait_changed(self, timeout_s: float) -> None:
         """Wait until the ledger changed, or ``timeout_s`` passes."""
--- a/src/celerytrack/escrow.py
+++ b/src/celerytrack/escrow.py
@@ -11,12 +11,14 @@
 """
 
 import itertools
+import math
 from collections.abc import Iterable, Mapping
 
 import attrs
 
 from celerytrack.ids import AccountId, EntryId, GrantId, RequestId
 from celerytrack.ledger import BillOutcome, OpenGrant
+from celerytrack.settings import GrantPolicy
 from celerytrack.verdict import Reason, Refusal, did_not_run
 
 
@@ -78,6 +80,7 @@
     grants: dict[GrantId, HeldGrant] = attrs.field(factory=dict)
     pending: set[AccountId] = attrs.field(factory=set)
     _by_account: dict[AccountId, dict[GrantId, HeldGrant]] = attrs.field(factory=dict)
+    _rates: dict[AccountId, "_DecayingRate"] = attrs.field(factory=dict)
     _serial: itertools.count = attrs.field(factory=lambda: itertools.count(1))
 
     def new_grant_id(self, boot_id: str) -> GrantId:
@@ -114,8 +117,14 @@
                 left -= take
             if left == 0:
                 break
+        self._rates.setdefault(account, _DecayingRate()).add(tokens, now_s)
         return Reservation(request_id, account, tuple(parts))
 
+    def rate_tokens_per_s(self, account: AccountId, now_s: float) -> float:
+        """How fast this entry has lately reserved tokens of ``account``."""
+        rate = self._rates.get(account)
+        return rate.per_s(now_s) if rate is not None else 0.0
+
     def commit(self, reservation: Reservation, spent_tokens: int) -> Charges:
         """Turn a reservation into spend of ``spent_tokens``; free the rest.
 
@@ -155,12 +164,6 @@
         """Give a reservation back unspent: the request never ran."""
         self.commit(reservation, 0)
 
-    def wants_grant(self, account: AccountId, low_water: int, now_s: float) -> bool:
-        """Whether to ask the ledger for another grant of ``account``."""
-        if account in self.pending:
-            return False
-        return self.available(account, now_s) < low_water
-
     def settleable(self, now_s: float, *, all_grants: bool = False) -> list[HeldGrant]:
         """Idle grants whose lease has ended (or all idle ones, on drain)."""
         return [
@@ -180,21 +183,91 @@
             self._by_account[grant.account].pop(grant_id, None)
 
 
-GRANT_SHARE = 4
-"""A grant takes at most a quarter of what is free, so one entry cut off
-from the ledger never sits on the whole budget while others refuse."""
+_RATE_WINDOW_S = 30.0
+
+
+@attrs.define
+class _DecayingRate:
+    """Tokens a second, averaged over about :data:`_RATE_WINDOW_S`."""
+
+    _tokens: float = 0.0
+    _at_s: float = 0.0
+
+    def add(self, tokens: int, now_s: float) -> None:
+        self._tokens = self._left(now_s) + tokens
+        self._at_s = now_s
+
+    def per_s(self, now_s: float) -> float:
+        return self._left(now_s) / _RATE_WINDOW_S
 
+    def _left(self, now_s: float) -> float:
+        return self._tokens * math.exp((self._at_s - now_s) / _RATE_WINDOW_S)
 
-def grant_size(free_tokens: int, wanted_tokens: int, grant_tokens: int) -> int:
+
+HELD_SHARE = 2
+"""An entry keeps in hand at most half of what it holds and what is free
+together. A grant is capped by what is held already: a burst at one entry
+would otherwise take one slice after the other until it sat on nearly all,
+and if it then died or was cut off, every other entry would refuse."""
+
+
+def grant_size(
+    free_tokens: int, available_tokens: int, missing_tokens: int, usual_tokens: int
+) -> int:
     """How many tokens to ask the ledger for.
 
     :param free_tokens: the account's free tokens in this entry's fold.
-    :param wanted_tokens: what the waiting request needs beyond what is held.
-    :param grant_tokens: the policy's usual grant.
+    :param available_tokens: what this entry's grants still hold.
+    :param missing_tokens: what the waiting request needs beyond that.
+    :param usual_tokens: what a grant is as a rule.
     :returns: a size no larger than ``free_tokens`` (0 means none can be had).
     """
-    usual = min(grant_tokens, free_tokens // GRANT_SHARE)
-    return max(0, min(free_tokens, max(wanted_tokens, usual)))
+    share = (available_tokens + free_tokens) // HELD_SHARE - available_tokens
+    usual = min(usual_tokens, share)
+    return max(0, min(free_tokens, max(missing_tokens, usual)))
+
+
+@attrs.frozen
+class Refill:
+    """What to ask for so that an account's requests can be covered.
+
+    :ivar grant_tokens: the grant to ask the ledger for; 0 for none.
+    :ivar others_tokens: what other entries are asked to give back; 0 for none.
+    """
+
+    grant_tokens: int = 0
+    others_tokens: int = 0
+
+
+def plan_refill(
+    cost_tokens: int,
+    available_tokens: int,
+    free_tokens: int,
+    elsewhere_tokens: int,
+    rate_tokens_per_s: float,
+    policy: GrantPolicy,
+) -> Refill:
+    """What to ask for when a request of ``cost_tokens`` comes in.
+
+    An entry keeps enough in hand for ``cover_s`` of its own recent rate:
+    cut off from the ledger, it serves on from that. A grant is asked for
+    once half of it is used.
+
+    :param available_tokens: what this entry's grants still hold.
+    :param free_tokens: the account's free tokens in this entry's fold.
+    :param elsewhere_tokens: what other entries' grants hold, in it.
+    :param rate_tokens_per_s: how fast this entry spends on the account.
+    """
+    cover = int(rate_tokens_per_s * policy.cover_s)
+    low_water = max(policy.low_water_tokens, cover // 2, cost_tokens)
+    if available_tokens >= low_water:
+        return Refill()
+    missing = max(0, cost_tokens - available_tokens)
+    usual = max(policy.grant_tokens, cover)
+    size = grant_size(free_tokens, available_tokens, missing, usual)
+    if missing > free_tokens and elsewhere_tokens > 0:
+        return Refill(size, max(missing, policy.low_water_tokens))
+    return Refill(size)
 
 
 def reclaimable(
--- a/src/celerytrack/settings.py
+++ b/src/celerytrack/settings.py
@@ -86,14 +86,17 @@
 class GrantPolicy:
     """How entries take escrow grants from the ledger.
 
-    :ivar grant_tokens: size of one grant taken for one account.
+    :ivar grant_tokens: the least a grant is, while that much is free.
     :ivar low_water_tokens: take the next grant when what is held falls below.
-    :ivar lease_s: an entry stops spending a grant this long after asking.
+    :ivar cover_s: keep this long's worth of the entry's own recent spend.
+    :ivar lease_s: an entry stops spending a grant this long after asking; a
+        dead entry's grants come back this long after it is listed as gone.
     """
 
     grant_tokens: int = attrs.field(default=4000, validator=_positive)
     low_water_tokens: int = attrs.field(default=1000, validator=_non_negative)
-    lease_s: float = attrs.field(default=60.0, validator=_positive)
+    cover_s: float = attrs.field(default=300.0, validator=_non_negative)
+    lease_s: float = attrs.field(default=600.0, validator=_positive)
 
 
 def _unique(field: str) -> Any:
