--- a/bench/core_slopes.py
+++ b/bench/core_slopes.py
@@ -2,7 +2,8 @@
 
 Measures, with tracemalloc and perf_counter, what an entry's state costs per
 account budget folded, per grant held, per replica tracked and per
-configuration change applied, at several sizes, so the slope can be read.
+configuration change applied, and what folding a bill and choosing a replica
+take, at several sizes, so the slope can be read.
 
     .venv/bin/python -m bench.core_slopes
 """
@@ -14,9 +15,11 @@
 from typing import Any
 
 from celerytrack.escrow import EscrowBook, HeldGrant
-from celerytrack.ids import AccountId, EntryId, GrantId, ReplicaId, Zone
-from celerytrack.ledger import Ledger
-from celerytrack.routing import ReplicaLoad, choose_replica
+from celerytrack.ids import AccountId, EntryId, GrantId, ReplicaId, RequestId, Zone
+from celerytrack.ledger import Bill, Ledger
+from celerytrack.prompts import prompt_blocks
+from celerytrack.replica_load import Ask, ReplicaLoad
+from celerytrack.routing import make_chooser
 from celerytrack.settings import Config, structure
 
 
@@ -49,6 +52,7 @@
                 "type": "grant",
                 "account": f"acct-{i:06d}",
                 "entry": "entry-1",
+                "boot_id": "b",
                 "grant_id": f"g{i}",
                 "tokens": 100,
             },
@@ -65,6 +69,31 @@
     return book
 
 
+def _bill_records(n: int) -> list[dict[str, Any]]:
+    """``n`` bills in records of 78, as at target, of 1,000 accounts."""
+    bills = [
+        Bill(
+            RequestId(f"{i:024x}"),
+            AccountId(f"acct-{i % 1000:06d}"),
+            "live-hint",
+            ((GrantId(f"g{i % 1000}"), 1),),
+        ).to_json()
+        for i in range(n)
+    ]
+    return [
+        {"type": "bills", "bills": bills[i : i + 78], "writer": "e/b", "seq": i}
+        for i in range(0, n, 78)
+    ]
+
+
+def _fold_us_per_bill(n: int) -> float:
+    ledger, records = _ledger(1000), _bill_records(n)
+    started = time.perf_counter()
+    for record in records:
+        ledger.apply(ledger.next_offset, record)
+    return 1e6 * (time.perf_counter() - started) / n
+
+
 def _replicas(n: int) -> list[ReplicaLoad]:
     return [
         ReplicaLoad(ReplicaId(f"rep-{i:05d}"), Zone(f"z{i % 8}"), f"m{i % 9}")
@@ -106,18 +135,27 @@
         ("replica_bytes_per_tracked", _replicas),
     ):
         out[name] = {n: round(_bytes(build, n), 1) for n in (1000, 10000, 100000)}
-    for n in (100, 1000, 6000):
+    choose = make_chooser("predicted")
+    ask = Ask("m1", 0, prompt_blocks("prompt " * 1700))
+    for n in (16 * 9, 100 * 9, 1000 * 9):
         replicas = _replicas(n)
-        out.setdefault("choose_replica_us", {})[n] = round(
-            1e6
-            * _time_per(
-                lambda r=replicas: choose_replica(
-                    r, "m1", "prompt " * 40, Zone("z1"), 0
-                ),
-                200,
-            ),
-            1,
+        out.setdefault("choose_us_by_replicas_of_the_model", {})[n // 9] = round(
+            1e6 * _time_per(lambda r=replicas: choose(r, ask, Zone("z1"), 1.0), 50), 1
         )
+    out["prompt_blocks_us_for_12kb"] = round(
+        1e6 * _time_per(lambda: prompt_blocks("prompt " * 1700), 200), 1
+    )
+    out["fold_us_per_bill"] = {
+        n: round(_fold_us_per_bill(n), 2) for n in (10000, 50000)
+    }
+    records = _bill_records(7800)
+    out["bill_bytes"] = round(sum(len(json.dumps(r)) for r in records) / 7800, 1)
+    ledger = _ledger(4375)
+    for record in _bill_records(20000):
+        ledger.apply(ledger.next_offset, record)
+    out["snapshot_mb_at_target_shard"] = round(
+        len(json.dumps(ledger.snapshot())) / 1e6, 2
+    )
     for accounts in (250, 2500):
         doc = _config_doc(accounts)
         out.setdefault("config_apply_ms", {})[accounts] = round(
--- a/src/celerytrack/entry/upstream.py
+++ b/src/celerytrack/entry/upstream.py
@@ -69,7 +69,7 @@
         except RefusedError as exc:
             return Failure(verdict or exc.refusal)
         now_s = time.time()
-        guess_s = predicted_s(replica, ask, Placement(), now_s)
+        guess_s = predicted_s(replica, replica.load(now_s), ask, Placement())
         sent = replica.send(ask, guess_s, now_s)
         try:
             result = await attempt(sent)
--- a/src/celerytrack/replica_load.py
+++ b/src/celerytrack/replica_load.py
@@ -8,6 +8,7 @@
 import bisect
 from collections import OrderedDict, deque
 from collections.abc import Sequence
+from typing import NamedTuple
 
 import attrs
 
@@ -81,9 +82,8 @@
         )
 
 
-@attrs.frozen
-class Load:
-    """Work at a replica.
+class Load(NamedTuple):
+    """Work at a replica; a tuple, since every choice makes many of them.
 
     :ivar running: sequences (or calls) running or queued.
     :ivar prefill_tokens: prompt tokens that are still to be read in.
@@ -162,19 +162,18 @@
         to the whole report would count those twice that ended since, and
         make a busy replica look full.
         """
-        fresh = [p for at_s, p in self.peers.values() if now_s - at_s <= PEER_FRESH_S]
-        if not fresh:
+        running, prefill_tokens = self.own
+        heard = False
+        for at_s, peer in self.peers.values():
+            if now_s - at_s <= PEER_FRESH_S:
+                heard = True
+                running += peer.running
+                prefill_tokens += peer.prefill_tokens
+        if not heard:
             then = self._own_history[0][1]
-            fresh = [
-                Load(
-                    max(0, self.reported.running - then.running),
-                    max(0, self.reported.prefill_tokens - then.prefill_tokens),
-                )
-            ]
-        return Load(
-            self.own.running + sum(p.running for p in fresh),
-            self.own.prefill_tokens + sum(p.prefill_tokens for p in fresh),
-        )
+            running += max(0, self.reported.running - then.running)
+            prefill_tokens += max(0, self.reported.prefill_tokens - then.prefill_tokens)
+        return Load(running, prefill_tokens)
 
     def uncached_tokens(self, ask: Ask) -> int:
         """Prompt tokens of ``ask`` that this replica would have to read."""
--- a/src/celerytrack/routing.py
+++ b/src/celerytrack/routing.py
@@ -17,7 +17,7 @@
 import mmh3
 
 from celerytrack.ids import Zone
-from celerytrack.replica_load import Ask, ReplicaLoad
+from celerytrack.replica_load import Ask, Load, ReplicaLoad
 
 SHED_THRESHOLDS = (1.0, 0.9, 0.8, 0.7, 0.6, 0.5, 0.5, 0.5, 0.5, 0.5)
 """Share of capacity in use above which a class of priority *p* is refused."""
@@ -55,10 +55,9 @@
 
 
 def predicted_s(
-    replica: ReplicaLoad, ask: Ask, placement: Placement, now_s: float
+    replica: ReplicaLoad, load: Load, ask: Ask, placement: Placement
 ) -> float:
-    """Seconds until ``replica`` would give the first token of ``ask``."""
-    load = replica.load(now_s)
+    """Seconds until ``replica``, under ``load``, gives the first token."""
     tokens = load.prefill_tokens + replica.uncached_tokens(ask)
     over = max(0, load.running + 1 - replica.capacity)
     batch = placement.batch_s * (load.running / max(replica.capacity, 1) + over)
@@ -76,33 +75,35 @@
     def choose(
         replicas: Sequence[ReplicaLoad], ask: Ask, zone: Zone, now_s: float
     ) -> ReplicaLoad | None:
-        def cost(r: ReplicaLoad) -> float:
+        def cost(item: tuple[ReplicaLoad, Load]) -> tuple[float, str]:
+            r, load = item
             away = 0.0 if r.zone == zone else placement.other_zone_s
-            return predicted_s(r, ask, placement, now_s) + away
+            return predicted_s(r, load, ask, placement) + away, r.replica_id
 
         open_ = with_room(replicas, ask, now_s)
-        return min(open_, key=lambda r: (cost(r), r.replica_id)) if open_ else None
+        return min(open_, key=cost)[0] if open_ else None
 
     return choose
 
 
 def with_room(
     replicas: Sequence[ReplicaLoad], ask: Ask, now_s: float
-) -> list[ReplicaLoad]:
-    """The replicas that may take ``ask``: the lower the class's rank, the
-    sooner a filling replica counts as full, so the most urgent is shed last.
+) -> list[tuple[ReplicaLoad, Load]]:
+    """The replicas that may take ``ask``, each with its load: the lower the
+    class's rank, the sooner a filling replica counts as full, so the most
+    urgent is shed last.
 
     Those ejected after failures are left out, unless there is no other.
     """
     threshold = SHED_THRESHOLDS[min(ask.priority, len(SHED_THRESHOLDS) - 1)]
-    open_ = [
-        r
-        for r in replicas
-        if r.model == ask.model
-        and not r.leaving
-        and r.load(now_s).running < r.capacity * threshold
-    ]
-    return [r for r in open_ if r.trusted(now_s)] or open_
+    open_ = []
+    for replica in replicas:
+        if replica.model != ask.model or replica.leaving:
+            continue
+        load = replica.load(now_s)
+        if load.running < replica.capacity * threshold:
+            open_.append((replica, load))
+    return [item for item in open_ if item[0].trusted(now_s)] or open_
 
 
 def make_round_robin() -> Chooser:
@@ -112,7 +113,8 @@
     def choose(
         replicas: Sequence[ReplicaLoad], ask: Ask, zone: Zone, now_s: float
     ) -> ReplicaLoad | None:
-        open_ = sorted(with_room(replicas, ask, now_s), key=lambda r: r.replica_id)
+        open_ = [r for r, _ in with_room(replicas, ask, now_s)]
+        open_.sort(key=lambda r: r.replica_id)
         return open_[next(turn) % len(open_)] if open_ else None
 
     return choose
@@ -123,11 +125,9 @@
 ) -> ReplicaLoad | None:
     """A baseline: the replica with the fewest estimated sequences."""
     open_ = with_room(replicas, ask, now_s)
-    return (
-        min(open_, key=lambda r: (r.load(now_s).running, r.replica_id))
-        if open_
-        else None
-    )
+    if not open_:
+        return None
+    return min(open_, key=lambda item: (item[1].running, item[0].replica_id))[0]
 
 
 def make_chooser(policy: str) -> Chooser:
