--- a/src/celerytrack/entry/admission.py
+++ b/src/celerytrack/entry/admission.py
@@ -6,14 +6,14 @@
 import json
 import time
 import uuid
-from collections.abc import Iterator
+from collections.abc import Awaitable, Callable, Iterator
 from typing import Any
 
 import attrs
 from aiohttp import web
 
 from celerytrack.entry.answers import StoredAnswer
-from celerytrack.entry.refusals import RefusedError
+from celerytrack.entry.refusals import RefusedError, refuse
 from celerytrack.entry.state import EntryState
 from celerytrack.escrow import Reservation, budget_refusal
 from celerytrack.ids import ReplicaId, RequestId
@@ -117,15 +117,34 @@
     return work
 
 
-def stored_answer(state: EntryState, admitted: Admitted) -> StoredAnswer | None:
-    """The answer kept for this idempotency key, if any."""
-    if admitted.key is None:
-        return None
-    return state.answers.get(admitted.cache_key)
+async def handle(
+    state: EntryState,
+    request: web.Request,
+    kind: BackendKind,
+    replay: Callable[[StoredAnswer], Awaitable[web.StreamResponse]],
+    serve: Callable[[Admitted], Awaitable[web.StreamResponse]],
+) -> web.StreamResponse:
+    """Answer one request: replay a stored answer, serve, or refuse.
+
+    :param replay: answers a retry whose answer is still kept.
+    :param serve: serves an admitted request; may raise ``RefusedError``.
+    """
+    try:
+        admitted = await admit(state, request, kind)
+    except RefusedError as exc:
+        return refuse(state.metrics, exc.work_class, exc.refusal)
+    stored = state.answers.get(admitted.cache_key) if admitted.key else None
+    if stored is not None:
+        return await replay(stored)
+    try:
+        with _in_progress(state, admitted):
+            return await serve(admitted)
+    except RefusedError as exc:
+        return refuse(state.metrics, admitted.work.name, exc.refusal)
 
 
 @contextlib.contextmanager
-def in_progress(state: EntryState, admitted: Admitted) -> Iterator[None]:
+def _in_progress(state: EntryState, admitted: Admitted) -> Iterator[None]:
     """Count a request in flight, and hold its idempotency key.
 
     :raises RefusedError: ``may_have_run`` if the same key is in flight:
--- a/src/celerytrack/entry/chat.py
+++ b/src/celerytrack/entry/chat.py
@@ -10,16 +10,10 @@
 from aiohttp import web
 from returns.result import Failure, Result, Success
 
-from celerytrack.entry.admission import (
-    Admitted,
-    admit,
-    in_progress,
-    reserve,
-    stored_answer,
-)
+from celerytrack.entry.admission import Admitted, handle, reserve
 from celerytrack.entry.answers import StoredAnswer
 from celerytrack.entry.charging import charge
-from celerytrack.entry.refusals import RefusedError, refuse
+from celerytrack.entry.refusals import RefusedError
 from celerytrack.entry.state import EntryState
 from celerytrack.entry.upstream import (
     CONNECTION_FAILED,
@@ -71,19 +65,15 @@
 async def chat(state: EntryState, request: web.Request) -> web.StreamResponse:
     """Handle one request."""
     started_s = time.monotonic()
-    try:
-        admitted = await admit(state, request, BackendKind.ENGINE)
-    except RefusedError as exc:
-        return refuse(state.metrics, exc.work_class, exc.refusal)
-    stored = stored_answer(state, admitted)
-    if stored is not None:
-        log_event(_log, Event.REQUEST_REPLAYED, request_id=admitted.request_id)
+
+    async def replay(stored: StoredAnswer) -> web.StreamResponse:
+        log_event(_log, Event.REQUEST_REPLAYED, request_id=stored.request_id)
         return await _replay(request, stored)
-    try:
-        with in_progress(state, admitted):
-            return await _serve(state, request, _answer(admitted, started_s))
-    except RefusedError as exc:
-        return refuse(state.metrics, admitted.work.name, exc.refusal)
+
+    async def serve(admitted: Admitted) -> web.StreamResponse:
+        return await _serve(state, request, _answer(admitted, started_s))
+
+    return await handle(state, request, BackendKind.ENGINE, replay, serve)
 
 
 def _answer(admitted: Admitted, started_s: float) -> _Answer:
--- a/src/celerytrack/entry/ledger_keeper.py
+++ b/src/celerytrack/entry/ledger_keeper.py
@@ -9,14 +9,10 @@
 """
 
 import asyncio
-import enum
-import itertools
 import logging
 import time
 from collections.abc import Callable
-from typing import Any
 
-import attrs
 from returns.result import Success
 
 from celerytrack.entry._tail import catch_up, follow
@@ -30,7 +26,7 @@
 )
 from celerytrack.events import Event, log_event
 from celerytrack.ids import AccountId, EntryId, GrantId
-from celerytrack.ledger import Bill, BillOutcome, IntentState, Ledger
+from celerytrack.ledger import Bill, BillOutcome, Ledger
 from celerytrack.logclient import Appended, LogClient
 from celerytrack.settings import EntryTuning, GrantPolicy
 
@@ -44,35 +40,6 @@
 _WANT_EVERY_S = 0.25
 """How often an entry repeats that it wants tokens others hold."""
 _SYNC_EVERY_S = 0.02
-_CLAIM_WAIT_S = 2.0
-"""Longest a non-idempotent call waits for its intent to be recorded."""
-_MAX_ANSWER_BYTES = 16_384
-
-
-class ClaimState(enum.Enum):
-    """The outcome of claiming a non-idempotent call."""
-
-    OWNED = "owned"
-    """The ledger shows our intent first: we may send the call, once."""
-    STARTED = "started"
-    """Another attempt owns the call and it may have run."""
-    FINISHED = "finished"
-    """The call ran; its answer is at hand."""
-    UNREACHABLE = "unreachable"
-    """The intent could not be recorded in time: do not send the call."""
-
-
-@attrs.frozen
-class Claim:
-    """Who may send a non-idempotent call.
-
-    :ivar claim_id: this attempt's id, named again when it finishes.
-    :ivar answer: the stored answer, when finished.
-    """
-
-    state: ClaimState
-    claim_id: str = ""
-    answer: Any = None
 
 
 class LedgerKeeper:
@@ -119,16 +86,20 @@
         self._first_seen_s: dict[GrantId, float] = {}
         self._wanted_at_s: dict[AccountId, float] = {}
         self._settling: set[GrantId] = set()
+        self._ended_boots: frozenset[str] = frozenset()
         self._snapshot_at_s = float("-inf")
-        self._claims = itertools.count(1)
         self._sync_lock = asyncio.Lock()
         self._next_sync: asyncio.Task[None] | None = None
+        self._synced_at_s = float("-inf")
 
     async def start(self) -> list[asyncio.Task[None]]:
         """Load the latest snapshot, catch up, and start the keeper's tasks."""
         start = await self._restore(0)
         offset = await catch_up(self._log, LEDGER, start, self._apply, self._restore)
         self.reachable = offset is not None
+        self._ended_boots = frozenset(
+            g.boot_id for g in self.ledger.grants.values() if g.entry == self._entry
+        )
         return [
             asyncio.create_task(
                 follow(
@@ -194,14 +165,16 @@
 
     async def _sync(self) -> None:
         async with self._sync_lock:
+            # A flood of refusals must not become a flood of reads.
+            due_s = self._synced_at_s + _SYNC_EVERY_S
+            await asyncio.sleep(max(0.0, due_s - time.monotonic()))
             # Who comes from here on needs a read that begins later.
             self._next_sync = None
             offset = await catch_up(
                 self._log, LEDGER, self.ledger.next_offset, self._apply, self._restore
             )
             self._contact(offset is not None)
-            # A flood of refusals must not become a flood of reads.
-            await asyncio.sleep(_SYNC_EVERY_S)
+            self._synced_at_s = time.monotonic()
 
     async def bill(self, bill: Bill) -> BillOutcome:
         """Append ``bill`` and take the ledger's word on it."""
@@ -217,56 +190,6 @@
             )
         return outcome
 
-    async def claim(self, key: str) -> Claim:
-        """Record the intent to run the non-idempotent call ``key``.
-
-        The call may be sent only if the fold shows our intent as the first:
-        whatever was known before is no proof, since another entry may be
-        recording its own at this moment.
-        """
-        known = self.known_claim(key)
-        if known is not None:
-            return known
-        claim_id = f"{self.writer.writer_id}.{next(self._claims)}"
-        folded = asyncio.Event()
-        self.writer.submit(
-            {"type": "intent", "key": key, "claim_id": claim_id},
-            lambda _: folded.set(),
-        )
-        try:
-            await asyncio.wait_for(folded.wait(), _CLAIM_WAIT_S)
-        except TimeoutError:
-            self.abandon(key, claim_id)
-            return Claim(ClaimState.UNREACHABLE)
-        found = self.ledger.intents.get(key)
-        if found is not None and found.claim_id == claim_id:
-            return Claim(ClaimState.OWNED, claim_id)
-        return self.known_claim(key) or Claim(ClaimState.UNREACHABLE)
-
-    def known_claim(self, key: str) -> Claim | None:
-        """The claim that the fold shows for ``key``, if any."""
-        found = self.ledger.intents.get(key)
-        if found is None:
-            return None
-        if found.state is IntentState.FINISHED:
-            return Claim(ClaimState.FINISHED, found.claim_id, found.answer)
-        return Claim(ClaimState.STARTED, found.claim_id)
-
-    def abandon(self, key: str, claim_id: str) -> None:
-        """Free ``key``: the call it stands for was never sent.
-
-        Queued behind the intent, so it also frees an intent that lands late.
-        """
-        self.writer.submit({"type": "abandoned", "key": key, "claim_id": claim_id})
-
-    def finish(self, key: str, claim_id: str, answer: Any) -> None:
-        """Record the answer of the call ``key`` for its retries."""
-        if len(str(answer)) > _MAX_ANSWER_BYTES:
-            return
-        self.writer.submit(
-            {"type": "finished", "key": key, "claim_id": claim_id, "answer": answer}
-        )
-
     async def settle_all(self, timeout_s: float) -> None:
         """On drain: wait for the bills, then give every idle grant back."""
         await self.writer.wait_idle(timeout_s)
@@ -440,7 +363,7 @@
             self._first_seen_s,
             gone,
             self._entry,
-            self._boot_id,
+            self._ended_boots,
             self._policy().lease_s,
             now_s,
         ):
--- a/src/celerytrack/entry/service_calls.py
+++ b/src/celerytrack/entry/service_calls.py
@@ -8,18 +8,11 @@
 from aiohttp import web
 from returns.result import Failure, Result, Success
 
-from celerytrack.entry.admission import (
-    Admitted,
-    admit,
-    in_progress,
-    place,
-    reserve,
-    stored_answer,
-)
+from celerytrack.entry.admission import Admitted, handle, place, reserve
 from celerytrack.entry.answers import StoredAnswer
 from celerytrack.entry.charging import charge
-from celerytrack.entry.ledger_keeper import Claim, ClaimState
-from celerytrack.entry.refusals import RefusedError, refuse
+from celerytrack.entry.claims import Claim, ClaimState
+from celerytrack.entry.refusals import RefusedError
 from celerytrack.entry.state import EntryState
 from celerytrack.entry.upstream import (
     CONNECTION_FAILED,
@@ -37,34 +30,31 @@
 _log = logging.getLogger(__name__)
 
 
-async def service_call(state: EntryState, request: web.Request) -> web.Response:
+async def service_call(state: EntryState, request: web.Request) -> web.StreamResponse:
     """Handle one call."""
     started_s = time.monotonic()
-    try:
-        admitted = await admit(state, request, BackendKind.SERVICE)
-    except RefusedError as exc:
-        return refuse(state.metrics, exc.work_class, exc.refusal)
-    stored = stored_answer(state, admitted)
-    if stored is not None:
+
+    async def replay(stored: StoredAnswer) -> web.StreamResponse:
         return web.json_response(stored.body, headers={"X-Replayed": "1"})
-    try:
-        with in_progress(state, admitted):
-            answer = await _serve(state, admitted)
-    except RefusedError as exc:
-        return refuse(state.metrics, admitted.work.name, exc.refusal)
-    state.metrics.ttft.labels(admitted.work.name).observe(time.monotonic() - started_s)
-    state.metrics.requests.labels(admitted.work.name, "done").inc()
-    if admitted.key is not None:
-        stored = StoredAnswer(admitted.request_id, body=answer)
-        state.answers.put(admitted.cache_key, stored)
-    return web.json_response(answer, headers={"X-Request-Id": admitted.request_id})
+
+    async def serve(admitted: Admitted) -> web.StreamResponse:
+        answer = await _serve(state, admitted)
+        name, rid = admitted.work.name, admitted.request_id
+        state.metrics.ttft.labels(name).observe(time.monotonic() - started_s)
+        state.metrics.requests.labels(name, "done").inc()
+        if admitted.key is not None:
+            stored = StoredAnswer(rid, body=answer)
+            state.answers.put(admitted.cache_key, stored)
+        return web.json_response(answer, headers={"X-Request-Id": rid})
+
+    return await handle(state, request, BackendKind.SERVICE, replay, serve)
 
 
 async def _serve(state: EntryState, admitted: Admitted) -> Any:
     if not admitted.work.idempotent:
         # A call known to have been started must not be refused
         # "did not run" below, for want of budget or of a replica.
-        known = state.keeper.known_claim(admitted.cache_key)
+        known = state.claims.known_claim(admitted.cache_key)
         if known is not None:
             return _answer_of(known)
     cost = admitted.work.service_cost_tokens
@@ -86,13 +76,13 @@
         if claim.claim_id and exc.refusal.verdict is Verdict.DID_NOT_RUN:
             # Never sent, so the key is freed: left claimed, every retry
             # elsewhere would be refused "may have run" for ever.
-            state.keeper.abandon(admitted.cache_key, claim.claim_id)
+            state.claims.abandon(admitted.cache_key, claim.claim_id)
         raise
     except asyncio.CancelledError:
         state.keeper.book.release(reservation)
         raise
     if claim.claim_id:
-        state.keeper.finish(admitted.cache_key, claim.claim_id, answer)
+        state.claims.finish(admitted.cache_key, claim.claim_id, answer)
     try:
         await charge(state, admitted, reservation, cost)
     except RefusedError as exc:
@@ -121,7 +111,7 @@
     :raises RefusedError: if another attempt owns the call (it may have
         run), or the intent could not be recorded (nothing was sent).
     """
-    claim = await state.keeper.claim(admitted.cache_key)
+    claim = await state.claims.claim(admitted.cache_key)
     match claim.state:
         case ClaimState.OWNED:
             log_event(_log, Event.INTENT_RECORDED, request_id=admitted.request_id)
--- a/src/celerytrack/entry/state.py
+++ b/src/celerytrack/entry/state.py
@@ -9,6 +9,7 @@
 import aiohttp
 
 from celerytrack.entry.answers import AnswerCache
+from celerytrack.entry.claims import Claims
 from celerytrack.entry.config_follower import ConfigFollower
 from celerytrack.entry.fleet_view import EntryInfo, FleetView
 from celerytrack.entry.ledger_keeper import LedgerKeeper
@@ -57,6 +58,7 @@
             self._is_chosen,
             lambda entry: self.view.is_gone(entry, time.monotonic()),
         )
+        self.claims = Claims(self.keeper.writer, lambda: self.keeper.ledger)
         self.answers = AnswerCache()
         self.choose = make_chooser(fleet.tuning.placement)
         self.retries = RetryBudget()
--- a/src/celerytrack/escrow.py
+++ b/src/celerytrack/escrow.py
@@ -12,7 +12,7 @@
 
 import itertools
 import math
-from collections.abc import Iterable, Mapping
+from collections.abc import Container, Iterable, Mapping
 
 import attrs
 
@@ -275,7 +275,7 @@
     first_seen_s: Mapping[GrantId, float],
     gone: Iterable[EntryId],
     me: EntryId,
-    boot_id: str,
+    ended_boots: Container[str],
     lease_s: float,
     now_s: float,
 ) -> list[GrantId]:
@@ -292,12 +292,15 @@
 
     :param first_seen_s: when this entry folded each grant.
     :param gone: entries the platform lists as gone.
+    :param ended_boots: earlier lives of this entry, known at its start; not
+        every life but this one, or two that overlap in a replacement would
+        take each other's grants back in turn.
     """
     missing = set(gone)
 
     def ended(grant: OpenGrant) -> bool:
         if grant.entry == me:
-            return grant.boot_id != boot_id
+            return grant.boot_id in ended_boots
         seen_s = first_seen_s.get(grant.grant_id, now_s)
         return grant.entry in missing and now_s - seen_s >= lease_s
 
