No retry paid for after the last attempt; one place says a charge was lost

After the third failed attempt try_replicas still took a retry from the budget and backed off (up to 80 ms) before it answered, though no attempt followed: the caller heard its refusal late and other requests lacked the retry. Both handlers turned a failed charge into may_have_run in the same words. The fleet view asked twice whether a replica was leaving already.

Change: the last attempt returns at once; charge raises may_have_run itself; _mark_leaving is the one check, and private.

--- a/src/celerytrack/entry/charging.py
+++ b/src/celerytrack/entry/charging.py
@@ -4,10 +4,12 @@
 import logging
 
 from celerytrack.entry.admission import Admitted, reserve
+from celerytrack.entry.refusals import RefusedError
 from celerytrack.entry.state import EntryState
 from celerytrack.escrow import Reservation
 from celerytrack.events import Event, log_event
 from celerytrack.ledger import Bill, BillOutcome
+from celerytrack.verdict import may_have_run
 
 _log = logging.getLogger(__name__)
 
@@ -24,15 +26,19 @@
 ) -> None:
     """Bill ``spent`` tokens of ``reservation`` and wait until it is on the log.
 
-    :raises RefusedError: if the grants were closed while the request ran
-        and the account cannot cover it any more.
+    :raises RefusedError: ``may_have_run``, if the grants were closed while
+        the request ran and the account cannot cover it any more.
     """
     outcome = await _bill(state, admitted, reservation, spent)
     if outcome is BillOutcome.VOID:
         # The request outlived its grant (this entry was paused past its
         # lease and the grant taken back): the answer must not go out as
         # complete until other tokens of the account have paid for it.
-        again = await reserve(state, admitted, spent)
+        try:
+            again = await reserve(state, admitted, spent)
+        except RefusedError as exc:
+            lost = may_have_run(exc.refusal.reason, None, "grant lost while it ran")
+            raise RefusedError(lost) from None
         outcome = await _bill(state, admitted, again, spent)
     if outcome is BillOutcome.CHARGED:
         state.metrics.billed_tokens.inc(spent)
--- a/src/celerytrack/entry/chat.py
+++ b/src/celerytrack/entry/chat.py
@@ -114,8 +114,7 @@
     try:
         await charge(state, answer.admitted, reservation, answer.spent_tokens)
     except RefusedError as exc:
-        lost = may_have_run(exc.refusal.reason, None, "grant lost while it ran")
-        return await _fail(state, answer, lost)
+        return await _fail(state, answer, exc.refusal)
     return await _finish(state, answer)
 
 
--- a/src/celerytrack/entry/fleet_view.py
+++ b/src/celerytrack/entry/fleet_view.py
@@ -125,19 +125,18 @@
         for replica_id, replica in self.replicas.items():
             replica.heard(news.entry, news.loads.get(replica_id, Load()), wall_s)
 
-    def mark_leaving(self, replica_id: ReplicaId) -> None:
-        """Take a replica out of routing (it refused work as leaving)."""
-        if replica_id in self.replicas and not self.replicas[replica_id].leaving:
-            self.replicas[replica_id].leaving = True
-            log_event(_log, Event.REPLICA_LEAVING, replica=replica_id)
+    def _mark_leaving(self, replica: ReplicaLoad) -> None:
+        if not replica.leaving:
+            replica.leaving = True
+            log_event(_log, Event.REPLICA_LEAVING, replica=replica.replica_id)
 
     def _mark_missing(self, listed: set[str]) -> None:
         for entry_id, info in self.entries.items():
             if entry_id not in listed:
                 info.gone = True
-        for replica_id in self.replicas:
+        for replica_id, replica in self.replicas.items():
             if replica_id not in listed:
-                self.mark_leaving(replica_id)
+                self._mark_leaving(replica)
 
     def _take(self, item: dict[str, Any]) -> None:
         leaving = item["state"] != "live"
@@ -158,9 +157,9 @@
             self.replicas[replica_id] = known
             self.addresses[replica_id] = item["address"]
             log_event(_log, Event.REPLICA_JOINED, replica=replica_id)
-        if leaving and not known.leaving:
-            self.mark_leaving(replica_id)
-        elif not leaving:
+        if leaving:
+            self._mark_leaving(known)
+        else:
             known.leaving = False
 
     async def _poll_replica(self, replica_id: ReplicaId) -> None:
--- a/src/celerytrack/entry/service_calls.py
+++ b/src/celerytrack/entry/service_calls.py
@@ -83,11 +83,7 @@
         raise
     if claim.claim_id:
         state.claims.finish(admitted.cache_key, claim.claim_id, answer)
-    try:
-        await charge(state, admitted, reservation, cost)
-    except RefusedError as exc:
-        lost = may_have_run(exc.refusal.reason, None, "grant lost while it ran")
-        raise RefusedError(lost) from None
+    await charge(state, admitted, reservation, cost)
     return answer
 
 
--- a/src/celerytrack/entry/upstream.py
+++ b/src/celerytrack/entry/upstream.py
@@ -83,9 +83,13 @@
                 replica.failed(time.time())
                 if verdict is None or refusal.verdict is Verdict.MAY_HAVE_RUN:
                     verdict = refusal
-                if not may_retry(refusal, work.idempotent) or not state.retries.take():
+                given_up = (
+                    number == ATTEMPTS - 1
+                    or not may_retry(refusal, work.idempotent)
+                    or not state.retries.take()
+                )
+                if given_up:
                     return Failure(verdict)
         tried |= {replica.replica_id}
         await asyncio.sleep(backoff_s(number, state.rng))
-    assert verdict is not None
-    return Failure(verdict)
+    raise AssertionError("the last attempt returns")
