--- /dev/null
+++ b/src/celerytrack/endpoints.py
@@ -0,0 +1,351 @@
+"""Which endpoint a request is sent to, without I/O.
+
+Every entry sees only its own share of the work. It assumes that the others
+do as it does (callers spread evenly over entries), so what it has running at
+an endpoint stands for ``entries`` times as much.
+
+Prompts share parts. A part is read once and then kept by the engine, so that
+requests of one session should meet at one engine, whichever entry they come
+through. All entries rank the engines of a session by the same rendezvous
+hash and so agree on its *home* without a message; they leave it only when
+another engine's predicted first token is earlier.
+"""
+
+import math
+import random
+from collections import OrderedDict
+from collections.abc import Iterable, Sequence
+
+import attrs
+
+from celerytrack.ids import EndpointId, ServiceName, Zone
+from celerytrack.routing import rendezvous_weight
+
+PREFILL_TOKENS_PER_S = 80_000.0
+"""Prompt tokens that an engine reads a second: the engines listed read 85 to
+101 a millisecond; what differs is learned as slowness."""
+RUNNING_S = 0.0006
+"""What each running request adds to an engine's first token: its step."""
+OTHER_ZONE_S = 0.004
+"""What another failure domain adds: two ways of up to 1.4 ms, and the price of
+bytes between domains."""
+SERVICE_S = 0.03
+"""What a plain call takes until an endpoint's own time is learned."""
+LATENCY_GAIN = 0.1
+"""Weight of the newest answer in an endpoint's learned time."""
+SLOWNESS_RANGE = (0.3, 10.0)
+CACHE_PARTS = 2048
+"""Prompt parts remembered per engine; an engine of 640,966 tokens keeps about
+130 of the largest, so this bounds memory, not knowledge."""
+CACHE_KEPT_S = 20.0
+"""A part not used for this long may have yielded to others."""
+EJECT_S = 0.4
+"""First pause after an endpoint failed to connect or answer."""
+EJECT_MAX_S = 5.0
+"""Longest pause: a replaced endpoint has a new id, so a long one only keeps
+away an endpoint that came back."""
+FAILURE_GAIN = 0.15
+"""Weight of the newest answer in an endpoint's share of failures."""
+GREY_SHARE = 0.35
+"""An endpoint that fails more than this share of its answers, and more than
+:data:`GREY_TIMES` the share of its service, is avoided though it looks well."""
+GREY_TIMES = 2.0
+GREY_S = 2.0
+"""How long a grey endpoint is avoided before one request tries it again."""
+GONE_GRACE_S = 1.5
+"""An endpoint whose registration lapsed takes work for this long if its
+service has no other: registrations lapse when the store is away and are back
+within two seconds, and an endpoint that left serves on for two."""
+QUEUE_TIMES = 4.0
+"""Work beyond this many times an endpoint's slots is not sent to it."""
+
+
+@attrs.frozen
+class Registration:
+    """What an endpoint registered of itself.
+
+    :ivar slots: requests it runs at once.
+    :ivar cold_s: how much longer it stays slow after its start.
+    """
+
+    endpoint_id: EndpointId
+    service: ServiceName
+    address: str
+    zone: Zone
+    slots: int
+    draining: bool
+    cold_s: float = 0.0
+
+
+@attrs.frozen
+class Need:
+    """What a request needs of an endpoint.
+
+    :ivar parts: ``(key, tokens)`` of the prompt's parts, in order; a key
+        stands for the part and all before it.
+    """
+
+    service: ServiceName
+    parts: tuple[tuple[str, int], ...] = ()
+
+    @property
+    def session(self) -> str:
+        """What decides the home engine: the last part that others share."""
+        if not self.parts:
+            return ""
+        return self.parts[-2][0] if len(self.parts) > 1 else self.parts[0][0]
+
+
+@attrs.define
+class Endpoint:
+    """One endpoint as this entry sees it.
+
+    :ivar running: requests this entry has there.
+    :ivar unread_tokens: prompt tokens this entry sent that are not read yet.
+    :ivar latency_s: learned time of a plain call.
+    :ivar slowness: learned ratio of first tokens to predicted ones.
+    :ivar failing: learned share of failed answers.
+    """
+
+    registration: Registration
+    running: int = 0
+    unread_tokens: int = 0
+    latency_s: float = SERVICE_S
+    slowness: float = 1.0
+    failing: float = 0.0
+    failures: int = 0
+    avoided_until_s: float = 0.0
+    gone_at_s: float | None = None
+    _parts: OrderedDict[str, float] = attrs.field(factory=OrderedDict)
+
+    @property
+    def endpoint_id(self) -> EndpointId:
+        """The id of this start of the endpoint."""
+        return self.registration.endpoint_id
+
+    def unread(self, need: Need, at_home: bool, now_s: float) -> int:
+        """Tokens of the prompt that this engine would have to read."""
+        kept = len(need.parts) - 1 if at_home else 0
+        tokens = 0
+        missing = False
+        for i, (key, size) in enumerate(need.parts):
+            known = now_s - self._parts.get(key, -math.inf) < CACHE_KEPT_S
+            missing = missing or not (known or i < kept)
+            tokens += size if missing else 0
+        return tokens
+
+    def touch(self, need: Need, now_s: float) -> None:
+        """The prompt was read here."""
+        for key, _ in need.parts:
+            self._parts[key] = now_s
+            self._parts.move_to_end(key)
+        while len(self._parts) > CACHE_PARTS:
+            self._parts.popitem(last=False)
+
+
+@attrs.define
+class Sent:
+    """One request at an endpoint, until it ends."""
+
+    endpoint: Endpoint
+    at_s: float
+    predicted_s: float
+    unread_tokens: int
+    ended: bool = False
+
+    def answered(self, now_s: float) -> None:
+        """The first piece of the answer came."""
+        endpoint = self.endpoint
+        endpoint.unread_tokens -= self.unread_tokens
+        self.unread_tokens = 0
+        ratio = (now_s - self.at_s) / max(self.predicted_s, 1e-3)
+        low, high = SLOWNESS_RANGE
+        ratio = min(max(ratio, low), high)
+        endpoint.slowness += LATENCY_GAIN * (ratio - endpoint.slowness)
+
+    def end(self, now_s: float, plain: bool) -> None:
+        """The request ended here, well or not."""
+        if self.ended:
+            return
+        self.ended = True
+        endpoint = self.endpoint
+        endpoint.running -= 1
+        endpoint.unread_tokens -= self.unread_tokens
+        self.unread_tokens = 0
+        if plain:
+            took_s = min(now_s - self.at_s, 1.0)
+            endpoint.latency_s += LATENCY_GAIN * (took_s - endpoint.latency_s)
+
+
+class EndpointBook:
+    """All endpoints known, and the choice among them.
+
+    :param zone: the failure domain of this entry.
+    """
+
+    def __init__(self, zone: Zone, rng: random.Random) -> None:
+        self._zone = zone
+        self._rng = rng
+        self._endpoints: dict[EndpointId, Endpoint] = {}
+
+    def register(self, registration: Registration, now_s: float) -> bool:
+        """Take a registration as read at ``now_s``.
+
+        :returns: whether it changed what may be sent there.
+        """
+        known = self._endpoints.get(registration.endpoint_id)
+        if known is None:
+            self._endpoints[registration.endpoint_id] = Endpoint(registration)
+            return True
+        changed = known.registration.draining is not registration.draining
+        known.registration = registration
+        known.gone_at_s = None
+        return changed
+
+    def dropped(self, endpoint_id: EndpointId, now_s: float) -> None:
+        """The registration of an endpoint is no longer there."""
+        known = self._endpoints.get(endpoint_id)
+        if known is not None and known.gone_at_s is None:
+            known.gone_at_s = now_s
+
+    def ids(self) -> list[EndpointId]:
+        """The endpoints whose registration stands."""
+        return [i for i, e in self._endpoints.items() if e.gone_at_s is None]
+
+    def forget_gone(self, now_s: float) -> list[Endpoint]:
+        """Forget endpoints gone for good; returns them."""
+        gone = [
+            e
+            for e in self._endpoints.values()
+            if e.gone_at_s is not None
+            and now_s - e.gone_at_s > GONE_GRACE_S
+            and e.running == 0
+        ]
+        for endpoint in gone:
+            del self._endpoints[endpoint.endpoint_id]
+        return gone
+
+    def choose(
+        self,
+        need: Need,
+        entries: int,
+        max_connections: int,
+        avoid: Sequence[EndpointId],
+        now_s: float,
+    ) -> tuple[Endpoint, float] | None:
+        """The endpoint with the earliest predicted answer, and that time.
+
+        :param entries: entries alive, this one included.
+        :param max_connections: connections one endpoint takes from all.
+        :param avoid: endpoints that this request was sent to before.
+        :returns: ``None`` if none has room.
+        """
+        usable = [e for e in self._usable(need.service, now_s) if self._open(e, avoid)]
+        room = [e for e in usable if _has_room(e, entries, max_connections)]
+        if not room:
+            return None
+        home = self._home(need, usable)
+        sound = [e for e in room if now_s >= e.avoided_until_s] or room
+
+        def cost(endpoint: Endpoint) -> tuple[float, float]:
+            seconds = self._predict(endpoint, need, endpoint is home, entries, now_s)
+            return seconds, self._rng.random()
+
+        best = min(sound, key=cost)
+        return best, self._predict(best, need, best is home, entries, now_s)
+
+    def send(
+        self, endpoint: Endpoint, need: Need, predicted_s: float, now_s: float
+    ) -> Sent:
+        """Count a request that is sent to ``endpoint`` now."""
+        unread = endpoint.unread(need, False, now_s)
+        endpoint.running += 1
+        endpoint.unread_tokens += unread
+        endpoint.touch(need, now_s)
+        return Sent(endpoint, now_s, predicted_s, unread)
+
+    def succeeded(self, endpoint: Endpoint) -> None:
+        """An answer came and was good."""
+        endpoint.failures = 0
+        endpoint.failing -= FAILURE_GAIN * endpoint.failing
+
+    def failed(self, endpoint: Endpoint, hard: bool, now_s: float) -> None:
+        """An answer failed.
+
+        :param hard: it did not connect, broke off or stayed silent, rather
+            than answer that it failed; the next request would fare no better.
+        """
+        endpoint.failing += FAILURE_GAIN * (1 - endpoint.failing)
+        if hard:
+            endpoint.failures += 1
+            pause_s = min(EJECT_S * 2 ** (endpoint.failures - 1), EJECT_MAX_S)
+            endpoint.avoided_until_s = now_s + pause_s
+        elif endpoint.failing > max(GREY_SHARE, GREY_TIMES * self._failing(endpoint)):
+            endpoint.avoided_until_s = now_s + GREY_S
+
+    # -- internals ---------------------------------------------------------
+
+    def _usable(self, service: ServiceName, now_s: float) -> list[Endpoint]:
+        known = [
+            e
+            for e in self._endpoints.values()
+            if e.registration.service == service and not e.registration.draining
+        ]
+        standing = [e for e in known if e.gone_at_s is None]
+        if standing:
+            return standing
+        return [
+            e
+            for e in known
+            if e.gone_at_s is not None and now_s - e.gone_at_s < GONE_GRACE_S
+        ]
+
+    @staticmethod
+    def _open(endpoint: Endpoint, avoid: Sequence[EndpointId]) -> bool:
+        return endpoint.endpoint_id not in avoid
+
+    def _home(self, need: Need, usable: Iterable[Endpoint]) -> Endpoint | None:
+        if not need.parts:
+            return None
+        session = need.session
+        return max(
+            usable,
+            key=lambda e: rendezvous_weight(session, e.endpoint_id),
+            default=None,
+        )
+
+    def _predict(
+        self,
+        endpoint: Endpoint,
+        need: Need,
+        at_home: bool,
+        entries: int,
+        now_s: float,
+    ) -> float:
+        slots = max(1, endpoint.registration.slots)
+        running = endpoint.running * entries
+        away_s = 0.0 if endpoint.registration.zone == self._zone else OTHER_ZONE_S
+        waiting = max(0.0, running / slots - 1.0)
+        if not need.parts:
+            busy = 1.0 + running / slots + waiting
+            return endpoint.latency_s * busy * (1 + endpoint.failing) + away_s
+        tokens = endpoint.unread(need, at_home, now_s) + endpoint.unread_tokens
+        seconds = tokens / PREFILL_TOKENS_PER_S + running * RUNNING_S + 0.01
+        seconds += waiting * 0.5
+        return endpoint.slowness * seconds * (1 + endpoint.failing) + away_s
+
+    def _failing(self, endpoint: Endpoint) -> float:
+        peers = [
+            e.failing
+            for e in self._endpoints.values()
+            if e.registration.service == endpoint.registration.service
+            and e is not endpoint
+        ]
+        return sum(peers) / len(peers) if peers else 0.0
+
+
+def _has_room(endpoint: Endpoint, entries: int, max_connections: int) -> bool:
+    share = max(2, max_connections // max(1, entries))
+    slots = endpoint.registration.slots
+    queue = max(4.0, QUEUE_TIMES * slots / max(1, entries))
+    return endpoint.running < min(share, queue)
--- /dev/null
+++ b/src/celerytrack/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""The entry process on the users' platform: its tasks, listeners and handlers."""
--- /dev/null
+++ b/src/celerytrack/gateway/exchange.py
@@ -0,0 +1,73 @@
+"""One request on its way: what it asks, what it may still do, what it got."""
+
+import attrs
+from aiohttp import web
+from multidict import CIMultiDict
+
+from celerytrack.endpoints import Need
+from celerytrack.ids import AccountId, EndpointId, ServiceName
+from celerytrack.platform.http import RequestFacts
+from celerytrack.routes import Route
+from celerytrack.streams import EventCutter
+from celerytrack.verdict import Reason, Verdict
+
+
+@attrs.frozen
+class PlainAnswer:
+    """An endpoint's whole answer."""
+
+    status: int
+    headers: CIMultiDict[str]
+    body: bytes
+
+
+@attrs.frozen
+class AttemptFailure:
+    """An attempt that gave the caller no answer.
+
+    :ivar hard: the endpoint did not connect, broke off or stayed silent.
+    :ivar detail: what was seen, for the log.
+    """
+
+    reason: Reason
+    verdict: Verdict
+    hard: bool
+    detail: str
+
+
+@attrs.define
+class Exchange:
+    """One caller's request, from its first byte to the end of its answer.
+
+    :ivar started_s: when it was read.
+    :ivar ends_s: when its answer must be out: the caller's deadline or the
+        route's timeout, whichever is sooner.
+    :ivar tried: endpoints it was sent to.
+    :ivar may_have_run: whether some endpoint may have run it.
+    :ivar response: the answer's head went out to the caller.
+    :ivar events: the stream's events so far.
+    """
+
+    request: web.BaseRequest
+    facts: RequestFacts
+    body: bytes
+    route: Route
+    service: ServiceName
+    account: AccountId | None
+    urgency: int
+    started_s: float
+    ends_s: float
+    tried: list[EndpointId] = attrs.field(factory=list)
+    may_have_run: bool = False
+    response: web.StreamResponse | None = None
+    events: EventCutter = attrs.field(factory=EventCutter)
+
+    @property
+    def need(self) -> Need:
+        """What it needs of an endpoint."""
+        return Need(self.service, self.facts.parts)
+
+    @property
+    def resume_from(self) -> str | None:
+        """The event behind which the next attempt goes on."""
+        return self.events.last_id or self.facts.last_event_id
--- /dev/null
+++ b/src/celerytrack/gateway/server.py
@@ -0,0 +1,200 @@
+"""The entry process: its listeners, its tasks, its start and planned stop."""
+
+import asyncio
+import json
+import logging
+import pathlib
+import signal
+import time
+from collections.abc import Awaitable, Callable
+
+from aiohttp import web
+
+from celerytrack.events import Event, log_event
+from celerytrack.gateway.pipeline import handle
+from celerytrack.gateway.share_keeper import FencedError
+from celerytrack.gateway.state import Gateway
+from celerytrack.gateway.tail import KeyedTail
+from celerytrack.gateway.watches import make_config_tail, make_endpoint_tail
+from celerytrack.ids import Zone
+from celerytrack.members import DEFAULT_TTL_S, Member, MemberState, choose_addresses
+from celerytrack.platform.http import (
+    READY_PATH,
+    RESOLVE_PATH,
+    caller_zone,
+    encode_addresses,
+)
+from celerytrack.platform.settings import SettingsError, load_settings
+
+_log = logging.getLogger(__name__)
+
+ENDPOINT_POLL_S = 0.6
+"""How often endpoints' registrations are read: an endpoint that leaves must
+get nothing new two seconds later, with a slow answer of the store between."""
+CONFIG_WAIT_S = 12.0
+"""How long the store may hold a read of the configuration: a change is
+answered at once, and keep-alive probes find a silent connection."""
+CALLER_IDLE_S = 60.0
+"""Idle time after which a caller's connection is closed: callers reuse theirs
+for up to 12 s, so that none meets our close."""
+HEADER_BYTES = 65_536
+"""Header bytes taken: four times what callers may send."""
+BODY_BYTES = 16 * 1024 * 1024
+"""Body bytes taken: four times what callers may send."""
+LEAVE_ANSWERS_S = 4.5
+"""On a planned stop, callers' address answers of 2 s lapse, kept for up to
+three times as long by some; new callers are served until then."""
+LEAVE_MARGIN_S = 0.8
+"""A planned stop ends this long before the platform's grace does."""
+
+Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
+
+
+class EntryServer:
+    """One entry process.
+
+    :param gateway: its state.
+    :param settings_path: read again on SIGHUP.
+    """
+
+    def __init__(self, gateway: Gateway, settings_path: pathlib.Path) -> None:
+        self._gateway = gateway
+        self._settings_path = settings_path
+        self._runners: list[web.ServerRunner] = []
+        self._tasks: list[asyncio.Task[None]] = []
+        self._stop = asyncio.Event()
+
+    async def run(self) -> int:
+        """Serve until SIGTERM; the exit status."""
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self._stop.set)
+        loop.add_signal_handler(signal.SIGHUP, self._reload)
+        await self._listen()
+        self._start_tasks()
+        log_event(_log, Event.PROCESS_STARTED, boot=self._gateway.boot_id)
+        stopped = asyncio.create_task(self._stop.wait())
+        done, _ = await asyncio.wait(
+            [stopped, *self._tasks], return_when=asyncio.FIRST_COMPLETED
+        )
+        if stopped not in done:
+            return self._task_ended(done)
+        await self._leave()
+        log_event(_log, Event.PROCESS_STOPPED, in_flight=self._gateway.in_flight)
+        return 0
+
+    def _task_ended(self, done: "set[asyncio.Task[None]] | set[asyncio.Task]") -> int:
+        # A task that ends leaves the process deaf: better start anew.
+        for task in done:
+            exc = task.exception()
+            level = logging.ERROR
+            kind = "fenced" if isinstance(exc, FencedError) else "task ended"
+            log_event(_log, Event.PROCESS_STOPPING, level, why=kind, detail=repr(exc))
+        return 1
+
+    # -- start --------------------------------------------------------------
+
+    async def _listen(self) -> None:
+        settings = self._gateway.settings
+        await self._open(settings.front_address, self._front, True)
+        await self._open(settings.readiness_address, self._readiness)
+        await self._open(settings.directory_address, self._directory)
+
+    async def _open(
+        self, address: str | None, handler: Handler, caller: bool = False
+    ) -> None:
+        if address is None:
+            return
+        host, port = address.rsplit(":", 1)
+        server = web.Server(
+            handler,
+            access_log=None,
+            handler_cancellation=True,
+            keepalive_timeout=CALLER_IDLE_S,
+            max_line_size=HEADER_BYTES,
+            max_field_size=HEADER_BYTES,
+            auto_decompress=False,
+        )
+        runner = web.ServerRunner(server, shutdown_timeout=0.5)
+        await runner.setup()
+        await web.TCPSite(runner, host, int(port), backlog=1024).start()
+        if caller:
+            self._runners.insert(0, runner)
+        else:
+            self._runners.append(runner)
+
+    def _start_tasks(self) -> None:
+        gateway = self._gateway
+        loops = (
+            gateway.keeper.run(),
+            self._follow(make_config_tail(gateway), 0.0, CONFIG_WAIT_S),
+            self._follow(make_endpoint_tail(gateway), ENDPOINT_POLL_S, 0.0),
+        )
+        self._tasks = [asyncio.create_task(loop) for loop in loops]
+
+    async def _follow(self, tail: KeyedTail, interval_s: float, wait_s: float) -> None:
+        await tail.load()
+        await tail.follow(interval_s, wait_s)
+
+    def _reload(self) -> None:
+        try:
+            settings = load_settings(self._settings_path)
+        except SettingsError as exc:
+            log_event(_log, Event.SETTINGS_REJECTED, logging.ERROR, detail=str(exc))
+            return
+        self._gateway.settings = settings
+        log_event(_log, Event.SETTINGS_RELOADED)
+
+    # -- listeners ----------------------------------------------------------
+
+    async def _front(self, request: web.BaseRequest) -> web.StreamResponse:
+        return await handle(self._gateway, request)
+
+    async def _readiness(self, request: web.BaseRequest) -> web.StreamResponse:
+        if request.path != READY_PATH:
+            return web.Response(status=404)
+        return web.Response(status=200 if self._gateway.ready else 503)
+
+    async def _directory(self, request: web.BaseRequest) -> web.StreamResponse:
+        if request.path != RESOLVE_PATH:
+            return web.Response(status=404)
+        zone = Zone(caller_zone(request.query))
+        addresses = choose_addresses(self._serving(), zone, self._gateway.rng)
+        if not addresses:
+            return web.Response(status=503)
+        ttl_s = min(DEFAULT_TTL_S, self._gateway.settings.max_ttl_s)
+        body = json.dumps(encode_addresses(addresses, ttl_s)).encode()
+        return web.Response(body=body, content_type="application/json")
+
+    def _serving(self) -> list[Member]:
+        gateway = self._gateway
+        members = gateway.keeper.members.live(time.monotonic())
+        front = gateway.settings.front_address
+        if gateway.ready and front is not None:
+            zone = gateway.settings.zone
+            me = Member(gateway.entry_id, 0, front, zone, MemberState.SERVING)
+            members.append(me)
+        return members
+
+    # -- planned stop -------------------------------------------------------
+
+    async def _leave(self) -> None:
+        gateway = self._gateway
+        started_s = time.monotonic()
+        ends_s = started_s + gateway.settings.grace_s - LEAVE_MARGIN_S
+        gateway.leaving = True
+        log_event(_log, Event.PROCESS_STOPPING, in_flight=gateway.in_flight)
+        await gateway.keeper.leave()
+        while time.monotonic() < ends_s:
+            waited_s = time.monotonic() - started_s
+            if waited_s >= LEAVE_ANSWERS_S and gateway.in_flight == 0:
+                break
+            await asyncio.sleep(0.05)
+        gateway.keeper.book.return_unspent()
+        await gateway.keeper.leave()
+        await asyncio.sleep(0.15)
+        for runner in self._runners:
+            await runner.cleanup()
+        for task in self._tasks:
+            task.cancel()
+        await gateway.close()
--- /dev/null
+++ b/src/celerytrack/gateway/share_keeper.py
@@ -0,0 +1,230 @@
+"""The task that keeps this entry's row on the log and its prepaid shares.
+
+It owns the topic of the entries' rows: it folds all rows into the
+:class:`~celerytrack.prepaid.PrepaidBook` and the
+:class:`~celerytrack.members.MemberView`, and writes this entry's row, one
+append at a time, numbered, so that an append that lands late or twice is
+recognised by the store and never overwrites a later one.
+"""
+
+import asyncio
+import logging
+import time
+
+from returns.result import Failure, Success
+
+from celerytrack.events import Event, log_event
+from celerytrack.gateway.tail import RETRY_MAX_S, RETRY_S, KeyedTail
+from celerytrack.ids import AccountId, EntryId, Zone
+from celerytrack.members import Member, MemberState, MemberView, beat_interval_s
+from celerytrack.platform.rows import RowError, decode_member, encode_member
+from celerytrack.platform.store import (
+    KeyedRecord,
+    StoreClient,
+    StoreErrorKind,
+    Writer,
+)
+from celerytrack.platform.topics import ENTRIES_TOPIC
+from celerytrack.prepaid import PrepaidBook, Reservation
+
+_log = logging.getLogger(__name__)
+
+URGENT_GAP_S = 0.03
+"""Shortest time between two rows: requests that lack tokens at the same
+moment share one append of about 10 ms."""
+WAIT_TOKENS_S = 0.35
+"""Longest a request waits for tokens: an append and a read take 10 ms each,
+and a store slowed fiftyfold 400 ms; a caller does better at another entry."""
+
+
+class FencedError(Exception):
+    """A later start of this entry writes its row: this process must end."""
+
+
+class ShareKeeper:
+    """Owns the entries' rows.
+
+    :param entry_id: the row's key, distinct for every instance.
+    """
+
+    def __init__(
+        self,
+        store: StoreClient,
+        entry_id: EntryId,
+        front_address: str,
+        zone: Zone,
+    ) -> None:
+        self.book = PrepaidBook(entry_id)
+        self.members = MemberView(entry_id)
+        self.state = MemberState.SERVING
+        self.epoch = 0
+        self.started = False
+        self._store = store
+        self._entry_id = entry_id
+        self._front_address = front_address
+        self._zone = zone
+        self._sequence = 0
+        self._tail = KeyedTail(store, ENTRIES_TOPIC, self._apply, self._reload)
+        self._wake = asyncio.Event()
+        self._changed = asyncio.Event()
+
+    @property
+    def reachable(self) -> bool:
+        """Whether the last read of the rows was answered."""
+        return self._tail.reachable
+
+    # -- what request handlers ask ----------------------------------------
+
+    async def reserve(self, account: AccountId, tokens: int) -> Reservation | None:
+        """Set ``tokens`` aside, waiting a short time for more to be claimed.
+
+        :returns: ``None`` if they could not be had in time.
+        """
+        ends_s = time.monotonic() + WAIT_TOKENS_S
+        while True:
+            now_s = time.monotonic()
+            held = self.book.reserve(account, tokens, now_s)
+            if held is not None:
+                return held
+            if self.book.exhausted(account, tokens) or not self._can_wait(now_s):
+                return None
+            self._wake.set()
+            try:
+                async with asyncio.timeout(max(0.0, ends_s - now_s)):
+                    await self._changed.wait()
+            except TimeoutError:
+                return None
+
+    def _can_wait(self, now_s: float) -> bool:
+        return self.started and self._tail.reachable
+
+    # -- the task ----------------------------------------------------------
+
+    async def run(self) -> None:
+        """Take the row over, then keep it up to date for ever."""
+        await self._take_over()
+        written_s = float("-inf")
+        while True:
+            now_s = time.monotonic()
+            entries = self.members.count(now_s)
+            urgent = self.book.plan(entries, now_s)
+            interval_s = beat_interval_s(entries)
+            if urgent or now_s - written_s >= interval_s:
+                await self._write()
+                written_s = time.monotonic()
+                await asyncio.sleep(URGENT_GAP_S)
+                interval_s -= URGENT_GAP_S
+            self._wake.clear()
+            try:
+                async with asyncio.timeout(interval_s):
+                    await self._wake.wait()
+            except TimeoutError:
+                pass
+
+    async def leave(self) -> None:
+        """Publish that this entry takes no new callers."""
+        self.state = MemberState.LEAVING
+        self._wake.set()
+
+    async def _take_over(self) -> None:
+        # Fence first, then read: an append of the earlier start that is
+        # still on its way would otherwise land after the row was read.
+        await self._tail.load()
+        self.epoch += 1
+        while True:
+            writer = Writer(self._entry_id, self.epoch, 0)
+            match await self._store.set_epoch(ENTRIES_TOPIC, writer):
+                case Success(_):
+                    break
+                case Failure(error) if error.kind is StoreErrorKind.FENCED:
+                    self.epoch += 1
+                case _:
+                    await asyncio.sleep(RETRY_S)
+        while not await self._tail.poll():
+            await asyncio.sleep(RETRY_S)
+        self.book.adopt()
+        self.started = True
+        log_event(_log, Event.SHARES_TAKEN_OVER, epoch=self.epoch)
+
+    async def _write(self) -> None:
+        member = Member(
+            self._entry_id,
+            self.epoch,
+            self._front_address,
+            self._zone,
+            self.state,
+            self.book.next_row(),
+        )
+        offset = await self._append(encode_member(member))
+        if self._tail.next_offset == offset:
+            # Nobody wrote in between: no need to read our own row back.
+            self._fold(member)
+            self._tail.next_offset = offset + 1
+        pause_s = RETRY_S
+        while self._tail.next_offset is None or self._tail.next_offset <= offset:
+            if not await self._tail.poll():
+                await asyncio.sleep(pause_s)
+                pause_s = min(2 * pause_s, RETRY_MAX_S)
+        self.members.read_ok(time.monotonic())
+        self.book.row_folded()
+        self._notify()
+
+    async def _append(self, value: bytes) -> int:
+        pause_s = RETRY_S
+        while True:
+            # The number moves on only once the store has answered: a repeat
+            # is recognised by it, and one that lands late is refused.
+            writer = Writer(self._entry_id, self.epoch, self._sequence)
+            result = await self._store.append(
+                ENTRIES_TOPIC, self._entry_id, value, writer
+            )
+            match result:
+                case Success(offset):
+                    self._tail.reachable = True
+                    self._sequence += 1
+                    return offset
+                case Failure(error) if error.kind is StoreErrorKind.FENCED:
+                    raise FencedError(error.detail)
+                case Failure(error):
+                    log_event(
+                        _log,
+                        Event.ROW_NOT_WRITTEN,
+                        logging.WARNING,
+                        kind=error.kind.value,
+                        detail=error.detail,
+                        sequence=self._sequence,
+                    )
+                    self._tail.reachable = False
+                    if error.kind is StoreErrorKind.OUT_OF_SEQUENCE:
+                        self._sequence = self._next_sequence(error.expected)
+                    self._notify()
+            await asyncio.sleep(pause_s)
+            pause_s = min(2 * pause_s, RETRY_MAX_S)
+
+    def _next_sequence(self, expected: int | None) -> int:
+        return self._sequence + 1 if expected is None else expected
+
+    # -- the fold ----------------------------------------------------------
+
+    def _apply(self, record: KeyedRecord) -> None:
+        if record.value is None:
+            self.members.dropped(EntryId(record.key))
+            self.book.fold(EntryId(record.key), {})
+            return
+        try:
+            self._fold(decode_member(record.key, record.value))
+        except RowError as exc:
+            log_event(_log, Event.ROW_REJECTED, logging.ERROR, detail=str(exc))
+
+    def _fold(self, member: Member) -> None:
+        self.members.fold(member, time.monotonic())
+        self.book.fold(member.entry_id, member.shares)
+        if member.entry_id == self._entry_id:
+            self.epoch = max(self.epoch, member.epoch)
+
+    def _reload(self, keys: set[str]) -> None:
+        self.book.keep_only({EntryId(key) for key in keys})
+
+    def _notify(self) -> None:
+        self._changed.set()
+        self._changed = asyncio.Event()
--- /dev/null
+++ b/src/celerytrack/gateway/state.py
@@ -0,0 +1,102 @@
+"""What one entry process knows, shared by its tasks and handlers."""
+
+import random
+import uuid
+
+import aiohttp
+
+from celerytrack.endpoints import EndpointBook
+from celerytrack.gateway.share_keeper import ShareKeeper
+from celerytrack.gateway.telemetry import Telemetry
+from celerytrack.ids import EntryId, ServiceName
+from celerytrack.platform.settings import ProcessSettings
+from celerytrack.platform.store import StoreClient, patient_socket
+from celerytrack.retries import RetryBudget
+from celerytrack.routes import RoutingTable
+
+ENDPOINT_IDLE_S = 4.0
+"""Idle time after which a connection to an endpoint is not used again. An
+endpoint that closes an idle connection while a request is on its way leaves
+that request in doubt; this is below the idle timeouts endpoints announce."""
+CONNECT_TIMEOUT_S = 0.5
+"""Longest wait for a connection: within a region it takes a few ms, so this
+means that the endpoint's instance is dark."""
+RETRY_SHARE = 0.7
+"""Share of the fleet-wide allowance for second attempts that entries use: an
+entry counts its own requests only, and callers are not spread evenly."""
+
+
+class Gateway:
+    """State of one entry process.
+
+    :param settings: its place in the deployment.
+    """
+
+    def __init__(self, settings: ProcessSettings) -> None:
+        self.settings = settings
+        self.entry_id = EntryId(f"{settings.entry_id}@{settings.ip}")
+        self.boot_id = uuid.uuid4().hex[:8]
+        self.rng = random.Random(self.boot_id)
+        self.store = StoreClient(settings.store_address)
+        self.keeper = ShareKeeper(
+            self.store, self.entry_id, settings.front_address or "", settings.zone
+        )
+        self.endpoints = EndpointBook(settings.zone, self.rng)
+        self.endpoints_known = False
+        self.table: RoutingTable | None = None
+        self.telemetry = Telemetry()
+        self.leaving = False
+        self.in_flight = 0
+        self._retries: dict[ServiceName, RetryBudget] = {}
+        self._http: aiohttp.ClientSession | None = None
+
+    @property
+    def ready(self) -> bool:
+        """Whether callers should be sent here."""
+        return (
+            not self.leaving
+            and self.table is not None
+            and self.endpoints_known
+            and self.keeper.started
+        )
+
+    @property
+    def http(self) -> aiohttp.ClientSession:
+        """The session to endpoints."""
+        if self._http is None:
+            connector = aiohttp.TCPConnector(
+                limit=0,
+                keepalive_timeout=ENDPOINT_IDLE_S,
+                socket_factory=patient_socket,
+            )
+            self._http = aiohttp.ClientSession(
+                connector=connector,
+                auto_decompress=False,
+                timeout=aiohttp.ClientTimeout(
+                    total=None, sock_connect=CONNECT_TIMEOUT_S
+                ),
+            )
+            # The library sends a GET again by itself when a kept connection
+            # breaks: a call that must not run twice would, unseen by us.
+            self._http._retry_connection = False
+        return self._http
+
+    def entries(self, now_s: float) -> int:
+        """Entries alive, this one included."""
+        return self.keeper.members.count(now_s)
+
+    def retry_budget(self, service: ServiceName, now_s: float) -> RetryBudget:
+        """The allowance for second attempts at ``service``."""
+        budget = self._retries.get(service)
+        if budget is None:
+            share = RETRY_SHARE * self.settings.retry_slack / 2
+            burst = max(1.0, share / self.entries(now_s))
+            budget = RetryBudget(self.settings.retry_ratio * RETRY_SHARE, burst)
+            self._retries[service] = budget
+        return budget
+
+    async def close(self) -> None:
+        """Close the connections to endpoints and store."""
+        if self._http is not None:
+            await self._http.close()
+        await self.store.close()
--- /dev/null
+++ b/src/celerytrack/gateway/telemetry.py
@@ -0,0 +1,43 @@
+"""Metrics of an entry process."""
+
+import prometheus_client as prom
+
+_SECONDS = (0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.2, 2.0, 5.0, 12.0)
+
+
+class Telemetry:
+    """Counters and histograms, in a registry of their own."""
+
+    def __init__(self) -> None:
+        self.registry = prom.CollectorRegistry()
+        self.outcomes = prom.Counter(
+            "celerytrack_outcomes_total",
+            "Requests by route and outcome.",
+            ("route", "outcome"),
+            registry=self.registry,
+        )
+        self.first_answer = prom.Histogram(
+            "celerytrack_first_answer_seconds",
+            "Time to the first piece of an answer.",
+            ("route",),
+            buckets=_SECONDS,
+            registry=self.registry,
+        )
+        self.attempts_failed = prom.Counter(
+            "celerytrack_attempts_failed_total",
+            "Attempts at endpoints that failed.",
+            ("endpoint", "reason"),
+            registry=self.registry,
+        )
+        self.in_flight = prom.Gauge(
+            "celerytrack_in_flight", "Requests in progress.", registry=self.registry
+        )
+        self.config_version = prom.Gauge(
+            "celerytrack_config_version",
+            "Version of the configuration in force.",
+            registry=self.registry,
+        )
+
+    def render(self) -> bytes:
+        """The metrics as text."""
+        return bytes(prom.generate_latest(self.registry))
--- /dev/null
+++ b/src/celerytrack/gateway/watches.py
@@ -0,0 +1,88 @@
+"""What the entry does with news of the configuration and the endpoints."""
+
+import logging
+import time
+
+from celerytrack.events import Event, log_event
+from celerytrack.gateway.state import Gateway
+from celerytrack.gateway.tail import KeyedTail
+from celerytrack.ids import EndpointId
+from celerytrack.platform.config import ConfigError, decode_config
+from celerytrack.platform.registry import RegistrationError, decode_registration
+from celerytrack.platform.store import KeyedRecord
+from celerytrack.platform.topics import CONFIG_KEY, CONFIG_TOPIC, ENDPOINTS_TOPIC
+
+_log = logging.getLogger(__name__)
+
+
+def make_config_tail(gateway: Gateway) -> KeyedTail:
+    """Follows the operators' configuration."""
+
+    def apply(record: KeyedRecord) -> None:
+        if record.key == CONFIG_KEY and record.value is not None:
+            _take_config(gateway, record.value)
+
+    return KeyedTail(gateway.store, CONFIG_TOPIC, apply)
+
+
+def _take_config(gateway: Gateway, raw: bytes) -> None:
+    try:
+        table = decode_config(raw)
+    except ConfigError as exc:
+        log_event(_log, Event.CONFIG_REJECTED, logging.ERROR, detail=str(exc))
+        return
+    known = gateway.table
+    if known is not None and table.version <= known.version:
+        # A read that lags behind must not bring an older version back.
+        log_event(_log, Event.CONFIG_IGNORED_STALE, version=table.version)
+        return
+    gateway.table = table
+    gateway.keeper.book.set_totals(
+        {
+            a.account_id: a.prepaid_tokens
+            for a in table.accounts
+            if a.prepaid_tokens is not None
+        }
+    )
+    gateway.telemetry.config_version.set(table.version)
+    log_event(
+        _log, Event.CONFIG_APPLIED, version=table.version, routes=len(table.routes)
+    )
+
+
+def make_endpoint_tail(gateway: Gateway) -> KeyedTail:
+    """Follows the endpoints' registrations."""
+
+    def drop(endpoint_id: EndpointId) -> None:
+        gateway.endpoints.dropped(endpoint_id, time.monotonic())
+        log_event(_log, Event.ENDPOINT_GONE, endpoint=endpoint_id)
+
+    def apply(record: KeyedRecord) -> None:
+        now_s = time.monotonic()
+        for endpoint in gateway.endpoints.forget_gone(now_s):
+            log_event(_log, Event.ENDPOINT_GONE, endpoint=endpoint.endpoint_id)
+        if record.value is None:
+            drop(EndpointId(record.key))
+            return
+        try:
+            registration = decode_registration(record.key, record.value)
+        except RegistrationError as exc:
+            log_event(_log, Event.CONFIG_REJECTED, logging.ERROR, detail=str(exc))
+            return
+        if gateway.endpoints.register(registration, now_s):
+            log_event(
+                _log,
+                Event.ENDPOINT_DRAINING
+                if registration.draining
+                else Event.ENDPOINT_REGISTERED,
+                endpoint=registration.endpoint_id,
+                service=registration.service,
+            )
+
+    def reload(keys: set[str]) -> None:
+        gateway.endpoints_known = True
+        for endpoint_id in gateway.endpoints.ids():
+            if endpoint_id not in keys:
+                drop(endpoint_id)
+
+    return KeyedTail(gateway.store, ENDPOINTS_TOPIC, apply, reload)
--- a/src/celerytrack/ids.py
+++ b/src/celerytrack/ids.py
@@ -10,3 +10,6 @@
 ClassName = NewType("ClassName", str)
 Zone = NewType("Zone", str)
 """A failure domain, named as the brief names it (``nasr-hall``, ``salt-lake``)."""
+ServiceName = NewType("ServiceName", str)
+EndpointId = NewType("EndpointId", str)
+"""One start of one back-end process; a restart has a new id."""
--- /dev/null
+++ b/src/celerytrack/members.py
@@ -0,0 +1,127 @@
+"""Which entries are alive, and which of them callers are told, without I/O.
+
+Each entry writes its :class:`Member` row again at least every
+:data:`BEAT_S`. An entry whose row has not been renewed for :data:`SILENT_S`
+is left out of address answers, but only while this entry can read the log:
+when the log is away, nobody's row is renewed, and the last view stands.
+"""
+
+import enum
+import random
+from collections.abc import Mapping
+
+import attrs
+
+from celerytrack.ids import AccountId, EntryId, Zone
+from celerytrack.prepaid import Row
+
+BEAT_S = 1.0
+"""Longest time between two rows of a small fleet."""
+BEATS_PER_S = 60.0
+"""Rows that all entries together write a second, at most: a tenth of the 600
+writes a second that the smallest store takes."""
+SILENT_BEATS = 3.5
+"""An entry is silent after this many intervals: one row may be lost and the
+next be late."""
+DEFAULT_TTL_S = 2.0
+"""How long callers keep an address answer: short enough that a leaving entry
+is out of sight well before its grace of 8 s ends, even for callers that keep
+answers three times as long."""
+MAX_ADDRESSES = 64
+"""Addresses that one answer may hold."""
+
+
+class MemberState(enum.Enum):
+    """What an entry says of itself."""
+
+    SERVING = "serving"
+    LEAVING = "leaving"
+
+
+@attrs.frozen
+class Member:
+    """One entry's row.
+
+    :ivar epoch: grows with each start of this entry.
+    :ivar front_address: where callers connect.
+    :ivar shares: its claims on prepaid totals.
+    """
+
+    entry_id: EntryId
+    epoch: int
+    front_address: str
+    zone: Zone
+    state: MemberState
+    shares: Mapping[AccountId, Row] = attrs.field(factory=dict)
+
+
+def beat_interval_s(entries: int) -> float:
+    """Time between two rows of one entry in a fleet of ``entries``."""
+    return max(BEAT_S, entries / BEATS_PER_S)
+
+
+@attrs.define
+class _Seen:
+    member: Member
+    at_s: float
+
+
+class MemberView:
+    """The entries as this one knows them.
+
+    :param me: this entry.
+    """
+
+    def __init__(self, me: EntryId) -> None:
+        self.me = me
+        self._seen: dict[EntryId, _Seen] = {}
+        self._read_at_s = float("-inf")
+        self._reading_since_s = float("inf")
+
+    def fold(self, member: Member, now_s: float) -> None:
+        """Take a row that was read at ``now_s``."""
+        self._seen[member.entry_id] = _Seen(member, now_s)
+
+    def dropped(self, entry: EntryId) -> None:
+        """The row of ``entry`` was removed."""
+        self._seen.pop(entry, None)
+
+    def read_ok(self, now_s: float) -> None:
+        """The log answered a read at ``now_s``."""
+        gap_s = beat_interval_s(len(self._seen)) * SILENT_BEATS
+        if now_s - self._read_at_s > gap_s / 2:
+            # After an outage every row looks old; each entry is given the
+            # usual time to write again before it counts as silent.
+            self._reading_since_s = now_s
+        self._read_at_s = now_s
+
+    def live(self, now_s: float) -> list[Member]:
+        """Entries that take new callers, without this one."""
+        limit_s = beat_interval_s(len(self._seen)) * SILENT_BEATS
+        reading = now_s - self._read_at_s < limit_s / 2
+        settled = reading and now_s - self._reading_since_s > limit_s
+        return [
+            seen.member
+            for entry, seen in self._seen.items()
+            if entry != self.me
+            and seen.member.state is MemberState.SERVING
+            and not (settled and now_s - seen.at_s > limit_s)
+        ]
+
+    def count(self, now_s: float) -> int:
+        """Entries alive, this one included."""
+        return len(self.live(now_s)) + 1
+
+
+def choose_addresses(
+    members: list[Member], zone: Zone, rng: random.Random
+) -> list[str]:
+    """The addresses to tell a caller in ``zone``.
+
+    All of them, while they fit the answer: callers spread over all entries,
+    so none is left with the callers of a small failure domain alone. In a
+    larger fleet, those of the caller's own domain go first.
+    """
+    shuffled = rng.sample(members, len(members))
+    shuffled.sort(key=lambda m: m.zone != zone)
+    return [m.front_address for m in shuffled[:MAX_ADDRESSES]]
--- /dev/null
+++ b/src/celerytrack/platform/http.py
@@ -0,0 +1,219 @@
+"""Requests, answers and addresses as callers and endpoints speak them."""
+
+from collections.abc import Mapping
+from typing import Any
+
+import attrs
+from multidict import CIMultiDict, CIMultiDictProxy
+
+from celerytrack.ids import AccountId, EndpointId, RequestId
+
+READY_PATH = "/ready"
+RESOLVE_PATH = "/resolve"
+
+_REQUEST_ID = "X-Attempt-Id"
+_DEADLINE = "X-Deadline-Ms"
+_TOKENS = "X-Token-Count"
+_PROMPT = "X-Prompt-Prefix"
+_MODEL = "X-Model"
+_LAST_EVENT = "Last-Event-Id"
+_SEAL = "X-Response-Seal"
+_NOT_RUN = "X-Not-Executed"
+_EXPECTED = "X-Expect-Replica"
+_ACCOUNT = "X-Tenant"
+_URGENCY = "X-Request-Urgency"
+_LEAST_URGENT = 9
+
+_ONE_CONNECTION = frozenset(
+    {
+        "connection",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    }
+)
+_OURS_TO_SET = frozenset(
+    name.lower()
+    for name in (
+        "Authorization",
+        "Content-Length",
+        "Expect",
+        _ACCOUNT,
+        _EXPECTED,
+        _DEADLINE,
+        _URGENCY,
+        _LAST_EVENT,
+        "X-Expect-Version",
+        "X-Hold",
+        "X-Pin-Ms",
+        "X-Kv-Backup",
+        "Kv-From",
+        "Kv-Fetch",
+    )
+)
+_REWRITTEN = frozenset({"content-length", "date", "server"})
+
+SKIPPED_AUTO_HEADERS = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
+"""Headers a client library adds on its own: an endpoint that took up the
+encoding they offer would answer a body that the caller cannot read."""
+
+
+@attrs.frozen
+class RequestFacts:
+    """What a caller's request says of itself.
+
+    :ivar deadline_s: how long the caller waits; ``None`` if it does not say.
+    :ivar input_tokens: tokens of the prompt.
+    :ivar output_tokens: most tokens that may be generated.
+    :ivar parts: ``(key, tokens)`` of the prompt's parts, in order; a key
+        stands for the part and all before it, under the same model.
+    :ivar last_event_id: where the caller's broken stream ended.
+    """
+
+    request_id: RequestId
+    host: str
+    key: str | None
+    deadline_s: float | None
+    input_tokens: int = 0
+    output_tokens: int = 0
+    parts: tuple[tuple[str, int], ...] = ()
+    last_event_id: str | None = None
+
+
+class RequestError(ValueError):
+    """A caller's headers cannot be decoded."""
+
+
+def decode_request(headers: Mapping[str, str]) -> RequestFacts:
+    """Decode a caller's headers.
+
+    :raises RequestError: naming the header.
+    """
+    request_id = headers.get(_REQUEST_ID)
+    if not request_id:
+        raise RequestError("the request has no id")
+    tokens = headers.get(_TOKENS)
+    prompt = headers.get(_PROMPT)
+    try:
+        counts = [int(n) for n in tokens.split(",")] if tokens else [0, 0]
+        deadline = headers.get(_DEADLINE)
+        deadline_s = float(deadline) / 1_000 if deadline else None
+        parts = _parts(headers.get(_MODEL, ""), prompt) if prompt else ()
+        input_tokens, output_tokens = counts
+    except ValueError as exc:
+        raise RequestError(f"cannot read the headers: {exc}") from None
+    return RequestFacts(
+        request_id=RequestId(request_id),
+        host=headers.get("Host", "").rsplit(":", 1)[0].lower(),
+        key=_bearer(headers.get("Authorization")),
+        deadline_s=deadline_s,
+        input_tokens=input_tokens,
+        output_tokens=output_tokens,
+        parts=parts,
+        last_event_id=headers.get(_LAST_EVENT),
+    )
+
+
+def _bearer(value: str | None) -> str | None:
+    if value is None:
+        return None
+    scheme, _, key = value.partition(" ")
+    return key.strip() if scheme.lower() == "bearer" else None
+
+
+def _parts(model: str, prompt: str) -> tuple[tuple[str, int], ...]:
+    parts = []
+    key = model
+    for item in prompt.split(","):
+        name, _, size = item.strip().partition(":")
+        key = f"{key}/{name}"
+        parts.append((key, int(size)))
+    return tuple(parts)
+
+
+@attrs.frozen
+class Envelope:
+    """What the system tells an endpoint about a request it forwards.
+
+    :ivar left_s: time the endpoint has.
+    :ivar last_event_id: the stream goes on behind this event.
+    """
+
+    endpoint_id: EndpointId
+    left_s: float
+    urgency: int
+    account: AccountId | None = None
+    last_event_id: str | None = None
+
+
+def forwarded_headers(
+    headers: CIMultiDictProxy[str], envelope: Envelope
+) -> CIMultiDict[str]:
+    """The headers an endpoint gets for a caller's request."""
+    out = _end_to_end(headers, _OURS_TO_SET)
+    out[_DEADLINE] = str(max(1, int(envelope.left_s * 1_000)))
+    out[_EXPECTED] = envelope.endpoint_id
+    out[_URGENCY] = str(min(max(envelope.urgency, 0), _LEAST_URGENT))
+    if envelope.account is not None:
+        out[_ACCOUNT] = envelope.account
+    if envelope.last_event_id is not None:
+        out[_LAST_EVENT] = envelope.last_event_id
+    return out
+
+
+def returned_headers(headers: CIMultiDictProxy[str]) -> CIMultiDict[str]:
+    """The headers a caller gets of an endpoint's answer."""
+    return _end_to_end(headers, _REWRITTEN)
+
+
+def _end_to_end(
+    headers: CIMultiDictProxy[str], without: frozenset[str]
+) -> CIMultiDict[str]:
+    named = {
+        name.strip().lower()
+        for value in headers.getall("Connection", ())
+        for name in value.split(",")
+    }
+    drop = _ONE_CONNECTION | named | without
+    return CIMultiDict((k, v) for k, v in headers.items() if k.lower() not in drop)
+
+
+@attrs.frozen
+class AnswerFacts:
+    """What an endpoint's answer says of itself.
+
+    :ivar request_id: whose answer it is.
+    :ivar did_not_run: the endpoint vouches that it did not run the request.
+    :ivar sealed: whether the answer bears the endpoint's signature.
+    :ivar wrong_endpoint: another endpoint has the address now.
+    """
+
+    request_id: str | None
+    did_not_run: bool
+    sealed: bool
+    wrong_endpoint: bool
+
+
+def decode_answer(status: int, headers: Mapping[str, str]) -> AnswerFacts:
+    """Decode the head of an endpoint's answer."""
+    return AnswerFacts(
+        request_id=headers.get(_REQUEST_ID),
+        did_not_run=status == 421 or _NOT_RUN in headers,
+        sealed=_SEAL in headers,
+        wrong_endpoint=status == 421,
+    )
+
+
+def encode_addresses(addresses: list[str], ttl_s: float) -> dict[str, Any]:
+    """The body of an address answer."""
+    return {"addresses": addresses, "ttlS": ttl_s}
+
+
+def caller_zone(query: Mapping[str, str]) -> str:
+    """The failure domain that a caller who asks for addresses names."""
+    return query.get("zone", "")
--- /dev/null
+++ b/src/celerytrack/platform/rows.py
@@ -0,0 +1,49 @@
+"""The row that an entry keeps in the platform's store, as bytes."""
+
+import msgpack
+
+from celerytrack.ids import AccountId, EntryId, Zone
+from celerytrack.members import Member, MemberState
+from celerytrack.prepaid import Row
+
+
+class RowError(ValueError):
+    """A row cannot be decoded."""
+
+
+def encode_member(member: Member) -> bytes:
+    """The bytes that :func:`decode_member` reads."""
+    shares = {
+        account: (row.claimed_tokens, row.used_tokens, row.wanted_tokens)
+        for account, row in member.shares.items()
+    }
+    return bytes(
+        msgpack.packb(
+            (
+                member.epoch,
+                member.front_address,
+                member.zone,
+                member.state.value,
+                shares,
+            )
+        )
+    )
+
+
+def decode_member(entry_id: str, raw: bytes) -> Member:
+    """Decode the row of ``entry_id``.
+
+    :raises RowError: naming what is wrong.
+    """
+    try:
+        epoch, address, zone, state, shares = msgpack.unpackb(raw)
+        return Member(
+            entry_id=EntryId(entry_id),
+            epoch=int(epoch),
+            front_address=address,
+            zone=Zone(zone),
+            state=MemberState(state),
+            shares={AccountId(a): Row(*tokens) for a, tokens in shares.items()},
+        )
+    except (ValueError, TypeError, msgpack.UnpackException) as exc:
+        raise RowError(f"row of {entry_id}: {type(exc).__name__}: {exc}") from exc
--- /dev/null
+++ b/src/celerytrack/platform/settings.py
@@ -0,0 +1,106 @@
+"""What a process learns at its start, from the platform's settings file."""
+
+import os
+import pathlib
+import tomllib
+from typing import Any
+
+import attrs
+
+from celerytrack.ids import EntryId, Zone
+from celerytrack.settings import SettingsError
+
+SETTINGS_VARIABLE = "CELERYTRACK_SETTINGS"
+_DEFAULT_PATH = "/etc/celerytrack/boot.toml"
+
+
+@attrs.frozen
+class ProcessSettings:
+    """One process's place in the deployment.
+
+    :ivar entry_id: this instance's name; it stays over restarts.
+    :ivar ip: this instance's address, distinct for a replacement.
+    :ivar front_address: where callers connect.
+    :ivar readiness_address: where the platform asks whether it is ready.
+    :ivar directory_address: where callers ask for addresses, if served here.
+    :ivar store_address: the platform's log.
+    :ivar drain_s: time to stop using an endpoint that leaves.
+    :ivar grace_s: time between SIGTERM and SIGKILL.
+    :ivar retry_ratio: second attempts allowed per request, fleet-wide.
+    :ivar retry_slack: second attempts allowed beyond that in a window.
+    :ivar max_ttl_s: longest lifetime of an address answer that counts.
+    """
+
+    entry_id: EntryId
+    ip: str
+    zone: Zone
+    front_address: str | None
+    readiness_address: str | None
+    directory_address: str | None
+    store_address: str
+    record_bytes: int
+    drain_s: float
+    grace_s: float
+    retry_ratio: float
+    retry_slack: float
+    max_ttl_s: float
+
+
+def settings_path() -> pathlib.Path:
+    """Where the settings file lies."""
+    return pathlib.Path(os.environ.get(SETTINGS_VARIABLE, _DEFAULT_PATH))
+
+
+def load_settings(path: pathlib.Path) -> ProcessSettings:
+    """Read and decode the settings file.
+
+    :raises SettingsError: naming the field that is missing or of a wrong type.
+    """
+    try:
+        data = tomllib.loads(path.read_text())
+    except (OSError, tomllib.TOMLDecodeError) as exc:
+        raise SettingsError(f"{path}: {exc}") from None
+    return decode_settings(data)
+
+
+def decode_settings(data: dict[str, Any]) -> ProcessSettings:
+    """Decode parsed settings; fields that are not known are ignored."""
+    listen = _table(data, "listen")
+    bounds = _table(data, "bounds")
+    platform = _table(data, "platform")
+    return ProcessSettings(
+        entry_id=EntryId(_text(data, "node")),
+        ip=_text(data, "ip"),
+        zone=Zone(_text(data, "zone")),
+        front_address=listen.get("front"),
+        readiness_address=listen.get("readiness"),
+        directory_address=listen.get("directory"),
+        store_address=_text(platform, "address", "platform."),
+        record_bytes=int(_number(platform, "recordBytes", 262_144)),
+        drain_s=_number(bounds, "drainMs", 2_000) / 1_000,
+        grace_s=_number(bounds, "graceS", 8),
+        retry_ratio=_number(bounds, "retryRatio", 0.2),
+        retry_slack=_number(bounds, "retrySlack", 50),
+        max_ttl_s=_number(bounds, "ttl_max_s", 5),
+    )
+
+
+def _table(data: dict[str, Any], name: str) -> dict[str, Any]:
+    value = data.get(name, {})
+    if not isinstance(value, dict):
+        raise SettingsError(f"$.{name}: expected a table, found {value!r}")
+    return value
+
+
+def _text(data: dict[str, Any], name: str, where: str = "") -> str:
+    value = data.get(name)
+    if not isinstance(value, str) or not value:
+        raise SettingsError(f"$.{where}{name}: expected text, found {value!r}")
+    return value
+
+
+def _number(data: dict[str, Any], name: str, default: float) -> float:
+    value = data.get(name, default)
+    if isinstance(value, bool) or not isinstance(value, int | float):
+        raise SettingsError(f"$.bounds.{name}: expected a number, found {value!r}")
+    return float(value)
--- /dev/null
+++ b/src/celerytrack/platform/store.py
@@ -0,0 +1,262 @@
+"""The one client of the platform's store, an append-only log.
+
+Every call returns a :class:`returns.result.Result`; a :class:`StoreError`
+says whether an append may have taken effect.
+"""
+
+import base64
+import enum
+import json
+import socket
+import struct
+
+import aiohttp
+import attrs
+from returns.result import Failure, Result, Success
+
+CALL_TIMEOUT_S = 1.5
+"""Longest wait for an answer: the store answers in 4 ms, and 50 times as
+slowly on a bad day; beyond this the connection counts as gone silent."""
+SILENCE_MS = 1_500
+"""A connection whose bytes are not acknowledged for this long is given up.
+Without it a call on a connection that lost its path hangs to its timeout."""
+KEEPALIVE_S = 1
+_KEEPALIVE_PROBES = 2
+_PAGE = 500
+_END_AND_FIRST = struct.Struct(">QQ")
+_LENGTH = struct.Struct(">I")
+
+
+class StoreErrorKind(enum.Enum):
+    """How a call failed."""
+
+    UNREACHABLE = "unreachable"
+    """No answer: an append may have taken effect, or may do so later."""
+    REFUSED = "refused"
+    """The store refused the call; nothing was done."""
+    TRIMMED = "trimmed"
+    """The records asked for are gone; the newest of each key is not."""
+    FENCED = "fenced"
+    """A later start of this producer has written."""
+    OUT_OF_SEQUENCE = "out_of_sequence"
+    """The append's number does not follow the last one."""
+
+
+@attrs.frozen
+class StoreError:
+    """A failed call.
+
+    :ivar detail: the status or the exception, for the log.
+    :ivar expected: the sequence number that would follow, when out of sequence.
+    """
+
+    kind: StoreErrorKind
+    detail: str
+    expected: int | None = None
+
+
+@attrs.frozen
+class KeyedRecord:
+    """One record of a keyed topic; ``value`` is ``None`` if the key is dropped."""
+
+    offset: int
+    key: str
+    value: bytes | None
+
+
+@attrs.frozen
+class Batch:
+    """Records in the order of the log, and the offset to go on from."""
+
+    records: tuple[KeyedRecord, ...]
+    next_offset: int
+
+
+@attrs.frozen
+class Writer:
+    """Who appends: the store orders and deduplicates by it.
+
+    :ivar epoch: grows with each start; appends of a lower one are fenced.
+    :ivar sequence: number of this append; a repeat gets its first answer.
+    """
+
+    name: str
+    epoch: int
+    sequence: int
+
+
+def patient_socket(info: aiohttp.AddrInfoType) -> socket.socket:
+    """A socket that notices a peer gone silent (``socket_factory``).
+
+    A machine that lost power or a path answers nothing, not even a reset; a
+    connection to it would hang until the request's own deadline.
+    """
+    family, kind, proto, _, _ = info
+    sock = socket.socket(family=family, type=kind, proto=proto)
+    sock.setblocking(False)
+    for option, value in (
+        (socket.TCP_USER_TIMEOUT, SILENCE_MS),
+        (socket.TCP_KEEPIDLE, KEEPALIVE_S),
+        (socket.TCP_KEEPINTVL, KEEPALIVE_S),
+        (socket.TCP_KEEPCNT, _KEEPALIVE_PROBES),
+    ):
+        sock.setsockopt(socket.IPPROTO_TCP, option, value)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    return sock
+
+
+class StoreClient:
+    """Talks to the store over a session of its own.
+
+    :param address: ``host:port`` of the store.
+    """
+
+    def __init__(self, address: str) -> None:
+        self._base = f"http://{address}"
+        self._http: aiohttp.ClientSession | None = None
+
+    @property
+    def _session(self) -> aiohttp.ClientSession:
+        if self._http is None:
+            connector = aiohttp.TCPConnector(
+                limit=0, keepalive_timeout=30.0, socket_factory=patient_socket
+            )
+            self._http = aiohttp.ClientSession(connector=connector)
+        return self._http
+
+    async def close(self) -> None:
+        """Close the connections."""
+        if self._http is not None:
+            await self._http.close()
+
+    async def newest(self, topic: str) -> Result[Batch, StoreError]:
+        """The newest record of each key of ``topic``.
+
+        Pages are no snapshot: the batch goes on from the end at its first
+        page, so that what changed between pages is read again.
+        """
+        records: list[KeyedRecord] = []
+        params = {"topic": topic, "part": "0"}
+        first_end: int | None = None
+        while True:
+            answer = await self._call("GET", "/log-newest", params)
+            match answer:
+                case Failure(error):
+                    return Failure(error)
+            page = json.loads(answer.unwrap())
+            if first_end is None:
+                first_end = int(page["end"])
+            records += [
+                KeyedRecord(
+                    int(e["offset"]), e["key"], base64.b64decode(e["value"]) or None
+                )
+                for e in page["entries"]
+            ]
+            if not page.get("hasMore"):
+                records.sort(key=lambda r: r.offset)
+                return Success(Batch(tuple(records), first_end))
+            params["after"] = records[-1].key
+
+    async def read(
+        self, topic: str, offset: int, wait_s: float = 0.0
+    ) -> Result[Batch, StoreError]:
+        """Records of a keyed topic from ``offset`` on.
+
+        :param wait_s: how long the store may wait for the first of them.
+        """
+        params = {"topic": topic, "part": "0", "from": str(offset)}
+        if wait_s:
+            params["waitMs"] = str(int(wait_s * 1_000))
+        answer = await self._call("GET", "/log-read", params, extra_s=wait_s)
+        return answer.map(lambda data: _decode_batch(offset, data))
+
+    async def append(
+        self, topic: str, key: str, value: bytes, writer: Writer
+    ) -> Result[int, StoreError]:
+        """Append one keyed record; its offset."""
+        answer = await self._append(topic, encode_keyed(key, value), writer)
+        return answer.map(lambda data: int(json.loads(data)["offset"]))
+
+    async def set_epoch(self, topic: str, writer: Writer) -> Result[None, StoreError]:
+        """Fence off appends of earlier starts of ``writer``."""
+        answer = await self._append(topic, b"", writer)
+        return answer.map(lambda _: None)
+
+    async def _append(
+        self, topic: str, body: bytes, writer: Writer
+    ) -> Result[bytes, StoreError]:
+        params = {
+            "topic": topic,
+            "part": "0",
+            "producer": writer.name,
+            "epoch": str(writer.epoch),
+            "sequence": str(writer.sequence),
+        }
+        return await self._call("POST", "/log-append", params, body)
+
+    async def _call(
+        self,
+        method: str,
+        path: str,
+        params: dict[str, str],
+        body: bytes | None = None,
+        extra_s: float = 0.0,
+    ) -> Result[bytes, StoreError]:
+        timeout = aiohttp.ClientTimeout(total=CALL_TIMEOUT_S + extra_s)
+        try:
+            async with self._session.request(
+                method, self._base + path, params=params, data=body, timeout=timeout
+            ) as response:
+                data = await response.read()
+                if response.status == 200:
+                    return Success(data)
+                return Failure(_refusal(response.status, data))
+        except (aiohttp.ClientError, OSError, TimeoutError) as exc:
+            detail = f"{type(exc).__name__}: {exc}"
+            return Failure(StoreError(StoreErrorKind.UNREACHABLE, detail))
+
+
+def _refusal(status: int, data: bytes) -> StoreError:
+    if status == 410:
+        return StoreError(StoreErrorKind.TRIMMED, "410")
+    if status == 409:
+        body = _object(data)
+        if body.get("reason") == "fenced":
+            return StoreError(StoreErrorKind.FENCED, "409 fenced")
+        expected = next(
+            (v for k, v in body.items() if k != "reason" and isinstance(v, int)), None
+        )
+        return StoreError(StoreErrorKind.OUT_OF_SEQUENCE, f"409 {body}", expected)
+    if status in (429, 503, 507):
+        return StoreError(StoreErrorKind.REFUSED, str(status))
+    return StoreError(StoreErrorKind.UNREACHABLE, str(status))
+
+
+def _object(data: bytes) -> dict[str, object]:
+    try:
+        value = json.loads(data)
+    except ValueError:
+        return {}
+    return value if isinstance(value, dict) else {}
+
+
+def encode_keyed(key: str, value: bytes) -> bytes:
+    """One record of a keyed topic as it goes over the wire."""
+    name = key.encode()
+    content = bytes([len(name)]) + name + value
+    return _LENGTH.pack(len(content)) + content
+
+
+def _decode_batch(offset: int, data: bytes) -> Batch:
+    records = []
+    at = _END_AND_FIRST.size
+    while at < len(data):
+        (size,) = _LENGTH.unpack_from(data, at)
+        at += _LENGTH.size
+        content = data[at : at + size]
+        at += size
+        key_end = 1 + content[0]
+        key = content[1:key_end].decode()
+        records.append(KeyedRecord(offset, key, content[key_end:] or None))
+        offset += 1
+    return Batch(tuple(records), offset)
--- a/src/celerytrack/retries.py
+++ b/src/celerytrack/retries.py
@@ -23,14 +23,19 @@
     """A token bucket filled by requests and emptied by retries.
 
     :ivar ratio: what one request adds.
+    :ivar burst: most retries that are saved up, and those there are at first.
     """
 
     ratio: float = attrs.field(default=RETRY_RATIO, validator=attrs.validators.ge(0))
-    _level: float = _BURST
+    burst: float = attrs.field(default=_BURST, validator=attrs.validators.gt(0))
+    _level: float = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self._level = self.burst
 
     def request(self) -> None:
         """Count a request that came in."""
-        self._level = min(self._level + self.ratio, _BURST)
+        self._level = min(self._level + self.ratio, self.burst)
 
     def take(self) -> bool:
         """Take one retry; ``False`` means give up now."""
--- /dev/null
+++ b/src/celerytrack/routes.py
@@ -0,0 +1,157 @@
+"""The declared routes, services and client accounts, and how a request
+finds its route, without I/O.
+
+A :class:`RoutingTable` is one version of what operators declared. It is
+immutable: a new version replaces it whole, so a request that began under one
+version is handled by that version to its end.
+"""
+
+import enum
+from collections.abc import Mapping
+
+import attrs
+
+from celerytrack.ids import AccountId, ServiceName
+
+DEFAULT_HEADER_BYTES = 16_384
+"""Header bytes taken from a caller where the configuration names no limit."""
+DEFAULT_BODY_BYTES = 4 * 1024 * 1024
+"""Body bytes taken from a caller where the configuration names no limit."""
+
+
+class Repeat(enum.Enum):
+    """What a route's requests allow to be repeated."""
+
+    IDEMPOTENT = "idempotent"
+    """May run any number of times."""
+    AT_MOST_ONCE = "at_most_once"
+    """May run once; sent again only after proof that it did not run."""
+
+
+@attrs.frozen
+class Route:
+    """One route: which requests it takes and how they are handled.
+
+    :ivar prefix: path prefix, beginning and ending with a slash.
+    :ivar services: ``(service, weight)`` pairs that share the requests.
+    :ivar stream: whether answers are server-sent events.
+    :ivar resumable: whether a broken stream may go on at another endpoint.
+    :ivar timeout_s: longest time a request is kept waiting.
+    :ivar target_s: latency objective (streams: to the first event).
+    :ivar max_attempts: endpoints that one request may be sent to.
+    :ivar priority: 0 is the most urgent.
+    :ivar public: whether no key is asked for.
+    :ivar has_prompt: whether requests name the parts of their prompt.
+    """
+
+    name: str
+    host: str
+    prefix: str
+    services: tuple[tuple[ServiceName, float], ...]
+    repeat: Repeat
+    stream: bool
+    resumable: bool
+    timeout_s: float
+    target_s: float
+    max_attempts: int = 1
+    priority: int = 1
+    public: bool = False
+    has_prompt: bool = False
+
+    @property
+    def may_repeat(self) -> bool:
+        """Whether a request that may have run may be sent again."""
+        return self.repeat is Repeat.IDEMPOTENT or self.resumable
+
+
+@attrs.frozen
+class EngineSpec:
+    """What is declared of a service's model engines.
+
+    :ivar slots: requests batched at once by one engine.
+    :ivar kv_tokens: tokens that one engine's memory holds.
+    :ivar event_tokens: most output tokens in one event of a stream.
+    """
+
+    slots: int
+    kv_tokens: int
+    event_tokens: int
+
+
+@attrs.frozen
+class Service:
+    """One service: a set of endpoints that serve the same requests.
+
+    :ivar max_connections: connections one endpoint accepts from all callers.
+    """
+
+    name: ServiceName
+    max_connections: int
+    engine: EngineSpec | None = None
+
+
+@attrs.frozen
+class ClientAccount:
+    """A client account: its keys and its prepaid total.
+
+    :ivar prepaid_tokens: tokens it may consume in all; ``None`` for no limit.
+    :ivar priority: goes before the route's, when given.
+    """
+
+    account_id: AccountId
+    keys: frozenset[str]
+    prepaid_tokens: int | None = None
+    priority: int | None = None
+
+
+@attrs.frozen
+class RoutingTable:
+    """One version of the declared configuration.
+
+    :ivar version: grows with every change.
+    :ivar needs_key: whether requests must carry a key.
+    """
+
+    version: int
+    routes: tuple[Route, ...]
+    services: Mapping[ServiceName, Service]
+    accounts: tuple[ClientAccount, ...]
+    needs_key: bool
+    body_bytes: int = DEFAULT_BODY_BYTES
+    _by_host: dict[str, list[Route]] = attrs.field(init=False, eq=False, repr=False)
+    _by_key: dict[str, ClientAccount] = attrs.field(init=False, eq=False, repr=False)
+
+    def __attrs_post_init__(self) -> None:
+        by_host: dict[str, list[Route]] = {}
+        for route in self.routes:
+            by_host.setdefault(route.host, []).append(route)
+        for routes in by_host.values():
+            routes.sort(key=lambda r: len(r.prefix), reverse=True)
+        by_key = {key: a for a in self.accounts for key in a.keys}
+        object.__setattr__(self, "_by_host", by_host)
+        object.__setattr__(self, "_by_key", by_key)
+
+    def match(self, host: str, path: str) -> Route | None:
+        """The route of ``host`` with the longest prefix that begins ``path``."""
+        for route in self._by_host.get(host, ()):
+            if path.startswith(route.prefix):
+                return route
+        return None
+
+    def account_by_key(self, key: str) -> ClientAccount | None:
+        """The account that holds ``key``, or ``None``."""
+        return self._by_key.get(key)
+
+
+def pick_service(route: Route, point: float) -> ServiceName:
+    """The service a request of ``route`` goes to.
+
+    :param point: a uniform draw from [0, 1).
+    """
+    total = sum(weight for _, weight in route.services)
+    left = point * total
+    for name, weight in route.services:
+        left -= weight
+        if left < 0:
+            return name
+    return route.services[-1][0]
--- a/src/celerytrack/routing.py
+++ b/src/celerytrack/routing.py
@@ -23,7 +23,8 @@
 """Share of capacity in use above which a class of priority *p* is refused."""
 
 
-def _weight(key: str, node: str) -> int:
+def rendezvous_weight(key: str, node: str) -> int:
+    """The weight of ``node`` for ``key``; the highest one is chosen."""
     return mmh3.hash64(f"{key}\x00{node}", signed=False)[0]
 
 
@@ -34,7 +35,7 @@
     :param nodes: candidate node ids.
     :returns: up to ``count`` node ids, best first; stable as nodes come and go.
     """
-    return sorted(nodes, key=lambda n: _weight(key, n), reverse=True)[:count]
+    return sorted(nodes, key=lambda n: rendezvous_weight(key, n), reverse=True)[:count]
 
 
 @attrs.frozen
--- a/src/celerytrack/verdict.py
+++ b/src/celerytrack/verdict.py
@@ -32,6 +32,12 @@
     UPSTREAM_FAILED = "upstream_failed"
     UPSTREAM_CUT = "upstream_cut"
     DEADLINE = "deadline"
+    NO_CONFIG = "no_config"
+    NO_ROUTE = "no_route"
+    NO_ENDPOINT = "no_endpoint"
+    TOKENS_ELSEWHERE = "tokens_elsewhere"
+    BODY_TOO_LARGE = "body_too_large"
+    QUEUE_TIMEOUT = "queue_timeout"
 
 
 _HTTP_STATUS = {
@@ -47,6 +53,12 @@
     Reason.UPSTREAM_FAILED: 502,
     Reason.UPSTREAM_CUT: 502,
     Reason.DEADLINE: 504,
+    Reason.NO_CONFIG: 503,
+    Reason.NO_ROUTE: 404,
+    Reason.NO_ENDPOINT: 503,
+    Reason.TOKENS_ELSEWHERE: 503,
+    Reason.BODY_TOO_LARGE: 413,
+    Reason.QUEUE_TIMEOUT: 503,
 }
 
 
