Prepaid shares: a hand and a locked claim, and gifts between entries

Change: a row has a hand, spent freely, and a claim, locked until no row was made for 3 s; the next start reads from the steady clock whether it was ever unlocked. Entries ask each other for tokens directly.

--- /dev/null
+++ b/src/celerytrack/gateway/gifts.py
@@ -0,0 +1,82 @@
+"""Tokens moved from entry to entry, for when the log cannot be reached."""
+
+import json
+import logging
+import time
+
+import aiohttp
+from aiohttp import web
+
+from celerytrack.events import Event, log_event
+from celerytrack.ids import AccountId
+from celerytrack.platform.store import patient_socket
+from celerytrack.prepaid import PrepaidBook
+
+_log = logging.getLogger(__name__)
+
+ASK_TIMEOUT_S = 0.06
+"""Longest wait for a gift: entries of one region are under 3 ms apart; a
+request should not wait for one that is cut off."""
+_PATH = "/gift"
+
+
+class GiftClient:
+    """Asks other entries for tokens."""
+
+    def __init__(self) -> None:
+        self._http: aiohttp.ClientSession | None = None
+
+    @property
+    def _session(self) -> aiohttp.ClientSession:
+        if self._http is None:
+            connector = aiohttp.TCPConnector(
+                limit=0, keepalive_timeout=10.0, socket_factory=patient_socket
+            )
+            timeout = aiohttp.ClientTimeout(total=ASK_TIMEOUT_S)
+            self._http = aiohttp.ClientSession(connector=connector, timeout=timeout)
+        return self._http
+
+    async def ask(self, address: str, account: AccountId, tokens: int) -> int:
+        """Ask the entry at ``address`` for ``tokens``; how many it gave.
+
+        A gift whose answer is lost is spent by nobody: the giver counts it
+        as gone.
+        """
+        body = {"account": account, "tokens": tokens}
+        try:
+            async with self._session.post(
+                f"http://{address}{_PATH}", json=body
+            ) as response:
+                if response.status != 200:
+                    return 0
+                return max(0, min(tokens, int((await response.json())["tokens"])))
+        except (
+            aiohttp.ClientError,
+            OSError,
+            TimeoutError,
+            ValueError,
+            KeyError,
+        ) as exc:
+            log_event(
+                _log, Event.GIFT_FAILED, address=address, detail=type(exc).__name__
+            )
+            return 0
+
+    async def close(self) -> None:
+        """Close the connections."""
+        if self._http is not None:
+            await self._http.close()
+
+
+async def answer_gift(book: PrepaidBook, request: web.BaseRequest) -> web.Response:
+    """Answer another entry that asks for tokens."""
+    if request.path != _PATH or request.method != "POST":
+        return web.Response(status=404)
+    try:
+        asked = json.loads(await request.read())
+        account, tokens = AccountId(asked["account"]), int(asked["tokens"])
+    except (ValueError, KeyError, TypeError):
+        return web.Response(status=400)
+    given = book.give(account, tokens, time.monotonic())
+    log_event(_log, Event.GIFT_GIVEN, account=account, asked=tokens, given=given)
+    return web.json_response({"tokens": given})
--- a/src/celerytrack/gateway/pipeline.py
+++ b/src/celerytrack/gateway/pipeline.py
@@ -169,7 +169,9 @@
     if book.exhausted(account, tokens):
         detail = f"{tokens} tokens do not fit what is left"
         raise RefusedError(did_not_run(Reason.BUDGET_EXHAUSTED, None, detail))
-    detail = f"{tokens} tokens, {book.left_tokens(account)} in hand here"
+    detail = (
+        f"{tokens} tokens, {book.left_tokens(account, time.monotonic())} in hand here"
+    )
     raise RefusedError(did_not_run(Reason.TOKENS_ELSEWHERE, SOON_S, detail))
 
 
--- a/src/celerytrack/gateway/server.py
+++ b/src/celerytrack/gateway/server.py
@@ -11,6 +11,7 @@
 from aiohttp import web
 
 from celerytrack.events import Event, log_event
+from celerytrack.gateway.gifts import answer_gift
 from celerytrack.gateway.pipeline import handle
 from celerytrack.gateway.share_keeper import FencedError
 from celerytrack.gateway.state import Gateway
@@ -99,6 +100,7 @@
         await self._open(settings.front_address, self._front, True)
         await self._open(settings.readiness_address, self._readiness)
         await self._open(settings.directory_address, self._directory)
+        await self._open(settings.peer_address, self._peer)
 
     async def _open(
         self, address: str | None, handler: Handler, caller: bool = False
@@ -166,13 +168,16 @@
         body = json.dumps(encode_addresses(addresses, ttl_s)).encode()
         return web.Response(body=body, content_type="application/json")
 
+    async def _peer(self, request: web.BaseRequest) -> web.StreamResponse:
+        return await answer_gift(self._gateway.keeper.book, request)
+
     def _serving(self) -> list[Member]:
         gateway = self._gateway
         members = gateway.keeper.members.live(time.monotonic())
         front = gateway.settings.front_address
         if gateway.ready and front is not None:
             zone = gateway.settings.zone
-            me = Member(gateway.entry_id, 0, front, zone, MemberState.SERVING)
+            me = Member(gateway.entry_id, 0, front, "", zone, MemberState.SERVING)
             members.append(me)
         return members
 
--- a/src/celerytrack/gateway/share_keeper.py
+++ b/src/celerytrack/gateway/share_keeper.py
@@ -14,9 +14,16 @@
 from returns.result import Failure, Success
 
 from celerytrack.events import Event, log_event
+from celerytrack.gateway.gifts import GiftClient
 from celerytrack.gateway.tail import RETRY_MAX_S, RETRY_S, KeyedTail
 from celerytrack.ids import AccountId, EntryId, Zone
-from celerytrack.members import Member, MemberState, MemberView, beat_interval_s
+from celerytrack.members import (
+    Member,
+    MemberState,
+    MemberView,
+    beat_interval_s,
+    died_within,
+)
 from celerytrack.platform.rows import RowError, decode_member, encode_member
 from celerytrack.platform.store import (
     KeyedRecord,
@@ -25,7 +32,7 @@
     Writer,
 )
 from celerytrack.platform.topics import ENTRIES_TOPIC
-from celerytrack.prepaid import PrepaidBook, Reservation
+from celerytrack.prepaid import UNLOCK_S, PrepaidBook, Reservation
 
 _log = logging.getLogger(__name__)
 
@@ -36,6 +43,12 @@
 """Longest a request waits for tokens: an append and a read take 10 ms each,
 and a store slowed fiftyfold 400 ms; a caller does better at another entry."""
 
+FIRST_WAIT_S = 0.06
+"""How long a request waits for a row before other entries are asked: an
+append and a read back, with room for a slow answer."""
+MOST_ASKED = 4
+"""Entries asked for tokens, one after the other; each answers within a ms."""
+
 
 class FencedError(Exception):
     """A later start of this entry writes its row: this process must end."""
@@ -45,6 +58,8 @@
     """Owns the entries' rows.
 
     :param entry_id: the row's key, distinct for every instance.
+    :param gifts: asks other entries for tokens.
+    :param started_s: when this process began, on the steady clock.
     """
 
     def __init__(
@@ -52,7 +67,10 @@
         store: StoreClient,
         entry_id: EntryId,
         front_address: str,
+        peer_address: str,
         zone: Zone,
+        gifts: GiftClient,
+        started_s: float,
     ) -> None:
         self.book = PrepaidBook(entry_id)
         self.members = MemberView(entry_id)
@@ -62,6 +80,9 @@
         self._store = store
         self._entry_id = entry_id
         self._front_address = front_address
+        self._peer_address = peer_address
+        self._gifts = gifts
+        self._started_s = started_s
         self._zone = zone
         self._sequence = 0
         self._tail = KeyedTail(store, ENTRIES_TOPIC, self._apply, self._reload)
@@ -80,23 +101,43 @@
 
         :returns: ``None`` if they could not be had in time.
         """
-        ends_s = time.monotonic() + WAIT_TOKENS_S
+        started_s = time.monotonic()
+        asked = False
         while True:
             now_s = time.monotonic()
             held = self.book.reserve(account, tokens, now_s)
             if held is not None:
                 return held
-            if self.book.exhausted(account, tokens) or not self._can_wait(now_s):
+            if self.book.exhausted(account, tokens):
                 return None
-            self._wake.set()
-            try:
-                async with asyncio.timeout(max(0.0, ends_s - now_s)):
-                    await self._changed.wait()
-            except TimeoutError:
+            waited_s = now_s - started_s
+            patience_s = WAIT_TOKENS_S if self._tail.reachable else 0.0
+            if waited_s < min(patience_s, FIRST_WAIT_S if not asked else patience_s):
+                self._wake.set()
+                await self._wait_changed(patience_s - waited_s)
+            elif not asked:
+                asked = True
+                await self._ask(account, tokens, now_s)
+            else:
                 return None
 
-    def _can_wait(self, now_s: float) -> bool:
-        return self.started and self._tail.reachable
+    async def _wait_changed(self, timeout_s: float) -> None:
+        try:
+            async with asyncio.timeout(timeout_s):
+                await self._changed.wait()
+        except TimeoutError:
+            return
+
+    async def _ask(self, account: AccountId, tokens: int, now_s: float) -> None:
+        """Ask the entries that probably hold most for what is missing."""
+        missing = tokens - self.book.left_tokens(account, now_s)
+        for entry in self.book.richest(account, MOST_ASKED):
+            member = self.members.member(entry)
+            if member is None or missing <= 0:
+                continue
+            given = await self._gifts.ask(member.peer_address, account, missing)
+            self.book.receive(account, given)
+            missing -= given
 
     # -- the task ----------------------------------------------------------
 
@@ -110,6 +151,7 @@
             urgent = self.book.plan(entries, now_s)
             interval_s = beat_interval_s(entries)
             if urgent or now_s - written_s >= interval_s:
+                log_event(_log, Event.SHARES, shares=self.book.summary(now_s))
                 await self._write()
                 written_s = time.monotonic()
                 await asyncio.sleep(URGENT_GAP_S)
@@ -142,18 +184,35 @@
                     await asyncio.sleep(RETRY_S)
         while not await self._tail.poll():
             await asyncio.sleep(RETRY_S)
-        self.book.adopt()
+        now_s = time.monotonic()
+        last = self.members.member(self._entry_id)
+        locked = last is not None and died_within(
+            last, UNLOCK_S, self._started_s, _clock_offset_s()
+        )
+        self.book.adopt(locked, now_s)
         self.started = True
-        log_event(_log, Event.SHARES_TAKEN_OVER, epoch=self.epoch)
+        log_event(
+            _log,
+            Event.SHARES_TAKEN_OVER,
+            epoch=self.epoch,
+            locked=locked,
+            last_made_s=last.made_s if last else None,
+            started_s=self._started_s,
+            clock_moved_s=_clock_offset_s() - last.clock_offset_s if last else None,
+        )
 
     async def _write(self) -> None:
+        now_s = time.monotonic()
         member = Member(
-            self._entry_id,
-            self.epoch,
-            self._front_address,
-            self._zone,
-            self.state,
-            self.book.next_row(),
+            entry_id=self._entry_id,
+            epoch=self.epoch,
+            front_address=self._front_address,
+            peer_address=self._peer_address,
+            zone=self._zone,
+            state=self.state,
+            made_s=now_s,
+            clock_offset_s=_clock_offset_s(),
+            shares=self.book.next_row(now_s),
         )
         offset = await self._append(encode_member(member))
         if self._tail.next_offset == offset:
@@ -228,3 +287,7 @@
     def _notify(self) -> None:
         self._changed.set()
         self._changed = asyncio.Event()
+
+
+def _clock_offset_s() -> float:
+    return time.time() - time.monotonic()
--- a/src/celerytrack/gateway/state.py
+++ b/src/celerytrack/gateway/state.py
@@ -6,6 +6,7 @@
 import aiohttp
 
 from celerytrack.endpoints import EndpointBook
+from celerytrack.gateway.gifts import GiftClient
 from celerytrack.gateway.share_keeper import ShareKeeper
 from celerytrack.gateway.telemetry import Telemetry
 from celerytrack.ids import EntryId, ServiceName
@@ -30,16 +31,24 @@
     """State of one entry process.
 
     :param settings: its place in the deployment.
+    :param started_s: when the process began, on the steady clock.
     """
 
-    def __init__(self, settings: ProcessSettings) -> None:
+    def __init__(self, settings: ProcessSettings, started_s: float) -> None:
         self.settings = settings
         self.entry_id = EntryId(f"{settings.entry_id}@{settings.ip}")
         self.boot_id = uuid.uuid4().hex[:8]
         self.rng = random.Random(self.boot_id)
         self.store = StoreClient(settings.store_address)
+        self.gifts = GiftClient()
         self.keeper = ShareKeeper(
-            self.store, self.entry_id, settings.front_address or "", settings.zone
+            self.store,
+            self.entry_id,
+            settings.front_address or "",
+            settings.peer_address,
+            settings.zone,
+            self.gifts,
+            started_s,
         )
         self.endpoints = EndpointBook(settings.zone, self.rng)
         self.endpoints_known = False
@@ -99,4 +108,5 @@
         """Close the connections to endpoints and store."""
         if self._http is not None:
             await self._http.close()
+        await self.gifts.close()
         await self.store.close()
--- a/src/celerytrack/members.py
+++ b/src/celerytrack/members.py
@@ -44,14 +44,21 @@
 
     :ivar epoch: grows with each start of this entry.
     :ivar front_address: where callers connect.
+    :ivar peer_address: where other entries connect.
+    :ivar made_s: when the row was made, on the instance's steady clock.
+    :ivar clock_offset_s: its time of day less its steady clock at that moment;
+        it changes when the instance starts anew or its clock is set.
     :ivar shares: its claims on prepaid totals.
     """
 
     entry_id: EntryId
     epoch: int
     front_address: str
+    peer_address: str
     zone: Zone
     state: MemberState
+    made_s: float = 0.0
+    clock_offset_s: float = 0.0
     shares: Mapping[AccountId, Row] = attrs.field(factory=dict)
 
 
@@ -60,6 +67,23 @@
     return max(BEAT_S, entries / BEATS_PER_S)
 
 
+CLOCK_SLACK_S = 0.5
+"""Two readings of the clock offset on one instance may differ by this."""
+
+
+def died_within(
+    last: Member, limit_s: float, started_s: float, clock_offset_s: float
+) -> bool:
+    """Whether an earlier start certainly ended within ``limit_s`` of ``last``.
+
+    :param last: the last row of the earlier start, of the same instance.
+    :param started_s: when this start began, on the steady clock.
+    :param clock_offset_s: this start's time of day less its steady clock.
+    """
+    same_boot = abs(clock_offset_s - last.clock_offset_s) < CLOCK_SLACK_S
+    return same_boot and 0 <= started_s - last.made_s < limit_s
+
+
 @attrs.define
 class _Seen:
     member: Member
@@ -82,6 +106,11 @@
         """Take a row that was read at ``now_s``."""
         self._seen[member.entry_id] = _Seen(member, now_s)
 
+    def member(self, entry: EntryId) -> Member | None:
+        """The newest row of ``entry``."""
+        seen = self._seen.get(entry)
+        return seen.member if seen else None
+
     def dropped(self, entry: EntryId) -> None:
         """The row of ``entry`` was removed."""
         self._seen.pop(entry, None)
--- a/src/celerytrack/platform/rows.py
+++ b/src/celerytrack/platform/rows.py
@@ -14,7 +14,12 @@
 def encode_member(member: Member) -> bytes:
     """The bytes that :func:`decode_member` reads."""
     shares = {
-        account: (row.claimed_tokens, row.used_tokens, row.wanted_tokens)
+        account: (
+            row.claimed_tokens,
+            row.hand_tokens,
+            row.used_tokens,
+            row.wanted_tokens,
+        )
         for account, row in member.shares.items()
     }
     return bytes(
@@ -22,8 +27,11 @@
             (
                 member.epoch,
                 member.front_address,
+                member.peer_address,
                 member.zone,
                 member.state.value,
+                member.made_s,
+                member.clock_offset_s,
                 shares,
             )
         )
@@ -36,13 +44,16 @@
     :raises RowError: naming what is wrong.
     """
     try:
-        epoch, address, zone, state, shares = msgpack.unpackb(raw)
+        epoch, front, peer, zone, state, made_s, offset_s, shares = msgpack.unpackb(raw)
         return Member(
             entry_id=EntryId(entry_id),
             epoch=int(epoch),
-            front_address=address,
+            front_address=front,
+            peer_address=peer,
             zone=Zone(zone),
             state=MemberState(state),
+            made_s=float(made_s),
+            clock_offset_s=float(offset_s),
             shares={AccountId(a): Row(*tokens) for a, tokens in shares.items()},
         )
     except (ValueError, TypeError, msgpack.UnpackException) as exc:
--- a/src/celerytrack/platform/settings.py
+++ b/src/celerytrack/platform/settings.py
@@ -23,6 +23,7 @@
     :ivar front_address: where callers connect.
     :ivar readiness_address: where the platform asks whether it is ready.
     :ivar directory_address: where callers ask for addresses, if served here.
+    :ivar peer_address: where the other entries connect.
     :ivar store_address: the platform's log.
     :ivar drain_s: time to stop using an endpoint that leaves.
     :ivar grace_s: time between SIGTERM and SIGKILL.
@@ -37,6 +38,7 @@
     front_address: str | None
     readiness_address: str | None
     directory_address: str | None
+    peer_address: str
     store_address: str
     record_bytes: int
     drain_s: float
@@ -75,6 +77,7 @@
         front_address=listen.get("front"),
         readiness_address=listen.get("readiness"),
         directory_address=listen.get("directory"),
+        peer_address=f"{_text(data, 'ip')}:{_first_port(data)}",
         store_address=_text(platform, "address", "platform."),
         record_bytes=int(_number(platform, "recordBytes", 262_144)),
         drain_s=_number(bounds, "drainMs", 2_000) / 1_000,
@@ -85,6 +88,13 @@
     )
 
 
+def _first_port(data: dict[str, Any]) -> int:
+    ports = data.get("internalPorts")
+    if not isinstance(ports, list) or not ports or not isinstance(ports[0], int):
+        raise SettingsError(f"$.internalPorts: expected ports, found {ports!r}")
+    return ports[0]
+
+
 def _table(data: dict[str, Any], name: str) -> dict[str, Any]:
     value = data.get(name, {})
     if not isinstance(value, dict):
--- a/src/celerytrack/prepaid.py
+++ b/src/celerytrack/prepaid.py
@@ -18,60 +18,76 @@
 that claim the same free tokens at once both see a sum that does not fit, or
 only the earlier one sees it fit; the other withdraws.
 
-An entry that dies leaves its row: all it claimed counts as spent. Its next
-start on the same instance takes the row over, with the whole claim as spent,
-since nobody knows what was delivered after the last row.
+An entry that dies leaves its row: what it claimed counts as spent. That would
+lose all that entries hold for a cut whenever they are killed together, so a
+row has two limits. The *hand* is spent freely. The rest of the claim is
+locked until the entry has made no row for :data:`UNLOCK_S`: it is for cuts.
+The next start of the entry on the same instance reads the time of the last
+row on the same steady clock; if less than :data:`UNLOCK_S` passed until its
+own start, the rest was never unlocked, and only the hand is lost.
+
+Entries that are cut off from the log but reach each other move tokens by
+gifts: the giver counts them as gone under its own row, the receiver may spend
+them beyond its own. A gift that is lost on the way is spent by nobody.
 
 The present time ``now_s`` (monotonic seconds) is an argument of each method
 that decides.
 """
 
 import math
-from collections.abc import Iterable, Mapping
+from collections.abc import Mapping
 
 import attrs
 
 from celerytrack.ids import AccountId, EntryId
 
-COVER_S = 10.0
-"""Seconds of its own recent spend that an entry keeps in hand. An entry cut
-off from the log serves on from that; an entry that dies loses it. Cuts of 9 s
-are among those the deployments list, and a tenth more covers the write
-before them."""
+UNLOCK_S = 3.0
+"""Time without a row after which the whole claim may be spent. A killed
+process is back after about 2 s; its last row is up to a second older."""
+HAND_S = 4.0
+"""Seconds of its own recent spend in hand: until the rest is unlocked, and
+the time between two rows."""
+COVER_S = 11.0
+"""Seconds of its own recent spend that an entry claims in all. Cuts of 9 s
+are among those the deployments list; the write before one may be 1 s old."""
 RATE_WINDOW_S = 8.0
 """Time constant of the spend rate: long enough to span the gaps between large
 prompts, short enough to follow an account that multiplies its traffic."""
-FIRST_SHARE = 0.35
+FIRST_SHARE = 0.5
 """Share of a total that all entries together claim before any spend is seen,
-so that a cut in the first seconds finds tokens in hand."""
+so that a cut in the first seconds finds tokens to unlock."""
+FIRST_HAND_SHARE = 0.12
+"""Part of what is left that all entries together hold in hand until rates are
+known: four seconds of a day in which the total lasts."""
 KNOWN_SHARE = 0.05
 """An entry that spent less than this part of its even share of a total does
-not know the account's rate yet, and holds the first share."""
-MAX_SHARE = 0.5
-"""Most of its even part of what is left that an entry takes at once: a new
-arrival and the others' next claims must find something free."""
+not know the account's rate yet, and holds the first shares."""
+FAIR_SHARE = 0.9
+"""Most of its even part of what is left that an entry claims: the others'
+claims and sudden large requests must find something free."""
 RESERVE_SHARE = 0.005
 """Share of a total that is never claimed: the tokens that an endpoint's count
 and ours may differ by in streams that broke off."""
-REFILL_BELOW = 0.6
-"""An entry claims again when it holds less than this share of its cover."""
-RELEASE_ABOVE = 2.5
-"""An entry gives back what it holds beyond this many times its cover, when
-another entry waits for tokens of the account."""
+RELEASE_ABOVE = 1.5
+"""An entry lowers its claim when it is this many times what it needs."""
+GIFT_SHARE = 0.6
+"""Most of what an entry has left that it gives away at once."""
 LARGEST_DECAY_S = 20.0
 """How fast the memory of an account's largest request halves."""
 
 
 @attrs.frozen
 class Row:
-    """What one entry published of one account.
+    """What one entry published of one account; tokens, cumulative.
 
-    :ivar claimed_tokens: what it may have spent, cumulative.
+    :ivar claimed_tokens: what it may have spent at most.
+    :ivar hand_tokens: what it may have spent while it writes rows.
     :ivar used_tokens: what it knows was spent; a lower bound for others.
     :ivar wanted_tokens: what it lacks for requests it has at hand.
     """
 
     claimed_tokens: int = 0
+    hand_tokens: int = 0
     used_tokens: int = 0
     wanted_tokens: int = 0
 
@@ -88,15 +104,20 @@
 class _Share:
     """This entry's part of one account.
 
-    :ivar claim_tokens: what the next written row claims.
-    :ivar allowance_tokens: what may be spent; at most the row on the log.
+    :ivar claim_tokens: what the next row claims.
+    :ivar accepted_tokens: what may be spent once unlocked; at most the claim
+        of the row on the log.
+    :ivar gifted_tokens: given to other entries under our row.
+    :ivar received_tokens: given to us under theirs.
     :ivar adopted_tokens: part of what is spent that an earlier start of this
         entry had claimed, of which ``adopted_used_tokens`` are known as used.
     """
 
     claim_tokens: int = 0
-    allowance_tokens: int = 0
+    accepted_tokens: int = 0
     spent_tokens: int = 0
+    gifted_tokens: int = 0
+    received_tokens: int = 0
     adopted_tokens: int = 0
     adopted_used_tokens: int = 0
     reserved_tokens: int = 0
@@ -104,21 +125,33 @@
     rate_tokens_per_s: float = 0.0
     rated_at_s: float = 0.0
     largest_tokens: float = 0.0
-    seen: bool = False
-
-    @property
-    def left_tokens(self) -> int:
-        return self.allowance_tokens - self.spent_tokens - self.reserved_tokens
 
     @property
     def floor_tokens(self) -> int:
-        return self.spent_tokens + self.reserved_tokens
+        """What our row must cover."""
+        gifts = self.gifted_tokens - self.received_tokens
+        return self.spent_tokens + self.reserved_tokens + gifts
 
     @property
     def used_tokens(self) -> int:
         """What is known to be used, by this start and the ones before."""
         return self.spent_tokens - self.adopted_tokens + self.adopted_used_tokens
 
+    def decay(self, now_s: float) -> None:
+        """Let the rate and the largest request fade."""
+        past_s = max(0.0, now_s - self.rated_at_s)
+        self.rate_tokens_per_s *= math.exp(-past_s / RATE_WINDOW_S)
+        self.largest_tokens *= 0.5 ** (past_s / LARGEST_DECAY_S)
+        self.rated_at_s = now_s
+
+
+@attrs.frozen
+class _Goal:
+    """What an entry should hold of an account beyond its floor."""
+
+    hand_tokens: int
+    claim_tokens: int
+
 
 class PrepaidBook:
     """All rows as this entry folded them, and its own share of each account.
@@ -133,6 +166,8 @@
         self._claimed: dict[AccountId, int] = {}
         self._shares: dict[AccountId, _Share] = {}
         self._in_flight: Mapping[AccountId, Row] | None = None
+        self._row_made_s = float("inf")
+        self._entries = 1
 
     # -- what is declared and what was read --------------------------------
 
@@ -161,18 +196,22 @@
         for entry in self._rows.keys() - entries:
             self.fold(entry, {})
 
-    def adopt(self) -> None:
+    def adopt(self, locked: bool, now_s: float) -> None:
         """Take over the row that an earlier start of this entry left.
 
-        Its whole claim counts as spent: what it delivered after its last
-        row is known to nobody.
+        What it may have spent counts as spent: what it delivered after its
+        last row is known to nobody.
+
+        :param locked: whether it certainly never unlocked its claim.
         """
+        self._row_made_s = now_s
         for account, row in self._rows.get(self.me, {}).items():
+            lost = row.hand_tokens if locked else row.claimed_tokens
             self._shares[account] = _Share(
                 claim_tokens=row.claimed_tokens,
-                allowance_tokens=row.claimed_tokens,
-                spent_tokens=row.claimed_tokens,
-                adopted_tokens=row.claimed_tokens,
+                accepted_tokens=row.claimed_tokens,
+                spent_tokens=lost,
+                adopted_tokens=lost,
                 adopted_used_tokens=row.used_tokens,
             )
 
@@ -185,12 +224,12 @@
     def reserve(
         self, account: AccountId, tokens: int, now_s: float
     ) -> Reservation | None:
-        """Set ``tokens`` aside, or ``None`` if the allowance lacks them."""
+        """Set ``tokens`` aside, or ``None`` if too few may be spent here."""
         share = self._share(account)
-        share.seen = True
         share.largest_tokens = max(share.largest_tokens, float(tokens))
-        if tokens > share.left_tokens:
-            share.wanted_tokens = max(share.wanted_tokens, tokens - share.left_tokens)
+        missing = tokens - self.left_tokens(account, now_s)
+        if missing > 0:
+            share.wanted_tokens = max(share.wanted_tokens, missing)
             return None
         share.reserved_tokens += tokens
         return Reservation(account, tokens)
@@ -199,13 +238,13 @@
         """The request ended having used ``used_tokens``; the rest is free.
 
         A count above what was reserved is cut to it: the reservation is the
-        request's largest cost, and the allowance covers no more.
+        request's largest cost, and no more is covered.
         """
         share = self._share(held.account)
         used = min(used_tokens, held.tokens)
         share.reserved_tokens -= held.tokens
         share.spent_tokens += used
-        self._rate(share, now_s)
+        share.decay(now_s)
         share.rate_tokens_per_s += used / RATE_WINDOW_S
 
     def unreserve(self, held: Reservation) -> None:
@@ -218,16 +257,37 @@
         Only what entries know to be spent counts, a lower bound, so that a
         final refusal is never given for tokens that merely lie elsewhere.
         """
-        share = self._share(account)
-        used = share.used_tokens + share.reserved_tokens
-        for entry, row in self._rows.items():
-            if entry != self.me and account in row:
-                used += row[account].used_tokens
-        return used + tokens > self._totals.get(account, 0)
+        return self._known_used(account) + tokens > self._totals.get(account, 0)
 
-    def left_tokens(self, account: AccountId) -> int:
-        """What may still be reserved of ``account`` here."""
-        return self._share(account).left_tokens
+    def left_tokens(self, account: AccountId, now_s: float) -> int:
+        """What may be reserved of ``account`` here at ``now_s``."""
+        share = self._share(account)
+        limit = share.accepted_tokens
+        if now_s - self._row_made_s < UNLOCK_S:
+            limit = min(limit, self._hand_limit(account))
+        return limit - share.floor_tokens
+
+    # -- gifts between entries ---------------------------------------------
+
+    def give(self, account: AccountId, tokens: int, now_s: float) -> int:
+        """Give up to ``tokens`` to another entry; how many it gets."""
+        left = self.left_tokens(account, now_s)
+        given = max(0, min(tokens, int(left * GIFT_SHARE)))
+        self._share(account).gifted_tokens += given
+        return given
+
+    def receive(self, account: AccountId, tokens: int) -> None:
+        """Take a gift of ``tokens``."""
+        self._share(account).received_tokens += tokens
+
+    def richest(self, account: AccountId, count: int) -> list[EntryId]:
+        """The entries that probably hold most of ``account``, best first."""
+        left = {
+            entry: row[account].claimed_tokens - row[account].used_tokens
+            for entry, row in self._rows.items()
+            if entry != self.me and account in row
+        }
+        return sorted(left, key=lambda e: left[e], reverse=True)[:count]
 
     # -- planning ----------------------------------------------------------
 
@@ -235,25 +295,34 @@
         """Decide what to claim of each account next.
 
         :param entries: entries alive, this one included.
-        :returns: whether the row should be written soon.
+        :returns: whether requests wait for the next row.
         """
+        self._entries = max(1, entries)
         urgent = False
         for account in self._totals:
-            urgent |= self._plan_account(account, max(1, entries), now_s)
+            urgent |= self._plan_account(account, now_s)
         return urgent
 
-    def next_row(self) -> dict[AccountId, Row]:
-        """The row to write now, with allowances lowered to its claims.
+    def next_row(self, now_s: float) -> dict[AccountId, Row]:
+        """The row to write now, with what may be spent lowered to it.
 
         :meth:`row_folded` must follow before the next call.
         """
         row = {}
         for account, share in self._shares.items():
-            share.allowance_tokens = min(share.allowance_tokens, share.claim_tokens)
+            floor = share.floor_tokens
+            share.claim_tokens = max(share.claim_tokens, floor)
+            share.accepted_tokens = min(share.accepted_tokens, share.claim_tokens)
+            hand = floor + self._goal(account, now_s).hand_tokens + share.wanted_tokens
             row[account] = Row(
-                share.claim_tokens, share.used_tokens, share.wanted_tokens
+                share.claim_tokens,
+                min(hand, share.claim_tokens),
+                share.used_tokens,
+                max(0, share.wanted_tokens - (share.claim_tokens - floor)),
             )
+            share.wanted_tokens = 0
         self._in_flight = row
+        self._row_made_s = now_s
         return row
 
     def row_folded(self) -> None:
@@ -263,97 +332,99 @@
             self._accept(account)
 
     def return_unspent(self) -> None:
-        """Lower every claim to what is spent or reserved: this entry leaves."""
+        """Claim no more than is spent or reserved: this entry leaves."""
         for share in self._shares.values():
             share.claim_tokens = share.floor_tokens
             share.wanted_tokens = 0
 
-    def _plan_account(self, account: AccountId, entries: int, now_s: float) -> bool:
+    def summary(self, now_s: float) -> dict[AccountId, tuple[int, int, int, int]]:
+        """Of each account: total, claimed by all, used by all as far as
+        known, and left here; in tokens."""
+        return {
+            account: (
+                total,
+                self._claimed.get(account, 0),
+                self._known_used(account),
+                self.left_tokens(account, now_s),
+            )
+            for account, total in self._totals.items()
+        }
+
+    def _plan_account(self, account: AccountId, now_s: float) -> bool:
         share = self._share(account)
-        self._rate(share, now_s)
-        published = self._rows.get(self.me, {}).get(account, Row())
-        free = self._free(account) + published.claimed_tokens
-        if self._free(account) < 0 and share.claim_tokens > share.allowance_tokens:
+        share.decay(now_s)
+        floor = share.floor_tokens
+        room = self._free(account) + self._published(account).claimed_tokens
+        if self._free(account) < 0 and share.claim_tokens > share.accepted_tokens:
             # Our claim did not fit: withdraw it, or it blocks all others'.
-            fitting = min(share.claim_tokens, free)
-            share.claim_tokens = max(share.allowance_tokens, fitting)
+            share.claim_tokens = max(share.accepted_tokens, floor)
             return True
-        goal = self._goal_tokens(account, share, entries)
-        missing = share.wanted_tokens
-        share.wanted_tokens = 0
-        in_hand = share.claim_tokens - share.floor_tokens
-        room = max(0, free - share.claim_tokens)
-        if missing or in_hand < goal * REFILL_BELOW:
-            even = room if missing > room // 2 else max(missing, room // 2)
-            more = min(room, even, max(missing, goal - in_hand))
-            share.claim_tokens += max(0, more)
-            short = missing - max(0, more)
-            if short > 0:
-                share.wanted_tokens = short
-            return more > 0 or short > 0
-        return self._give_back(account, share, goal, in_hand)
-
-    def _goal_tokens(self, account: AccountId, share: _Share, entries: int) -> int:
-        total = self._usable(account)
-        unspent = max(0, total - self._claimed_by_others(account) - share.floor_tokens)
-        cover = share.rate_tokens_per_s * COVER_S + 2 * share.largest_tokens
+        goal = self._goal(account, now_s).claim_tokens
+        need = floor + max(goal, share.wanted_tokens)
+        if share.claim_tokens < need:
+            share.claim_tokens = max(share.claim_tokens, min(need, room))
+        elif share.claim_tokens - floor > RELEASE_ABOVE * (need - floor):
+            share.claim_tokens = need
+        elif self._wanted_elsewhere(account):
+            share.claim_tokens -= (share.claim_tokens - need) // 2
+        return share.wanted_tokens > 0
+
+    def _goal(self, account: AccountId, now_s: float) -> _Goal:
+        share = self._share(account)
+        usable = self._usable(account)
+        fair = max(0, usable - self._known_used(account)) / self._entries
+        rate = share.rate_tokens_per_s
+        hand, cover = rate * HAND_S, rate * COVER_S + share.largest_tokens
         spent_here = share.spent_tokens - share.adopted_tokens
-        if spent_here < total * KNOWN_SHARE / entries:
-            cover = max(cover, unspent * FIRST_SHARE / entries)
-        return int(min(cover, unspent * MAX_SHARE))
-
-    def _give_back(
-        self, account: AccountId, share: _Share, goal: int, in_hand: int
-    ) -> bool:
-        wanted = sum(
-            row[account].wanted_tokens
+        if spent_here < usable * KNOWN_SHARE / self._entries:
+            hand = max(hand, fair * FIRST_HAND_SHARE)
+            cover = max(cover, fair * FIRST_SHARE)
+        claim = min(cover, fair * FAIR_SHARE)
+        return _Goal(int(min(hand, claim)), int(claim))
+
+    def _wanted_elsewhere(self, account: AccountId) -> bool:
+        return self._free(account) <= 0 and any(
+            row[account].wanted_tokens > 0
             for entry, row in self._rows.items()
             if entry != self.me and account in row
         )
-        if wanted <= 0 or self._free(account) >= wanted:
-            return False
-        spare = in_hand - min(goal, math.ceil(in_hand / 2))
-        if spare <= 0:
-            return False
-        share.claim_tokens -= min(spare, wanted)
-        return True
 
     # -- internals ---------------------------------------------------------
 
     def _share(self, account: AccountId) -> _Share:
         return self._shares.setdefault(account, _Share())
 
+    def _published(self, account: AccountId) -> Row:
+        return self._rows.get(self.me, {}).get(account, Row())
+
+    def _hand_limit(self, account: AccountId) -> int:
+        limit = self._published(account).hand_tokens
+        if self._in_flight is not None and account in self._in_flight:
+            limit = min(limit, self._in_flight[account].hand_tokens)
+        return limit
+
+    def _known_used(self, account: AccountId) -> int:
+        share = self._share(account)
+        used = share.used_tokens + share.reserved_tokens
+        for entry, row in self._rows.items():
+            if entry != self.me and account in row:
+                used += row[account].used_tokens
+        return used
+
     def _usable(self, account: AccountId) -> int:
         return int(self._totals.get(account, 0) * (1 - RESERVE_SHARE))
 
     def _free(self, account: AccountId) -> int:
         return self._usable(account) - self._claimed.get(account, 0)
 
-    def _claimed_by_others(self, account: AccountId) -> int:
-        mine = self._rows.get(self.me, {}).get(account, Row()).claimed_tokens
-        return self._claimed.get(account, 0) - mine
-
     def _accept(self, account: AccountId) -> None:
-        # The one place where an allowance rises.
-        mine = self._rows.get(self.me, {}).get(account)
-        if mine is None or self._free(account) < 0:
+        # The one place where what may be spent rises.
+        if self._free(account) < 0:
             return
         share = self._share(account)
-        safe = min(mine.claimed_tokens, share.claim_tokens)
+        safe = min(self._published(account).claimed_tokens, share.claim_tokens)
         if self._in_flight is not None and account in self._in_flight:
             # A lower row on its way to the log would otherwise land under an
             # allowance raised to the row before it.
             safe = min(safe, self._in_flight[account].claimed_tokens)
-        share.allowance_tokens = max(share.allowance_tokens, safe)
-
-    @staticmethod
-    def _rate(share: _Share, now_s: float) -> None:
-        past_s = max(0.0, now_s - share.rated_at_s)
-        share.rate_tokens_per_s *= math.exp(-past_s / RATE_WINDOW_S)
-        share.largest_tokens *= 0.5 ** (past_s / LARGEST_DECAY_S)
-        share.rated_at_s = now_s
-
-
-def total_claimed(rows: Iterable[Mapping[AccountId, Row]], account: AccountId) -> int:
-    """What ``rows`` together claim of ``account``."""
-    return sum(row[account].claimed_tokens for row in rows if account in row)
+        share.accepted_tokens = max(share.accepted_tokens, safe)
