Claims follow each entry's part of the spend; half of what is left at most

Change: rows carry rates; a claim is the entry's part of at most half of what is left; first shares shrink as use shows who spends; a leaving entry claims nothing; lost tokens are not divided again. Still refused: after power loss, where all claims are lost.

--- a/src/celerytrack/platform/rows.py
+++ b/src/celerytrack/platform/rows.py
@@ -19,6 +19,8 @@
             row.hand_tokens,
             row.used_tokens,
             row.wanted_tokens,
+            row.lost_tokens,
+            row.rate_tokens_per_s,
         )
         for account, row in member.shares.items()
     }
--- a/src/celerytrack/prepaid.py
+++ b/src/celerytrack/prepaid.py
@@ -59,12 +59,20 @@
 FIRST_HAND_SHARE = 0.12
 """Part of what is left that all entries together hold in hand until rates are
 known: four seconds of a day in which the total lasts."""
-KNOWN_SHARE = 0.05
-"""An entry that spent less than this part of its even share of a total does
-not know the account's rate yet, and holds the first shares."""
-FAIR_SHARE = 0.9
-"""Most of its even part of what is left that an entry claims: the others'
-claims and sudden large requests must find something free."""
+KNOWN_SHARE = 0.3
+"""The first shares shrink evenly until this part of a total is used: by then
+entries know who spends it and how fast."""
+IDLE_SHARE = 0.15
+"""Part of the first shares that an entry keeps once others spend the account
+and it does not: callers keep connections, so an account's traffic may come
+through one entry, which would find the rest held by idle ones."""
+POOL_SHARE = 0.5
+"""Most of what is left that entries claim together, each by its part of the
+spend. A loss of power everywhere loses what all hold; half of what was left is
+there afterwards."""
+LARGEST_SHARES = 1.5
+"""Largest recent requests that all entries together claim beyond the cover;
+gifts bring the parts to where the request is."""
 RESERVE_SHARE = 0.005
 """Share of a total that is never claimed: the tokens that an endpoint's count
 and ours may differ by in streams that broke off."""
@@ -84,12 +92,16 @@
     :ivar hand_tokens: what it may have spent while it writes rows.
     :ivar used_tokens: what it knows was spent; a lower bound for others.
     :ivar wanted_tokens: what it lacks for requests it has at hand.
+    :ivar lost_tokens: what its earlier starts claimed and may not have used.
+    :ivar rate_tokens_per_s: how fast it spends the account.
     """
 
     claimed_tokens: int = 0
     hand_tokens: int = 0
     used_tokens: int = 0
     wanted_tokens: int = 0
+    lost_tokens: int = 0
+    rate_tokens_per_s: int = 0
 
 
 @attrs.frozen
@@ -122,8 +134,9 @@
     adopted_used_tokens: int = 0
     reserved_tokens: int = 0
     wanted_tokens: int = 0
-    rate_tokens_per_s: float = 0.0
+    spend_tokens_per_s: float = 0.0
     rated_at_s: float = 0.0
+    rated_since_s: float | None = None
     largest_tokens: float = 0.0
 
     @property
@@ -137,10 +150,31 @@
         """What is known to be used, by this start and the ones before."""
         return self.spent_tokens - self.adopted_tokens + self.adopted_used_tokens
 
+    @property
+    def lost_tokens(self) -> int:
+        """What earlier starts claimed and may not have used."""
+        return self.adopted_tokens - self.adopted_used_tokens
+
+    def rate_tokens_per_s(self, now_s: float) -> float:
+        """The rate of recent spend, as if it had always been so: an average
+        that began at nothing is low for its first seconds."""
+        if self.rated_since_s is None:
+            return 0.0
+        past_s = max(1.0, now_s - self.rated_since_s)
+        return self.spend_tokens_per_s / -math.expm1(-past_s / RATE_WINDOW_S)
+
+    def spend(self, tokens: int, now_s: float) -> None:
+        """Count what a request used."""
+        self.spent_tokens += tokens
+        if self.rated_since_s is None:
+            self.rated_since_s = now_s
+        self.decay(now_s)
+        self.spend_tokens_per_s += tokens / RATE_WINDOW_S
+
     def decay(self, now_s: float) -> None:
         """Let the rate and the largest request fade."""
         past_s = max(0.0, now_s - self.rated_at_s)
-        self.rate_tokens_per_s *= math.exp(-past_s / RATE_WINDOW_S)
+        self.spend_tokens_per_s *= math.exp(-past_s / RATE_WINDOW_S)
         self.largest_tokens *= 0.5 ** (past_s / LARGEST_DECAY_S)
         self.rated_at_s = now_s
 
@@ -168,6 +202,7 @@
         self._in_flight: Mapping[AccountId, Row] | None = None
         self._row_made_s = float("inf")
         self._entries = 1
+        self._leaving = False
 
     # -- what is declared and what was read --------------------------------
 
@@ -243,9 +278,7 @@
         share = self._share(held.account)
         used = min(used_tokens, held.tokens)
         share.reserved_tokens -= held.tokens
-        share.spent_tokens += used
-        share.decay(now_s)
-        share.rate_tokens_per_s += used / RATE_WINDOW_S
+        share.spend(used, now_s)
 
     def unreserve(self, held: Reservation) -> None:
         """The request did not run: all of it is free again."""
@@ -319,6 +352,8 @@
                 min(hand, share.claim_tokens),
                 share.used_tokens,
                 max(0, share.wanted_tokens - (share.claim_tokens - floor)),
+                share.lost_tokens,
+                int(share.rate_tokens_per_s(now_s)),
             )
             share.wanted_tokens = 0
         self._in_flight = row
@@ -333,6 +368,7 @@
 
     def return_unspent(self) -> None:
         """Claim no more than is spent or reserved: this entry leaves."""
+        self._leaving = True
         for share in self._shares.values():
             share.claim_tokens = share.floor_tokens
             share.wanted_tokens = 0
@@ -370,18 +406,31 @@
         return share.wanted_tokens > 0
 
     def _goal(self, account: AccountId, now_s: float) -> _Goal:
+        if self._leaving:
+            return _Goal(0, 0)
         share = self._share(account)
         usable = self._usable(account)
-        fair = max(0, usable - self._known_used(account)) / self._entries
-        rate = share.rate_tokens_per_s
-        hand, cover = rate * HAND_S, rate * COVER_S + share.largest_tokens
-        spent_here = share.spent_tokens - share.adopted_tokens
-        if spent_here < usable * KNOWN_SHARE / self._entries:
-            hand = max(hand, fair * FIRST_HAND_SHARE)
-            cover = max(cover, fair * FIRST_SHARE)
-        claim = min(cover, fair * FAIR_SHARE)
+        used = self._known_used(account)
+        unspent = max(0, usable - used - self._lost(account))
+        rate = share.rate_tokens_per_s(now_s)
+        most = unspent * POOL_SHARE * self._part(account, rate)
+        largest = share.largest_tokens * LARGEST_SHARES / self._entries
+        hand, cover = rate * HAND_S, rate * COVER_S + largest
+        first = max(IDLE_SHARE, 1.0 - used / max(1.0, usable * KNOWN_SHARE))
+        even = unspent * first / self._entries
+        hand = max(min(hand, most), even * FIRST_HAND_SHARE)
+        claim = max(min(cover, most), even * FIRST_SHARE)
         return _Goal(int(min(hand, claim)), int(claim))
 
+    def _part(self, account: AccountId, rate: float) -> float:
+        """This entry's part of the account's spend, as far as known."""
+        rates = rate + sum(
+            row[account].rate_tokens_per_s
+            for entry, row in self._rows.items()
+            if entry != self.me and account in row
+        )
+        return rate / rates if rates > 0 else 1.0 / self._entries
+
     def _wanted_elsewhere(self, account: AccountId) -> bool:
         return self._free(account) <= 0 and any(
             row[account].wanted_tokens > 0
@@ -411,6 +460,13 @@
                 used += row[account].used_tokens
         return used
 
+    def _lost(self, account: AccountId) -> int:
+        lost = self._share(account).lost_tokens
+        for entry, row in self._rows.items():
+            if entry != self.me and account in row:
+                lost += row[account].lost_tokens
+        return lost
+
     def _usable(self, account: AccountId) -> int:
         return int(self._totals.get(account, 0) * (1 - RESERVE_SHARE))
 
