--- a/src/celerytrack/gateway/pipeline.py
+++ b/src/celerytrack/gateway/pipeline.py
@@ -28,6 +28,12 @@
 way to callers takes 3 ms, and timers fire late on a busy instance."""
 SOON_S = 0.1
 """When to come back after a refusal that another entry may well not give."""
+CUT_LASTS_S = 3.0
+"""When to come back while this entry is cut off from the log and the others
+have no tokens to give: cuts last seconds, and a caller has one more try."""
+TOKENS_RETURN_S = 5.0
+"""When to come back if neither the total nor the other entries have the tokens:
+they return as requests end below their largest cost, or by a top-up."""
 SHORTLY_S = 0.5
 """When to come back while a service has no endpoint: registrations are back
 within two seconds of an outage's end."""
@@ -172,7 +178,8 @@
     detail = (
         f"{tokens} tokens, {book.left_tokens(account, time.monotonic())} in hand here"
     )
-    raise RefusedError(did_not_run(Reason.TOKENS_ELSEWHERE, SOON_S, detail))
+    after_s = TOKENS_RETURN_S if gateway.keeper.reachable else CUT_LASTS_S
+    raise RefusedError(did_not_run(Reason.TOKENS_ELSEWHERE, after_s, detail))
 
 
 def _settle(gateway: Gateway, exchange: Exchange, held: Reservation | None) -> None:
--- a/src/celerytrack/gateway/share_keeper.py
+++ b/src/celerytrack/gateway/share_keeper.py
@@ -23,6 +23,7 @@
     MemberView,
     beat_interval_s,
     died_within,
+    lost_power_within,
 )
 from celerytrack.platform.rows import RowError, decode_member, encode_member
 from celerytrack.platform.store import (
@@ -46,6 +47,9 @@
 FIRST_WAIT_S = 0.06
 """How long a request waits for a row before other entries are asked: an
 append and a read back, with room for a slow answer."""
+RECONSIDER_S = 8.0
+"""How long after its start an entry looks for others that lost power with it:
+they start within a second of each other, and write a row a second later."""
 MOST_ASKED = 4
 """Entries asked for tokens, one after the other; each answers within a ms."""
 
@@ -85,6 +89,7 @@
         self._started_s = started_s
         self._zone = zone
         self._sequence = 0
+        self._before: dict[EntryId, Member] = {}
         self._tail = KeyedTail(store, ENTRIES_TOPIC, self._apply, self._reload)
         self._wake = asyncio.Event()
         self._changed = asyncio.Event()
@@ -190,6 +195,8 @@
             last, UNLOCK_S, self._started_s, _clock_offset_s()
         )
         self.book.adopt(locked, now_s)
+        if last is not None and not locked:
+            self._before = self.members.members()
         self.started = True
         log_event(
             _log,
@@ -212,6 +219,7 @@
             state=self.state,
             made_s=now_s,
             clock_offset_s=_clock_offset_s(),
+            started_s=self._started_s,
             shares=self.book.next_row(now_s),
         )
         offset = await self._append(encode_member(member))
@@ -226,8 +234,22 @@
                 pause_s = min(2 * pause_s, RETRY_MAX_S)
         self.members.read_ok(time.monotonic())
         self.book.row_folded()
+        if self._before:
+            self._reconsider()
         self._notify()
 
+    def _reconsider(self) -> None:
+        """See whether all lost power together, so that the rest of the claim
+        that was adopted as spent is free."""
+        left = self._before[self._entry_id]
+        after = self.members.members()
+        if lost_power_within(self._entry_id, UNLOCK_S, self._before, after):
+            self.book.never_unlocked(left.shares)
+            log_event(_log, Event.SHARES_FREED, witnesses=len(after) - 1)
+        elif time.monotonic() - self._started_s < RECONSIDER_S:
+            return
+        self._before = {}
+
     async def _append(self, value: bytes) -> int:
         pause_s = RETRY_S
         while True:
@@ -273,6 +295,7 @@
         try:
             self._fold(decode_member(record.key, record.value))
         except RowError as exc:
+            self.book.unreadable(EntryId(record.key))
             log_event(_log, Event.ROW_REJECTED, logging.ERROR, detail=str(exc))
 
     def _fold(self, member: Member) -> None:
--- a/src/celerytrack/members.py
+++ b/src/celerytrack/members.py
@@ -8,6 +8,7 @@
 
 import enum
 import random
+import statistics
 from collections.abc import Mapping
 
 import attrs
@@ -48,6 +49,7 @@
     :ivar made_s: when the row was made, on the instance's steady clock.
     :ivar clock_offset_s: its time of day less its steady clock at that moment;
         it changes when the instance starts anew or its clock is set.
+    :ivar started_s: when this start of the entry began, on the same clock.
     :ivar shares: its claims on prepaid totals.
     """
 
@@ -59,8 +61,19 @@
     state: MemberState
     made_s: float = 0.0
     clock_offset_s: float = 0.0
+    started_s: float = 0.0
     shares: Mapping[AccountId, Row] = attrs.field(factory=dict)
 
+    @property
+    def made_at_s(self) -> float:
+        """When the row was made, by the instance's time of day."""
+        return self.made_s + self.clock_offset_s
+
+    @property
+    def started_at_s(self) -> float:
+        """When this start began, by the instance's time of day."""
+        return self.started_s + self.clock_offset_s
+
 
 def beat_interval_s(entries: int) -> float:
     """Time between two rows of one entry in a fleet of ``entries``."""
@@ -84,6 +97,54 @@
     return same_boot and 0 <= started_s - last.made_s < limit_s
 
 
+AGREE_S = 1.0
+"""Clocks that agree with most others within this were not set: a clock that is
+set jumps by seconds, and rows are written a second apart."""
+FEWEST_WITNESSES = 2
+
+
+def lost_power_within(
+    me: EntryId,
+    limit_s: float,
+    before: Mapping[EntryId, Member],
+    after: Mapping[EntryId, Member],
+) -> bool:
+    """Whether this entry and most others lost power together, and this one
+    certainly within ``limit_s`` of its last row.
+
+    A loss of power starts the steady clock anew, and a time of day alone may
+    have been set meanwhile. But when most entries went down and came back
+    together, each one's time of day can be held against the others' both
+    before and after: fewer than half of all clocks are set at one time.
+
+    :param before: the rows that the earlier starts left.
+    :param after: the rows of the present starts.
+    """
+    if me not in before or me not in after:
+        return False
+    others = [
+        entry
+        for entry, row in before.items()
+        if entry != me and entry in after and after[entry].epoch > row.epoch
+    ]
+    if len(others) < max(FEWEST_WITNESSES, len(before) // 2):
+        return False
+    mine = before[me]
+    passed_s = after[me].started_at_s - mine.made_at_s
+    gaps = (
+        statistics.median(before[e].made_at_s - mine.made_at_s for e in others),
+        statistics.median(
+            after[e].started_at_s - after[me].started_at_s for e in others
+        ),
+    )
+    passed_most_s = statistics.median(
+        after[e].started_at_s - before[e].made_at_s for e in others
+    )
+    agree = all(abs(gap_s) < AGREE_S for gap_s in gaps)
+    longest_s = max(passed_s, passed_most_s) + CLOCK_SLACK_S
+    return agree and 0 <= passed_s and longest_s < limit_s
+
+
 @attrs.define
 class _Seen:
     member: Member
@@ -111,6 +172,10 @@
         seen = self._seen.get(entry)
         return seen.member if seen else None
 
+    def members(self) -> dict[EntryId, Member]:
+        """The newest row of each entry."""
+        return {entry: seen.member for entry, seen in self._seen.items()}
+
     def dropped(self, entry: EntryId) -> None:
         """The row of ``entry`` was removed."""
         self._seen.pop(entry, None)
--- a/src/celerytrack/platform/rows.py
+++ b/src/celerytrack/platform/rows.py
@@ -34,6 +34,7 @@
                 member.state.value,
                 member.made_s,
                 member.clock_offset_s,
+                member.started_s,
                 shares,
             )
         )
@@ -46,7 +47,8 @@
     :raises RowError: naming what is wrong.
     """
     try:
-        epoch, front, peer, zone, state, made_s, offset_s, shares = msgpack.unpackb(raw)
+        epoch, front, peer, zone, state, *times, shares = msgpack.unpackb(raw)
+        made_s, offset_s, started_s = times
         return Member(
             entry_id=EntryId(entry_id),
             epoch=int(epoch),
@@ -56,6 +58,7 @@
             state=MemberState(state),
             made_s=float(made_s),
             clock_offset_s=float(offset_s),
+            started_s=float(started_s),
             shares={AccountId(a): Row(*tokens) for a, tokens in shares.items()},
         )
     except (ValueError, TypeError, msgpack.UnpackException) as exc:
--- a/src/celerytrack/prepaid.py
+++ b/src/celerytrack/prepaid.py
@@ -41,10 +41,10 @@
 
 from celerytrack.ids import AccountId, EntryId
 
-UNLOCK_S = 3.0
+UNLOCK_S = 4.0
 """Time without a row after which the whole claim may be spent. A killed
 process is back after about 2 s; its last row is up to a second older."""
-HAND_S = 4.0
+HAND_S = 4.5
 """Seconds of its own recent spend in hand: until the rest is unlocked, and
 the time between two rows."""
 COVER_S = 11.0
@@ -203,6 +203,7 @@
         self._row_made_s = float("inf")
         self._entries = 1
         self._leaving = False
+        self._unreadable: set[EntryId] = set()
 
     # -- what is declared and what was read --------------------------------
 
@@ -218,6 +219,7 @@
 
     def fold(self, entry: EntryId, row: Mapping[AccountId, Row]) -> None:
         """Take the newest row of ``entry``; ``{}`` if it was dropped."""
+        self._unreadable.discard(entry)
         old = self._rows.get(entry, {})
         self._rows[entry] = row
         for account in old.keys() | row.keys():
@@ -226,6 +228,15 @@
             self._claimed[account] = self._claimed.get(account, 0) + after - before
             self._accept(account)
 
+    def unreadable(self, entry: EntryId) -> None:
+        """The newest row of ``entry`` cannot be read.
+
+        Whatever it claims is unknown, so nothing more is taken until it can
+        be: ignoring it would hand out its tokens a second time, as when
+        entries of two releases run side by side.
+        """
+        self._unreadable.add(entry)
+
     def keep_only(self, entries: set[EntryId]) -> None:
         """Drop the rows of all but ``entries``: theirs are the only ones left."""
         for entry in self._rows.keys() - entries:
@@ -250,6 +261,20 @@
                 adopted_used_tokens=row.used_tokens,
             )
 
+    def never_unlocked(self, left: Mapping[AccountId, Row]) -> None:
+        """Free what :meth:`adopt` counted as spent beyond the hand.
+
+        Called at most once, when it turned out that the earlier start
+        certainly never unlocked its claim.
+
+        :param left: the row it left.
+        """
+        for account, row in left.items():
+            share = self._share(account)
+            beyond = min(row.claimed_tokens - row.hand_tokens, share.adopted_tokens)
+            share.spent_tokens -= beyond
+            share.adopted_tokens -= beyond
+
     # -- requests ----------------------------------------------------------
 
     def limited(self, account: AccountId) -> bool:
@@ -475,7 +500,7 @@
 
     def _accept(self, account: AccountId) -> None:
         # The one place where what may be spent rises.
-        if self._free(account) < 0:
+        if self._unreadable or self._free(account) < 0:
             return
         share = self._share(account)
         safe = min(self._published(account).claimed_tokens, share.claim_tokens)
--- /dev/null
+++ b/tests/test_endpoints.py
@@ -0,0 +1,212 @@
+"""Tables for the choice of an endpoint, and for routes and streams."""
+
+import random
+import unittest
+
+from nose2.tools import params
+
+from celerytrack.endpoints import (
+    EJECT_S,
+    GONE_GRACE_S,
+    EndpointBook,
+    Need,
+    Registration,
+)
+from celerytrack.ids import AccountId, EndpointId, ServiceName, Zone
+from celerytrack.routes import (
+    ClientAccount,
+    Repeat,
+    Route,
+    RoutingTable,
+    pick_service,
+)
+from celerytrack.streams import EventCutter
+
+S = ServiceName("s")
+HERE, THERE = Zone("z1"), Zone("z2")
+
+
+def _reg(name, zone=HERE, slots=8, draining=False, service=S):
+    address = f"10.0.0.1:{len(name)}"
+    return Registration(EndpointId(name), service, address, zone, slots, draining)
+
+
+def _book(*registrations):
+    book = EndpointBook(HERE, random.Random(1))
+    for registration in registrations:
+        book.register(registration, 0.0)
+    return book
+
+
+def _choose(book, need=None, now_s=1.0, avoid=()):
+    got = book.choose(need or Need(S), 1, 100, list(avoid), now_s)
+    return got[0].endpoint_id if got else None
+
+
+PROMPT = Need(S, (("m/p", 500), ("m/p/q", 5_000), ("m/p/q/r", 600)))
+
+
+class ChoiceTest(unittest.TestCase):
+    def test_a_draining_endpoint_gets_nothing(self):
+        book = _book(_reg("a", draining=True), _reg("b", THERE))
+        self.assertEqual(_choose(book), "b")
+
+    def test_none_of_another_service(self):
+        book = _book(_reg("a", service=ServiceName("other")))
+        self.assertIsNone(_choose(book))
+
+    def test_own_failure_domain_first(self):
+        book = _book(_reg("a", THERE), _reg("b", HERE))
+        self.assertEqual(_choose(book), "b")
+
+    def test_all_entries_agree_on_the_home_of_a_session(self):
+        names = [f"r{i}" for i in range(6)]
+        homes = set()
+        for seed in range(5):
+            book = EndpointBook(HERE, random.Random(seed))
+            for name in random.Random(seed).sample(names, 6):
+                book.register(_reg(name), 0.0)
+            homes.add(_choose(book, PROMPT))
+        self.assertEqual(len(homes), 1)
+
+    def test_a_busy_home_is_left(self):
+        book = _book(*(_reg(f"r{i}") for i in range(4)))
+        home = book.choose(PROMPT, 1, 100, [], 1.0)[0]
+        for i in range(8):
+            need = Need(S, ((f"m/x{i}", 9_000), (f"m/x{i}/y", 9_000)))
+            book.send(home, need, 0.1, 1.0)
+        self.assertNotEqual(_choose(book, PROMPT), home.endpoint_id)
+
+    def test_a_kept_prompt_is_not_read_again(self):
+        book = _book(_reg("a"), _reg("b"))
+        first = book.choose(PROMPT, 1, 100, [], 1.0)[0]
+        sent = book.send(first, PROMPT, 0.1, 1.0)
+        sent.answered(1.1)
+        sent.end(1.2, False)
+        self.assertEqual(first.unread(PROMPT, False, 2.0), 0)
+
+    def test_tried_endpoints_are_avoided(self):
+        book = _book(_reg("a"), _reg("b"))
+        self.assertEqual(_choose(book, avoid=["a"]), "b")
+
+
+class TrustTest(unittest.TestCase):
+    def test_a_dark_endpoint_rests_and_comes_back(self):
+        book = _book(_reg("a"), _reg("b", THERE))
+        endpoint = book.choose(Need(S), 1, 100, [], 1.0)[0]
+        book.failed(endpoint, True, 1.0)
+        self.assertEqual(_choose(book, now_s=1.0 + EJECT_S / 2), "b")
+        other = book.choose(Need(S), 1, 100, ["a"], 1.0)[0]
+        for _ in range(4):
+            book.send(other, Need(S), 0.1, 1.0)
+        self.assertEqual(_choose(book, now_s=1.0 + EJECT_S / 2), "b")
+        self.assertEqual(_choose(book, now_s=1.0 + 2 * EJECT_S), "a")
+
+    def test_one_that_answers_failures_well_looking_is_avoided(self):
+        book = _book(_reg("a"), _reg("b", THERE))
+        grey = book.choose(Need(S), 1, 100, [], 1.0)[0]
+        for _ in range(10):
+            book.failed(grey, False, 1.0)
+        self.assertEqual(_choose(book, now_s=1.1), "b")
+
+    def test_a_service_that_fails_evenly_loses_no_endpoint(self):
+        """Symptom: a healthy service whose answers are failures by nature
+        (a seat that is taken) lost its endpoints one after the other.
+
+        Cause: failures were counted without those of its neighbours.
+        """
+        book = _book(_reg("a"), _reg("b"))
+        both = [book.choose(Need(S), 1, 100, avoid, 1.0)[0] for avoid in ([], ["a"])]
+        both.append(book.choose(Need(S), 1, 100, ["b"], 1.0)[0])
+        for _ in range(4):
+            for endpoint in set(map(id, both)):
+                target = next(e for e in both if id(e) == endpoint)
+                book.failed(target, False, 1.0)
+        self.assertIsNotNone(_choose(book, now_s=1.1))
+
+
+class LapsedRegistrationTest(unittest.TestCase):
+    """Symptom: no endpoint for two seconds after each outage of the store.
+
+    Sequence: registrations lapse while the store is away; on its return all
+    are dropped, and written again up to two seconds later.
+    Cause: a dropped registration counted as an endpoint that left.
+    """
+
+    def test_it_serves_on_for_a_while_if_it_is_the_only_one(self):
+        book = _book(_reg("a"))
+        book.dropped(EndpointId("a"), 1.0)
+        self.assertEqual(_choose(book, now_s=1.0 + GONE_GRACE_S / 2), "a")
+        self.assertIsNone(_choose(book, now_s=1.1 + GONE_GRACE_S))
+
+    def test_but_not_if_another_stands(self):
+        book = _book(_reg("a"), _reg("b", THERE))
+        book.dropped(EndpointId("a"), 1.0)
+        self.assertEqual(_choose(book, now_s=1.1), "b")
+
+
+def _route(prefix, host="h", services=((S, 1.0),)):
+    return Route(
+        prefix, host, prefix, services, Repeat.IDEMPOTENT, False, False, 1.0, 1.0
+    )
+
+
+class RouteTest(unittest.TestCase):
+    table = RoutingTable(
+        3,
+        (_route("/a/"), _route("/a/b/"), _route("/", "other")),
+        {},
+        (ClientAccount(AccountId("t"), frozenset({"k1", "k2"}), 5),),
+        True,
+    )
+
+    @params(
+        ("h", "/a/b/c", "/a/b/"),
+        ("h", "/a/bc", "/a/"),
+        ("h", "/a", None),
+        ("h", "/", None),
+        ("other", "/x", "/"),
+        ("nobody", "/a/", None),
+    )
+    def test_longest_prefix_of_the_host(self, host, path, expected):
+        route = self.table.match(host, path)
+        self.assertEqual(route.prefix if route else None, expected)
+
+    @params(("k1", "t"), ("k2", "t"), ("k3", None))
+    def test_keys(self, key, expected):
+        account = self.table.account_by_key(key)
+        self.assertEqual(account.account_id if account else None, expected)
+
+    @params((0.0, "s"), (0.89, "s"), (0.91, "t"), (0.999, "t"))
+    def test_split(self, point, expected):
+        services = ((S, 90.0), (ServiceName("t"), 10.0))
+        self.assertEqual(pick_service(_route("/", services=services), point), expected)
+
+
+class EventCutterTest(unittest.TestCase):
+    @params(
+        # chunks, whole events passed on, last id, half an event left
+        ([b"id: 1\ndata: a\n\n"], b"id: 1\ndata: a\n\n", "1", False),
+        ([b"id: 1\nda", b"ta: a\n\nid: 2"], b"id: 1\ndata: a\n\n", "1", True),
+        ([b"id:7\ndata: a\n", b"\nid:8\ndata: b\n\n"], None, "8", False),
+        ([b"data: no id\n\n"], b"data: no id\n\n", None, False),
+    )
+    def test_cut(self, chunks, passed, last_id, partial):
+        cutter = EventCutter()
+        whole = [cutter.feed(chunk) for chunk in chunks]
+        got = b"".join(events.data for events in whole if events)
+        self.assertEqual(got, passed or b"".join(chunks))
+        self.assertEqual(cutter.last_id, last_id)
+        self.assertIs(cutter.partial, partial)
+
+    def test_a_half_event_is_forgotten_when_the_stream_goes_on_elsewhere(self):
+        """Symptom: an event spoilt in the middle of a resumed stream.
+
+        Sequence: an endpoint dies in the middle of an event; the next one
+        sends that event again whole. Cause: the half was kept before it.
+        """
+        cutter = EventCutter()
+        cutter.feed(b"id: 1\ndata: a\n\nid: 2\nda")
+        cutter.restart()
+        events = cutter.feed(b"id: 2\ndata: b\n\n")
+        self.assertEqual(events.data, b"id: 2\ndata: b\n\n")
--- /dev/null
+++ b/tests/test_prepaid.py
@@ -0,0 +1,256 @@
+"""Tables for prepaid shares: claims, hands, gifts and restarts."""
+
+import unittest
+
+from nose2.tools import params
+
+from celerytrack.ids import AccountId, EntryId, Zone
+from celerytrack.members import (
+    Member,
+    MemberState,
+    MemberView,
+    beat_interval_s,
+    died_within,
+    lost_power_within,
+)
+from celerytrack.prepaid import UNLOCK_S, PrepaidBook, Row
+
+A = AccountId("a")
+ME, PEER, THIRD = EntryId("me"), EntryId("peer"), EntryId("third")
+TOTAL = 100_000
+
+
+def _book(total: int = TOTAL, entries: int = 2, now_s: float = 0.0) -> PrepaidBook:
+    """A book whose first row is on the log."""
+    book = PrepaidBook(ME)
+    book.set_totals({A: total})
+    book.adopt(False, now_s)
+    _write(book, entries, now_s)
+    return book
+
+
+def _write(book: PrepaidBook, entries: int, now_s: float) -> Row:
+    book.plan(entries, now_s)
+    row = book.next_row(now_s)
+    book.fold(ME, row)
+    book.row_folded()
+    return row[A]
+
+
+def _member(entry, epoch=1, made_s=0.0, offset_s=0.0, started_s=0.0, **fields):
+    return Member(
+        entry,
+        epoch,
+        "front",
+        "peer",
+        Zone("z"),
+        fields.pop("state", MemberState.SERVING),
+        made_s,
+        offset_s,
+        started_s,
+    )
+
+
+class HandTest(unittest.TestCase):
+    def test_only_the_hand_is_spent_while_rows_are_written(self):
+        book = _book()
+        row = _write(book, 2, 0.0)
+        self.assertLess(row.hand_tokens, row.claimed_tokens)
+        self.assertEqual(book.left_tokens(A, 0.1), row.hand_tokens)
+        self.assertEqual(book.left_tokens(A, UNLOCK_S + 0.1), row.claimed_tokens)
+
+    def test_a_row_that_is_not_on_the_log_lowers_at_once_and_raises_nothing(self):
+        """Symptom: a total overrun after an append that landed late.
+
+        Sequence: a lower row is on its way; the fold shows the higher one
+        from before; the entry spends up to that; the lower one lands and
+        others take what it freed.
+        Cause: what may be spent was taken from the fold alone.
+        """
+        book = _book()
+        high = book.left_tokens(A, 0.1)
+        book.return_unspent()
+        book.next_row(1.0)
+        book.set_totals({A: TOTAL + 1})
+        self.assertGreater(high, 0)
+        self.assertEqual(book.left_tokens(A, 1.1), 0)
+
+    def test_a_claim_that_does_not_fit_is_not_spent_and_is_withdrawn(self):
+        book = PrepaidBook(ME)
+        book.set_totals({A: TOTAL})
+        book.adopt(False, 0.0)
+        book.plan(2, 0.0)
+        row = book.next_row(0.0)
+        book.fold(PEER, {A: Row(TOTAL, TOTAL)})
+        book.fold(ME, row)
+        book.row_folded()
+        self.assertEqual(book.left_tokens(A, UNLOCK_S + 1), 0)
+        book.plan(2, 0.1)
+        self.assertEqual(book.next_row(0.1)[A].claimed_tokens, 0)
+
+    def test_nothing_is_taken_while_a_row_cannot_be_read(self):
+        """Symptom: every tenant overran its total in a run in which the form
+        of the rows changed between two starts.
+
+        Sequence: entries of two releases run side by side; each rejects the
+        other's rows; each sees the whole total free and claims it.
+        Cause: a row that could not be decoded counted as no row.
+        """
+        book = PrepaidBook(ME)
+        book.set_totals({A: TOTAL})
+        book.unreadable(PEER)
+        book.adopt(False, 0.0)
+        _write(book, 2, 0.0)
+        self.assertEqual(book.left_tokens(A, UNLOCK_S + 1), 0)
+        book.fold(PEER, {A: Row()})
+        book.row_folded()
+        self.assertGreater(book.left_tokens(A, UNLOCK_S + 1), 0)
+
+
+class ConcentratedSpendTest(unittest.TestCase):
+    def test_an_idle_entry_lets_go_of_an_account_that_others_spend(self):
+        """Symptom: an account refused through a cut while most of its total
+        lay at entries that had no callers of it.
+
+        Sequence: callers keep connections, so an account comes through one
+        entry; the others keep their even shares; the log is cut off.
+        Cause: shares were even, whoever spent.
+        """
+        idle, busy = _book(), PrepaidBook(PEER)
+        first = _write(idle, 2, 0.0).claimed_tokens
+        idle.fold(PEER, {A: Row(60_000, 50_000, 40_000, 0, 0, 4_000)})
+        later = _write(idle, 2, 1.0).claimed_tokens
+        self.assertLess(later, first / 2)
+        busy.set_totals({A: TOTAL})
+        busy.adopt(False, 0.0)
+        for second in range(10):
+            _write_as(busy, PEER, 2, float(second))
+            held = busy.reserve(A, 2_000, second + 0.5)
+            if held is not None:
+                busy.commit(held, 2_000, second + 0.5)
+        left = busy.left_tokens(A, 10.0 + UNLOCK_S)
+        self.assertGreater(left, 9 * 2_000)
+
+
+def _write_as(book: PrepaidBook, entry: EntryId, entries: int, now_s: float) -> None:
+    book.plan(entries, now_s)
+    row = book.next_row(now_s)
+    book.fold(entry, row)
+    book.row_folded()
+
+
+class GiftTest(unittest.TestCase):
+    def test_a_gift_moves_tokens_and_never_makes_any(self):
+        giver, taker = _book(), PrepaidBook(PEER)
+        taker.set_totals({A: TOTAL})
+        before = giver.left_tokens(A, 0.1)
+        given = giver.give(A, 1_000, 0.1)
+        taker.receive(A, given)
+        self.assertEqual(given, 1_000)
+        self.assertEqual(giver.left_tokens(A, 0.1), before - 1_000)
+        self.assertEqual(taker.left_tokens(A, 0.1), 1_000)
+        self.assertIsNone(taker.reserve(A, 1_001, 0.1))
+        self.assertIsNotNone(taker.reserve(A, 1_000, 0.1))
+
+    def test_no_more_is_given_than_is_left(self):
+        giver = _book()
+        self.assertLess(giver.give(A, TOTAL, 0.1), TOTAL)
+        self.assertGreaterEqual(giver.left_tokens(A, 0.1), 0)
+
+
+class ExhaustedTest(unittest.TestCase):
+    @params(
+        # used by a peer, claimed by it, cost, certainly exhausted
+        (99_000, 99_500, 1_001, True),
+        (99_000, 99_500, 1_000, False),
+        (10_000, 99_500, 5_000, False),  # claimed is not used
+    )
+    def test_only_known_use_refuses_for_good(self, used, claimed, cost, expected):
+        book = PrepaidBook(ME)
+        book.set_totals({A: TOTAL})
+        book.fold(PEER, {A: Row(claimed, claimed, used)})
+        self.assertIs(book.exhausted(A, cost), expected)
+
+
+class AdoptTest(unittest.TestCase):
+    @params((True, 3_000), (False, 10_000))
+    def test_what_may_have_been_spent_is_spent(self, locked, expected):
+        book = PrepaidBook(ME)
+        book.set_totals({A: 10_050})
+        book.fold(ME, {A: Row(10_000, 3_000, 1_000)})
+        book.adopt(locked, 0.0)
+        self.assertLessEqual(book.left_tokens(A, 0.1), 0)
+        book.return_unspent()
+        self.assertEqual(book.next_row(0.1)[A].claimed_tokens, expected)
+
+    def test_what_was_never_unlocked_is_free_again(self):
+        book = PrepaidBook(ME)
+        book.set_totals({A: 10_050})
+        left = {A: Row(10_000, 3_000, 1_000)}
+        book.fold(ME, left)
+        book.adopt(False, 0.0)
+        book.never_unlocked(left)
+        book.return_unspent()
+        self.assertEqual(book.next_row(0.1)[A].claimed_tokens, 3_000)
+
+
+class DiedWithinTest(unittest.TestCase):
+    @params(
+        # started on the steady clock, clock offset then, locked for certain
+        (12.0, 1_000.0, True),
+        (14.5, 1_000.0, False),  # too long after the row
+        (12.0, 1_002.4, False),  # the time of day was set, or a new boot
+        (2.0, 1_010.0, False),  # a new boot: the steady clock began anew
+    )
+    def test_steady_clock(self, started_s, offset_s, expected):
+        last = _member(ME, made_s=10.0, offset_s=1_000.0)
+        self.assertIs(died_within(last, UNLOCK_S, started_s, offset_s), expected)
+
+
+class LostPowerTest(unittest.TestCase):
+    """Rows made at 100 s of the day; all lose power and start at 102 s."""
+
+    @params(
+        # how far my clock was set before / after, my row's age, expected
+        (0.0, 0.0, 0.0, True),
+        (0.0, -2.4, 0.0, False),  # set back while it was down
+        (2.4, 0.0, 0.0, False),  # ahead when the row was made
+        (0.0, 0.0, 6.0, False),  # cut off from the log, so unlocked before
+        (0.0, -6.0, 6.0, False),  # unlocked, and set back to hide it
+    )
+    def test_clocks_held_against_the_others(self, before_s, after_s, age_s, expected):
+        before = {e: _member(e, 1, 100.0) for e in (PEER, THIRD, EntryId("x"))}
+        after = {e: _member(e, 2, 103.0, 0.0, 102.0) for e in before}
+        before[ME] = _member(ME, 1, 100.0 - age_s, before_s)
+        after[ME] = _member(ME, 2, 3.0, 100.0 + after_s, 2.0)
+        self.assertIs(lost_power_within(ME, UNLOCK_S, before, after), expected)
+
+    def test_alone_it_has_no_witness(self):
+        before = {ME: _member(ME, 1, 100.0), PEER: _member(PEER, 1, 100.0)}
+        after = {ME: _member(ME, 2, 3.0, 100.0, 2.0), PEER: before[PEER]}
+        self.assertFalse(lost_power_within(ME, UNLOCK_S, before, after))
+
+
+class MemberViewTest(unittest.TestCase):
+    def test_silence_counts_only_while_the_log_is_read(self):
+        view = MemberView(ME)
+        for second in range(20):
+            view.read_ok(float(second))
+            view.fold(_member(THIRD), float(second))
+            if second < 10:
+                view.fold(_member(PEER), float(second))
+        self.assertEqual([m.entry_id for m in view.live(19.5)], [THIRD])
+        # The log is away: the last view stands, whoever is silent.
+        self.assertEqual(len(view.live(40.0)), 2)
+        view.read_ok(40.0)
+        self.assertEqual(len(view.live(40.1)), 2)
+
+    def test_a_leaving_entry_is_not_named(self):
+        view = MemberView(ME)
+        view.read_ok(0.0)
+        view.fold(_member(PEER, state=MemberState.LEAVING), 0.0)
+        self.assertEqual(view.live(0.1), [])
+
+    @params((6, 1.0), (80, 80 / 60), (300, 5.0))
+    def test_rows_a_second_do_not_grow_with_the_fleet(self, entries, expected_s):
+        self.assertAlmostEqual(beat_interval_s(entries), expected_s)
