Larger gifts while cut off

Cause: near the end of a cut each entry kept two fifths of what it had left. Change: four fifths may be given, by any of six entries.

--- a/src/celerytrack/gateway/share_keeper.py
+++ b/src/celerytrack/gateway/share_keeper.py
@@ -50,7 +50,7 @@
 RECONSIDER_S = 8.0
 """How long after its start an entry looks for others that lost power with it:
 they start within a second of each other, and write a row a second later."""
-MOST_ASKED = 4
+MOST_ASKED = 6
 """Entries asked for tokens, one after the other; each answers within a ms."""
 
 
--- a/src/celerytrack/prepaid.py
+++ b/src/celerytrack/prepaid.py
@@ -78,7 +78,7 @@
 and ours may differ by in streams that broke off."""
 RELEASE_ABOVE = 1.5
 """An entry lowers its claim when it is this many times what it needs."""
-GIFT_SHARE = 0.6
+GIFT_SHARE = 0.8
 """Most of what an entry has left that it gives away at once."""
 LARGEST_DECAY_S = 20.0
 """How fast the memory of an account's largest request halves."""
