Explain a failure from logs; metrics served; planned stops end sooner

Change: celerytrackctl explain and summary, metrics on port 9102, address answers of 1 s, late arrivals of a stopping entry refused after 3.5 s. Conclusion: kept for the callers: a stop comes to an end by itself.

--- a/src/celerytrack/cli/ctl.py
+++ b/src/celerytrack/cli/ctl.py
@@ -1,11 +1,13 @@
 """``celerytrackctl``: the operators' tool.
 
-Commands: ``validate``, ``apply``, ``topup``, ``drain``, ``status``. Each
-talks to the platform log or to entries; none keeps state of its own.
+Commands: ``validate``, ``apply``, ``topup``, ``drain``, ``status`` talk to the
+platform log or to entries; ``explain`` and ``summary`` read log lines from
+standard input. None keeps state of its own.
 """
 
 import asyncio
 import json
+import sys
 import time
 import uuid
 from typing import Any
@@ -18,6 +20,7 @@
 
 from celerytrack.entry.config_follower import CONFIG, config_record
 from celerytrack.entry.ledger_writer import LEDGER
+from celerytrack.explain import parse, summary, timeline
 from celerytrack.logclient import LogClient, LogErrorKind
 from celerytrack.settings import Config, FleetSettings, SettingsError, load_json
 
@@ -252,6 +255,36 @@
         return 0
 
 
+class ExplainCommand(Command):
+    """Show one request's way through all processes."""
+
+    name = "explain"
+    description = "Read log lines; print those of one request as a timeline."
+    arguments = [argument("request-id", "The request's id.")]
+
+    def handle(self) -> int:
+        request_id = str(self.argument("request-id"))
+        found = timeline(parse(sys.stdin), request_id)
+        for entry in found:
+            self.line(entry.render(), style=None)
+        if not found:
+            self.line_error(f"<error>no line names {request_id}</error>")
+            return 1
+        return 0
+
+
+class SummaryCommand(Command):
+    """Count what happened in a run."""
+
+    name = "summary"
+    description = "Read log lines; print outcomes, refusals and outages."
+
+    def handle(self) -> int:
+        for row in summary(parse(sys.stdin)):
+            self.line(row)
+        return 0
+
+
 def main() -> int:
     """Console script entry point."""
     app = Application("celerytrackctl", "0.1.0")
@@ -261,6 +294,8 @@
         TopupCommand(),
         DrainCommand(),
         StatusCommand(),
+        ExplainCommand(),
+        SummaryCommand(),
     ):
         app.add(command)
     return app.run()
--- a/src/celerytrack/gateway/logs.py
+++ b/src/celerytrack/gateway/logs.py
@@ -43,15 +43,21 @@
             self._dropped += 1
             return
         self._level -= 1
-        line = self.format(record)
+        lines = self.format(record)
         if self._dropped:
-            note = {"event": int(Event.LINES_DROPPED), "lines": self._dropped}
-            line += f'\n{{"event": {note["event"]}, "lines": {note["lines"]}}}'
-        if self._write(f"{line}\n".encode()):
+            lines += f"\n{self.format(self._note(record))}"
+        if self._write(f"{lines}\n".encode()):
             self._dropped = 0
         else:
             self._dropped += 1
 
+    def _note(self, record: logging.LogRecord) -> logging.LogRecord:
+        """A record that says how many lines were dropped before it."""
+        name = Event.LINES_DROPPED.name.lower()
+        note = logging.makeLogRecord({**record.__dict__, "msg": name, "args": None})
+        note.__dict__.update(event=int(Event.LINES_DROPPED), lines=self._dropped)
+        return note
+
     def _write(self, data: bytes) -> bool:
         if not self._flush():
             return False
--- a/src/celerytrack/gateway/pipeline.py
+++ b/src/celerytrack/gateway/pipeline.py
@@ -63,6 +63,9 @@
     gateway: Gateway, request: web.BaseRequest, started_s: float
 ) -> web.StreamResponse:
     try:
+        if gateway.closed:
+            detail = "this entry stops; ask for addresses again"
+            raise RefusedError(did_not_run(Reason.DRAINING, 0.0, detail))
         exchange = await _admit(gateway, request, started_s)
     except RefusedError as exc:
         return _refuse(gateway, request, None, exc.refusal)
--- a/src/celerytrack/gateway/server.py
+++ b/src/celerytrack/gateway/server.py
@@ -35,6 +35,8 @@
 CONFIG_WAIT_S = 12.0
 """How long the store may hold a read of the configuration: a change is
 answered at once, and keep-alive probes find a silent connection."""
+METRICS_PORT = 9102
+"""Where metrics are served; named in ``deploy/system.toml`` too."""
 CALLER_IDLE_S = 60.0
 """Idle time after which a caller's connection is closed: callers reuse theirs
 for up to 12 s, so that none meets our close."""
@@ -42,10 +44,12 @@
 """Header bytes taken: four times what callers may send."""
 BODY_BYTES = 16 * 1024 * 1024
 """Body bytes taken: four times what callers may send."""
-LEAVE_ANSWERS_S = 4.5
-"""On a planned stop, callers' address answers of 2 s lapse, kept for up to
-three times as long by some; new callers are served until then."""
-LEAVE_MARGIN_S = 0.8
+LEAVE_SERVES_S = 3.5
+"""On a planned stop, how long new requests are still served: rows are read
+within a second, and address answers lapse after one, or three for callers that
+keep them longer. Later arrivals are refused, so that the stop comes to an end:
+while they were served, two entries in seven were still busy when killed."""
+LEAVE_MARGIN_S = 1.0
 """A planned stop ends this long before the platform's grace does."""
 
 Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
@@ -101,6 +105,7 @@
         await self._open(settings.readiness_address, self._readiness)
         await self._open(settings.directory_address, self._directory)
         await self._open(settings.peer_address, self._peer)
+        await self._open(f"{settings.ip}:{METRICS_PORT}", self._metrics)
 
     async def _open(
         self, address: str | None, handler: Handler, caller: bool = False
@@ -171,6 +176,10 @@
     async def _peer(self, request: web.BaseRequest) -> web.StreamResponse:
         return await answer_gift(self._gateway.keeper.book, request)
 
+    async def _metrics(self, request: web.BaseRequest) -> web.StreamResponse:
+        body = self._gateway.telemetry.render()
+        return web.Response(body=body, content_type="text/plain")
+
     def _serving(self) -> list[Member]:
         gateway = self._gateway
         members = gateway.keeper.members.live(time.monotonic())
@@ -190,10 +199,9 @@
         gateway.leaving = True
         log_event(_log, Event.PROCESS_STOPPING, in_flight=gateway.in_flight)
         await gateway.keeper.leave()
-        while time.monotonic() < ends_s:
-            waited_s = time.monotonic() - started_s
-            if waited_s >= LEAVE_ANSWERS_S and gateway.in_flight == 0:
-                break
+        await asyncio.sleep(LEAVE_SERVES_S)
+        gateway.closed = True
+        while gateway.in_flight and time.monotonic() < ends_s:
             await asyncio.sleep(0.05)
         gateway.keeper.book.return_unspent()
         await gateway.keeper.leave()
--- a/src/celerytrack/gateway/state.py
+++ b/src/celerytrack/gateway/state.py
@@ -32,6 +32,8 @@
 
     :param settings: its place in the deployment.
     :param started_s: when the process began, on the steady clock.
+    :ivar leaving: a planned stop has begun: callers are told to go elsewhere.
+    :ivar closed: the planned stop takes no new requests any more.
     """
 
     def __init__(self, settings: ProcessSettings, started_s: float) -> None:
@@ -55,6 +57,7 @@
         self.table: RoutingTable | None = None
         self.telemetry = Telemetry()
         self.leaving = False
+        self.closed = False
         self.in_flight = 0
         self._retries: dict[ServiceName, RetryBudget] = {}
         self._http: aiohttp.ClientSession | None = None
--- a/src/celerytrack/members.py
+++ b/src/celerytrack/members.py
@@ -24,10 +24,10 @@
 SILENT_BEATS = 3.5
 """An entry is silent after this many intervals: one row may be lost and the
 next be late."""
-DEFAULT_TTL_S = 2.0
-"""How long callers keep an address answer: short enough that a leaving entry
-is out of sight well before its grace of 8 s ends, even for callers that keep
-answers three times as long."""
+DEFAULT_TTL_S = 1.0
+"""How long callers keep an address answer: a leaving entry is out of the
+answers within a second and out of sight a second later, after three for callers
+that keep answers three times as long."""
 MAX_ADDRESSES = 64
 """Addresses that one answer may hold."""
 
