--- a/src/celerytrack/endpoints.py
+++ b/src/celerytrack/endpoints.py
@@ -27,7 +27,7 @@
 RUNNING_S = 0.00015
 """What each running request adds to an engine's first token: its part of the
 few steps until then, at 0.015 ms a step."""
-LEAVE_HOME_TIMES = 2.0
+LEAVE_HOME_TIMES = 4.0
 """How much more a token of a shared part counts where it is not kept: reading
 it takes memory from other sessions there, and the next request of the session
 goes home again."""
