After a loss of power: all entries free their claims, the last tokens are for the most urgent

The last entries to start took rows already written anew for those from before, so two of seven freed their claims; rows missed the half second between two outages; and the last free tokens went to the longest prompts. Change: a row tells when the earlier start left; pauses between tries of 0.3 s at most; the last 4 % of a total are claimed only for the most urgent requests. Tests: witnesses, urgent claims.

--- a/src/celerytrack/gateway/pipeline.py
+++ b/src/celerytrack/gateway/pipeline.py
@@ -173,7 +173,9 @@
     book = gateway.keeper.book
     if account is None or not tokens or not book.limited(account):
         return None
-    held = await gateway.keeper.reserve(account, tokens)
+    table = gateway.table
+    urgent = table is not None and exchange.route.priority <= table.most_urgent
+    held = await gateway.keeper.reserve(account, tokens, urgent)
     if held is not None:
         return held
     if book.exhausted(account, tokens):
--- a/src/celerytrack/gateway/share_keeper.py
+++ b/src/celerytrack/gateway/share_keeper.py
@@ -89,7 +89,8 @@
         self._started_s = started_s
         self._zone = zone
         self._sequence = 0
-        self._before: dict[EntryId, Member] = {}
+        self._left_at_s: float | None = None
+        self._doubtful: Member | None = None
         self._tail = KeyedTail(store, ENTRIES_TOPIC, self._apply, self._reload)
         self._wake = asyncio.Event()
         self._changed = asyncio.Event()
@@ -101,16 +102,19 @@
 
     # -- what request handlers ask ----------------------------------------
 
-    async def reserve(self, account: AccountId, tokens: int) -> Reservation | None:
+    async def reserve(
+        self, account: AccountId, tokens: int, urgent: bool
+    ) -> Reservation | None:
         """Set ``tokens`` aside, waiting a short time for more to be claimed.
 
+        :param urgent: whether no request is more urgent.
         :returns: ``None`` if they could not be had in time.
         """
         started_s = time.monotonic()
         asked = False
         while True:
             now_s = time.monotonic()
-            held = self.book.reserve(account, tokens, now_s)
+            held = self.book.reserve(account, tokens, now_s, urgent)
             if held is not None:
                 return held
             if self.book.exhausted(account, tokens):
@@ -195,8 +199,9 @@
             last, UNLOCK_S, self._started_s, _clock_offset_s()
         )
         self.book.adopt(locked, now_s)
-        if last is not None and not locked:
-            self._before = self.members.members()
+        if last is not None:
+            self._left_at_s = last.made_at_s
+            self._doubtful = None if locked else last
         self.started = True
         log_event(
             _log,
@@ -220,6 +225,7 @@
             made_s=now_s,
             clock_offset_s=_clock_offset_s(),
             started_s=self._started_s,
+            left_at_s=self._left_at_s,
             shares=self.book.next_row(now_s),
         )
         offset = await self._append(encode_member(member))
@@ -234,21 +240,23 @@
                 pause_s = min(2 * pause_s, RETRY_MAX_S)
         self.members.read_ok(time.monotonic())
         self.book.row_folded()
-        if self._before:
-            self._reconsider()
+        self._reconsider(member)
         self._notify()
 
-    def _reconsider(self) -> None:
+    def _reconsider(self, mine: Member) -> None:
         """See whether all lost power together, so that the rest of the claim
         that was adopted as spent is free."""
-        left = self._before[self._entry_id]
-        after = self.members.members()
-        if lost_power_within(self._entry_id, UNLOCK_S, self._before, after):
+        left = self._doubtful
+        if left is None:
+            return
+        rows = self.members.members()
+        others = [row for entry, row in rows.items() if entry != self._entry_id]
+        if lost_power_within(mine, others, UNLOCK_S):
             self.book.never_unlocked(left.shares)
-            log_event(_log, Event.SHARES_FREED, witnesses=len(after) - 1)
+            log_event(_log, Event.SHARES_FREED, witnesses=len(others))
         elif time.monotonic() - self._started_s < RECONSIDER_S:
             return
-        self._before = {}
+        self._doubtful = None
 
     async def _append(self, value: bytes) -> int:
         pause_s = RETRY_S
--- a/src/celerytrack/gateway/tail.py
+++ b/src/celerytrack/gateway/tail.py
@@ -19,8 +19,9 @@
 
 RETRY_S = 0.2
 """Pause after a failed call: a store that is back is found within it."""
-RETRY_MAX_S = 0.8
-"""Longest pause between two tries, while the store stays away."""
+RETRY_MAX_S = 0.3
+"""Longest pause between two tries, while the store stays away: two outages may
+be half a second apart, and a row written between them keeps its claim locked."""
 
 
 class KeyedTail:
--- a/src/celerytrack/members.py
+++ b/src/celerytrack/members.py
@@ -50,6 +50,8 @@
     :ivar clock_offset_s: its time of day less its steady clock at that moment;
         it changes when the instance starts anew or its clock is set.
     :ivar started_s: when this start of the entry began, on the same clock.
+    :ivar left_at_s: when the last row of its earlier start was made, by that
+        start's time of day; ``None`` if there was none.
     :ivar shares: its claims on prepaid totals.
     """
 
@@ -62,6 +64,7 @@
     made_s: float = 0.0
     clock_offset_s: float = 0.0
     started_s: float = 0.0
+    left_at_s: float | None = None
     shares: Mapping[AccountId, Row] = attrs.field(factory=dict)
 
     @property
@@ -103,12 +106,7 @@
 FEWEST_WITNESSES = 2
 
 
-def lost_power_within(
-    me: EntryId,
-    limit_s: float,
-    before: Mapping[EntryId, Member],
-    after: Mapping[EntryId, Member],
-) -> bool:
+def lost_power_within(mine: Member, others: list[Member], limit_s: float) -> bool:
     """Whether this entry and most others lost power together, and this one
     certainly within ``limit_s`` of its last row.
 
@@ -117,32 +115,25 @@
     together, each one's time of day can be held against the others' both
     before and after: fewer than half of all clocks are set at one time.
 
-    :param before: the rows that the earlier starts left.
-    :param after: the rows of the present starts.
+    :param mine: this entry's row.
+    :param others: the rows of the other entries.
     """
-    if me not in before or me not in after:
+    left_at_s = mine.left_at_s
+    if left_at_s is None:
         return False
-    others = [
-        entry
-        for entry, row in before.items()
-        if entry != me and entry in after and after[entry].epoch > row.epoch
+    witnesses = [
+        (row.left_at_s, row.started_at_s)
+        for row in others
+        if row.left_at_s is not None
+        and abs(row.started_at_s - mine.started_at_s) < AGREE_S
     ]
-    if len(others) < max(FEWEST_WITNESSES, len(before) // 2):
+    if len(witnesses) < max(FEWEST_WITNESSES, len(others) // 2):
         return False
-    mine = before[me]
-    passed_s = after[me].started_at_s - mine.made_at_s
-    gaps = (
-        statistics.median(before[e].made_at_s - mine.made_at_s for e in others),
-        statistics.median(
-            after[e].started_at_s - after[me].started_at_s for e in others
-        ),
-    )
-    passed_most_s = statistics.median(
-        after[e].started_at_s - before[e].made_at_s for e in others
-    )
-    agree = all(abs(gap_s) < AGREE_S for gap_s in gaps)
+    gap_s = statistics.median(left_s - left_at_s for left_s, _ in witnesses)
+    passed_most_s = statistics.median(start_s - left_s for left_s, start_s in witnesses)
+    passed_s = mine.started_at_s - left_at_s
     longest_s = max(passed_s, passed_most_s) + CLOCK_SLACK_S
-    return agree and 0 <= passed_s and longest_s < limit_s
+    return abs(gap_s) < AGREE_S and passed_s >= 0 and longest_s < limit_s
 
 
 @attrs.define
--- a/src/celerytrack/platform/rows.py
+++ b/src/celerytrack/platform/rows.py
@@ -35,6 +35,7 @@
                 member.made_s,
                 member.clock_offset_s,
                 member.started_s,
+                member.left_at_s,
                 shares,
             )
         )
@@ -48,7 +49,7 @@
     """
     try:
         epoch, front, peer, zone, state, *times, shares = msgpack.unpackb(raw)
-        made_s, offset_s, started_s = times
+        made_s, offset_s, started_s, left_at_s = times
         return Member(
             entry_id=EntryId(entry_id),
             epoch=int(epoch),
@@ -59,6 +60,7 @@
             made_s=float(made_s),
             clock_offset_s=float(offset_s),
             started_s=float(started_s),
+            left_at_s=None if left_at_s is None else float(left_at_s),
             shares={AccountId(a): Row(*tokens) for a, tokens in shares.items()},
         )
     except (ValueError, TypeError, msgpack.UnpackException) as exc:
--- a/src/celerytrack/prepaid.py
+++ b/src/celerytrack/prepaid.py
@@ -76,6 +76,10 @@
 RESERVE_SHARE = 0.005
 """Share of a total that is never claimed: the tokens that an endpoint's count
 and ours may differ by in streams that broke off."""
+URGENT_SHARE = 0.04
+"""Share of a total that is claimed only for the most urgent requests, one at a
+time: after a loss of power with little left they are still served. They take
+a fifteenth of the tokens of all requests, so it lasts them half a minute."""
 RELEASE_ABOVE = 1.5
 """An entry lowers its claim when it is this many times what it needs."""
 GIFT_SHARE = 0.8
@@ -134,6 +138,7 @@
     adopted_used_tokens: int = 0
     reserved_tokens: int = 0
     wanted_tokens: int = 0
+    urgent_tokens: int = 0
     spend_tokens_per_s: float = 0.0
     rated_at_s: float = 0.0
     rated_since_s: float | None = None
@@ -282,14 +287,19 @@
         return account in self._totals
 
     def reserve(
-        self, account: AccountId, tokens: int, now_s: float
+        self, account: AccountId, tokens: int, now_s: float, urgent: bool = False
     ) -> Reservation | None:
-        """Set ``tokens`` aside, or ``None`` if too few may be spent here."""
+        """Set ``tokens`` aside, or ``None`` if too few may be spent here.
+
+        :param urgent: whether no request is more urgent.
+        """
         share = self._share(account)
         share.largest_tokens = max(share.largest_tokens, float(tokens))
         missing = tokens - self.left_tokens(account, now_s)
         if missing > 0:
             share.wanted_tokens = max(share.wanted_tokens, missing)
+            if urgent:
+                share.urgent_tokens = max(share.urgent_tokens, missing)
             return None
         share.reserved_tokens += tokens
         return Reservation(account, tokens)
@@ -422,8 +432,12 @@
             return True
         goal = self._goal(account, now_s).claim_tokens
         need = floor + max(goal, share.wanted_tokens)
+        kept = int(self._totals[account] * URGENT_SHARE)
+        urgent_need = min(share.claim_tokens + share.urgent_tokens, room)
+        share.urgent_tokens = 0
         if share.claim_tokens < need:
-            share.claim_tokens = max(share.claim_tokens, min(need, room))
+            most = max(min(need, room - kept), urgent_need)
+            share.claim_tokens = max(share.claim_tokens, most)
         elif share.claim_tokens - floor > RELEASE_ABOVE * (need - floor):
             share.claim_tokens = need
         elif self._wanted_elsewhere(account):
--- a/src/celerytrack/routes.py
+++ b/src/celerytrack/routes.py
@@ -131,6 +131,12 @@
         object.__setattr__(self, "_by_host", by_host)
         object.__setattr__(self, "_by_key", by_key)
 
+    @property
+    def most_urgent(self) -> int:
+        """The rank of the most urgent route whose requests have prompts."""
+        ranks = (route.priority for route in self.routes if route.has_prompt)
+        return min(ranks, default=0)
+
     def match(self, host: str, path: str) -> Route | None:
         """The route of ``host`` with the longest prefix that begins ``path``."""
         for route in self._by_host.get(host, ()):
--- a/tests/test_prepaid.py
+++ b/tests/test_prepaid.py
@@ -48,6 +48,7 @@
         made_s,
         offset_s,
         started_s,
+        fields.pop("left_at_s", None),
     )
 
 
@@ -139,6 +140,24 @@
     book.row_folded()
 
 
+class UrgentTest(unittest.TestCase):
+    @params((False, 0), (True, 2_000))
+    def test_the_last_tokens_are_claimed_for_the_most_urgent(self, urgent, left):
+        """Symptom: after a loss of power less than a quarter was served.
+
+        Sequence: little of a total is left; power is lost, and with it all
+        claims; what is free goes to a few of the longest prompts.
+        Cause: the last tokens were anybody's.
+        """
+        book = PrepaidBook(ME)
+        book.set_totals({A: TOTAL})
+        book.fold(PEER, {A: Row(97_000, 97_000, 97_000)})
+        book.adopt(False, 0.0)
+        book.reserve(A, 2_000, 0.0, urgent)
+        _write(book, 2, 0.0)
+        self.assertEqual(book.left_tokens(A, 0.1), left)
+
+
 class GiftTest(unittest.TestCase):
     def test_a_gift_moves_tokens_and_never_makes_any(self):
         giver, taker = _book(), PrepaidBook(PEER)
@@ -208,7 +227,9 @@
 
 
 class LostPowerTest(unittest.TestCase):
-    """Rows made at 100 s of the day; all lose power and start at 102 s."""
+    """Rows were made at 100 s of the day; all lose power, start at 102 s."""
+
+    others = [_member(e, 2, 103.0, 0.0, 102.0, left_at_s=100.0) for e in "abc"]
 
     @params(
         # how far my clock was set before / after, my row's age, expected
@@ -219,16 +240,26 @@
         (0.0, -6.0, 6.0, False),  # unlocked, and set back to hide it
     )
     def test_clocks_held_against_the_others(self, before_s, after_s, age_s, expected):
-        before = {e: _member(e, 1, 100.0) for e in (PEER, THIRD, EntryId("x"))}
-        after = {e: _member(e, 2, 103.0, 0.0, 102.0) for e in before}
-        before[ME] = _member(ME, 1, 100.0 - age_s, before_s)
-        after[ME] = _member(ME, 2, 3.0, 100.0 + after_s, 2.0)
-        self.assertIs(lost_power_within(ME, UNLOCK_S, before, after), expected)
-
-    def test_alone_it_has_no_witness(self):
-        before = {ME: _member(ME, 1, 100.0), PEER: _member(PEER, 1, 100.0)}
-        after = {ME: _member(ME, 2, 3.0, 100.0, 2.0), PEER: before[PEER]}
-        self.assertFalse(lost_power_within(ME, UNLOCK_S, before, after))
+        left_at_s = 100.0 - age_s + before_s
+        mine = _member(ME, 2, 3.0, 100.0 + after_s, 2.0, left_at_s=left_at_s)
+        self.assertIs(lost_power_within(mine, self.others, UNLOCK_S), expected)
+
+    @params(
+        # others that lost power too, that did not, expected
+        (3, 0, True),
+        (2, 0, True),
+        (1, 0, False),
+        (2, 4, False),
+    )
+    def test_most_must_be_witnesses(self, together, apart, expected):
+        """Symptom: two of seven entries freed their claims after all lost
+        power. Sequence: the last to start read the rows that the first had
+        already written anew. Cause: the rows before were looked up, not told.
+        """
+        others = self.others[:together]
+        others += [_member(f"x{i}", 1, 90.0) for i in range(apart)]
+        mine = _member(ME, 2, 3.0, 100.0, 2.0, left_at_s=100.0)
+        self.assertIs(lost_power_within(mine, others, UNLOCK_S), expected)
 
 
 class MemberViewTest(unittest.TestCase):
