A request that was never sent goes elsewhere; no endpoint with room is final at once

Change: what was never sent costs neither an attempt nor a retry, at most three times. Ruled out: load of the machine. Tests: both, failing before.

--- a/src/celerytrack/gateway/attempts.py
+++ b/src/celerytrack/gateway/attempts.py
@@ -60,7 +60,12 @@
             allow_redirects=False,
         )
     except _NOT_CONNECTED as exc:
-        return _failure(Reason.UPSTREAM_FAILED, Verdict.DID_NOT_RUN, exc)
+        detail = f"{type(exc).__name__}: {exc}"
+        return Failure(
+            AttemptFailure(
+                Reason.UPSTREAM_FAILED, Verdict.DID_NOT_RUN, True, detail, sent=False
+            )
+        )
     except _BROKEN as exc:
         return _failure(Reason.UPSTREAM_FAILED, Verdict.MAY_HAVE_RUN, exc)
     whole = False
--- a/src/celerytrack/gateway/exchange.py
+++ b/src/celerytrack/gateway/exchange.py
@@ -27,12 +27,14 @@
 
     :ivar hard: the endpoint did not connect, broke off or stayed silent.
     :ivar detail: what was seen, for the log.
+    :ivar sent: whether anything was sent to the endpoint.
     """
 
     reason: Reason
     verdict: Verdict
     hard: bool
     detail: str
+    sent: bool = True
 
 
 @attrs.define
@@ -42,7 +44,8 @@
     :ivar started_s: when it was read.
     :ivar ends_s: when its answer must be out: the caller's deadline or the
         route's timeout, whichever is sooner.
-    :ivar tried: endpoints it was sent to.
+    :ivar tried: endpoints chosen for it, in order.
+    :ivar unsent: how many of them did not take the connection.
     :ivar may_have_run: whether some endpoint may have run it.
     :ivar response: the answer's head went out to the caller.
     :ivar events: the stream's events so far.
@@ -58,6 +61,7 @@
     started_s: float
     ends_s: float
     tried: list[EndpointId] = attrs.field(factory=list)
+    unsent: int = 0
     may_have_run: bool = False
     response: web.StreamResponse | None = None
     events: EventCutter = attrs.field(factory=EventCutter)
--- a/src/celerytrack/gateway/pipeline.py
+++ b/src/celerytrack/gateway/pipeline.py
@@ -40,6 +40,11 @@
 within two seconds of an outage's end."""
 
 
+MOST_UNSENT = 3
+"""Endpoints that may fail to take the connection before a request is given up:
+more than a third of a service going dark at once is not what this helps with."""
+
+
 class RefusedError(Exception):
     """The request ends with a refusal or failure of our own."""
 
@@ -222,15 +227,17 @@
                     _answered(gateway, exchange, answer.status)
                     return _plain(gateway, answer)
             case Failure(failure):
-                if not (
-                    _repeatable(exchange, failure)
-                    and _may_go_on(exchange)
-                    and budget.take()
-                ):
+                again = _repeatable(exchange, failure) and _may_go_on(exchange)
+                # What was never sent adds no load, so it costs no retry.
+                if not (again and (not failure.sent or budget.take())):
                     return _give_up(gateway, exchange, failure)
 
 
 def _repeatable(exchange: Exchange, failure: AttemptFailure) -> bool:
+    if failure.reason is Reason.NO_ENDPOINT:
+        # Nothing changes by asking again at once: the loop would hold the
+        # processor until the deadline, and every other request with it.
+        return False
     if failure.verdict is Verdict.DID_NOT_RUN and not exchange.may_have_run:
         return True
     if exchange.response is not None:
@@ -240,7 +247,12 @@
 
 def _may_go_on(exchange: Exchange) -> bool:
     left_s = exchange.ends_s - time.monotonic()
-    return len(exchange.tried) < exchange.route.max_attempts and left_s > SOON_S
+    sends = len(exchange.tried) - exchange.unsent
+    return (
+        sends < exchange.route.max_attempts
+        and exchange.unsent < MOST_UNSENT
+        and left_s > SOON_S
+    )
 
 
 async def _one_attempt(gateway: Gateway, exchange: Exchange) -> AttemptResult:
@@ -254,9 +266,10 @@
         exchange.need, gateway.entries(now_s), connections, exchange.tried, now_s
     )
     if chosen is None:
+        detail = "none has room"
         return Failure(
             AttemptFailure(
-                Reason.NO_ENDPOINT, Verdict.DID_NOT_RUN, False, "none has room"
+                Reason.NO_ENDPOINT, Verdict.DID_NOT_RUN, False, detail, sent=False
             )
         )
     endpoint, predicted_s = chosen
@@ -275,6 +288,7 @@
             else:
                 book.succeeded(endpoint)
         case Failure(failure):
+            exchange.unsent += not failure.sent
             _failed(gateway, exchange, endpoint.endpoint_id, failure)
             book.failed(endpoint, failure.hard, time.monotonic())
             if failure.verdict is Verdict.DID_NOT_RUN:
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -163,6 +163,45 @@
                 self.assertEqual((status, body), (200, b"good:body"))
 
 
+class DarkEndpointTest(unittest.IsolatedAsyncioTestCase):
+    async def test_without_an_endpoint_it_is_refused_at_once(self):
+        """Symptom: an entry stands still for seconds, a fifth of all requests
+        fail, twice the processor time.
+
+        Sequence: a service has no endpoint with room; a request asks for one
+        again and again without a pause until its deadline. Cause: an attempt
+        that was never sent could be repeated for ever.
+        """
+        async with _fleet() as fleet:
+            async with asyncio.timeout(0.5):
+                status, headers, _ = await fleet.ask("/plain/x")
+            self.assertEqual(status, 503)
+            self.assertIn("Retry-After", headers)
+
+    async def test_a_call_that_was_never_sent_goes_elsewhere(self):
+        """Symptom: once-only calls refused for seconds after an endpoint
+        crashed, while others of its service were idle.
+
+        Sequence: an endpoint dies and its registration stands; a connection
+        to it is refused. Cause: that counted as the one attempt allowed.
+        """
+        dark = Endpoint("i-dark", _good)
+        async with _fleet(_good) as fleet:
+            one = config(2, maxAttempts=1)
+            fleet.log.put(CONFIG_TOPIC, CONFIG_KEY, one)
+            good = fleet.endpoints[0]
+            far = good.registration(zone="far")
+            fleet.log.put(ENDPOINTS_TOPIC, good.name, far)
+            fleet.log.put(ENDPOINTS_TOPIC, dark.name, dark.registration())
+            gateway = fleet.gateways[0]
+            await fleet.until(
+                lambda: gateway.table.version == 2 and len(gateway.endpoints.ids()) == 2
+            )
+            for i in range(6):
+                status, _, _ = await fleet.ask("/once/x", f"r{i}")
+                self.assertEqual(status, 200)
+
+
 class StreamTest(unittest.IsolatedAsyncioTestCase):
     headers = {"X_Token_Count": "10,5", "X_Prompt_Prefix": "aa:6,bb:4"}
 
