Prepaid shares and endpoints split into small modules

Change: prepaid/ (book, policy, shares), endpoint.py beside endpoints.py; the goal of a share is a plain function of its standing. No behaviour changed.

--- a/src/celerytrack/gateway/attempts.py
+++ b/src/celerytrack/gateway/attempts.py
@@ -8,7 +8,7 @@
 from aiohttp import web
 from returns.result import Failure, Result, Success
 
-from celerytrack.endpoints import Endpoint, Sent
+from celerytrack.endpoint import Endpoint, Sent
 from celerytrack.gateway.exchange import AttemptFailure, Exchange, PlainAnswer
 from celerytrack.gateway.state import Gateway
 from celerytrack.platform.http import (
--- a/src/celerytrack/gateway/exchange.py
+++ b/src/celerytrack/gateway/exchange.py
@@ -4,7 +4,7 @@
 from aiohttp import web
 from multidict import CIMultiDict
 
-from celerytrack.endpoints import Need
+from celerytrack.endpoint import Need
 from celerytrack.ids import AccountId, EndpointId, ServiceName
 from celerytrack.platform.http import RequestFacts
 from celerytrack.routes import Route
--- a/src/celerytrack/platform/registry.py
+++ b/src/celerytrack/platform/registry.py
@@ -2,7 +2,7 @@
 
 import json
 
-from celerytrack.endpoints import Registration
+from celerytrack.endpoint import Registration
 from celerytrack.ids import EndpointId, ServiceName, Zone
 
 
--- /dev/null
+++ b/src/celerytrack/prepaid/__init__.py
@@ -0,0 +1,41 @@
+"""Prepaid totals shared among entries, without I/O and without a vote.
+
+Each entry owns one row in a keyed topic of the platform's log: the number of
+tokens of each client account that it *claims*, cumulative over the day and
+never below what it spent. Nobody else writes the row. The rule that keeps
+the total:
+
+    An entry spends only up to an *allowance*. The allowance rises to the
+    entry's claim when the entry, having folded the topic up to a place at or
+    after its own row, sees the claims of all rows together fit the total.
+    To lower a claim, an entry first lowers its allowance, then writes.
+
+Why it holds: at the last place where an allowance rose, the rows summed to
+at most the total, and every allowance was at most its row; after it,
+allowances only fell. Nothing rests on clocks, on who is alive or on readers
+agreeing: a reader that saw only the newest row of each key is as good as one
+that saw them all, so the topic may lose its history at any time. Two entries
+that claim the same free tokens at once both see a sum that does not fit, or
+only the earlier one sees it fit; the other withdraws.
+
+An entry that dies leaves its row: what it claimed counts as spent. That would
+lose all that entries hold for a cut whenever they are killed together, so a
+row has two limits. The *hand* is spent freely. The rest of the claim is
+locked until the entry has made no row for :data:`UNLOCK_S`: it is for cuts.
+The next start of the entry on the same instance reads the time of the last
+row on the same steady clock; if less than :data:`UNLOCK_S` passed until its
+own start, the rest was never unlocked, and only the hand is lost.
+
+Entries that are cut off from the log but reach each other move tokens by
+gifts: the giver counts them as gone under its own row, the receiver may spend
+them beyond its own. A gift that is lost on the way is spent by nobody.
+
+The present time ``now_s`` (monotonic seconds) is an argument of each method
+that decides.
+"""
+
+from celerytrack.prepaid.book import PrepaidBook
+from celerytrack.prepaid.policy import UNLOCK_S
+from celerytrack.prepaid.shares import Reservation, Row
+
+__all__ = ["UNLOCK_S", "PrepaidBook", "Reservation", "Row"]
--- a/src/celerytrack/prepaid.py
+++ b/src/celerytrack/prepaid/book.py
@@ -1,196 +1,19 @@
-"""Prepaid totals shared among entries, without I/O and without a vote.
-
-Each entry owns one row in a keyed topic of the platform's log: the number of
-tokens of each client account that it *claims*, cumulative over the day and
-never below what it spent. Nobody else writes the row. The rule that keeps
-the total:
-
-    An entry spends only up to an *allowance*. The allowance rises to the
-    entry's claim when the entry, having folded the topic up to a place at or
-    after its own row, sees the claims of all rows together fit the total.
-    To lower a claim, an entry first lowers its allowance, then writes.
-
-Why it holds: at the last place where an allowance rose, the rows summed to
-at most the total, and every allowance was at most its row; after it,
-allowances only fell. Nothing rests on clocks, on who is alive or on readers
-agreeing: a reader that saw only the newest row of each key is as good as one
-that saw them all, so the topic may lose its history at any time. Two entries
-that claim the same free tokens at once both see a sum that does not fit, or
-only the earlier one sees it fit; the other withdraws.
-
-An entry that dies leaves its row: what it claimed counts as spent. That would
-lose all that entries hold for a cut whenever they are killed together, so a
-row has two limits. The *hand* is spent freely. The rest of the claim is
-locked until the entry has made no row for :data:`UNLOCK_S`: it is for cuts.
-The next start of the entry on the same instance reads the time of the last
-row on the same steady clock; if less than :data:`UNLOCK_S` passed until its
-own start, the rest was never unlocked, and only the hand is lost.
-
-Entries that are cut off from the log but reach each other move tokens by
-gifts: the giver counts them as gone under its own row, the receiver may spend
-them beyond its own. A gift that is lost on the way is spent by nobody.
-
-The present time ``now_s`` (monotonic seconds) is an argument of each method
-that decides.
-"""
-
-import math
-from collections.abc import Mapping
+"""All rows as one entry folded them, and its own share of each account."""
 
-import attrs
+from collections.abc import Mapping
 
 from celerytrack.ids import AccountId, EntryId
-
-UNLOCK_S = 4.0
-"""Time without a row after which the whole claim may be spent. A killed
-process is back after about 2 s; its last row is up to a second older."""
-HAND_S = 3.0
-"""Seconds of its own recent spend in hand: until the rest is unlocked, and the
-time between two rows. A kill loses it: with 4.5 s, quiet days with cuts earned
-a tenth more of their worth, days that end in a loss of power a quarter less."""
-COVER_S = 11.0
-"""Seconds of its own recent spend that an entry claims in all. Cuts of 9 s
-are among those the deployments list; the write before one may be 1 s old."""
-RATE_WINDOW_S = 8.0
-"""Time constant of the spend rate: long enough to span the gaps between large
-prompts, short enough to follow an account that multiplies its traffic."""
-FIRST_SHARE = 0.5
-"""Share of a total that all entries together claim before any spend is seen,
-so that a cut in the first seconds finds tokens to unlock."""
-FIRST_HAND_SHARE = 0.12
-"""Part of what is left that all entries together hold in hand until rates are
-known: four seconds of a day in which the total lasts."""
-KNOWN_SHARE = 0.3
-"""The first shares shrink evenly until this part of a total is used: by then
-entries know who spends it and how fast."""
-IDLE_SHARE = 0.15
-"""Part of the first shares that an entry keeps once others spend the account
-and it does not: callers keep connections, so an account's traffic may come
-through one entry, which would find the rest held by idle ones."""
-POOL_SHARE = 0.5
-"""Most of what is left that entries claim together, each by its part of the
-spend. A loss of power everywhere loses what all hold; half of what was left is
-there afterwards."""
-LARGEST_SHARES = 1.5
-"""Largest recent requests that all entries together claim beyond the cover;
-gifts bring the parts to where the request is."""
-RESERVE_SHARE = 0.005
-"""Share of a total that is never claimed: the tokens that an endpoint's count
-and ours may differ by in streams that broke off."""
-URGENT_SHARE = 0.04
-"""Share of a total that is claimed only for the most urgent requests, one at a
-time: after a loss of power with little left they are still served. They take
-a fifteenth of the tokens of all requests, so it lasts them half a minute."""
-RELEASE_ABOVE = 1.5
-"""An entry lowers its claim when it is this many times what it needs."""
-GIFT_SHARE = 0.8
-"""Most of what an entry has left that it gives away at once."""
-LARGEST_DECAY_S = 20.0
-"""How fast the memory of an account's largest request halves."""
-
-
-@attrs.frozen
-class Row:
-    """What one entry published of one account; tokens, cumulative.
-
-    :ivar claimed_tokens: what it may have spent at most.
-    :ivar hand_tokens: what it may have spent while it writes rows.
-    :ivar used_tokens: what it knows was spent; a lower bound for others.
-    :ivar wanted_tokens: what it lacks for requests it has at hand.
-    :ivar lost_tokens: what its earlier starts claimed and may not have used.
-    :ivar rate_tokens_per_s: how fast it spends the account.
-    """
-
-    claimed_tokens: int = 0
-    hand_tokens: int = 0
-    used_tokens: int = 0
-    wanted_tokens: int = 0
-    lost_tokens: int = 0
-    rate_tokens_per_s: int = 0
-
-
-@attrs.frozen
-class Reservation:
-    """Tokens set aside for one request at its largest."""
-
-    account: AccountId
-    tokens: int
-
-
-@attrs.define
-class _Share:
-    """This entry's part of one account.
-
-    :ivar claim_tokens: what the next row claims.
-    :ivar accepted_tokens: what may be spent once unlocked; at most the claim
-        of the row on the log.
-    :ivar gifted_tokens: given to other entries under our row.
-    :ivar received_tokens: given to us under theirs.
-    :ivar adopted_tokens: part of what is spent that an earlier start of this
-        entry had claimed, of which ``adopted_used_tokens`` are known as used.
-    """
-
-    claim_tokens: int = 0
-    accepted_tokens: int = 0
-    spent_tokens: int = 0
-    gifted_tokens: int = 0
-    received_tokens: int = 0
-    adopted_tokens: int = 0
-    adopted_used_tokens: int = 0
-    reserved_tokens: int = 0
-    wanted_tokens: int = 0
-    urgent_tokens: int = 0
-    spend_tokens_per_s: float = 0.0
-    rated_at_s: float = 0.0
-    rated_since_s: float | None = None
-    largest_tokens: float = 0.0
-
-    @property
-    def floor_tokens(self) -> int:
-        """What our row must cover."""
-        gifts = self.gifted_tokens - self.received_tokens
-        return self.spent_tokens + self.reserved_tokens + gifts
-
-    @property
-    def used_tokens(self) -> int:
-        """What is known to be used, by this start and the ones before."""
-        return self.spent_tokens - self.adopted_tokens + self.adopted_used_tokens
-
-    @property
-    def lost_tokens(self) -> int:
-        """What earlier starts claimed and may not have used."""
-        return self.adopted_tokens - self.adopted_used_tokens
-
-    def rate_tokens_per_s(self, now_s: float) -> float:
-        """The rate of recent spend, as if it had always been so: an average
-        that began at nothing is low for its first seconds."""
-        if self.rated_since_s is None:
-            return 0.0
-        past_s = max(1.0, now_s - self.rated_since_s)
-        return self.spend_tokens_per_s / -math.expm1(-past_s / RATE_WINDOW_S)
-
-    def spend(self, tokens: int, now_s: float) -> None:
-        """Count what a request used."""
-        self.spent_tokens += tokens
-        if self.rated_since_s is None:
-            self.rated_since_s = now_s
-        self.decay(now_s)
-        self.spend_tokens_per_s += tokens / RATE_WINDOW_S
-
-    def decay(self, now_s: float) -> None:
-        """Let the rate and the largest request fade."""
-        past_s = max(0.0, now_s - self.rated_at_s)
-        self.spend_tokens_per_s *= math.exp(-past_s / RATE_WINDOW_S)
-        self.largest_tokens *= 0.5 ** (past_s / LARGEST_DECAY_S)
-        self.rated_at_s = now_s
-
-
-@attrs.frozen
-class _Goal:
-    """What an entry should hold of an account beyond its floor."""
-
-    hand_tokens: int
-    claim_tokens: int
+from celerytrack.prepaid.policy import (
+    GIFT_SHARE,
+    RELEASE_ABOVE,
+    RESERVE_SHARE,
+    UNLOCK_S,
+    URGENT_SHARE,
+    Goal,
+    Standing,
+    goal,
+)
+from celerytrack.prepaid.shares import Reservation, Row, Share
 
 
 class PrepaidBook:
@@ -204,7 +27,7 @@
         self._totals: dict[AccountId, int] = {}
         self._rows: dict[EntryId, Mapping[AccountId, Row]] = {}
         self._claimed: dict[AccountId, int] = {}
-        self._shares: dict[AccountId, _Share] = {}
+        self._shares: dict[AccountId, Share] = {}
         self._in_flight: Mapping[AccountId, Row] | None = None
         self._row_made_s = float("inf")
         self._entries = 1
@@ -259,7 +82,7 @@
         self._row_made_s = now_s
         for account, row in self._rows.get(self.me, {}).items():
             lost = row.hand_tokens if locked else row.claimed_tokens
-            self._shares[account] = _Share(
+            self._shares[account] = Share(
                 claim_tokens=row.claimed_tokens,
                 accepted_tokens=row.claimed_tokens,
                 spent_tokens=lost,
@@ -445,43 +268,40 @@
             share.claim_tokens -= (share.claim_tokens - need) // 2
         return share.wanted_tokens > 0
 
-    def _goal(self, account: AccountId, now_s: float) -> _Goal:
+    def _goal(self, account: AccountId, now_s: float) -> Goal:
         if self._leaving:
-            return _Goal(0, 0)
+            return Goal(0, 0)
         share = self._share(account)
-        usable = self._usable(account)
-        used = self._known_used(account)
-        unspent = max(0, usable - used - self._lost(account))
-        rate = share.rate_tokens_per_s(now_s)
-        most = unspent * POOL_SHARE * self._part(account, rate)
-        largest = share.largest_tokens * LARGEST_SHARES / self._entries
-        hand, cover = rate * HAND_S, rate * COVER_S + largest
-        first = max(IDLE_SHARE, 1.0 - used / max(1.0, usable * KNOWN_SHARE))
-        even = unspent * first / self._entries
-        hand = max(min(hand, most), even * FIRST_HAND_SHARE)
-        claim = max(min(cover, most), even * FIRST_SHARE)
-        return _Goal(int(min(hand, claim)), int(claim))
-
-    def _part(self, account: AccountId, rate: float) -> float:
-        """This entry's part of the account's spend, as far as known."""
-        rates = rate + sum(
-            row[account].rate_tokens_per_s
-            for entry, row in self._rows.items()
-            if entry != self.me and account in row
+        return goal(
+            share,
+            Standing(
+                usable_tokens=self._usable(account),
+                used_tokens=self._known_used(account),
+                lost_tokens=self._lost(account),
+                others_tokens_per_s=sum(
+                    row.rate_tokens_per_s for row in self._others(account)
+                ),
+                entries=self._entries,
+            ),
+            now_s,
         )
-        return rate / rates if rates > 0 else 1.0 / self._entries
 
-    def _wanted_elsewhere(self, account: AccountId) -> bool:
-        return self._free(account) <= 0 and any(
-            row[account].wanted_tokens > 0
+    def _others(self, account: AccountId) -> list[Row]:
+        """What the other entries published of ``account``."""
+        return [
+            row[account]
             for entry, row in self._rows.items()
             if entry != self.me and account in row
-        )
+        ]
+
+    def _wanted_elsewhere(self, account: AccountId) -> bool:
+        wanted = any(row.wanted_tokens > 0 for row in self._others(account))
+        return wanted and self._free(account) <= 0
 
     # -- internals ---------------------------------------------------------
 
-    def _share(self, account: AccountId) -> _Share:
-        return self._shares.setdefault(account, _Share())
+    def _share(self, account: AccountId) -> Share:
+        return self._shares.setdefault(account, Share())
 
     def _published(self, account: AccountId) -> Row:
         return self._rows.get(self.me, {}).get(account, Row())
@@ -495,17 +315,11 @@
     def _known_used(self, account: AccountId) -> int:
         share = self._share(account)
         used = share.used_tokens + share.reserved_tokens
-        for entry, row in self._rows.items():
-            if entry != self.me and account in row:
-                used += row[account].used_tokens
-        return used
+        return used + sum(row.used_tokens for row in self._others(account))
 
     def _lost(self, account: AccountId) -> int:
-        lost = self._share(account).lost_tokens
-        for entry, row in self._rows.items():
-            if entry != self.me and account in row:
-                lost += row[account].lost_tokens
-        return lost
+        lost = sum(row.lost_tokens for row in self._others(account))
+        return lost + self._share(account).lost_tokens
 
     def _usable(self, account: AccountId) -> int:
         return int(self._totals.get(account, 0) * (1 - RESERVE_SHARE))
--- /dev/null
+++ b/src/celerytrack/prepaid/policy.py
@@ -0,0 +1,98 @@
+"""How much of an account an entry should hold, and the figures behind it."""
+
+import attrs
+
+from celerytrack.prepaid.shares import Share
+
+UNLOCK_S = 4.0
+"""Time without a row after which the whole claim may be spent. A killed
+process is back after about 2 s; its last row is up to a second older."""
+HAND_S = 3.0
+"""Seconds of its own recent spend in hand: until the rest is unlocked, and the
+time between two rows. A kill loses it: with 4.5 s, quiet days with cuts earned
+a tenth more of their worth, days that end in a loss of power a quarter less."""
+COVER_S = 11.0
+"""Seconds of its own recent spend that an entry claims in all. Cuts of 9 s
+are among those the deployments list; the write before one may be 1 s old."""
+FIRST_SHARE = 0.5
+"""Share of a total that all entries together claim before any spend is seen,
+so that a cut in the first seconds finds tokens to unlock."""
+FIRST_HAND_SHARE = 0.12
+"""Part of what is left that all entries together hold in hand until rates are
+known: four seconds of a day in which the total lasts."""
+KNOWN_SHARE = 0.3
+"""The first shares shrink evenly until this part of a total is used: by then
+entries know who spends it and how fast."""
+IDLE_SHARE = 0.15
+"""Part of the first shares that an entry keeps once others spend the account
+and it does not: callers keep connections, so an account's traffic may come
+through one entry, which would find the rest held by idle ones."""
+POOL_SHARE = 0.5
+"""Most of what is left that entries claim together, each by its part of the
+spend. A loss of power everywhere loses what all hold; half of what was left is
+there afterwards."""
+LARGEST_SHARES = 1.5
+"""Largest recent requests that all entries together claim beyond the cover;
+gifts bring the parts to where the request is."""
+RESERVE_SHARE = 0.005
+"""Share of a total that is never claimed: the tokens that an endpoint's count
+and ours may differ by in streams that broke off."""
+URGENT_SHARE = 0.04
+"""Share of a total that is claimed only for the most urgent requests, one at a
+time: after a loss of power with little left they are still served. They take
+a fifteenth of the tokens of all requests, so it lasts them half a minute."""
+RELEASE_ABOVE = 1.5
+"""An entry lowers its claim when it is this many times what it needs."""
+GIFT_SHARE = 0.8
+"""Most of what an entry has left that it gives away at once."""
+
+
+@attrs.frozen
+class Goal:
+    """What an entry should hold of an account beyond its floor."""
+
+    hand_tokens: int
+    claim_tokens: int
+
+
+@attrs.frozen
+class Standing:
+    """How an account stands, as far as this entry knows.
+
+    :ivar usable_tokens: the total less the reserve.
+    :ivar used_tokens: known to be used, by all entries.
+    :ivar lost_tokens: claimed by earlier starts and perhaps not used.
+    :ivar others_tokens_per_s: how fast the other entries spend it.
+    :ivar entries: entries alive, this one included.
+    """
+
+    usable_tokens: int
+    used_tokens: int
+    lost_tokens: int
+    others_tokens_per_s: float
+    entries: int
+
+
+def goal(share: Share, standing: Standing, now_s: float) -> Goal:
+    """What this entry should hold of an account beyond its floor.
+
+    Its part of the account's spend decides: callers keep connections, so an
+    account comes through few entries, and what idle ones hold is of no use.
+    Until enough was used to know the rates, shares are even.
+    """
+    unspent = standing.usable_tokens - standing.used_tokens - standing.lost_tokens
+    unspent = max(0, unspent)
+    rate = share.rate_tokens_per_s(now_s)
+    most = unspent * POOL_SHARE * _part(rate, standing)
+    largest = share.largest_tokens * LARGEST_SHARES / standing.entries
+    known = standing.used_tokens / max(1.0, standing.usable_tokens * KNOWN_SHARE)
+    even = unspent * max(IDLE_SHARE, 1.0 - known) / standing.entries
+    hand = max(min(rate * HAND_S, most), even * FIRST_HAND_SHARE)
+    claim = max(min(rate * COVER_S + largest, most), even * FIRST_SHARE)
+    return Goal(int(min(hand, claim)), int(claim))
+
+
+def _part(rate_tokens_per_s: float, standing: Standing) -> float:
+    """This entry's part of the account's spend."""
+    rates = rate_tokens_per_s + standing.others_tokens_per_s
+    return rate_tokens_per_s / rates if rates > 0 else 1.0 / standing.entries
--- /dev/null
+++ b/src/celerytrack/prepaid/shares.py
@@ -0,0 +1,109 @@
+"""One entry's row and its own share of an account."""
+
+import math
+
+import attrs
+
+from celerytrack.ids import AccountId
+
+RATE_WINDOW_S = 8.0
+"""Time constant of the spend rate: long enough to span the gaps between large
+prompts, short enough to follow an account that multiplies its traffic."""
+LARGEST_DECAY_S = 20.0
+"""How fast the memory of an account's largest request halves."""
+
+
+@attrs.frozen
+class Row:
+    """What one entry published of one account; tokens, cumulative.
+
+    :ivar claimed_tokens: what it may have spent at most.
+    :ivar hand_tokens: what it may have spent while it writes rows.
+    :ivar used_tokens: what it knows was spent; a lower bound for others.
+    :ivar wanted_tokens: what it lacks for requests it has at hand.
+    :ivar lost_tokens: what its earlier starts claimed and may not have used.
+    :ivar rate_tokens_per_s: how fast it spends the account.
+    """
+
+    claimed_tokens: int = 0
+    hand_tokens: int = 0
+    used_tokens: int = 0
+    wanted_tokens: int = 0
+    lost_tokens: int = 0
+    rate_tokens_per_s: int = 0
+
+
+@attrs.frozen
+class Reservation:
+    """Tokens set aside for one request at its largest."""
+
+    account: AccountId
+    tokens: int
+
+
+@attrs.define
+class Share:
+    """This entry's part of one account.
+
+    :ivar claim_tokens: what the next row claims.
+    :ivar accepted_tokens: what may be spent once unlocked; at most the claim
+        of the row on the log.
+    :ivar gifted_tokens: given to other entries under our row.
+    :ivar received_tokens: given to us under theirs.
+    :ivar adopted_tokens: part of what is spent that an earlier start of this
+        entry had claimed, of which ``adopted_used_tokens`` are known as used.
+    """
+
+    claim_tokens: int = 0
+    accepted_tokens: int = 0
+    spent_tokens: int = 0
+    gifted_tokens: int = 0
+    received_tokens: int = 0
+    adopted_tokens: int = 0
+    adopted_used_tokens: int = 0
+    reserved_tokens: int = 0
+    wanted_tokens: int = 0
+    urgent_tokens: int = 0
+    spend_tokens_per_s: float = 0.0
+    rated_at_s: float = 0.0
+    rated_since_s: float | None = None
+    largest_tokens: float = 0.0
+
+    @property
+    def floor_tokens(self) -> int:
+        """What our row must cover."""
+        gifts = self.gifted_tokens - self.received_tokens
+        return self.spent_tokens + self.reserved_tokens + gifts
+
+    @property
+    def used_tokens(self) -> int:
+        """What is known to be used, by this start and the ones before."""
+        return self.spent_tokens - self.adopted_tokens + self.adopted_used_tokens
+
+    @property
+    def lost_tokens(self) -> int:
+        """What earlier starts claimed and may not have used."""
+        return self.adopted_tokens - self.adopted_used_tokens
+
+    def rate_tokens_per_s(self, now_s: float) -> float:
+        """The rate of recent spend, as if it had always been so: an average
+        that began at nothing is low for its first seconds."""
+        if self.rated_since_s is None:
+            return 0.0
+        past_s = max(1.0, now_s - self.rated_since_s)
+        return self.spend_tokens_per_s / -math.expm1(-past_s / RATE_WINDOW_S)
+
+    def spend(self, tokens: int, now_s: float) -> None:
+        """Count what a request used."""
+        self.spent_tokens += tokens
+        if self.rated_since_s is None:
+            self.rated_since_s = now_s
+        self.decay(now_s)
+        self.spend_tokens_per_s += tokens / RATE_WINDOW_S
+
+    def decay(self, now_s: float) -> None:
+        """Let the rate and the largest request fade."""
+        past_s = max(0.0, now_s - self.rated_at_s)
+        self.spend_tokens_per_s *= math.exp(-past_s / RATE_WINDOW_S)
+        self.largest_tokens *= 0.5 ** (past_s / LARGEST_DECAY_S)
+        self.rated_at_s = now_s
--- a/tests/test_endpoints.py
+++ b/tests/test_endpoints.py
@@ -5,13 +5,8 @@
 
 from nose2.tools import params
 
-from celerytrack.endpoints import (
-    EJECT_S,
-    GONE_GRACE_S,
-    EndpointBook,
-    Need,
-    Registration,
-)
+from celerytrack.endpoint import Need, Registration
+from celerytrack.endpoints import EJECT_S, GONE_GRACE_S, EndpointBook
 from celerytrack.ids import AccountId, EndpointId, ServiceName, Zone
 from celerytrack.routes import (
     ClientAccount,
