--- /dev/null
+++ b/src/celerytrack/gateway/admission.py
@@ -0,0 +1,132 @@
+"""What a request passes before it is sent anywhere, and what is settled after."""
+
+import time
+
+from aiohttp import web
+
+from celerytrack.gateway.exchange import Exchange
+from celerytrack.gateway.refusals import RefusedError
+from celerytrack.gateway.state import Gateway
+from celerytrack.ids import AccountId
+from celerytrack.platform.http import RequestError, decode_request
+from celerytrack.prepaid import Reservation
+from celerytrack.routes import RoutingTable, pick_service
+from celerytrack.verdict import Reason, did_not_run
+
+DEFAULT_DEADLINE_S = 30.0
+"""Deadline of a caller that names none: the longest route timeout listed is
+12 s."""
+ANSWER_MARGIN_S = 0.03
+"""An answer goes out this long before the deadline, so that it arrives: the
+way to callers takes 3 ms, and timers fire late on a busy instance."""
+SOON_S = 0.1
+"""When to come back after a refusal that another entry may well not give."""
+SHORTLY_S = 0.5
+"""When to come back while a service has no endpoint: registrations are back
+within two seconds of an outage's end."""
+CUT_LASTS_S = 3.0
+"""When to come back while this entry is cut off from the log and the others
+have no tokens to give: cuts last seconds, and a caller has one more try."""
+TOKENS_RETURN_S = 5.0
+"""When to come back if neither the total nor the other entries have the tokens:
+they return as requests end below their largest cost, or by a top-up."""
+
+
+async def admit(
+    gateway: Gateway, request: web.BaseRequest, started_s: float
+) -> Exchange:
+    """The checks before anything is reserved.
+
+    :raises RefusedError: saying what is wrong with the request.
+    """
+    table = gateway.table
+    if table is None or not gateway.endpoints_known:
+        detail = "no configuration read yet"
+        raise RefusedError(did_not_run(Reason.NO_CONFIG, SHORTLY_S, detail))
+    try:
+        facts = decode_request(request.headers)
+    except RequestError as exc:
+        raise RefusedError(did_not_run(Reason.BAD_REQUEST, None, str(exc))) from None
+    body = await _read_body(request, table)
+    # What is in force when the whole request is read decides.
+    table = gateway.table or table
+    route = table.match(facts.host, request.raw_path.split("?", 1)[0])
+    if route is None:
+        raise RefusedError(did_not_run(Reason.NO_ROUTE, None, "no such route"))
+    account_id: AccountId | None = None
+    urgency = route.priority
+    if table.needs_key and not route.public:
+        account = table.account_by_key(facts.key) if facts.key else None
+        if account is None:
+            raise RefusedError(did_not_run(Reason.BAD_KEY, None, "unknown key"))
+        account_id = account.account_id
+        urgency = route.priority if account.priority is None else account.priority
+    deadline_s = facts.deadline_s or DEFAULT_DEADLINE_S
+    return Exchange(
+        request=request,
+        facts=facts,
+        body=body,
+        route=route,
+        service=pick_service(route, gateway.rng.random()),
+        account=account_id,
+        urgency=urgency,
+        started_s=started_s,
+        ends_s=started_s + min(deadline_s, route.timeout_s) - ANSWER_MARGIN_S,
+    )
+
+
+async def _read_body(request: web.BaseRequest, table: RoutingTable) -> bytes:
+    if not request.body_exists:
+        return b""
+    try:
+        body = await request.read()
+    except web.HTTPRequestEntityTooLarge:
+        body = None
+    if body is None or len(body) > table.body_bytes:
+        detail = f"a body may have {table.body_bytes} bytes"
+        raise RefusedError(did_not_run(Reason.BODY_TOO_LARGE, None, detail))
+    return body
+
+
+async def reserve(gateway: Gateway, exchange: Exchange) -> Reservation | None:
+    """Set the request's largest cost aside.
+
+    :raises RefusedError: ``did_not_run``: for good only if the total cannot
+        cover the request, whatever other entries hold.
+    """
+    facts, account = exchange.facts, exchange.account
+    tokens = facts.input_tokens + facts.output_tokens
+    book = gateway.keeper.book
+    if account is None or not tokens or not book.limited(account):
+        return None
+    table = gateway.table
+    urgent = table is not None and exchange.route.priority <= table.most_urgent
+    held = await gateway.keeper.reserve(account, tokens, urgent)
+    if held is not None:
+        return held
+    if book.exhausted(account, tokens):
+        detail = f"{tokens} tokens do not fit what is left"
+        raise RefusedError(did_not_run(Reason.BUDGET_EXHAUSTED, None, detail))
+    detail = (
+        f"{tokens} tokens, {book.left_tokens(account, time.monotonic())} in hand here"
+    )
+    after_s = TOKENS_RETURN_S if gateway.keeper.reachable else CUT_LASTS_S
+    raise RefusedError(did_not_run(Reason.TOKENS_ELSEWHERE, after_s, detail))
+
+
+def settle(gateway: Gateway, exchange: Exchange, held: Reservation | None) -> None:
+    """Charge what the request used, or free it all if it did not run."""
+    if held is None:
+        return
+    book = gateway.keeper.book
+    if not exchange.may_have_run:
+        book.unreserve(held)
+        return
+    assert gateway.table is not None
+    service = gateway.table.services.get(exchange.service)
+    per_event = service.engine.event_tokens if service and service.engine else 1
+    # One event more than was relayed: it may have been on its way to the
+    # caller when the stream ended.
+    whole = exchange.response is not None
+    out = (exchange.events.events + (1 if whole else 0)) * per_event
+    book.commit(held, exchange.facts.input_tokens + out, time.monotonic())
--- a/src/celerytrack/gateway/refusals.py
+++ b/src/celerytrack/gateway/refusals.py
@@ -7,6 +7,14 @@
 from celerytrack.verdict import Refusal
 
 
+class RefusedError(Exception):
+    """The request ends with a refusal or failure of our own."""
+
+    def __init__(self, refusal: Refusal) -> None:
+        super().__init__(refusal.detail)
+        self.refusal = refusal
+
+
 def refusal_response(refusal: Refusal, leaving: bool) -> web.Response:
     """The response that carries ``refusal``.
 
--- a/src/celerytrack/gateway/server.py
+++ b/src/celerytrack/gateway/server.py
@@ -7,6 +7,7 @@
 import signal
 import time
 from collections.abc import Awaitable, Callable
+from typing import Any
 
 from aiohttp import web
 
@@ -41,7 +42,8 @@
 HEADER_BYTES = 65_536
 """Header bytes taken: four times what callers may send."""
 BODY_BYTES = 16 * 1024 * 1024
-"""Body bytes taken: four times what callers may send."""
+"""Body bytes read before a request is refused as too large, whatever the
+configuration allows: a bound on memory."""
 LEAVE_SERVES_S = 3.5
 """On a planned stop, how long new requests are still served: rows are read
 within a second, and address answers lapse after one, or three for callers that
@@ -115,6 +117,7 @@
         host, port = address.rsplit(":", 1)
         server = web.Server(
             handler,
+            request_factory=_make_request,
             access_log=None,
             handler_cancellation=True,
             keepalive_timeout=CALLER_IDLE_S,
@@ -219,3 +222,13 @@
         for task in self._tasks:
             task.cancel()
         await self._gateway.close()
+
+
+def _make_request(
+    message: Any, payload: Any, protocol: Any, writer: Any, task: Any
+) -> web.BaseRequest:
+    # The library takes 1 MiB of a body as a rule; callers may send more.
+    loop = asyncio.get_running_loop()
+    return web.BaseRequest(
+        message, payload, protocol, writer, task, loop, client_max_size=BODY_BYTES
+    )
--- a/tests/gateway_fleet.py
+++ b/tests/gateway_fleet.py
@@ -176,6 +176,7 @@
         request_id: str = "r1",
         method: str = "POST",
         gateway: int = 0,
+        body: bytes = b"body",
         **headers: str,
     ) -> tuple[int, dict[str, str], bytes]:
         """Send one request; status, headers and body."""
@@ -183,7 +184,7 @@
         async with self.http.request(
             method,
             yarl.URL(f"http://{address}{path}", encoded=True),
-            data=b"body" if method == "POST" else None,
+            data=body if method == "POST" else None,
             skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding"),
             headers={
                 "Host": HOST,
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -155,6 +155,28 @@
         self.assertEqual((got, ran), (status, 0))
 
 
+class BodySizeTest(unittest.TestCase):
+    @params((2 * 1024 * 1024, 200), (5 * 1024 * 1024, 413))
+    def test_bodies_up_to_the_configured_size(self, size, status):
+        """Symptom: 413 for bodies that the configuration allows.
+
+        Cause: the HTTP library's own limit of 1 MiB came first.
+        """
+
+        async def count(request: web.BaseRequest) -> web.StreamResponse:
+            size = 0
+            async for chunk in request.content.iter_any():
+                size += len(chunk)
+            return web.Response(body=b"%d" % size, headers=_echo(request))
+
+        async def ask():
+            async with _fleet(count) as fleet:
+                got, _, body = await fleet.ask("/plain/x", body=b"x" * size)
+                return got if got != 200 or int(body) == size else 0
+
+        self.assertEqual(asyncio.run(ask()), status)
+
+
 class SecondAttemptTest(unittest.IsolatedAsyncioTestCase):
     async def test_an_idempotent_call_goes_to_another_endpoint(self):
         async with _fleet(_failing, _good) as fleet:
