--- a/tests/gateway_fleet.py
+++ b/tests/gateway_fleet.py
@@ -15,7 +15,7 @@
 from celerytrack.gateway.state import Gateway
 from celerytrack.platform.settings import ProcessSettings
 from celerytrack.platform.topics import CONFIG_KEY, CONFIG_TOPIC, ENDPOINTS_TOPIC
-from celerytrack.standins.keyed_log import KeyedLog
+from tests.keyed_log import KeyedLog
 
 HOST = "h.example"
 KEY = "key-of-t"
