A gift may take 0.15 s; its test waits until both entries' rows are settled

Change: the time limit of a gift 0.06 to 0.15 s; the test waits for three rows of each entry after they know of each other, its assertion unchanged.

--- a/src/celerytrack/gateway/gifts.py
+++ b/src/celerytrack/gateway/gifts.py
@@ -14,9 +14,11 @@
 
 _log = logging.getLogger(__name__)
 
-ASK_TIMEOUT_S = 0.06
-"""Longest wait for a gift: entries of one region are under 3 ms apart; a
-request should not wait for one that is cut off."""
+ASK_TIMEOUT_S = 0.15
+"""Longest wait for a gift: entries of one region are under 3 ms apart, but an
+instance that has used up its share of a processor stands still for up to a
+tenth of a second. At 0.06 s gifts of a busy instance were lost on the way, and
+a lost gift is spent by nobody."""
 _PATH = "/gift"
 
 
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -275,13 +275,7 @@
         holds its own. Cause: entries could move tokens only through the log.
         """
         async with _fleet(_five, gateways=2) as fleet:
-            await fleet.until(
-                lambda: all(
-                    len(g.keeper.members.members()) == 2
-                    and g.keeper.book.left_tokens(T, 0.0) > 10_000
-                    for g in fleet.gateways
-                )
-            )
+            await self._settled(fleet)
             fleet.log.down = True
             here, there = (g.keeper.book for g in fleet.gateways)
             cost = here.left_tokens(T, 0.0) + there.left_tokens(T, 0.0) // 3
@@ -289,6 +283,20 @@
             status, _, _ = await fleet.ask("/stream/x", **one)
             self.assertEqual(status, 200)
 
+    async def _settled(self, fleet: Fleet) -> None:
+        """Wait until every entry has written rows that know of the other: the
+        first to start claims as if it were alone, and lowers that."""
+        await fleet.until(
+            lambda: all(len(g.keeper.members.members()) == 2 for g in fleet.gateways)
+        )
+        wrote = len(fleet.log.topics["keyed.celerytrack-entries"].records)
+        await fleet.until(
+            lambda: (
+                len(fleet.log.topics["keyed.celerytrack-entries"].records) >= wrote + 6
+                and not any(g.keeper.book._in_flight for g in fleet.gateways)
+            )
+        )
+
     async def test_lost_answers_of_the_log_write_no_row_twice(self):
         async with _fleet(_good) as fleet:
             fleet.log.lose_answers = True
