A claim comes free as its row grows old, instead of a hand and a locked rest

Cause: what might be spent without the log was two fixed amounts. Waits for a row went up to 350 ms before other entries were asked, also while the store was silent. Ruled out: engines (first token after admission p50 120 ms, p90 390 ms).

A row now says hand and pace; its next start counts what may have been spent by its age (steady clock, or the other entries' clocks after a loss of power). Rows every 0.3 s; a dead zone of 0.8 s; 60 ms wait before others are asked.

Found on the way: a row brought what was missing counted from the last row.

--- a/src/celerytrack/__init__.py
+++ b/src/celerytrack/__init__.py
@@ -5,6 +5,7 @@
 :mod:`celerytrack.entry`, :mod:`celerytrack.standins` and :mod:`celerytrack.cli`.
 """
 
+from celerytrack._started import STARTED_S
 from celerytrack.escrow import EscrowBook, HeldGrant, Reservation, budget_refusal
 from celerytrack.ids import (
     AccountId,
@@ -48,6 +49,7 @@
     "RequestId",
     "Reservation",
     "RetryBudget",
+    "STARTED_S",
     "SettingsError",
     "Verdict",
     "Zone",
--- a/src/celerytrack/cli/gateway.py
+++ b/src/celerytrack/cli/gateway.py
@@ -1,21 +1,18 @@
 """``celerytrack-gateway``: run one entry on the users' platform."""
 
 import sys
-import time
 
 from cleo.application import Application
 from cleo.commands.command import Command
 from cleo.helpers import option
 
+from celerytrack import STARTED_S
 from celerytrack.cli._serve import run
 from celerytrack.gateway.logs import setup_bounded_logging
 from celerytrack.gateway.server import EntryServer
 from celerytrack.gateway.state import Gateway
 from celerytrack.platform.settings import SettingsError, load_settings, settings_path
 
-_STARTED_S = time.monotonic()
-"""When this process began, as near as can be told."""
-
 
 class RunCommand(Command):
     """Serve callers as one entry on the users' platform."""
@@ -39,7 +36,7 @@
 
         async def main() -> None:
             nonlocal status
-            status = await EntryServer(Gateway(settings, _STARTED_S), path).run()
+            status = await EntryServer(Gateway(settings, STARTED_S), path).run()
 
         run(main)
         return status
--- a/src/celerytrack/gateway/admission.py
+++ b/src/celerytrack/gateway/admission.py
@@ -107,10 +107,12 @@
     if book.exhausted(account, tokens):
         detail = f"{tokens} tokens do not fit what is left"
         raise RefusedError(did_not_run(Reason.BUDGET_EXHAUSTED, None, detail))
-    detail = (
-        f"{tokens} tokens, {book.left_tokens(account, time.monotonic())} in hand here"
-    )
-    after_s = TOKENS_RETURN_S if gateway.keeper.reachable else CUT_LASTS_S
+    now_s = time.monotonic()
+    detail = f"{tokens} tokens, {book.left_tokens(account, now_s)} in hand here"
+    after_s = TOKENS_RETURN_S
+    if not gateway.keeper.reachable:
+        free_s = book.free_in_s(account, tokens, now_s)
+        after_s = CUT_LASTS_S if free_s is None else max(free_s, SOON_S)
     raise RefusedError(did_not_run(Reason.TOKENS_ELSEWHERE, after_s, detail))
 
 
--- a/src/celerytrack/gateway/attempts.py
+++ b/src/celerytrack/gateway/attempts.py
@@ -143,7 +143,8 @@
         if whole is None:
             continue
         if exchange.response is None:
-            sent.answered(time.monotonic())
+            exchange.first_s = time.monotonic()
+            sent.answered(exchange.first_s)
             await _open(gateway, exchange, response)
         await _write(exchange, whole.data)
     if events.partial or _was_reset(response, protocol):
--- a/src/celerytrack/gateway/exchange.py
+++ b/src/celerytrack/gateway/exchange.py
@@ -46,6 +46,8 @@
         route's timeout, whichever is sooner.
     :ivar tried: endpoints chosen for it, in order.
     :ivar unsent: how many of them did not take the connection.
+    :ivar covered_s: when its largest cost was set aside, or found to need none.
+    :ivar first_s: when the first piece of its answer came.
     :ivar may_have_run: whether some endpoint may have run it.
     :ivar response: the answer's head went out to the caller.
     :ivar events: the stream's events so far.
@@ -62,6 +64,8 @@
     ends_s: float
     tried: list[EndpointId] = attrs.field(factory=list)
     unsent: int = 0
+    covered_s: float | None = None
+    first_s: float | None = None
     may_have_run: bool = False
     response: web.StreamResponse | None = None
     events: EventCutter = attrs.field(factory=EventCutter)
--- a/src/celerytrack/gateway/outcomes.py
+++ b/src/celerytrack/gateway/outcomes.py
@@ -55,10 +55,16 @@
         status=status,
         tried=exchange.tried,
         events=exchange.events.events,
-        took_ms=round((time.monotonic() - exchange.started_s) * 1_000),
+        covered_ms=_after_ms(exchange, exchange.covered_s),
+        first_ms=_after_ms(exchange, exchange.first_s),
+        took_ms=_after_ms(exchange, time.monotonic()),
     )
 
 
+def _after_ms(exchange: Exchange, at_s: float | None) -> int | None:
+    return None if at_s is None else round((at_s - exchange.started_s) * 1_000)
+
+
 def refuse(
     gateway: Gateway,
     request: web.BaseRequest,
--- a/src/celerytrack/gateway/pipeline.py
+++ b/src/celerytrack/gateway/pipeline.py
@@ -69,6 +69,7 @@
 
 async def _serve(gateway: Gateway, exchange: Exchange) -> web.StreamResponse:
     held = await reserve(gateway, exchange)
+    exchange.covered_s = time.monotonic()
     try:
         async with asyncio.timeout_at(_loop_time(exchange.ends_s)):
             return await _attempts(gateway, exchange)
--- a/src/celerytrack/gateway/share_keeper.py
+++ b/src/celerytrack/gateway/share_keeper.py
@@ -21,9 +21,9 @@
     Member,
     MemberState,
     MemberView,
+    age_at_power_s,
+    age_at_start_s,
     beat_interval_s,
-    died_within,
-    lost_power_within,
 )
 from celerytrack.platform.rows import RowError, decode_member, encode_member
 from celerytrack.platform.store import (
@@ -33,7 +33,7 @@
     Writer,
 )
 from celerytrack.platform.topics import ENTRIES_TOPIC
-from celerytrack.prepaid import UNLOCK_S, PrepaidBook, Reservation
+from celerytrack.prepaid import PrepaidBook, Reservation
 
 _log = logging.getLogger(__name__)
 
@@ -44,6 +44,9 @@
 """Longest a request waits for tokens: an append and a read take 10 ms each,
 and a store slowed fiftyfold 400 ms; a caller does better at another entry."""
 
+SLOW_APPEND_S = 0.1
+"""A row that has been on its way for this long is not waited for: it takes
+10 ms as a rule, and the other entries answer sooner."""
 FIRST_WAIT_S = 0.06
 """How long a request waits for a row before other entries are asked: an
 append and a read back, with room for a slow answer."""
@@ -89,6 +92,7 @@
         self._started_s = started_s
         self._zone = zone
         self._sequence = 0
+        self._sent_s: float | None = None
         self._left_at_s: float | None = None
         self._doubtful: Member | None = None
         self._tail = KeyedTail(store, ENTRIES_TOPIC, self._apply, self._reload)
@@ -119,17 +123,26 @@
                 return held
             if self.book.exhausted(account, tokens):
                 return None
-            waited_s = now_s - started_s
-            patience_s = WAIT_TOKENS_S if self._tail.reachable else 0.0
-            if waited_s < min(patience_s, FIRST_WAIT_S if not asked else patience_s):
+            patience_s = WAIT_TOKENS_S if asked else FIRST_WAIT_S
+            left_s = started_s + patience_s - now_s
+            if left_s > 0 and self._prompt(now_s):
                 self._wake.set()
-                await self._wait_changed(patience_s - waited_s)
+                await self._wait_changed(min(left_s, SLOW_APPEND_S))
             elif not asked:
                 asked = True
                 await self._ask(account, tokens, now_s)
             else:
                 return None
 
+    def _prompt(self, now_s: float) -> bool:
+        """Whether a row made now would soon be on the log.
+
+        A store that has just gone silent is found out only when the call runs
+        into its timeout: every request of those 1.5 s would wait for nothing.
+        """
+        pending_s = 0.0 if self._sent_s is None else now_s - self._sent_s
+        return self._tail.reachable and pending_s < SLOW_APPEND_S
+
     async def _wait_changed(self, timeout_s: float) -> None:
         try:
             async with asyncio.timeout(timeout_s):
@@ -193,21 +206,20 @@
                     await asyncio.sleep(RETRY_S)
         while not await self._tail.poll():
             await asyncio.sleep(RETRY_S)
-        now_s = time.monotonic()
         last = self.members.member(self._entry_id)
-        locked = last is not None and died_within(
-            last, UNLOCK_S, self._started_s, _clock_offset_s()
-        )
-        self.book.adopt(locked, now_s)
+        age_s = None
         if last is not None:
+            age_s = age_at_start_s(last, self._started_s, _clock_offset_s())
             self._left_at_s = last.made_at_s
-            self._doubtful = None if locked else last
+            self._doubtful = last if age_s is None else None
+        self.book.adopt(age_s)
         self.started = True
         log_event(
             _log,
             Event.SHARES_TAKEN_OVER,
             epoch=self.epoch,
-            locked=locked,
+            age_s=age_s,
+            lost=self.book.lost(),
             last_made_s=last.made_s if last else None,
             started_s=self._started_s,
             clock_moved_s=_clock_offset_s() - last.clock_offset_s if last else None,
@@ -228,6 +240,7 @@
             left_at_s=self._left_at_s,
             shares=self.book.next_row(now_s),
         )
+        self._sent_s = now_s
         offset = await self._append(encode_member(member))
         if self._tail.next_offset == offset:
             # Nobody wrote in between: no need to read our own row back.
@@ -238,6 +251,7 @@
             if not await self._tail.poll():
                 await asyncio.sleep(pause_s)
                 pause_s = min(2 * pause_s, RETRY_MAX_S)
+        self._sent_s = None
         self.members.read_ok(time.monotonic())
         self.book.row_folded()
         self._reconsider(member)
@@ -251,9 +265,16 @@
             return
         rows = self.members.members()
         others = [row for entry, row in rows.items() if entry != self._entry_id]
-        if lost_power_within(mine, others, UNLOCK_S):
-            self.book.never_unlocked(left.shares)
-            log_event(_log, Event.SHARES_FREED, witnesses=len(others))
+        age_s = age_at_power_s(mine, others)
+        if age_s is not None:
+            self.book.free_beyond(left.shares, age_s)
+            log_event(
+                _log,
+                Event.SHARES_FREED,
+                age_s=age_s,
+                others=len(others),
+                lost=self.book.lost(),
+            )
         elif time.monotonic() - self._started_s < RECONSIDER_S:
             return
         self._doubtful = None
--- a/src/celerytrack/members.py
+++ b/src/celerytrack/members.py
@@ -16,14 +16,18 @@
 from celerytrack.ids import AccountId, EntryId, Zone
 from celerytrack.prepaid import Row
 
-BEAT_S = 1.0
-"""Longest time between two rows of a small fleet."""
+BEAT_S = 0.3
+"""Longest time between two rows of a small fleet. What was spent since the last
+row is lost with power: 0.3 s instead of 1 s is 1 to 2 % of every total."""
 BEATS_PER_S = 60.0
 """Rows that all entries together write a second, at most: a tenth of the 600
 writes a second that the smallest store takes."""
 SILENT_BEATS = 3.5
 """An entry is silent after this many intervals: one row may be lost and the
 next be late."""
+SILENT_LEAST_S = 3.5
+"""Shortest silence that counts: an instance whose share of a processor is used
+up, or that is slowed, still serves its callers between late rows."""
 DEFAULT_TTL_S = 1.0
 """How long callers keep an address answer: a leaving entry is out of the
 answers within a second and out of sight a second later, after three for callers
@@ -83,32 +87,40 @@
     return max(BEAT_S, entries / BEATS_PER_S)
 
 
-CLOCK_SLACK_S = 0.5
+def _silent_s(entries: int) -> float:
+    return max(SILENT_LEAST_S, beat_interval_s(entries) * SILENT_BEATS)
+
+
+CLOCK_SLACK_S = 0.2
 """Two readings of the clock offset on one instance may differ by this."""
 
 
-def died_within(
-    last: Member, limit_s: float, started_s: float, clock_offset_s: float
-) -> bool:
-    """Whether an earlier start certainly ended within ``limit_s`` of ``last``.
+def age_at_start_s(
+    last: Member, started_s: float, clock_offset_s: float
+) -> float | None:
+    """How old ``last`` was when this start began, or ``None`` if the steady
+    clock cannot tell: the instance itself started anew meanwhile.
 
     :param last: the last row of the earlier start, of the same instance.
     :param started_s: when this start began, on the steady clock.
     :param clock_offset_s: this start's time of day less its steady clock.
     """
     same_boot = abs(clock_offset_s - last.clock_offset_s) < CLOCK_SLACK_S
-    return same_boot and 0 <= started_s - last.made_s < limit_s
+    age_s = started_s - last.made_s
+    return age_s if same_boot and age_s >= 0 else None
 
 
 AGREE_S = 1.0
 """Clocks that agree with most others within this were not set: a clock that is
 set jumps by seconds, and rows are written a second apart."""
+CLOCK_ERROR_S = 0.05
+"""What two readings of a clock that was not set may be off over a few seconds."""
 FEWEST_WITNESSES = 2
 
 
-def lost_power_within(mine: Member, others: list[Member], limit_s: float) -> bool:
-    """Whether this entry and most others lost power together, and this one
-    certainly within ``limit_s`` of its last row.
+def age_at_power_s(mine: Member, others: list[Member]) -> float | None:
+    """How old this entry's last row was when it started again, if it and most
+    others lost power together; else ``None``.
 
     A loss of power starts the steady clock anew, and a time of day alone may
     have been set meanwhile. But when most entries went down and came back
@@ -120,7 +132,7 @@
     """
     left_at_s = mine.left_at_s
     if left_at_s is None:
-        return False
+        return None
     witnesses = [
         (row.left_at_s, row.started_at_s)
         for row in others
@@ -128,12 +140,13 @@
         and abs(row.started_at_s - mine.started_at_s) < AGREE_S
     ]
     if len(witnesses) < max(FEWEST_WITNESSES, len(others) // 2):
-        return False
+        return None
     gap_s = statistics.median(left_s - left_at_s for left_s, _ in witnesses)
     passed_most_s = statistics.median(start_s - left_s for left_s, start_s in witnesses)
     passed_s = mine.started_at_s - left_at_s
-    longest_s = max(passed_s, passed_most_s) + CLOCK_SLACK_S
-    return abs(gap_s) < AGREE_S and passed_s >= 0 and longest_s < limit_s
+    if abs(gap_s) >= AGREE_S or passed_s < 0:
+        return None
+    return max(passed_s, passed_most_s) + CLOCK_ERROR_S
 
 
 @attrs.define
@@ -173,7 +186,7 @@
 
     def read_ok(self, now_s: float) -> None:
         """The log answered a read at ``now_s``."""
-        gap_s = beat_interval_s(len(self._seen)) * SILENT_BEATS
+        gap_s = _silent_s(len(self._seen))
         if now_s - self._read_at_s > gap_s / 2:
             # After an outage every row looks old; each entry is given the
             # usual time to write again before it counts as silent.
@@ -186,7 +199,7 @@
 
     def live(self, now_s: float) -> list[Member]:
         """Entries that take new callers, without this one."""
-        limit_s = beat_interval_s(len(self._seen)) * SILENT_BEATS
+        limit_s = _silent_s(len(self._seen))
         reading = now_s - self._read_at_s < limit_s / 2
         settled = reading and now_s - self._reading_since_s > limit_s
         return [
--- a/src/celerytrack/platform/rows.py
+++ b/src/celerytrack/platform/rows.py
@@ -21,6 +21,7 @@
             row.wanted_tokens,
             row.lost_tokens,
             row.rate_tokens_per_s,
+            row.pace_tokens_per_s,
         )
         for account, row in member.shares.items()
     }
--- a/src/celerytrack/prepaid/__init__.py
+++ b/src/celerytrack/prepaid/__init__.py
@@ -18,13 +18,13 @@
 that claim the same free tokens at once both see a sum that does not fit, or
 only the earlier one sees it fit; the other withdraws.
 
-An entry that dies leaves its row: what it claimed counts as spent. That would
-lose all that entries hold for a cut whenever they are killed together, so a
-row has two limits. The *hand* is spent freely. The rest of the claim is
-locked until the entry has made no row for :data:`UNLOCK_S`: it is for cuts.
-The next start of the entry on the same instance reads the time of the last
-row on the same steady clock; if less than :data:`UNLOCK_S` passed until its
-own start, the rest was never unlocked, and only the hand is lost.
+An entry that dies leaves its row: what it may have spent counts as spent. That
+would lose all that entries hold for a cut whenever they are killed together,
+so a row says how much may be spent by when: its *hand* at once, and more with
+each second that the row grows old, at the entry's own pace, up to its claim.
+The next start of the entry knows how old the row was when it began, by the
+steady clock of the instance, and counts only what may have been spent by then.
+An entry that is cut off goes on at its pace without a word to anybody.
 
 Entries that are cut off from the log but reach each other move tokens by
 gifts: the giver counts them as gone under its own row, the receiver may spend
@@ -35,7 +35,6 @@
 """
 
 from celerytrack.prepaid.book import PrepaidBook
-from celerytrack.prepaid.policy import UNLOCK_S
 from celerytrack.prepaid.shares import Reservation, Row
 
-__all__ = ["UNLOCK_S", "PrepaidBook", "Reservation", "Row"]
+__all__ = ["PrepaidBook", "Reservation", "Row"]
--- a/src/celerytrack/prepaid/book.py
+++ b/src/celerytrack/prepaid/book.py
@@ -7,7 +7,6 @@
     GIFT_SHARE,
     RELEASE_ABOVE,
     RESERVE_SHARE,
-    UNLOCK_S,
     URGENT_SHARE,
     Goal,
     Standing,
@@ -29,7 +28,8 @@
         self._claimed: dict[AccountId, int] = {}
         self._shares: dict[AccountId, Share] = {}
         self._in_flight: Mapping[AccountId, Row] | None = None
-        self._row_made_s = float("inf")
+        self._made_s = float("inf")
+        self._published_made_s = float("inf")
         self._entries = 1
         self._leaving = False
         self._unreadable: set[EntryId] = set()
@@ -71,17 +71,19 @@
         for entry in self._rows.keys() - entries:
             self.fold(entry, {})
 
-    def adopt(self, locked: bool, now_s: float) -> None:
+    def adopt(self, age_s: float | None) -> None:
         """Take over the row that an earlier start of this entry left.
 
         What it may have spent counts as spent: what it delivered after its
         last row is known to nobody.
 
-        :param locked: whether it certainly never unlocked its claim.
+        :param age_s: how old the row was when that start had certainly ended;
+            ``None`` if nobody can tell.
         """
-        self._row_made_s = now_s
         for account, row in self._rows.get(self.me, {}).items():
-            lost = row.hand_tokens if locked else row.claimed_tokens
+            lost = row.claimed_tokens
+            if age_s is not None:
+                lost = row.limit_tokens(age_s)
             self._shares[account] = Share(
                 claim_tokens=row.claimed_tokens,
                 accepted_tokens=row.claimed_tokens,
@@ -90,17 +92,18 @@
                 adopted_used_tokens=row.used_tokens,
             )
 
-    def never_unlocked(self, left: Mapping[AccountId, Row]) -> None:
-        """Free what :meth:`adopt` counted as spent beyond the hand.
+    def free_beyond(self, left: Mapping[AccountId, Row], age_s: float) -> None:
+        """Free what :meth:`adopt` counted as spent but cannot have been.
 
-        Called at most once, when it turned out that the earlier start
-        certainly never unlocked its claim.
+        Called at most once, when it turned out how old the row was when the
+        earlier start had certainly ended.
 
         :param left: the row it left.
         """
         for account, row in left.items():
             share = self._share(account)
-            beyond = min(row.claimed_tokens - row.hand_tokens, share.adopted_tokens)
+            beyond = row.claimed_tokens - row.limit_tokens(age_s)
+            beyond = min(beyond, share.adopted_tokens)
             share.spent_tokens -= beyond
             share.adopted_tokens -= beyond
 
@@ -119,11 +122,10 @@
         """
         share = self._share(account)
         share.largest_tokens = max(share.largest_tokens, float(tokens))
-        missing = tokens - self.left_tokens(account, now_s)
-        if missing > 0:
-            share.wanted_tokens = max(share.wanted_tokens, missing)
+        if tokens > self.left_tokens(account, now_s):
+            share.wanted_tokens = max(share.wanted_tokens, tokens)
             if urgent:
-                share.urgent_tokens = max(share.urgent_tokens, missing)
+                share.urgent_tokens = max(share.urgent_tokens, tokens)
             return None
         share.reserved_tokens += tokens
         return Reservation(account, tokens)
@@ -154,11 +156,22 @@
     def left_tokens(self, account: AccountId, now_s: float) -> int:
         """What may be reserved of ``account`` here at ``now_s``."""
         share = self._share(account)
-        limit = share.accepted_tokens
-        if now_s - self._row_made_s < UNLOCK_S:
-            limit = min(limit, self._hand_limit(account))
+        limit = min(share.accepted_tokens, self._limit_tokens(account, now_s))
         return limit - share.floor_tokens
 
+    def free_in_s(self, account: AccountId, tokens: int, now_s: float) -> float | None:
+        """How long until ``tokens`` may be reserved here if no row is written;
+        ``None`` if the claim does not hold them."""
+        if self._in_flight is not None and account in self._in_flight:
+            row, made_s = self._in_flight[account], self._made_s
+        else:
+            row, made_s = self._published(account), self._published_made_s
+        share = self._share(account)
+        needed = share.floor_tokens + tokens
+        if needed > share.accepted_tokens:
+            return None
+        return row.free_in_s(needed, max(0.0, now_s - made_s))
+
     # -- gifts between entries ---------------------------------------------
 
     def give(self, account: AccountId, tokens: int, now_s: float) -> int:
@@ -205,23 +218,30 @@
             floor = share.floor_tokens
             share.claim_tokens = max(share.claim_tokens, floor)
             share.accepted_tokens = min(share.accepted_tokens, share.claim_tokens)
-            hand = floor + self._goal(account, now_s).hand_tokens + share.wanted_tokens
+            goal = self._goal(account, now_s)
+            # In full: what came free as the last row grew old is not in the new
+            # row's hand, and a request that lacked 100 tokens would go without.
+            hand = floor + max(goal.hand_tokens, share.wanted_tokens)
             row[account] = Row(
-                share.claim_tokens,
-                min(hand, share.claim_tokens),
-                share.used_tokens,
-                max(0, share.wanted_tokens - (share.claim_tokens - floor)),
-                share.lost_tokens,
-                int(share.rate_tokens_per_s(now_s)),
+                claimed_tokens=share.claim_tokens,
+                hand_tokens=min(hand, share.claim_tokens),
+                used_tokens=share.used_tokens,
+                wanted_tokens=max(
+                    0, share.wanted_tokens - (share.claim_tokens - floor)
+                ),
+                lost_tokens=share.lost_tokens,
+                rate_tokens_per_s=int(share.rate_tokens_per_s(now_s)),
+                pace_tokens_per_s=goal.pace_tokens_per_s,
             )
             share.wanted_tokens = 0
         self._in_flight = row
-        self._row_made_s = now_s
+        self._made_s = now_s
         return row
 
     def row_folded(self) -> None:
         """The row of :meth:`next_row` is on the log and was folded."""
         self._in_flight = None
+        self._published_made_s = self._made_s
         for account in self._shares:
             self._accept(account)
 
@@ -245,6 +265,11 @@
             for account, total in self._totals.items()
         }
 
+    def lost(self) -> dict[AccountId, int]:
+        """What counts as spent only because an earlier start may have."""
+        shares = self._shares.items()
+        return {a: s.lost_tokens for a, s in shares if s.lost_tokens}
+
     def _plan_account(self, account: AccountId, now_s: float) -> bool:
         share = self._share(account)
         share.decay(now_s)
@@ -257,7 +282,7 @@
         goal = self._goal(account, now_s).claim_tokens
         need = floor + max(goal, share.wanted_tokens)
         kept = int(self._totals[account] * URGENT_SHARE)
-        urgent_need = min(share.claim_tokens + share.urgent_tokens, room)
+        urgent_need = min(floor + share.urgent_tokens, room)
         share.urgent_tokens = 0
         if share.claim_tokens < need:
             most = max(min(need, room - kept), urgent_need)
@@ -270,7 +295,7 @@
 
     def _goal(self, account: AccountId, now_s: float) -> Goal:
         if self._leaving:
-            return Goal(0, 0)
+            return Goal(0, 0, 0)
         share = self._share(account)
         return goal(
             share,
@@ -306,10 +331,15 @@
     def _published(self, account: AccountId) -> Row:
         return self._rows.get(self.me, {}).get(account, Row())
 
-    def _hand_limit(self, account: AccountId) -> int:
-        limit = self._published(account).hand_tokens
+    def _limit_tokens(self, account: AccountId, now_s: float) -> int:
+        """What may be spent by the rows a next start may find: the one on the
+        log and the one on its way there."""
+        # No row of this start is on the log before its first was folded.
+        age_s = max(0.0, now_s - self._published_made_s)
+        limit = self._published(account).limit_tokens(age_s)
         if self._in_flight is not None and account in self._in_flight:
-            limit = min(limit, self._in_flight[account].hand_tokens)
+            row = self._in_flight[account]
+            limit = min(limit, row.limit_tokens(now_s - self._made_s))
         return limit
 
     def _known_used(self, account: AccountId) -> int:
--- a/src/celerytrack/prepaid/policy.py
+++ b/src/celerytrack/prepaid/policy.py
@@ -4,22 +4,25 @@
 
 from celerytrack.prepaid.shares import Share
 
-UNLOCK_S = 4.0
-"""Time without a row after which the whole claim may be spent. A killed
-process is back after about 2 s; its last row is up to a second older."""
-HAND_S = 3.0
-"""Seconds of its own recent spend in hand: until the rest is unlocked, and the
-time between two rows. A kill loses it: with 4.5 s, quiet days with cuts earned
-a tenth more of their worth, days that end in a loss of power a quarter less."""
+HAND_S = 0.3
+"""Seconds of its own recent spend that an entry may use at once. A request
+that finds less waits for a row, 15 ms; a loss of power loses it."""
+PACE_TIMES = 1.0
+"""How fast the rest of a claim comes free as a row grows old, as a multiple of
+the entry's own recent spend: a cut off entry goes on as it did. A kill loses
+this much of the time from the last row to the next start, 2 s."""
 COVER_S = 11.0
 """Seconds of its own recent spend that an entry claims in all. Cuts of 9 s
 are among those the deployments list; the write before one may be 1 s old."""
 FIRST_SHARE = 0.5
 """Share of a total that all entries together claim before any spend is seen,
 so that a cut in the first seconds finds tokens to unlock."""
-FIRST_HAND_SHARE = 0.12
-"""Part of what is left that all entries together hold in hand until rates are
-known: four seconds of a day in which the total lasts."""
+FIRST_HAND_SHARE = 0.015
+"""Part of what is left that all entries together have at once until rates are
+known: the largest requests listed are 2 to 5 % of a small account's total."""
+FIRST_PACE_SHARE = 0.03
+"""Part of what is left that comes free each second until rates are known: a
+total is meant to last a day of 34 s and a third more."""
 KNOWN_SHARE = 0.3
 """The first shares shrink evenly until this part of a total is used: by then
 entries know who spends it and how fast."""
@@ -52,6 +55,7 @@
     """What an entry should hold of an account beyond its floor."""
 
     hand_tokens: int
+    pace_tokens_per_s: int
     claim_tokens: int
 
 
@@ -88,8 +92,9 @@
     known = standing.used_tokens / max(1.0, standing.usable_tokens * KNOWN_SHARE)
     even = unspent * max(IDLE_SHARE, 1.0 - known) / standing.entries
     hand = max(min(rate * HAND_S, most), even * FIRST_HAND_SHARE)
+    pace = max(rate * PACE_TIMES, even * FIRST_PACE_SHARE)
     claim = max(min(rate * COVER_S + largest, most), even * FIRST_SHARE)
-    return Goal(int(min(hand, claim)), int(claim))
+    return Goal(int(min(hand, claim)), int(pace), int(claim))
 
 
 def _part(rate_tokens_per_s: float, standing: Standing) -> float:
--- a/src/celerytrack/prepaid/shares.py
+++ b/src/celerytrack/prepaid/shares.py
@@ -9,6 +9,16 @@
 RATE_WINDOW_S = 8.0
 """Time constant of the spend rate: long enough to span the gaps between large
 prompts, short enough to follow an account that multiplies its traffic."""
+FRESH_S = 0.8
+"""Up to this age a row is as fresh as rows are while the log answers, and only
+its hand may be spent: a loss of power then costs 0.8 s of spend less, and the
+first requests of a cut come back when the rest comes free."""
+OUTAGE_S = 2.5
+"""A row older than this was not written in time because the log is away: a
+killed process is back, and writes, within about this time."""
+OUTAGE_TIMES = 3.0
+"""How much faster than its pace the claim then comes free: it was made for this,
+and an account may send several times its usual."""
 LARGEST_DECAY_S = 20.0
 """How fast the memory of an account's largest request halves."""
 
@@ -18,11 +28,13 @@
     """What one entry published of one account; tokens, cumulative.
 
     :ivar claimed_tokens: what it may have spent at most.
-    :ivar hand_tokens: what it may have spent while it writes rows.
+    :ivar hand_tokens: what it may have spent when the row was made.
     :ivar used_tokens: what it knows was spent; a lower bound for others.
     :ivar wanted_tokens: what it lacks for requests it has at hand.
     :ivar lost_tokens: what its earlier starts claimed and may not have used.
     :ivar rate_tokens_per_s: how fast it spends the account.
+    :ivar pace_tokens_per_s: what it may have spent more with each second that
+        the row is old.
     """
 
     claimed_tokens: int = 0
@@ -31,6 +43,40 @@
     wanted_tokens: int = 0
     lost_tokens: int = 0
     rate_tokens_per_s: int = 0
+    pace_tokens_per_s: int = 0
+
+    def limit_tokens(self, age_s: float) -> int:
+        """What may have been spent under this row when it is ``age_s`` old."""
+        paced_tokens = int(self.pace_tokens_per_s * _paced_s(age_s))
+        return min(self.claimed_tokens, self.hand_tokens + paced_tokens)
+
+    def free_in_s(self, tokens: int, age_s: float) -> float | None:
+        """How long until ``tokens`` in all may be spent; ``None`` if never.
+
+        :param age_s: how old the row is now.
+        """
+        if tokens > self.claimed_tokens:
+            return None
+        if tokens <= self.limit_tokens(age_s):
+            return 0.0
+        if not self.pace_tokens_per_s:
+            return None
+        paced_s = (tokens - self.hand_tokens) / self.pace_tokens_per_s
+        return max(0.0, _age_at_s(paced_s) - age_s)
+
+
+def _paced_s(age_s: float) -> float:
+    """For how many seconds of spend a row of this age has come free."""
+    outage_s = max(0.0, age_s - OUTAGE_S)
+    return max(0.0, age_s - FRESH_S) + (OUTAGE_TIMES - 1) * outage_s
+
+
+def _age_at_s(paced_s: float) -> float:
+    """The age at which :func:`_paced_s` is ``paced_s``."""
+    before_s = OUTAGE_S - FRESH_S
+    if paced_s <= before_s:
+        return FRESH_S + paced_s
+    return OUTAGE_S + (paced_s - before_s) / OUTAGE_TIMES
 
 
 @attrs.frozen
@@ -50,6 +96,8 @@
         of the row on the log.
     :ivar gifted_tokens: given to other entries under our row.
     :ivar received_tokens: given to us under theirs.
+    :ivar wanted_tokens: the largest request that found too little here since the
+        last row; ``urgent_tokens`` the largest of the most urgent ones.
     :ivar adopted_tokens: part of what is spent that an earlier start of this
         entry had claimed, of which ``adopted_used_tokens`` are known as used.
     """
