Entries tell each other of long prompts by datagram

Cause: an entry predicts an engine's first token from its own work alone; two entries that send a long prompt each to one engine delay all behind them.

--- a/src/celerytrack/endpoint.py
+++ b/src/celerytrack/endpoint.py
@@ -7,6 +7,9 @@
 
 from celerytrack.ids import EndpointId, ServiceName, Zone
 
+PREFILL_TOKENS_PER_S = 80_000.0
+"""Prompt tokens that an engine reads a second: the engines listed read 85 to
+101 a millisecond; what differs is learned as slowness."""
 SERVICE_S = 0.03
 """What a plain call takes until an endpoint's own time is learned."""
 LATENCY_GAIN = 0.1
@@ -66,6 +69,8 @@
 
     :ivar running: requests this entry has there.
     :ivar unread_tokens: prompt tokens this entry sent that are not read yet.
+    :ivar noted_tokens: prompt tokens that other entries told of and that were
+        not read yet at ``noted_at_s``.
     :ivar latency_s: learned time of a plain call.
     :ivar slowness: learned ratio of first tokens to predicted ones.
     :ivar failing: learned share of failed answers.
@@ -74,6 +79,8 @@
     registration: Registration
     running: int = 0
     unread_tokens: int = 0
+    noted_tokens: float = 0.0
+    noted_at_s: float = 0.0
     latency_s: float = SERVICE_S
     slowness: float = 1.0
     failing: float = 0.0
@@ -87,6 +94,16 @@
         """The id of this start of the endpoint."""
         return self.registration.endpoint_id
 
+    def note(self, tokens: int, now_s: float) -> None:
+        """Another entry sent a prompt here that has ``tokens`` to be read."""
+        self.noted_tokens = self.noted_unread(now_s) + tokens
+        self.noted_at_s = now_s
+
+    def noted_unread(self, now_s: float) -> float:
+        """Tokens of other entries' prompts that are probably not read yet."""
+        read = (now_s - self.noted_at_s) * PREFILL_TOKENS_PER_S / self.slowness
+        return max(0.0, self.noted_tokens - read)
+
     def unread(self, need: Need, at_home: bool, now_s: float) -> int:
         """Tokens of the prompt that this engine would have to read."""
         kept = len(need.parts) - 1 if at_home else 0
--- a/src/celerytrack/endpoints.py
+++ b/src/celerytrack/endpoints.py
@@ -14,13 +14,16 @@
 import random
 from collections.abc import Iterable, Sequence
 
-from celerytrack.endpoint import Endpoint, Need, Registration, Sent
+from celerytrack.endpoint import (
+    PREFILL_TOKENS_PER_S,
+    Endpoint,
+    Need,
+    Registration,
+    Sent,
+)
 from celerytrack.ids import EndpointId, ServiceName, Zone
 from celerytrack.routing import rendezvous_weight
 
-PREFILL_TOKENS_PER_S = 80_000.0
-"""Prompt tokens that an engine reads a second: the engines listed read 85 to
-101 a millisecond; what differs is learned as slowness."""
 RUNNING_S = 0.00015
 """What each running request adds to an engine's first token: its part of the
 few steps until then, at 0.015 ms a step."""
@@ -139,6 +142,12 @@
         endpoint.touch(need, now_s)
         return Sent(endpoint, now_s, predicted_s, unread)
 
+    def note(self, endpoint_id: EndpointId, tokens: int, now_s: float) -> None:
+        """Another entry sent a prompt with ``tokens`` to read to an endpoint."""
+        known = self._endpoints.get(endpoint_id)
+        if known is not None:
+            known.note(tokens, now_s)
+
     def succeeded(self, endpoint: Endpoint) -> None:
         """An answer came and was good."""
         endpoint.failures = 0
@@ -206,7 +215,8 @@
             return endpoint.latency_s * busy * (1 + endpoint.failing) + away_s
         unread = endpoint.unread(need, at_home, now_s)
         shared = max(0, unread - need.own_tokens) * (LEAVE_HOME_TIMES - 1)
-        tokens = unread + shared + endpoint.unread_tokens
+        tokens = float(unread + shared + endpoint.unread_tokens)
+        tokens += endpoint.noted_unread(now_s)
         seconds = tokens / PREFILL_TOKENS_PER_S + running * RUNNING_S + 0.01
         seconds += waiting * 0.5
         return endpoint.slowness * seconds * (1 + endpoint.failing) + away_s
--- a/src/celerytrack/gateway/pipeline.py
+++ b/src/celerytrack/gateway/pipeline.py
@@ -159,6 +159,7 @@
     exchange.tried.append(endpoint.endpoint_id)
     exchange.may_have_run = True
     sent = book.send(endpoint, exchange.need, predicted_s, now_s)
+    gateway.tell_prompt(endpoint.endpoint_id, sent.unread_tokens)
     try:
         result = await attempt(gateway, exchange, endpoint, sent)
     finally:
--- /dev/null
+++ b/src/celerytrack/gateway/prompt_notes.py
@@ -0,0 +1,87 @@
+"""Telling the other entries of long prompts, as they are sent.
+
+An entry sees only its own part of the work. Predictions assume that the others
+do as it does, which holds for many small requests and fails for a few long
+prompts: two entries that send one each to the same engine at the same moment
+delay each other and every short request behind them.
+
+A note is one datagram to each entry. One that is lost leaves the others with
+the assumption they had before; nothing is sent again and nobody waits.
+"""
+
+import asyncio
+import logging
+from collections.abc import Callable, Iterable
+
+import msgpack
+
+from celerytrack.events import Event, log_event
+from celerytrack.ids import EndpointId
+
+_log = logging.getLogger(__name__)
+
+NOTE_TOKENS = 2_000
+"""Prompts with fewer tokens to read are not told: an engine reads that many in
+25 ms, a tenth of the tightest latency target listed."""
+MOST_TOLD = 100
+"""Entries told at most: a larger fleet has more engines than one entry uses."""
+
+Take = Callable[[EndpointId, int], None]
+
+
+class PromptNotes(asyncio.DatagramProtocol):
+    """Owns the socket on which notes are sent and taken.
+
+    :param take: told the endpoint and the tokens of each note of another entry.
+    """
+
+    def __init__(self, take: Take) -> None:
+        self._take = take
+        self._transport: asyncio.DatagramTransport | None = None
+
+    async def open(self, address: str) -> None:
+        """Take notes on ``address`` (``host:port``)."""
+        loop = asyncio.get_running_loop()
+        await loop.create_datagram_endpoint(lambda: self, local_addr=_split(address))
+
+    def tell(
+        self, addresses: Iterable[str], endpoint_id: EndpointId, tokens: int
+    ) -> None:
+        """Tell the entries at ``addresses`` of a prompt sent to an endpoint.
+
+        :param tokens: how many tokens the engine has to read for it.
+        """
+        if self._transport is None:
+            return
+        note = msgpack.packb((endpoint_id, tokens))
+        for _, address in zip(range(MOST_TOLD), addresses, strict=False):
+            self._transport.sendto(note, _split(address))
+
+    def close(self) -> None:
+        """Close the socket."""
+        if self._transport is not None:
+            self._transport.close()
+
+    # -- asyncio.DatagramProtocol ------------------------------------------
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """The socket is open."""
+        assert isinstance(transport, asyncio.DatagramTransport)
+        self._transport = transport
+
+    def datagram_received(self, data: bytes, addr: object) -> None:
+        """Another entry sent a prompt somewhere."""
+        try:
+            endpoint_id, tokens = msgpack.unpackb(data)
+            self._take(EndpointId(endpoint_id), max(0, int(tokens)))
+        except (ValueError, TypeError, msgpack.UnpackException) as exc:
+            log_event(_log, Event.NOTE_REJECTED, logging.WARNING, detail=repr(exc))
+
+    def error_received(self, exc: Exception) -> None:
+        """An entry is not there: its instance answers that the port is closed."""
+        log_event(_log, Event.NOTE_FAILED, logging.DEBUG, detail=repr(exc))
+
+
+def _split(address: str) -> tuple[str, int]:
+    host, port = address.rsplit(":", 1)
+    return host, int(port)
--- a/src/celerytrack/gateway/server.py
+++ b/src/celerytrack/gateway/server.py
@@ -110,6 +110,7 @@
         await self._open(settings.directory_address, self._directory)
         await self._open(settings.peer_address, self._peer)
         await self._open(settings.metrics_address, self._metrics)
+        await self._gateway.notes.open(settings.peer_address)
 
     async def _open(
         self, address: str | None, handler: Handler, caller: bool = False
--- a/src/celerytrack/gateway/state.py
+++ b/src/celerytrack/gateway/state.py
@@ -1,15 +1,17 @@
 """What one entry process knows, shared by its tasks and handlers."""
 
 import random
+import time
 import uuid
 
 import aiohttp
 
 from celerytrack.endpoints import EndpointBook
 from celerytrack.gateway.gifts import GiftClient
+from celerytrack.gateway.prompt_notes import NOTE_TOKENS, PromptNotes
 from celerytrack.gateway.share_keeper import ShareKeeper
 from celerytrack.gateway.telemetry import Telemetry
-from celerytrack.ids import EntryId, ServiceName
+from celerytrack.ids import EndpointId, EntryId, ServiceName
 from celerytrack.platform.settings import ProcessSettings
 from celerytrack.platform.store import StoreClient, patient_socket
 from celerytrack.retries import RetryBudget
@@ -54,6 +56,7 @@
         )
         self.endpoints = EndpointBook(settings.zone, self.rng)
         self.endpoints_known = False
+        self.notes = PromptNotes(self._take_note)
         self.table: RoutingTable | None = None
         self.telemetry = Telemetry()
         self.leaving = False
@@ -93,6 +96,17 @@
             self._http._retry_connection = False
         return self._http
 
+    def _take_note(self, endpoint_id: EndpointId, tokens: int) -> None:
+        self.endpoints.note(endpoint_id, tokens, time.monotonic())
+
+    def tell_prompt(self, endpoint_id: EndpointId, tokens: int) -> None:
+        """Tell the other entries of a prompt sent to an endpoint, if it is long."""
+        if tokens < NOTE_TOKENS:
+            return
+        members = self.keeper.members.live(time.monotonic())
+        addresses = [member.peer_address for member in members]
+        self.notes.tell(addresses, endpoint_id, tokens)
+
     def entries(self, now_s: float) -> int:
         """Entries alive, this one included."""
         return self.keeper.members.count(now_s)
@@ -111,5 +125,6 @@
         """Close the connections to endpoints and store."""
         if self._http is not None:
             await self._http.close()
+        self.notes.close()
         await self.gifts.close()
         await self.store.close()
