A second home for sessions

Cause: what leaves a session's home went to whichever engine looked idle, so its shared parts were read at a third and a fourth. All entries now agree on the second by the same hash.

--- a/src/celerytrack/endpoints.py
+++ b/src/celerytrack/endpoints.py
@@ -7,10 +7,11 @@
 Prompts share parts. A part is read once and then kept by the engine, so that
 requests of one session should meet at one engine, whichever entry they come
 through. All entries rank the engines of a session by the same rendezvous
-hash and so agree on its *home* without a message; they leave it only when
-another engine's predicted first token is earlier.
+hash and so agree on its *home* and its second home without a message; they
+leave these only when another engine's predicted first token is much earlier.
 """
 
+import heapq
 import random
 from collections.abc import Iterable, Sequence
 
@@ -34,6 +35,9 @@
 """How much more a token of a shared part counts where it is not kept: reading
 it takes memory from other sessions there, and the next request of the session
 goes home again."""
+SECOND_HOME_TIMES = 2.0
+"""The same at the second home, where all entries send what the home has no time
+for: by then it is probably kept there too, and nowhere else."""
 OTHER_ZONE_S = 0.004
 """What another failure domain adds: two ways of up to 1.4 ms, and the price of
 bytes between domains."""
@@ -125,15 +129,15 @@
         room = [e for e in usable if _has_room(e, entries, max_connections)]
         if not room:
             return None
-        home = self._home(need, usable)
+        homes = self._homes(need, usable)
         sound = [e for e in room if now_s >= e.avoided_until_s] or room
 
         def cost(endpoint: Endpoint) -> tuple[float, float]:
-            seconds = self._predict(endpoint, need, endpoint is home, entries, now_s)
+            seconds = self._predict(endpoint, need, homes, entries, now_s)
             return seconds, self._rng.random()
 
         best = min(sound, key=cost)
-        return best, self._predict(best, need, best is home, entries, now_s)
+        return best, self._predict(best, need, homes, entries, now_s)
 
     def send(
         self, endpoint: Endpoint, need: Need, predicted_s: float, now_s: float
@@ -192,21 +196,20 @@
     def _open(endpoint: Endpoint, avoid: Sequence[EndpointId]) -> bool:
         return endpoint.endpoint_id not in avoid
 
-    def _home(self, need: Need, usable: Iterable[Endpoint]) -> Endpoint | None:
+    def _homes(self, need: Need, usable: Iterable[Endpoint]) -> list[Endpoint]:
+        """Where all entries send the session: its home, then its second home."""
         if not need.parts:
-            return None
+            return []
         session = need.session
-        return max(
-            usable,
-            key=lambda e: rendezvous_weight(session, e.endpoint_id),
-            default=None,
+        return heapq.nlargest(
+            2, usable, key=lambda e: rendezvous_weight(session, e.endpoint_id)
         )
 
     def _predict(
         self,
         endpoint: Endpoint,
         need: Need,
-        at_home: bool,
+        homes: Sequence[Endpoint],
         entries: int,
         now_s: float,
     ) -> float:
@@ -217,8 +220,10 @@
         if not need.parts:
             busy = 1.0 + running / slots + waiting
             return endpoint.latency_s * busy * (1 + endpoint.failing) + away_s
-        unread = endpoint.unread(need, at_home, now_s)
-        shared = max(0, unread - need.own_tokens) * (LEAVE_HOME_TIMES - 1)
+        rank = homes.index(endpoint) if endpoint in homes else len(homes)
+        unread = endpoint.unread(need, rank == 0, now_s)
+        times = SECOND_HOME_TIMES if rank == 1 else LEAVE_HOME_TIMES
+        shared = max(0, unread - need.own_tokens) * (times - 1)
         seconds = prefill_s(unread, need.prompt_tokens) + running * RUNNING_S + STEP_S
         seconds += shared / PREFILL_TOKENS_PER_S
         seconds += endpoint.unread_s + endpoint.noted_unread_s(now_s)
