--- a/src/celerytrack/endpoints.py
+++ b/src/celerytrack/endpoints.py
@@ -31,11 +31,11 @@
 few steps until then, at 0.015 ms a step."""
 STEP_S = 0.01
 """An engine's first token beyond reading the prompt: two steps and the way."""
-LEAVE_HOME_TIMES = 4.0
+LEAVE_HOME_TIMES = 7.0
 """How much more a token of a shared part counts where it is not kept: reading
 it takes memory from other sessions there, and the next request of the session
 goes home again."""
-SECOND_HOME_TIMES = 2.0
+SECOND_HOME_TIMES = 3.0
 """The same at the second home, where all entries send what the home has no time
 for: by then it is probably kept there too, and nowhere else."""
 OTHER_ZONE_S = 0.004
