Rows of an entry may follow each other after 10 ms; dry accounts are not asked for again

Cause: a row could start 30 ms after the one before at the earliest; a request that came just then missed its 60 ms and asked the others, 85 ms (p75 of Padma's drafts). And each refusal of a used-up account had asked up to six entries.

--- a/src/celerytrack/gateway/share_keeper.py
+++ b/src/celerytrack/gateway/share_keeper.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import logging
+import math
 import time
 
 from returns.result import Failure, Success
@@ -24,6 +25,7 @@
     age_at_power_s,
     age_at_start_s,
     beat_interval_s,
+    urgent_gap_s,
 )
 from celerytrack.platform.rows import RowError, decode_member, encode_member
 from celerytrack.platform.store import (
@@ -37,9 +39,10 @@
 
 _log = logging.getLogger(__name__)
 
-URGENT_GAP_S = 0.03
-"""Shortest time between two rows: requests that lack tokens at the same
-moment share one append of about 10 ms."""
+DRY_S = 0.25
+"""How long other entries are not asked again for as many tokens of an account as
+they did not have: a refusal then costs the caller no wait of up to 0.1 s, and a
+fleet whose account is used up does not ask itself at every request."""
 WAIT_TOKENS_S = 0.35
 """Longest a request waits for tokens: an append and a read take 10 ms each,
 and a store slowed fiftyfold 400 ms; a caller does better at another entry."""
@@ -92,6 +95,7 @@
         self._started_s = started_s
         self._zone = zone
         self._sequence = 0
+        self._lacking: dict[AccountId, tuple[int, float]] = {}
         self._sent_s: float | None = None
         self._left_at_s: float | None = None
         self._doubtful: Member | None = None
@@ -134,7 +138,7 @@
             if left_s > 0 and self._prompt(now_s):
                 self._wake.set()
                 await self._wait_changed(min(left_s, SLOW_APPEND_S))
-            elif not asked:
+            elif not asked and not self._dry(account, tokens, now_s):
                 asked = True
                 await self._ask(account, tokens, now_s)
             else:
@@ -149,6 +153,12 @@
         pending_s = 0.0 if self._sent_s is None else now_s - self._sent_s
         return self._tail.reachable and pending_s < SLOW_APPEND_S
 
+    def _dry(self, account: AccountId, tokens: int, now_s: float) -> bool:
+        """Whether the others just did not have what would be missing now."""
+        missing, until_s = self._lacking.get(account, (math.inf, 0.0))
+        lacked = tokens - self.book.left_tokens(account, now_s)
+        return now_s < until_s and lacked >= missing
+
     async def give(self, account: AccountId, tokens: int) -> int:
         """Give another entry up to ``tokens``; how many it gets.
 
@@ -179,6 +189,8 @@
             given = await self._gifts.ask(member.peer_address, account, missing)
             self.book.receive(account, given)
             missing -= given
+        if missing > 0:
+            self._lacking[account] = (missing, time.monotonic() + DRY_S)
 
     # -- the task ----------------------------------------------------------
 
@@ -195,8 +207,9 @@
                 log_event(_log, Event.SHARES, shares=self.book.summary(now_s))
                 await self._write()
                 written_s = time.monotonic()
-                await asyncio.sleep(URGENT_GAP_S)
-                interval_s -= URGENT_GAP_S
+                gap_s = urgent_gap_s(entries)
+                await asyncio.sleep(gap_s)
+                interval_s -= gap_s
             self._wake.clear()
             try:
                 async with asyncio.timeout(interval_s):
--- a/src/celerytrack/members.py
+++ b/src/celerytrack/members.py
@@ -22,6 +22,13 @@
 BEATS_PER_S = 60.0
 """Rows that all entries together write a second, at most: a tenth of the 600
 writes a second that the smallest store takes."""
+URGENT_GAP_S = 0.01
+"""Shortest time between two rows of an entry: requests that lack tokens at the
+same moment share one. With 0.03 s a quarter of the long prompts waited over
+60 ms, and then asked the others."""
+URGENT_ROWS_PER_S = 400.0
+"""Rows of all entries together at most, when all have requests that wait: two
+thirds of what the smallest store takes, and 400 KB/s to read for each."""
 SILENT_BEATS = 3.5
 """An entry is silent after this many intervals: one row may be lost and the
 next be late."""
@@ -87,6 +94,11 @@
     return max(BEAT_S, entries / BEATS_PER_S)
 
 
+def urgent_gap_s(entries: int) -> float:
+    """Time that an entry waits at least before it writes another row."""
+    return max(URGENT_GAP_S, entries / URGENT_ROWS_PER_S)
+
+
 def _silent_s(entries: int) -> float:
     return max(SILENT_LEAST_S, beat_interval_s(entries) * SILENT_BEATS)
 
