Prompts are read shortest first: urgency by size, then rank

Cause: in bursts of long prompts every engine is busy for 0.3 to 0.9 s; short prompts waited behind them wherever they went, in the order of their routes. Failed trial: predictions that count only the sizes that go first.

--- a/src/celerytrack/endpoint.py
+++ b/src/celerytrack/endpoint.py
@@ -7,13 +7,6 @@
 
 from celerytrack.ids import EndpointId, ServiceName, Zone
 
-PREFILL_TOKENS_PER_S = 64_000.0
-"""Prompt tokens that an engine reads a second beside its other work: the engines
-listed read 85 to 101 a millisecond, 1,024 at a time, with a step of 3 to 4 ms for
-the requests that run between; what differs is learned as slowness."""
-PAIR_S = 0.25e-9
-"""Time an engine takes for each pair of a prompt's tokens, of the engines
-listed: a prompt of 50,000 tokens takes a third more than its tokens alone."""
 SERVICE_S = 0.03
 """What a plain call takes until an endpoint's own time is learned."""
 LATENCY_GAIN = 0.1
@@ -72,12 +65,6 @@
         return self.parts[-2][0] if len(self.parts) > 1 else self.parts[0][0]
 
 
-def prefill_s(unread_tokens: int, prompt_tokens: int) -> float:
-    """How long an engine takes to read the last ``unread_tokens`` of a prompt."""
-    pairs = unread_tokens * (prompt_tokens - unread_tokens / 2)
-    return unread_tokens / PREFILL_TOKENS_PER_S + pairs * PAIR_S
-
-
 @attrs.define
 class Endpoint:
     """One endpoint as this entry sees it.
@@ -141,19 +128,23 @@
 
 @attrs.define
 class Sent:
-    """One request at an endpoint, until it ends."""
+    """One request at an endpoint, until it ends.
+
+    :ivar work_s: engine time to read its prompt.
+    :ivar read: whether its prompt was read.
+    """
 
     endpoint: Endpoint
     at_s: float
     predicted_s: float
-    unread_s: float
+    work_s: float
+    read: bool = False
     ended: bool = False
 
     def answered(self, now_s: float) -> None:
         """The first piece of the answer came."""
         endpoint = self.endpoint
-        endpoint.unread_s -= self.unread_s
-        self.unread_s = 0.0
+        self._was_read()
         ratio = (now_s - self.at_s) / max(self.predicted_s, 1e-3)
         low, high = SLOWNESS_RANGE
         ratio = min(max(ratio, low), high)
@@ -166,8 +157,12 @@
         self.ended = True
         endpoint = self.endpoint
         endpoint.running -= 1
-        endpoint.unread_s -= self.unread_s
-        self.unread_s = 0.0
+        self._was_read()
         if plain:
             took_s = min(now_s - self.at_s, 1.0)
             endpoint.latency_s += LATENCY_GAIN * (took_s - endpoint.latency_s)
+
+    def _was_read(self) -> None:
+        if not self.read:
+            self.read = True
+            self.endpoint.unread_s -= self.work_s
--- a/src/celerytrack/endpoints.py
+++ b/src/celerytrack/endpoints.py
@@ -15,15 +15,9 @@
 import random
 from collections.abc import Iterable, Sequence
 
-from celerytrack.endpoint import (
-    PREFILL_TOKENS_PER_S,
-    Endpoint,
-    Need,
-    Registration,
-    Sent,
-    prefill_s,
-)
+from celerytrack.endpoint import Endpoint, Need, Registration, Sent
 from celerytrack.ids import EndpointId, ServiceName, Zone
+from celerytrack.prefill import PREFILL_TOKENS_PER_S, prefill_s
 from celerytrack.routing import rendezvous_weight
 
 RUNNING_S = 0.00015
--- a/src/celerytrack/gateway/admission.py
+++ b/src/celerytrack/gateway/admission.py
@@ -54,13 +54,13 @@
     if route is None:
         raise RefusedError(did_not_run(Reason.NO_ROUTE, None, "no such route"))
     account_id: AccountId | None = None
-    urgency = route.priority
+    priority = route.priority
     if table.needs_key and not route.public:
         account = table.account_by_key(facts.key) if facts.key else None
         if account is None:
             raise RefusedError(did_not_run(Reason.BAD_KEY, None, "unknown key"))
         account_id = account.account_id
-        urgency = route.priority if account.priority is None else account.priority
+        priority = route.priority if account.priority is None else account.priority
     deadline_s = facts.deadline_s or DEFAULT_DEADLINE_S
     return Exchange(
         request=request,
@@ -69,7 +69,7 @@
         route=route,
         service=pick_service(route, gateway.rng.random()),
         account=account_id,
-        urgency=urgency,
+        priority=priority,
         started_s=started_s,
         ends_s=started_s + min(deadline_s, route.timeout_s) - ANSWER_MARGIN_S,
     )
--- a/src/celerytrack/gateway/attempts.py
+++ b/src/celerytrack/gateway/attempts.py
@@ -19,6 +19,7 @@
     forwarded_headers,
     returned_headers,
 )
+from celerytrack.prefill import urgency
 from celerytrack.verdict import Reason, Verdict
 
 _NOT_CONNECTED = (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError)
@@ -43,7 +44,7 @@
     envelope = Envelope(
         endpoint_id=endpoint.endpoint_id,
         left_s=exchange.ends_s - time.monotonic(),
-        urgency=exchange.urgency,
+        urgency=urgency(exchange.priority, sent.work_s),
         account=exchange.account,
         last_event_id=exchange.resume_from if exchange.route.stream else None,
     )
--- a/src/celerytrack/gateway/exchange.py
+++ b/src/celerytrack/gateway/exchange.py
@@ -61,7 +61,7 @@
     route: Route
     service: ServiceName
     account: AccountId | None
-    urgency: int
+    priority: int
     started_s: float
     ends_s: float
     tried: list[EndpointId] = attrs.field(factory=list)
--- a/src/celerytrack/gateway/pipeline.py
+++ b/src/celerytrack/gateway/pipeline.py
@@ -160,8 +160,8 @@
     exchange.may_have_run = True
     exchange.predicted_s = predicted_s
     sent = book.send(endpoint, exchange.need, predicted_s, now_s)
-    exchange.work_s = sent.unread_s
-    gateway.tell_prompt(endpoint.endpoint_id, sent.unread_s)
+    exchange.work_s = sent.work_s
+    gateway.tell_prompt(endpoint.endpoint_id, sent.work_s)
     try:
         result = await attempt(gateway, exchange, endpoint, sent)
     finally:
