Reservations and numbered appends as modules of their own; strict settings; SLO report of the gateway

Settings convert nothing ("idempotent": [] was false). celerytrackctl slo: error budget burn by class from log lines, one copy of the formula for it and the load tool.

--- a/src/celerytrack/cli/ctl.py
+++ b/src/celerytrack/cli/ctl.py
@@ -1,7 +1,7 @@
 """``celerytrackctl``: the operators' tool.
 
 Commands: ``validate``, ``apply``, ``topup``, ``drain``, ``status`` talk to the
-platform log or to entries; ``explain`` and ``summary`` read log lines from
+platform log or to entries; ``explain``, ``summary`` and ``slo`` read log lines from
 standard input. None keeps state of its own.
 """
 
@@ -18,6 +18,7 @@
 from cleo.helpers import argument, option
 from returns.result import Failure, Success
 
+from celerytrack import slo
 from celerytrack.entry.config_follower import CONFIG, config_record
 from celerytrack.entry.ledger_writer import LEDGER
 from celerytrack.explain import parse, summary, timeline
@@ -285,6 +286,18 @@
         return 0
 
 
+class SloCommand(Command):
+    """Report how fast each class spends its error budget."""
+
+    name = "slo"
+    description = "Read log lines; print each class's error budget burn."
+
+    def handle(self) -> int:
+        for row in slo.table(slo.report(parse(sys.stdin))):
+            self.line(row)
+        return 0
+
+
 def main() -> int:
     """Console script entry point."""
     app = Application("celerytrackctl", "0.1.0")
@@ -296,6 +309,7 @@
         StatusCommand(),
         ExplainCommand(),
         SummaryCommand(),
+        SloCommand(),
     ):
         app.add(command)
     return app.run()
--- a/src/celerytrack/gateway/admission.py
+++ b/src/celerytrack/gateway/admission.py
@@ -101,7 +101,7 @@
         return None
     table = gateway.table
     urgent = table is not None and exchange.route.priority <= table.most_urgent
-    held = await gateway.keeper.reserve(account, tokens, urgent)
+    held = await gateway.keeper.reservations.reserve(account, tokens, urgent)
     if held is not None:
         return held
     if book.exhausted(account, tokens):
--- /dev/null
+++ b/src/celerytrack/gateway/reservations.py
@@ -0,0 +1,130 @@
+"""Tokens for one request: in hand, by the next row, or from another entry."""
+
+import asyncio
+import math
+import time
+from typing import Protocol
+
+from celerytrack.gateway.gifts import GiftClient
+from celerytrack.ids import AccountId
+from celerytrack.members import MemberView
+from celerytrack.prepaid import PrepaidBook, Reservation
+
+WAIT_TOKENS_S = 0.35
+"""Longest a request waits for tokens: an append and a read take 10 ms each,
+and a store slowed fiftyfold 400 ms; a caller does better at another entry."""
+SLOW_APPEND_S = 0.1
+"""A row that has been on its way for this long is not waited for: it takes
+10 ms as a rule, and the other entries answer sooner."""
+FIRST_WAIT_S = 0.06
+"""How long a request waits for a row before other entries are asked: an
+append and a read back, with room for a slow answer."""
+MOST_ASKED = 6
+"""Entries asked for tokens, one after the other; each answers within a ms."""
+DRY_S = 0.25
+"""How long other entries are not asked again for as many tokens of an account as
+they did not have: a refusal then costs the caller no wait of up to 0.1 s, and a
+fleet whose account is used up does not ask itself at every request."""
+
+
+class RowTask(Protocol):
+    """The task that writes this entry's row."""
+
+    def prompt(self, now_s: float) -> bool:
+        """Whether a row made now would soon be on the log."""
+
+    async def next_row(self, timeout_s: float) -> None:
+        """Have a row written soon, and wait for it for ``timeout_s``."""
+
+
+class Reservations:
+    """Finds tokens for requests.
+
+    :param gifts: asks other entries for tokens.
+    :param rows: writes the rows that claim tokens.
+    """
+
+    def __init__(
+        self,
+        book: PrepaidBook,
+        members: MemberView,
+        gifts: GiftClient,
+        rows: RowTask,
+    ) -> None:
+        self._book = book
+        self._members = members
+        self._gifts = gifts
+        self._rows = rows
+        self._lacking: dict[AccountId, tuple[int, float]] = {}
+
+    async def reserve(
+        self, account: AccountId, tokens: int, urgent: bool
+    ) -> Reservation | None:
+        """Set ``tokens`` aside, waiting a short time for more to be claimed.
+
+        :param urgent: whether no request is more urgent.
+        :returns: ``None`` if they could not be had in time.
+        """
+        started_s = time.monotonic()
+        asked = False
+        while True:
+            now_s = time.monotonic()
+            held = self._book.reserve(account, tokens, now_s, urgent)
+            if held is not None or self._book.exhausted(account, tokens):
+                return held
+            left_s = started_s + self._patience_s(account, tokens, asked) - now_s
+            if left_s > 0 and self._rows.prompt(now_s):
+                await self._rows.next_row(min(left_s, SLOW_APPEND_S))
+            elif not asked and not self._dry(account, tokens, now_s):
+                asked = True
+                await self._ask(account, tokens, now_s)
+            else:
+                return None
+
+    async def give(self, account: AccountId, tokens: int) -> int:
+        """Give another entry up to ``tokens``; how many it gets.
+
+        What is in hand is little; while the log answers, a row brings more of
+        the claim, and the asking entry would get the rest nowhere else.
+        """
+        now_s = time.monotonic()
+        short = self._book.givable_tokens(account, now_s) < tokens
+        if short and self._rows.prompt(now_s):
+            self._book.want(account, self._book.enough_to_give(tokens))
+            await self._rows.next_row(FIRST_WAIT_S)
+        return self._book.give(account, tokens, time.monotonic())
+
+    def _patience_s(self, account: AccountId, tokens: int, asked: bool) -> float:
+        """How long a request waits for rows, from its start."""
+        if asked:
+            return WAIT_TOKENS_S
+        # Where others hold the rest, a row of ours would bring nothing.
+        return FIRST_WAIT_S if self._book.may_claim(account, tokens) else 0.0
+
+    def _dry(self, account: AccountId, tokens: int, now_s: float) -> bool:
+        """Whether the others just did not have what would be missing now."""
+        missing, until_s = self._lacking.get(account, (math.inf, 0.0))
+        lacked = tokens - self._book.left_tokens(account, now_s)
+        return now_s < until_s and lacked >= missing
+
+    async def _ask(self, account: AccountId, tokens: int, now_s: float) -> None:
+        """Ask the entries that probably hold most for what is missing."""
+        missing = tokens - self._book.left_tokens(account, now_s)
+        for entry in self._book.rows.richest(account, MOST_ASKED):
+            member = self._members.member(entry)
+            if member is None or missing <= 0:
+                continue
+            given = await self._gifts.ask(member.peer_address, account, missing)
+            self._book.receive(account, given)
+            missing -= given
+        if missing > 0:
+            self._lacking[account] = (missing, time.monotonic() + DRY_S)
+
+
+async def wait_for(event: asyncio.Event, timeout_s: float) -> None:
+    """Wait for ``event``, but no longer than ``timeout_s``."""
+    try:
+        async with asyncio.timeout(timeout_s):
+            await event.wait()
+    except TimeoutError:
+        return
--- a/src/celerytrack/gateway/server.py
+++ b/src/celerytrack/gateway/server.py
@@ -14,7 +14,7 @@
 from celerytrack.events import Event, log_event
 from celerytrack.gateway.gifts import answer_gift
 from celerytrack.gateway.pipeline import handle
-from celerytrack.gateway.share_keeper import FencedError
+from celerytrack.gateway.row_writer import FencedError
 from celerytrack.gateway.state import Gateway
 from celerytrack.gateway.tail import KeyedTail
 from celerytrack.gateway.watches import make_config_tail, make_endpoint_tail
@@ -180,7 +180,7 @@
         return web.Response(body=body, content_type="application/json")
 
     async def _peer(self, request: web.BaseRequest) -> web.StreamResponse:
-        return await answer_gift(self._gateway.keeper.give, request)
+        return await answer_gift(self._gateway.keeper.reservations.give, request)
 
     async def _metrics(self, request: web.BaseRequest) -> web.StreamResponse:
         body = self._gateway.telemetry.render()
--- a/src/celerytrack/gateway/share_keeper.py
+++ b/src/celerytrack/gateway/share_keeper.py
@@ -9,15 +9,14 @@
 
 import asyncio
 import logging
-import math
 import time
 
-from returns.result import Failure, Success
-
 from celerytrack.events import Event, log_event
 from celerytrack.gateway.gifts import GiftClient
+from celerytrack.gateway.reservations import SLOW_APPEND_S, Reservations, wait_for
+from celerytrack.gateway.row_writer import RowWriter
 from celerytrack.gateway.tail import RETRY_MAX_S, RETRY_S, KeyedTail
-from celerytrack.ids import AccountId, EntryId, Zone
+from celerytrack.ids import EntryId, Zone
 from celerytrack.members import (
     Member,
     MemberState,
@@ -28,40 +27,15 @@
     urgent_gap_s,
 )
 from celerytrack.platform.rows import RowError, decode_member, encode_member
-from celerytrack.platform.store import (
-    KeyedRecord,
-    StoreClient,
-    StoreErrorKind,
-    Writer,
-)
+from celerytrack.platform.store import KeyedRecord, StoreClient
 from celerytrack.platform.topics import ENTRIES_TOPIC
-from celerytrack.prepaid import PrepaidBook, Reservation
+from celerytrack.prepaid import PrepaidBook
 
 _log = logging.getLogger(__name__)
 
-DRY_S = 0.25
-"""How long other entries are not asked again for as many tokens of an account as
-they did not have: a refusal then costs the caller no wait of up to 0.1 s, and a
-fleet whose account is used up does not ask itself at every request."""
-WAIT_TOKENS_S = 0.35
-"""Longest a request waits for tokens: an append and a read take 10 ms each,
-and a store slowed fiftyfold 400 ms; a caller does better at another entry."""
-
-SLOW_APPEND_S = 0.1
-"""A row that has been on its way for this long is not waited for: it takes
-10 ms as a rule, and the other entries answer sooner."""
-FIRST_WAIT_S = 0.06
-"""How long a request waits for a row before other entries are asked: an
-append and a read back, with room for a slow answer."""
 RECONSIDER_S = 8.0
 """How long after its start an entry looks for others that lost power with it:
 they start within a second of each other, and write a row a second later."""
-MOST_ASKED = 6
-"""Entries asked for tokens, one after the other; each answers within a ms."""
-
-
-class FencedError(Exception):
-    """A later start of this entry writes its row: this process must end."""
 
 
 class ShareKeeper:
@@ -85,66 +59,30 @@
         self.book = PrepaidBook(entry_id)
         self.members = MemberView(entry_id)
         self.state = MemberState.SERVING
-        self.epoch = 0
         self.started = False
         self._store = store
         self._entry_id = entry_id
         self._front_address = front_address
         self._peer_address = peer_address
-        self._gifts = gifts
         self._started_s = started_s
         self._zone = zone
-        self._sequence = 0
-        self._lacking: dict[AccountId, tuple[int, float]] = {}
+        self._writer = RowWriter(store, entry_id, self._contact)
         self._sent_s: float | None = None
         self._left_at_s: float | None = None
         self._doubtful: Member | None = None
         self._tail = KeyedTail(store, ENTRIES_TOPIC, self._apply, self._reload)
         self._wake = asyncio.Event()
         self._changed = asyncio.Event()
+        self.reservations = Reservations(self.book, self.members, gifts, self)
 
     @property
     def reachable(self) -> bool:
         """Whether the last read of the rows was answered."""
         return self._tail.reachable
 
-    # -- what request handlers ask ----------------------------------------
-
-    async def reserve(
-        self, account: AccountId, tokens: int, urgent: bool
-    ) -> Reservation | None:
-        """Set ``tokens`` aside, waiting a short time for more to be claimed.
+    # -- what reservations need ---------------------------------------------
 
-        :param urgent: whether no request is more urgent.
-        :returns: ``None`` if they could not be had in time.
-        """
-        started_s = time.monotonic()
-        asked = False
-        while True:
-            now_s = time.monotonic()
-            held = self.book.reserve(account, tokens, now_s, urgent)
-            if held is not None:
-                return held
-            if self.book.exhausted(account, tokens):
-                return None
-            if asked:
-                patience_s = WAIT_TOKENS_S
-            elif self.book.may_claim(account, tokens):
-                patience_s = FIRST_WAIT_S
-            else:
-                # Others hold the rest: a row of ours would bring nothing.
-                patience_s = 0.0
-            left_s = started_s + patience_s - now_s
-            if left_s > 0 and self._prompt(now_s):
-                self._wake.set()
-                await self._wait_changed(min(left_s, SLOW_APPEND_S))
-            elif not asked and not self._dry(account, tokens, now_s):
-                asked = True
-                await self._ask(account, tokens, now_s)
-            else:
-                return None
-
-    def _prompt(self, now_s: float) -> bool:
+    def prompt(self, now_s: float) -> bool:
         """Whether a row made now would soon be on the log.
 
         A store that has just gone silent is found out only when the call runs
@@ -153,44 +91,10 @@
         pending_s = 0.0 if self._sent_s is None else now_s - self._sent_s
         return self._tail.reachable and pending_s < SLOW_APPEND_S
 
-    def _dry(self, account: AccountId, tokens: int, now_s: float) -> bool:
-        """Whether the others just did not have what would be missing now."""
-        missing, until_s = self._lacking.get(account, (math.inf, 0.0))
-        lacked = tokens - self.book.left_tokens(account, now_s)
-        return now_s < until_s and lacked >= missing
-
-    async def give(self, account: AccountId, tokens: int) -> int:
-        """Give another entry up to ``tokens``; how many it gets.
-
-        What is in hand is little; while the log answers, a row brings more of
-        the claim, and the asking entry would get the rest nowhere else.
-        """
-        now_s = time.monotonic()
-        if self.book.givable_tokens(account, now_s) < tokens and self._prompt(now_s):
-            self.book.want(account, self.book.enough_to_give(tokens))
-            self._wake.set()
-            await self._wait_changed(FIRST_WAIT_S)
-        return self.book.give(account, tokens, time.monotonic())
-
-    async def _wait_changed(self, timeout_s: float) -> None:
-        try:
-            async with asyncio.timeout(timeout_s):
-                await self._changed.wait()
-        except TimeoutError:
-            return
-
-    async def _ask(self, account: AccountId, tokens: int, now_s: float) -> None:
-        """Ask the entries that probably hold most for what is missing."""
-        missing = tokens - self.book.left_tokens(account, now_s)
-        for entry in self.book.richest(account, MOST_ASKED):
-            member = self.members.member(entry)
-            if member is None or missing <= 0:
-                continue
-            given = await self._gifts.ask(member.peer_address, account, missing)
-            self.book.receive(account, given)
-            missing -= given
-        if missing > 0:
-            self._lacking[account] = (missing, time.monotonic() + DRY_S)
+    async def next_row(self, timeout_s: float) -> None:
+        """Have a row written soon, and wait for it for ``timeout_s``."""
+        self._wake.set()
+        await wait_for(self._changed, timeout_s)
 
     # -- the task ----------------------------------------------------------
 
@@ -211,11 +115,7 @@
                 await asyncio.sleep(gap_s)
                 interval_s -= gap_s
             self._wake.clear()
-            try:
-                async with asyncio.timeout(interval_s):
-                    await self._wake.wait()
-            except TimeoutError:
-                pass
+            await wait_for(self._wake, interval_s)
 
     async def leave(self) -> None:
         """Publish that this entry takes no new callers."""
@@ -226,16 +126,7 @@
         # Fence first, then read: an append of the earlier start that is
         # still on its way would otherwise land after the row was read.
         await self._tail.load()
-        self.epoch += 1
-        while True:
-            writer = Writer(self._entry_id, self.epoch, 0)
-            match await self._store.set_epoch(ENTRIES_TOPIC, writer):
-                case Success(_):
-                    break
-                case Failure(error) if error.kind is StoreErrorKind.FENCED:
-                    self.epoch += 1
-                case _:
-                    await asyncio.sleep(RETRY_S)
+        await self._writer.fence()
         while not await self._tail.poll():
             await asyncio.sleep(RETRY_S)
         last = self.members.member(self._entry_id)
@@ -249,7 +140,7 @@
         log_event(
             _log,
             Event.SHARES_TAKEN_OVER,
-            epoch=self.epoch,
+            epoch=self._writer.epoch,
             age_s=age_s,
             lost=self.book.lost(),
             last_made_s=last.made_s if last else None,
@@ -261,7 +152,7 @@
         now_s = time.monotonic()
         member = Member(
             entry_id=self._entry_id,
-            epoch=self.epoch,
+            epoch=self._writer.epoch,
             front_address=self._front_address,
             peer_address=self._peer_address,
             zone=self._zone,
@@ -273,7 +164,7 @@
             shares=self.book.next_row(now_s),
         )
         self._sent_s = now_s
-        offset = await self._append(encode_member(member))
+        offset = await self._writer.append(encode_member(member))
         if self._tail.next_offset == offset:
             # Nobody wrote in between: no need to read our own row back.
             self._fold(member)
@@ -311,41 +202,6 @@
             return
         self._doubtful = None
 
-    async def _append(self, value: bytes) -> int:
-        pause_s = RETRY_S
-        while True:
-            # The number moves on only once the store has answered: a repeat
-            # is recognised by it, and one that lands late is refused.
-            writer = Writer(self._entry_id, self.epoch, self._sequence)
-            result = await self._store.append(
-                ENTRIES_TOPIC, self._entry_id, value, writer
-            )
-            match result:
-                case Success(offset):
-                    self._tail.reachable = True
-                    self._sequence += 1
-                    return offset
-                case Failure(error) if error.kind is StoreErrorKind.FENCED:
-                    raise FencedError(error.detail)
-                case Failure(error):
-                    log_event(
-                        _log,
-                        Event.ROW_NOT_WRITTEN,
-                        logging.WARNING,
-                        kind=error.kind.value,
-                        detail=error.detail,
-                        sequence=self._sequence,
-                    )
-                    self._tail.reachable = False
-                    if error.kind is StoreErrorKind.OUT_OF_SEQUENCE:
-                        self._sequence = self._next_sequence(error.expected)
-                    self._notify()
-            await asyncio.sleep(pause_s)
-            pause_s = min(2 * pause_s, RETRY_MAX_S)
-
-    def _next_sequence(self, expected: int | None) -> int:
-        return self._sequence + 1 if expected is None else expected
-
     # -- the fold ----------------------------------------------------------
 
     def _apply(self, record: KeyedRecord) -> None:
@@ -363,11 +219,17 @@
         self.members.fold(member, time.monotonic())
         self.book.fold(member.entry_id, member.shares)
         if member.entry_id == self._entry_id:
-            self.epoch = max(self.epoch, member.epoch)
+            self._writer.epoch = max(self._writer.epoch, member.epoch)
 
     def _reload(self, keys: set[str]) -> None:
         self.book.keep_only({EntryId(key) for key in keys})
 
+    def _contact(self, answered: bool) -> None:
+        self._tail.reachable = answered
+        if not answered:
+            # Requests that wait for a row are better served elsewhere.
+            self._notify()
+
     def _notify(self) -> None:
         self._changed.set()
         self._changed = asyncio.Event()
--- a/src/celerytrack/load/report.py
+++ b/src/celerytrack/load/report.py
@@ -9,10 +9,9 @@
 
 from celerytrack.load.caller import Outcome, Result
 from celerytrack.load.checker import Audit
+from celerytrack.slo import burn
 
 _MAX_US = 120_000_000
-SLO_SHARE = 0.95
-"""The share of a class's requests that must meet its first-token target."""
 
 
 def _histogram(values_s: list[float]) -> HdrHistogram:
@@ -72,10 +71,7 @@
 
 
 def _burn(items: list[Result], target_s: float | None) -> float | None:
-    """How fast the class spends its error budget: the share of requests that
-    missed the target (late, refused or failed) over the share allowed
-    (``1 - SLO_SHARE``). 1.0 spends it exactly; above 1 the SLO is broken.
-    """
+    """See :func:`celerytrack.slo.burn`; ``None`` without a target."""
     if target_s is None or not items:
         return None
     missed = sum(
@@ -83,7 +79,7 @@
         for r in items
         if r.outcome != Outcome.DONE or r.ttft_s is None or r.ttft_s > target_s
     )
-    return round(missed / len(items) / (1 - SLO_SHARE), 2)
+    return burn(missed, len(items))
 
 
 def table(summary: dict[str, Any]) -> str:
--- a/src/celerytrack/prepaid/book.py
+++ b/src/celerytrack/prepaid/book.py
@@ -6,13 +6,13 @@
 from celerytrack.ids import AccountId, EntryId
 from celerytrack.prepaid.policy import (
     GIFT_SHARE,
-    RELEASE_ABOVE,
     RESERVE_SHARE,
-    URGENT_SHARE,
     Goal,
     Standing,
     goal,
+    next_claim,
 )
+from celerytrack.prepaid.rows import FoldedRows
 from celerytrack.prepaid.shares import Reservation, Row, Share
 
 
@@ -23,17 +23,14 @@
     """
 
     def __init__(self, me: EntryId) -> None:
-        self.me = me
+        self.rows = FoldedRows(me)
         self._totals: dict[AccountId, int] = {}
-        self._rows: dict[EntryId, Mapping[AccountId, Row]] = {}
-        self._claimed: dict[AccountId, int] = {}
         self._shares: dict[AccountId, Share] = {}
         self._in_flight: Mapping[AccountId, Row] | None = None
         self._made_s = float("inf")
         self._published_made_s = float("inf")
         self._entries = 1
         self._leaving = False
-        self._unreadable: set[EntryId] = set()
 
     # -- what is declared and what was read --------------------------------
 
@@ -49,13 +46,7 @@
 
     def fold(self, entry: EntryId, row: Mapping[AccountId, Row]) -> None:
         """Take the newest row of ``entry``; ``{}`` if it was dropped."""
-        self._unreadable.discard(entry)
-        old = self._rows.get(entry, {})
-        self._rows[entry] = row
-        for account in old.keys() | row.keys():
-            before = old[account].claimed_tokens if account in old else 0
-            after = row[account].claimed_tokens if account in row else 0
-            self._claimed[account] = self._claimed.get(account, 0) + after - before
+        for account in self.rows.fold(entry, row):
             self._accept(account)
 
     def unreadable(self, entry: EntryId) -> None:
@@ -65,11 +56,11 @@
         be: ignoring it would hand out its tokens a second time, as when
         entries of two releases run side by side.
         """
-        self._unreadable.add(entry)
+        self.rows.unreadable(entry)
 
     def keep_only(self, entries: set[EntryId]) -> None:
         """Drop the rows of all but ``entries``: theirs are the only ones left."""
-        for entry in self._rows.keys() - entries:
+        for entry in self.rows.entries() - entries:
             self.fold(entry, {})
 
     def adopt(self, age_s: float | None) -> None:
@@ -81,7 +72,7 @@
         :param age_s: how old the row was when that start had certainly ended;
             ``None`` if nobody can tell.
         """
-        for account, row in self._rows.get(self.me, {}).items():
+        for account, row in self.rows.mine().items():
             lost = row.claimed_tokens
             if age_s is not None:
                 lost = row.limit_tokens(age_s)
@@ -204,15 +195,6 @@
         """Take a gift of ``tokens``."""
         self._share(account).received_tokens += tokens
 
-    def richest(self, account: AccountId, count: int) -> list[EntryId]:
-        """The entries that probably hold most of ``account``, best first."""
-        left = {
-            entry: row[account].claimed_tokens - row[account].used_tokens
-            for entry, row in self._rows.items()
-            if entry != self.me and account in row
-        }
-        return sorted(left, key=lambda e: left[e], reverse=True)[:count]
-
     # -- planning ----------------------------------------------------------
 
     def plan(self, entries: int, now_s: float) -> bool:
@@ -277,7 +259,7 @@
         return {
             account: (
                 total,
-                self._claimed.get(account, 0),
+                self.rows.claimed_tokens(account),
                 self._known_used(account),
                 self.left_tokens(account, now_s),
             )
@@ -298,18 +280,11 @@
             # Our claim did not fit: withdraw it, or it blocks all others'.
             share.claim_tokens = max(share.accepted_tokens, floor)
             return True
-        goal = self._goal(account, now_s).claim_tokens
-        need = floor + max(goal, share.wanted_tokens)
-        kept = int(self._totals[account] * URGENT_SHARE)
-        urgent_need = min(floor + share.urgent_tokens, room)
+        goal = self._goal(account, now_s)
+        share.claim_tokens = next_claim(
+            share, goal, room, self._totals[account], self._wanted_elsewhere(account)
+        )
         share.urgent_tokens = 0
-        if share.claim_tokens < need:
-            most = max(min(need, room - kept), urgent_need)
-            share.claim_tokens = max(share.claim_tokens, most)
-        elif share.claim_tokens - floor > RELEASE_ABOVE * (need - floor):
-            share.claim_tokens = need
-        elif self._wanted_elsewhere(account):
-            share.claim_tokens -= (share.claim_tokens - need) // 2
         return share.wanted_tokens > 0
 
     def _goal(self, account: AccountId, now_s: float) -> Goal:
@@ -323,23 +298,17 @@
                 used_tokens=self._known_used(account),
                 lost_tokens=self._lost(account),
                 others_tokens_per_s=sum(
-                    row.rate_tokens_per_s for row in self._others(account)
+                    row.rate_tokens_per_s for row in self.rows.others(account).values()
                 ),
                 entries=self._entries,
             ),
             now_s,
         )
 
-    def _others(self, account: AccountId) -> list[Row]:
-        """What the other entries published of ``account``."""
-        return [
-            row[account]
-            for entry, row in self._rows.items()
-            if entry != self.me and account in row
-        ]
-
     def _wanted_elsewhere(self, account: AccountId) -> bool:
-        wanted = any(row.wanted_tokens > 0 for row in self._others(account))
+        wanted = any(
+            row.wanted_tokens > 0 for row in self.rows.others(account).values()
+        )
         return wanted and self._free(account) <= 0
 
     # -- internals ---------------------------------------------------------
@@ -348,7 +317,7 @@
         return self._shares.setdefault(account, Share())
 
     def _published(self, account: AccountId) -> Row:
-        return self._rows.get(self.me, {}).get(account, Row())
+        return self.rows.mine().get(account, Row())
 
     def _limit_tokens(self, account: AccountId, now_s: float) -> int:
         """What may be spent by the rows a next start may find: the one on the
@@ -364,21 +333,21 @@
     def _known_used(self, account: AccountId) -> int:
         share = self._share(account)
         used = share.used_tokens + share.reserved_tokens
-        return used + sum(row.used_tokens for row in self._others(account))
+        return used + sum(row.used_tokens for row in self.rows.others(account).values())
 
     def _lost(self, account: AccountId) -> int:
-        lost = sum(row.lost_tokens for row in self._others(account))
+        lost = sum(row.lost_tokens for row in self.rows.others(account).values())
         return lost + self._share(account).lost_tokens
 
     def _usable(self, account: AccountId) -> int:
         return int(self._totals.get(account, 0) * (1 - RESERVE_SHARE))
 
     def _free(self, account: AccountId) -> int:
-        return self._usable(account) - self._claimed.get(account, 0)
+        return self._usable(account) - self.rows.claimed_tokens(account)
 
     def _accept(self, account: AccountId) -> None:
         # The one place where what may be spent rises.
-        if self._unreadable or self._free(account) < 0:
+        if not self.rows.all_readable or self._free(account) < 0:
             return
         share = self._share(account)
         safe = min(self._published(account).claimed_tokens, share.claim_tokens)
--- a/src/celerytrack/prepaid/policy.py
+++ b/src/celerytrack/prepaid/policy.py
@@ -97,6 +97,29 @@
     return Goal(int(min(hand, claim)), int(pace), int(claim))
 
 
+def next_claim(
+    share: Share,
+    goal: Goal,
+    room_tokens: int,
+    total_tokens: int,
+    wanted_elsewhere: bool,
+) -> int:
+    """What the next row of this entry claims.
+
+    :param room_tokens: the most that fits beside the claims of the others.
+    :param wanted_elsewhere: whether others lack tokens and none are free.
+    """
+    floor, claim = share.floor_tokens, share.claim_tokens
+    need = floor + max(goal.claim_tokens, share.wanted_tokens)
+    if claim < need:
+        kept = int(total_tokens * URGENT_SHARE)
+        urgent_need = min(floor + share.urgent_tokens, room_tokens)
+        return max(claim, min(need, room_tokens - kept), urgent_need)
+    if claim - floor > RELEASE_ABOVE * (need - floor):
+        return need
+    return claim - (claim - need) // 2 if wanted_elsewhere else claim
+
+
 def _part(rate_tokens_per_s: float, standing: Standing) -> float:
     """This entry's part of the account's spend."""
     rates = rate_tokens_per_s + standing.others_tokens_per_s
--- a/src/celerytrack/settings.py
+++ b/src/celerytrack/settings.py
@@ -17,6 +17,7 @@
 import json
 import pathlib
 import re
+from collections.abc import Callable
 from typing import Any
 
 import attrs
@@ -25,6 +26,8 @@
 
 from celerytrack.ids import AccountId, ClassName, EntryId, ReplicaId, Zone
 
+KEY_LEAST = 8
+"""Characters of a key at least: shorter ones are found by trying."""
 _NAME = re.compile(r"^[a-z0-9][a-z0-9._-]{0,62}$")
 _ADDRESS = re.compile(r"^127\.\d{1,3}\.\d{1,3}\.\d{1,3}:\d{1,5}$|^[\w.-]+:\d{1,5}$")
 
@@ -39,6 +42,11 @@
         raise ValueError(f"{attribute.name} {value!r} must be host:port")
 
 
+def _key(instance: object, attribute: "attrs.Attribute[Any]", value: str) -> None:
+    if len(value) < KEY_LEAST:
+        raise ValueError(f"key must have {KEY_LEAST} characters or more: {len(value)}")
+
+
 _positive: Any = v.gt(0)
 _non_negative: Any = v.ge(0)
 
@@ -79,7 +87,7 @@
     """A client account: who it is and the key it signs requests with."""
 
     account_id: AccountId = attrs.field(validator=_name)
-    key: str = attrs.field(validator=v.min_len(8))
+    key: str = attrs.field(validator=_key)
 
 
 @attrs.frozen
@@ -241,10 +249,32 @@
 _converter = cattrs.Converter(forbid_extra_keys=True)
 
 
+def _strict(allowed: str, *types: type) -> Callable[[Any, type], Any]:
+    """A hook that takes only values of ``types``, and converts none.
+
+    Conversion would take ``[]`` for false and ``"2"`` for a number: a slip of an
+    operator would come into force as something else than was written.
+    """
+
+    def check(value: Any, target: type) -> Any:
+        # In JSON true and false are no numbers; in Python they are.
+        if type(value) not in types:
+            raise TypeError(f"must be {allowed}, found {json.dumps(value)}")
+        return target(value)
+
+    return check
+
+
+_converter.register_structure_hook(bool, _strict("true or false", bool))
+_converter.register_structure_hook(int, _strict("a whole number", int))
+_converter.register_structure_hook(float, _strict("a number", int, float))
+_converter.register_structure_hook(str, _strict("text", str))
+
+
 def _describe(exc: BaseException, type_: Any) -> str:
     if isinstance(exc, KeyError):
         return f"required field missing {exc}"
-    return f"{type(exc).__name__}: {exc}"
+    return str(exc)
 
 
 def structure(data: Any, cls: type[Any]) -> Any:
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -5,6 +5,9 @@
 import os
 import unittest
 
+from nose2.tools import params
+
+from celerytrack import slo
 from celerytrack.events import Event, log_event
 from celerytrack.explain import parse, summary, timeline
 from celerytrack.gateway.logs import LINES_BURST, BoundedHandler
@@ -45,6 +48,29 @@
         self.assertIn(["2", "store_lost rows"], rows)
 
 
+class SloTest(unittest.TestCase):
+    @params(
+        # event, fields, in time, late, refused, failed
+        (Event.ANSWERED, {"status": 200, "first_ms": 200}, 1, 0, 0, 0),
+        (Event.ANSWERED, {"status": 200, "first_ms": 301}, 0, 1, 0, 0),
+        (Event.ANSWERED, {"status": 200, "first_ms": None}, 0, 1, 0, 0),
+        (Event.ANSWERED, {"status": 500, "first_ms": 20}, 0, 0, 0, 1),
+        (Event.REFUSED, {"reason": "tokens_elsewhere"}, 0, 0, 1, 0),
+        (Event.REFUSED, {"reason": "budget_exhausted"}, 0, 0, 0, 0),
+        (Event.FAILED, {"reason": "upstream_cut"}, 0, 0, 0, 1),
+        (Event.STREAM_CUT, {}, 0, 0, 0, 1),
+    )
+    def test_what_counts(self, event, fields, in_time, late, refused, failed):
+        base = {"route": "hint", "target_ms": 300, "took_ms": 900}
+        lines = [_line("10:00:00,1", "e1", event, **{**base, **fields})]
+        found = slo.report(parse(lines)).get("hint", slo.ClassReport())
+        self.assertEqual(found, slo.ClassReport(in_time, late, refused, failed))
+
+    @params((19, 1, 1.0), (90, 10, 2.0), (10, 0, 0.0))
+    def test_burn(self, in_time, late, expected):
+        self.assertEqual(slo.ClassReport(in_time, late).burn, expected)
+
+
 class BoundedHandlerTest(unittest.TestCase):
     def setUp(self):
         self.reader, self.writer = os.pipe()
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -37,6 +37,36 @@
             structure(doc, Config)
         self.assertIn(path, str(caught.exception))
 
+    @params(
+        ("idempotent", [], "true or false, found []"),
+        ("idempotent", 1, "true or false, found 1"),
+        ("ttft_target_s", "2", 'a number, found "2"'),
+        ("ttft_target_s", True, "a number, found true"),
+        ("max_output_tokens", 1.5, "a whole number, found 1.5"),
+        ("max_output_tokens", "9", 'a whole number, found "9"'),
+        ("model", 7, "text, found 7"),
+        ("name", None, "text, found null"),
+    )
+    def test_nothing_is_converted(self, field, value, expected):
+        """Symptom: a class declared with ``"idempotent": []`` was accepted, and
+        its calls ran once at most; ``"2"`` was taken for a number.
+
+        Sequence: an operator mistypes a value; ``validate`` says it is valid;
+        it is in force as something else. Cause: values were converted.
+        """
+        doc = {"deployment": "d", "classes": [{**_CLASS, field: value}], "accounts": []}
+        with self.assertRaises(SettingsError) as caught:
+            structure(doc, Config)
+        self.assertIn(f"must be {expected}", str(caught.exception))
+        self.assertIn(f"$.classes[0].{field}", str(caught.exception))
+
+    def test_a_short_key_is_named(self):
+        account = {"account_id": "a", "key": "12"}
+        doc = {"deployment": "d", "classes": [], "accounts": [account]}
+        with self.assertRaises(SettingsError) as caught:
+            structure(doc, Config)
+        self.assertIn("key must have 8 characters or more: 2", str(caught.exception))
+
     def test_duplicate_accounts_are_refused(self):
         account = {"account_id": "a", "key": "12345678"}
         doc = {"deployment": "d", "classes": [], "accounts": [account, account]}
--- a/tests/test_share_keeper.py
+++ b/tests/test_share_keeper.py
@@ -6,7 +6,8 @@
 
 from nose2.tools import params
 
-from celerytrack.gateway.share_keeper import FIRST_WAIT_S, ShareKeeper
+from celerytrack.gateway.reservations import FIRST_WAIT_S
+from celerytrack.gateway.share_keeper import ShareKeeper
 from celerytrack.ids import AccountId, EntryId, Zone
 from celerytrack.members import Member, MemberState
 from celerytrack.prepaid import Row
@@ -54,7 +55,7 @@
         gifts = _Gifts()
         keeper = _keeper(gifts, held)
         started_s = time.monotonic()
-        reservation = asyncio.run(keeper.reserve(A, 1_000, urgent=False))
+        reservation = asyncio.run(keeper.reservations.reserve(A, 1_000, urgent=False))
         self.assertIsNotNone(reservation)
         waited_s = gifts.asked_s[0] - started_s
         self.assertGreaterEqual(waited_s, least_s)
