One place for patient HTTP sessions; unused fields out; a cold endpoint is predicted slower

Left from the last reading: three copies of the same session, four decoded fields that nothing used, and a second prediction for each choice. Not measured: no site has cold endpoints.

--- a/src/celerytrack/endpoint.py
+++ b/src/celerytrack/endpoint.py
@@ -75,6 +75,7 @@
         as they were not read at ``noted_at_s``.
     :ivar latency_s: learned time of a plain call.
     :ivar slowness: learned ratio of first tokens to predicted ones.
+    :ivar cold_until_s: until when it is slow after its start.
     :ivar failing: learned share of failed answers.
     """
 
@@ -85,6 +86,7 @@
     noted_at_s: float = 0.0
     latency_s: float = SERVICE_S
     slowness: float = 1.0
+    cold_until_s: float = 0.0
     failing: float = 0.0
     failures: int = 0
     avoided_until_s: float = 0.0
--- a/src/celerytrack/endpoints.py
+++ b/src/celerytrack/endpoints.py
@@ -32,6 +32,9 @@
 SECOND_HOME_TIMES = 3.0
 """The same at the second home, where all entries send what the home has no time
 for: by then it is probably kept there too, and nowhere else."""
+COLD_TIMES = 1.6
+"""How much longer an endpoint takes until it is warm: a guess, in the middle of
+what caches of compiled code and data cost; its own answers correct it."""
 OTHER_ZONE_S = 0.004
 """What another failure domain adds: two ways of up to 1.4 ms, and the price of
 bytes between domains."""
@@ -74,7 +77,9 @@
         """
         known = self._endpoints.get(registration.endpoint_id)
         if known is None:
-            self._endpoints[registration.endpoint_id] = Endpoint(registration)
+            known = Endpoint(registration)
+            known.cold_until_s = now_s + registration.cold_s
+            self._endpoints[registration.endpoint_id] = known
             return True
         changed = known.registration.draining is not registration.draining
         known.registration = registration
@@ -126,12 +131,12 @@
         homes = self._homes(need, usable)
         sound = [e for e in room if now_s >= e.avoided_until_s] or room
 
-        def cost(endpoint: Endpoint) -> tuple[float, float]:
-            seconds = self._predict(endpoint, need, homes, entries, now_s)
-            return seconds, self._rng.random()
-
-        best = min(sound, key=cost)
-        return best, self._predict(best, need, homes, entries, now_s)
+        costs = [
+            (self._predict(e, need, homes, entries, now_s), self._rng.random(), i)
+            for i, e in enumerate(sound)
+        ]
+        predicted_s, _, index = min(costs)
+        return sound[index], predicted_s
 
     def send(
         self, endpoint: Endpoint, need: Need, predicted_s: float, now_s: float
@@ -206,6 +211,18 @@
         homes: Sequence[Endpoint],
         entries: int,
         now_s: float,
+    ) -> float:
+        if now_s < endpoint.cold_until_s:
+            return COLD_TIMES * self._warm_s(endpoint, need, homes, entries, now_s)
+        return self._warm_s(endpoint, need, homes, entries, now_s)
+
+    def _warm_s(
+        self,
+        endpoint: Endpoint,
+        need: Need,
+        homes: Sequence[Endpoint],
+        entries: int,
+        now_s: float,
     ) -> float:
         slots = max(1, endpoint.registration.slots)
         running = endpoint.running * entries
--- a/src/celerytrack/gateway/admission.py
+++ b/src/celerytrack/gateway/admission.py
@@ -126,7 +126,7 @@
         return
     assert gateway.table is not None
     service = gateway.table.services.get(exchange.service)
-    per_event = service.engine.event_tokens if service and service.engine else 1
+    per_event = service.event_tokens if service else 1
     # One event more than was relayed: it may have been on its way to the
     # caller when the stream ended.
     whole = exchange.response is not None
--- a/src/celerytrack/gateway/gifts.py
+++ b/src/celerytrack/gateway/gifts.py
@@ -9,7 +9,7 @@
 
 from celerytrack.events import Event, log_event
 from celerytrack.ids import AccountId
-from celerytrack.platform.store import patient_socket
+from celerytrack.patient_http import patient_session
 
 _log = logging.getLogger(__name__)
 
@@ -18,6 +18,8 @@
 instance that has used up its share of a processor stands still for up to a
 tenth of a second. At 0.06 s gifts of a busy instance were lost on the way, and
 a lost gift is spent by nobody."""
+IDLE_S = 10.0
+"""Idle time after which a connection to another entry is not used again."""
 _PATH = "/gift"
 
 
@@ -30,11 +32,8 @@
     @property
     def _session(self) -> aiohttp.ClientSession:
         if self._http is None:
-            connector = aiohttp.TCPConnector(
-                limit=0, keepalive_timeout=10.0, socket_factory=patient_socket
-            )
             timeout = aiohttp.ClientTimeout(total=ASK_TIMEOUT_S)
-            self._http = aiohttp.ClientSession(connector=connector, timeout=timeout)
+            self._http = patient_session(IDLE_S, timeout)
         return self._http
 
     async def ask(self, address: str, account: AccountId, tokens: int) -> int:
--- a/src/celerytrack/gateway/state.py
+++ b/src/celerytrack/gateway/state.py
@@ -12,8 +12,9 @@
 from celerytrack.gateway.share_keeper import ShareKeeper
 from celerytrack.gateway.telemetry import Telemetry
 from celerytrack.ids import EndpointId, EntryId, ServiceName
+from celerytrack.patient_http import patient_session
 from celerytrack.platform.settings import ProcessSettings
-from celerytrack.platform.store import StoreClient, patient_socket
+from celerytrack.platform.store import StoreClient
 from celerytrack.retries import RetryBudget
 from celerytrack.routes import RoutingTable
 
@@ -79,17 +80,9 @@
     def http(self) -> aiohttp.ClientSession:
         """The session to endpoints."""
         if self._http is None:
-            connector = aiohttp.TCPConnector(
-                limit=0,
-                keepalive_timeout=ENDPOINT_IDLE_S,
-                socket_factory=patient_socket,
-            )
-            self._http = aiohttp.ClientSession(
-                connector=connector,
-                auto_decompress=False,
-                timeout=aiohttp.ClientTimeout(
-                    total=None, sock_connect=CONNECT_TIMEOUT_S
-                ),
+            timeout = aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S)
+            self._http = patient_session(
+                ENDPOINT_IDLE_S, timeout, auto_decompress=False
             )
             # The library sends a GET again by itself when a kept connection
             # breaks: a call that must not run twice would, unseen by us.
--- /dev/null
+++ b/src/celerytrack/patient_http.py
@@ -0,0 +1,52 @@
+"""HTTP sessions that notice a peer gone silent."""
+
+import socket
+
+import aiohttp
+
+SILENCE_MS = 1_500
+"""A connection whose bytes are not acknowledged for this long is given up.
+Without it a call on a connection that lost its path hangs to its timeout."""
+KEEPALIVE_S = 1
+_KEEPALIVE_PROBES = 2
+
+
+def patient_session(
+    idle_s: float,
+    timeout: aiohttp.ClientTimeout | None = None,
+    auto_decompress: bool = True,
+) -> aiohttp.ClientSession:
+    """A session without a limit of connections.
+
+    :param idle_s: idle time after which a connection is not used again.
+    :param timeout: of each request; ``None`` leaves it to the calls.
+    :param auto_decompress: whether bodies are decoded on arrival.
+    """
+    connector = aiohttp.TCPConnector(
+        limit=0, keepalive_timeout=idle_s, socket_factory=_patient_socket
+    )
+    return aiohttp.ClientSession(
+        connector=connector,
+        timeout=timeout or aiohttp.ClientTimeout(total=None),
+        auto_decompress=auto_decompress,
+    )
+
+
+def _patient_socket(info: aiohttp.AddrInfoType) -> socket.socket:
+    """A socket that notices a peer gone silent.
+
+    A machine that lost power or a path answers nothing, not even a reset; a
+    connection to it would hang until the request's own deadline.
+    """
+    family, kind, proto, _, _ = info
+    sock = socket.socket(family=family, type=kind, proto=proto)
+    sock.setblocking(False)
+    for option, value in (
+        (socket.TCP_USER_TIMEOUT, SILENCE_MS),
+        (socket.TCP_KEEPIDLE, KEEPALIVE_S),
+        (socket.TCP_KEEPINTVL, KEEPALIVE_S),
+        (socket.TCP_KEEPCNT, _KEEPALIVE_PROBES),
+    ):
+        sock.setsockopt(socket.IPPROTO_TCP, option, value)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    return sock
--- a/src/celerytrack/platform/config.py
+++ b/src/celerytrack/platform/config.py
@@ -7,7 +7,6 @@
 from celerytrack.routes import (
     DEFAULT_BODY_BYTES,
     ClientAccount,
-    EngineSpec,
     Repeat,
     Route,
     RoutingTable,
@@ -66,19 +65,11 @@
 
 
 def _service(data: dict[str, Any]) -> Service:
-    engine = data.get("engine")
     return Service(
         name=ServiceName(data["name"]),
         max_connections=int(data.get("connLimit", 100)),
-        engine=None if engine is None else _engine(engine),
-    )
-
-
-def _engine(data: dict[str, Any]) -> EngineSpec:
-    return EngineSpec(
-        slots=int(data.get("slots", 64)),
-        kv_tokens=int(data.get("kvCapacity", 0)),
-        event_tokens=int(data.get("stride", 1)),
+        # Called so for the step between two events' counts of tokens.
+        event_tokens=int((data.get("engine") or {}).get("stride", 1)),
     )
 
 
--- a/src/celerytrack/platform/settings.py
+++ b/src/celerytrack/platform/settings.py
@@ -28,7 +28,6 @@
     :ivar peer_address: where the other entries connect.
     :ivar metrics_address: where metrics are served.
     :ivar store_address: the platform's log.
-    :ivar drain_s: time to stop using an endpoint that leaves.
     :ivar grace_s: time between SIGTERM and SIGKILL.
     :ivar retry_ratio: second attempts allowed per request, fleet-wide.
     :ivar retry_slack: second attempts allowed beyond that in a window.
@@ -44,8 +43,6 @@
     peer_address: str
     metrics_address: str
     store_address: str
-    record_bytes: int
-    drain_s: float
     grace_s: float
     retry_ratio: float
     retry_slack: float
@@ -84,8 +81,6 @@
         peer_address=f"{_text(data, 'ip')}:{_first_port(data)}",
         metrics_address=f"{_text(data, 'ip')}:{METRICS_PORT}",
         store_address=_text(platform, "address", "platform."),
-        record_bytes=int(_number(platform, "recordBytes", 262_144)),
-        drain_s=_number(bounds, "drainMs", 2_000) / 1_000,
         grace_s=_number(bounds, "graceS", 8),
         retry_ratio=_number(bounds, "retryRatio", 0.2),
         retry_slack=_number(bounds, "retrySlack", 50),
--- a/src/celerytrack/platform/store.py
+++ b/src/celerytrack/platform/store.py
@@ -7,21 +7,19 @@
 import base64
 import enum
 import json
-import socket
 import struct
 
 import aiohttp
 import attrs
 from returns.result import Failure, Result, Success
 
+from celerytrack.patient_http import patient_session
+
 CALL_TIMEOUT_S = 1.5
 """Longest wait for an answer: the store answers in 4 ms, and 50 times as
 slowly on a bad day; beyond this the connection counts as gone silent."""
-SILENCE_MS = 1_500
-"""A connection whose bytes are not acknowledged for this long is given up.
-Without it a call on a connection that lost its path hangs to its timeout."""
-KEEPALIVE_S = 1
-_KEEPALIVE_PROBES = 2
+IDLE_S = 30.0
+"""Idle time after which a connection is not used again; calls are 0.6 s apart."""
 _PAGE = 500
 _END_AND_FIRST = struct.Struct(">QQ")
 _LENGTH = struct.Struct(">I")
@@ -85,26 +83,6 @@
     sequence: int
 
 
-def patient_socket(info: aiohttp.AddrInfoType) -> socket.socket:
-    """A socket that notices a peer gone silent (``socket_factory``).
-
-    A machine that lost power or a path answers nothing, not even a reset; a
-    connection to it would hang until the request's own deadline.
-    """
-    family, kind, proto, _, _ = info
-    sock = socket.socket(family=family, type=kind, proto=proto)
-    sock.setblocking(False)
-    for option, value in (
-        (socket.TCP_USER_TIMEOUT, SILENCE_MS),
-        (socket.TCP_KEEPIDLE, KEEPALIVE_S),
-        (socket.TCP_KEEPINTVL, KEEPALIVE_S),
-        (socket.TCP_KEEPCNT, _KEEPALIVE_PROBES),
-    ):
-        sock.setsockopt(socket.IPPROTO_TCP, option, value)
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    return sock
-
-
 class StoreClient:
     """Talks to the store over a session of its own.
 
@@ -118,10 +96,7 @@
     @property
     def _session(self) -> aiohttp.ClientSession:
         if self._http is None:
-            connector = aiohttp.TCPConnector(
-                limit=0, keepalive_timeout=30.0, socket_factory=patient_socket
-            )
-            self._http = aiohttp.ClientSession(connector=connector)
+            self._http = patient_session(IDLE_S)
         return self._http
 
     async def close(self) -> None:
--- a/src/celerytrack/routes.py
+++ b/src/celerytrack/routes.py
@@ -13,8 +13,6 @@
 
 from celerytrack.ids import AccountId, ServiceName
 
-DEFAULT_HEADER_BYTES = 16_384
-"""Header bytes taken from a caller where the configuration names no limit."""
 DEFAULT_BODY_BYTES = 4 * 1024 * 1024
 """Body bytes taken from a caller where the configuration names no limit."""
 
@@ -64,30 +62,17 @@
         return self.repeat is Repeat.IDEMPOTENT or self.resumable
 
 
-@attrs.frozen
-class EngineSpec:
-    """What is declared of a service's model engines.
-
-    :ivar slots: requests batched at once by one engine.
-    :ivar kv_tokens: tokens that one engine's memory holds.
-    :ivar event_tokens: most output tokens in one event of a stream.
-    """
-
-    slots: int
-    kv_tokens: int
-    event_tokens: int
-
-
 @attrs.frozen
 class Service:
     """One service: a set of endpoints that serve the same requests.
 
     :ivar max_connections: connections one endpoint accepts from all callers.
+    :ivar event_tokens: most output tokens in one event of a model engine's stream.
     """
 
     name: ServiceName
     max_connections: int
-    engine: EngineSpec | None = None
+    event_tokens: int = 1
 
 
 @attrs.frozen
--- a/tests/gateway_fleet.py
+++ b/tests/gateway_fleet.py
@@ -140,8 +140,6 @@
             peer_address=f"127.0.0.1:{free_port()}",
             metrics_address=f"127.0.0.1:{free_port()}",
             store_address=f"127.0.0.1:{store_port}",
-            record_bytes=262_144,
-            drain_s=2.0,
             grace_s=8.0,
             retry_ratio=0.2,
             retry_slack=50.0,
--- a/tests/test_endpoints.py
+++ b/tests/test_endpoints.py
@@ -3,6 +3,7 @@
 import random
 import unittest
 
+import attrs
 from nose2.tools import params
 
 from celerytrack.endpoint import Need, Registration
@@ -54,6 +55,12 @@
         book = _book(_reg("a", THERE), _reg("b", HERE))
         self.assertEqual(_choose(book), "b")
 
+    @params((0.5, "b"), (3.0, "a"))
+    def test_a_cold_endpoint_is_slow_for_a_while(self, now_s, expected):
+        cold = attrs.evolve(_reg("a"), cold_s=2.0)
+        book = _book(cold, _reg("b", THERE))
+        self.assertEqual(_choose(book, now_s=now_s), expected)
+
     def test_all_entries_agree_on_the_home_of_a_session(self):
         names = [f"r{i}" for i in range(6)]
         homes = set()
