A row says how its entry's clock stood to the others'

Cause: some entries had been cut off from the log before, so last rows were seconds apart, and the time of an entry's last row was held against that of the others' last rows to judge its clock. Ruled out: too few witnesses (all seven started within 0.2 s). The row now carries the clock's lead over the others, taken when it was made.

--- a/src/celerytrack/gateway/share_keeper.py
+++ b/src/celerytrack/gateway/share_keeper.py
@@ -150,6 +150,7 @@
 
     async def _write(self) -> None:
         now_s = time.monotonic()
+        offset_s = _clock_offset_s()
         member = Member(
             entry_id=self._entry_id,
             epoch=self._writer.epoch,
@@ -158,9 +159,10 @@
             zone=self._zone,
             state=self.state,
             made_s=now_s,
-            clock_offset_s=_clock_offset_s(),
+            clock_offset_s=offset_s,
             started_s=self._started_s,
             left_at_s=self._left_at_s,
+            clock_lead_s=self.members.clock_lead_s(offset_s),
             shares=self.book.next_row(now_s),
         )
         self._sent_s = now_s
@@ -188,7 +190,7 @@
             return
         rows = self.members.members()
         others = [row for entry, row in rows.items() if entry != self._entry_id]
-        age_s = age_at_power_s(mine, others)
+        age_s = age_at_power_s(left, mine, others)
         if age_s is not None:
             self.book.free_beyond(left.shares, age_s)
             log_event(
--- a/src/celerytrack/members.py
+++ b/src/celerytrack/members.py
@@ -63,6 +63,8 @@
     :ivar started_s: when this start of the entry began, on the same clock.
     :ivar left_at_s: when the last row of its earlier start was made, by that
         start's time of day; ``None`` if there was none.
+    :ivar clock_lead_s: how far its time of day was ahead of the other entries',
+        by their last rows; ``None`` if it had too few to compare with.
     :ivar shares: its claims on prepaid totals.
     """
 
@@ -76,6 +78,7 @@
     clock_offset_s: float = 0.0
     started_s: float = 0.0
     left_at_s: float | None = None
+    clock_lead_s: float | None = None
     shares: Mapping[AccountId, Row] = attrs.field(factory=dict)
 
     @property
@@ -124,41 +127,45 @@
 
 AGREE_S = 1.0
 """Clocks that agree with most others within this were not set: a clock that is
-set jumps by seconds, and rows are written a second apart."""
+set jumps by seconds, and a row is read within some tenths of a second."""
 CLOCK_ERROR_S = 0.05
 """What two readings of a clock that was not set may be off over a few seconds."""
 FEWEST_WITNESSES = 2
 
 
-def age_at_power_s(mine: Member, others: list[Member]) -> float | None:
+def age_at_power_s(left: Member, mine: Member, others: list[Member]) -> float | None:
     """How old this entry's last row was when it started again, if it and most
     others lost power together; else ``None``.
 
     A loss of power starts the steady clock anew, and a time of day alone may
-    have been set meanwhile. But when most entries went down and came back
-    together, each one's time of day can be held against the others' both
-    before and after: fewer than half of all clocks are set at one time.
+    have been set meanwhile. So it must have agreed with most others' before,
+    as the row says, and agree after, by when they all started: fewer than half
+    of all clocks are set at one time.
 
-    :param mine: this entry's row.
+    :param left: the last row of the earlier start.
+    :param mine: this entry's row now.
     :param others: the rows of the other entries.
     """
-    left_at_s = mine.left_at_s
-    if left_at_s is None:
+    lead_s = left.clock_lead_s
+    if lead_s is None or abs(lead_s) >= AGREE_S:
         return None
     witnesses = [
-        (row.left_at_s, row.started_at_s)
+        row
         for row in others
         if row.left_at_s is not None
         and abs(row.started_at_s - mine.started_at_s) < AGREE_S
     ]
     if len(witnesses) < max(FEWEST_WITNESSES, len(others) // 2):
         return None
-    gap_s = statistics.median(left_s - left_at_s for left_s, _ in witnesses)
-    passed_most_s = statistics.median(start_s - left_s for left_s, start_s in witnesses)
-    passed_s = mine.started_at_s - left_at_s
-    if abs(gap_s) >= AGREE_S or passed_s < 0:
+    passed_s = mine.started_at_s - left.made_at_s
+    if passed_s < 0:
         return None
-    return max(passed_s, passed_most_s) + CLOCK_ERROR_S
+    # What the clock may have been ahead by before, beyond the age of rows when
+    # they are read, and behind by after: either makes the row look too new.
+    ahead_s = max(0.0, lead_s - BEAT_S)
+    started_at_s = statistics.median(row.started_at_s for row in witnesses)
+    behind_s = max(0.0, started_at_s - mine.started_at_s)
+    return passed_s + ahead_s + behind_s + CLOCK_ERROR_S
 
 
 @attrs.define
@@ -192,6 +199,21 @@
         """The newest row of each entry."""
         return {entry: seen.member for entry, seen in self._seen.items()}
 
+    def clock_lead_s(self, clock_offset_s: float) -> float | None:
+        """How far this entry's time of day is ahead of most others'.
+
+        A row that was read late makes it look further ahead than it is, never
+        less: a clock that is ahead, which would make a row look newer than it
+        was, is always seen.
+
+        :param clock_offset_s: its time of day less its steady clock, now.
+        """
+        others = [seen for entry, seen in self._seen.items() if entry != self.me]
+        if len(others) < FEWEST_WITNESSES:
+            return None
+        leads = (seen.at_s - seen.member.made_at_s for seen in others)
+        return statistics.median(leads) + clock_offset_s
+
     def dropped(self, entry: EntryId) -> None:
         """The row of ``entry`` was removed."""
         self._seen.pop(entry, None)
--- a/src/celerytrack/platform/rows.py
+++ b/src/celerytrack/platform/rows.py
@@ -37,6 +37,7 @@
                 member.clock_offset_s,
                 member.started_s,
                 member.left_at_s,
+                member.clock_lead_s,
                 shares,
             )
         )
@@ -50,7 +51,7 @@
     """
     try:
         epoch, front, peer, zone, state, *times, shares = msgpack.unpackb(raw)
-        made_s, offset_s, started_s, left_at_s = times
+        made_s, offset_s, started_s, left_at_s, lead_s = times
         return Member(
             entry_id=EntryId(entry_id),
             epoch=int(epoch),
@@ -62,6 +63,7 @@
             clock_offset_s=float(offset_s),
             started_s=float(started_s),
             left_at_s=None if left_at_s is None else float(left_at_s),
+            clock_lead_s=None if lead_s is None else float(lead_s),
             shares={AccountId(a): Row(*tokens) for a, tokens in shares.items()},
         )
     except (ValueError, TypeError, msgpack.UnpackException) as exc:
--- a/src/celerytrack/slo.py
+++ b/src/celerytrack/slo.py
@@ -64,6 +64,8 @@
             continue
         row = classes[name]
         match line.event:
+            case Event.ANSWERED if "target_ms" not in line.fields:
+                continue
             case Event.ANSWERED if line.fields.get("status", 500) < 500:
                 if _in_time(line):
                     row.in_time += 1
@@ -79,7 +81,7 @@
 def _in_time(line: LogLine) -> bool:
     """Whether the first piece, or a plain answer, came within the target."""
     first_ms = line.fields.get("first_ms") or line.fields.get("took_ms", math.inf)
-    return bool(first_ms <= line.fields.get("target_ms", 0))
+    return bool(first_ms <= line.fields["target_ms"])
 
 
 def table(classes: dict[str, ClassReport]) -> list[str]:
