--- a/src/celerytrack/prefill.py
+++ b/src/celerytrack/prefill.py
@@ -7,8 +7,8 @@
 long one still waits for part of it, so a choice counts all that waits.
 
 Load pattern answered: bursts of long prompts beside a stream of short ones.
-First tokens on a day of high load, 97th percentile: short prompts 443 to 171 ms,
-long ones no later (90th percentile 670 to 582 ms).
+First tokens on a day of high load: short prompts 443 to 171 ms (95th percentile),
+long ones no later (670 to 582 ms, 90th percentile).
 """
 
 import enum
