--- a/src/celerytrack/cli/ctl.py
+++ b/src/celerytrack/cli/ctl.py
@@ -7,7 +7,6 @@
 
 import asyncio
 import json
-import sys
 import time
 import uuid
 from typing import Any
@@ -18,10 +17,9 @@
 from cleo.helpers import argument, option
 from returns.result import Failure, Success
 
-from celerytrack import slo
+from celerytrack.cli.log_commands import ExplainCommand, SloCommand, SummaryCommand
 from celerytrack.entry.config_follower import CONFIG, config_record
 from celerytrack.entry.ledger_writer import LEDGER
-from celerytrack.explain import parse, summary, timeline
 from celerytrack.logclient import LogClient, LogErrorKind
 from celerytrack.settings import Config, FleetSettings, SettingsError, load_json
 
@@ -256,48 +254,6 @@
         return 0
 
 
-class ExplainCommand(Command):
-    """Show one request's way through all processes."""
-
-    name = "explain"
-    description = "Read log lines; print those of one request as a timeline."
-    arguments = [argument("request-id", "The request's id.")]
-
-    def handle(self) -> int:
-        request_id = str(self.argument("request-id"))
-        found = timeline(parse(sys.stdin), request_id)
-        for entry in found:
-            self.line(entry.render(), style=None)
-        if not found:
-            self.line_error(f"<error>no line names {request_id}</error>")
-            return 1
-        return 0
-
-
-class SummaryCommand(Command):
-    """Count what happened in a run."""
-
-    name = "summary"
-    description = "Read log lines; print outcomes, refusals and outages."
-
-    def handle(self) -> int:
-        for row in summary(parse(sys.stdin)):
-            self.line(row)
-        return 0
-
-
-class SloCommand(Command):
-    """Report how fast each class spends its error budget."""
-
-    name = "slo"
-    description = "Read log lines; print each class's error budget burn."
-
-    def handle(self) -> int:
-        for row in slo.table(slo.report(parse(sys.stdin))):
-            self.line(row)
-        return 0
-
-
 def main() -> int:
     """Console script entry point."""
     app = Application("celerytrackctl", "0.1.0")
--- /dev/null
+++ b/src/celerytrack/cli/log_commands.py
@@ -0,0 +1,51 @@
+"""Commands of ``celerytrackctl`` that read log lines from standard input."""
+
+import sys
+
+from cleo.commands.command import Command
+from cleo.helpers import argument
+
+from celerytrack import slo
+from celerytrack.explain import parse, summary, timeline
+
+
+class ExplainCommand(Command):
+    """Show one request's way through all processes."""
+
+    name = "explain"
+    description = "Read log lines; print those of one request as a timeline."
+    arguments = [argument("request-id", "The request's id.")]
+
+    def handle(self) -> int:
+        request_id = str(self.argument("request-id"))
+        found = timeline(parse(sys.stdin), request_id)
+        for entry in found:
+            self.line(entry.render(), style=None)
+        if not found:
+            self.line_error(f"<error>no line names {request_id}</error>")
+            return 1
+        return 0
+
+
+class SummaryCommand(Command):
+    """Count what happened in a run."""
+
+    name = "summary"
+    description = "Read log lines; print outcomes, refusals and outages."
+
+    def handle(self) -> int:
+        for row in summary(parse(sys.stdin)):
+            self.line(row)
+        return 0
+
+
+class SloCommand(Command):
+    """Report how fast each class spends its error budget."""
+
+    name = "slo"
+    description = "Read log lines; print each class's error budget burn."
+
+    def handle(self) -> int:
+        for row in slo.table(slo.report(parse(sys.stdin))):
+            self.line(row)
+        return 0
--- a/src/celerytrack/gateway/share_keeper.py
+++ b/src/celerytrack/gateway/share_keeper.py
@@ -11,6 +11,7 @@
 import logging
 import time
 
+from celerytrack.clocks import age_at_power_s, age_at_start_s
 from celerytrack.events import Event, log_event
 from celerytrack.gateway.gifts import GiftClient
 from celerytrack.gateway.reservations import SLOW_APPEND_S, Reservations, wait_for
@@ -21,8 +22,6 @@
     Member,
     MemberState,
     MemberView,
-    age_at_power_s,
-    age_at_start_s,
     beat_interval_s,
     urgent_gap_s,
 )
--- a/src/celerytrack/members.py
+++ b/src/celerytrack/members.py
@@ -92,6 +92,10 @@
         return self.started_s + self.clock_offset_s
 
 
+FEWEST_WITNESSES = 2
+"""Other entries that must be there to hold a clock against."""
+
+
 def beat_interval_s(entries: int) -> float:
     """Time between two rows of one entry in a fleet of ``entries``."""
     return max(BEAT_S, entries / BEATS_PER_S)
@@ -106,68 +110,6 @@
     return max(SILENT_LEAST_S, beat_interval_s(entries) * SILENT_BEATS)
 
 
-CLOCK_SLACK_S = 0.2
-"""Two readings of the clock offset on one instance may differ by this."""
-
-
-def age_at_start_s(
-    last: Member, started_s: float, clock_offset_s: float
-) -> float | None:
-    """How old ``last`` was when this start began, or ``None`` if the steady
-    clock cannot tell: the instance itself started anew meanwhile.
-
-    :param last: the last row of the earlier start, of the same instance.
-    :param started_s: when this start began, on the steady clock.
-    :param clock_offset_s: this start's time of day less its steady clock.
-    """
-    same_boot = abs(clock_offset_s - last.clock_offset_s) < CLOCK_SLACK_S
-    age_s = started_s - last.made_s
-    return age_s if same_boot and age_s >= 0 else None
-
-
-AGREE_S = 1.0
-"""Clocks that agree with most others within this were not set: a clock that is
-set jumps by seconds, and a row is read within some tenths of a second."""
-CLOCK_ERROR_S = 0.05
-"""What two readings of a clock that was not set may be off over a few seconds."""
-FEWEST_WITNESSES = 2
-
-
-def age_at_power_s(left: Member, mine: Member, others: list[Member]) -> float | None:
-    """How old this entry's last row was when it started again, if it and most
-    others lost power together; else ``None``.
-
-    A loss of power starts the steady clock anew, and a time of day alone may
-    have been set meanwhile. So it must have agreed with most others' before,
-    as the row says, and agree after, by when they all started: fewer than half
-    of all clocks are set at one time.
-
-    :param left: the last row of the earlier start.
-    :param mine: this entry's row now.
-    :param others: the rows of the other entries.
-    """
-    lead_s = left.clock_lead_s
-    if lead_s is None or abs(lead_s) >= AGREE_S:
-        return None
-    witnesses = [
-        row
-        for row in others
-        if row.left_at_s is not None
-        and abs(row.started_at_s - mine.started_at_s) < AGREE_S
-    ]
-    if len(witnesses) < max(FEWEST_WITNESSES, len(others) // 2):
-        return None
-    passed_s = mine.started_at_s - left.made_at_s
-    if passed_s < 0:
-        return None
-    # What the clock may have been ahead by before, beyond the age of rows when
-    # they are read, and behind by after: either makes the row look too new.
-    ahead_s = max(0.0, lead_s - BEAT_S)
-    started_at_s = statistics.median(row.started_at_s for row in witnesses)
-    behind_s = max(0.0, started_at_s - mine.started_at_s)
-    return passed_s + ahead_s + behind_s + CLOCK_ERROR_S
-
-
 @attrs.define
 class _Seen:
     member: Member
--- a/src/celerytrack/prepaid/book.py
+++ b/src/celerytrack/prepaid/book.py
@@ -4,6 +4,7 @@
 from collections.abc import Mapping
 
 from celerytrack.ids import AccountId, EntryId
+from celerytrack.prepaid.own_row import OwnRow
 from celerytrack.prepaid.policy import (
     GIFT_SHARE,
     RESERVE_SHARE,
@@ -27,9 +28,7 @@
         self.rows = FoldedRows(me)
         self._totals: dict[AccountId, int] = {}
         self._shares: dict[AccountId, Share] = {}
-        self._in_flight: Mapping[AccountId, Row] | None = None
-        self._made_s = float("inf")
-        self._published_made_s = float("inf")
+        self._own = OwnRow(self.rows)
         self._entries = 1
         self._leaving = False
 
@@ -129,7 +128,7 @@
         :param urgent: whether no request is more urgent: the last tokens are
             claimed only for those.
         """
-        room = self._free(account) + self._published(account).claimed_tokens
+        room = self._free(account) + self._own.published(account).claimed_tokens
         if not urgent:
             room -= kept_tokens(self._totals.get(account, 0))
         accepted = self._share(account).accepted_tokens
@@ -172,21 +171,17 @@
     def left_tokens(self, account: AccountId, now_s: float) -> int:
         """What may be reserved of ``account`` here at ``now_s``."""
         share = self._share(account)
-        limit = min(share.accepted_tokens, self._limit_tokens(account, now_s))
+        limit = min(share.accepted_tokens, self._own.limit_tokens(account, now_s))
         return limit - share.floor_tokens
 
     def free_in_s(self, account: AccountId, tokens: int, now_s: float) -> float | None:
         """How long until ``tokens`` may be reserved here if no row is written;
         ``None`` if the claim does not hold them."""
-        if self._in_flight is not None and account in self._in_flight:
-            row, made_s = self._in_flight[account], self._made_s
-        else:
-            row, made_s = self._published(account), self._published_made_s
         share = self._share(account)
         needed = share.floor_tokens + tokens
         if needed > share.accepted_tokens:
             return None
-        return row.free_in_s(needed, max(0.0, now_s - made_s))
+        return self._own.free_in_s(account, needed, now_s)
 
     # -- gifts between entries ---------------------------------------------
 
@@ -249,17 +244,20 @@
                 pace_tokens_per_s=goal.pace_tokens_per_s,
             )
             share.wanted_tokens = 0
-        self._in_flight = row
-        self._made_s = now_s
+        self._own.sent(row, now_s)
         return row
 
     def row_folded(self) -> None:
         """The row of :meth:`next_row` is on the log and was folded."""
-        self._in_flight = None
-        self._published_made_s = self._made_s
+        self._own.folded()
         for account in self._shares:
             self._accept(account)
 
+    @property
+    def row_on_its_way(self) -> bool:
+        """Whether a row was made that was not folded yet."""
+        return self._own.on_its_way
+
     def return_unspent(self) -> None:
         """Claim no more than is spent or reserved: this entry leaves."""
         self._leaving = True
@@ -289,7 +287,7 @@
         share = self._share(account)
         share.decay(now_s)
         floor = share.floor_tokens
-        room = self._free(account) + self._published(account).claimed_tokens
+        room = self._free(account) + self._own.published(account).claimed_tokens
         if self._free(account) < 0 and share.claim_tokens > share.accepted_tokens:
             # Our claim did not fit: withdraw it, or it blocks all others'.
             share.claim_tokens = max(share.accepted_tokens, floor)
@@ -330,20 +328,6 @@
     def _share(self, account: AccountId) -> Share:
         return self._shares.setdefault(account, Share())
 
-    def _published(self, account: AccountId) -> Row:
-        return self.rows.mine().get(account, Row())
-
-    def _limit_tokens(self, account: AccountId, now_s: float) -> int:
-        """What may be spent by the rows a next start may find: the one on the
-        log and the one on its way there."""
-        # No row of this start is on the log before its first was folded.
-        age_s = max(0.0, now_s - self._published_made_s)
-        limit = self._published(account).limit_tokens(age_s)
-        if self._in_flight is not None and account in self._in_flight:
-            row = self._in_flight[account]
-            limit = min(limit, row.limit_tokens(now_s - self._made_s))
-        return limit
-
     def _known_used(self, account: AccountId) -> int:
         share = self._share(account)
         used = share.used_tokens + share.reserved_tokens
@@ -364,9 +348,5 @@
         if not self.rows.all_readable or self._free(account) < 0:
             return
         share = self._share(account)
-        safe = min(self._published(account).claimed_tokens, share.claim_tokens)
-        if self._in_flight is not None and account in self._in_flight:
-            # A lower row on its way to the log would otherwise land under an
-            # allowance raised to the row before it.
-            safe = min(safe, self._in_flight[account].claimed_tokens)
+        safe = min(self._own.claimed_tokens(account), share.claim_tokens)
         share.accepted_tokens = max(share.accepted_tokens, safe)
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -293,7 +293,7 @@
         await fleet.until(
             lambda: (
                 len(fleet.log.topics["keyed.celerytrack-entries"].records) >= wrote + 6
-                and not any(g.keeper.book._in_flight for g in fleet.gateways)
+                and not any(g.keeper.book.row_on_its_way for g in fleet.gateways)
             )
         )
 
--- a/tests/test_prepaid.py
+++ b/tests/test_prepaid.py
@@ -4,13 +4,12 @@
 
 from nose2.tools import params
 
+from celerytrack.clocks import age_at_power_s, age_at_start_s
 from celerytrack.ids import AccountId, EntryId, Zone
 from celerytrack.members import (
     Member,
     MemberState,
     MemberView,
-    age_at_power_s,
-    age_at_start_s,
     beat_interval_s,
 )
 from celerytrack.prepaid import PrepaidBook, Row
--- a/tests/test_prepaid_model.py
+++ b/tests/test_prepaid_model.py
@@ -24,8 +24,9 @@
 )
 from nose2.tools import params
 
+from celerytrack.clocks import age_at_start_s
 from celerytrack.ids import AccountId, EntryId, Zone
-from celerytrack.members import Member, MemberState, age_at_start_s
+from celerytrack.members import Member, MemberState
 from celerytrack.prepaid import PrepaidBook, Reservation, Row
 
 LONG_S = 5.0
