--- a/src/celerytrack/gateway/share_keeper.py
+++ b/src/celerytrack/gateway/share_keeper.py
@@ -85,7 +85,7 @@
         """Whether a row made now would soon be on the log.
 
         A store that has just gone silent is found out only when the call runs
-        into its timeout: every request of those 1.5 s would wait for nothing.
+        into its timeout: every request until then would wait for nothing.
         """
         pending_s = 0.0 if self._sent_s is None else now_s - self._sent_s
         return self._tail.reachable and pending_s < SLOW_APPEND_S
--- a/src/celerytrack/prepaid/shares.py
+++ b/src/celerytrack/prepaid/shares.py
@@ -12,7 +12,7 @@
 FRESH_S = 0.8
 """Up to this age a row is as fresh as rows are while the log answers, and only
 its hand may be spent: a loss of power then costs 0.8 s of spend less, and the
-first requests of a cut come back when the rest comes free."""
+first requests of a cut, refused, come back when the rest comes free."""
 OUTAGE_S = 2.5
 """A row older than this was not written in time because the log is away: a
 killed process is back, and writes, within about this time."""
@@ -92,8 +92,8 @@
     """This entry's part of one account.
 
     :ivar claim_tokens: what the next row claims.
-    :ivar accepted_tokens: what may be spent once unlocked; at most the claim
-        of the row on the log.
+    :ivar accepted_tokens: what may be spent at most, however old the row is: a
+        claim on the log that was seen to fit.
     :ivar gifted_tokens: given to other entries under our row.
     :ivar received_tokens: given to us under theirs.
     :ivar wanted_tokens: the largest request that found too little here since the
