Work at a session's home counts only what is not kept there

Cause: a prompt's engine time, told to others and used for its urgency, was counted by what this entry itself had sent to the engine: at a home that other entries use too it was up to five times too high, and the home was left.

--- a/src/celerytrack/endpoint.py
+++ b/src/celerytrack/endpoint.py
@@ -128,6 +128,19 @@
             self._parts.popitem(last=False)
 
 
+@attrs.frozen
+class Choice:
+    """An endpoint chosen for a request, and what decided it.
+
+    :ivar predicted_s: time to the first piece of the answer.
+    :ivar work_s: engine time to read its prompt, less what is kept there.
+    """
+
+    endpoint: Endpoint
+    predicted_s: float
+    work_s: float = 0.0
+
+
 @attrs.define
 class Sent:
     """One request at an endpoint, until it ends.
--- a/src/celerytrack/endpoints.py
+++ b/src/celerytrack/endpoints.py
@@ -15,7 +15,7 @@
 import random
 from collections.abc import Iterable, Sequence
 
-from celerytrack.endpoint import Endpoint, Need, Registration, Sent
+from celerytrack.endpoint import Choice, Endpoint, Need, Registration, Sent
 from celerytrack.ids import EndpointId, ServiceName, Zone
 from celerytrack.prefill import PREFILL_TOKENS_PER_S, prefill_s
 from celerytrack.routing import rendezvous_weight
@@ -116,8 +116,8 @@
         max_connections: int,
         avoid: Sequence[EndpointId],
         now_s: float,
-    ) -> tuple[Endpoint, float] | None:
-        """The endpoint with the earliest predicted answer, and that time.
+    ) -> Choice | None:
+        """The endpoint with the earliest predicted answer.
 
         :param entries: entries alive, this one included.
         :param max_connections: connections one endpoint takes from all.
@@ -136,18 +136,17 @@
             for i, e in enumerate(sound)
         ]
         predicted_s, _, index = min(costs)
-        return sound[index], predicted_s
+        best = sound[index]
+        unread = best.unread(need, _is_home(best, homes), now_s)
+        return Choice(best, predicted_s, prefill_s(unread, need.prompt_tokens))
 
-    def send(
-        self, endpoint: Endpoint, need: Need, predicted_s: float, now_s: float
-    ) -> Sent:
-        """Count a request that is sent to ``endpoint`` now."""
-        unread = endpoint.unread(need, False, now_s)
+    def send(self, choice: Choice, need: Need, now_s: float) -> Sent:
+        """Count a request that is sent to the endpoint chosen now."""
+        endpoint = choice.endpoint
         endpoint.running += 1
-        work_s = prefill_s(unread, need.prompt_tokens)
-        endpoint.unread_s += work_s
+        endpoint.unread_s += choice.work_s
         endpoint.touch(need, now_s)
-        return Sent(endpoint, now_s, predicted_s, work_s)
+        return Sent(endpoint, now_s, choice.predicted_s, choice.work_s)
 
     def note(self, endpoint_id: EndpointId, work_s: float, now_s: float) -> None:
         """Another entry sent a prompt to an endpoint that takes ``work_s``."""
@@ -232,7 +231,7 @@
             busy = 1.0 + running / slots + waiting
             return endpoint.latency_s * busy * (1 + endpoint.failing) + away_s
         rank = homes.index(endpoint) if endpoint in homes else len(homes)
-        unread = endpoint.unread(need, rank == 0, now_s)
+        unread = endpoint.unread(need, _is_home(endpoint, homes), now_s)
         times = SECOND_HOME_TIMES if rank == 1 else LEAVE_HOME_TIMES
         shared = max(0, unread - need.own_tokens) * (times - 1)
         seconds = prefill_s(unread, need.prompt_tokens) + running * RUNNING_S + STEP_S
@@ -251,6 +250,11 @@
         return sum(peers) / len(peers) if peers else 0.0
 
 
+def _is_home(endpoint: Endpoint, homes: Sequence[Endpoint]) -> bool:
+    """Whether all entries send the session there, so that its parts are kept."""
+    return bool(homes) and endpoint is homes[0]
+
+
 def _has_room(endpoint: Endpoint, entries: int, max_connections: int) -> bool:
     share = max(2, max_connections // max(1, entries))
     slots = endpoint.registration.slots
--- a/src/celerytrack/gateway/pipeline.py
+++ b/src/celerytrack/gateway/pipeline.py
@@ -154,12 +154,12 @@
                 Reason.NO_ENDPOINT, Verdict.DID_NOT_RUN, False, detail, sent=False
             )
         )
-    endpoint, predicted_s = chosen
+    endpoint = chosen.endpoint
     ran_before = exchange.may_have_run
     exchange.tried.append(endpoint.endpoint_id)
     exchange.may_have_run = True
-    exchange.predicted_s = predicted_s
-    sent = book.send(endpoint, exchange.need, predicted_s, now_s)
+    exchange.predicted_s = chosen.predicted_s
+    sent = book.send(chosen, exchange.need, now_s)
     exchange.work_s = sent.work_s
     gateway.tell_prompt(endpoint.endpoint_id, sent.work_s)
     try:
--- a/tests/test_endpoints.py
+++ b/tests/test_endpoints.py
@@ -6,9 +6,10 @@
 import attrs
 from nose2.tools import params
 
-from celerytrack.endpoint import Need, Registration
+from celerytrack.endpoint import Choice, Need, Registration
 from celerytrack.endpoints import EJECT_S, GONE_GRACE_S, EndpointBook
 from celerytrack.ids import AccountId, EndpointId, ServiceName, Zone
+from celerytrack.prefill import prefill_s
 from celerytrack.routes import (
     ClientAccount,
     Repeat,
@@ -36,7 +37,12 @@
 
 def _choose(book, need=None, now_s=1.0, avoid=()):
     got = book.choose(need or Need(S), 1, 100, list(avoid), now_s)
-    return got[0].endpoint_id if got else None
+    return got.endpoint.endpoint_id if got else None
+
+
+def _send(book, endpoint, need, now_s):
+    work_s = prefill_s(need.prompt_tokens, need.prompt_tokens)
+    return book.send(Choice(endpoint, 0.1, work_s), need, now_s)
 
 
 PROMPT = Need(S, (("m/p", 500), ("m/p/q", 5_000), ("m/p/q/r", 600)))
@@ -73,12 +79,27 @@
 
     def test_a_busy_home_is_left(self):
         book = _book(*(_reg(f"r{i}") for i in range(4)))
-        home = book.choose(PROMPT, 1, 100, [], 1.0)[0]
+        home = book.choose(PROMPT, 1, 100, [], 1.0).endpoint
         for i in range(8):
             need = Need(S, ((f"m/x{i}", 9_000), (f"m/x{i}/y", 9_000)))
-            book.send(home, need, 0.1, 1.0)
+            _send(book, home, need, 1.0)
         self.assertNotEqual(_choose(book, PROMPT), home.endpoint_id)
 
+    def test_the_work_at_a_home_is_what_others_have_not_read_there(self):
+        """Symptom: long prompts of sessions in use left their homes, and their
+        shared parts were read again elsewhere.
+
+        Sequence: entries send prompts of one session in turn, all to its home;
+        each tells the others of the whole prompt, though the home reads only
+        the new part; the home looks busy for five times as long as it is.
+        Cause: the work was counted by what this entry itself had sent there.
+        """
+        book = _book(*(_reg(f"r{i}") for i in range(4)))
+        choice = book.choose(PROMPT, 1, 100, [], 1.0)
+        self.assertAlmostEqual(choice.work_s, prefill_s(600, 6_100))
+        sent = book.send(choice, PROMPT, 1.0)
+        self.assertEqual(sent.work_s, choice.work_s)
+
     def test_a_home_is_not_left_for_a_few_running_requests(self):
         """Symptom: a twentieth of all prompt tokens read a second time.
 
@@ -89,17 +110,17 @@
         """
         book = _book(*(_reg(f"r{i}", slots=64) for i in range(4)))
         short = Need(S, (("m/a", 119), ("m/a/b", 79), ("m/a/b/c", 400)))
-        home = book.choose(short, 6, 360, [], 1.0)[0]
+        home = book.choose(short, 6, 360, [], 1.0).endpoint
         for i in range(3):
-            sent = book.send(home, Need(S, ((f"m/o{i}", 100),)), 0.1, 1.0)
+            sent = _send(book, home, Need(S, ((f"m/o{i}", 100),)), 1.0)
             sent.answered(1.01)
-        chosen = book.choose(short, 6, 360, [], 1.1)[0]
+        chosen = book.choose(short, 6, 360, [], 1.1).endpoint
         self.assertEqual(chosen.endpoint_id, home.endpoint_id)
 
     def test_a_kept_prompt_is_not_read_again(self):
         book = _book(_reg("a"), _reg("b"))
-        first = book.choose(PROMPT, 1, 100, [], 1.0)[0]
-        sent = book.send(first, PROMPT, 0.1, 1.0)
+        first = book.choose(PROMPT, 1, 100, [], 1.0).endpoint
+        sent = _send(book, first, PROMPT, 1.0)
         sent.answered(1.1)
         sent.end(1.2, False)
         self.assertEqual(first.unread(PROMPT, False, 2.0), 0)
@@ -112,18 +133,18 @@
 class TrustTest(unittest.TestCase):
     def test_a_dark_endpoint_rests_and_comes_back(self):
         book = _book(_reg("a"), _reg("b", THERE))
-        endpoint = book.choose(Need(S), 1, 100, [], 1.0)[0]
+        endpoint = book.choose(Need(S), 1, 100, [], 1.0).endpoint
         book.failed(endpoint, True, 1.0)
         self.assertEqual(_choose(book, now_s=1.0 + EJECT_S / 2), "b")
-        other = book.choose(Need(S), 1, 100, ["a"], 1.0)[0]
+        other = book.choose(Need(S), 1, 100, ["a"], 1.0).endpoint
         for _ in range(4):
-            book.send(other, Need(S), 0.1, 1.0)
+            _send(book, other, Need(S), 1.0)
         self.assertEqual(_choose(book, now_s=1.0 + EJECT_S / 2), "b")
         self.assertEqual(_choose(book, now_s=1.0 + 2 * EJECT_S), "a")
 
     def test_one_that_answers_failures_well_looking_is_avoided(self):
         book = _book(_reg("a"), _reg("b", THERE))
-        grey = book.choose(Need(S), 1, 100, [], 1.0)[0]
+        grey = book.choose(Need(S), 1, 100, [], 1.0).endpoint
         for _ in range(10):
             book.failed(grey, False, 1.0)
         self.assertEqual(_choose(book, now_s=1.1), "b")
@@ -135,8 +156,10 @@
         Cause: failures were counted without those of its neighbours.
         """
         book = _book(_reg("a"), _reg("b"))
-        both = [book.choose(Need(S), 1, 100, avoid, 1.0)[0] for avoid in ([], ["a"])]
-        both.append(book.choose(Need(S), 1, 100, ["b"], 1.0)[0])
+        both = [
+            book.choose(Need(S), 1, 100, avoid, 1.0).endpoint for avoid in ([], ["a"])
+        ]
+        both.append(book.choose(Need(S), 1, 100, ["b"], 1.0).endpoint)
         for _ in range(4):
             for endpoint in set(map(id, both)):
                 target = next(e for e in both if id(e) == endpoint)
--- a/tests/test_prompt_notes.py
+++ b/tests/test_prompt_notes.py
@@ -75,4 +75,4 @@
         need = Need(SERVICE, (("m/a", 500),))
         chosen = book.choose(need, 2, 100, (), since_s)
         self.assertIsNotNone(chosen)
-        self.assertEqual(chosen[0].endpoint_id, expected)
+        self.assertEqual(chosen.endpoint.endpoint_id, expected)
