Records of other writers are decoded strictly, or name nothing

Cause: registrations, rows, notes, gifts, configurations and the store's answers were converted rather than checked. Of 21 bad registrations most were taken for an endpoint (an address that is a number, a service that is a list, slots below nothing), and 100,000 nested brackets raised RecursionError, which ends the task that follows the topic. A note of infinite reading time kept an engine from all work for good; a request that names -5 prompt tokens freed five. Ruled out: catching every exception in the task. It would hide which field of which record is wrong, and would still take 64 as text for 64. Change: one strict converter (cattrs) for the operators' documents and for records of others; errors name field, value and what is allowed. Own errors only, shown by fuzzing each decoder over bytes, types, sizes, nesting, double fields.

--- a/src/celerytrack/endpoint.py
+++ b/src/celerytrack/endpoint.py
@@ -25,6 +25,9 @@
 
     :ivar slots: requests it runs at once.
     :ivar cold_s: how much longer it stays slow after its start.
+    :ivar born_ms: when this start of it began, in Unix milliseconds; it may start
+        again under its id, and knows nothing of before then. 0 if not told.
+    :ivar sequence: grows with each record of one start.
     """
 
     endpoint_id: EndpointId
@@ -34,6 +37,17 @@
     slots: int
     draining: bool
     cold_s: float = 0.0
+    born_ms: int = 0
+    sequence: int = 0
+
+    def older_than(self, other: "Registration") -> bool:
+        """Whether ``other`` was written after this record, of the same id.
+
+        A record may arrive behind a later one. Of an older start it would send
+        work to a process that is gone; of the same start it would make an
+        endpoint that has said it leaves look ready again.
+        """
+        return (self.born_ms, self.sequence) < (other.born_ms, other.sequence)
 
 
 @attrs.frozen
--- a/src/celerytrack/gateway/gifts.py
+++ b/src/celerytrack/gateway/gifts.py
@@ -1,15 +1,22 @@
 """Tokens moved from entry to entry, for when the log cannot be reached."""
 
-import json
 import logging
 from collections.abc import Awaitable, Callable
 
 import aiohttp
+import attrs
 from aiohttp import web
+from attrs import validators as v
 
 from celerytrack.events import Event, log_event
 from celerytrack.ids import AccountId
 from celerytrack.patient_http import patient_session
+from celerytrack.strict import (
+    UnreadableError,
+    parse_json,
+    strict_converter,
+    structure,
+)
 
 _log = logging.getLogger(__name__)
 
@@ -23,6 +30,43 @@
 _PATH = "/gift"
 
 
+_TOKENS = v.and_(v.ge(0), v.lt(2**63))
+_converter = strict_converter(forbid_extra_keys=False)
+
+
+@attrs.frozen
+class GiftRequest:
+    """Another entry lacks ``tokens`` of ``account``."""
+
+    account: str
+    tokens: int = attrs.field(validator=_TOKENS)
+
+
+@attrs.frozen
+class Gift:
+    """What another entry gave."""
+
+    tokens: int = attrs.field(validator=_TOKENS)
+
+
+def decode_gift_request(raw: bytes) -> GiftRequest:
+    """What another entry asks for.
+
+    :raises UnreadableError: naming what is wrong.
+    """
+    asked: GiftRequest = structure(_converter, parse_json(raw), GiftRequest)
+    return asked
+
+
+def decode_gift(raw: bytes) -> Gift:
+    """What another entry gave.
+
+    :raises UnreadableError: naming what is wrong.
+    """
+    gift: Gift = structure(_converter, parse_json(raw), Gift)
+    return gift
+
+
 class GiftClient:
     """Asks other entries for tokens."""
 
@@ -49,17 +93,11 @@
             ) as response:
                 if response.status != 200:
                     return 0
-                return max(0, min(tokens, int((await response.json())["tokens"])))
-        except (
-            aiohttp.ClientError,
-            OSError,
-            TimeoutError,
-            ValueError,
-            KeyError,
-        ) as exc:
-            log_event(
-                _log, Event.GIFT_FAILED, address=address, detail=type(exc).__name__
-            )
+                answer = decode_gift(await response.read())
+                return min(tokens, answer.tokens)
+        except (aiohttp.ClientError, OSError, TimeoutError, UnreadableError) as exc:
+            detail = f"{type(exc).__name__}: {exc}"
+            log_event(_log, Event.GIFT_FAILED, address=address, detail=detail)
             return 0
 
     async def close(self) -> None:
@@ -79,10 +117,11 @@
     if request.path != _PATH or request.method != "POST":
         return web.Response(status=404)
     try:
-        asked = json.loads(await request.read())
-        account, tokens = AccountId(asked["account"]), int(asked["tokens"])
-    except (ValueError, KeyError, TypeError):
+        asked = decode_gift_request(await request.read())
+    except UnreadableError as exc:
+        log_event(_log, Event.GIFT_FAILED, logging.WARNING, detail=str(exc))
         return web.Response(status=400)
-    given = await give(account, tokens)
-    log_event(_log, Event.GIFT_GIVEN, account=account, asked=tokens, given=given)
+    account = AccountId(asked.account)
+    given = await give(account, asked.tokens)
+    log_event(_log, Event.GIFT_GIVEN, account=account, asked=asked.tokens, given=given)
     return web.json_response({"tokens": given})
--- a/src/celerytrack/gateway/prompt_notes.py
+++ b/src/celerytrack/gateway/prompt_notes.py
@@ -28,9 +28,34 @@
 MOST_TOLD = 100
 """Entries told at most: a larger fleet has more engines than one entry uses."""
 
+MOST_WORK_S = 60.0
+"""Engine time that one note may tell of: a prompt that fills an engine's memory
+is read in half of it. A note of more would keep all entries from an engine."""
+
 Take = Callable[[EndpointId, float], None]
 
 
+class NoteError(ValueError):
+    """A datagram that is no note."""
+
+
+def decode_note(data: bytes) -> tuple[EndpointId, float]:
+    """The endpoint and the engine time in seconds that a note tells of.
+
+    :raises NoteError: naming what is wrong.
+    """
+    try:
+        endpoint_id, work_s = msgpack.unpackb(data)
+    except (ValueError, TypeError, RecursionError, msgpack.UnpackException) as exc:
+        raise NoteError(f"{type(exc).__name__}: {exc}") from None
+    if type(endpoint_id) is not str:
+        raise NoteError(f"endpoint must be text, found {type(endpoint_id).__name__}")
+    if type(work_s) not in (int, float) or not 0 <= work_s <= MOST_WORK_S:
+        found = work_s if type(work_s) is float else type(work_s).__name__
+        raise NoteError(f"work must be 0 to {MOST_WORK_S:.0f} s, found {found}")
+    return EndpointId(endpoint_id), float(work_s)
+
+
 class PromptNotes(asyncio.DatagramProtocol):
     """Owns the socket on which notes are sent and taken.
 
@@ -74,10 +99,11 @@
     def datagram_received(self, data: bytes, addr: object) -> None:
         """Another entry sent a prompt somewhere."""
         try:
-            endpoint_id, work_s = msgpack.unpackb(data)
-            self._take(EndpointId(endpoint_id), max(0.0, float(work_s)))
-        except (ValueError, TypeError, msgpack.UnpackException) as exc:
-            log_event(_log, Event.NOTE_REJECTED, logging.WARNING, detail=repr(exc))
+            endpoint_id, work_s = decode_note(data)
+        except NoteError as exc:
+            log_event(_log, Event.NOTE_REJECTED, logging.WARNING, detail=str(exc))
+            return
+        self._take(endpoint_id, work_s)
 
     def error_received(self, exc: Exception) -> None:
         """An entry is not there: its instance answers that the port is closed."""
--- a/src/celerytrack/platform/config.py
+++ b/src/celerytrack/platform/config.py
@@ -1,7 +1,7 @@
 """Decoding the operators' configuration as the platform's store holds it."""
 
-import json
-from typing import Any
+import attrs
+from attrs import validators as v
 
 from celerytrack.ids import AccountId, ServiceName
 from celerytrack.routes import (
@@ -12,73 +12,144 @@
     RoutingTable,
     Service,
 )
+from celerytrack.strict import (
+    UnreadableError,
+    parse_json,
+    strict_converter,
+    structure,
+)
 
 
 class ConfigError(ValueError):
     """A configuration record cannot be decoded."""
 
 
+# The store's own field names, as they lie there; fields not named are ignored.
+# ruff: noqa: N815
+
+
+@attrs.frozen
+class _Split:
+    service: str
+    weight: float = attrs.field(validator=v.ge(0))
+
+
+@attrs.frozen
+class _Route:
+    name: str
+    host: str
+    pathPrefix: str = attrs.field(validator=v.matches_re(r"/(.*/)?"))
+    kind: str
+    service: str | None = None
+    trafficSplit: tuple[_Split, ...] | None = attrs.field(default=None)
+    streamResume: bool = False
+    timeoutMs: float = attrs.field(default=10_000, validator=v.gt(0))
+    goalMs: float = attrs.field(default=1_000, validator=v.gt(0))
+    maxAttempts: int = attrs.field(default=1, validator=v.ge(1))
+    priority: int = attrs.field(default=1, validator=v.ge(0))
+    public: bool = False
+    affinity: bool = False
+
+    @trafficSplit.validator
+    def _goes_somewhere(self, attribute: object, split: object) -> None:
+        if self.service is None and not split:
+            raise ValueError("a route names a service or a split")
+
+
+@attrs.frozen
+class _Engine:
+    stride: int = attrs.field(default=1, validator=v.ge(1))
+
+
+@attrs.frozen
+class _Service:
+    name: str
+    connLimit: int = attrs.field(default=100, validator=v.ge(1))
+    engine: _Engine | None = None
+
+
+@attrs.frozen
+class _Tenant:
+    name: str
+    apiKeys: tuple[str, ...] = ()
+    prepaid: float | None = attrs.field(default=None, validator=v.optional(v.ge(0)))
+    priority: int | None = None
+
+
+@attrs.frozen
+class _Limits:
+    bodyBytes: int = attrs.field(default=DEFAULT_BODY_BYTES, validator=v.ge(0))
+
+
+@attrs.frozen
+class _Config:
+    version: int
+    routes: tuple[_Route, ...] = ()
+    services: tuple[_Service, ...] = ()
+    tenants: tuple[_Tenant, ...] | None = None
+    limits: _Limits = _Limits()
+
+
+_converter = strict_converter(forbid_extra_keys=False)
+
+
 def decode_config(raw: bytes) -> RoutingTable:
     """Decode one version of the configuration.
 
     :raises ConfigError: naming what is wrong.
     """
     try:
-        data = json.loads(raw)
-        return RoutingTable(
-            version=int(data["version"]),
-            routes=tuple(_route(r) for r in data.get("routes", ())),
-            services={
-                ServiceName(s["name"]): _service(s) for s in data.get("services", ())
-            },
-            accounts=tuple(_account(t) for t in data.get("tenants", ())),
-            needs_key="tenants" in data,
-            body_bytes=int(data.get("limits", {}).get("bodyBytes", DEFAULT_BODY_BYTES)),
-        )
-    except (ValueError, KeyError, TypeError, AttributeError) as exc:
-        raise ConfigError(f"configuration: {type(exc).__name__}: {exc}") from exc
-
-
-def _route(data: dict[str, Any]) -> Route:
+        data: _Config = structure(_converter, parse_json(raw), _Config)
+    except UnreadableError as exc:
+        raise ConfigError(f"configuration: {exc}") from None
+    return RoutingTable(
+        version=data.version,
+        routes=tuple(map(_route, data.routes)),
+        services={ServiceName(s.name): _service(s) for s in data.services},
+        accounts=tuple(map(_account, data.tenants or ())),
+        needs_key=data.tenants is not None,
+        body_bytes=data.limits.bodyBytes,
+    )
+
+
+def _route(data: _Route) -> Route:
     # A route names one service, or several that share its requests.
-    split = data.get("trafficSplit") or [{"service": data["service"], "weight": 1}]
-    stream = data["kind"] == "stream"
+    split = data.trafficSplit or (_Split(data.service or "", 1.0),)
+    stream = data.kind == "stream"
     return Route(
-        name=data["name"],
-        host=data["host"].lower(),
-        prefix=data["pathPrefix"],
-        services=tuple((ServiceName(s["service"]), float(s["weight"])) for s in split),
+        name=data.name,
+        host=data.host.lower(),
+        prefix=data.pathPrefix,
+        services=tuple((ServiceName(s.service), s.weight) for s in split),
         repeat=(
-            Repeat.IDEMPOTENT if data["kind"] == "idempotent" else Repeat.AT_MOST_ONCE
+            Repeat.IDEMPOTENT if data.kind == "idempotent" else Repeat.AT_MOST_ONCE
         ),
         stream=stream,
-        resumable=stream and bool(data.get("streamResume", False)),
-        timeout_s=float(data.get("timeoutMs", 10_000)) / 1_000,
-        target_s=float(data.get("goalMs", 1_000)) / 1_000,
-        max_attempts=int(data.get("maxAttempts", 1)),
-        priority=int(data.get("priority", 1)),
-        public=bool(data.get("public", False)),
+        resumable=stream and data.streamResume,
+        timeout_s=data.timeoutMs / 1_000,
+        target_s=data.goalMs / 1_000,
+        max_attempts=data.maxAttempts,
+        priority=data.priority,
+        public=data.public,
         # The wire says that the route has an affinity; what it means is that
         # its requests name the parts of their prompts.
-        has_prompt=bool(data.get("affinity", False)),
+        has_prompt=data.affinity,
     )
 
 
-def _service(data: dict[str, Any]) -> Service:
+def _service(data: _Service) -> Service:
     return Service(
-        name=ServiceName(data["name"]),
-        max_connections=int(data.get("connLimit", 100)),
+        name=ServiceName(data.name),
+        max_connections=data.connLimit,
         # Called so for the step between two events' counts of tokens.
-        event_tokens=int((data.get("engine") or {}).get("stride", 1)),
+        event_tokens=data.engine.stride if data.engine else 1,
     )
 
 
-def _account(data: dict[str, Any]) -> ClientAccount:
-    prepaid = data.get("prepaid")
-    priority = data.get("priority")
+def _account(data: _Tenant) -> ClientAccount:
     return ClientAccount(
-        account_id=AccountId(data["name"]),
-        keys=frozenset(data.get("apiKeys", ())),
-        prepaid_tokens=None if prepaid is None else int(prepaid),
-        priority=None if priority is None else int(priority),
+        account_id=AccountId(data.name),
+        keys=frozenset(data.apiKeys),
+        prepaid_tokens=None if data.prepaid is None else int(data.prepaid),
+        priority=data.priority,
     )
--- a/src/celerytrack/platform/http.py
+++ b/src/celerytrack/platform/http.py
@@ -23,6 +23,10 @@
 _ACCOUNT = "X-Tenant"
 _URGENCY = "X-Request-Urgency"
 _LEAST_URGENT = 9
+_MOST_DIGITS = 15
+"""Digits of a count of tokens: beyond any prompt, and within 64 bits."""
+_MOST_TIME_MS = 86_400_000.0
+"""Longest time that a caller may say to wait: a day."""
 
 _ONE_CONNECTION = frozenset(
     {
@@ -100,9 +104,9 @@
     tokens = headers.get(_TOKENS)
     prompt = headers.get(_PROMPT)
     try:
-        counts = [int(n) for n in tokens.split(",")] if tokens else [0, 0]
+        counts = [_count(n) for n in tokens.split(",")] if tokens else [0, 0]
         deadline = headers.get(_DEADLINE)
-        deadline_s = float(deadline) / 1_000 if deadline else None
+        deadline_s = _time_s(deadline) if deadline else None
         parts = _parts(headers.get(_MODEL, ""), prompt) if prompt else ()
         input_tokens, output_tokens = counts
     except ValueError as exc:
@@ -132,10 +136,24 @@
     for item in prompt.split(","):
         name, _, size = item.strip().partition(":")
         key = f"{key}/{name}"
-        parts.append((key, int(size)))
+        parts.append((key, _count(size)))
     return tuple(parts)
 
 
+def _count(text: str) -> int:
+    # A count below nothing would be set aside as a gift to the account.
+    if not text.strip().isdecimal() or len(text) > _MOST_DIGITS:
+        raise ValueError("a count must be a whole number")
+    return int(text)
+
+
+def _time_s(text: str) -> float:
+    time_ms = float(text)
+    if not 0 <= time_ms <= _MOST_TIME_MS:
+        raise ValueError("a time must be milliseconds from now")
+    return time_ms / 1_000
+
+
 @attrs.frozen
 class Envelope:
     """What the system tells an endpoint about a request it forwards.
--- a/src/celerytrack/platform/rows.py
+++ b/src/celerytrack/platform/rows.py
@@ -1,5 +1,8 @@
 """The row that an entry keeps in the platform's store, as bytes."""
 
+import math
+from typing import Any
+
 import msgpack
 
 from celerytrack.ids import AccountId, EntryId, Zone
@@ -54,17 +57,45 @@
         made_s, offset_s, started_s, left_at_s, lead_s = times
         return Member(
             entry_id=EntryId(entry_id),
-            epoch=int(epoch),
-            front_address=front,
-            peer_address=peer,
-            zone=Zone(zone),
+            epoch=_whole(epoch),
+            front_address=_text(front),
+            peer_address=_text(peer),
+            zone=Zone(_text(zone)),
             state=MemberState(state),
-            made_s=float(made_s),
-            clock_offset_s=float(offset_s),
-            started_s=float(started_s),
-            left_at_s=None if left_at_s is None else float(left_at_s),
-            clock_lead_s=None if lead_s is None else float(lead_s),
-            shares={AccountId(a): Row(*tokens) for a, tokens in shares.items()},
+            made_s=_number(made_s),
+            clock_offset_s=_number(offset_s),
+            started_s=_number(started_s),
+            left_at_s=None if left_at_s is None else _number(left_at_s),
+            clock_lead_s=None if lead_s is None else _number(lead_s),
+            shares={
+                AccountId(_text(account)): Row(*map(_whole, tokens))
+                for account, tokens in shares.items()
+            },
         )
-    except (ValueError, TypeError, msgpack.UnpackException) as exc:
+    except (
+        ValueError,
+        TypeError,
+        AttributeError,
+        RecursionError,
+        msgpack.UnpackException,
+    ) as exc:
         raise RowError(f"row of {entry_id}: {type(exc).__name__}: {exc}") from exc
+
+
+def _whole(value: Any) -> int:
+    # Added to what others claim: half a token, or true, would spoil the sum.
+    if type(value) is not int:
+        raise TypeError(f"must be a whole number, found {type(value).__name__}")
+    return value
+
+
+def _number(value: Any) -> float:
+    if type(value) not in (int, float) or not math.isfinite(value):
+        raise TypeError(f"must be a finite number, found {type(value).__name__}")
+    return float(value)
+
+
+def _text(value: Any) -> str:
+    if type(value) is not str:
+        raise TypeError(f"must be text, found {type(value).__name__}")
+    return value
--- a/src/celerytrack/platform/store.py
+++ b/src/celerytrack/platform/store.py
@@ -6,14 +6,21 @@
 
 import base64
 import enum
-import json
 import struct
+from collections.abc import Callable
+from typing import TypeVar
 
 import aiohttp
 import attrs
 from returns.result import Failure, Result, Success
 
 from celerytrack.patient_http import patient_session
+from celerytrack.strict import (
+    UnreadableError,
+    parse_json,
+    strict_converter,
+    structure,
+)
 
 CALL_TIMEOUT_S = 0.7
 """Longest wait for an answer: the store answers in 4 ms, and 60 times as slowly
@@ -25,6 +32,7 @@
 _PAGE = 500
 _END_AND_FIRST = struct.Struct(">QQ")
 _LENGTH = struct.Struct(">I")
+_Decoded = TypeVar("_Decoded")
 
 
 class StoreErrorKind(enum.Enum):
@@ -38,6 +46,9 @@
     """The records asked for are gone; the newest of each key is not."""
     FENCED = "fenced"
     """A later start of this producer has written."""
+    UNREADABLE = "unreadable"
+    """An answer came that is none of the store's; an append may have taken
+    effect."""
     OUT_OF_SEQUENCE = "out_of_sequence"
     """The append's number does not follow the last one."""
 
@@ -120,19 +131,17 @@
             match answer:
                 case Failure(error):
                     return Failure(error)
-            page = json.loads(answer.unwrap())
+            try:
+                page = _decode_page(answer.unwrap())
+            except UnreadableError as exc:
+                return Failure(StoreError(StoreErrorKind.UNREADABLE, str(exc)))
             if first_end is None:
-                first_end = int(page["end"])
-            records += [
-                KeyedRecord(
-                    int(e["offset"]), e["key"], base64.b64decode(e["value"]) or None
-                )
-                for e in page["entries"]
-            ]
-            if not page.get("hasMore"):
+                first_end = page.end
+            records += page.records
+            if not page.more:
                 records.sort(key=lambda r: r.offset)
                 return Success(Batch(tuple(records), first_end))
-            params["after"] = records[-1].key
+            params["after"] = page.records[-1].key
 
     async def read(
         self, topic: str, offset: int, wait_s: float = 0.0
@@ -145,14 +154,14 @@
         if wait_s:
             params["waitMs"] = str(int(wait_s * 1_000))
         answer = await self._call("GET", "/log-read", params, extra_s=wait_s)
-        return answer.map(lambda data: _decode_batch(offset, data))
+        return answer.bind(lambda data: _checked(lambda: _decode_batch(offset, data)))
 
     async def append(
         self, topic: str, key: str, value: bytes, writer: Writer
     ) -> Result[int, StoreError]:
         """Append one keyed record; its offset."""
         answer = await self._append(topic, encode_keyed(key, value), writer)
-        return answer.map(lambda data: int(json.loads(data)["offset"]))
+        return answer.bind(lambda data: _checked(lambda: _decode_appended(data)))
 
     async def set_epoch(self, topic: str, writer: Writer) -> Result[None, StoreError]:
         """Fence off appends of earlier starts of ``writer``."""
@@ -211,12 +220,73 @@
 
 def _object(data: bytes) -> dict[str, object]:
     try:
-        value = json.loads(data)
-    except ValueError:
+        value = parse_json(data)
+    except UnreadableError:
         return {}
     return value if isinstance(value, dict) else {}
 
 
+def _checked(decode: Callable[[], _Decoded]) -> Result[_Decoded, StoreError]:
+    """An answer as decoded, or that it cannot be."""
+    try:
+        return Success(decode())
+    except UnreadableError as exc:
+        return Failure(StoreError(StoreErrorKind.UNREADABLE, str(exc)))
+
+
+@attrs.frozen
+class _Appended:
+    offset: int
+
+
+@attrs.frozen
+class _NewestEntry:
+    key: str
+    value: str
+    offset: int
+
+
+@attrs.frozen
+class _NewestPage:
+    entries: list[_NewestEntry]
+    end: int
+    hasMore: bool = False  # noqa: N815
+
+
+@attrs.frozen
+class _Page:
+    records: list[KeyedRecord]
+    end: int
+    more: bool
+
+
+_converter = strict_converter(forbid_extra_keys=False)
+
+
+def _decode_appended(data: bytes) -> int:
+    appended: _Appended = structure(_converter, parse_json(data), _Appended)
+    return appended.offset
+
+
+def _decode_page(data: bytes) -> _Page:
+    page: _NewestPage = structure(_converter, parse_json(data), _NewestPage)
+    if page.hasMore and not page.entries:
+        # Asking on from nothing would go round for ever.
+        raise UnreadableError("a page without entries says that there are more")
+    records = [
+        KeyedRecord(entry.offset, entry.key, _from_base64(entry.value))
+        for entry in page.entries
+    ]
+    return _Page(records, page.end, page.hasMore)
+
+
+def _from_base64(value: str) -> bytes | None:
+    try:
+        return base64.b64decode(value) or None
+    except ValueError as exc:
+        raise UnreadableError(f"a value is not base64: {exc}") from None
+
+
 def encode_keyed(key: str, value: bytes) -> bytes:
     """One record of a keyed topic as it goes over the wire."""
     name = key.encode()
@@ -227,13 +297,20 @@
 def _decode_batch(offset: int, data: bytes) -> Batch:
     records = []
     at = _END_AND_FIRST.size
+    if len(data) < at:
+        raise UnreadableError(f"{len(data)} bytes are no batch")
     while at < len(data):
+        if len(data) < at + _LENGTH.size:
+            raise UnreadableError("a batch ends within a length")
         (size,) = _LENGTH.unpack_from(data, at)
         at += _LENGTH.size
         content = data[at : at + size]
         at += size
+        if len(content) < size or not content or size <= content[0]:
+            raise UnreadableError("a batch ends within a record")
         key_end = 1 + content[0]
-        key = content[1:key_end].decode()
+        # A key that is no text names nobody; the records behind it hold.
+        key = content[1:key_end].decode(errors="replace")
         records.append(KeyedRecord(offset, key, content[key_end:] or None))
         offset += 1
     return Batch(tuple(records), offset)
--- a/src/celerytrack/settings.py
+++ b/src/celerytrack/settings.py
@@ -17,14 +17,14 @@
 import json
 import pathlib
 import re
-from collections.abc import Callable
 from typing import Any
 
 import attrs
-import cattrs
 from attrs import validators as v
 
+from celerytrack import strict
 from celerytrack.ids import AccountId, ClassName, EntryId, ReplicaId, Zone
+from celerytrack.strict import strict_converter
 
 KEY_LEAST = 8
 """Characters of a key at least: shorter ones are found by trying."""
@@ -246,35 +246,7 @@
     """A settings document is not valid; the message names path and reason."""
 
 
-_converter = cattrs.Converter(forbid_extra_keys=True)
-
-
-def _strict(allowed: str, *types: type) -> Callable[[Any, type], Any]:
-    """A hook that takes only values of ``types``, and converts none.
-
-    Conversion would take ``[]`` for false and ``"2"`` for a number: a slip of an
-    operator would come into force as something else than was written.
-    """
-
-    def check(value: Any, target: type) -> Any:
-        # In JSON true and false are no numbers; in Python they are.
-        if type(value) not in types:
-            raise TypeError(f"must be {allowed}, found {json.dumps(value)}")
-        return target(value)
-
-    return check
-
-
-_converter.register_structure_hook(bool, _strict("true or false", bool))
-_converter.register_structure_hook(int, _strict("a whole number", int))
-_converter.register_structure_hook(float, _strict("a number", int, float))
-_converter.register_structure_hook(str, _strict("text", str))
-
-
-def _describe(exc: BaseException, type_: Any) -> str:
-    if isinstance(exc, KeyError):
-        return f"required field missing {exc}"
-    return str(exc)
+_converter = strict_converter(forbid_extra_keys=True)
 
 
 def structure(data: Any, cls: type[Any]) -> Any:
@@ -283,12 +255,9 @@
     :raises SettingsError: naming each bad field path and why.
     """
     try:
-        return _converter.structure(data, cls)
-    except cattrs.BaseValidationError as exc:
-        lines = cattrs.transform_error(exc, path="$", format_exception=_describe)
-        raise SettingsError("; ".join(lines)) from None
-    except (ValueError, TypeError) as exc:
-        raise SettingsError(f"$: {exc}") from None
+        return strict.structure(_converter, data, cls)
+    except strict.UnreadableError as exc:
+        raise SettingsError(str(exc)) from None
 
 
 def unstructure(value: Any) -> Any:
--- /dev/null
+++ b/tests/test_outside_records.py
@@ -0,0 +1,252 @@
+"""Records and answers of other writers: decoded whole, or rejected by name."""
+
+import json
+import unittest
+
+import msgpack
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from nose2.tools import params
+
+from celerytrack.endpoint import Registration
+from celerytrack.gateway.gifts import Gift, decode_gift, decode_gift_request
+from celerytrack.gateway.prompt_notes import NoteError, decode_note
+from celerytrack.ids import EndpointId, ServiceName, Zone
+from celerytrack.members import Member
+from celerytrack.platform import store
+from celerytrack.platform.config import ConfigError, decode_config
+from celerytrack.platform.http import RequestError, decode_request
+from celerytrack.platform.registry import RegistrationError, decode_registration
+from celerytrack.platform.rows import RowError, decode_member
+from celerytrack.routes import RoutingTable
+from celerytrack.strict import UnreadableError
+from tests.gateway_fleet import config
+
+_GOOD = {
+    "service": "s",
+    "address": "10.0.0.1:8080",
+    "zone": "z",
+    "version": "v1",
+    "slots": 64,
+    "state": "ready",
+    "sequence": 7,
+    "coldLeftMs": 0,
+    "born": 1_788_282_202_008,
+}
+
+
+def _record(**fields: object) -> bytes:
+    return json.dumps({**_GOOD, **fields}).encode()
+
+
+def _without(field: str) -> bytes:
+    return json.dumps({k: v for k, v in _GOOD.items() if k != field}).encode()
+
+
+class RegistrationTest(unittest.TestCase):
+    def test_a_good_one(self):
+        self.assertEqual(
+            decode_registration("i-1", _record()),
+            Registration(
+                endpoint_id=EndpointId("i-1"),
+                service=ServiceName("s"),
+                address="10.0.0.1:8080",
+                zone=Zone("z"),
+                slots=64,
+                draining=False,
+                born_ms=1_788_282_202_008,
+                sequence=7,
+            ),
+        )
+
+    @params(
+        (_record(state="sleeping"), "state"),
+        (_without("state"), "state"),
+        (_record(address=8080), "address"),
+        (_record(address="10.0.0.1"), "address"),
+        (_record(address="10.0.0.1:99999"), "address"),
+        (_record(service=["s"]), "service"),
+        (_without("service"), "service"),
+        (_record(slots="64"), "slots"),
+        (_record(slots=-1), "slots"),
+        (_record(slots=True), "slots"),
+        (_record(slots=10**400), "slots"),
+        (_record(zone=None), "zone"),
+        (_record(coldLeftMs="0"), "coldLeftMs"),
+        (b'{"coldLeftMs":NaN}', "NaN"),
+        (_record(born="1788282202008"), "born"),
+        (_record(born=1.5), "born"),
+        (_record(sequence={}), "sequence"),
+        (b'{"state":"ready","state":"draining"}', "twice"),
+        (b"[" * 100_000, "deep"),
+        (b"\xff\xfe\x00", "not JSON"),
+        (b"[]", "$"),
+    )
+    def test_what_is_not_right_names_its_field(self, raw, named):
+        """Symptom: requests failed at an endpoint that was none; or an entry
+        never saw an endpoint leave or arrive again.
+
+        Sequence: another writer puts a record under a key of the topic: a number
+        as address, a list as service, 100,000 nested brackets. It is taken for an
+        endpoint, or the error that it raises ends the task that follows the topic.
+        Cause: values were converted or not looked at, and not every error of the
+        parser was expected.
+        """
+        with self.assertRaises(RegistrationError) as caught:
+            decode_registration("i-1", raw)
+        self.assertIn(named, str(caught.exception))
+        self.assertLess(len(str(caught.exception)), 500)
+
+
+class NumberTest(unittest.TestCase):
+    @params(
+        (("i-1", float("inf")),),
+        (("i-1", float("nan")),),
+        (("i-1", 1e9),),
+        ((["i-1"], 0.1),),
+        (("i-1", "0.1"),),
+    )
+    def test_a_note_of_no_time_is_dropped(self, note):
+        """Symptom: an engine got no work from any entry for good.
+
+        Sequence: a note says that a prompt takes infinitely long to read; what
+        waits at the engine is then infinite too, and never gets less.
+        Cause: any number was taken.
+        """
+        with self.assertRaises(NoteError):
+            decode_note(msgpack.packb(note))
+
+    @params(b'{"tokens": 1e999}', b'{"tokens": -5}', b'{"tokens": "5"}', b"[]")
+    def test_a_gift_is_a_count(self, raw):
+        with self.assertRaises(UnreadableError):
+            decode_gift(raw)
+        self.assertEqual(decode_gift(b'{"tokens": 5}'), Gift(5))
+
+    @params(
+        {"X-Token-Count": "-5,10"},
+        {"X-Token-Count": "5"},
+        {"X-Token-Count": "9" * 400 + ",1"},
+        {"X-Prompt-Prefix": "a:-100"},
+        {"X-Deadline-Ms": "nan"},
+        {"X-Deadline-Ms": "-1"},
+    )
+    def test_a_request_with_a_count_below_nothing_is_refused(self, headers):
+        """Symptom: an account had more tokens than were paid for.
+
+        Sequence: a request names -5 prompt tokens; they are set aside, which
+        frees five. Cause: counts were not looked at.
+        """
+        with self.assertRaises(RequestError):
+            decode_request({"X-Attempt-Id": "r", "Host": "h", **headers})
+
+
+_json = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=8),
+    lambda inner: (
+        st.lists(inner, max_size=4)
+        | st.dictionaries(st.sampled_from([*_GOOD, "x"]), inner, max_size=9)
+    ),
+    max_leaves=12,
+)
+_config = json.loads(config())
+_nested = st.integers(0, 200_000).map(lambda n: b"[" * n)
+
+
+def _changed(good: dict, values: st.SearchStrategy) -> st.SearchStrategy[bytes]:
+    """A good document with some of its fields put wrong or left out."""
+    wrong = st.dictionaries(st.sampled_from(sorted(good)), values, max_size=3)
+    gone = st.sets(st.sampled_from(sorted(good)), max_size=2)
+    return st.builds(
+        lambda w, g: json.dumps(
+            {k: v for k, v in {**good, **w}.items() if k not in g}
+        ).encode(),
+        wrong,
+        gone,
+    )
+
+
+def _row(values: st.SearchStrategy) -> st.SearchStrategy[bytes]:
+    good = [1, "f", "p", "z", "serving", 0.0, 0.0, 0.0, None, None, {"a": [1] * 7}]
+    change = st.tuples(st.integers(0, len(good) - 1), values)
+    return change.map(lambda c: msgpack.packb([*good[: c[0]], c[1], *good[c[0] + 1 :]]))
+
+
+_anything = st.binary(max_size=200) | _nested
+_packable = st.recursive(
+    st.none()
+    | st.booleans()
+    | st.integers(-(2**63), 2**64 - 1)
+    | st.floats()
+    | st.text(max_size=5),
+    lambda inner: (
+        st.lists(inner, max_size=8) | st.dictionaries(st.text(max_size=3), inner)
+    ),
+    max_leaves=12,
+)
+
+
+class FuzzTest(unittest.TestCase):
+    """No input of any writer raises anything but the decoder's own error: what
+    else is raised would end the task that follows a topic."""
+
+    def _only_raises(self, decode, error, raw, value):
+        try:
+            got = decode(raw)
+        except error:
+            return
+        self.assertIsInstance(got, value)
+
+    @settings(max_examples=300, deadline=None, derandomize=True)
+    @given(_anything | _json.map(json.dumps).map(str.encode) | _changed(_GOOD, _json))
+    def test_registrations(self, raw):
+        self._only_raises(
+            lambda r: decode_registration("i", r), RegistrationError, raw, Registration
+        )
+
+    @settings(max_examples=300, deadline=None, derandomize=True)
+    @given(_anything | _changed(_config, _json))
+    def test_configurations(self, raw):
+        self._only_raises(decode_config, ConfigError, raw, RoutingTable)
+
+    @settings(max_examples=300, deadline=None, derandomize=True)
+    @given(_anything | _row(_packable) | _packable.map(msgpack.packb))
+    def test_rows(self, raw):
+        self._only_raises(lambda r: decode_member("e", r), RowError, raw, Member)
+
+    @settings(max_examples=200, deadline=None, derandomize=True)
+    @given(_anything | _packable.map(msgpack.packb))
+    def test_notes(self, raw):
+        self._only_raises(decode_note, NoteError, raw, tuple)
+
+    @settings(max_examples=200, deadline=None, derandomize=True)
+    @given(_anything | _json.map(json.dumps).map(str.encode))
+    def test_gifts(self, raw):
+        for decode in (decode_gift, decode_gift_request):
+            self._only_raises(decode, UnreadableError, raw, object)
+
+    @settings(max_examples=300, deadline=None, derandomize=True)
+    @given(_anything)
+    def test_batches_of_the_store(self, raw):
+        self._only_raises(
+            lambda r: store._decode_batch(0, r), UnreadableError, raw, store.Batch
+        )
+
+    @settings(max_examples=200, deadline=None, derandomize=True)
+    @given(_anything | _json.map(json.dumps).map(str.encode))
+    def test_pages_and_answers_of_the_store(self, raw):
+        self._only_raises(store._decode_page, UnreadableError, raw, store._Page)
+        self._only_raises(store._decode_appended, UnreadableError, raw, int)
+
+
+class KeyTest(unittest.TestCase):
+    def test_a_key_that_is_no_text_hides_no_later_record(self):
+        """Symptom: an entry saw no change of the registrations any more.
+
+        Sequence: a record's key is not UTF-8; decoding the batch raises, and the
+        task that follows the topic ends. Cause: keys were taken for text.
+        """
+        good = store.encode_keyed("i-1", b"{}")
+        bad = good.replace(b"i-1", b"\xff-1")
+        batch = store._decode_batch(5, bytes(16) + bad + good)
+        self.assertEqual([r.key for r in batch.records], ["\ufffd-1", "i-1"])
+        self.assertEqual(batch.next_offset, 7)
