A new start of an endpoint under its id knows nothing of the start before

Cause: an endpoint was told apart by its id alone. After a crash and a new start under the id its entry still counted its kept parts, running requests, failures and slowness; requests on connections of a dark instance waited to the caller's deadline; a record that landed late called a leaving or gone endpoint back. Ruled out: leaving it to the registration's tombstone. A start that is back within three heartbeats leaves none. Change: a registration carries when its start began and its number; a later start replaces the endpoint, ends the requests there in doubt and closes its connections (one pool for each start); an older record counts for nothing, also after the id was forgotten; a record that is none takes its id out of use at once. Tests: StartedAgainTest in test_endpoints and test_gateway, ForeignRecordTest. On the code before, the three gateway tests fail: the request waits beyond 1.5 s, the kept connection is used again, the bad record names an endpoint.

--- a/src/celerytrack/endpoints.py
+++ b/src/celerytrack/endpoints.py
@@ -11,10 +11,13 @@
 leave these only when another engine's predicted first token is much earlier.
 """
 
+import enum
 import heapq
 import random
 from collections.abc import Iterable, Sequence
 
+from cachetools import LRUCache
+
 from celerytrack.endpoint import Choice, Endpoint, Need, Registration, Sent
 from celerytrack.ids import EndpointId, ServiceName, Zone
 from celerytrack.prefill import PREFILL_TOKENS_PER_S, prefill_s
@@ -55,10 +58,27 @@
 """An endpoint whose registration lapsed takes work for this long if its
 service has no other: registrations lapse when the store is away and are back
 within two seconds, and an endpoint that left serves on for two."""
+FORGOTTEN_MOST = 1_024
+"""Endpoints that left of which the last record is remembered, so that an older
+one that lands late does not bring them back: a day of releases of the largest
+fleet listed is 90 endpoints."""
 QUEUE_TIMES = 4.0
 """Work beyond this many times an endpoint's slots is not sent to it."""
 
 
+class Registered(enum.Enum):
+    """What a registration changed."""
+
+    NEW = "new"
+    STARTED_AGAIN = "started_again"
+    """Another process has the id now, which knows nothing of before."""
+    CHANGED = "changed"
+    """It leaves, or takes work again."""
+    SAME = "same"
+    STALE = "stale"
+    """A later record of it was seen; this one counts for nothing."""
+
+
 class EndpointBook:
     """All endpoints known, and the choice among them.
 
@@ -69,22 +89,34 @@
         self._zone = zone
         self._rng = rng
         self._endpoints: dict[EndpointId, Endpoint] = {}
+        self._forgotten: LRUCache[EndpointId, Registration] = LRUCache(FORGOTTEN_MOST)
 
-    def register(self, registration: Registration, now_s: float) -> bool:
-        """Take a registration as read at ``now_s``.
-
-        :returns: whether it changed what may be sent there.
-        """
+    def register(self, registration: Registration, now_s: float) -> Registered:
+        """Take a registration as read at ``now_s``."""
         known = self._endpoints.get(registration.endpoint_id)
         if known is None:
-            known = Endpoint(registration)
-            known.cold_until_s = now_s + registration.cold_s
-            self._endpoints[registration.endpoint_id] = known
-            return True
+            last = self._forgotten.get(registration.endpoint_id)
+            if last is not None and registration.older_than(last):
+                return Registered.STALE
+            self._add(registration, now_s)
+            return Registered.NEW
+        if registration.older_than(known.registration):
+            return Registered.STALE
+        if 0 < known.registration.born_ms < registration.born_ms:
+            # What was learned and kept belongs to a process that is gone: parts
+            # of prompts counted as kept would be read anew, unexpected. Requests
+            # of before hold the endpoint of before and end there.
+            self._add(registration, now_s)
+            return Registered.STARTED_AGAIN
         changed = known.registration.draining is not registration.draining
         known.registration = registration
         known.gone_at_s = None
-        return changed
+        return Registered.CHANGED if changed else Registered.SAME
+
+    def _add(self, registration: Registration, now_s: float) -> None:
+        endpoint = Endpoint(registration)
+        endpoint.cold_until_s = now_s + registration.cold_s
+        self._endpoints[registration.endpoint_id] = endpoint
 
     def dropped(self, endpoint_id: EndpointId, now_s: float) -> None:
         """The registration of an endpoint is no longer there."""
@@ -92,6 +124,11 @@
         if known is not None and known.gone_at_s is None:
             known.gone_at_s = now_s
 
+    def disowned(self, endpoint_id: EndpointId, now_s: float) -> None:
+        """The newest record of an endpoint is none: it gets no work at once, not
+        even where its service has no other."""
+        self.dropped(endpoint_id, now_s - GONE_GRACE_S)
+
     def ids(self) -> list[EndpointId]:
         """The endpoints whose registration stands."""
         return [i for i, e in self._endpoints.items() if e.gone_at_s is None]
@@ -107,6 +144,7 @@
         ]
         for endpoint in gone:
             del self._endpoints[endpoint.endpoint_id]
+            self._forgotten[endpoint.endpoint_id] = endpoint.registration
         return gone
 
     def choose(
--- a/src/celerytrack/gateway/attempts.py
+++ b/src/celerytrack/gateway/attempts.py
@@ -9,6 +9,7 @@
 from returns.result import Failure, Result, Success
 
 from celerytrack.endpoint import Endpoint, Sent
+from celerytrack.gateway.connections import EndpointLostError, StartConnections
 from celerytrack.gateway.exchange import AttemptFailure, Exchange, PlainAnswer
 from celerytrack.gateway.state import Gateway
 from celerytrack.platform.http import (
@@ -51,8 +52,25 @@
     url = yarl.URL(
         f"http://{endpoint.registration.address}{request.raw_path}", encoded=True
     )
+    connections = gateway.connections.of(endpoint.endpoint_id)
     try:
-        response = await gateway.http.request(
+        async with connections.until_lost():
+            return await _send(gateway, exchange, sent, connections, url, envelope)
+    except EndpointLostError:
+        return _spoilt("the endpoint started again")
+
+
+async def _send(
+    gateway: Gateway,
+    exchange: Exchange,
+    sent: Sent,
+    connections: StartConnections,
+    url: yarl.URL,
+    envelope: Envelope,
+) -> AttemptResult:
+    request = exchange.request
+    try:
+        response = await connections.session.request(
             request.method,
             url,
             data=exchange.body if _has_body(request) else None,
--- a/src/celerytrack/gateway/state.py
+++ b/src/celerytrack/gateway/state.py
@@ -4,27 +4,18 @@
 import time
 import uuid
 
-import aiohttp
-
 from celerytrack.endpoints import EndpointBook
+from celerytrack.gateway.connections import EndpointConnections
 from celerytrack.gateway.gifts import GiftClient
 from celerytrack.gateway.prompt_notes import NOTE_LEAST_S, PromptNotes
 from celerytrack.gateway.share_keeper import ShareKeeper
 from celerytrack.gateway.telemetry import Telemetry
 from celerytrack.ids import EndpointId, EntryId, ServiceName
-from celerytrack.patient_http import patient_session
 from celerytrack.platform.settings import ProcessSettings
 from celerytrack.platform.store import StoreClient
 from celerytrack.retries import RetryBudget
 from celerytrack.routes import RoutingTable
 
-ENDPOINT_IDLE_S = 4.0
-"""Idle time after which a connection to an endpoint is not used again. An
-endpoint that closes an idle connection while a request is on its way leaves
-that request in doubt; this is below the idle timeouts endpoints announce."""
-CONNECT_TIMEOUT_S = 0.5
-"""Longest wait for a connection: within a region it takes a few ms, so this
-means that the endpoint's instance is dark."""
 RETRY_SHARE = 0.7
 """Share of the fleet-wide allowance for second attempts that entries use: an
 entry counts its own requests only, and callers are not spread evenly."""
@@ -64,7 +55,7 @@
         self.closed = False
         self.in_flight = 0
         self._retries: dict[ServiceName, RetryBudget] = {}
-        self._http: aiohttp.ClientSession | None = None
+        self.connections = EndpointConnections()
 
     @property
     def ready(self) -> bool:
@@ -76,19 +67,6 @@
             and self.keeper.started
         )
 
-    @property
-    def http(self) -> aiohttp.ClientSession:
-        """The session to endpoints."""
-        if self._http is None:
-            timeout = aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S)
-            self._http = patient_session(
-                ENDPOINT_IDLE_S, timeout, auto_decompress=False
-            )
-            # The library sends a GET again by itself when a kept connection
-            # breaks: a call that must not run twice would, unseen by us.
-            self._http._retry_connection = False
-        return self._http
-
     def _take_note(self, endpoint_id: EndpointId, work_s: float) -> None:
         self.endpoints.note(endpoint_id, work_s, time.monotonic())
 
@@ -116,8 +94,7 @@
 
     async def close(self) -> None:
         """Close the connections to endpoints and store."""
-        if self._http is not None:
-            await self._http.close()
+        await self.connections.close()
         self.notes.close()
         await self.gifts.close()
         await self.store.close()
--- a/src/celerytrack/gateway/watches.py
+++ b/src/celerytrack/gateway/watches.py
@@ -3,6 +3,8 @@
 import logging
 import time
 
+from celerytrack.endpoint import Registration
+from celerytrack.endpoints import Registered
 from celerytrack.events import Event, log_event
 from celerytrack.gateway.state import Gateway
 from celerytrack.gateway.tail import KeyedTail
@@ -50,6 +52,23 @@
     )
 
 
+def _log_registered(registration: Registration, took: Registered) -> None:
+    event = Event.ENDPOINT_REGISTERED
+    if took is Registered.STALE:
+        event = Event.ENDPOINT_STALE
+    elif took is Registered.STARTED_AGAIN:
+        event = Event.ENDPOINT_STARTED_AGAIN
+    elif registration.draining:
+        event = Event.ENDPOINT_DRAINING
+    log_event(
+        _log,
+        event,
+        endpoint=registration.endpoint_id,
+        service=registration.service,
+        born_ms=registration.born_ms,
+    )
+
+
 def make_endpoint_tail(gateway: Gateway) -> KeyedTail:
     """Follows the endpoints' registrations."""
 
@@ -60,24 +79,25 @@
     def apply(record: KeyedRecord) -> None:
         now_s = time.monotonic()
         for endpoint in gateway.endpoints.forget_gone(now_s):
+            gateway.connections.lose(endpoint.endpoint_id)
             log_event(_log, Event.ENDPOINT_GONE, endpoint=endpoint.endpoint_id)
+        endpoint_id = EndpointId(record.key)
         if record.value is None:
-            drop(EndpointId(record.key))
+            drop(endpoint_id)
             return
         try:
             registration = decode_registration(record.key, record.value)
         except RegistrationError as exc:
-            log_event(_log, Event.CONFIG_REJECTED, logging.ERROR, detail=str(exc))
+            # Whoever wrote it, it says nothing that work could be sent by; what
+            # the id said before is no longer so.
+            log_event(_log, Event.REGISTRATION_REJECTED, logging.ERROR, detail=str(exc))
+            drop(endpoint_id)
             return
-        if gateway.endpoints.register(registration, now_s):
-            log_event(
-                _log,
-                Event.ENDPOINT_DRAINING
-                if registration.draining
-                else Event.ENDPOINT_REGISTERED,
-                endpoint=registration.endpoint_id,
-                service=registration.service,
-            )
+        took = gateway.endpoints.register(registration, now_s)
+        if took is Registered.STARTED_AGAIN:
+            gateway.connections.lose(endpoint_id)
+        if took is not Registered.SAME:
+            _log_registered(registration, took)
 
     def reload(keys: set[str]) -> None:
         gateway.endpoints_known = True
--- a/tests/gateway_fleet.py
+++ b/tests/gateway_fleet.py
@@ -69,6 +69,7 @@
     def __init__(self, name: str, script: Script) -> None:
         self.name = name
         self.seen: list[web.BaseRequest] = []
+        self.callers: list[tuple[str, int]] = []
         self.cancelled = 0
         self._script = script
         self.port = free_port()
@@ -92,6 +93,8 @@
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
         self.seen.append(request)
+        assert request.transport is not None
+        self.callers.append(request.transport.get_extra_info("peername"))
         try:
             return await self._script(request)
         except asyncio.CancelledError:
--- a/tests/test_endpoints.py
+++ b/tests/test_endpoints.py
@@ -7,7 +7,12 @@
 from nose2.tools import params
 
 from celerytrack.endpoint import Choice, Need, Registration
-from celerytrack.endpoints import EJECT_S, GONE_GRACE_S, EndpointBook
+from celerytrack.endpoints import (
+    EJECT_S,
+    GONE_GRACE_S,
+    EndpointBook,
+    Registered,
+)
 from celerytrack.ids import AccountId, EndpointId, ServiceName, Zone
 from celerytrack.prefill import prefill_s
 from celerytrack.routes import (
@@ -167,6 +172,71 @@
         self.assertIsNotNone(_choose(book, now_s=1.1))
 
 
+def _start(born_ms, sequence=1, **fields):
+    return attrs.evolve(_reg("a"), born_ms=born_ms, sequence=sequence, **fields)
+
+
+class StartedAgainTest(unittest.TestCase):
+    def test_what_was_known_of_the_start_before_is_dropped(self):
+        """Symptom: prompts were sent to an engine as if it kept their parts, and
+        had their first token late; one that had crashed while busy got no work.
+
+        Sequence: an engine crashes with requests in progress and starts again
+        under its id; it keeps nothing and runs nothing. Its entry still counts
+        the parts, the running requests, the failures and the slowness of before.
+        Cause: a start was told apart by its id alone.
+        """
+        book = _book(_start(1_000))
+        before = book.choose(PROMPT, 1, 100, [], 0.0).endpoint
+        sent = _send(book, before, PROMPT, 0.0)
+        before.slowness = 5.0
+        book.failed(before, True, 0.5)
+        self.assertIs(book.register(_start(2_000), 1.0), Registered.STARTED_AGAIN)
+        now = book.choose(PROMPT, 1, 100, [], 1.0).endpoint
+        self.assertIsNot(now, before)
+        self.assertEqual((now.running, now.failures, now.slowness), (0, 0, 1.0))
+        self.assertEqual(now.unread(PROMPT, False, 1.0), PROMPT.prompt_tokens)
+        # The end of a request of before is no end of one of now.
+        sent.end(1.5, plain=False)
+        self.assertEqual(now.running, 0)
+
+    @params(
+        (_start(1_000, 9), _start(2_000, 1), Registered.STARTED_AGAIN),
+        (_start(2_000, 1), _start(1_000, 9), Registered.STALE),
+        (_start(1_000, 3), _start(1_000, 2), Registered.STALE),
+        (_start(1_000, 3), _start(1_000, 3), Registered.SAME),
+        (_start(1_000, 3), _start(1_000, 4, draining=True), Registered.CHANGED),
+        # An endpoint that does not tell its start is not taken for another.
+        (_start(0, 3), _start(1_000, 4), Registered.SAME),
+    )
+    def test_the_order_of_records(self, known, read, expected):
+        book = _book(known)
+        self.assertIs(book.register(read, 1.0), expected)
+
+    def test_a_late_record_does_not_call_a_leaving_endpoint_back(self):
+        """Symptom: new requests reached an endpoint that had said it leaves.
+
+        Sequence: it writes ``ready``, then ``draining``; the first lands behind
+        the second. Cause: the record read last counted.
+        """
+        book = _book(_start(1_000, 4, draining=True))
+        book.register(_start(1_000, 3), 1.0)
+        self.assertIsNone(_choose(book))
+
+    def test_a_start_that_ended_long_ago_does_not_come_back(self):
+        """Symptom: requests were sent to a process that was gone.
+
+        Sequence: an endpoint starts again and leaves for good; its id is
+        forgotten; then a record of its first start lands.
+        Cause: what an id was known by went with it.
+        """
+        book = _book(_start(2_000, 5))
+        book.dropped(EndpointId("a"), 1.0)
+        book.forget_gone(1.0 + 2 * GONE_GRACE_S)
+        self.assertIs(book.register(_start(1_000, 9), 9.0), Registered.STALE)
+        self.assertIsNone(_choose(book, now_s=9.0))
+
+
 class LapsedRegistrationTest(unittest.TestCase):
     """Symptom: no endpoint for two seconds after each outage of the store.
 
@@ -181,6 +251,11 @@
         self.assertEqual(_choose(book, now_s=1.0 + GONE_GRACE_S / 2), "a")
         self.assertIsNone(_choose(book, now_s=1.1 + GONE_GRACE_S))
 
+    def test_but_not_if_its_record_is_none(self):
+        book = _book(_reg("a"))
+        book.disowned(EndpointId("a"), 1.0)
+        self.assertIsNone(_choose(book, now_s=1.0))
+
     def test_but_not_if_another_stands(self):
         book = _book(_reg("a"), _reg("b", THERE))
         book.dropped(EndpointId("a"), 1.0)
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -358,6 +358,81 @@
             self.assertEqual((len(leaving.seen), len(staying.seen)), (0, 6))
 
 
+class StartedAgainTest(unittest.IsolatedAsyncioTestCase):
+    """An endpoint starts again under its id while it has requests.
+
+    Symptom: callers waited to their deadline for an endpoint that had crashed and
+    was back; a call on a kept connection of the start before was in doubt.
+
+    Sequence: an endpoint's instance goes dark, so that its connections stay open
+    and silent; it starts again under its id. Requests on the old connections
+    wait, and the next ones are sent on them.
+    Cause: the start of an endpoint was told apart by its id alone.
+    """
+
+    async def _silent(self, request: web.BaseRequest) -> web.StreamResponse:
+        if len(self.endpoint.seen) == 1:
+            await asyncio.sleep(30)
+        return await _good(request)
+
+    async def _again(self, fleet: Fleet) -> None:
+        record = self.endpoint.registration(born=2_000, sequence=1)
+        fleet.log.put(ENDPOINTS_TOPIC, self.endpoint.name, record)
+
+    async def test_requests_of_before_end_in_doubt(self):
+        self.endpoint = Endpoint("i-1", self._silent)
+        async with Fleet(self.endpoint) as fleet:
+            first = self.endpoint.registration(born=1_000, sequence=9)
+            fleet.log.put(ENDPOINTS_TOPIC, "i-1", first)
+            await asyncio.sleep(0.8)
+            asking = asyncio.create_task(fleet.ask("/once/x"))
+            await fleet.until(lambda: len(self.endpoint.seen) == 1)
+            await self._again(fleet)
+            status, _, _ = await asyncio.wait_for(asking, 1.5)
+            # It may have run, so it is neither refused as not run nor sent again.
+            self.assertEqual(status, 502)
+            self.assertEqual(len(self.endpoint.seen), 1)
+            status, _, body = await fleet.ask("/once/x", "r2")
+            self.assertEqual((status, body), (200, b"good:body"))
+
+    async def test_its_kept_connections_are_not_used_again(self):
+        self.endpoint = Endpoint("i-1", _good)
+        async with Fleet(self.endpoint) as fleet:
+            first = self.endpoint.registration(born=1_000, sequence=9)
+            fleet.log.put(ENDPOINTS_TOPIC, "i-1", first)
+            await asyncio.sleep(0.8)
+            await fleet.ask("/once/x")
+            await fleet.ask("/once/x", "r2")
+            await self._again(fleet)
+            await asyncio.sleep(0.8)
+            await fleet.ask("/once/x", "r3")
+        callers = self.endpoint.callers
+        self.assertEqual(callers[0], callers[1])
+        self.assertNotEqual(callers[1], callers[2])
+
+
+class ForeignRecordTest(unittest.IsolatedAsyncioTestCase):
+    async def test_it_names_no_endpoint_and_the_others_hold(self):
+        """Symptom: requests went to an endpoint whose record nobody could read.
+
+        Sequence: an endpoint is registered; another writer puts a record under
+        its id that is none; then others arrive and leave.
+        Cause: the last good record stayed in use.
+        """
+        first, second = Endpoint("i-1", _good), Endpoint("i-2", _good)
+        async with Fleet(first, second) as fleet:
+            book = fleet.gateways[0].endpoints
+            for raw in (b"\xff", b"[" * 100_000, first.registration(state="asleep")):
+                fleet.log.put(ENDPOINTS_TOPIC, "i-1", raw)
+            fleet.log.put(ENDPOINTS_TOPIC, "i-3", b"{}")
+            await fleet.until(lambda: book.ids() == ["i-2"])
+            for i in range(6):
+                await fleet.ask("/plain/x", f"r{i}")
+            self.assertEqual((len(first.seen), len(second.seen)), (0, 6))
+            fleet.log.put(ENDPOINTS_TOPIC, "i-1", first.registration())
+            await fleet.until(lambda: set(book.ids()) == {"i-1", "i-2"})
+
+
 class PlannedStopTest(unittest.IsolatedAsyncioTestCase):
     async def test_a_stop_cuts_nothing_and_is_known_at_once(self):
         async def slow(request):
