A bench of prepaid totals in modelled time: the real keepers on a modelled log

The event loop jumps to the next timer; each instance has clocks of its own. The model of callers counts what was really spent and what was owed. What was refused when tokens lack is a function of its own, used by both.

--- /dev/null
+++ b/bench/prepaid_bench.py
@@ -0,0 +1,108 @@
+"""How much of prepaid totals is delivered under faults, in modelled time.
+
+``python -m bench.prepaid_bench [--entries 9,76] [--seeds 3] [--only NAME]
+[--jobs 4] [--json FILE]`` runs the real book, keeper and reservations of each
+entry on a modelled log. Overspent tokens must be 0 in every row.
+"""
+
+import argparse
+import concurrent.futures
+import json
+import logging
+import statistics
+import sys
+
+import attrs
+
+from celerytrack.lab.prepaid_fleet import (
+    Fault,
+    FaultKind,
+    Outcome,
+    PrepaidFleet,
+    Scenario,
+)
+from celerytrack.lab.virtual_time import run_virtual
+
+_POWER, _CUT, _REFUSED = FaultKind.POWER, FaultKind.CUT, FaultKind.REFUSED
+SCENARIOS = (
+    Scenario("no fault"),
+    Scenario("power lost by all", faults=(Fault(_POWER, 32.0, 1.4),)),
+    Scenario("power lost by all, long", faults=(Fault(_POWER, 32.0, 3.0),)),
+    Scenario("power lost by one", faults=(Fault(_POWER, 12.0, 3.0, 0.1),)),
+    Scenario("cut of all for 9 s", faults=(Fault(_CUT, 10.0, 9.0),)),
+    Scenario(
+        "cut of all twice, then power",
+        faults=(
+            Fault(_CUT, 5.0, 8.0),
+            Fault(_CUT, 24.0, 8.0),
+            Fault(_POWER, 34.0, 1.4),
+        ),
+    ),
+    Scenario("one cut of many", faults=(Fault(_CUT, 8.0, 9.0, 0.1),)),
+    Scenario("a third refused by the log", faults=(Fault(_REFUSED, 8.0, 9.0, 0.34),)),
+    Scenario("late appends", late_append_s=0.2, lost_share=0.1),
+    Scenario(
+        "hot account, then power",
+        hot_times=3.0,
+        faults=(Fault(_POWER, 32.0, 1.4),),
+    ),
+)
+
+
+def play(scenario: Scenario, seed: int) -> Outcome:
+    """Play one scenario with one seed."""
+    logging.disable(logging.CRITICAL)
+    return run_virtual(PrepaidFleet(scenario, seed).run())
+
+
+def row(scenario: Scenario, outcomes: list[Outcome]) -> dict[str, object]:
+    """The means of several outcomes, as one row of the table."""
+
+    def mean(field: str) -> float:
+        return statistics.fmean(getattr(o, field) for o in outcomes)
+
+    return {
+        "scenario": scenario.name,
+        "entries": scenario.entries,
+        "overspent_tokens": sum(o.overspent_tokens for o in outcomes),
+        "delivered_share": round(mean("delivered_share"), 4),
+        "in_target_share": round(mean("in_target_share"), 4),
+        "refused_share": round(mean("refused_share"), 4),
+        "appends_per_s": round(mean("appends_per_s"), 1),
+        "kb_in_per_s": round(mean("bytes_in_per_s") / 1_000, 1),
+        "kb_read_per_s_each": round(
+            mean("bytes_out_per_s") / 1_000 / scenario.entries, 1
+        ),
+    }
+
+
+def main() -> int:
+    """Run the scenarios and print their rows."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--entries", default="9")
+    parser.add_argument("--seeds", type=int, default=3)
+    parser.add_argument("--only", default="")
+    parser.add_argument("--jobs", type=int, default=4, help="processes at once")
+    parser.add_argument("--json")
+    args = parser.parse_args()
+    sized = [
+        attrs.evolve(scenario, entries=entries)
+        for entries in map(int, args.entries.split(","))
+        for scenario in SCENARIOS
+        if args.only in scenario.name
+    ]
+    rows = []
+    with concurrent.futures.ProcessPoolExecutor(args.jobs) as pool:
+        seeds = range(1, 1 + args.seeds)
+        plays = [[pool.submit(play, s, seed) for seed in seeds] for s in sized]
+        for scenario, outcomes in zip(sized, plays, strict=True):
+            rows.append(row(scenario, [o.result() for o in outcomes]))
+            print(" ".join(f"{k}={v}" for k, v in rows[-1].items()), flush=True)
+    if args.json:
+        with open(args.json, "w") as file:
+            json.dump(rows, file, indent=1)
+    return 1 if any(r["overspent_tokens"] for r in rows) else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/src/celerytrack/gateway/admission.py
+++ b/src/celerytrack/gateway/admission.py
@@ -6,12 +6,13 @@
 
 from celerytrack.gateway.exchange import Exchange
 from celerytrack.gateway.refusals import RefusedError
+from celerytrack.gateway.share_keeper import ShareKeeper
 from celerytrack.gateway.state import Gateway
 from celerytrack.ids import AccountId
 from celerytrack.platform.http import RequestError, decode_request
 from celerytrack.prepaid import Reservation
 from celerytrack.routes import RoutingTable, pick_service
-from celerytrack.verdict import Reason, did_not_run
+from celerytrack.verdict import Reason, Refusal, did_not_run
 
 DEFAULT_DEADLINE_S = 30.0
 """Deadline of a caller that names none: the longest route timeout listed is
@@ -104,16 +105,25 @@
     held = await gateway.keeper.reservations.reserve(account, tokens, urgent)
     if held is not None:
         return held
+    raise RefusedError(
+        lacking_tokens(gateway.keeper, account, tokens, time.monotonic())
+    )
+
+
+def lacking_tokens(
+    keeper: ShareKeeper, account: AccountId, tokens: int, now_s: float
+) -> Refusal:
+    """The refusal of a request that lacks tokens of ``account`` here."""
+    book = keeper.book
     if book.exhausted(account, tokens):
         detail = f"{tokens} tokens do not fit what is left"
-        raise RefusedError(did_not_run(Reason.BUDGET_EXHAUSTED, None, detail))
-    now_s = time.monotonic()
+        return did_not_run(Reason.BUDGET_EXHAUSTED, None, detail)
     detail = f"{tokens} tokens, {book.left_tokens(account, now_s)} in hand here"
     after_s = TOKENS_RETURN_S
-    if not gateway.keeper.reachable:
+    if not keeper.reachable:
         free_s = book.free_in_s(account, tokens, now_s)
         after_s = CUT_LASTS_S if free_s is None else max(free_s, SOON_S)
-    raise RefusedError(did_not_run(Reason.TOKENS_ELSEWHERE, after_s, detail))
+    return did_not_run(Reason.TOKENS_ELSEWHERE, after_s, detail)
 
 
 def settle(gateway: Gateway, exchange: Exchange, held: Reservation | None) -> None:
--- /dev/null
+++ b/src/celerytrack/lab/__init__.py
@@ -0,0 +1,1 @@
+"""Models and experiments: the real deciding code in modelled time."""
--- /dev/null
+++ b/src/celerytrack/lab/model_log.py
@@ -0,0 +1,115 @@
+"""The platform's keyed log as a model: delays, cuts, lost and late answers."""
+
+import asyncio
+import random
+
+import attrs
+from returns.result import Failure, Result, Success
+
+from celerytrack.platform.store import (
+    Batch,
+    KeyedRecord,
+    StoreError,
+    StoreErrorKind,
+    Writer,
+    encode_keyed,
+)
+
+ANSWER_S = 0.004
+"""Time the store takes to answer a call."""
+GIVEN_UP_S = 0.7
+"""After this long without an answer a call has failed, as in the real client."""
+
+
+@attrs.define
+class ModelLog:
+    """One topic, shared by all modelled entries.
+
+    :ivar late_s: how much longer an append takes to land.
+    :ivar lost_share: share of appends that land and are not answered.
+    :ivar appends: appends so far; ``bytes_in`` and ``bytes_out`` what was sent.
+    """
+
+    rng: random.Random
+    late_s: float = 0.0
+    lost_share: float = 0.0
+    appends: int = 0
+    bytes_in: int = 0
+    bytes_out: int = 0
+    records: list[tuple[str, bytes]] = attrs.field(factory=list)
+    producers: dict[str, tuple[int, int]] = attrs.field(factory=dict)
+
+    def append(self, key: str, value: bytes, writer: Writer) -> Result[int, StoreError]:
+        """Append one record, in the order of its writer's numbers."""
+        epoch, expected = self.producers.get(writer.name, (0, 0))
+        if writer.epoch < epoch:
+            return Failure(StoreError(StoreErrorKind.FENCED, "fenced"))
+        if writer.epoch == epoch and value and writer.sequence != expected:
+            kind = StoreErrorKind.OUT_OF_SEQUENCE
+            return Failure(StoreError(kind, "sequence", expected))
+        if not value:
+            self.producers[writer.name] = (writer.epoch, writer.sequence)
+            return Success(len(self.records))
+        self.producers[writer.name] = (writer.epoch, writer.sequence + 1)
+        self.records.append((key, value))
+        self.appends += 1
+        self.bytes_in += len(encode_keyed(key, value))
+        return Success(len(self.records) - 1)
+
+
+class ModelStore:
+    """What the real store client offers, for one entry.
+
+    :ivar cut: nothing gets through, either way.
+    """
+
+    def __init__(self, log: ModelLog) -> None:
+        self.cut = False
+        self._log = log
+
+    async def newest(self, topic: str) -> Result[Batch, StoreError]:
+        """The newest record of each key."""
+        if not await self._reached(ANSWER_S):
+            return self._silence()
+        newest = {key: (i, v) for i, (key, v) in enumerate(self._log.records)}
+        records = tuple(KeyedRecord(i, key, v) for key, (i, v) in newest.items())
+        return Success(Batch(records, len(self._log.records)))
+
+    async def read(
+        self, topic: str, offset: int, wait_s: float = 0.0
+    ) -> Result[Batch, StoreError]:
+        """Records from ``offset`` on."""
+        if not await self._reached(ANSWER_S):
+            return self._silence()
+        found = self._log.records[offset:]
+        self._log.bytes_out += sum(len(encode_keyed(k, v)) for k, v in found)
+        records = (KeyedRecord(offset + i, k, v) for i, (k, v) in enumerate(found))
+        return Success(Batch(tuple(records), offset + len(found)))
+
+    async def append(
+        self, topic: str, key: str, value: bytes, writer: Writer
+    ) -> Result[int, StoreError]:
+        """Append one record; its offset."""
+        if not await self._reached(ANSWER_S + self._log.late_s):
+            return self._silence()
+        result = self._log.append(key, value, writer)
+        if self._log.rng.random() < self._log.lost_share:
+            await asyncio.sleep(GIVEN_UP_S)
+            return self._silence()
+        return result
+
+    async def set_epoch(self, topic: str, writer: Writer) -> Result[None, StoreError]:
+        """Fence off earlier starts."""
+        result = await self.append(topic, writer.name, b"", writer)
+        return result.map(lambda _: None)
+
+    async def _reached(self, takes_s: float) -> bool:
+        if self.cut:
+            await asyncio.sleep(GIVEN_UP_S)
+            return False
+        await asyncio.sleep(takes_s)
+        return not self.cut
+
+    @staticmethod
+    def _silence() -> Failure[StoreError]:
+        return Failure(StoreError(StoreErrorKind.UNREACHABLE, "no answer"))
