After a loss of power of single entries the others' clocks tell how old its row was

Ruled out: trusting its own time of day, which may have been set meanwhile; one row of each other entry, which in an outage is as late as a clock set back is behind. Change: its time of day is held against that of most others, by the row of each that was read most promptly of three; agreed before and after, it tells the row's age.

--- a/src/celerytrack/clocks.py
+++ b/src/celerytrack/clocks.py
@@ -67,3 +67,39 @@
     started_at_s = statistics.median(row.started_at_s for row in witnesses)
     behind_s = max(0.0, started_at_s - mine.started_at_s)
     return passed_s + ahead_s + behind_s + CLOCK_ERROR_S
+
+
+BEHIND_MOST_S = 0.2
+"""Clocks that were not set are apart by less than this. Reading a row late makes
+the reader's clock look ahead, never behind."""
+
+
+def age_beside_others_s(
+    left: Member, mine: Member, lead_s: float | None
+) -> float | None:
+    """How old this entry's last row was when it started again, if its time of
+    day was not set meanwhile; else ``None``.
+
+    Load pattern answered: single instances lose power for seconds while the others
+    serve on. Without this all that the entry claimed counts as spent.
+
+    :param left: the last row of the earlier start.
+    :param mine: this entry's row now.
+    :param lead_s: how far its time of day is ahead of most others' now, by rows
+        that were read promptly; ``None`` if too few were.
+    """
+    before_s = left.clock_lead_s
+    if before_s is None or lead_s is None:
+        return None
+    # A clock that is set moves by more than a second, so one that agrees both
+    # before and after was either never set or is set back to what it was.
+    if not (-BEHIND_MOST_S <= before_s < AGREE_S):
+        return None
+    if not (-BEHIND_MOST_S <= lead_s < AGREE_S):
+        return None
+    passed_s = mine.started_at_s - left.made_at_s
+    if passed_s < 0:
+        return None
+    ahead_s = max(0.0, before_s - BEAT_S)
+    behind_s = max(0.0, -lead_s)
+    return passed_s + ahead_s + behind_s + CLOCK_ERROR_S
--- a/src/celerytrack/gateway/share_keeper.py
+++ b/src/celerytrack/gateway/share_keeper.py
@@ -11,7 +11,11 @@
 import logging
 import time
 
-from celerytrack.clocks import age_at_power_s, age_at_start_s
+from celerytrack.clocks import (
+    age_at_power_s,
+    age_at_start_s,
+    age_beside_others_s,
+)
 from celerytrack.events import Event, log_event
 from celerytrack.gateway.gifts import GiftClient
 from celerytrack.gateway.reservations import SLOW_APPEND_S, Reservations, wait_for
@@ -182,14 +186,17 @@
         self._notify()
 
     def _reconsider(self, mine: Member) -> None:
-        """See whether all lost power together, so that the rest of the claim
-        that was adopted as spent is free."""
+        """See how old the last row was, by those that lost power too or by those
+        that did not, so that the rest of the claim adopted as spent is free."""
         left = self._doubtful
         if left is None:
             return
         rows = self.members.members()
         others = [row for entry, row in rows.items() if entry != self._entry_id]
         age_s = age_at_power_s(left, mine, others)
+        if age_s is None:
+            lead_s = self.members.prompt_clock_lead_s(_clock_offset_s())
+            age_s = age_beside_others_s(left, mine, lead_s)
         if age_s is not None:
             self.book.free_beyond(left.shares, age_s)
             log_event(
--- a/src/celerytrack/members.py
+++ b/src/celerytrack/members.py
@@ -6,6 +6,7 @@
 when the log is away, nobody's row is renewed, and the last view stands.
 """
 
+import collections
 import enum
 import random
 import statistics
@@ -110,10 +111,22 @@
     return max(SILENT_LEAST_S, beat_interval_s(entries) * SILENT_BEATS)
 
 
+PROMPT_ROWS = 3
+"""Rows of an entry of which the one read most promptly tells of its clock. The
+first is read at the start and may be old; one that lands as an outage ends may
+have been made seconds before; the ones behind it come within 0.3 s."""
+
+
 @attrs.define
 class _Seen:
+    """The newest row of an entry, and how late its last rows were read: by this
+    entry's steady clock less the other's time of day."""
+
     member: Member
     at_s: float
+    late_s: collections.deque[float] = attrs.field(
+        factory=lambda: collections.deque(maxlen=PROMPT_ROWS)
+    )
 
 
 class MemberView:
@@ -130,7 +143,10 @@
 
     def fold(self, member: Member, now_s: float) -> None:
         """Take a row that was read at ``now_s``."""
-        self._seen[member.entry_id] = _Seen(member, now_s)
+        seen = self._seen.setdefault(member.entry_id, _Seen(member, now_s))
+        seen.member = member
+        seen.at_s = now_s
+        seen.late_s.append(now_s - member.made_at_s)
 
     def member(self, entry: EntryId) -> Member | None:
         """The newest row of ``entry``."""
@@ -156,6 +172,21 @@
         leads = (seen.at_s - seen.member.made_at_s for seen in others)
         return statistics.median(leads) + clock_offset_s
 
+    def prompt_clock_lead_s(self, clock_offset_s: float) -> float | None:
+        """The same by rows that were read promptly, ``None`` if there are too few.
+
+        :param clock_offset_s: its time of day less its steady clock, now.
+        """
+        prompt = [
+            min(seen.late_s)
+            for entry, seen in self._seen.items()
+            if entry != self.me and len(seen.late_s) == PROMPT_ROWS
+        ]
+        others = len(self._seen.keys() - {self.me})
+        if len(prompt) < max(FEWEST_WITNESSES, others // 2 + 1):
+            return None
+        return statistics.median(prompt) + clock_offset_s
+
     def dropped(self, entry: EntryId) -> None:
         """The row of ``entry`` was removed."""
         self._seen.pop(entry, None)
--- a/tests/test_prepaid.py
+++ b/tests/test_prepaid.py
@@ -4,7 +4,11 @@
 
 from nose2.tools import params
 
-from celerytrack.clocks import age_at_power_s, age_at_start_s
+from celerytrack.clocks import (
+    age_at_power_s,
+    age_at_start_s,
+    age_beside_others_s,
+)
 from celerytrack.ids import AccountId, EntryId, Zone
 from celerytrack.members import (
     Member,
@@ -388,6 +392,55 @@
         self.assertIs(self._age_s(0.2, others=others) is not None, expected)
 
 
+class PowerOfOneTest(unittest.TestCase):
+    """Symptom: after one of nine entries had lost power for 3 s, accounts ran dry
+    with 4 % of their totals counted as spent that nobody had spent.
+
+    Sequence: an instance loses power and starts anew; its steady clock began
+    anew too, and no other entry lost power with it. Cause: only those that had
+    lost power too could tell how old its last row was.
+    """
+
+    @params(
+        # lead before, lead now, age told: the row is 3 s old at the start
+        (0.2, 0.01, 3.05),
+        (0.5, 0.01, 3.25),  # perhaps ahead before by what is above 0.3 s
+        (0.2, -0.15, 3.2),  # perhaps behind now
+        (0.2, -1.2, None),  # set back while it was down
+        (0.2, 1.2, None),  # set ahead
+        (1.4, 0.01, None),
+        (-0.5, 0.01, None),
+        (None, 0.01, None),
+        (0.2, None, None),  # nobody to hold it against
+    )
+    def test_the_others_clocks_tell(self, before_s, now_s, expected):
+        left = _member(ME, 1, made_s=50.0, offset_s=50.0, clock_lead_s=before_s)
+        mine = _member(ME, 2, made_s=4.0, offset_s=100.0, started_s=3.0)
+        told_s = age_beside_others_s(left, mine, now_s)
+        if expected is None:
+            self.assertIsNone(told_s)
+        else:
+            self.assertAlmostEqual(told_s, expected)
+
+    def test_rows_of_an_outage_do_not_hide_a_clock_set_back(self):
+        """Symptom: none seen; the case that three rows are waited for.
+
+        Sequence: the store is away for 2 s, and the rows that land as it is back
+        were made before; an entry that starts then, its clock set back by 2 s,
+        reads them as if they were new. Cause of the guard: a late row makes the
+        reader's clock look ahead by as much as it is behind.
+        """
+        view = MemberView(ME)
+        for name in ("a", "b", "c"):
+            view.fold(_member(EntryId(name), made_s=98.0, offset_s=0.0), 100.0)
+        self.assertIsNone(view.prompt_clock_lead_s(-2.0))
+        for at_s in (100.4, 100.7):
+            for name in ("a", "b", "c"):
+                row = _member(EntryId(name), made_s=at_s - 0.02, offset_s=0.0)
+                view.fold(row, at_s)
+        self.assertAlmostEqual(view.prompt_clock_lead_s(-2.0), -1.98)
+
+
 class ClockLeadTest(unittest.TestCase):
     @params(
         # how far my clock is ahead, how late rows are read, lead told
