The hand and the wait for a row follow how long rows take

Cause: the hand lasted 0.3 s and a request waited 0.06 to 0.1 s for a row, whatever the store did. Where an append takes 0.2 s and one in ten is not answered, a hand was empty long before the next row, and a quarter of what was paid for was refused. Ruled out: a larger hand always. It is lost with power: 0.3 s more is 0.7 % of a total. Change: the keeper learns how long its rows take (capped at the longest wait); the hand lasts 1.5 rows, a row on its way is waited for up to twice its usual time.

--- a/src/celerytrack/gateway/reservations.py
+++ b/src/celerytrack/gateway/reservations.py
@@ -39,6 +39,10 @@
     async def next_row(self, timeout_s: float) -> None:
         """Have a row written soon, and wait for it for ``timeout_s``."""
 
+    @property
+    def soon_s(self) -> float:
+        """How long a row may be on its way and still be worth waiting for."""
+
 
 class Reservations:
     """Finds tokens for requests.
@@ -76,9 +80,10 @@
             if held is not None or self._book.exhausted(account, tokens):
                 return held
             may_claim = self._book.may_claim(account, tokens, urgent)
-            left_s = started_s + _patience_s(may_claim, asked) - now_s
+            soon_s = self._rows.soon_s
+            left_s = started_s + _patience_s(may_claim, asked, soon_s) - now_s
             if left_s > 0 and self._rows.prompt(now_s):
-                await self._rows.next_row(min(left_s, SLOW_APPEND_S))
+                await self._rows.next_row(min(left_s, soon_s))
             elif not asked and not self._dry(account, tokens, now_s):
                 asked = True
                 await self._ask(account, tokens, now_s)
@@ -122,15 +127,20 @@
             self._lacking[account] = (missing, time.monotonic() + DRY_S)
 
 
-def _patience_s(may_claim: bool, asked: bool) -> float:
+def _patience_s(may_claim: bool, asked: bool, soon_s: float) -> float:
     """How long a request waits for rows, from its start.
 
     :param may_claim: whether a row could bring what it lacks. Where others hold
         the rest, waiting brings nothing before they were asked.
+    :param soon_s: how long a row may be on its way.
     """
-    if asked:
-        return WAIT_TOKENS_S if may_claim else 0.0
-    return FIRST_WAIT_S if may_claim else 0.0
+    if not may_claim:
+        return 0.0
+    if asked or soon_s > SLOW_APPEND_S:
+        # A slow store answers the others no sooner: asked for a gift, they wait
+        # for a row of their own.
+        return WAIT_TOKENS_S
+    return FIRST_WAIT_S
 
 
 async def wait_for(event: asyncio.Event, timeout_s: float) -> None:
--- a/src/celerytrack/gateway/share_keeper.py
+++ b/src/celerytrack/gateway/share_keeper.py
@@ -18,7 +18,12 @@
 )
 from celerytrack.events import Event, log_event
 from celerytrack.gateway.gifts import GiftClient
-from celerytrack.gateway.reservations import SLOW_APPEND_S, Reservations, wait_for
+from celerytrack.gateway.reservations import (
+    SLOW_APPEND_S,
+    WAIT_TOKENS_S,
+    Reservations,
+    wait_for,
+)
 from celerytrack.gateway.row_writer import RowWriter
 from celerytrack.gateway.tail import RETRY_MAX_S, RETRY_S, KeyedTail
 from celerytrack.ids import EntryId, Zone
@@ -36,6 +41,9 @@
 
 _log = logging.getLogger(__name__)
 
+ROW_TIME_GAIN = 0.3
+"""Weight of the newest row in how long rows take: a store that turns slow is
+known after three, 1 s."""
 RECONSIDER_S = 8.0
 """How long after its start an entry looks for others that lost power with it:
 they start within a second of each other, and write a row a second later."""
@@ -92,7 +100,13 @@
         into its timeout: every request until then would wait for nothing.
         """
         pending_s = 0.0 if self._sent_s is None else now_s - self._sent_s
-        return self._tail.reachable and pending_s < SLOW_APPEND_S
+        return self._tail.reachable and pending_s < self.soon_s
+
+    @property
+    def soon_s(self) -> float:
+        """How long a row may be on its way and still be worth waiting for: a store
+        that is slow, and not away, brings it in twice its usual time."""
+        return max(SLOW_APPEND_S, 2 * self.book.row_time_s)
 
     async def next_row(self, timeout_s: float) -> None:
         """Have a row written soon, and wait for it for ``timeout_s``."""
@@ -180,11 +194,18 @@
                 await asyncio.sleep(pause_s)
                 pause_s = min(2 * pause_s, RETRY_MAX_S)
         self._sent_s = None
+        self._learn_row_time(time.monotonic() - now_s)
         self.members.read_ok(time.monotonic())
         self.book.row_folded()
         self._reconsider(member)
         self._notify()
 
+    def _learn_row_time(self, took_s: float) -> None:
+        # A row that was sent again through an outage tells nothing of the next.
+        took_s = min(took_s, WAIT_TOKENS_S)
+        known_s = self.book.row_time_s
+        self.book.row_time_s = known_s + ROW_TIME_GAIN * (took_s - known_s)
+
     def _reconsider(self, mine: Member) -> None:
         """See how old the last row was, by those that lost power too or by those
         that did not, so that the rest of the claim adopted as spent is free."""
--- a/src/celerytrack/prepaid/book.py
+++ b/src/celerytrack/prepaid/book.py
@@ -22,6 +22,7 @@
     """All rows as this entry folded them, and its own share of each account.
 
     :param me: this entry; its row is known by this name.
+    :ivar row_time_s: how long a row takes to be on the log and read back.
     """
 
     def __init__(self, me: EntryId) -> None:
@@ -30,6 +31,7 @@
         self._shares: dict[AccountId, Share] = {}
         self._own = OwnRow(self.rows)
         self._entries = 1
+        self.row_time_s = 0.0
         self._leaving = False
 
     # -- what is declared and what was read --------------------------------
@@ -313,6 +315,7 @@
                     row.rate_tokens_per_s for row in self.rows.others(account).values()
                 ),
                 entries=self._entries,
+                row_time_s=self.row_time_s,
             ),
             now_s,
         )
--- a/src/celerytrack/prepaid/policy.py
+++ b/src/celerytrack/prepaid/policy.py
@@ -7,6 +7,9 @@
 HAND_S = 0.3
 """Seconds of its own recent spend that an entry may use at once. A request
 that finds less waits for a row, 15 ms; a loss of power loses it."""
+HAND_ROWS = 1.5
+"""Rows that the hand lasts for at least: while the store is slow a row takes
+longer than :data:`HAND_S`, and the one before it must not be empty until then."""
 PACE_TIMES = 1.0
 """How fast the rest of a claim comes free as a row grows old, as a multiple of
 the entry's own recent spend: a cut off entry goes on as it did. A kill loses
@@ -68,6 +71,7 @@
     :ivar lost_tokens: claimed by earlier starts and perhaps not used.
     :ivar others_tokens_per_s: how fast the other entries spend it.
     :ivar entries: entries alive, this one included.
+    :ivar row_time_s: how long a row takes to be on the log and read back.
     """
 
     usable_tokens: int
@@ -75,6 +79,7 @@
     lost_tokens: int
     others_tokens_per_s: float
     entries: int
+    row_time_s: float = 0.0
 
 
 def goal(share: Share, standing: Standing, now_s: float) -> Goal:
@@ -91,7 +96,9 @@
     largest = share.largest_tokens * LARGEST_SHARES / standing.entries
     known = standing.used_tokens / max(1.0, standing.usable_tokens * KNOWN_SHARE)
     even = unspent * max(IDLE_SHARE, 1.0 - known) / standing.entries
-    hand = max(min(rate * HAND_S, most), even * FIRST_HAND_SHARE)
+    hand_s = max(HAND_S, HAND_ROWS * standing.row_time_s)
+    first_hand = even * FIRST_HAND_SHARE * hand_s / HAND_S
+    hand = max(min(rate * hand_s, most), first_hand)
     pace = max(rate * PACE_TIMES, even * FIRST_PACE_SHARE)
     claim = max(min(rate * COVER_S + largest, most), even * FIRST_SHARE)
     return Goal(int(min(hand, claim)), int(pace), int(claim))
