A cut frees the whole claim soon after no restart explains it; larger claims

And a loss of power of 3 s, longer than 2.5, lost at three times the pace. Change: 8 times the pace, from 3.5 s on; claims of five of the largest requests by all entries together, and of up to 0.75 of what is left.

--- a/src/celerytrack/prepaid/policy.py
+++ b/src/celerytrack/prepaid/policy.py
@@ -33,11 +33,11 @@
 """Part of the first shares that an entry keeps once others spend the account
 and it does not: callers keep connections, so an account's traffic may come
 through one entry, which would find the rest held by idle ones."""
-POOL_SHARE = 0.5
+POOL_SHARE = 0.75
 """Most of what is left that entries claim together, each by its part of the
-spend. A loss of power everywhere loses what all hold; half of what was left is
-there afterwards."""
-LARGEST_SHARES = 1.5
+spend, so that an account with little left is served through a cut. What a loss of
+power takes of it is bounded by hand and pace, not by this."""
+LARGEST_SHARES = 5.0
 """Largest recent requests that all entries together claim beyond the cover;
 gifts bring the parts to where the request is."""
 RESERVE_SHARE = 0.005
--- a/src/celerytrack/prepaid/shares.py
+++ b/src/celerytrack/prepaid/shares.py
@@ -13,12 +13,14 @@
 """Up to this age a row is as fresh as rows are while the log answers, and only
 its hand may be spent: a loss of power then costs 0.8 s of spend less, and the
 first requests of a cut, refused, come back when the rest comes free."""
-OUTAGE_S = 2.5
+OUTAGE_S = 3.5
 """A row older than this was not written in time because the log is away: a
-killed process is back, and writes, within about this time."""
-OUTAGE_TIMES = 3.0
-"""How much faster than its pace the claim then comes free: it was made for this,
-and an account may send several times its usual."""
+killed process, or an instance that lost power for 3 s, has started anew by then,
+and what comes free later is not lost to it."""
+OUTAGE_TIMES = 8.0
+"""How much faster than its pace the claim then comes free: it was made for this.
+One entry sees a small account's long prompts 12 s apart, each worth as many
+seconds of its spend: at 3 times its pace the first of them was refused."""
 LARGEST_DECAY_S = 20.0
 """How fast the memory of an account's largest request halves."""
 
