--- a/bench/prepaid_bench.py
+++ b/bench/prepaid_bench.py
@@ -14,11 +14,11 @@
 
 import attrs
 
-from celerytrack.lab.prepaid_fleet import (
+from celerytrack.lab.prepaid_fleet import PrepaidFleet
+from celerytrack.lab.prepaid_scenarios import (
     Fault,
     FaultKind,
     Outcome,
-    PrepaidFleet,
     Scenario,
 )
 from celerytrack.lab.virtual_time import run_virtual
@@ -67,6 +67,7 @@
         "overspent_tokens": sum(o.overspent_tokens for o in outcomes),
         "delivered_share": round(mean("delivered_share"), 4),
         "in_target_share": round(mean("in_target_share"), 4),
+        "in_target_tokens_share": round(mean("in_target_tokens_share"), 4),
         "refused_share": round(mean("refused_share"), 4),
         "appends_per_s": round(mean("appends_per_s"), 1),
         "kb_in_per_s": round(mean("bytes_in_per_s") / 1_000, 1),
--- a/src/celerytrack/gateway/share_keeper.py
+++ b/src/celerytrack/gateway/share_keeper.py
@@ -34,8 +34,9 @@
     beat_interval_s,
     urgent_gap_s,
 )
+from celerytrack.platform.log_format import KeyedRecord
 from celerytrack.platform.rows import RowError, decode_member, encode_member
-from celerytrack.platform.store import KeyedRecord, StoreClient
+from celerytrack.platform.store import StoreClient
 from celerytrack.platform.topics import ENTRIES_TOPIC
 from celerytrack.prepaid import PrepaidBook
 
--- a/src/celerytrack/gateway/tail.py
+++ b/src/celerytrack/gateway/tail.py
@@ -7,13 +7,8 @@
 from returns.result import Failure, Success
 
 from celerytrack.events import Event, log_event
-from celerytrack.platform.store import (
-    Batch,
-    KeyedRecord,
-    StoreClient,
-    StoreError,
-    StoreErrorKind,
-)
+from celerytrack.platform.log_format import Batch, KeyedRecord
+from celerytrack.platform.store import StoreClient, StoreError, StoreErrorKind
 
 _log = logging.getLogger(__name__)
 
--- a/src/celerytrack/gateway/watches.py
+++ b/src/celerytrack/gateway/watches.py
@@ -10,8 +10,8 @@
 from celerytrack.gateway.tail import KeyedTail
 from celerytrack.ids import EndpointId
 from celerytrack.platform.config import ConfigError, decode_config
+from celerytrack.platform.log_format import KeyedRecord
 from celerytrack.platform.registry import RegistrationError, decode_registration
-from celerytrack.platform.store import KeyedRecord
 from celerytrack.platform.topics import CONFIG_KEY, CONFIG_TOPIC, ENDPOINTS_TOPIC
 
 _log = logging.getLogger(__name__)
--- a/src/celerytrack/lab/model_log.py
+++ b/src/celerytrack/lab/model_log.py
@@ -6,14 +6,8 @@
 import attrs
 from returns.result import Failure, Result, Success
 
-from celerytrack.platform.store import (
-    Batch,
-    KeyedRecord,
-    StoreError,
-    StoreErrorKind,
-    Writer,
-    encode_keyed,
-)
+from celerytrack.platform.log_format import Batch, KeyedRecord, encode_keyed
+from celerytrack.platform.store import StoreError, StoreErrorKind, Writer
 
 ANSWER_S = 0.004
 """Time the store takes to answer a call."""
--- a/src/celerytrack/lab/prepaid_fleet.py
+++ b/src/celerytrack/lab/prepaid_fleet.py
@@ -6,7 +6,6 @@
 """
 
 import asyncio
-import enum
 import math
 import random
 from collections.abc import Iterator
@@ -19,6 +18,14 @@
 from celerytrack.gateway.share_keeper import ShareKeeper
 from celerytrack.ids import AccountId, EntryId, Zone
 from celerytrack.lab.model_log import ModelLog, ModelStore
+from celerytrack.lab.prepaid_scenarios import (
+    MIX,
+    Fault,
+    FaultKind,
+    Outcome,
+    Scenario,
+    Work,
+)
 from celerytrack.lab.virtual_time import Clock, on_instance
 from celerytrack.prepaid import Reservation
 from celerytrack.verdict import Reason
@@ -31,116 +38,15 @@
 """Way from entry to entry and back."""
 START_S = 0.15
 """Time a process takes from its start to its first call."""
+SOON_S = 0.1
+"""When a caller comes back to an entry that says no other time."""
+LARGEST_TIMES = 6
+"""The largest prompt against the median one: 39,600 of 6,500 tokens as listed."""
 BOOT_STEADY_S = 50_000.0
 """A steady clock after a new start of its instance is elsewhere at random, within
 this."""
 
 
-@attrs.frozen
-class Work:
-    """One class of requests.
-
-    :ivar per_s: requests a second in all.
-    :ivar input_tokens: median size of the prompt, with ``spread`` (of the
-        logarithm); ``output_most`` is reserved, ``output_share`` of it delivered.
-    :ivar takes_s: how long an answer takes; ``target_s`` until its first piece.
-    """
-
-    per_s: float
-    input_tokens: int
-    spread: float
-    output_most: int
-    output_share: float
-    takes_s: float
-    target_s: float
-    deadline_s: float
-    urgent: bool
-
-
-MIX = (
-    Work(16.0, 6_500, 0.8, 210, 0.25, 0.8, 0.6, 6.0, True),
-    Work(19.0, 1_800, 0.9, 90, 0.25, 0.5, 1.2, 4.0, False),
-    Work(12.0, 600, 0.6, 700, 0.4, 4.0, 1.5, 15.0, False),
-)
-"""Long prompts with short answers, middling ones, and chats: rates and sizes as
-listed of a deployment of nine entries."""
-
-
-class FaultKind(enum.Enum):
-    """What may happen to entries."""
-
-    POWER = "power"
-    """Instances lose power and start anew."""
-    CUT = "cut"
-    """Entries reach neither the log nor each other; callers reach them."""
-    REFUSED = "refused"
-    """The log turns entries away; they reach each other."""
-
-
-@attrs.frozen
-class Fault:
-    """One fault: ``share`` of the entries, from ``at_s`` on for ``for_s``."""
-
-    kind: FaultKind
-    at_s: float
-    for_s: float
-    share: float = 1.0
-
-
-@attrs.frozen
-class Scenario:
-    """One run.
-
-    :ivar total_times: totals against what is asked for in ``lasts_s``.
-    :ivar hot_times: how much more than usual the largest account sends from a
-        third of the run on.
-    """
-
-    name: str
-    entries: int = 9
-    accounts: int = 10
-    runs_s: float = 48.0
-    lasts_s: float = 34.0
-    total_times: float = 1.3
-    hot_times: float = 1.0
-    late_append_s: float = 0.0
-    lost_share: float = 0.0
-    faults: tuple[Fault, ...] = ()
-
-
-@attrs.define
-class Outcome:
-    """What a run came to.
-
-    :ivar overspent_tokens: beyond the totals, by all accounts; must be 0.
-    :ivar delivered_share: spent of the totals of accounts that were asked for
-        more than they have.
-    :ivar owed: requests owed, of which ``in_target`` and ``refused`` ones.
-    """
-
-    overspent_tokens: int = 0
-    delivered_share: float = 1.0
-    delivered_shares: dict[AccountId, float] = attrs.field(factory=dict)
-    asked: int = 0
-    owed: int = 0
-    in_target: int = 0
-    late: int = 0
-    refused: int = 0
-    appends_per_s: float = 0.0
-    bytes_in_per_s: float = 0.0
-    bytes_out_per_s: float = 0.0
-
-    @property
-    def refused_share(self) -> float:
-        """Refused of those owed."""
-        return self.refused / max(1, self.owed)
-
-    @property
-    def in_target_share(self) -> float:
-        """Answered in time, of those owed."""
-        return self.in_target / max(1, self.owed)
-
-
 @attrs.define
 class _Account:
     total: int
@@ -153,6 +59,20 @@
         return self.spent + self.unsettled + tokens <= OWED_SHARE * self.total
 
 
+@attrs.frozen
+class _Request:
+    """One request: what it reserves at most, and what it will use."""
+
+    work: Work
+    account: AccountId
+    input_tokens: int
+    output_tokens: int
+
+    @property
+    def most_tokens(self) -> int:
+        return self.input_tokens + self.work.output_most
+
+
 class _Gifts:
     """Asks modelled entries for tokens."""
 
@@ -306,30 +226,26 @@
             is_hot = loop.time() - began_s > self.scenario.runs_s / 3
             yield self.rng.choices(self._names, hot if is_hot else weights)[0]
 
+    def _draw(self, work: Work, name: AccountId) -> _Request:
+        size = math.exp(self.rng.gauss(0, work.spread)) * work.input_tokens
+        share = min(1.0, self.rng.expovariate(1) * work.output_share)
+        inputs = int(min(size, LARGEST_TIMES * work.input_tokens))
+        return _Request(work, name, inputs, int(work.output_most * share))
+
     async def _call(self, work: Work, name: AccountId) -> None:
+        """One caller: a request, and once more if it is refused."""
         loop = asyncio.get_running_loop()
-        account = self.accounts[name]
-        size = math.exp(self.rng.gauss(0, work.spread)) * work.input_tokens
-        inputs = int(min(size, 6 * work.input_tokens))
-        most = inputs + work.output_most
-        out = int(
-            work.output_most * min(1.0, self.rng.expovariate(1) * work.output_share)
-        )
+        request = self._draw(work, name)
         sent_s = loop.time()
-        account.asked += most
-        self.outcome.asked += 1
-        owed = account.owes(most)
-        self.outcome.owed += owed
+        owed = self._asked(request)
         for last in (False, True):
             up = [e for e in self.entries if e.reservations is not None]
             if not up:
                 break
-            entry = self.rng.choice(up)
-            after_s = await self._try(entry, work, name, inputs, out, most)
+            after_s = await self._try(self.rng.choice(up), request)
             if after_s == 0.0:
                 first_s = loop.time() - sent_s - work.takes_s
-                self.outcome.in_target += owed and first_s <= work.target_s / 2
-                self.outcome.late += owed and first_s > work.target_s / 2
+                self._answered(request, owed, first_s)
                 return
             if after_s is None or last:
                 break
@@ -337,70 +253,67 @@
             await asyncio.sleep(min(after_s, left_s / 3))
         self.outcome.refused += owed
 
-    async def _try(
-        self,
-        entry: _Entry,
-        work: Work,
-        name: AccountId,
-        inputs: int,
-        out: int,
-        most: int,
-    ) -> float | None:
+    def _asked(self, request: _Request) -> bool:
+        """Count a request; whether it is owed."""
+        account = self.accounts[request.account]
+        owed = account.owes(request.most_tokens)
+        account.asked += request.most_tokens
+        self.outcome.asked += 1
+        self.outcome.owed += owed
+        self.outcome.owed_tokens += owed * request.most_tokens
+        return owed
+
+    def _answered(self, request: _Request, owed: bool, first_s: float) -> None:
+        # An engine takes about half of the target itself.
+        in_target = owed and first_s <= request.work.target_s / 2
+        self.outcome.in_target += in_target
+        self.outcome.in_target_tokens += in_target * request.most_tokens
+        self.outcome.late += owed and not in_target
+
+    async def _try(self, entry: _Entry, request: _Request) -> float | None:
         """One try: 0 if it was answered, else when to come back, if at all."""
         try:
             return await entry.keep(  # type: ignore[return-value]
-                self._serve(entry, work, name, inputs, out, most)
+                self._serve(entry, request)
             )
         except asyncio.CancelledError:
             if entry.reservations is None:
                 return None
             raise
 
-    async def _serve(
-        self,
-        entry: _Entry,
-        work: Work,
-        name: AccountId,
-        inputs: int,
-        out: int,
-        most: int,
-    ) -> float | None:
+    async def _serve(self, entry: _Entry, request: _Request) -> float | None:
         keeper, reservations = entry.keeper, entry.reservations
         if keeper is None or reservations is None:
-            return 0.1
-        held = await reservations.reserve(name, most, work.urgent)
+            return SOON_S
+        name, tokens = request.account, request.most_tokens
+        held = await reservations.reserve(name, tokens, request.work.urgent)
         now_s = asyncio.get_running_loop().time() + entry.clock.steady_ahead_s
         if held is None:
-            refusal = lacking_tokens(keeper, name, most, now_s)
+            refusal = lacking_tokens(keeper, name, tokens, now_s)
             if refusal.reason is Reason.BUDGET_EXHAUSTED:
                 return None
-            return refusal.retry_after_s or 0.1
-        await self._run(entry, keeper, work, held, inputs, out)
+            return refusal.retry_after_s or SOON_S
+        await self._run(entry, keeper, request, held)
         return 0.0
 
     async def _run(
-        self,
-        entry: _Entry,
-        keeper: ShareKeeper,
-        work: Work,
-        held: Reservation,
-        inputs: int,
-        out: int,
+        self, entry: _Entry, keeper: ShareKeeper, request: _Request, held: Reservation
     ) -> None:
         """An engine's answer; what was delivered counts even if it is cut."""
-        account = self.accounts[held.account]
+        account = self.accounts[request.account]
         loop = asyncio.get_running_loop()
-        rest = held.tokens - inputs
-        account.spent += inputs
+        rest = held.tokens - request.input_tokens
+        account.spent += request.input_tokens
         account.unsettled += rest
         began_s = loop.time()
-        given = out
+        given = request.output_tokens
         try:
-            await asyncio.sleep(work.takes_s)
+            await asyncio.sleep(request.work.takes_s)
             now_s = loop.time() + entry.clock.steady_ahead_s
-            keeper.book.commit(held, inputs + out, now_s)
+            keeper.book.commit(held, request.input_tokens + given, now_s)
         except asyncio.CancelledError:
-            given = int(out * min(1.0, (loop.time() - began_s) / work.takes_s))
+            part = min(1.0, (loop.time() - began_s) / request.work.takes_s)
+            given = int(given * part)
             raise
         finally:
             account.spent += given
--- a/src/celerytrack/platform/store.py
+++ b/src/celerytrack/platform/store.py
@@ -4,9 +4,7 @@
 says whether an append may have taken effect.
 """
 
-import base64
 import enum
-import struct
 from collections.abc import Callable
 from typing import TypeVar
 
@@ -15,12 +13,15 @@
 from returns.result import Failure, Result, Success
 
 from celerytrack.patient_http import patient_session
-from celerytrack.strict import (
-    UnreadableError,
-    parse_json,
-    strict_converter,
-    structure,
+from celerytrack.platform.log_format import (
+    Batch,
+    KeyedRecord,
+    decode_appended,
+    decode_batch,
+    decode_page,
+    encode_keyed,
 )
+from celerytrack.strict import UnreadableError, parse_json
 
 CALL_TIMEOUT_S = 0.7
 """Longest wait for an answer: the store answers in 4 ms, and 60 times as slowly
@@ -30,8 +31,6 @@
 IDLE_S = 30.0
 """Idle time after which a connection is not used again; calls are 0.6 s apart."""
 _PAGE = 500
-_END_AND_FIRST = struct.Struct(">QQ")
-_LENGTH = struct.Struct(">I")
 _Decoded = TypeVar("_Decoded")
 
 
@@ -66,23 +65,6 @@
     expected: int | None = None
 
 
-@attrs.frozen
-class KeyedRecord:
-    """One record of a keyed topic; ``value`` is ``None`` if the key is dropped."""
-
-    offset: int
-    key: str
-    value: bytes | None
-
-
-@attrs.frozen
-class Batch:
-    """Records in the order of the log, and the offset to go on from."""
-
-    records: tuple[KeyedRecord, ...]
-    next_offset: int
-
-
 @attrs.frozen
 class Writer:
     """Who appends: the store orders and deduplicates by it.
@@ -132,7 +114,7 @@
                 case Failure(error):
                     return Failure(error)
             try:
-                page = _decode_page(answer.unwrap())
+                page = decode_page(answer.unwrap())
             except UnreadableError as exc:
                 return Failure(StoreError(StoreErrorKind.UNREADABLE, str(exc)))
             if first_end is None:
@@ -154,14 +136,14 @@
         if wait_s:
             params["waitMs"] = str(int(wait_s * 1_000))
         answer = await self._call("GET", "/log-read", params, extra_s=wait_s)
-        return answer.bind(lambda data: _checked(lambda: _decode_batch(offset, data)))
+        return answer.bind(lambda data: _checked(lambda: decode_batch(offset, data)))
 
     async def append(
         self, topic: str, key: str, value: bytes, writer: Writer
     ) -> Result[int, StoreError]:
         """Append one keyed record; its offset."""
         answer = await self._append(topic, encode_keyed(key, value), writer)
-        return answer.bind(lambda data: _checked(lambda: _decode_appended(data)))
+        return answer.bind(lambda data: _checked(lambda: decode_appended(data)))
 
     async def set_epoch(self, topic: str, writer: Writer) -> Result[None, StoreError]:
         """Fence off appends of earlier starts of ``writer``."""
@@ -232,85 +214,3 @@
         return Success(decode())
     except UnreadableError as exc:
         return Failure(StoreError(StoreErrorKind.UNREADABLE, str(exc)))
-
-
-@attrs.frozen
-class _Appended:
-    offset: int
-
-
-@attrs.frozen
-class _NewestEntry:
-    key: str
-    value: str
-    offset: int
-
-
-@attrs.frozen
-class _NewestPage:
-    entries: list[_NewestEntry]
-    end: int
-    hasMore: bool = False  # noqa: N815
-
-
-@attrs.frozen
-class _Page:
-    records: list[KeyedRecord]
-    end: int
-    more: bool
-
-
-_converter = strict_converter(forbid_extra_keys=False)
-
-
-def _decode_appended(data: bytes) -> int:
-    appended: _Appended = structure(_converter, parse_json(data), _Appended)
-    return appended.offset
-
-
-def _decode_page(data: bytes) -> _Page:
-    page: _NewestPage = structure(_converter, parse_json(data), _NewestPage)
-    if page.hasMore and not page.entries:
-        # Asking on from nothing would go round for ever.
-        raise UnreadableError("a page without entries says that there are more")
-    records = [
-        KeyedRecord(entry.offset, entry.key, _from_base64(entry.value))
-        for entry in page.entries
-    ]
-    return _Page(records, page.end, page.hasMore)
-
-
-def _from_base64(value: str) -> bytes | None:
-    try:
-        return base64.b64decode(value) or None
-    except ValueError as exc:
-        raise UnreadableError(f"a value is not base64: {exc}") from None
-
-
-def encode_keyed(key: str, value: bytes) -> bytes:
-    """One record of a keyed topic as it goes over the wire."""
-    name = key.encode()
-    content = bytes([len(name)]) + name + value
-    return _LENGTH.pack(len(content)) + content
-
-
-def _decode_batch(offset: int, data: bytes) -> Batch:
-    records = []
-    at = _END_AND_FIRST.size
-    if len(data) < at:
-        raise UnreadableError(f"{len(data)} bytes are no batch")
-    while at < len(data):
-        if len(data) < at + _LENGTH.size:
-            raise UnreadableError("a batch ends within a length")
-        (size,) = _LENGTH.unpack_from(data, at)
-        at += _LENGTH.size
-        content = data[at : at + size]
-        at += size
-        if len(content) < size or not content or size <= content[0]:
-            raise UnreadableError("a batch ends within a record")
-        key_end = 1 + content[0]
-        # A key that is no text names nobody; the records behind it hold.
-        key = content[1:key_end].decode(errors="replace")
-        records.append(KeyedRecord(offset, key, content[key_end:] or None))
-        offset += 1
-    return Batch(tuple(records), offset)
--- a/tests/test_outside_records.py
+++ b/tests/test_outside_records.py
@@ -13,7 +13,7 @@
 from celerytrack.gateway.prompt_notes import NoteError, decode_note
 from celerytrack.ids import EndpointId, ServiceName, Zone
 from celerytrack.members import Member
-from celerytrack.platform import store
+from celerytrack.platform import log_format
 from celerytrack.platform.config import ConfigError, decode_config
 from celerytrack.platform.http import RequestError, decode_request
 from celerytrack.platform.registry import RegistrationError, decode_registration
@@ -228,14 +228,17 @@
     @given(_anything)
     def test_batches_of_the_store(self, raw):
         self._only_raises(
-            lambda r: store._decode_batch(0, r), UnreadableError, raw, store.Batch
+            lambda r: log_format.decode_batch(0, r),
+            UnreadableError,
+            raw,
+            log_format.Batch,
         )
 
     @settings(max_examples=200, deadline=None, derandomize=True)
     @given(_anything | _json.map(json.dumps).map(str.encode))
     def test_pages_and_answers_of_the_store(self, raw):
-        self._only_raises(store._decode_page, UnreadableError, raw, store._Page)
-        self._only_raises(store._decode_appended, UnreadableError, raw, int)
+        self._only_raises(log_format.decode_page, UnreadableError, raw, log_format.Page)
+        self._only_raises(log_format.decode_appended, UnreadableError, raw, int)
 
 
 class KeyTest(unittest.TestCase):
@@ -245,8 +248,8 @@
         Sequence: a record's key is not UTF-8; decoding the batch raises, and the
         task that follows the topic ends. Cause: keys were taken for text.
         """
-        good = store.encode_keyed("i-1", b"{}")
+        good = log_format.encode_keyed("i-1", b"{}")
         bad = good.replace(b"i-1", b"\xff-1")
-        batch = store._decode_batch(5, bytes(16) + bad + good)
+        batch = log_format.decode_batch(5, bytes(16) + bad + good)
         self.assertEqual([r.key for r in batch.records], ["\ufffd-1", "i-1"])
         self.assertEqual(batch.next_offset, 7)
--- a/tests/test_prepaid_fleet.py
+++ b/tests/test_prepaid_fleet.py
@@ -5,10 +5,10 @@
 
 from nose2.tools import params
 
-from celerytrack.lab.prepaid_fleet import (
+from celerytrack.lab.prepaid_fleet import PrepaidFleet
+from celerytrack.lab.prepaid_scenarios import (
     Fault,
     FaultKind,
-    PrepaidFleet,
     Scenario,
 )
 from celerytrack.lab.virtual_time import run_virtual
