--- a/bench/prepaid_bench.py
+++ b/bench/prepaid_bench.py
@@ -1,8 +1,9 @@
 """How much of prepaid totals is delivered under faults, in modelled time.
 
 ``python -m bench.prepaid_bench [--entries 9,76] [--seeds 3] [--only NAME]
-[--jobs 4] [--json FILE]`` runs the real book, keeper and reservations of each
-entry on a modelled log. Overspent tokens must be 0 in every row.
+[--jobs 4] [--json FILE] [--against FILE --plot FILE]`` runs the real book, keeper
+and reservations of each entry on a modelled log. Overspent tokens must be 0 in
+every row.
 """
 
 import argparse
@@ -77,6 +78,32 @@
     }
 
 
+def plot(
+    before: list[dict[str, object]], after: list[dict[str, object]], to: str
+) -> None:
+    """Draw what was refused of what was owed, before and after, by scenario."""
+    import matplotlib
+
+    matplotlib.use("Agg")
+    from matplotlib import pyplot
+
+    names = [str(r["scenario"]) for r in after]
+    known = {str(r["scenario"]): r for r in before}
+    places = range(len(names))
+    figure, axes = pyplot.subplots(figsize=(9, 4.5), layout="constrained")
+    for shift, rows, label in (
+        (-0.2, [known[n] for n in names], "before"),
+        (0.2, after, "after"),
+    ):
+        shares = [100 * float(str(r["refused_share"])) for r in rows]
+        axes.barh([p + shift for p in places], shares, height=0.38, label=label)
+    axes.set_yticks(list(places), names)
+    axes.invert_yaxis()
+    axes.set_xlabel("refused of owed requests, %")
+    axes.legend()
+    figure.savefig(to, dpi=110)
+
+
 def main() -> int:
     """Run the scenarios and print their rows."""
     parser = argparse.ArgumentParser(description=__doc__)
@@ -85,6 +112,8 @@
     parser.add_argument("--only", default="")
     parser.add_argument("--jobs", type=int, default=4, help="processes at once")
     parser.add_argument("--json")
+    parser.add_argument("--against", help="rows of an earlier run, to plot beside")
+    parser.add_argument("--plot", help="the picture's file")
     args = parser.parse_args()
     sized = [
         attrs.evolve(scenario, entries=entries)
@@ -102,6 +131,9 @@
     if args.json:
         with open(args.json, "w") as file:
             json.dump(rows, file, indent=1)
+    if args.against and args.plot:
+        with open(args.against) as file:
+            plot(json.load(file), rows, args.plot)
     return 1 if any(r["overspent_tokens"] for r in rows) else 0
 
 
--- a/src/celerytrack/gateway/admission.py
+++ b/src/celerytrack/gateway/admission.py
@@ -113,7 +113,12 @@
 def lacking_tokens(
     keeper: ShareKeeper, account: AccountId, tokens: int, now_s: float
 ) -> Refusal:
-    """The refusal of a request that lacks tokens of ``account`` here."""
+    """The refusal of a request that lacks tokens of ``account`` here.
+
+    For good only if the total cannot cover it; else it says when to come back.
+
+    :param tokens: what the request may cost at most.
+    """
     book = keeper.book
     if book.exhausted(account, tokens):
         detail = f"{tokens} tokens do not fit what is left"
