A registration that is none takes its id out of use at once, as it was meant to

Change: the task calls disowned. Measured: the new gateway test fails before (200 and one request there) and passes after.

--- a/src/celerytrack/gateway/watches.py
+++ b/src/celerytrack/gateway/watches.py
@@ -91,7 +91,7 @@
             # Whoever wrote it, it says nothing that work could be sent by; what
             # the id said before is no longer so.
             log_event(_log, Event.REGISTRATION_REJECTED, logging.ERROR, detail=str(exc))
-            drop(endpoint_id)
+            gateway.endpoints.disowned(endpoint_id, now_s)
             return
         took = gateway.endpoints.register(registration, now_s)
         if took is Registered.STARTED_AGAIN:
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -441,6 +441,22 @@
             fleet.log.put(ENDPOINTS_TOPIC, "i-1", first.registration())
             await fleet.until(lambda: set(book.ids()) == {"i-1", "i-2"})
 
+    async def test_nor_where_its_service_has_no_other(self):
+        """Symptom: for 1.5 s after its record was none, the only endpoint of a
+        service still got work.
+
+        Sequence: another writer puts a record that is none under its id.
+        Cause: that was taken for a registration that lapsed, after which the last
+        endpoint of a service is used a little longer.
+        """
+        only = Endpoint("i-1", _good)
+        async with Fleet(only) as fleet:
+            book = fleet.gateways[0].endpoints
+            fleet.log.put(ENDPOINTS_TOPIC, "i-1", b"{}")
+            await fleet.until(lambda: book.ids() == [])
+            status, _, _ = await fleet.ask("/plain/x")
+            self.assertEqual((status, len(only.seen)), (503, 0))
+
 
 class PlannedStopTest(unittest.IsolatedAsyncioTestCase):
     async def test_a_stop_cuts_nothing_and_is_known_at_once(self):
