--- a/tests/gateway_fleet.py
+++ b/tests/gateway_fleet.py
@@ -30,8 +30,16 @@
         return int(sock.getsockname()[1])
 
 
-def config(version: int = 1, prepaid: int = 1_000_000, **route: object) -> bytes:
-    """A configuration with a plain, a once-only and a stream route."""
+def config(
+    version: int = 1,
+    prepaid: int = 1_000_000,
+    idle_routes: int = 0,
+    **route: object,
+) -> bytes:
+    """A configuration with a plain, a once-only and a stream route.
+
+    :param idle_routes: further routes that nobody asks for.
+    """
 
     def make(prefix: str, kind: str, **more: object) -> dict[str, object]:
         base = {
@@ -52,6 +60,10 @@
         make("/stream/", "stream", affinity=True),
         make("/resume/", "stream", affinity=True, streamResume=True),
     ]
+    routes += [
+        make(f"/idle-{i:05}/", "idempotent", public=False, priority=1, affinity=False)
+        for i in range(idle_routes)
+    ]
     services = [{"name": "s", "connLimit": 100, "engine": {"slots": 8, "stride": 1}}]
     tenants = [{"name": "t", "apiKeys": [KEY], "prepaid": prepaid}]
     data = {
@@ -103,12 +115,27 @@
 
 
 class Fleet:
-    """A log, endpoints and gateways, on loopback ports of their own."""
+    """A log, endpoints and gateways, on loopback ports of their own.
+
+    :param config: what is in force when the gateways start.
+    :param link_bytes_per_s: how fast answers of the log arrive; 0 for at once.
+    :param ready_within_s: how long the gateways may take to start.
+    """
 
-    def __init__(self, *endpoints: Endpoint, gateways: int = 1) -> None:
+    def __init__(
+        self,
+        *endpoints: Endpoint,
+        gateways: int = 1,
+        config: bytes = config(),
+        link_bytes_per_s: float = 0.0,
+        ready_within_s: float = 8.0,
+    ) -> None:
         self.log = KeyedLog()
+        self.log.link.bytes_per_s = link_bytes_per_s
         self.endpoints = endpoints
         self.count = gateways
+        self.config = config
+        self.ready_within_s = ready_within_s
         self.gateways: list[Gateway] = []
         self.servers: list[EntryServer] = []
         self.http = aiohttp.ClientSession(
@@ -123,13 +150,19 @@
         await runner.setup()
         await web.TCPSite(runner, "127.0.0.1", store_port).start()
         self._runners.append(runner)
-        self.log.put(CONFIG_TOPIC, CONFIG_KEY, config())
+        self.log.put(CONFIG_TOPIC, CONFIG_KEY, self.config)
         for endpoint in self.endpoints:
             self._runners.append(await endpoint.start())
             self.log.put(ENDPOINTS_TOPIC, endpoint.name, endpoint.registration())
         for i in range(self.count):
             self._start_gateway(i, store_port)
-        await self.until(lambda: all(g.ready for g in self.gateways))
+        try:
+            await self.until(
+                lambda: all(g.ready for g in self.gateways), self.ready_within_s
+            )
+        except AssertionError:
+            await self.__aexit__()
+            raise
         return self
 
     def _start_gateway(self, i: int, store_port: int) -> None:
--- a/tests/keyed_log.py
+++ b/tests/keyed_log.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import base64
+import json
 import struct
 
 import attrs
@@ -9,6 +10,7 @@
 
 _LENGTH = struct.Struct(">I")
 _ENDS = struct.Struct(">QQ")
+_PIECE_BYTES = 16_384
 
 
 @attrs.define
@@ -26,13 +28,44 @@
         return {key: item for key, item in newest.items() if item[1]}
 
 
+class Link:
+    """An entry's link: the answers on their way share it, a piece at a time.
+
+    :ivar bytes_per_s: how fast they arrive; 0 for at once.
+    :ivar carried_bytes: what it carried in all.
+    """
+
+    def __init__(self) -> None:
+        self.bytes_per_s = 0.0
+        self.carried_bytes = 0
+        self._turn = asyncio.Lock()
+
+    async def send(self, request: web.Request, body: bytes) -> web.StreamResponse:
+        """Answer ``request`` with ``body``, at the pace of the link."""
+        response = web.StreamResponse()
+        response.content_length = len(body)
+        await response.prepare(request)
+        for start in range(0, len(body), _PIECE_BYTES):
+            piece = body[start : start + _PIECE_BYTES]
+            async with self._turn:
+                if self.bytes_per_s:
+                    await asyncio.sleep(len(piece) / self.bytes_per_s)
+            try:
+                await response.write(piece)
+            except ConnectionResetError:
+                # The caller gave up: what is on its way is lost with it.
+                return response
+            self.carried_bytes += len(piece)
+        return response
+
+
 class KeyedLog:
     """The stand-in's state and faults.
 
     :ivar down: every call is refused.
     :ivar deaf: reads that are held when it is set are never answered.
     :ivar lose_answers: appends take effect and are not answered.
-    :ivar link_bytes_per_s: how fast answers to reads arrive; 0 for at once.
+    :ivar link: over which answers to reads arrive.
     """
 
     def __init__(self) -> None:
@@ -40,7 +73,7 @@
         self.down = False
         self.deaf = False
         self.lose_answers = False
-        self.link_bytes_per_s = 0.0
+        self.link = Link()
         self.appends = 0
         self._changed = asyncio.Event()
 
@@ -93,7 +126,7 @@
             request.transport.close()
         return web.json_response({"offset": offset, "end": len(topic.records)})
 
-    async def _read(self, request: web.Request) -> web.Response:
+    async def _read(self, request: web.Request) -> web.StreamResponse:
         if self.down:
             return web.Response(status=503)
         topic = self.topic(request.query["topic"])
@@ -112,9 +145,7 @@
             if len(body) > _ENDS.size and len(body) + len(content) > most:
                 break
             body += _LENGTH.pack(len(content)) + content
-        if self.link_bytes_per_s:
-            await asyncio.sleep(len(body) / self.link_bytes_per_s)
-        return web.Response(body=body)
+        return await self.link.send(request, body)
 
     async def _wait(self, topic: Topic, start: int, wait_s: float) -> None:
         try:
@@ -124,7 +155,7 @@
         except TimeoutError:
             return
 
-    async def _newest(self, request: web.Request) -> web.Response:
+    async def _newest(self, request: web.Request) -> web.StreamResponse:
         if self.down:
             return web.Response(status=503)
         topic = self.topic(request.query["topic"])
@@ -132,8 +163,8 @@
             {"key": key, "value": base64.b64encode(value).decode(), "offset": offset}
             for key, (offset, value) in topic.newest().items()
         ]
-        end = len(topic.records)
-        return web.json_response({"entries": entries, "hasMore": False, "end": end})
+        page = {"entries": entries, "hasMore": False, "end": len(topic.records)}
+        return await self.link.send(request, json.dumps(page).encode())
 
 
 def _decode(body: bytes) -> list[tuple[str, bytes]]:
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -26,7 +26,7 @@
 
     async def test_it_is_read_in_answers_that_arrive_in_time(self):
         log = KeyedLog()
-        log.link_bytes_per_s = 10e6 / 8
+        log.link.bytes_per_s = 10e6 / 8
         for i in range(1_000):
             log.put(TOPIC, f"e{i % 76}", bytes(2_000))
         runner = web.AppRunner(log.make_app(), shutdown_timeout=0.1)
