An entry that wrote few rows of late writes the next at once

Cause: in a large fleet a fixed pause followed each row (0.16 s at 64 entries), so that what all may write together bounds one entry's next row too, though together they wrote less than half of it. Hypothesis: the pause, not the size of hands, makes requests late. Change: a pace with a burst of four rows; the average of all stays at 400 a second.

--- a/src/celerytrack/gateway/share_keeper.py
+++ b/src/celerytrack/gateway/share_keeper.py
@@ -31,8 +31,8 @@
     Member,
     MemberState,
     MemberView,
+    RowPace,
     beat_interval_s,
-    urgent_gap_s,
 )
 from celerytrack.platform.log_format import KeyedRecord
 from celerytrack.platform.rows import RowError, decode_member, encode_member
@@ -70,6 +70,7 @@
     ) -> None:
         self.book = PrepaidBook(entry_id)
         self.members = MemberView(entry_id)
+        self._pace = RowPace()
         self.state = MemberState.SERVING
         self.started = False
         self._store = store
@@ -129,9 +130,9 @@
                 log_event(_log, Event.SHARES, shares=self.book.summary(now_s))
                 await self._write()
                 written_s = time.monotonic()
-                gap_s = urgent_gap_s(entries)
-                await asyncio.sleep(gap_s)
-                interval_s -= gap_s
+                pause_s = self._pace.pause_s(entries, written_s)
+                await asyncio.sleep(pause_s)
+                interval_s -= pause_s
             self._wake.clear()
             await wait_for(self._wake, interval_s)
 
--- a/src/celerytrack/lab/prepaid_fleet.py
+++ b/src/celerytrack/lab/prepaid_fleet.py
@@ -19,7 +19,6 @@
 from celerytrack.ids import AccountId, EntryId, Zone
 from celerytrack.lab.model_log import ModelLog, ModelStore
 from celerytrack.lab.prepaid_scenarios import (
-    MIX,
     Fault,
     FaultKind,
     Outcome,
@@ -152,7 +151,7 @@
         self._weights = [1 / (i + 1) for i in range(scenario.accounts)]
         self._names = [AccountId(f"a{i}") for i in range(scenario.accounts)]
         scale = scenario.entries / 9
-        rate = scale * sum(w.per_s * _mean_tokens(w) for w in MIX)
+        rate = scale * sum(w.per_s * _mean_tokens(w) for w in scenario.mix)
         asked = rate * scenario.lasts_s * scenario.total_times / sum(self._weights)
         self.accounts = {
             name: _Account(int(weight * asked))
@@ -169,7 +168,7 @@
         began_s = asyncio.get_running_loop().time()
         tasks = [asyncio.create_task(self._fault(f)) for f in self.scenario.faults]
         scale = self.scenario.entries / 9
-        tasks += [asyncio.create_task(self._send(w, scale)) for w in MIX]
+        tasks += [asyncio.create_task(self._send(w, scale)) for w in self.scenario.mix]
         await asyncio.sleep(self.scenario.runs_s)
         for task in tasks:
             task.cancel()
--- a/src/celerytrack/lab/prepaid_scenarios.py
+++ b/src/celerytrack/lab/prepaid_scenarios.py
@@ -71,6 +71,7 @@
 class Scenario:
     """One run.
 
+    :ivar mix: the classes of requests.
     :ivar total_times: totals against what is asked for in ``lasts_s``.
     :ivar hot_times: how much more than usual the largest account sends from a
         third of the run on.
@@ -86,6 +87,7 @@
     late_append_s: float = 0.0
     lost_share: float = 0.0
     faults: tuple[Fault, ...] = ()
+    mix: tuple[Work, ...] = MIX
 
 
 @attrs.define
--- a/src/celerytrack/members.py
+++ b/src/celerytrack/members.py
@@ -30,6 +30,10 @@
 URGENT_ROWS_PER_S = 400.0
 """Rows of all entries together at most, when all have requests that wait: two
 thirds of what the smallest store takes, and 400 KB/s to read for each."""
+URGENT_BURST = 4
+"""Rows that an entry may write one behind the other. With a pause after each, 0.16 s in
+a fleet of 64, a request that lacked tokens often met it: 28 % of the first tokens came
+after 0.1 s, with the burst 6 % (modelled fleet of 64 entries, 24 accounts, 6 s)."""
 SILENT_BEATS = 3.5
 """An entry is silent after this many intervals: one row may be lost and the
 next be late."""
@@ -102,9 +106,22 @@
     return max(BEAT_S, entries / BEATS_PER_S)
 
 
-def urgent_gap_s(entries: int) -> float:
-    """Time that an entry waits at least before it writes another row."""
-    return max(URGENT_GAP_S, entries / URGENT_ROWS_PER_S)
+class RowPace:
+    """How soon an entry may write its next row.
+
+    On average entries write :data:`URGENT_ROWS_PER_S` together at most; one that has
+    written less of late may write :data:`URGENT_BURST` rows without that pause.
+    """
+
+    def __init__(self) -> None:
+        self._paid_until_s = float("-inf")
+
+    def pause_s(self, entries: int, now_s: float) -> float:
+        """How long an entry that wrote a row at ``now_s`` waits before the next."""
+        each_s = entries / URGENT_ROWS_PER_S
+        self._paid_until_s = max(self._paid_until_s, now_s - URGENT_BURST * each_s)
+        self._paid_until_s += each_s
+        return max(URGENT_GAP_S, self._paid_until_s - now_s)
 
 
 def _silent_s(entries: int) -> float:
--- a/tests/test_prepaid.py
+++ b/tests/test_prepaid.py
@@ -1,5 +1,6 @@
 """Tables for prepaid shares: claims, hands, gifts and restarts."""
 
+import math
 import unittest
 
 from nose2.tools import params
@@ -11,9 +12,12 @@
 )
 from celerytrack.ids import AccountId, EntryId, Zone
 from celerytrack.members import (
+    URGENT_BURST,
+    URGENT_ROWS_PER_S,
     Member,
     MemberState,
     MemberView,
+    RowPace,
     beat_interval_s,
 )
 from celerytrack.prepaid import PrepaidBook, Row
@@ -512,3 +516,18 @@
     @params((6, 0.3), (80, 80 / 60), (300, 5.0))
     def test_rows_a_second_do_not_grow_with_the_fleet(self, entries, expected_s):
         self.assertAlmostEqual(beat_interval_s(entries), expected_s)
+
+    @params((6,), (64,), (300,))
+    def test_one_in_need_writes_at_once_and_all_together_no_more_than_they_may(
+        self, entries
+    ):
+        pace = RowPace()
+        now_s, rows = 100.0, 0
+        pauses_s = []
+        while now_s < 110.0:
+            rows += 1
+            pauses_s.append(pace.pause_s(entries, now_s))
+            now_s += pauses_s[-1]
+        self.assertLess(max(pauses_s[: URGENT_BURST - 1]), 0.02)
+        paced = 10.0 * URGENT_ROWS_PER_S / entries
+        self.assertLessEqual(rows, URGENT_BURST + math.ceil(paced))
--- a/tests/test_prepaid_fleet.py
+++ b/tests/test_prepaid_fleet.py
@@ -3,10 +3,12 @@
 import logging
 import unittest
 
+import attrs
 from nose2.tools import params
 
 from celerytrack.lab.prepaid_fleet import PrepaidFleet
 from celerytrack.lab.prepaid_scenarios import (
+    MIX,
     TWO_CUTS_THEN_POWER,
     Fault,
     FaultKind,
@@ -47,3 +49,18 @@
         self.assertEqual(outcome.overspent_tokens, 0)
         self.assertGreater(outcome.delivered_share, least)
         self.assertLess(outcome.refused_share, most_refused)
+
+    def test_many_entries_do_not_make_requests_wait_for_rows(self):
+        """In a fleet of 64 entries four of five requests waited for tokens, half of
+        them over 0.1 s of the 0.32 s that they had; engines took 0.03 s.
+        An account comes through every entry, so that most requests find too little in
+        hand and need a row, and after each row the next one had to wait for 0.16 s,
+        though the entries together wrote less than half of what they may.
+
+            answered covered_ms=213 predicted_ms=34 first_ms=284 target_ms=318
+        """
+        mix = tuple(attrs.evolve(work, target_s=0.1) for work in MIX)
+        scenario = Scenario("many", entries=40, accounts=24, runs_s=4.0, mix=mix)
+        outcome = run_virtual(PrepaidFleet(scenario, SEED).run())
+        self.assertEqual(outcome.overspent_tokens, 0)
+        self.assertLess(outcome.late / outcome.owed, 0.1)
