--- a/src/celerytrack/lab/prepaid_fleet.py
+++ b/src/celerytrack/lab/prepaid_fleet.py
@@ -13,11 +13,10 @@
 import attrs
 
 from celerytrack.gateway.admission import SOON_S, lacking_tokens
-from celerytrack.gateway.gifts import ASK_TIMEOUT_S
-from celerytrack.gateway.reservations import Reservations
 from celerytrack.gateway.share_keeper import ShareKeeper
-from celerytrack.ids import AccountId, EntryId, Zone
-from celerytrack.lab.model_log import ModelLog, ModelStore
+from celerytrack.ids import AccountId
+from celerytrack.lab.model_entry import ModelEntry
+from celerytrack.lab.model_log import ModelLog
 from celerytrack.lab.prepaid_scenarios import (
     Fault,
     FaultKind,
@@ -25,7 +24,7 @@
     Scenario,
     Work,
 )
-from celerytrack.lab.virtual_time import Clock, on_instance
+from celerytrack.lab.virtual_time import on_instance
 from celerytrack.prepaid import Reservation
 from celerytrack.verdict import Reason
 
@@ -33,15 +32,8 @@
 """Part of a total into which a request must fit to be owed."""
 SETTLE_S = 1.5
 """A request that ended less than this ago counts at its most in what is owed."""
-PEER_S = 0.001
-"""Way from entry to entry and back."""
-START_S = 0.15
-"""Time a process takes from its start to its first call."""
 LARGEST_TIMES = 6
 """The largest prompt against the median one: 39,600 of 6,500 tokens as listed."""
-BOOT_STEADY_S = 50_000.0
-"""A steady clock after a new start of its instance is elsewhere at random, within
-this."""
 
 
 @attrs.define
@@ -70,72 +62,6 @@
         return self.input_tokens + self.work.output_most
 
 
-class _Gifts:
-    """Asks modelled entries for tokens."""
-
-    def __init__(self, fleet: "PrepaidFleet", me: "_Entry") -> None:
-        self._fleet = fleet
-        self._me = me
-
-    async def ask(self, address: str, account: AccountId, tokens: int) -> int:
-        """What the entry at ``address`` gave."""
-        other = self._fleet.entries[int(address)]
-        if self._me.apart or other.apart or other.reservations is None:
-            await asyncio.sleep(ASK_TIMEOUT_S)
-            return 0
-        await asyncio.sleep(PEER_S)
-        giving = on_instance(other.clock, other.reservations.give(account, tokens))
-        return await giving
-
-
-class _Entry:
-    """One modelled instance and the process on it."""
-
-    def __init__(self, fleet: "PrepaidFleet", number: int) -> None:
-        self.fleet = fleet
-        self.number = number
-        self.apart = False
-        self.clock = Clock()
-        self.store = ModelStore(fleet.log)
-        self.reservations: Reservations | None = None
-        self.keeper: ShareKeeper | None = None
-        self.tasks: set[asyncio.Task[object]] = set()
-
-    async def start(self) -> None:
-        """Start the process anew and wait until it serves."""
-        loop = asyncio.get_running_loop()
-        keeper = ShareKeeper(
-            self.store,  # type: ignore[arg-type]
-            EntryId(f"e{self.number}"),
-            str(self.number),
-            str(self.number),
-            Zone("z"),
-            _Gifts(self.fleet, self),  # type: ignore[arg-type]
-            loop.time() + self.clock.steady_ahead_s,
-        )
-        self.keeper = keeper
-        await asyncio.sleep(START_S)
-        keeper.book.set_totals(self.fleet.totals())
-        self.keep(keeper.run())
-        while not keeper.started:
-            await asyncio.sleep(0.01)
-        self.reservations = keeper.reservations
-
-    def keep(self, coro: object) -> "asyncio.Task[object]":
-        """Run ``coro`` on this instance until it ends or the instance does."""
-        task = on_instance(self.clock, coro)  # type: ignore[arg-type, var-annotated]
-        self.tasks.add(task)
-        task.add_done_callback(self.tasks.discard)
-        return task
-
-    def lose_power(self, rng: random.Random) -> None:
-        """End the process; the steady clock begins elsewhere."""
-        for task in list(self.tasks):
-            task.cancel()
-        self.reservations = self.keeper = None
-        self.clock = Clock(steady_ahead_s=rng.uniform(0, BOOT_STEADY_S))
-
-
 class PrepaidFleet:
     """Entries, accounts and callers of one scenario."""
 
@@ -145,7 +71,10 @@
         self.log = ModelLog(
             random.Random(seed + 1), scenario.late_append_s, scenario.lost_share
         )
-        self.entries = [_Entry(self, i) for i in range(scenario.entries)]
+        self.entries: list[ModelEntry] = []
+        for i in range(scenario.entries):
+            entry = ModelEntry(i, self.log, self.totals, self.entries)
+            self.entries.append(entry)
         self.outcome = Outcome()
         self._calls: set[asyncio.Task[None]] = set()
         self._weights = [1 / (i + 1) for i in range(scenario.accounts)]
@@ -183,7 +112,7 @@
         self._sum_up(took_s)
         return self.outcome
 
-    async def _start(self, entry: _Entry) -> None:
+    async def _start(self, entry: ModelEntry) -> None:
         await on_instance(entry.clock, entry.start())
 
     # -- faults -------------------------------------------------------------
@@ -267,18 +196,16 @@
         self.outcome.in_target_tokens += in_target * request.most_tokens
         self.outcome.late += owed and not in_target
 
-    async def _try(self, entry: _Entry, request: _Request) -> float | None:
+    async def _try(self, entry: ModelEntry, request: _Request) -> float | None:
         """One try: 0 if it was answered, else when to come back, if at all."""
         try:
-            return await entry.keep(  # type: ignore[return-value]
-                self._serve(entry, request)
-            )
+            return await entry.keep(self._serve(entry, request))
         except asyncio.CancelledError:
             if entry.reservations is None:
                 return None
             raise
 
-    async def _serve(self, entry: _Entry, request: _Request) -> float | None:
+    async def _serve(self, entry: ModelEntry, request: _Request) -> float | None:
         keeper, reservations = entry.keeper, entry.reservations
         if keeper is None or reservations is None:
             return SOON_S
@@ -294,7 +221,11 @@
         return 0.0
 
     async def _run(
-        self, entry: _Entry, keeper: ShareKeeper, request: _Request, held: Reservation
+        self,
+        entry: ModelEntry,
+        keeper: ShareKeeper,
+        request: _Request,
+        held: Reservation,
     ) -> None:
         """An engine's answer; what was delivered counts even if it is cut."""
         account = self.accounts[request.account]
--- a/src/celerytrack/members.py
+++ b/src/celerytrack/members.py
@@ -32,8 +32,8 @@
 thirds of what the smallest store takes, and 400 KB/s to read for each."""
 URGENT_BURST = 4
 """Rows that an entry may write one behind the other. With a pause after each, 0.16 s in
-a fleet of 64, a request that lacked tokens often met it: 28 % of the first tokens came
-after 0.1 s, with the burst 6 % (modelled fleet of 64 entries, 24 accounts, 6 s)."""
+a fleet of 64, a request that lacked tokens often met it: 28 % waited over 0.05 s for
+tokens, with the burst 6 % (modelled fleet of 64 entries, 24 accounts, 6 s)."""
 SILENT_BEATS = 3.5
 """An entry is silent after this many intervals: one row may be lost and the
 next be late."""
