--- a/bench/rows_bench.py
+++ b/bench/rows_bench.py
@@ -1,8 +1,8 @@
 """What rows cost an entry in processor time, by the size of the fleet.
 
 ``python -m bench.rows_bench [--entries 9,64,300] [--accounts 24]`` drives the real
-book, member view and row format, and prints, in microseconds: for each row read (decoded
-and folded), for each row written (planned and made), for the summary that is logged.
+book, member view and row format, and prints, in microseconds: for each row read
+(decoded and folded), for each row written (planned and made), for the logged summary.
 """
 
 import argparse
--- a/src/celerytrack/prepaid/rows.py
+++ b/src/celerytrack/prepaid/rows.py
@@ -32,8 +32,8 @@
     """The newest row of each entry, and what they come to.
 
     Sums are kept as rows are folded. Adding up the rows of 64 entries for each of 24
-    accounts took 6.3 ms of processor time before each row that an entry wrote, with sums
-    1.7 ms; of 300 entries 22 ms and 1.3 (``bench.rows_bench``).
+    accounts took 6.3 ms of processor time before each row that an entry wrote, with
+    sums 1.7 ms; of 300 entries 22 ms and 1.3 (``bench.rows_bench``).
 
     :param me: this entry; its own row is among them once it is on the log.
     """
