--- a/src/celerytrack/gateway/server.py
+++ b/src/celerytrack/gateway/server.py
@@ -9,6 +9,7 @@
 from collections.abc import Awaitable, Callable
 from typing import Any
 
+import attrs
 from aiohttp import web
 
 from celerytrack.events import Event, log_event
@@ -193,7 +194,7 @@
         if gateway.ready and front is not None:
             zone = gateway.settings.zone
             me = Member(gateway.entry_id, 0, front, "", zone, MemberState.SERVING)
-            members.append(me)
+            members.append(attrs.evolve(me, link_mbps=gateway.settings.link_mbps))
         return members
 
     # -- planned stop -------------------------------------------------------
--- a/src/celerytrack/gateway/share_keeper.py
+++ b/src/celerytrack/gateway/share_keeper.py
@@ -56,6 +56,7 @@
     :param entry_id: the row's key, distinct for every instance.
     :param gifts: asks other entries for tokens.
     :param started_s: when this process began, on the steady clock.
+    :param link_mbps: what the instance's link carries; 0 if it is not told.
     """
 
     def __init__(
@@ -67,9 +68,10 @@
         zone: Zone,
         gifts: GiftClient,
         started_s: float,
+        link_mbps: float = 0.0,
     ) -> None:
         self.book = PrepaidBook(entry_id)
-        self.members = MemberView(entry_id)
+        self.members = MemberView(entry_id, link_mbps)
         self._pace = RowPace()
         self.state = MemberState.SERVING
         self.started = False
@@ -123,7 +125,7 @@
         written_s = float("-inf")
         while True:
             now_s = time.monotonic()
-            entries = self.members.count(now_s)
+            entries = self.members.sharing(now_s)
             urgent = self.book.plan(entries, now_s)
             interval_s = beat_interval_s(entries)
             if urgent or now_s - written_s >= interval_s:
@@ -182,6 +184,7 @@
             started_s=self._started_s,
             left_at_s=self._left_at_s,
             clock_lead_s=self.members.clock_lead_s(offset_s),
+            link_mbps=self.members.link_mbps,
             shares=self.book.next_row(now_s),
         )
         self._sent_s = now_s
--- a/src/celerytrack/gateway/state.py
+++ b/src/celerytrack/gateway/state.py
@@ -47,6 +47,7 @@
             settings.zone,
             self.gifts,
             started_s,
+            settings.link_mbps,
         )
         self.endpoints = EndpointBook(settings.zone, self.rng)
         self.endpoints_known = False
@@ -94,8 +95,8 @@
         self.notes.tell(addresses, endpoint_id, work_s)
 
     def entries(self, now_s: float) -> int:
-        """Entries alive, this one included."""
-        return self.keeper.members.count(now_s)
+        """Entries that share the callers as this one does."""
+        return self.keeper.members.sharing(now_s)
 
     def retry_budget(self, service: ServiceName, now_s: float) -> RetryBudget:
         """The allowance for second attempts at ``service``."""
--- a/src/celerytrack/members.py
+++ b/src/celerytrack/members.py
@@ -10,7 +10,7 @@
 import enum
 import random
 import statistics
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 
 import attrs
 
@@ -46,6 +46,15 @@
 that keep answers three times as long."""
 MAX_ADDRESSES = 64
 """Addresses that one answer may hold."""
+UNEQUAL_TIMES = 8.0
+"""An entry whose link carries this many times less than the best one's takes callers
+only where the others are too few: a large account's callers keep to one entry, and
+75 of its requests a second filled a link of 5 Mbit/s for a whole day."""
+ABLE_SHARE = 1 / 3
+"""Part of what all links carry that the entries left must have together, so that their
+load at most triples."""
+ABLE_LEAST = 4
+"""Entries that must be left, so that the loss of one or two is borne."""
 
 
 class MemberState(enum.Enum):
@@ -70,6 +79,7 @@
         start's time of day; ``None`` if there was none.
     :ivar clock_lead_s: how far its time of day was ahead of the other entries',
         by their last rows; ``None`` if it had too few to compare with.
+    :ivar link_mbps: what its link carries; 0 if it is not told.
     :ivar shares: its claims on prepaid totals.
     """
 
@@ -84,6 +94,7 @@
     started_s: float = 0.0
     left_at_s: float | None = None
     clock_lead_s: float | None = None
+    link_mbps: float = 0.0
     shares: Mapping[AccountId, Row] = attrs.field(factory=dict)
 
     @property
@@ -150,10 +161,12 @@
     """The entries as this one knows them.
 
     :param me: this entry.
+    :param link_mbps: what its link carries.
     """
 
-    def __init__(self, me: EntryId) -> None:
+    def __init__(self, me: EntryId, link_mbps: float = 0.0) -> None:
         self.me = me
+        self.link_mbps = link_mbps
         self._seen: dict[EntryId, _Seen] = {}
         self._read_at_s = float("-inf")
         self._reading_since_s = float("inf")
@@ -238,16 +251,42 @@
         """Entries alive, this one included."""
         return len(self.live(now_s)) + 1
 
+    def sharing(self, now_s: float) -> int:
+        """How many entries share the callers as this one does, itself included: those
+        that callers are told of, or all if it is not among them."""
+        links_mbps = [m.link_mbps for m in self.live(now_s)]
+        links_mbps.append(self.link_mbps)
+        least_mbps = least_link_mbps(links_mbps)
+        if self.link_mbps < least_mbps:
+            return len(links_mbps)
+        return sum(mbps >= least_mbps for mbps in links_mbps)
+
+
+def least_link_mbps(links_mbps: Sequence[float]) -> float:
+    """The smallest link with which an entry takes callers; 0 if all do.
+
+    Few entries with wide links serve callers better than all: an account is divided
+    among fewer, each knows more of what the engines have to do, and rows are fewer.
+
+    :param links_mbps: what the link of each entry carries.
+    """
+    least_mbps = max(links_mbps, default=0.0) / UNEQUAL_TIMES
+    able_mbps = [mbps for mbps in links_mbps if mbps >= least_mbps]
+    enough = sum(able_mbps) >= ABLE_SHARE * sum(links_mbps)
+    return least_mbps if enough and len(able_mbps) >= ABLE_LEAST else 0.0
+
 
 def choose_addresses(
     members: list[Member], zone: Zone, rng: random.Random
 ) -> list[str]:
     """The addresses to tell a caller in ``zone``.
 
-    All of them, while they fit the answer: callers spread over all entries,
-    so none is left with the callers of a small failure domain alone. In a
+    All that take callers, while they fit the answer: callers spread over all of
+    them, so none is left with the callers of a small failure domain alone. In a
     larger fleet, those of the caller's own domain go first.
     """
-    shuffled = rng.sample(members, len(members))
+    least_mbps = least_link_mbps([m.link_mbps for m in members])
+    able = [m for m in members if m.link_mbps >= least_mbps]
+    shuffled = rng.sample(able, len(able))
     shuffled.sort(key=lambda m: m.zone != zone)
     return [m.front_address for m in shuffled[:MAX_ADDRESSES]]
--- a/src/celerytrack/platform/rows.py
+++ b/src/celerytrack/platform/rows.py
@@ -41,6 +41,7 @@
                 member.started_s,
                 member.left_at_s,
                 member.clock_lead_s,
+                member.link_mbps,
                 shares,
             )
         )
@@ -53,8 +54,8 @@
     :raises RowError: naming what is wrong.
     """
     try:
-        epoch, front, peer, zone, state, *times, shares = msgpack.unpackb(raw)
-        made_s, offset_s, started_s, left_at_s, lead_s = times
+        epoch, front, peer, zone, state, *numbers, shares = msgpack.unpackb(raw)
+        made_s, offset_s, started_s, left_at_s, lead_s, link_mbps = numbers
         return Member(
             entry_id=EntryId(entry_id),
             epoch=_whole(epoch),
@@ -67,6 +68,7 @@
             started_s=_number(started_s),
             left_at_s=None if left_at_s is None else _number(left_at_s),
             clock_lead_s=None if lead_s is None else _number(lead_s),
+            link_mbps=_number(link_mbps),
             shares={
                 AccountId(_text(account)): Row(*map(_whole, tokens))
                 for account, tokens in shares.items()
--- a/src/celerytrack/platform/settings.py
+++ b/src/celerytrack/platform/settings.py
@@ -34,6 +34,7 @@
     :ivar max_ttl_s: longest lifetime of an address answer that counts.
     :ivar config_in_force_s: how long after its confirmation a configuration must be
         in force everywhere.
+    :ivar link_mbps: what the instance's link carries; 0 if it is not told.
     """
 
     entry_id: EntryId
@@ -50,6 +51,7 @@
     retry_slack: float
     max_ttl_s: float
     config_in_force_s: float = 2.0
+    link_mbps: float = 0.0
 
 
 def settings_path() -> pathlib.Path:
@@ -89,6 +91,7 @@
         retry_slack=_number(bounds, "retrySlack", 50),
         max_ttl_s=_number(bounds, "ttl_max_s", 5),
         config_in_force_s=_number(bounds, "configMs", 2_000) / 1_000,
+        link_mbps=_number(_table(data, "limits"), "linkMbps", 0, "limits"),
     )
 
 
@@ -113,8 +116,10 @@
     return value
 
 
-def _number(data: dict[str, Any], name: str, default: float) -> float:
+def _number(
+    data: dict[str, Any], name: str, default: float, table: str = "bounds"
+) -> float:
     value = data.get(name, default)
     if isinstance(value, bool) or not isinstance(value, int | float):
-        raise SettingsError(f"$.bounds.{name}: expected a number, found {value!r}")
+        raise SettingsError(f"$.{table}.{name}: expected a number, found {value!r}")
     return float(value)
