--- a/tests/gateway_fleet.py
+++ b/tests/gateway_fleet.py
@@ -5,6 +5,7 @@
 import pathlib
 import socket
 import time
+import unittest
 from collections.abc import Awaitable, Callable
 
 import aiohttp
@@ -14,6 +15,7 @@
 from celerytrack.gateway.server import EntryServer
 from celerytrack.gateway.state import Gateway
 from celerytrack.platform.settings import ProcessSettings
+from celerytrack.platform.store import StoreClient
 from celerytrack.platform.topics import CONFIG_KEY, CONFIG_TOPIC, ENDPOINTS_TOPIC
 from tests.keyed_log import KeyedLog
 
@@ -30,6 +32,20 @@
         return int(sock.getsockname()[1])
 
 
+async def client_of(
+    test: unittest.IsolatedAsyncioTestCase, log: KeyedLog
+) -> StoreClient:
+    """A client of ``log``, which is served until ``test`` ends."""
+    runner = web.AppRunner(log.make_app(), shutdown_timeout=0.1)
+    await runner.setup()
+    test.addAsyncCleanup(runner.cleanup)
+    port = free_port()
+    await web.TCPSite(runner, "127.0.0.1", port).start()
+    client = StoreClient(f"127.0.0.1:{port}")
+    test.addAsyncCleanup(client.close)
+    return client
+
+
 def config(
     version: int = 1,
     prepaid: int = 1_000_000,
--- a/tests/test_prepaid.py
+++ b/tests/test_prepaid.py
@@ -4,6 +4,7 @@
 import random
 import unittest
 
+import attrs
 from nose2.tools import params
 
 from celerytrack.clocks import (
@@ -13,6 +14,7 @@
 )
 from celerytrack.ids import AccountId, EntryId, Zone
 from celerytrack.members import (
+    UNEQUAL_TIMES,
     URGENT_BURST,
     URGENT_ROWS_PER_S,
     Member,
@@ -20,6 +22,8 @@
     MemberView,
     RowPace,
     beat_interval_s,
+    choose_addresses,
+    least_link_mbps,
 )
 from celerytrack.prepaid import PrepaidBook, Row
 from celerytrack.prepaid.rows import FoldedRows, Sums
@@ -535,6 +539,61 @@
         self.assertLessEqual(rows, URGENT_BURST + math.ceil(paced))
 
 
+WIDE, NARROW = 200.0, 10.0
+
+
+class WideLinksTest(unittest.TestCase):
+    """The largest account's callers kept to one entry of 64, on a link of 5 Mbit/s: 75
+    requests a second and the others' rows filled it for a whole day, answers took
+    seconds, and its rows were 10 s old. Six entries had links of 100 Mbit/s and
+    little to do: callers were told of all alike.
+
+        33.266 s  refused reason=tokens_elsewhere rows_age_ms=10290
+    """
+
+    @params(
+        # links, the least one that takes callers
+        ([], 0.0),
+        ([NARROW] * 9, NARROW / UNEQUAL_TIMES),
+        ([0.0] * 9, 0.0),
+        ([WIDE] * 6 + [NARROW] * 58, WIDE / UNEQUAL_TIMES),
+        # A few that would have to carry what twenty times as many carry now.
+        ([WIDE] * 4 + [NARROW] * 200, 0.0),
+        # Too few to lose one.
+        ([WIDE] * 3 + [NARROW] * 10, 0.0),
+        # Not that unequal.
+        ([WIDE] * 6 + [WIDE / 4] * 20, WIDE / UNEQUAL_TIMES),
+    )
+    def test_which_entries_take_callers(self, links_mbps, least_mbps):
+        self.assertEqual(least_link_mbps(links_mbps), least_mbps)
+
+    @params(
+        # an entry's own link, among how many it shares the callers
+        (WIDE, 6),
+        (NARROW, 64),
+    )
+    def test_callers_are_told_of_them_and_they_share_the_work(self, mine, sharing):
+        view = MemberView(ME, mine)
+        links = [WIDE] * 6 + [NARROW] * 58
+        links.remove(mine)
+        for i, mbps in enumerate(links):
+            member = _member(EntryId(f"e{i}"))
+            member = attrs.evolve(member, front_address=str(mbps), link_mbps=mbps)
+            view.fold(member, 0.0)
+        self.assertEqual(view.sharing(0.1), sharing)
+        told = choose_addresses(view.live(0.1), Zone("z"), random.Random(1))
+        self.assertEqual(set(told), {str(WIDE)})
+
+    def test_all_are_told_when_they_are_gone(self):
+        view = MemberView(ME, NARROW)
+        for i in range(10):
+            member = _member(EntryId(f"e{i}"))
+            view.fold(attrs.evolve(member, link_mbps=NARROW), 0.0)
+        self.assertEqual(view.sharing(0.1), 11)
+        told = choose_addresses(view.live(0.1), Zone("z"), random.Random(1))
+        self.assertEqual(len(told), 10)
+
+
 class FoldedRowsTest(unittest.TestCase):
     def test_sums_are_those_of_the_newest_rows(self):
         """Sums that drift from the rows would let entries claim what is claimed."""
--- a/tests/test_slow_link.py
+++ b/tests/test_slow_link.py
@@ -15,10 +15,9 @@
 from celerytrack.ids import AccountId, EntryId, Zone
 from celerytrack.members import Member, MemberState
 from celerytrack.platform.rows import encode_member
-from celerytrack.platform.store import StoreClient
 from celerytrack.platform.topics import CONFIG_KEY, CONFIG_TOPIC, ENTRIES_TOPIC
 from celerytrack.prepaid import Row
-from tests.gateway_fleet import SEAL, Endpoint, Fleet, config, free_port
+from tests.gateway_fleet import SEAL, Endpoint, Fleet, client_of, config
 from tests.keyed_log import KeyedLog
 
 LINK_BYTES_PER_S = 5e6 / 8
@@ -42,18 +41,6 @@
     return encode_member(attrs.evolve(member, shares=shares))
 
 
-async def _client(test: unittest.IsolatedAsyncioTestCase, log: KeyedLog) -> StoreClient:
-    """A client of ``log``, on a loopback port of its own."""
-    runner = web.AppRunner(log.make_app(), shutdown_timeout=0.1)
-    await runner.setup()
-    test.addAsyncCleanup(runner.cleanup)
-    port = free_port()
-    await web.TCPSite(runner, "127.0.0.1", port).start()
-    client = StoreClient(f"127.0.0.1:{port}")
-    test.addAsyncCleanup(client.close)
-    return client
-
-
 async def _answer(request: web.BaseRequest) -> web.Response:
     return web.Response(headers={**SEAL, "X-Attempt-Id": "r1"})
 
@@ -152,7 +139,7 @@
         """
         log = KeyedLog()
         log.link.bytes_per_s = LINK_BYTES_PER_S
-        client = await _client(self, log)
+        client = await client_of(self, log)
         known: dict[str, int] = {}
 
         def apply(record):
@@ -185,7 +172,7 @@
         to it, what was skipped may hold the newest record of the first, which nobody
         would ever read."""
         log = KeyedLog()
-        client = await _client(self, log)
+        client = await client_of(self, log)
         taken = {}
 
         def apply(record):
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -2,11 +2,9 @@
 
 import unittest
 
-from aiohttp import web
 from returns.result import Success
 
-from celerytrack.platform.store import StoreClient
-from tests.gateway_fleet import free_port
+from tests.gateway_fleet import client_of
 from tests.keyed_log import KeyedLog
 
 TOPIC = "keyed.rows"
@@ -29,13 +27,7 @@
         log.link.bytes_per_s = 10e6 / 8
         for i in range(1_000):
             log.put(TOPIC, f"e{i % 76}", bytes(2_000))
-        runner = web.AppRunner(log.make_app(), shutdown_timeout=0.1)
-        await runner.setup()
-        self.addAsyncCleanup(runner.cleanup)
-        port = free_port()
-        await web.TCPSite(runner, "127.0.0.1", port).start()
-        client = StoreClient(f"127.0.0.1:{port}")
-        self.addAsyncCleanup(client.close)
+        client = await client_of(self, log)
         offset = 0
         for _ in range(20):
             match await client.read(TOPIC, offset):
