A caller that leaves at the end of its answer is one that left

Change: the end is written where the events are. Test: failed to import before, since there was no such function; the exception is the one of the log.

--- a/src/celerytrack/gateway/attempts.py
+++ b/src/celerytrack/gateway/attempts.py
@@ -199,6 +199,18 @@
         raise CallerGoneError from None
 
 
+async def finish(exchange: Exchange) -> None:
+    """End the caller's answer, which was relayed whole.
+
+    :raises CallerGoneError: if the caller left just before.
+    """
+    assert exchange.response is not None
+    try:
+        await exchange.response.write_eof()
+    except ConnectionError:
+        raise CallerGoneError from None
+
+
 def _protocol(response: aiohttp.ClientResponse) -> asyncio.BaseProtocol | None:
     connection = response.connection
     return None if connection is None else connection.protocol
--- a/src/celerytrack/gateway/pipeline.py
+++ b/src/celerytrack/gateway/pipeline.py
@@ -9,7 +9,12 @@
 
 from celerytrack.events import Event, log_event
 from celerytrack.gateway.admission import SHORTLY_S, SOON_S, admit, reserve, settle
-from celerytrack.gateway.attempts import AttemptResult, CallerGoneError, attempt
+from celerytrack.gateway.attempts import (
+    AttemptResult,
+    CallerGoneError,
+    attempt,
+    finish,
+)
 from celerytrack.gateway.exchange import AttemptFailure, Exchange, PlainAnswer
 from celerytrack.gateway.outcomes import (
     answered,
@@ -100,7 +105,7 @@
         match result:
             case Success(None):
                 assert exchange.response is not None
-                await exchange.response.write_eof()
+                await finish(exchange)
                 answered(gateway, exchange, exchange.response.status)
                 return exchange.response
             case Success(PlainAnswer() as answer):
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -10,6 +10,7 @@
 from nose2.tools import params
 
 from celerytrack.gateway import gifts
+from celerytrack.gateway.attempts import CallerGoneError, finish
 from celerytrack.ids import AccountId
 from celerytrack.platform.topics import CONFIG_KEY, CONFIG_TOPIC, ENDPOINTS_TOPIC
 from tests.gateway_fleet import HOST, KEY, SEAL, Endpoint, Fleet, Script, config
@@ -263,6 +264,20 @@
             self.assertGreaterEqual(share.spent_tokens, 15 - 1)
 
 
+class CallerGoneAtTheEndTest(unittest.TestCase):
+    def test_it_is_no_error_of_ours(self):
+        """A caller's connection closed between the last event and the end of its
+        answer; the handler ended with a traceback and the request in no count.
+
+            Error handling request: Cannot write to closing transport
+        """
+        response = mock.AsyncMock()
+        gone = aiohttp.ClientConnectionResetError("Cannot write to closing transport")
+        response.write_eof.side_effect = gone
+        with self.assertRaises(CallerGoneError):
+            asyncio.run(finish(mock.Mock(response=response)))
+
+
 class PrepaidTest(unittest.IsolatedAsyncioTestCase):
     async def test_a_request_that_cannot_fit_is_refused_for_good(self):
         async with _fleet(_five) as fleet:
