--- a/src/celerytrack/clocks.py
+++ b/src/celerytrack/clocks.py
@@ -6,7 +6,8 @@
 
 import statistics
 
-from celerytrack.members import BEAT_S, FEWEST_WITNESSES, Member
+from celerytrack.members import FEWEST_WITNESSES, Member
+from celerytrack.row_pace import BEAT_S
 
 CLOCK_SLACK_S = 0.2
 """Two readings of the clock offset on one instance may differ by this."""
--- a/src/celerytrack/members.py
+++ b/src/celerytrack/members.py
@@ -1,39 +1,24 @@
 """Which entries are alive, and which of them callers are told, without I/O.
 
-Each entry writes its :class:`Member` row again at least every
-:data:`BEAT_S`. An entry whose row has not been renewed for :data:`SILENT_S`
-is left out of address answers, but only while this entry can read the log:
-when the log is away, nobody's row is renewed, and the last view stands.
+Each entry writes its :class:`Member` row again and again
+(:mod:`celerytrack.row_pace`). One whose row has not been renewed for some beats is left
+out of address answers, but only while this entry can read the log: when the log is
+away, nobody's row is renewed, and the last view stands.
 """
 
 import collections
 import enum
 import random
 import statistics
-from collections.abc import Mapping, Sequence
+from collections.abc import Mapping
 
 import attrs
 
 from celerytrack.ids import AccountId, EntryId, Zone
+from celerytrack.links import least_link_mbps
 from celerytrack.prepaid import Row
+from celerytrack.row_pace import beat_interval_s
 
-BEAT_S = 0.3
-"""Longest time between two rows of a small fleet. What was spent since the last
-row is lost with power: 0.3 s instead of 1 s is 1 to 2 % of every total."""
-BEATS_PER_S = 60.0
-"""Rows that all entries together write a second, at most: a tenth of the 600
-writes a second that the smallest store takes."""
-URGENT_GAP_S = 0.01
-"""Shortest time between two rows of an entry: requests that lack tokens at the
-same moment share one. With 0.03 s a quarter of the long prompts waited over
-60 ms, and then asked the others."""
-URGENT_ROWS_PER_S = 400.0
-"""Rows of all entries together at most, when all have requests that wait: two
-thirds of what the smallest store takes, and 400 KB/s to read for each."""
-URGENT_BURST = 4
-"""Rows that an entry may write one behind the other. With a pause after each, 0.16 s in
-a fleet of 64, a request that lacked tokens often met it: 28 % waited over 0.05 s for
-tokens, with the burst 6 % (modelled fleet of 64 entries, 24 accounts, 6 s)."""
 SILENT_BEATS = 3.5
 """An entry is silent after this many intervals: one row may be lost and the
 next be late."""
@@ -46,15 +31,6 @@
 that keep answers three times as long."""
 MAX_ADDRESSES = 64
 """Addresses that one answer may hold."""
-UNEQUAL_TIMES = 8.0
-"""An entry whose link carries this many times less than the best one's takes callers
-only where the others are too few: a large account's callers keep to one entry, and
-75 of its requests a second filled a link of 5 Mbit/s for a whole day."""
-ABLE_SHARE = 1 / 3
-"""Part of what all links carry that the entries left must have together, so that their
-load at most triples."""
-ABLE_LEAST = 4
-"""Entries that must be left, so that the loss of one or two is borne."""
 SPARE_TIMES = 10
 """How much smaller a part of each account an entry holds that callers are not told of:
 58 of 64 claimed 45 % of each total before a request had come."""
@@ -115,29 +91,6 @@
 """Other entries that must be there to hold a clock against."""
 
 
-def beat_interval_s(entries: int) -> float:
-    """Time between two rows of one entry in a fleet of ``entries``."""
-    return max(BEAT_S, entries / BEATS_PER_S)
-
-
-class RowPace:
-    """How soon an entry may write its next row.
-
-    On average entries write :data:`URGENT_ROWS_PER_S` together at most; one that has
-    written less of late may write :data:`URGENT_BURST` rows without that pause.
-    """
-
-    def __init__(self) -> None:
-        self._paid_until_s = float("-inf")
-
-    def pause_s(self, entries: int, now_s: float) -> float:
-        """How long an entry that wrote a row at ``now_s`` waits before the next."""
-        each_s = entries / URGENT_ROWS_PER_S
-        self._paid_until_s = max(self._paid_until_s, now_s - URGENT_BURST * each_s)
-        self._paid_until_s += each_s
-        return max(URGENT_GAP_S, self._paid_until_s - now_s)
-
-
 def _silent_s(entries: int) -> float:
     return max(SILENT_LEAST_S, beat_interval_s(entries) * SILENT_BEATS)
 
@@ -280,20 +233,6 @@
         return [*(m.link_mbps for m in self.live(now_s)), self.link_mbps]
 
 
-def least_link_mbps(links_mbps: Sequence[float]) -> float:
-    """The smallest link with which an entry takes callers; 0 if all do.
-
-    Few entries with wide links serve callers better than all: an account is divided
-    among fewer, each knows more of what the engines have to do, and rows are fewer.
-
-    :param links_mbps: what the link of each entry carries.
-    """
-    least_mbps = max(links_mbps, default=0.0) / UNEQUAL_TIMES
-    able_mbps = [mbps for mbps in links_mbps if mbps >= least_mbps]
-    enough = sum(able_mbps) >= ABLE_SHARE * sum(links_mbps)
-    return least_mbps if enough and len(able_mbps) >= ABLE_LEAST else 0.0
-
-
 def choose_addresses(
     members: list[Member], zone: Zone, rng: random.Random
 ) -> list[str]:
--- /dev/null
+++ b/src/celerytrack/row_pace.py
@@ -0,0 +1,42 @@
+"""How often entries write their rows, without I/O."""
+
+BEAT_S = 0.3
+"""Longest time between two rows of a small fleet. What was spent since the last
+row is lost with power: 0.3 s instead of 1 s is 1 to 2 % of every total."""
+BEATS_PER_S = 60.0
+"""Rows that all entries together write a second, at most: a tenth of the 600
+writes a second that the smallest store takes."""
+URGENT_GAP_S = 0.01
+"""Shortest time between two rows of an entry: requests that lack tokens at the
+same moment share one. With 0.03 s a quarter of the long prompts waited over
+60 ms, and then asked the others."""
+URGENT_ROWS_PER_S = 400.0
+"""Rows of all entries together at most, when all have requests that wait: two
+thirds of what the smallest store takes, and 400 KB/s to read for each."""
+URGENT_BURST = 4
+"""Rows that an entry may write one behind the other. With a pause after each, 0.16 s in
+a fleet of 64, a request that lacked tokens often met it: 28 % waited over 0.05 s for
+tokens, with the burst 6 % (modelled fleet of 64 entries, 24 accounts, 6 s)."""
+
+
+def beat_interval_s(entries: int) -> float:
+    """Time between two rows of one entry in a fleet of ``entries``."""
+    return max(BEAT_S, entries / BEATS_PER_S)
+
+
+class RowPace:
+    """How soon an entry may write its next row.
+
+    On average entries write :data:`URGENT_ROWS_PER_S` together at most; one that has
+    written less of late may write :data:`URGENT_BURST` rows without that pause.
+    """
+
+    def __init__(self) -> None:
+        self._paid_until_s = float("-inf")
+
+    def pause_s(self, entries: int, now_s: float) -> float:
+        """How long an entry that wrote a row at ``now_s`` waits before the next."""
+        each_s = entries / URGENT_ROWS_PER_S
+        self._paid_until_s = max(self._paid_until_s, now_s - URGENT_BURST * each_s)
+        self._paid_until_s += each_s
+        return max(URGENT_GAP_S, self._paid_until_s - now_s)
--- a/tests/test_prepaid.py
+++ b/tests/test_prepaid.py
@@ -13,22 +13,23 @@
     age_beside_others_s,
 )
 from celerytrack.ids import AccountId, EntryId, Zone
+from celerytrack.links import UNEQUAL_TIMES, least_link_mbps
 from celerytrack.members import (
     SPARE_TIMES,
-    UNEQUAL_TIMES,
-    URGENT_BURST,
-    URGENT_ROWS_PER_S,
     Member,
     MemberState,
     MemberView,
-    RowPace,
-    beat_interval_s,
     choose_addresses,
-    least_link_mbps,
 )
 from celerytrack.prepaid import PrepaidBook, Row
 from celerytrack.prepaid.rows import FoldedRows, Sums
 from celerytrack.prepaid.shares import FRESH_S, OUTAGE_S
+from celerytrack.row_pace import (
+    URGENT_BURST,
+    URGENT_ROWS_PER_S,
+    RowPace,
+    beat_interval_s,
+)
 
 A = AccountId("a")
 ME, PEER, THIRD = EntryId("me"), EntryId("peer"), EntryId("third")
