--- a/src/celerytrack/platform/store.py
+++ b/src/celerytrack/platform/store.py
@@ -30,8 +30,8 @@
 power in that time cost the account all that was spent in the outage's stead."""
 ANSWER_MOST_S = 6.0
 """Longest time that an answer may go on arriving. A large configuration is 470 KB
-and takes 0.75 s of a link of 5 Mbit/s, 2 s beside other reads: given up after 0.7 s
-in all it was asked for again for ever, and the entry never started."""
+and takes 0.75 s of a link of 5 Mbit/s alone: given up after 0.7 s in all it was asked
+for again for ever, and the entry never started. A half-dead connection ends by it."""
 READ_MOST_KB = 128
 """Most of a topic that one read asks for; a larger record comes alone. On a link of 5
 Mbit/s it takes 0.2 s, in which the reads of other topics wait. Left to the store it is
