--- a/src/celerytrack/gateway/server.py
+++ b/src/celerytrack/gateway/server.py
@@ -41,8 +41,8 @@
 and the time limit of a call, a change is seen within two."""
 CONFIG_PAUSE_S = 0.3
 """Pause between two reads of the configuration. While versions of 50 KB follow each
-other four a second, reading without a pause takes all that a link of 5 Mbit/s has left
-from the registrations, which then come seconds late; a read each 0.38 s takes a fifth."""
+other four a second, reading without a pause takes all that a link of 5 Mbit/s has left,
+and registrations come seconds late; a read each 0.38 s takes a fifth of it."""
 CALLER_IDLE_S = 60.0
 """Idle time after which a caller's connection is closed: callers reuse theirs
 for up to 12 s, so that none meets our close."""
