An entry with callers of its own counts as one that has them

Where it is one of the many with narrow links it wrote its rows as one that has nothing to do (one of 64 or 195 instead of 7 or 20), claimed a tenth of a part, and took what it had at an engine for 7 to 15 times as much, as if all did as it did. Long prompts were told to the first hundred entries in the order of their rows, most of which place nothing. Ruled out: the log's rows filling its link (120 KB/s of 625 in the first 8 s). Change: one Division a moment says who has callers: those that are told, and those that spend a tenth of what one of these does. Rows, parts, retries, the load that an entry takes its own for, and who is told of long prompts follow it. The modelled fleet can keep the largest accounts to single entries, and have wide links.

--- a/src/celerytrack/endpoints.py
+++ b/src/celerytrack/endpoints.py
@@ -1,8 +1,8 @@
 """Which endpoint a request is sent to, without I/O.
 
 Every entry sees only its own share of the work. It assumes that the others
-do as it does (callers spread evenly over entries), so what it has running at
-an endpoint stands for ``entries`` times as much.
+choose as it does, so what it has running at an endpoint stands for as many times
+more as the fleet does more work than this entry (``load_times``).
 
 Prompts share parts. A part is read once and then kept by the engine, so that
 requests of one session should meet at one engine, whichever entry they come
@@ -150,27 +150,27 @@
     def choose(
         self,
         need: Need,
-        entries: int,
+        load_times: float,
         max_connections: int,
         avoid: Sequence[EndpointId],
         now_s: float,
     ) -> Choice | None:
         """The endpoint with the earliest predicted answer.
 
-        :param entries: entries alive, this one included.
+        :param load_times: how many times the work of this entry the fleet does.
         :param max_connections: connections one endpoint takes from all.
         :param avoid: endpoints that this request was sent to before.
         :returns: ``None`` if none has room.
         """
         usable = [e for e in self._usable(need.service, now_s) if self._open(e, avoid)]
-        room = [e for e in usable if _has_room(e, entries, max_connections)]
+        room = [e for e in usable if _has_room(e, load_times, max_connections)]
         if not room:
             return None
         homes = self._homes(need, usable)
         sound = [e for e in room if now_s >= e.avoided_until_s] or room
 
         costs = [
-            (self._predict(e, need, homes, entries, now_s), self._rng.random(), i)
+            (self._predict(e, need, homes, load_times, now_s), self._rng.random(), i)
             for i, e in enumerate(sound)
         ]
         predicted_s, _, index = min(costs)
@@ -246,11 +246,11 @@
         endpoint: Endpoint,
         need: Need,
         homes: Sequence[Endpoint],
-        entries: int,
+        load_times: float,
         now_s: float,
     ) -> float:
         slots = max(1, endpoint.registration.slots)
-        running = endpoint.running * entries
+        running = endpoint.running * load_times
         away_s = 0.0 if endpoint.registration.zone == self._zone else OTHER_ZONE_S
         waiting = max(0.0, running / slots - 1.0)
         cold_times = COLD_TIMES if now_s < endpoint.cold_until_s else 1.0
@@ -284,8 +284,8 @@
     return bool(homes) and endpoint is homes[0]
 
 
-def _has_room(endpoint: Endpoint, entries: int, max_connections: int) -> bool:
-    share = max(2, max_connections // max(1, entries))
+def _has_room(endpoint: Endpoint, load_times: float, max_connections: int) -> bool:
+    share = max(2.0, max_connections / load_times)
     slots = endpoint.registration.slots
-    queue = max(4.0, QUEUE_TIMES * slots / max(1, entries))
+    queue = max(4.0, QUEUE_TIMES * slots / load_times)
     return endpoint.running < min(share, queue)
--- a/src/celerytrack/gateway/pipeline.py
+++ b/src/celerytrack/gateway/pipeline.py
@@ -152,7 +152,7 @@
     connections = service.max_connections if service else 1
     book = gateway.endpoints
     chosen = book.choose(
-        exchange.need, gateway.entries(now_s), connections, exchange.tried, now_s
+        exchange.need, gateway.load_times(now_s), connections, exchange.tried, now_s
     )
     if chosen is None:
         return Failure(_not_placed("none has room"))
--- a/src/celerytrack/gateway/share_keeper.py
+++ b/src/celerytrack/gateway/share_keeper.py
@@ -124,8 +124,9 @@
         written_s = float("-inf")
         while True:
             now_s = time.monotonic()
-            entries = self.members.allowances(now_s)
-            urgent = self.book.plan(self.members.parts(now_s), now_s)
+            division = self.members.division(now_s)
+            entries = division.allowances
+            urgent = self.book.plan(division.parts, now_s)
             interval_s = beat_interval_s(entries)
             if urgent or now_s - written_s >= interval_s:
                 log_event(_log, Event.SHARES, shares=self.book.summary(now_s))
--- a/src/celerytrack/gateway/state.py
+++ b/src/celerytrack/gateway/state.py
@@ -101,23 +101,25 @@
         self.endpoints.note(endpoint_id, work_s, time.monotonic())
 
     def tell_prompt(self, endpoint_id: EndpointId, work_s: float) -> None:
-        """Tell the other entries of a prompt sent to an endpoint, if it is long."""
+        """Tell the others that have callers of a long prompt sent to an endpoint: in a
+        fleet of hundreds a note to each entry would fill the links of those that send
+        nothing to engines."""
         if work_s < NOTE_LEAST_S:
             return
-        members = self.keeper.members.live(time.monotonic())
-        addresses = [member.peer_address for member in members]
+        division = self.keeper.members.division(time.monotonic())
+        addresses = [member.peer_address for member in division.sharers]
         self.notes.tell(addresses, endpoint_id, work_s)
 
-    def entries(self, now_s: float) -> int:
-        """Entries that share the callers, this one included."""
-        return self.keeper.members.sharing(now_s)
+    def load_times(self, now_s: float) -> float:
+        """How many times the work of this entry the fleet does."""
+        return self.keeper.members.division(now_s).load_times
 
     def retry_budget(self, service: ServiceName, now_s: float) -> RetryBudget:
         """The allowance for second attempts at ``service``."""
         budget = self._retries.get(service)
         if budget is None:
             share = RETRY_SHARE * self.settings.retry_slack / 2
-            burst = max(1.0, share / self.keeper.members.allowances(now_s))
+            burst = max(1.0, share / self.keeper.members.division(now_s).allowances)
             budget = RetryBudget(self.settings.retry_ratio * RETRY_SHARE, burst)
             self._retries[service] = budget
         return budget
--- a/src/celerytrack/lab/model_entry.py
+++ b/src/celerytrack/lab/model_entry.py
@@ -46,6 +46,7 @@
     :param number: its place in the fleet.
     :param totals: the total of each account.
     :param fleet: all entries, this one included.
+    :param link_mbps: what its link carries; 0 if it is not told.
     :ivar apart: no other entry reaches it, and it reaches none.
     :ivar reservations: what callers ask; ``None`` while it does not serve.
     """
@@ -56,6 +57,7 @@
         log: ModelLog,
         totals: Callable[[], Mapping[AccountId, int]],
         fleet: Sequence["ModelEntry"],
+        link_mbps: float = 0.0,
     ) -> None:
         self.number = number
         self.apart = False
@@ -65,6 +67,7 @@
         self.keeper: ShareKeeper | None = None
         self._totals = totals
         self._fleet = fleet
+        self._link_mbps = link_mbps
         self._tasks: set[asyncio.Task[Any]] = set()
 
     async def start(self) -> None:
@@ -78,6 +81,7 @@
             Zone("z"),
             _Gifts(self, self._fleet),  # type: ignore[arg-type]
             loop.time() + self.clock.steady_ahead_s,
+            self._link_mbps,
         )
         self.keeper = keeper
         await asyncio.sleep(START_S)
--- a/src/celerytrack/lab/prepaid_fleet.py
+++ b/src/celerytrack/lab/prepaid_fleet.py
@@ -32,6 +32,7 @@
 """Part of a total into which a request must fit to be owed."""
 SETTLE_S = 1.5
 """A request that ended less than this ago counts at its most in what is owed."""
+WIDE_MBPS, NARROW_MBPS = 100.0, 5.0
 LARGEST_TIMES = 6
 """The largest prompt against the median one: 39,600 of 6,500 tokens as listed."""
 
@@ -73,13 +74,14 @@
         )
         self.entries: list[ModelEntry] = []
         for i in range(scenario.entries):
-            entry = ModelEntry(i, self.log, self.totals, self.entries)
+            link_mbps = WIDE_MBPS if i < scenario.told else NARROW_MBPS
+            entry = ModelEntry(i, self.log, self.totals, self.entries, link_mbps)
             self.entries.append(entry)
         self.outcome = Outcome()
         self._calls: set[asyncio.Task[None]] = set()
         self._weights = [1 / (i + 1) for i in range(scenario.accounts)]
         self._names = [AccountId(f"a{i}") for i in range(scenario.accounts)]
-        scale = scenario.entries / 9
+        scale = scenario.told / 9
         rate = scale * sum(w.per_s * _mean_tokens(w) for w in scenario.mix)
         asked = rate * scenario.lasts_s * scenario.total_times / sum(self._weights)
         self.accounts = {
@@ -96,7 +98,7 @@
         await asyncio.gather(*(self._start(e) for e in self.entries))
         began_s = asyncio.get_running_loop().time()
         tasks = [asyncio.create_task(self._fault(f)) for f in self.scenario.faults]
-        scale = self.scenario.entries / 9
+        scale = self.scenario.told / 9
         tasks += [asyncio.create_task(self._send(w, scale)) for w in self.scenario.mix]
         await asyncio.sleep(self.scenario.runs_s)
         for task in tasks:
@@ -165,7 +167,7 @@
         sent_s = loop.time()
         owed = self._asked(request)
         for last in (False, True):
-            up = [e for e in self.entries if e.reservations is not None]
+            up = [e for e in self._reached(name) if e.reservations is not None]
             if not up:
                 break
             after_s = await self._try(self.rng.choice(up), request)
@@ -179,6 +181,13 @@
             await asyncio.sleep(min(after_s, left_s / 3))
         self.outcome.refused += owed
 
+    def _reached(self, name: AccountId) -> list[ModelEntry]:
+        """The entries that callers of an account connect to."""
+        rank = self._names.index(name)
+        if rank < self.scenario.kept:
+            return [self.entries[-1 - rank]]
+        return self.entries[: self.scenario.told]
+
     def _asked(self, request: _Request) -> bool:
         """Count a request; whether it is owed."""
         account = self.accounts[request.account]
--- a/src/celerytrack/lab/prepaid_scenarios.py
+++ b/src/celerytrack/lab/prepaid_scenarios.py
@@ -75,6 +75,10 @@
     :ivar total_times: totals against what is asked for in ``lasts_s``.
     :ivar hot_times: how much more than usual the largest account sends from a
         third of the run on.
+    :ivar wide: entries with wide links, the first ones, which callers are told of;
+        with 0 all links are alike.
+    :ivar kept: the largest accounts whose callers keep to one entry each: the last
+        entries of the fleet, in turn, whether callers are told of them or not.
     """
 
     name: str
@@ -84,11 +88,18 @@
     lasts_s: float = 34.0
     total_times: float = 1.3
     hot_times: float = 1.0
+    wide: int = 0
+    kept: int = 0
     late_append_s: float = 0.0
     lost_share: float = 0.0
     faults: tuple[Fault, ...] = ()
     mix: tuple[Work, ...] = MIX
 
+    @property
+    def told(self) -> int:
+        """How many entries callers are told of."""
+        return self.wide or self.entries
+
 
 @attrs.define
 class Outcome:
--- a/src/celerytrack/members.py
+++ b/src/celerytrack/members.py
@@ -36,6 +36,48 @@
 58 of 64 claimed 45 % of each total before a request had come."""
 
 
+BUSY_SHARE = 0.1
+"""An entry that spends more than this part of what each told entry does has callers of
+its own, though callers are told of others: a large account's may keep to an entry."""
+DIVISION_S = 0.05
+"""How long a :class:`Division` is used again: rows come no faster, and in a fleet of
+hundreds each request would otherwise look at every row."""
+
+
+@attrs.frozen
+class Division:
+    """How the callers are divided among the entries.
+
+    :ivar entries: entries alive, this one included.
+    :ivar sharers: the other entries that have a part of them worth counting.
+    :ivar takes_callers: whether this entry has one.
+    :ivar load_times: how many times the work of this entry the fleet does, as far as
+        known: ``taking``, or less for one through which much of it comes.
+    """
+
+    entries: int
+    sharers: "tuple[Member, ...]"
+    takes_callers: bool
+    load_times: float
+
+    @property
+    def taking(self) -> int:
+        """Among how many entries the callers are divided, this one included."""
+        return len(self.sharers) + 1
+
+    @property
+    def allowances(self) -> int:
+        """Into how many parts like this entry's what all may do together is divided:
+        rows a second, retries."""
+        return self.taking if self.takes_callers else self.entries
+
+    @property
+    def parts(self) -> int:
+        """Into how many parts like this entry's an account is divided until it is known
+        who spends it."""
+        return self.allowances * (1 if self.takes_callers else SPARE_TIMES)
+
+
 class MemberState(enum.Enum):
     """What an entry says of itself."""
 
@@ -126,6 +168,8 @@
         self._seen: dict[EntryId, _Seen] = {}
         self._read_at_s = float("-inf")
         self._reading_since_s = float("inf")
+        self._rates_tokens_per_s: dict[EntryId, int] = {}
+        self._divided = (float("-inf"), Division(1, (), True, 1.0))
 
     def fold(self, member: Member, now_s: float) -> None:
         """Take a row that was read at ``now_s``."""
@@ -133,6 +177,8 @@
         seen.member = member
         seen.at_s = now_s
         seen.late_s.append(now_s - member.made_at_s)
+        rates = (row.rate_tokens_per_s for row in member.shares.values())
+        self._rates_tokens_per_s[member.entry_id] = sum(rates)
 
     def member(self, entry: EntryId) -> Member | None:
         """The newest row of ``entry``."""
@@ -176,6 +222,7 @@
     def dropped(self, entry: EntryId) -> None:
         """The row of ``entry`` was removed."""
         self._seen.pop(entry, None)
+        self._rates_tokens_per_s.pop(entry, None)
 
     def read_ok(self, now_s: float) -> None:
         """The log answered a read at ``now_s``."""
@@ -203,34 +250,35 @@
             and not (settled and now_s - seen.at_s > limit_s)
         ]
 
-    def count(self, now_s: float) -> int:
-        """Entries alive, this one included."""
-        return len(self.live(now_s)) + 1
-
-    def spare(self, now_s: float) -> bool:
-        """Whether callers are not told of this entry. Some come all the same: a large
-        account's may keep to the address that they have."""
-        return self.link_mbps < least_link_mbps(self._links_mbps(now_s))
-
-    def sharing(self, now_s: float) -> int:
-        """How many entries share the callers, this one included."""
-        links_mbps = self._links_mbps(now_s)
+    def division(self, now_s: float) -> Division:
+        """Who shares the callers now, and how much of the work comes here."""
+        at_s, known = self._divided
+        if not 0 <= now_s - at_s < DIVISION_S:
+            known = self._divide(now_s)
+            self._divided = (now_s, known)
+        return known
+
+    def _divide(self, now_s: float) -> Division:
+        others = self.live(now_s)
+        links_mbps = [*(m.link_mbps for m in others), self.link_mbps]
         least_mbps = least_link_mbps(links_mbps)
         told = sum(mbps >= least_mbps for mbps in links_mbps)
-        return told + (self.link_mbps < least_mbps)
-
-    def allowances(self, now_s: float) -> int:
-        """Into how many parts like this entry's what all may do together is divided:
-        rows a second, retries."""
-        return self.count(now_s) if self.spare(now_s) else self.sharing(now_s)
-
-    def parts(self, now_s: float) -> int:
-        """Into how many parts like this entry's an account is divided until it is known
-        who spends it."""
-        return self.allowances(now_s) * (SPARE_TIMES if self.spare(now_s) else 1)
-
-    def _links_mbps(self, now_s: float) -> list[float]:
-        return [*(m.link_mbps for m in self.live(now_s)), self.link_mbps]
+        rates = self._rates_tokens_per_s
+        fleet_rate = sum(rates.values())
+        busy_rate = BUSY_SHARE * fleet_rate / max(1, told)
+
+        def takes_callers(entry: EntryId, link_mbps: float) -> bool:
+            return link_mbps >= least_mbps or rates.get(entry, 0) > busy_rate
+
+        sharers = tuple(m for m in others if takes_callers(m.entry_id, m.link_mbps))
+        taking = len(sharers) + 1
+        mine = rates.get(self.me, 0)
+        return Division(
+            entries=len(others) + 1,
+            sharers=sharers,
+            takes_callers=takes_callers(self.me, self.link_mbps),
+            load_times=min(taking, max(1.0, fleet_rate / mine)) if mine else taking,
+        )
 
 
 def choose_addresses(
--- a/tests/test_prepaid.py
+++ b/tests/test_prepaid.py
@@ -576,18 +576,13 @@
         (NARROW, 7, 64, 64 * SPARE_TIMES),
     )
     def test_callers_are_told_of_them_and_they_share_the_work(
-        self, mine, sharing, allowances, parts
+        self, mine, taking, allowances, parts
     ):
-        view = MemberView(ME, mine)
-        links = [WIDE] * 6 + [NARROW] * 58
-        links.remove(mine)
-        for i, mbps in enumerate(links):
-            member = _member(EntryId(f"e{i}"))
-            member = attrs.evolve(member, front_address=str(mbps), link_mbps=mbps)
-            view.fold(member, 0.0)
-        self.assertEqual(view.sharing(0.1), sharing)
-        self.assertEqual(view.allowances(0.1), allowances)
-        self.assertEqual(view.parts(0.1), parts)
+        view = _fleet_view(mine, {})
+        division = view.division(0.1)
+        self.assertEqual(division.taking, taking)
+        self.assertEqual(division.allowances, allowances)
+        self.assertEqual(division.parts, parts)
         told = choose_addresses(view.live(0.1), Zone("z"), random.Random(1))
         self.assertEqual(set(told), {str(WIDE)})
 
@@ -596,11 +591,85 @@
         for i in range(10):
             member = _member(EntryId(f"e{i}"))
             view.fold(attrs.evolve(member, link_mbps=NARROW), 0.0)
-        self.assertEqual(view.sharing(0.1), 11)
+        self.assertEqual(view.division(0.1).taking, 11)
         told = choose_addresses(view.live(0.1), Zone("z"), random.Random(1))
         self.assertEqual(len(told), 10)
 
 
+def _fleet_view(mine_mbps, rates):
+    """The view of one of 64 entries, six of them with wide links.
+
+    :param rates: tokens a second that entries spend, by name; ``ME`` among them.
+    """
+    view = MemberView(ME, mine_mbps)
+    links = [WIDE] * 6 + [NARROW] * 58
+    links.remove(mine_mbps)
+    entries = {EntryId(f"e{i}"): mbps for i, mbps in enumerate(links)}
+    for entry, mbps in {**entries, ME: mine_mbps}.items():
+        rate = rates.get(entry, 0)
+        member = attrs.evolve(
+            _member(entry),
+            front_address=str(mbps),
+            link_mbps=mbps,
+            shares={A: Row(rate_tokens_per_s=rate)} if rate else {},
+        )
+        view.fold(member, 0.0)
+    return view
+
+
+class KeptToTest(unittest.TestCase):
+    """A fifth of all requests came through one entry that callers are not told of, and
+    a third of these were late or refused for tokens of an account that had 0.9 of its
+    total left.
+    The callers of a large account keep to one entry, whatever they are told. That one
+    wrote its rows as one of 64 that have nothing to do: two a second where it may be
+    six times as many; and it took each prompt that it had at an engine for seven.
+
+        0.331 s  refused reason=tokens_elsewhere 9024 tokens, 2300 in hand here
+    """
+
+    TOLD = {EntryId(f"e{i}"): 10_000 for i in range(6)}
+
+    @params(
+        # what the entry spends, by whom it is seen, and what is then shared by whom
+        (20_000, NARROW, 7, 7),
+        # One request now and then does not make it one of them.
+        (900, NARROW, 64, 7),
+    )
+    def test_an_entry_with_callers_of_its_own_counts_as_one_that_has_them(
+        self, rate, mine, allowances, taking
+    ):
+        division = _fleet_view(mine, {**self.TOLD, ME: rate}).division(0.1)
+        self.assertEqual(division.allowances, allowances)
+        self.assertEqual(division.taking, taking)
+
+    @params((20_000, 7), (900, 6))
+    def test_the_others_leave_it_its_part(self, rate, taking):
+        rates = {EntryId("e0"): 10_000, EntryId("e20"): rate, ME: 10_000}
+        rates |= {EntryId(f"e{i}"): 10_000 for i in range(1, 5)}
+        division = _fleet_view(WIDE, rates).division(0.1)
+        self.assertEqual(division.allowances, taking)
+
+    @params(
+        # what this entry spends, and how many times its work the fleet is taken to do
+        (0, 7.0),
+        (2_000, 7.0),
+        (30_000, 3.0),
+        (60_000, 2.0),
+    )
+    def test_its_work_stands_for_what_the_fleet_does(self, rate, times):
+        division = _fleet_view(NARROW, {**self.TOLD, ME: rate}).division(0.1)
+        self.assertAlmostEqual(division.load_times, times)
+
+    def test_those_with_callers_are_told_of_prompts_and_no_others(self):
+        """Notes of long prompts went to the first hundred entries of 195, in the order
+        in which they had started: most of those that place prompts heard nothing."""
+        rates = {**self.TOLD, EntryId("e50"): 20_000}
+        division = _fleet_view(NARROW, rates).division(0.1)
+        told = {member.entry_id for member in division.sharers}
+        self.assertEqual(told, set(rates))
+
+
 class FoldedRowsTest(unittest.TestCase):
     def test_sums_are_those_of_the_newest_rows(self):
         """Sums that drift from the rows would let entries claim what is claimed."""
