A call to the store whose answer does not come is made a second time

Change: HedgedStore makes a short call again once no answer has begun to arrive for 0.05 s, or four times what answers took of late; an append is repeated under its number, which the store recognises. The modelled log recognises repeats, as the store does, and loses answers to reads too.

--- a/src/celerytrack/gateway/row_writer.py
+++ b/src/celerytrack/gateway/row_writer.py
@@ -7,9 +7,10 @@
 from returns.result import Failure, Success
 
 from celerytrack.events import Event, log_event
+from celerytrack.gateway.hedged_store import Store
 from celerytrack.gateway.tail import RETRY_MAX_S, RETRY_S
 from celerytrack.ids import EntryId
-from celerytrack.platform.store import StoreClient, StoreErrorKind, Writer
+from celerytrack.platform.store import StoreErrorKind, Writer
 from celerytrack.platform.topics import ENTRIES_TOPIC
 
 _log = logging.getLogger(__name__)
@@ -30,7 +31,7 @@
     """
 
     def __init__(
-        self, store: StoreClient, entry_id: EntryId, on_contact: Callable[[bool], None]
+        self, store: Store, entry_id: EntryId, on_contact: Callable[[bool], None]
     ) -> None:
         self.epoch = 0
         self._store = store
--- a/src/celerytrack/gateway/share_keeper.py
+++ b/src/celerytrack/gateway/share_keeper.py
@@ -18,6 +18,7 @@
 )
 from celerytrack.events import Event, log_event
 from celerytrack.gateway.gifts import GiftClient
+from celerytrack.gateway.hedged_store import Store
 from celerytrack.gateway.reservations import (
     SLOW_APPEND_S,
     WAIT_TOKENS_S,
@@ -34,7 +35,6 @@
 )
 from celerytrack.platform.log_format import KeyedRecord
 from celerytrack.platform.rows import RowError, decode_member, encode_member
-from celerytrack.platform.store import StoreClient
 from celerytrack.platform.topics import ENTRIES_TOPIC
 from celerytrack.prepaid import PrepaidBook
 from celerytrack.row_pace import RowPace, beat_interval_s
@@ -60,7 +60,7 @@
 
     def __init__(
         self,
-        store: StoreClient,
+        store: Store,
         entry_id: EntryId,
         front_address: str,
         peer_address: str,
--- a/src/celerytrack/gateway/state.py
+++ b/src/celerytrack/gateway/state.py
@@ -7,6 +7,7 @@
 from celerytrack.endpoints import EndpointBook
 from celerytrack.gateway.connections import EndpointConnections
 from celerytrack.gateway.gifts import GiftClient
+from celerytrack.gateway.hedged_store import HedgedStore
 from celerytrack.gateway.prompt_notes import NOTE_LEAST_S, PromptNotes
 from celerytrack.gateway.share_keeper import ShareKeeper
 from celerytrack.gateway.telemetry import Telemetry
@@ -39,7 +40,7 @@
         self.entry_id = EntryId(f"{settings.entry_id}@{settings.ip}")
         self.boot_id = uuid.uuid4().hex[:8]
         self.rng = random.Random(self.boot_id)
-        self.store = StoreClient(settings.store_address)
+        self.store = HedgedStore(StoreClient(settings.store_address))
         self.gifts = GiftClient()
         self.keeper = ShareKeeper(
             self.store,
--- a/src/celerytrack/gateway/tail.py
+++ b/src/celerytrack/gateway/tail.py
@@ -8,8 +8,9 @@
 from returns.result import Failure, Result, Success
 
 from celerytrack.events import Event, log_event
+from celerytrack.gateway.hedged_store import Store
 from celerytrack.platform.log_format import Batch, KeyedRecord
-from celerytrack.platform.store import StoreClient, StoreError, StoreErrorKind
+from celerytrack.platform.store import StoreError, StoreErrorKind
 
 _log = logging.getLogger(__name__)
 
@@ -40,7 +41,7 @@
 
     def __init__(
         self,
-        store: StoreClient,
+        store: Store,
         topic: str,
         apply: Callable[[KeyedRecord], None],
         reload: Callable[[set[str]], None] = lambda keys: None,
--- a/src/celerytrack/lab/model_entry.py
+++ b/src/celerytrack/lab/model_entry.py
@@ -6,6 +6,7 @@
 from typing import Any, TypeVar
 
 from celerytrack.gateway.gifts import ASK_TIMEOUT_S
+from celerytrack.gateway.hedged_store import HedgedStore
 from celerytrack.gateway.reservations import Reservations
 from celerytrack.gateway.share_keeper import ShareKeeper
 from celerytrack.ids import AccountId, EntryId, Zone
@@ -74,7 +75,7 @@
         """Start the process anew and wait until it serves."""
         loop = asyncio.get_running_loop()
         keeper = ShareKeeper(
-            self.store,  # type: ignore[arg-type]
+            HedgedStore(self.store),
             EntryId(f"e{self.number}"),
             str(self.number),
             str(self.number),
--- a/src/celerytrack/lab/model_log.py
+++ b/src/celerytrack/lab/model_log.py
@@ -23,7 +23,7 @@
     """One topic, shared by all modelled entries.
 
     :ivar late_s: how much longer an append takes to land.
-    :ivar lost_share: share of appends that land and are not answered.
+    :ivar lost_share: share of reads and appends that are done and not answered.
     :ivar appends: appends so far; ``bytes_in`` and ``bytes_out`` what was sent.
     """
 
@@ -35,12 +35,17 @@
     bytes_out: int = 0
     records: list[tuple[str, bytes]] = attrs.field(factory=list)
     producers: dict[str, tuple[int, int]] = attrs.field(factory=dict)
+    offsets: dict[tuple[str, int, int], int] = attrs.field(factory=dict)
 
     def append(self, key: str, value: bytes, writer: Writer) -> Result[int, StoreError]:
         """Append one record, in the order of its writer's numbers."""
         epoch, expected = self.producers.get(writer.name, (0, 0))
         if writer.epoch < epoch:
             return Failure(StoreError(StoreErrorKind.FENCED, "fenced"))
+        numbered = (writer.name, writer.epoch, writer.sequence)
+        if value and numbered in self.offsets:
+            # A repeat gets the answer of the first.
+            return Success(self.offsets[numbered])
         if writer.epoch == epoch and value and writer.sequence != expected:
             kind = StoreErrorKind.OUT_OF_SEQUENCE
             return Failure(StoreError(kind, "sequence", expected))
@@ -48,6 +53,7 @@
             self.producers[writer.name] = (writer.epoch, writer.sequence)
             return Success(len(self.records))
         self.producers[writer.name] = (writer.epoch, writer.sequence + 1)
+        self.offsets[numbered] = len(self.records)
         self.records.append((key, value))
         self.appends += 1
         self.bytes_in += len(encode_keyed(key, value))
@@ -74,11 +80,17 @@
         return Success(Batch(records, end, end))
 
     async def read(
-        self, topic: str, offset: int, wait_s: float = 0.0
+        self,
+        topic: str,
+        offset: int,
+        wait_s: float = 0.0,
+        arriving: asyncio.Event | None = None,
     ) -> Result[Batch, StoreError]:
         """Records from ``offset`` on."""
         if not await self._reached(ANSWER_S):
             return self._silence()
+        if await self._lost():
+            return self._silence()
         found = self._log.records[offset:]
         self._log.bytes_out += sum(len(encode_keyed(k, v)) for k, v in found)
         records = (KeyedRecord(offset + i, k, v) for i, (k, v) in enumerate(found))
@@ -98,10 +110,17 @@
         if not await self._reached(ANSWER_S + self._log.late_s):
             return self._silence()
         result = self._log.append(key, value, writer)
-        if self._log.rng.random() < self._log.lost_share:
+        return self._silence() if await self._lost() else result
+
+    async def _lost(self) -> bool:
+        """Whether the answer to a call is lost, found out by the time limit."""
+        lost = self._log.rng.random() < self._log.lost_share
+        if lost:
             await asyncio.sleep(CALL_TIMEOUT_S)
-            return self._silence()
-        return result
+        return lost
+
+    async def close(self) -> None:
+        """There is nothing to close."""
 
     async def set_epoch(self, topic: str, writer: Writer) -> Result[None, StoreError]:
         """Fence off earlier starts."""
--- a/src/celerytrack/platform/store.py
+++ b/src/celerytrack/platform/store.py
@@ -4,6 +4,7 @@
 says whether an append may have taken effect.
 """
 
+import asyncio
 import enum
 from collections.abc import Callable
 from typing import TypeVar
@@ -132,11 +133,16 @@
             params["after"] = page.records[-1].key
 
     async def read(
-        self, topic: str, offset: int, wait_s: float = 0.0
+        self,
+        topic: str,
+        offset: int,
+        wait_s: float = 0.0,
+        arriving: asyncio.Event | None = None,
     ) -> Result[Batch, StoreError]:
         """Records of a keyed topic from ``offset`` on.
 
         :param wait_s: how long the store may wait for the first of them.
+        :param arriving: set once the answer begins to arrive.
         """
         params = {
             "topic": topic,
@@ -146,7 +152,9 @@
         }
         if wait_s:
             params["waitMs"] = str(int(wait_s * 1_000))
-        answer = await self._call("GET", "/log-read", params, extra_s=wait_s)
+        answer = await self._call(
+            "GET", "/log-read", params, extra_s=wait_s, arriving=arriving
+        )
         return answer.bind(lambda data: _checked(lambda: decode_batch(offset, data)))
 
     async def end(self, topic: str, last_key: str) -> Result[int, StoreError]:
@@ -189,6 +197,7 @@
         params: dict[str, str],
         body: bytes | None = None,
         extra_s: float = 0.0,
+        arriving: asyncio.Event | None = None,
     ) -> Result[bytes, StoreError]:
         timeout = aiohttp.ClientTimeout(
             total=ANSWER_MOST_S + extra_s,
@@ -199,6 +208,8 @@
             async with self._session.request(
                 method, self._base + path, params=params, data=body, timeout=timeout
             ) as response:
+                if arriving is not None:
+                    arriving.set()
                 data = await response.read()
                 if response.status == 200:
                     return Success(data)
