A row that waited for the end of a cut says nothing of clocks; idle entries claim nothing

For seconds most newest rows are such ones, and the entries with callers publish that their clock is 8 s ahead of most others'. An entry that then loses power cannot tell by such a row how old it was: all that it claimed counts as spent. Beside it hundreds of entries without callers held 5 % of each total, which was lost with their power or lay there. Ruled out: gifts (lost in a giver's row, used in the taker's); the witnesses' number. Change: of each entry's last three rows the one read most promptly tells of its clock, as after a start already; an entry without callers has no part of an account until one comes. A row is due an interval after the last one: an interval that ended a moment early by the clock was waited for once more.

--- a/src/celerytrack/gateway/share_keeper.py
+++ b/src/celerytrack/gateway/share_keeper.py
@@ -44,6 +44,9 @@
 ROW_TIME_GAIN = 0.3
 """Weight of the newest row in how long rows take: a store that turns slow is
 known after three, 1 s."""
+LEAST_WAIT_S = 0.001
+"""Shortest wait for the next row that is due: what is left of an interval may be less
+than a clock tells apart."""
 RECONSIDER_S = 8.0
 """How long after its start an entry looks for others that lost power with it:
 they start within a second of each other, and write a row a second later."""
@@ -132,11 +135,10 @@
                 log_event(_log, Event.SHARES, shares=self.book.summary(now_s))
                 await self._write()
                 written_s = time.monotonic()
-                pause_s = self._pace.pause_s(entries, written_s)
-                await asyncio.sleep(pause_s)
-                interval_s -= pause_s
+                await asyncio.sleep(self._pace.pause_s(entries, written_s))
             self._wake.clear()
-            await wait_for(self._wake, interval_s)
+            left_s = written_s + interval_s - time.monotonic()
+            await wait_for(self._wake, max(LEAST_WAIT_S, left_s))
 
     async def leave(self) -> None:
         """Publish that this entry takes no new callers."""
--- a/src/celerytrack/members.py
+++ b/src/celerytrack/members.py
@@ -8,6 +8,7 @@
 
 import collections
 import enum
+import math
 import random
 import statistics
 from collections.abc import Mapping
@@ -31,11 +32,6 @@
 that keep answers three times as long."""
 MAX_ADDRESSES = 64
 """Addresses that one answer may hold."""
-SPARE_TIMES = 10
-"""How much smaller a part of each account an entry holds that callers are not told of:
-58 of 64 claimed 45 % of each total before a request had come."""
-
-
 BUSY_SHARE = 0.1
 """An entry that spends more than this part of what each told entry does has callers of
 its own, though callers are told of others: a large account's may keep to an entry."""
@@ -72,10 +68,11 @@
         return self.taking if self.takes_callers else self.entries
 
     @property
-    def parts(self) -> int:
+    def parts(self) -> float:
         """Into how many parts like this entry's an account is divided until it is known
-        who spends it."""
-        return self.allowances * (1 if self.takes_callers else SPARE_TIMES)
+        who spends it. An entry without callers has none: what hundreds of them hold of
+        an account nobody can spend, and a loss of power takes it."""
+        return self.taking if self.takes_callers else math.inf
 
 
 class MemberState(enum.Enum):
@@ -194,15 +191,17 @@
 
         A row that was read late makes it look further ahead than it is, never
         less: a clock that is ahead, which would make a row look newer than it
-        was, is always seen.
+        was, is always seen. Of each entry's last rows the one read most promptly
+        counts: entries that have little to say write a row each few seconds, and the
+        newest may be one that waited for the end of a cut. Taken for a clock that was
+        set, it would cost all that is claimed at a loss of power.
 
         :param clock_offset_s: its time of day less its steady clock, now.
         """
         others = [seen for entry, seen in self._seen.items() if entry != self.me]
         if len(others) < FEWEST_WITNESSES:
             return None
-        leads = (seen.at_s - seen.member.made_at_s for seen in others)
-        return statistics.median(leads) + clock_offset_s
+        return statistics.median(min(s.late_s) for s in others) + clock_offset_s
 
     def prompt_clock_lead_s(self, clock_offset_s: float) -> float | None:
         """The same by rows that were read promptly, ``None`` if there are too few.
--- a/src/celerytrack/prepaid/book.py
+++ b/src/celerytrack/prepaid/book.py
@@ -30,7 +30,7 @@
         self._totals: dict[AccountId, int] = {}
         self._shares: dict[AccountId, Share] = {}
         self._own = OwnRow(self.rows)
-        self._entries = 1
+        self._entries = 1.0
         self.row_time_s = 0.0
         self._leaving = False
 
@@ -208,14 +208,14 @@
 
     # -- planning ----------------------------------------------------------
 
-    def plan(self, entries: int, now_s: float) -> bool:
+    def plan(self, entries: float, now_s: float) -> bool:
         """Decide what to claim of each account next.
 
         :param entries: into how many parts like this entry's an account is divided
             until it is known who spends it.
         :returns: whether requests wait for the next row.
         """
-        self._entries = max(1, entries)
+        self._entries = max(1.0, entries)
         urgent = False
         for account in self._totals:
             urgent |= self._plan_account(account, now_s)
--- a/src/celerytrack/prepaid/policy.py
+++ b/src/celerytrack/prepaid/policy.py
@@ -85,7 +85,7 @@
     used_tokens: int
     lost_tokens: int
     others_tokens_per_s: float
-    entries: int
+    entries: float
     row_time_s: float = 0.0
 
 
