Comments without the figures of runs and the story of values

No behaviour is changed. Ruled out: moving them to a page of constants, which would go stale beside the commits.

--- a/src/celerytrack/endpoint.py
+++ b/src/celerytrack/endpoint.py
@@ -13,8 +13,8 @@
 """Weight of the newest answer in an endpoint's learned time."""
 SLOWNESS_RANGE = (0.3, 10.0)
 CACHE_PARTS = 2048
-"""Prompt parts remembered per engine; an engine of 640,966 tokens keeps about
-130 of the largest, so this bounds memory, not knowledge."""
+"""Prompt parts remembered per engine: several times what one keeps, so this bounds
+memory, not knowledge."""
 CACHE_KEPT_S = 20.0
 """A part not used for this long may have yielded to others."""
 
--- a/src/celerytrack/endpoints.py
+++ b/src/celerytrack/endpoints.py
@@ -25,7 +25,7 @@
 
 RUNNING_S = 0.00015
 """What each running request adds to an engine's first token: its part of the
-few steps until then, at 0.015 ms a step."""
+few steps until then."""
 STEP_S = 0.01
 """An engine's first token beyond reading the prompt: two steps and the way."""
 LEAVE_HOME_TIMES = 7.0
@@ -39,7 +39,7 @@
 """How much longer an endpoint takes until it is warm: a guess, in the middle of
 what caches of compiled code and data cost; its own answers correct it."""
 OTHER_ZONE_S = 0.004
-"""What another failure domain adds: two ways of up to 1.4 ms, and the price of
+"""What another failure domain adds: the way there and back, and the price of
 bytes between domains."""
 EJECT_S = 0.4
 """First pause after an endpoint failed to connect or answer."""
@@ -60,8 +60,7 @@
 within two seconds, and an endpoint that left serves on for two."""
 FORGOTTEN_MOST = 1_024
 """Endpoints that left of which the last record is remembered, so that an older
-one that lands late does not bring them back: a day of releases of the largest
-fleet listed is 90 endpoints."""
+one that lands late does not bring them back."""
 QUEUE_TIMES = 4.0
 """Work beyond this many times an endpoint's slots is not sent to it."""
 
--- a/src/celerytrack/gateway/admission.py
+++ b/src/celerytrack/gateway/admission.py
@@ -15,11 +15,11 @@
 from celerytrack.verdict import Reason, Refusal, did_not_run
 
 DEFAULT_DEADLINE_S = 30.0
-"""Deadline of a caller that names none: the longest route timeout listed is
-12 s."""
+"""Deadline of a caller that names none: longer than any route's timeout should be, and
+still an end."""
 ANSWER_MARGIN_S = 0.03
-"""An answer goes out this long before the deadline, so that it arrives: the
-way to callers takes 3 ms, and timers fire late on a busy instance."""
+"""An answer goes out this long before the deadline, so that it arrives: there is the
+way to the caller, and timers fire late on a busy instance."""
 SOON_S = 0.1
 """When to come back after a refusal that another entry may well not give."""
 SHORTLY_S = 0.5
--- a/src/celerytrack/gateway/gifts.py
+++ b/src/celerytrack/gateway/gifts.py
@@ -21,10 +21,9 @@
 _log = logging.getLogger(__name__)
 
 ASK_TIMEOUT_S = 0.15
-"""Longest wait for a gift: entries of one region are under 3 ms apart, but an
-instance that has used up its share of a processor stands still for up to a
-tenth of a second. At 0.06 s gifts of a busy instance were lost on the way, and
-a lost gift is spent by nobody."""
+"""Longest wait for a gift. Entries are milliseconds apart, but an instance that has
+used up its share of a processor stands still for a tenth of a second; a gift that it
+sends after the wait ended is spent by nobody."""
 IDLE_S = 10.0
 """Idle time after which a connection to another entry is not used again."""
 _PATH = "/gift"
--- a/src/celerytrack/gateway/logs.py
+++ b/src/celerytrack/gateway/logs.py
@@ -10,8 +10,7 @@
 from celerytrack.events import Event
 
 LINES_PER_S = 150.0
-"""Lines written a second as a rule: seven times the requests of an instance
-at the load listed."""
+"""Lines written a second as a rule: a few for each request of a busy instance."""
 LINES_BURST = 600.0
 """Lines that may come at once, as in an outage's first second."""
 
--- a/src/celerytrack/gateway/prompt_notes.py
+++ b/src/celerytrack/gateway/prompt_notes.py
@@ -23,8 +23,8 @@
 _log = logging.getLogger(__name__)
 
 NOTE_LEAST_S = 0.03
-"""Prompts that take an engine less than this are not told: a tenth of the
-tightest latency target listed."""
+"""Prompts that take an engine less than this are not told: they hold up no other by a
+time that its caller would notice."""
 MOST_TOLD = 100
 """Entries told at most: a larger fleet has more engines than one entry uses."""
 
--- a/src/celerytrack/gateway/reservations.py
+++ b/src/celerytrack/gateway/reservations.py
@@ -13,19 +13,19 @@
 from celerytrack.prepaid import PrepaidBook, Reservation
 
 WAIT_TOKENS_S = 0.35
-"""Longest a request waits for tokens: an append and a read take 10 ms each,
-and a store slowed fiftyfold 400 ms; a caller does better at another entry."""
+"""Longest a request waits for tokens: a row of a slow store comes within it, and with
+one that is slower still a caller does better at another entry."""
 SLOW_APPEND_S = 0.1
-"""A row that has been on its way for this long is not waited for: it takes
-10 ms as a rule, and the other entries answer sooner."""
+"""A row that has been on its way for this long is not waited for: it takes a tenth of
+that as a rule, and the other entries answer sooner."""
 FIRST_WAIT_S = 0.06
 """How long a request waits for a row before other entries are asked: an
 append and a read back, with room for a slow answer."""
 MOST_ASKED = 6
 """Entries asked for tokens, one after the other; each answers within a ms."""
 ASKING_S = 0.1
-"""How long others are asked for one request: a third of the tightest latency
-target listed. What they have not given by then comes too late."""
+"""How long others are asked for one request: what they have not given by then comes
+too late for a caller that waits for a short answer."""
 EMPTIED_S = 1.0
 """How long an entry that gave less than it was asked for is passed over for the others:
 while the log is away its last row stands, and the same few, emptied long ago, would be
@@ -34,7 +34,7 @@
 """Pairs of account and entry of which that is remembered."""
 DRY_S = 0.25
 """How long other entries are not asked again for as many tokens of an account as
-they did not have: a refusal then costs the caller no wait of up to 0.1 s, and a
+they did not have: a refusal then costs the caller no wait for them, and a
 fleet whose account is used up does not ask itself at every request."""
 
 
--- a/src/celerytrack/gateway/server.py
+++ b/src/celerytrack/gateway/server.py
@@ -37,15 +37,15 @@
 CONFIG_WAIT_S = 1.0
 """How long the store may hold a read of the configuration. A read that is held
 when the store turns this instance away is never answered, and its connection
-looks sound: 404 for a route that had been in force for four seconds. With 1 s,
-and the time limit of a call, a change is seen within two."""
+looks sound, so that routes long in force are denied. With this wait and the time limit
+of a call a change is seen within two seconds."""
 CONFIG_PAUSE_S = 0.3
-"""Pause between two reads of the configuration. While versions of 50 KB follow each
-other four a second, reading without a pause takes all that a link of 5 Mbit/s has left,
-and registrations come seconds late; a read each 0.38 s takes a fifth of it."""
+"""Pause between two reads of the configuration. While large versions follow each other,
+reading without a pause takes all that a narrow link has left, and registrations come
+seconds late."""
 CALLER_IDLE_S = 60.0
-"""Idle time after which a caller's connection is closed: callers reuse theirs
-for up to 12 s, so that none meets our close."""
+"""Idle time after which a caller's connection is closed: several times as long as
+callers reuse theirs, so that none meets our close."""
 HEADER_BYTES = 65_536
 """Header bytes taken: four times what callers may send."""
 BODY_BYTES = 16 * 1024 * 1024
@@ -54,10 +54,10 @@
 LEAVE_SERVES_S = 3.5
 """On a planned stop, how long new requests are still served: rows are read
 within a second, and address answers lapse after one, or three for callers that
-keep them longer. Later arrivals are refused, so that the stop comes to an end:
-while they were served, two entries in seven were still busy when killed."""
+keep them longer. Later arrivals are refused, so that the stop comes to an end before
+the process is killed with requests in progress."""
 LAST_ROW_S = 0.15
-"""Time for the row that gives the unspent tokens back: an append takes 10 ms."""
+"""Time for the row that gives the unspent tokens back: ten times what one takes."""
 LEAVE_MARGIN_S = 1.0
 """A planned stop ends this long before the platform's grace does."""
 
--- a/src/celerytrack/gateway/share_keeper.py
+++ b/src/celerytrack/gateway/share_keeper.py
@@ -42,8 +42,8 @@
 _log = logging.getLogger(__name__)
 
 ROW_TIME_GAIN = 0.3
-"""Weight of the newest row in how long rows take: a store that turns slow is
-known after three, 1 s."""
+"""Weight of the newest row in how long rows take: a store that turns slow is known
+after three."""
 LEAST_WAIT_S = 0.001
 """Shortest wait for the next row that is due: what is left of an interval may be less
 than a clock tells apart."""
--- a/src/celerytrack/gateway/tail.py
+++ b/src/celerytrack/gateway/tail.py
@@ -28,8 +28,8 @@
     """Keeps up with one keyed topic: knows the newest record of each key.
 
     Records that are superseded by the time they can be read are skipped. Read one by
-    one, a topic that is written faster than the link carries it comes ever later:
-    configurations of 350 KB, four a second, were 5 s late on 5 Mbit/s.
+    one, a topic that is written faster than the link carries it comes ever later, as
+    large configurations in quick succession do on a narrow link.
 
     :param apply: takes each record that is read, in the order of the log.
     :param reload: told the keys that exist, after some of the log was not read; what
--- a/src/celerytrack/links.py
+++ b/src/celerytrack/links.py
@@ -8,8 +8,7 @@
 
 UNEQUAL_TIMES = 8.0
 """An entry whose link carries this many times less than the best one's takes callers
-only where the others are too few: a large account's callers keep to one entry, and
-75 of its requests a second filled a link of 5 Mbit/s for a whole day."""
+only where the others are too few: its part of the callers would fill its link."""
 ABLE_SHARE = 1 / 3
 """Part of what all links carry that the entries left must have together, so that their
 load at most triples."""
@@ -22,9 +21,6 @@
 
     Few entries with wide links serve callers better than all: an account is divided
     among fewer, each knows more of what the engines have to do, and rows are fewer.
-    Of 64 entries six with 100 Mbit/s beside 58 with 5, on one day of high load: first
-    tokens in the median after 49 ms instead of 123, earned of what was owed 0.60
-    instead of 0.45.
 
     :param links_mbps: what the link of each entry carries.
     """
--- a/src/celerytrack/members.py
+++ b/src/celerytrack/members.py
@@ -137,7 +137,7 @@
 PROMPT_ROWS = 3
 """Rows of an entry of which the one read most promptly tells of its clock. The
 first is read at the start and may be old; one that lands as an outage ends may
-have been made seconds before; the ones behind it come within 0.3 s."""
+have been made seconds before."""
 
 
 @attrs.define
--- a/src/celerytrack/platform/registry.py
+++ b/src/celerytrack/platform/registry.py
@@ -23,8 +23,8 @@
 _DRAINING = "draining"
 _ADDRESS = re.compile(r"[A-Za-z0-9.-]{1,253}:[0-9]{1,5}")
 _MOST_SLOTS = 1_000_000
-"""Requests that one endpoint may say to run at once: beyond any engine listed by
-four orders, and still a number that sums and divides without harm."""
+"""Requests that one endpoint may say to run at once: far beyond any engine, and still a
+number that sums and divides without harm."""
 _MOST_COLD_MS = 3_600_000
 """Longest time that an endpoint may say to stay slow after its start: an hour."""
 
--- a/src/celerytrack/platform/store.py
+++ b/src/celerytrack/platform/store.py
@@ -25,20 +25,19 @@
 from celerytrack.strict import UnreadableError, parse_json
 
 CALL_TIMEOUT_S = 0.7
-"""Longest wait for the next bytes of an answer: the store answers in 4 ms, and 60
-times as slowly on a bad day. A call made while the store is away holds up the next
-one: with 1.5 s a row was written up to 1.8 s after the store was back, and a loss of
-power in that time cost the account all that was spent in the outage's stead."""
+"""Longest wait for the next bytes of an answer: more than a slow store takes. A call
+made while the store is away holds up the next one, so a longer wait delays the first
+row after an outage, and a loss of power before it costs all that the outage freed."""
 ANSWER_MOST_S = 6.0
-"""Longest time that an answer may go on arriving. A large configuration is 470 KB
-and takes 0.75 s of a link of 5 Mbit/s alone: given up after 0.7 s in all it was asked
-for again for ever, and the entry never started. A half-dead connection ends by it."""
+"""Longest time that an answer may go on arriving. A large configuration takes seconds
+on a narrow link that others use too: given up sooner it would be asked for again for
+ever, and the entry would never start. A half-dead connection ends by it."""
 READ_MOST_KB = 128
-"""Most of a topic that one read asks for; a larger record comes alone. On a link of 5
-Mbit/s it takes 0.2 s, in which the reads of other topics wait. Left to the store it is
-1,024 KB, most of them rows that others have superseded."""
+"""Most of a topic that one read asks for; a larger record comes alone. The reads of
+other topics wait for it on a narrow link, and left to the store it would be mostly rows
+that others have superseded."""
 IDLE_S = 30.0
-"""Idle time after which a connection is not used again; calls are 0.6 s apart."""
+"""Idle time after which a connection is not used again."""
 _PAGE = 500
 _Decoded = TypeVar("_Decoded")
 
--- a/src/celerytrack/prefill.py
+++ b/src/celerytrack/prefill.py
@@ -1,35 +1,32 @@
 """How long engines take to read prompts, and in which order they should.
 
 An engine takes the more urgent of the prompts that wait at it first. Shortest
-first keeps most first tokens early: a prompt of 50,000 tokens takes over a
-second, and a hundred short ones behind it would all be late, while it hardly
-notices that they went ahead. Reading is shared, though: a short prompt beside a
-long one still waits for part of it, so a choice counts all that waits.
+first keeps most first tokens early: a hundred short ones behind one that takes a
+second would all be late, while it hardly notices that they went ahead. Reading is
+shared, though: a short prompt beside a long one still waits for part of it, so a choice
+counts all that waits.
 
-Load pattern answered: bursts of long prompts beside a stream of short ones.
-First tokens on a day of high load: short prompts 443 to 171 ms (95th percentile),
-long ones no later (670 to 582 ms, 90th percentile). A second pattern: medium
-prompts that have 0.6 s beside short ones that have 1.2 and 1.5 s.
+Load patterns answered: bursts of long prompts beside a stream of short ones; medium
+prompts that have little time beside short ones that have twice as much.
 """
 
 import enum
 
 PREFILL_TOKENS_PER_S = 64_000.0
-"""Prompt tokens that an engine reads a second beside its other work: the engines
-listed read 85 to 101 a millisecond, 1,024 at a time, with a step of 3 to 4 ms for
-the requests that run between; what differs is learned as slowness."""
+"""Prompt tokens that an engine reads a second beside its other work; how an engine
+differs is learned as its slowness."""
 PAIR_S = 0.25e-9
-"""Time an engine takes for each pair of a prompt's tokens, of the engines
-listed: a prompt of 50,000 tokens takes a third more than its tokens alone."""
+"""Time an engine takes for each pair of a prompt's tokens: a prompt of 50,000 tokens
+takes a third more than its tokens alone."""
 SHORT_S = 0.1
-"""A short prompt's reading time at most: a third of the tightest latency target
-listed, so that two may go ahead of a third."""
+"""A short prompt's reading time at most: two may go ahead of a third that has little
+time."""
 MEDIUM_S = 0.4
-"""A medium prompt's reading time at most: half of the widest latency target
-listed. A longer one is at risk wherever it stands, and holds up most."""
+"""A medium prompt's reading time at most: a longer one is at risk wherever it stands,
+and holds up most."""
 PATIENT_S = 1.0
 """A target above this leaves time for those of the next size too: a burst of long
-prompts keeps an engine reading for 0.3 to 0.9 s."""
+prompts keeps an engine reading for most of a second."""
 URGENCIES = 9
 """The highest number of an urgency; 0 is the most urgent."""
 
--- a/src/celerytrack/prepaid/book.py
+++ b/src/celerytrack/prepaid/book.py
@@ -233,7 +233,7 @@
             share.accepted_tokens = min(share.accepted_tokens, share.claim_tokens)
             goal = self._goal(account, now_s)
             # In full: what came free as the last row grew old is not in the new
-            # row's hand, and a request that lacked 100 tokens would go without.
+            # row's hand, and a request that lacks only that would go without.
             hand = floor + max(goal.hand_tokens, share.wanted_tokens)
             row[account] = Row(
                 claimed_tokens=share.claim_tokens,
--- a/src/celerytrack/prepaid/policy.py
+++ b/src/celerytrack/prepaid/policy.py
@@ -6,7 +6,7 @@
 
 HAND_S = 0.3
 """Seconds of its own recent spend that an entry may use at once. A request
-that finds less waits for a row, 15 ms; a loss of power loses it."""
+that finds less waits for a row; a loss of power loses it."""
 HAND_ROWS = 1.5
 """Rows that the hand lasts for at least: while the store is slow a row takes
 longer than :data:`HAND_S`, and the one before it must not be empty until then."""
@@ -17,8 +17,7 @@
 the account runs dry."""
 PACE_TIMES = 1.0
 """How fast the rest of a claim comes free as a row grows old, as a multiple of
-the entry's own recent spend: a cut off entry goes on as it did. A kill loses
-this much of the time from the last row to the next start, 2 s."""
+the entry's own recent spend: a cut off entry goes on as it did."""
 COVER_S = 22.0
 """Seconds of its own recent spend that an entry claims in all: a cut lasts 9 s, the
 write before it may be 1 s old, and an account may spend twice as fast in it. Nothing of
@@ -28,10 +27,10 @@
 so that a cut in the first seconds finds tokens to unlock."""
 FIRST_HAND_SHARE = 0.015
 """Part of what is left that all entries together have at once until rates are
-known: the largest requests listed are 2 to 5 % of a small account's total."""
+known: a few requests at each entry, where the account is a large one."""
 FIRST_PACE_SHARE = 0.03
-"""Part of what is left that comes free each second until rates are known: a
-total is meant to last a day of 34 s and a third more."""
+"""Part of what is left that comes free each second until rates are known: in a cut of
+the first seconds entries go on as if a total had to last for half a minute."""
 KNOWN_SHARE = 0.3
 """The first shares shrink evenly until this part of a total is used: by then
 entries know who spends it and how fast."""
--- a/src/celerytrack/prepaid/rows.py
+++ b/src/celerytrack/prepaid/rows.py
@@ -31,9 +31,8 @@
 class FoldedRows:
     """The newest row of each entry, and what they come to.
 
-    Sums are kept as rows are folded. Adding up the rows of 64 entries for each of 24
-    accounts took 6.3 ms of processor time before each row that an entry wrote, with
-    sums 1.7 ms; of 300 entries 22 ms and 1.3 (``bench.rows_bench``).
+    Sums are kept as rows are folded, so that what an entry does before each row that it
+    writes does not grow with the fleet (``bench.rows_bench``).
 
     :param me: this entry; its own row is among them once it is on the log.
     """
--- a/src/celerytrack/prepaid/shares.py
+++ b/src/celerytrack/prepaid/shares.py
@@ -15,12 +15,12 @@
 served from the hand until the rest comes free."""
 OUTAGE_S = 3.5
 """A row older than this was not written in time because the log is away: a
-killed process, or an instance that lost power for 3 s, has started anew by then,
+killed process, or an instance that lost power for seconds, has started anew by then,
 and what comes free later is not lost to it."""
 OUTAGE_TIMES = 9.0
 """How much faster than its pace the claim then comes free: it was made for this.
-One entry sees a small account's long prompts 12 s apart, each worth as many
-seconds of its spend: at 3 times its pace the first of them was refused."""
+One entry sees a small account's long prompts far apart, each worth many seconds of its
+spend there: at its pace the first of them would be refused until the cut ends."""
 LARGEST_DECAY_S = 20.0
 """How fast the memory of an account's largest request halves."""
 
--- a/src/celerytrack/row_pace.py
+++ b/src/celerytrack/row_pace.py
@@ -2,21 +2,19 @@
 
 BEAT_S = 0.3
 """Longest time between two rows of a small fleet. What was spent since the last
-row is lost with power: 0.3 s instead of 1 s is 1 to 2 % of every total."""
+row is lost with power."""
 BEATS_PER_S = 60.0
 """Rows that all entries together write a second, at most: a tenth of the 600
 writes a second that the smallest store takes."""
 URGENT_GAP_S = 0.01
 """Shortest time between two rows of an entry: requests that lack tokens at the
-same moment share one. With 0.03 s a quarter of the long prompts waited over
-60 ms, and then asked the others."""
+same moment share one. A longer pause sends long prompts to ask the others."""
 URGENT_ROWS_PER_S = 400.0
-"""Rows of all entries together at most, when all have requests that wait: two
-thirds of what the smallest store takes, and 400 KB/s to read for each."""
+"""Rows of all entries together at most, when all have requests that wait: two thirds of
+what the smallest store takes, and no more than a narrow link carries."""
 URGENT_BURST = 4
-"""Rows that an entry may write one behind the other. With a pause after each, 0.16 s in
-a fleet of 64, a request that lacked tokens often met it: 28 % waited over 0.05 s for
-tokens, with the burst 6 % (modelled fleet of 64 entries, 24 accounts, 6 s)."""
+"""Rows that an entry may write one behind the other: with a pause after each a request
+that lacks tokens would often meet it."""
 
 
 def beat_interval_s(entries: int) -> float:
