--- a/src/celerytrack/prepaid/book.py
+++ b/src/celerytrack/prepaid/book.py
@@ -68,23 +68,11 @@
     def adopt(self, age_s: float | None) -> None:
         """Take over the row that an earlier start of this entry left.
 
-        What it may have spent counts as spent: what it delivered after its
-        last row is known to nobody.
-
         :param age_s: how old the row was when that start had certainly ended;
             ``None`` if nobody can tell.
         """
         for account, row in self.rows.mine().items():
-            lost = row.claimed_tokens
-            if age_s is not None:
-                lost = row.limit_tokens(age_s)
-            self._shares[account] = Share(
-                claim_tokens=row.claimed_tokens,
-                accepted_tokens=row.claimed_tokens,
-                spent_tokens=lost,
-                adopted_tokens=lost,
-                adopted_used_tokens=row.used_tokens,
-            )
+            self._shares[account] = Share.adopted(row, age_s)
 
     def free_beyond(self, left: Mapping[AccountId, Row], age_s: float) -> None:
         """Free what :meth:`adopt` counted as spent but cannot have been.
@@ -95,11 +83,7 @@
         :param left: the row it left.
         """
         for account, row in left.items():
-            share = self._share(account)
-            beyond = row.claimed_tokens - row.limit_tokens(age_s)
-            beyond = min(beyond, share.adopted_tokens)
-            share.spent_tokens -= beyond
-            share.adopted_tokens -= beyond
+            self._share(account).free_beyond(row, age_s)
 
     # -- requests ----------------------------------------------------------
 
--- a/src/celerytrack/prepaid/shares.py
+++ b/src/celerytrack/prepaid/shares.py
@@ -119,6 +119,32 @@
     rated_since_s: float | None = None
     largest_tokens: float = 0.0
 
+    @classmethod
+    def adopted(cls, row: Row, age_s: float | None) -> "Share":
+        """The share of a start whose earlier start left ``row``.
+
+        What the earlier start may have spent counts as spent: what it delivered after
+        its last row is known to nobody.
+
+        :param age_s: how old the row was when that start had certainly ended;
+            ``None`` if nobody can tell.
+        """
+        lost = row.claimed_tokens if age_s is None else row.limit_tokens(age_s)
+        return cls(
+            claim_tokens=row.claimed_tokens,
+            accepted_tokens=row.claimed_tokens,
+            spent_tokens=lost,
+            adopted_tokens=lost,
+            adopted_used_tokens=row.used_tokens,
+        )
+
+    def free_beyond(self, row: Row, age_s: float) -> None:
+        """Free what :meth:`adopted` counted as spent under ``row`` without knowing that
+        it was ``age_s`` old at most."""
+        beyond = min(row.claimed_tokens - row.limit_tokens(age_s), self.adopted_tokens)
+        self.spent_tokens -= beyond
+        self.adopted_tokens -= beyond
+
     @property
     def floor_tokens(self) -> int:
         """What our row must cover."""
