--- a/tests/test_prepaid_fleet.py
+++ b/tests/test_prepaid_fleet.py
@@ -86,8 +86,8 @@
 
     @params((1,), (2,))
     def test_a_loss_of_power_soon_after_a_cut_leaves_what_was_paid_for(self, seed):
-        """Symptom: in a fleet of 195 a third of what was owed was refused from a loss of
-        power 3 s after a cut on. Sequence: see ClockLeadTest; here most entries, which
+        """Symptom: in a fleet of 195 a third of what was owed was refused after a loss
+        of power 3 s after a cut. Sequence: see ClockLeadTest; here most entries, which
         write a row each second, have not written since the cut ended 1 s ago. Cause:
         the entries with callers took these rows for clocks that had been set, so that
         all that they had claimed counted as spent.
