--- a/tests/known_red.py
+++ b/tests/known_red.py
@@ -11,7 +11,8 @@
 
 LIST = pathlib.Path(__file__).resolve().parent.parent / "KNOWN-RED.txt"
 _TEST = r"(tests\.[\w.]+(?::\d+)?)"
-_FAILURE = re.compile(rf"^(?:FAIL|ERROR): \S+ \({_TEST}", re.M)
+# A row of a table prints its parameters on a line of their own before the test's id.
+_FAILURE = re.compile(rf"^(?:FAIL|ERROR): \S+(?:\n[^\n]*?)? \({_TEST}", re.M)
 _ENTRY = re.compile(rf"^{_TEST}: ", re.M)
 
 
--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -12,6 +12,9 @@
 FAIL: test_b (tests.test_x.T.test_b:2
 'row of a table')
 ERROR: test_c (tests.test_y.T.test_c)
+FAIL: test_d:3
+'a.scn' (tests.test_z.T.test_d:3
+'a.scn')
 """
 
 
@@ -21,6 +24,8 @@
         ("", 0),
         ("tests.test_x.T.test_a: seed 1; seen; issue 1\n", 1),
         ("tests.test_x.T.test_b:2: x\ntests.test_y.T.test_c: x\n", 2),
+        ("tests.test_z.T.test_d:3: parameters before the id\n", 1),
+        ("tests.test_z.T.test_d:2: another row of it\n", 0),
         ("tests.test_x.T.test_b:1: another row of the table\n", 0),
         ("tests.test_x.T.test_b: the table, without a row\n", 0),
         ("tests.test_x.T: x\n", 0),
