Planned stops say what they take, what they wait for and how far they are

Events 104 (stage of a stop, time since its signal, requests in progress) and 706 (a request taken while leaving, how long after the signal, how long it may last). No change of logic.

--- a/src/celerytrack/gateway/exchange.py
+++ b/src/celerytrack/gateway/exchange.py
@@ -40,7 +40,7 @@
     gone: bool = False
 
 
-@attrs.define
+@attrs.define(eq=False)
 class Exchange:
     """One caller's request, from its first byte to the end of its answer.
 
--- a/src/celerytrack/gateway/outcomes.py
+++ b/src/celerytrack/gateway/outcomes.py
@@ -67,6 +67,19 @@
     )
 
 
+def taken_leaving(gateway: Gateway, exchange: Exchange, now_s: float) -> None:
+    """A request was taken though a planned stop has begun."""
+    assert gateway.stop_began_s is not None
+    log_event(
+        _log,
+        Event.TAKEN_LEAVING,
+        request_id=exchange.facts.request_id,
+        route=exchange.route.name,
+        after_ms=round((now_s - gateway.stop_began_s) * 1_000),
+        may_last_ms=round((exchange.ends_s - now_s) * 1_000),
+    )
+
+
 def _after_ms(exchange: Exchange, at_s: float | None) -> int | None:
     return None if at_s is None else round((at_s - exchange.started_s) * 1_000)
 
--- a/src/celerytrack/gateway/pipeline.py
+++ b/src/celerytrack/gateway/pipeline.py
@@ -23,6 +23,7 @@
     cut,
     plain,
     refuse,
+    taken_leaving,
 )
 from celerytrack.gateway.refusals import RefusedError
 from celerytrack.gateway.state import Gateway
@@ -57,6 +58,9 @@
         exchange = await admit(gateway, request, started_s)
     except RefusedError as exc:
         return refuse(gateway, request, None, exc.refusal)
+    if gateway.leaving:
+        taken_leaving(gateway, exchange, time.monotonic())
+    gateway.exchanges.add(exchange)
     try:
         return await _serve(gateway, exchange)
     except RefusedError as exc:
@@ -70,6 +74,8 @@
             events=exchange.events.events,
         )
         raise asyncio.CancelledError from None
+    finally:
+        gateway.exchanges.discard(exchange)
 
 
 async def _serve(gateway: Gateway, exchange: Exchange) -> web.StreamResponse:
--- a/src/celerytrack/gateway/server.py
+++ b/src/celerytrack/gateway/server.py
@@ -58,6 +58,8 @@
 the process is killed with requests in progress."""
 LAST_ROW_S = 0.15
 """Time for the row that gives the unspent tokens back: ten times what one takes."""
+LOGGED_MOST = 20
+"""Requests in progress that one log line names."""
 LEAVE_MARGIN_S = 1.0
 """A planned stop ends this long before the platform's grace does."""
 
@@ -210,16 +212,34 @@
         started_s = time.monotonic()
         ends_s = started_s + gateway.settings.grace_s - LEAVE_MARGIN_S
         gateway.leaving = True
+        gateway.stop_began_s = started_s
         log_event(_log, Event.PROCESS_STOPPING, in_flight=gateway.in_flight)
         await gateway.keeper.leave()
         await asyncio.sleep(LEAVE_SERVES_S)
         gateway.closed = True
+        self._log_stage("takes no more")
         while gateway.in_flight and time.monotonic() < ends_s:
             await asyncio.sleep(0.05)
+        self._log_stage("requests over")
         gateway.keeper.book.return_unspent()
         await gateway.keeper.leave()
         await asyncio.sleep(LAST_ROW_S)
+        self._log_stage("last row")
         await self.abort()
+        self._log_stage("closed")
+
+    def _log_stage(self, stage: str) -> None:
+        """Say how far the planned stop is, and which requests it still waits for."""
+        gateway = self._gateway
+        assert gateway.stop_began_s is not None
+        log_event(
+            _log,
+            Event.STOP_STAGE,
+            stage=stage,
+            after_ms=round((time.monotonic() - gateway.stop_began_s) * 1_000),
+            in_flight=gateway.in_flight,
+            requests=[e.facts.request_id for e in gateway.exchanges][:LOGGED_MOST],
+        )
 
     def stop(self) -> None:
         """Begin a planned stop, as SIGTERM does."""
@@ -229,6 +249,8 @@
         """Close the listeners, the tasks and the connections at once."""
         for runner in self._runners:
             await runner.cleanup()
+            if self._gateway.stop_began_s is not None:
+                self._log_stage("a listener closed")
         for task in self._tasks:
             task.cancel()
         await self._gateway.close()
--- a/src/celerytrack/gateway/state.py
+++ b/src/celerytrack/gateway/state.py
@@ -6,6 +6,7 @@
 
 from celerytrack.endpoints import EndpointBook
 from celerytrack.gateway.connections import EndpointConnections
+from celerytrack.gateway.exchange import Exchange
 from celerytrack.gateway.gifts import GiftClient
 from celerytrack.gateway.hedged_store import HedgedStore
 from celerytrack.gateway.prompt_notes import NOTE_LEAST_S, PromptNotes
@@ -29,6 +30,8 @@
     :param started_s: when the process began, on the steady clock.
     :ivar leaving: a planned stop has begun: callers are told to go elsewhere.
     :ivar closed: the planned stop takes no new requests any more.
+    :ivar exchanges: requests admitted and not yet answered.
+    :ivar stop_began_s: when the planned stop began.
     :ivar config_known_at_s: up to when each configuration that was confirmed is
         known here, on the steady clock.
     :ivar endpoints_known_at_s: the same of the endpoints' registrations.
@@ -65,6 +68,8 @@
         self.leaving = False
         self.closed = False
         self.in_flight = 0
+        self.exchanges: set[Exchange] = set()
+        self.stop_began_s: float | None = None
         self._retries: dict[ServiceName, RetryBudget] = {}
         self.connections = EndpointConnections()
 
--- a/tests/keyed_log.py
+++ b/tests/keyed_log.py
@@ -63,6 +63,7 @@
     """The stand-in's state and faults.
 
     :ivar down: every call is refused.
+    :ivar silent: no call is answered.
     :ivar deaf: reads that are held when it is set are never answered.
     :ivar lose_answers: appends take effect and are not answered.
     :ivar link: over which answers to reads arrive.
@@ -72,6 +73,7 @@
         self.topics: dict[str, Topic] = {}
         self.down = False
         self.deaf = False
+        self.silent = False
         self.lose_answers = False
         self.link = Link()
         self.appends = 0
@@ -99,7 +101,12 @@
         app.router.add_get("/log-newest", self._newest)
         return app
 
+    async def _answering(self) -> None:
+        while self.silent:
+            await asyncio.sleep(0.05)
+
     async def _append(self, request: web.Request) -> web.Response:
+        await self._answering()
         if self.down:
             return web.Response(status=503)
         topic = self.topic(request.query["topic"])
@@ -127,6 +134,7 @@
         return web.json_response({"offset": offset, "end": len(topic.records)})
 
     async def _read(self, request: web.Request) -> web.StreamResponse:
+        await self._answering()
         if self.down:
             return web.Response(status=503)
         topic = self.topic(request.query["topic"])
@@ -156,6 +164,7 @@
             return
 
     async def _newest(self, request: web.Request) -> web.StreamResponse:
+        await self._answering()
         if self.down:
             return web.Response(status=503)
         topic = self.topic(request.query["topic"])
