The stand-in log comes back from an older copy of itself

Each answer carries Store-Era, refusals too (the header can be left out, or say anything, by era_text); a restore takes records, producers' epochs and numbers back to the copy, gives offsets out again, raises the era and, after a settable time, writes again what the platform itself had written. A read from an offset that does not exist gets 410 at once, where it used to be held and answered with nothing; a held read ends when its offset is gone, or with 503 when the log goes away.

--- a/tests/keyed_log.py
+++ b/tests/keyed_log.py
@@ -1,13 +1,19 @@
-"""A stand-in of the platform's log: keyed topics over HTTP, with faults."""
+"""A stand-in of the platform's log: keyed topics over HTTP, with faults.
+
+It may come back from an older copy of itself: its answers then carry a higher era.
+"""
 
 import asyncio
 import base64
+import copy
 import json
 import struct
+from collections.abc import Callable, Mapping
 
 import attrs
 from aiohttp import web
 
+ERA_HEADER = "Store-Era"
 _LENGTH = struct.Struct(">I")
 _ENDS = struct.Struct(">QQ")
 _PIECE_BYTES = 16_384
@@ -67,16 +73,22 @@
     :ivar deaf: reads that are held when it is set are never answered.
     :ivar lose_answers: appends take effect and are not answered.
     :ivar link: over which answers to reads arrive.
+    :ivar era: rises by one each time the log comes back from an older copy.
+    :ivar era_text: what its answers say of the era; ``None`` leaves it out.
     """
 
     def __init__(self) -> None:
         self.topics: dict[str, Topic] = {}
+        self.era = 1
+        self.era_text: Callable[[int], str | None] = str
         self.down = False
         self.deaf = False
         self.silent = False
         self.lose_answers = False
         self.link = Link()
         self.appends = 0
+        # By topic and key, whatever became of the log.
+        self._platform_wrote: dict[tuple[str, str], bytes] = {}
         self._changed = asyncio.Event()
 
     def topic(self, name: str) -> Topic:
@@ -85,7 +97,14 @@
 
     def put(self, name: str, key: str, value: bytes) -> None:
         """Write as the platform itself does."""
+        self._platform_wrote[name, key] = value
+        self._put(name, key, value)
+
+    def _put(self, name: str, key: str, value: bytes) -> None:
         self.topic(name).records.append((key, value))
+        self._wake_readers()
+
+    def _wake_readers(self) -> None:
         self._changed.set()
         self._changed = asyncio.Event()
 
@@ -93,9 +112,49 @@
         """Drop all records; the newest of each key is kept."""
         self.topic(name).first = len(self.topic(name).records)
 
+    def copy(self) -> Mapping[str, Topic]:
+        """A copy of all topics, to come back from later."""
+        return copy.deepcopy(self.topics)
+
+    def restore(self, older: Mapping[str, Topic]) -> None:
+        """Come back from ``older`` at once: records, producers' epochs and numbers are
+        what they were, offsets are given out again, and the era rises."""
+        self.topics = copy.deepcopy(dict(older))
+        self.era += 1
+        self._wake_readers()
+
+    async def restore_after(
+        self,
+        older: Mapping[str, Topic],
+        away_s: float = 0.0,
+        written_again_s: float = 0.0,
+    ) -> None:
+        """Refuse every call for ``away_s``, come back from ``older``, and have what
+        the platform wrote since written again ``written_again_s`` later."""
+        self.down = True
+        self._wake_readers()
+        await asyncio.sleep(away_s)
+        self.restore(older)
+        self.down = False
+        await asyncio.sleep(written_again_s)
+        self.write_again()
+
+    def write_again(self) -> None:
+        """What the platform wrote is written again where the log has it no more."""
+        for (name, key), value in self._platform_wrote.items():
+            newest = dict(self.topic(name).records)
+            if newest.get(key, b"") != value:
+                self._put(name, key, value)
+
+    async def _say_era(self, _: web.Request, answer: web.StreamResponse) -> None:
+        text = self.era_text(self.era)
+        if text is not None:
+            answer.headers[ERA_HEADER] = text
+
     def make_app(self) -> web.Application:
         """The HTTP application."""
         app = web.Application()
+        app.on_response_prepare.append(self._say_era)
         app.router.add_post("/log-append", self._append)
         app.router.add_get("/log-read", self._read)
         app.router.add_get("/log-newest", self._newest)
@@ -125,7 +184,7 @@
         topic.producers[name] = (epoch, number if body else number - 1)
         offset = len(topic.records)
         for key, value in _decode(body):
-            self.put(request.query["topic"], key, value)
+            self._put(request.query["topic"], key, value)
         if body:
             topic.answers[name, epoch, number] = offset
             self.appends += 1
@@ -137,15 +196,18 @@
         await self._answering()
         if self.down:
             return web.Response(status=503)
-        topic = self.topic(request.query["topic"])
+        name = request.query["topic"]
         start = int(request.query["from"])
         wait_s = int(request.query.get("waitMs", 0)) / 1_000
-        if start < topic.first:
-            return web.json_response({"first": topic.first}, status=410)
-        if start >= len(topic.records) and wait_s:
-            await self._wait(topic, start, wait_s)
+        if start == len(self.topic(name).records) and wait_s:
+            await self._wait(name, start, wait_s)
             if self.deaf:
                 await asyncio.sleep(60)
+            if self.down:
+                return web.Response(status=503)
+        topic = self.topic(name)
+        if not topic.first <= start <= len(topic.records):
+            return web.json_response({"first": topic.first}, status=410)
         most = int(request.query.get("maxKb", 1_024)) * 1_024
         body = _ENDS.pack(len(topic.records), topic.first)
         for key, value in topic.records[start:]:
@@ -155,10 +217,11 @@
             body += _LENGTH.pack(len(content)) + content
         return await self.link.send(request, body)
 
-    async def _wait(self, topic: Topic, start: int, wait_s: float) -> None:
+    async def _wait(self, name: str, start: int, wait_s: float) -> None:
+        """Hold a read until there is a record at ``start``, or none can come."""
         try:
             async with asyncio.timeout(wait_s):
-                while start >= len(topic.records):
+                while start == len(self.topic(name).records) and not self.down:
                     await self._changed.wait()
         except TimeoutError:
             return
