--- a/src/celerytrack/lab/prepaid_fleet.py
+++ b/src/celerytrack/lab/prepaid_fleet.py
@@ -15,6 +15,7 @@
 from celerytrack.gateway.admission import SOON_S, lacking_tokens
 from celerytrack.gateway.share_keeper import ShareKeeper
 from celerytrack.ids import AccountId
+from celerytrack.lab.after_return import Owed
 from celerytrack.lab.model_entry import ModelEntry
 from celerytrack.lab.model_log import ModelLog
 from celerytrack.lab.prepaid_scenarios import (
@@ -78,6 +79,7 @@
             entry = ModelEntry(i, self.log, self.totals, self.entries, link_mbps)
             self.entries.append(entry)
         self.outcome = Outcome()
+        self._began_s = 0.0
         self._calls: set[asyncio.Task[None]] = set()
         self._weights = [1 / (i + 1) for i in range(scenario.accounts)]
         self._names = [AccountId(f"a{i}") for i in range(scenario.accounts)]
@@ -96,7 +98,7 @@
     async def run(self) -> Outcome:
         """Play the scenario."""
         await asyncio.gather(*(self._start(e) for e in self.entries))
-        began_s = asyncio.get_running_loop().time()
+        self._began_s = began_s = asyncio.get_running_loop().time()
         tasks = [asyncio.create_task(self._fault(f)) for f in self.scenario.faults]
         scale = self.scenario.told / 9
         tasks += [asyncio.create_task(self._send(w, scale)) for w in self.scenario.mix]
@@ -112,6 +114,7 @@
         await asyncio.sleep(0)
         took_s = asyncio.get_running_loop().time() - began_s
         self._sum_up(took_s)
+        self.outcome.writes_s = [at_s - began_s for at_s in self.log.asked_s]
         return self.outcome
 
     async def _start(self, entry: ModelEntry) -> None:
@@ -120,6 +123,9 @@
     # -- faults -------------------------------------------------------------
 
     async def _fault(self, fault: Fault) -> None:
+        if fault.kind in (FaultKind.AWAY, FaultKind.RESTORED):
+            await self._log_away(fault)
+            return
         await asyncio.sleep(fault.at_s)
         count = max(1, round(fault.share * len(self.entries)))
         struck = self.rng.sample(self.entries, count)
@@ -136,6 +142,16 @@
         for entry in struck:
             entry.store.cut = entry.apart = False
 
+    async def _log_away(self, fault: Fault) -> None:
+        await asyncio.sleep(fault.at_s - fault.loses_s)
+        copy = self.log.copy()
+        await asyncio.sleep(fault.loses_s)
+        self.log.away = True
+        await asyncio.sleep(fault.for_s)
+        if fault.kind is FaultKind.RESTORED:
+            self.log.restore(copy)
+        self.log.away = False
+
     # -- callers ------------------------------------------------------------
 
     async def _send(self, work: Work, scale: float) -> None:
@@ -173,13 +189,18 @@
             after_s = await self._try(self.rng.choice(up), request)
             if after_s == 0.0:
                 first_s = loop.time() - sent_s - work.takes_s
-                self._answered(request, owed, first_s)
+                self._answered(request, owed, sent_s, first_s)
                 return
             if after_s is None or last:
                 break
             left_s = work.deadline_s - (loop.time() - sent_s)
             await asyncio.sleep(min(after_s, left_s / 3))
         self.outcome.refused += owed
+        self._note(owed, sent_s, in_target=False)
+
+    def _note(self, owed: bool, sent_s: float, in_target: bool) -> None:
+        if owed:
+            self.outcome.requests.append(Owed(sent_s - self._began_s, in_target))
 
     def _reached(self, name: AccountId) -> list[ModelEntry]:
         """The entries that callers of an account connect to."""
@@ -198,12 +219,15 @@
         self.outcome.owed_tokens += owed * request.most_tokens
         return owed
 
-    def _answered(self, request: _Request, owed: bool, first_s: float) -> None:
+    def _answered(
+        self, request: _Request, owed: bool, sent_s: float, first_s: float
+    ) -> None:
         # An engine takes about half of the target itself.
         in_target = owed and first_s <= request.work.target_s / 2
         self.outcome.in_target += in_target
         self.outcome.in_target_tokens += in_target * request.most_tokens
         self.outcome.late += owed and not in_target
+        self._note(owed, sent_s, in_target)
 
     async def _try(self, entry: ModelEntry, request: _Request) -> float | None:
         """One try: 0 if it was answered, else when to come back, if at all."""
--- a/src/celerytrack/lab/prepaid_scenarios.py
+++ b/src/celerytrack/lab/prepaid_scenarios.py
@@ -5,6 +5,7 @@
 import attrs
 
 from celerytrack.ids import AccountId
+from celerytrack.lab.after_return import Owed
 
 
 @attrs.frozen
@@ -46,16 +47,24 @@
     """Entries reach neither the log nor each other; callers reach them."""
     REFUSED = "refused"
     """The log turns entries away; they reach each other."""
+    AWAY = "away"
+    """The log refuses every call."""
+    RESTORED = "restored"
+    """The log is away, and comes back from a copy made ``loses_s`` before."""
 
 
 @attrs.frozen
 class Fault:
-    """One fault: ``share`` of the entries, from ``at_s`` on for ``for_s``."""
+    """One fault: ``share`` of the entries, from ``at_s`` on for ``for_s``.
+
+    :ivar loses_s: how much of its history the log has lost when it comes back.
+    """
 
     kind: FaultKind
     at_s: float
     for_s: float
     share: float = 1.0
+    loses_s: float = 0.0
 
 
 TWO_CUTS_THEN_POWER = (
@@ -108,6 +117,9 @@
     :ivar overspent_tokens: beyond the totals, by all accounts; must be 0.
     :ivar delivered_share: spent of the totals of accounts that were asked for
         more than they have.
+    :ivar requests: those that were owed, by when they ended; times are since the
+        run began.
+    :ivar writes_s: when appends arrived at the log, since the run began.
     :ivar owed: requests owed, of which ``in_target`` and ``refused`` ones;
         ``owed_tokens`` and ``in_target_tokens`` at their most.
     """
@@ -125,6 +137,8 @@
     appends_per_s: float = 0.0
     bytes_in_per_s: float = 0.0
     bytes_out_per_s: float = 0.0
+    requests: list[Owed] = attrs.field(factory=list)
+    writes_s: list[float] = attrs.field(factory=list)
 
     @property
     def refused_share(self) -> float:
