Nine gateway processes before a log that comes back from older copies

Load on open connections (streams of a prepaid account, once-only calls), probes of each gateway for what is in force, and three returns, each just after a configuration that adds and removes a route and a key, an endpoint that says it leaves and one that is gone; SIGTERMs roll through four gateways at the third.

--- a/tests/keyed_log.py
+++ b/tests/keyed_log.py
@@ -50,7 +50,10 @@
         """Answer ``request`` with ``body``, at the pace of the link."""
         response = web.StreamResponse()
         response.content_length = len(body)
-        await response.prepare(request)
+        try:
+            await response.prepare(request)
+        except ConnectionResetError:
+            return response
         for start in range(0, len(body), _PIECE_BYTES):
             piece = body[start : start + _PIECE_BYTES]
             async with self._turn:
--- /dev/null
+++ b/tests/restored_site.py
@@ -0,0 +1,331 @@
+"""Gateways as processes before a stand-in log that comes back from older copies.
+
+The operator and the endpoints write just before each return, so that the copy lacks
+it; callers keep connections open, and probes ask each gateway what is in force.
+"""
+
+import asyncio
+import contextlib
+import json
+import random
+import signal
+import time
+from collections.abc import Coroutine
+from typing import Any
+
+import aiohttp
+import attrs
+from aiohttp import web
+
+from celerytrack.platform.topics import CONFIG_KEY, CONFIG_TOPIC, ENDPOINTS_TOPIC
+from tests.gateway_fleet import HOST, SEAL, Endpoint, free_port
+from tests.gateway_processes import GatewayProcess
+from tests.keyed_log import KeyedLog
+
+INPUT_TOKENS, OUTPUT_TOKENS = 2_000, 5
+LAST_BYTES = (b"done", b"data: t%d\n\n" % OUTPUT_TOKENS)
+PAID_KEY = "paid"
+"""Of the account whose total all gateways share; other keys have none."""
+COPY_BEFORE_S = 2.0
+WROTE_BEFORE_S = 1.5
+"""What is written then is lost with the copy."""
+AWAY_S = 0.5
+PROBE_S = 0.15
+LEAVING_KNOWN_S = 0.75
+"""Time in which all gateways read that an endpoint leaves."""
+STOP_MOST_S = 8.0
+"""The gateways' grace time."""
+DEADLINE_MS = "15000"
+
+
+async def answer(request: web.BaseRequest) -> web.StreamResponse:
+    """A stream where one is asked for, else a plain answer."""
+    headers = {"X-Attempt-Id": request.headers["X-Attempt-Id"], **SEAL}
+    if not request.path.startswith("/stream/"):
+        await asyncio.sleep(0.03)
+        return web.Response(body=b"done", headers=headers)
+    response = web.StreamResponse(headers=headers)
+    response.enable_chunked_encoding()
+    await response.prepare(request)
+    for i in range(1, OUTPUT_TOKENS + 1):
+        await response.write(b"id: %d\ndata: t%d\n\n" % (i, i))
+        await asyncio.sleep(0.02)
+    return response
+
+
+class Operator:
+    """The configuration as its owner changes it: each version adds a route and a key,
+    and removes those of the version before."""
+
+    def __init__(self, log: KeyedLog, total_tokens: int) -> None:
+        self.version = 0
+        self._log = log
+        self._total_tokens = total_tokens
+
+    def write(self) -> None:
+        """Write the next version."""
+        self.version += 1
+        plain = {"kind": "idempotent", "public": True}
+        kinds = {
+            f"/route-{self.version}/": plain,
+            "/keyed/": {"kind": "idempotent"},
+            "/once/": {"kind": "non_idempotent"},
+            "/stream/": {"kind": "stream", "affinity": True},
+        }
+        routes = [
+            {"name": prefix, "pathPrefix": prefix, **self._route(), **kind}
+            for prefix, kind in kinds.items()
+        ]
+        paid = {"name": "p", "apiKeys": [PAID_KEY], "prepaid": self._total_tokens}
+        free = {"name": "f", "apiKeys": ["free", f"key-{self.version}"]}
+        config = {
+            "version": self.version,
+            "routes": routes,
+            "services": [{"name": "s", "connLimit": 100, "engine": {"slots": 50}}],
+            "tenants": [paid, free],
+        }
+        self._log.put(CONFIG_TOPIC, CONFIG_KEY, json.dumps(config).encode())
+
+    @staticmethod
+    def _route() -> dict[str, object]:
+        return {
+            "host": HOST,
+            "timeoutMs": int(DEADLINE_MS),
+            "goalMs": 300,
+            "maxAttempts": 2,
+            "service": "s",
+        }
+
+
+@attrs.define
+class Seen:
+    """What callers and probes saw.
+
+    :ivar whole: ids of requests with a whole good answer.
+    :ivar lost: ids of those that ended with no answer or half of one.
+    :ivar wrong: what probes were answered that is not in force.
+    """
+
+    whole: set[str] = attrs.field(factory=set)
+    lost: dict[str, str] = attrs.field(factory=dict)
+    refused: dict[int, int] = attrs.field(factory=dict)
+    wrong: list[str] = attrs.field(factory=list)
+
+
+class RestoredSite:
+    """Gateways, endpoints, callers and a log.
+
+    :param count: how many gateways.
+    :param total_tokens: what the paid account may spend.
+    """
+
+    def __init__(self, count: int, total_tokens: int, seed: int) -> None:
+        self.rng = random.Random(seed)
+        self.log = KeyedLog()
+        self.operator = Operator(self.log, total_tokens)
+        self.endpoints = [Endpoint(f"i-{i}", answer) for i in range(8)]
+        self.gateways: list[GatewayProcess] = []
+        self.seen = Seen()
+        self.exits: list[int | None] = []
+        self.left_at: dict[str, int] = {}
+        self._count = count
+        self._sending = True
+        self._ids = 0
+        self._sequence = 0
+        self._in_force: dict[str, int] = {}
+        self._stack = contextlib.AsyncExitStack()
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    async def __aenter__(self) -> "RestoredSite":
+        self.operator.write()
+        for endpoint in self.endpoints:
+            runner = await endpoint.start()
+            self._stack.push_async_callback(runner.cleanup)
+            self.register(endpoint)
+        port = free_port()
+        runner = web.AppRunner(self.log.make_app(), shutdown_timeout=0.1)
+        await runner.setup()
+        self._stack.push_async_callback(runner.cleanup)
+        await web.TCPSite(runner, "127.0.0.1", port).start()
+        address = f"127.0.0.1:{port}"
+        self.gateways = [GatewayProcess(i, address) for i in range(1, self._count + 1)]
+        entered = (self._stack.enter_async_context(g) for g in self.gateways)
+        await asyncio.gather(*entered)
+        return self
+
+    async def __aexit__(self, *exc: object) -> None:
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._stack.aclose()
+
+    def keep(self, coro: Coroutine[Any, Any, None]) -> "asyncio.Task[None]":
+        """Run ``coro`` until it ends or the site does."""
+        task = asyncio.create_task(coro)
+        self._tasks.add(task)
+        return task
+
+    def register(self, endpoint: Endpoint, **fields: object) -> None:
+        """Have an endpoint write its registration."""
+        self._sequence += 1
+        record = endpoint.registration(sequence=self._sequence, slots=50, **fields)
+        self.log.put(ENDPOINTS_TOPIC, endpoint.name, record)
+
+    # -- what happens -------------------------------------------------------
+
+    async def change_and_restore(self, k: int, written_again_s: float) -> None:
+        """Change the configuration, have one endpoint say that it leaves and another
+        one gone, and bring the log back from a copy that has none of it."""
+        older = self.log.copy()
+        await asyncio.sleep(COPY_BEFORE_S - WROTE_BEFORE_S)
+        self.operator.write()
+        draining, gone = self.endpoints[2 * k : 2 * k + 2]
+        self.register(draining, state="draining")
+        self.log.put(ENDPOINTS_TOPIC, gone.name, b"")
+        await asyncio.sleep(LEAVING_KNOWN_S)
+        self.left_at |= {e.name: len(e.seen) for e in (draining, gone)}
+        await asyncio.sleep(WROTE_BEFORE_S - LEAVING_KNOWN_S)
+        await self.log.restore_after(older, AWAY_S, written_again_s)
+
+    async def roll(self, gateways: list[GatewayProcess], apart_s: float) -> None:
+        """Stop gateways one after the other and start each again."""
+        stops = []
+        for gateway in gateways:
+            gateway.signal(signal.SIGTERM)
+            stops.append(self.keep(self._start_again(gateway)))
+            await asyncio.sleep(apart_s)
+        await asyncio.gather(*stops)
+
+    async def _start_again(self, gateway: GatewayProcess) -> None:
+        self.exits.append(await gateway.ended(STOP_MOST_S))
+        await gateway.start()
+
+    # -- callers ------------------------------------------------------------
+
+    def send_load(self, connections_each: int, pause_s: float) -> None:
+        """Have callers with open connections send until the site ends."""
+        for gateway in self.gateways:
+            for _ in range(connections_each):
+                self.keep(self._caller(gateway, pause_s))
+            self.keep(self._probe(gateway))
+
+    def stop_load(self) -> None:
+        """Have callers and probes end what they do and send no more."""
+        self._sending = False
+
+    async def _caller(self, gateway: GatewayProcess, pause_s: float) -> None:
+        connector = aiohttp.TCPConnector(limit=1)
+        async with aiohttp.ClientSession(connector=connector) as http:
+            while self._sending:
+                await asyncio.sleep(self.rng.expovariate(1 / pause_s))
+                self._ids += 1
+                await self._request(http, gateway, f"r{self._ids}")
+
+    async def _request(
+        self, http: aiohttp.ClientSession, gateway: GatewayProcess, request_id: str
+    ) -> None:
+        """One request, again elsewhere after a promise that it did not run."""
+        paid = self.rng.random() < 0.6
+        path, key = ("/stream/x", PAID_KEY) if paid else ("/once/x", "free")
+        for _ in range(3):
+            status = await self._ask(http, gateway, path, key, request_id)
+            if status not in (429, 503):
+                return
+            gateway = self.rng.choice(self.gateways)
+            await asyncio.sleep(0.1)
+
+    async def _ask(
+        self,
+        http: aiohttp.ClientSession,
+        gateway: GatewayProcess,
+        path: str,
+        key: str,
+        request_id: str,
+    ) -> int | None:
+        """Ask once; the status, or 503 if no connection was made."""
+        headers = {
+            "Host": HOST,
+            "X-Attempt-Id": request_id,
+            "X-Deadline-Ms": DEADLINE_MS,
+            "Authorization": f"Bearer {key}",
+            "X-Token-Count": f"{INPUT_TOKENS},{OUTPUT_TOKENS}",
+            "X-Prompt-Prefix": f"{request_id.encode().hex()}:{INPUT_TOKENS}",
+        }
+        url = f"http://{gateway.front_address}{path}"
+        try:
+            async with http.post(url, data=b"x", headers=headers) as got:
+                body = await got.read()
+        except aiohttp.ClientConnectorError:
+            return 503
+        except (aiohttp.ClientError, TimeoutError) as exc:
+            self.seen.lost[request_id] = f"{type(exc).__name__} at {gateway.ip}"
+            return None
+        if got.status == 200 and body.endswith(LAST_BYTES):
+            self.seen.whole.add(request_id)
+        elif got.status == 200:
+            self.seen.lost[request_id] = f"half an answer at {gateway.ip}"
+        elif got.status in (429, 503, 402):
+            self.seen.refused[got.status] = self.seen.refused.get(got.status, 0) + 1
+        else:
+            self.seen.lost[request_id] = f"{got.status} at {gateway.ip}"
+        return got.status
+
+    # -- probes -------------------------------------------------------------
+
+    async def _probe(self, gateway: GatewayProcess) -> None:
+        """Ask a gateway what is in force, over and over: never an older version."""
+        async with aiohttp.ClientSession() as http:
+            while self._sending:
+                version = self.operator.version
+                await self._probe_version(http, gateway, version)
+                await asyncio.sleep(PROBE_S)
+
+    async def _probe_version(
+        self, http: aiohttp.ClientSession, gateway: GatewayProcess, version: int
+    ) -> None:
+        async def status(path: str, key: str = "free") -> int | None:
+            got = await self._status(http, gateway, path, key)
+            # What the version asked about says no longer holds under a later one.
+            return got if version == self.operator.version else None
+
+        added = await status(f"/route-{version}/x")
+        if added == 200:
+            self._in_force[gateway.ip] = max(version, self._known(gateway))
+        if self._known(gateway) < version:
+            return
+        if added == 404:
+            self._wrong(gateway, f"route-{version} is unknown again")
+        if await status(f"/route-{version - 1}/x") == 200:
+            self._wrong(gateway, f"route-{version - 1} is served again")
+        if await status("/keyed/x", f"key-{version}") == 401:
+            self._wrong(gateway, f"key-{version} is unknown again")
+        if await status("/keyed/x", f"key-{version - 1}") == 200:
+            self._wrong(gateway, f"key-{version - 1} is good again")
+
+    def _known(self, gateway: GatewayProcess) -> int:
+        return self._in_force.get(gateway.ip, 0)
+
+    def _wrong(self, gateway: GatewayProcess, what: str) -> None:
+        self.seen.wrong.append(f"{time.monotonic():.2f} {gateway.ip} {what}")
+
+    async def _status(
+        self,
+        http: aiohttp.ClientSession,
+        gateway: GatewayProcess,
+        path: str,
+        key: str,
+    ) -> int | None:
+        self._ids += 1
+        headers = {
+            "Host": HOST,
+            "X-Attempt-Id": f"p{self._ids}",
+            "X-Deadline-Ms": DEADLINE_MS,
+            "Authorization": f"Bearer {key}",
+        }
+        url = f"http://{gateway.front_address}{path}"
+        try:
+            async with http.post(url, data=b"", headers=headers) as got:
+                await got.read()
+                return got.status
+        except (aiohttp.ClientError, TimeoutError):
+            return None
