A topic with one key may get others: its tail no longer passes over them

Cause: of a topic with one key a tail reads the last record only (made for the configuration). It noticed other keys only if the last record was one of theirs. An entry reads right after its own row, so the last record is its own as a rule: with two rows of others between two of its own they were passed over each time.

Change: the tail of the configuration is told the one key that counts; all others read the newest of each key.

Evidence: OtherKeyTest.test_keys_that_join_the_first_are_read failed before ({'first': 2} and no other), passes now; the test of the shortcut runs both with the key told and without.

--- a/src/celerytrack/gateway/tail.py
+++ b/src/celerytrack/gateway/tail.py
@@ -37,6 +37,8 @@
     :param caught_up: told up to when all that was written is known, on the steady
         clock, each time that is so.
     :param contact: told when the store is lost and regained.
+    :param only_key: the key of the only records that count, if there is one; of a
+        backlog the last record is read alone.
     """
 
     def __init__(
@@ -47,6 +49,7 @@
         reload: Callable[[set[str]], None] = lambda keys: None,
         caught_up: Callable[[float], None] = lambda at_s: None,
         contact: Callable[[bool], None] = lambda reachable: None,
+        only_key: str | None = None,
     ) -> None:
         self.topic = topic
         self.next_offset: int | None = None
@@ -59,13 +62,14 @@
         self._keys: set[str] = set()
         self._end = 0
         self._end_is_old = False
+        self._only_key = only_key
 
     async def poll(self, wait_s: float = 0.0) -> bool:
         """Read what is new once; whether the store answered.
 
         :param wait_s: how long the store may hold the call.
         """
-        if self._end_is_old and len(self._keys) == 1 and not await self._find_end():
+        if self._end_is_old and self._one_counts and not await self._find_end():
             return False
         if self.next_offset is None:
             return await self._load_newest()
@@ -73,10 +77,16 @@
         if left <= len(self._keys) * NEWEST_COST:
             return await self._read(self.next_offset, wait_s)
         log_event(_log, Event.TOPIC_SKIPPED, topic=self.topic, records=left)
-        if len(self._keys) == 1:
+        if self._one_counts:
             return await self._read(self._end - 1, 0.0)
         return await self._load_newest()
 
+    @property
+    def _one_counts(self) -> bool:
+        # A key that was alone when it was read need not stay so: skipping to the
+        # last record would pass over all others, time and again.
+        return self._keys == {self._only_key}
+
     async def load(self) -> None:
         """Read until the store has answered once."""
         pause_s = RETRY_S
--- a/src/celerytrack/gateway/watches.py
+++ b/src/celerytrack/gateway/watches.py
@@ -27,7 +27,9 @@
     def caught_up(at_s: float) -> None:
         gateway.config_known_at_s = at_s
 
-    return KeyedTail(gateway.store, CONFIG_TOPIC, apply, caught_up=caught_up)
+    return KeyedTail(
+        gateway.store, CONFIG_TOPIC, apply, caught_up=caught_up, only_key=CONFIG_KEY
+    )
 
 
 def _take_config(gateway: Gateway, raw: bytes) -> None:
--- a/tests/test_slow_link.py
+++ b/tests/test_slow_link.py
@@ -180,6 +180,11 @@
         """Of a topic with one key only the last record is read. If another key comes
         to it, what was skipped may hold the newest record of the first, which nobody
         would ever read."""
+        for only_key in (None, "config"):
+            with self.subTest(only_key=only_key):
+                await self._assert_read(only_key)
+
+    async def _assert_read(self, only_key):
         log = KeyedLog()
         client = await client_of(self, log)
         taken = {}
@@ -187,7 +192,7 @@
         def apply(record):
             taken[record.key] = record.value
 
-        tail = KeyedTail(client, "keyed.one", apply)
+        tail = KeyedTail(client, "keyed.one", apply, only_key=only_key)
         log.put("keyed.one", "config", b"1")
         await tail.load()
         log.put("keyed.one", "config", b"2")
@@ -196,6 +201,26 @@
         await tail.poll()
         self.assertEqual(taken, {"config": b"3", "other": b"x"})
 
+    async def test_keys_that_join_the_first_are_read(self):
+        """An entry that starts first and reads right after each row of its own never
+        reads the others' rows, and takes their tokens for free."""
+        log = KeyedLog()
+        client = await client_of(self, log)
+        taken = {}
+
+        def apply(record):
+            taken[record.key] = record.value
+
+        tail = KeyedTail(client, "keyed.rows", apply)
+        log.put("keyed.rows", "first", b"0")
+        await tail.load()
+        for i in range(3):
+            log.put("keyed.rows", "second", b"%d" % i)
+            log.put("keyed.rows", "third", b"%d" % i)
+            log.put("keyed.rows", "first", b"%d" % i)
+            await tail.poll()
+        self.assertEqual(taken, {"first": b"2", "second": b"2", "third": b"2"})
+
 
 class OldViewTest(unittest.IsolatedAsyncioTestCase):
     """Callers were told 404 and 401, which are final, by entries that had not heard of
