A fence that lands a second time no longer begins the numbers of rows anew

Cause: a call that is not answered soon is made twice, the fence too. Its repeat may land behind the first rows of its epoch. What a store does then with the numbers is not on the users' pages ("a request with an empty body appends nothing and sets the epoch"); both of our own models begin anew.

Change: rows have the epoch after that of the fence, so that a late fence is refused whatever the store does with numbers of an equal epoch.

Evidence: FencedTwiceTest: of four rows one was on the log before, all four now.

--- a/src/celerytrack/gateway/row_writer.py
+++ b/src/celerytrack/gateway/row_writer.py
@@ -46,12 +46,17 @@
             writer = Writer(self._entry_id, self.epoch, 0)
             match await self._store.set_epoch(ENTRIES_TOPIC, writer):
                 case Success(_):
-                    return
+                    break
                 case Failure(error) if error.kind is StoreErrorKind.FENCED:
                     self.epoch += 1
                 case Failure(error):
                     self._failed(error.kind, error.detail)
                     await asyncio.sleep(RETRY_S)
+        # Made twice, the call may land once more behind rows, and numbers begin anew:
+        # rows that repeat a number would be taken for those before them. Theirs is a
+        # higher epoch, which fences the call off too.
+        self.epoch += 1
+        self._sequence = 0
 
     async def append(self, value: bytes) -> int:
         """Append one row; its offset.
--- /dev/null
+++ b/tests/test_row_writer.py
@@ -0,0 +1,32 @@
+"""Numbered appends of an entry's row."""
+
+import asyncio
+import unittest
+from unittest import mock
+
+from celerytrack.gateway.row_writer import RowWriter
+from celerytrack.ids import EntryId
+from celerytrack.platform.topics import ENTRIES_TOPIC
+from tests.gateway_fleet import client_of
+from tests.keyed_log import KeyedLog
+
+ME = EntryId("me")
+
+
+class FencedTwiceTest(unittest.IsolatedAsyncioTestCase):
+    async def test_rows_behind_a_late_repeat_of_the_fence_are_on_the_log(self):
+        """A fence that was sent twice lands behind the first rows, numbers begin anew,
+        and rows are taken for repeats: claims count that are nowhere on the log."""
+        log = KeyedLog()
+        client = await client_of(self, log)
+        with mock.patch.object(client, "set_epoch", wraps=client.set_epoch) as fence:
+            writer = RowWriter(client, ME, lambda answered: None)
+            await writer.fence()
+        await writer.append(b"0")
+        for call in fence.call_args_list:
+            await client.set_epoch(*call.args)
+        for i in range(1, 4):
+            async with asyncio.timeout(2.0):
+                await writer.append(b"%d" % i)
+        written = [value for _, value in log.topic(ENTRIES_TOPIC).records]
+        self.assertEqual(written, [b"0", b"1", b"2", b"3"])
