The store's answers tell their era, and a tail never goes on from an offset of another

A log that comes back from an older copy gives the same offsets out again.

The header Store-Era is decoded once (platform/) and given to EraWatch (core, no I/O) with the number of changes known when the call was made. It says of each answer whether it is of the known era, tells of a new one, or is late: one of a lower era, or without one, to a call made before the change was known. Late answers fail as OLDER_ERA, in a hedged pair the other call's answer is waited for. An era that falls in answer to a call made now is no late answer: the log is another, and is read anew like any other. One that is no number is logged (621) and as good as none; without the header all is as before.

A tail reads the newest of each key when any answer told a new era, its own or another topic's (622). A batch that was answered in one era and is taken up in the next is dropped. Pages of two eras are no batch.

--- a/src/celerytrack/gateway/hedged_store.py
+++ b/src/celerytrack/gateway/hedged_store.py
@@ -145,11 +145,19 @@
     """The first answer of the store, or that there was none."""
     for done in asyncio.as_completed(tasks):
         result = await done
-        if not _unanswered(result):
+        if not _unanswered(result) and not _overtaken(result):
             return result
     return result
 
 
+def _overtaken(result: Result[Any, StoreError]) -> bool:
+    """Whether the answer is of an era that is over: the other call's may not be."""
+    match result:
+        case Failure(error):
+            return error.kind is StoreErrorKind.OLDER_ERA
+    return False
+
+
 def _unanswered(result: Result[Any, StoreError]) -> bool:
     match result:
         case Success(_):
--- a/src/celerytrack/gateway/tail.py
+++ b/src/celerytrack/gateway/tail.py
@@ -7,6 +7,7 @@
 
 from returns.result import Failure, Result, Success
 
+from celerytrack.eras import Era, EraWatch
 from celerytrack.events import Event, log_event
 from celerytrack.gateway.hedged_store import Store
 from celerytrack.platform.log_format import Batch, KeyedRecord
@@ -31,6 +32,10 @@
     one, a topic that is written faster than the link carries it comes ever later, as
     large configurations in quick succession do on a narrow link.
 
+    An offset is one of an era: when the log comes back from a copy, the newest of each
+    key is read anew. Going on from an offset of before, the tail would miss what the
+    copy has been given below it, and nothing would tell.
+
     :param apply: takes each record that is read, in the order of the log.
     :param reload: told the keys that exist, after some of the log was not read; what
         is not among them was dropped meanwhile.
@@ -39,6 +44,8 @@
     :param contact: told when the store is lost and regained.
     :param only_key: the key of the only records that count, if there is one; of a
         backlog the last record is read alone.
+    :param eras: the newest era that any answer of the store told; without it, only
+        the answers to this tail count.
     """
 
     def __init__(
@@ -49,6 +56,7 @@
         reload: Callable[[set[str]], None] = lambda keys: None,
         caught_up: Callable[[float], None] = lambda at_s: None,
         contact: Callable[[bool], None] = lambda reachable: None,
+        eras: EraWatch | None = None,
         only_key: str | None = None,
     ) -> None:
         self.topic = topic
@@ -62,7 +70,9 @@
         self._keys: set[str] = set()
         self._end = 0
         self._end_is_old = False
+        self._eras = eras
         self._only_key = only_key
+        self._era: Era | None = None
 
     async def poll(self, wait_s: float = 0.0) -> bool:
         """Read what is new once; whether the store answered.
@@ -71,7 +81,7 @@
         """
         if self._end_is_old and self._one_counts and not await self._find_end():
             return False
-        if self.next_offset is None:
+        if self.next_offset is None or not self.of_known_era:
             return await self._load_newest()
         left = self._end - self.next_offset
         if left <= len(self._keys) * NEWEST_COST:
@@ -87,6 +97,13 @@
         # last record would pass over all others, time and again.
         return self._keys == {self._only_key}
 
+    @property
+    def of_known_era(self) -> bool:
+        """Whether what was read is of the newest era that any answer told."""
+        if self._eras is None or self._era is None:
+            return True
+        return self._era == self._eras.known
+
     async def load(self) -> None:
         """Read until the store has answered once."""
         pause_s = RETRY_S
@@ -127,6 +144,8 @@
         match result:
             case Failure(error) if error.kind is StoreErrorKind.TRIMMED:
                 return await self._load_newest()
+            case Success(batch) if self._of_other_era(batch):
+                return await self._load_newest()
             case Success(batch):
                 skipped = offset != self.next_offset
                 if skipped and not {r.key for r in batch.records} <= self._keys:
@@ -140,6 +159,12 @@
     async def _load_newest(self) -> bool:
         started_s = time.monotonic()
         result = await self._store.newest(self.topic)
+        match result:
+            case Success(batch) if self._overtaken(batch):
+                # The log came back from a copy once more meanwhile.
+                return False
+            case Success(batch):
+                self._note_era(batch)
         if not self._take(result, started_s):
             return False
         batch = result.unwrap()
@@ -147,6 +172,26 @@
         self._reload(set(self._keys))
         return True
 
+    def _overtaken(self, batch: Batch) -> bool:
+        return self._eras is not None and batch.era != self._eras.known
+
+    def _of_other_era(self, batch: Batch) -> bool:
+        return batch.era != self._era or not self.of_known_era
+
+    def _note_era(self, batch: Batch) -> None:
+        if self._era is not None and batch.era != self._era:
+            log_event(
+                _log,
+                Event.ERA_TOPIC_READ,
+                topic=self.topic,
+                old=self._era,
+                new=batch.era,
+                offset=self.next_offset,
+                end=batch.end,
+                keys=len(batch.records),
+            )
+        self._era = batch.era
+
     def _take(self, result: Result[Batch, StoreError], known_at_s: float) -> bool:
         """Apply an answer of the store; whether it is one.
 
@@ -164,6 +209,9 @@
                 if batch.next_offset >= batch.end:
                     self._caught_up(known_at_s)
                 return True
+            case Failure(error) if error.kind is StoreErrorKind.OLDER_ERA:
+                # The store is there: it answers the next call of its new era.
+                return False
             case Failure(error):
                 self._contact(error)
         return False
--- a/src/celerytrack/platform/log_format.py
+++ b/src/celerytrack/platform/log_format.py
@@ -1,10 +1,12 @@
 """How the platform's store writes records and answers: bytes to values."""
 
 import base64
+import re
 import struct
 
 import attrs
 
+from celerytrack.eras import Era
 from celerytrack.strict import (
     UnreadableError,
     parse_json,
@@ -14,6 +16,9 @@
 
 _END_AND_FIRST = struct.Struct(">QQ")
 _LENGTH = struct.Struct(">I")
+ERA_HEADER = "Store-Era"
+"""Tells in each answer how often the store came back from an older copy."""
+_ERA = re.compile("[0-9]{1,18}")
 
 
 @attrs.frozen
@@ -32,11 +37,13 @@
     :ivar next_offset: the offset to go on from.
     :ivar end: the offset behind the last record when the answer began; beyond
         ``next_offset`` if there was more than the answer held.
+    :ivar era: the era of the log that the offsets belong to; ``None`` if not told.
     """
 
     records: tuple[KeyedRecord, ...]
     next_offset: int
     end: int
+    era: Era | None = None
 
 
 @attrs.frozen
@@ -74,6 +81,19 @@
 _converter = strict_converter(forbid_extra_keys=False)
 
 
+def decode_era(value: str | None) -> Era | None:
+    """The era that an answer tells; ``None`` if it tells none.
+
+    :param value: of the header :data:`ERA_HEADER`.
+    :raises UnreadableError: if it is no number.
+    """
+    if value is None:
+        return None
+    if _ERA.fullmatch(value) is None:
+        raise UnreadableError(f"an era must be a whole number, found {value[:40]!r}")
+    return Era(int(value))
+
+
 def decode_appended(data: bytes) -> int:
     """The offset of what was appended.
 
--- a/src/celerytrack/platform/store.py
+++ b/src/celerytrack/platform/store.py
@@ -6,6 +6,8 @@
 
 import asyncio
 import enum
+import logging
+import time
 from collections.abc import Callable
 from typing import TypeVar
 
@@ -13,17 +15,23 @@
 import attrs
 from returns.result import Failure, Result, Success
 
+from celerytrack.eras import Era, EraNews, EraWatch
+from celerytrack.events import Event, log_event
 from celerytrack.patient_http import patient_session
 from celerytrack.platform.log_format import (
+    ERA_HEADER,
     Batch,
     KeyedRecord,
     decode_appended,
     decode_batch,
+    decode_era,
     decode_page,
     encode_keyed,
 )
 from celerytrack.strict import UnreadableError, parse_json
 
+_log = logging.getLogger(__name__)
+
 CALL_TIMEOUT_S = 0.7
 """Longest wait for the next bytes of an answer: more than a slow store takes. A call
 made while the store is away holds up the next one, so a longer wait delays the first
@@ -58,6 +66,9 @@
     effect."""
     OUT_OF_SEQUENCE = "out_of_sequence"
     """The append's number does not follow the last one."""
+    OLDER_ERA = "older_era"
+    """The answer is of the log before it came back from a copy; an append that it
+    tells of may be lost, or may take effect later."""
 
 
 @attrs.frozen
@@ -90,10 +101,12 @@
     """Talks to the store over a session of its own.
 
     :param address: ``host:port`` of the store.
+    :param eras: told the era of each answer, and says which come too late.
     """
 
-    def __init__(self, address: str) -> None:
+    def __init__(self, address: str, eras: EraWatch | None = None) -> None:
         self._base = f"http://{address}"
+        self._eras = EraWatch() if eras is None else eras
         self._http: aiohttp.ClientSession | None = None
 
     @property
@@ -111,11 +124,13 @@
         """The newest record of each key of ``topic``.
 
         Pages are no snapshot: the batch goes on from the end at its first
-        page, so that what changed between pages is read again.
+        page, so that what changed between pages is read again. Pages of two eras are
+        no batch at all.
         """
         records: list[KeyedRecord] = []
         params = {"topic": topic, "part": "0"}
         first_end: int | None = None
+        changes = self._eras.changes
         while True:
             data = await self._call("GET", "/log-newest", params)
             answer = data.bind(lambda raw: _checked(lambda: decode_page(raw)))
@@ -125,10 +140,14 @@
             page = answer.unwrap()
             if first_end is None:
                 first_end = page.end
+                changes = self._eras.changes
+            elif changes != self._eras.changes:
+                return Failure(_older_era(self._eras.known))
             records += page.records
             if not page.more:
                 records.sort(key=lambda r: r.offset)
-                return Success(Batch(tuple(records), first_end, first_end))
+                era = self._eras.known
+                return Success(Batch(tuple(records), first_end, first_end, era))
             params["after"] = page.records[-1].key
 
     async def read(
@@ -154,7 +173,9 @@
         answer = await self._call(
             "GET", "/log-read", params, extra_s=wait_s, arriving=arriving
         )
-        return answer.bind(lambda data: _checked(lambda: decode_batch(offset, data)))
+        era = self._eras.known
+        batch = answer.bind(lambda data: _checked(lambda: decode_batch(offset, data)))
+        return batch.map(lambda b: attrs.evolve(b, era=era))
 
     async def end(self, topic: str, last_key: str) -> Result[int, StoreError]:
         """The offset behind the last record, without the records.
@@ -203,6 +224,7 @@
             sock_connect=CALL_TIMEOUT_S,
             sock_read=CALL_TIMEOUT_S + extra_s,
         )
+        asked_at = self._eras.changes
         try:
             async with self._session.request(
                 method, self._base + path, params=params, data=body, timeout=timeout
@@ -210,6 +232,9 @@
                 if arriving is not None:
                     arriving.set()
                 data = await response.read()
+                era = _era_of(response)
+                if self._eras.take(era, asked_at, time.monotonic()) is EraNews.LATE:
+                    return Failure(_older_era(era))
                 if response.status == 200:
                     return Success(data)
                 return Failure(_refusal(response.status, data))
@@ -218,6 +243,19 @@
             return Failure(StoreError(StoreErrorKind.UNREACHABLE, detail))
 
 
+def _era_of(response: aiohttp.ClientResponse) -> Era | None:
+    """The era of an answer; one that is no number is as good as none."""
+    try:
+        return decode_era(response.headers.get(ERA_HEADER))
+    except UnreadableError as exc:
+        log_event(_log, Event.ERA_UNREADABLE, logging.ERROR, detail=str(exc))
+        return None
+
+
+def _older_era(era: Era | None) -> StoreError:
+    return StoreError(StoreErrorKind.OLDER_ERA, f"era {era}")
+
+
 def _refusal(status: int, data: bytes) -> StoreError:
     if status == 410:
         return StoreError(StoreErrorKind.TRIMMED, "410")
