Claims and spend do not fall when the log comes back from an older copy

Each row carries the era that its writer knew. When the era changes, RestoreGuard keeps the rows known beside those read from the copy, whichever claims more, until their owner has written one that it made in the new era.

- A row that was on its way is given up: whether it landed, and in which era, nobody can tell; the next is made in the new era, behind a fence.
- A restore may bring back higher epochs of earlier starts (a copy from before another restore): the entry ends only if it reads the row of a later start of itself.
- A start that finds its own last row from an older era adopts all of its claim, and one that finds others' rows from older eras holds as if the log had come back then.
- An older row does not replace a newer one of the same entry among the members: one that leaves would be told to callers again.
- A row without an era (a release before this one) reads as before.

--- a/src/celerytrack/gateway/row_writer.py
+++ b/src/celerytrack/gateway/row_writer.py
@@ -6,6 +6,7 @@
 
 from returns.result import Failure, Success
 
+from celerytrack.eras import EraWatch
 from celerytrack.events import Event, log_event
 from celerytrack.gateway.hedged_store import Store
 from celerytrack.gateway.tail import RETRY_MAX_S, RETRY_S
@@ -20,6 +21,10 @@
     """A later start of this entry writes its row: this process must end."""
 
 
+class RestoredError(Exception):
+    """The log came back from an older copy: what was written may be lost."""
+
+
 class RowWriter:
     """Appends this entry's row, one at a time.
 
@@ -27,20 +32,38 @@
     store recognise a repeat, and refuse one that lands after a later row.
 
     :param on_contact: told after each try whether the store took it.
+    :param eras: the era of the log.
     :ivar epoch: grows with each start of the entry.
     """
 
     def __init__(
-        self, store: Store, entry_id: EntryId, on_contact: Callable[[bool], None]
+        self,
+        store: Store,
+        entry_id: EntryId,
+        on_contact: Callable[[bool], None],
+        eras: EraWatch | None = None,
     ) -> None:
         self.epoch = 0
         self._store = store
         self._entry_id = entry_id
         self._on_contact = on_contact
+        self._eras = EraWatch() if eras is None else eras
         self._sequence = 0
 
     async def fence(self) -> None:
         """Refuse appends of earlier starts from now on."""
+        await self._fence(self._pass_earlier_start)
+
+    async def fence_again(self) -> None:
+        """Refuse what was sent before the log came back, which may still be on its way.
+
+        The log may have lost that this start fenced off the ones before.
+
+        :raises FencedError: if a later start of this entry writes.
+        """
+        await self._fence(_give_way)
+
+    async def _fence(self, on_fenced: Callable[[str], None]) -> None:
         self.epoch += 1
         while True:
             writer = Writer(self._entry_id, self.epoch, 0)
@@ -48,7 +71,7 @@
                 case Success(_):
                     break
                 case Failure(error) if error.kind is StoreErrorKind.FENCED:
-                    self.epoch += 1
+                    on_fenced(error.detail)
                 case Failure(error):
                     self._failed(error.kind, error.detail)
                     await asyncio.sleep(RETRY_S)
@@ -58,12 +81,17 @@
         self.epoch += 1
         self._sequence = 0
 
+    def _pass_earlier_start(self, _: str) -> None:
+        self.epoch += 1
+
     async def append(self, value: bytes) -> int:
         """Append one row; its offset.
 
         :raises FencedError: if a later start of this entry writes.
+        :raises RestoredError: if the log came back from a copy meanwhile.
         """
         pause_s = RETRY_S
+        changes = self._eras.changes
         while True:
             # The number moves on only once the store has answered: a repeat
             # is recognised by it, and one that lands late is refused.
@@ -71,6 +99,8 @@
             result = await self._store.append(
                 ENTRIES_TOPIC, self._entry_id, value, writer
             )
+            if changes != self._eras.changes:
+                raise RestoredError
             match result:
                 case Success(offset):
                     self._sequence += 1
@@ -98,3 +128,7 @@
 
     def _next(self, expected: int | None) -> int:
         return self._sequence + 1 if expected is None else expected
+
+
+def _give_way(detail: str) -> None:
+    raise FencedError(detail)
--- a/src/celerytrack/gateway/share_keeper.py
+++ b/src/celerytrack/gateway/share_keeper.py
@@ -11,21 +11,18 @@
 import logging
 import time
 
-from celerytrack.clocks import (
-    age_at_power_s,
-    age_at_start_s,
-    age_beside_others_s,
-)
+from celerytrack.eras import EraChange, EraWatch
 from celerytrack.events import Event, log_event
 from celerytrack.gateway.gifts import GiftClient
 from celerytrack.gateway.hedged_store import Store
+from celerytrack.gateway.last_row import LastRow, clock_offset_s
 from celerytrack.gateway.reservations import (
     SLOW_APPEND_S,
     WAIT_TOKENS_S,
     Reservations,
     wait_for,
 )
-from celerytrack.gateway.row_writer import RowWriter
+from celerytrack.gateway.row_writer import FencedError, RestoredError, RowWriter
 from celerytrack.gateway.tail import RETRY_MAX_S, RETRY_S, KeyedTail
 from celerytrack.ids import EntryId, Zone
 from celerytrack.members import (
@@ -47,9 +44,8 @@
 LEAST_WAIT_S = 0.001
 """Shortest wait for the next row that is due: what is left of an interval may be less
 than a clock tells apart."""
-RECONSIDER_S = 8.0
-"""How long after its start an entry looks for others that lost power with it:
-they start within a second of each other, and write a row a second later."""
+LOGGED_MOST = 20
+"""Entries that one log line names."""
 
 
 class ShareKeeper:
@@ -59,6 +55,7 @@
     :param gifts: asks other entries for tokens.
     :param started_s: when this process began, on the steady clock.
     :param link_mbps: what the instance's link carries; 0 if it is not told.
+    :param eras: the era of the log.
     """
 
     def __init__(
@@ -71,6 +68,7 @@
         gifts: GiftClient,
         started_s: float,
         link_mbps: float = 0.0,
+        eras: EraWatch | None = None,
     ) -> None:
         self.book = PrepaidBook(entry_id)
         self.members = MemberView(entry_id, link_mbps)
@@ -83,11 +81,16 @@
         self._peer_address = peer_address
         self._started_s = started_s
         self._zone = zone
-        self._writer = RowWriter(store, entry_id, self._contact)
+        self._eras = EraWatch() if eras is None else eras
+        self._eras.on_change(self._era_changed)
+        self._eras_handled = 0
+        self._later_start_seen = False
+        self._writer = RowWriter(store, entry_id, self._contact, self._eras)
         self._sent_s: float | None = None
-        self._left_at_s: float | None = None
-        self._doubtful: Member | None = None
-        self._tail = KeyedTail(store, ENTRIES_TOPIC, self._apply, self._reload)
+        self._last_row = LastRow(started_s)
+        self._tail = KeyedTail(
+            store, ENTRIES_TOPIC, self._apply, self._reload, eras=self._eras
+        )
         self._wake = asyncio.Event()
         self._changed = asyncio.Event()
         self.reservations = Reservations(self.book, self.members, gifts, self)
@@ -126,18 +129,22 @@
         await self._take_over()
         written_s = float("-inf")
         while True:
+            if self._restored:
+                await self._fence_again()
+                written_s = float("-inf")
             now_s = time.monotonic()
             division = self.members.division(now_s)
             entries = division.allowances
-            urgent = self.book.plan(division.parts, now_s)
+            urgent = self._plan(division.parts, now_s)
             interval_s = beat_interval_s(entries)
             if urgent or now_s - written_s >= interval_s:
                 log_event(_log, Event.SHARES, shares=self.book.summary(now_s))
-                await self._write()
+                await self._write_row()
                 written_s = time.monotonic()
                 await asyncio.sleep(self._pace.pause_s(entries, written_s))
             self._wake.clear()
-            left_s = written_s + interval_s - time.monotonic()
+            left_s = 0.0 if self._restored else written_s + interval_s
+            left_s -= time.monotonic()
             await wait_for(self._wake, max(LEAST_WAIT_S, left_s))
 
     async def leave(self) -> None:
@@ -148,17 +155,15 @@
     async def _take_over(self) -> None:
         # Fence first, then read: an append of the earlier start that is
         # still on its way would otherwise land after the row was read.
+        self._eras_handled = self._eras.changes
         await self._tail.load()
         await self._writer.fence()
         while not await self._tail.poll():
             await asyncio.sleep(RETRY_S)
         last = self.members.member(self._entry_id)
-        age_s = None
-        if last is not None:
-            age_s = age_at_start_s(last, self._started_s, _clock_offset_s())
-            self._left_at_s = last.made_at_s
-            self._doubtful = last if age_s is None else None
+        age_s = self._last_row.age_s(last, self._eras.known)
         self.book.adopt(age_s)
+        self._learn_of_restore()
         self.started = True
         log_event(
             _log,
@@ -168,12 +173,26 @@
             lost=self.book.lost(),
             last_made_s=last.made_s if last else None,
             started_s=self._started_s,
-            clock_moved_s=_clock_offset_s() - last.clock_offset_s if last else None,
+            clock_moved_s=clock_offset_s() - last.clock_offset_s if last else None,
         )
 
+    def _plan(self, parts: float, now_s: float) -> bool:
+        held = self.book.guard.holding
+        urgent = self.book.plan(parts, now_s)
+        if held and not self.book.guard.holding:
+            self._log_hold_over()
+        return urgent
+
+    async def _write_row(self) -> None:
+        try:
+            await self._write()
+        except RestoredError:
+            # It may be lost with the copy: the next one is made in the new era.
+            self._sent_s = None
+
     async def _write(self) -> None:
         now_s = time.monotonic()
-        offset_s = _clock_offset_s()
+        offset_s = clock_offset_s()
         member = Member(
             entry_id=self._entry_id,
             epoch=self._writer.epoch,
@@ -184,14 +203,16 @@
             made_s=now_s,
             clock_offset_s=offset_s,
             started_s=self._started_s,
-            left_at_s=self._left_at_s,
+            left_at_s=self._last_row.left_at_s,
             clock_lead_s=self.members.clock_lead_s(offset_s),
             link_mbps=self.members.link_mbps,
+            era=self._eras.known,
             shares=self.book.next_row(now_s),
         )
         self._sent_s = now_s
+        changes = self._eras.changes
         offset = await self._writer.append(encode_member(member))
-        if self._tail.next_offset == offset:
+        if self._tail.next_offset == offset and self._tail.of_known_era:
             # Nobody wrote in between: no need to read our own row back.
             self._fold(member)
             self._tail.next_offset = offset + 1
@@ -200,11 +221,13 @@
             if not await self._tail.poll():
                 await asyncio.sleep(pause_s)
                 pause_s = min(2 * pause_s, RETRY_MAX_S)
+            if changes != self._eras.changes:
+                raise RestoredError
         self._sent_s = None
         self._learn_row_time(time.monotonic() - now_s)
         self.members.read_ok(time.monotonic())
         self.book.row_folded()
-        self._reconsider(member)
+        self._last_row.reconsider(member, self.members, self.book)
         self._notify()
 
     def _learn_row_time(self, took_s: float) -> None:
@@ -213,30 +236,60 @@
         known_s = self.book.row_time_s
         self.book.row_time_s = known_s + ROW_TIME_GAIN * (took_s - known_s)
 
-    def _reconsider(self, mine: Member) -> None:
-        """See how old the last row was, by those that lost power too or by those
-        that did not, so that the rest of the claim adopted as spent is free."""
-        left = self._doubtful
-        if left is None:
-            return
-        rows = self.members.members()
-        others = [row for entry, row in rows.items() if entry != self._entry_id]
-        age_s = age_at_power_s(left, mine, others)
-        if age_s is None:
-            lead_s = self.members.prompt_clock_lead_s(_clock_offset_s())
-            age_s = age_beside_others_s(left, mine, lead_s)
-        if age_s is not None:
-            self.book.free_beyond(left.shares, age_s)
-            log_event(
-                _log,
-                Event.SHARES_FREED,
-                age_s=age_s,
-                others=len(others),
-                lost=self.book.lost(),
-            )
-        elif time.monotonic() - self._started_s < RECONSIDER_S:
-            return
-        self._doubtful = None
+    # -- a log that came back from a copy -------------------------------------
+
+    def _era_changed(self, change: EraChange) -> None:
+        """Hold at once: what other tasks read next is of the copy."""
+        alive = self.members.lately_written()
+        if not self.started:
+            alive = set(self.members.of_other_eras(change.new))
+        awaited = alive - {self._entry_id}
+        self.book.rose(change.new, awaited, change.seen_at_s)
+        log_event(
+            _log,
+            Event.ERA_CHANGED,
+            logging.INFO if change.expected else logging.WARNING,
+            old=change.old,
+            new=change.new,
+            offset=self._tail.next_offset,
+            awaited=len(awaited),
+        )
+        self._wake.set()
+
+    @property
+    def _restored(self) -> bool:
+        """Whether the log came back from a copy since this entry's row was fenced."""
+        return self._eras_handled != self._eras.changes
+
+    async def _fence_again(self) -> None:
+        self._eras_handled = self._eras.changes
+        try:
+            await self._writer.fence_again()
+        except FencedError:
+            # A copy may hold higher epochs of earlier starts, from before the log came
+            # back another time. A later start has a row there.
+            while not await self._tail.poll():
+                await asyncio.sleep(RETRY_S)
+            if self._later_start_seen:
+                raise
+            await self._writer.fence()
+
+    def _learn_of_restore(self) -> None:
+        """At a start, rows of an earlier era tell that the log may just be back."""
+        others = self.members.of_other_eras(self._eras.known)
+        if others:
+            self._eras.learn(max(others.values()), time.monotonic())
+
+    def _log_hold_over(self) -> None:
+        guard = self.book.guard
+        log_event(
+            _log,
+            Event.ERA_CLAIMS_HELD,
+            era=self._eras.known,
+            held_s=round(guard.held_s, 3),
+            missing=sorted(guard.missing)[:LOGGED_MOST],
+            kept=guard.kept,
+        )
 
     # -- the fold ----------------------------------------------------------
 
@@ -253,9 +306,16 @@
 
     def _fold(self, member: Member) -> None:
         self.members.fold(member, time.monotonic())
-        self.book.fold(member.entry_id, member.shares)
+        self.book.fold(member.entry_id, member.shares, member.era)
         if member.entry_id == self._entry_id:
+            self._note_own(member)
+
+    def _note_own(self, member: Member) -> None:
+        if not self.started:
             self._writer.epoch = max(self._writer.epoch, member.epoch)
+        elif member.started_s != self._started_s:
+            started_at_s = self._started_s + clock_offset_s()
+            self._later_start_seen |= member.started_at_s > started_at_s
 
     def _reload(self, keys: set[str]) -> None:
         self.book.keep_only({EntryId(key) for key in keys})
@@ -269,7 +329,3 @@
     def _notify(self) -> None:
         self._changed.set()
         self._changed = asyncio.Event()
-
-
-def _clock_offset_s() -> float:
-    return time.time() - time.monotonic()
--- a/src/celerytrack/members.py
+++ b/src/celerytrack/members.py
@@ -15,6 +15,7 @@
 
 import attrs
 
+from celerytrack.eras import Era
 from celerytrack.ids import AccountId, EntryId, Zone
 from celerytrack.links import least_link_mbps
 from celerytrack.prepaid import Row
@@ -26,6 +27,9 @@
 SILENT_LEAST_S = 3.5
 """Shortest silence that counts: an instance whose share of a processor is used
 up, or that is slowed, still serves its callers between late rows."""
+LONG_SILENT_S = 60.0
+"""An entry whose row is older than the newest by this is gone, whatever a copy of the
+log lost and clocks differ by."""
 DEFAULT_TTL_S = 1.0
 """How long callers keep an address answer: a leaving entry is out of the
 answers within a second and out of sight a second later, after three for callers
@@ -98,6 +102,7 @@
     :ivar clock_lead_s: how far its time of day was ahead of the other entries',
         by their last rows; ``None`` if it had too few to compare with.
     :ivar link_mbps: what its link carries; 0 if it is not told.
+    :ivar era: the newest era of the log that it knew; ``None`` if it knew none.
     :ivar shares: its claims on prepaid totals.
     """
 
@@ -113,6 +118,7 @@
     left_at_s: float | None = None
     clock_lead_s: float | None = None
     link_mbps: float = 0.0
+    era: Era | None = None
     shares: Mapping[AccountId, Row] = attrs.field(factory=dict)
 
     @property
@@ -125,6 +131,18 @@
         """When this start began, by the instance's time of day."""
         return self.started_s + self.clock_offset_s
 
+    def older_than(self, other: "Member") -> bool:
+        """Whether ``other`` was written after this row, of the same entry.
+
+        A log that came back from a copy holds an older row than was read before:
+        it would name an entry that leaves, or an address of an earlier start.
+        """
+        if None not in (self.era, other.era) and self.era != other.era:
+            return self.era < other.era  # type: ignore[operator]
+        if self.started_s == other.started_s:
+            return self.made_s < other.made_s
+        return self.epoch < other.epoch
+
 
 FEWEST_WITNESSES = 2
 """Other entries that must be there to hold a clock against."""
@@ -170,6 +188,9 @@
 
     def fold(self, member: Member, now_s: float) -> None:
         """Take a row that was read at ``now_s``."""
+        known = self.member(member.entry_id)
+        if known is not None and member.older_than(known):
+            return
         seen = self._seen.setdefault(member.entry_id, _Seen(member, now_s))
         seen.member = member
         seen.at_s = now_s
@@ -232,6 +253,29 @@
             self._reading_since_s = now_s
         self._read_at_s = now_s
 
+    def lately_written(self) -> set[EntryId]:
+        """The entries that wrote a row shortly before the last read of rows."""
+        limit_s = _silent_s(len(self._seen))
+        return {
+            entry
+            for entry, seen in self._seen.items()
+            if self._read_at_s - seen.at_s <= limit_s
+        }
+
+    def of_other_eras(self, era: Era | None) -> dict[EntryId, Era]:
+        """In which era the row of each entry was made that is of another one than
+        ``era``, but for those long silent."""
+        rows = [seen.member for seen in self._seen.values()]
+        newest_at_s = max((row.made_at_s for row in rows), default=0.0)
+        return {
+            row.entry_id: row.era
+            for row in rows
+            if row.era is not None
+            and era is not None
+            and row.era != era
+            and newest_at_s - row.made_at_s < LONG_SILENT_S
+        }
+
     def read_age_s(self, now_s: float) -> float:
         """How old what is known of the other entries is."""
         return now_s - self._read_at_s
--- a/src/celerytrack/platform/rows.py
+++ b/src/celerytrack/platform/rows.py
@@ -5,6 +5,7 @@
 
 import msgpack
 
+from celerytrack.eras import Era
 from celerytrack.ids import AccountId, EntryId, Zone
 from celerytrack.members import Member, MemberState
 from celerytrack.prepaid import Row
@@ -42,6 +43,7 @@
                 member.left_at_s,
                 member.clock_lead_s,
                 member.link_mbps,
+                member.era,
                 shares,
             )
         )
@@ -55,7 +57,9 @@
     """
     try:
         epoch, front, peer, zone, state, *numbers, shares = msgpack.unpackb(raw)
-        made_s, offset_s, started_s, left_at_s, lead_s, link_mbps = numbers
+        made_s, offset_s, started_s, left_at_s, lead_s, link_mbps, *more = numbers
+        # A release that knows of no eras tells none.
+        (era,) = more or (None,)
         return Member(
             entry_id=EntryId(entry_id),
             epoch=_whole(epoch),
@@ -69,6 +73,7 @@
             left_at_s=None if left_at_s is None else _number(left_at_s),
             clock_lead_s=None if lead_s is None else _number(lead_s),
             link_mbps=_number(link_mbps),
+            era=None if era is None else Era(_whole(era)),
             shares={
                 AccountId(_text(account)): Row(*map(_whole, tokens))
                 for account, tokens in shares.items()
--- a/src/celerytrack/prepaid/book.py
+++ b/src/celerytrack/prepaid/book.py
@@ -1,8 +1,9 @@
 """All rows as one entry folded them, and its own share of each account."""
 
 import math
-from collections.abc import Mapping
+from collections.abc import Mapping, Set
 
+from celerytrack.eras import Era
 from celerytrack.ids import AccountId, EntryId
 from celerytrack.prepaid.own_row import OwnRow
 from celerytrack.prepaid.policy import (
@@ -14,6 +15,7 @@
     kept_tokens,
     next_claim,
 )
+from celerytrack.prepaid.restores import RestoreGuard
 from celerytrack.prepaid.rows import FoldedRows
 from celerytrack.prepaid.shares import Reservation, Row, Share
 
@@ -33,6 +35,7 @@
         self._entries = 1.0
         self.row_time_s = 0.0
         self._leaving = False
+        self.guard = RestoreGuard(me)
 
     # -- what is declared and what was read --------------------------------
 
@@ -46,11 +49,26 @@
             self._totals[account] = max(tokens, self._totals.get(account, 0))
             self._accept(account)
 
-    def fold(self, entry: EntryId, row: Mapping[AccountId, Row]) -> None:
-        """Take the newest row of ``entry``; ``{}`` if it was dropped."""
-        for account in self.rows.fold(entry, row):
+    def fold(
+        self,
+        entry: EntryId,
+        row: Mapping[AccountId, Row],
+        era: Era | None = None,
+    ) -> None:
+        """Take the newest row of ``entry``; ``{}`` if it was dropped.
+
+        :param era: the era that its owner knew when it made the row.
+        """
+        for account in self.rows.fold(entry, self.guard.take(entry, row, era)):
             self._accept(account)
 
+    def rose(self, era: Era, awaited: Set[EntryId], now_s: float) -> None:
+        """The log came back from a copy: hold to what is known, claim nothing more.
+
+        :param awaited: the entries that may be alive.
+        """
+        self.guard.rose(era, awaited, now_s)
+
     def unreadable(self, entry: EntryId) -> None:
         """The newest row of ``entry`` cannot be read.
 
@@ -114,10 +132,10 @@
         :param urgent: whether no request is more urgent: the last tokens are
             claimed only for those.
         """
-        room = self._room(account)
+        accepted = self._share(account).accepted_tokens
+        room = accepted if self.guard.holding else self._room(account)
         if not urgent:
             room -= kept_tokens(self._totals.get(account, 0))
-        accepted = self._share(account).accepted_tokens
         return self._share(account).floor_tokens + tokens <= max(room, accepted)
 
     def may_free(self, account: AccountId, now_s: float) -> bool:
@@ -200,6 +218,7 @@
         :returns: whether requests wait for the next row.
         """
         self._entries = max(1.0, entries)
+        self.guard.expire(now_s)
         urgent = False
         for account in self._totals:
             urgent |= self._plan_account(account, now_s)
@@ -279,6 +298,11 @@
             # Our claim did not fit: withdraw it, or it blocks all others'.
             share.claim_tokens = max(share.accepted_tokens, floor)
             return True
+        if self.guard.holding:
+            # What was claimed and not accepted is claimed again when the hold is over.
+            kept = 0 if self._leaving else share.accepted_tokens
+            share.claim_tokens = max(kept, floor)
+            return share.wanted_tokens > 0
         goal = self._goal(account, now_s)
         share.claim_tokens = next_claim(
             share, goal, room, self._totals[account], self._wanted_elsewhere(account)
@@ -334,6 +358,8 @@
         share = self._share(account)
         if share.accepted_tokens >= share.claim_tokens:
             return
+        if self.guard.holding:
+            return
         if not self.rows.all_readable or self._free(account) < 0:
             return
         safe = min(self._own.claimed_tokens(account), share.claim_tokens)
