Registrations and the configuration hold when the log comes back from an older copy

An endpoint known to have left comes back by a newer record only: the copy holds its last one again. One that is missing on the copy is kept for the two seconds in which endpoints write theirs again, then it is gone. Nothing is denied on what was read within two seconds of the return, since a confirmed version may not be written again yet; a start that reads rows of an older era takes the return for as recent. A counter tells how often it was so.

--- a/src/celerytrack/endpoint.py
+++ b/src/celerytrack/endpoint.py
@@ -40,6 +40,11 @@
     born_ms: int = 0
     sequence: int = 0
 
+    @property
+    def numbered(self) -> bool:
+        """Whether the records of this endpoint tell their order."""
+        return (self.born_ms, self.sequence) != (0, 0)
+
     def older_than(self, other: "Registration") -> bool:
         """Whether ``other`` was written after this record, of the same id.
 
--- a/src/celerytrack/endpoints.py
+++ b/src/celerytrack/endpoints.py
@@ -21,6 +21,7 @@
 from celerytrack.endpoint import Choice, Endpoint, Need, Registration, Sent
 from celerytrack.ids import EndpointId, ServiceName, Zone
 from celerytrack.prefill import PREFILL_TOKENS_PER_S, prefill_s
+from celerytrack.restored_records import RestoredRecords
 from celerytrack.routing import rendezvous_weight
 
 RUNNING_S = 0.00015
@@ -89,18 +90,19 @@
         self._rng = rng
         self._endpoints: dict[EndpointId, Endpoint] = {}
         self._forgotten: LRUCache[EndpointId, Registration] = LRUCache(FORGOTTEN_MOST)
+        self.restores = RestoredRecords()
 
     def register(self, registration: Registration, now_s: float) -> Registered:
         """Take a registration as read at ``now_s``."""
         known = self._endpoints.get(registration.endpoint_id)
+        last = known.registration if known else None
+        last = last or self._forgotten.get(registration.endpoint_id)
+        if last is not None and self.restores.outdated(registration, last):
+            return Registered.STALE
+        self.restores.written(registration.endpoint_id)
         if known is None:
-            last = self._forgotten.get(registration.endpoint_id)
-            if last is not None and registration.older_than(last):
-                return Registered.STALE
             self._add(registration, now_s)
             return Registered.NEW
-        if registration.older_than(known.registration):
-            return Registered.STALE
         if 0 < known.registration.born_ms < registration.born_ms:
             # What was learned and kept belongs to a process that is gone: parts
             # of prompts counted as kept would be read anew, unexpected. Requests
@@ -112,6 +114,12 @@
         known.gone_at_s = None
         return Registered.CHANGED if changed else Registered.SAME
 
+    def restored(self) -> None:
+        """The log came back from a copy: who is gone by now comes back by a newer
+        record only."""
+        gone = (i for i, e in self._endpoints.items() if e.gone_at_s is not None)
+        self.restores.came_back({*gone, *self._forgotten})
+
     def _add(self, registration: Registration, now_s: float) -> None:
         endpoint = Endpoint(registration)
         endpoint.cold_until_s = now_s + registration.cold_s
--- a/src/celerytrack/gateway/state.py
+++ b/src/celerytrack/gateway/state.py
@@ -5,6 +5,7 @@
 import uuid
 
 from celerytrack.endpoints import EndpointBook
+from celerytrack.eras import EraChange, EraWatch
 from celerytrack.gateway.connections import EndpointConnections
 from celerytrack.gateway.exchange import Exchange
 from celerytrack.gateway.gifts import GiftClient
@@ -44,7 +45,8 @@
         self.entry_id = EntryId(f"{settings.entry_id}@{settings.ip}")
         self.boot_id = uuid.uuid4().hex[:8]
         self.rng = random.Random(self.boot_id)
-        self.store = HedgedStore(StoreClient(settings.store_address))
+        self.eras = EraWatch()
+        self.store = HedgedStore(StoreClient(settings.store_address, self.eras))
         self.gifts = GiftClient()
         self.keeper = ShareKeeper(
             self.store,
@@ -55,6 +57,7 @@
             self.gifts,
             started_s,
             settings.link_mbps,
+            self.eras,
         )
         self.endpoints = EndpointBook(settings.zone, self.rng)
         self.endpoints_known = False
@@ -65,6 +68,7 @@
         self.endpoints_took_s = 0.0
         self.endpoints_reachable = True
         self.telemetry = Telemetry()
+        self.eras.on_change(self._era_changed)
         self.leaving = False
         self.closed = False
         self.in_flight = 0
@@ -106,6 +110,13 @@
         arrives_s = age_s + self.endpoints_took_s
         return self.endpoints_reachable and arrives_s > self.settings.leaving_known_s
 
+    def _era_changed(self, change: EraChange) -> None:
+        self.telemetry.store_restores.inc()
+        if not self.keeper.started:
+            # What was read since this start may be of the copy.
+            self.config_known_at_s = float("-inf")
+        self.endpoints.restored()
+
     def _take_note(self, endpoint_id: EndpointId, work_s: float) -> None:
         self.endpoints.note(endpoint_id, work_s, time.monotonic())
 
--- a/src/celerytrack/gateway/telemetry.py
+++ b/src/celerytrack/gateway/telemetry.py
@@ -37,6 +37,11 @@
             "Version of the configuration in force.",
             registry=self.registry,
         )
+        self.store_restores = prom.Counter(
+            "celerytrack_store_restores_total",
+            "Times the log came back from an older copy.",
+            registry=self.registry,
+        )
 
     def render(self) -> bytes:
         """The metrics as text."""
--- a/src/celerytrack/gateway/watches.py
+++ b/src/celerytrack/gateway/watches.py
@@ -25,10 +25,18 @@
             _take_config(gateway, record.value)
 
     def caught_up(at_s: float) -> None:
-        gateway.config_known_at_s = at_s
+        # The copy may lack what was confirmed: until it is written again, what the
+        # configuration here does not have may exist.
+        if gateway.eras.rewritten(at_s):
+            gateway.config_known_at_s = at_s
 
     return KeyedTail(
-        gateway.store, CONFIG_TOPIC, apply, caught_up=caught_up, only_key=CONFIG_KEY
+        gateway.store,
+        CONFIG_TOPIC,
+        apply,
+        caught_up=caught_up,
+        eras=gateway.eras,
+        only_key=CONFIG_KEY,
     )
 
 
@@ -106,15 +114,31 @@
 
     def reload(keys: set[str]) -> None:
         gateway.endpoints_known = True
+        now_s = time.monotonic()
+        rewritten = gateway.eras.rewritten(now_s)
         for endpoint_id in gateway.endpoints.ids():
-            if endpoint_id not in keys:
+            if endpoint_id in keys:
+                continue
+            if rewritten:
                 drop(endpoint_id)
+            else:
+                gateway.endpoints.restores.missing(endpoint_id, now_s)
 
     def caught_up(at_s: float) -> None:
+        for endpoint_id in gateway.endpoints.restores.take_gone(time.monotonic()):
+            drop(endpoint_id)
         gateway.endpoints_known_at_s = at_s
         gateway.endpoints_took_s = time.monotonic() - at_s
 
     def contact(reachable: bool) -> None:
         gateway.endpoints_reachable = reachable
 
-    return KeyedTail(gateway.store, ENDPOINTS_TOPIC, apply, reload, caught_up, contact)
+    return KeyedTail(
+        gateway.store,
+        ENDPOINTS_TOPIC,
+        apply,
+        reload,
+        caught_up,
+        contact,
+        gateway.eras,
+    )
