A randomised run of whole entries before a log that comes back from older copies

The real keepers, tails, books and watches in modelled time, before a reference model of the log with eras, copies 0.25 s apart, compaction, lost answers, late answers and late writes. Steps in random order: requests, gifts kept and lost, versions, endpoints that drain, leave and return, cuts, kills, losses of power, restores (also several at once). At all times: spend within the total, no version back, no endpoint back that left, nothing denied from an old view; at the end nothing missed.

--- /dev/null
+++ b/tests/restored_fleet.py
@@ -0,0 +1,399 @@
+"""Entries in modelled time before a log that comes back from older copies, and what
+must hold of them whatever happens."""
+
+import asyncio
+import json
+import random
+from unittest import mock
+
+import attrs
+
+from celerytrack.eras import EraWatch
+from celerytrack.gateway.server import CONFIG_PAUSE_S, ENDPOINT_POLL_S
+from celerytrack.gateway.state import Gateway
+from celerytrack.gateway.watches import make_config_tail, make_endpoint_tail
+from celerytrack.ids import AccountId, EndpointId, EntryId
+from celerytrack.lab.virtual_time import Clock, on_instance
+from celerytrack.platform.settings import ProcessSettings
+from celerytrack.platform.topics import (
+    CONFIG_KEY,
+    CONFIG_TOPIC,
+    ENDPOINTS_TOPIC,
+    ENTRIES_TOPIC,
+)
+from tests.gateway_fleet import config
+from tests.restored_log import RestoredLog, RestoredStore
+
+ACCOUNT = AccountId("t")
+TOTAL = 40_000
+ENTRIES = 3
+CALLS_PER_S = 6.0
+"""Requests that come beside the steps: with them a total lasts for a third of a run."""
+ENDPOINTS = ("a", "b", "c")
+IN_FORCE_S = 3.5
+"""How long after it was confirmed a version may be unheard of by an entry that denies
+what it does not have: two seconds, and as long again less what a read takes."""
+
+
+@attrs.define
+class Replica:
+    """An endpoint as it is, whatever the log says.
+
+    :ivar written: the number of the last record it wrote.
+    """
+
+    sequence: int = 0
+    draining: bool = False
+    gone: bool = False
+
+
+class Instance:
+    """One instance, its clock and the entry process on it.
+
+    :ivar over: endpoints that this process read to have left, and the number of the
+        last record that it had read of each.
+    """
+
+    def __init__(self, number: int, fleet: "RestoredFleet") -> None:
+        self.number = number
+        self.clock = Clock()
+        self.gateway: Gateway
+        self.store: RestoredStore
+        self.up = False
+        self.started_s = 0.0
+        self.version = 0
+        self.over: dict[str, int] = {}
+        self._fleet = fleet
+        self._tasks: list[asyncio.Task] = []
+
+    @property
+    def entry_id(self) -> EntryId:
+        """Its name on the log."""
+        return EntryId(f"e{self.number}@127.0.0.1")
+
+    def start(self) -> None:
+        """Start its process."""
+        fleet = self._fleet
+
+        def make_store(_: str, eras: EraWatch) -> RestoredStore:
+            self.store = RestoredStore(fleet.log, eras, fleet.rng, fleet.tells)
+            return self.store
+
+        loop_s = asyncio.get_running_loop().time()
+        with (
+            mock.patch("celerytrack.gateway.state.StoreClient", make_store),
+            mock.patch("celerytrack.gateway.state.GiftClient", lambda: fleet),
+        ):
+            self.gateway = Gateway(
+                ProcessSettings(
+                    entry_id=f"e{self.number}",
+                    ip="127.0.0.1",
+                    zone="z",
+                    front_address=f"f{self.number}",
+                    readiness_address=None,
+                    directory_address=None,
+                    peer_address=str(self.number),
+                    metrics_address=None,
+                    store_address="store",
+                    grace_s=8.0,
+                    retry_ratio=0.2,
+                    retry_slack=50.0,
+                    max_ttl_s=5.0,
+                ),
+                loop_s + self.clock.steady_ahead_s,
+            )
+        self.version = 0
+        self.over = {}
+        self.started_s = loop_s
+        self.up = True
+        self._tasks = [
+            on_instance(self.clock, task)
+            for task in (
+                self.gateway.keeper.run(),
+                self._follow(make_config_tail(self.gateway), CONFIG_PAUSE_S),
+                self._follow(make_endpoint_tail(self.gateway), ENDPOINT_POLL_S),
+            )
+        ]
+
+    @staticmethod
+    async def _follow(tail, interval_s: float) -> None:
+        await tail.load()
+        await tail.follow(interval_s)
+
+    def end(self) -> None:
+        """End its process at once."""
+        if self.up:
+            self.look()
+        self.up = False
+        for task in self._tasks:
+            task.cancel()
+
+    def look(self) -> None:
+        """See that all of its tasks run."""
+        for task in self._tasks:
+            assert not task.done(), task
+
+    def now_s(self) -> float:
+        """Its steady clock."""
+        return asyncio.get_running_loop().time() + self.clock.steady_ahead_s
+
+    def share(self):
+        """Its part of the account."""
+        return self.gateway.keeper.book._share(ACCOUNT)
+
+
+class RestoredFleet:
+    """The log, the entries before it, endpoints, the operator, and what was spent.
+
+    :param tells: whether the log's answers tell their era.
+    :ivar excused: what may be overrun by: what an entry had spent, under a claim that
+        was lost with the copy, before it was killed and could write it again.
+    """
+
+    def __init__(self, seed: int, tells: bool = True) -> None:
+        self.rng = random.Random(seed)
+        self.tells = tells
+        self.log = RestoredLog()
+        self.instances = [Instance(i, self) for i in range(ENTRIES)]
+        self.replicas = {name: Replica() for name in ENDPOINTS}
+        self.version = 1
+        self.confirmed_s: dict[int, float] = {}
+        self.used = 0
+        self.excused = 0
+        self.running = 0
+        self.gifts_lost = False
+        self._tasks: set[asyncio.Task] = set()
+
+    # -- the steps ------------------------------------------------------------
+
+    async def begin(self) -> None:
+        """Start everything, and wait until it is in order."""
+        self._operator_writes(self.version)
+        for name in ENDPOINTS:
+            self._heartbeat(name)
+        for instance in self.instances:
+            instance.start()
+        self.keep(self.log.keep_copies())
+        self.keep(self._heartbeats())
+        self.keep(self._callers())
+        await self.run(1.5)
+
+    async def run(self, for_s: float) -> None:
+        """Let time pass, and look at everything all the while."""
+        loop = asyncio.get_running_loop()
+        ends_s = loop.time() + for_s
+        while loop.time() < ends_s:
+            await asyncio.sleep(min(0.05, ends_s - loop.time() + 1e-6))
+            self.check()
+
+    def spend(self, i: int, tokens: int, part: float, takes_s: float) -> None:
+        """A request at one entry, which uses a part of what it reserves."""
+        self.keep(self._spend(self.instances[i], tokens, int(tokens * part), takes_s))
+
+    def new_version(self) -> None:
+        """The operator writes a version, if the log takes it."""
+        if not self.log.away:
+            self.version += 3
+            self._operator_writes(self.version)
+
+    def drain(self, name: str) -> None:
+        """An endpoint says that it leaves."""
+        if not self.log.away and not self.replicas[name].gone:
+            self.replicas[name].draining = True
+            self._heartbeat(name)
+
+    def leave(self, name: str) -> None:
+        """An endpoint's registration is removed."""
+        if not self.log.away and not self.replicas[name].gone:
+            self.replicas[name].gone = True
+            self.log.put(ENDPOINTS_TOPIC, name, b"")
+
+    def restart(self, name: str) -> None:
+        """An endpoint that left is back, by a newer record."""
+        if not self.log.away:
+            self.replicas[name].draining = self.replicas[name].gone = False
+            self._heartbeat(name)
+
+    def come_back(self, away_s: float, copies_ago: int, written_again_s: float) -> None:
+        """The log goes away and comes back from a copy."""
+        if not self.log.away:
+            self.keep(self.log.come_back(away_s, copies_ago, written_again_s))
+
+    async def kill(self, i: int, power: bool, down_s: float) -> None:
+        """End a process, and start it again."""
+        instance = self.instances[i]
+        floor = instance.share().floor_tokens
+        instance.end()
+        if power:
+            instance.clock = Clock(self.rng.uniform(0, 50_000.0))
+        await self.run(down_s)
+        instance.start()
+        while not instance.gateway.keeper.started:
+            await asyncio.sleep(0.01)
+        excused = max(0, floor - instance.share().adopted_tokens)
+        assert not excused or self.log.era > 1, "a start forgot what was spent"
+        self.excused += excused
+
+    async def settle(self) -> None:
+        """End all faults and wait as long as it may take until all is known."""
+        for instance in self.instances:
+            store = instance.store
+            store.cut = False
+            store.lost_share = store.late_s = store.slow_s = 0.0
+        while self.log.away:
+            await self.run(0.5)
+        await self.run(12.0)
+
+    async def end(self) -> None:
+        """End everything."""
+        failed = [t for t in self._tasks if t.done() and t.exception() is not None]
+        rest = asyncio.all_tasks() - {asyncio.current_task()}
+        for task in rest:
+            task.cancel()
+        await asyncio.gather(*rest, return_exceptions=True)
+        for task in failed:
+            task.result()
+
+    # -- what must hold ---------------------------------------------------------
+
+    def check(self) -> None:
+        """What holds at any time."""
+        used = self.used + self.running
+        assert used <= TOTAL + self.excused, (used, self.excused)
+        for instance in self.instances:
+            if not instance.up:
+                continue
+            instance.look()
+            self._check_version(instance)
+            self._check_endpoints(instance)
+
+    def check_settled(self) -> None:
+        """What holds once nothing is wrong any more: nothing was missed."""
+        for instance in self.instances:
+            gateway = instance.gateway
+            assert gateway.table.version == self.version, gateway.table.version
+            assert not gateway.keeper.book.guard.holding
+            for name, replica in self.replicas.items():
+                assert self._usable(instance, name) is self._serves(replica), name
+            self._check_rows(instance)
+
+    def _check_version(self, instance: Instance) -> None:
+        table = instance.gateway.table
+        if table is None:
+            return
+        assert table.version >= instance.version, "an older version is in force"
+        instance.version = table.version
+        log = self.log
+        unaware = log.returned_s <= instance.started_s <= log.rewritten_s
+        if instance.gateway.may_deny(instance.now_s()) and not unaware:
+            now_s = asyncio.get_running_loop().time()
+            old = [
+                v for v, at_s in self.confirmed_s.items() if now_s - at_s > IN_FORCE_S
+            ]
+            assert table.version >= max(old, default=0), "denies from an old version"
+
+    def _check_endpoints(self, instance: Instance) -> None:
+        """One that was read to leave gets nothing before it has written again."""
+        read = self._read_of(instance)
+        for name in self.replicas:
+            if self._usable(instance, name):
+                number = instance.over.pop(name, 0)
+                assert read[name] > number, f"{name} left and is back"
+            elif name in read:
+                instance.over[name] = read[name]
+
+    def _check_rows(self, instance: Instance) -> None:
+        newest = self.log.topic(ENTRIES_TOPIC).newest()
+        for other in self.instances:
+            if other is instance:
+                continue
+            member = instance.gateway.keeper.members.member(other.entry_id)
+            assert member is not None
+            assert other.now_s() - member.made_s < 1.5, "an old row of a live entry"
+        assert len(newest) >= ENTRIES
+
+    # -- helpers ------------------------------------------------------------------
+
+    async def ask(self, address: str, account: AccountId, tokens: int) -> int:
+        """Entry to entry: a gift, which may be lost on its way."""
+        other = self.instances[int(address)]
+        await asyncio.sleep(0.001)
+        keeper = other.gateway.keeper
+        if not other.up or not keeper.started:
+            return 0
+        given = await on_instance(
+            other.clock, keeper.reservations.give(account, tokens)
+        )
+        alive = other.up and other.gateway.keeper is keeper
+        return given if alive and not self.gifts_lost else 0
+
+    async def close(self) -> None:
+        """Gifts need no connections here."""
+
+    def keep(self, coro) -> None:
+        """Run a task until the end."""
+        task = asyncio.create_task(coro)
+        self._tasks.add(task)
+
+    async def _callers(self) -> None:
+        while True:
+            await asyncio.sleep(self.rng.expovariate(CALLS_PER_S))
+            i = self.rng.randrange(ENTRIES)
+            self.spend(i, self.rng.randrange(100, 1_200), self.rng.random(), 0.3)
+
+    async def _spend(
+        self, instance: Instance, tokens: int, used: int, takes_s: float
+    ) -> None:
+        gateway = instance.gateway
+        if not instance.up or not gateway.keeper.started or gateway.table is None:
+            return
+        reserving = gateway.keeper.reservations.reserve(ACCOUNT, tokens, urgent=False)
+        held = await on_instance(instance.clock, reserving)
+        if held is None or not instance.up or instance.gateway is not gateway:
+            return
+        self.running += tokens
+        await asyncio.sleep(takes_s)
+        self.running -= tokens
+        # Killed meanwhile, it has delivered what it has, and told nobody.
+        self.used += used
+        gateway.keeper.book.commit(held, used, instance.now_s())
+
+    def _operator_writes(self, version: int) -> None:
+        self.log.put(CONFIG_TOPIC, CONFIG_KEY, config(version, prepaid=TOTAL))
+        self.confirmed_s[version] = asyncio.get_running_loop().time()
+
+    def _heartbeat(self, name: str) -> None:
+        replica = self.replicas[name]
+        replica.sequence += 1
+        record = {
+            "service": "s",
+            "address": "127.0.0.1:9000",
+            "zone": "z",
+            "slots": 8,
+            "state": "draining" if replica.draining else "ready",
+            "sequence": replica.sequence,
+            "born": 1,
+        }
+        self.log.put(ENDPOINTS_TOPIC, name, json.dumps(record).encode())
+
+    async def _heartbeats(self) -> None:
+        while True:
+            await asyncio.sleep(1.0)
+            for name, replica in self.replicas.items():
+                if not replica.gone and not self.log.away:
+                    self._heartbeat(name)
+
+    @staticmethod
+    def _serves(replica: Replica) -> bool:
+        return not replica.draining and not replica.gone
+
+    def _read_of(self, instance: Instance) -> dict[str, int]:
+        """The number of the last record that was read of each endpoint."""
+        known = instance.gateway.endpoints._endpoints
+        return {i: e.registration.sequence for i, e in known.items()}
+
+    def _usable(self, instance: Instance, name: str) -> bool:
+        endpoint = instance.gateway.endpoints._endpoints.get(EndpointId(name))
+        if endpoint is None or endpoint.gone_at_s is not None:
+            return False
+        return not endpoint.registration.draining
--- /dev/null
+++ b/tests/restored_log.py
@@ -0,0 +1,229 @@
+"""A reference model of the platform's log in modelled time: eras, compaction, answers
+that are lost or late, writes that land late."""
+
+import asyncio
+import copy
+import random
+import time
+
+import attrs
+from returns.result import Failure, Result, Success
+
+from celerytrack.eras import Era, EraNews, EraWatch
+from celerytrack.platform.log_format import Batch, KeyedRecord
+from celerytrack.platform.store import (
+    CALL_TIMEOUT_S,
+    StoreError,
+    StoreErrorKind,
+    Writer,
+)
+
+COPY_EVERY_S = 0.25
+"""How far apart the copies are that the log may come back from."""
+COPIES = 24
+
+
+@attrs.define
+class Topic:
+    """One keyed topic.
+
+    :ivar first: the first offset that can still be read.
+    """
+
+    records: list[tuple[str, bytes]] = attrs.field(factory=list)
+    first: int = 0
+    producers: dict[str, tuple[int, int]] = attrs.field(factory=dict)
+    answers: dict[tuple[str, int, int], int] = attrs.field(factory=dict)
+
+    def newest(self) -> dict[str, tuple[int, bytes]]:
+        """The newest record of each key."""
+        return {key: (i, value) for i, (key, value) in enumerate(self.records)}
+
+
+class RestoredLog:
+    """The log, and copies of it to come back from.
+
+    :ivar away: no call is answered or takes effect.
+    :ivar era: rises each time.
+    :ivar confirmed: what the platform wrote: topic, key, value.
+    """
+
+    def __init__(self) -> None:
+        self.topics: dict[str, Topic] = {}
+        self.away = False
+        self.era = 1
+        self.confirmed: dict[tuple[str, str], bytes] = {}
+        self._copies: list[dict[str, Topic]] = []
+        # When it was back, and when all was written again.
+        self.returned_s = self.rewritten_s = float("-inf")
+
+    def topic(self, name: str) -> Topic:
+        """The topic ``name``, made on first use."""
+        return self.topics.setdefault(name, Topic())
+
+    def put(self, name: str, key: str, value: bytes) -> None:
+        """Write as the platform does."""
+        self.confirmed[name, key] = value
+        self.topic(name).records.append((key, value))
+
+    def compact(self) -> None:
+        """Drop all records but the newest of each key."""
+        for topic in self.topics.values():
+            topic.first = len(topic.records)
+
+    async def keep_copies(self) -> None:
+        """Make copies for ever."""
+        while True:
+            if not self.away:
+                self._copies.append(copy.deepcopy(self.topics))
+                del self._copies[:-COPIES]
+            await asyncio.sleep(COPY_EVERY_S)
+
+    async def come_back(
+        self, away_s: float, copies_ago: int, written_again_s: float
+    ) -> None:
+        """Be away, come back from a copy, and have what the platform wrote since
+        written again ``written_again_s`` later."""
+        loop = asyncio.get_running_loop()
+        self.away = True
+        await asyncio.sleep(away_s)
+        older = self._copies[-min(copies_ago, len(self._copies))]
+        self.topics = copy.deepcopy(older)
+        self.era += 1
+        self.away = False
+        self.returned_s = loop.time()
+        self.rewritten_s = self.returned_s + written_again_s
+        await asyncio.sleep(written_again_s)
+        for (name, key), value in self.confirmed.items():
+            if dict(self.topic(name).records).get(key) != value:
+                self.topic(name).records.append((key, value))
+
+    def append(
+        self, name: str, key: str, value: bytes, writer: Writer
+    ) -> Result[int, StoreError]:
+        """Append one record in the order of its writer's numbers; without a value, set
+        the writer's epoch."""
+        topic = self.topic(name)
+        epoch, expected = topic.producers.get(writer.name, (0, 0))
+        if writer.epoch < epoch:
+            return Failure(StoreError(StoreErrorKind.FENCED, "fenced"))
+        if not value:
+            topic.producers[writer.name] = (writer.epoch, writer.sequence)
+            return Success(len(topic.records))
+        numbered = (writer.name, writer.epoch, writer.sequence)
+        if numbered in topic.answers:
+            return Success(topic.answers[numbered])
+        if writer.epoch == epoch and writer.sequence != expected:
+            kind = StoreErrorKind.OUT_OF_SEQUENCE
+            return Failure(StoreError(kind, "sequence", expected))
+        topic.producers[writer.name] = (writer.epoch, writer.sequence + 1)
+        topic.answers[numbered] = len(topic.records)
+        topic.records.append((key, value))
+        return Success(len(topic.records) - 1)
+
+
+class RestoredStore:
+    """What the store's client offers, for one entry.
+
+    :param tells: whether answers tell their era.
+    :ivar cut: nothing gets through, either way.
+    :ivar lost_share: share of the calls that are done and not answered.
+    :ivar late_s: how much longer a call may take until it is done.
+    :ivar slow_s: how much longer an answer may be on its way.
+    """
+
+    def __init__(
+        self, log: RestoredLog, eras: EraWatch, rng: random.Random, tells: bool
+    ) -> None:
+        self.cut = False
+        self.lost_share = 0.0
+        self.late_s = 0.0
+        self.slow_s = 0.0
+        self._log = log
+        self._eras = eras
+        self._rng = rng
+        self._tells = tells
+        self._late: set[asyncio.Task[None]] = set()
+
+    async def newest(self, topic: str) -> Result[Batch, StoreError]:
+        """The newest record of each key."""
+
+        def look() -> Result[Batch, StoreError]:
+            found = self._log.topic(topic)
+            newest = sorted((i, k, v) for k, (i, v) in found.newest().items() if v)
+            records = tuple(KeyedRecord(i, k, v) for i, k, v in newest)
+            end = len(found.records)
+            return Success(Batch(records, end, end, self._era()))
+
+        return await self._call(look)
+
+    async def read(
+        self,
+        topic: str,
+        offset: int,
+        wait_s: float = 0.0,
+        arriving: asyncio.Event | None = None,
+    ) -> Result[Batch, StoreError]:
+        """Records from ``offset`` on."""
+
+        def look() -> Result[Batch, StoreError]:
+            found = self._log.topic(topic)
+            if not found.first <= offset <= len(found.records):
+                return Failure(StoreError(StoreErrorKind.TRIMMED, "410"))
+            rest = enumerate(found.records[offset:], offset)
+            records = tuple(KeyedRecord(i, k, v or None) for i, (k, v) in rest)
+            end = len(found.records)
+            return Success(Batch(records, end, end, self._era()))
+
+        return await self._call(look)
+
+    async def end(self, topic: str, last_key: str) -> Result[int, StoreError]:
+        """The offset behind the last record."""
+        return await self._call(lambda: Success(len(self._log.topic(topic).records)))
+
+    async def append(
+        self, topic: str, key: str, value: bytes, writer: Writer
+    ) -> Result[int, StoreError]:
+        """Append one record; its offset."""
+        return await self._call(lambda: self._log.append(topic, key, value, writer))
+
+    async def set_epoch(self, topic: str, writer: Writer) -> Result[None, StoreError]:
+        """Fence off earlier starts."""
+        result = await self.append(topic, writer.name, b"", writer)
+        return result.map(lambda _: None)
+
+    async def close(self) -> None:
+        """There is nothing to close."""
+
+    def _era(self) -> Era | None:
+        return Era(self._log.era) if self._tells else None
+
+    async def _call(self, do):
+        """Have ``do`` done, and its answer brought with the era it was made in."""
+        asked_at = self._eras.changes
+        answered = asyncio.get_running_loop().create_future()
+        # It is done even if its caller has given up by then.
+        task = asyncio.create_task(self._do(do, answered))
+        self._late.add(task)
+        task.add_done_callback(self._late.discard)
+        try:
+            async with asyncio.timeout(CALL_TIMEOUT_S):
+                result, era = await answered
+        except TimeoutError:
+            return Failure(StoreError(StoreErrorKind.UNREACHABLE, "no answer"))
+        if self._eras.take(era, asked_at, time.monotonic()) is EraNews.LATE:
+            return Failure(StoreError(StoreErrorKind.OLDER_ERA, f"era {era}"))
+        return result
+
+    async def _do(self, do, answered) -> None:
+        if self.cut:
+            return
+        await asyncio.sleep(0.002 + self._rng.random() * self.late_s)
+        if self._log.away:
+            return
+        result, era = do(), self._era()
+        if self._rng.random() < self.lost_share:
+            return
+        await asyncio.sleep(0.002 + self._rng.random() * self.slow_s)
+        if not self.cut and not answered.done():
+            answered.set_result((result, era))
