--- a/src/celerytrack/lab/model_entry.py
+++ b/src/celerytrack/lab/model_entry.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable, Coroutine, Mapping, Sequence
 from typing import Any, TypeVar
 
+from celerytrack.eras import EraWatch
 from celerytrack.gateway.gifts import ASK_TIMEOUT_S
 from celerytrack.gateway.hedged_store import HedgedStore
 from celerytrack.gateway.reservations import Reservations
@@ -74,6 +75,7 @@
     async def start(self) -> None:
         """Start the process anew and wait until it serves."""
         loop = asyncio.get_running_loop()
+        self.store.eras = eras = EraWatch()
         keeper = ShareKeeper(
             HedgedStore(self.store),
             EntryId(f"e{self.number}"),
@@ -83,6 +85,7 @@
             _Gifts(self, self._fleet),  # type: ignore[arg-type]
             loop.time() + self.clock.steady_ahead_s,
             self._link_mbps,
+            eras,
         )
         self.keeper = keeper
         await asyncio.sleep(START_S)
--- a/src/celerytrack/lab/model_log.py
+++ b/src/celerytrack/lab/model_log.py
@@ -3,10 +3,14 @@
 
 import asyncio
 import random
+import time
+from collections.abc import Callable
+from typing import TypeVar
 
 import attrs
 from returns.result import Failure, Result, Success
 
+from celerytrack.eras import Era, EraNews, EraWatch
 from celerytrack.platform.log_format import Batch, KeyedRecord, encode_keyed
 from celerytrack.platform.store import (
     CALL_TIMEOUT_S,
@@ -18,6 +22,7 @@
 ANSWER_S = 0.004
 """Time the store takes to answer a call."""
 _SILENCE = Failure(StoreError(StoreErrorKind.UNREACHABLE, "no answer"))
+_T = TypeVar("_T")
 _AWAY = Failure(StoreError(StoreErrorKind.REFUSED, "503"))
 
 
@@ -93,20 +98,17 @@
     """What the real store client offers, for one entry.
 
     :ivar cut: nothing gets through, either way.
+    :ivar eras: told the era of each answer; a new one for each start of the entry.
     """
 
     def __init__(self, log: ModelLog) -> None:
         self.cut = False
+        self.eras = EraWatch()
         self._log = log
 
     async def newest(self, topic: str) -> Result[Batch, StoreError]:
         """The newest record of each key."""
-        if failed := await self._failed(ANSWER_S):
-            return failed
-        newest = {key: (i, v) for i, (key, v) in enumerate(self._log.records)}
-        records = tuple(KeyedRecord(i, key, v) for key, (i, v) in newest.items())
-        end = len(self._log.records)
-        return Success(Batch(records, end, end))
+        return await self._call(ANSWER_S, self._newest, may_be_lost=False)
 
     async def read(
         self,
@@ -116,40 +118,24 @@
         arriving: asyncio.Event | None = None,
     ) -> Result[Batch, StoreError]:
         """Records from ``offset`` on."""
-        if failed := await self._failed(ANSWER_S):
-            return failed
-        if await self._lost():
-            return _SILENCE
-        if offset > len(self._log.records):
-            return Failure(StoreError(StoreErrorKind.TRIMMED, "410"))
-        found = self._log.records[offset:]
-        self._log.bytes_out += sum(len(encode_keyed(k, v)) for k, v in found)
-        records = (KeyedRecord(offset + i, k, v) for i, (k, v) in enumerate(found))
-        end = offset + len(found)
-        return Success(Batch(tuple(records), end, end))
+        return await self._call(ANSWER_S, lambda: self._records(offset))
 
     async def end(self, topic: str, last_key: str) -> Result[int, StoreError]:
         """The offset behind the last record."""
-        if failed := await self._failed(ANSWER_S):
-            return failed
-        return Success(len(self._log.records))
+        log = self._log
+        return await self._call(
+            ANSWER_S, lambda: Success(len(log.records)), may_be_lost=False
+        )
 
     async def append(
         self, topic: str, key: str, value: bytes, writer: Writer
     ) -> Result[int, StoreError]:
         """Append one record; its offset."""
-        self._log.asked_s.append(asyncio.get_running_loop().time())
-        if failed := await self._failed(ANSWER_S + self._log.late_s):
-            return failed
-        result = self._log.append(key, value, writer)
-        return _SILENCE if await self._lost() else result
-
-    async def _lost(self) -> bool:
-        """Whether the answer to a call is lost, found out by the time limit."""
-        lost = self._log.rng.random() < self._log.lost_share
-        if lost:
-            await asyncio.sleep(CALL_TIMEOUT_S)
-        return lost
+        log = self._log
+        log.asked_s.append(asyncio.get_running_loop().time())
+        return await self._call(
+            ANSWER_S + log.late_s, lambda: log.append(key, value, writer)
+        )
 
     async def close(self) -> None:
         """There is nothing to close."""
@@ -159,12 +145,42 @@
         result = await self.append(topic, writer.name, b"", writer)
         return result.map(lambda _: None)
 
-    async def _failed(self, takes_s: float) -> Failure[StoreError] | None:
-        """Why the log does not answer a call of ``takes_s``, if so."""
+    async def _call(
+        self,
+        takes_s: float,
+        answer: Callable[[], Result[_T, StoreError]],
+        may_be_lost: bool = True,
+    ) -> Result[_T, StoreError]:
+        """What the log answers after ``takes_s``, if it does."""
+        asked_at = self.eras.changes
         if self.cut:
             await asyncio.sleep(CALL_TIMEOUT_S)
             return _SILENCE
         await asyncio.sleep(takes_s)
         if self.cut:
             return _SILENCE
-        return _AWAY if self._log.away else None
+        result = _AWAY if self._log.away else answer()
+        era = Era(self._log.era)
+        if may_be_lost and self._log.rng.random() < self._log.lost_share:
+            # Found out by the time limit.
+            await asyncio.sleep(CALL_TIMEOUT_S)
+            return _SILENCE
+        if self.eras.take(era, asked_at, time.monotonic()) is EraNews.LATE:
+            return Failure(StoreError(StoreErrorKind.OLDER_ERA, f"era {era}"))
+        return result
+
+    def _newest(self) -> Result[Batch, StoreError]:
+        newest = {key: (i, v) for i, (key, v) in enumerate(self._log.records)}
+        records = tuple(KeyedRecord(i, key, v) for key, (i, v) in newest.items())
+        end = len(self._log.records)
+        return Success(Batch(records, end, end, Era(self._log.era)))
+
+    def _records(self, offset: int) -> Result[Batch, StoreError]:
+        log = self._log
+        if offset > len(log.records):
+            return Failure(StoreError(StoreErrorKind.TRIMMED, "410"))
+        found = log.records[offset:]
+        log.bytes_out += sum(len(encode_keyed(k, v)) for k, v in found)
+        records = (KeyedRecord(offset + i, k, v) for i, (k, v) in enumerate(found))
+        end = offset + len(found)
+        return Success(Batch(tuple(records), end, end, Era(log.era)))
