--- a/bench/restore_bench.py
+++ b/bench/restore_bench.py
@@ -3,7 +3,8 @@
 ``python -m bench.restore_bench [--entries 9,76,195] [--seeds 20] [--only NAME]
 [--jobs 3] [--json FILE] [--against FILE --plot FILE]`` plays each kind of return with
 the real keepers, and the same run without it. Overspent tokens must be 0 in every
-row but those in which all lose power.
+row in which no entry loses power: what one had spent since the copy goes with its
+memory.
 """
 
 import argparse
--- a/tests/test_prepaid_fleet.py
+++ b/tests/test_prepaid_fleet.py
@@ -12,6 +12,7 @@
     TWO_CUTS_THEN_POWER,
     Fault,
     FaultKind,
+    Outcome,
     Scenario,
 )
 from celerytrack.lab.virtual_time import run_virtual
@@ -139,3 +140,40 @@
         outcome = run_virtual(PrepaidFleet(scenario, SEED).run())
         self.assertEqual(outcome.overspent_tokens, 0)
         self.assertGreater(min(outcome.delivered_shares.values()), 0.97)
+
+
+class RestoreTest(unittest.TestCase):
+    def setUp(self) -> None:
+        logging.disable(logging.CRITICAL)
+        self.addCleanup(logging.disable, logging.NOTSET)
+
+    @params((1,), (18,))
+    def test_claims_of_entries_cut_off_are_not_given_out_again(self, seed):
+        """Guards against claims that the log lost while their entries were cut off."""
+        outcome = self._play(seed, Fault(FaultKind.CUT, 9.0, 10.0, 0.34))
+        self.assertEqual(outcome.overspent_tokens, 0)
+
+    @params((2,), (18,))
+    def test_claims_of_entries_that_start_anew_are_not_given_out_again(self, seed):
+        """Guards against claims that the log lost while their entries were down."""
+        outcome = self._play(seed, Fault(FaultKind.POWER, 9.9, 1.4, 0.34))
+        self.assertEqual(outcome.overspent_tokens, 0)
+
+    @params((1,), (2,))
+    def test_the_total_is_delivered_after_the_log_lost_some_seconds(self, seed):
+        """Guards against claims that stay locked after the log's return."""
+        outcome = self._play(seed)
+        self.assertEqual(outcome.overspent_tokens, 0)
+        self.assertGreater(outcome.delivered_share, 0.98)
+
+    @staticmethod
+    def _play(seed: int, *others: Fault) -> Outcome:
+        restored = Fault(FaultKind.RESTORED, 10.0, 0.5, loses_s=2.0)
+        scenario = Scenario(
+            "restored",
+            accounts=3,
+            runs_s=20.0,
+            lasts_s=10.0,
+            faults=(*others, restored),
+        )
+        return run_virtual(PrepaidFleet(scenario, seed).run())
