--- a/src/celerytrack/platform/store.py
+++ b/src/celerytrack/platform/store.py
@@ -107,6 +107,7 @@
     def __init__(self, address: str, eras: EraWatch | None = None) -> None:
         self._base = f"http://{address}"
         self._eras = EraWatch() if eras is None else eras
+        self._unreadable_era = ""
         self._http: aiohttp.ClientSession | None = None
 
     @property
@@ -232,7 +233,7 @@
                 if arriving is not None:
                     arriving.set()
                 data = await response.read()
-                era = _era_of(response)
+                era = self._era_of(response)
                 if self._eras.take(era, asked_at, time.monotonic()) is EraNews.LATE:
                     return Failure(_older_era(era))
                 if response.status == 200:
@@ -242,13 +243,16 @@
             detail = f"{type(exc).__name__}: {exc}"
             return Failure(StoreError(StoreErrorKind.UNREACHABLE, detail))
 
-
-def _era_of(response: aiohttp.ClientResponse) -> Era | None:
-    """The era of an answer; one that is no number is as good as none."""
-    try:
-        return decode_era(response.headers.get(ERA_HEADER))
-    except UnreadableError as exc:
-        log_event(_log, Event.ERA_UNREADABLE, logging.ERROR, detail=str(exc))
+    def _era_of(self, response: aiohttp.ClientResponse) -> Era | None:
+        """The era of an answer; one that is no number is as good as none."""
+        try:
+            return decode_era(response.headers.get(ERA_HEADER))
+        except UnreadableError as exc:
+            detail = str(exc)
+        if detail != self._unreadable_era:
+            # Once for each value: every answer may tell it.
+            self._unreadable_era = detail
+            log_event(_log, Event.ERA_UNREADABLE, logging.ERROR, detail=detail)
         return None
 
 
