A planned stop ends by itself: each part at a time counted from its signal

Callers saw a stream end in its middle without a word, and calls without an answer: the process was killed at the end of its grace time (8 s). Cause: the stop was a chain of waits that nobody held against the grace time: up to 7.0 s for requests, the last row, then the listeners one after the other, each 0.5 s for its requests and 0.5 s after cancelling them, then the connections without a bound: 8.15 s and more with one request in progress. Evidence: stages logged as a process beside one stream: 7.027 s 'requests over', 7.177 s 'last row', killed at 8 s before the front listener was closed. Change: planned_stop.PlannedStop gives each part its end, from the signal. Requests end themselves, by the scope that their deadline has (6.8 s of 8): a begun stream as cut, any other with a whole answer that says what is known. Then what is unsent is waited for, listeners close side by side, connections under a bound.

--- a/src/celerytrack/gateway/exchange.py
+++ b/src/celerytrack/gateway/exchange.py
@@ -1,5 +1,8 @@
 """One request on its way: what it asks, what it may still do, what it got."""
 
+import asyncio
+import time
+
 import attrs
 from aiohttp import web
 from multidict import CIMultiDict
@@ -12,6 +15,12 @@
 from celerytrack.verdict import Reason, Verdict
 
 
+def loop_time(monotonic_s: float) -> float:
+    """A time of the steady clock as the event loop counts it."""
+    loop = asyncio.get_running_loop()
+    return loop.time() + monotonic_s - time.monotonic()
+
+
 @attrs.frozen
 class PlainAnswer:
     """An endpoint's whole answer."""
@@ -56,6 +65,7 @@
     :ivar may_have_run: whether some endpoint may have run it.
     :ivar response: the answer's head went out to the caller.
     :ivar events: the stream's events so far.
+    :ivar scope: ends its attempts at ``ends_s``, while they are made.
     """
 
     request: web.BaseRequest
@@ -75,12 +85,21 @@
     may_have_run: bool = False
     response: web.StreamResponse | None = None
     events: EventCutter = attrs.field(factory=EventCutter)
+    scope: asyncio.Timeout | None = None
 
     @property
     def need(self) -> Need:
         """What it needs of an endpoint."""
         return Need(self.service, self.facts.parts)
 
+    def end_by(self, at_s: float) -> None:
+        """Have it end at ``at_s`` at the latest."""
+        if at_s >= self.ends_s:
+            return
+        self.ends_s = at_s
+        if self.scope is not None and not self.scope.expired():
+            self.scope.reschedule(loop_time(at_s))
+
     @property
     def resume_from(self) -> str | None:
         """The event behind which the next attempt goes on."""
--- a/src/celerytrack/gateway/outcomes.py
+++ b/src/celerytrack/gateway/outcomes.py
@@ -10,6 +10,7 @@
 from celerytrack.gateway.exchange import AttemptFailure, Exchange, PlainAnswer
 from celerytrack.gateway.refusals import refusal_response
 from celerytrack.gateway.state import Gateway
+from celerytrack.planned_stop import PlannedStop
 from celerytrack.verdict import Refusal, Verdict
 
 _log = logging.getLogger(__name__)
@@ -67,15 +68,16 @@
     )
 
 
-def taken_leaving(gateway: Gateway, exchange: Exchange, now_s: float) -> None:
+def taken_leaving(
+    gateway: Gateway, exchange: Exchange, stop: PlannedStop, now_s: float
+) -> None:
     """A request was taken though a planned stop has begun."""
-    assert gateway.stop_began_s is not None
     log_event(
         _log,
         Event.TAKEN_LEAVING,
         request_id=exchange.facts.request_id,
         route=exchange.route.name,
-        after_ms=round((now_s - gateway.stop_began_s) * 1_000),
+        after_ms=round((now_s - stop.began_s) * 1_000),
         may_last_ms=round((exchange.ends_s - now_s) * 1_000),
     )
 
--- a/src/celerytrack/gateway/pipeline.py
+++ b/src/celerytrack/gateway/pipeline.py
@@ -15,7 +15,12 @@
     attempt,
     finish,
 )
-from celerytrack.gateway.exchange import AttemptFailure, Exchange, PlainAnswer
+from celerytrack.gateway.exchange import (
+    AttemptFailure,
+    Exchange,
+    PlainAnswer,
+    loop_time,
+)
 from celerytrack.gateway.outcomes import (
     answered,
     attempt_failed,
@@ -52,16 +57,18 @@
     gateway: Gateway, request: web.BaseRequest, started_s: float
 ) -> web.StreamResponse:
     try:
-        if gateway.closed:
+        stop = gateway.stop
+        if stop is not None and started_s > stop.serves_until_s:
             detail = "this entry stops; ask for addresses again"
             raise RefusedError(did_not_run(Reason.DRAINING, 0.0, detail))
         exchange = await admit(gateway, request, started_s)
     except RefusedError as exc:
         return refuse(gateway, request, None, exc.refusal)
-    if gateway.leaving:
-        taken_leaving(gateway, exchange, time.monotonic())
     gateway.exchanges.add(exchange)
     try:
+        if gateway.stop is not None:
+            exchange.end_by(gateway.stop.answers_end_s)
+            taken_leaving(gateway, exchange, gateway.stop, time.monotonic())
         return await _serve(gateway, exchange)
     except RefusedError as exc:
         return refuse(gateway, request, exchange, exc.refusal)
@@ -82,21 +89,18 @@
     held = await reserve(gateway, exchange)
     exchange.covered_s = time.monotonic()
     try:
-        async with asyncio.timeout_at(_loop_time(exchange.ends_s)):
+        async with asyncio.timeout_at(loop_time(exchange.ends_s)) as scope:
+            exchange.scope = scope
             return await _attempts(gateway, exchange)
     except TimeoutError:
         if exchange.response is not None:
             return cut(gateway, exchange, "the time is up")
         raise RefusedError(_timed_out(exchange)) from None
     finally:
+        exchange.scope = None
         settle(gateway, exchange, held)
 
 
-def _loop_time(monotonic_s: float) -> float:
-    loop = asyncio.get_running_loop()
-    return loop.time() + monotonic_s - time.monotonic()
-
-
 def _timed_out(exchange: Exchange) -> Refusal:
     if exchange.may_have_run:
         return may_have_run(Reason.DEADLINE, None, "no answer in time")
--- a/src/celerytrack/gateway/server.py
+++ b/src/celerytrack/gateway/server.py
@@ -21,6 +21,7 @@
 from celerytrack.gateway.watches import make_config_tail, make_endpoint_tail
 from celerytrack.ids import Zone
 from celerytrack.members import DEFAULT_TTL_S, Member, MemberState, choose_addresses
+from celerytrack.planned_stop import PlannedStop
 from celerytrack.platform.http import (
     READY_PATH,
     RESOLVE_PATH,
@@ -51,17 +52,17 @@
 BODY_BYTES = 16 * 1024 * 1024
 """Body bytes read before a request is refused as too large, whatever the
 configuration allows: a bound on memory."""
-LEAVE_SERVES_S = 3.5
-"""On a planned stop, how long new requests are still served: rows are read
-within a second, and address answers lapse after one, or three for callers that
-keep them longer. Later arrivals are refused, so that the stop comes to an end before
-the process is killed with requests in progress."""
 LAST_ROW_S = 0.15
 """Time for the row that gives the unspent tokens back: ten times what one takes."""
 LOGGED_MOST = 20
 """Requests in progress that one log line names."""
-LEAVE_MARGIN_S = 1.0
-"""A planned stop ends this long before the platform's grace does."""
+LOOK_S = 0.02
+"""How often a planned stop looks whether what it waits for is over."""
+CANCELLED_WITHIN_S = 0.05
+"""How long a request that is in progress when its listener closes may take to end, and
+as long again once it was cancelled."""
+ABORTED_WITHIN_S = 1.0
+"""How long an unplanned end may take to close what is open."""
 
 Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
 
@@ -77,6 +78,7 @@
         self._gateway = gateway
         self._settings_path = settings_path
         self._runners: list[web.ServerRunner] = []
+        self._servers: list[web.Server] = []
         self._tasks: list[asyncio.Task[None]] = []
         self._stop = asyncio.Event()
 
@@ -135,7 +137,8 @@
             max_field_size=HEADER_BYTES,
             auto_decompress=False,
         )
-        runner = web.ServerRunner(server, shutdown_timeout=0.5)
+        self._servers.append(server)
+        runner = web.ServerRunner(server, shutdown_timeout=CANCELLED_WITHIN_S)
         await runner.setup()
         await web.TCPSite(runner, host, int(port), backlog=1024).start()
         if caller:
@@ -209,35 +212,44 @@
 
     async def _leave(self) -> None:
         gateway = self._gateway
-        started_s = time.monotonic()
-        ends_s = started_s + gateway.settings.grace_s - LEAVE_MARGIN_S
-        gateway.leaving = True
-        gateway.stop_began_s = started_s
+        stop = PlannedStop(time.monotonic(), gateway.settings.grace_s)
+        gateway.stop = stop
         log_event(_log, Event.PROCESS_STOPPING, in_flight=gateway.in_flight)
+        for exchange in gateway.exchanges:
+            exchange.end_by(stop.answers_end_s)
         await gateway.keeper.leave()
-        await asyncio.sleep(LEAVE_SERVES_S)
-        gateway.closed = True
-        self._log_stage("takes no more")
-        while gateway.in_flight and time.monotonic() < ends_s:
-            await asyncio.sleep(0.05)
-        self._log_stage("requests over")
+        await asyncio.sleep(stop.serves_until_s - time.monotonic())
+        self._log_stage(stop, "callers gone")
+        await _until(lambda: not gateway.in_flight, stop.closes_s)
+        self._log_stage(stop, "requests over")
         gateway.keeper.book.return_unspent()
         await gateway.keeper.leave()
         await asyncio.sleep(LAST_ROW_S)
-        self._log_stage("last row")
-        await self.abort()
-        self._log_stage("closed")
+        self._log_stage(stop, "last row")
+        await _until(lambda: not self._unsent_bytes(), stop.closes_s)
+        self._log_stage(stop, "answers sent")
+        await self.abort(stop.closing_s)
+        self._log_stage(stop, "closed")
+
+    def _unsent_bytes(self) -> int:
+        """Bytes of answers that have not left this process."""
+        transports = (
+            connection.transport
+            for server in self._servers
+            for connection in server.connections
+        )
+        return sum(t.get_write_buffer_size() for t in transports if t is not None)
 
-    def _log_stage(self, stage: str) -> None:
-        """Say how far the planned stop is, and which requests it still waits for."""
+    def _log_stage(self, stop: PlannedStop, stage: str) -> None:
+        """Say how far a planned stop is, and which requests it still waits for."""
         gateway = self._gateway
-        assert gateway.stop_began_s is not None
         log_event(
             _log,
             Event.STOP_STAGE,
             stage=stage,
-            after_ms=round((time.monotonic() - gateway.stop_began_s) * 1_000),
+            after_ms=round((time.monotonic() - stop.began_s) * 1_000),
             in_flight=gateway.in_flight,
+            unsent_bytes=self._unsent_bytes(),
             requests=[e.facts.request_id for e in gateway.exchanges][:LOGGED_MOST],
         )
 
@@ -245,15 +257,30 @@
         """Begin a planned stop, as SIGTERM does."""
         self._stop.set()
 
-    async def abort(self) -> None:
-        """Close the listeners, the tasks and the connections at once."""
-        for runner in self._runners:
-            await runner.cleanup()
-            if self._gateway.stop_began_s is not None:
-                self._log_stage("a listener closed")
+    async def abort(self, within_s: float = ABORTED_WITHIN_S) -> None:
+        """Close the listeners, the tasks and the connections at once.
+
+        :param within_s: after which what is still open is left to the exit: a peer
+            that takes no bytes keeps a connection open for as long as it likes.
+        """
         for task in self._tasks:
             task.cancel()
-        await self._gateway.close()
+        closing = asyncio.gather(*(runner.cleanup() for runner in self._runners))
+        try:
+            async with asyncio.timeout(within_s):
+                await closing
+                await self._gateway.close()
+        except TimeoutError:
+            log_event(_log, Event.STOP_OVERRAN, logging.WARNING, within_s=within_s)
+
+
+async def _until(holds: Callable[[], bool], ends_s: float) -> None:
+    """Wait until ``holds``, but no longer than ``ends_s`` on the steady clock."""
+    while not holds():
+        left_s = ends_s - time.monotonic()
+        if left_s <= 0:
+            return
+        await asyncio.sleep(min(LOOK_S, left_s))
 
 
 def _make_request(
--- a/src/celerytrack/gateway/state.py
+++ b/src/celerytrack/gateway/state.py
@@ -13,6 +13,7 @@
 from celerytrack.gateway.share_keeper import ShareKeeper
 from celerytrack.gateway.telemetry import Telemetry
 from celerytrack.ids import EndpointId, EntryId, ServiceName
+from celerytrack.planned_stop import PlannedStop
 from celerytrack.platform.settings import ProcessSettings
 from celerytrack.platform.store import StoreClient
 from celerytrack.retries import RetryBudget
@@ -28,10 +29,8 @@
 
     :param settings: its place in the deployment.
     :param started_s: when the process began, on the steady clock.
-    :ivar leaving: a planned stop has begun: callers are told to go elsewhere.
-    :ivar closed: the planned stop takes no new requests any more.
     :ivar exchanges: requests admitted and not yet answered.
-    :ivar stop_began_s: when the planned stop began.
+    :ivar stop: the planned stop, once it has begun.
     :ivar config_known_at_s: up to when each configuration that was confirmed is
         known here, on the steady clock.
     :ivar endpoints_known_at_s: the same of the endpoints' registrations.
@@ -65,14 +64,17 @@
         self.endpoints_took_s = 0.0
         self.endpoints_reachable = True
         self.telemetry = Telemetry()
-        self.leaving = False
-        self.closed = False
         self.in_flight = 0
         self.exchanges: set[Exchange] = set()
-        self.stop_began_s: float | None = None
+        self.stop: PlannedStop | None = None
         self._retries: dict[ServiceName, RetryBudget] = {}
         self.connections = EndpointConnections()
 
+    @property
+    def leaving(self) -> bool:
+        """Whether a planned stop has begun: callers are told to go elsewhere."""
+        return self.stop is not None
+
     @property
     def ready(self) -> bool:
         """Whether callers should be sent here."""
--- /dev/null
+++ b/src/celerytrack/planned_stop.py
@@ -0,0 +1,54 @@
+"""The times of a planned stop, without I/O.
+
+A process that is told to stop has a grace time, after which it is killed whatever it is
+in the middle of. Each part of a stop therefore ends at a time counted from the signal.
+"""
+
+import attrs
+
+SETTLE_SHARE = 0.15
+"""Part of the grace time that is kept for its end: the answers' last bytes, the last
+row and the exit."""
+SETTLE_MOST_S = 1.2
+CLOSING_SHARE = 0.6
+"""Part of that end in which listeners and connections close and the process exits."""
+SERVES_SHARE = 0.45
+"""Part of the grace time for which callers are expected to come."""
+SERVES_MOST_S = 3.5
+"""Address answers lapse after a second, or three for callers that keep them longer."""
+
+
+@attrs.frozen
+class PlannedStop:
+    """One planned stop.
+
+    :ivar began_s: when its signal came.
+    :ivar grace_s: how long after it the process is killed.
+    """
+
+    began_s: float
+    grace_s: float
+
+    @property
+    def serves_until_s(self) -> float:
+        """Until when the process stays, though nothing is in progress."""
+        return self.began_s + min(SERVES_MOST_S, SERVES_SHARE * self.grace_s)
+
+    @property
+    def answers_end_s(self) -> float:
+        """When each request in progress gets its final answer."""
+        return self.began_s + self.grace_s - self._settle_s
+
+    @property
+    def closes_s(self) -> float:
+        """When the listeners and the connections close at the latest."""
+        return self.answers_end_s + (1 - CLOSING_SHARE) * self._settle_s
+
+    @property
+    def closing_s(self) -> float:
+        """How long they may take to close; the exit needs as much again."""
+        return CLOSING_SHARE * self._settle_s / 2
+
+    @property
+    def _settle_s(self) -> float:
+        return min(SETTLE_MOST_S, SETTLE_SHARE * self.grace_s)
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import time
 import unittest
 from unittest import mock
 
@@ -12,6 +13,7 @@
 from celerytrack.gateway import gifts
 from celerytrack.gateway.attempts import CallerGoneError, finish
 from celerytrack.ids import AccountId
+from celerytrack.planned_stop import PlannedStop
 from celerytrack.platform.topics import CONFIG_KEY, CONFIG_TOPIC, ENDPOINTS_TOPIC
 from tests.gateway_fleet import HOST, KEY, SEAL, Endpoint, Fleet, Script, config
 
@@ -526,7 +528,7 @@
 
     async def test_late_arrivals_are_refused_truthfully(self):
         async with _fleet(_good) as fleet:
-            fleet.gateways[0].leaving = fleet.gateways[0].closed = True
+            fleet.gateways[0].stop = PlannedStop(time.monotonic() - 7.0, 8.0)
             status, headers, _ = await fleet.ask("/once/x")
             self.assertEqual((status, _runs(fleet)), (503, 0))
             self.assertEqual(headers["Connection"], "close")
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -11,6 +11,7 @@
 from aiohttp import web
 from nose2.tools import params
 
+from celerytrack.planned_stop import PlannedStop
 from celerytrack.platform.topics import CONFIG_KEY, CONFIG_TOPIC, ENDPOINTS_TOPIC
 from tests.gateway_fleet import HOST, KEY, SEAL, Endpoint, Script, config, free_port
 from tests.gateway_processes import GatewayProcess
@@ -119,6 +120,18 @@
         await self.gateway.until(lambda: bool(self.endpoint.seen), 3.0)
 
 
+class TimesTest(unittest.TestCase):
+    @params((1.0,), (2.0,), (8.0,), (30.0,), (300.0,))
+    def test_each_part_fits_the_grace_time(self, grace_s):
+        """Guards against a stop whose parts add up to more than its grace time."""
+        stop = PlannedStop(began_s=100.0, grace_s=grace_s)
+        ends_s = 100.0 + grace_s
+        self.assertLess(stop.serves_until_s, stop.answers_end_s)
+        self.assertGreaterEqual(stop.answers_end_s, ends_s - grace_s / 6)
+        self.assertLess(stop.answers_end_s, stop.closes_s)
+        self.assertLess(stop.closes_s + stop.closing_s, ends_s)
+
+
 class PlannedStopTest(unittest.TestCase):
     @params(("/stream/x",), ("/resume/x",))
     def test_a_stream_that_may_outlast_the_stop_is_not_taken_late(self, path):
