A leaving entry takes only what it can end

Callers saw a stream taken 3.26 s after its entry's SIGTERM cut in its middle. Cause: what a leaving entry took hung on one fixed time (3.5 s), not on how long the request may last: a chat that may last 15 s was taken with 3.5 s left to it. Class: a promise with a time limit kept without asking what is left of it. Change: PlannedStop.takes holds a request's deadline against what is left; one that may take longer is taken only if the longest of the last 50 of its route ended in that time, a stream only within 3 s of the signal. Others are refused at once as not run, to come back at once (elsewhere). Short requests are taken after 3.5 s too.

--- a/src/celerytrack/gateway/outcomes.py
+++ b/src/celerytrack/gateway/outcomes.py
@@ -51,6 +51,8 @@
     count(gateway, exchange, "answered" if status < 500 else "endpoint_failed")
     choice = exchange.choice
     assert choice is not None
+    now_s = time.monotonic()
+    gateway.durations.add(exchange.route.name, now_s - exchange.started_s)
     log_event(
         _log,
         Event.ANSWERED,
@@ -64,7 +66,7 @@
         predicted_ms=round(choice.predicted_s * 1_000),
         work_ms=round(choice.work_s * 1_000),
         first_ms=_after_ms(exchange, exchange.first_s),
-        took_ms=_after_ms(exchange, time.monotonic()),
+        took_ms=_after_ms(exchange, now_s),
     )
 
 
--- a/src/celerytrack/gateway/pipeline.py
+++ b/src/celerytrack/gateway/pipeline.py
@@ -32,6 +32,7 @@
 )
 from celerytrack.gateway.refusals import RefusedError
 from celerytrack.gateway.state import Gateway
+from celerytrack.planned_stop import Lasting, PlannedStop
 from celerytrack.verdict import Reason, Refusal, Verdict, did_not_run, may_have_run
 
 _log = logging.getLogger(__name__)
@@ -57,18 +58,13 @@
     gateway: Gateway, request: web.BaseRequest, started_s: float
 ) -> web.StreamResponse:
     try:
-        stop = gateway.stop
-        if stop is not None and started_s > stop.serves_until_s:
-            detail = "this entry stops; ask for addresses again"
-            raise RefusedError(did_not_run(Reason.DRAINING, 0.0, detail))
         exchange = await admit(gateway, request, started_s)
     except RefusedError as exc:
         return refuse(gateway, request, None, exc.refusal)
     gateway.exchanges.add(exchange)
     try:
         if gateway.stop is not None:
-            exchange.end_by(gateway.stop.answers_end_s)
-            taken_leaving(gateway, exchange, gateway.stop, time.monotonic())
+            _take_leaving(gateway, exchange, gateway.stop, time.monotonic())
         return await _serve(gateway, exchange)
     except RefusedError as exc:
         return refuse(gateway, request, exchange, exc.refusal)
@@ -85,6 +81,25 @@
         gateway.exchanges.discard(exchange)
 
 
+def _take_leaving(
+    gateway: Gateway, exchange: Exchange, stop: PlannedStop, now_s: float
+) -> None:
+    """Take a request during a planned stop.
+
+    :raises RefusedError: if it may not end before the process does.
+    """
+    lasting = Lasting(
+        most_s=exchange.ends_s - now_s,
+        likely_s=gateway.durations.likely_s(exchange.route.name),
+        stream=exchange.route.stream,
+    )
+    if not stop.takes(lasting, now_s):
+        detail = f"this entry stops; {lasting}"
+        raise RefusedError(did_not_run(Reason.DRAINING, 0.0, detail))
+    exchange.end_by(stop.answers_end_s)
+    taken_leaving(gateway, exchange, stop, now_s)
+
+
 async def _serve(gateway: Gateway, exchange: Exchange) -> web.StreamResponse:
     held = await reserve(gateway, exchange)
     exchange.covered_s = time.monotonic()
--- a/src/celerytrack/gateway/state.py
+++ b/src/celerytrack/gateway/state.py
@@ -4,6 +4,7 @@
 import time
 import uuid
 
+from celerytrack.durations import Durations
 from celerytrack.endpoints import EndpointBook
 from celerytrack.gateway.connections import EndpointConnections
 from celerytrack.gateway.exchange import Exchange
@@ -31,6 +32,7 @@
     :param started_s: when the process began, on the steady clock.
     :ivar exchanges: requests admitted and not yet answered.
     :ivar stop: the planned stop, once it has begun.
+    :ivar durations: how long requests of each route took.
     :ivar config_known_at_s: up to when each configuration that was confirmed is
         known here, on the steady clock.
     :ivar endpoints_known_at_s: the same of the endpoints' registrations.
@@ -67,6 +69,7 @@
         self.in_flight = 0
         self.exchanges: set[Exchange] = set()
         self.stop: PlannedStop | None = None
+        self.durations = Durations()
         self._retries: dict[ServiceName, RetryBudget] = {}
         self.connections = EndpointConnections()
 
--- a/src/celerytrack/planned_stop.py
+++ b/src/celerytrack/planned_stop.py
@@ -1,7 +1,8 @@
-"""The times of a planned stop, without I/O.
+"""The times of a planned stop and the requests that it still takes, without I/O.
 
 A process that is told to stop has a grace time, after which it is killed whatever it is
-in the middle of. Each part of a stop therefore ends at a time counted from the signal.
+in the middle of. Each part of a stop therefore ends at a time counted from the signal,
+and a request is taken only if it ends before the answers must.
 """
 
 import attrs
@@ -16,6 +17,23 @@
 """Part of the grace time for which callers are expected to come."""
 SERVES_MOST_S = 3.5
 """Address answers lapse after a second, or three for callers that keep them longer."""
+STREAM_TAKEN_S = 3.0
+"""How long after the signal a stream is taken that will likely end in time, but may
+not."""
+
+
+@attrs.frozen
+class Lasting:
+    """How long a request may be in progress.
+
+    :ivar most_s: until its deadline.
+    :ivar likely_s: as long as the longest of its kind lately.
+    :ivar stream: a begun answer can't be replaced by a failure any more.
+    """
+
+    most_s: float
+    likely_s: float
+    stream: bool
 
 
 @attrs.frozen
@@ -52,3 +70,12 @@
     @property
     def _settle_s(self) -> float:
         return min(SETTLE_MOST_S, SETTLE_SHARE * self.grace_s)
+
+    def takes(self, lasting: Lasting, now_s: float) -> bool:
+        """Whether a request that has come now can be served to its end."""
+        left_s = self.answers_end_s - now_s
+        if lasting.most_s <= left_s:
+            return True
+        if lasting.stream and now_s - self.began_s > STREAM_TAKEN_S:
+            return False
+        return lasting.likely_s <= left_s
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -3,6 +3,7 @@
 
 import asyncio
 import contextlib
+import math
 import signal
 import time
 import unittest
@@ -11,7 +12,8 @@
 from aiohttp import web
 from nose2.tools import params
 
-from celerytrack.planned_stop import PlannedStop
+from celerytrack.durations import KEPT, Durations
+from celerytrack.planned_stop import Lasting, PlannedStop
 from celerytrack.platform.topics import CONFIG_KEY, CONFIG_TOPIC, ENDPOINTS_TOPIC
 from tests.gateway_fleet import HOST, KEY, SEAL, Endpoint, Script, config, free_port
 from tests.gateway_processes import GatewayProcess
@@ -121,6 +123,27 @@
 
 
 class TimesTest(unittest.TestCase):
+    @params(
+        # seconds after the signal, longest, likely, a stream, taken
+        (0.0, 6.7, 99.0, True, True),
+        (0.0, 15.0, 6.7, True, True),
+        (0.0, 15.0, 6.9, True, False),
+        (0.0, 15.0, math.inf, True, False),
+        (2.9, 15.0, 3.8, True, True),
+        (3.1, 15.0, 0.1, True, False),
+        (3.1, 3.6, 0.1, True, True),
+        (3.1, 4.0, 0.1, False, True),
+        (3.1, 4.0, 3.8, False, False),
+        (6.9, 0.1, 0.1, False, False),
+    )
+    def test_only_what_ends_in_time_is_taken(
+        self, after_s, most_s, likely_s, stream, taken
+    ):
+        """Guards against requests that a stop takes and cannot end."""
+        stop = PlannedStop(began_s=100.0, grace_s=8.0)
+        lasting = Lasting(most_s, likely_s, stream)
+        self.assertIs(stop.takes(lasting, 100.0 + after_s), taken)
+
     @params((1.0,), (2.0,), (8.0,), (30.0,), (300.0,))
     def test_each_part_fits_the_grace_time(self, grace_s):
         """Guards against a stop whose parts add up to more than its grace time."""
@@ -131,6 +154,20 @@
         self.assertLess(stop.answers_end_s, stop.closes_s)
         self.assertLess(stop.closes_s + stop.closing_s, ends_s)
 
+    @params((0, math.inf), (9, math.inf), (10, 9.0), (59, 58.0), (60, 59.0))
+    def test_the_longest_lately_is_likely(self, ended, likely_s):
+        durations = Durations()
+        for i in range(ended):
+            durations.add("route", float(i))
+        self.assertEqual(durations.likely_s("route"), likely_s)
+
+    def test_what_took_long_is_forgotten(self):
+        durations = Durations()
+        durations.add("route", 99.0)
+        for _ in range(KEPT):
+            durations.add("route", 1.0)
+        self.assertEqual(durations.likely_s("route"), 1.0)
+
 
 class PlannedStopTest(unittest.TestCase):
     @params(("/stream/x",), ("/resume/x",))
