Planned stops: answers end at nine tenths of the grace time, refusals by the 95th percentile

Change: 0.8 s is kept for the end (1.2 s), and what 95 in 100 of a route ended within is likely (the longest).

--- a/src/celerytrack/durations.py
+++ b/src/celerytrack/durations.py
@@ -7,6 +7,8 @@
 """Requests of a kind that are remembered."""
 FEWEST = 10
 """Requests of a kind that must have ended before anything is said of the next."""
+LIKELY_SHARE = 0.95
+"""Part of the requests of a kind that end within what is likely."""
 
 
 class Durations:
@@ -22,5 +24,7 @@
 
     def likely_s(self, kind: str) -> float:
         """What nearly all requests of ``kind`` end within, as far as is known."""
-        took = self._took_s.get(kind, ())
-        return max(took) if len(took) >= FEWEST else math.inf
+        took = sorted(self._took_s.get(kind, ()))
+        if len(took) < FEWEST:
+            return math.inf
+        return took[math.ceil(LIKELY_SHARE * len(took)) - 1]
--- a/src/celerytrack/planned_stop.py
+++ b/src/celerytrack/planned_stop.py
@@ -7,10 +7,10 @@
 
 import attrs
 
-SETTLE_SHARE = 0.15
+SETTLE_SHARE = 0.1
 """Part of the grace time that is kept for its end: the answers' last bytes, the last
 row and the exit."""
-SETTLE_MOST_S = 1.2
+SETTLE_MOST_S = 0.8
 CLOSING_SHARE = 0.6
 """Part of that end in which listeners and connections close and the process exits."""
 SERVES_SHARE = 0.45
@@ -27,7 +27,7 @@
     """How long a request may be in progress.
 
     :ivar most_s: until its deadline.
-    :ivar likely_s: as long as the longest of its kind lately.
+    :ivar likely_s: what nearly all of its kind ended within lately.
     :ivar stream: a begun answer can't be replaced by a failure any more.
     """
 
