An entry that leaves tells the others directly, beside its row

Callers were sent to an entry that leaves for as long as the log was away or slow: address answers hang on its row alone, and at its exit they found no listener. Change: at the signal, and twice more 0.1 s apart, a datagram to each live entry names the start that ends; rows of that start do not bring it back. The test (log down, one of two entries stopped) fails without it: still told after 0.3 s. The socket's module is peer_notes now, its two notes are typed; bytes that are none are fuzzed as before.

--- a/src/celerytrack/events.py
+++ b/src/celerytrack/events.py
@@ -73,6 +73,7 @@
     TAKEN_LEAVING = 706
     NOTE_REJECTED = 614
     NOTE_FAILED = 615
+    PEER_LEAVING = 620
     LINES_DROPPED = 800
     STANDIN_FAULT_SET = 900
 
--- a/src/celerytrack/gateway/server.py
+++ b/src/celerytrack/gateway/server.py
@@ -56,6 +56,9 @@
 """Time for the row that gives the unspent tokens back: ten times what one takes."""
 LOGGED_MOST = 20
 """Requests in progress that one log line names."""
+TOLD_TIMES = 3
+"""How often the other entries are told directly: datagrams are lost."""
+TELL_AGAIN_S = 0.1
 LOOK_S = 0.02
 """How often a planned stop looks whether what it waits for is over."""
 CANCELLED_WITHIN_S = 0.05
@@ -218,6 +221,9 @@
         for exchange in gateway.exchanges:
             exchange.end_by(stop.answers_end_s)
         await gateway.keeper.leave()
+        for _ in range(TOLD_TIMES):
+            gateway.tell_leaving()
+            await asyncio.sleep(TELL_AGAIN_S)
         await asyncio.sleep(stop.serves_until_s - time.monotonic())
         self._log_stage(stop, "callers gone")
         await _until(lambda: not gateway.in_flight, stop.closes_s)
--- a/src/celerytrack/gateway/state.py
+++ b/src/celerytrack/gateway/state.py
@@ -1,16 +1,23 @@
 """What one entry process knows, shared by its tasks and handlers."""
 
+import logging
 import random
 import time
 import uuid
 
 from celerytrack.durations import Durations
 from celerytrack.endpoints import EndpointBook
+from celerytrack.events import Event, log_event
 from celerytrack.gateway.connections import EndpointConnections
 from celerytrack.gateway.exchange import Exchange
 from celerytrack.gateway.gifts import GiftClient
 from celerytrack.gateway.hedged_store import HedgedStore
-from celerytrack.gateway.prompt_notes import NOTE_LEAST_S, PromptNotes
+from celerytrack.gateway.peer_notes import (
+    NOTE_LEAST_S,
+    LeaveNote,
+    PeerNotes,
+    PromptNote,
+)
 from celerytrack.gateway.share_keeper import ShareKeeper
 from celerytrack.gateway.telemetry import Telemetry
 from celerytrack.ids import EndpointId, EntryId, ServiceName
@@ -20,6 +27,8 @@
 from celerytrack.retries import RetryBudget
 from celerytrack.routes import RoutingTable
 
+_log = logging.getLogger(__name__)
+
 RETRY_SHARE = 0.7
 """Share of the fleet-wide allowance for second attempts that entries use: an
 entry counts its own requests only, and callers are not spread evenly."""
@@ -42,6 +51,7 @@
 
     def __init__(self, settings: ProcessSettings, started_s: float) -> None:
         self.settings = settings
+        self.started_s = started_s
         self.entry_id = EntryId(f"{settings.entry_id}@{settings.ip}")
         self.boot_id = uuid.uuid4().hex[:8]
         self.rng = random.Random(self.boot_id)
@@ -59,7 +69,7 @@
         )
         self.endpoints = EndpointBook(settings.zone, self.rng)
         self.endpoints_known = False
-        self.notes = PromptNotes(self._take_note)
+        self.notes = PeerNotes(self._take_note)
         self.table: RoutingTable | None = None
         self.config_known_at_s = float("-inf")
         self.endpoints_known_at_s = float("-inf")
@@ -111,8 +121,19 @@
         arrives_s = age_s + self.endpoints_took_s
         return self.endpoints_reachable and arrives_s > self.settings.leaving_known_s
 
-    def _take_note(self, endpoint_id: EndpointId, work_s: float) -> None:
-        self.endpoints.note(endpoint_id, work_s, time.monotonic())
+    def _take_note(self, note: PromptNote | LeaveNote) -> None:
+        match note:
+            case PromptNote(endpoint_id, work_s):
+                self.endpoints.note(endpoint_id, work_s, time.monotonic())
+            case LeaveNote(entry_id, started_s):
+                self.keeper.members.leaving(entry_id, started_s)
+                log_event(_log, Event.PEER_LEAVING, entry=entry_id)
+
+    def tell_leaving(self) -> None:
+        """Tell the others, who send callers here, that a planned stop has begun."""
+        members = self.keeper.members.live(time.monotonic())
+        addresses = [member.peer_address for member in members]
+        self.notes.tell_leaving(addresses, LeaveNote(self.entry_id, self.started_s))
 
     def tell_prompt(self, endpoint_id: EndpointId, work_s: float) -> None:
         """Tell the others that have callers of a long prompt sent to an endpoint: in a
@@ -122,7 +143,7 @@
             return
         division = self.keeper.members.division(time.monotonic())
         addresses = [member.peer_address for member in division.sharers]
-        self.notes.tell(addresses, endpoint_id, work_s)
+        self.notes.tell_prompt(addresses, PromptNote(endpoint_id, work_s))
 
     def load_times(self, now_s: float) -> float:
         """How many times the work of this entry the fleet does."""
--- a/src/celerytrack/members.py
+++ b/src/celerytrack/members.py
@@ -163,6 +163,7 @@
         self.me = me
         self.link_mbps = link_mbps
         self._seen: dict[EntryId, _Seen] = {}
+        self._leaving_s: dict[EntryId, float] = {}
         self._read_at_s = float("-inf")
         self._reading_since_s = float("inf")
         self._rates_tokens_per_s: dict[EntryId, int] = {}
@@ -218,9 +219,15 @@
             return None
         return statistics.median(prompt) + clock_offset_s
 
+    def leaving(self, entry: EntryId, started_s: float) -> None:
+        """``entry`` says that its start of ``started_s`` ends: rows that say otherwise
+        were made before."""
+        self._leaving_s[entry] = started_s
+
     def dropped(self, entry: EntryId) -> None:
         """The row of ``entry`` was removed."""
         self._seen.pop(entry, None)
+        self._leaving_s.pop(entry, None)
         self._rates_tokens_per_s.pop(entry, None)
 
     def read_ok(self, now_s: float) -> None:
@@ -246,6 +253,7 @@
             for entry, seen in self._seen.items()
             if entry != self.me
             and seen.member.state is MemberState.SERVING
+            and self._leaving_s.get(entry) != seen.member.started_s
             and not (settled and now_s - seen.at_s > limit_s)
         ]
 
--- a/tests/test_outside_records.py
+++ b/tests/test_outside_records.py
@@ -10,7 +10,12 @@
 
 from celerytrack.endpoint import Registration
 from celerytrack.gateway.gifts import Gift, decode_gift, decode_gift_request
-from celerytrack.gateway.prompt_notes import NoteError, decode_note
+from celerytrack.gateway.peer_notes import (
+    LeaveNote,
+    NoteError,
+    PromptNote,
+    decode_note,
+)
 from celerytrack.ids import EndpointId, ServiceName, Zone
 from celerytrack.members import Member
 from celerytrack.platform import log_format
@@ -216,7 +221,7 @@
     @settings(max_examples=200, deadline=None, derandomize=True)
     @given(_anything | _packable.map(msgpack.packb))
     def test_notes(self, raw):
-        self._only_raises(decode_note, NoteError, raw, tuple)
+        self._only_raises(decode_note, NoteError, raw, PromptNote | LeaveNote)
 
     @settings(max_examples=200, deadline=None, derandomize=True)
     @given(_anything | _json.map(json.dumps).map(str.encode))
--- a/tests/test_prompt_notes.py
+++ b/tests/test_peer_notes.py
@@ -9,8 +9,8 @@
 
 from celerytrack.endpoint import Need, Registration
 from celerytrack.endpoints import EndpointBook
-from celerytrack.gateway.prompt_notes import PromptNotes
-from celerytrack.ids import EndpointId, ServiceName, Zone
+from celerytrack.gateway.peer_notes import LeaveNote, PeerNotes, PromptNote
+from celerytrack.ids import EndpointId, EntryId, ServiceName, Zone
 
 SERVICE = ServiceName("llm")
 
@@ -21,15 +21,18 @@
         return f"127.0.0.1:{sock.getsockname()[1]}"
 
 
-async def _exchange(sent: list[tuple[EndpointId, float]], raw: list[bytes]) -> list:
-    taken: list[tuple[EndpointId, float]] = []
+async def _exchange(sent: list[PromptNote | LeaveNote], raw: list[bytes]) -> list:
+    taken: list[PromptNote | LeaveNote] = []
     here, there = _free_address(), _free_address()
-    teller = PromptNotes(lambda *note: None)
-    taker = PromptNotes(lambda *note: taken.append(note))
+    teller = PeerNotes(lambda note: None)
+    taker = PeerNotes(taken.append)
     await teller.open(here)
     await taker.open(there)
-    for endpoint_id, work_s in sent:
-        teller.tell([there], endpoint_id, work_s)
+    for note in sent:
+        if isinstance(note, PromptNote):
+            teller.tell_prompt([there], note)
+        else:
+            teller.tell_leaving([there], note)
     for data in raw:
         taker.datagram_received(data, None)
     await asyncio.sleep(0.05)
@@ -40,12 +43,24 @@
 
 class NotesTest(unittest.TestCase):
     def test_a_note_arrives(self):
-        sent = [(EndpointId("i-1"), 0.3), (EndpointId("i-2"), 1.25)]
+        sent = [
+            PromptNote(EndpointId("i-1"), 0.3),
+            LeaveNote(EntryId("e1@10.0.0.1"), 7.5),
+            PromptNote(EndpointId("i-2"), 1.25),
+        ]
         self.assertEqual(asyncio.run(_exchange(sent, [])), sent)
 
-    @params(b"", b"\xc1", b"\x01", b"\x92\x01\xa1x")
+    @params(
+        b"",
+        b"\xc1",
+        b"\x01",
+        b"\x92\x01\xa1x",
+        b"\x92\xa1x\xc3",
+        b"\x93\xa7leaving\x01\xcb" + bytes(8),
+        b"\x93\xa7leaving\xa1x\xa1y",
+    )
     def test_what_cannot_be_read_is_logged_and_left(self, raw):
-        with self.assertLogs("celerytrack.gateway.prompt_notes", "WARNING"):
+        with self.assertLogs("celerytrack.gateway.peer_notes", "WARNING"):
             self.assertEqual(asyncio.run(_exchange([], [raw])), [])
 
 
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -15,7 +15,16 @@
 from celerytrack.durations import KEPT, Durations
 from celerytrack.planned_stop import Lasting, PlannedStop
 from celerytrack.platform.topics import CONFIG_KEY, CONFIG_TOPIC, ENDPOINTS_TOPIC
-from tests.gateway_fleet import HOST, KEY, SEAL, Endpoint, Script, config, free_port
+from tests.gateway_fleet import (
+    HOST,
+    KEY,
+    SEAL,
+    Endpoint,
+    Fleet,
+    Script,
+    config,
+    free_port,
+)
 from tests.gateway_processes import GatewayProcess
 from tests.keyed_log import KeyedLog
 
@@ -244,6 +253,20 @@
             await self._stops(site)
             await asking
 
+    def test_callers_are_not_sent_to_it_while_the_store_is_away(self):
+        """Guards against a planned stop that the others learn of from the log alone."""
+        asyncio.run(self._told_directly())
+
+    async def _told_directly(self) -> None:
+        good = Endpoint("i-1", _large_answer)
+        async with Fleet(good, gateways=2) as fleet:
+            views = [gateway.keeper.members for gateway in fleet.gateways]
+            await fleet.until(lambda: all(len(v.live(1e9)) == 1 for v in views))
+            fleet.log.down = True
+            await asyncio.sleep(0.5)
+            fleet.servers[0].stop()
+            await fleet.until(lambda: not views[1].live(1e9), 0.3)
+
     async def _stops(self, site: Site) -> float:
         """Stop the gateway; how long it took to end by itself."""
         began_s = time.monotonic()
