--- a/src/celerytrack/durations.py
+++ b/src/celerytrack/durations.py
@@ -5,7 +5,7 @@
 
 KEPT = 50
 """Requests of a kind that are remembered."""
-FEWEST = 10
+FEWEST = 3
 """Requests of a kind that must have ended before anything is said of the next."""
 LIKELY_SHARE = 0.95
 """Part of the requests of a kind that end within what is likely."""
