A stop that waits for no more requests takes none

The change of what a leaving entry takes did away with the flag that refused late arrivals; between the end of the last request and the closing of the listeners (0.15 s for the last row) new ones were taken again. Change: from then on all are refused as not run.

--- a/src/celerytrack/gateway/server.py
+++ b/src/celerytrack/gateway/server.py
@@ -227,6 +227,7 @@
         await asyncio.sleep(stop.serves_until_s - time.monotonic())
         self._log_stage(stop, "callers gone")
         await _until(lambda: not gateway.in_flight, stop.closes_s)
+        gateway.closing = True
         self._log_stage(stop, "requests over")
         gateway.keeper.book.return_unspent()
         await gateway.keeper.leave()
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -12,7 +12,7 @@
 from aiohttp import web
 from nose2.tools import params
 
-from celerytrack.durations import KEPT, Durations
+from celerytrack.durations import FEWEST, KEPT, Durations
 from celerytrack.planned_stop import Lasting, PlannedStop
 from celerytrack.platform.topics import CONFIG_KEY, CONFIG_TOPIC, ENDPOINTS_TOPIC
 from tests.gateway_fleet import (
@@ -59,6 +59,11 @@
     return web.Response(body=b"late", headers=_echo(request))
 
 
+async def _short_answer(request: web.BaseRequest) -> web.StreamResponse:
+    await asyncio.sleep(0.4)
+    return web.Response(body=b"good", headers=_echo(request))
+
+
 async def _large_answer(request: web.BaseRequest) -> web.StreamResponse:
     return web.Response(body=b"x" * 8_000_000, headers=_echo(request))
 
@@ -99,13 +104,18 @@
         await self._stack.aclose()
 
     async def ask(
-        self, path: str, pace_bytes: int = 2**20, pause_s: float = 0.0
+        self,
+        path: str,
+        pace_bytes: int = 2**20,
+        pause_s: float = 0.0,
+        request_id: str = "r1",
     ) -> Outcome:
         """Ask once, reading the answer a piece at a time."""
         outcome = Outcome()
+        headers = {**HEADERS, "X-Attempt-Id": request_id}
         url = f"http://{self.gateway.front_address}{path}"
         with contextlib.suppress(aiohttp.ClientError):
-            async with self.http.post(url, data=b"", headers=HEADERS) as answer:
+            async with self.http.post(url, data=b"", headers=headers) as answer:
                 outcome.status = answer.status
                 outcome.retry_after = answer.headers.get("Retry-After")
                 while piece := await answer.content.read(pace_bytes):
@@ -241,6 +251,26 @@
             outcome = await asking
             self.assertEqual((outcome.whole, len(outcome.body)), (True, 8_000_000))
 
+    def test_what_comes_as_it_ends_is_refused_or_answered(self):
+        """Guards against requests that are taken while the listeners close."""
+        asyncio.run(self._until_the_end())
+
+    async def _until_the_end(self) -> None:
+        async with Site(_short_answer) as site:
+            for i in range(FEWEST):
+                await site.ask("/once/x", request_id=f"before-{i}")
+            site.gateway.signal(signal.SIGTERM)
+            asked: dict[str, asyncio.Task[Outcome]] = {}
+            # One at a time, with moments at which none is in progress.
+            while await site.gateway.ended(0.45) is None:
+                name = f"r{len(asked)}"
+                task = asyncio.create_task(site.ask("/once/x", request_id=name))
+                asked[name] = task
+            outcomes = {name: await task for name, task in asked.items()}
+        ran = {request.headers["X-Attempt-Id"] for request in site.endpoint.seen}
+        unanswered = {name for name, outcome in outcomes.items() if not outcome.whole}
+        self.assertEqual(ran & unanswered, set())
+
     def test_a_silent_store_does_not_delay_the_exit(self):
         """Guards against a stop that waits for a store that answers nothing."""
         asyncio.run(self._silent_store())
