Test tool: ports that no connection takes by itself, and gateways that end are named

What did not come to hold was not said; a gateway whose port another process had taken since free_port() gave it looks like that. Ports now lie below those that connections take, are tried for TCP and UDP, and a gateway that ends names its error. No check changed.

--- a/tests/gateway_fleet.py
+++ b/tests/gateway_fleet.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import pathlib
+import random
 import socket
 import time
 import unittest
@@ -26,10 +27,22 @@
 Script = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
 
 
+# Below the ports that connections of other processes take by themselves.
+_PORTS = range(12_000, 32_000)
+_rng = random.Random()
+
+
 def free_port() -> int:
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return int(sock.getsockname()[1])
+    """A port of the loopback address that nobody listens on, for TCP and UDP."""
+    while True:
+        port = _rng.choice(_PORTS)
+        try:
+            for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+                with socket.socket(socket.AF_INET, kind) as sock:
+                    sock.bind(("127.0.0.1", port))
+        except OSError:
+            continue
+        return port
 
 
 async def client_of(
@@ -173,14 +186,18 @@
         for i in range(self.count):
             self._start_gateway(i, store_port)
         try:
-            await self.until(
-                lambda: all(g.ready for g in self.gateways), self.ready_within_s
-            )
-        except AssertionError:
+            await self.until(self._all_ready, self.ready_within_s)
+        except BaseException:
             await self.__aexit__()
             raise
         return self
 
+    def _all_ready(self) -> bool:
+        for task in self._tasks:
+            if task.done():
+                raise AssertionError(f"a gateway ended: {task.result()}")
+        return all(gateway.ready for gateway in self.gateways)
+
     def _start_gateway(self, i: int, store_port: int) -> None:
         settings = ProcessSettings(
             entry_id=f"e{i}",
