--- a/src/celerytrack/entry/admission.py
+++ b/src/celerytrack/entry/admission.py
@@ -140,7 +140,8 @@
         with _in_progress(state, admitted):
             return await serve(admitted)
     except RefusedError as exc:
-        return refuse(state.metrics, admitted.work.name, exc.refusal)
+        name, rid = admitted.work.name, admitted.request_id
+        return refuse(state.metrics, name, exc.refusal, rid)
 
 
 @contextlib.contextmanager
--- a/src/celerytrack/entry/chat.py
+++ b/src/celerytrack/entry/chat.py
@@ -99,6 +99,7 @@
             state,
             answer.admitted.work,
             answer.ask,
+            answer.admitted.request_id,
             lambda sent: _stream_from(state, request, sent, answer),
         )
     except _CallerGoneError:
--- a/src/celerytrack/entry/refusals.py
+++ b/src/celerytrack/entry/refusals.py
@@ -6,6 +6,7 @@
 
 from celerytrack.entry.metrics import EntryMetrics
 from celerytrack.events import Event, log_event
+from celerytrack.ids import RequestId
 from celerytrack.verdict import Refusal
 
 _log = logging.getLogger(__name__)
@@ -33,13 +34,22 @@
     )
 
 
-def refuse(metrics: EntryMetrics, work_class: str, refusal: Refusal) -> web.Response:
-    """Count, log and answer with ``refusal``."""
+def refuse(
+    metrics: EntryMetrics,
+    work_class: str,
+    refusal: Refusal,
+    request_id: RequestId | None = None,
+) -> web.Response:
+    """Count, log and answer with ``refusal``.
+
+    :param request_id: the request's, once it is admitted.
+    """
     metrics.refusals.labels(refusal.reason.value, refusal.verdict.value).inc()
     metrics.requests.labels(work_class, "refused").inc()
     log_event(
         _log,
         Event.REQUEST_REFUSED,
+        request_id=request_id,
         work_class=work_class,
         reason=refusal.reason.value,
         verdict=refusal.verdict.value,
--- a/src/celerytrack/entry/service_calls.py
+++ b/src/celerytrack/entry/service_calls.py
@@ -92,6 +92,7 @@
         state,
         admitted.work,
         ask,
+        admitted.request_id,
         lambda sent: _attempt(state, sent, admitted),
     )
     match sent:
--- a/src/celerytrack/entry/upstream.py
+++ b/src/celerytrack/entry/upstream.py
@@ -2,6 +2,8 @@
 another replica is tried."""
 
 import asyncio
+import enum
+import logging
 import time
 from collections.abc import Awaitable, Callable
 from typing import TypeVar
@@ -12,13 +14,16 @@
 from celerytrack.entry.admission import place
 from celerytrack.entry.refusals import RefusedError
 from celerytrack.entry.state import EntryState
-from celerytrack.ids import ReplicaId
+from celerytrack.events import Event, log_event
+from celerytrack.ids import ReplicaId, RequestId
 from celerytrack.replica_load import Ask, Attempt
 from celerytrack.retries import backoff_s, may_retry
 from celerytrack.routing import Placement, predicted_s
 from celerytrack.settings import WorkClass
 from celerytrack.verdict import Reason, Refusal, Verdict, did_not_run, may_have_run
 
+_log = logging.getLogger(__name__)
+
 T = TypeVar("T")
 
 ATTEMPTS = 3
@@ -31,6 +36,15 @@
 """Statuses by which a back end promises that it did not run the request."""
 
 
+class GivenUp(enum.Enum):
+    """Why a request is not tried at another replica."""
+
+    ATTEMPTS = "attempts"
+    NOT_IDEMPOTENT = "not_idempotent"
+    RETRY_BUDGET = "retry_budget"
+    NO_REPLICA = "no_replica"
+
+
 def unreachable() -> Refusal:
     """No connection to the back end could be made."""
     return did_not_run(Reason.UPSTREAM_FAILED, 1.0, "back end unreachable")
@@ -53,6 +67,7 @@
     state: EntryState,
     work: WorkClass,
     ask: Ask,
+    request_id: RequestId,
     attempt: Callable[[Attempt], Awaitable[Result[T, Refusal]]],
 ) -> Result[T, Refusal]:
     """Make ``attempt`` on one replica after another until one succeeds.
@@ -67,6 +82,8 @@
         try:
             replica = place(state, work, ask, tried)
         except RefusedError as exc:
+            if verdict is not None:
+                _log_given_up(request_id, GivenUp.NO_REPLICA, exc.refusal)
             return Failure(verdict or exc.refusal)
         now_s = time.time()
         guess_s = predicted_s(replica, replica.load(now_s), ask, Placement())
@@ -81,15 +98,50 @@
                 return result
             case Failure(refusal):
                 replica.failed(time.time())
+                _log_failed(request_id, replica.replica_id, refusal)
                 if verdict is None or refusal.verdict is Verdict.MAY_HAVE_RUN:
                     verdict = refusal
-                given_up = (
-                    number == ATTEMPTS - 1
-                    or not may_retry(refusal, work.idempotent)
-                    or not state.retries.take()
-                )
-                if given_up:
+                why = _given_up(state, work, refusal, number)
+                if why is not None:
+                    _log_given_up(request_id, why, refusal)
                     return Failure(verdict)
         tried |= {replica.replica_id}
         await asyncio.sleep(backoff_s(number, state.rng))
     raise AssertionError("the last attempt returns")
+
+
+def _given_up(
+    state: EntryState, work: WorkClass, refusal: Refusal, number: int
+) -> GivenUp | None:
+    """Why attempt ``number``, which failed, is the last; takes the retry if
+    it is not."""
+    if number == ATTEMPTS - 1:
+        return GivenUp.ATTEMPTS
+    if not may_retry(refusal, work.idempotent):
+        return GivenUp.NOT_IDEMPOTENT
+    if not state.retries.take():
+        return GivenUp.RETRY_BUDGET
+    return None
+
+
+def _log_failed(request_id: RequestId, replica: ReplicaId, refusal: Refusal) -> None:
+    log_event(
+        _log,
+        Event.ATTEMPT_FAILED,
+        request_id=request_id,
+        endpoint=replica,
+        reason=refusal.reason.value,
+        verdict=refusal.verdict.value,
+        detail=refusal.detail,
+    )
+
+
+def _log_given_up(request_id: RequestId, why: GivenUp, refusal: Refusal) -> None:
+    log_event(
+        _log,
+        Event.REQUEST_GIVEN_UP,
+        logging.WARNING,
+        request_id=request_id,
+        why=why.value,
+        detail=refusal.detail,
+    )
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -10,7 +10,7 @@
 from returns.result import Failure, Success
 
 from celerytrack.entry.upstream import try_replicas
-from celerytrack.ids import ReplicaId, Zone
+from celerytrack.ids import ReplicaId, RequestId, Zone
 from celerytrack.replica_load import Ask, ReplicaLoad
 from celerytrack.retries import RetryBudget
 from celerytrack.routing import make_chooser
@@ -53,7 +53,9 @@
             return outcomes[len(tried) - 1]
 
         with mock.patch("celerytrack.entry.upstream.asyncio.sleep") as sleep:
-            result = asyncio.run(try_replicas(state, work, Ask("m", 0), attempt))
+            result = asyncio.run(
+                try_replicas(state, work, Ask("m", 0), RequestId("r"), attempt)
+            )
         self.assertEqual((len(set(tried)), len(tried)), (attempts, attempts))
         self.assertEqual(sleep.await_count, waits)
         left = 0
