--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -31,6 +31,26 @@
     )
 
 
+def _run(state, story: str):
+    """Try one request whose attempts end as ``story`` says: ``t`` failed behind
+    some tokens, ``f`` failed without any, ``.`` went well."""
+    tried = []
+
+    async def attempt(sent):
+        tried.append(sent.replica.replica_id)
+        step = story[len(tried) - 1]
+        if step == "t":
+            sent.first_token(0.0)
+        return Success(1) if step == "." else MAYBE
+
+    work = types.SimpleNamespace(idempotent=True, model="m", priority=0)
+    with mock.patch("celerytrack.entry.upstream.asyncio.sleep"):
+        result = asyncio.run(
+            try_replicas(state, work, Ask("m", 0), RequestId("r"), attempt)
+        )
+    return result, tried
+
+
 class TryReplicasTest(unittest.TestCase):
     @params(
         # outcomes of the attempts, may run twice, attempts, waits, verdict
@@ -67,3 +87,33 @@
                 self.assertEqual(refusal.verdict, verdict)
             case _:
                 self.assertIsNone(verdict)
+
+    @params(
+        # outcomes of the attempts; with tokens (t) or without
+        ("tft.",),  # killed, killed before its first token, broken off
+        ("ftfft.",),
+        ("tttttttt.",),  # more often than there are replicas
+    )
+    def test_an_answer_that_goes_on_is_not_given_up(self, story):
+        """An answer that each attempt brought further is cut after three."""
+        result, tried = _run(_state(), story)
+        self.assertEqual((result, len(tried)), (Success(1), len(story)))
+
+    def test_an_answer_that_stands_still_is_given_up(self):
+        """A begun answer is tried for ever where nothing goes on."""
+        result, tried = _run(_state(), "tfff.")
+        self.assertEqual((type(result), len(tried)), (Failure, 4))
+
+    def test_begun_answers_go_on_without_retries(self):
+        """Answers in progress are cut because others used the retries up."""
+        state = _state()
+        for _ in range(30):
+            self.assertEqual(_run(state, "t.")[0], Success(1))
+        self.assertTrue(state.retries.take())
+
+    def test_an_answer_not_begun_needs_a_retry(self):
+        """New requests are sent again and again in an outage."""
+        state = _state()
+        for _ in range(10):
+            self.assertEqual(_run(state, "f.")[0], Success(1))
+        self.assertEqual(type(_run(state, "f.")[0]), Failure)
