A begun answer goes on while attempts bring tokens, and needs no retry of the budget

Cause: try_replicas counted each attempt of a request, also one that had brought the caller tokens, and charged each resumption to the retry budget (ten saved up). Sequence, from the new log lines: a job streams at tutor-1, which is killed; it goes to tutor-2 in the gap before that one is killed; it goes to tutor-3, brings 20 tokens and is broken off: three attempts, given up (why=attempts), cut, while three healthy engines have room. The gap between the two kills decides: the wider under load. The other way, by the budget: three engines stopped for 1 s miss a load report, the twelve jobs crowd on the rest, more than ten are broken.

Change: an attempt that brought a token starts the count of attempts and of avoided replicas afresh; a begun answer takes no retry, since cutting it makes its caller come back for all of it; without tokens three attempts in a row end it as before. Each attempt, and not only the first, notes its first token (a resumed prompt counted as unread until its end). The relay's count of tokens never falls, so that an engine which counts from anew cannot make an answer go back and forth.

--- a/src/celerytrack/entry/chat.py
+++ b/src/celerytrack/entry/chat.py
@@ -178,6 +178,7 @@
     :raises _CallerGoneError: if the caller's connection is closed.
     """
     relay = answer.relay
+    tokens_before = relay.tokens
     while not relay.complete:
         try:
             data = await upstream.content.readany()
@@ -188,9 +189,10 @@
         out = relay.feed(data)
         if not out:
             continue
+        if not sent.answered and relay.tokens > tokens_before:
+            sent.first_token(time.time())
         try:
             if answer.response is None:
-                sent.first_token(time.time())
                 answer.response = await _open(state, request, answer)
             await answer.response.write(out)
         except ConnectionError:
--- a/src/celerytrack/entry/upstream.py
+++ b/src/celerytrack/entry/upstream.py
@@ -9,6 +9,7 @@
 from typing import TypeVar
 
 import aiohttp
+import attrs
 from returns.result import Failure, Result, Success
 
 from celerytrack.entry.admission import place
@@ -27,7 +28,7 @@
 T = TypeVar("T")
 
 ATTEMPTS = 3
-"""Replicas tried for one request before it is given up."""
+"""Replicas tried in a row, without a token of the answer, for one request."""
 NEVER_CONNECTED = (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError)
 """Errors raised before a connection was made: the back end saw nothing."""
 CONNECTION_FAILED = (aiohttp.ClientError, TimeoutError, ConnectionError)
@@ -63,6 +64,36 @@
     return may_have_run(Reason.UPSTREAM_FAILED, 1.0, detail)
 
 
+@attrs.define
+class _Tries:
+    """What the attempts of one request have come to so far.
+
+    :ivar begun: its caller has a part of the answer.
+    :ivar fruitless: the last attempts in a row that brought it nothing.
+    :ivar avoid: replicas that failed it since its last token.
+    :ivar refusal: what it is answered if no attempt succeeds; once one may
+        have run, that stands, however the later ones end.
+    """
+
+    begun: bool = False
+    fruitless: int = 0
+    avoid: frozenset[ReplicaId] = frozenset()
+    refusal: Refusal | None = None
+
+    def failed(self, sent: Attempt, refusal: Refusal) -> None:
+        """Count an attempt that failed: one that brought the answer further
+        is as good as a fresh start."""
+        if sent.answered:
+            self.begun = True
+            self.fruitless = 0
+            self.avoid = frozenset()
+        else:
+            self.fruitless += 1
+        self.avoid |= {sent.replica.replica_id}
+        if self.refusal is None or refusal.verdict is Verdict.MAY_HAVE_RUN:
+            self.refusal = refusal
+
+
 async def try_replicas(
     state: EntryState,
     work: WorkClass,
@@ -72,19 +103,17 @@
 ) -> Result[T, Refusal]:
     """Make ``attempt`` on one replica after another until one succeeds.
 
-    :returns: the first success, or why the request was given up. Once an
-        attempt may have run, that stands, however the later ones end.
+    :returns: the first success, or why the request was given up.
     """
     state.retries.request()
-    tried: frozenset[ReplicaId] = frozenset()
-    verdict: Refusal | None = None
-    for number in range(ATTEMPTS):
+    tries = _Tries()
+    while True:
         try:
-            replica = place(state, work, ask, tried)
+            replica = place(state, work, ask, tries.avoid)
         except RefusedError as exc:
-            if verdict is not None:
+            if tries.refusal is not None:
                 _log_given_up(request_id, GivenUp.NO_REPLICA, exc.refusal)
-            return Failure(verdict or exc.refusal)
+            return Failure(tries.refusal or exc.refusal)
         now_s = time.time()
         guess_s = predicted_s(replica, replica.load(now_s), ask, Placement())
         sent = replica.send(ask, guess_s, now_s)
@@ -99,27 +128,25 @@
             case Failure(refusal):
                 replica.failed(time.time())
                 _log_failed(request_id, replica.replica_id, refusal)
-                if verdict is None or refusal.verdict is Verdict.MAY_HAVE_RUN:
-                    verdict = refusal
-                why = _given_up(state, work, refusal, number)
+                tries.failed(sent, refusal)
+                why = _given_up(state, work, refusal, tries)
                 if why is not None:
                     _log_given_up(request_id, why, refusal)
-                    return Failure(verdict)
-        tried |= {replica.replica_id}
-        await asyncio.sleep(backoff_s(number, state.rng))
-    raise AssertionError("the last attempt returns")
+                    return Failure(tries.refusal or refusal)
+        await asyncio.sleep(backoff_s(max(tries.fruitless - 1, 0), state.rng))
 
 
 def _given_up(
-    state: EntryState, work: WorkClass, refusal: Refusal, number: int
+    state: EntryState, work: WorkClass, refusal: Refusal, tries: _Tries
 ) -> GivenUp | None:
-    """Why attempt ``number``, which failed, is the last; takes the retry if
-    it is not."""
-    if number == ATTEMPTS - 1:
+    """Why the attempt that failed is the last; takes the retry if it is not."""
+    if tries.fruitless == ATTEMPTS:
         return GivenUp.ATTEMPTS
     if not may_retry(refusal, work.idempotent):
         return GivenUp.NOT_IDEMPOTENT
-    if not state.retries.take():
+    # A begun answer cannot be refused any more, only cut, and a caller that
+    # comes back for a cut one makes the engines do all of it again.
+    if not tries.begun and not state.retries.take():
         return GivenUp.RETRY_BUDGET
     return None
 
--- a/src/celerytrack/replica_load.py
+++ b/src/celerytrack/replica_load.py
@@ -99,15 +99,18 @@
 
     :ivar prefill_tokens: prompt tokens counted as not read in yet.
     :ivar predicted_s: the first token's time as predicted when it was sent.
+    :ivar answered: whether its first token came.
     """
 
     replica: "ReplicaLoad"
     sent_at_s: float
     prefill_tokens: int
     predicted_s: float
+    answered: bool = False
 
     def first_token(self, now_s: float) -> None:
         """Its first token came: the prompt is read in."""
+        self.answered = True
         self.replica._read_in(self.prefill_tokens)
         self.prefill_tokens = 0
         self.replica._learn((now_s - self.sent_at_s) / max(self.predicted_s, 1e-3))
--- a/src/celerytrack/retries.py
+++ b/src/celerytrack/retries.py
@@ -2,7 +2,9 @@
 
 Retries are what turns a short overload into a long one: each refused request
 comes back as several. A budget ties them to the requests that came in, so
-they add at most a fixed share of load, whatever fails.
+they add at most a fixed share of load, whatever fails. An answer that is
+begun and goes on at another replica is no retry: no work is done again but the
+reading of its prompt.
 """
 
 import random
--- a/src/celerytrack/sse.py
+++ b/src/celerytrack/sse.py
@@ -90,7 +90,7 @@
     def _count(self, out: bytes) -> None:
         usage = _USAGE.findall(out)
         if usage:
-            self.tokens = int(usage[-1])
+            self.tokens = max(self.tokens, int(usage[-1]))
         else:
             self.tokens += out.count(_END)
 
--- a/tests/test_sse.py
+++ b/tests/test_sse.py
@@ -58,3 +58,11 @@
         relay.resumed()
         out += relay.feed(second + DONE_EVENT)
         self.assertEqual(out, first + second)
+
+    def test_a_count_never_falls(self):
+        """An engine that counts from anew sends the answer back to its start."""
+        relay = AnswerRelay(RequestId("r1"))
+        relay.feed(_event("r1", "abc", 7))
+        relay.resumed()
+        relay.feed(_event("r1", "d", 1))
+        self.assertEqual(relay.tokens, 7)
