Test tool: a broken expect names what each request got, logs are kept, ports checked

p3b's one failure said 'done = 11' and no more; the next fleet wrote over its logs. A broken expect now lists each request that was not done (key, request id as in the logs, outcome, reason, verdict), and the logs of a failed scenario are copied to run/failed/.

A fleet refuses to start while a port of it is in use: its process exits there, and the test talks to the one that has the port. Seen at 08:54 when this clone's rows 7 to 9 of tests.test_scenarios ran beside another clone's: 3 of 3 failed with unbilled-done = -10 to -20, p3c's broken streams were set in the other fleet's engines, and one p3b run said 'ok' beside foreign processes.

--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -8,6 +8,7 @@
 import json
 import os
 import pathlib
+import shutil
 import signal
 import socket
 import subprocess
@@ -96,12 +97,26 @@
             f"not listening: {[a for a in addresses if not _port_open(a)]}"
         )
 
+    def _require_free(self, addresses: list[str]) -> None:
+        # A process that finds its port taken exits, and the test would talk to
+        # the one that has it: another clone's, which it would break as well.
+        if taken := [a for a in addresses if _port_open(a)]:
+            raise RuntimeError(f"in use: {taken}")
+
     def start_platform(self, replicas: int | None = None) -> None:
         """Start the log, instance list, weight store and the replicas.
 
         :param replicas: how many of the settings' replicas; all by default.
         """
         specs = self.fleet.replicas[:replicas]
+        p = self.fleet.platform
+        addresses = [
+            p.log_address,
+            p.instances_address,
+            p.weights_address,
+            *(r.address for r in specs),
+        ]
+        self._require_free(addresses)
         standin = str(BIN / "celerytrack-standin")
         settings = ["-s", str(self.settings_path)]
         for role in ("log", "instances", "weights"):
@@ -112,15 +127,7 @@
                 spec.replica_id,
                 [standin, "run", "replica", *settings, "-r", spec.replica_id, *extra],
             )
-        p = self.fleet.platform
-        self._wait_ready(
-            [
-                p.log_address,
-                p.instances_address,
-                p.weights_address,
-                *(r.address for r in specs),
-            ]
-        )
+        self._wait_ready(addresses)
 
     def publish(self, budget_tokens: int) -> None:
         """Apply the example's config and top every account up."""
@@ -158,9 +165,11 @@
 
     def start_entries(self) -> None:
         """Start the entries and wait until they listen."""
+        addresses = [e.address for e in self.entry_specs]
+        self._require_free(addresses)
         for spec in self.entry_specs:
             self._spawn_entry(spec.entry_id)
-        self._wait_ready([e.address for e in self.entry_specs])
+        self._wait_ready(addresses)
 
     def signal(self, name: str, sig: int) -> None:
         """Send ``sig`` to the process ``name`` (by its pid)."""
@@ -189,6 +198,11 @@
                 os.kill(proc.pid, signal.SIGKILL)
                 proc.wait()
 
+    def keep_logs(self, name: str) -> None:
+        """Copy the logs to a folder that no later fleet writes to."""
+        kept = self.logs.parent / "failed" / f"{name}-{time.time_ns()}"
+        shutil.copytree(self.logs, kept)
+
     def __enter__(self) -> "Fleet":
         return self.start()
 
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -32,13 +32,13 @@
 import aiohttp
 
 from celerytrack.cli.ctl import apply_config, topup
-from celerytrack.entry.admission import request_id_for
 from celerytrack.load.caller import Caller, Outcome, Result
 from celerytrack.load.checker import audit_sync
 from celerytrack.load.mix import MIXES
 from celerytrack.load.runner import prompt_for
 from celerytrack.logclient import LogClient
 from tests.fleet import Fleet, get_json, post_json
+from tests.scenario_results import not_done, refused_but_ran
 
 _OPS = {
     "==": operator.eq,
@@ -265,7 +265,8 @@
         got = self._measure(what)
         self.figures[what] = got
         if not _OPS[op](got, want):
-            self.failures.append(f"line {line}: {what} = {got}, expected {op} {want}")
+            unmet = f"line {line}: {what} = {got}, expected {op} {want}"
+            self.failures.append(f"{unmet}; not done: {not_done(self.results)}")
 
     def _measure(self, what: str) -> float:
         if what in ("config-lag-s", "apply-conflicts"):
@@ -281,7 +282,7 @@
         if what in simple:
             return outcomes.count(simple[what])
         if what == "refused-but-ran":
-            return self._refused_but_ran()
+            return refused_but_ran(self._f, self.results)
         if what == "refused-may-have-run":
             return sum(1 for r in self.results if r.verdict == "may_have_run")
         if what.startswith("runs-on:"):
@@ -296,20 +297,6 @@
             "double-runs": found.double_runs,
         }[what]
 
-    def _refused_but_ran(self) -> float:
-        """Requests whose every attempt was answered ``did_not_run``, yet ran."""
-        by_request: dict[str, set[str]] = {}
-        for r in self.results:
-            rid = request_id_for(r.account, r.key)
-            by_request.setdefault(rid, set()).add(r.verdict)
-        refused = {rid for rid, v in by_request.items() if v == {"did_not_run"}}
-        ran: set[str] = set()
-        for spec in self._f.fleet.replicas:
-            if self._f.procs[spec.replica_id].poll() is None:
-                for key in get_json(spec.address, "/_stats")["runs"]:
-                    ran.add(key.split(":")[-1])
-        return float(len(refused & ran))
-
     def _runs_after_leave(self, replica: str) -> float:
         spec = self._f.fleet.replica(replica)
         stats = get_json(spec.address, "/_stats")
--- /dev/null
+++ b/tests/test_fleet.py
@@ -0,0 +1,30 @@
+"""The local fleet of the tests."""
+
+import pathlib
+import shutil
+import socket
+import tempfile
+import unittest
+from unittest import mock
+
+from tests import fleet
+
+
+class FleetTest(unittest.TestCase):
+    def test_a_port_in_use_is_named(self):
+        """A test talks to the processes of a fleet that another clone started."""
+        with tempfile.TemporaryDirectory() as root, socket.socket() as sock:
+            sock.bind(("127.0.0.1", 0))
+            sock.listen()
+            address = f"127.0.0.1:{sock.getsockname()[1]}"
+            example = pathlib.Path(root) / "example"
+            shutil.copytree(fleet.ROOT / "examples" / "haddad", example)
+            settings = example / "fleet.json"
+            text = settings.read_text().replace("127.0.0.1:17131", address)
+            settings.write_text(text)
+            with mock.patch.object(fleet, "ROOT", pathlib.Path(root)):
+                ours = fleet.Fleet(str(example))
+            with mock.patch.object(ours, "_spawn") as spawn:
+                with self.assertRaisesRegex(RuntimeError, f"in use: .*{address}"):
+                    ours.start_platform()
+            spawn.assert_not_called()
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -14,4 +14,6 @@
     @params(*sorted(p.name for p in SCENARIOS.glob("*.scn")))
     def test_scenario(self, name):
         scenario = run_file(str(SCENARIOS / name))
+        if scenario.failures and scenario.fleet is not None:
+            scenario.fleet.keep_logs(name)
         self.assertEqual(scenario.failures, [], scenario.figures)
