--- a/src/celerytrack/entry/admission.py
+++ b/src/celerytrack/entry/admission.py
@@ -214,14 +214,16 @@
     :raises RefusedError: ``no_capacity`` / ``did_not_run`` with a time to
         come back.
     """
+    now_s = time.time()
+    zone = state.spec.zone
     replicas = [r for r in state.view.replicas.values() if r.replica_id not in avoid]
+    replica = None
     if avoid:
         # A request that failed once is not put on trial at another replica
         # that failed lately, or it would use up its attempts on trials.
-        sound = [r for r in replicas if r.sound and r.model == ask.model]
-        replicas = sound or replicas
-    now_s = time.time()
-    replica = state.choose(replicas, ask, state.spec.zone, now_s)
+        sound = [r for r in replicas if r.sound]
+        replica = state.choose(sound, ask, zone, now_s)
+    replica = replica or state.choose(replicas, ask, zone, now_s)
     if replica is None:
         raise RefusedError(
             did_not_run(
--- a/src/celerytrack/entry/upstream.py
+++ b/src/celerytrack/entry/upstream.py
@@ -80,6 +80,11 @@
     avoid: frozenset[ReplicaId] = frozenset()
     refusal: Refusal | None = None
 
+    def ask(self, ask: Ask) -> Ask:
+        """What the next attempt asks for: a begun answer is not shed for more
+        urgent requests, which could still be refused."""
+        return attrs.evolve(ask, priority=0) if self.begun else ask
+
     def failed(self, sent: Attempt, refusal: Refusal) -> None:
         """Count an attempt that failed: one that brought the answer further
         is as good as a fresh start."""
@@ -109,7 +114,7 @@
     tries = _Tries()
     while True:
         try:
-            replica = place(state, work, ask, tries.avoid)
+            replica = place(state, work, tries.ask(ask), tries.avoid)
         except RefusedError as exc:
             if tries.refusal is not None:
                 _log_given_up(request_id, GivenUp.NO_REPLICA, exc.refusal)
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -11,7 +11,7 @@
 
 from celerytrack.entry.upstream import try_replicas
 from celerytrack.ids import ReplicaId, RequestId, Zone
-from celerytrack.replica_load import Ask, ReplicaLoad
+from celerytrack.replica_load import Ask, Load, ReplicaLoad
 from celerytrack.retries import RetryBudget
 from celerytrack.routing import make_chooser
 from celerytrack.verdict import Reason, Verdict, did_not_run, may_have_run
@@ -31,7 +31,7 @@
     )
 
 
-def _run(state, story: str):
+def _run(state, story: str, priority: int = 0):
     """Try one request whose attempts end as ``story`` says: ``t`` failed behind
     some tokens, ``f`` failed without any, ``.`` went well."""
     tried = []
@@ -43,10 +43,10 @@
             sent.first_token(0.0)
         return Success(1) if step == "." else MAYBE
 
-    work = types.SimpleNamespace(idempotent=True, model="m", priority=0)
+    work = types.SimpleNamespace(idempotent=True, model="m", priority=priority)
     with mock.patch("celerytrack.entry.upstream.asyncio.sleep"):
         result = asyncio.run(
-            try_replicas(state, work, Ask("m", 0), RequestId("r"), attempt)
+            try_replicas(state, work, Ask("m", priority), RequestId("r"), attempt)
         )
     return result, tried
 
@@ -117,3 +117,24 @@
         for _ in range(10):
             self.assertEqual(_run(state, "f.")[0], Success(1))
         self.assertEqual(type(_run(state, "f.")[0]), Failure)
+
+    @params({"running": 16}, {"leaving": True})
+    def test_a_replica_that_failed_lately_is_better_than_none(self, barred):
+        """An answer is given up since the only sound replica cannot take it."""
+        state = _state()
+        a, b, *others = state.view.replicas.values()
+        b.own = Load(barred.get("running", 0))
+        b.leaving = barred.get("leaving", False)
+        for replica in others:
+            replica.failed(0.0)
+        result, tried = _run(state, "t.")
+        self.assertEqual((result, tried), (Success(1), [a.replica_id, "c"]))
+
+    def test_a_begun_answer_is_not_shed(self):
+        """An answer of a late rank is cut while other replicas fill up."""
+        state = _state()
+        a, *others = state.view.replicas.values()
+        for replica in others:
+            replica.own = Load(14)
+        self.assertEqual(_run(state, "t.", priority=2)[0], Success(1))
+        self.assertEqual(type(_run(state, "f.", priority=2)[0]), Failure)
