A stop takes nothing behind its last look at what is in progress

Callers saw their connection closed without an answer, 0.1 to 0.2 s after sending, though the endpoint had their request (LOST). Cause: since late arrivals are judged by how long they may last, a request that comes while the last row is written (0.15 s from the moment nothing is in progress) or while the listeners close was taken, though nobody waits for it any more: it had 0.05 s, then it was cancelled. Change: with the look, in the same step, the entry is closed: what comes after is refused at once as not run, to come back at once (elsewhere).

--- a/src/celerytrack/gateway/pipeline.py
+++ b/src/celerytrack/gateway/pipeline.py
@@ -93,7 +93,7 @@
         likely_s=gateway.durations.likely_s(exchange.route.name),
         stream=exchange.route.stream,
     )
-    if not stop.takes(lasting, now_s):
+    if gateway.closed or not stop.takes(lasting, now_s):
         detail = f"this entry stops; {lasting}"
         raise RefusedError(did_not_run(Reason.DRAINING, 0.0, detail))
     exchange.end_by(stop.answers_end_s)
--- a/src/celerytrack/gateway/server.py
+++ b/src/celerytrack/gateway/server.py
@@ -221,6 +221,8 @@
         await asyncio.sleep(stop.serves_until_s - time.monotonic())
         self._log_stage(stop, "callers gone")
         await _until(lambda: not gateway.in_flight, stop.closes_s)
+        # Nobody waits any more for what would be taken from here on.
+        gateway.closed = True
         self._log_stage(stop, "requests over")
         gateway.keeper.book.return_unspent()
         await gateway.keeper.leave()
--- a/src/celerytrack/gateway/state.py
+++ b/src/celerytrack/gateway/state.py
@@ -32,6 +32,7 @@
     :param started_s: when the process began, on the steady clock.
     :ivar exchanges: requests admitted and not yet answered.
     :ivar stop: the planned stop, once it has begun.
+    :ivar closed: what the stop waited for is over, and it takes nothing more.
     :ivar durations: how long requests of each route took.
     :ivar config_known_at_s: up to when each configuration that was confirmed is
         known here, on the steady clock.
@@ -69,6 +70,7 @@
         self.in_flight = 0
         self.exchanges: set[Exchange] = set()
         self.stop: PlannedStop | None = None
+        self.closed = False
         self.durations = Durations()
         self._retries: dict[ServiceName, RetryBudget] = {}
         self.connections = EndpointConnections()
