A stop that hears its signal late takes no stream later than three seconds

Evidence: a process that stands still for 0.1 s when SIGTERM comes, ten short streams before, so that the route's streams are likely short, then a long one: (200, cut). Change: 0.2 s are kept for a signal heard late. The case is refused at once (503).

--- a/src/celerytrack/planned_stop.py
+++ b/src/celerytrack/planned_stop.py
@@ -20,6 +20,9 @@
 STREAM_TAKEN_S = 3.0
 """How long after the signal a stream is taken that will likely end in time, but may
 not."""
+HEARD_LATE_S = 0.2
+"""How long after it was sent a signal may be heard: an instance that has used up its
+share of a processor stands still for a tenth of a second."""
 
 
 @attrs.frozen
@@ -40,7 +43,7 @@
 class PlannedStop:
     """One planned stop.
 
-    :ivar began_s: when its signal came.
+    :ivar began_s: when its signal was heard.
     :ivar grace_s: how long after it the process is killed.
     """
 
@@ -76,6 +79,6 @@
         left_s = self.answers_end_s - now_s
         if lasting.most_s <= left_s:
             return True
-        if lasting.stream and now_s - self.began_s > STREAM_TAKEN_S:
+        if lasting.stream and now_s - self.began_s > STREAM_TAKEN_S - HEARD_LATE_S:
             return False
         return lasting.likely_s <= left_s
--- a/tests/test_planned_stop_review.py
+++ b/tests/test_planned_stop_review.py
@@ -1,6 +1,7 @@
 """Planned stops of real processes beside what crosses their parts."""
 
 import asyncio
+import itertools
 import signal
 import time
 import unittest
@@ -9,6 +10,7 @@
 from aiohttp import web
 from nose2.tools import params
 
+from celerytrack.durations import FEWEST
 from celerytrack.platform.topics import ENTRIES_TOPIC
 from tests.gateway_fleet import HOST, KEY, Script
 from tests.test_planned_stop import (
@@ -16,6 +18,7 @@
     HEADERS,
     Site,
     _echo,
+    _large_answer,
     _long_stream,
     _slow_answer,
 )
@@ -23,12 +26,39 @@
 CROSSES_S = 0.2
 """A request that is sent no longer than this before a close may cross it."""
 
+STANDS_STILL_S = 0.1
+"""How long an instance stands still that has used up its share of a processor."""
+
 
 async def _short_work(request: web.BaseRequest) -> web.StreamResponse:
     await asyncio.sleep(0.3)
     return web.Response(body=b"done", headers=_echo(request))
 
 
+def _first_short() -> Script:
+    """Streams of one event, as many as tell how long streams take, then long ones."""
+    asked = itertools.count(1)
+
+    async def stream(request: web.BaseRequest) -> web.StreamResponse:
+        if next(asked) > FEWEST:
+            return await _long_stream(request)
+        response = web.StreamResponse(headers=_echo(request))
+        response.enable_chunked_encoding()
+        await response.prepare(request)
+        await response.write(b"id: 1\ndata: t1\n\n")
+        return response
+
+    return stream
+
+
+async def _by_path(request: web.BaseRequest) -> web.StreamResponse:
+    if request.path == "/plain/x":
+        return await _large_answer(request)
+    if request.path == "/once/x":
+        return await _slow_answer(request)
+    return await _wide_stream(request)
+
+
 async def _wide_stream(request: web.BaseRequest) -> web.StreamResponse:
     """Events as fast as they are taken."""
     response = web.StreamResponse(headers=_echo(request))
@@ -156,6 +186,33 @@
             await _ends(site, began_s)
             asking.cancel()
 
+    def test_all_that_holds_a_stop_up_at_once(self):
+        """Guards against parts of a stop that fit its grace time one by one only."""
+        asyncio.run(self._all_at_once())
+
+    async def _all_at_once(self) -> None:
+        async with Site(_by_path) as site:
+            asking = [
+                asyncio.create_task(site.ask_and_not_read(path))
+                for path in ("/plain/x", "/stream/x", "/resume/x")
+            ]
+            asking.append(asyncio.create_task(site.ask("/once/x")))
+            host, port = site.gateway.front_address.split(":")
+            _, writer = await asyncio.open_connection(host, int(port))
+            head = "".join(f"{name}: {value}\r\n" for name, value in HEADERS.items())
+            writer.write(
+                f"POST /once/x HTTP/1.1\r\n{head}Content-Length: 9\r\n\r\n".encode()
+            )
+            await asyncio.sleep(0.5)
+            site.log.silent = True
+            began_s = time.monotonic()
+            site.gateway.signal(signal.SIGTERM)
+            await _ends(site, began_s)
+            for task in asking[:-1]:
+                task.cancel()
+            self.assertEqual((await asking[-1]).status, 504)
+            writer.close()
+
     def test_signals_during_a_stop_change_nothing(self):
         """Guards against a stop that a second signal cuts short or prolongs."""
         asyncio.run(self._signals())
@@ -222,6 +279,27 @@
             self.assertEqual((outcome.status, outcome.whole), (status, status == 504))
 
 
+class LateSignalTest(unittest.TestCase):
+    def test_a_stop_heard_late_takes_no_stream_later(self):
+        """Guards against a stream taken over 3 s after SIGTERM and cut."""
+        asyncio.run(self._heard_late())
+
+    async def _heard_late(self) -> None:
+        async with Site(_first_short()) as site:
+            for _ in range(FEWEST):
+                self.assertTrue((await site.ask("/stream/x")).whole)
+            began_s = time.monotonic()
+            site.gateway.signal(signal.SIGSTOP)
+            site.gateway.signal(signal.SIGTERM)
+            await asyncio.sleep(STANDS_STILL_S)
+            site.gateway.signal(signal.SIGCONT)
+            await asyncio.sleep(began_s + 3.02 - time.monotonic())
+            sent_s = time.monotonic() - began_s
+            outcome = await site.ask("/stream/x")
+            await _ends(site, began_s)
+            self.assertEqual((outcome.status, outcome.whole), (503, True), sent_s)
+
+
 async def _slow_down(site: Site) -> None:
     """Let the process run for a seventh of the time."""
     while True:
