--- a/src/celerytrack/gateway/share_keeper.py
+++ b/src/celerytrack/gateway/share_keeper.py
@@ -11,7 +11,7 @@
 import logging
 import time
 
-from celerytrack.eras import EraChange, EraWatch
+from celerytrack.eras import Era, EraChange, EraWatch
 from celerytrack.events import Event, log_event
 from celerytrack.gateway.gifts import GiftClient
 from celerytrack.gateway.hedged_store import Store
@@ -22,9 +22,11 @@
     Reservations,
     wait_for,
 )
+from celerytrack.gateway.restore_logs import log_hold_over, log_restored
 from celerytrack.gateway.row_writer import FencedError, RestoredError, RowWriter
 from celerytrack.gateway.tail import RETRY_MAX_S, RETRY_S, KeyedTail
 from celerytrack.ids import EntryId, Zone
+from celerytrack.member import of_other_eras
 from celerytrack.members import (
     Member,
     MemberState,
@@ -44,8 +46,6 @@
 LEAST_WAIT_S = 0.001
 """Shortest wait for the next row that is due: what is left of an interval may be less
 than a clock tells apart."""
-LOGGED_MOST = 20
-"""Entries that one log line names."""
 
 
 class ShareKeeper:
@@ -180,7 +180,7 @@
         held = self.book.guard.holding
         urgent = self.book.plan(parts, now_s)
         if held and not self.book.guard.holding:
-            self._log_hold_over()
+            log_hold_over(self.book.guard, self._eras.known)
         return urgent
 
     async def _write_row(self) -> None:
@@ -242,18 +242,10 @@
         """Hold at once: what other tasks read next is of the copy."""
         alive = self.members.lately_written()
         if not self.started:
-            alive = set(self.members.of_other_eras(change.new))
+            alive = set(self._rows_of_other_eras())
         awaited = alive - {self._entry_id}
         self.book.rose(change.new, awaited, change.seen_at_s)
-        log_event(
-            _log,
-            Event.ERA_CHANGED,
-            logging.INFO if change.expected else logging.WARNING,
-            old=change.old,
-            new=change.new,
-            offset=self._tail.next_offset,
-            awaited=len(awaited),
-        )
+        log_restored(change, self._tail.next_offset, awaited)
         self._wake.set()
 
     @property
@@ -276,20 +268,12 @@
 
     def _learn_of_restore(self) -> None:
         """At a start, rows of an earlier era tell that the log may just be back."""
-        others = self.members.of_other_eras(self._eras.known)
+        others = self._rows_of_other_eras()
         if others:
             self._eras.learn(max(others.values()), time.monotonic())
 
-    def _log_hold_over(self) -> None:
-        guard = self.book.guard
-        log_event(
-            _log,
-            Event.ERA_CLAIMS_HELD,
-            era=self._eras.known,
-            held_s=round(guard.held_s, 3),
-            missing=sorted(guard.missing)[:LOGGED_MOST],
-            kept=guard.kept,
-        )
+    def _rows_of_other_eras(self) -> dict[EntryId, Era]:
+        return of_other_eras(self.members.members().values(), self._eras.known)
 
     # -- the fold ----------------------------------------------------------
 
--- a/src/celerytrack/members.py
+++ b/src/celerytrack/members.py
@@ -7,18 +7,15 @@
 """
 
 import collections
-import enum
 import math
 import random
 import statistics
-from collections.abc import Mapping
 
 import attrs
 
-from celerytrack.eras import Era
-from celerytrack.ids import AccountId, EntryId, Zone
+from celerytrack.ids import EntryId, Zone
 from celerytrack.links import least_link_mbps
-from celerytrack.prepaid import Row
+from celerytrack.member import Member, MemberState, older_row
 from celerytrack.row_pace import beat_interval_s
 
 SILENT_BEATS = 3.5
@@ -27,9 +24,6 @@
 SILENT_LEAST_S = 3.5
 """Shortest silence that counts: an instance whose share of a processor is used
 up, or that is slowed, still serves its callers between late rows."""
-LONG_SILENT_S = 60.0
-"""An entry whose row is older than the newest by this is gone, whatever a copy of the
-log lost and clocks differ by."""
 DEFAULT_TTL_S = 1.0
 """How long callers keep an address answer: a leaving entry is out of the
 answers within a second and out of sight a second later, after three for callers
@@ -79,71 +73,6 @@
         return self.taking if self.takes_callers else math.inf
 
 
-class MemberState(enum.Enum):
-    """What an entry says of itself."""
-
-    SERVING = "serving"
-    LEAVING = "leaving"
-
-
-@attrs.frozen
-class Member:
-    """One entry's row.
-
-    :ivar epoch: grows with each start of this entry.
-    :ivar front_address: where callers connect.
-    :ivar peer_address: where other entries connect.
-    :ivar made_s: when the row was made, on the instance's steady clock.
-    :ivar clock_offset_s: its time of day less its steady clock at that moment;
-        it changes when the instance starts anew or its clock is set.
-    :ivar started_s: when this start of the entry began, on the same clock.
-    :ivar left_at_s: when the last row of its earlier start was made, by that
-        start's time of day; ``None`` if there was none.
-    :ivar clock_lead_s: how far its time of day was ahead of the other entries',
-        by their last rows; ``None`` if it had too few to compare with.
-    :ivar link_mbps: what its link carries; 0 if it is not told.
-    :ivar era: the newest era of the log that it knew; ``None`` if it knew none.
-    :ivar shares: its claims on prepaid totals.
-    """
-
-    entry_id: EntryId
-    epoch: int
-    front_address: str
-    peer_address: str
-    zone: Zone
-    state: MemberState
-    made_s: float = 0.0
-    clock_offset_s: float = 0.0
-    started_s: float = 0.0
-    left_at_s: float | None = None
-    clock_lead_s: float | None = None
-    link_mbps: float = 0.0
-    era: Era | None = None
-    shares: Mapping[AccountId, Row] = attrs.field(factory=dict)
-
-    @property
-    def made_at_s(self) -> float:
-        """When the row was made, by the instance's time of day."""
-        return self.made_s + self.clock_offset_s
-
-    @property
-    def started_at_s(self) -> float:
-        """When this start began, by the instance's time of day."""
-        return self.started_s + self.clock_offset_s
-
-    def older_than(self, other: "Member") -> bool:
-        """Whether ``other`` was written after this row, of the same entry.
-
-        A log that came back from a copy holds an older row than was read before:
-        it would name an entry that leaves, or an address of an earlier start.
-        """
-        if None not in (self.era, other.era) and self.era != other.era:
-            return self.era < other.era  # type: ignore[operator]
-        if self.started_s == other.started_s:
-            return self.made_s < other.made_s
-        return self.epoch < other.epoch
-
-
 FEWEST_WITNESSES = 2
 """Other entries that must be there to hold a clock against."""
 
@@ -190,7 +119,7 @@
     def fold(self, member: Member, now_s: float) -> None:
         """Take a row that was read at ``now_s``."""
         known = self.member(member.entry_id)
-        if known is not None and member.older_than(known):
+        if known is not None and older_row(member, known):
             return
         seen = self._seen.setdefault(member.entry_id, _Seen(member, now_s))
         seen.member = member
@@ -269,20 +198,6 @@
             if self._read_at_s - seen.at_s <= limit_s
         }
 
-    def of_other_eras(self, era: Era | None) -> dict[EntryId, Era]:
-        """In which era the row of each entry was made that is of another one than
-        ``era``, but for those long silent."""
-        rows = [seen.member for seen in self._seen.values()]
-        newest_at_s = max((row.made_at_s for row in rows), default=0.0)
-        return {
-            row.entry_id: row.era
-            for row in rows
-            if row.era is not None
-            and era is not None
-            and row.era != era
-            and newest_at_s - row.made_at_s < LONG_SILENT_S
-        }
-
     def read_age_s(self, now_s: float) -> float:
         """How old what is known of the other entries is."""
         return now_s - self._read_at_s
