--- a/src/celerytrack/entry/upstream.py
+++ b/src/celerytrack/entry/upstream.py
@@ -2,27 +2,33 @@
 another replica is tried."""
 
 import asyncio
+import enum
+import logging
 import time
 from collections.abc import Awaitable, Callable
 from typing import TypeVar
 
 import aiohttp
+import attrs
 from returns.result import Failure, Result, Success
 
 from celerytrack.entry.admission import place
 from celerytrack.entry.refusals import RefusedError
 from celerytrack.entry.state import EntryState
-from celerytrack.ids import ReplicaId
+from celerytrack.events import Event, log_event
+from celerytrack.ids import ReplicaId, RequestId
 from celerytrack.replica_load import Ask, Attempt
 from celerytrack.retries import backoff_s, may_retry
 from celerytrack.routing import Placement, predicted_s
 from celerytrack.settings import WorkClass
 from celerytrack.verdict import Reason, Refusal, Verdict, did_not_run, may_have_run
 
+_log = logging.getLogger(__name__)
+
 T = TypeVar("T")
 
 ATTEMPTS = 3
-"""Replicas tried for one request before it is given up."""
+"""Replicas tried in a row, without a token of the answer, for one request."""
 NEVER_CONNECTED = (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError)
 """Errors raised before a connection was made: the back end saw nothing."""
 CONNECTION_FAILED = (aiohttp.ClientError, TimeoutError, ConnectionError)
@@ -31,6 +37,15 @@
 """Statuses by which a back end promises that it did not run the request."""
 
 
+class GivenUp(enum.Enum):
+    """Why a request is not tried at another replica."""
+
+    ATTEMPTS = "attempts"
+    NOT_IDEMPOTENT = "not_idempotent"
+    RETRY_BUDGET = "retry_budget"
+    NO_REPLICA = "no_replica"
+
+
 def unreachable() -> Refusal:
     """No connection to the back end could be made."""
     return did_not_run(Reason.UPSTREAM_FAILED, 1.0, "back end unreachable")
@@ -49,25 +64,61 @@
     return may_have_run(Reason.UPSTREAM_FAILED, 1.0, detail)
 
 
+@attrs.define
+class _Tries:
+    """What the attempts of one request have come to so far.
+
+    :ivar begun: its caller has a part of the answer.
+    :ivar fruitless: the last attempts in a row that brought it nothing.
+    :ivar avoid: replicas that failed it since its last token.
+    :ivar refusal: what it is answered if no attempt succeeds; once one may
+        have run, that stands, however the later ones end.
+    """
+
+    begun: bool = False
+    fruitless: int = 0
+    avoid: frozenset[ReplicaId] = frozenset()
+    refusal: Refusal | None = None
+
+    def ask(self, ask: Ask) -> Ask:
+        """What the next attempt asks for: a begun answer is not shed for more
+        urgent requests, which could still be refused."""
+        return attrs.evolve(ask, priority=0) if self.begun else ask
+
+    def failed(self, sent: Attempt, refusal: Refusal) -> None:
+        """Count an attempt that failed: one that brought the answer further
+        is as good as a fresh start."""
+        if sent.answered:
+            self.begun = True
+            self.fruitless = 0
+            self.avoid = frozenset()
+        else:
+            self.fruitless += 1
+        self.avoid |= {sent.replica.replica_id}
+        if self.refusal is None or refusal.verdict is Verdict.MAY_HAVE_RUN:
+            self.refusal = refusal
+
+
 async def try_replicas(
     state: EntryState,
     work: WorkClass,
     ask: Ask,
+    request_id: RequestId,
     attempt: Callable[[Attempt], Awaitable[Result[T, Refusal]]],
 ) -> Result[T, Refusal]:
     """Make ``attempt`` on one replica after another until one succeeds.
 
-    :returns: the first success, or why the request was given up. Once an
-        attempt may have run, that stands, however the later ones end.
+    :returns: the first success, or why the request was given up.
     """
     state.retries.request()
-    tried: frozenset[ReplicaId] = frozenset()
-    verdict: Refusal | None = None
-    for number in range(ATTEMPTS):
+    tries = _Tries()
+    while True:
         try:
-            replica = place(state, work, ask, tried)
+            replica = place(state, work, tries.ask(ask), tries.avoid)
         except RefusedError as exc:
-            return Failure(verdict or exc.refusal)
+            if tries.refusal is not None:
+                _log_given_up(request_id, GivenUp.NO_REPLICA, exc.refusal)
+            return Failure(tries.refusal or exc.refusal)
         now_s = time.time()
         guess_s = predicted_s(replica, replica.load(now_s), ask, Placement())
         sent = replica.send(ask, guess_s, now_s)
@@ -81,15 +132,48 @@
                 return result
             case Failure(refusal):
                 replica.failed(time.time())
-                if verdict is None or refusal.verdict is Verdict.MAY_HAVE_RUN:
-                    verdict = refusal
-                given_up = (
-                    number == ATTEMPTS - 1
-                    or not may_retry(refusal, work.idempotent)
-                    or not state.retries.take()
-                )
-                if given_up:
-                    return Failure(verdict)
-        tried |= {replica.replica_id}
-        await asyncio.sleep(backoff_s(number, state.rng))
-    raise AssertionError("the last attempt returns")
+                _log_failed(request_id, replica.replica_id, refusal)
+                tries.failed(sent, refusal)
+                why = _given_up(state, work, refusal, tries)
+                if why is not None:
+                    _log_given_up(request_id, why, refusal)
+                    return Failure(tries.refusal or refusal)
+        await asyncio.sleep(backoff_s(max(tries.fruitless - 1, 0), state.rng))
+
+
+def _given_up(
+    state: EntryState, work: WorkClass, refusal: Refusal, tries: _Tries
+) -> GivenUp | None:
+    """Why the attempt that failed is the last; takes the retry if it is not."""
+    if tries.fruitless == ATTEMPTS:
+        return GivenUp.ATTEMPTS
+    if not may_retry(refusal, work.idempotent):
+        return GivenUp.NOT_IDEMPOTENT
+    # A begun answer cannot be refused any more, only cut, and a caller that
+    # comes back for a cut one makes the engines do all of it again.
+    if not tries.begun and not state.retries.take():
+        return GivenUp.RETRY_BUDGET
+    return None
+
+
+def _log_failed(request_id: RequestId, replica: ReplicaId, refusal: Refusal) -> None:
+    log_event(
+        _log,
+        Event.ATTEMPT_FAILED,
+        request_id=request_id,
+        endpoint=replica,
+        reason=refusal.reason.value,
+        verdict=refusal.verdict.value,
+        detail=refusal.detail,
+    )
+
+
+def _log_given_up(request_id: RequestId, why: GivenUp, refusal: Refusal) -> None:
+    log_event(
+        _log,
+        Event.REQUEST_GIVEN_UP,
+        logging.WARNING,
+        request_id=request_id,
+        why=why.value,
+        detail=refusal.detail,
+    )
--- a/src/celerytrack/gateway/pipeline.py
+++ b/src/celerytrack/gateway/pipeline.py
@@ -15,7 +15,12 @@
     attempt,
     finish,
 )
-from celerytrack.gateway.exchange import AttemptFailure, Exchange, PlainAnswer
+from celerytrack.gateway.exchange import (
+    AttemptFailure,
+    Exchange,
+    PlainAnswer,
+    loop_time,
+)
 from celerytrack.gateway.outcomes import (
     answered,
     attempt_failed,
@@ -27,6 +32,7 @@
 )
 from celerytrack.gateway.refusals import RefusedError
 from celerytrack.gateway.state import Gateway
+from celerytrack.planned_stop import Lasting, PlannedStop
 from celerytrack.verdict import Reason, Refusal, Verdict, did_not_run, may_have_run
 
 _log = logging.getLogger(__name__)
@@ -52,16 +58,13 @@
     gateway: Gateway, request: web.BaseRequest, started_s: float
 ) -> web.StreamResponse:
     try:
-        if gateway.closed:
-            detail = "this entry stops; ask for addresses again"
-            raise RefusedError(did_not_run(Reason.DRAINING, 0.0, detail))
         exchange = await admit(gateway, request, started_s)
     except RefusedError as exc:
         return refuse(gateway, request, None, exc.refusal)
-    if gateway.leaving:
-        taken_leaving(gateway, exchange, time.monotonic())
     gateway.exchanges.add(exchange)
     try:
+        if gateway.stop is not None:
+            _take_leaving(gateway, exchange, gateway.stop, time.monotonic())
         return await _serve(gateway, exchange)
     except RefusedError as exc:
         return refuse(gateway, request, exchange, exc.refusal)
@@ -78,25 +81,41 @@
         gateway.exchanges.discard(exchange)
 
 
+def _take_leaving(
+    gateway: Gateway, exchange: Exchange, stop: PlannedStop, now_s: float
+) -> None:
+    """Take a request during a planned stop.
+
+    :raises RefusedError: if it may not end before the process does.
+    """
+    lasting = Lasting(
+        most_s=exchange.ends_s - now_s,
+        likely_s=gateway.durations.likely_s(exchange.route.name),
+        stream=exchange.route.stream,
+    )
+    if gateway.closing or not stop.takes(lasting, now_s):
+        detail = f"this entry stops; {lasting}"
+        raise RefusedError(did_not_run(Reason.DRAINING, 0.0, detail))
+    exchange.end_by(stop.answers_end_s)
+    taken_leaving(gateway, exchange, stop, now_s)
+
+
 async def _serve(gateway: Gateway, exchange: Exchange) -> web.StreamResponse:
     held = await reserve(gateway, exchange)
     exchange.covered_s = time.monotonic()
     try:
-        async with asyncio.timeout_at(_loop_time(exchange.ends_s)):
+        async with asyncio.timeout_at(loop_time(exchange.ends_s)) as scope:
+            exchange.scope = scope
             return await _attempts(gateway, exchange)
     except TimeoutError:
         if exchange.response is not None:
             return cut(gateway, exchange, "the time is up")
         raise RefusedError(_timed_out(exchange)) from None
     finally:
+        exchange.scope = None
         settle(gateway, exchange, held)
 
 
-def _loop_time(monotonic_s: float) -> float:
-    loop = asyncio.get_running_loop()
-    return loop.time() + monotonic_s - time.monotonic()
-
-
 def _timed_out(exchange: Exchange) -> Refusal:
     if exchange.may_have_run:
         return may_have_run(Reason.DEADLINE, None, "no answer in time")
