Tests that fail: stops of the own interface's entries outlast their grace time

What a caller sees: a stream that its entry serves breaks off without a last event when the entry is stopped, or the entry is killed by its supervisor.

--- /dev/null
+++ b/tests/small_fleet.py
@@ -0,0 +1,144 @@
+"""A deployment of one entry, one engine and one service, each a process, for tests of
+what an entry does at its own pace. Its addresses are used by no other test run."""
+
+import json
+import pathlib
+import tempfile
+from typing import Any
+
+import aiohttp
+import attrs
+
+from tests.fleet import Fleet
+from tests.gateway_processes import loopback_ip
+
+ENTRY = "entry-1"
+ENGINE = "engine-1"
+SERVICE = "service-1"
+ACCOUNT = "account-1"
+KEY = "key-of-account-1"
+STREAM_CLASS = "story"
+CALL_CLASS = "lookup"
+BUDGET_TOKENS = 5_000_000
+MOST_OUTPUT_TOKENS = 400_000
+HEADERS = {"Authorization": f"Bearer {KEY}"}
+
+
+def _address(port: int) -> str:
+    return f"{loopback_ip(1)}:{port}"
+
+
+def _settings() -> dict[str, Any]:
+    replicas = [(ENGINE, 7110, "engine", "m"), (SERVICE, 7111, "service", "s")]
+    return {
+        "deployment": "small",
+        "zones": ["z"],
+        "platform": {
+            "log_address": _address(7100),
+            "instances_address": _address(7101),
+            "weights_address": _address(7102),
+        },
+        "entries": [
+            {
+                "entry_id": ENTRY,
+                "address": _address(7120),
+                "peer_address": _address(7121),
+                "zone": "z",
+            }
+        ],
+        "replicas": [
+            {
+                "replica_id": name,
+                "address": _address(port),
+                "zone": "z",
+                "kind": kind,
+                "model": model,
+            }
+            for name, port, kind, model in replicas
+        ],
+    }
+
+
+def _config() -> dict[str, Any]:
+    story = {
+        "name": STREAM_CLASS,
+        "kind": "engine",
+        "model": "m",
+        "ttft_target_s": 1.0,
+        "max_output_tokens": MOST_OUTPUT_TOKENS,
+    }
+    lookup = {
+        "name": CALL_CLASS,
+        "kind": "service",
+        "model": "s",
+        "ttft_target_s": 1.0,
+        "service_cost_tokens": 20,
+    }
+    return {
+        "deployment": "small",
+        "classes": [story, lookup],
+        "accounts": [{"account_id": ACCOUNT, "key": KEY}],
+    }
+
+
+def small_fleet(token_s: float, **tuning: Any) -> Fleet:
+    """A fleet that is not started yet.
+
+    :param token_s: seconds the engine takes for a token.
+    :param tuning: entry timings.
+    """
+    with tempfile.TemporaryDirectory(prefix="small-") as name:
+        folder = pathlib.Path(name)
+        (folder / "fleet.json").write_text(json.dumps(_settings()))
+        (folder / "config.json").write_text(json.dumps(_config()))
+        engine = ("--token-s", str(token_s))
+        return Fleet(name, engine_args=engine, tuning=tuning)
+
+
+@attrs.define
+class Outcome:
+    """What a caller saw of one request.
+
+    :ivar whole: the answer had an end.
+    :ivar error: the refusal in it, or its last event.
+    """
+
+    status: int | None = None
+    events: int = 0
+    whole: bool = False
+    done: bool = False
+    error: dict[str, Any] = attrs.field(factory=dict)
+
+
+async def ask_stream(fleet: Fleet, tokens: int) -> Outcome:
+    """Ask for a stream of ``tokens`` and read it to its end."""
+    body = {"model": STREAM_CLASS, "max_tokens": tokens, "messages": []}
+    return await _ask(fleet, "/v1/chat/completions", body)
+
+
+async def ask_call(fleet: Fleet) -> Outcome:
+    """Make one plain call."""
+    return await _ask(fleet, f"/v1/services/{CALL_CLASS}", {})
+
+
+async def _ask(fleet: Fleet, path: str, body: Any) -> Outcome:
+    outcome = Outcome()
+    url = f"http://{fleet.fleet.entry(ENTRY).address}{path}"
+    async with aiohttp.ClientSession() as http:
+        try:
+            async with http.post(url, json=body, headers=HEADERS) as answer:
+                outcome.status = answer.status
+                async for raw in answer.content:
+                    _note(outcome, raw.strip().removeprefix(b"data: "))
+                outcome.whole = True
+        except aiohttp.ClientError:
+            pass
+    return outcome
+
+
+def _note(outcome: Outcome, line: bytes) -> None:
+    if line == b"[DONE]":
+        outcome.done = True
+    elif line:
+        outcome.events += 1
+        outcome.error = json.loads(line).get("error", {})
