A stop signal behind a drain lets streams end

What a caller saw: an entry was drained (celerytrackctl drain) and stopped behind it; its streams broke off after 2 of 60 events (test_a_signal_after_a_drain_lets_streams_end on the code before).

Cause: the drain that the signal begins returned at once, since one had begun, and the stop went on to close the connections to the engines under the streams.

Change: a drain that was begun before is waited for again.

Now 60 of 60 events, and the process ends by itself (one run of that test).

--- a/src/celerytrack/entry/state.py
+++ b/src/celerytrack/entry/state.py
@@ -127,12 +127,14 @@
 
     async def drain(self) -> None:
         """Planned stop: take no new work, finish streams, bill, settle."""
-        if self.draining:
-            return
-        self.draining = True
-        log_event(
-            _log, Event.ENTRY_DRAINING, entry=self.entry_id, in_flight=self.in_flight
-        )
+        if not self.draining:
+            self.draining = True
+            log_event(
+                _log,
+                Event.ENTRY_DRAINING,
+                entry=self.entry_id,
+                in_flight=self.in_flight,
+            )
         if self.in_flight:
             self._idle.clear()
             try:
