An entry's stop ends within its grace time, and its callers are told

What a caller saw: a stream or call in progress when an entry stopped ended without a last event, or with 502 "back end failed" and the engine put on trial though it had not failed; the process outlived what its supervisor gives and could be killed with bills queued.

Cause: the time of a stop was a sum of waits that nobody held against a grace time: drain_grace_s for requests, 5 s for bills, 5 s for settles, then without a bound for connections, then 5 s and 5 s more for the listener. Connections to engines were closed under streams in progress before the listener. The settings knew no grace time.

Change: stop_grace_s (40 by default, 4 s more than drain_grace_s at least, checked on load); when the signal comes each part of the stop is given the moment it ends (entry/stopping.py). Attempts at back ends end at theirs (entry/time_limit.py): the caller is told deadline / may_have_run and to come back elsewhere at once; no attempt is begun later. The listener closes before the connections. Bills have all the time left of the log's; what the log has not taken is counted in the last line, ledger_backlog.

--- a/src/celerytrack/cli/_serve.py
+++ b/src/celerytrack/cli/_serve.py
@@ -11,24 +11,37 @@
 import uvloop
 from aiohttp import web
 
+HANDLERS_END_S = 5.0
+"""Time that requests in progress get when a server closes, and again once cancelled."""
+
 Hook = Callable[[], Awaitable[None]]
+Close = Callable[[web.AppRunner], Awaitable[None]]
 
 
 async def _noop() -> None:
     return None
 
 
+async def _close(runner: web.AppRunner) -> None:
+    await runner.cleanup()
+
+
 async def serve(
-    app: web.Application, address: str, on_start: Hook = _noop, on_stop: Hook = _noop
+    app: web.Application,
+    address: str,
+    on_start: Hook = _noop,
+    close: Close = _close,
+    handlers_end_s: float = HANDLERS_END_S,
 ) -> None:
     """Serve ``app`` on ``address`` (``host:port``) until a stop signal.
 
-    ``on_start`` runs before the port opens; ``on_stop`` (a drain) runs after
-    the signal, while the port still serves, then the server closes.
+    :param on_start: runs before the port opens.
+    :param close: runs after the signal, while the port still serves, and closes it.
+    :param handlers_end_s: how long closing waits for requests in progress.
     """
     host, port = address.rsplit(":", 1)
     await on_start()
-    runner = web.AppRunner(app, access_log=None, shutdown_timeout=5.0)
+    runner = web.AppRunner(app, access_log=None, shutdown_timeout=handlers_end_s)
     await runner.setup()
     site = web.TCPSite(runner, host, int(port), reuse_address=True)
     await site.start()
@@ -37,8 +50,7 @@
     for sig in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(sig, stop.set)
     await stop.wait()
-    await on_stop()
-    await runner.cleanup()
+    await close(runner)
 
 
 def run(main: Callable[[], Awaitable[None]]) -> None:
--- a/src/celerytrack/cli/entry.py
+++ b/src/celerytrack/cli/entry.py
@@ -1,7 +1,9 @@
 """``celerytrack-entry``: run one entry instance."""
 
+import functools
 import logging
 
+from aiohttp import web
 from cleo.application import Application
 from cleo.commands.command import Command
 from cleo.helpers import option
@@ -9,6 +11,7 @@
 from celerytrack.cli._serve import run, serve
 from celerytrack.entry.app import make_app
 from celerytrack.entry.state import EntryState
+from celerytrack.entry.stopping import LISTENER_S, finish_by
 from celerytrack.events import Event, log_event, setup_logging
 from celerytrack.settings import FleetSettings, SettingsError, load_json
 
@@ -38,18 +41,34 @@
         entry = EntryState(fleet, entry_id)
 
         async def main() -> None:
-            async def stop() -> None:
-                log_event(_log, Event.PROCESS_STOPPING, entry=entry_id)
-                await entry.drain()
-                await entry.stop()
-
-            await serve(make_app(entry), entry.spec.address, entry.start, stop)
-            log_event(_log, Event.PROCESS_STOPPED, entry=entry_id)
+            await serve(
+                make_app(entry),
+                entry.spec.address,
+                entry.start,
+                functools.partial(_stop, entry),
+                LISTENER_S / 2,
+            )
 
         run(main)
         return 0
 
 
+async def _stop(entry: EntryState, runner: web.AppRunner) -> None:
+    log_event(_log, Event.PROCESS_STOPPING, entry=entry.entry_id)
+    times = await entry.stop()
+    # Answers on their way still need the connections.
+    await finish_by(times.listener_until_s, runner.cleanup())
+    entry.log_stage("listener closed", times)
+    await finish_by(times.connections_until_s, entry.close())
+    log_event(
+        _log,
+        Event.PROCESS_STOPPED,
+        entry=entry.entry_id,
+        in_flight=entry.in_flight,
+        ledger_backlog=entry.keeper.writer.backlog,
+    )
+
+
 def main() -> int:
     """Console script entry point."""
     app = Application("celerytrack-entry", "0.1.0")
--- a/src/celerytrack/entry/ledger_keeper.py
+++ b/src/celerytrack/entry/ledger_keeper.py
@@ -40,6 +40,8 @@
 _WANT_EVERY_S = 0.25
 """How often an entry repeats that it wants tokens others hold."""
 _SYNC_EVERY_S = 0.02
+_SETTLE_WAIT_S = 5.0
+"""Longest a drain waits for the log to take back what was not spent."""
 
 
 class LedgerKeeper:
@@ -190,11 +192,16 @@
             )
         return outcome
 
-    async def settle_all(self, timeout_s: float) -> None:
-        """On drain: wait for the bills, then give every idle grant back."""
-        await self.writer.wait_idle(timeout_s)
-        self._settle_own(time.monotonic(), all_grants=True)
-        await self.writer.wait_idle(timeout_s)
+    async def settle_all(self, until_s: float) -> None:
+        """On drain: wait for the bills, then give every idle grant back.
+
+        A bill that is lost is a request that nobody paid; a grant comes back by
+        itself once its lease has ended, and is waited for less long.
+        """
+        await self.writer.wait_idle(until_s - time.monotonic())
+        now_s = time.monotonic()
+        self._settle_own(now_s, all_grants=True)
+        await self.writer.wait_idle(min(until_s - now_s, _SETTLE_WAIT_S))
 
     # -- the fold ---------------------------------------------------------
 
--- a/src/celerytrack/entry/state.py
+++ b/src/celerytrack/entry/state.py
@@ -15,6 +15,8 @@
 from celerytrack.entry.ledger_keeper import LedgerKeeper
 from celerytrack.entry.metrics import EntryMetrics
 from celerytrack.entry.peers import PeerLink, PeerNews
+from celerytrack.entry.stopping import StopTimes, plan_stop
+from celerytrack.entry.time_limit import TimeLimit
 from celerytrack.events import Event, log_event
 from celerytrack.ids import EntryId
 from celerytrack.logclient import LogClient
@@ -25,8 +27,8 @@
 
 _log = logging.getLogger(__name__)
 
-_SETTLE_WAIT_S = 5.0
-"""Longest a planned stop waits for the log to take the last bills, twice."""
+_DRAIN_LEDGER_S = 10.0
+"""Longest a drain waits for the log to take the last bills and settles."""
 
 
 class EntryState:
@@ -66,6 +68,7 @@
         self.metrics = EntryMetrics()
         self.draining = False
         self.in_flight = 0
+        self.attempts_limit = TimeLimit()
         self._idle = asyncio.Event()
         self._tasks: list[asyncio.Task[None]] = []
         self._upstream: aiohttp.ClientSession | None = None
@@ -126,33 +129,71 @@
         )
 
     async def drain(self) -> None:
-        """Planned stop: take no new work, finish streams, bill, settle."""
-        if not self.draining:
-            self.draining = True
-            log_event(
-                _log,
-                Event.ENTRY_DRAINING,
-                entry=self.entry_id,
-                in_flight=self.in_flight,
-            )
-        if self.in_flight:
-            self._idle.clear()
-            try:
-                await asyncio.wait_for(self._idle.wait(), self.tuning.drain_grace_s)
-            except TimeoutError:
-                pass
-        await self.keeper.settle_all(_SETTLE_WAIT_S)
-
-    async def stop(self) -> None:
+        """Take no new work, finish streams, bill, settle; the process goes on.
+
+        Nothing ends it, so a request that takes longer is not given up.
+        """
+        self._take_no_more()
+        await self._idle_until(time.monotonic() + self.tuning.drain_grace_s)
+        await self.keeper.settle_all(time.monotonic() + _DRAIN_LEDGER_S)
+
+    async def stop(self) -> StopTimes:
+        """Planned stop: the same within the time left before the process is killed.
+
+        A drain may have begun before: what it waits for is waited for here again.
+
+        :returns: the times of the stop, of which closing is left.
+        """
+        times = plan_stop(self.tuning, time.monotonic())
+        self._take_no_more()
+        self.attempts_limit.set_end(times.requests_until_s)
+        await self._idle_until(times.told_until_s)
+        self.log_stage("requests over", times)
+        await self.keeper.settle_all(times.ledger_until_s)
+        self.log_stage("ledger written", times)
+        return times
+
+    async def close(self) -> None:
         """Cancel the tasks and close sessions."""
+        self.link.close()
         for task in self._tasks:
             task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
-        if self._upstream is not None:
-            await self._upstream.close()
-        await self.view.close()
-        await self.log.close()
-        self.link.close()
+        await asyncio.gather(
+            *self._tasks,
+            self.upstream.close(),
+            self.view.close(),
+            self.log.close(),
+            return_exceptions=True,
+        )
+
+    def log_stage(self, stage: str, times: StopTimes) -> None:
+        """Say how far the planned stop is, and what it leaves undone."""
+        log_event(
+            _log,
+            Event.STOP_STAGE,
+            stage=stage,
+            after_ms=round((time.monotonic() - times.began_s) * 1_000),
+            in_flight=self.in_flight,
+            ledger_backlog=self.keeper.writer.backlog,
+        )
+
+    def _take_no_more(self) -> None:
+        if self.draining:
+            return
+        self.draining = True
+        log_event(
+            _log, Event.ENTRY_DRAINING, entry=self.entry_id, in_flight=self.in_flight
+        )
+
+    async def _idle_until(self, until_s: float) -> None:
+        """Wait for the requests in progress, until then at most."""
+        if not self.in_flight:
+            return
+        self._idle.clear()
+        try:
+            await asyncio.wait_for(self._idle.wait(), until_s - time.monotonic())
+        except TimeoutError:
+            return
 
     def _news(self, seq: int) -> PeerNews:
         loads = {
--- a/src/celerytrack/entry/upstream.py
+++ b/src/celerytrack/entry/upstream.py
@@ -12,6 +12,7 @@
 from celerytrack.entry.admission import place
 from celerytrack.entry.refusals import RefusedError
 from celerytrack.entry.state import EntryState
+from celerytrack.entry.time_limit import TimeIsUpError
 from celerytrack.ids import ReplicaId
 from celerytrack.replica_load import Ask, Attempt
 from celerytrack.retries import backoff_s, may_retry
@@ -49,6 +50,18 @@
     return may_have_run(Reason.UPSTREAM_FAILED, 1.0, detail)
 
 
+def out_of_time() -> Refusal:
+    """The entry stops, and the back end has not answered in the time left."""
+    detail = "the entry stopped before the answer was whole; ask /v1/route again"
+    return may_have_run(Reason.DEADLINE, 0.0, detail)
+
+
+def not_begun() -> Refusal:
+    """The entry stops, and no time is left to send the request anywhere."""
+    detail = "entry is draining; ask /v1/route again"
+    return did_not_run(Reason.DRAINING, 0.0, detail)
+
+
 async def try_replicas(
     state: EntryState,
     work: WorkClass,
@@ -64,6 +77,8 @@
     tried: frozenset[ReplicaId] = frozenset()
     verdict: Refusal | None = None
     for number in range(ATTEMPTS):
+        if state.attempts_limit.is_over(time.monotonic()):
+            return Failure(verdict or not_begun())
         try:
             replica = place(state, work, ask, tried)
         except RefusedError as exc:
@@ -72,7 +87,10 @@
         guess_s = predicted_s(replica, replica.load(now_s), ask, Placement())
         sent = replica.send(ask, guess_s, now_s)
         try:
-            result = await attempt(sent)
+            async with state.attempts_limit.bounded():
+                result = await attempt(sent)
+        except TimeIsUpError:
+            return Failure(out_of_time())
         finally:
             sent.ended(time.time())
         match result:
--- a/src/celerytrack/settings.py
+++ b/src/celerytrack/settings.py
@@ -28,6 +28,9 @@
 
 KEY_LEAST = 8
 """Characters of a key at least: shorter ones are found by trying."""
+STOP_END_S = 4.0
+"""What a planned stop needs behind the requests in progress, for the last bills and for
+closing."""
 _NAME = re.compile(r"^[a-z0-9][a-z0-9._-]{0,62}$")
 _ADDRESS = re.compile(r"^127\.\d{1,3}\.\d{1,3}\.\d{1,3}:\d{1,5}$|^[\w.-]+:\d{1,5}$")
 
@@ -47,6 +50,17 @@
         raise ValueError(f"key must have {KEY_LEAST} characters or more: {len(value)}")
 
 
+def _leaves_stop_end(
+    instance: "EntryTuning", attribute: "attrs.Attribute[Any]", value: float
+) -> None:
+    least_s = instance.drain_grace_s + STOP_END_S
+    if value < least_s:
+        raise ValueError(
+            f"{attribute.name} must be drain_grace_s and {STOP_END_S} more, "
+            f"{least_s} at least: {value}"
+        )
+
+
 _positive: Any = v.gt(0)
 _non_negative: Any = v.ge(0)
 
@@ -183,7 +197,8 @@
 
     :ivar ledger_flush_s: shortest time between two appends to the ledger.
     :ivar route_ttl_s: how long callers keep an address answer.
-    :ivar drain_grace_s: on a planned stop, how long to keep serving streams.
+    :ivar drain_grace_s: on a planned stop, how long requests in progress may go on.
+    :ivar stop_grace_s: how long after its stop signal the supervisor kills the process.
     :ivar upstream_timeout_s: longest wait for a back end's first byte.
     :ivar instance_poll_s: how often the instance list, loads and peers are read.
     :ivar snapshot_every_s: how often what is in force is written to the log
@@ -193,6 +208,7 @@
     ledger_flush_s: float = attrs.field(default=0.02, validator=_positive)
     route_ttl_s: float = attrs.field(default=2.0, validator=_positive)
     drain_grace_s: float = attrs.field(default=30.0, validator=_positive)
+    stop_grace_s: float = attrs.field(default=40.0, validator=_leaves_stop_end)
     upstream_timeout_s: float = attrs.field(default=30.0, validator=_positive)
     instance_poll_s: float = attrs.field(default=0.5, validator=_positive)
     snapshot_every_s: float = attrs.field(default=60.0, validator=_positive)
--- a/tests/small_fleet.py
+++ b/tests/small_fleet.py
@@ -1,6 +1,7 @@
 """A deployment of one entry, one engine and one service, each a process, for tests of
 what an entry does at its own pace. Its addresses are used by no other test run."""
 
+import contextlib
 import json
 import pathlib
 import tempfile
@@ -141,4 +142,5 @@
         outcome.done = True
     elif line:
         outcome.events += 1
-        outcome.error = json.loads(line).get("error", {})
+        with contextlib.suppress(json.JSONDecodeError):
+            outcome.error = json.loads(line).get("error", {})
--- a/tests/test_entry_stop.py
+++ b/tests/test_entry_stop.py
@@ -3,6 +3,7 @@
 
 import asyncio
 import contextlib
+import itertools
 import json
 import signal
 import subprocess
@@ -11,8 +12,11 @@
 from collections.abc import AsyncIterator
 
 import aiohttp
+import attrs
 from nose2.tools import params
 
+from celerytrack.entry.stopping import plan_stop
+from celerytrack.settings import EntryTuning
 from tests.fleet import Fleet, post_json
 from tests.small_fleet import (
     ENGINE,
@@ -29,7 +33,7 @@
 
 DRAIN_S = 2.0
 GRACE_S = 6.0
-TUNING = {"drain_grace_s": DRAIN_S}
+TUNING = {"drain_grace_s": DRAIN_S, "stop_grace_s": GRACE_S}
 
 
 @contextlib.asynccontextmanager
@@ -80,6 +84,18 @@
     return writer
 
 
+class StopTimesTest(unittest.TestCase):
+    @params((2.0, 6.0), (30.0, 40.0), (30.0, 34.0))
+    def test_each_part_has_time_and_all_fit(self, drain_s, grace_s):
+        """Guards against a part of the stop that begins when its time is over."""
+        tuning = EntryTuning(drain_grace_s=drain_s, stop_grace_s=grace_s)
+        times = attrs.astuple(plan_stop(tuning, 100.0))
+        ends = [*times, 100.0 + grace_s]
+        self.assertEqual(times[:2], (100.0, 100.0 + drain_s))
+        for before, after in itertools.pairwise(ends):
+            self.assertGreaterEqual(after - before, 0.5)
+
+
 class EntryStopTest(unittest.TestCase):
     async def _stops(self, fleet: Fleet) -> float:
         """Stop the entry; how long it took to end by itself."""
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -7,6 +7,7 @@
 
 from celerytrack.settings import (
     Config,
+    EntryTuning,
     FleetSettings,
     SettingsError,
     load_json,
@@ -60,6 +61,14 @@
         self.assertIn(f"must be {expected}", str(caught.exception))
         self.assertIn(f"$.classes[0].{field}", str(caught.exception))
 
+    @params((30.0, 33.0), (5.0, 6.0), (40.0, 40.0))
+    def test_a_grace_time_that_the_drain_uses_up_is_named(self, drain_s, stop_s):
+        """Guards against a stop that is killed with requests in progress."""
+        doc = {"drain_grace_s": drain_s, "stop_grace_s": stop_s}
+        with self.assertRaises(SettingsError) as caught:
+            structure(doc, EntryTuning)
+        self.assertIn(f"{drain_s + 4.0} at least: {stop_s}", str(caught.exception))
+
     def test_a_short_key_is_named(self):
         account = {"account_id": "a", "key": "12"}
         doc = {"deployment": "d", "classes": [], "accounts": [account]}
