Fleets of the own interface's tests have addresses of their own

Two test runs on one machine drove each other's processes: the harness waits until the example's fixed ports listen, whoever listens there. p1c and p8b failed so beside another clone's run (the other's processes logged 'address already in use'). The examples' 127.0.0.1 is replaced by the loopback address of the test run, as the gateways' tests have it.

--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -20,6 +20,7 @@
 from celerytrack.cli.ctl import apply_config, topup
 from celerytrack.logclient import LogClient
 from celerytrack.settings import Config, FleetSettings, load_json
+from tests.gateway_processes import loopback_ip
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 BIN = pathlib.Path(sys.executable).parent
@@ -73,7 +74,9 @@
         section: str,
         changes: dict[str, Any] | None,
     ) -> pathlib.Path:
-        document = json.loads((folder / name).read_text())
+        # Two test runs on one machine would drive each other's processes.
+        text = (folder / name).read_text().replace("127.0.0.1:", f"{loopback_ip(1)}:")
+        document = json.loads(text)
         document[section] = {**document.get(section, {}), **(changes or {})}
         path = self.logs / name
         path.write_text(json.dumps(document, indent=2))
