A refusal for want of tokens does not wait for a silent log

What a caller saw: with a budget that seemed used up and a log that answered nothing, the refusal came after 5.3 s (test_entry_waits on the code before), while a request waits one second for tokens at most.

Cause: before the final refusal the ledger is read once more, and that read was given the client's 5 s for each call in place of what was left of the request's second.

Change: the read gets what is left, a quarter of a second at least. If it has not ended by then, the request is refused ledger_unreachable / did_not_run with a time to come back, since a top-up may not have been heard of. The read itself goes on for the others.

--- a/src/celerytrack/entry/admission.py
+++ b/src/celerytrack/entry/admission.py
@@ -192,7 +192,11 @@
         if exhausted and not synced:
             # The fold may lag behind a top-up that the caller knows of: a
             # final refusal from it would be false. Look again, once.
-            await keeper.sync()
+            if not await keeper.sync(max(left_s, UNREACHABLE_WAIT_S)):
+                detail = "the ledger does not answer"
+                raise RefusedError(
+                    did_not_run(Reason.LEDGER_UNREACHABLE, _RETRY_AFTER_S, detail)
+                )
             synced = True
             continue
         if exhausted or left_s <= 0:
--- a/src/celerytrack/entry/ledger_keeper.py
+++ b/src/celerytrack/entry/ledger_keeper.py
@@ -157,13 +157,20 @@
         )
         return self.ledger.account(account).open_tokens - ours
 
-    async def sync(self) -> None:
+    async def sync(self, timeout_s: float) -> bool:
         """Read the ledger to its end, so that what follows rests on what was
         true after this call began. Callers that wait together share a read.
+
+        :returns: whether the read ended in that time, well or not.
         """
         if self._next_sync is None:
             self._next_sync = asyncio.create_task(self._sync())
-        await asyncio.shield(self._next_sync)
+        reading = asyncio.shield(self._next_sync)
+        try:
+            await asyncio.wait_for(reading, timeout_s)
+        except TimeoutError:
+            return False
+        return True
 
     async def _sync(self) -> None:
         async with self._sync_lock:
--- a/tests/small_fleet.py
+++ b/tests/small_fleet.py
@@ -1,10 +1,12 @@
 """A deployment of one entry, one engine and one service, each a process, for tests of
 what an entry does at its own pace. Its addresses are used by no other test run."""
 
+import asyncio
 import contextlib
 import json
 import pathlib
 import tempfile
+from collections.abc import AsyncIterator
 from typing import Any
 
 import aiohttp
@@ -96,6 +98,18 @@
         return Fleet(name, engine_args=engine, tuning=tuning)
 
 
+@contextlib.asynccontextmanager
+async def started(
+    fleet: Fleet, budget_tokens: int = BUDGET_TOKENS
+) -> AsyncIterator[Fleet]:
+    """Start ``fleet``, and stop it at the end."""
+    try:
+        await asyncio.to_thread(fleet.start, budget_tokens)
+        yield fleet
+    finally:
+        await asyncio.to_thread(fleet.stop)
+
+
 @attrs.define
 class Outcome:
     """What a caller saw of one request.
