--- a/src/celerytrack/entry/ledger_keeper.py
+++ b/src/celerytrack/entry/ledger_keeper.py
@@ -205,7 +205,10 @@
         A bill that is lost is a request that nobody paid; a grant comes back by
         itself once its lease has ended, and is waited for less long.
         """
-        await self.writer.wait_idle(until_s - time.monotonic())
+        now_s = time.monotonic()
+        if not self.book.has_open_bills:
+            until_s = min(until_s, now_s + _SETTLE_WAIT_S)
+        await self.writer.wait_idle(until_s - now_s)
         now_s = time.monotonic()
         self._settle_own(now_s, all_grants=True)
         await self.writer.wait_idle(min(until_s - now_s, _SETTLE_WAIT_S))
--- a/src/celerytrack/escrow.py
+++ b/src/celerytrack/escrow.py
@@ -164,6 +164,11 @@
         """Give a reservation back unspent: the request never ran."""
         self.commit(reservation, 0)
 
+    @property
+    def has_open_bills(self) -> bool:
+        """Whether the outcome of some bill is not known yet."""
+        return any(grant.unconfirmed for grant in self.grants.values())
+
     def settleable(self, now_s: float, *, all_grants: bool = False) -> list[HeldGrant]:
         """Idle grants whose lease has ended (or all idle ones, on drain)."""
         return [
--- a/tests/test_entry_stop.py
+++ b/tests/test_entry_stop.py
@@ -9,7 +9,6 @@
 import subprocess
 import time
 import unittest
-from collections.abc import AsyncIterator
 
 import aiohttp
 import attrs
@@ -29,21 +28,15 @@
     ask_call,
     ask_stream,
     small_fleet,
+    started,
 )
 
 DRAIN_S = 2.0
 GRACE_S = 6.0
-TUNING = {"drain_grace_s": DRAIN_S, "stop_grace_s": GRACE_S}
 
 
-@contextlib.asynccontextmanager
-async def _started(token_s: float, **tuning: float) -> AsyncIterator[Fleet]:
-    fleet = small_fleet(token_s, **(tuning or TUNING))
-    try:
-        await asyncio.to_thread(fleet.start, 5_000_000)
-        yield fleet
-    finally:
-        await asyncio.to_thread(fleet.stop)
+def _started(token_s: float) -> contextlib.AbstractAsyncContextManager[Fleet]:
+    return started(small_fleet(token_s, drain_grace_s=DRAIN_S, stop_grace_s=GRACE_S))
 
 
 async def _ended(fleet: Fleet, within_s: float) -> int | None:
@@ -171,6 +164,17 @@
             (stopped,) = _lines(fleet, "process_stopped")
             self.assertGreater(stopped.get("ledger_backlog", 0), 0)
 
+    def test_a_silent_log_without_bills_delays_the_exit_little(self):
+        """Guards against a roll that waits its whole grace times for a log."""
+        asyncio.run(self._no_bills())
+
+    async def _no_bills(self) -> None:
+        async with started(small_fleet(0.01)) as fleet:
+            self.assertTrue((await ask_stream(fleet, 10)).done)
+            address = fleet.fleet.platform.log_address
+            await asyncio.to_thread(post_json, address, "/_faults", {"slow_s": 30})
+            await self._stops(fleet)
+
     def test_a_silent_engine_does_not_delay_the_exit(self):
         """Guards against a stop that waits for an engine that says nothing."""
         asyncio.run(self._silent_engine())
