--- a/src/celerytrack/cli/ctl.py
+++ b/src/celerytrack/cli/ctl.py
@@ -248,7 +248,7 @@
             self.line(
                 f"{spec.entry_id:10} {spec.zone:12} config v{row['config_version']}"
                 f" held {row['held_tokens']:>7} in_flight {row['in_flight']:>3}"
-                f" bills queued {row['bill_backlog']:>3}"
+                f" records queued {row['ledger_backlog']:>3}"
                 f"{' draining' if row['draining'] else ''}"
             )
         return 0
