A drain tells the entry beside an instance list that is silent

What an operator saw: celerytrackctl drain hung (the library's default: five minutes a call) while the instance list answered nothing, and the entry, which is told second, went on taking requests; had the list or the entry answered with an error, drain would have said that all is well.

Cause: two calls one after the other, neither with a time of its own, answers not looked at.

Change: both are told at once, each within 5 s; who did not answer well is named, exit 3.

--- a/src/celerytrack/cli/ctl.py
+++ b/src/celerytrack/cli/ctl.py
@@ -26,6 +26,7 @@
 _SETTINGS = option("settings", "s", "Fleet settings JSON.", flag=False)
 _ATTEMPTS = 10
 _RETRY_S = 0.3
+_TELL_TIMEOUT_S = 5.0
 
 
 class ValidateCommand(Command):
@@ -188,6 +189,36 @@
         return 0
 
 
+async def start_drain(fleet: FleetSettings, target: str) -> list[str]:
+    """Tell the instance list, and ``target`` if it is an entry, that it leaves.
+
+    Both are told at once, so that one that is silent does not hold up the other.
+
+    :returns: who did not answer well.
+    """
+    told = {
+        "the instance list": (
+            f"http://{fleet.platform.instances_address}/instances/{target}",
+            {"state": "leaving"},
+        )
+    }
+    for spec in fleet.entries:
+        if spec.entry_id == target:
+            told[target] = (f"http://{spec.address}/admin/drain", {})
+    async with aiohttp.ClientSession() as http:
+        heard = await asyncio.gather(*(_tell(http, *call) for call in told.values()))
+    return [name for name, well in zip(told, heard, strict=True) if not well]
+
+
+async def _tell(http: aiohttp.ClientSession, url: str, body: dict[str, Any]) -> bool:
+    timeout = aiohttp.ClientTimeout(total=_TELL_TIMEOUT_S)
+    try:
+        async with http.post(url, json=body, timeout=timeout) as answer:
+            return answer.status == 200
+    except (aiohttp.ClientError, TimeoutError):
+        return False
+
+
 class DrainCommand(Command):
     """Take an entry or a replica out of service without cutting anything."""
 
@@ -200,15 +231,10 @@
         fleet = load_json(str(self.option("settings")), FleetSettings)
         target = str(self.argument("instance"))
 
-        async def go() -> None:
-            async with aiohttp.ClientSession() as http:
-                url = f"http://{fleet.platform.instances_address}/instances/{target}"
-                await http.post(url, json={"state": "leaving"})
-                for spec in fleet.entries:
-                    if spec.entry_id == target:
-                        await http.post(f"http://{spec.address}/admin/drain")
-
-        asyncio.run(go())
+        silent = asyncio.run(start_drain(fleet, target))
+        if silent:
+            self.line_error(f"<error>not told: {', '.join(silent)}; repeat it</error>")
+            return 3
         self.line(f"{target} is leaving")
         return 0
 
