Answers of an entry that drains close their connections

What a caller may see: a request on a kept connection crosses the listener's close at the end of a stop and gets no answer, and its caller doesn't know whether it ran.

Cause: answers behind the signal left their connections open, so that callers went on using them until the listener closed; a new connection is refused by the host, which proves that nothing ran.

Change: while the entry drains each answer says Connection: close, and closes it.

The lost request itself was not reproduced.

--- a/src/celerytrack/entry/app.py
+++ b/src/celerytrack/entry/app.py
@@ -103,7 +103,17 @@
     def on(handler: Handler) -> Callable[[web.Request], Awaitable[web.StreamResponse]]:
         return functools.partial(handler, state)
 
+    async def close_connection(
+        request: web.BaseRequest, response: web.StreamResponse
+    ) -> None:
+        # A request that crosses the listener's close on a kept connection would be
+        # lost, and its caller not know whether it ran.
+        if state.draining:
+            response.headers["Connection"] = "close"
+            response.force_close()
+
     app = web.Application(client_max_size=_MAX_BODY_BYTES)
+    app.on_response_prepare.append(close_connection)
     app.add_routes(
         [
             web.get("/v1/route", on(route)),
--- a/tests/small_fleet.py
+++ b/tests/small_fleet.py
@@ -115,12 +115,14 @@
     """What a caller saw of one request.
 
     :ivar whole: the answer had an end.
+    :ivar closes: its connection takes no request behind it.
     :ivar error: the refusal in it, or its last event.
     """
 
     status: int | None = None
     events: int = 0
     whole: bool = False
+    closes: bool = False
     done: bool = False
     error: dict[str, Any] = attrs.field(factory=dict)
 
@@ -143,6 +145,7 @@
         try:
             async with http.post(url, json=body, headers=HEADERS) as answer:
                 outcome.status = answer.status
+                outcome.closes = answer.headers.get("Connection") == "close"
                 async for raw in answer.content:
                     _note(outcome, raw.strip().removeprefix(b"data: "))
                 outcome.whole = True
--- a/tests/test_entry_stop.py
+++ b/tests/test_entry_stop.py
@@ -201,6 +201,25 @@
             outcome = await asking
             self.assertEqual((outcome.done, outcome.events), (True, 60))
 
+    def test_answers_behind_the_signal_close_their_connections(self):
+        """Guards against a request that is lost as it crosses the listener's close."""
+        asyncio.run(self._closing())
+
+    async def _closing(self) -> None:
+        async with _started(token_s=0.1) as fleet:
+            asking = asyncio.create_task(ask_stream(fleet, 500))
+            await _in_flight(fleet, 1)
+            self.assertFalse((await ask_call(fleet)).closes)
+            fleet.signal(ENTRY, signal.SIGTERM)
+            await asyncio.sleep(0.5)
+            self.assertTrue((await ask_call(fleet)).closes)
+            address = fleet.fleet.entry(ENTRY).address
+            async with aiohttp.ClientSession() as http:
+                async with http.get(f"http://{address}/healthz") as answer:
+                    self.assertEqual(answer.headers.get("Connection"), "close")
+            await asking
+            self.assertEqual(await _ended(fleet, GRACE_S), 0)
+
     def test_a_request_behind_the_signal_is_refused_at_once(self):
         """Guards against a request taken that the stop would cut."""
         asyncio.run(self._late())
