A change is in force in time behind a silence of the log

What an operator would see: the log is silent for a second and is back, a configuration is published, and an entry puts it in force only when its held read has run into its timeout, 6 s after that began; five are promised. Not in force 4.5 s after the log was back, on the code before (test_entry_waits.ConfigTest).

Cause: a read was given the client's 5 s on top of the second that the log may hold it.

Change: reads end after 2 s of silence on top of it; their whole answers still have 5 s.

test_entry_waits: 2 of 2 ok.

--- a/src/celerytrack/logclient.py
+++ b/src/celerytrack/logclient.py
@@ -12,6 +12,10 @@
 import attrs
 from returns.result import Failure, Result, Success
 
+SILENCE_S = 2.0
+"""Longest wait for the next bytes of a read, beyond what the log may hold it: a change
+is in force within five seconds, also if the read held before it is never answered."""
+
 
 class LogErrorKind(enum.Enum):
     """How a log call failed."""
@@ -59,7 +63,7 @@
 
     :param address: ``host:port`` of the log service.
     :param client_id: sent as ``X-Client``, so faults can cut one client.
-    :param timeout_s: the longest any call may take, waits included.
+    :param timeout_s: the longest any call may take beyond what the log may hold it.
     """
 
     def __init__(self, address: str, client_id: str, timeout_s: float = 5.0) -> None:
@@ -108,7 +112,9 @@
     ) -> Result[Batch, LogError]:
         """Records from offset ``start``; waits up to ``wait_s`` for new ones."""
         params = {"from": str(start), "limit": str(limit), "wait_s": str(wait_s)}
-        timeout = aiohttp.ClientTimeout(total=self._timeout_s + wait_s)
+        timeout = aiohttp.ClientTimeout(
+            total=self._timeout_s + wait_s, sock_read=SILENCE_S + wait_s
+        )
         try:
             async with self._http().get(
                 self._base + stream, params=params, timeout=timeout
--- a/tests/test_entry_waits.py
+++ b/tests/test_entry_waits.py
@@ -2,15 +2,20 @@
 is silent."""
 
 import asyncio
+import json
 import time
 import unittest
 
-from tests.fleet import post_json
-from tests.small_fleet import ask_stream, small_fleet, started
+from celerytrack.cli.ctl import apply_config
+from celerytrack.logclient import LogClient
+from tests.fleet import get_json, post_json
+from tests.small_fleet import ENTRY, ask_stream, small_fleet, started
 
 BUDGET_TOKENS = 1_000
 REFUSED_WITHIN_S = 1.5
 """A request waits a second for tokens at most."""
+IN_FORCE_WITHIN_S = 4.5
+"""Five seconds after its confirmation, less what the test itself takes."""
 
 
 class RefusalTest(unittest.TestCase):
@@ -32,5 +37,32 @@
             await asyncio.to_thread(post_json, address, "/_faults", {"slow_s": 0})
 
 
+class ConfigTest(unittest.TestCase):
+    def test_a_change_is_in_force_in_time_behind_a_silence_of_the_log(self):
+        """Guards against a held read that outlasts the time a change may take."""
+        asyncio.run(self._behind_silence())
+
+    async def _behind_silence(self) -> None:
+        async with started(small_fleet(token_s=0.01)) as fleet:
+            address = fleet.fleet.platform.log_address
+            await asyncio.to_thread(post_json, address, "/_faults", {"slow_s": 60})
+            # By now a read is held that will not be answered.
+            await asyncio.sleep(1.0)
+            await asyncio.to_thread(post_json, address, "/_faults", {"slow_s": 0})
+            log = LogClient(address, "operator")
+            raw = json.loads(fleet.config_path.read_text())
+            version, why = await apply_config(log, raw, None)
+            await log.close()
+            self.assertGreaterEqual(version, 0, why)
+            entry = fleet.fleet.entry(ENTRY).address
+            ends_s = time.monotonic() + IN_FORCE_WITHIN_S
+            while time.monotonic() < ends_s:
+                status = await asyncio.to_thread(get_json, entry, "/status")
+                if status["config_version"] == version:
+                    return
+                await asyncio.sleep(0.05)
+            self.fail("the change is not in force")
+
+
 if __name__ == "__main__":
     unittest.main()
