A settings file that is not UTF-8 is an error that names it

Found beside the reload tests: SIGHUP with such a file ended in a traceback of the event loop, and a start in one of the program, both without the file's name.

--- a/src/celerytrack/platform/settings.py
+++ b/src/celerytrack/platform/settings.py
@@ -69,7 +69,7 @@
     """
     try:
         data = tomllib.loads(path.read_text())
-    except (OSError, tomllib.TOMLDecodeError) as exc:
+    except (OSError, UnicodeDecodeError, tomllib.TOMLDecodeError) as exc:
         raise SettingsError(f"{path}: {exc}") from None
     return decode_settings(data)
 
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -1,10 +1,12 @@
 """Settings are checked on load, with the field path in the error."""
 
 import pathlib
+import tempfile
 import unittest
 
 from nose2.tools import params
 
+from celerytrack.platform.settings import load_settings
 from celerytrack.settings import (
     Config,
     EntryTuning,
@@ -69,6 +71,16 @@
             structure(doc, EntryTuning)
         self.assertIn(f"{drain_s + 4.0} at least: {stop_s}", str(caught.exception))
 
+    @params(b"node = \xff", b"node = ", b"\x00")
+    def test_a_file_that_cannot_be_read_is_named(self, raw):
+        """Guards against a reload that ends in a traceback and names no file."""
+        with tempfile.TemporaryDirectory() as folder:
+            path = pathlib.Path(folder) / "boot.toml"
+            path.write_bytes(raw)
+            with self.assertRaises(SettingsError) as caught:
+                load_settings(path)
+        self.assertIn("boot.toml", str(caught.exception))
+
     def test_a_short_key_is_named(self):
         account = {"account_id": "a", "key": "12"}
         doc = {"deployment": "d", "classes": [], "accounts": [account]}
