A request whose time is up is not sent any more

Callers got 504 'may have run' for requests whose deadline had passed while they waited, and an endpoint was made to work for nobody. Cause: asyncio.timeout_at with a time in the past ends the first await that blocks, which lies behind the send on a kept connection. Now such a request is refused as not run.

--- a/src/celerytrack/gateway/pipeline.py
+++ b/src/celerytrack/gateway/pipeline.py
@@ -123,7 +123,11 @@
 
 
 async def _attempts(gateway: Gateway, exchange: Exchange) -> web.StreamResponse:
-    budget = gateway.retry_budget(exchange.service, time.monotonic())
+    now_s = time.monotonic()
+    if exchange.ends_s <= now_s:
+        # A timeout in the past ends nothing before the first wait, behind the sending.
+        raise TimeoutError
+    budget = gateway.retry_budget(exchange.service, now_s)
     budget.request()
     while True:
         result = await _one_attempt(gateway, exchange)
