A reload keeps who and where the process is

After a SIGHUP with another front address in the settings file, address answers and rows named a listener that was never opened, and callers got no connection.

--- a/src/celerytrack/gateway/server.py
+++ b/src/celerytrack/gateway/server.py
@@ -28,7 +28,11 @@
     caller_zone,
     encode_addresses,
 )
-from celerytrack.platform.settings import SettingsError, load_settings
+from celerytrack.platform.settings import (
+    ProcessSettings,
+    SettingsError,
+    load_settings,
+)
 
 _log = logging.getLogger(__name__)
 
@@ -168,6 +172,7 @@
         except SettingsError as exc:
             log_event(_log, Event.SETTINGS_REJECTED, logging.ERROR, detail=str(exc))
             return
+        settings = _at_its_place(settings, self._gateway.settings)
         self._gateway.settings = settings
         self._gateway.keeper.members.link_mbps = settings.link_mbps
         log_event(_log, Event.SETTINGS_RELOADED)
@@ -281,6 +286,22 @@
             log_event(_log, Event.STOP_OVERRAN, logging.WARNING, within_s=within_s)
 
 
+def _at_its_place(new: ProcessSettings, old: ProcessSettings) -> ProcessSettings:
+    """``new`` with who and where the process is: its listeners stay where they are."""
+    return attrs.evolve(
+        new,
+        entry_id=old.entry_id,
+        ip=old.ip,
+        zone=old.zone,
+        front_address=old.front_address,
+        readiness_address=old.readiness_address,
+        directory_address=old.directory_address,
+        peer_address=old.peer_address,
+        metrics_address=old.metrics_address,
+        store_address=old.store_address,
+    )
+
+
 async def _until(holds: Callable[[], bool], ends_s: float) -> None:
     """Wait until ``holds``, but no longer than ``ends_s`` on the steady clock."""
     while not holds():
