--- a/src/celerytrack/gateway/server.py
+++ b/src/celerytrack/gateway/server.py
@@ -95,6 +95,8 @@
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self.stop)
         loop.add_signal_handler(signal.SIGHUP, self._reload)
+        # They may have changed since they were read, when nobody listened.
+        self._reload()
         await self._listen()
         self._start_tasks()
         log_event(_log, Event.PROCESS_STARTED, boot=self._gateway.boot_id)
