--- a/src/celerytrack/entry/ledger_keeper.py
+++ b/src/celerytrack/entry/ledger_keeper.py
@@ -40,6 +40,8 @@
 _WANT_EVERY_S = 0.25
 """How often an entry repeats that it wants tokens others hold."""
 _SYNC_EVERY_S = 0.02
+_SETTLE_WAIT_S = 5.0
+"""Longest a drain waits for the log to take back what was not spent."""
 
 
 class LedgerKeeper:
@@ -155,13 +157,20 @@
         )
         return self.ledger.account(account).open_tokens - ours
 
-    async def sync(self) -> None:
+    async def sync(self, timeout_s: float) -> bool:
         """Read the ledger to its end, so that what follows rests on what was
         true after this call began. Callers that wait together share a read.
+
+        :returns: whether the read ended in that time, well or not.
         """
         if self._next_sync is None:
             self._next_sync = asyncio.create_task(self._sync())
-        await asyncio.shield(self._next_sync)
+        reading = asyncio.shield(self._next_sync)
+        try:
+            await asyncio.wait_for(reading, timeout_s)
+        except TimeoutError:
+            return False
+        return True
 
     async def _sync(self) -> None:
         async with self._sync_lock:
@@ -190,11 +199,19 @@
             )
         return outcome
 
-    async def settle_all(self, timeout_s: float) -> None:
-        """On drain: wait for the bills, then give every idle grant back."""
-        await self.writer.wait_idle(timeout_s)
-        self._settle_own(time.monotonic(), all_grants=True)
-        await self.writer.wait_idle(timeout_s)
+    async def settle_all(self, until_s: float) -> None:
+        """On drain: wait for the bills, then give every idle grant back.
+
+        A bill that is lost is a request that nobody paid; a grant comes back by
+        itself once its lease has ended, and is waited for less long.
+        """
+        now_s = time.monotonic()
+        if not self.book.has_open_bills:
+            until_s = min(until_s, now_s + _SETTLE_WAIT_S)
+        await self.writer.wait_idle(until_s - now_s)
+        now_s = time.monotonic()
+        self._settle_own(now_s, all_grants=True)
+        await self.writer.wait_idle(min(until_s - now_s, _SETTLE_WAIT_S))
 
     # -- the fold ---------------------------------------------------------
 
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -1,12 +1,15 @@
 """Settings are checked on load, with the field path in the error."""
 
 import pathlib
+import tempfile
 import unittest
 
 from nose2.tools import params
 
+from celerytrack.platform.settings import load_settings
 from celerytrack.settings import (
     Config,
+    EntryTuning,
     FleetSettings,
     SettingsError,
     load_json,
@@ -60,6 +63,24 @@
         self.assertIn(f"must be {expected}", str(caught.exception))
         self.assertIn(f"$.classes[0].{field}", str(caught.exception))
 
+    @params((30.0, 33.0), (5.0, 6.0), (40.0, 40.0))
+    def test_a_grace_time_that_the_drain_uses_up_is_named(self, drain_s, stop_s):
+        """Guards against a stop that is killed with requests in progress."""
+        doc = {"drain_grace_s": drain_s, "stop_grace_s": stop_s}
+        with self.assertRaises(SettingsError) as caught:
+            structure(doc, EntryTuning)
+        self.assertIn(f"{drain_s + 4.0} at least: {stop_s}", str(caught.exception))
+
+    @params(b"node = \xff", b"node = ", b"\x00")
+    def test_a_file_that_cannot_be_read_is_named(self, raw):
+        """Guards against a reload that ends in a traceback and names no file."""
+        with tempfile.TemporaryDirectory() as folder:
+            path = pathlib.Path(folder) / "boot.toml"
+            path.write_bytes(raw)
+            with self.assertRaises(SettingsError) as caught:
+                load_settings(path)
+        self.assertIn("boot.toml", str(caught.exception))
+
     def test_a_short_key_is_named(self):
         account = {"account_id": "a", "key": "12"}
         doc = {"deployment": "d", "classes": [], "accounts": [account]}
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -9,6 +9,7 @@
 from nose2.tools import params
 from returns.result import Failure, Success
 
+from celerytrack.entry.time_limit import TimeLimit
 from celerytrack.entry.upstream import try_replicas
 from celerytrack.ids import ReplicaId, RequestId, Zone
 from celerytrack.replica_load import Ask, Load, ReplicaLoad
@@ -27,6 +28,7 @@
         choose=make_chooser("predicted"),
         spec=types.SimpleNamespace(zone=Zone("z")),
         retries=RetryBudget(ratio=0.0),
+        attempts_limit=TimeLimit(),
         rng=random.Random(1),
     )
 
