The probes of what is in force are a module of their own

A probe also has to see the newest version in force at its gateway in the end, so that none passes by having seen nothing. tests.test_store_restored: seed 1 passed.

--- a/tests/restored_site.py
+++ b/tests/restored_site.py
@@ -6,10 +6,8 @@
 
 import asyncio
 import contextlib
-import json
 import random
 import signal
-import time
 from collections.abc import Coroutine
 from typing import Any
 
@@ -17,15 +15,14 @@
 import attrs
 from aiohttp import web
 
-from celerytrack.platform.topics import CONFIG_KEY, CONFIG_TOPIC, ENDPOINTS_TOPIC
+from celerytrack.platform.topics import ENDPOINTS_TOPIC
 from tests.gateway_fleet import HOST, SEAL, Endpoint, free_port
 from tests.gateway_processes import GatewayProcess
 from tests.keyed_log import KeyedLog
+from tests.version_probe import DEADLINE_MS, PAID_KEY, Operator, VersionProbe
 
 INPUT_TOKENS, OUTPUT_TOKENS = 2_000, 5
 LAST_BYTES = (b"done", b"data: t%d\n\n" % OUTPUT_TOKENS)
-PAID_KEY = "paid"
-"""Of the account whose total all gateways share; other keys have none."""
 COPY_BEFORE_S = 2.0
 WROTE_BEFORE_S = 1.5
 """What is written then is lost with the copy."""
@@ -35,7 +32,6 @@
 """Time in which all gateways read that an endpoint leaves."""
 STOP_MOST_S = 8.0
 """The gateways' grace time."""
-DEADLINE_MS = "15000"
 
 
 async def answer(request: web.BaseRequest) -> web.StreamResponse:
@@ -53,63 +49,18 @@
     return response
 
 
-class Operator:
-    """The configuration as its owner changes it: each version adds a route and a key,
-    and removes those of the version before."""
-
-    def __init__(self, log: KeyedLog, total_tokens: int) -> None:
-        self.version = 0
-        self._log = log
-        self._total_tokens = total_tokens
-
-    def write(self) -> None:
-        """Write the next version."""
-        self.version += 1
-        plain = {"kind": "idempotent", "public": True}
-        kinds = {
-            f"/route-{self.version}/": plain,
-            "/keyed/": {"kind": "idempotent"},
-            "/once/": {"kind": "non_idempotent"},
-            "/stream/": {"kind": "stream", "affinity": True},
-        }
-        routes = [
-            {"name": prefix, "pathPrefix": prefix, **self._route(), **kind}
-            for prefix, kind in kinds.items()
-        ]
-        paid = {"name": "p", "apiKeys": [PAID_KEY], "prepaid": self._total_tokens}
-        free = {"name": "f", "apiKeys": ["free", f"key-{self.version}"]}
-        config = {
-            "version": self.version,
-            "routes": routes,
-            "services": [{"name": "s", "connLimit": 100, "engine": {"slots": 50}}],
-            "tenants": [paid, free],
-        }
-        self._log.put(CONFIG_TOPIC, CONFIG_KEY, json.dumps(config).encode())
-
-    @staticmethod
-    def _route() -> dict[str, object]:
-        return {
-            "host": HOST,
-            "timeoutMs": int(DEADLINE_MS),
-            "goalMs": 300,
-            "maxAttempts": 2,
-            "service": "s",
-        }
-
-
 @attrs.define
 class Seen:
     """What callers and probes saw.
 
     :ivar whole: ids of requests with a whole good answer.
     :ivar lost: ids of those that ended with no answer or half of one.
-    :ivar wrong: what probes were answered that is not in force.
+    :ivar refused: how often callers got each status of a refusal.
     """
 
     whole: set[str] = attrs.field(factory=set)
     lost: dict[str, str] = attrs.field(factory=dict)
     refused: dict[int, int] = attrs.field(factory=dict)
-    wrong: list[str] = attrs.field(factory=list)
 
 
 class RestoredSite:
@@ -132,7 +83,7 @@
         self._sending = True
         self._ids = 0
         self._sequence = 0
-        self._in_force: dict[str, int] = {}
+        self.probes: list[VersionProbe] = []
         self._stack = contextlib.AsyncExitStack()
         self._tasks: set[asyncio.Task[None]] = set()
 
@@ -207,12 +158,19 @@
         for gateway in self.gateways:
             for _ in range(connections_each):
                 self.keep(self._caller(gateway, pause_s))
-            self.keep(self._probe(gateway))
+            self.probes.append(VersionProbe(gateway, self.operator))
+            self.keep(self._probe(self.probes[-1]))
 
     def stop_load(self) -> None:
         """Have callers and probes end what they do and send no more."""
         self._sending = False
 
+    async def _probe(self, probe: VersionProbe) -> None:
+        async with aiohttp.ClientSession() as http:
+            while self._sending:
+                await probe.ask(http)
+                await asyncio.sleep(PROBE_S)
+
     async def _caller(self, gateway: GatewayProcess, pause_s: float) -> None:
         connector = aiohttp.TCPConnector(limit=1)
         async with aiohttp.ClientSession(connector=connector) as http:
@@ -269,63 +227,3 @@
         else:
             self.seen.lost[request_id] = f"{got.status} at {gateway.ip}"
         return got.status
-
-    # -- probes -------------------------------------------------------------
-
-    async def _probe(self, gateway: GatewayProcess) -> None:
-        """Ask a gateway what is in force, over and over: never an older version."""
-        async with aiohttp.ClientSession() as http:
-            while self._sending:
-                version = self.operator.version
-                await self._probe_version(http, gateway, version)
-                await asyncio.sleep(PROBE_S)
-
-    async def _probe_version(
-        self, http: aiohttp.ClientSession, gateway: GatewayProcess, version: int
-    ) -> None:
-        async def status(path: str, key: str = "free") -> int | None:
-            got = await self._status(http, gateway, path, key)
-            # What the version asked about says no longer holds under a later one.
-            return got if version == self.operator.version else None
-
-        added = await status(f"/route-{version}/x")
-        if added == 200:
-            self._in_force[gateway.ip] = max(version, self._known(gateway))
-        if self._known(gateway) < version:
-            return
-        if added == 404:
-            self._wrong(gateway, f"route-{version} is unknown again")
-        if await status(f"/route-{version - 1}/x") == 200:
-            self._wrong(gateway, f"route-{version - 1} is served again")
-        if await status("/keyed/x", f"key-{version}") == 401:
-            self._wrong(gateway, f"key-{version} is unknown again")
-        if await status("/keyed/x", f"key-{version - 1}") == 200:
-            self._wrong(gateway, f"key-{version - 1} is good again")
-
-    def _known(self, gateway: GatewayProcess) -> int:
-        return self._in_force.get(gateway.ip, 0)
-
-    def _wrong(self, gateway: GatewayProcess, what: str) -> None:
-        self.seen.wrong.append(f"{time.monotonic():.2f} {gateway.ip} {what}")
-
-    async def _status(
-        self,
-        http: aiohttp.ClientSession,
-        gateway: GatewayProcess,
-        path: str,
-        key: str,
-    ) -> int | None:
-        self._ids += 1
-        headers = {
-            "Host": HOST,
-            "X-Attempt-Id": f"p{self._ids}",
-            "X-Deadline-Ms": DEADLINE_MS,
-            "Authorization": f"Bearer {key}",
-        }
-        url = f"http://{gateway.front_address}{path}"
-        try:
-            async with http.post(url, data=b"", headers=headers) as got:
-                await got.read()
-                return got.status
-        except (aiohttp.ClientError, TimeoutError):
-            return None
--- a/tests/test_store_restored.py
+++ b/tests/test_store_restored.py
@@ -64,7 +64,10 @@
             twice = {r: n for r, n in runs.items() if n > 1 and r.startswith("r")}
             self.assertEqual(twice, {}, report)
         with self.subTest("no older version is in force again"):
-            self.assertEqual(site.seen.wrong, [])
+            self.assertEqual([w for probe in site.probes for w in probe.wrong], [])
+        with self.subTest("the newest version is in force everywhere"):
+            versions = [probe.in_force for probe in site.probes]
+            self.assertEqual(versions, [site.operator.version] * GATEWAYS)
         with self.subTest("nothing that was accepted is lost"):
             self.assertEqual(site.seen.lost, {}, report)
         with self.subTest("stops end by themselves"):
