The last row of a planned stop is written, and waited for

Cause: the keeper was woken, but wrote only if a row was due (each 0.3 s and more) or a request waited for one; the stop waited 0.15 s for it, whatever came. The row that says 'leaving' was late by the same. Change: such a row is due at once, and the stop waits until one that was begun since is on the log, 1 s at most.

--- a/src/celerytrack/gateway/server.py
+++ b/src/celerytrack/gateway/server.py
@@ -56,8 +56,9 @@
 BODY_BYTES = 16 * 1024 * 1024
 """Body bytes read before a request is refused as too large, whatever the
 configuration allows: a bound on memory."""
-LAST_ROW_S = 0.15
-"""Time for the row that gives the unspent tokens back: ten times what one takes."""
+LAST_ROW_MOST_S = 1.0
+"""Longest wait for the row that gives the unspent tokens back: a slow store takes it
+within that; one that is away is not waited for."""
 LOGGED_MOST = 20
 """Requests in progress that one log line names."""
 TOLD_TIMES = 3
@@ -227,7 +228,7 @@
         log_event(_log, Event.PROCESS_STOPPING, in_flight=gateway.in_flight)
         for exchange in gateway.exchanges:
             exchange.end_by(stop.answers_end_s)
-        await gateway.keeper.leave()
+        gateway.keeper.leave()
         for _ in range(TOLD_TIMES):
             gateway.tell_leaving()
             await asyncio.sleep(TELL_AGAIN_S)
@@ -236,9 +237,8 @@
         await _until(lambda: not gateway.in_flight, stop.closes_s)
         gateway.closing = True
         self._log_stage(stop, "requests over")
-        gateway.keeper.book.return_unspent()
-        await gateway.keeper.leave()
-        await asyncio.sleep(min(LAST_ROW_S, stop.closes_s - time.monotonic()))
+        last_row_s = min(stop.closes_s, time.monotonic() + LAST_ROW_MOST_S)
+        await gateway.keeper.publish_last(last_row_s)
         self._log_stage(stop, "last row")
         await _until(lambda: not self._unsent_bytes(), stop.closes_s)
         self._log_stage(stop, "answers sent")
--- a/src/celerytrack/gateway/share_keeper.py
+++ b/src/celerytrack/gateway/share_keeper.py
@@ -89,6 +89,9 @@
         self._doubtful: Member | None = None
         self._tail = KeyedTail(store, ENTRIES_TOPIC, self._apply, self._reload)
         self._wake = asyncio.Event()
+        self._due = False
+        self._rows_made = 0
+        self._rows_folded = 0
         self._changed = asyncio.Event()
         self.reservations = Reservations(self.book, self.members, gifts, self)
 
@@ -131,7 +134,8 @@
             entries = division.allowances
             urgent = self.book.plan(division.parts, now_s)
             interval_s = beat_interval_s(entries)
-            if urgent or now_s - written_s >= interval_s:
+            if urgent or self._due or now_s - written_s >= interval_s:
+                self._due = False
                 log_event(_log, Event.SHARES, shares=self.book.summary(now_s))
                 await self._write()
                 written_s = time.monotonic()
@@ -140,11 +144,23 @@
             left_s = written_s + interval_s - time.monotonic()
             await wait_for(self._wake, max(LEAST_WAIT_S, left_s))
 
-    async def leave(self) -> None:
-        """Publish that this entry takes no new callers."""
+    def leave(self) -> None:
+        """Publish at once that this entry takes no new callers."""
         self.state = MemberState.LEAVING
+        self._due = True
         self._wake.set()
 
+    async def publish_last(self, ends_s: float) -> None:
+        """Publish what is left unspent, and wait for that row until ``ends_s``."""
+        self.book.return_unspent()
+        self.leave()
+        made = self._rows_made
+        while self._rows_folded <= made:
+            left_s = ends_s - time.monotonic()
+            if left_s <= 0:
+                return
+            await wait_for(self._changed, left_s)
+
     async def _take_over(self) -> None:
         # Fence first, then read: an append of the earlier start that is
         # still on its way would otherwise land after the row was read.
@@ -173,6 +189,7 @@
 
     async def _write(self) -> None:
         now_s = time.monotonic()
+        self._rows_made += 1
         offset_s = _clock_offset_s()
         member = Member(
             entry_id=self._entry_id,
@@ -204,6 +221,7 @@
         self._learn_row_time(time.monotonic() - now_s)
         self.members.read_ok(time.monotonic())
         self.book.row_folded()
+        self._rows_folded = self._rows_made
         self._reconsider(member)
         self._notify()
 
--- a/tests/gateway_fleet.py
+++ b/tests/gateway_fleet.py
@@ -15,9 +15,16 @@
 
 from celerytrack.gateway.server import EntryServer
 from celerytrack.gateway.state import Gateway
+from celerytrack.members import Member
+from celerytrack.platform.rows import decode_member
 from celerytrack.platform.settings import ProcessSettings
 from celerytrack.platform.store import StoreClient
-from celerytrack.platform.topics import CONFIG_KEY, CONFIG_TOPIC, ENDPOINTS_TOPIC
+from celerytrack.platform.topics import (
+    CONFIG_KEY,
+    CONFIG_TOPIC,
+    ENDPOINTS_TOPIC,
+    ENTRIES_TOPIC,
+)
 from tests.keyed_log import KeyedLog
 
 HOST = "h.example"
@@ -230,6 +237,16 @@
         for runner in self._runners:
             await runner.cleanup()
 
+    def ended(self) -> bool:
+        """Whether all gateways have ended."""
+        return all(task.done() for task in self._tasks)
+
+    def newest_row(self, entry: str) -> Member:
+        """The row of a gateway on the log."""
+        key = f"{entry}@127.0.0.1"
+        _, raw = self.log.topic(ENTRIES_TOPIC).newest()[key]
+        return decode_member(key, raw)
+
     async def until(self, holds: Callable[[], bool], within_s: float = 8.0) -> None:
         ends_s = time.monotonic() + within_s
         while not holds():
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -13,6 +13,7 @@
 from nose2.tools import params
 
 from celerytrack.durations import FEWEST, KEPT, Durations
+from celerytrack.ids import AccountId
 from celerytrack.planned_stop import Lasting, PlannedStop
 from celerytrack.platform.topics import CONFIG_KEY, CONFIG_TOPIC, ENDPOINTS_TOPIC
 from tests.gateway_fleet import (
@@ -29,6 +30,7 @@
 from tests.keyed_log import KeyedLog
 
 GRACE_S = 8.0
+T = AccountId("t")
 LATE_S = 3.2
 """After the signal; callers that keep an address answer long come so late."""
 HEADERS = {
@@ -302,6 +304,21 @@
             fleet.servers[0].stop()
             await fleet.until(lambda: not views[1].live(1e9), 0.3)
 
+    def test_the_last_row_gives_the_unspent_tokens_back(self):
+        """Guards against tokens that count as spent since a stop wrote no last row."""
+        asyncio.run(self._gives_back())
+
+    async def _gives_back(self) -> None:
+        async with Fleet(Endpoint("i-1", _short_answer), gateways=4) as fleet:
+            await asyncio.sleep(1.0)
+            for server in fleet.servers:
+                server.stop()
+                # Each in another moment between two of its rows.
+                await asyncio.sleep(0.07)
+            await fleet.until(fleet.ended)
+            rows = [fleet.newest_row(f"e{i}") for i in range(4)]
+        self.assertEqual([row.shares[T].claimed_tokens for row in rows], [0] * 4)
+
     async def _stops(self, site: Site) -> float:
         """Stop the gateway; how long it took to end by itself."""
         began_s = time.monotonic()
