A request's wait for tokens ends with its time

A caller with 0.2 s left got its refusal after 0.608 s: the wait for tokens (up to 0.35 s for rows, then others are asked for 0.1 s, the last of them 0.15 s) was not held against the request's time, and neither against a stop's: a request in it when answers must end had no scope to be ended by, and its wait may outlast the closing of the listeners (answers end 0.32 s before at 8 s of grace, 0.04 s at 1 s). The scope that ends a request began behind the wait. Evidence: a test with the longest wait that the constants allow, in process: 0.608 s before; with the change it passes (below 0.4 s). The path to a loss in a real stop was not reproduced: it needs tokens that lack, dark peers and the last 0.3 s before the end. Change: the scope begins before the wait. A gift that is on its way when the time ends is spent by nobody, as one whose answer is late.

--- a/src/celerytrack/gateway/exchange.py
+++ b/src/celerytrack/gateway/exchange.py
@@ -65,7 +65,7 @@
     :ivar may_have_run: whether some endpoint may have run it.
     :ivar response: the answer's head went out to the caller.
     :ivar events: the stream's events so far.
-    :ivar scope: ends its attempts at ``ends_s``, while they are made.
+    :ivar scope: ends its wait for tokens and its attempts at ``ends_s``.
     """
 
     request: web.BaseRequest
--- a/src/celerytrack/gateway/pipeline.py
+++ b/src/celerytrack/gateway/pipeline.py
@@ -33,6 +33,7 @@
 from celerytrack.gateway.refusals import RefusedError
 from celerytrack.gateway.state import Gateway
 from celerytrack.planned_stop import Lasting, PlannedStop
+from celerytrack.prepaid import Reservation
 from celerytrack.verdict import Reason, Refusal, Verdict, did_not_run, may_have_run
 
 _log = logging.getLogger(__name__)
@@ -101,11 +102,12 @@
 
 
 async def _serve(gateway: Gateway, exchange: Exchange) -> web.StreamResponse:
-    held = await reserve(gateway, exchange)
-    exchange.covered_s = time.monotonic()
+    held: Reservation | None = None
     try:
         async with asyncio.timeout_at(loop_time(exchange.ends_s)) as scope:
             exchange.scope = scope
+            held = await reserve(gateway, exchange)
+            exchange.covered_s = time.monotonic()
             return await _attempts(gateway, exchange)
     except TimeoutError:
         if exchange.response is not None:
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -12,6 +12,7 @@
 
 from celerytrack.gateway import gifts
 from celerytrack.gateway.attempts import CallerGoneError, finish
+from celerytrack.gateway.reservations import ASKING_S, WAIT_TOKENS_S
 from celerytrack.ids import AccountId
 from celerytrack.planned_stop import PlannedStop
 from celerytrack.platform.topics import CONFIG_KEY, CONFIG_TOPIC, ENDPOINTS_TOPIC
@@ -359,6 +360,21 @@
             numbers = list(fleet.log.topics["keyed.celerytrack-entries"].answers)
             self.assertEqual(len(numbers), len(set(numbers)))
 
+    async def test_a_wait_for_tokens_ends_with_the_time_left(self):
+        """Guards against an answer that comes when the caller's time is over."""
+
+        async def longest_wait(*_):
+            await asyncio.sleep(WAIT_TOKENS_S + ASKING_S + gifts.ASK_TIMEOUT_S)
+
+        async with _fleet(_good, config=config(prepaid=100)) as fleet:
+            reservations = fleet.gateways[0].keeper.reservations
+            with mock.patch.object(reservations, "reserve", longest_wait):
+                began_s = time.monotonic()
+                asked = fleet.ask("/plain/x", X_Token_Count="1,1", X_Deadline_Ms="200")
+                status = (await asked)[0]
+            self.assertEqual((status, _runs(fleet)), (503, 0))
+            self.assertLess(time.monotonic() - began_s, 0.4)
+
 
 class ChangesTest(unittest.IsolatedAsyncioTestCase):
     async def test_a_newer_configuration_and_never_an_older(self):
