A leaving entry's rows are written when they are due, not at the next beat

Cause: leave() wakes the row's task, but a row was written only if tokens ask for one or the beat (0.3 s) is over, and a wake during a row was dropped. The wait for the last row, 0.15 s, does not know of the beat. Change: leave() makes a row due.

--- a/src/celerytrack/gateway/share_keeper.py
+++ b/src/celerytrack/gateway/share_keeper.py
@@ -87,6 +87,7 @@
         self._sent_s: float | None = None
         self._left_at_s: float | None = None
         self._doubtful: Member | None = None
+        self._row_due = False
         self._tail = KeyedTail(store, ENTRIES_TOPIC, self._apply, self._reload)
         self._wake = asyncio.Event()
         self._changed = asyncio.Event()
@@ -131,18 +132,22 @@
             entries = division.allowances
             urgent = self.book.plan(division.parts, now_s)
             interval_s = beat_interval_s(entries)
-            if urgent or now_s - written_s >= interval_s:
+            if urgent or self._row_due or now_s - written_s >= interval_s:
+                self._row_due = False
                 log_event(_log, Event.SHARES, shares=self.book.summary(now_s))
                 await self._write()
                 written_s = time.monotonic()
                 await asyncio.sleep(self._pace.pause_s(entries, written_s))
             self._wake.clear()
             left_s = written_s + interval_s - time.monotonic()
+            if self._row_due:
+                left_s = 0.0
             await wait_for(self._wake, max(LEAST_WAIT_S, left_s))
 
     async def leave(self) -> None:
-        """Publish that this entry takes no new callers."""
+        """Publish at once that this entry takes no new callers."""
         self.state = MemberState.LEAVING
+        self._row_due = True
         self._wake.set()
 
     async def _take_over(self) -> None:
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -13,9 +13,15 @@
 from celerytrack.gateway import gifts
 from celerytrack.gateway.attempts import CallerGoneError, finish
 from celerytrack.gateway.reservations import ASKING_S, WAIT_TOKENS_S
+from celerytrack.gateway.server import LAST_ROW_S
 from celerytrack.ids import AccountId
 from celerytrack.planned_stop import PlannedStop
-from celerytrack.platform.topics import CONFIG_KEY, CONFIG_TOPIC, ENDPOINTS_TOPIC
+from celerytrack.platform.topics import (
+    CONFIG_KEY,
+    CONFIG_TOPIC,
+    ENDPOINTS_TOPIC,
+    ENTRIES_TOPIC,
+)
 from tests.gateway_fleet import HOST, KEY, SEAL, Endpoint, Fleet, Script, config
 
 T = AccountId("t")
@@ -542,6 +548,18 @@
                 named = (await response.json())["addresses"]
             self.assertEqual(named, [other.settings.front_address])
 
+    async def test_a_stop_writes_its_rows_at_once(self):
+        """Guards against a last row that the exit does not wait for."""
+        async with _fleet(_good) as fleet:
+            rows = fleet.log.topic(ENTRIES_TOPIC).records
+            for _ in range(6):
+                # Somewhere between two beats.
+                await asyncio.sleep(0.37)
+                known = len(rows)
+                await fleet.gateways[0].keeper.leave()
+                await asyncio.sleep(LAST_ROW_S / 2)
+                self.assertGreater(len(rows), known)
+
     async def test_late_arrivals_are_refused_truthfully(self):
         async with _fleet(_good) as fleet:
             fleet.gateways[0].stop = PlannedStop(time.monotonic() - 7.0, 8.0)
