--- a/src/celerytrack/entry/chat.py
+++ b/src/celerytrack/entry/chat.py
@@ -99,6 +99,7 @@
             state,
             answer.admitted.work,
             answer.ask,
+            answer.admitted.request_id,
             lambda sent: _stream_from(state, request, sent, answer),
         )
     except _CallerGoneError:
@@ -177,6 +178,7 @@
     :raises _CallerGoneError: if the caller's connection is closed.
     """
     relay = answer.relay
+    tokens_before = relay.tokens
     while not relay.complete:
         try:
             data = await upstream.content.readany()
@@ -187,9 +189,10 @@
         out = relay.feed(data)
         if not out:
             continue
+        if not sent.answered and relay.tokens > tokens_before:
+            sent.first_token(time.time())
         try:
             if answer.response is None:
-                sent.first_token(time.time())
                 answer.response = await _open(state, request, answer)
             await answer.response.write(out)
         except ConnectionError:
--- a/src/celerytrack/planned_stop.py
+++ b/src/celerytrack/planned_stop.py
@@ -7,7 +7,7 @@
 
 import attrs
 
-SETTLE_SHARE = 0.1
+SETTLE_SHARE = 0.15
 """Part of the grace time that is kept for its end: the answers' last bytes, the last
 row and the exit."""
 SETTLE_MOST_S = 0.8
