--- a/src/celerytrack/gateway/share_keeper.py
+++ b/src/celerytrack/gateway/share_keeper.py
@@ -87,9 +87,9 @@
         self._sent_s: float | None = None
         self._left_at_s: float | None = None
         self._doubtful: Member | None = None
+        self._row_due = False
         self._tail = KeyedTail(store, ENTRIES_TOPIC, self._apply, self._reload)
         self._wake = asyncio.Event()
-        self._due = False
         self._rows_made = 0
         self._rows_folded = 0
         self._changed = asyncio.Event()
@@ -134,20 +134,22 @@
             entries = division.allowances
             urgent = self.book.plan(division.parts, now_s)
             interval_s = beat_interval_s(entries)
-            if urgent or self._due or now_s - written_s >= interval_s:
-                self._due = False
+            if urgent or self._row_due or now_s - written_s >= interval_s:
+                self._row_due = False
                 log_event(_log, Event.SHARES, shares=self.book.summary(now_s))
                 await self._write()
                 written_s = time.monotonic()
                 await asyncio.sleep(self._pace.pause_s(entries, written_s))
             self._wake.clear()
             left_s = written_s + interval_s - time.monotonic()
+            if self._row_due:
+                left_s = 0.0
             await wait_for(self._wake, max(LEAST_WAIT_S, left_s))
 
     def leave(self) -> None:
         """Publish at once that this entry takes no new callers."""
         self.state = MemberState.LEAVING
-        self._due = True
+        self._row_due = True
         self._wake.set()
 
     async def publish_last(self, ends_s: float) -> None:
