--- a/src/celerytrack/gateway/outcomes.py
+++ b/src/celerytrack/gateway/outcomes.py
@@ -10,6 +10,7 @@
 from celerytrack.gateway.exchange import AttemptFailure, Exchange, PlainAnswer
 from celerytrack.gateway.refusals import refusal_response
 from celerytrack.gateway.state import Gateway
+from celerytrack.planned_stop import PlannedStop
 from celerytrack.verdict import Refusal, Verdict
 
 _log = logging.getLogger(__name__)
@@ -50,6 +51,8 @@
     count(gateway, exchange, "answered" if status < 500 else "endpoint_failed")
     choice = exchange.choice
     assert choice is not None
+    now_s = time.monotonic()
+    gateway.durations.add(exchange.route.name, now_s - exchange.started_s)
     log_event(
         _log,
         Event.ANSWERED,
@@ -63,19 +66,20 @@
         predicted_ms=round(choice.predicted_s * 1_000),
         work_ms=round(choice.work_s * 1_000),
         first_ms=_after_ms(exchange, exchange.first_s),
-        took_ms=_after_ms(exchange, time.monotonic()),
+        took_ms=_after_ms(exchange, now_s),
     )
 
 
-def taken_leaving(gateway: Gateway, exchange: Exchange, now_s: float) -> None:
+def taken_leaving(
+    gateway: Gateway, exchange: Exchange, stop: PlannedStop, now_s: float
+) -> None:
     """A request was taken though a planned stop has begun."""
-    assert gateway.stop_began_s is not None
     log_event(
         _log,
         Event.TAKEN_LEAVING,
         request_id=exchange.facts.request_id,
         route=exchange.route.name,
-        after_ms=round((now_s - gateway.stop_began_s) * 1_000),
+        after_ms=round((now_s - stop.began_s) * 1_000),
         may_last_ms=round((exchange.ends_s - now_s) * 1_000),
     )
 
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -3,6 +3,7 @@
 
 import asyncio
 import contextlib
+import math
 import signal
 import time
 import unittest
@@ -11,8 +12,19 @@
 from aiohttp import web
 from nose2.tools import params
 
+from celerytrack.durations import FEWEST, KEPT, Durations
+from celerytrack.planned_stop import Lasting, PlannedStop
 from celerytrack.platform.topics import CONFIG_KEY, CONFIG_TOPIC, ENDPOINTS_TOPIC
-from tests.gateway_fleet import HOST, KEY, SEAL, Endpoint, Script, config, free_port
+from tests.gateway_fleet import (
+    HOST,
+    KEY,
+    SEAL,
+    Endpoint,
+    Fleet,
+    Script,
+    config,
+    free_port,
+)
 from tests.gateway_processes import GatewayProcess
 from tests.keyed_log import KeyedLog
 
@@ -47,6 +59,11 @@
     return web.Response(body=b"late", headers=_echo(request))
 
 
+async def _short_answer(request: web.BaseRequest) -> web.StreamResponse:
+    await asyncio.sleep(0.4)
+    return web.Response(body=b"good", headers=_echo(request))
+
+
 async def _large_answer(request: web.BaseRequest) -> web.StreamResponse:
     return web.Response(body=b"x" * 8_000_000, headers=_echo(request))
 
@@ -87,13 +104,18 @@
         await self._stack.aclose()
 
     async def ask(
-        self, path: str, pace_bytes: int = 2**20, pause_s: float = 0.0
+        self,
+        path: str,
+        pace_bytes: int = 2**20,
+        pause_s: float = 0.0,
+        request_id: str = "r1",
     ) -> Outcome:
         """Ask once, reading the answer a piece at a time."""
         outcome = Outcome()
+        headers = {**HEADERS, "X-Attempt-Id": request_id}
         url = f"http://{self.gateway.front_address}{path}"
         with contextlib.suppress(aiohttp.ClientError):
-            async with self.http.post(url, data=b"", headers=HEADERS) as answer:
+            async with self.http.post(url, data=b"", headers=headers) as answer:
                 outcome.status = answer.status
                 outcome.retry_after = answer.headers.get("Retry-After")
                 while piece := await answer.content.read(pace_bytes):
@@ -119,6 +141,53 @@
         await self.gateway.until(lambda: bool(self.endpoint.seen), 3.0)
 
 
+class TimesTest(unittest.TestCase):
+    @params(
+        # seconds after the signal, longest, likely, a stream, taken
+        (0.0, 7.1, 99.0, True, True),
+        (0.0, 15.0, 7.1, True, True),
+        (0.0, 15.0, 7.3, True, False),
+        (0.0, 15.0, math.inf, True, False),
+        (2.9, 15.0, 4.2, True, True),
+        (3.1, 15.0, 0.1, True, False),
+        (3.1, 4.0, 0.1, True, True),
+        (3.1, 4.5, 0.1, False, True),
+        (3.1, 4.5, 4.2, False, False),
+        (7.3, 0.1, 0.1, False, False),
+    )
+    def test_only_what_ends_in_time_is_taken(
+        self, after_s, most_s, likely_s, stream, taken
+    ):
+        """Guards against requests that a stop takes and cannot end."""
+        stop = PlannedStop(began_s=100.0, grace_s=8.0)
+        lasting = Lasting(most_s, likely_s, stream)
+        self.assertIs(stop.takes(lasting, 100.0 + after_s), taken)
+
+    @params((1.0,), (2.0,), (8.0,), (30.0,), (300.0,))
+    def test_each_part_fits_the_grace_time(self, grace_s):
+        """Guards against a stop whose parts add up to more than its grace time."""
+        stop = PlannedStop(began_s=100.0, grace_s=grace_s)
+        ends_s = 100.0 + grace_s
+        self.assertLess(stop.serves_until_s, stop.answers_end_s)
+        self.assertGreaterEqual(stop.answers_end_s, ends_s - grace_s / 6)
+        self.assertLess(stop.answers_end_s, stop.closes_s)
+        self.assertLess(stop.closes_s + stop.closing_s, ends_s)
+
+    @params((0, math.inf), (2, math.inf), (3, 2.0), (20, 18.0), (50, 47.0), (60, 57.0))
+    def test_what_nearly_all_ended_within_is_likely(self, ended, likely_s):
+        durations = Durations()
+        for i in range(ended):
+            durations.add("route", float(i))
+        self.assertEqual(durations.likely_s("route"), likely_s)
+
+    def test_what_took_long_is_forgotten(self):
+        durations = Durations()
+        durations.add("route", 99.0)
+        for _ in range(KEPT):
+            durations.add("route", 1.0)
+        self.assertEqual(durations.likely_s("route"), 1.0)
+
+
 class PlannedStopTest(unittest.TestCase):
     @params(("/stream/x",), ("/resume/x",))
     def test_a_stream_that_may_outlast_the_stop_is_not_taken_late(self, path):
@@ -182,6 +251,26 @@
             outcome = await asking
             self.assertEqual((outcome.whole, len(outcome.body)), (True, 8_000_000))
 
+    def test_what_comes_as_it_ends_is_refused_or_answered(self):
+        """Guards against requests that are taken while the listeners close."""
+        asyncio.run(self._until_the_end())
+
+    async def _until_the_end(self) -> None:
+        async with Site(_short_answer) as site:
+            for i in range(FEWEST):
+                await site.ask("/once/x", request_id=f"before-{i}")
+            site.gateway.signal(signal.SIGTERM)
+            asked: dict[str, asyncio.Task[Outcome]] = {}
+            # One at a time, with moments at which none is in progress.
+            while await site.gateway.ended(0.45) is None:
+                name = f"r{len(asked)}"
+                task = asyncio.create_task(site.ask("/once/x", request_id=name))
+                asked[name] = task
+            outcomes = {name: await task for name, task in asked.items()}
+        ran = {request.headers["X-Attempt-Id"] for request in site.endpoint.seen}
+        unanswered = {name for name, outcome in outcomes.items() if not outcome.whole}
+        self.assertEqual(ran & unanswered, set())
+
     def test_a_silent_store_does_not_delay_the_exit(self):
         """Guards against a stop that waits for a store that answers nothing."""
         asyncio.run(self._silent_store())
@@ -194,6 +283,20 @@
             await self._stops(site)
             await asking
 
+    def test_callers_are_not_sent_to_it_while_the_store_is_away(self):
+        """Guards against a planned stop that the others learn of from the log alone."""
+        asyncio.run(self._told_directly())
+
+    async def _told_directly(self) -> None:
+        good = Endpoint("i-1", _large_answer)
+        async with Fleet(good, gateways=2) as fleet:
+            views = [gateway.keeper.members for gateway in fleet.gateways]
+            await fleet.until(lambda: all(len(v.live(1e9)) == 1 for v in views))
+            fleet.log.down = True
+            await asyncio.sleep(0.5)
+            fleet.servers[0].stop()
+            await fleet.until(lambda: not views[1].live(1e9), 0.3)
+
     async def _stops(self, site: Site) -> float:
         """Stop the gateway; how long it took to end by itself."""
         began_s = time.monotonic()
