--- a/tests/test_gateway_changes.py
+++ b/tests/test_gateway_changes.py
@@ -147,15 +147,17 @@
             self._whole(await site.ask_all())
             self.assertIsNone(await site.gateway.ended(0.1))
 
-    def test_a_reload_in_a_planned_stop_cuts_nothing(self):
+    @params(0.0, 0.3)
+    def test_a_reload_in_a_planned_stop_cuts_nothing(self, after_s):
         """Guards against a stop that gives up requests by a later grace time."""
-        asyncio.run(self._reload_in_stop())
+        asyncio.run(self._reload_in_stop(after_s))
 
-    async def _reload_in_stop(self) -> None:
+    async def _reload_in_stop(self, after_s: float) -> None:
         async with _site() as site:
             asking = asyncio.create_task(site.ask_all(count=5))
             await site.in_flight(5)
             site.gateway.signal(signal.SIGTERM)
+            await asyncio.sleep(after_s)
             site.write_settings(settings_text(1, site.store_address, 1.0))
             site.gateway.signal(signal.SIGHUP)
             self._whole(await asking)
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+import time
 import types
 import unittest
 from unittest import mock
@@ -9,6 +10,7 @@
 from nose2.tools import params
 from returns.result import Failure, Success
 
+from celerytrack.entry.time_limit import TimeLimit
 from celerytrack.entry.upstream import try_replicas
 from celerytrack.ids import ReplicaId, RequestId, Zone
 from celerytrack.replica_load import Ask, Load, ReplicaLoad
@@ -28,6 +30,7 @@
         spec=types.SimpleNamespace(zone=Zone("z")),
         retries=RetryBudget(ratio=0.0),
         rng=random.Random(1),
+        attempts_limit=TimeLimit(),
     )
 
 
@@ -138,3 +141,35 @@
             replica.own = Load(14)
         self.assertEqual(_run(state, "t.", priority=2)[0], Success(1))
         self.assertEqual(type(_run(state, "f.", priority=2)[0]), Failure)
+
+
+class StopTest(unittest.TestCase):
+    @params(
+        # seconds left, attempts begun, reason, verdict
+        (-1.0, 0, Reason.DRAINING, Verdict.DID_NOT_RUN),
+        (0.05, 1, Reason.DEADLINE, Verdict.MAY_HAVE_RUN),
+    )
+    def test_attempts_end_with_the_time_left(self, left_s, begun, reason, verdict):
+        """A stop waits for a silent replica, or begins what it cannot end."""
+        result, attempts = asyncio.run(self._silent(left_s))
+        refusal = result.failure()
+        self.assertEqual(attempts, begun)
+        self.assertEqual((refusal.reason, refusal.verdict), (reason, verdict))
+
+    async def _silent(self, left_s: float):
+        state = _state()
+        begun = []
+
+        async def attempt(sent):
+            begun.append(sent)
+            await asyncio.Event().wait()
+
+        work = types.SimpleNamespace(idempotent=True, model="m", priority=0)
+        trying = asyncio.create_task(
+            try_replicas(state, work, Ask("m", 0), RequestId("r"), attempt)
+        )
+        # An end in the past is known before; another is set while it waits.
+        if left_s > 0:
+            await asyncio.sleep(0.01)
+        state.attempts_limit.set_end(time.monotonic() + left_s)
+        return await asyncio.wait_for(trying, 1.0), len(begun)
