--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -29,8 +29,8 @@
         choose=make_chooser("predicted"),
         spec=types.SimpleNamespace(zone=Zone("z")),
         retries=RetryBudget(ratio=0.0),
-        rng=random.Random(1),
         attempts_limit=TimeLimit(),
+        rng=random.Random(1),
     )
 
 
