--- a/src/celerytrack/gateway/server.py
+++ b/src/celerytrack/gateway/server.py
@@ -28,7 +28,11 @@
     caller_zone,
     encode_addresses,
 )
-from celerytrack.platform.settings import SettingsError, load_settings
+from celerytrack.platform.settings import (
+    ProcessSettings,
+    SettingsError,
+    load_settings,
+)
 
 _log = logging.getLogger(__name__)
 
@@ -52,8 +56,9 @@
 BODY_BYTES = 16 * 1024 * 1024
 """Body bytes read before a request is refused as too large, whatever the
 configuration allows: a bound on memory."""
-LAST_ROW_S = 0.15
-"""Time for the row that gives the unspent tokens back: ten times what one takes."""
+LAST_ROW_MOST_S = 1.0
+"""Longest wait for the row that gives the unspent tokens back: a slow store takes it
+within that; one that is away is not waited for."""
 LOGGED_MOST = 20
 """Requests in progress that one log line names."""
 TOLD_TIMES = 3
@@ -91,6 +96,8 @@
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self.stop)
         loop.add_signal_handler(signal.SIGHUP, self._reload)
+        # They may have changed since they were read, when nobody listened.
+        self._reload()
         await self._listen()
         self._start_tasks()
         log_event(_log, Event.PROCESS_STARTED, boot=self._gateway.boot_id)
@@ -168,6 +175,7 @@
         except SettingsError as exc:
             log_event(_log, Event.SETTINGS_REJECTED, logging.ERROR, detail=str(exc))
             return
+        settings = _at_its_place(settings, self._gateway.settings)
         self._gateway.settings = settings
         self._gateway.keeper.members.link_mbps = settings.link_mbps
         log_event(_log, Event.SETTINGS_RELOADED)
@@ -220,7 +228,7 @@
         log_event(_log, Event.PROCESS_STOPPING, in_flight=gateway.in_flight)
         for exchange in gateway.exchanges:
             exchange.end_by(stop.answers_end_s)
-        await gateway.keeper.leave()
+        gateway.keeper.leave()
         for _ in range(TOLD_TIMES):
             gateway.tell_leaving()
             await asyncio.sleep(TELL_AGAIN_S)
@@ -229,9 +237,8 @@
         await _until(lambda: not gateway.in_flight, stop.closes_s)
         gateway.closing = True
         self._log_stage(stop, "requests over")
-        gateway.keeper.book.return_unspent()
-        await gateway.keeper.leave()
-        await asyncio.sleep(min(LAST_ROW_S, stop.closes_s - time.monotonic()))
+        last_row_s = min(stop.closes_s, time.monotonic() + LAST_ROW_MOST_S)
+        await gateway.keeper.publish_last(last_row_s)
         self._log_stage(stop, "last row")
         await _until(lambda: not self._unsent_bytes(), stop.closes_s)
         self._log_stage(stop, "answers sent")
@@ -281,6 +288,22 @@
             log_event(_log, Event.STOP_OVERRAN, logging.WARNING, within_s=within_s)
 
 
+def _at_its_place(new: ProcessSettings, old: ProcessSettings) -> ProcessSettings:
+    """``new`` with who and where the process is: its listeners stay where they are."""
+    return attrs.evolve(
+        new,
+        entry_id=old.entry_id,
+        ip=old.ip,
+        zone=old.zone,
+        front_address=old.front_address,
+        readiness_address=old.readiness_address,
+        directory_address=old.directory_address,
+        peer_address=old.peer_address,
+        metrics_address=old.metrics_address,
+        store_address=old.store_address,
+    )
+
+
 async def _until(holds: Callable[[], bool], ends_s: float) -> None:
     """Wait until ``holds``, but no longer than ``ends_s`` on the steady clock."""
     while not holds():
--- a/src/celerytrack/gateway/share_keeper.py
+++ b/src/celerytrack/gateway/share_keeper.py
@@ -88,10 +88,13 @@
         self._writer = RowWriter(store, entry_id, self._contact, self._eras)
         self._sent_s: float | None = None
         self._last_row = LastRow(started_s)
+        self._row_due = False
         self._tail = KeyedTail(
             store, ENTRIES_TOPIC, self._apply, self._reload, eras=self._eras
         )
         self._wake = asyncio.Event()
+        self._rows_made = 0
+        self._rows_folded = 0
         self._changed = asyncio.Event()
         self.reservations = Reservations(self.book, self.members, gifts, self)
 
@@ -131,27 +134,41 @@
         while True:
             if self._restored:
                 await self._fence_again()
-                written_s = float("-inf")
+                self._row_due = True
             now_s = time.monotonic()
             division = self.members.division(now_s)
             entries = division.allowances
             urgent = self._plan(division.parts, now_s)
             interval_s = beat_interval_s(entries)
-            if urgent or now_s - written_s >= interval_s:
+            if urgent or self._row_due or now_s - written_s >= interval_s:
+                self._row_due = False
                 log_event(_log, Event.SHARES, shares=self.book.summary(now_s))
                 await self._write_row()
                 written_s = time.monotonic()
                 await asyncio.sleep(self._pace.pause_s(entries, written_s))
             self._wake.clear()
-            left_s = 0.0 if self._restored else written_s + interval_s
-            left_s -= time.monotonic()
+            left_s = written_s + interval_s - time.monotonic()
+            if self._row_due or self._restored:
+                left_s = 0.0
             await wait_for(self._wake, max(LEAST_WAIT_S, left_s))
 
-    async def leave(self) -> None:
-        """Publish that this entry takes no new callers."""
+    def leave(self) -> None:
+        """Publish at once that this entry takes no new callers."""
         self.state = MemberState.LEAVING
+        self._row_due = True
         self._wake.set()
 
+    async def publish_last(self, ends_s: float) -> None:
+        """Publish what is left unspent, and wait for that row until ``ends_s``."""
+        self.book.return_unspent()
+        self.leave()
+        made = self._rows_made
+        while self._rows_folded <= made:
+            left_s = ends_s - time.monotonic()
+            if left_s <= 0:
+                return
+            await wait_for(self._changed, left_s)
+
     async def _take_over(self) -> None:
         # Fence first, then read: an append of the earlier start that is
         # still on its way would otherwise land after the row was read.
@@ -192,6 +209,7 @@
 
     async def _write(self) -> None:
         now_s = time.monotonic()
+        self._rows_made += 1
         offset_s = clock_offset_s()
         member = Member(
             entry_id=self._entry_id,
@@ -227,6 +245,7 @@
         self._learn_row_time(time.monotonic() - now_s)
         self.members.read_ok(time.monotonic())
         self.book.row_folded()
+        self._rows_folded = self._rows_made
         self._last_row.reconsider(member, self.members, self.book)
         self._notify()
 
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -8,15 +8,16 @@
 from unittest import mock
 
 from tests import fleet
+from tests.gateway_processes import loopback_ip
 
 
 class FleetTest(unittest.TestCase):
     def test_a_port_in_use_is_named(self):
         """A test talks to the processes of a fleet that another clone started."""
         with tempfile.TemporaryDirectory() as root, socket.socket() as sock:
-            sock.bind(("127.0.0.1", 0))
+            sock.bind((loopback_ip(1), 0))
             sock.listen()
-            address = f"127.0.0.1:{sock.getsockname()[1]}"
+            address = f"{loopback_ip(1)}:{sock.getsockname()[1]}"
             example = pathlib.Path(root) / "example"
             shutil.copytree(fleet.ROOT / "examples" / "haddad", example)
             settings = example / "fleet.json"
