A stop keeps the grace time that was in force when its signal came

Cause: the stop was given its times in the task, an iteration of the loop behind the signal. The row that sent both signals without a pause waits until the first was heard: Linux hands a process that has both pending the lower number (SIGHUP) first, so their order can't be known.

--- a/src/celerytrack/gateway/server.py
+++ b/src/celerytrack/gateway/server.py
@@ -223,8 +223,8 @@
 
     async def _leave(self) -> None:
         gateway = self._gateway
-        stop = PlannedStop(time.monotonic(), gateway.settings.grace_s)
-        gateway.stop = stop
+        stop = gateway.stop
+        assert stop is not None
         log_event(_log, Event.PROCESS_STOPPING, in_flight=gateway.in_flight)
         for exchange in gateway.exchanges:
             exchange.end_by(stop.answers_end_s)
@@ -269,6 +269,10 @@
 
     def stop(self) -> None:
         """Begin a planned stop, as SIGTERM does."""
+        gateway = self._gateway
+        if gateway.stop is None:
+            grace_s = gateway.settings.grace_s
+            gateway.stop = PlannedStop(time.monotonic(), grace_s)
         self._stop.set()
 
     async def abort(self, within_s: float = ABORTED_WITHIN_S) -> None:
--- a/tests/test_gateway_changes.py
+++ b/tests/test_gateway_changes.py
@@ -3,6 +3,7 @@
 
 import asyncio
 import contextlib
+import functools
 import json
 import pathlib
 import signal
@@ -157,6 +158,9 @@
             asking = asyncio.create_task(site.ask_all(count=5))
             await site.in_flight(5)
             site.gateway.signal(signal.SIGTERM)
+            # Of two signals that wait for a process the lower number goes first.
+            stopping = functools.partial(site.gateway.lines, "process_stopping")
+            await site.gateway.until(lambda: bool(stopping()), 2.0)
             await asyncio.sleep(after_s)
             site.write_settings(settings_text(1, site.store_address, 1.0))
             site.gateway.signal(signal.SIGHUP)
