--- a/src/celerytrack/gateway/state.py
+++ b/src/celerytrack/gateway/state.py
@@ -7,6 +7,7 @@
 
 from celerytrack.durations import Durations
 from celerytrack.endpoints import EndpointBook
+from celerytrack.eras import EraChange, EraWatch
 from celerytrack.events import Event, log_event
 from celerytrack.gateway.connections import EndpointConnections
 from celerytrack.gateway.exchange import Exchange
@@ -56,7 +57,8 @@
         self.entry_id = EntryId(f"{settings.entry_id}@{settings.ip}")
         self.boot_id = uuid.uuid4().hex[:8]
         self.rng = random.Random(self.boot_id)
-        self.store = HedgedStore(StoreClient(settings.store_address))
+        self.eras = EraWatch()
+        self.store = HedgedStore(StoreClient(settings.store_address, self.eras))
         self.gifts = GiftClient()
         self.keeper = ShareKeeper(
             self.store,
@@ -67,6 +69,7 @@
             self.gifts,
             started_s,
             settings.link_mbps,
+            self.eras,
         )
         self.endpoints = EndpointBook(settings.zone, self.rng)
         self.endpoints_known = False
@@ -77,6 +80,7 @@
         self.endpoints_took_s = 0.0
         self.endpoints_reachable = True
         self.telemetry = Telemetry()
+        self.eras.on_change(self._era_changed)
         self.in_flight = 0
         self.exchanges: set[Exchange] = set()
         self.stop: PlannedStop | None = None
@@ -123,6 +127,13 @@
         arrives_s = age_s + self.endpoints_took_s
         return self.endpoints_reachable and arrives_s > self.settings.leaving_known_s
 
+    def _era_changed(self, change: EraChange) -> None:
+        self.telemetry.store_restores.inc()
+        if not self.keeper.started:
+            # What was read since this start may be of the copy.
+            self.config_known_at_s = float("-inf")
+        self.endpoints.restored()
+
     def _take_note(self, note: PromptNote | LeaveNote) -> None:
         match note:
             case PromptNote(endpoint_id, work_s):
