--- a/bench/restore_plot.py
+++ b/bench/restore_plot.py
@@ -4,7 +4,7 @@
 _PANELS = (
     ("overspent_tokens", "overspent tokens a run"),
     ("less_delivered", "less delivered, share of the total"),
-    ("normal_again_s", "service is normal again after, s"),
+    ("normal_again_s", "first normal second begins after, s"),
     ("writes_per_s_most", "most writes in a second"),
 )
 
--- a/src/celerytrack/lab/after_return.py
+++ b/src/celerytrack/lab/after_return.py
@@ -24,7 +24,8 @@
 def normal_again_s(
     played: Iterable[Owed], without: Iterable[Owed], back_s: float, ends_s: float
 ) -> float:
-    """How long after ``back_s`` service is as it would be without the fault.
+    """How long after ``back_s`` the first second begins in which service is as it
+    would be without the fault; it may fall again later.
 
     :param played: requests of all runs; ``without`` those of the runs without it.
     :param ends_s: until when runs are compared; if service never is, until then.
