--- a/src/celerytrack/gateway/server.py
+++ b/src/celerytrack/gateway/server.py
@@ -6,14 +6,14 @@
 import pathlib
 import signal
 import time
-from collections.abc import Awaitable, Callable
-from typing import Any
 
 import attrs
 from aiohttp import web
 
 from celerytrack.events import Event, log_event
 from celerytrack.gateway.gifts import answer_gift
+from celerytrack.gateway.leaving import leave, log_stage
+from celerytrack.gateway.listeners import Listeners
 from celerytrack.gateway.pipeline import handle
 from celerytrack.gateway.row_writer import FencedError
 from celerytrack.gateway.state import Gateway
@@ -48,32 +48,9 @@
 """Pause between two reads of the configuration. While large versions follow each other,
 reading without a pause takes all that a narrow link has left, and registrations come
 seconds late."""
-CALLER_IDLE_S = 60.0
-"""Idle time after which a caller's connection is closed: several times as long as
-callers reuse theirs, so that none meets our close."""
-HEADER_BYTES = 65_536
-"""Header bytes taken: four times what callers may send."""
-BODY_BYTES = 16 * 1024 * 1024
-"""Body bytes read before a request is refused as too large, whatever the
-configuration allows: a bound on memory."""
-LAST_ROW_MOST_S = 1.0
-"""Longest wait for the row that gives the unspent tokens back: a slow store takes it
-within that; one that is away is not waited for."""
-LOGGED_MOST = 20
-"""Requests in progress that one log line names."""
-TOLD_TIMES = 3
-"""How often the other entries are told directly: datagrams are lost."""
-TELL_AGAIN_S = 0.1
-LOOK_S = 0.02
-"""How often a planned stop looks whether what it waits for is over."""
-CANCELLED_WITHIN_S = 0.05
-"""How long a request that is in progress when its listener closes may take to end, and
-as long again once it was cancelled."""
 ABORTED_WITHIN_S = 1.0
 """How long an unplanned end may take to close what is open."""
 
-Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
-
 
 class EntryServer:
     """One entry process.
@@ -85,8 +62,7 @@
     def __init__(self, gateway: Gateway, settings_path: pathlib.Path) -> None:
         self._gateway = gateway
         self._settings_path = settings_path
-        self._runners: list[web.ServerRunner] = []
-        self._servers: list[web.Server] = []
+        self._listeners = Listeners()
         self._tasks: list[asyncio.Task[None]] = []
         self._stop = asyncio.Event()
 
@@ -124,38 +100,14 @@
 
     async def _listen(self) -> None:
         settings = self._gateway.settings
-        await self._open(settings.front_address, self._front, True)
-        await self._open(settings.readiness_address, self._readiness)
-        await self._open(settings.directory_address, self._directory)
-        await self._open(settings.peer_address, self._peer)
-        await self._open(settings.metrics_address, self._metrics)
+        listeners = self._listeners
+        await listeners.open(settings.front_address, self._front)
+        await listeners.open(settings.readiness_address, self._readiness)
+        await listeners.open(settings.directory_address, self._directory)
+        await listeners.open(settings.peer_address, self._peer)
+        await listeners.open(settings.metrics_address, self._metrics)
         await self._gateway.notes.open(settings.peer_address)
 
-    async def _open(
-        self, address: str | None, handler: Handler, caller: bool = False
-    ) -> None:
-        if address is None:
-            return
-        host, port = address.rsplit(":", 1)
-        server = web.Server(
-            handler,
-            request_factory=_make_request,
-            access_log=None,
-            handler_cancellation=True,
-            keepalive_timeout=CALLER_IDLE_S,
-            max_line_size=HEADER_BYTES,
-            max_field_size=HEADER_BYTES,
-            auto_decompress=False,
-        )
-        self._servers.append(server)
-        runner = web.ServerRunner(server, shutdown_timeout=CANCELLED_WITHIN_S)
-        await runner.setup()
-        await web.TCPSite(runner, host, int(port), backlog=1024).start()
-        if caller:
-            self._runners.insert(0, runner)
-        else:
-            self._runners.append(runner)
-
     def _start_tasks(self) -> None:
         gateway = self._gateway
         loops = (
@@ -225,47 +177,9 @@
         gateway = self._gateway
         stop = gateway.stop
         assert stop is not None
-        log_event(_log, Event.PROCESS_STOPPING, in_flight=gateway.in_flight)
-        for exchange in gateway.exchanges:
-            exchange.end_by(stop.answers_end_s)
-        gateway.keeper.leave()
-        for _ in range(TOLD_TIMES):
-            gateway.tell_leaving()
-            await asyncio.sleep(TELL_AGAIN_S)
-        await asyncio.sleep(stop.serves_until_s - time.monotonic())
-        self._log_stage(stop, "callers gone")
-        await _until(lambda: not gateway.in_flight, stop.closes_s)
-        gateway.closing = True
-        self._log_stage(stop, "requests over")
-        last_row_s = min(stop.closes_s, time.monotonic() + LAST_ROW_MOST_S)
-        await gateway.keeper.publish_last(last_row_s)
-        self._log_stage(stop, "last row")
-        await _until(lambda: not self._unsent_bytes(), stop.closes_s)
-        self._log_stage(stop, "answers sent")
+        await leave(gateway, stop, self._listeners)
         await self.abort(stop.closing_s)
-        self._log_stage(stop, "closed")
-
-    def _unsent_bytes(self) -> int:
-        """Bytes of answers that have not left this process."""
-        transports = (
-            connection.transport
-            for server in self._servers
-            for connection in server.connections
-        )
-        return sum(t.get_write_buffer_size() for t in transports if t is not None)
-
-    def _log_stage(self, stop: PlannedStop, stage: str) -> None:
-        """Say how far a planned stop is, and which requests it still waits for."""
-        gateway = self._gateway
-        log_event(
-            _log,
-            Event.STOP_STAGE,
-            stage=stage,
-            after_ms=round((time.monotonic() - stop.began_s) * 1_000),
-            in_flight=gateway.in_flight,
-            unsent_bytes=self._unsent_bytes(),
-            requests=[e.facts.request_id for e in gateway.exchanges][:LOGGED_MOST],
-        )
+        log_stage(gateway, stop, self._listeners, "closed")
 
     def stop(self) -> None:
         """Begin a planned stop, as SIGTERM does."""
@@ -283,10 +197,9 @@
         """
         for task in self._tasks:
             task.cancel()
-        closing = asyncio.gather(*(runner.cleanup() for runner in self._runners))
         try:
             async with asyncio.timeout(within_s):
-                await closing
+                await self._listeners.close()
                 await self._gateway.close()
         except TimeoutError:
             log_event(_log, Event.STOP_OVERRAN, logging.WARNING, within_s=within_s)
@@ -306,22 +219,3 @@
         metrics_address=old.metrics_address,
         store_address=old.store_address,
     )
-
-
-async def _until(holds: Callable[[], bool], ends_s: float) -> None:
-    """Wait until ``holds``, but no longer than ``ends_s`` on the steady clock."""
-    while not holds():
-        left_s = ends_s - time.monotonic()
-        if left_s <= 0:
-            return
-        await asyncio.sleep(min(LOOK_S, left_s))
-
-
-def _make_request(
-    message: Any, payload: Any, protocol: Any, writer: Any, task: Any
-) -> web.BaseRequest:
-    # The library takes 1 MiB of a body as a rule; callers may send more.
-    loop = asyncio.get_running_loop()
-    return web.BaseRequest(
-        message, payload, protocol, writer, task, loop, client_max_size=BODY_BYTES
-    )
