A process that ends by itself answers what is in progress first

A task that ends (fenced, or by an error) ended the process without closing anything: what was in progress was cut by the exit. Change: nothing more is taken, requests in progress end by the scope that they have (a call: 504, a stream: cut, what was not sent: refused as not run), within 0.2 s, then listeners and connections close. A fenced process may not serve on for longer: the later start counts on its end. Evidence: tests.test_own_end, real processes: the case of calls failed before, (None, False) four times; three runs of three pass after. tests.test_gateway 43 and test_planned_stop 32: ok.

--- a/src/celerytrack/gateway/leaving.py
+++ b/src/celerytrack/gateway/leaving.py
@@ -20,6 +20,8 @@
 TOLD_TIMES = 3
 """How often the other entries are told directly: datagrams are lost."""
 TELL_AGAIN_S = 0.1
+ANSWERED_WITHIN_S = 0.2
+"""How long requests that an unplanned end ends may take to be answered."""
 LOOK_S = 0.02
 """How often a planned stop looks whether what it waits for is over."""
 
@@ -45,6 +47,16 @@
     log_stage(gateway, stop, listeners, "answers sent")
 
 
+async def end_now(gateway: Gateway, now_s: float) -> None:
+    """End the requests in progress, each with an answer, and take nothing more: a
+    process that was fenced may not serve on."""
+    gateway.stop = PlannedStop(now_s, 0.0)
+    gateway.closing = True
+    for exchange in gateway.exchanges:
+        exchange.end_by(now_s)
+    await _until(lambda: not gateway.in_flight, now_s + ANSWERED_WITHIN_S)
+
+
 def log_stage(
     gateway: Gateway, stop: PlannedStop, listeners: Listeners, stage: str
 ) -> None:
--- a/src/celerytrack/gateway/server.py
+++ b/src/celerytrack/gateway/server.py
@@ -12,7 +12,7 @@
 
 from celerytrack.events import Event, log_event
 from celerytrack.gateway.gifts import answer_gift
-from celerytrack.gateway.leaving import leave, log_stage
+from celerytrack.gateway.leaving import end_now, leave, log_stage
 from celerytrack.gateway.listeners import Listeners
 from celerytrack.gateway.pipeline import handle
 from celerytrack.gateway.row_writer import FencedError
@@ -82,7 +82,9 @@
             [stopped, *self._tasks], return_when=asyncio.FIRST_COMPLETED
         )
         if stopped not in done:
-            return self._task_ended(done)
+            status = self._task_ended(done)
+            await self._end_now()
+            return status
         await self._leave()
         log_event(_log, Event.PROCESS_STOPPED, in_flight=self._gateway.in_flight)
         return 0
@@ -181,6 +183,10 @@
         await self.abort(stop.closing_s)
         log_stage(gateway, stop, self._listeners, "closed")
 
+    async def _end_now(self) -> None:
+        await end_now(self._gateway, time.monotonic())
+        await self.abort()
+
     def stop(self) -> None:
         """Begin a planned stop, as SIGTERM does."""
         gateway = self._gateway
--- /dev/null
+++ b/tests/test_own_end.py
@@ -0,0 +1,39 @@
+"""Ends of a process that it did not plan, beside requests in progress."""
+
+import asyncio
+import unittest
+
+from nose2.tools import params
+
+from celerytrack.platform.topics import ENTRIES_TOPIC
+from tests.gateway_fleet import Script
+from tests.test_planned_stop import Site, _long_stream, _slow_answer
+
+
+class FencedTest(unittest.TestCase):
+    @params(
+        # what is in progress, the answer's status, whether it is whole
+        (_long_stream, "/stream/x", 200, False),
+        (_slow_answer, "/once/x", 504, True),
+    )
+    def test_what_is_in_progress_is_answered(self, script, path, status, whole):
+        """Guards against connections closed without an answer by a fenced process."""
+        asyncio.run(self._answered(script, path, status, whole))
+
+    async def _answered(
+        self, script: Script, path: str, status: int, whole: bool
+    ) -> None:
+        async with Site(script) as site:
+            asking = [asyncio.create_task(site.ask(path)) for _ in range(4)]
+            await site.gateway.until(lambda: len(site.endpoint.seen) == 4, 3.0)
+            producers = site.log.topic(ENTRIES_TOPIC).producers
+            for name, (epoch, number) in list(producers.items()):
+                producers[name] = (epoch + 1, number)
+            self.assertEqual(await site.gateway.ended(3.0), 1)
+            outcomes = await asyncio.gather(*asking)
+            got = [(outcome.status, outcome.whole) for outcome in outcomes]
+            self.assertEqual(got, [(status, whole)] * 4)
+
+
+if __name__ == "__main__":
+    unittest.main()
