--- a/src/celerytrack/members.py
+++ b/src/celerytrack/members.py
@@ -7,17 +7,15 @@
 """
 
 import collections
-import enum
 import math
 import random
 import statistics
-from collections.abc import Mapping
 
 import attrs
 
-from celerytrack.ids import AccountId, EntryId, Zone
+from celerytrack.ids import EntryId, Zone
 from celerytrack.links import least_link_mbps
-from celerytrack.prepaid import Row
+from celerytrack.member import Member, MemberState, older_row
 from celerytrack.row_pace import beat_interval_s
 
 SILENT_BEATS = 3.5
@@ -75,57 +73,6 @@
         return self.taking if self.takes_callers else math.inf
 
 
-class MemberState(enum.Enum):
-    """What an entry says of itself."""
-
-    SERVING = "serving"
-    LEAVING = "leaving"
-
-
-@attrs.frozen
-class Member:
-    """One entry's row.
-
-    :ivar epoch: grows with each start of this entry.
-    :ivar front_address: where callers connect.
-    :ivar peer_address: where other entries connect.
-    :ivar made_s: when the row was made, on the instance's steady clock.
-    :ivar clock_offset_s: its time of day less its steady clock at that moment;
-        it changes when the instance starts anew or its clock is set.
-    :ivar started_s: when this start of the entry began, on the same clock.
-    :ivar left_at_s: when the last row of its earlier start was made, by that
-        start's time of day; ``None`` if there was none.
-    :ivar clock_lead_s: how far its time of day was ahead of the other entries',
-        by their last rows; ``None`` if it had too few to compare with.
-    :ivar link_mbps: what its link carries; 0 if it is not told.
-    :ivar shares: its claims on prepaid totals.
-    """
-
-    entry_id: EntryId
-    epoch: int
-    front_address: str
-    peer_address: str
-    zone: Zone
-    state: MemberState
-    made_s: float = 0.0
-    clock_offset_s: float = 0.0
-    started_s: float = 0.0
-    left_at_s: float | None = None
-    clock_lead_s: float | None = None
-    link_mbps: float = 0.0
-    shares: Mapping[AccountId, Row] = attrs.field(factory=dict)
-
-    @property
-    def made_at_s(self) -> float:
-        """When the row was made, by the instance's time of day."""
-        return self.made_s + self.clock_offset_s
-
-    @property
-    def started_at_s(self) -> float:
-        """When this start began, by the instance's time of day."""
-        return self.started_s + self.clock_offset_s
-
-
 FEWEST_WITNESSES = 2
 """Other entries that must be there to hold a clock against."""
 
@@ -171,6 +118,9 @@
 
     def fold(self, member: Member, now_s: float) -> None:
         """Take a row that was read at ``now_s``."""
+        known = self.member(member.entry_id)
+        if known is not None and older_row(member, known):
+            return
         seen = self._seen.setdefault(member.entry_id, _Seen(member, now_s))
         seen.member = member
         seen.at_s = now_s
@@ -239,6 +189,15 @@
             self._reading_since_s = now_s
         self._read_at_s = now_s
 
+    def lately_written(self) -> set[EntryId]:
+        """The entries that wrote a row shortly before the last read of rows."""
+        limit_s = _silent_s(len(self._seen))
+        return {
+            entry
+            for entry, seen in self._seen.items()
+            if self._read_at_s - seen.at_s <= limit_s
+        }
+
     def read_age_s(self, now_s: float) -> float:
         """How old what is known of the other entries is."""
         return now_s - self._read_at_s
