--- a/src/celerytrack/entry/time_limit.py
+++ b/src/celerytrack/entry/time_limit.py
@@ -2,9 +2,10 @@
 
 import asyncio
 import contextlib
-import time
 from collections.abc import AsyncIterator
 
+from celerytrack.loop_time import loop_time
+
 
 class TimeIsUpError(Exception):
     """The end came before the work was done."""
@@ -25,7 +26,7 @@
         """End what is under way, and what will be begun, at ``until_s``."""
         self._until_s = until_s
         for scope in self._scopes:
-            scope.reschedule(_loop_time(until_s))
+            scope.reschedule(loop_time(until_s))
 
     @contextlib.asynccontextmanager
     async def bounded(self) -> AsyncIterator[None]:
@@ -34,7 +35,7 @@
         :raises TimeIsUpError: if it had to.
         """
         until_s = self._until_s
-        scope = asyncio.timeout_at(None if until_s is None else _loop_time(until_s))
+        scope = asyncio.timeout_at(None if until_s is None else loop_time(until_s))
         self._scopes.add(scope)
         try:
             async with scope:
@@ -45,8 +46,3 @@
             raise
         finally:
             self._scopes.discard(scope)
-
-
-def _loop_time(monotonic_s: float) -> float:
-    loop = asyncio.get_running_loop()
-    return loop.time() + monotonic_s - time.monotonic()
--- a/src/celerytrack/gateway/exchange.py
+++ b/src/celerytrack/gateway/exchange.py
@@ -1,7 +1,6 @@
 """One request on its way: what it asks, what it may still do, what it got."""
 
 import asyncio
-import time
 
 import attrs
 from aiohttp import web
@@ -9,18 +8,13 @@
 
 from celerytrack.endpoint import Choice, Need
 from celerytrack.ids import AccountId, EndpointId, ServiceName
+from celerytrack.loop_time import loop_time
 from celerytrack.platform.http import RequestFacts
 from celerytrack.routes import Route
 from celerytrack.streams import EventCutter
 from celerytrack.verdict import Reason, Verdict
 
 
-def loop_time(monotonic_s: float) -> float:
-    """A time of the steady clock as the event loop counts it."""
-    loop = asyncio.get_running_loop()
-    return loop.time() + monotonic_s - time.monotonic()
-
-
 @attrs.frozen
 class PlainAnswer:
     """An endpoint's whole answer."""
--- a/src/celerytrack/gateway/pipeline.py
+++ b/src/celerytrack/gateway/pipeline.py
@@ -19,7 +19,6 @@
     AttemptFailure,
     Exchange,
     PlainAnswer,
-    loop_time,
 )
 from celerytrack.gateway.outcomes import (
     answered,
@@ -32,6 +31,7 @@
 )
 from celerytrack.gateway.refusals import RefusedError
 from celerytrack.gateway.state import Gateway
+from celerytrack.loop_time import loop_time
 from celerytrack.planned_stop import Lasting, PlannedStop
 from celerytrack.prepaid import Reservation
 from celerytrack.verdict import Reason, Refusal, Verdict, did_not_run, may_have_run
