The two benches in modelled time share their options and their rows' ways

restore_bench had prepaid_bench's parser, its JSON and its plotting step once more. They stand in bench/rows.py now.

--- a/bench/prepaid_bench.py
+++ b/bench/prepaid_bench.py
@@ -6,15 +6,14 @@
 every row.
 """
 
-import argparse
 import concurrent.futures
-import json
 import logging
 import statistics
 import sys
 
 import attrs
 
+from bench.rows import keep_rows, parse_options, print_row
 from celerytrack.lab.prepaid_fleet import PrepaidFleet
 from celerytrack.lab.prepaid_scenarios import (
     TWO_CUTS_THEN_POWER,
@@ -100,15 +99,7 @@
 
 def main() -> int:
     """Run the scenarios and print their rows."""
-    parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("--entries", default="9")
-    parser.add_argument("--seeds", type=int, default=3)
-    parser.add_argument("--only", default="")
-    parser.add_argument("--jobs", type=int, default=4, help="processes at once")
-    parser.add_argument("--json")
-    parser.add_argument("--against", help="rows of an earlier run, to plot beside")
-    parser.add_argument("--plot", help="the picture's file")
-    args = parser.parse_args()
+    args = parse_options(__doc__, entries="9", seeds=3, jobs=4)
     sized = [
         attrs.evolve(scenario, entries=entries)
         for entries in map(int, args.entries.split(","))
@@ -121,13 +112,8 @@
         plays = [[pool.submit(play, s, seed) for seed in seeds] for s in sized]
         for scenario, outcomes in zip(sized, plays, strict=True):
             rows.append(row(scenario, [o.result() for o in outcomes]))
-            print(" ".join(f"{k}={v}" for k, v in rows[-1].items()), flush=True)
-    if args.json:
-        with open(args.json, "w") as file:
-            json.dump(rows, file, indent=1)
-    if args.against and args.plot:
-        with open(args.against) as file:
-            plot(json.load(file), rows, args.plot)
+            print_row(rows[-1])
+    keep_rows(rows, args, plot)
     return 1 if any(r["overspent_tokens"] for r in rows) else 0
 
 
--- a/bench/restore_bench.py
+++ b/bench/restore_bench.py
@@ -7,10 +7,8 @@
 memory.
 """
 
-import argparse
 import concurrent.futures
 import functools
-import json
 import logging
 import math
 import statistics
@@ -19,6 +17,7 @@
 import attrs
 
 from bench.restore_plot import plot
+from bench.rows import keep_rows, parse_options, print_row
 from celerytrack.gateway import share_keeper
 from celerytrack.lab.after_return import Owed, most_writes_per_s, normal_again_s
 from celerytrack.lab.prepaid_fleet import PrepaidFleet
@@ -165,30 +164,17 @@
                 played = [p.result() for p in plays[name]]
                 beside = [p.result() for p in plays[without]]
                 rows.append(row(runs[name], played, beside))
-                print(" ".join(f"{k}={v}" for k, v in rows[-1].items()), flush=True)
+                print_row(rows[-1])
     return rows
 
 
 def main() -> int:
     """Play the runs and print their rows."""
-    parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("--entries", default="9,76,195")
-    parser.add_argument("--seeds", type=int, default=20)
-    parser.add_argument("--only", default="")
-    parser.add_argument("--jobs", type=int, default=3, help="processes at once")
-    parser.add_argument("--json")
-    parser.add_argument("--against", help="rows of an earlier run, to plot beside")
-    parser.add_argument("--plot", help="the picture's file")
-    args = parser.parse_args()
+    args = parse_options(__doc__, entries="9,76,195", seeds=20, jobs=3)
     rows = []
     for entries in map(int, args.entries.split(",")):
         rows += _rows(entries, args.only, args.seeds, args.jobs)
-    if args.json:
-        with open(args.json, "w") as file:
-            json.dump(rows, file, indent=1)
-    if args.against and args.plot:
-        with open(args.against) as file:
-            plot(json.load(file), rows, args.plot)
+    keep_rows(rows, args, plot)
     return 1 if any(_overspent(r) for r in rows) else 0
 
 
--- /dev/null
+++ b/bench/rows.py
@@ -0,0 +1,39 @@
+"""The options of benches that print rows of figures, and what becomes of the rows."""
+
+import argparse
+import json
+from collections.abc import Callable
+
+Row = dict[str, object]
+Plot = Callable[[list[Row], list[Row], str], None]
+"""Takes the rows before, the rows after and the picture's file."""
+
+
+def parse_options(
+    description: str | None, entries: str, seeds: int, jobs: int
+) -> argparse.Namespace:
+    """The options given, with these for those that are not."""
+    parser = argparse.ArgumentParser(description=description)
+    parser.add_argument("--entries", default=entries)
+    parser.add_argument("--seeds", type=int, default=seeds)
+    parser.add_argument("--only", default="")
+    parser.add_argument("--jobs", type=int, default=jobs, help="processes at once")
+    parser.add_argument("--json")
+    parser.add_argument("--against", help="rows of an earlier run, to plot beside")
+    parser.add_argument("--plot", help="the picture's file")
+    return parser.parse_args()
+
+
+def print_row(row: Row) -> None:
+    """Print one row as soon as it is known."""
+    print(" ".join(f"{k}={v}" for k, v in row.items()), flush=True)
+
+
+def keep_rows(rows: list[Row], args: argparse.Namespace, plot: Plot) -> None:
+    """Write and plot the rows as the options ask."""
+    if args.json:
+        with open(args.json, "w") as file:
+            json.dump(rows, file, indent=1)
+    if args.against and args.plot:
+        with open(args.against) as file:
+            plot(json.load(file), rows, args.plot)
