What a request was, and whether its endpoint ended, in the log

Callers saw a 502 or a cut stream; operators saw 703 with the request's id and 'payload not completed'.

Now 703 names the fingerprint of a request that broke (method, host, path, query, caller, body), and 621 endpoint_ended says that the endpoint refuses connections after requests of this entry broke there, and which these were. One connection for each endpoint at which requests break, none otherwise. Nothing decides by it yet.

--- a/src/celerytrack/gateway/exchange.py
+++ b/src/celerytrack/gateway/exchange.py
@@ -7,6 +7,13 @@
 from multidict import CIMultiDict
 
 from celerytrack.endpoint import Choice, Need
+from celerytrack.fingerprint import (
+    Fingerprint,
+    Place,
+    RequestLine,
+    fingerprint_of,
+    place_of,
+)
 from celerytrack.ids import AccountId, EndpointId, ServiceName
 from celerytrack.loop_time import loop_time
 from celerytrack.platform.http import RequestFacts
@@ -42,6 +49,11 @@
     sent: bool = True
     gone: bool = False
 
+    @property
+    def broke(self) -> bool:
+        """Whether the endpoint broke off what it had been sent."""
+        return self.sent and self.hard and self.verdict is Verdict.MAY_HAVE_RUN
+
 
 @attrs.define(eq=False)
 class Exchange:
@@ -80,6 +92,29 @@
     response: web.StreamResponse | None = None
     events: EventCutter = attrs.field(factory=EventCutter)
     scope: asyncio.Timeout | None = None
+    _place: Place | None = None
+    _fingerprint: Fingerprint | None = None
+
+    @property
+    def place(self) -> Place:
+        """The first half of its fingerprint, made when first asked for."""
+        if self._place is None:
+            line = RequestLine(
+                method=self.request.method,
+                host=self.facts.host,
+                path=self.request.raw_path,
+                account=self.account,
+                body_bytes=len(self.body),
+            )
+            self._place = place_of(line)
+        return self._place
+
+    @property
+    def fingerprint(self) -> Fingerprint:
+        """What a repeat of it has as well, made when first asked for."""
+        if self._fingerprint is None:
+            self._fingerprint = fingerprint_of(self.place, self.body)
+        return self._fingerprint
 
     @property
     def need(self) -> Need:
--- a/src/celerytrack/gateway/outcomes.py
+++ b/src/celerytrack/gateway/outcomes.py
@@ -139,4 +139,5 @@
         verdict=failure.verdict.value,
         detail=failure.detail,
         events=exchange.events.events,
+        fingerprint=exchange.fingerprint.hex() if failure.broke else None,
     )
--- a/src/celerytrack/gateway/pipeline.py
+++ b/src/celerytrack/gateway/pipeline.py
@@ -208,6 +208,8 @@
             exchange.unsent += failure.gone or not failure.sent
             attempt_failed(gateway, exchange, endpoint.endpoint_id, failure)
             book.failed(endpoint, failure.hard, time.monotonic())
+            if failure.broke:
+                gateway.ended_endpoints.broke(endpoint, exchange.fingerprint)
             if failure.gone:
                 # While registrations cannot be read, the next request would be sent
                 # there too, and refused if its route allows one attempt.
--- a/src/celerytrack/gateway/state.py
+++ b/src/celerytrack/gateway/state.py
@@ -10,6 +10,7 @@
 from celerytrack.eras import EraChange, EraWatch
 from celerytrack.events import Event, log_event
 from celerytrack.gateway.connections import EndpointConnections
+from celerytrack.gateway.ended_endpoints import EndedEndpoint, EndedEndpoints
 from celerytrack.gateway.exchange import Exchange
 from celerytrack.gateway.gifts import GiftClient
 from celerytrack.gateway.hedged_store import HedgedStore
@@ -88,6 +89,7 @@
         self.durations = Durations()
         self._retries: dict[ServiceName, RetryBudget] = {}
         self.connections = EndpointConnections()
+        self.ended_endpoints = EndedEndpoints(self._endpoint_ended)
 
     @property
     def leaving(self) -> bool:
@@ -134,6 +136,16 @@
             self.config_known_at_s = float("-inf")
         self.endpoints.restored()
 
+    def _endpoint_ended(self, ended: EndedEndpoint) -> None:
+        self.telemetry.endpoints_ended.inc()
+        log_event(
+            _log,
+            Event.ENDPOINT_ENDED,
+            logging.WARNING,
+            endpoint=ended.endpoint.endpoint_id,
+            fingerprints=sorted(f.hex() for f in ended.broken),
+        )
+
     def _take_note(self, note: PromptNote | LeaveNote) -> None:
         match note:
             case PromptNote(endpoint_id, work_s):
@@ -174,6 +186,7 @@
 
     async def close(self) -> None:
         """Close the connections to endpoints and store."""
+        await self.ended_endpoints.close()
         await self.connections.close()
         self.notes.close()
         await self.gifts.close()
--- a/src/celerytrack/gateway/telemetry.py
+++ b/src/celerytrack/gateway/telemetry.py
@@ -29,6 +29,11 @@
             ("endpoint", "reason"),
             registry=self.registry,
         )
+        self.endpoints_ended = prom.Counter(
+            "celerytrack_endpoints_ended_total",
+            "Endpoints that ended while they ran requests of this entry.",
+            registry=self.registry,
+        )
         self.in_flight = prom.Gauge(
             "celerytrack_in_flight", "Requests in progress.", registry=self.registry
         )
