A test that fails: a crashing request ends endpoint after endpoint

Four entries, twelve endpoints, each back under a new id 2 s after it ended; one marked request three times a second at an entry drawn at random, 25 harmless ones beside it.

--- /dev/null
+++ b/tests/crashing_endpoints.py
@@ -0,0 +1,222 @@
+"""Endpoints that a request with a marker in its body ends, and callers that repeat."""
+
+import asyncio
+import itertools
+import random
+import time
+from collections.abc import Awaitable, Callable
+
+import aiohttp
+import attrs
+from aiohttp import web
+
+from celerytrack.platform.topics import ENDPOINTS_TOPIC
+from tests.gateway_fleet import SEAL, Endpoint, Fleet
+
+MARKER = b"crash"
+BACK_AFTER_S = 2.0
+"""How long an ended endpoint is away."""
+LAPSES_AFTER_S = 1.5
+"""When its registration is removed: three heartbeats of half a second."""
+WORK_S = 0.05
+
+
+@attrs.frozen
+class Arrival:
+    """A request that reached an endpoint."""
+
+    at_s: float
+    endpoint: str
+    body: bytes
+
+
+class CrashingEndpoint:
+    """An endpoint that ends as it runs a marked request, and is back under a new id.
+
+    :param work_s: how long a request runs; a marked one ends the endpoint then.
+    :ivar ended: when it ended, each time.
+    """
+
+    def __init__(
+        self,
+        fleet: Fleet,
+        number: int,
+        arrivals: list[Arrival],
+        work_s: float = WORK_S,
+        zone: str = "z",
+    ) -> None:
+        self.ended: list[float] = []
+        self._fleet = fleet
+        self._number = number
+        self._arrivals = arrivals
+        self._work_s = work_s
+        self._zone = zone
+        self._starts = itertools.count(1)
+        self._now: Endpoint | None = None
+        self._runner: web.ServerRunner | None = None
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    async def start(self) -> None:
+        """Listen and register under a new id."""
+        name = f"i-{self._number}-{next(self._starts)}"
+        endpoint = Endpoint(name, self._run)
+        if self._now is not None:
+            endpoint.port = self._now.port
+        self._now = endpoint
+        self._runner = await endpoint.start()
+        record = endpoint.registration(zone=self._zone)
+        self._fleet.log.put(ENDPOINTS_TOPIC, name, record)
+
+    async def stop(self) -> None:
+        """Close it for good."""
+        for task in self._tasks:
+            task.cancel()
+        if self._runner is not None:
+            await self._runner.cleanup()
+
+    async def _run(self, request: web.BaseRequest) -> web.StreamResponse:
+        body = await request.read()
+        assert self._now is not None
+        name = self._now.name
+        self._arrivals.append(Arrival(time.monotonic(), name, body))
+        await asyncio.sleep(self._work_s)
+        if MARKER in body:
+            self._end(name)
+            await asyncio.sleep(60)
+        echo = {"X-Attempt-Id": request.headers["X-Attempt-Id"], **SEAL}
+        return web.Response(body=b"good", headers=echo)
+
+    def _end(self, name: str) -> None:
+        runner = self._runner
+        if runner is None:
+            # A second marked request found it ended.
+            return
+        self._runner = None
+        self.ended.append(time.monotonic())
+        for site in runner.sites:
+            site._server.close()  # type: ignore[attr-defined]
+        assert runner.server is not None
+        for connection in runner.server.connections:
+            if connection.transport is not None:
+                connection.transport.abort()
+        task = asyncio.create_task(self._come_back(runner, name))
+        self._tasks.add(task)
+
+    async def _come_back(self, runner: web.ServerRunner, name: str) -> None:
+        cleanup = asyncio.create_task(runner.cleanup())
+        await asyncio.sleep(LAPSES_AFTER_S)
+        self._fleet.log.put(ENDPOINTS_TOPIC, name, b"")
+        await asyncio.sleep(BACK_AFTER_S - LAPSES_AFTER_S)
+        await cleanup
+        await self.start()
+
+
+@attrs.define
+class Answers:
+    """What callers got, by status."""
+
+    by_status: dict[int, int] = attrs.field(factory=dict)
+
+    @property
+    def asked(self) -> int:
+        """How many were answered, well or not."""
+        return sum(self.by_status.values())
+
+    def add(self, status: int) -> None:
+        """Count one answer; 0 for none."""
+        self.by_status[status] = self.by_status.get(status, 0) + 1
+
+
+class CrashRun:
+    """Callers of harmless requests, and one that repeats a crashing request.
+
+    :param endpoints: how many of them.
+    :ivar started_s: when the first request was sent.
+    :ivar arrivals: the requests that reached endpoints.
+    :ivar marked: answers to the crashing request.
+    :ivar harmless: answers to the others.
+    """
+
+    def __init__(self, fleet: Fleet, endpoints: int, seed: int) -> None:
+        self.fleet = fleet
+        self.arrivals: list[Arrival] = []
+        self.endpoints = [
+            CrashingEndpoint(fleet, i, self.arrivals) for i in range(endpoints)
+        ]
+        self.started_s = time.monotonic()
+        self.marked = Answers()
+        self.harmless = Answers()
+        self._rng = random.Random(seed)
+        self._ids = itertools.count()
+
+    async def __aenter__(self) -> "CrashRun":
+        for endpoint in self.endpoints:
+            await endpoint.start()
+        known = self.fleet.gateways
+        count = len(self.endpoints)
+        await self.fleet.until(
+            lambda: all(len(g.endpoints.ids()) == count for g in known)
+        )
+        self.started_s = time.monotonic()
+        return self
+
+    async def __aexit__(self, *exc: object) -> None:
+        for endpoint in self.endpoints:
+            await endpoint.stop()
+
+    @property
+    def ended(self) -> list[float]:
+        """When endpoints ended, in order, after the start."""
+        ended = (at_s for endpoint in self.endpoints for at_s in endpoint.ended)
+        return sorted(at_s - self.started_s for at_s in ended)
+
+    def marked_after(self, at_s: float) -> list[Arrival]:
+        """Marked requests that reached endpoints later than ``at_s``."""
+        return [
+            arrival
+            for arrival in self.arrivals
+            if MARKER in arrival.body and arrival.at_s - self.started_s > at_s
+        ]
+
+    async def ask(self, answers: Answers, body: bytes, path: str = "/plain/x") -> int:
+        """Send a request to an entry drawn at random; its status, or 0."""
+        gateway = self._rng.randrange(len(self.fleet.gateways))
+        number = next(self._ids)
+        try:
+            status, _, _ = await self.fleet.ask(
+                path, f"r{number}", gateway=gateway, body=body
+            )
+        except aiohttp.ClientError:
+            status = 0
+        answers.add(status)
+        return status
+
+    async def repeat(
+        self, rate_per_s: float, lasts_s: float, send: Callable[[], Awaitable[object]]
+    ) -> None:
+        """Send at a rate, without waiting for the answers, then wait for them."""
+        ends_s = time.monotonic() + lasts_s
+        tasks = []
+        while time.monotonic() < ends_s:
+            tasks.append(asyncio.ensure_future(send()))
+            await asyncio.sleep(self._rng.expovariate(rate_per_s))
+        await asyncio.gather(*tasks)
+
+    async def play(
+        self,
+        lasts_s: float,
+        marked_per_s: float = 3.0,
+        harmless_per_s: float = 25.0,
+        path: str = "/plain/x",
+    ) -> None:
+        """Play both kinds of callers beside each other."""
+        await asyncio.gather(
+            self.repeat(
+                marked_per_s, lasts_s, lambda: self.ask(self.marked, MARKER, path)
+            ),
+            self.repeat(harmless_per_s, lasts_s, self._ask_harmless),
+        )
+
+    async def _ask_harmless(self) -> None:
+        body = b"harmless %d" % next(self._ids)
+        await self.ask(self.harmless, body)
