A request that ends endpoints is remembered, by all entries and on the log

Cause: an entry held a broken attempt against the endpoint alone. The work itself was remembered by nobody, so that each repeat was a new request to each entry. The class is known from poison messages: evidence that belongs to the consumer dies with it.

Evidence now belongs to the request: the endings under which its fingerprint was seen, as a set that only grows, and those forgiven (celerytrack.suspects, without I/O). Each entry tells what it saw in a note, at once, and in a record of its own on the log, which outlives it; an entry serves once it has read all records. One ending: watched, kept apart from other suspects. Two: one entry at a time tries it, said before on the log, at an endpoint that others avoid meanwhile. Three: 429 with Retry-After, at once, by all; one try after 60, 600 and 3,600 s, or at endpoints all of another build, then by an operator's word alone. What ends well anywhere is forgiven.

--- a/src/celerytrack/endpoint.py
+++ b/src/celerytrack/endpoint.py
@@ -28,6 +28,7 @@
     :ivar born_ms: when this start of it began, in Unix milliseconds; it may start
         again under its id, and knows nothing of before then. 0 if not told.
     :ivar sequence: grows with each record of one start.
+    :ivar version: of its software; empty if not told.
     """
 
     endpoint_id: EndpointId
@@ -39,6 +40,12 @@
     cold_s: float = 0.0
     born_ms: int = 0
     sequence: int = 0
+    version: str = ""
+
+    @property
+    def build(self) -> str:
+        """The service and the version of its software."""
+        return f"{self.service} {self.version}"
 
     @property
     def numbered(self) -> bool:
--- a/src/celerytrack/endpoints.py
+++ b/src/celerytrack/endpoints.py
@@ -62,6 +62,9 @@
 FORGOTTEN_MOST = 1_024
 """Endpoints that left of which the last record is remembered, so that an older
 one that lands late does not bring them back."""
+ENDED_S = 4.0
+"""How long an endpoint whose process ended is avoided: its registration stands until
+some heartbeats are missed, and each request sent there loses a connection's time."""
 QUEUE_TIMES = 4.0
 """Work beyond this many times an endpoint's slots is not sent to it."""
 
@@ -136,6 +139,22 @@
         even where its service has no other."""
         self.dropped(endpoint_id, now_s - GONE_GRACE_S)
 
+    def ended(self, endpoint_id: EndpointId, now_s: float) -> None:
+        """The process of an endpoint ended, as far as one entry could see."""
+        known = self._endpoints.get(endpoint_id)
+        if known is not None:
+            avoided_until_s = max(known.avoided_until_s, now_s + ENDED_S)
+            known.avoided_until_s = avoided_until_s
+
+    def superseded(self, endpoint: Endpoint) -> bool:
+        """Whether another start has the id of ``endpoint``."""
+        known = self._endpoints.get(endpoint.endpoint_id)
+        return known is not None and known is not endpoint
+
+    def builds(self, service: ServiceName, now_s: float) -> set[str]:
+        """The builds of the endpoints of ``service`` that take work."""
+        return {e.registration.build for e in self._usable(service, now_s)}
+
     def ids(self) -> list[EndpointId]:
         """The endpoints whose registration stands."""
         return [i for i, e in self._endpoints.items() if e.gone_at_s is None]
--- a/src/celerytrack/gateway/admission.py
+++ b/src/celerytrack/gateway/admission.py
@@ -41,7 +41,7 @@
     :raises RefusedError: saying what is wrong with the request.
     """
     table = gateway.table
-    if table is None or not gateway.endpoints_known:
+    if table is None or not gateway.endpoints_known or not gateway.suspects.started:
         detail = "no configuration read yet"
         raise RefusedError(did_not_run(Reason.NO_CONFIG, SHORTLY_S, detail))
     try:
--- a/src/celerytrack/gateway/ended_endpoints.py
+++ b/src/celerytrack/gateway/ended_endpoints.py
@@ -18,6 +18,10 @@
 CONNECT_PAUSES_S = (0.0, 0.25)
 """When the address is tried: a process that ends may take the connections of others
 a moment longer."""
+ENDING_KNOWN_S = sum(CONNECT_PAUSES_S) + CONNECT_TIMEOUT_S * len(CONNECT_PAUSES_S)
+"""Within it an ended process is known as such."""
+STARTED_AGAIN_S = 3.0
+"""How long a process that starts again at once, under its id, may take to say so."""
 
 
 class AddressState(enum.Enum):
@@ -56,16 +60,27 @@
 class EndedEndpoints:
     """Finds out which endpoints ended under their requests.
 
+    :param superseded: whether another start has the id of an endpoint.
     :param take: told each such endpoint.
     """
 
-    def __init__(self, take: Callable[[EndedEndpoint], None]) -> None:
+    def __init__(
+        self,
+        superseded: Callable[[Endpoint], bool],
+        take: Callable[[EndedEndpoint], None],
+    ) -> None:
+        self._superseded = superseded
         self._take = take
         self._broken: dict[EndpointId, set[Fingerprint]] = {}
         self._tasks: set[asyncio.Task[None]] = set()
 
     def broke(self, endpoint: Endpoint, fingerprint: Fingerprint) -> None:
-        """A request broke at ``endpoint``."""
+        """A request broke at ``endpoint``.
+
+        One that leaves ends by itself, and not by what it runs.
+        """
+        if endpoint.registration.draining or endpoint.gone_at_s is not None:
+            return
         known = self._broken.get(endpoint.endpoint_id)
         if known is not None:
             known.add(fingerprint)
@@ -82,15 +97,22 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
     async def _find_out(self, endpoint: Endpoint) -> None:
-        ended = False
         try:
-            for pause_s in CONNECT_PAUSES_S:
-                await asyncio.sleep(pause_s)
-                state = await try_address(endpoint.registration.address)
-                ended = state is AddressState.REFUSED
-                if ended:
-                    break
+            ended = await self._has_ended(endpoint)
         finally:
-            broken = self._broken.pop(endpoint.endpoint_id)
+            broken = frozenset(self._broken.pop(endpoint.endpoint_id))
+        if not ended:
+            await asyncio.sleep(STARTED_AGAIN_S)
+            ended = self._superseded(endpoint)
         if ended:
-            self._take(EndedEndpoint(endpoint, frozenset(broken)))
+            self._take(EndedEndpoint(endpoint, broken))
+
+    async def _has_ended(self, endpoint: Endpoint) -> bool:
+        for pause_s in CONNECT_PAUSES_S:
+            await asyncio.sleep(pause_s)
+            if self._superseded(endpoint):
+                return True
+            state = await try_address(endpoint.registration.address)
+            if state is AddressState.REFUSED:
+                return True
+        return False
--- a/src/celerytrack/gateway/peer_notes.py
+++ b/src/celerytrack/gateway/peer_notes.py
@@ -8,6 +8,9 @@
 
 A note is one datagram to each entry. One that is lost leaves the others with the
 assumption they had before; nobody waits.
+
+Of requests under which endpoints ended (:mod:`celerytrack.suspects`), as it is seen:
+the log brings that too, and later.
 """
 
 import asyncio
@@ -21,6 +24,13 @@
 
 from celerytrack.events import Event, log_event
 from celerytrack.ids import EndpointId, EntryId
+from celerytrack.platform.suspect_records import (
+    KIND,
+    FindingsError,
+    encode_findings,
+    findings_of,
+)
+from celerytrack.suspects import Findings
 
 _log = logging.getLogger(__name__)
 
@@ -57,14 +67,15 @@
     started_s: float
 
 
-Take = Callable[[PromptNote | LeaveNote], None]
+Note = PromptNote | LeaveNote | Findings
+Take = Callable[[Note], None]
 
 
 class NoteError(ValueError):
     """A datagram that is no note."""
 
 
-def decode_note(data: bytes) -> PromptNote | LeaveNote:
+def decode_note(data: bytes) -> Note:
     """What a datagram tells.
 
     :raises NoteError: naming what is wrong.
@@ -80,9 +91,18 @@
             return PromptNote(EndpointId(endpoint_id), float(work_s))
         case ["leaving", str(entry_id), float(started_s)]:
             return LeaveNote(EntryId(entry_id), started_s)
+        case [kind, *_] if kind == KIND:
+            return _findings(fields)
     raise NoteError(f"no note: {str(fields)[:100]}")
 
 
+def _findings(fields: object) -> Findings:
+    try:
+        return findings_of(fields)
+    except FindingsError as exc:
+        raise NoteError(str(exc)) from None
+
+
 class PeerNotes(asyncio.DatagramProtocol):
     """Owns the socket on which notes are sent and taken.
 
@@ -107,6 +127,10 @@
         """Tell the entries at ``addresses`` that this one leaves."""
         self._send(addresses, msgpack.packb(("leaving", note.entry_id, note.started_s)))
 
+    def tell_findings(self, addresses: Iterable[str], findings: Findings) -> None:
+        """Tell the entries at ``addresses`` of requests that end endpoints."""
+        self._send(addresses, encode_findings(findings))
+
     def _send(self, addresses: Iterable[str], data: bytes) -> None:
         if self._transport is None:
             return
--- a/src/celerytrack/gateway/pipeline.py
+++ b/src/celerytrack/gateway/pipeline.py
@@ -7,6 +7,7 @@
 from aiohttp import web
 from returns.result import Failure, Success
 
+from celerytrack.endpoint import Choice
 from celerytrack.events import Event, log_event
 from celerytrack.gateway.admission import SHORTLY_S, SOON_S, admit, reserve, settle
 from celerytrack.gateway.attempts import (
@@ -31,9 +32,20 @@
 )
 from celerytrack.gateway.refusals import RefusedError
 from celerytrack.gateway.state import Gateway
+from celerytrack.gateway.suspect_gate import (
+    choose,
+    claim,
+    ended_well,
+    held_back,
+    not_sent,
+    release,
+    release_when_known,
+    standing_of,
+)
 from celerytrack.loop_time import loop_time
 from celerytrack.planned_stop import Lasting, PlannedStop
 from celerytrack.prepaid import Reservation
+from celerytrack.suspects import Standing
 from celerytrack.verdict import Reason, Refusal, Verdict, did_not_run, may_have_run
 
 _log = logging.getLogger(__name__)
@@ -64,6 +76,7 @@
         return refuse(gateway, request, None, exc.refusal)
     gateway.exchanges.add(exchange)
     try:
+        _hold_back(gateway, exchange, time.monotonic())
         if gateway.stop is not None:
             _take_leaving(gateway, exchange, gateway.stop, time.monotonic())
         return await _serve(gateway, exchange)
@@ -82,6 +95,15 @@
         gateway.exchanges.discard(exchange)
 
 
+def _hold_back(gateway: Gateway, exchange: Exchange, now_s: float) -> None:
+    """Refuse at once what no endpoint gets.
+
+    :raises RefusedError: if endpoints ended under the request time and again.
+    """
+    if standing_of(gateway, exchange, now_s) is Standing.SHUT_OUT:
+        raise RefusedError(held_back(gateway, exchange, now_s))
+
+
 def _take_leaving(
     gateway: Gateway, exchange: Exchange, stop: PlannedStop, now_s: float
 ) -> None:
@@ -152,7 +174,7 @@
 
 
 def _repeatable(exchange: Exchange, failure: AttemptFailure) -> bool:
-    if failure.reason is Reason.NO_ENDPOINT:
+    if failure.reason in (Reason.NO_ENDPOINT, Reason.QUARANTINED):
         # Nothing changes by asking again at once: the loop would hold the
         # processor until the deadline, and every other request with it.
         return False
@@ -177,16 +199,49 @@
     now_s = time.monotonic()
     if gateway.endpoints_late(now_s):
         return Failure(_not_placed("what is known of endpoints is too old"))
-    table = gateway.table
-    assert table is not None
-    service = table.services.get(exchange.service)
-    connections = service.max_connections if service else 1
-    book = gateway.endpoints
-    chosen = book.choose(
-        exchange.need, gateway.load_times(now_s), connections, exchange.tried, now_s
-    )
+    standing = standing_of(gateway, exchange, now_s)
+    if standing is Standing.SHUT_OUT:
+        return Failure(not_sent(gateway, exchange, now_s))
+    chosen = choose(gateway, exchange, standing, now_s)
     if chosen is None:
         return Failure(_not_placed("none has room"))
+    if standing is Standing.CLEAR:
+        return await _send(gateway, exchange, chosen)
+    if standing is Standing.WATCHED:
+        return await _send_suspect(gateway, exchange, chosen)
+    return await _try_alone(gateway, exchange, chosen)
+
+
+async def _try_alone(
+    gateway: Gateway, exchange: Exchange, chosen: Choice
+) -> AttemptResult:
+    if not await claim(gateway, exchange, chosen.endpoint):
+        return Failure(not_sent(gateway, exchange, time.monotonic()))
+    free = release
+    try:
+        result = await _send_suspect(gateway, exchange, chosen)
+        match result:
+            case Failure(failure) if failure.broke:
+                free = release_when_known
+        return result
+    finally:
+        free(gateway, exchange)
+
+
+async def _send_suspect(
+    gateway: Gateway, exchange: Exchange, chosen: Choice
+) -> AttemptResult:
+    endpoint_id = chosen.endpoint.endpoint_id
+    gateway.suspects_at[endpoint_id] += 1
+    try:
+        return await _send(gateway, exchange, chosen)
+    finally:
+        gateway.suspects_at[endpoint_id] -= 1
+
+
+async def _send(gateway: Gateway, exchange: Exchange, chosen: Choice) -> AttemptResult:
+    now_s = time.monotonic()
+    book = gateway.endpoints
     endpoint = chosen.endpoint
     ran_before = exchange.may_have_run
     exchange.tried.append(endpoint.endpoint_id)
@@ -204,6 +259,7 @@
                 book.failed(endpoint, False, time.monotonic())
             else:
                 book.succeeded(endpoint)
+                ended_well(gateway, exchange)
         case Failure(failure):
             exchange.unsent += failure.gone or not failure.sent
             attempt_failed(gateway, exchange, endpoint.endpoint_id, failure)
@@ -232,7 +288,12 @@
     if exchange.response is not None:
         return cut(gateway, exchange, failure.detail)
     if exchange.may_have_run:
-        raise RefusedError(may_have_run(failure.reason, None, failure.detail))
+        reason = failure.reason
+        if reason is Reason.QUARANTINED:
+            reason = Reason.UPSTREAM_FAILED
+        raise RefusedError(may_have_run(reason, None, failure.detail))
+    if failure.reason is Reason.QUARANTINED:
+        raise RefusedError(held_back(gateway, exchange, time.monotonic()))
     after_s = SHORTLY_S if failure.reason is Reason.NO_ENDPOINT else SOON_S
     reason = failure.reason
     if reason is Reason.UPSTREAM_FAILED:
--- a/src/celerytrack/gateway/server.py
+++ b/src/celerytrack/gateway/server.py
@@ -114,6 +114,7 @@
         gateway = self._gateway
         loops = (
             gateway.keeper.run(),
+            gateway.suspects.run(),
             self._follow(make_config_tail(gateway), CONFIG_PAUSE_S, CONFIG_WAIT_S),
             self._follow(make_endpoint_tail(gateway), ENDPOINT_POLL_S, 0.0),
         )
--- a/src/celerytrack/gateway/state.py
+++ b/src/celerytrack/gateway/state.py
@@ -1,5 +1,6 @@
 """What one entry process knows, shared by its tasks and handlers."""
 
+import collections
 import logging
 import random
 import time
@@ -9,6 +10,7 @@
 from celerytrack.endpoints import EndpointBook
 from celerytrack.eras import EraChange, EraWatch
 from celerytrack.events import Event, log_event
+from celerytrack.fingerprint import Fingerprint
 from celerytrack.gateway.connections import EndpointConnections
 from celerytrack.gateway.ended_endpoints import EndedEndpoint, EndedEndpoints
 from celerytrack.gateway.exchange import Exchange
@@ -17,10 +19,12 @@
 from celerytrack.gateway.peer_notes import (
     NOTE_LEAST_S,
     LeaveNote,
+    Note,
     PeerNotes,
     PromptNote,
 )
 from celerytrack.gateway.share_keeper import ShareKeeper
+from celerytrack.gateway.suspect_keeper import SuspectKeeper
 from celerytrack.gateway.telemetry import Telemetry
 from celerytrack.ids import EndpointId, EntryId, ServiceName
 from celerytrack.planned_stop import PlannedStop
@@ -28,6 +32,7 @@
 from celerytrack.platform.store import StoreClient
 from celerytrack.retries import RetryBudget
 from celerytrack.routes import RoutingTable
+from celerytrack.suspects import Ending, Findings, Standing, Suspect
 
 _log = logging.getLogger(__name__)
 
@@ -50,6 +55,9 @@
     :ivar endpoints_known_at_s: the same of the endpoints' registrations.
     :ivar endpoints_took_s: how long the last read of them took.
     :ivar endpoints_reachable: whether the last read of them was answered.
+    :ivar suspects: which requests end endpoints.
+    :ivar suspects_at: how many requests under suspicion this entry has at each
+        endpoint.
     """
 
     def __init__(self, settings: ProcessSettings, started_s: float) -> None:
@@ -89,7 +97,19 @@
         self.durations = Durations()
         self._retries: dict[ServiceName, RetryBudget] = {}
         self.connections = EndpointConnections()
-        self.ended_endpoints = EndedEndpoints(self._endpoint_ended)
+        self.ended_endpoints = EndedEndpoints(
+            self.endpoints.superseded, self._endpoint_ended
+        )
+        self.suspects = SuspectKeeper(
+            self.store,
+            self.entry_id,
+            self.boot_id,
+            self.eras,
+            self._tell_findings,
+            self._suspects_changed,
+        )
+        self.suspects_at: collections.Counter[EndpointId] = collections.Counter()
+        self._shut_out: set[Fingerprint] = set()
 
     @property
     def leaving(self) -> bool:
@@ -103,6 +123,7 @@
             not self.leaving
             and self.table is not None
             and self.endpoints_known
+            and self.suspects.started
             and self.keeper.started
         )
 
@@ -145,14 +166,59 @@
             endpoint=ended.endpoint.endpoint_id,
             fingerprints=sorted(f.hex() for f in ended.broken),
         )
+        now_s = time.monotonic()
+        registration = ended.endpoint.registration
+        self.endpoints.ended(registration.endpoint_id, now_s)
+        ending = Ending(
+            registration.endpoint_id, registration.born_ms, registration.build
+        )
+        self.suspects.publish(self.suspects.book.witnessed(ending, ended.broken, now_s))
+        self._suspects_changed()
+
+    def _tell_findings(self, findings: Findings) -> None:
+        members = self.keeper.members.live(time.monotonic())
+        self.suspects.entries = len(members) + 1
+        addresses = [member.peer_address for member in members]
+        self.notes.tell_findings(addresses, findings)
+
+    def _hear_findings(self, findings: Findings) -> None:
+        now_s = time.monotonic()
+        for evidence in findings.seen:
+            self.endpoints.ended(evidence.ending.endpoint_id, now_s)
+        self.suspects.hear(findings)
+
+    def _suspects_changed(self) -> None:
+        """Count those under suspicion, and log who is shut out now."""
+        suspects = self.suspects.book.suspects(time.monotonic())
+        counts = collections.Counter(suspect.standing for suspect in suspects)
+        for standing in (Standing.WATCHED, Standing.ALONE, Standing.SHUT_OUT):
+            self.telemetry.suspects.labels(standing.value).set(counts[standing])
+        for suspect in suspects:
+            if suspect.standing is not Standing.SHUT_OUT:
+                self._shut_out.discard(suspect.fingerprint)
+            elif suspect.fingerprint not in self._shut_out:
+                self._shut_out.add(suspect.fingerprint)
+                self._log_shut_out(suspect)
+
+    def _log_shut_out(self, suspect: Suspect) -> None:
+        log_event(
+            _log,
+            Event.SUSPECT_SHUT_OUT,
+            logging.WARNING,
+            fingerprint=suspect.fingerprint.hex(),
+            endings=[ending.endpoint_id for ending in suspect.endings],
+            free_in_s=suspect.free_in_s,
+        )
 
-    def _take_note(self, note: PromptNote | LeaveNote) -> None:
+    def _take_note(self, note: Note) -> None:
         match note:
             case PromptNote(endpoint_id, work_s):
                 self.endpoints.note(endpoint_id, work_s, time.monotonic())
             case LeaveNote(entry_id, started_s):
                 self.keeper.members.leaving(entry_id, started_s)
                 log_event(_log, Event.PEER_LEAVING, entry=entry_id)
+            case Findings():
+                self._hear_findings(note)
 
     def tell_leaving(self) -> None:
         """Tell the others, who send callers here, that a planned stop has begun."""
--- a/src/celerytrack/gateway/telemetry.py
+++ b/src/celerytrack/gateway/telemetry.py
@@ -34,6 +34,12 @@
             "Endpoints that ended while they ran requests of this entry.",
             registry=self.registry,
         )
+        self.suspects = prom.Gauge(
+            "celerytrack_suspects",
+            "Requests under which endpoints ended, by what they are taken for.",
+            ("standing",),
+            registry=self.registry,
+        )
         self.in_flight = prom.Gauge(
             "celerytrack_in_flight", "Requests in progress.", registry=self.registry
         )
--- a/src/celerytrack/platform/registry.py
+++ b/src/celerytrack/platform/registry.py
@@ -28,6 +28,9 @@
 _MOST_COLD_MS = 3_600_000
 """Longest time that an endpoint may say to stay slow after its start: an hour."""
 
+_MOST_VERSION = 100
+"""Characters of a version: as many as a digest and a name take."""
+
 
 class RegistrationError(ValueError):
     """A registration cannot be decoded."""
@@ -56,6 +59,7 @@
     )
     sequence: int = attrs.field(default=0, validator=_between(0, 2**63))
     born: int = attrs.field(default=0, validator=_between(0, 2**63))
+    version: str = attrs.field(default="", validator=v.max_len(_MOST_VERSION))
 
 
 _converter = strict_converter(forbid_extra_keys=False)
@@ -80,4 +84,5 @@
         cold_s=record.coldLeftMs / 1_000,
         born_ms=record.born,
         sequence=record.sequence,
+        version=record.version,
     )
--- /dev/null
+++ b/src/celerytrack/platform/suspect_records.py
@@ -0,0 +1,106 @@
+"""What entries tell each other of requests that end endpoints, as bytes."""
+
+import math
+from typing import Any
+
+import msgpack
+
+from celerytrack.fingerprint import BODY_BYTES, PLACE_BYTES, Fingerprint
+from celerytrack.ids import EndpointId, EntryId
+from celerytrack.suspects import Ending, Evidence, Findings, Trial
+
+KIND = "suspects"
+MOST_TEXT = 200
+"""Characters of an id or a build: more would fill an entry's memory."""
+MOST_LASTS_S = 3_600.0
+"""Longest trial that may be told: longer than any request lasts, and a wrong one still
+ends."""
+MOST_ITEMS = 1_000
+"""Endings or trials of one entry: several times what an entry tells."""
+
+
+class FindingsError(ValueError):
+    """Bytes that tell nothing of suspects."""
+
+
+def encode_findings(findings: Findings) -> bytes:
+    """The bytes that :func:`decode_findings` reads."""
+    fields = (
+        KIND,
+        findings.entry_id,
+        [_evidence_fields(evidence) for evidence in findings.seen],
+        [_evidence_fields(evidence) for evidence in findings.forgiven],
+        [(t.fingerprint, t.endpoint_id, t.lasts_s) for t in findings.trials],
+    )
+    return bytes(msgpack.packb(fields))
+
+
+def _evidence_fields(evidence: Evidence) -> tuple[bytes, str, int, str]:
+    ending = evidence.ending
+    return evidence.fingerprint, ending.endpoint_id, ending.born_ms, ending.build
+
+
+def decode_findings(raw: bytes) -> Findings:
+    """Decode what an entry tells.
+
+    :raises FindingsError: naming what is wrong.
+    """
+    try:
+        fields = msgpack.unpackb(raw)
+    except (ValueError, TypeError, RecursionError, msgpack.UnpackException) as exc:
+        raise FindingsError(f"{type(exc).__name__}: {exc}") from None
+    return findings_of(fields)
+
+
+def findings_of(fields: Any) -> Findings:
+    """The findings that unpacked ``fields`` tell.
+
+    :raises FindingsError: naming what is wrong.
+    """
+    match fields:
+        case ["suspects", str(entry_id), list(seen), list(forgiven), list(trials)]:
+            return Findings(
+                EntryId(_short(entry_id)),
+                tuple(_evidence(item) for item in _few(seen)),
+                tuple(_evidence(item) for item in _few(forgiven)),
+                tuple(_trial(item) for item in _few(trials)),
+            )
+    raise FindingsError(f"no findings: {str(fields)[:100]}")
+
+
+def _evidence(item: Any) -> Evidence:
+    match item:
+        case [bytes(fingerprint), str(endpoint_id), int(born_ms), str(build)]:
+            ending = Ending(
+                EndpointId(_short(endpoint_id)), int(born_ms), _short(build)
+            )
+            return Evidence(_fingerprint(fingerprint), ending)
+    raise FindingsError(f"no evidence: {str(item)[:100]}")
+
+
+def _trial(item: Any) -> Trial:
+    match item:
+        case [bytes(fingerprint), str(endpoint_id), int() | float() as lasts_s]:
+            if not (math.isfinite(lasts_s) and 0 <= lasts_s <= MOST_LASTS_S):
+                raise FindingsError(f"a trial lasts 0 to {MOST_LASTS_S:.0f} s")
+            endpoint = EndpointId(_short(endpoint_id))
+            return Trial(_fingerprint(fingerprint), endpoint, float(lasts_s))
+    raise FindingsError(f"no trial: {str(item)[:100]}")
+
+
+def _fingerprint(raw: bytes) -> Fingerprint:
+    if len(raw) != PLACE_BYTES + BODY_BYTES:
+        raise FindingsError(f"a fingerprint has {PLACE_BYTES + BODY_BYTES} bytes")
+    return Fingerprint(raw)
+
+
+def _short(text: str) -> str:
+    if len(text) > MOST_TEXT:
+        raise FindingsError(f"a text has at most {MOST_TEXT} characters")
+    return text
+
+
+def _few(items: list[Any]) -> list[Any]:
+    if len(items) > MOST_ITEMS:
+        raise FindingsError(f"at most {MOST_ITEMS} items, found {len(items)}")
+    return items
--- /dev/null
+++ b/src/celerytrack/suspects.py
@@ -0,0 +1,424 @@
+"""Which requests may have ended the endpoints that ran them, without I/O.
+
+A request that ends what runs it comes again, at any entry, and each endpoint that runs
+it ends too. Evidence therefore belongs to the request, by its fingerprint, and is the
+same at all entries: a set of endings that only grows, and a set of those forgiven.
+
+Harmless requests that ran beside it share the blame. One that ends well anywhere is
+forgiven all of it; one that was there twice is tried alone, by one entry at a time.
+"""
+
+import enum
+from collections.abc import Collection, Iterable, Iterator
+
+import attrs
+
+from celerytrack.fingerprint import Fingerprint, Place, place_in
+from celerytrack.ids import EndpointId, EntryId
+
+ENDINGS_TO_TRY_ALONE = 2
+ENDINGS_TO_SHUT_OUT = 3
+QUARANTINES_S = (60.0, 600.0, 3_600.0)
+"""How long a request is shut out after its third, fourth and fifth ending. After the
+sixth it stays out until an operator lifts it: three tries are what endpoints may lose
+to a request that is known."""
+SUSPECT_KEPT_S = 900.0
+"""How long a request that is not shut out is remembered after its last ending: one that
+comes every few minutes is still known by its third."""
+MOST_SUSPECTS = 4_096
+"""Requests remembered: about a megabyte, and far more than run at the endpoints that
+end within minutes."""
+DROPPED_SHARE = 0.1
+"""Part of them that is forgotten at once when there are more."""
+MOST_TOLD = 64
+"""Endings in an entry's own record: the ones that count most."""
+
+
+class Standing(enum.Enum):
+    """What a request is taken for."""
+
+    CLEAR = "clear"
+    WATCHED = "watched"
+    """An endpoint ended under it, which may have been the doing of another."""
+    ALONE = "alone"
+    """Endpoints ended under it time and again: one entry at a time may try it."""
+    SHUT_OUT = "shut_out"
+    """It is not sent to any endpoint."""
+
+
+@attrs.frozen
+class Ending:
+    """One start of an endpoint ended while it ran requests.
+
+    :ivar born_ms: tells starts under one id apart; 0 if not told.
+    :ivar build: the service and the version of its software.
+    """
+
+    endpoint_id: EndpointId
+    born_ms: int = 0
+    build: str = ""
+
+
+@attrs.frozen
+class Evidence:
+    """An endpoint ended while it ran a request."""
+
+    fingerprint: Fingerprint
+    ending: Ending
+
+
+@attrs.frozen
+class Trial:
+    """An entry tries a request alone.
+
+    :ivar lasts_s: how much longer it may last.
+    """
+
+    fingerprint: Fingerprint
+    endpoint_id: EndpointId
+    lasts_s: float
+
+
+@attrs.frozen
+class Findings:
+    """What an entry tells the others, in a note or in its record.
+
+    :ivar seen: evidence that it saw itself.
+    :ivar forgiven: evidence that counts no more, whoever saw it.
+    :ivar trials: its trials in progress.
+    """
+
+    entry_id: EntryId
+    seen: tuple[Evidence, ...] = ()
+    forgiven: tuple[Evidence, ...] = ()
+    trials: tuple[Trial, ...] = ()
+
+    @property
+    def empty(self) -> bool:
+        """Whether it tells nothing."""
+        return not (self.seen or self.forgiven or self.trials)
+
+
+@attrs.define
+class _Held:
+    """A trial as this entry knows it."""
+
+    entry_id: EntryId
+    endpoint_id: EndpointId
+    ends_s: float
+
+
+@attrs.define
+class _Suspicion:
+    """What is known of one request; endings by when they were heard of."""
+
+    endings: dict[Ending, float] = attrs.field(factory=dict)
+    forgiven: dict[Ending, float] = attrs.field(factory=dict)
+    trial: _Held | None = None
+
+    @property
+    def counted(self) -> list[Ending]:
+        return [ending for ending in self.endings if ending not in self.forgiven]
+
+    @property
+    def last_s(self) -> float:
+        times_s = (*self.endings.values(), *self.forgiven.values())
+        return max(times_s, default=float("-inf"))
+
+    @property
+    def last_counted_s(self) -> float:
+        return max((self.endings[e] for e in self.counted), default=float("-inf"))
+
+
+@attrs.frozen
+class Suspect:
+    """One request under suspicion, for people.
+
+    :ivar since_s: how long ago it was first heard of.
+    :ivar free_in_s: when it may be tried again; ``None`` if only an operator's word
+        helps.
+    """
+
+    fingerprint: Fingerprint
+    standing: Standing
+    endings: tuple[Ending, ...]
+    since_s: float
+    free_in_s: float | None
+
+
+class SuspectBook:
+    """The requests under suspicion, as one entry knows them.
+
+    :param me: this entry.
+    """
+
+    def __init__(self, me: EntryId) -> None:
+        self.me = me
+        self._known: dict[Fingerprint, _Suspicion] = {}
+        self._places: dict[Place, int] = {}
+        self._own: dict[Evidence, float] = {}
+        self._own_forgiven: dict[Evidence, float] = {}
+
+    def __len__(self) -> int:
+        return len(self._known)
+
+    def watches(self, place: Place) -> bool:
+        """Whether some request at ``place`` is known: others need no fingerprint."""
+        return place in self._places
+
+    # -- evidence ------------------------------------------------------------
+
+    def witnessed(
+        self, ending: Ending, fingerprints: Iterable[Fingerprint], now_s: float
+    ) -> Findings:
+        """An endpoint ended under requests of this entry; what to tell the others."""
+        seen = tuple(Evidence(fingerprint, ending) for fingerprint in fingerprints)
+        for evidence in seen:
+            self._own[evidence] = now_s
+            self._blame(evidence, now_s)
+        self.forget(now_s)
+        return Findings(self.me, seen)
+
+    def heard(self, findings: Findings, whole: bool, now_s: float) -> None:
+        """Take what another entry found.
+
+        :param whole: whether it is all that the entry has to tell now.
+        """
+        for evidence in findings.seen:
+            self._blame(evidence, now_s)
+        for evidence in findings.forgiven:
+            self._forgive(evidence, now_s)
+        if whole:
+            self._end_trials_of(findings.entry_id)
+        for trial in findings.trials:
+            self._hear_trial(findings.entry_id, trial, now_s)
+        self.forget(now_s)
+
+    def adopt(self, findings: Findings, now_s: float) -> None:
+        """Take over what an earlier start of this entry found."""
+        for evidence in findings.seen:
+            self._own[evidence] = now_s
+            self._blame(evidence, now_s)
+        for evidence in findings.forgiven:
+            self._own_forgiven[evidence] = now_s
+            self._forgive(evidence, now_s)
+
+    def forgive(self, fingerprint: Fingerprint, now_s: float) -> Findings:
+        """A request ended well, or an operator lifts it; what to tell the others.
+
+        One that was there once is forgiven here alone: nobody holds it back.
+        """
+        suspicion = self._known.get(fingerprint)
+        if suspicion is None:
+            return Findings(self.me)
+        counted = suspicion.counted
+        told = tuple(Evidence(fingerprint, ending) for ending in counted)
+        suspicion.trial = None
+        for evidence in told:
+            self._forgive(evidence, now_s)
+        if len(counted) < ENDINGS_TO_TRY_ALONE:
+            return Findings(self.me)
+        self._own_forgiven.update(dict.fromkeys(told, now_s))
+        return Findings(self.me, forgiven=told)
+
+    # -- decisions -----------------------------------------------------------
+
+    def standing(
+        self, fingerprint: Fingerprint, builds: Collection[str], now_s: float
+    ) -> Standing:
+        """What a request is taken for.
+
+        :param builds: of the endpoints it may be sent to. What ended other builds may
+            be mended in these.
+        """
+        suspicion = self._known.get(fingerprint)
+        counted = suspicion.counted if suspicion else []
+        if suspicion is None or not counted:
+            return Standing.CLEAR
+        if len(counted) < ENDINGS_TO_TRY_ALONE:
+            return Standing.WATCHED
+        if len(counted) < ENDINGS_TO_SHUT_OUT:
+            return Standing.ALONE
+        free_in_s = _free_in_s(suspicion, now_s)
+        if free_in_s is None:
+            return Standing.SHUT_OUT
+        other_builds = builds and not {e.build for e in counted} & set(builds)
+        due = free_in_s <= 0 or other_builds
+        return Standing.ALONE if due else Standing.SHUT_OUT
+
+    def back_in_s(self, fingerprint: Fingerprint, now_s: float) -> float | None:
+        """When a request that is held back may be tried; ``None`` for not by itself."""
+        suspicion = self._known.get(fingerprint)
+        if suspicion is None:
+            return 0.0
+        trial = suspicion.trial
+        trial_s = trial.ends_s - now_s if trial else 0.0
+        if len(suspicion.counted) < ENDINGS_TO_SHUT_OUT:
+            return max(0.0, trial_s)
+        free_in_s = _free_in_s(suspicion, now_s)
+        return None if free_in_s is None else max(0.0, free_in_s, trial_s)
+
+    def claim(self, trial: Trial, now_s: float) -> Findings | None:
+        """Begin to try a request alone, unless it is being tried; what to tell."""
+        suspicion = self._known.get(trial.fingerprint)
+        if suspicion is None or _tried(suspicion, now_s):
+            return None
+        ends_s = now_s + trial.lasts_s
+        suspicion.trial = _Held(self.me, trial.endpoint_id, ends_s)
+        return Findings(self.me, trials=(trial,))
+
+    def holds(self, fingerprint: Fingerprint) -> bool:
+        """Whether this entry tries the request."""
+        suspicion = self._known.get(fingerprint)
+        trial = suspicion.trial if suspicion else None
+        return trial is not None and trial.entry_id == self.me
+
+    def release(self, fingerprint: Fingerprint) -> Findings:
+        """This entry's trial ended and showed nothing; what to tell the others."""
+        suspicion = self._known.get(fingerprint)
+        if suspicion is None or suspicion.trial is None or not self.holds(fingerprint):
+            return Findings(self.me)
+        over = Trial(fingerprint, suspicion.trial.endpoint_id, 0.0)
+        suspicion.trial = None
+        return Findings(self.me, trials=(over,))
+
+    def endpoints_on_trial(self, now_s: float) -> set[EndpointId]:
+        """Where requests are tried alone now."""
+        trials = (s.trial for s in self._known.values())
+        return {t.endpoint_id for t in trials if t is not None and t.ends_s > now_s}
+
+    # -- what is told ----------------------------------------------------------
+
+    def record(self, now_s: float) -> Findings:
+        """All that this entry has to tell, the weightiest first."""
+        self.forget(now_s)
+        seen = sorted(
+            (e for e in self._own if self._counts(e)),
+            key=lambda e: (-len(self._known[e.fingerprint].counted), -self._own[e]),
+        )
+        forgiven = sorted(
+            self._own_forgiven, key=lambda e: self._own_forgiven[e], reverse=True
+        )
+        trials = [
+            Trial(fingerprint, held.endpoint_id, held.ends_s - now_s)
+            for fingerprint, held in self._trials()
+            if held.entry_id == self.me and held.ends_s > now_s
+        ]
+        return Findings(
+            self.me,
+            tuple(seen[:MOST_TOLD]),
+            tuple(forgiven[:MOST_TOLD]),
+            tuple(trials[:MOST_TOLD]),
+        )
+
+    def suspects(self, now_s: float) -> list[Suspect]:
+        """All requests under suspicion, the weightiest first."""
+        found = [
+            Suspect(
+                fingerprint=fingerprint,
+                standing=self.standing(fingerprint, (), now_s),
+                endings=tuple(suspicion.counted),
+                since_s=now_s - min(suspicion.endings.values()),
+                free_in_s=_free_in_s(suspicion, now_s),
+            )
+            for fingerprint, suspicion in self._known.items()
+            if suspicion.counted
+        ]
+        return sorted(found, key=lambda s: -len(s.endings))
+
+    # -- internals ---------------------------------------------------------------
+
+    def forget(self, now_s: float) -> None:
+        """Forget what is old, and the least weighty of what is too much."""
+        old = [f for f, s in self._known.items() if _is_old(s, now_s)]
+        for fingerprint in old:
+            self._drop(fingerprint)
+        if len(self._known) > MOST_SUSPECTS:
+            weight = sorted(self._known, key=lambda f: _weight(self._known[f]))
+            for fingerprint in weight[: int(MOST_SUSPECTS * DROPPED_SHARE)]:
+                self._drop(fingerprint)
+        for own in (self._own, self._own_forgiven):
+            for evidence in [e for e in own if e.fingerprint not in self._known]:
+                del own[evidence]
+
+    def _drop(self, fingerprint: Fingerprint) -> None:
+        del self._known[fingerprint]
+        place = place_in(fingerprint)
+        self._places[place] -= 1
+        if not self._places[place]:
+            del self._places[place]
+
+    def _suspicion(self, fingerprint: Fingerprint) -> _Suspicion:
+        known = self._known.get(fingerprint)
+        if known is None:
+            known = self._known[fingerprint] = _Suspicion()
+            place = place_in(fingerprint)
+            self._places[place] = self._places.get(place, 0) + 1
+        return known
+
+    def _blame(self, evidence: Evidence, now_s: float) -> None:
+        suspicion = self._suspicion(evidence.fingerprint)
+        if evidence.ending in suspicion.endings:
+            return
+        suspicion.endings[evidence.ending] = now_s
+        trial = suspicion.trial
+        if trial is not None and trial.endpoint_id == evidence.ending.endpoint_id:
+            suspicion.trial = None
+
+    def _forgive(self, evidence: Evidence, now_s: float) -> None:
+        suspicion = self._suspicion(evidence.fingerprint)
+        suspicion.forgiven.setdefault(evidence.ending, now_s)
+        if not suspicion.counted:
+            suspicion.trial = None
+
+    def _hear_trial(self, entry_id: EntryId, trial: Trial, now_s: float) -> None:
+        suspicion = self._known.get(trial.fingerprint)
+        if suspicion is None:
+            return
+        held = suspicion.trial
+        if trial.lasts_s <= 0:
+            if held is not None and held.entry_id == entry_id:
+                suspicion.trial = None
+            return
+        # Of two that begin at the same moment all know which goes on.
+        if held is None or held.ends_s <= now_s or entry_id <= held.entry_id:
+            ends_s = now_s + trial.lasts_s
+            suspicion.trial = _Held(entry_id, trial.endpoint_id, ends_s)
+
+    def _end_trials_of(self, entry_id: EntryId) -> None:
+        for suspicion in self._known.values():
+            if suspicion.trial is not None and suspicion.trial.entry_id == entry_id:
+                suspicion.trial = None
+
+    def _trials(self) -> Iterator[tuple[Fingerprint, _Held]]:
+        for fingerprint, suspicion in self._known.items():
+            if suspicion.trial is not None:
+                yield fingerprint, suspicion.trial
+
+    def _counts(self, evidence: Evidence) -> bool:
+        suspicion = self._known.get(evidence.fingerprint)
+        return suspicion is not None and evidence.ending not in suspicion.forgiven
+
+
+def _tried(suspicion: _Suspicion, now_s: float) -> bool:
+    return suspicion.trial is not None and suspicion.trial.ends_s > now_s
+
+
+def _free_in_s(suspicion: _Suspicion, now_s: float) -> float | None:
+    """When a request may be tried again; ``None`` for not by itself."""
+    over = len(suspicion.counted) - ENDINGS_TO_SHUT_OUT
+    if over < 0:
+        return 0.0
+    if over >= len(QUARANTINES_S):
+        return None
+    return suspicion.last_counted_s + QUARANTINES_S[over] - now_s
+
+
+def _is_old(suspicion: _Suspicion, now_s: float) -> bool:
+    if len(suspicion.counted) >= ENDINGS_TO_SHUT_OUT:
+        return False
+    return now_s - suspicion.last_s > SUSPECT_KEPT_S
+
+
+def _weight(suspicion: _Suspicion) -> tuple[int, float]:
+    return len(suspicion.counted), suspicion.last_s
--- a/src/celerytrack/verdict.py
+++ b/src/celerytrack/verdict.py
@@ -38,6 +38,7 @@
     TOKENS_ELSEWHERE = "tokens_elsewhere"
     BODY_TOO_LARGE = "body_too_large"
     QUEUE_TIMEOUT = "queue_timeout"
+    QUARANTINED = "quarantined"
 
 
 _HTTP_STATUS = {
@@ -59,6 +60,7 @@
     Reason.TOKENS_ELSEWHERE: 503,
     Reason.BODY_TOO_LARGE: 413,
     Reason.QUEUE_TIMEOUT: 503,
+    Reason.QUARANTINED: 429,
 }
 
 
--- /dev/null
+++ b/tests/test_suspects.py
@@ -0,0 +1,283 @@
+"""What is concluded from endpoints that end under requests."""
+
+import random
+import unittest
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from nose2.tools import params
+
+from celerytrack.fingerprint import Fingerprint, Place, fingerprint_of, place_in
+from celerytrack.ids import EndpointId, EntryId
+from celerytrack.platform.suspect_records import (
+    FindingsError,
+    decode_findings,
+    encode_findings,
+)
+from celerytrack.suspects import (
+    MOST_SUSPECTS,
+    MOST_TOLD,
+    QUARANTINES_S,
+    SUSPECT_KEPT_S,
+    Ending,
+    Evidence,
+    Findings,
+    Standing,
+    SuspectBook,
+    Trial,
+)
+
+ME = EntryId("e0")
+OTHER = EntryId("e1")
+PLACE = Place(b"place!")
+BAD = fingerprint_of(PLACE, b"bad")
+GOOD = fingerprint_of(PLACE, b"good")
+V1 = "s v1"
+V2 = "s v2"
+
+
+def _ending(number: int, build: str = V1) -> Ending:
+    return Ending(EndpointId(f"i-{number}"), 0, build)
+
+
+def _book(
+    endings: int, fingerprint: Fingerprint = BAD, at_s: float = 0.0
+) -> SuspectBook:
+    book = SuspectBook(ME)
+    for number in range(endings):
+        book.witnessed(_ending(number), [fingerprint], at_s)
+    return book
+
+
+class StandingTest(unittest.TestCase):
+    @params(
+        (0, Standing.CLEAR),
+        (1, Standing.WATCHED),
+        (2, Standing.ALONE),
+        (3, Standing.SHUT_OUT),
+        (6, Standing.SHUT_OUT),
+    )
+    def test_a_request_stands_as_often_as_endpoints_ended(
+        self, endings: int, standing: Standing
+    ) -> None:
+        self.assertEqual(_book(endings).standing(BAD, {V1}, 1.0), standing)
+
+    def test_one_start_that_ended_counts_once_whoever_saw_it(self) -> None:
+        book = _book(1)
+        for entry in "abc":
+            seen = (Evidence(BAD, _ending(0)),)
+            book.heard(Findings(EntryId(entry), seen), False, 1.0)
+        self.assertEqual(book.standing(BAD, {V1}, 1.0), Standing.WATCHED)
+
+    def test_starts_under_one_id_are_told_apart(self) -> None:
+        book = SuspectBook(ME)
+        for born_ms in (1, 2, 3):
+            ending = Ending(EndpointId("i-0"), born_ms, V1)
+            book.witnessed(ending, [BAD], 0.0)
+        self.assertEqual(book.standing(BAD, {V1}, 1.0), Standing.SHUT_OUT)
+
+    def test_evidence_of_entries_that_tried_once_each_adds_up(self) -> None:
+        """One try by each of many entries ended more endpoints than one entry may."""
+        book = SuspectBook(ME)
+        for number in range(3):
+            seen = (Evidence(BAD, _ending(number)),)
+            book.heard(Findings(EntryId(f"x{number}"), seen), False, 0.0)
+        self.assertEqual(book.standing(BAD, {V1}, 1.0), Standing.SHUT_OUT)
+
+    def test_two_crashing_requests_are_both_found_and_what_ends_well_is_not(
+        self,
+    ) -> None:
+        """Harmless requests shared the blame of two that ended endpoints together."""
+        book = SuspectBook(ME)
+        worse = fingerprint_of(PLACE, b"worse")
+        for number in range(3):
+            book.witnessed(_ending(number), [BAD, worse, GOOD], 0.0)
+            book.forgive(GOOD, 0.1)
+        for fingerprint in (BAD, worse):
+            self.assertEqual(book.standing(fingerprint, {V1}, 1.0), Standing.SHUT_OUT)
+        self.assertEqual(book.standing(GOOD, {V1}, 1.0), Standing.CLEAR)
+
+    def test_what_was_forgiven_stays_so_when_it_is_told_again(self) -> None:
+        book = _book(2)
+        book.forgive(BAD, 1.0)
+        seen = tuple(Evidence(BAD, _ending(n)) for n in range(2))
+        book.heard(Findings(OTHER, seen), True, 2.0)
+        self.assertEqual(book.standing(BAD, {V1}, 2.0), Standing.CLEAR)
+
+
+class WayBackTest(unittest.TestCase):
+    @params((3, QUARANTINES_S[0]), (4, QUARANTINES_S[1]), (5, QUARANTINES_S[2]))
+    def test_each_ending_more_shuts_out_for_longer(
+        self, endings: int, lasts_s: float
+    ) -> None:
+        book = _book(endings)
+        self.assertEqual(book.back_in_s(BAD, 0.0), lasts_s)
+        early = book.standing(BAD, {V1}, lasts_s - 0.1)
+        self.assertEqual(early, Standing.SHUT_OUT)
+        self.assertEqual(book.standing(BAD, {V1}, lasts_s), Standing.ALONE)
+
+    def test_after_three_tries_more_only_an_operator_lets_it_back(self) -> None:
+        """Tries of a request that is known ended endpoints for ever, now and then."""
+        book = _book(6)
+        self.assertIsNone(book.back_in_s(BAD, 1e9))
+        self.assertEqual(book.standing(BAD, {V1}, 1e9), Standing.SHUT_OUT)
+        self.assertEqual(book.standing(BAD, {V2}, 1e9), Standing.SHUT_OUT)
+        book.forgive(BAD, 1e9)
+        self.assertEqual(book.standing(BAD, {V1}, 1e9), Standing.CLEAR)
+
+    @params(
+        ({V2}, Standing.ALONE),
+        ({V1, V2}, Standing.SHUT_OUT),
+        (set(), Standing.SHUT_OUT),
+    )
+    def test_other_builds_alone_are_reason_to_try_again(
+        self, builds: set[str], standing: Standing
+    ) -> None:
+        self.assertEqual(_book(3).standing(BAD, builds, 1.0), standing)
+
+    def test_a_try_at_another_build_that_ends_it_is_the_last_for_long(self) -> None:
+        book = _book(3)
+        book.witnessed(_ending(9, V2), [BAD], 1.0)
+        self.assertEqual(book.standing(BAD, {V2}, 2.0), Standing.SHUT_OUT)
+
+
+class TrialTest(unittest.TestCase):
+    def _trial(self, lasts_s: float = 5.0) -> Trial:
+        return Trial(BAD, EndpointId("i-9"), lasts_s)
+
+    def test_one_entry_at_a_time_tries_a_request(self) -> None:
+        book = _book(2)
+        self.assertIsNotNone(book.claim(self._trial(), 0.0))
+        self.assertIsNone(book.claim(self._trial(), 1.0))
+        book.release(BAD)
+        self.assertIsNotNone(book.claim(self._trial(), 2.0))
+
+    def test_a_trial_of_an_entry_that_is_gone_ends(self) -> None:
+        book = _book(2)
+        book.heard(Findings(OTHER, trials=(self._trial(),)), False, 0.0)
+        self.assertIsNone(book.claim(self._trial(), 4.9))
+        self.assertIsNotNone(book.claim(self._trial(), 5.0))
+
+    @params((EntryId("a"), False), (EntryId("z"), True))
+    def test_of_two_trials_begun_together_one_goes_on(
+        self, other: EntryId, mine: bool
+    ) -> None:
+        book = _book(2)
+        book.claim(self._trial(), 0.0)
+        book.heard(Findings(other, trials=(self._trial(),)), False, 0.001)
+        self.assertEqual(book.holds(BAD), mine)
+
+    @params(
+        (
+            "its endpoint ended",
+            lambda b: b.witnessed(Ending(EndpointId("i-9")), [BAD], 1),
+        ),
+        ("it ended well", lambda b: b.forgive(BAD, 1.0)),
+        ("another entry says so", lambda b: b.heard(Findings(ME), True, 1.0)),
+    )
+    def test_a_trial_is_over_when(self, _: str, happens: object) -> None:
+        book = _book(2)
+        book.claim(self._trial(), 0.0)
+        happens(book)  # type: ignore[operator]
+        self.assertFalse(book.holds(BAD))
+        self.assertEqual(book.endpoints_on_trial(1.0), set())
+
+
+class MemoryTest(unittest.TestCase):
+    def test_a_request_that_ended_few_is_forgotten_and_one_shut_out_is_not(
+        self,
+    ) -> None:
+        book = _book(3)
+        book.witnessed(_ending(0), [GOOD], 0.0)
+        book.forget(SUSPECT_KEPT_S + 1)
+        self.assertEqual(len(book), 1)
+        self.assertTrue(book.watches(place_in(BAD)))
+
+    def test_thousands_under_suspicion_leave_the_weightiest(self) -> None:
+        book = _book(3)
+        many = [
+            fingerprint_of(Place(b"other!"), b"%d" % n) for n in range(MOST_SUSPECTS)
+        ]
+        book.witnessed(_ending(7), many, 1.0)
+        self.assertLessEqual(len(book), MOST_SUSPECTS)
+        self.assertEqual(book.standing(BAD, {V1}, 1.0), Standing.SHUT_OUT)
+        record = book.record(1.0)
+        self.assertEqual(len(record.seen), MOST_TOLD)
+        self.assertIn(BAD, {evidence.fingerprint for evidence in record.seen})
+
+    def test_a_start_takes_over_what_the_one_before_found(self) -> None:
+        before = _book(3)
+        book = SuspectBook(ME)
+        book.adopt(before.record(1.0), 0.0)
+        self.assertEqual(book.standing(BAD, {V1}, 1.0), Standing.SHUT_OUT)
+        self.assertEqual(book.record(1.0), before.record(1.0))
+
+    def test_nothing_is_told_when_all_is_forgiven_once(self) -> None:
+        book = _book(1)
+        self.assertTrue(book.forgive(BAD, 1.0).empty)
+        self.assertTrue(book.record(1.0).empty)
+
+
+_EVIDENCE = st.tuples(st.sampled_from((BAD, GOOD)), st.integers(0, 4))
+
+
+class OrderTest(unittest.TestCase):
+    @settings(max_examples=200, deadline=None)
+    @given(
+        seen=st.lists(_EVIDENCE, max_size=12),
+        forgiven=st.lists(_EVIDENCE, max_size=4),
+        seed=st.integers(0, 1_000),
+    )
+    def test_all_come_to_the_same_whatever_order_they_hear_in(
+        self,
+        seen: list[tuple[Fingerprint, int]],
+        forgiven: list[tuple[Fingerprint, int]],
+        seed: int,
+    ) -> None:
+        """A note that came late or twice must not make entries judge differently."""
+        told = [Findings(OTHER, seen=(Evidence(f, _ending(n)),)) for f, n in seen]
+        told += [
+            Findings(OTHER, forgiven=(Evidence(f, _ending(n)),)) for f, n in forgiven
+        ]
+        shuffled = [*told, *told[::2]]
+        random.Random(seed).shuffle(shuffled)
+        books = (SuspectBook(ME), SuspectBook(ME))
+        for book, findings in zip(books, (told, shuffled), strict=True):
+            for one in findings:
+                book.heard(one, False, 0.0)
+        for fingerprint in (BAD, GOOD):
+            standings = {book.standing(fingerprint, {V1}, 1.0) for book in books}
+            self.assertEqual(len(standings), 1)
+
+
+class CodecTest(unittest.TestCase):
+    def test_what_is_told_is_read_as_told(self) -> None:
+        findings = Findings(
+            ME,
+            (Evidence(BAD, _ending(1)),),
+            (Evidence(GOOD, Ending(EndpointId("i-2"), 7, V2)),),
+            (Trial(BAD, EndpointId("i-3"), 2.5),),
+        )
+        self.assertEqual(decode_findings(encode_findings(findings)), findings)
+
+    @params(
+        b"",
+        b"\xc1",
+        b"\x01",
+        b"\x95\xa8suspects\xa1e\x90\x90",
+        b"\x95\xa8suspects\xa1e\x91\x01\x90\x90",
+        b"\x95\xa8suspects\xa1e\x91\x94\xc4\x01x\xa1i\x00\xa1b\x90\x90",
+        b"\x95\xa8suspects\xa1e\x90\x90\x91\x93\xc4\x10" + 16 * b"x" + b"\xa1i\xff",
+    )
+    def test_bytes_that_tell_nothing_are_rejected(self, raw: bytes) -> None:
+        with self.assertRaises(FindingsError):
+            decode_findings(raw)
+
+    @settings(max_examples=200, deadline=None)
+    @given(raw=st.binary(max_size=80))
+    def test_no_bytes_do_harm(self, raw: bytes) -> None:
+        for data in (raw, b"\x95\xa8suspects\xa1e" + raw):
+            try:
+                decode_findings(data)
+            except FindingsError:
+                continue
