--- a/tests/test_outside_records.py
+++ b/tests/test_outside_records.py
@@ -61,6 +61,7 @@
                 draining=False,
                 born_ms=1_788_282_202_008,
                 sequence=7,
+                version="v1",
             ),
         )
 
@@ -71,6 +72,8 @@
         (_record(address="10.0.0.1"), "address"),
         (_record(address="10.0.0.1:99999"), "address"),
         (_record(service=["s"]), "service"),
+        (_record(version=1), "version"),
+        (_record(version="v" * 101), "version"),
         (_without("service"), "service"),
         (_record(slots="64"), "slots"),
         (_record(slots=-1), "slots"),
