Tests of what a request that ends endpoints must answer

Each of the questions on evidence, shared blame, the sum over all entries, the way back and the answer has a test before real entries, with a way lost at a time: notes, or the topic on the log. A trial is claimed by the keeper, which the modelled fleet can use too.

--- a/src/celerytrack/gateway/suspect_gate.py
+++ b/src/celerytrack/gateway/suspect_gate.py
@@ -10,14 +10,11 @@
 from celerytrack.gateway.exchange import AttemptFailure, Exchange
 from celerytrack.gateway.state import Gateway
 from celerytrack.ids import EndpointId
-from celerytrack.routing import rendezvous
 from celerytrack.suspects import Standing, Trial
 from celerytrack.verdict import Reason, Refusal, Verdict, did_not_run
 
 _log = logging.getLogger(__name__)
 
-TOLD_WITHIN_S = 0.5
-"""Longest wait until the others can know of a trial: a slow store answers in less."""
 TRIAL_USUALLY_S = 1.0
 """When to come back while a request is tried: most trials have ended by then."""
 NOT_BY_ITSELF_S = 3_600.0
@@ -89,21 +86,14 @@
 async def claim(gateway: Gateway, exchange: Exchange, endpoint: Endpoint) -> bool:
     """Begin to try a request alone; whether this entry may.
 
-    The others are told before it is sent. While the log takes nothing they may not
-    hear of it: then one entry alone may try.
+    The others are told before it is sent.
     """
-    keeper = gateway.suspects
     now_s = time.monotonic()
     fingerprint = exchange.fingerprint
     trial = Trial(fingerprint, endpoint.endpoint_id, exchange.ends_s - now_s)
-    findings = keeper.book.claim(trial, now_s)
-    if findings is None:
-        return False
-    keeper.publish(findings)
-    told = keeper.writable and await keeper.on_log(TOLD_WITHIN_S)
-    may = keeper.book.holds(fingerprint) and (told or _first_in_line(gateway, exchange))
-    if not may:
-        release(gateway, exchange)
+    members = gateway.keeper.members.live(now_s)
+    others = [member.entry_id for member in members]
+    if not await gateway.suspects.claim(trial, others):
         return False
     log_event(
         _log,
@@ -112,18 +102,10 @@
         request_id=exchange.facts.request_id,
         fingerprint=fingerprint.hex(),
         endpoint=endpoint.endpoint_id,
-        told=told,
     )
     return True
 
 
-def _first_in_line(gateway: Gateway, exchange: Exchange) -> bool:
-    members = gateway.keeper.members.live(time.monotonic())
-    entries = [member.entry_id for member in members]
-    key = exchange.fingerprint.hex()
-    return rendezvous(key, [*entries, gateway.entry_id], 1) == [gateway.entry_id]
-
-
 def release(gateway: Gateway, exchange: Exchange) -> None:
     """A trial showed nothing; another may begin."""
     keeper = gateway.suspects
--- a/src/celerytrack/gateway/suspect_keeper.py
+++ b/src/celerytrack/gateway/suspect_keeper.py
@@ -8,12 +8,13 @@
 import asyncio
 import logging
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 from returns.result import Failure, Success
 
 from celerytrack.eras import EraWatch
 from celerytrack.events import Event, log_event
+from celerytrack.fingerprint import Fingerprint
 from celerytrack.gateway.hedged_store import Store
 from celerytrack.gateway.tail import RETRY_MAX_S, RETRY_S, KeyedTail
 from celerytrack.ids import EntryId
@@ -25,7 +26,8 @@
     encode_findings,
 )
 from celerytrack.platform.topics import SUSPECTS_TOPIC
-from celerytrack.suspects import Findings, SuspectBook
+from celerytrack.routing import rendezvous
+from celerytrack.suspects import Findings, SuspectBook, Trial
 
 _log = logging.getLogger(__name__)
 
@@ -34,6 +36,8 @@
 that is silent is found out within the time in which all must know."""
 READ_PAUSE_S = 0.02
 """Pause between two reads: records that come together are read together."""
+TOLD_WITHIN_S = 0.5
+"""Longest wait until the others can know of a trial: a slow store answers in less."""
 WRITE_PAUSE_S = 0.1
 """Shortest time between two records of this entry."""
 PAUSE_PER_ENTRY_S = 0.002
@@ -76,11 +80,6 @@
         self._due = asyncio.Event()
         self._done = asyncio.Event()
 
-    @property
-    def writable(self) -> bool:
-        """Whether the last append was answered."""
-        return self._writing
-
     async def run(self) -> None:
         """Read what is known, then keep up with it and write for ever."""
         await self._tail.load()
@@ -102,7 +101,32 @@
         self.book.heard(findings, False, time.monotonic())
         self._on_change()
 
-    async def on_log(self, within_s: float) -> bool:
+    async def claim(self, trial: Trial, others: Sequence[EntryId]) -> bool:
+        """Begin to try a request alone; whether this entry may.
+
+        While the log takes nothing, some may not hear of it: then the first in line
+        among the entries alive may, and no other.
+
+        :param others: the other entries alive.
+        """
+        findings = self.book.claim(trial, time.monotonic())
+        if findings is None:
+            return False
+        self.publish(findings)
+        told = self._writing and await self._is_on_log(TOLD_WITHIN_S)
+        may = told or self._first_in_line(trial.fingerprint, others)
+        if may and self.book.holds(trial.fingerprint):
+            return True
+        self.publish(self.book.release(trial.fingerprint))
+        return False
+
+    def _first_in_line(
+        self, fingerprint: Fingerprint, others: Sequence[EntryId]
+    ) -> bool:
+        first = rendezvous(fingerprint.hex(), [*others, self._entry_id], 1)
+        return first == [self._entry_id]
+
+    async def _is_on_log(self, within_s: float) -> bool:
         """Wait until all that was published is on the log; whether it is in time."""
         wanted = self._changes
         try:
--- a/tests/crashing_endpoints.py
+++ b/tests/crashing_endpoints.py
@@ -35,6 +35,8 @@
 
     :param work_s: how long a request runs; a marked one ends the endpoint then.
     :ivar ended: when it ended, each time.
+    :ivar version: of its software, from its next start on.
+    :ivar harmed: whether a marked request ends it.
     """
 
     def __init__(
@@ -43,14 +45,14 @@
         number: int,
         arrivals: list[Arrival],
         work_s: float = WORK_S,
-        zone: str = "z",
     ) -> None:
         self.ended: list[float] = []
         self._fleet = fleet
         self._number = number
         self._arrivals = arrivals
+        self.version = "v1"
+        self.harmed = True
         self._work_s = work_s
-        self._zone = zone
         self._starts = itertools.count(1)
         self._now: Endpoint | None = None
         self._runner: web.ServerRunner | None = None
@@ -64,7 +66,7 @@
             endpoint.port = self._now.port
         self._now = endpoint
         self._runner = await endpoint.start()
-        record = endpoint.registration(zone=self._zone)
+        record = self.registration()
         self._fleet.log.put(ENDPOINTS_TOPIC, name, record)
 
     async def stop(self) -> None:
@@ -75,18 +77,39 @@
             await self._runner.cleanup()
 
     async def _run(self, request: web.BaseRequest) -> web.StreamResponse:
-        body = await request.read()
         assert self._now is not None
+        body = await request.read()
         name = self._now.name
         self._arrivals.append(Arrival(time.monotonic(), name, body))
         await asyncio.sleep(self._work_s)
-        if MARKER in body:
-            self._end(name)
+        if MARKER in body and self.harmed:
+            self.end(name)
             await asyncio.sleep(60)
         echo = {"X-Attempt-Id": request.headers["X-Attempt-Id"], **SEAL}
+        if request.path.startswith(("/stream/", "/resume/")):
+            return await _event(request, echo)
         return web.Response(body=b"good", headers=echo)
 
-    def _end(self, name: str) -> None:
+    @property
+    def listens(self) -> bool:
+        """Whether it has not ended, or is back."""
+        return self._runner is not None
+
+    def registration(self, **fields: object) -> bytes:
+        """Its record, with other ``fields``."""
+        assert self._now is not None
+        return self._now.registration(version=self.version, **fields)
+
+    async def replace(self, version: str) -> None:
+        """Have another build of it in its place, under a new id."""
+        assert self._now is not None and self._runner is not None
+        self._fleet.log.put(ENDPOINTS_TOPIC, self._now.name, b"")
+        await self._runner.cleanup()
+        self.version = version
+        await self.start()
+
+    def end(self, name: str) -> None:
+        """End its process, as start ``name``, and have it back later."""
         runner = self._runner
         if runner is None:
             # A second marked request found it ended.
@@ -111,6 +134,16 @@
         await self.start()
 
 
+async def _event(
+    request: web.BaseRequest, headers: dict[str, str]
+) -> web.StreamResponse:
+    response = web.StreamResponse(headers=headers)
+    response.enable_chunked_encoding()
+    await response.prepare(request)
+    await response.write(b"id: 1\ndata: t1\n\n")
+    return response
+
+
 @attrs.define
 class Answers:
     """What callers got, by status."""
@@ -137,11 +170,13 @@
     :ivar harmless: answers to the others.
     """
 
-    def __init__(self, fleet: Fleet, endpoints: int, seed: int) -> None:
+    def __init__(
+        self, fleet: Fleet, endpoints: int, seed: int, work_s: float = WORK_S
+    ) -> None:
         self.fleet = fleet
         self.arrivals: list[Arrival] = []
         self.endpoints = [
-            CrashingEndpoint(fleet, i, self.arrivals) for i in range(endpoints)
+            CrashingEndpoint(fleet, i, self.arrivals, work_s) for i in range(endpoints)
         ]
         self.started_s = time.monotonic()
         self.marked = Answers()
@@ -178,9 +213,17 @@
             if MARKER in arrival.body and arrival.at_s - self.started_s > at_s
         ]
 
-    async def ask(self, answers: Answers, body: bytes, path: str = "/plain/x") -> int:
-        """Send a request to an entry drawn at random; its status, or 0."""
-        gateway = self._rng.randrange(len(self.fleet.gateways))
+    async def ask(
+        self,
+        answers: Answers,
+        body: bytes,
+        path: str = "/plain/x",
+        gateway: int | None = None,
+    ) -> int:
+        """Send a request, to an entry drawn at random if none is given; its status, or
+        0."""
+        if gateway is None:
+            gateway = self._rng.randrange(len(self.fleet.gateways))
         number = next(self._ids)
         try:
             status, _, _ = await self.fleet.ask(
--- a/tests/gateway_fleet.py
+++ b/tests/gateway_fleet.py
@@ -177,21 +177,21 @@
         self.http = aiohttp.ClientSession(
             connector=aiohttp.TCPConnector(limit=0), auto_decompress=False
         )
+        self._store_port = free_port()
         self._tasks: list[asyncio.Task[int]] = []
         self._runners: list[web.ServerRunner] = []
 
     async def __aenter__(self) -> "Fleet":
-        store_port = free_port()
         runner = web.AppRunner(self.log.make_app(), shutdown_timeout=0.1)
         await runner.setup()
-        await web.TCPSite(runner, "127.0.0.1", store_port).start()
+        await web.TCPSite(runner, "127.0.0.1", self._store_port).start()
         self._runners.append(runner)
         self.log.put(CONFIG_TOPIC, CONFIG_KEY, self.config)
         for endpoint in self.endpoints:
             self._runners.append(await endpoint.start())
             self.log.put(ENDPOINTS_TOPIC, endpoint.name, endpoint.registration())
         for i in range(self.count):
-            self._start_gateway(i, store_port)
+            self._start_gateway(i)
         try:
             await self.until(self._all_ready, self.ready_within_s)
         except BaseException:
@@ -205,7 +205,12 @@
                 raise AssertionError(f"a gateway ended: {task.result()}")
         return all(gateway.ready for gateway in self.gateways)
 
-    def _start_gateway(self, i: int, store_port: int) -> None:
+    async def add_gateway(self) -> None:
+        """Start one more and wait until it serves."""
+        self._start_gateway(len(self.gateways))
+        await self.until(self._all_ready, self.ready_within_s)
+
+    def _start_gateway(self, i: int) -> None:
         settings = ProcessSettings(
             entry_id=f"e{i}",
             ip="127.0.0.1",
@@ -215,7 +220,7 @@
             directory_address=f"127.0.0.1:{free_port()}",
             peer_address=f"127.0.0.1:{free_port()}",
             metrics_address=f"127.0.0.1:{free_port()}",
-            store_address=f"127.0.0.1:{store_port}",
+            store_address=f"127.0.0.1:{self._store_port}",
             grace_s=8.0,
             retry_ratio=0.2,
             retry_slack=50.0,
--- a/tests/keyed_log.py
+++ b/tests/keyed_log.py
@@ -72,6 +72,7 @@
     """The stand-in's state and faults.
 
     :ivar down: every call is refused.
+    :ivar refused: topics of which every call is refused.
     :ivar silent: no call is answered.
     :ivar deaf: reads that are held when it is set are never answered.
     :ivar lose_answers: appends take effect and are not answered.
@@ -85,6 +86,7 @@
         self.era = 1
         self.era_text: Callable[[int], str | None] = str
         self.down = False
+        self.refused: set[str] = set()
         self.deaf = False
         self.silent = False
         self.lose_answers = False
@@ -167,9 +169,12 @@
         while self.silent:
             await asyncio.sleep(0.05)
 
+    def _refuses(self, request: web.Request) -> bool:
+        return self.down or request.query["topic"] in self.refused
+
     async def _append(self, request: web.Request) -> web.Response:
         await self._answering()
-        if self.down:
+        if self._refuses(request):
             return web.Response(status=503)
         topic = self.topic(request.query["topic"])
         name = request.query["producer"]
@@ -197,7 +202,7 @@
 
     async def _read(self, request: web.Request) -> web.StreamResponse:
         await self._answering()
-        if self.down:
+        if self._refuses(request):
             return web.Response(status=503)
         name = request.query["topic"]
         start = int(request.query["from"])
@@ -206,7 +211,7 @@
             await self._wait(name, start, wait_s)
             if self.deaf:
                 await asyncio.sleep(60)
-            if self.down:
+            if self._refuses(request):
                 return web.Response(status=503)
         topic = self.topic(name)
         if not topic.first <= start <= len(topic.records):
@@ -231,7 +236,7 @@
 
     async def _newest(self, request: web.Request) -> web.StreamResponse:
         await self._answering()
-        if self.down:
+        if self._refuses(request):
             return web.Response(status=503)
         topic = self.topic(request.query["topic"])
         entries = [
