A request shut out by mistake is tried again after 20 s

The first quarantine was 60 s: a harmless request that was beside three endings by chance lost a minute. What endpoints may lose is bounded by the number of tries (three), not by the time between them; now 20, 300 and 3,600 s.

--- a/src/celerytrack/suspects.py
+++ b/src/celerytrack/suspects.py
@@ -18,7 +18,7 @@
 
 ENDINGS_TO_TRY_ALONE = 2
 ENDINGS_TO_SHUT_OUT = 3
-QUARANTINES_S = (60.0, 600.0, 3_600.0)
+QUARANTINES_S = (20.0, 300.0, 3_600.0)
 """How long a request is shut out after its third, fourth and fifth ending. After the
 sixth it stays out until an operator lifts it: three tries are what endpoints may lose
 to a request that is known."""
