The modelled fleet before requests that end endpoints

The model of the log holds reads, takes records that drop a key, and sets epochs apart from appends. The options and bars of benches stand once.

--- /dev/null
+++ b/bench/crash_bench.py
@@ -0,0 +1,91 @@
+"""How many endpoints one request ends, in modelled time.
+
+``python -m bench.crash_bench [--entries 9,76,195] [--seeds 20] [--only NAME]
+[--jobs 4] [--json FILE] [--against FILE --plot FILE] [--forgets]`` plays fleets before
+requests that end each endpoint that runs them, with the real keepers of suspects.
+``--forgets`` plays them as if nobody remembered what a request did. A row breaks the
+bound if in some run entries in touch sent such a request to endpoints more than three
+times later than 3 s after the third had ended.
+"""
+
+import concurrent.futures
+import functools
+import logging
+import sys
+
+import attrs
+
+from bench.crash_plot import plot
+from bench.rows import Row, keep_rows, make_parser, print_row
+from celerytrack.gateway import suspect_keeper
+from celerytrack.lab.crash_fleet import CrashFleet
+from celerytrack.lab.crash_scenarios import (
+    CrashFault,
+    CrashOutcome,
+    CrashScenario,
+    summary,
+)
+from celerytrack.lab.virtual_time import run_virtual
+
+RECORDS_MOST = 20_000
+SCENARIOS = (
+    CrashScenario("no fault"),
+    *(CrashScenario(fault.value, faults=(fault,)) for fault in CrashFault),
+    CrashScenario(
+        "no notes, late log", faults=(CrashFault.NO_NOTES, CrashFault.LATE_LOG)
+    ),
+    CrashScenario(
+        "no notes, log away", faults=(CrashFault.NO_NOTES, CrashFault.LOG_AWAY)
+    ),
+    CrashScenario("two crashing", crashing=2),
+    CrashScenario("twenty crashing", crashing=20),
+    CrashScenario("thirty a second", repeats_per_s=30.0),
+)
+
+
+def play(scenario: CrashScenario, seed: int) -> CrashOutcome:
+    """Play one scenario with one seed."""
+    logging.disable(logging.CRITICAL)
+    _decode_once()
+    return run_virtual(CrashFleet(scenario, seed).run())
+
+
+@functools.cache
+def _decode_once() -> None:
+    """Have a record that every entry reads decoded once."""
+    decode = functools.lru_cache(RECORDS_MOST)(suspect_keeper.decode_findings)
+    suspect_keeper.decode_findings = decode  # type: ignore[assignment]
+
+
+def _rows(scenarios: list[CrashScenario], seeds: int, jobs: int) -> list[Row]:
+    rows = []
+    with concurrent.futures.ProcessPoolExecutor(jobs) as pool:
+        plays = [
+            [pool.submit(play, scenario, seed) for seed in range(1, seeds + 1)]
+            for scenario in scenarios
+        ]
+        for scenario, runs in zip(scenarios, plays, strict=True):
+            rows.append(summary(scenario, [run.result() for run in runs]))
+            print_row(rows[-1])
+    return rows
+
+
+def main() -> int:
+    """Play the scenarios and print their rows."""
+    parser = make_parser(__doc__, entries="9,76,195", seeds=20, jobs=4)
+    parser.add_argument("--forgets", action="store_true", help="nothing is remembered")
+    args = parser.parse_args()
+    rows = []
+    for entries in map(int, args.entries.split(",")):
+        scenarios = [
+            attrs.evolve(s, entries=entries, remembers=not args.forgets)
+            for s in SCENARIOS
+            if args.only in s.name
+        ]
+        rows += _rows(scenarios, args.seeds, args.jobs)
+    keep_rows(rows, args, plot)
+    return 1 if any(row["seeds_broken"] for row in rows) else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/bench/prepaid_bench.py
+++ b/bench/prepaid_bench.py
@@ -13,7 +13,7 @@
 
 import attrs
 
-from bench.rows import keep_rows, parse_options, print_row
+from bench.rows import keep_rows, make_parser, print_row
 from celerytrack.lab.prepaid_fleet import PrepaidFleet
 from celerytrack.lab.prepaid_scenarios import (
     TWO_CUTS_THEN_POWER,
@@ -99,7 +99,7 @@
 
 def main() -> int:
     """Run the scenarios and print their rows."""
-    args = parse_options(__doc__, entries="9", seeds=3, jobs=4)
+    args = make_parser(__doc__, entries="9", seeds=3, jobs=4).parse_args()
     sized = [
         attrs.evolve(scenario, entries=entries)
         for entries in map(int, args.entries.split(","))
--- a/bench/restore_bench.py
+++ b/bench/restore_bench.py
@@ -17,7 +17,7 @@
 import attrs
 
 from bench.restore_plot import plot
-from bench.rows import keep_rows, parse_options, print_row
+from bench.rows import keep_rows, make_parser, print_row
 from celerytrack.gateway import share_keeper
 from celerytrack.lab.after_return import Owed, most_writes_per_s, normal_again_s
 from celerytrack.lab.prepaid_fleet import PrepaidFleet
@@ -170,7 +170,7 @@
 
 def main() -> int:
     """Play the runs and print their rows."""
-    args = parse_options(__doc__, entries="9,76,195", seeds=20, jobs=3)
+    args = make_parser(__doc__, entries="9,76,195", seeds=20, jobs=3).parse_args()
     rows = []
     for entries in map(int, args.entries.split(",")):
         rows += _rows(entries, args.only, args.seeds, args.jobs)
--- a/bench/rows.py
+++ b/bench/rows.py
@@ -9,10 +9,10 @@
 """Takes the rows before, the rows after and the picture's file."""
 
 
-def parse_options(
+def make_parser(
     description: str | None, entries: str, seeds: int, jobs: int
-) -> argparse.Namespace:
-    """The options given, with these for those that are not."""
+) -> argparse.ArgumentParser:
+    """Reads the options, with these for those that are not given."""
     parser = argparse.ArgumentParser(description=description)
     parser.add_argument("--entries", default=entries)
     parser.add_argument("--seeds", type=int, default=seeds)
@@ -21,7 +21,7 @@
     parser.add_argument("--json")
     parser.add_argument("--against", help="rows of an earlier run, to plot beside")
     parser.add_argument("--plot", help="the picture's file")
-    return parser.parse_args()
+    return parser
 
 
 def print_row(row: Row) -> None:
--- a/src/celerytrack/lab/model_log.py
+++ b/src/celerytrack/lab/model_log.py
@@ -59,6 +59,7 @@
     records: list[tuple[str, bytes]] = attrs.field(factory=list)
     producers: dict[str, tuple[int, int]] = attrs.field(factory=dict)
     offsets: dict[tuple[str, int, int], int] = attrs.field(factory=dict)
+    changed: asyncio.Event = attrs.field(factory=asyncio.Event)
 
     def copy(self) -> LogCopy:
         """What the log holds now."""
@@ -70,6 +71,7 @@
         self.producers = dict(older.producers)
         self.offsets = dict(older.offsets)
         self.era += 1
+        self.wake_readers()
 
     def append(self, key: str, value: bytes, writer: Writer) -> Result[int, StoreError]:
         """Append one record, in the order of its writer's numbers."""
@@ -77,22 +79,33 @@
         if writer.epoch < epoch:
             return Failure(StoreError(StoreErrorKind.FENCED, "fenced"))
         numbered = (writer.name, writer.epoch, writer.sequence)
-        if value and numbered in self.offsets:
+        if numbered in self.offsets:
             # A repeat gets the answer of the first.
             return Success(self.offsets[numbered])
-        if writer.epoch == epoch and value and writer.sequence != expected:
+        if writer.epoch == epoch and writer.sequence != expected:
             kind = StoreErrorKind.OUT_OF_SEQUENCE
             return Failure(StoreError(kind, "sequence", expected))
-        if not value:
-            self.producers[writer.name] = (writer.epoch, writer.sequence)
-            return Success(len(self.records))
         self.producers[writer.name] = (writer.epoch, writer.sequence + 1)
         self.offsets[numbered] = len(self.records)
         self.records.append((key, value))
         self.appends += 1
         self.bytes_in += len(encode_keyed(key, value))
+        self.wake_readers()
         return Success(len(self.records) - 1)
 
+    def set_epoch(self, writer: Writer) -> Result[None, StoreError]:
+        """Fence off appends of lower epochs of the same writer."""
+        epoch, _ = self.producers.get(writer.name, (0, 0))
+        if writer.epoch < epoch:
+            return Failure(StoreError(StoreErrorKind.FENCED, "fenced"))
+        self.producers[writer.name] = (writer.epoch, writer.sequence)
+        return Success(None)
+
+    def wake_readers(self) -> None:
+        """Have held reads look again."""
+        self.changed.set()
+        self.changed = asyncio.Event()
+
 
 class ModelStore:
     """What the real store client offers, for one entry.
@@ -117,9 +130,21 @@
         wait_s: float = 0.0,
         arriving: asyncio.Event | None = None,
     ) -> Result[Batch, StoreError]:
-        """Records from ``offset`` on."""
+        """Records from ``offset`` on, once there is one or ``wait_s`` have passed."""
+        if wait_s and not self.cut and not self._log.away:
+            await self._hold(offset, wait_s)
         return await self._call(ANSWER_S, lambda: self._records(offset))
 
+    async def _hold(self, offset: int, wait_s: float) -> None:
+        log = self._log
+        era = log.era
+        try:
+            async with asyncio.timeout(wait_s):
+                while offset == len(log.records) and era == log.era:
+                    await log.changed.wait()
+        except TimeoutError:
+            return
+
     async def end(self, topic: str, last_key: str) -> Result[int, StoreError]:
         """The offset behind the last record."""
         log = self._log
@@ -142,8 +167,9 @@
 
     async def set_epoch(self, topic: str, writer: Writer) -> Result[None, StoreError]:
         """Fence off earlier starts."""
-        result = await self.append(topic, writer.name, b"", writer)
-        return result.map(lambda _: None)
+        log = self._log
+        log.asked_s.append(asyncio.get_running_loop().time())
+        return await self._call(ANSWER_S + log.late_s, lambda: log.set_epoch(writer))
 
     async def _call(
         self,
@@ -171,7 +197,7 @@
 
     def _newest(self) -> Result[Batch, StoreError]:
         newest = {key: (i, v) for i, (key, v) in enumerate(self._log.records)}
-        records = tuple(KeyedRecord(i, key, v) for key, (i, v) in newest.items())
+        records = tuple(KeyedRecord(i, key, v) for key, (i, v) in newest.items() if v)
         end = len(self._log.records)
         return Success(Batch(records, end, end, Era(self._log.era)))
 
@@ -181,6 +207,8 @@
             return Failure(StoreError(StoreErrorKind.TRIMMED, "410"))
         found = log.records[offset:]
         log.bytes_out += sum(len(encode_keyed(k, v)) for k, v in found)
-        records = (KeyedRecord(offset + i, k, v) for i, (k, v) in enumerate(found))
+        records = (
+            KeyedRecord(offset + i, k, v or None) for i, (k, v) in enumerate(found)
+        )
         end = offset + len(found)
         return Success(Batch(tuple(records), end, end, Era(log.era)))
