A failure in doubt is not answered with a status that promises

Callers saw 503 of an idempotent call whose first attempt had been sent and broke, when the second found no endpoint or no room; the body said may_have_run, the status that it has not run and never will. Cause: the status followed the reason alone. A verdict in doubt now takes 502 instead of 408, 421, 429 and 503.

--- a/src/celerytrack/gateway/pipeline.py
+++ b/src/celerytrack/gateway/pipeline.py
@@ -288,10 +288,7 @@
     if exchange.response is not None:
         return cut(gateway, exchange, failure.detail)
     if exchange.may_have_run:
-        reason = failure.reason
-        if reason is Reason.QUARANTINED:
-            reason = Reason.UPSTREAM_FAILED
-        raise RefusedError(may_have_run(reason, None, failure.detail))
+        raise RefusedError(may_have_run(failure.reason, None, failure.detail))
     if failure.reason is Reason.QUARANTINED:
         raise RefusedError(held_back(gateway, exchange, time.monotonic()))
     after_s = SHORTLY_S if failure.reason is Reason.NO_ENDPOINT else SOON_S
--- a/src/celerytrack/verdict.py
+++ b/src/celerytrack/verdict.py
@@ -62,6 +62,10 @@
     Reason.QUEUE_TIMEOUT: 503,
     Reason.QUARANTINED: 429,
 }
+_PROMISES = frozenset({408, 421, 429, 503})
+"""Statuses that tell a caller that the request has not run and never will."""
+_IN_DOUBT = 502
+"""The status instead, once it may have: its last attempt found no endpoint, say."""
 
 
 @attrs.frozen
@@ -82,7 +86,10 @@
     @property
     def http_status(self) -> int:
         """The HTTP status code this refusal is sent with."""
-        return _HTTP_STATUS[self.reason]
+        status = _HTTP_STATUS[self.reason]
+        if self.verdict is Verdict.MAY_HAVE_RUN and status in _PROMISES:
+            return _IN_DOUBT
+        return status
 
     def to_json(self) -> dict[str, object]:
         """The JSON body sent to the caller."""
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -223,6 +223,27 @@
                 status, _, body = await fleet.ask("/plain/x", f"r{i}")
                 self.assertEqual((status, body), (200, b"good:body"))
 
+    @params((_truncated, _full), (_truncated, None))
+    def test_no_room_for_a_second_attempt_promises_nothing_of_the_first(
+        self, first, second
+    ):
+        """A 503 said "did not run" of a call whose first attempt may have."""
+        asyncio.run(self._in_doubt(first, second))
+
+    async def _in_doubt(self, first, second):
+        async with _fleet(first) as fleet:
+            if second is not None:
+                other = Endpoint("i-other", second)
+                fleet._runners.append(await other.start())
+                record = other.registration(zone="far")
+                fleet.log.put(ENDPOINTS_TOPIC, other.name, record)
+                known = fleet.gateways[0].endpoints
+                await fleet.until(lambda: len(known.ids()) == 2)
+            status, headers, body = await fleet.ask("/plain/x")
+            self.assertEqual(json.loads(body)["error"]["verdict"], "may_have_run")
+            self.assertEqual(status, 502)
+            self.assertNotIn("Retry-After", headers)
+
 
 class DarkEndpointTest(unittest.IsolatedAsyncioTestCase):
     async def test_without_an_endpoint_it_is_refused_at_once(self):
