celerytrackctl suspects and lift: what is shut out, since when, and the way back

Operators could read in the logs who was shut out, and had no way to let a request back after its last try. Both commands read the entries' records on the log; a lift is a record of the operators' own that forgives what is known of one request, so that entries that start later know it too. Records say when each ending was seen.

--- a/src/celerytrack/cli/ctl.py
+++ b/src/celerytrack/cli/ctl.py
@@ -1,8 +1,9 @@
 """``celerytrackctl``: the operators' tool.
 
 Commands: ``validate``, ``apply``, ``topup``, ``drain``, ``status`` talk to the
-platform log or to entries; ``explain``, ``summary`` and ``slo`` read log lines from
-standard input. None keeps state of its own.
+platform log or to entries, ``suspects`` and ``lift`` to the log of the users' platform;
+``explain``, ``summary`` and ``slo`` read log lines from standard input. None keeps
+state of its own.
 """
 
 import asyncio
@@ -18,6 +19,7 @@
 from returns.result import Failure, Success
 
 from celerytrack.cli.log_commands import ExplainCommand, SloCommand, SummaryCommand
+from celerytrack.cli.suspect_commands import LiftCommand, SuspectsCommand
 from celerytrack.entry.config_follower import CONFIG, config_record
 from celerytrack.entry.ledger_writer import LEDGER
 from celerytrack.logclient import LogClient, LogErrorKind
@@ -292,6 +294,8 @@
         ExplainCommand(),
         SummaryCommand(),
         SloCommand(),
+        SuspectsCommand(),
+        LiftCommand(),
     ):
         app.add(command)
     return app.run()
--- a/src/celerytrack/gateway/suspect_keeper.py
+++ b/src/celerytrack/gateway/suspect_keeper.py
@@ -157,7 +157,7 @@
             await asyncio.sleep(WRITE_PAUSE_S + self.entries * PAUSE_PER_ENTRY_S)
 
     def _value(self) -> bytes:
-        record = self.book.record(time.monotonic())
+        record = self.book.record(time.monotonic(), time.time())
         return b"" if record.empty else encode_findings(record)
 
     async def _append(self, value: bytes) -> None:
--- a/src/celerytrack/platform/suspect_records.py
+++ b/src/celerytrack/platform/suspect_records.py
@@ -1,5 +1,6 @@
 """What entries tell each other of requests that end endpoints, as bytes."""
 
+import itertools
 import math
 from typing import Any
 
@@ -25,10 +26,14 @@
 
 def encode_findings(findings: Findings) -> bytes:
     """The bytes that :func:`decode_findings` reads."""
+    times_s = (*findings.seen_at_s, *itertools.repeat(0, len(findings.seen)))
     fields = (
         KIND,
         findings.entry_id,
-        [_evidence_fields(evidence) for evidence in findings.seen],
+        [
+            (*_evidence_fields(evidence), at_s)
+            for evidence, at_s in zip(findings.seen, times_s, strict=False)
+        ],
         [_evidence_fields(evidence) for evidence in findings.forgiven],
         [(t.fingerprint, t.endpoint_id, t.lasts_s) for t in findings.trials],
     )
@@ -61,9 +66,10 @@
         case ["suspects", str(entry_id), list(seen), list(forgiven), list(trials)]:
             return Findings(
                 EntryId(_short(entry_id)),
-                tuple(_evidence(item) for item in _few(seen)),
+                tuple(_evidence(item[:-1]) for item in _few(seen)),
                 tuple(_evidence(item) for item in _few(forgiven)),
                 tuple(_trial(item) for item in _few(trials)),
+                tuple(_unix_s(item[-1]) for item in seen),
             )
     raise FindingsError(f"no findings: {str(fields)[:100]}")
 
@@ -88,6 +94,12 @@
     raise FindingsError(f"no trial: {str(item)[:100]}")
 
 
+def _unix_s(item: Any) -> int:
+    if type(item) is not int:
+        raise FindingsError(f"no time: {str(item)[:100]}")
+    return item
+
+
 def _fingerprint(raw: bytes) -> Fingerprint:
     if len(raw) != PLACE_BYTES + BODY_BYTES:
         raise FindingsError(f"a fingerprint has {PLACE_BYTES + BODY_BYTES} bytes")
@@ -100,7 +112,9 @@
     return text
 
 
-def _few(items: list[Any]) -> list[Any]:
+def _few(items: list[Any]) -> list[list[Any]]:
     if len(items) > MOST_ITEMS:
         raise FindingsError(f"at most {MOST_ITEMS} items, found {len(items)}")
+    if not all(isinstance(item, list) and item for item in items):
+        raise FindingsError("each item must be a list")
     return items
--- a/src/celerytrack/suspects.py
+++ b/src/celerytrack/suspects.py
@@ -86,12 +86,15 @@
     :ivar seen: evidence that it saw itself.
     :ivar forgiven: evidence that counts no more, whoever saw it.
     :ivar trials: its trials in progress.
+    :ivar seen_at_s: when it saw each evidence, in Unix seconds, for people; none in
+        notes.
     """
 
     entry_id: EntryId
     seen: tuple[Evidence, ...] = ()
     forgiven: tuple[Evidence, ...] = ()
     trials: tuple[Trial, ...] = ()
+    seen_at_s: tuple[int, ...] = ()
 
     @property
     def empty(self) -> bool:
@@ -204,21 +207,27 @@
             self._forgive(evidence, now_s)
 
     def forgive(self, fingerprint: Fingerprint, now_s: float) -> Findings:
-        """A request ended well, or an operator lifts it; what to tell the others.
+        """A request ended well; what to tell the others.
 
         One that was there once is forgiven here alone: nobody holds it back.
         """
         suspicion = self._known.get(fingerprint)
+        once = suspicion and len(suspicion.counted) < ENDINGS_TO_TRY_ALONE
+        findings = self.lift(fingerprint, now_s)
+        if once:
+            return Findings(self.me)
+        self._own_forgiven.update(dict.fromkeys(findings.forgiven, now_s))
+        return findings
+
+    def lift(self, fingerprint: Fingerprint, now_s: float) -> Findings:
+        """Forgive a request all that it is blamed for; what to tell the others."""
+        suspicion = self._known.get(fingerprint)
         if suspicion is None:
             return Findings(self.me)
-        counted = suspicion.counted
-        told = tuple(Evidence(fingerprint, ending) for ending in counted)
+        told = tuple(Evidence(fingerprint, ending) for ending in suspicion.counted)
         suspicion.trial = None
         for evidence in told:
             self._forgive(evidence, now_s)
-        if len(counted) < ENDINGS_TO_TRY_ALONE:
-            return Findings(self.me)
-        self._own_forgiven.update(dict.fromkeys(told, now_s))
         return Findings(self.me, forgiven=told)
 
     # -- decisions -----------------------------------------------------------
@@ -289,8 +298,11 @@
 
     # -- what is told ----------------------------------------------------------
 
-    def record(self, now_s: float) -> Findings:
-        """All that this entry has to tell, the weightiest first."""
+    def record(self, now_s: float, day_s: float = 0.0) -> Findings:
+        """All that this entry has to tell, the weightiest first.
+
+        :param day_s: the time of day, in Unix seconds.
+        """
         self.forget(now_s)
         seen = sorted(
             (e for e in self._own if self._counts(e)),
@@ -304,11 +316,13 @@
             for fingerprint, held in self._trials()
             if held.entry_id == self.me and held.ends_s > now_s
         ]
+        seen = seen[:MOST_TOLD]
         return Findings(
             self.me,
-            tuple(seen[:MOST_TOLD]),
+            tuple(seen),
             tuple(forgiven[:MOST_TOLD]),
             tuple(trials[:MOST_TOLD]),
+            tuple(int(day_s - now_s + self._own[e]) for e in seen),
         )
 
     def suspects(self, now_s: float) -> list[Suspect]:
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -1,15 +1,23 @@
 """Requests that end the endpoints that run them."""
 
 import asyncio
+import datetime
 import time
 import unittest
 
 from aiohttp import web
 from nose2.tools import params
 
+from celerytrack.cli.suspect_commands import (
+    SuspectsError,
+    lift_suspect,
+    read_suspects,
+    suspect_rows,
+)
 from celerytrack.fingerprint import fingerprint_of
 from celerytrack.gateway.state import Gateway
 from celerytrack.ids import AccountId, ServiceName
+from celerytrack.platform.store import StoreClient
 from celerytrack.platform.topics import ENDPOINTS_TOPIC, SUSPECTS_TOPIC
 from celerytrack.suspects import Standing
 from tests.crashing_endpoints import MARKER, Answers, CrashRun
@@ -156,6 +164,29 @@
             await fleet.until(lambda: not any(_known(g) for g in fleet.gateways))
             self.assertEqual(await run.ask(run.marked, MARKER, gateway=0), 200)
 
+    async def test_an_operator_sees_what_is_shut_out_and_lifts_it(self) -> None:
+        """Nobody could tell what was refused, nor let it back."""
+        async with Fleet(gateways=2) as fleet, CrashRun(fleet, 8, seed=12) as run:
+            store = StoreClient(fleet.gateways[0].settings.store_address)
+            self.addAsyncCleanup(store.close)
+            await _convict(fleet, run)
+            view = await read_suspects(store)
+            (suspect,) = view.book.suspects(time.monotonic())
+            (row,) = suspect_rows(view, time.monotonic())
+            self.assertEqual(row["standing"], "shut_out")
+            self.assertEqual(len(row["endings"]), len(suspect.endings))
+            since = datetime.datetime.fromisoformat(row["since"]).timestamp()
+            self.assertAlmostEqual(since, time.time(), delta=10)
+            with self.assertRaises(SuspectsError):
+                await lift_suspect(store, "ff" * 16)
+            await lift_suspect(store, suspect.fingerprint.hex()[:8])
+            await fleet.until(lambda: not any(_known(g) for g in fleet.gateways))
+            await fleet.add_gateway()
+            self.assertEqual(_known(fleet.gateways[2]), [])
+            for endpoint in run.endpoints:
+                endpoint.harmed = False
+            self.assertEqual(await run.ask(run.marked, MARKER, gateway=2), 200)
+
     async def test_a_record_that_is_none_does_no_harm(self) -> None:
         async with Fleet(gateways=1) as fleet, CrashRun(fleet, 6, seed=10) as run:
             fleet.log.put(SUSPECTS_TOPIC, "somebody", b"\x01\x02")
--- a/tests/test_suspects.py
+++ b/tests/test_suspects.py
@@ -257,6 +257,7 @@
             (Evidence(BAD, _ending(1)),),
             (Evidence(GOOD, Ending(EndpointId("i-2"), 7, V2)),),
             (Trial(BAD, EndpointId("i-3"), 2.5),),
+            (1_700_000_000,),
         )
         self.assertEqual(decode_findings(encode_findings(findings)), findings)
 
@@ -266,7 +267,7 @@
         b"\x01",
         b"\x95\xa8suspects\xa1e\x90\x90",
         b"\x95\xa8suspects\xa1e\x91\x01\x90\x90",
-        b"\x95\xa8suspects\xa1e\x91\x94\xc4\x01x\xa1i\x00\xa1b\x90\x90",
+        b"\x95\xa8suspects\xa1e\x91\x95\xc4\x01x\xa1i\x00\xa1b\x00\x90\x90",
         b"\x95\xa8suspects\xa1e\x90\x90\x91\x93\xc4\x10" + 16 * b"x" + b"\xa1i\xff",
     )
     def test_bytes_that_tell_nothing_are_rejected(self, raw: bytes) -> None:
