Trials stand apart from suspicions; who is shut out is looked up for what was found

With anything under suspicion each request walked through all suspects (4,096 at most) to see where one is tried, and each note had all of them counted anew.

--- a/src/celerytrack/gateway/server.py
+++ b/src/celerytrack/gateway/server.py
@@ -160,6 +160,7 @@
         return await answer_gift(self._gateway.keeper.reservations.give, request)
 
     async def _metrics(self, request: web.BaseRequest) -> web.StreamResponse:
+        self._gateway.count_suspects()
         body = self._gateway.telemetry.render()
         return web.Response(body=body, content_type="text/plain")
 
--- a/src/celerytrack/gateway/state.py
+++ b/src/celerytrack/gateway/state.py
@@ -6,6 +6,8 @@
 import time
 import uuid
 
+from cachetools import LRUCache
+
 from celerytrack.durations import Durations
 from celerytrack.endpoints import EndpointBook
 from celerytrack.eras import EraChange, EraWatch
@@ -32,7 +34,7 @@
 from celerytrack.platform.store import StoreClient
 from celerytrack.retries import RetryBudget
 from celerytrack.routes import RoutingTable
-from celerytrack.suspects import Ending, Findings, Standing, Suspect
+from celerytrack.suspects import MOST_SUSPECTS, Ending, Findings, Standing
 
 _log = logging.getLogger(__name__)
 
@@ -106,10 +108,12 @@
             self.boot_id,
             self.eras,
             self._tell_findings,
-            self._suspects_changed,
+            self._log_shut_out,
         )
         self.suspects_at: collections.Counter[EndpointId] = collections.Counter()
-        self._shut_out: set[Fingerprint] = set()
+        self._shut_out: LRUCache[Fingerprint, frozenset[Ending]] = LRUCache(
+            MOST_SUSPECTS
+        )
 
     @property
     def leaving(self) -> bool:
@@ -172,8 +176,9 @@
         ending = Ending(
             registration.endpoint_id, registration.born_ms, registration.build
         )
-        self.suspects.publish(self.suspects.book.witnessed(ending, ended.broken, now_s))
-        self._suspects_changed()
+        found = self.suspects.book.witnessed(ending, ended.broken, now_s)
+        self.suspects.publish(found)
+        self._log_shut_out(found)
 
     def _tell_findings(self, findings: Findings) -> None:
         members = self.keeper.members.live(time.monotonic())
@@ -187,28 +192,32 @@
             self.endpoints.ended(evidence.ending.endpoint_id, now_s)
         self.suspects.hear(findings)
 
-    def _suspects_changed(self) -> None:
-        """Count those under suspicion, and log who is shut out now."""
+    def _log_shut_out(self, findings: Findings) -> None:
+        """Log once who is shut out by what was found."""
+        now_s = time.monotonic()
+        for fingerprint in {evidence.fingerprint for evidence in findings.seen}:
+            suspect = self.suspects.book.suspect(fingerprint, now_s)
+            if suspect.standing is not Standing.SHUT_OUT:
+                continue
+            endings = frozenset(suspect.endings)
+            if self._shut_out.get(fingerprint) == endings:
+                continue
+            self._shut_out[fingerprint] = endings
+            log_event(
+                _log,
+                Event.SUSPECT_SHUT_OUT,
+                logging.WARNING,
+                fingerprint=fingerprint.hex(),
+                endings=[ending.endpoint_id for ending in suspect.endings],
+                free_in_s=suspect.free_in_s,
+            )
+
+    def count_suspects(self) -> None:
+        """Have the metrics tell how many requests are under suspicion."""
         suspects = self.suspects.book.suspects(time.monotonic())
         counts = collections.Counter(suspect.standing for suspect in suspects)
         for standing in (Standing.WATCHED, Standing.ALONE, Standing.SHUT_OUT):
             self.telemetry.suspects.labels(standing.value).set(counts[standing])
-        for suspect in suspects:
-            if suspect.standing is not Standing.SHUT_OUT:
-                self._shut_out.discard(suspect.fingerprint)
-            elif suspect.fingerprint not in self._shut_out:
-                self._shut_out.add(suspect.fingerprint)
-                self._log_shut_out(suspect)
-
-    def _log_shut_out(self, suspect: Suspect) -> None:
-        log_event(
-            _log,
-            Event.SUSPECT_SHUT_OUT,
-            logging.WARNING,
-            fingerprint=suspect.fingerprint.hex(),
-            endings=[ending.endpoint_id for ending in suspect.endings],
-            free_in_s=suspect.free_in_s,
-        )
 
     def _take_note(self, note: Note) -> None:
         match note:
--- a/src/celerytrack/gateway/suspect_keeper.py
+++ b/src/celerytrack/gateway/suspect_keeper.py
@@ -59,7 +59,7 @@
         boot_id: str,
         eras: EraWatch,
         tell: Callable[[Findings], None],
-        on_change: Callable[[], None],
+        on_change: Callable[[Findings], None],
     ) -> None:
         self.book = SuspectBook(entry_id)
         self.started = False
@@ -84,7 +84,6 @@
         """Read what is known, then keep up with it and write for ever."""
         await self._tail.load()
         self.started = True
-        self._on_change()
         async with asyncio.TaskGroup() as tasks:
             tasks.create_task(self._tail.follow(READ_PAUSE_S, READ_WAIT_S))
             tasks.create_task(self._write_for_ever())
@@ -99,7 +98,7 @@
     def hear(self, findings: Findings) -> None:
         """Take a note of another entry."""
         self.book.heard(findings, False, time.monotonic())
-        self._on_change()
+        self._on_change(findings)
 
     async def claim(self, trial: Trial, others: Sequence[EntryId]) -> bool:
         """Begin to try a request alone; whether this entry may.
@@ -214,7 +213,7 @@
             self.book.adopt(findings, now_s)
         else:
             self.book.heard(findings, True, now_s)
-        self._on_change()
+        self._on_change(findings)
 
     def _read_own(self, value: bytes) -> None:
         """An append of before landed late, or the log came back from a copy: what it
--- a/src/celerytrack/lab/crash_entry.py
+++ b/src/celerytrack/lab/crash_entry.py
@@ -94,7 +94,7 @@
             str(self._starts),
             eras,
             lambda findings: self._tell(self, findings),
-            lambda: None,
+            lambda findings: None,
         )
         if self._remembers:
             self._task = on_instance(Clock(), keeper.run())
--- a/src/celerytrack/suspects.py
+++ b/src/celerytrack/suspects.py
@@ -9,7 +9,7 @@
 """
 
 import enum
-from collections.abc import Collection, Iterable, Iterator
+from collections.abc import Collection, Iterable
 
 import attrs
 
@@ -117,7 +117,6 @@
 
     endings: dict[Ending, float] = attrs.field(factory=dict)
     forgiven: dict[Ending, float] = attrs.field(factory=dict)
-    trial: _Held | None = None
 
     @property
     def counted(self) -> list[Ending]:
@@ -137,7 +136,6 @@
 class Suspect:
     """One request under suspicion, for people.
 
-    :ivar since_s: how long ago it was first heard of.
     :ivar free_in_s: when it may be tried again; ``None`` if only an operator's word
         helps.
     """
@@ -145,7 +143,6 @@
     fingerprint: Fingerprint
     standing: Standing
     endings: tuple[Ending, ...]
-    since_s: float
     free_in_s: float | None
 
 
@@ -159,6 +156,7 @@
         self.me = me
         self._known: dict[Fingerprint, _Suspicion] = {}
         self._places: dict[Place, int] = {}
+        self._trials: dict[Fingerprint, _Held] = {}
         self._own: dict[Evidence, float] = {}
         self._own_forgiven: dict[Evidence, float] = {}
 
@@ -192,7 +190,11 @@
         for evidence in findings.forgiven:
             self._forgive(evidence, now_s)
         if whole:
-            self._end_trials_of(findings.entry_id)
+            self._trials = {
+                fingerprint: held
+                for fingerprint, held in self._trials.items()
+                if held.entry_id != findings.entry_id
+            }
         for trial in findings.trials:
             self._hear_trial(findings.entry_id, trial, now_s)
         self.forget(now_s)
@@ -225,7 +227,7 @@
         if suspicion is None:
             return Findings(self.me)
         told = tuple(Evidence(fingerprint, ending) for ending in suspicion.counted)
-        suspicion.trial = None
+        self._trials.pop(fingerprint, None)
         for evidence in told:
             self._forgive(evidence, now_s)
         return Findings(self.me, forgiven=told)
@@ -260,8 +262,8 @@
         suspicion = self._known.get(fingerprint)
         if suspicion is None:
             return 0.0
-        trial = suspicion.trial
-        trial_s = trial.ends_s - now_s if trial else 0.0
+        held = self._trials.get(fingerprint)
+        trial_s = held.ends_s - now_s if held else 0.0
         if len(suspicion.counted) < ENDINGS_TO_SHUT_OUT:
             return max(0.0, trial_s)
         free_in_s = _free_in_s(suspicion, now_s)
@@ -269,32 +271,30 @@
 
     def claim(self, trial: Trial, now_s: float) -> Findings | None:
         """Begin to try a request alone, unless it is being tried; what to tell."""
-        suspicion = self._known.get(trial.fingerprint)
-        if suspicion is None or _tried(suspicion, now_s):
+        held = self._trials.get(trial.fingerprint)
+        if held is not None and held.ends_s > now_s:
             return None
         ends_s = now_s + trial.lasts_s
-        suspicion.trial = _Held(self.me, trial.endpoint_id, ends_s)
+        self._trials[trial.fingerprint] = _Held(self.me, trial.endpoint_id, ends_s)
         return Findings(self.me, trials=(trial,))
 
     def holds(self, fingerprint: Fingerprint) -> bool:
         """Whether this entry tries the request."""
-        suspicion = self._known.get(fingerprint)
-        trial = suspicion.trial if suspicion else None
-        return trial is not None and trial.entry_id == self.me
+        held = self._trials.get(fingerprint)
+        return held is not None and held.entry_id == self.me
 
     def release(self, fingerprint: Fingerprint) -> Findings:
         """This entry's trial ended and showed nothing; what to tell the others."""
-        suspicion = self._known.get(fingerprint)
-        if suspicion is None or suspicion.trial is None or not self.holds(fingerprint):
+        if not self.holds(fingerprint):
             return Findings(self.me)
-        over = Trial(fingerprint, suspicion.trial.endpoint_id, 0.0)
-        suspicion.trial = None
+        held = self._trials.pop(fingerprint)
+        over = Trial(fingerprint, held.endpoint_id, 0.0)
         return Findings(self.me, trials=(over,))
 
     def endpoints_on_trial(self, now_s: float) -> set[EndpointId]:
         """Where requests are tried alone now."""
-        trials = (s.trial for s in self._known.values())
-        return {t.endpoint_id for t in trials if t is not None and t.ends_s > now_s}
+        held = self._trials.values()
+        return {trial.endpoint_id for trial in held if trial.ends_s > now_s}
 
     # -- what is told ----------------------------------------------------------
 
@@ -313,7 +313,7 @@
         )
         trials = [
             Trial(fingerprint, held.endpoint_id, held.ends_s - now_s)
-            for fingerprint, held in self._trials()
+            for fingerprint, held in self._trials.items()
             if held.entry_id == self.me and held.ends_s > now_s
         ]
         seen = seen[:MOST_TOLD]
@@ -327,19 +327,19 @@
 
     def suspects(self, now_s: float) -> list[Suspect]:
         """All requests under suspicion, the weightiest first."""
-        found = [
-            Suspect(
-                fingerprint=fingerprint,
-                standing=self.standing(fingerprint, (), now_s),
-                endings=tuple(suspicion.counted),
-                since_s=now_s - min(suspicion.endings.values()),
-                free_in_s=_free_in_s(suspicion, now_s),
-            )
-            for fingerprint, suspicion in self._known.items()
-            if suspicion.counted
-        ]
+        found = [self.suspect(f, now_s) for f, s in self._known.items() if s.counted]
         return sorted(found, key=lambda s: -len(s.endings))
 
+    def suspect(self, fingerprint: Fingerprint, now_s: float) -> Suspect:
+        """What is known of one request."""
+        suspicion = self._known.get(fingerprint, _Suspicion())
+        return Suspect(
+            fingerprint=fingerprint,
+            standing=self.standing(fingerprint, (), now_s),
+            endings=tuple(suspicion.counted),
+            free_in_s=_free_in_s(suspicion, now_s),
+        )
+
     # -- internals ---------------------------------------------------------------
 
     def forget(self, now_s: float) -> None:
@@ -357,6 +357,7 @@
 
     def _drop(self, fingerprint: Fingerprint) -> None:
         del self._known[fingerprint]
+        self._trials.pop(fingerprint, None)
         place = place_in(fingerprint)
         self._places[place] -= 1
         if not self._places[place]:
@@ -375,49 +376,32 @@
         if evidence.ending in suspicion.endings:
             return
         suspicion.endings[evidence.ending] = now_s
-        trial = suspicion.trial
-        if trial is not None and trial.endpoint_id == evidence.ending.endpoint_id:
-            suspicion.trial = None
+        held = self._trials.get(evidence.fingerprint)
+        if held is not None and held.endpoint_id == evidence.ending.endpoint_id:
+            del self._trials[evidence.fingerprint]
 
     def _forgive(self, evidence: Evidence, now_s: float) -> None:
         suspicion = self._suspicion(evidence.fingerprint)
         suspicion.forgiven.setdefault(evidence.ending, now_s)
         if not suspicion.counted:
-            suspicion.trial = None
+            self._trials.pop(evidence.fingerprint, None)
 
     def _hear_trial(self, entry_id: EntryId, trial: Trial, now_s: float) -> None:
-        suspicion = self._known.get(trial.fingerprint)
-        if suspicion is None:
-            return
-        held = suspicion.trial
+        held = self._trials.get(trial.fingerprint)
         if trial.lasts_s <= 0:
             if held is not None and held.entry_id == entry_id:
-                suspicion.trial = None
+                del self._trials[trial.fingerprint]
             return
         # Of two that begin at the same moment all know which goes on.
         if held is None or held.ends_s <= now_s or entry_id <= held.entry_id:
             ends_s = now_s + trial.lasts_s
-            suspicion.trial = _Held(entry_id, trial.endpoint_id, ends_s)
-
-    def _end_trials_of(self, entry_id: EntryId) -> None:
-        for suspicion in self._known.values():
-            if suspicion.trial is not None and suspicion.trial.entry_id == entry_id:
-                suspicion.trial = None
-
-    def _trials(self) -> Iterator[tuple[Fingerprint, _Held]]:
-        for fingerprint, suspicion in self._known.items():
-            if suspicion.trial is not None:
-                yield fingerprint, suspicion.trial
+            self._trials[trial.fingerprint] = _Held(entry_id, trial.endpoint_id, ends_s)
 
     def _counts(self, evidence: Evidence) -> bool:
         suspicion = self._known.get(evidence.fingerprint)
         return suspicion is not None and evidence.ending not in suspicion.forgiven
 
 
-def _tried(suspicion: _Suspicion, now_s: float) -> bool:
-    return suspicion.trial is not None and suspicion.trial.ends_s > now_s
-
-
 def _free_in_s(suspicion: _Suspicion, now_s: float) -> float | None:
     """When a request may be tried again; ``None`` for not by itself."""
     over = len(suspicion.counted) - ENDINGS_TO_SHUT_OUT
