--- a/src/celerytrack/cli/_serve.py
+++ b/src/celerytrack/cli/_serve.py
@@ -45,12 +45,17 @@
     await runner.setup()
     site = web.TCPSite(runner, host, int(port), reuse_address=True)
     await site.start()
+    await stop_event().wait()
+    await close(runner)
+
+
+def stop_event() -> asyncio.Event:
+    """Set by the signals that ask the process to stop."""
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
     for sig in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(sig, stop.set)
-    await stop.wait()
-    await close(runner)
+    return stop
 
 
 def run(main: Callable[[], Awaitable[None]]) -> None:
--- a/src/celerytrack/cli/load.py
+++ b/src/celerytrack/cli/load.py
@@ -28,6 +28,8 @@
         option("seconds", None, "Longest run.", flag=False, default="10"),
         option("requests", None, "Most arrivals.", flag=False, default="500"),
         option("seed", None, "Random seed.", flag=False, default="1"),
+        option("repeat", None, "Marked requests a second.", flag=False, default="0"),
+        option("marker", None, "The text that marks them.", flag=False, default=""),
         option("json", None, "Print JSON."),
     ]
 
@@ -43,6 +45,8 @@
             float(self.option("seconds")),
             int(self.option("requests")),
             int(self.option("seed")),
+            float(self.option("repeat")),
+            str(self.option("marker")),
         )
         keys = {a.account_id: a.key for a in config.accounts}
         entries = [e.address for e in fleet.entries]
--- a/src/celerytrack/cli/standin.py
+++ b/src/celerytrack/cli/standin.py
@@ -1,14 +1,23 @@
 """``celerytrack-standin``: run a stand-in of the platform or a back end."""
 
+from collections.abc import Callable
+
 from aiohttp import web
 from cleo.application import Application
 from cleo.commands.command import Command
 from cleo.helpers import argument, option
 
-from celerytrack.cli._serve import run, serve
+from celerytrack.cli._serve import run
 from celerytrack.events import setup_logging
-from celerytrack.settings import FleetSettings, SettingsError, load_json
+from celerytrack.settings import (
+    BackendKind,
+    FleetSettings,
+    ReplicaSpec,
+    SettingsError,
+    load_json,
+)
 from celerytrack.standins import engine, instances, log, service, weights
+from celerytrack.standins.ends import MarkedEnd, serve_between_ends
 
 _ROLES = ("log", "instances", "weights", "replica")
 
@@ -53,6 +62,20 @@
             flag=False,
             default="1",
         ),
+        option(
+            "marker",
+            None,
+            "Replica: a request with this text in it ends the process.",
+            flag=False,
+            default="",
+        ),
+        option(
+            "back-s",
+            None,
+            "Replica: seconds until an ended process is back.",
+            flag=False,
+            default="2.0",
+        ),
     ]
 
     def handle(self) -> int:
@@ -63,45 +86,60 @@
         except SettingsError as exc:
             self.line_error(f"<error>settings: {exc}</error>")
             return 2
-        platform = fleet.platform
-        app: web.Application
-        if role == "log":
-            app, address = log.make_app(), platform.log_address
-        elif role == "instances":
-            state = instances.InstancesState(instances.seed(fleet))
-            app, address = instances.make_app(state), platform.instances_address
-        elif role == "weights":
-            app, address = (
-                weights.make_app(weights.WeightsState()),
-                platform.weights_address,
-            )
-        elif role == "replica":
-            spec = fleet.replica(str(self.option("replica-id")))
-            address = spec.address
-            if spec.kind.value == "engine":
-                app = engine.make_app(
-                    engine.EngineState(
-                        spec.replica_id,
-                        capacity=int(self.option("capacity")),
-                        token_s=float(self.option("token-s")),
-                        cache_blocks=int(self.option("cache-blocks")),
-                        prefill_s_per_token=float(self.option("prefill-s")),
-                        tokens_per_event=int(self.option("tokens-per-event")),
-                        ignores_fence=spec.ignores_fence,
-                    )
-                )
-            else:
-                app = service.make_app(service.ServiceState(spec.replica_id))
-        else:
+        marked = MarkedEnd()
+        try:
+            make_app, address = self._app(role, fleet, marked)
+        except KeyError:
             self.line_error(f"<error>role must be one of {_ROLES}</error>")
             return 2
 
         async def main() -> None:
-            await serve(app, address)
+            await serve_between_ends(make_app, address, marked)
 
         run(main)
         return 0
 
+    def _app(
+        self, role: str, fleet: FleetSettings, marked: MarkedEnd
+    ) -> tuple[Callable[[], web.Application], str]:
+        """What makes the application of ``role``, and where it listens.
+
+        :raises KeyError: if there is no such role.
+        """
+        platform = fleet.platform
+        match role:
+            case "log":
+                return log.make_app, platform.log_address
+            case "instances":
+                state = instances.InstancesState(instances.seed(fleet))
+                return lambda: instances.make_app(state), platform.instances_address
+            case "weights":
+                known = weights.WeightsState()
+                return lambda: weights.make_app(known), platform.weights_address
+            case "replica":
+                spec = fleet.replica(str(self.option("replica-id")))
+                marked.marker = str(self.option("marker"))
+                marked.back_s = float(self.option("back-s"))
+                return lambda: self._replica(spec, marked), spec.address
+        raise KeyError(role)
+
+    def _replica(self, spec: ReplicaSpec, marked: MarkedEnd) -> web.Application:
+        if spec.kind is not BackendKind.ENGINE:
+            return service.make_app(
+                service.ServiceState(spec.replica_id, marked=marked)
+            )
+        state = engine.EngineState(
+            spec.replica_id,
+            capacity=int(self.option("capacity")),
+            token_s=float(self.option("token-s")),
+            cache_blocks=int(self.option("cache-blocks")),
+            prefill_s_per_token=float(self.option("prefill-s")),
+            tokens_per_event=int(self.option("tokens-per-event")),
+            ignores_fence=spec.ignores_fence,
+            marked=marked,
+        )
+        return engine.make_app(state)
+
 
 def main() -> int:
     """Console script entry point."""
--- a/src/celerytrack/standins/engine.py
+++ b/src/celerytrack/standins/engine.py
@@ -29,6 +29,7 @@
 from celerytrack.prompts import BLOCK_TOKENS, count_tokens, prompt_blocks, prompt_text
 from celerytrack.sse import DONE_EVENT, event_bytes
 from celerytrack.standins._common import Faults, apply_faults, faults_routes
+from celerytrack.standins.ends import MarkedEnd
 
 _CHUNK_TOKENS = 512
 """Prompt tokens read in at a time."""
@@ -65,6 +66,7 @@
 
     :ivar knobs: lags, event gaps, and ``cut_streams``: how many streams to
         break off after ``cut_after_tokens`` tokens.
+    :ivar marked: which prompts end the engine's process.
     """
 
     replica_id: str
@@ -75,6 +77,7 @@
     cache_blocks: int = 4096
     ignores_fence: bool = False
     faults: Faults = attrs.field(factory=Faults)
+    marked: MarkedEnd = attrs.field(factory=MarkedEnd)
     knobs: dict[str, Any] = attrs.field(factory=_knobs)
     running: int = 0
     prefills: list[tuple[int, int, _Prefill]] = attrs.field(factory=list)
@@ -224,6 +227,7 @@
         try:
             state.runs[request_id] = state.runs.get(request_id, 0) + 1
             await state.read_in(prompt, priority)
+            await state.marked.run_marked(prompt)
             resp = web.StreamResponse(headers={"Content-Type": "text/event-stream"})
             await resp.prepare(request)
             start = int(body.get("resume_from", 0))
@@ -283,6 +287,7 @@
         return web.json_response(
             {
                 "replica_id": state.replica_id,
+                "starts": state.marked.starts,
                 "runs": state.runs,
                 "hit_blocks": state.hit_blocks,
                 "asked_blocks": state.asked_blocks,
--- a/src/celerytrack/standins/service.py
+++ b/src/celerytrack/standins/service.py
@@ -14,6 +14,7 @@
 from aiohttp import web
 
 from celerytrack.standins._common import Faults, apply_faults, faults_routes, lose_reply
+from celerytrack.standins.ends import MarkedEnd
 
 
 @attrs.define
@@ -23,6 +24,7 @@
     replica_id: str
     latency_s: float = 0.005
     faults: Faults = attrs.field(factory=Faults)
+    marked: MarkedEnd = attrs.field(factory=MarkedEnd)
     runs: dict[str, int] = attrs.field(factory=dict)
     running: int = 0
 
@@ -41,12 +43,13 @@
             return refused
         operation = request.match_info["operation"]
         request_id = request.headers.get("X-Request-Id", "")
-        await request.read()
+        text = await request.text()
         key = f"{operation}:{request_id}"
         state.runs[key] = state.runs.get(key, 0) + 1
         state.running += 1
         try:
             await asyncio.sleep(state.latency_s)
+            await state.marked.run_marked(text)
         finally:
             state.running -= 1
         if lose_reply(state.faults, request):
@@ -59,7 +62,13 @@
         )
 
     async def stats(request: web.Request) -> web.Response:
-        return web.json_response({"replica_id": state.replica_id, "runs": state.runs})
+        return web.json_response(
+            {
+                "replica_id": state.replica_id,
+                "starts": state.marked.starts,
+                "runs": state.runs,
+            }
+        )
 
     app = web.Application()
     app.add_routes(
