--- a/tests/restored_site.py
+++ b/tests/restored_site.py
@@ -8,6 +8,7 @@
 import contextlib
 import random
 import signal
+import time
 from collections.abc import Coroutine
 from typing import Any
 
@@ -78,6 +79,9 @@
         self.gateways: list[GatewayProcess] = []
         self.seen = Seen()
         self.exits: list[int | None] = []
+        self.traces: list[str] = []
+        self._stopped_s: dict[str, float] = {}
+        self._asked_s: dict[str, tuple[str, float]] = {}
         self.left_at: dict[str, int] = {}
         self._count = count
         self._sending = True
@@ -105,11 +109,30 @@
         return self
 
     async def __aexit__(self, *exc: object) -> None:
+        self.traces = [self._trace(request_id) for request_id in self.seen.lost]
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
         await self._stack.aclose()
 
+    def _trace(self, request_id: str) -> str:
+        """What tells whether a lost request crossed the close of its connection: when
+        it was sent, whether an endpoint got it, and what its gateway wrote."""
+        ip, asked_s = self._asked_s[request_id]
+        stopped_s = self._stopped_s.get(ip)
+        after_s = None if stopped_s is None else round(asked_s - stopped_s, 4)
+        reached = [
+            e.name
+            for e in self.endpoints
+            if any(r.headers["X-Attempt-Id"] == request_id for r in e.seen)
+        ]
+        (gateway,) = (g for g in self.gateways if g.ip == ip)
+        told = ("stop_stage", "process_st", f'"{request_id}"')
+        lines = gateway.log_path.read_text(errors="replace").splitlines()
+        wrote = [line for line in lines if any(word in line for word in told)]
+        sent = f"{request_id} to {ip}, {after_s} s after its SIGTERM"
+        return "\n".join([f"{sent}, reached {reached}", *wrote])
+
     def keep(self, coro: Coroutine[Any, Any, None]) -> "asyncio.Task[None]":
         """Run ``coro`` until it ends or the site does."""
         task = asyncio.create_task(coro)
@@ -143,6 +166,7 @@
         stops = []
         for gateway in gateways:
             gateway.signal(signal.SIGTERM)
+            self._stopped_s[gateway.ip] = time.monotonic()
             stops.append(self.keep(self._start_again(gateway)))
             await asyncio.sleep(apart_s)
         await asyncio.gather(*stops)
@@ -210,6 +234,7 @@
             "X-Prompt-Prefix": f"{request_id.encode().hex()}:{INPUT_TOKENS}",
         }
         url = f"http://{gateway.front_address}{path}"
+        self._asked_s[request_id] = (gateway.ip, time.monotonic())
         try:
             async with http.post(url, data=b"x", headers=headers) as got:
                 body = await got.read()
--- a/tests/test_store_restored.py
+++ b/tests/test_store_restored.py
@@ -69,7 +69,8 @@
             versions = [probe.in_force for probe in site.probes]
             self.assertEqual(versions, [site.operator.version] * GATEWAYS)
         with self.subTest("nothing that was accepted is lost"):
-            self.assertEqual(site.seen.lost, {}, report)
+            traces = "\n".join(site.traces)
+            self.assertEqual(site.seen.lost, {}, f"{report}\n{traces}")
         with self.subTest("stops end by themselves"):
             self.assertEqual(site.exits, [0] * STOPPED, report)
         with self.subTest("a leaving endpoint gets nothing new"):
