A start asks the others what they know of the row that the log has lost

Trace: e4's newest row claimed 26,122 at 9.91 s, e7's 87,182, e0's 132,279. The copy that came back at 10.5 s held 7,905, 63,603 and 114,857; their next starts read these, counted them as spent (602 without age) and wrote them in the new era at 11.64 s, whereupon the six others, who had kept the higher rows, let them go: some 59,000 tokens were free a second time, and 5,482 beyond the total of one account were spent.

Cause: the next start believed the copy of its own row, the only one that nobody guards. A log that tells no era is asked nothing.

--- a/src/celerytrack/gateway/gifts.py
+++ b/src/celerytrack/gateway/gifts.py
@@ -1,7 +1,8 @@
-"""Tokens moved from entry to entry, for when the log cannot be reached."""
+"""What entries ask of each other: tokens, for when the log cannot be reached, and the
+row that they know of the one that asks, for when the log has lost it."""
 
 import logging
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Mapping
 
 import aiohttp
 import attrs
@@ -9,8 +10,10 @@
 from attrs import validators as v
 
 from celerytrack.events import Event, log_event
-from celerytrack.ids import AccountId
+from celerytrack.ids import AccountId, EntryId
 from celerytrack.patient_http import patient_session
+from celerytrack.platform.rows import RowError, decode_shares, encode_shares
+from celerytrack.prepaid import Row
 from celerytrack.strict import (
     UnreadableError,
     parse_json,
@@ -27,6 +30,7 @@
 IDLE_S = 10.0
 """Idle time after which a connection to another entry is not used again."""
 _PATH = "/gift"
+_ROW_PATH = "/row"
 
 
 _TOKENS = v.and_(v.ge(0), v.lt(2**63))
@@ -99,6 +103,21 @@
             log_event(_log, Event.GIFT_FAILED, address=address, detail=detail)
             return 0
 
+    async def ask_row(self, address: str, me: EntryId) -> Mapping[AccountId, Row]:
+        """What the entry at ``address`` knows of the row of ``me``; nothing if it does
+        not answer."""
+        try:
+            async with self._session.get(
+                f"http://{address}{_ROW_PATH}", params={"entry": me}
+            ) as response:
+                if response.status != 200:
+                    return {}
+                return decode_shares(await response.read())
+        except (aiohttp.ClientError, OSError, TimeoutError, RowError) as exc:
+            detail = f"{type(exc).__name__}: {exc}"
+            log_event(_log, Event.GIFT_FAILED, address=address, detail=detail)
+            return {}
+
     async def close(self) -> None:
         """Close the connections."""
         if self._http is not None:
@@ -106,6 +125,25 @@
 
 
 Give = Callable[[AccountId, int], Awaitable[int]]
+Known = Callable[[EntryId], Mapping[AccountId, Row]]
+
+
+def answer_row(known: Known, request: web.BaseRequest) -> web.Response:
+    """Answer another entry that asks what is known of its row.
+
+    :param known: gives the row known of an entry.
+    """
+    row = known(EntryId(request.query.get("entry", "")))
+    return web.Response(body=encode_shares(row))
+
+
+async def answer_peer(
+    give: Give, known: Known, request: web.BaseRequest
+) -> web.Response:
+    """Answer another entry."""
+    if request.path == _ROW_PATH and request.method == "GET":
+        return answer_row(known, request)
+    return await answer_gift(give, request)
 
 
 async def answer_gift(give: Give, request: web.BaseRequest) -> web.Response:
--- a/src/celerytrack/gateway/server.py
+++ b/src/celerytrack/gateway/server.py
@@ -11,7 +11,7 @@
 from aiohttp import web
 
 from celerytrack.events import Event, log_event
-from celerytrack.gateway.gifts import answer_gift
+from celerytrack.gateway.gifts import answer_peer
 from celerytrack.gateway.leaving import end_now, leave, log_stage
 from celerytrack.gateway.listeners import Listeners
 from celerytrack.gateway.pipeline import handle
@@ -157,7 +157,9 @@
         return web.Response(body=body, content_type="application/json")
 
     async def _peer(self, request: web.BaseRequest) -> web.StreamResponse:
-        return await answer_gift(self._gateway.keeper.reservations.give, request)
+        keeper = self._gateway.keeper
+        give, known = keeper.reservations.give, keeper.book.guard.known
+        return await answer_peer(give, known, request)
 
     async def _metrics(self, request: web.BaseRequest) -> web.StreamResponse:
         self._gateway.count_suspects()
--- a/src/celerytrack/gateway/share_keeper.py
+++ b/src/celerytrack/gateway/share_keeper.py
@@ -43,6 +43,8 @@
 ROW_TIME_GAIN = 0.3
 """Weight of the newest row in how long rows take: a store that turns slow is known
 after three."""
+MOST_ASKED = 20
+"""Entries asked at most: each that was alive as the log came back knows the row."""
 LEAST_WAIT_S = 0.001
 """Shortest wait for the next row that is due: what is left of an interval may be less
 than a clock tells apart."""
@@ -76,6 +78,7 @@
         self.state = MemberState.SERVING
         self.started = False
         self._store = store
+        self._gifts = gifts
         self._entry_id = entry_id
         self._front_address = front_address
         self._peer_address = peer_address
@@ -178,6 +181,7 @@
         while not await self._tail.poll():
             await asyncio.sleep(RETRY_S)
         last = self.members.member(self._entry_id)
+        await self._recall(last)
         age_s = self._last_row.age_s(last, self._eras.known)
         self.book.adopt(age_s)
         self._learn_of_restore()
@@ -193,6 +197,17 @@
             clock_moved_s=clock_offset_s() - last.clock_offset_s if last else None,
         )
 
+    async def _recall(self, last: Member | None) -> None:
+        """Ask the others what they know of this entry's row, if the log may have lost
+        the newest: what the start before had claimed by it may be spent."""
+        era = self._eras.known
+        if era is None or (last is not None and last.era in (None, era)):
+            return
+        others = self.members.live(time.monotonic())[:MOST_ASKED]
+        asked = (self._gifts.ask_row(m.peer_address, self._entry_id) for m in others)
+        for row in await asyncio.gather(*asked):
+            self.book.recall(row)
+
     def _plan(self, parts: float, now_s: float) -> bool:
         held = self.book.guard.holding
         urgent = self.book.plan(parts, now_s)
--- a/src/celerytrack/lab/model_entry.py
+++ b/src/celerytrack/lab/model_entry.py
@@ -13,6 +13,7 @@
 from celerytrack.ids import AccountId, EntryId, Zone
 from celerytrack.lab.model_log import ModelLog, ModelStore
 from celerytrack.lab.virtual_time import Clock, on_instance
+from celerytrack.prepaid import Row
 
 PEER_S = 0.001
 """Way from entry to entry and back."""
@@ -41,6 +42,15 @@
         giving = on_instance(other.clock, other.reservations.give(account, tokens))
         return await giving
 
+    async def ask_row(self, address: str, me: EntryId) -> Mapping[AccountId, Row]:
+        """What the entry at ``address`` knows of the row of ``me``."""
+        other = self._fleet[int(address)]
+        if self._me.apart or other.apart or other.keeper is None:
+            await asyncio.sleep(ASK_TIMEOUT_S)
+            return {}
+        await asyncio.sleep(PEER_S)
+        return other.keeper.book.guard.known(me)
+
 
 class ModelEntry:
     """One modelled instance and the process on it.
--- a/src/celerytrack/platform/rows.py
+++ b/src/celerytrack/platform/rows.py
@@ -1,6 +1,7 @@
 """The row that an entry keeps in the platform's store, as bytes."""
 
 import math
+from collections.abc import Mapping
 from typing import Any
 
 import msgpack
@@ -10,6 +11,14 @@
 from celerytrack.members import Member, MemberState
 from celerytrack.prepaid import Row
 
+_UNREADABLE = (
+    ValueError,
+    TypeError,
+    AttributeError,
+    RecursionError,
+    msgpack.UnpackException,
+)
+
 
 class RowError(ValueError):
     """A row cannot be decoded."""
@@ -17,18 +26,6 @@
 
 def encode_member(member: Member) -> bytes:
     """The bytes that :func:`decode_member` reads."""
-    shares = {
-        account: (
-            row.claimed_tokens,
-            row.hand_tokens,
-            row.used_tokens,
-            row.wanted_tokens,
-            row.lost_tokens,
-            row.rate_tokens_per_s,
-            row.pace_tokens_per_s,
-        )
-        for account, row in member.shares.items()
-    }
     return bytes(
         msgpack.packb(
             (
@@ -44,12 +41,50 @@
                 member.clock_lead_s,
                 member.link_mbps,
                 member.era,
-                shares,
+                _share_fields(member.shares),
             )
         )
     )
 
 
+def encode_shares(shares: Mapping[AccountId, Row]) -> bytes:
+    """The bytes that :func:`decode_shares` reads."""
+    return bytes(msgpack.packb(_share_fields(shares)))
+
+
+def decode_shares(raw: bytes) -> dict[AccountId, Row]:
+    """Decode what an entry claims of each account.
+
+    :raises RowError: naming what is wrong.
+    """
+    try:
+        return _shares(msgpack.unpackb(raw))
+    except _UNREADABLE as exc:
+        raise RowError(f"shares: {type(exc).__name__}: {exc}") from exc
+
+
+def _share_fields(shares: Mapping[AccountId, Row]) -> dict[str, tuple[int, ...]]:
+    return {
+        account: (
+            row.claimed_tokens,
+            row.hand_tokens,
+            row.used_tokens,
+            row.wanted_tokens,
+            row.lost_tokens,
+            row.rate_tokens_per_s,
+            row.pace_tokens_per_s,
+        )
+        for account, row in shares.items()
+    }
+
+
+def _shares(fields: Any) -> dict[AccountId, Row]:
+    return {
+        AccountId(_text(account)): Row(*map(_whole, tokens))
+        for account, tokens in fields.items()
+    }
+
+
 def decode_member(entry_id: str, raw: bytes) -> Member:
     """Decode the row of ``entry_id``.
 
@@ -74,18 +109,9 @@
             clock_lead_s=None if lead_s is None else _number(lead_s),
             link_mbps=_number(link_mbps),
             era=None if era is None else Era(_whole(era)),
-            shares={
-                AccountId(_text(account)): Row(*map(_whole, tokens))
-                for account, tokens in shares.items()
-            },
+            shares=_shares(shares),
         )
-    except (
-        ValueError,
-        TypeError,
-        AttributeError,
-        RecursionError,
-        msgpack.UnpackException,
-    ) as exc:
+    except _UNREADABLE as exc:
         raise RowError(f"row of {entry_id}: {type(exc).__name__}: {exc}") from exc
 
 
--- a/src/celerytrack/prepaid/book.py
+++ b/src/celerytrack/prepaid/book.py
@@ -15,7 +15,7 @@
     kept_tokens,
     next_claim,
 )
-from celerytrack.prepaid.restores import RestoreGuard
+from celerytrack.prepaid.restores import RestoreGuard, most
 from celerytrack.prepaid.rows import FoldedRows
 from celerytrack.prepaid.shares import Reservation, Row, Share
 
@@ -92,6 +92,10 @@
         for account, row in self.rows.mine().items():
             self._shares[account] = Share.adopted(row, age_s)
 
+    def recall(self, row: Mapping[AccountId, Row]) -> None:
+        """Another entry knows ``row`` of this one, from before the log came back."""
+        self.fold(self.rows.me, most(self.rows.mine(), row))
+
     def free_beyond(self, left: Mapping[AccountId, Row], age_s: float) -> None:
         """Free what :meth:`adopt` counted as spent but cannot have been.
 
--- a/src/celerytrack/prepaid/restores.py
+++ b/src/celerytrack/prepaid/restores.py
@@ -7,9 +7,10 @@
 :data:`HOLD_S` has passed, nothing more is taken into what may be spent here; what may
 be spent already stays so.
 
-A start that ends before it has written in the new era takes with it what it had claimed
-since the copy: the next one knows what is on the copy only. What it had spent of that
-may be spent a second time, and no more than that.
+A start that ends before it has written in the new era takes with it what it had
+claimed since the copy, and the next one finds on the log what is on the copy only. So
+it asks the others what they know of its row; what none that is alive knows may be spent
+a second time, and no more than that.
 """
 
 from collections.abc import Mapping, Set
@@ -82,6 +83,10 @@
         self.holding = unwritten or waits
         return not self.holding
 
+    def known(self, entry: EntryId) -> Rows:
+        """What counts of ``entry``."""
+        return self._known.get(entry, {})
+
     @property
     def missing(self) -> frozenset[EntryId]:
         """The entries waited for that have written nothing in the new era."""
@@ -100,11 +105,11 @@
     def _read_from_copy(self, entry: EntryId, row: Rows) -> None:
         if entry not in self._known and self.holding and entry != self._me:
             self._awaited.add(entry)
-        self._known[entry] = _most(self._known.get(entry, {}), row)
+        self._known[entry] = most(self._known.get(entry, {}), row)
         self._kept.add(entry)
 
 
-def _most(known: Rows, read: Rows) -> Rows:
+def most(known: Rows, read: Rows) -> Rows:
     """The most that either row says was claimed and used."""
     return {
         account: _most_of(known.get(account, Row()), read.get(account, Row()))
--- a/tests/restored_fleet.py
+++ b/tests/restored_fleet.py
@@ -4,10 +4,11 @@
 import asyncio
 import json
 import random
+from collections.abc import Mapping
 
 import attrs
 
-from celerytrack.ids import AccountId, EndpointId
+from celerytrack.ids import AccountId, EndpointId, EntryId
 from celerytrack.lab.virtual_time import Clock, on_instance
 from celerytrack.platform.rows import decode_member
 from celerytrack.platform.topics import (
@@ -276,6 +277,14 @@
         alive = other.up and other.gateway.keeper is keeper
         return given if alive and not self.gifts_lost else 0
 
+    async def ask_row(self, address: str, me: EntryId) -> Mapping[AccountId, Row]:
+        """Entry to entry: what is known of a row, which may be lost like a gift."""
+        other = self.instances[int(address)]
+        await asyncio.sleep(0.001)
+        if not other.up or self.gifts_lost:
+            return {}
+        return other.gateway.keeper.book.guard.known(me)
+
     async def close(self) -> None:
         """Gifts need no connections here."""
 
--- a/tests/test_prepaid_fleet.py
+++ b/tests/test_prepaid_fleet.py
@@ -153,7 +153,7 @@
         outcome = self._play(seed, Fault(FaultKind.CUT, 9.0, 10.0, 0.34))
         self.assertEqual(outcome.overspent_tokens, 0)
 
-    @params((2,), (18,))
+    @params((2,), (13,), (18,))
     def test_claims_of_entries_that_start_anew_are_not_given_out_again(self, seed):
         """Guards against claims that the log lost while their entries were down."""
         outcome = self._play(seed, Fault(FaultKind.POWER, 9.9, 1.4, 0.34))
