Trials that come to nothing: a caller that leaves, an endpoint that left meanwhile

A trial waits up to half a second until the log has it. If its caller left in that time the claim stood until the deadline, and nobody tried the request; if the endpoint began to leave, it was sent work all the same. The claim is given back now, and the endpoint looked at again. Tests: both, and who may try while the log takes nothing.

--- a/bench/gateway_cost_bench.py
+++ b/bench/gateway_cost_bench.py
@@ -26,8 +26,8 @@
 
 def _suspect(fleet: Fleet, count: int) -> None:
     """Have ``count`` other requests under suspicion, if this release knows of any."""
+    from celerytrack.findings import Ending
     from celerytrack.ids import EndpointId
-    from celerytrack.suspects import Ending
 
     book = fleet.gateways[0].suspects.book
     found = [Fingerprint(n.to_bytes(16, "big")) for n in range(count)]
--- a/src/celerytrack/cli/suspect_commands.py
+++ b/src/celerytrack/cli/suspect_commands.py
@@ -11,6 +11,7 @@
 from cleo.helpers import argument, option
 from returns.result import Failure, Success
 
+from celerytrack.findings import Findings
 from celerytrack.fingerprint import Fingerprint
 from celerytrack.ids import EntryId
 from celerytrack.platform.store import StoreClient, StoreError, Writer
@@ -21,7 +22,7 @@
     encode_findings,
 )
 from celerytrack.platform.topics import SUSPECTS_TOPIC
-from celerytrack.suspects import Findings, Suspect, SuspectBook
+from celerytrack.suspects import Suspect, SuspectBook
 
 OPERATOR = EntryId("operator")
 """The key of the operators' own record."""
--- a/src/celerytrack/endpoints.py
+++ b/src/celerytrack/endpoints.py
@@ -146,6 +146,11 @@
             avoided_until_s = max(known.avoided_until_s, now_s + ENDED_S)
             known.avoided_until_s = avoided_until_s
 
+    def takes_work(self, endpoint: Endpoint) -> bool:
+        """Whether an endpoint that was chosen is still to be sent to."""
+        leaves = endpoint.registration.draining or endpoint.gone_at_s is not None
+        return not leaves and not self.superseded(endpoint)
+
     def superseded(self, endpoint: Endpoint) -> bool:
         """Whether another start has the id of ``endpoint``."""
         known = self._endpoints.get(endpoint.endpoint_id)
--- a/src/celerytrack/entry/peers.py
+++ b/src/celerytrack/entry/peers.py
@@ -18,10 +18,10 @@
 import zmq.asyncio
 
 from celerytrack.events import Event, log_event
+from celerytrack.findings import Findings
 from celerytrack.ids import EntryId, ReplicaId
 from celerytrack.platform.suspect_records import decode_findings, encode_findings
 from celerytrack.replica_load import Load
-from celerytrack.suspects import Findings
 
 _log = logging.getLogger(__name__)
 
--- a/src/celerytrack/entry/suspects.py
+++ b/src/celerytrack/entry/suspects.py
@@ -13,11 +13,13 @@
 from typing import Protocol
 
 from celerytrack.events import Event, log_event
+from celerytrack.findings import Ending, Findings, Trial
 from celerytrack.fingerprint import Fingerprint, RequestLine, fingerprint_of, place_of
 from celerytrack.ids import AccountId, EndpointId, EntryId, ReplicaId
 from celerytrack.process_end import ENDING_KNOWN_S, has_ended
 from celerytrack.settings import WorkClass
-from celerytrack.suspects import Ending, Findings, Standing, SuspectBook, Trial
+from celerytrack.suspect_logs import log_shut_out
+from celerytrack.suspects import Standing, SuspectBook
 from celerytrack.verdict import Reason, Refusal, did_not_run
 
 _log = logging.getLogger(__name__)
@@ -158,11 +160,4 @@
         )
         suspect = self.book.suspect(known, now_s)
         if suspect.standing is Standing.SHUT_OUT:
-            log_event(
-                _log,
-                Event.SUSPECT_SHUT_OUT,
-                logging.WARNING,
-                fingerprint=known.hex(),
-                endings=[e.endpoint_id for e in suspect.endings],
-                free_in_s=suspect.free_in_s,
-            )
+            log_shut_out(_log, suspect)
--- a/src/celerytrack/gateway/peer_notes.py
+++ b/src/celerytrack/gateway/peer_notes.py
@@ -23,6 +23,7 @@
 import msgpack
 
 from celerytrack.events import Event, log_event
+from celerytrack.findings import Findings
 from celerytrack.ids import EndpointId, EntryId
 from celerytrack.platform.suspect_records import (
     KIND,
@@ -30,7 +31,6 @@
     encode_findings,
     findings_of,
 )
-from celerytrack.suspects import Findings
 
 _log = logging.getLogger(__name__)
 
--- a/src/celerytrack/gateway/pipeline.py
+++ b/src/celerytrack/gateway/pipeline.py
@@ -219,6 +219,8 @@
         return Failure(not_sent(gateway, exchange, time.monotonic()))
     free = release
     try:
+        if not gateway.endpoints.takes_work(chosen.endpoint):
+            return Failure(_not_placed("the endpoint left as it was claimed"))
         result = await _send_suspect(gateway, exchange, chosen)
         match result:
             case Failure(failure) if failure.broke:
--- a/src/celerytrack/gateway/state.py
+++ b/src/celerytrack/gateway/state.py
@@ -12,6 +12,7 @@
 from celerytrack.endpoints import EndpointBook
 from celerytrack.eras import EraChange, EraWatch
 from celerytrack.events import Event, log_event
+from celerytrack.findings import Ending, Findings
 from celerytrack.fingerprint import Fingerprint
 from celerytrack.gateway.connections import EndpointConnections
 from celerytrack.gateway.ended_endpoints import EndedEndpoint, EndedEndpoints
@@ -34,7 +35,8 @@
 from celerytrack.platform.store import StoreClient
 from celerytrack.retries import RetryBudget
 from celerytrack.routes import RoutingTable
-from celerytrack.suspects import MOST_SUSPECTS, Ending, Findings, Standing
+from celerytrack.suspect_logs import log_shut_out
+from celerytrack.suspects import MOST_SUSPECTS, Standing
 
 _log = logging.getLogger(__name__)
 
@@ -203,14 +205,7 @@
             if self._shut_out.get(fingerprint) == endings:
                 continue
             self._shut_out[fingerprint] = endings
-            log_event(
-                _log,
-                Event.SUSPECT_SHUT_OUT,
-                logging.WARNING,
-                fingerprint=fingerprint.hex(),
-                endings=[ending.endpoint_id for ending in suspect.endings],
-                free_in_s=suspect.free_in_s,
-            )
+            log_shut_out(_log, suspect)
 
     def count_suspects(self) -> None:
         """Have the metrics tell how many requests are under suspicion."""
--- a/src/celerytrack/gateway/suspect_gate.py
+++ b/src/celerytrack/gateway/suspect_gate.py
@@ -6,11 +6,12 @@
 
 from celerytrack.endpoint import Choice, Endpoint
 from celerytrack.events import Event, log_event
+from celerytrack.findings import Trial
 from celerytrack.gateway.exchange import AttemptFailure, Exchange
 from celerytrack.gateway.state import Gateway
 from celerytrack.ids import EndpointId
 from celerytrack.process_end import ENDING_KNOWN_S
-from celerytrack.suspects import Standing, Trial
+from celerytrack.suspects import Standing
 from celerytrack.verdict import Reason, Refusal, Verdict, did_not_run
 
 _log = logging.getLogger(__name__)
--- a/src/celerytrack/gateway/suspect_keeper.py
+++ b/src/celerytrack/gateway/suspect_keeper.py
@@ -14,6 +14,7 @@
 
 from celerytrack.eras import EraWatch
 from celerytrack.events import Event, log_event
+from celerytrack.findings import Findings, Trial
 from celerytrack.fingerprint import Fingerprint
 from celerytrack.gateway.hedged_store import Store
 from celerytrack.gateway.tail import RETRY_MAX_S, RETRY_S, KeyedTail
@@ -27,7 +28,7 @@
 )
 from celerytrack.platform.topics import SUSPECTS_TOPIC
 from celerytrack.routing import rendezvous
-from celerytrack.suspects import Findings, SuspectBook, Trial
+from celerytrack.suspects import SuspectBook
 
 _log = logging.getLogger(__name__)
 
@@ -112,7 +113,12 @@
         if findings is None:
             return False
         self.publish(findings)
-        told = self._writing and await self._is_on_log(TOLD_WITHIN_S)
+        try:
+            told = self._writing and await self._is_on_log(TOLD_WITHIN_S)
+        except asyncio.CancelledError:
+            # The caller left meanwhile, or its time is up.
+            self.publish(self.book.release(trial.fingerprint))
+            raise
         may = told or self._first_in_line(trial.fingerprint, others)
         if may and self.book.holds(trial.fingerprint):
             return True
--- a/src/celerytrack/lab/crash_entry.py
+++ b/src/celerytrack/lab/crash_entry.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable, Sequence
 
 from celerytrack.eras import EraWatch
+from celerytrack.findings import Ending, Findings, Trial
 from celerytrack.gateway.hedged_store import HedgedStore
 from celerytrack.gateway.suspect_keeper import SuspectKeeper
 from celerytrack.ids import EndpointId, EntryId
@@ -21,7 +22,7 @@
 )
 from celerytrack.lab.model_log import ModelLog, ModelStore
 from celerytrack.lab.virtual_time import Clock, on_instance
-from celerytrack.suspects import Ending, Findings, Standing, Trial
+from celerytrack.suspects import Standing
 
 MOST_ATTEMPTS = 2
 MOST_UNSENT = 3
--- a/src/celerytrack/lab/crash_fleet.py
+++ b/src/celerytrack/lab/crash_fleet.py
@@ -11,6 +11,7 @@
 from collections.abc import Coroutine
 from typing import Any
 
+from celerytrack.findings import Findings
 from celerytrack.fingerprint import Fingerprint, Place, fingerprint_of
 from celerytrack.lab.after_return import most_writes_per_s
 from celerytrack.lab.crash_endpoints import ModelRequest, ModelService
@@ -23,7 +24,6 @@
     CrashScenario,
 )
 from celerytrack.lab.model_log import ModelLog
-from celerytrack.suspects import Findings
 
 NOTE_S = 0.001
 """Way of a note."""
--- a/src/celerytrack/platform/suspect_records.py
+++ b/src/celerytrack/platform/suspect_records.py
@@ -6,9 +6,9 @@
 
 import msgpack
 
+from celerytrack.findings import Ending, Evidence, Findings, Trial
 from celerytrack.fingerprint import BODY_BYTES, PLACE_BYTES, Fingerprint
 from celerytrack.ids import EndpointId, EntryId
-from celerytrack.suspects import Ending, Evidence, Findings, Trial
 
 KIND = "suspects"
 MOST_TEXT = 200
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -14,12 +14,14 @@
     read_suspects,
     suspect_rows,
 )
-from celerytrack.fingerprint import fingerprint_of
+from celerytrack.findings import Ending, Trial
+from celerytrack.fingerprint import Place, fingerprint_of
 from celerytrack.gateway.state import Gateway
-from celerytrack.ids import AccountId, ServiceName
+from celerytrack.ids import AccountId, EndpointId, EntryId, ServiceName
 from celerytrack.platform.store import StoreClient
 from celerytrack.platform.topics import ENDPOINTS_TOPIC, SUSPECTS_TOPIC
-from celerytrack.suspects import QUARANTINES_S, Standing
+from celerytrack.routing import rendezvous
+from celerytrack.suspects import QUARANTINES_S, Standing, SuspectBook
 from tests.crashing_endpoints import MARKER, Answers, CrashRun
 from tests.gateway_fleet import Endpoint, Fleet
 
@@ -194,6 +196,57 @@
             self.assertEqual(await run.ask(run.marked, MARKER), 429)
 
 
+class ClaimTest(unittest.IsolatedAsyncioTestCase):
+    """Trials that come to nothing before they are sent."""
+
+    async def asyncSetUp(self) -> None:
+        self.known = fingerprint_of(Place(b"place!"), MARKER)
+        self.fleet = await self.enterAsyncContext(Fleet(gateways=1))
+        self.keeper = self.fleet.gateways[0].suspects
+        for number in range(2):
+            ending = Ending(EndpointId(f"i-{number}"))
+            self.keeper.book.witnessed(ending, [self.known], time.monotonic())
+
+    async def test_a_caller_that_leaves_while_the_others_are_told(self) -> None:
+        """Its claim stood until its deadline, and nobody tried the request."""
+        self.fleet.log.silent = True
+        trial = Trial(self.known, EndpointId("i-9"), 60.0)
+        claim = asyncio.create_task(self.keeper.claim(trial, []))
+        await asyncio.sleep(0.1)
+        self.assertTrue(self.keeper.book.holds(self.known))
+        claim.cancel()
+        with self.assertRaises(asyncio.CancelledError):
+            await claim
+        self.assertFalse(self.keeper.book.holds(self.known))
+        self.fleet.log.silent = False
+
+    @params(("e0@127.0.0.1", True), ("another", False))
+    def test_while_the_log_takes_nothing_the_first_in_line_alone_tries(
+        self, first: str, may: bool
+    ) -> None:
+        """With the log away each entry could try what no other had heard of."""
+        asyncio.run(self._first_in_line(first, may))
+
+    async def _first_in_line(self, first: str, may: bool) -> None:
+        others = [EntryId(name) for name in ("another", "a third", "a fourth")]
+        book = SuspectBook(EntryId("e0@127.0.0.1"))
+        known = next(
+            known
+            for known in (
+                fingerprint_of(Place(b"place!"), b"%d" % n) for n in range(100)
+            )
+            if rendezvous(known.hex(), [*others, book.me], 1) == [first]
+        )
+        async with Fleet(gateways=1) as fleet:
+            keeper = fleet.gateways[0].suspects
+            fleet.log.refused.add(SUSPECTS_TOPIC)
+            for number in range(2):
+                ending = Ending(EndpointId(f"i-{number}"))
+                keeper.book.witnessed(ending, [known], time.monotonic())
+            trial = Trial(known, EndpointId("i-9"), 60.0)
+            self.assertEqual(await keeper.claim(trial, others), may)
+
+
 class EvidenceTest(unittest.IsolatedAsyncioTestCase):
     """What is not taken for the doing of a request."""
 
@@ -295,8 +348,8 @@
 
     def test_a_large_body_is_read_quickly_enough(self) -> None:
         """A digest that held up the relayed streams of an entry."""
-        place = fingerprint_of(b"place!", b"")[:6]  # type: ignore[arg-type]
+        place = Place(b"place!")
         body = bytes(4 * 1024 * 1024)
         began_s = time.perf_counter()
-        fingerprint_of(place, body)  # type: ignore[arg-type]
+        fingerprint_of(place, body)
         self.assertLess(time.perf_counter() - began_s, 0.05)
--- a/tests/test_endpoints.py
+++ b/tests/test_endpoints.py
@@ -50,6 +50,7 @@
     return book.send(Choice(endpoint, 0.1, work_s), need, now_s)
 
 
+DRAINS = attrs.evolve(_reg("a", draining=True), born_ms=1)
 PROMPT = Need(S, (("m/p", 500), ("m/p/q", 5_000), ("m/p/q/r", 600)))
 
 
@@ -237,6 +238,25 @@
         self.assertIsNone(_choose(book, now_s=9.0))
 
 
+class ClaimedMeanwhileTest(unittest.TestCase):
+    @params(
+        ("nothing", lambda b: None, True),
+        ("it drains", lambda b: b.register(DRAINS, 1.0), False),
+        ("it is gone", lambda b: b.dropped(EndpointId("a"), 1.0), False),
+        (
+            "it started again",
+            lambda b: b.register(attrs.evolve(_reg("a"), born_ms=2), 1.0),
+            False,
+        ),
+    )
+    def test_an_endpoint_chosen_before_a_wait_may_have_left(self, _, happens, takes):
+        """A trial was sent to an endpoint that left while the others were told."""
+        book = _book(attrs.evolve(_reg("a"), born_ms=1))
+        chosen = book.choose(Need(S), 1, 100, [], 0.0)
+        happens(book)
+        self.assertEqual(book.takes_work(chosen.endpoint), takes)
+
+
 class LapsedRegistrationTest(unittest.TestCase):
     """Symptom: no endpoint for two seconds after each outage of the store.
 
--- a/tests/test_suspects.py
+++ b/tests/test_suspects.py
@@ -7,6 +7,7 @@
 from hypothesis import strategies as st
 from nose2.tools import params
 
+from celerytrack.findings import Ending, Evidence, Findings, Trial
 from celerytrack.fingerprint import Fingerprint, Place, fingerprint_of, place_in
 from celerytrack.ids import EndpointId, EntryId
 from celerytrack.platform.suspect_records import (
@@ -19,12 +20,8 @@
     MOST_TOLD,
     QUARANTINES_S,
     SUSPECT_KEPT_S,
-    Ending,
-    Evidence,
-    Findings,
     Standing,
     SuspectBook,
-    Trial,
 )
 
 ME = EntryId("e0")
