What is old among suspects is looked for once a second; trials nobody ended go too

Each note looked through all requests remembered (some ms with thousands of them), and a claim of an entry that had gone stayed in the index of trials for good, at which each request looks while anything is under suspicion.

--- a/src/celerytrack/suspects.py
+++ b/src/celerytrack/suspects.py
@@ -31,6 +31,9 @@
 end within minutes."""
 DROPPED_SHARE = 0.1
 """Part of them that is forgotten at once when there are more."""
+FORGET_EACH_S = 1.0
+"""Shortest time between two looks for what is old: with thousands remembered one takes
+some ms, and notes come by the dozen."""
 MOST_TOLD = 64
 """Endings in an entry's own record: the ones that count most."""
 
@@ -104,6 +107,7 @@
         self._trials: dict[Fingerprint, _Held] = {}
         self._own: dict[Evidence, float] = {}
         self._own_forgiven: dict[Evidence, float] = {}
+        self._forget_at_s = float("-inf")
 
     def __len__(self) -> int:
         return len(self._known)
@@ -288,7 +292,12 @@
     # -- internals ---------------------------------------------------------------
 
     def forget(self, now_s: float) -> None:
-        """Forget what is old, and the least weighty of what is too much."""
+        """Forget what is old, and the least weighty of what is too much; looked for
+        once in a while."""
+        if now_s < self._forget_at_s and len(self._known) <= MOST_SUSPECTS:
+            return
+        self._forget_at_s = now_s + FORGET_EACH_S
+        self._trials = {f: h for f, h in self._trials.items() if h.ends_s > now_s}
         old = [f for f, s in self._known.items() if _is_old(s, now_s)]
         for fingerprint in old:
             self._drop(fingerprint)
--- a/tests/test_suspects.py
+++ b/tests/test_suspects.py
@@ -190,6 +190,19 @@
         self.assertEqual(len(book), 1)
         self.assertTrue(book.watches(place_in(BAD)))
 
+    def test_trials_of_entries_that_are_gone_are_forgotten(self) -> None:
+        """Each claim that was never ended stayed, and each request looked at it."""
+        book = _book(2)
+        trials = tuple(
+            Trial(fingerprint_of(PLACE, b"%d" % n), EndpointId("i-9"), 5.0)
+            for n in range(100)
+        )
+        book.heard(Findings(OTHER, trials=trials), False, 0.0)
+        book.forget(4.0)
+        self.assertEqual(len(book._trials), 100)
+        book.forget(6.0)
+        self.assertEqual(len(book._trials), 0)
+
     def test_thousands_under_suspicion_leave_the_weightiest(self) -> None:
         book = _book(3)
         many = [
