--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -10,9 +10,11 @@
 from nose2.tools import params
 from returns.result import Failure, Success
 
+from celerytrack.entry.suspects import EntrySuspects
 from celerytrack.entry.time_limit import TimeLimit
 from celerytrack.entry.upstream import try_replicas
-from celerytrack.ids import ReplicaId, RequestId, Zone
+from celerytrack.fingerprint import Fingerprint
+from celerytrack.ids import EntryId, ReplicaId, RequestId, Zone
 from celerytrack.replica_load import Ask, Load, ReplicaLoad
 from celerytrack.retries import RetryBudget
 from celerytrack.routing import make_chooser
@@ -22,10 +24,27 @@
 MAYBE = Failure(may_have_run(Reason.UPSTREAM_FAILED))
 
 
+def _suspects() -> EntrySuspects:
+    """No replica ends here."""
+    suspects = EntrySuspects(EntryId("e"))
+    suspects.broke = lambda *broken: None
+    return suspects
+
+
+def _admitted(work: types.SimpleNamespace) -> types.SimpleNamespace:
+    return types.SimpleNamespace(
+        work=work, request_id=RequestId("r"), fingerprint=Fingerprint(b"r" * 16)
+    )
+
+
 def _state() -> types.SimpleNamespace:
     replicas = [ReplicaLoad(ReplicaId(n), Zone("z"), "m") for n in "abcde"]
     return types.SimpleNamespace(
-        view=types.SimpleNamespace(replicas={r.replica_id: r for r in replicas}),
+        view=types.SimpleNamespace(
+            replicas={r.replica_id: r for r in replicas},
+            addresses={r.replica_id: "nowhere" for r in replicas},
+        ),
+        suspects=_suspects(),
         choose=make_chooser("predicted"),
         spec=types.SimpleNamespace(zone=Zone("z")),
         retries=RetryBudget(ratio=0.0),
@@ -49,7 +68,7 @@
     work = types.SimpleNamespace(idempotent=True, model="m", priority=priority)
     with mock.patch("celerytrack.entry.upstream.asyncio.sleep"):
         result = asyncio.run(
-            try_replicas(state, work, Ask("m", priority), RequestId("r"), attempt)
+            try_replicas(state, _admitted(work), Ask("m", priority), attempt)
         )
     return result, tried
 
@@ -77,7 +96,7 @@
 
         with mock.patch("celerytrack.entry.upstream.asyncio.sleep") as sleep:
             result = asyncio.run(
-                try_replicas(state, work, Ask("m", 0), RequestId("r"), attempt)
+                try_replicas(state, _admitted(work), Ask("m", 0), attempt)
             )
         self.assertEqual((len(set(tried)), len(tried)), (attempts, attempts))
         self.assertEqual(sleep.await_count, waits)
@@ -166,7 +185,7 @@
 
         work = types.SimpleNamespace(idempotent=True, model="m", priority=0)
         trying = asyncio.create_task(
-            try_replicas(state, work, Ask("m", 0), RequestId("r"), attempt)
+            try_replicas(state, _admitted(work), Ask("m", 0), attempt)
         )
         # An end in the past is known before; another is set while it waits.
         if left_s > 0:
