Own interface: a trial that came to nothing is given back at once

A caller that left while its claim was being told to the others (0.15 s) left the claim behind, and an entry whose trial showed nothing and that had nothing else to tell sent heartbeats without findings, which were passed over: either way the request was tried by nobody for a minute (TRIAL_MOST_S). The claim is released when the wait is cancelled, and a heartbeat without findings tells that its entry tries nothing. Both tests failed before.

--- a/src/celerytrack/entry/state.py
+++ b/src/celerytrack/entry/state.py
@@ -19,6 +19,7 @@
 from celerytrack.entry.suspects import EntrySuspects
 from celerytrack.entry.time_limit import TimeLimit
 from celerytrack.events import Event, log_event
+from celerytrack.findings import Findings
 from celerytrack.ids import EntryId
 from celerytrack.logclient import LogClient
 from celerytrack.replica_load import Load
@@ -226,8 +227,8 @@
             return
         now_s = time.monotonic()
         self.view.heard(news, now_s)
-        if news.findings is not None:
-            self.suspects.hear(news.findings, now_s)
+        # An entry that tells nothing has no trial any more either.
+        self.suspects.hear(news.findings or Findings(news.entry), now_s)
 
     def _grant_policy(self) -> GrantPolicy:
         return self.config.config.grant if self.config.config else GrantPolicy()
--- a/src/celerytrack/entry/suspects.py
+++ b/src/celerytrack/entry/suspects.py
@@ -97,7 +97,12 @@
         trial = Trial(known, EndpointId(replica), lasts_s)
         if self.book.claim(trial, time.monotonic()) is None:
             return False
-        await asyncio.sleep(TOLD_S)
+        try:
+            await asyncio.sleep(TOLD_S)
+        except asyncio.CancelledError:
+            # The caller left meanwhile.
+            self.book.release(known)
+            raise
         return self.book.holds(known)
 
     def sent(self, replica: ReplicaId) -> None:
--- a/tests/test_own_crashing.py
+++ b/tests/test_own_crashing.py
@@ -5,10 +5,21 @@
 import time
 import unittest
 
+import attrs
+
+from celerytrack.entry.peers import PeerNews
+from celerytrack.entry.state import EntryState
+from celerytrack.entry.suspects import EntrySuspects
+from celerytrack.findings import Findings, Trial
+from celerytrack.fingerprint import Fingerprint
+from celerytrack.ids import EndpointId, EntryId, ReplicaId
 from celerytrack.load.mix import MIXES
 from celerytrack.load.runner import REPEATED, Plan, run_plan
-from tests.fleet import Fleet, get_json
+from celerytrack.settings import FleetSettings, load_json
+from tests.fleet import ROOT, Fleet, get_json
 
+KNOWN = Fingerprint(b"r" * 16)
+FLEET_JSON = ROOT / "examples" / "haddad" / "fleet.json"
 MARKER = "ends what reads it"
 KNOWN_WITHIN_S = 3.0
 MOST_AFTER = 3
@@ -44,6 +55,34 @@
         return sorted(at_s for times_s in seen for at_s in times_s), results
 
 
+class TrialTest(unittest.IsolatedAsyncioTestCase):
+    """Trials of an entry that came to nothing."""
+
+    async def test_a_caller_that_leaves_while_the_others_are_told(self) -> None:
+        """Its claim stood for a minute, and nobody tried the request."""
+        suspects = EntrySuspects(EntryId("e1"))
+        claim = asyncio.create_task(suspects.claim(KNOWN, ReplicaId("r"), 60.0))
+        await asyncio.sleep(0)
+        self.assertTrue(suspects.book.holds(KNOWN))
+        claim.cancel()
+        with self.assertRaises(asyncio.CancelledError):
+            await claim
+        self.assertFalse(suspects.book.holds(KNOWN))
+
+    def test_an_entry_that_tells_nothing_tries_nothing(self) -> None:
+        """A trial that showed nothing was held against the request for a minute."""
+        state = EntryState(load_json(FLEET_JSON, FleetSettings), "entry-1")
+        other = EntryId("entry-2")
+        trial = Trial(KNOWN, EndpointId("r"), 60.0)
+        heartbeat = PeerNews(other, "b", 1, False, {}, Findings(other, trials=(trial,)))
+        state._heard(heartbeat)
+        now_s = time.monotonic()
+        self.assertEqual(state.suspects.book.endpoints_on_trial(now_s), {"r"})
+        state._heard(attrs.evolve(heartbeat, seq=2, findings=None))
+        self.assertEqual(state.suspects.book.endpoints_on_trial(now_s), set())
+        state.link.close()
+
+
 def _watch(address: str) -> list[float]:
     """When the replica at ``address`` was seen to have started again."""
     starts, times_s = 1, []
