The busiest second of writes is looked for among all writes

The modelled fleets before crashing requests looked at the five seconds behind each 20th write only, so that a burst long after one could be missed. Run: ruff, mypy, tests.test_after_return, tests.test_crash_model.

--- a/src/celerytrack/lab/after_return.py
+++ b/src/celerytrack/lab/after_return.py
@@ -53,7 +53,13 @@
 
 def most_writes_per_s(writes_s: Sequence[float], from_s: float) -> int:
     """The most writes within a second soon after ``from_s``."""
-    ordered = sorted(at_s for at_s in writes_s if from_s <= at_s < from_s + STORM_S)
+    soon = (at_s for at_s in writes_s if from_s <= at_s < from_s + STORM_S)
+    return most_in_a_second(soon)
+
+
+def most_in_a_second(times_s: Iterable[float]) -> int:
+    """The most of ``times_s`` that lie within one second."""
+    ordered = sorted(times_s)
     first = most = 0
     for last, at_s in enumerate(ordered):
         while at_s - ordered[first] >= 1.0:
--- a/src/celerytrack/lab/crash_fleet.py
+++ b/src/celerytrack/lab/crash_fleet.py
@@ -13,7 +13,7 @@
 
 from celerytrack.findings import Findings
 from celerytrack.fingerprint import Fingerprint, Place, fingerprint_of
-from celerytrack.lab.after_return import most_writes_per_s
+from celerytrack.lab.after_return import most_in_a_second
 from celerytrack.lab.crash_endpoints import ModelRequest, ModelService
 from celerytrack.lab.crash_entry import CrashEntry, ModelAnswer
 from celerytrack.lab.crash_scenarios import (
@@ -218,6 +218,4 @@
         outcome.late = max(late.values(), default=0)
         writes_s = [at_s for at_s in self._log.asked_s if at_s >= began_s]
         outcome.writes = len(writes_s)
-        outcome.writes_per_s_most = max(
-            (most_writes_per_s(writes_s, at_s) for at_s in writes_s[::20]), default=0
-        )
+        outcome.writes_per_s_most = most_in_a_second(writes_s)
