Observability of limits: log lines as an endpoint names one, attempts by endpoint

The record of the incident could not tell whether an entry had seen a limit, nor how many requests it sent to that endpoint afterwards. 640 to 643 say when an entry first hears a limit, another one, its end, or something unreadable; celerytrack_attempts_total counts requests sent, by endpoint. No decision depends on it yet.

Ran: tests.test_gateway, test_upstream, test_fleet, test_hostile_requests: 75 passed.

--- a/src/celerytrack/gateway/attempts.py
+++ b/src/celerytrack/gateway/attempts.py
@@ -10,6 +10,7 @@
 
 from celerytrack.endpoint import Dispatch, Endpoint
 from celerytrack.gateway.connections import EndpointGoneError, IncarnationConnections
+from celerytrack.gateway.endpoint_limits import record_limit
 from celerytrack.gateway.exchange import AttemptFailure, BufferedAnswer, Exchange
 from celerytrack.gateway.state import Gateway
 from celerytrack.platform.http import (
@@ -119,6 +120,7 @@
     if facts.request_id not in (None, exchange.facts.request_id):
         # The connection delivered another answer to an earlier request.
         return _unusable_answer("answer to another request")
+    record_limit(gateway, dispatch, facts)
     if facts.did_not_run:
         return Failure(
             AttemptFailure(
--- a/src/celerytrack/gateway/pipeline.py
+++ b/src/celerytrack/gateway/pipeline.py
@@ -261,6 +261,7 @@
     exchange.choice = chosen
     dispatch = endpoints.record_dispatch(chosen, exchange.profile, now_s)
     gateway.announce_prompt(endpoint.endpoint_id, chosen.work_s)
+    gateway.telemetry.attempts.labels(endpoint.endpoint_id).inc()
     try:
         result = await attempt(gateway, exchange, endpoint, dispatch)
     finally:
--- a/src/celerytrack/gateway/state.py
+++ b/src/celerytrack/gateway/state.py
@@ -9,6 +9,7 @@
 from cachetools import LRUCache
 
 from celerytrack.durations import RecentDurations
+from celerytrack.endpoint_limits import LimitTracker
 from celerytrack.endpoints import EndpointPool
 from celerytrack.eras import EraChange, EraTracker
 from celerytrack.events import Event, log_event
@@ -86,6 +87,7 @@
         )
         self.endpoints = EndpointPool(settings.zone, self.rng)
         self.endpoints_known = False
+        self.limits = LimitTracker()
         self.peer_messenger = PeerMessenger(self._on_peer_message)
         self.routing_table: RoutingTable | None = None
         self.config_known_at_s = float("-inf")
--- a/src/celerytrack/gateway/telemetry.py
+++ b/src/celerytrack/gateway/telemetry.py
@@ -23,6 +23,12 @@
             buckets=_BUCKETS_S,
             registry=self.registry,
         )
+        self.attempts = prom.Counter(
+            "celerytrack_attempts_total",
+            "Requests sent to endpoints.",
+            ("endpoint",),
+            registry=self.registry,
+        )
         self.attempts_failed = prom.Counter(
             "celerytrack_attempts_failed_total",
             "Attempts at endpoints that failed.",
