Leases for a few requests where tokens come fast; begun limits are told twice

Cause: each request to a limited endpoint cost a round trip, also at 200 a second, and a third of the entries did not learn of a limit for 5 s when a third of the messages was lost. Change: an entry that uses up a lease within 0.1 s asks for twice as many the next time (32 at most, sent within 0.25 s); how long an owner's queue is counts as known for 0.1 s; an owner repeats a limit that has begun after 1 s.

--- a/src/celerytrack/limit_leases.py
+++ b/src/celerytrack/limit_leases.py
@@ -1,4 +1,4 @@
-"""Leases that the owner of a limited endpoint grants, one request each.
+"""Leases that the owner of a limited endpoint grants.
 
 Each limited endpoint has one owner among the entries. The owner keeps the endpoint's
 token bucket, so that the sum over all entries is bounded however many there are and
@@ -22,21 +22,29 @@
 
 @attrs.frozen
 class LeaseRequest:
-    """A request for one lease.
+    """A request for a lease.
 
     :ivar key: identifies the request to its sender.
     :ivar priority: 0 is the most urgent.
     :ivar max_wait_s: longest time to wait for a token.
+    :ivar count: number of requests that the sender expects soon.
     """
 
     key: tuple[str, int]
     priority: int
     max_wait_s: float
+    count: int = 1
 
 
 @attrs.frozen
 class LeaseGranted:
-    """The request may be sent now."""
+    """The request may be sent now.
+
+    :ivar count: number of requests that may be sent, this one included; the others
+        soon, or never.
+    """
+
+    count: int = 1
 
 
 @attrs.frozen
@@ -95,8 +103,9 @@
         """
         self._fill(now_s)
         if self._tokens >= _WHOLE_TOKEN and not self._waiting:
-            self._tokens -= 1.0
-            return LeaseGranted()
+            count = max(1, min(request.count, int(self._tokens)))
+            self._tokens -= count
+            return LeaseGranted(count)
         ahead = sum(w.request.priority <= request.priority for w in self._waiting)
         wait_s = (1.0 - self._tokens + ahead) / self._rate_per_s
         if wait_s > request.max_wait_s or len(self._waiting) >= MAX_WAITING:
--- a/src/celerytrack/limit_messages.py
+++ b/src/celerytrack/limit_messages.py
@@ -19,6 +19,8 @@
 MAX_LIMIT_PER_S = 1e9
 MAX_PRIORITY = 1_000
 MAX_WAIT_S = 60.0
+MAX_COUNT = 1_000
+"""Most requests that one lease may cover."""
 MAX_TEXT_CHARS = 200
 """Longest id or address; longer ones would fill an entry's memory."""
 MAX_REPORTS = 20
@@ -27,7 +29,7 @@
 
 @attrs.frozen
 class LeaseAsk:
-    """A request to the owner of a limited endpoint for one lease.
+    """A request to the owner of a limited endpoint for a lease.
 
     :ivar sender: peer address of the entry that asks.
     :ivar nonce: identifies the request at the sender.
@@ -39,6 +41,7 @@
     report: LimitReport
     priority: int
     max_wait_s: float
+    count: int = 1
 
 
 @attrs.frozen
@@ -94,15 +97,19 @@
 
 
 def _fields(message: LimitMessage) -> tuple[Any, ...]:
+    fields: tuple[Any, ...]
     match message:
-        case LeaseAsk(sender, nonce, report, priority, max_wait_s):
+        case LeaseAsk(sender, nonce, report, priority, max_wait_s, count):
             fields = _report_fields(report)
-            return (ASK_KIND, sender, nonce, fields, priority, max_wait_s)
+            return (ASK_KIND, sender, nonce, fields, priority, max_wait_s, count)
         case LeaseReply(nonce, decision, known):
-            retry_s = (
-                decision.retry_after_s if isinstance(decision, LeaseDenied) else None
-            )
-            return (REPLY_KIND, nonce, retry_s, _report_fields(known) if known else [])
+            granted, retry_after_s = 0, 0.0
+            if isinstance(decision, LeaseGranted):
+                granted = decision.count
+            else:
+                retry_after_s = decision.retry_after_s
+            fields = _report_fields(known) if known else ()
+            return (REPLY_KIND, nonce, granted, retry_after_s, fields)
         case LeaseReturn(sender, nonce, endpoint_id):
             return (RETURN_KIND, sender, nonce, endpoint_id)
         case LimitNews(sender, reports):
@@ -133,20 +140,23 @@
     :raises LimitMessageError: naming what is wrong.
     """
     match fields:
-        case ["lease", str(sender), int(nonce), report, int(priority), max_wait_s]:
+        case ["lease", str(sender), int(nonce), report, int(priority), wait_s, count]:
             return LeaseAsk(
                 _text(sender),
                 nonce,
                 _report(report),
                 int(_number(priority, MAX_PRIORITY, "priority")),
-                _number(max_wait_s, MAX_WAIT_S, "wait"),
+                _number(wait_s, MAX_WAIT_S, "wait"),
+                int(_number(count, MAX_COUNT, "count")),
+            )
+        case ["leased", int(nonce), granted, retry_after_s, list(report)]:
+            count = int(_number(granted, MAX_COUNT, "count"))
+            wait_s = _number(retry_after_s, MAX_LIMIT_PER_S, "wait")
+            return LeaseReply(
+                nonce,
+                LeaseGranted(count) if count else LeaseDenied(wait_s),
+                _report(report) if report else None,
             )
-        case ["leased", int(nonce), retry_after_s, list(report)]:
-            known = _report(report) if report else None
-            if retry_after_s is None:
-                return LeaseReply(nonce, LeaseGranted(), known)
-            denied = LeaseDenied(_number(retry_after_s, MAX_LIMIT_PER_S, "wait"))
-            return LeaseReply(nonce, denied, known)
         case ["unlease", str(sender), int(nonce), str(endpoint_id)]:
             return LeaseReturn(_text(sender), nonce, EndpointId(_text(endpoint_id)))
         case ["limits", str(sender), list(reports)] if len(reports) <= MAX_REPORTS:
--- a/src/celerytrack/limit_sync.py
+++ b/src/celerytrack/limit_sync.py
@@ -68,10 +68,23 @@
 """Requests in a row without reply after which an owner counts as unreachable."""
 SILENT_S = 1.0
 """How long the standby is asked instead."""
+MIN_DENIED_S = 0.05
+"""Shortest time for which an entry does not ask again after a denial. Tokens are kept
+for longer, so that none is lost by it."""
+MAX_BATCH = 32
+BATCH_S = 0.1
+"""An entry that uses up a lease in less asks for twice as many requests the next
+time."""
+BATCH_TTL_S = 0.25
+"""How long the requests of one lease may be sent."""
+QUEUE_KNOWN_S = 0.1
+"""How long the length of an owner's queue counts as known."""
 OWNER_RETRY_AFTER_S = 0.2
 """When to ask again after no reply, or one of an entry that isn't the owner."""
 ANNOUNCE_S = 5.0
 """Interval at which an owner repeats the limits of its endpoints."""
+BEGAN_REPEAT_S = 1.0
+"""When an owner repeats a limit that has begun, for those that did not get the news."""
 ENDED_NEWS_S = 2.0
 """How long an entry repeats to the owner that a limit has ended."""
 MAX_RETURNABLE = 10_000
@@ -99,6 +112,48 @@
     grantor: str | None = None
 
 
+@attrs.frozen
+class _QueueWait:
+    """The wait for a token that an owner told a request of some priority."""
+
+    known_at_s: float
+    wait_s: float
+    priority: int
+
+
+@attrs.define
+class _Batch:
+    """Leases of one endpoint that this entry was granted together.
+
+    :ivar size: how many it asks for.
+    """
+
+    size: int = 1
+    granted_at_s: float = -math.inf
+    left: int = 0
+    lease: Lease | None = None
+
+    def take(self, now_s: float) -> Lease | None:
+        """Take one of the leases that are left."""
+        if self.left <= 0 or now_s - self.granted_at_s > BATCH_TTL_S:
+            return None
+        self.left -= 1
+        return self.lease
+
+    def next_size(self, now_s: float) -> int:
+        """How many leases to ask for, as the last ones are used up or too old."""
+        used_up_s = now_s - self.granted_at_s
+        if used_up_s < BATCH_S:
+            self.size = min(2 * self.size, MAX_BATCH)
+        elif used_up_s > BATCH_TTL_S:
+            self.size = max(1, self.size // 2)
+        return self.size
+
+    def fill(self, lease: Lease, count: int, now_s: float) -> None:
+        """Record what was granted; one of the leases is taken at once."""
+        self.lease, self.left, self.granted_at_s = lease, count - 1, now_s
+
+
 @attrs.define
 class _OwnedLimit:
     """A limited endpoint for which this entry grants leases.
@@ -151,7 +206,10 @@
         self._denied_until_s: dict[EndpointId, float] = {}
         self._silent_asks: Counter[EntryId] = Counter()
         self._silent_until_s: dict[EntryId, float] = {}
+        self._began_at_s: dict[EndpointId, float] = {}
         self._ended_at_s: dict[EndpointId, float] = {}
+        self._batches: dict[EndpointId, _Batch] = {}
+        self._queue_waits: dict[EndpointId, _QueueWait] = {}
 
     # -- what endpoints answer -------------------------------------------------
 
@@ -185,6 +243,8 @@
             self.tracker.forget(endpoint_id)
             self._disown(endpoint_id)
             self._denied_until_s.pop(endpoint_id, None)
+            self._batches.pop(endpoint_id, None)
+            self._queue_waits.pop(endpoint_id, None)
 
     # -- leases for this entry's requests -----------------------------------------
 
@@ -201,6 +261,19 @@
         }
         return {i: until_s - now_s for i, until_s in self._denied_until_s.items()}
 
+    def expected_wait_s(
+        self, endpoint_id: EndpointId, priority: int, now_s: float
+    ) -> float:
+        """When a token of a limited endpoint is expected for a request."""
+        known = self._queue_waits.get(endpoint_id)
+        if (
+            known is not None
+            and now_s - known.known_at_s < QUEUE_KNOWN_S
+            and priority >= known.priority
+        ):
+            return known.wait_s
+        return max(0.0, self._denied_until_s.get(endpoint_id, 0.0) - now_s)
+
     async def acquire(
         self, endpoint_id: EndpointId, priority: int, max_wait_s: float
     ) -> Lease | LeaseDenied:
@@ -212,18 +285,29 @@
         if self.tracker.limit_per_s(endpoint_id) is None:
             return Lease(endpoint_id)
         now_s = time.monotonic()
+        batch = self._batches.setdefault(endpoint_id, _Batch())
+        if (kept := batch.take(now_s)) is not None:
+            self.counts["granted"] += 1
+            return kept
         nonce = next(self._nonces)
         grantor = self._grantor(endpoint_id, now_s)
         address = self._address if grantor == self._entry_id else self._peers[grantor]
         report = self.tracker.report(endpoint_id, now_s)
         assert report is not None
-        ask = LeaseAsk(self._address, nonce, report, priority, max_wait_s)
+        size = batch.next_size(now_s)
+        ask = LeaseAsk(self._address, nonce, report, priority, max_wait_s, size)
         decision = await self._ask(grantor, address, ask)
         if isinstance(decision, LeaseGranted):
             self.counts["granted"] += 1
-            return Lease(endpoint_id, nonce, address)
+            lease = Lease(endpoint_id, nonce, address)
+            batch.fill(lease, decision.count, time.monotonic())
+            return lease
         self.counts["denied"] += 1
-        self._remember_denial(endpoint_id, decision, time.monotonic())
+        denied_at_s = time.monotonic()
+        self._queue_waits[endpoint_id] = _QueueWait(
+            denied_at_s, decision.retry_after_s, priority
+        )
+        self._remember_denial(endpoint_id, decision, denied_at_s)
         return decision
 
     def _remember_denial(
@@ -235,7 +319,8 @@
         # Those that wait for a token may give up, or be less urgent than the next
         # request: it asks again when the next token is due.
         token_s = 1.0 / max(limit_per_s, MIN_RATE_PER_S)
-        self._denied_until_s[endpoint_id] = now_s + min(denied.retry_after_s, token_s)
+        denied_s = max(MIN_DENIED_S, min(denied.retry_after_s, token_s))
+        self._denied_until_s[endpoint_id] = now_s + denied_s
 
     def give_back(self, lease: Lease) -> None:
         """Return a lease whose request was not sent."""
@@ -335,9 +420,13 @@
         if change.new_per_s is None:
             self._ended_at_s[endpoint_id] = now_s
             self._denied_until_s.pop(endpoint_id, None)
+            self._batches.pop(endpoint_id, None)
+            self._queue_waits.pop(endpoint_id, None)
             self._disown(endpoint_id)
         if is_owner and change.began_or_ended:
             self._announce([endpoint_id], self._peers.values(), now_s)
+            if change.new_per_s is not None:
+                self._began_at_s[endpoint_id] = now_s
         elif not is_owner and source == "answer":
             self._announce([endpoint_id], [self._peers[owners[0]]], now_s)
 
@@ -366,7 +455,9 @@
             return
         owned = self._own(endpoint_id, limit_per_s, now_s)
         self._decide_waiting(endpoint_id, owned, now_s)
-        request = LeaseRequest((ask.sender, ask.nonce), ask.priority, ask.max_wait_s)
+        request = LeaseRequest(
+            (ask.sender, ask.nonce), ask.priority, ask.max_wait_s, ask.count
+        )
         decision = owned.queue.request(request, now_s)
         if decision is not None:
             self._answer(endpoint_id, request.key, decision, now_s)
@@ -549,9 +640,18 @@
         ]
         if joined:
             self._announce(owned, joined, now_s)
+        began = [
+            endpoint_id
+            for endpoint_id, began_at_s in self._began_at_s.items()
+            if now_s - began_at_s >= BEGAN_REPEAT_S
+        ]
+        for endpoint_id in began:
+            del self._began_at_s[endpoint_id]
         if now_s - self._announced_at_s >= ANNOUNCE_S:
             self._announced_at_s = now_s
             self._announce(owned, self._peers.values(), now_s)
+        elif began:
+            self._announce(began, self._peers.values(), now_s)
         for endpoint_id, ended_at_s in list(self._ended_at_s.items()):
             if now_s - ended_at_s > ENDED_NEWS_S:
                 del self._ended_at_s[endpoint_id]
