Limits in the own interface: the same core; stand-ins that name one, a check in the load tool

What callers would see: entries of the own interface ignored limits as the gateway did. Limits and lease decisions are on both metrics addresses, limits in GET /status.

--- a/src/celerytrack/cli/load.py
+++ b/src/celerytrack/cli/load.py
@@ -12,6 +12,7 @@
 from cleo.helpers import option
 
 from celerytrack.load.checker import audit
+from celerytrack.load.limits import check_limits, name_limits
 from celerytrack.load.mix import MIXES
 from celerytrack.load.report import summarise, table
 from celerytrack.load.runner import Plan, run_plan
@@ -32,6 +33,7 @@
         option("seed", None, "Random seed.", flag=False, default="1"),
         option("repeat", None, "Marked requests per second.", flag=False, default="0"),
         option("marker", None, "Text of the marked requests.", flag=False, default=""),
+        option("limit", None, "Rate limit that all replicas name.", flag=False),
         option("json", None, "Print JSON."),
     ]
 
@@ -54,12 +56,19 @@
         entries = [e.address for e in fleet.entries]
         non_idempotent = {c.name for c in config.classes if not c.idempotent}
 
+        limit = self.option("limit")
+
         async def go() -> dict[str, object]:
+            if limit is not None:
+                await name_limits(fleet, float(limit))
             results = await run_plan(plan, MIXES[fleet.deployment], entries, keys)
+            checks = await check_limits(fleet)
+            if limit is not None:
+                await name_limits(fleet, None)
             await asyncio.sleep(fleet.tuning.ledger_flush_s * 5)
             found = await audit(fleet, non_idempotent)
             targets = {c.name: c.ttft_target_s for c in config.classes}
-            return summarise(results, found, targets)
+            return summarise(results, found, targets, checks)
 
         summary = asyncio.run(go())
         self.line(json.dumps(summary) if self.option("json") else table(summary))
--- a/src/celerytrack/entry/app.py
+++ b/src/celerytrack/entry/app.py
@@ -74,6 +74,7 @@
             "held_tokens": held,
             "grants": len(state.grant_manager.escrow.grants),
             "ledger_backlog": state.grant_manager.writer.backlog,
+            "limits": state.limits.sync.tracker.limited(),
             "leaving_replicas": sorted(
                 r for r, v in state.view.replicas.items() if v.leaving
             ),
--- a/src/celerytrack/entry/chat.py
+++ b/src/celerytrack/entry/chat.py
@@ -132,12 +132,14 @@
     }
     url = f"http://{state.view.addresses[sent.replica.replica_id]}/v1/chat/completions"
     headers = {"X-Request-Id": answer.admitted.request_id}
+    sent_at_s = time.monotonic()
     try:
         upstream = await state.upstream.post(url, json=body, headers=headers)
     except CONNECT_ERRORS:
         return Failure(replica_unreachable())
     except CONNECTION_ERRORS:
         return Failure(replica_failed())
+    state.limits.record_answer(sent.replica.replica_id, upstream, sent_at_s)
     try:
         if upstream.status != 200:
             return Failure(bad_status(upstream.status))
--- a/src/celerytrack/entry/fleet_view.py
+++ b/src/celerytrack/entry/fleet_view.py
@@ -34,6 +34,7 @@
     entry_id: EntryId
     address: str
     zone: Zone
+    peer_address: str = ""
     leaving: bool = False
     gone: bool = False
     draining: bool = False
@@ -145,9 +146,11 @@
             entry_id = EntryId(item["id"])
             entry = self.entries.get(entry_id)
             if entry is None:
-                entry = EntryInfo(entry_id, item["address"], Zone(item["zone"]))
+                zone = Zone(item["zone"])
+                peer_address = item["peer_address"]
+                entry = EntryInfo(entry_id, item["address"], zone, peer_address)
                 self.entries[entry_id] = entry
-                self._on_entry(item["peer_address"])
+                self._on_entry(peer_address)
             entry.leaving = leaving
             entry.gone = item["state"] == "gone"
             return
--- /dev/null
+++ b/src/celerytrack/entry/limits.py
@@ -0,0 +1,173 @@
+"""Rate limits of replicas, for the product's own interface.
+
+The messages are the gateway's (:mod:`celerytrack.limit_messages`), as datagrams on the
+port of the entry's peer address; its heartbeats use the same port number over TCP.
+"""
+
+import logging
+import random
+import time
+from collections.abc import Callable, Collection, Iterable, Sequence
+
+import aiohttp
+import attrs
+import msgpack
+
+from celerytrack.datagrams import DatagramSocket
+from celerytrack.events import Event, log_event
+from celerytrack.ids import EndpointId, EntryId, ReplicaId
+from celerytrack.limit_leases import LeaseDenied
+from celerytrack.limit_messages import (
+    LimitMessage,
+    LimitMessageError,
+    encode_limit_message,
+    limit_message_of,
+)
+from celerytrack.limit_placement import (
+    Candidate,
+    LeasePlacer,
+    spread_retry_after_s,
+)
+from celerytrack.limit_sync import Lease, LimitSync, Peer
+from celerytrack.platform.http import LimitError, decode_limit, read_limit
+from celerytrack.replica_load import ReplicaLoad
+from celerytrack.verdict import Reason, Refusal, did_not_run
+
+_log = logging.getLogger(__name__)
+
+
+@attrs.define
+class LeasedReplica:
+    """The replica of one attempt, and the lease for it.
+
+    :ivar lease: ``None`` while no replica is limited.
+    """
+
+    replica: ReplicaLoad
+    lease: Lease | None = None
+
+
+class EntryLimits:
+    """The rate limits of replicas, kept together with the other entries.
+
+    :param address: peer address of this entry.
+    :param live_peers: returns the other live entries at a time.
+    """
+
+    def __init__(
+        self,
+        entry_id: EntryId,
+        address: str,
+        live_peers: Callable[[float], Iterable[Peer]],
+    ) -> None:
+        self._address = address
+        self._socket = DatagramSocket(self._on_data)
+        self.sync = LimitSync(
+            entry_id, address, self._send, live_peers, time.monotonic()
+        )
+
+    async def run(self) -> None:
+        """Receive messages and follow the membership until cancelled."""
+        await self._socket.open(self._address)
+        await self.sync.run()
+
+    def close(self) -> None:
+        """Close the socket."""
+        self._socket.close()
+
+    def record_answer(
+        self, replica_id: ReplicaId, answer: aiohttp.ClientResponse, sent_at_s: float
+    ) -> None:
+        """Record the limit that a replica's answer names, or that it names none.
+
+        :param sent_at_s: when its request was sent, on the monotonic clock.
+        """
+        endpoint_id = EndpointId(replica_id)
+        text = read_limit(answer.headers)
+        if text is None:
+            if answer.status == 200:
+                self._record(endpoint_id, None, sent_at_s)
+            return
+        try:
+            limit_per_s = decode_limit(text)
+        except LimitError as exc:
+            log_event(
+                _log,
+                Event.LIMIT_UNREADABLE,
+                logging.WARNING,
+                endpoint=endpoint_id,
+                detail=str(exc),
+            )
+            return
+        self._record(endpoint_id, limit_per_s, sent_at_s)
+
+    def give_back(self, leased: LeasedReplica) -> None:
+        """Return the lease of a request that was not sent."""
+        if leased.lease is not None:
+            self.sync.give_back(leased.lease)
+
+    def is_limited(self, replica_id: ReplicaId) -> bool:
+        """Whether a replica has a limit now."""
+        return self.sync.tracker.limit_per_s(EndpointId(replica_id)) is not None
+
+    async def lease(
+        self,
+        choose: Callable[[Collection[ReplicaId]], ReplicaLoad | None],
+        may_run: Sequence[ReplicaLoad],
+        priority: int,
+        max_wait_s: float,
+        rng: random.Random,
+    ) -> LeasedReplica | Refusal:
+        """Choose a replica and get a lease for it.
+
+        :param choose: returns the best replica, some excluded.
+        :param may_run: replicas that may run the request if they are limited.
+        """
+
+        def choose_candidate(
+            excluded: Collection[EndpointId],
+        ) -> Candidate[ReplicaLoad] | None:
+            replica = choose([ReplicaId(i) for i in excluded])
+            return _candidate(replica, 0.0) if replica else None
+
+        placer = LeasePlacer[ReplicaLoad](
+            self.sync, priority, lambda replica: not replica.leaving, []
+        )
+        leased = await placer.lease_best(choose_candidate)
+        if leased is not None:
+            return LeasedReplica(leased.choice, leased.lease)
+        limited = [r for r in may_run if self.is_limited(r.replica_id)]
+        candidates = [_candidate(replica, max_wait_s) for replica in limited]
+        waited = await placer.lease_in_time(candidates, rng)
+        if isinstance(waited, LeaseDenied):
+            retry_after_s = spread_retry_after_s(waited, rng)
+            detail = "all back ends with room are limited"
+            return did_not_run(Reason.RATE_LIMITED, retry_after_s, detail)
+        return LeasedReplica(waited.choice, waited.lease)
+
+    def _record(
+        self, endpoint_id: EndpointId, limit_per_s: float | None, sent_at_s: float
+    ) -> None:
+        now_s = time.monotonic()
+        self.sync.record_answer(endpoint_id, 0, limit_per_s, sent_at_s, now_s)
+
+    def _send(self, address: str, message: LimitMessage) -> None:
+        self._socket.send([address], encode_limit_message(message))
+
+    def _on_data(self, data: bytes) -> None:
+        try:
+            message = limit_message_of(msgpack.unpackb(data))
+        except (
+            LimitMessageError,
+            ValueError,
+            TypeError,
+            RecursionError,
+            msgpack.UnpackException,
+        ) as exc:
+            log_event(_log, Event.NOTE_REJECTED, logging.WARNING, detail=str(exc))
+            return
+        self.sync.receive(message)
+
+
+def _candidate(replica: ReplicaLoad, max_wait_s: float) -> Candidate[ReplicaLoad]:
+    return Candidate(EndpointId(replica.replica_id), replica, max_wait_s)
--- a/src/celerytrack/entry/service_calls.py
+++ b/src/celerytrack/entry/service_calls.py
@@ -135,8 +135,10 @@
     address = state.view.addresses[sent.replica.replica_id]
     url = f"http://{address}/call/{admitted.work.name}"
     headers = {"X-Request-Id": admitted.request_id}
+    sent_at_s = time.monotonic()
     try:
         async with state.upstream.post(url, json=admitted.body, headers=headers) as r:
+            state.limits.record_answer(sent.replica.replica_id, r, sent_at_s)
             if r.status != 200:
                 return Failure(bad_status(r.status))
             return Success(await r.json())
--- a/src/celerytrack/entry/state.py
+++ b/src/celerytrack/entry/state.py
@@ -13,6 +13,7 @@
 from celerytrack.entry.config_follower import ConfigFollower
 from celerytrack.entry.fleet_view import EntryInfo, FleetView
 from celerytrack.entry.grant_manager import GrantManager
+from celerytrack.entry.limits import EntryLimits
 from celerytrack.entry.metrics import EntryMetrics
 from celerytrack.entry.peers import HEARTBEAT_S, Heartbeat, PeerLink
 from celerytrack.entry.shared_deadline import SharedDeadline
@@ -21,6 +22,8 @@
 from celerytrack.events import Event, log_event
 from celerytrack.findings import Findings
 from celerytrack.ids import EntryId
+from celerytrack.limit_metrics import register_limits
+from celerytrack.limit_sync import Peer
 from celerytrack.logclient import LogClient
 from celerytrack.replica_load import Load
 from celerytrack.retries import RetryBudget
@@ -78,6 +81,10 @@
         self.in_flight = 0
         self.attempts_deadline = SharedDeadline()
         self.suspects = EntrySuspects(self.entry_id)
+        self.limits = EntryLimits(
+            self.entry_id, self.spec.peer_address, self._limit_peers
+        )
+        register_limits(self.metrics.registry, self.limits.sync)
         self._idle = asyncio.Event()
         self._tasks: list[asyncio.Task[None]] = []
         self._upstream: aiohttp.ClientSession | None = None
@@ -126,6 +133,7 @@
             asyncio.create_task(self.view.run()),
         ]
         self._tasks += self.link.start()
+        self._tasks.append(asyncio.create_task(self.limits.run()))
         await self._wait_for_peers()
         self._tasks += await self.grant_manager.start()
         await asyncio.wait_for(self.config.wait_for_config(), 30.0)
@@ -181,6 +189,7 @@
     async def close(self) -> None:
         """Cancel the tasks and close the sessions."""
         self.link.close()
+        self.limits.close()
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(
@@ -206,6 +215,7 @@
         if self.draining:
             return
         self.draining = True
+        self.limits.sync.begin_leaving()
         log_event(
             _log, Event.ENTRY_DRAINING, entry=self.entry_id, in_flight=self.in_flight
         )
@@ -239,6 +249,13 @@
         # A heartbeat without findings also means that its entry runs no probe.
         self.suspects.merge(heartbeat.findings or Findings(heartbeat.entry), now_s)
 
+    def _limit_peers(self, now_s: float) -> list[Peer]:
+        return [
+            Peer(entry_id, info.peer_address)
+            for entry_id, info in self.view.entries.items()
+            if entry_id != self.entry_id and info.is_usable(now_s)
+        ]
+
     def _grant_policy(self) -> GrantPolicy:
         return self.config.config.grant if self.config.config else GrantPolicy()
 
--- a/src/celerytrack/entry/upstream.py
+++ b/src/celerytrack/entry/upstream.py
@@ -5,7 +5,7 @@
 import enum
 import logging
 import time
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Collection
 from typing import TypeVar
 
 import aiohttp
@@ -17,6 +17,7 @@
     choose_replica,
     suspect_state_of,
 )
+from celerytrack.entry.limits import LeasedReplica
 from celerytrack.entry.refusals import RefusedError
 from celerytrack.entry.shared_deadline import DeadlineExceededError
 from celerytrack.entry.state import EntryState
@@ -36,6 +37,8 @@
 MAX_PROBE_S = 60.0
 """Longest time for which a request counts as probed if the entry that runs the probe
 does not report its end."""
+RESUME_WAIT_S = 1.0
+"""Longest wait of an answer that has begun for a replica: its caller sees a pause."""
 MAX_ATTEMPTS_WITHOUT_TOKENS = 3
 """Consecutive attempts of one request that may end without a token of the answer."""
 CONNECT_ERRORS = (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError)
@@ -90,6 +93,7 @@
 class _AttemptHistory:
     """The state of one request's attempts.
 
+    :ivar answer_at_s: until when the first token is in time, on the monotonic clock.
     :ivar streaming: the caller has received a part of the answer.
     :ivar failed_in_row: consecutive failed attempts that produced no token.
     :ivar avoid: replicas that failed the request since its last token.
@@ -97,6 +101,7 @@
         its refusal is kept, however later attempts end.
     """
 
+    answer_at_s: float
     streaming: bool = False
     failed_in_row: int = 0
     avoid: frozenset[ReplicaId] = frozenset()
@@ -134,7 +139,9 @@
     :returns: the first success, or the refusal that the caller gets.
     """
     state.retries.record_request()
-    history = _AttemptHistory()
+    history = _AttemptHistory(
+        answer_at_s=time.monotonic() + admitted.work.ttft_target_s
+    )
     work, request_id = admitted.work, admitted.request_id
     while True:
         if state.attempts_deadline.has_passed(time.monotonic()):
@@ -142,18 +149,19 @@
         suspect_state = suspect_state_of(state, admitted, time.monotonic())
         if suspect_state is SuspectState.QUARANTINED:
             return Failure(history.refusal or _quarantine_refusal(state, admitted))
-        try:
-            replica = _choose_replica(state, admitted, history, ask, suspect_state)
-        except RefusedError as exc:
+        placed = await _place(state, admitted, history, ask, suspect_state)
+        if isinstance(placed, Refusal):
             if history.refusal is not None:
-                _log_not_retried(request_id, NoRetryReason.NO_REPLICA, exc.refusal)
-            return Failure(history.refusal or exc.refusal)
+                _log_not_retried(request_id, NoRetryReason.NO_REPLICA, placed)
+            return Failure(history.refusal or placed)
+        replica = placed.replica
         if (
             suspect_state is SuspectState.PROBE_ONLY
             and not await state.suspects.begin_probe(
                 admitted.fingerprint, replica.replica_id, MAX_PROBE_S
             )
         ):
+            state.limits.give_back(placed)
             return Failure(history.refusal or _quarantine_refusal(state, admitted))
         now_s = time.time()
         first_token_s = predict_first_token_s(
@@ -183,7 +191,10 @@
                 replica.record_success()
                 return result
             case Failure(refusal):
-                replica.record_failure(time.time())
+                if refusal == replica_unreachable():
+                    state.limits.give_back(placed)
+                if not _is_backpressure(state, replica, refusal):
+                    replica.record_failure(time.time())
                 _log_attempt_failed(request_id, replica.replica_id, refusal)
                 history.record_failure(sent, refusal)
                 why = _reason_not_to_retry(state, work, refusal, history)
@@ -193,29 +204,86 @@
         await asyncio.sleep(backoff_s(max(history.failed_in_row - 1, 0), state.rng))
 
 
+async def _place(
+    state: EntryState,
+    admitted: AdmittedRequest,
+    history: _AttemptHistory,
+    ask: Ask,
+    suspect_state: SuspectState,
+) -> LeasedReplica | Refusal:
+    """Choose the replica of the next attempt, with a lease if it is limited."""
+
+    def choose(excluded: Collection[ReplicaId]) -> ReplicaLoad | None:
+        try:
+            return _choose_replica(
+                state, admitted, history, ask, suspect_state, frozenset(excluded)
+            )
+        except RefusedError:
+            return None
+
+    try:
+        replica = _choose_replica(state, admitted, history, ask, suspect_state)
+    except RefusedError as exc:
+        return exc.refusal
+    if not state.limits.sync.tracker:
+        return LeasedReplica(replica)
+    may_run = [
+        replica
+        for replica in state.view.replicas.values()
+        if replica.model == ask.model
+        and not replica.leaving
+        and replica.replica_id not in history.avoid
+    ]
+    next_ask = history.next_ask(ask)
+    max_wait_s = _max_wait_s(replica, history, next_ask)
+    return await state.limits.lease(
+        choose, may_run, next_ask.priority, max_wait_s, state.rng
+    )
+
+
+def _max_wait_s(replica: ReplicaLoad, history: _AttemptHistory, ask: Ask) -> float:
+    if history.streaming:
+        return RESUME_WAIT_S
+    load = replica.load(time.time())
+    first_token_s = predict_first_token_s(replica, load, ask, Placement())
+    return max(0.0, history.answer_at_s - first_token_s - time.monotonic())
+
+
 def _choose_replica(
     state: EntryState,
     admitted: AdmittedRequest,
     history: _AttemptHistory,
     ask: Ask,
     suspect_state: SuspectState,
+    limited: frozenset[ReplicaId] = frozenset(),
 ) -> ReplicaLoad:
     """Choose the replica of the next attempt.
 
     While other replicas have room, a request is not sent to one on which a probe
     runs, and a suspect request is not sent to one that runs another suspect.
 
+    :param limited: replicas whose rate limit leaves no room now.
     :raises RefusedError: if no replica has room.
     """
+    next_ask = history.next_ask(ask)
+    excluded = history.avoid | limited
     to_avoid = state.suspects.replicas_to_avoid(suspect_state, time.monotonic())
     if to_avoid:
         try:
-            return choose_replica(
-                state, admitted.work, history.next_ask(ask), history.avoid | to_avoid
-            )
+            return choose_replica(state, admitted.work, next_ask, excluded | to_avoid)
         except RefusedError:
             pass
-    return choose_replica(state, admitted.work, history.next_ask(ask), history.avoid)
+    return choose_replica(state, admitted.work, next_ask, excluded)
+
+
+def _is_backpressure(state: EntryState, replica: ReplicaLoad, refusal: Refusal) -> bool:
+    """Whether a limited replica rejected a request, which is no sign of a fault."""
+    rejected = refusal.verdict is Verdict.DID_NOT_RUN
+    return (
+        rejected
+        and refusal != replica_unreachable()
+        and state.limits.is_limited(replica.replica_id)
+    )
 
 
 def _quarantine_refusal(state: EntryState, admitted: AdmittedRequest) -> Refusal:
--- a/src/celerytrack/gateway/peer_messages.py
+++ b/src/celerytrack/gateway/peer_messages.py
@@ -14,15 +14,14 @@
 lost, the receiver keeps its previous view, and no request waits for it.
 """
 
-import asyncio
 import itertools
 import logging
 from collections.abc import Callable, Iterable
-from typing import cast
 
 import attrs
 import msgpack
 
+from celerytrack.datagrams import DatagramSocket
 from celerytrack.events import Event, log_event
 from celerytrack.findings import Findings
 from celerytrack.ids import EndpointId, EntryId
@@ -122,79 +121,41 @@
         raise PeerMessageError(str(exc)) from None
 
 
-class PeerMessenger(asyncio.DatagramProtocol):
+class PeerMessenger(DatagramSocket):
     """Sends and receives messages on one UDP socket.
 
     :param handler: called with each message of another entry.
     """
 
     def __init__(self, handler: MessageHandler) -> None:
+        super().__init__(self._decode)
         self._handler = handler
-        self._transport: asyncio.DatagramTransport | None = None
-
-    async def open(self, address: str) -> None:
-        """Bind the socket to ``address`` (``host:port``)."""
-        loop = asyncio.get_running_loop()
-        await loop.create_datagram_endpoint(
-            lambda: self, local_addr=_split_address(address)
-        )
 
     def send_long_prompt(
         self, addresses: Iterable[str], message: LongPromptMessage
     ) -> None:
         """Announce a prompt sent to an endpoint to the entries at ``addresses``."""
         recipients = itertools.islice(addresses, MAX_PROMPT_RECIPIENTS)
-        self._send(recipients, msgpack.packb((message.endpoint_id, message.work_s)))
+        self.send(recipients, msgpack.packb((message.endpoint_id, message.work_s)))
 
     def send_leaving(self, addresses: Iterable[str], message: LeavingMessage) -> None:
         """Announce to the entries at ``addresses`` that this one leaves."""
-        self._send(
+        self.send(
             addresses, msgpack.packb(("leaving", message.entry_id, message.started_s))
         )
 
     def send_findings(self, addresses: Iterable[str], findings: Findings) -> None:
         """Send findings about suspected requests to the entries at ``addresses``."""
-        self._send(addresses, encode_findings(findings))
+        self.send(addresses, encode_findings(findings))
 
     def send_limit_message(self, address: str, message: LimitMessage) -> None:
         """Send a message about limited endpoints to the entry at ``address``."""
-        self._send([address], encode_limit_message(message))
+        self.send([address], encode_limit_message(message))
 
-    def _send(self, addresses: Iterable[str], data: bytes) -> None:
-        if self._transport is None:
-            return
-        for address in addresses:
-            try:
-                self._transport.sendto(data, _split_address(address))
-            except (ValueError, OverflowError, OSError) as exc:
-                log_event(_log, Event.NOTE_FAILED, address=address, detail=str(exc))
-
-    def close(self) -> None:
-        """Close the socket."""
-        if self._transport is not None:
-            self._transport.close()
-
-    # -- asyncio.DatagramProtocol ------------------------------------------
-
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Keep the transport of the open socket."""
-        # The datagram transports of event loops need not subclass asyncio's.
-        self._transport = cast(asyncio.DatagramTransport, transport)
-
-    def datagram_received(self, data: bytes, addr: object) -> None:
-        """Decode a datagram and hand over its message."""
+    def _decode(self, data: bytes) -> None:
         try:
             message = decode_peer_message(data)
         except PeerMessageError as exc:
             log_event(_log, Event.NOTE_REJECTED, logging.WARNING, detail=str(exc))
             return
         self._handler(message)
-
-    def error_received(self, exc: Exception) -> None:
-        """Log an ICMP error: no process listens on the port of an entry."""
-        log_event(_log, Event.NOTE_FAILED, logging.DEBUG, detail=repr(exc))
-
-
-def _split_address(address: str) -> tuple[str, int]:
-    host, port = address.rsplit(":", 1)
-    return host, int(port)
--- a/src/celerytrack/gateway/placement.py
+++ b/src/celerytrack/gateway/placement.py
@@ -1,6 +1,7 @@
 """Places a request: chooses its endpoint, with a lease if the endpoint is limited."""
 
 import time
+from collections.abc import Collection
 
 import attrs
 from returns.result import Failure, Result, Success
@@ -11,17 +12,17 @@
 from celerytrack.gateway.state import Gateway
 from celerytrack.ids import EndpointId
 from celerytrack.limit_leases import LeaseDenied
+from celerytrack.limit_placement import (
+    Candidate,
+    LeasePlacer,
+    spread_retry_after_s,
+)
 from celerytrack.limit_sync import Lease
 from celerytrack.suspects import SuspectState
 from celerytrack.verdict import Reason, Verdict
 
-MAX_ASKS = 3
-"""Limited endpoints at which a request asks for a lease before it goes to one without
-a limit: each one costs a round trip between entries."""
 RESUME_WAIT_S = 1.0
 """Longest wait of a stream that has begun: its caller sees it as a pause."""
-RETRY_SPREAD = 0.5
-"""Share by which ``Retry-After`` varies, so that callers don't come back together."""
 
 
 @attrs.define
@@ -66,11 +67,7 @@
 async def place(
     gateway: Gateway, exchange: Exchange, suspect_state: SuspectState
 ) -> PlacementResult:
-    """Choose the endpoint of the next attempt.
-
-    A request whose best endpoint has no room in its limit goes to the next best. If
-    all are limited, it waits for a token as long as its answer can still be in time.
-    """
+    """Choose the endpoint of the next attempt."""
     if not gateway.limit_sync.tracker:
         chosen = choose_endpoint(gateway, exchange, suspect_state, time.monotonic())
         if chosen is None:
@@ -82,104 +79,63 @@
 async def _place_within_limits(
     gateway: Gateway, exchange: Exchange, suspect_state: SuspectState
 ) -> PlacementResult:
-    limits = gateway.limit_sync
-    for asks in range(MAX_ASKS + 1):
+    def choose(excluded: Collection[EndpointId]) -> Candidate[Choice] | None:
         now_s = time.monotonic()
-        excluded = limits.denied(now_s) if asks < MAX_ASKS else limits.tracker.limited()
         chosen = choose_endpoint(gateway, exchange, suspect_state, now_s, excluded)
-        if chosen is None:
-            break
-        placement = await _lease(gateway, exchange, chosen, 0.0)
-        if isinstance(placement, Placement):
-            return Success(placement)
-    if choose_endpoint(gateway, exchange, suspect_state, time.monotonic()) is None:
-        return Failure(no_endpoint("none has room"))
-    return await _wait_for_lease(gateway, exchange)
-
-
-async def _wait_for_lease(gateway: Gateway, exchange: Exchange) -> PlacementResult:
-    """Wait for a token of one of the limited endpoints.
+        return Candidate(chosen.endpoint.endpoint_id, chosen) if chosen else None
 
-    It is a random one of those that may have a token in time, so that those who wait
-    spread over all of them.
-    """
-    now_s = time.monotonic()
-    denied_s = _denied_candidates(gateway, exchange, now_s)
-    retry_after_s = min(denied_s.values(), default=0.0)
-    in_time = [
-        choice
-        for endpoint_id, wait_s in denied_s.items()
-        if (choice := _predict_at(gateway, exchange, endpoint_id, now_s))
-        and wait_s <= _max_wait_s(exchange, choice, now_s)
-    ]
-    if in_time:
-        choice = gateway.rng.choice(in_time)
-        max_wait_s = _max_wait_s(exchange, choice, now_s)
-        match await _lease(gateway, exchange, choice, max_wait_s):
-            case Placement() as placement:
-                return Success(placement)
-            case LeaseDenied(denied_s_after):
-                retry_after_s = denied_s_after
-    spread = gateway.rng.uniform(1.0, 1.0 + RETRY_SPREAD)
-    return Failure(
-        AttemptFailure(
-            Reason.RATE_LIMITED,
-            Verdict.DID_NOT_RUN,
-            False,
-            "all endpoints with room are limited",
-            sent=False,
-            retry_after_s=spread * retry_after_s,
-        )
+    placer = LeasePlacer[Choice](
+        gateway.limit_sync,
+        exchange.priority,
+        lambda choice: gateway.endpoints.is_available(choice.endpoint),
+        exchange.limited,
     )
+    leased = await placer.lease_best(choose)
+    if leased is not None:
+        return Success(Placement(leased.choice, leased.lease))
+    candidates = _limited_candidates(gateway, exchange, time.monotonic())
+    if not candidates:
+        return Failure(no_endpoint("none has room"))
+    waited = await placer.lease_in_time(candidates, gateway.rng)
+    if isinstance(waited, LeaseDenied):
+        return Failure(_rate_limited(spread_retry_after_s(waited, gateway.rng)))
+    return Success(Placement(waited.choice, waited.lease))
 
 
-def _denied_candidates(
+def _limited_candidates(
     gateway: Gateway, exchange: Exchange, now_s: float
-) -> dict[EndpointId, float]:
-    """The limited endpoints that the request may go to, and when to ask again."""
-    denied_s = gateway.limit_sync.denied(now_s)
-    return {
-        endpoint_id: denied_s.get(endpoint_id, 0.0)
-        for endpoint_id in gateway.limit_sync.tracker.limited()
-        if endpoint_id not in exchange.tried
-        and gateway.endpoints.serves(endpoint_id, exchange.service)
-    }
-
-
-def _predict_at(
-    gateway: Gateway, exchange: Exchange, endpoint_id: EndpointId, now_s: float
-) -> Choice | None:
-    return gateway.endpoints.predict_at(
-        endpoint_id,
-        exchange.profile,
-        gateway.fleet_load_ratio(now_s),
-        gateway.max_connections(exchange.service),
-        now_s,
-    )
+) -> list[Candidate[Choice]]:
+    """The limited endpoints that may run the request."""
+    load_ratio = gateway.fleet_load_ratio(now_s)
+    connections = gateway.max_connections(exchange.service)
+    candidates = []
+    for endpoint_id in gateway.limit_sync.tracker.limited():
+        if endpoint_id in exchange.tried:
+            continue
+        choice = gateway.endpoints.predict_at(
+            endpoint_id, exchange.profile, load_ratio, connections, now_s
+        )
+        if choice is not None:
+            max_wait_s = _max_wait_s(exchange, choice, now_s)
+            candidates.append(Candidate(endpoint_id, choice, max_wait_s))
+    return candidates
 
 
 def _max_wait_s(exchange: Exchange, choice: Choice, now_s: float) -> float:
     if exchange.response is not None:
-        return min(RESUME_WAIT_S, exchange.deadline_at_s - now_s)
+        return max(0.0, min(RESUME_WAIT_S, exchange.deadline_at_s - now_s))
     answer_at_s = min(
         exchange.deadline_at_s, exchange.started_s + exchange.route.target_s
     )
     return max(0.0, answer_at_s - choice.predicted_s - now_s)
 
 
-async def _lease(
-    gateway: Gateway, exchange: Exchange, choice: Choice, max_wait_s: float
-) -> Placement | LeaseDenied:
-    """Get a lease for a choice, which may have become invalid meanwhile."""
-    endpoint = choice.endpoint
-    was_available = gateway.endpoints.is_available(endpoint)
-    lease = await gateway.limit_sync.acquire(
-        endpoint.endpoint_id, exchange.priority, max_wait_s
+def _rate_limited(retry_after_s: float) -> AttemptFailure:
+    return AttemptFailure(
+        Reason.RATE_LIMITED,
+        Verdict.DID_NOT_RUN,
+        False,
+        "all endpoints with room are limited",
+        sent=False,
+        retry_after_s=retry_after_s,
     )
-    if isinstance(lease, LeaseDenied):
-        exchange.limited.append(endpoint.endpoint_id)
-        return lease
-    if was_available and not gateway.endpoints.is_available(endpoint):
-        gateway.limit_sync.give_back(lease)
-        return LeaseDenied(0.0)
-    return Placement(choice, lease)
--- a/src/celerytrack/gateway/state.py
+++ b/src/celerytrack/gateway/state.py
@@ -30,6 +30,7 @@
 from celerytrack.gateway.suspect_sync import SuspectSync
 from celerytrack.gateway.telemetry import Telemetry
 from celerytrack.ids import EndpointId, EntryId, ServiceName
+from celerytrack.limit_metrics import register_limits
 from celerytrack.limit_sync import LimitSync, Peer
 from celerytrack.planned_stop import PlannedStop
 from celerytrack.platform.settings import ProcessSettings
@@ -102,6 +103,7 @@
         self.endpoints_read_time_s = 0.0
         self.endpoints_reachable = True
         self.telemetry = Telemetry()
+        register_limits(self.telemetry.registry, self.limit_sync)
         self.eras.on_change(self._on_era_change)
         self.in_flight = 0
         self.exchanges: set[Exchange] = set()
--- a/src/celerytrack/load/report.py
+++ b/src/celerytrack/load/report.py
@@ -3,12 +3,15 @@
 """
 
 from collections import Counter, defaultdict
+from collections.abc import Sequence
 from typing import Any
 
+import attrs
 from hdrh.histogram import HdrHistogram
 
 from celerytrack.load.caller import Outcome, Result
 from celerytrack.load.checker import Audit
+from celerytrack.load.limits import LimitCheck
 from celerytrack.slo import burn
 
 _MAX_US = 120_000_000
@@ -22,11 +25,15 @@
 
 
 def summarise(
-    results: list[Result], audit: Audit, targets_s: dict[str, float]
+    results: list[Result],
+    audit: Audit,
+    targets_s: dict[str, float],
+    limits: Sequence[LimitCheck] = (),
 ) -> dict[str, Any]:
     """Return the percentiles and counts of each class, and the audit's figures.
 
     :param targets_s: first-token targets by class.
+    :param limits: what arrived at replicas that named a limit.
     """
     by_class: dict[str, list[Result]] = defaultdict(list)
     for result in results:
@@ -67,6 +74,8 @@
             1 for r in results if r.outcome in (Outcome.CUT, Outcome.FAILED)
         ),
         "wrong_answers": sum(1 for r in results if r.outcome == Outcome.WRONG),
+        "limits": [attrs.asdict(check) for check in limits],
+        "limits_exceeded": sum(not check.is_kept for check in limits),
     }
 
 
@@ -102,4 +111,10 @@
         f"cut {summary['lost_or_cut']}, wrong answers {summary['wrong_answers']}, "
         f"bills {summary['bills']}"
     )
+    if summary["limits"]:
+        worst = max(row["worst_window"] / row["allowed"] for row in summary["limits"])
+        lines.append(
+            f"limits {len(summary['limits'])}, exceeded "
+            f"{summary['limits_exceeded']}, worst window {worst:.2f} of what is allowed"
+        )
     return "\n".join(lines)
--- a/src/celerytrack/platform/http.py
+++ b/src/celerytrack/platform/http.py
@@ -245,6 +245,11 @@
     return ",".join(dict.fromkeys(headers.getall(_LIMIT)))
 
 
+def limit_headers(limit: str | None) -> dict[str, str]:
+    """The headers by which an endpoint names a rate limit."""
+    return {} if limit is None else {_LIMIT: limit}
+
+
 class LimitError(ValueError):
     """A rate limit cannot be decoded."""
 
--- a/src/celerytrack/standins/engine.py
+++ b/src/celerytrack/standins/engine.py
@@ -29,6 +29,7 @@
 from celerytrack.sse import DONE_EVENT, event_bytes
 from celerytrack.standins._common import Faults, apply_faults, faults_routes
 from celerytrack.standins.crashes import MarkedCrash
+from celerytrack.standins.limits import NamedLimit
 
 _PREFILL_CHUNK_TOKENS = 512
 
@@ -217,8 +218,10 @@
 
 def make_app(state: EngineState) -> web.Application:
     """The engine stand-in as an aiohttp application."""
+    limit = NamedLimit(state.knobs)
 
     async def completions(request: web.Request) -> web.StreamResponse:
+        limit.record_arrival()
         if (refused := await apply_faults(state.faults, request)) is not None:
             return refused
         body = await request.json()
@@ -231,7 +234,8 @@
             state.runs[request_id] = state.runs.get(request_id, 0) + 1
             await state.prefill(prompt, priority)
             await state.marked.crash_if_marked(prompt)
-            resp = web.StreamResponse(headers={"Content-Type": "text/event-stream"})
+            headers = {"Content-Type": "text/event-stream", **limit.headers()}
+            resp = web.StreamResponse(headers=headers)
             await resp.prepare(request)
             start = int(body.get("resume_from", 0))
             model = body.get("model", "")
@@ -295,6 +299,7 @@
                 "hit_blocks": state.hit_blocks,
                 "asked_blocks": state.asked_blocks,
                 "orders": state.orders,
+                "limit": limit.stats(),
             }
         )
 
--- a/src/celerytrack/standins/service.py
+++ b/src/celerytrack/standins/service.py
@@ -15,12 +15,14 @@
 
 from celerytrack.standins._common import Faults, apply_faults, faults_routes, lose_reply
 from celerytrack.standins.crashes import MarkedCrash
+from celerytrack.standins.limits import NamedLimit
 
 
 @attrs.define
 class ServiceState:
     """The service's counters.
 
+    :ivar knobs: the limit that it names (:mod:`celerytrack.standins.limits`).
     :ivar runs: number of runs by operation and request id.
     :ivar marked: which request bodies crash the service.
     """
@@ -29,6 +31,7 @@
     latency_s: float = 0.005
     faults: Faults = attrs.field(factory=Faults)
     marked: MarkedCrash = attrs.field(factory=MarkedCrash)
+    knobs: dict[str, Any] = attrs.field(factory=dict)
     runs: dict[str, int] = attrs.field(factory=dict)
     running: int = 0
 
@@ -41,8 +44,10 @@
 
 def make_app(state: ServiceState) -> web.Application:
     """The plain service stand-in as an aiohttp application."""
+    limit = NamedLimit(state.knobs)
 
     async def call(request: web.Request) -> web.Response:
+        limit.record_arrival()
         if (refused := await apply_faults(state.faults, request)) is not None:
             return refused
         operation = request.match_info["operation"]
@@ -58,7 +63,8 @@
             state.running -= 1
         if lose_reply(state.faults, request):
             return web.Response(status=503)
-        return web.json_response(answer_for(request_id, operation))
+        answer = answer_for(request_id, operation)
+        return web.json_response(answer, headers=limit.headers())
 
     async def load(request: web.Request) -> web.Response:
         return web.json_response(
@@ -71,6 +77,7 @@
                 "replica_id": state.replica_id,
                 "starts": state.marked.starts,
                 "runs": state.runs,
+                "limit": limit.stats(),
             }
         )
 
@@ -80,7 +87,7 @@
             web.post("/call/{operation}", call),
             web.get("/_stats", stats),
             web.get("/load", load),
-            *faults_routes(state.faults),
+            *faults_routes(state.faults, state.knobs),
         ]
     )
     return app
--- a/tests/test_endpoint_limits.py
+++ b/tests/test_endpoint_limits.py
@@ -139,7 +139,7 @@
         async with fleet_of(endpoints, 6) as fleet:
             await _settle(fleet)
             for gateway in fleet.gateways:
-                gateway.peer_messenger._send = lambda addresses, data: None  # type: ignore[method-assign]
+                gateway.peer_messenger.send = lambda addresses, data: None  # type: ignore[method-assign]
             began_s = time.monotonic()
             await Callers(fleet, random.Random(2)).play(40.0, 8.0)
             worst = endpoint.worst(began_s + SETTLE_S, time.monotonic())
@@ -225,7 +225,7 @@
         if how == "stops":
             fleet.servers[owner].stop()
             return
-        gateway.peer_messenger._send = lambda addresses, data: None  # type: ignore[method-assign]
+        gateway.peer_messenger.send = lambda addresses, data: None  # type: ignore[method-assign]
         if how == "is killed":
             gateway.limit_sync.receive = lambda message: None  # type: ignore[method-assign]
             fleet._tasks[owner].cancel()
