--- a/src/celerytrack/cli/ctl.py
+++ b/src/celerytrack/cli/ctl.py
@@ -2,8 +2,8 @@
 
 ``validate`` reads a local file. ``apply``, ``topup``, ``drain`` and ``status`` connect
 to the platform log, the instance list or the entries; ``suspects`` and ``lift`` connect
-to the log of the users' platform. ``explain``, ``summary`` and ``slo`` read log lines
-from standard input. No command keeps state of its own.
+to the log of the users' platform. ``explain``, ``summary``, ``limits`` and ``slo`` read
+log lines from standard input. No command keeps state of its own.
 """
 
 import asyncio
@@ -18,7 +18,12 @@
 from cleo.helpers import argument, option
 from returns.result import Failure, Success
 
-from celerytrack.cli.log_commands import ExplainCommand, SloCommand, SummaryCommand
+from celerytrack.cli.log_commands import (
+    ExplainCommand,
+    LimitsCommand,
+    SloCommand,
+    SummaryCommand,
+)
 from celerytrack.cli.suspect_commands import LiftCommand, SuspectsCommand
 from celerytrack.entry.config_follower import CONFIG_STREAM, config_record
 from celerytrack.entry.ledger_writer import LEDGER_STREAM
@@ -288,10 +293,16 @@
                 f" held {row['held_tokens']:>7} in_flight {row['in_flight']:>3}"
                 f" records queued {row['ledger_backlog']:>3}"
                 f"{' draining' if row['draining'] else ''}"
+                f"{_limits_text(row.get('limits', {}))}"
             )
         return 0
 
 
+def _limits_text(limits: dict[str, float]) -> str:
+    named = (f"{replica} {limit:g}/s" for replica, limit in sorted(limits.items()))
+    return f" limited: {', '.join(named)}" if limits else ""
+
+
 def main() -> int:
     """Console script entry point."""
     app = Application("celerytrackctl", "0.1.0")
@@ -303,6 +314,7 @@
         StatusCommand(),
         ExplainCommand(),
         SummaryCommand(),
+        LimitsCommand(),
         SloCommand(),
         SuspectsCommand(),
         LiftCommand(),
--- a/src/celerytrack/cli/log_commands.py
+++ b/src/celerytrack/cli/log_commands.py
@@ -7,6 +7,7 @@
 
 from celerytrack import slo
 from celerytrack.explain import parse, summary, timeline
+from celerytrack.limit_history import limit_rows
 
 
 class ExplainCommand(Command):
@@ -39,6 +40,18 @@
         return 0
 
 
+class LimitsCommand(Command):
+    """Show the rate limits that endpoints named."""
+
+    name = "limits"
+    description = "Read log lines; print each endpoint's limits and who lacked leases."
+
+    def handle(self) -> int:
+        for row in limit_rows(parse(sys.stdin)):
+            self.line(row, style=None)
+        return 0
+
+
 class SloCommand(Command):
     """Report the error budget burn of each class."""
 
--- a/src/celerytrack/explain.py
+++ b/src/celerytrack/explain.py
@@ -20,6 +20,9 @@
         Event.PROCESS_STARTED,
         Event.PROCESS_STOPPING,
         Event.SHARES_TAKEN_OVER,
+        Event.LIMIT_BEGAN,
+        Event.LIMIT_CHANGED,
+        Event.LIMIT_ENDED,
     }
 )
 """Events that change a process's view of the system, which explains its decisions."""
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -11,6 +11,7 @@
 from celerytrack.events import Event, log_event
 from celerytrack.explain import parse, summary, timeline
 from celerytrack.gateway.logs import LINES_BURST, BoundedHandler
+from celerytrack.limit_history import limit_rows
 
 
 def _line(at, process, event, **fields):
@@ -25,6 +26,10 @@
     return f"prefix {json.dumps(data)}"
 
 
+def _limit(limit_per_s):
+    return {"limit_per_s": limit_per_s, "owner": "e2"}
+
+
 LINES = [
     _line("10:00:00,1", "e1", Event.STORE_LOST, topic="rows"),
     _line("10:00:00,2", "e2", Event.STORE_LOST, topic="rows"),
@@ -48,6 +53,35 @@
         self.assertIn(["2", "store_lost rows"], rows)
 
 
+class LimitHistoryTest(unittest.TestCase):
+    def test_each_limit_with_the_requests_that_lacked_a_lease(self):
+        limits = [
+            _line("10:00:01,0", "e1", Event.LIMIT_BEGAN, endpoint="i-1", **_limit(2.5)),
+            _line("10:00:01,1", "e2", Event.LIMIT_BEGAN, endpoint="i-1", **_limit(2.5)),
+            _line("10:00:02,0", "e1", Event.ANSWERED, limited=["i-1", "i-1"]),
+            _line("10:00:02,1", "e2", Event.REFUSED, limited=["i-1"]),
+            _line("10:00:03,0", "e1", Event.LIMIT_CHANGED, endpoint="i-1", **_limit(2)),
+            _line(
+                "10:00:04,0", "e1", Event.LIMIT_ENDED, endpoint="i-1", **_limit(None)
+            ),
+        ]
+        self.assertEqual(
+            limit_rows(parse(limits)),
+            [
+                "i-1  10:00:01,0 to 10:00:04,0  limits a second 2.5, 2  known to 2 "
+                "entries  owners e2  requests without a lease 2, refused 1"
+            ],
+        )
+
+    def test_a_timeline_shows_the_limits_known_then(self):
+        lines = [
+            _line("10:00:01,0", "e1", Event.LIMIT_BEGAN, endpoint="i-1", **_limit(2.5)),
+            _line("10:00:02,0", "e1", Event.REFUSED, request_id="r1"),
+        ]
+        names = [line.name for line in timeline(parse(lines), "r1")]
+        self.assertEqual(names, ["limit_began", "refused"])
+
+
 class SloTest(unittest.TestCase):
     @params(
         # event, fields, in time, late, refused, failed
