--- a/tests/gateway_fleet.py
+++ b/tests/gateway_fleet.py
@@ -37,18 +37,22 @@
 # Below the ephemeral ports of other processes' connections.
 _PORTS = range(12_000, 32_000)
 _rng = random.Random()
+_given_ports: set[int] = set()
 
 
 def free_port() -> int:
-    """Find a loopback port that is free for TCP and UDP."""
+    """Find a loopback port that is free for TCP and UDP, a new one each time."""
     while True:
         port = _rng.choice(_PORTS)
+        if port in _given_ports:
+            continue
         try:
             for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
                 with socket.socket(socket.AF_INET, kind) as sock:
                     sock.bind(("127.0.0.1", port))
         except OSError:
             continue
+        _given_ports.add(port)
         return port
 
 
