A gateway process that does not become ready is killed

GatewayProcess.start raised and left the process running; its context had not been entered, so nothing ended it. test_harness failed before (no exit status) and passes.

--- a/tests/gateway_processes.py
+++ b/tests/gateway_processes.py
@@ -76,9 +76,15 @@
     async def start(self) -> None:
         """Start the process and wait until it is ready."""
         await self.spawn()
-        timeout_at_s = time.monotonic() + READY_WITHIN_S
+        try:
+            await self._wait_ready(time.monotonic() + READY_WITHIN_S)
+        except BaseException:
+            await self.kill()
+            raise
+
+    async def _wait_ready(self, until_s: float) -> None:
         while not await self._is_ready():
-            if time.monotonic() > timeout_at_s:
+            if time.monotonic() > until_s:
                 raise AssertionError(self.log_path.read_text()[-2_000:])
             await asyncio.sleep(0.05)
 
