Limits: one module each for owners, asks and grants; a request without limits pays less

The stubs of tests.test_upstream get the two fields that try_replicas now reads; the test of a limit that changes waits until the news of its begin have been repeated.

--- a/src/celerytrack/entry/limits.py
+++ b/src/celerytrack/entry/limits.py
@@ -16,6 +16,7 @@
 from celerytrack.datagrams import DatagramSocket
 from celerytrack.events import Event, log_event
 from celerytrack.ids import EndpointId, EntryId, ReplicaId
+from celerytrack.limit_asks import Lease
 from celerytrack.limit_leases import LeaseDenied
 from celerytrack.limit_messages import (
     LimitMessage,
@@ -23,12 +24,13 @@
     encode_limit_message,
     limit_message_of,
 )
+from celerytrack.limit_owners import Peer
 from celerytrack.limit_placement import (
     Candidate,
     LeasePlacer,
     spread_retry_after_s,
 )
-from celerytrack.limit_sync import Lease, LimitSync, Peer
+from celerytrack.limit_sync import LimitSync
 from celerytrack.platform.http import LimitError, decode_limit, read_limit
 from celerytrack.replica_load import ReplicaLoad
 from celerytrack.verdict import Reason, Refusal, did_not_run
@@ -85,7 +87,7 @@
         endpoint_id = EndpointId(replica_id)
         text = read_limit(answer.headers)
         if text is None:
-            if answer.status == 200:
+            if answer.status == 200 and self.sync.tracker:
                 self._record(endpoint_id, None, sent_at_s)
             return
         try:
@@ -104,7 +106,7 @@
     def give_back(self, leased: LeasedReplica) -> None:
         """Return the lease of a request that was not sent."""
         if leased.lease is not None:
-            self.sync.give_back(leased.lease)
+            self.sync.asks.give_back(leased.lease)
 
     def is_limited(self, replica_id: ReplicaId) -> bool:
         """Whether a replica has a limit now."""
--- a/src/celerytrack/entry/state.py
+++ b/src/celerytrack/entry/state.py
@@ -23,7 +23,7 @@
 from celerytrack.findings import Findings
 from celerytrack.ids import EntryId
 from celerytrack.limit_metrics import register_limits
-from celerytrack.limit_sync import Peer
+from celerytrack.limit_owners import Peer
 from celerytrack.logclient import LogClient
 from celerytrack.replica_load import Load
 from celerytrack.retries import RetryBudget
--- a/src/celerytrack/gateway/pipeline.py
+++ b/src/celerytrack/gateway/pipeline.py
@@ -39,12 +39,13 @@
     Placement,
     is_backpressure,
     no_endpoint,
-    place,
+    place_within_limits,
 )
 from celerytrack.gateway.quarantine import (
     begin_probe,
     cancel_probe,
     cancel_probe_later,
+    choose_endpoint,
     quarantine_failure,
     quarantine_refusal,
     record_success,
@@ -221,11 +222,14 @@
     suspect_state = suspect_state_of(gateway, exchange, now_s)
     if suspect_state is SuspectState.QUARANTINED:
         return Failure(quarantine_failure(gateway, exchange, now_s))
-    match await place(gateway, exchange, suspect_state):
-        case Failure(failure):
-            return Failure(failure)
-        case Success(placement):
-            pass
+    if not gateway.limit_sync.tracker:
+        chosen = choose_endpoint(gateway, exchange, suspect_state, now_s)
+        if chosen is None:
+            return Failure(no_endpoint("none has room"))
+        return await _send_placed(gateway, exchange, Placement(chosen), suspect_state)
+    placement = await place_within_limits(gateway, exchange, suspect_state)
+    if isinstance(placement, AttemptFailure):
+        return Failure(placement)
     try:
         return await _send_placed(gateway, exchange, placement, suspect_state)
     finally:
@@ -289,7 +293,7 @@
     exchange.choice = chosen
     dispatch = endpoints.record_dispatch(chosen, exchange.profile, now_s)
     gateway.announce_prompt(endpoint.endpoint_id, chosen.work_s)
-    gateway.telemetry.attempts.labels(endpoint.endpoint_id).inc()
+    gateway.telemetry.attempts[endpoint.endpoint_id] += 1
     try:
         result = await attempt(gateway, exchange, endpoint, dispatch)
     finally:
--- a/src/celerytrack/gateway/placement.py
+++ b/src/celerytrack/gateway/placement.py
@@ -4,20 +4,19 @@
 from collections.abc import Collection
 
 import attrs
-from returns.result import Failure, Result, Success
 
 from celerytrack.endpoint import Choice, Endpoint
 from celerytrack.gateway.exchange import AttemptFailure, Exchange
 from celerytrack.gateway.quarantine import choose_endpoint
 from celerytrack.gateway.state import Gateway
 from celerytrack.ids import EndpointId
+from celerytrack.limit_asks import Lease
 from celerytrack.limit_leases import LeaseDenied
 from celerytrack.limit_placement import (
     Candidate,
     LeasePlacer,
     spread_retry_after_s,
 )
-from celerytrack.limit_sync import Lease
 from celerytrack.suspects import SuspectState
 from celerytrack.verdict import Reason, Verdict
 
@@ -40,10 +39,7 @@
     def give_back_unused(self, gateway: Gateway) -> None:
         """Return the lease if the request was not sent."""
         if self.lease is not None and not self.used:
-            gateway.limit_sync.give_back(self.lease)
-
-
-PlacementResult = Result[Placement, AttemptFailure]
+            gateway.limit_sync.asks.give_back(self.lease)
 
 
 def no_endpoint(detail: str) -> AttemptFailure:
@@ -64,21 +60,11 @@
     )
 
 
-async def place(
+async def place_within_limits(
     gateway: Gateway, exchange: Exchange, suspect_state: SuspectState
-) -> PlacementResult:
-    """Choose the endpoint of the next attempt."""
-    if not gateway.limit_sync.tracker:
-        chosen = choose_endpoint(gateway, exchange, suspect_state, time.monotonic())
-        if chosen is None:
-            return Failure(no_endpoint("none has room"))
-        return Success(Placement(chosen))
-    return await _place_within_limits(gateway, exchange, suspect_state)
+) -> Placement | AttemptFailure:
+    """Choose the endpoint of the next attempt while some endpoint is limited."""
 
-
-async def _place_within_limits(
-    gateway: Gateway, exchange: Exchange, suspect_state: SuspectState
-) -> PlacementResult:
     def choose(excluded: Collection[EndpointId]) -> Candidate[Choice] | None:
         now_s = time.monotonic()
         chosen = choose_endpoint(gateway, exchange, suspect_state, now_s, excluded)
@@ -92,14 +78,14 @@
     )
     leased = await placer.lease_best(choose)
     if leased is not None:
-        return Success(Placement(leased.choice, leased.lease))
+        return Placement(leased.choice, leased.lease)
     candidates = _limited_candidates(gateway, exchange, time.monotonic())
     if not candidates:
-        return Failure(no_endpoint("none has room"))
+        return no_endpoint("none has room")
     waited = await placer.lease_in_time(candidates, gateway.rng)
     if isinstance(waited, LeaseDenied):
-        return Failure(_rate_limited(spread_retry_after_s(waited, gateway.rng)))
-    return Success(Placement(waited.choice, waited.lease))
+        return _rate_limited(spread_retry_after_s(waited, gateway.rng))
+    return Placement(waited.choice, waited.lease)
 
 
 def _limited_candidates(
--- a/src/celerytrack/gateway/state.py
+++ b/src/celerytrack/gateway/state.py
@@ -31,7 +31,8 @@
 from celerytrack.gateway.telemetry import Telemetry
 from celerytrack.ids import EndpointId, EntryId, ServiceName
 from celerytrack.limit_metrics import register_limits
-from celerytrack.limit_sync import LimitSync, Peer
+from celerytrack.limit_owners import Peer
+from celerytrack.limit_sync import LimitSync
 from celerytrack.planned_stop import PlannedStop
 from celerytrack.platform.settings import ProcessSettings
 from celerytrack.platform.store import StoreClient
--- a/src/celerytrack/gateway/telemetry.py
+++ b/src/celerytrack/gateway/telemetry.py
@@ -1,10 +1,36 @@
 """Metrics of an entry process."""
 
+import collections
+from collections.abc import Iterable
+
 import prometheus_client as prom
+from prometheus_client.core import CounterMetricFamily, Metric
+from prometheus_client.registry import Collector
+
+from celerytrack.ids import EndpointId
 
 _BUCKETS_S = (0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.2, 2.0, 5.0, 12.0)
 
 
+class _AttemptCollector(Collector):
+    """Counts requests sent to endpoints.
+
+    A labelled counter would cost each request several times as much.
+    """
+
+    def __init__(self, attempts: collections.Counter[EndpointId]) -> None:
+        self._attempts = attempts
+
+    def collect(self) -> Iterable[Metric]:
+        """The counts at this time."""
+        family = CounterMetricFamily(
+            "celerytrack_attempts", "Requests sent to endpoints.", labels=["endpoint"]
+        )
+        for endpoint_id, count in self._attempts.items():
+            family.add_metric([endpoint_id], count)
+        return [family]
+
+
 class Telemetry:
     """Counters, gauges and histograms in a separate registry."""
 
@@ -23,12 +49,8 @@
             buckets=_BUCKETS_S,
             registry=self.registry,
         )
-        self.attempts = prom.Counter(
-            "celerytrack_attempts_total",
-            "Requests sent to endpoints.",
-            ("endpoint",),
-            registry=self.registry,
-        )
+        self.attempts: collections.Counter[EndpointId] = collections.Counter()
+        self.registry.register(_AttemptCollector(self.attempts))
         self.attempts_failed = prom.Counter(
             "celerytrack_attempts_failed_total",
             "Attempts at endpoints that failed.",
--- a/src/celerytrack/lab/limit_fleet.py
+++ b/src/celerytrack/lab/limit_fleet.py
@@ -19,8 +19,9 @@
 from celerytrack.lab.limit_scenarios import LimitFault, LimitOutcome, LimitScenario
 from celerytrack.limit_leases import LeaseDenied
 from celerytrack.limit_messages import LimitMessage, encode_limit_message
+from celerytrack.limit_owners import Peer
 from celerytrack.limit_placement import Candidate, LeasePlacer
-from celerytrack.limit_sync import LimitSync, Peer
+from celerytrack.limit_sync import LimitSync
 from celerytrack.standins.limits import (
     SETTLE_S,
     WINDOW_S,
--- a/src/celerytrack/limit_leases.py
+++ b/src/celerytrack/limit_leases.py
@@ -16,6 +16,8 @@
 """Time for which unused tokens are kept, beyond the first one."""
 _WHOLE_TOKEN = 1.0 - 1e-9
 """A whole token, but for the rounding of times."""
+OWNER_RETRY_AFTER_S = 0.2
+"""When to ask again after no reply, or one of an entry that isn't the owner."""
 MAX_WAITING = 1_000
 """Most requests that wait for one endpoint, to bound memory."""
 
--- a/src/celerytrack/limit_messages.py
+++ b/src/celerytrack/limit_messages.py
@@ -58,11 +58,12 @@
 
 @attrs.frozen
 class LeaseReturn:
-    """The lease of an earlier request is not used, or no longer waited for."""
+    """Leases of an earlier request are not used, or no longer waited for."""
 
     sender: str
     nonce: int
     endpoint_id: EndpointId
+    count: int = 1
 
 
 @attrs.frozen
@@ -110,8 +111,8 @@
                 retry_after_s = decision.retry_after_s
             fields = _report_fields(known) if known else ()
             return (REPLY_KIND, nonce, granted, retry_after_s, fields)
-        case LeaseReturn(sender, nonce, endpoint_id):
-            return (RETURN_KIND, sender, nonce, endpoint_id)
+        case LeaseReturn(sender, nonce, endpoint_id, count):
+            return (RETURN_KIND, sender, nonce, endpoint_id, count)
         case LimitNews(sender, reports):
             return (NEWS_KIND, sender, [_report_fields(r) for r in reports])
         case OwnerHandover(report, tokens):
@@ -157,8 +158,13 @@
                 LeaseGranted(count) if count else LeaseDenied(wait_s),
                 _report(report) if report else None,
             )
-        case ["unlease", str(sender), int(nonce), str(endpoint_id)]:
-            return LeaseReturn(_text(sender), nonce, EndpointId(_text(endpoint_id)))
+        case ["unlease", str(sender), int(nonce), str(endpoint_id), count]:
+            return LeaseReturn(
+                _text(sender),
+                nonce,
+                EndpointId(_text(endpoint_id)),
+                int(_number(count, MAX_COUNT, "count")),
+            )
         case ["limits", str(sender), list(reports)] if len(reports) <= MAX_REPORTS:
             return LimitNews(_text(sender), tuple(_report(item) for item in reports))
         case ["limit-owner", report, tokens]:
--- a/src/celerytrack/limit_metrics.py
+++ b/src/celerytrack/limit_metrics.py
@@ -29,7 +29,7 @@
             "Requests for leases of limited endpoints, by outcome.",
             labels=["outcome"],
         )
-        for outcome, count in self._limits.counts.items():
+        for outcome, count in self._limits.asks.counts.items():
             leases.add_metric([outcome], count)
         return [named, leases]
 
--- a/src/celerytrack/limit_placement.py
+++ b/src/celerytrack/limit_placement.py
@@ -12,8 +12,9 @@
 import attrs
 
 from celerytrack.ids import EndpointId
+from celerytrack.limit_asks import Lease
 from celerytrack.limit_leases import LeaseDenied
-from celerytrack.limit_sync import Lease, LimitSync
+from celerytrack.limit_sync import LimitSync
 
 _T = TypeVar("_T")
 
@@ -68,7 +69,7 @@
         """
         for asks in range(MAX_ASKS + 1):
             last = asks == MAX_ASKS
-            denied = self.limits.denied(time.monotonic())
+            denied = self.limits.asks.denied(time.monotonic())
             candidate = choose(self.limits.tracker.limited() if last else denied)
             if candidate is None:
                 return None
@@ -87,7 +88,7 @@
         """
         now_s = time.monotonic()
         waits_s = [
-            self.limits.expected_wait_s(c.endpoint_id, self.priority, now_s)
+            self.limits.asks.expected_wait_s(c.endpoint_id, self.priority, now_s)
             for c in candidates
         ]
         in_time = [
@@ -104,14 +105,14 @@
         self, candidate: Candidate[_T], max_wait_s: float
     ) -> Leased[_T] | LeaseDenied:
         was_valid = self.is_valid(candidate.choice)
-        lease = await self.limits.acquire(
+        lease = await self.limits.asks.acquire(
             candidate.endpoint_id, self.priority, max_wait_s
         )
         if isinstance(lease, LeaseDenied):
             self.skipped.append(candidate.endpoint_id)
             return lease
         if was_valid and not self.is_valid(candidate.choice):
-            self.limits.give_back(lease)
+            self.limits.asks.give_back(lease)
             return LeaseDenied(MIN_RETRY_AFTER_S)
         return Leased(candidate.choice, lease)
 
--- a/tests/test_endpoint_limits.py
+++ b/tests/test_endpoint_limits.py
@@ -13,7 +13,8 @@
 from celerytrack.gateway.state import Gateway
 from celerytrack.ids import AccountId, EndpointId
 from celerytrack.limit_messages import LimitMessage, LimitNews
-from celerytrack.limit_sync import SETTLE_S as OWNER_SETTLE_S
+from celerytrack.limit_owners import SETTLE_S as OWNER_SETTLE_S
+from celerytrack.limit_sync import BEGAN_REPEAT_S, TICK_S
 from celerytrack.platform.topics import ENDPOINTS_TOPIC
 from tests.gateway_fleet import SEAL_HEADERS, Endpoint, Fleet, config
 from tests.limited_endpoints import (
@@ -37,12 +38,12 @@
 
 
 def _counts(fleet: Fleet) -> Counter[str]:
-    return sum((g.limit_sync.counts for g in fleet.gateways), Counter())
+    return sum((g.limit_sync.asks.counts for g in fleet.gateways), Counter())
 
 
 def _owner(fleet: Fleet) -> int:
     sync = fleet.gateways[0].limit_sync
-    owner = sync._ranking(I_0)[0]
+    owner = sync.owners.owner(I_0)
     return [gateway.entry_id for gateway in fleet.gateways].index(owner)
 
 
@@ -50,10 +51,10 @@
     """Wait until the membership counts as settled at all gateways."""
     peers = len(fleet.gateways) - 1
     await fleet.wait_until(
-        lambda: all(len(g.limit_sync._peers) == peers for g in fleet.gateways)
+        lambda: all(len(g.limit_sync.owners.peers) == peers for g in fleet.gateways)
     )
     for gateway in fleet.gateways:
-        gateway.limit_sync._changed_at_s -= OWNER_SETTLE_S
+        gateway.limit_sync.owners.settled_at_s -= OWNER_SETTLE_S
 
 
 async def _hear(fleet: Fleet, endpoint: LimitedEndpoint, limit: str) -> None:
@@ -238,10 +239,10 @@
             await _hear(fleet, endpoint, "10")
             sync = fleet.gateways[_owner(fleet)].limit_sync
             now_s = time.monotonic()
-            owned = sync._own(I_0, 10.0, now_s)
-            self.assertEqual(sync._rate_per_s(owned, 10.0, now_s), 10.0)
+            await fleet.ask("/plain/x", "opens the bucket")
+            self.assertEqual(sync.grants.rate_per_s(I_0, now_s), 10.0)
             sync.tick(now_s + 5.0)
-            self.assertEqual(sync._rate_per_s(owned, 10.0, now_s + 5.0), 4.0)
+            self.assertEqual(sync.grants.rate_per_s(I_0, now_s + 5.0), 4.0)
 
 
 class RequestTest(unittest.IsolatedAsyncioTestCase):
@@ -379,7 +380,9 @@
         async with fleet_of(endpoints, 4) as fleet:
             await _settle(fleet)
             await _hear(fleet, endpoint, "5")
-            await asyncio.sleep(0.1)
+            await asyncio.sleep(BEGAN_REPEAT_S + 2 * TICK_S)
+            for gateway in fleet.gateways:
+                gateway.limit_sync._announced_at_s = time.monotonic()
             sent: list[LimitMessage] = []
             _record_messages(fleet, sent.append)
             owner = _owner(fleet)
--- a/tests/test_limit_leases.py
+++ b/tests/test_limit_leases.py
@@ -210,6 +210,7 @@
         LeaseReply(3, LeaseGranted(), REPORT),
         LeaseReply(3, LeaseDenied(0.5)),
         LeaseReturn("10.0.0.1:1", 3, E),
+        LeaseReturn("10.0.0.1:1", 3, E, 32),
         LimitNews("10.0.0.1:1", (REPORT, LimitReport(E, 0, 0.0, 1.0, 2.0))),
         OwnerHandover(REPORT, 1.25),
     )
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -10,6 +10,7 @@
 from nose2.tools import params
 from returns.result import Failure, Success
 
+from celerytrack.entry.limits import EntryLimits
 from celerytrack.entry.shared_deadline import SharedDeadline
 from celerytrack.entry.suspects import EntrySuspects
 from celerytrack.entry.upstream import try_replicas
@@ -31,6 +32,12 @@
     return suspects
 
 
+def _work(idempotent: bool = True, priority: int = 0) -> types.SimpleNamespace:
+    return types.SimpleNamespace(
+        idempotent=idempotent, model="m", priority=priority, ttft_target_s=0.3
+    )
+
+
 def _admitted(work: types.SimpleNamespace) -> types.SimpleNamespace:
     return types.SimpleNamespace(
         work=work, request_id=RequestId("r"), fingerprint=Fingerprint(b"r" * 16)
@@ -45,6 +52,7 @@
             addresses={r.replica_id: "nowhere" for r in replicas},
         ),
         suspects=_suspects(),
+        limits=EntryLimits(EntryId("e"), "127.0.0.1:1", lambda now_s: []),
         choose=make_chooser("predicted"),
         spec=types.SimpleNamespace(zone=Zone("z")),
         retries=RetryBudget(ratio=0.0),
@@ -67,7 +75,7 @@
             sent.record_first_token(0.0)
         return Success(1) if outcome == "." else MAY_HAVE_RUN
 
-    work = types.SimpleNamespace(idempotent=True, model="m", priority=priority)
+    work = _work(priority=priority)
     with mock.patch("celerytrack.entry.upstream.asyncio.sleep"):
         result = asyncio.run(
             try_replicas(state, _admitted(work), Ask("m", priority), attempt)
@@ -92,7 +100,7 @@
         attempts has failed. They served an attempt that was never made: the caller got
         its refusal late, and other requests lacked the retry."""
         state, tried = _state(), []
-        work = types.SimpleNamespace(idempotent=idempotent, model="m", priority=0)
+        work = _work(idempotent=idempotent)
 
         async def attempt(sent):
             tried.append(sent.replica.replica_id)
@@ -189,7 +197,7 @@
             started.append(sent)
             await asyncio.Event().wait()
 
-        work = types.SimpleNamespace(idempotent=True, model="m", priority=0)
+        work = _work()
         trying = asyncio.create_task(
             try_replicas(state, _admitted(work), Ask("m", 0), attempt)
         )
