Limits: an unused method less, one count of the worst window, a taken port is logged

An entry of the own interface whose UDP port is taken logs it and serves on without leases; its task ended unseen before.

--- a/src/celerytrack/endpoints.py
+++ b/src/celerytrack/endpoints.py
@@ -172,15 +172,6 @@
         known = self._endpoints.get(endpoint.endpoint_id)
         return known is not None and known is not endpoint
 
-    def serves(self, endpoint_id: EndpointId, service: ServiceName) -> bool:
-        """Whether an endpoint is registered for ``service`` and not draining."""
-        known = self._endpoints.get(endpoint_id)
-        return (
-            known is not None
-            and known.registration.service == service
-            and not known.registration.draining
-        )
-
     def available_builds(self, service: ServiceName, now_s: float) -> set[str]:
         """The builds of the available endpoints of ``service``."""
         return {e.registration.build for e in self._candidates(service, now_s)}
--- a/src/celerytrack/entry/limits.py
+++ b/src/celerytrack/entry/limits.py
@@ -70,7 +70,12 @@
 
     async def run(self) -> None:
         """Receive messages and follow the membership until cancelled."""
-        await self._socket.open(self._address)
+        try:
+            await self._socket.open(self._address)
+        except OSError as exc:
+            # Without messages this entry gets no leases; it serves all the same.
+            detail = f"{type(exc).__name__}: {exc}"
+            log_event(_log, Event.NOTE_FAILED, logging.ERROR, detail=detail)
         await self.sync.run()
 
     def close(self) -> None:
--- a/src/celerytrack/lab/limit_fleet.py
+++ b/src/celerytrack/lab/limit_fleet.py
@@ -253,9 +253,9 @@
                 continue
             times_s = [t for t in endpoint.arrivals_s if from_s <= t]
             told_s = [t for t in endpoint.told_arrivals_s if from_s <= t]
-            worst = _worst_window(told_s) / allowed
+            worst = worst_window(told_s) / allowed
             self._outcome.worst = max(self._outcome.worst, worst)
-            worst_of_all = _worst_window(times_s) / allowed
+            worst_of_all = worst_window(times_s) / allowed
             self._outcome.worst_of_all = max(self._outcome.worst_of_all, worst_of_all)
             rates_per_s.append(len(times_s) / (ended_s - from_s))
         mean_per_s = sum(rates_per_s) / len(rates_per_s)
@@ -310,8 +310,8 @@
         self._publish_view()
 
 
-def _worst_window(times_s: list[float]) -> int:
-    """Most arrivals in any window."""
+def worst_window(times_s: Iterable[float]) -> int:
+    """Most arrivals in any ``WINDOW_S``."""
     times_s = sorted(times_s)
     return max(
         (bisect.bisect_right(times_s, t + WINDOW_S) - i for i, t in enumerate(times_s)),
--- a/tests/limited_endpoints.py
+++ b/tests/limited_endpoints.py
@@ -1,7 +1,6 @@
 """Endpoints that name a rate limit in their answers, and callers of a fleet."""
 
 import asyncio
-import bisect
 import itertools
 import random
 import time
@@ -11,31 +10,13 @@
 import attrs
 from aiohttp import web
 
+from celerytrack.lab.limit_fleet import worst_window
 from tests.gateway_fleet import SEAL_HEADERS, Endpoint, Fleet
 
 LIMIT_HEADER = "Server-Limit"
-SETTLE_S = 3.0
-"""Time after an endpoint first named its limit until the limit must be kept."""
-WINDOW_S = 4.0
-EXCESS_FACTOR = 1.5
-EXCESS_REQUESTS = 5.0
 WORK_S = 0.05
 
 
-def allowed(limit_per_s: float) -> float:
-    """Most requests in ``WINDOW_S`` at an endpoint with a limit."""
-    return EXCESS_FACTOR * limit_per_s * WINDOW_S + EXCESS_REQUESTS
-
-
-def worst_window(arrivals_s: Sequence[float], from_s: float, until_s: float) -> int:
-    """Most arrivals in any ``WINDOW_S`` between two times."""
-    times_s = sorted(t for t in arrivals_s if from_s <= t <= until_s)
-    return max(
-        (bisect.bisect_right(times_s, t + WINDOW_S) - i for i, t in enumerate(times_s)),
-        default=0,
-    )
-
-
 class LimitedEndpoint:
     """An endpoint that names ``limit`` in each answer, while it is set.
 
@@ -58,7 +39,7 @@
 
     def worst(self, from_s: float, until_s: float) -> int:
         """Most arrivals in a window between two times."""
-        return worst_window(self.arrivals_s, from_s, until_s)
+        return worst_window(t for t in self.arrivals_s if from_s <= t <= until_s)
 
     def rate_per_s(self, from_s: float, until_s: float) -> float:
         """Mean rate of arrivals between two times."""
--- a/tests/test_endpoint_limits.py
+++ b/tests/test_endpoint_limits.py
@@ -16,13 +16,12 @@
 from celerytrack.limit_owners import SETTLE_S as OWNER_SETTLE_S
 from celerytrack.limit_sync import BEGAN_REPEAT_S, TICK_S
 from celerytrack.platform.topics import ENDPOINTS_TOPIC
+from celerytrack.standins.limits import SETTLE_S, allowed_requests
 from tests.gateway_fleet import SEAL_HEADERS, Endpoint, Fleet, config
 from tests.limited_endpoints import (
     LIMIT_HEADER,
-    SETTLE_S,
     Callers,
     LimitedEndpoint,
-    allowed,
     fleet_of,
     make_endpoints,
 )
@@ -106,7 +105,7 @@
             ended_s = time.monotonic()
         for endpoint in endpoints[:limited]:
             worst = endpoint.worst(began_s + SETTLE_S, ended_s)
-            self.assertLessEqual(worst, allowed(limit_per_s))
+            self.assertLessEqual(worst, allowed_requests(limit_per_s))
         rates = (e.rate_per_s(began_s + SETTLE_S, ended_s) for e in endpoints[:limited])
         self.assertGreaterEqual(sum(rates), USED_SHARE * limited * limit_per_s)
         self.assertLessEqual(set(callers.by_status), {200, 503})
@@ -144,7 +143,7 @@
             began_s = time.monotonic()
             await Callers(fleet, random.Random(2)).play(40.0, 8.0)
             worst = endpoint.worst(began_s + SETTLE_S, time.monotonic())
-        self.assertLessEqual(worst, allowed(2.5))
+        self.assertLessEqual(worst, allowed_requests(2.5))
 
     async def test_the_end_of_a_limit_is_noticed_by_all(self) -> None:
         """An endpoint that had recovered stayed limited at entries that sent nothing
@@ -160,8 +159,6 @@
                     lambda: all(_limit_of(g) is None for g in fleet.gateways), 4.0
                 ),
             )
-            fleet.log.put(ENDPOINTS_TOPIC, "i-0", b"")
-            await asyncio.sleep(0)
 
     async def test_the_end_of_a_limit_of_zero_is_noticed(self) -> None:
         """Nobody sent to the endpoint any longer, so nobody heard that it was well."""
@@ -217,7 +214,7 @@
             await playing
             ended_s = time.monotonic()
         worst = endpoints[0].worst(began_s - 1.0, ended_s)
-        self.assertLessEqual(worst, allowed(5.0))
+        self.assertLessEqual(worst, allowed_requests(5.0))
         self.assertGreaterEqual(endpoints[0].rate_per_s(began_s, ended_s), 0.35 * 5)
         self.assertEqual(set(callers.by_status), {200})
 
