Observability: log lines as an endpoint says that it leaves or asks for a rest

Events 650 to 653 and two gauges say it, with the id of the request whose answer said so. One module decodes what an answer's head says of its endpoint (limit, leaving, backoff), for both interfaces. An answer counts if it is acted on or passed on: not a 421, not an unsigned success. Nothing is placed differently yet.

--- a/src/celerytrack/entry/chat.py
+++ b/src/celerytrack/entry/chat.py
@@ -139,7 +139,9 @@
         return Failure(replica_unreachable())
     except CONNECTION_ERRORS:
         return Failure(replica_failed())
-    state.limits.record_answer(sent.replica.replica_id, upstream, sent_at_s)
+    state.limits.record_answer(
+        sent.replica.replica_id, upstream, sent_at_s, answer.admitted.request_id
+    )
     try:
         if upstream.status != 200:
             return Failure(bad_status(upstream.status))
--- a/src/celerytrack/entry/limits.py
+++ b/src/celerytrack/entry/limits.py
@@ -15,7 +15,7 @@
 
 from celerytrack.datagrams import DatagramSocket
 from celerytrack.events import Event, log_event
-from celerytrack.ids import EndpointId, EntryId, ReplicaId
+from celerytrack.ids import EndpointId, EntryId, ReplicaId, RequestId
 from celerytrack.limit_asks import Lease
 from celerytrack.limit_leases import LeaseDenied
 from celerytrack.limit_messages import (
@@ -31,7 +31,9 @@
     spread_retry_after_s,
 )
 from celerytrack.limit_sync import LimitSync
-from celerytrack.platform.http import LimitError, decode_limit, read_limit
+from celerytrack.notices.answer import NO_NOTICES
+from celerytrack.notices.sync import NoticeSync
+from celerytrack.platform.notices import decode_notices
 from celerytrack.replica_load import ReplicaLoad
 from celerytrack.verdict import Reason, Refusal, did_not_run
 
@@ -67,6 +69,7 @@
         self.sync = LimitSync(
             entry_id, address, self._send, live_peers, time.monotonic()
         )
+        self.notices = NoticeSync(self.sync)
 
     async def run(self) -> None:
         """Receive messages and follow the membership until cancelled."""
@@ -83,30 +86,23 @@
         self._socket.close()
 
     def record_answer(
-        self, replica_id: ReplicaId, answer: aiohttp.ClientResponse, sent_at_s: float
+        self,
+        replica_id: ReplicaId,
+        answer: aiohttp.ClientResponse,
+        sent_at_s: float,
+        request_id: RequestId,
     ) -> None:
-        """Record the limit that a replica's answer names, or that it names none.
+        """Record what a replica says of itself in its answer.
 
         :param sent_at_s: when its request was sent, on the monotonic clock.
         """
         endpoint_id = EndpointId(replica_id)
-        text = read_limit(answer.headers)
-        if text is None:
-            if answer.status == 200 and self.sync.tracker:
-                self._record(endpoint_id, None, sent_at_s)
-            return
-        try:
-            limit_per_s = decode_limit(text)
-        except LimitError as exc:
-            log_event(
-                _log,
-                Event.LIMIT_UNREADABLE,
-                logging.WARNING,
-                endpoint=endpoint_id,
-                detail=str(exc),
-            )
+        notices = decode_notices(answer.status, answer.headers, time.time())
+        if notices is NO_NOTICES and not self.sync.tracker:
             return
-        self._record(endpoint_id, limit_per_s, sent_at_s)
+        self.notices.record_answer(
+            endpoint_id, 0, notices, sent_at_s, request_id, answer.status == 200
+        )
 
     def give_back(self, leased: LeasedReplica) -> None:
         """Return the lease of a request that was not sent."""
@@ -152,12 +148,6 @@
             return did_not_run(Reason.RATE_LIMITED, retry_after_s, detail)
         return LeasedReplica(waited.choice, waited.lease)
 
-    def _record(
-        self, endpoint_id: EndpointId, limit_per_s: float | None, sent_at_s: float
-    ) -> None:
-        now_s = time.monotonic()
-        self.sync.record_answer(endpoint_id, 0, limit_per_s, sent_at_s, now_s)
-
     def _send(self, address: str, message: LimitMessage) -> None:
         self._socket.send([address], encode_limit_message(message))
 
--- a/src/celerytrack/entry/service_calls.py
+++ b/src/celerytrack/entry/service_calls.py
@@ -138,7 +138,9 @@
     sent_at_s = time.monotonic()
     try:
         async with state.upstream.post(url, json=admitted.body, headers=headers) as r:
-            state.limits.record_answer(sent.replica.replica_id, r, sent_at_s)
+            state.limits.record_answer(
+                sent.replica.replica_id, r, sent_at_s, admitted.request_id
+            )
             if r.status != 200:
                 return Failure(bad_status(r.status))
             return Success(await r.json())
--- a/src/celerytrack/entry/state.py
+++ b/src/celerytrack/entry/state.py
@@ -25,6 +25,7 @@
 from celerytrack.limit_metrics import register_limits
 from celerytrack.limit_owners import Peer
 from celerytrack.logclient import LogClient
+from celerytrack.notices.metrics import register_notices
 from celerytrack.replica_load import Load
 from celerytrack.retries import RetryBudget
 from celerytrack.routing import make_chooser, rendezvous
@@ -85,6 +86,7 @@
             self.entry_id, self.spec.peer_address, self._limit_peers
         )
         register_limits(self.metrics.registry, self.limits.sync)
+        register_notices(self.metrics.registry, self.limits.notices)
         self._idle = asyncio.Event()
         self._tasks: list[asyncio.Task[None]] = []
         self._upstream: aiohttp.ClientSession | None = None
--- a/src/celerytrack/gateway/attempts.py
+++ b/src/celerytrack/gateway/attempts.py
@@ -10,9 +10,9 @@
 
 from celerytrack.endpoint import Dispatch, Endpoint
 from celerytrack.gateway.connections import EndpointGoneError, IncarnationConnections
-from celerytrack.gateway.endpoint_limits import record_limit
 from celerytrack.gateway.exchange import AttemptFailure, BufferedAnswer, Exchange
 from celerytrack.gateway.state import Gateway
+from celerytrack.notices.answer import NO_NOTICES
 from celerytrack.platform.http import (
     SKIPPED_AUTO_HEADERS,
     AnswerFacts,
@@ -21,6 +21,7 @@
     forwarded_headers,
     returned_headers,
 )
+from celerytrack.platform.notices import decode_notices
 from celerytrack.prefill import urgency
 from celerytrack.verdict import Reason, Verdict
 
@@ -120,7 +121,7 @@
     if facts.request_id not in (None, exchange.facts.request_id):
         # The connection delivered another answer to an earlier request.
         return _unusable_answer("answer to another request")
-    record_limit(gateway, dispatch, facts)
+    _record_notices(gateway, exchange, dispatch, response, facts)
     if facts.did_not_run:
         return Failure(
             AttemptFailure(
@@ -138,6 +139,35 @@
     return await _read_answer(dispatch, response)
 
 
+def _record_notices(
+    gateway: Gateway,
+    exchange: Exchange,
+    dispatch: Dispatch,
+    response: aiohttp.ClientResponse,
+    facts: AnswerFacts,
+) -> None:
+    """Record what the endpoint says of itself.
+
+    An answer is believed if it is acted on or passed on: it is not from another owner
+    of the address, and no success without signature.
+    """
+    notices = decode_notices(response.status, response.headers, time.time())
+    if notices is NO_NOTICES and not gateway.limit_sync.tracker:
+        return
+    is_usable = facts.did_not_run or response.status >= 300 or _is_authentic(facts)
+    if facts.wrong_endpoint or not is_usable:
+        return
+    registration = dispatch.endpoint.registration
+    gateway.notices.record_answer(
+        registration.endpoint_id,
+        registration.born_ms,
+        notices,
+        dispatch.sent_at_s,
+        exchange.facts.request_id,
+        _is_authentic(facts),
+    )
+
+
 def _is_authentic(facts: AnswerFacts) -> bool:
     return facts.sealed and facts.request_id is not None
 
--- a/src/celerytrack/gateway/state.py
+++ b/src/celerytrack/gateway/state.py
@@ -33,6 +33,8 @@
 from celerytrack.limit_metrics import register_limits
 from celerytrack.limit_owners import Peer
 from celerytrack.limit_sync import LimitSync
+from celerytrack.notices.metrics import register_notices
+from celerytrack.notices.sync import NoticeSync
 from celerytrack.planned_stop import PlannedStop
 from celerytrack.platform.settings import ProcessSettings
 from celerytrack.platform.store import StoreClient
@@ -63,6 +65,7 @@
     :ivar endpoints_read_time_s: duration of the last read of the registrations.
     :ivar endpoints_reachable: whether the store answered that read.
     :ivar limit_sync: keeps the rate limits of endpoints together with other entries.
+    :ivar notices: what endpoints say of themselves in their answers.
     :ivar suspect_sync: tracks which requests crash endpoints, here and elsewhere.
     :ivar suspects_in_flight: number of suspected requests that this entry has in
         flight at each endpoint.
@@ -104,7 +107,9 @@
         self.endpoints_read_time_s = 0.0
         self.endpoints_reachable = True
         self.telemetry = Telemetry()
+        self.notices = NoticeSync(self.limit_sync)
         register_limits(self.telemetry.registry, self.limit_sync)
+        register_notices(self.telemetry.registry, self.notices)
         self.eras.on_change(self._on_era_change)
         self.in_flight = 0
         self.exchanges: set[Exchange] = set()
--- a/src/celerytrack/platform/http.py
+++ b/src/celerytrack/platform/http.py
@@ -1,6 +1,5 @@
 """HTTP headers and bodies exchanged with callers and endpoints."""
 
-import re
 from collections.abc import Mapping
 from typing import Any
 
@@ -23,7 +22,6 @@
 _EXPECTED = "X-Expect-Replica"
 _ACCOUNT = "X-Tenant"
 _URGENCY = "X-Request-Urgency"
-_LIMIT = "Server-Limit"
 _MAX_URGENCY = 9
 """Highest urgency number; 0 is the most urgent."""
 _MAX_COUNT_DIGITS = 15
@@ -31,9 +29,6 @@
 _MAX_DEADLINE_MS = 86_400_000.0
 """Longest deadline that a caller may set: one day."""
 
-_LIMIT_PATTERN = re.compile(r"[0-9]{1,9}(\.[0-9]{1,9})?")
-"""A decimal number of requests a second."""
-
 _HOP_BY_HOP = frozenset(
     {
         "connection",
@@ -215,14 +210,12 @@
     :ivar did_not_run: the endpoint guarantees that it did not run the request.
     :ivar sealed: whether the answer carries the endpoint's signature.
     :ivar wrong_endpoint: the address now belongs to another endpoint.
-    :ivar limit: the rate limit that it names, undecoded; see :func:`decode_limit`.
     """
 
     request_id: str | None
     did_not_run: bool
     sealed: bool
     wrong_endpoint: bool
-    limit: str | None = None
 
 
 def decode_answer(status: int, headers: CIMultiDictProxy[str]) -> AnswerFacts:
@@ -232,38 +225,9 @@
         did_not_run=status == 421 or _NOT_RUN in headers,
         sealed=_SEAL in headers,
         wrong_endpoint=status == 421,
-        limit=read_limit(headers),
     )
 
 
-def read_limit(headers: CIMultiDictProxy[str]) -> str | None:
-    """The rate limit that an answer names, undecoded; ``None`` if it names none."""
-    limit = headers.get(_LIMIT)
-    if limit is None:
-        return None
-    # Two different values are unreadable: together they match no number.
-    return ",".join(dict.fromkeys(headers.getall(_LIMIT)))
-
-
-def limit_headers(limit: str | None) -> dict[str, str]:
-    """The headers by which an endpoint names a rate limit."""
-    return {} if limit is None else {_LIMIT: limit}
-
-
-class LimitError(ValueError):
-    """A rate limit cannot be decoded."""
-
-
-def decode_limit(text: str) -> float:
-    """Decode a rate limit, in requests a second.
-
-    :raises LimitError: if it is not a decimal number.
-    """
-    if not _LIMIT_PATTERN.fullmatch(text.strip(" \t")):
-        raise LimitError(f"not a decimal number of requests a second: {text[:40]!r}")
-    return float(text)
-
-
 def encode_addresses(addresses: list[str], ttl_s: float) -> dict[str, Any]:
     """The body of an address answer."""
     return {"addresses": addresses, "ttlS": ttl_s}
--- a/src/celerytrack/standins/limits.py
+++ b/src/celerytrack/standins/limits.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from celerytrack.platform.http import limit_headers
+from celerytrack.platform.notices import notice_headers
 
 SETTLE_S = 3.0
 """Time after the first answer that names a limit until the limit must be kept."""
@@ -66,7 +66,7 @@
     def headers(self) -> dict[str, str]:
         """The headers for an answer made now."""
         limit_per_s = self.limit_per_s(time.monotonic())
-        return limit_headers(None if limit_per_s is None else f"{limit_per_s:g}")
+        return notice_headers(None if limit_per_s is None else f"{limit_per_s:g}")
 
     def stats(self) -> dict[str, Any]:
         """What the load tool checks."""
--- a/tests/test_limit_leases.py
+++ b/tests/test_limit_leases.py
@@ -30,7 +30,7 @@
     OwnerHandover,
     encode_limit_message,
 )
-from celerytrack.platform.http import LimitError, decode_limit
+from celerytrack.platform.notices import NoticeError, decode_limit
 
 E = EndpointId("i-1")
 REPORT = LimitReport(E, 7, 2.5, 0.5, math.inf)
@@ -47,7 +47,7 @@
     )
     def test_anything_else_is_rejected(self, text: str) -> None:
         """A value that is no decimal number became a limit, or crashed the entry."""
-        with self.assertRaises(LimitError):
+        with self.assertRaises(NoticeError):
             decode_limit(text)
 
 
