Limits: a folder for the ten modules at the root of the package

limit_asks and the others move to limits/, their owners to notices/owners.py, since what an endpoint says besides will be told in the same way. Names and imports only; tests of leases, of the model and of explain pass.

--- a/src/celerytrack/cli/log_commands.py
+++ b/src/celerytrack/cli/log_commands.py
@@ -7,7 +7,7 @@
 
 from celerytrack import slo
 from celerytrack.explain import parse, summary, timeline
-from celerytrack.limit_history import limit_rows
+from celerytrack.limits.history import limit_rows
 
 
 class ExplainCommand(Command):
--- a/src/celerytrack/entry/limits.py
+++ b/src/celerytrack/entry/limits.py
@@ -1,6 +1,6 @@
 """Rate limits of replicas, for the product's own interface.
 
-The messages are the gateway's (:mod:`celerytrack.limit_messages`), as datagrams on the
+The messages are the gateway's (:mod:`celerytrack.limits.messages`), as datagrams on the
 port of the entry's peer address; its heartbeats use the same port number over TCP.
 """
 
@@ -16,22 +16,22 @@
 from celerytrack.datagrams import DatagramSocket
 from celerytrack.events import Event, log_event
 from celerytrack.ids import EndpointId, EntryId, ReplicaId, RequestId
-from celerytrack.limit_asks import Lease
-from celerytrack.limit_leases import LeaseDenied
-from celerytrack.limit_messages import (
+from celerytrack.limits.asks import Lease
+from celerytrack.limits.leases import LeaseDenied
+from celerytrack.limits.messages import (
     LimitMessage,
     LimitMessageError,
     encode_limit_message,
     limit_message_of,
 )
-from celerytrack.limit_owners import Peer
-from celerytrack.limit_placement import (
+from celerytrack.limits.placement import (
     Candidate,
     LeasePlacer,
     spread_retry_after_s,
 )
-from celerytrack.limit_sync import LimitSync
+from celerytrack.limits.sync import LimitSync
 from celerytrack.notices.answer import NO_NOTICES
+from celerytrack.notices.owners import Peer
 from celerytrack.notices.sync import NoticeSync
 from celerytrack.platform.notices import decode_notices
 from celerytrack.replica_load import ReplicaLoad
--- a/src/celerytrack/entry/state.py
+++ b/src/celerytrack/entry/state.py
@@ -22,10 +22,10 @@
 from celerytrack.events import Event, log_event
 from celerytrack.findings import Findings
 from celerytrack.ids import EntryId
-from celerytrack.limit_metrics import register_limits
-from celerytrack.limit_owners import Peer
+from celerytrack.limits.metrics import register_limits
 from celerytrack.logclient import LogClient
 from celerytrack.notices.metrics import register_notices
+from celerytrack.notices.owners import Peer
 from celerytrack.replica_load import Load
 from celerytrack.retries import RetryBudget
 from celerytrack.routing import make_chooser, rendezvous
--- a/src/celerytrack/gateway/peer_messages.py
+++ b/src/celerytrack/gateway/peer_messages.py
@@ -8,7 +8,7 @@
 - Requests during which endpoints crashed (:mod:`celerytrack.suspects`), as soon as an
   entry detects a crash. The log carries them too, but later.
 - Rate limits of endpoints, and leases for requests to them
-  (:mod:`celerytrack.limit_sync`).
+  (:mod:`celerytrack.limits.sync`).
 
 Each message is one datagram to each entry. Delivery is best effort: if a datagram is
 lost, the receiver keeps its previous view, and no request waits for it.
@@ -25,7 +25,7 @@
 from celerytrack.events import Event, log_event
 from celerytrack.findings import Findings
 from celerytrack.ids import EndpointId, EntryId
-from celerytrack.limit_messages import (
+from celerytrack.limits.messages import (
     LimitMessage,
     LimitMessageError,
     encode_limit_message,
--- a/src/celerytrack/gateway/placement.py
+++ b/src/celerytrack/gateway/placement.py
@@ -10,9 +10,9 @@
 from celerytrack.gateway.quarantine import choose_endpoint
 from celerytrack.gateway.state import Gateway
 from celerytrack.ids import EndpointId
-from celerytrack.limit_asks import Lease
-from celerytrack.limit_leases import LeaseDenied
-from celerytrack.limit_placement import (
+from celerytrack.limits.asks import Lease
+from celerytrack.limits.leases import LeaseDenied
+from celerytrack.limits.placement import (
     Candidate,
     LeasePlacer,
     spread_retry_after_s,
--- a/src/celerytrack/gateway/state.py
+++ b/src/celerytrack/gateway/state.py
@@ -30,10 +30,10 @@
 from celerytrack.gateway.suspect_sync import SuspectSync
 from celerytrack.gateway.telemetry import Telemetry
 from celerytrack.ids import EndpointId, EntryId, ServiceName
-from celerytrack.limit_metrics import register_limits
-from celerytrack.limit_owners import Peer
-from celerytrack.limit_sync import LimitSync
+from celerytrack.limits.metrics import register_limits
+from celerytrack.limits.sync import LimitSync
 from celerytrack.notices.metrics import register_notices
+from celerytrack.notices.owners import Peer
 from celerytrack.notices.sync import NoticeSync
 from celerytrack.planned_stop import PlannedStop
 from celerytrack.platform.settings import ProcessSettings
--- a/src/celerytrack/lab/limit_fleet.py
+++ b/src/celerytrack/lab/limit_fleet.py
@@ -17,11 +17,11 @@
 
 from celerytrack.ids import EndpointId, EntryId
 from celerytrack.lab.limit_scenarios import LimitFault, LimitOutcome, LimitScenario
-from celerytrack.limit_leases import LeaseDenied
-from celerytrack.limit_messages import LimitMessage, encode_limit_message
-from celerytrack.limit_owners import Peer
-from celerytrack.limit_placement import Candidate, LeasePlacer
-from celerytrack.limit_sync import LimitSync
+from celerytrack.limits.leases import LeaseDenied
+from celerytrack.limits.messages import LimitMessage, encode_limit_message
+from celerytrack.limits.placement import Candidate, LeasePlacer
+from celerytrack.limits.sync import LimitSync
+from celerytrack.notices.owners import Peer
 from celerytrack.standins.limits import (
     SETTLE_S,
     WINDOW_S,
--- /dev/null
+++ b/src/celerytrack/limits/__init__.py
@@ -0,0 +1,1 @@
+"""Rate limits that endpoints name, kept in the sum over all entries."""
--- a/src/celerytrack/limit_asks.py
+++ b/src/celerytrack/limits/asks.py
@@ -14,17 +14,17 @@
 
 import attrs
 
-from celerytrack.endpoint_limits import LimitTracker
 from celerytrack.ids import EndpointId, EntryId
-from celerytrack.limit_leases import (
+from celerytrack.limits.leases import (
     MIN_RATE_PER_S,
     OWNER_RETRY_AFTER_S,
     LeaseDecision,
     LeaseDenied,
     LeaseGranted,
 )
-from celerytrack.limit_messages import LeaseAsk, LeaseReply, LeaseReturn, LimitMessage
-from celerytrack.limit_owners import LimitOwners
+from celerytrack.limits.messages import LeaseAsk, LeaseReply, LeaseReturn, LimitMessage
+from celerytrack.limits.tracker import LimitTracker
+from celerytrack.notices.owners import EndpointOwners
 
 ASK_TIMEOUT_S = 0.06
 """Longest wait for a reply. Entries are milliseconds apart, and the request that waits
@@ -116,7 +116,7 @@
     def __init__(
         self,
         tracker: LimitTracker,
-        owners: LimitOwners,
+        owners: EndpointOwners,
         deliver: Callable[[str, LimitMessage], None],
     ) -> None:
         self.counts: Counter[str] = Counter()
--- a/src/celerytrack/limit_grants.py
+++ b/src/celerytrack/limits/grants.py
@@ -14,9 +14,8 @@
 import attrs
 from cachetools import LRUCache
 
-from celerytrack.endpoint_limits import LimitTracker
 from celerytrack.ids import EndpointId
-from celerytrack.limit_leases import (
+from celerytrack.limits.leases import (
     OWNER_RETRY_AFTER_S,
     LeaseDecision,
     LeaseDenied,
@@ -24,14 +23,15 @@
     LeaseQueue,
     LeaseRequest,
 )
-from celerytrack.limit_messages import (
+from celerytrack.limits.messages import (
     LeaseAsk,
     LeaseReply,
     LeaseReturn,
     LimitMessage,
     OwnerHandover,
 )
-from celerytrack.limit_owners import SETTLE_S, LimitOwners
+from celerytrack.limits.tracker import LimitTracker
+from celerytrack.notices.owners import SETTLE_S, EndpointOwners
 
 REDUCED_SHARE = 0.4
 """Share of the limit that a standby or a new owner grants: endpoints tolerate half as
@@ -69,7 +69,7 @@
     def __init__(
         self,
         tracker: LimitTracker,
-        owners: LimitOwners,
+        owners: EndpointOwners,
         deliver: Callable[[str, LimitMessage], None],
     ) -> None:
         self._tracker = tracker
--- a/src/celerytrack/limit_messages.py
+++ b/src/celerytrack/limits/messages.py
@@ -6,9 +6,9 @@
 import attrs
 import msgpack
 
-from celerytrack.endpoint_limits import LimitReport
 from celerytrack.ids import EndpointId
-from celerytrack.limit_leases import LeaseDecision, LeaseDenied, LeaseGranted
+from celerytrack.limits.leases import LeaseDecision, LeaseDenied, LeaseGranted
+from celerytrack.limits.tracker import LimitReport
 
 ASK_KIND = "lease"
 REPLY_KIND = "leased"
--- a/src/celerytrack/limit_metrics.py
+++ b/src/celerytrack/limits/metrics.py
@@ -6,7 +6,7 @@
 from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily, Metric
 from prometheus_client.registry import Collector
 
-from celerytrack.limit_sync import LimitSync
+from celerytrack.limits.sync import LimitSync
 
 
 class LimitCollector(Collector):
--- a/src/celerytrack/limit_placement.py
+++ b/src/celerytrack/limits/placement.py
@@ -12,9 +12,9 @@
 import attrs
 
 from celerytrack.ids import EndpointId
-from celerytrack.limit_asks import Lease
-from celerytrack.limit_leases import LeaseDenied
-from celerytrack.limit_sync import LimitSync
+from celerytrack.limits.asks import Lease
+from celerytrack.limits.leases import LeaseDenied
+from celerytrack.limits.sync import LimitSync
 
 _T = TypeVar("_T")
 
--- a/src/celerytrack/limit_sync.py
+++ b/src/celerytrack/limits/sync.py
@@ -1,8 +1,8 @@
 """Keeps the rate limits of endpoints in the sum over all entries.
 
-Each limited endpoint has an owner among the entries (:mod:`celerytrack.limit_owners`).
+Each limited endpoint has an owner among the entries (:mod:`celerytrack.notices.owners`).
 Before a request is sent to a limited endpoint, the owner grants a lease for it
-(:mod:`celerytrack.limit_grants`, :mod:`celerytrack.limit_asks`); no other request is
+(:mod:`celerytrack.limits.grants`, :mod:`celerytrack.limits.asks`); no other request is
 sent there.
 
 Nothing is written to the log. What an entry knows of limits is repeated by the owner
@@ -15,12 +15,11 @@
 import time
 from collections.abc import Callable, Iterable, Sequence
 
-from celerytrack.endpoint_limits import LimitChange, LimitReport, LimitTracker
 from celerytrack.events import Event, log_event
 from celerytrack.ids import EndpointId, EntryId
-from celerytrack.limit_asks import LeaseAsks
-from celerytrack.limit_grants import LeaseGrants
-from celerytrack.limit_messages import (
+from celerytrack.limits.asks import LeaseAsks
+from celerytrack.limits.grants import LeaseGrants
+from celerytrack.limits.messages import (
     MAX_REPORTS,
     LeaseAsk,
     LeaseReply,
@@ -29,7 +28,8 @@
     LimitNews,
     OwnerHandover,
 )
-from celerytrack.limit_owners import LimitOwners, Peer
+from celerytrack.limits.tracker import LimitChange, LimitReport, LimitTracker
+from celerytrack.notices.owners import EndpointOwners, Peer
 
 _log = logging.getLogger(__name__)
 
@@ -65,7 +65,7 @@
         started_s: float,
     ) -> None:
         self.tracker = LimitTracker()
-        self.owners = LimitOwners(entry_id, address, started_s)
+        self.owners = EndpointOwners(entry_id, address, started_s)
         self.asks = LeaseAsks(self.tracker, self.owners, self._deliver)
         self.grants = LeaseGrants(self.tracker, self.owners, self._deliver)
         self._address = address
--- a/src/celerytrack/limit_owners.py
+++ b/src/celerytrack/notices/owners.py
@@ -26,7 +26,7 @@
     address: str
 
 
-class LimitOwners:
+class EndpointOwners:
     """The live entries, and the owners of endpoints among them.
 
     :ivar address: peer address of this entry.
--- a/src/celerytrack/notices/sync.py
+++ b/src/celerytrack/notices/sync.py
@@ -5,7 +5,7 @@
 
 from celerytrack.events import Event, log_event
 from celerytrack.ids import EndpointId
-from celerytrack.limit_sync import LimitSync
+from celerytrack.limits.sync import LimitSync
 from celerytrack.notices.answer import AnswerNotices, NoticeKind, UnreadableNotice
 from celerytrack.notices.backoff import BackoffTracker
 from celerytrack.notices.leaving import LeavingTracker
--- a/tests/test_endpoint_limits.py
+++ b/tests/test_endpoint_limits.py
@@ -12,9 +12,9 @@
 
 from celerytrack.gateway.state import Gateway
 from celerytrack.ids import AccountId, EndpointId
-from celerytrack.limit_messages import LimitMessage, LimitNews
-from celerytrack.limit_owners import SETTLE_S as OWNER_SETTLE_S
-from celerytrack.limit_sync import BEGAN_REPEAT_S, TICK_S
+from celerytrack.limits.messages import LimitMessage, LimitNews
+from celerytrack.limits.sync import BEGAN_REPEAT_S, TICK_S
+from celerytrack.notices.owners import SETTLE_S as OWNER_SETTLE_S
 from celerytrack.platform.topics import ENDPOINTS_TOPIC
 from celerytrack.standins.limits import SETTLE_S, allowed_requests
 from tests.gateway_fleet import SEAL_HEADERS, Endpoint, Fleet, config
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -11,7 +11,7 @@
 from celerytrack.events import Event, log_event
 from celerytrack.explain import parse, summary, timeline
 from celerytrack.gateway.logs import LINES_BURST, BoundedHandler
-from celerytrack.limit_history import limit_rows
+from celerytrack.limits.history import limit_rows
 
 
 def _line(at, process, event, **fields):
--- a/tests/test_limit_leases.py
+++ b/tests/test_limit_leases.py
@@ -6,22 +6,16 @@
 
 from nose2.tools import params
 
-from celerytrack.endpoint_limits import (
-    ENDED_KEPT_S,
-    MAX_UNCONFIRMED_S,
-    LimitReport,
-    LimitTracker,
-)
 from celerytrack.gateway.peer_messages import PeerMessageError, decode_peer_message
 from celerytrack.ids import EndpointId
-from celerytrack.limit_leases import (
+from celerytrack.limits.leases import (
     BURST_S,
     LeaseDenied,
     LeaseGranted,
     LeaseQueue,
     LeaseRequest,
 )
-from celerytrack.limit_messages import (
+from celerytrack.limits.messages import (
     LeaseAsk,
     LeaseReply,
     LeaseReturn,
@@ -30,6 +24,12 @@
     OwnerHandover,
     encode_limit_message,
 )
+from celerytrack.limits.tracker import (
+    ENDED_KEPT_S,
+    MAX_UNCONFIRMED_S,
+    LimitReport,
+    LimitTracker,
+)
 from celerytrack.platform.notices import NoticeError, decode_limit
 
 E = EndpointId("i-1")
