--- a/src/celerytrack/limits/sync.py
+++ b/src/celerytrack/limits/sync.py
@@ -1,6 +1,7 @@
 """Keeps the rate limits of endpoints in the sum over all entries.
 
-Each limited endpoint has an owner among the entries (:mod:`celerytrack.notices.owners`).
+Each limited endpoint has an owner among the entries
+(:mod:`celerytrack.notices.owners`).
 Before a request is sent to a limited endpoint, the owner grants a lease for it
 (:mod:`celerytrack.limits.grants`, :mod:`celerytrack.limits.asks`); no other request is
 sent there.
