--- a/src/celerytrack/cli/load.py
+++ b/src/celerytrack/cli/load.py
@@ -7,13 +7,14 @@
 import asyncio
 import json
 
+import attrs
 from cleo.application import Application
 from cleo.commands.command import Command
 from cleo.helpers import option
 
 from celerytrack.load.checker import audit
-from celerytrack.load.limits import check_limits, name_limits
 from celerytrack.load.mix import MIXES
+from celerytrack.load.notices import Said, check_limits, check_notices, say
 from celerytrack.load.report import summarise, table
 from celerytrack.load.runner import Plan, run_plan
 from celerytrack.settings import Config, FleetSettings, SettingsError, load_json
@@ -34,6 +35,9 @@
         option("repeat", None, "Marked requests per second.", flag=False, default="0"),
         option("marker", None, "Text of the marked requests.", flag=False, default=""),
         option("limit", None, "Rate limit that all replicas name.", flag=False),
+        option("leaving", None, "Ids of replicas that say they leave.", flag=False),
+        option("backoff", None, "Backoff that all replicas ask for.", flag=False),
+        option("rejects", None, "Share of requests rejected.", flag=False, default="0"),
         option("json", None, "Print JSON."),
     ]
 
@@ -56,24 +60,37 @@
         entries = [e.address for e in fleet.entries]
         non_idempotent = {c.name for c in config.classes if not c.idempotent}
 
-        limit = self.option("limit")
+        said = self._said()
+        leaving = frozenset(filter(None, str(self.option("leaving") or "").split(",")))
 
         async def go() -> dict[str, object]:
-            if limit is not None:
-                await name_limits(fleet, float(limit))
+            if said != Said():
+                await say(fleet, said)
+            if leaving:
+                await say(fleet, attrs.evolve(said, leaving=True), leaving)
             results = await run_plan(plan, MIXES[fleet.deployment], entries, keys)
             checks = await check_limits(fleet)
-            if limit is not None:
-                await name_limits(fleet, None)
+            notices = await check_notices(fleet)
+            if said != Said() or leaving:
+                await say(fleet, Said())
             await asyncio.sleep(fleet.tuning.ledger_flush_s * 5)
             found = await audit(fleet, non_idempotent)
             targets = {c.name: c.ttft_target_s for c in config.classes}
-            return summarise(results, found, targets, checks)
+            return summarise(results, found, targets, checks, notices)
 
         summary = asyncio.run(go())
         self.line(json.dumps(summary) if self.option("json") else table(summary))
         return 0
 
+    def _said(self) -> Said:
+        """What all replicas are to say of themselves."""
+        limit, backoff = self.option("limit"), self.option("backoff")
+        return Said(
+            limit_per_s=None if limit is None else float(limit),
+            backoff_s=None if backoff is None else float(backoff),
+            rejects_share=float(self.option("rejects")),
+        )
+
 
 def main() -> int:
     """Console script entry point."""
--- a/src/celerytrack/entry/state.py
+++ b/src/celerytrack/entry/state.py
@@ -126,6 +126,7 @@
         connector.may_send = self._may_send_to
         self._upstream = aiohttp.ClientSession(
             connector=connector,
+            headers={"X-Client": self.entry_id},
             timeout=aiohttp.ClientTimeout(
                 total=None,
                 sock_connect=2.0,
--- a/src/celerytrack/load/report.py
+++ b/src/celerytrack/load/report.py
@@ -11,7 +11,7 @@
 
 from celerytrack.load.caller import Outcome, Result
 from celerytrack.load.checker import Audit
-from celerytrack.load.limits import LimitCheck
+from celerytrack.load.notices import LimitCheck, NoticeCheck
 from celerytrack.slo import burn
 
 _MAX_US = 120_000_000
@@ -29,11 +29,13 @@
     audit: Audit,
     targets_s: dict[str, float],
     limits: Sequence[LimitCheck] = (),
+    notices: Sequence[NoticeCheck] = (),
 ) -> dict[str, Any]:
     """Return the percentiles and counts of each class, and the audit's figures.
 
     :param targets_s: first-token targets by class.
     :param limits: what arrived at replicas that named a limit.
+    :param notices: what arrived at replicas that left or asked for backoffs.
     """
     by_class: dict[str, list[Result]] = defaultdict(list)
     for result in results:
@@ -76,6 +78,8 @@
         "wrong_answers": sum(1 for r in results if r.outcome == Outcome.WRONG),
         "limits": [attrs.asdict(check) for check in limits],
         "limits_exceeded": sum(not check.is_kept for check in limits),
+        "notices": [attrs.asdict(check) for check in notices],
+        "notices_broken": sum(not check.is_kept for check in notices),
     }
 
 
@@ -117,4 +121,12 @@
             f"limits {len(summary['limits'])}, exceeded "
             f"{summary['limits_exceeded']}, worst window {worst:.2f} of what is allowed"
         )
+    if summary["notices"]:
+        late = sum(row["late"] for row in summary["notices"])
+        worst = max(row["worst_backoff"] for row in summary["notices"])
+        lines.append(
+            f"leaving or backing off {len(summary['notices'])}, broken "
+            f"{summary['notices_broken']}, late at leaving {late}, most of one entry "
+            f"in a backoff {worst}"
+        )
     return "\n".join(lines)
--- a/src/celerytrack/standins/engine.py
+++ b/src/celerytrack/standins/engine.py
@@ -29,7 +29,7 @@
 from celerytrack.sse import DONE_EVENT, event_bytes
 from celerytrack.standins._common import Faults, apply_faults, faults_routes
 from celerytrack.standins.crashes import MarkedCrash
-from celerytrack.standins.limits import NamedLimit
+from celerytrack.standins.notices import SaidNotices
 
 _PREFILL_CHUNK_TOKENS = 512
 
@@ -218,12 +218,13 @@
 
 def make_app(state: EngineState) -> web.Application:
     """The engine stand-in as an aiohttp application."""
-    limit = NamedLimit(state.knobs)
+    notices = SaidNotices(state.knobs)
 
     async def completions(request: web.Request) -> web.StreamResponse:
-        limit.record_arrival()
         if (refused := await apply_faults(state.faults, request)) is not None:
             return refused
+        if (rejected := notices.reject_or_record(request)) is not None:
+            return rejected
         body = await request.json()
         request_id = request.headers.get("X-Request-Id") or f"r{next(state._seq)}"
         prompt = prompt_text(body)
@@ -234,7 +235,7 @@
             state.runs[request_id] = state.runs.get(request_id, 0) + 1
             await state.prefill(prompt, priority)
             await state.marked.crash_if_marked(prompt)
-            headers = {"Content-Type": "text/event-stream", **limit.headers()}
+            headers = {"Content-Type": "text/event-stream", **notices.headers(request)}
             resp = web.StreamResponse(headers=headers)
             await resp.prepare(request)
             start = int(body.get("resume_from", 0))
@@ -299,7 +300,7 @@
                 "hit_blocks": state.hit_blocks,
                 "asked_blocks": state.asked_blocks,
                 "orders": state.orders,
-                "limit": limit.stats(),
+                **notices.stats(),
             }
         )
 
--- a/src/celerytrack/standins/service.py
+++ b/src/celerytrack/standins/service.py
@@ -15,14 +15,14 @@
 
 from celerytrack.standins._common import Faults, apply_faults, faults_routes, lose_reply
 from celerytrack.standins.crashes import MarkedCrash
-from celerytrack.standins.limits import NamedLimit
+from celerytrack.standins.notices import SaidNotices
 
 
 @attrs.define
 class ServiceState:
     """The service's counters.
 
-    :ivar knobs: the limit that it names (:mod:`celerytrack.standins.limits`).
+    :ivar knobs: what it says of itself (:mod:`celerytrack.standins.notices`).
     :ivar runs: number of runs by operation and request id.
     :ivar marked: which request bodies crash the service.
     """
@@ -44,12 +44,13 @@
 
 def make_app(state: ServiceState) -> web.Application:
     """The plain service stand-in as an aiohttp application."""
-    limit = NamedLimit(state.knobs)
+    notices = SaidNotices(state.knobs)
 
     async def call(request: web.Request) -> web.Response:
-        limit.record_arrival()
         if (refused := await apply_faults(state.faults, request)) is not None:
             return refused
+        if (rejected := notices.reject_or_record(request)) is not None:
+            return rejected
         operation = request.match_info["operation"]
         request_id = request.headers.get("X-Request-Id", "")
         text = await request.text()
@@ -64,7 +65,7 @@
         if lose_reply(state.faults, request):
             return web.Response(status=503)
         answer = answer_for(request_id, operation)
-        return web.json_response(answer, headers=limit.headers())
+        return web.json_response(answer, headers=notices.headers(request))
 
     async def load(request: web.Request) -> web.Response:
         return web.json_response(
@@ -77,7 +78,7 @@
                 "replica_id": state.replica_id,
                 "starts": state.marked.starts,
                 "runs": state.runs,
-                "limit": limit.stats(),
+                **notices.stats(),
             }
         )
 
--- a/tests/test_own_limits.py
+++ b/tests/test_own_limits.py
@@ -4,8 +4,8 @@
 import unittest
 
 from celerytrack.load.caller import Outcome
-from celerytrack.load.limits import check_limits, name_limits
 from celerytrack.load.mix import MIXES
+from celerytrack.load.notices import Said, check_limits, say
 from celerytrack.load.runner import Plan, run_plan
 from tests.fleet import Fleet, get_json
 
@@ -24,11 +24,11 @@
     def test_all_entries_together_keep_a_named_limit(self) -> None:
         """Each entry sent as much to a replica that had named its limit."""
         with Fleet("haddad") as fleet:
-            asyncio.run(name_limits(fleet.fleet, LIMIT_PER_S))
+            asyncio.run(say(fleet.fleet, Said(LIMIT_PER_S)))
             results = asyncio.run(self._run_load(fleet))
             checks = asyncio.run(check_limits(fleet.fleet))
             statuses = [get_json(e.address, "/status") for e in fleet.entry_specs]
-            asyncio.run(name_limits(fleet.fleet, None))
+            asyncio.run(say(fleet.fleet, Said()))
             runs = _runs(fleet)
             asyncio.run(self._run_load(fleet, 30.0, 5.0))
             called = {i for i, count in _runs(fleet).items() if count > runs[i]}
--- /dev/null
+++ b/tests/test_own_notices.py
@@ -0,0 +1,49 @@
+"""Replicas that say that they leave or back off, for the product's own interface."""
+
+import asyncio
+import unittest
+
+from celerytrack.load.caller import Outcome, Result
+from celerytrack.load.mix import MIXES
+from celerytrack.load.notices import Said, check_notices, say
+from celerytrack.load.runner import Plan, run_plan
+from tests.fleet import Fleet, get_json
+
+RATE_PER_S = 40.0
+
+
+async def _run_load(fleet: Fleet, lasts_s: float, seed: int) -> list[Result]:
+    keys = {a.account_id: a.key for a in fleet.config.accounts}
+    entries = [e.address for e in fleet.entry_specs]
+    plan = Plan(RATE_PER_S, lasts_s, 1_000, seed)
+    return await run_plan(plan, MIXES["haddad"], entries, keys)
+
+
+class OwnNoticesTest(unittest.TestCase):
+    def test_a_replica_that_said_it_leaves_gets_no_more_requests(self) -> None:
+        """Each entry sent to it until the instance list said so."""
+        with Fleet("haddad") as fleet:
+            leaving = fleet.fleet.replicas[0].replica_id
+            said = Said(leaving=True)
+            asyncio.run(say(fleet.fleet, said, frozenset({leaving})))
+            results = asyncio.run(_run_load(fleet, 7.0, 1))
+            (check,) = asyncio.run(check_notices(fleet.fleet))
+            statuses = [get_json(e.address, "/status") for e in fleet.entry_specs]
+        self.assertEqual(check.late, 0)
+        for status in statuses:
+            self.assertEqual(status["leaving_replicas"], [leaving])
+        self.assertEqual({r.outcome for r in results}, {Outcome.DONE})
+
+    def test_replicas_that_asked_for_a_backoff_are_left_alone(self) -> None:
+        """Each entry sent to them again after a short ejection."""
+        with Fleet("haddad") as fleet:
+            asyncio.run(say(fleet.fleet, Said(backoff_s=1.5, rejects_share=0.05)))
+            results = asyncio.run(_run_load(fleet, 8.0, 2))
+            checks = asyncio.run(check_notices(fleet.fleet))
+        self.assertEqual(len(checks), len(fleet.fleet.replicas))
+        for check in checks:
+            self.assertTrue(check.is_kept, check)
+        outcomes = {r.outcome for r in results}
+        self.assertLessEqual(outcomes, {Outcome.DONE, Outcome.REFUSED})
+        done = sum(r.outcome == Outcome.DONE for r in results)
+        self.assertGreaterEqual(done, 0.8 * len(results))
