An entry that starts is told which endpoints leave, also if it owns them now

The test of it failed first: the endpoint's owner tells those that join, and the entry that joined was the owner itself. The owner of before tells it.

--- a/src/celerytrack/notices/leaving_sync.py
+++ b/src/celerytrack/notices/leaving_sync.py
@@ -40,12 +40,14 @@
         self._send = send
         self._told_from_s: dict[EndpointId, float] = {}
         self._next_repeat_s: dict[EndpointId, float] = {}
+        self._owned: set[EndpointId] = set()
 
     def on_heard(self, endpoint_id: EndpointId, now_s: float) -> None:
         """Tell that an endpoint leaves, as this entry learns it."""
         self._told_from_s[endpoint_id] = now_s
         self._next_repeat_s[endpoint_id] = now_s + REPEAT_S
         if self._owners.is_own(endpoint_id):
+            self._owned.add(endpoint_id)
             self._announce([endpoint_id], self._owners.peers.values(), now_s)
         else:
             self._tell_owner(endpoint_id, now_s)
@@ -73,7 +75,10 @@
                 self._tell_owner(endpoint_id, now_s)
         own = [i for i in self._told_from_s if self._owners.is_own(i)]
         if joined:
-            self._announce(own, joined, now_s)
+            # One that joined may be the owner now, and knows nothing yet.
+            told = self._owned.union(own).intersection(self._told_from_s)
+            self._announce(sorted(told), joined, now_s)
+        self._owned = set(own)
         due = [i for i in own if now_s >= self._next_repeat_s[i]]
         for endpoint_id in due:
             self._next_repeat_s[endpoint_id] = now_s + ANNOUNCE_S
