A later incarnation is not held up by the return to the one before

The test of it failed first (503 where 200 was due): the return in steps was kept by the endpoint's id alone, so an endpoint that had asked for 60 s and started again stayed closed to that entry.

--- a/src/celerytrack/notices/returns.py
+++ b/src/celerytrack/notices/returns.py
@@ -9,22 +9,27 @@
 import attrs
 
 from celerytrack.ids import EndpointId
+from celerytrack.notices.leaving import is_later_incarnation
 
 FULL_WINDOW = 16
 """Requests in progress from which the return is over."""
 MAX_RETURN_S = 3.0
 """Time after which the return is over in any case."""
+RETURN_ROOM_S = 0.02
+"""When to look again for room: about the time of a short answer."""
 
 
 @attrs.define
 class _Return:
     """The return to one endpoint.
 
+    :ivar born_ms: incarnation of the endpoint; 0 if unknown.
     :ivar opens_at_s: when the first request may be sent.
     :ivar window: most requests in progress.
     :ivar pending: requests in progress.
     """
 
+    born_ms: int
     opens_at_s: float
     window: int = 1
     pending: int = 0
@@ -39,23 +44,20 @@
     def __bool__(self) -> bool:
         return bool(self._returns)
 
-    def begin(self, endpoint_id: EndpointId, opens_at_s: float) -> None:
-        """Let requests return from a time on."""
+    def begin(self, endpoint_id: EndpointId, born_ms: int, opens_at_s: float) -> None:
+        """Let requests return to an incarnation from a time on."""
         old = self._returns.get(endpoint_id)
         pending = old.pending if old else 0
-        self._returns[endpoint_id] = _Return(opens_at_s, pending=pending)
+        self._returns[endpoint_id] = _Return(born_ms, opens_at_s, pending=pending)
 
-    def opens_at_s(self, endpoint_id: EndpointId) -> float | None:
-        """When the first request may be sent; ``None`` if there is no return."""
+    def opens_in_s(self, endpoint_id: EndpointId, born_ms: int, now_s: float) -> float:
+        """Time until the return leaves room for another request; 0 if it does."""
         known = self._returns.get(endpoint_id)
-        return known.opens_at_s if known else None
-
-    def has_room(self, endpoint_id: EndpointId, now_s: float) -> bool:
-        """Whether the return leaves room for another request now."""
-        known = self._returns.get(endpoint_id)
-        if known is None:
-            return True
-        return now_s >= known.opens_at_s and known.pending < known.window
+        if known is None or is_later_incarnation(born_ms, known.born_ms):
+            return 0.0
+        if now_s < known.opens_at_s:
+            return known.opens_at_s - now_s
+        return 0.0 if known.pending < known.window else RETURN_ROOM_S
 
     def record_sent(self, endpoint_id: EndpointId) -> bool:
         """Count a request that is sent now; returns whether it is part of a return."""
--- a/src/celerytrack/notices/state.py
+++ b/src/celerytrack/notices/state.py
@@ -10,9 +10,6 @@
 LAST_RESORT_S = 1.5
 """How long an endpoint that leaves is still used if its service has no other. It serves
 for two seconds and more; requests are on their way for part of them."""
-RETURN_ROOM_S = 0.02
-"""When to look again for room at an endpoint to which load returns: about the time of a
-short answer."""
 
 
 @attrs.frozen
@@ -43,14 +40,9 @@
 
     def opens_in_s(self, endpoint_id: EndpointId, born_ms: int, now_s: float) -> float:
         """Time until a backoff and the return after it leave room; 0 if they do."""
-        backoff_until_s = self.backoffs.until_s(endpoint_id, born_ms)
-        if backoff_until_s is not None and now_s < backoff_until_s:
-            opens_at_s = self.returns.opens_at_s(endpoint_id)
-            return max(backoff_until_s, opens_at_s or 0.0) - now_s
-        if self.returns.has_room(endpoint_id, now_s):
-            return 0.0
-        opens_at_s = self.returns.opens_at_s(endpoint_id) or 0.0
-        return max(RETURN_ROOM_S, opens_at_s - now_s)
+        returns_in_s = self.returns.opens_in_s(endpoint_id, born_ms, now_s)
+        until_s = self.backoffs.until_s(endpoint_id, born_ms)
+        return returns_in_s if until_s is None else max(returns_in_s, until_s - now_s)
 
     def may_send(self, endpoint_id: EndpointId, born_ms: int, now_s: float) -> bool:
         """Whether a request that was placed before may be sent now.
--- a/src/celerytrack/notices/sync.py
+++ b/src/celerytrack/notices/sync.py
@@ -159,7 +159,8 @@
         if not self.state.backoffs.record(endpoint_id, born_ms, backoff_s, now_s):
             return
         until_s = self.state.backoffs.until_s(endpoint_id, born_ms) or now_s
-        self.state.returns.begin(endpoint_id, until_s + self._return_delay_s())
+        opens_at_s = until_s + self._return_delay_s()
+        self.state.returns.begin(endpoint_id, born_ms, opens_at_s)
         log_event(
             _log,
             Event.BACKOFF_ASKED,
