--- a/src/celerytrack/lab/limit_fleet.py
+++ b/src/celerytrack/lab/limit_fleet.py
@@ -9,61 +9,39 @@
 import math
 import random
 import time
-from collections import Counter
-from collections.abc import Collection, Coroutine, Iterable
-from typing import Any
+from collections.abc import Collection, Iterable
 
 import attrs
 
 from celerytrack.ids import EndpointId, EntryId
 from celerytrack.lab.limit_scenarios import LimitFault, LimitOutcome, LimitScenario
+from celerytrack.lab.peer_fleet import (
+    MESSAGE_DELAY_S,
+    MESSAGE_LOSS_SHARE,
+    ModelPeer,
+    PeerFaults,
+    PeerFleet,
+)
 from celerytrack.limits.leases import LeaseDenied
 from celerytrack.limits.placement import Candidate, LeasePlacer
-from celerytrack.limits.sync import LimitSync
-from celerytrack.notices.messages import (
-    LeavingNews,
-    NoticeMessage,
-    encode_notice_message,
-)
-from celerytrack.notices.owners import Peer
-from celerytrack.notices.sync import NoticeSync
 from celerytrack.standins.limits import (
     SETTLE_S,
     WINDOW_S,
     allowed_requests,
 )
 
-MESSAGE_DELAY_S = (0.0005, 0.003)
-MESSAGE_LOSS_SHARE = 0.01
-"""Share of messages that are lost without a fault."""
-DATAGRAM_OVERHEAD_BYTES = 28
 ANSWER_S = (0.02, 0.4)
 MAX_WAIT_S = 0.3
 """Time for which a request may wait for a lease."""
-VIEW_LAG_S = (0.05, 0.5)
 LATE_VIEW_LAG_S = (0.5, 4.0)
-SILENCE_S = 3.5
-"""Time until a killed entry counts as silent."""
-DOWN_S = 3.0
 TOLD_BEFORE_S = 0.5
 """Time after which requests count from an entry that passed on the limit."""
+CUT_S = 8.0
+"""How long a third of the entries is cut off."""
 WARM_UP_S = 6.0
 """Time before the limits begin, in which the membership settles."""
 
 
-@attrs.define
-class _Entry:
-    """A modelled entry process."""
-
-    entry_id: EntryId
-    sync: LimitSync
-    view_lag_s: float
-    cut_off: bool = False
-    alive: bool = True
-    task: asyncio.Task[None] | None = None
-    sent_bytes: Counter[int] = attrs.field(factory=Counter)
-
-
 @attrs.define
 class _Endpoint:
     """An endpoint, and what arrived there.
@@ -92,9 +70,7 @@
         self._scenario = scenario
         self._rng = random.Random(seed)
         self._outcome = LimitOutcome()
-        self._views: list[tuple[float, tuple[Peer, ...]]] = []
-        self._entries: dict[EntryId, _Entry] = {}
-        self._tasks: set[asyncio.Task[Any]] = set()
+        self._fleet = PeerFleet(_peer_faults(scenario.faults), self._rng)
         self._limits_began_s = WARM_UP_S
         self._endpoints = [
             _Endpoint(EndpointId(f"i-{n}"), n < scenario.limited)
@@ -104,79 +80,17 @@
     async def run(self) -> LimitOutcome:
         """Run the scenario."""
         for number in range(self._scenario.entries):
-            self._start(EntryId(f"e{number}"))
-        self._publish_view()
+            self._fleet.start(EntryId(f"e{number}"))
+        self._fleet.publish_view()
         await asyncio.sleep(WARM_UP_S)
         self._limits_began_s = time.monotonic()
         for fault in self._scenario.faults:
-            self._spawn(self._inject(fault))
+            self._fleet.spawn(self._inject(fault))
         await self._send_requests()
         self._evaluate(time.monotonic())
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._fleet.close()
         return self._outcome
 
-    def _spawn(self, coro: Coroutine[Any, Any, Any]) -> asyncio.Task[Any]:
-        task = asyncio.get_running_loop().create_task(coro)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-        return task
-
-    # -- entries and their membership ---------------------------------------------
-
-    def _start(self, entry_id: EntryId) -> None:
-        late = LimitFault.LATE_ROWS in self._scenario.faults
-        lag_s = self._rng.uniform(*(LATE_VIEW_LAG_S if late else VIEW_LAG_S))
-        notices = NoticeSync(
-            entry_id,
-            entry_id,
-            lambda address, message: self._deliver(entry_id, address, message),
-            lambda now_s: self._live_peers(entry_id, now_s),
-            time.monotonic(),
-            self._rng,
-        )
-        entry = _Entry(entry_id, notices.limits, lag_s)
-        entry.task = self._spawn(notices.run())
-        self._entries[entry_id] = entry
-
-    def _publish_view(self) -> None:
-        alive = (e.entry_id for e in self._entries.values() if e.alive)
-        peers = tuple(Peer(entry_id, entry_id) for entry_id in alive)
-        self._views.append((time.monotonic(), peers))
-
-    def _live_peers(self, entry_id: EntryId, now_s: float) -> Iterable[Peer]:
-        entry = self._entries.get(entry_id)
-        lag_s = entry.view_lag_s if entry else 0.0
-        index = bisect.bisect_right(
-            self._views, now_s - lag_s, key=lambda view: view[0]
-        )
-        peers = self._views[max(0, index - 1)][1] if self._views else ()
-        return [peer for peer in peers if peer.entry_id != entry_id]
-
-    def _deliver(self, sender: EntryId, address: str, message: NoticeMessage) -> None:
-        source = self._entries[sender]
-        size = len(encode_notice_message(message)) + DATAGRAM_OVERHEAD_BYTES
-        source.sent_bytes[int(time.monotonic())] += size
-        self._outcome.messages += 1
-        target = self._entries.get(EntryId(address))
-        if target is None or self._is_lost(source, target):
-            return
-        delay_s = self._rng.uniform(*MESSAGE_DELAY_S)
-        loop = asyncio.get_running_loop()
-        loop.call_later(delay_s, self._receive, target, message)
-
-    def _receive(self, target: _Entry, message: NoticeMessage) -> None:
-        if target.alive and not isinstance(message, LeavingNews):
-            target.sync.receive(message)
-
-    def _is_lost(self, source: _Entry, target: _Entry) -> bool:
-        faults = self._scenario.faults
-        if LimitFault.NO_MESSAGES in faults or source.cut_off is not target.cut_off:
-            return True
-        many = LimitFault.MESSAGES_LOST in faults
-        return self._rng.random() < (1 / 3 if many else MESSAGE_LOSS_SHARE)
-
     # -- callers -------------------------------------------------------------------
 
     async def _send_requests(self) -> None:
@@ -187,16 +101,16 @@
             await asyncio.sleep(self._rng.expovariate(rate_per_s))
             entry = self._pick_entry()
             self._outcome.requests += 1
-            self._spawn(self._serve(entry))
+            self._fleet.spawn(self._serve(entry))
 
-    def _pick_entry(self) -> _Entry:
-        alive = [e for e in self._entries.values() if e.alive]
+    def _pick_entry(self) -> ModelPeer:
+        alive = [e for e in self._fleet.entries.values() if e.alive]
         few = alive[: max(1, len(alive) // 10)]
         if self._scenario.uneven and self._rng.random() < 0.9:
             return self._rng.choice(few)
         return self._rng.choice(alive)
 
-    async def _serve(self, entry: _Entry) -> None:
+    async def _serve(self, entry: ModelPeer) -> None:
         endpoint = await self._place(entry)
         if endpoint is None:
             return
@@ -210,11 +124,11 @@
         if limit_per_s is not None:
             endpoint.told_at_s.setdefault(entry.entry_id, now_s)
         if self._scenario.reads_limits:
-            entry.sync.record_answer(
+            entry.notices.limits.record_answer(
                 endpoint.endpoint_id, 0, limit_per_s, sent_at_s, now_s
             )
 
-    async def _place(self, entry: _Entry) -> _Endpoint | None:
+    async def _place(self, entry: ModelPeer) -> _Endpoint | None:
         def choose(
             excluded: Collection[EndpointId],
         ) -> Candidate[_Endpoint] | None:
@@ -224,9 +138,11 @@
             endpoint = self._rng.choice(allowed)
             return Candidate(endpoint.endpoint_id, endpoint)
 
-        if not entry.sync.tracker:
+        if not entry.notices.limits.tracker:
             return self._rng.choice(self._endpoints)
-        placer = LeasePlacer[_Endpoint](entry.sync, 0, lambda endpoint: True, [])
+        placer = LeasePlacer[_Endpoint](
+            entry.notices.limits, 0, lambda endpoint: True, []
+        )
         leased = await placer.lease_best(choose)
         if leased is not None:
             return leased.choice
@@ -266,10 +182,8 @@
             rates_per_s.append(len(times_s) / (ended_s - from_s))
         mean_per_s = sum(rates_per_s) / len(rates_per_s)
         self._outcome.used = mean_per_s / scenario.limit_per_s
-        self._outcome.control_bytes_per_s = max(
-            max(entry.sent_bytes.values(), default=0)
-            for entry in self._entries.values()
-        )
+        self._outcome.messages = self._fleet.messages
+        self._outcome.control_bytes_per_s = self._fleet.busiest_bytes_per_s()
 
     # -- faults ------------------------------------------------------------------------
 
@@ -277,43 +191,25 @@
         await asyncio.sleep(4.0)
         match fault:
             case LimitFault.THIRD_CUT:
-                await self._cut_a_third()
-            case LimitFault.STOPS:
-                await self._restart_in_turn(planned=True)
-            case LimitFault.KILLS:
-                await self._restart_in_turn(planned=False)
+                await self._fleet.cut_a_third(CUT_S)
+            case LimitFault.STOPS | LimitFault.KILLS:
+                planned = fault is LimitFault.STOPS
+                await self._fleet.restart_in_turn(self._scenario.lasts_s, planned)
             case LimitFault.ADDED:
                 for number in range(max(1, self._scenario.entries // 3)):
-                    self._start(EntryId(f"new{number}"))
-                self._publish_view()
-
-    async def _cut_a_third(self) -> None:
-        for entry in list(self._entries.values())[::3]:
-            entry.cut_off = True
-        await asyncio.sleep(8.0)
-        for entry in self._entries.values():
-            entry.cut_off = False
-
-    async def _restart_in_turn(self, planned: bool) -> None:
-        for entry in list(self._entries.values()):
-            self._spawn(self._restart(entry, planned))
-            await asyncio.sleep(self._scenario.lasts_s / self._scenario.entries)
-
-    async def _restart(self, entry: _Entry, planned: bool) -> None:
-        entry.alive = False
-        if planned:
-            self._publish_view()
-            entry.sync.begin_leaving()
-            entry.alive = True
-            await asyncio.sleep(1.0)
-            entry.alive = False
-        if entry.task is not None:
-            entry.task.cancel()
-        await asyncio.sleep(DOWN_S if planned else SILENCE_S)
-        if not planned:
-            self._publish_view()
-        self._start(entry.entry_id)
-        self._publish_view()
+                    self._fleet.start(EntryId(f"new{number}"))
+                self._fleet.publish_view()
+
+
+def _peer_faults(faults: Collection[LimitFault]) -> PeerFaults:
+    lost_share = MESSAGE_LOSS_SHARE
+    if LimitFault.MESSAGES_LOST in faults:
+        lost_share = 1 / 3
+    if LimitFault.NO_MESSAGES in faults:
+        lost_share = 1.0
+    if LimitFault.LATE_ROWS in faults:
+        return PeerFaults(LATE_VIEW_LAG_S, lost_share)
+    return PeerFaults(lost_share=lost_share)
 
 
 def worst_window(times_s: Iterable[float]) -> int:
--- /dev/null
+++ b/src/celerytrack/lab/peer_fleet.py
@@ -0,0 +1,171 @@
+"""Entries that know each other and exchange messages, in modelled time.
+
+The real synchronisation of what endpoints say of themselves runs on each entry. The
+membership, which each entry sees late, and the messages are models.
+"""
+
+import asyncio
+import bisect
+import random
+import time
+from collections import Counter
+from collections.abc import Coroutine, Iterable
+from typing import Any
+
+import attrs
+
+from celerytrack.ids import EntryId
+from celerytrack.notices.messages import NoticeMessage, encode_notice_message
+from celerytrack.notices.owners import Peer
+from celerytrack.notices.sync import NoticeSync
+
+MESSAGE_DELAY_S = (0.0005, 0.003)
+MESSAGE_LOSS_SHARE = 0.01
+"""Share of messages that are lost without a fault."""
+DATAGRAM_OVERHEAD_BYTES = 28
+SILENCE_S = 3.5
+"""Time until a killed entry counts as silent."""
+DOWN_S = 3.0
+
+
+@attrs.frozen
+class PeerFaults:
+    """What disturbs the entries' view of each other.
+
+    :ivar view_lag_s: shortest and longest time until an entry sees a change of the
+        membership.
+    :ivar lost_share: share of messages that are lost.
+    """
+
+    view_lag_s: tuple[float, float] = (0.05, 0.5)
+    lost_share: float = MESSAGE_LOSS_SHARE
+
+
+@attrs.define
+class ModelPeer:
+    """A modelled entry process.
+
+    :ivar cut_off: whether no message reaches it or leaves it.
+    :ivar sent_bytes: bytes that it sent to others, by second.
+    """
+
+    entry_id: EntryId
+    notices: NoticeSync
+    view_lag_s: float
+    cut_off: bool = False
+    alive: bool = True
+    task: asyncio.Task[None] | None = None
+    sent_bytes: Counter[int] = attrs.field(factory=Counter)
+
+
+class PeerFleet:
+    """Entries, their membership and their messages.
+
+    :ivar entries: all entries, also those that are down.
+    :ivar messages: number of messages sent.
+    """
+
+    def __init__(self, faults: PeerFaults, rng: random.Random) -> None:
+        self.entries: dict[EntryId, ModelPeer] = {}
+        self.messages = 0
+        self._faults = faults
+        self._rng = rng
+        self._views: list[tuple[float, tuple[Peer, ...]]] = []
+        self._tasks: set[asyncio.Task[Any]] = set()
+
+    def spawn(self, coro: Coroutine[Any, Any, Any]) -> asyncio.Task[Any]:
+        """Run something until it ends or the run does."""
+        task = asyncio.get_running_loop().create_task(coro)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return task
+
+    async def close(self) -> None:
+        """End all that runs."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    def start(self, entry_id: EntryId) -> ModelPeer:
+        """Start an entry; :meth:`publish_view` makes it known."""
+        notices = NoticeSync(
+            entry_id,
+            entry_id,
+            lambda address, message: self._deliver(entry_id, address, message),
+            lambda now_s: self._live_peers(entry_id, now_s),
+            time.monotonic(),
+            self._rng,
+        )
+        lag_s = self._rng.uniform(*self._faults.view_lag_s)
+        entry = ModelPeer(entry_id, notices, lag_s)
+        entry.task = self.spawn(notices.run())
+        self.entries[entry_id] = entry
+        return entry
+
+    def publish_view(self) -> None:
+        """Make the present membership known, which each entry sees later."""
+        alive = (e.entry_id for e in self.entries.values() if e.alive)
+        peers = tuple(Peer(entry_id, entry_id) for entry_id in alive)
+        self._views.append((time.monotonic(), peers))
+
+    async def cut_a_third(self, lasts_s: float) -> None:
+        """Cut a third of the entries off from the others for a time."""
+        for entry in list(self.entries.values())[::3]:
+            entry.cut_off = True
+        await asyncio.sleep(lasts_s)
+        for entry in self.entries.values():
+            entry.cut_off = False
+
+    async def restart_in_turn(self, within_s: float, planned: bool) -> None:
+        """Stop or kill all entries one after the other, and start them again."""
+        for entry in list(self.entries.values()):
+            self.spawn(self._restart(entry, planned))
+            await asyncio.sleep(within_s / len(self.entries))
+
+    def busiest_bytes_per_s(self) -> float:
+        """Most bytes that one entry sent to others in one second."""
+        return max(max(e.sent_bytes.values(), default=0) for e in self.entries.values())
+
+    async def _restart(self, entry: ModelPeer, planned: bool) -> None:
+        entry.alive = False
+        if planned:
+            self.publish_view()
+            entry.notices.begin_leaving()
+            entry.alive = True
+            await asyncio.sleep(1.0)
+            entry.alive = False
+        if entry.task is not None:
+            entry.task.cancel()
+        await asyncio.sleep(DOWN_S if planned else SILENCE_S)
+        if not planned:
+            self.publish_view()
+        self.start(entry.entry_id)
+        self.publish_view()
+
+    def _live_peers(self, entry_id: EntryId, now_s: float) -> Iterable[Peer]:
+        entry = self.entries.get(entry_id)
+        lag_s = entry.view_lag_s if entry else 0.0
+        index = bisect.bisect_right(
+            self._views, now_s - lag_s, key=lambda view: view[0]
+        )
+        peers = self._views[max(0, index - 1)][1] if self._views else ()
+        return [peer for peer in peers if peer.entry_id != entry_id]
+
+    def _deliver(self, sender: EntryId, address: str, message: NoticeMessage) -> None:
+        source = self.entries[sender]
+        size = len(encode_notice_message(message)) + DATAGRAM_OVERHEAD_BYTES
+        source.sent_bytes[int(time.monotonic())] += size
+        self.messages += 1
+        target = self.entries.get(EntryId(address))
+        if target is None or source.cut_off is not target.cut_off:
+            return
+        if self._rng.random() < self._faults.lost_share:
+            return
+        delay_s = self._rng.uniform(*MESSAGE_DELAY_S)
+        loop = asyncio.get_running_loop()
+        loop.call_later(delay_s, self._receive, target, message)
+
+    @staticmethod
+    def _receive(target: ModelPeer, message: NoticeMessage) -> None:
+        if target.alive:
+            target.notices.receive(message)
