--- a/src/celerytrack/notices/returns.py
+++ b/src/celerytrack/notices/returns.py
@@ -83,6 +83,10 @@
         if known is not None and known.pending > 0:
             known.pending -= 1
 
+    def clear(self) -> None:
+        """Let all load return at once."""
+        self._returns.clear()
+
     def expire(self, now_s: float) -> None:
         """End the returns that last too long."""
         for endpoint_id, known in list(self._returns.items()):
