An entry that starts is told of limits, also if it owns the endpoint now

The same fault as with leavings, found by looking for it: whoever owns a limited endpoint tells those that join, and the one that joined may be the owner. It sent to the endpoint until its own first answer, or until another entry asked it for a lease. The test failed first (no limit known).

--- a/src/celerytrack/limits/sync.py
+++ b/src/celerytrack/limits/sync.py
@@ -74,6 +74,7 @@
         self._announced_at_s = started_s
         self._began_at_s: dict[EndpointId, float] = {}
         self._ended_at_s: dict[EndpointId, float] = {}
+        self._owned: set[EndpointId] = set()
 
     def record_answer(
         self,
@@ -184,6 +185,7 @@
             self._announce([endpoint_id], self.owners.peers.values(), now_s)
             if change.new_per_s is not None:
                 self._began_at_s[endpoint_id] = now_s
+                self._owned.add(endpoint_id)
 
     def _drop(self, endpoint_id: EndpointId, now_s: float) -> None:
         self.asks.forget(endpoint_id)
@@ -202,7 +204,10 @@
     def _repeat_begun(self, joined: Sequence[str], now_s: float) -> None:
         own = [i for i in self.tracker.limited() if self.owners.is_own(i)]
         if joined:
-            self._announce(own, joined, now_s)
+            # One that joined may be the owner now, and knows nothing yet.
+            told = self._owned.union(own).intersection(self.tracker.limited())
+            self._announce(sorted(told), joined, now_s)
+        self._owned = set(own)
         due = [
             endpoint_id
             for endpoint_id, began_at_s in self._began_at_s.items()
--- a/tests/test_notice_state.py
+++ b/tests/test_notice_state.py
@@ -1,6 +1,7 @@
 """What is read from answers, and what is kept of it."""
 
 import random
+import time
 import unittest
 from collections import Counter
 
@@ -365,6 +366,17 @@
             sync.tick(now_s + 10.0)
         self.assertIn("e3", self._known())
 
+    def test_an_entry_that_starts_is_told_of_a_limit(self) -> None:
+        """It owned the limited endpoint from its start, so that no owner told it."""
+        notices = AnswerNotices(limit_per_s=5.0)
+        self.syncs["e0"].record_answer(A, 0, notices, 0.0, RequestId("r"), True)
+        self.live.append("e3")
+        self.syncs["e3"] = self._sync("e3")
+        now_s = time.monotonic()
+        for sync in self.syncs.values():
+            sync.tick(now_s)
+        self.assertEqual(self.syncs["e3"].limits.tracker.limit_per_s(A), 5.0)
+
     def test_nothing_is_told_while_nothing_leaves(self) -> None:
         """It cost messages at rest, or long after the endpoint was gone."""
         for sync in self.syncs.values():
