celerytrackctl notices; leavings and backoffs in status and in a timeline

Log lines of answers and refusals name the endpoints that were withheld, and a counter tells how often. A request whose own answer said the word stands once in its timeline.

--- a/src/celerytrack/cli/ctl.py
+++ b/src/celerytrack/cli/ctl.py
@@ -2,8 +2,8 @@
 
 ``validate`` reads a local file. ``apply``, ``topup``, ``drain`` and ``status`` connect
 to the platform log, the instance list or the entries; ``suspects`` and ``lift`` connect
-to the log of the users' platform. ``explain``, ``summary``, ``limits`` and ``slo`` read
-log lines from standard input. No command keeps state of its own.
+to the log of the users' platform. ``explain``, ``summary``, ``limits``, ``notices``
+and ``slo`` read log lines from standard input. No command keeps state of its own.
 """
 
 import asyncio
@@ -21,6 +21,7 @@
 from celerytrack.cli.log_commands import (
     ExplainCommand,
     LimitsCommand,
+    NoticesCommand,
     SloCommand,
     SummaryCommand,
 )
@@ -294,6 +295,8 @@
                 f" records queued {row['ledger_backlog']:>3}"
                 f"{' draining' if row['draining'] else ''}"
                 f"{_limits_text(row.get('limits', {}))}"
+                f"{_backoffs_text(row.get('backoffs_s', {}))}"
+                f"{_leaving_text(row.get('leaving_replicas', []))}"
             )
         return 0
 
@@ -303,6 +306,17 @@
     return f" limited: {', '.join(named)}" if limits else ""
 
 
+def _backoffs_text(backoffs_s: dict[str, float]) -> str:
+    left = (
+        f"{replica} {left_s:.1f} s" for replica, left_s in sorted(backoffs_s.items())
+    )
+    return f" backing off: {', '.join(left)}" if backoffs_s else ""
+
+
+def _leaving_text(replicas: list[str]) -> str:
+    return f" leaving: {', '.join(replicas)}" if replicas else ""
+
+
 def main() -> int:
     """Console script entry point."""
     app = Application("celerytrackctl", "0.1.0")
@@ -315,6 +329,7 @@
         ExplainCommand(),
         SummaryCommand(),
         LimitsCommand(),
+        NoticesCommand(),
         SloCommand(),
         SuspectsCommand(),
         LiftCommand(),
--- a/src/celerytrack/cli/log_commands.py
+++ b/src/celerytrack/cli/log_commands.py
@@ -8,6 +8,7 @@
 from celerytrack import slo
 from celerytrack.explain import parse, summary, timeline
 from celerytrack.limits.history import limit_rows
+from celerytrack.notices.history import notice_rows
 
 
 class ExplainCommand(Command):
@@ -52,6 +53,18 @@
         return 0
 
 
+class NoticesCommand(Command):
+    """Show which endpoints left or asked for backoffs."""
+
+    name = "notices"
+    description = "Read log lines; print which endpoints left or asked for backoffs."
+
+    def handle(self) -> int:
+        for row in notice_rows(parse(sys.stdin)):
+            self.line(row, style=None)
+        return 0
+
+
 class SloCommand(Command):
     """Report the error budget burn of each class."""
 
--- a/src/celerytrack/explain.py
+++ b/src/celerytrack/explain.py
@@ -23,6 +23,9 @@
         Event.LIMIT_BEGAN,
         Event.LIMIT_CHANGED,
         Event.LIMIT_ENDED,
+        Event.LEAVING_HEARD,
+        Event.BACKOFF_ASKED,
+        Event.BACKOFF_ENDED,
     }
 )
 """Events that change a process's view of the system, which explains its decisions."""
@@ -81,7 +84,8 @@
         for line in lines:
             if line.process != process or line.at > first:
                 continue
-            if line.event in _VIEW_CHANGES:
+            is_own = line.fields.get("request_id") == request_id
+            if line.event in _VIEW_CHANGES and not is_own:
                 subject = str(line.fields.get("topic") or line.fields.get("endpoint"))
                 before[line.event, subject] = line
         out += sorted(before.values(), key=lambda line: line.at)[-6:]
--- a/src/celerytrack/gateway/outcomes.py
+++ b/src/celerytrack/gateway/outcomes.py
@@ -129,6 +129,8 @@
     """Count the outcome of a request."""
     route = exchange.route.name if exchange else "none"
     gateway.telemetry.outcomes.labels(route, outcome).inc()
+    if exchange is not None and exchange.withheld:
+        gateway.telemetry.withheld.labels(outcome).inc()
 
 
 def record_attempt_failure(
--- a/src/celerytrack/gateway/telemetry.py
+++ b/src/celerytrack/gateway/telemetry.py
@@ -57,6 +57,12 @@
             ("endpoint", "reason"),
             registry=self.registry,
         )
+        self.withheld = prom.Counter(
+            "celerytrack_requests_withheld_total",
+            "Requests that were not sent to an endpoint that leaves or backs off.",
+            ("outcome",),
+            registry=self.registry,
+        )
         self.endpoints_ended = prom.Counter(
             "celerytrack_endpoints_ended_total",
             "Endpoints that ended while they ran requests of this entry.",
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -12,6 +12,7 @@
 from celerytrack.explain import parse, summary, timeline
 from celerytrack.gateway.logs import LINES_BURST, BoundedHandler
 from celerytrack.limits.history import limit_rows
+from celerytrack.notices.history import notice_rows
 
 
 def _line(at, process, event, **fields):
@@ -73,6 +74,41 @@
             ],
         )
 
+    def test_each_leaving_and_backoff_with_the_requests_passed_over(self):
+        lines = [
+            _line(
+                "10:00:01,0",
+                "e1",
+                Event.LEAVING_HEARD,
+                endpoint="i-1",
+                source="answer",
+                request_id="r0",
+            ),
+            _line("10:00:01,1", "e2", Event.LEAVING_HEARD, endpoint="i-1"),
+            _line("10:00:02,0", "e1", Event.BACKOFF_ASKED, endpoint="i-2", backoff_s=2),
+            _line("10:00:02,5", "e1", Event.BACKOFF_ASKED, endpoint="i-2", backoff_s=3),
+            _line("10:00:03,0", "e1", Event.ANSWERED, withheld=["i-1", "i-2"]),
+            _line("10:00:03,1", "e2", Event.REFUSED, withheld=["i-1"]),
+        ]
+        self.assertEqual(
+            notice_rows(parse(lines)),
+            [
+                "i-1  leaves  heard 10:00:01,0 in the answer to r0  known to 2 "
+                "entries  requests sent elsewhere 1, refused 1",
+                "i-2  backs off from e1  10:00:02,0 to 10:00:02,5  2 times, at most "
+                "3 s  requests sent elsewhere 1, refused 0",
+            ],
+        )
+
+    def test_a_timeline_shows_the_words_heard_then(self):
+        lines = [
+            _line("10:00:01,0", "e1", Event.LEAVING_HEARD, endpoint="i-1"),
+            _line("10:00:01,5", "e1", Event.BACKOFF_ASKED, endpoint="i-2", backoff_s=2),
+            _line("10:00:02,0", "e1", Event.REFUSED, request_id="r1"),
+        ]
+        names = [line.name for line in timeline(parse(lines), "r1")]
+        self.assertEqual(names, ["leaving_heard", "backoff_asked", "refused"])
+
     def test_a_timeline_shows_the_limits_known_then(self):
         lines = [
             _line("10:00:01,0", "e1", Event.LIMIT_BEGAN, endpoint="i-1", **_limit(2.5)),
