An owner that nobody hears grants the smaller share of a limit

While its membership is older than 1 s, an owner of limited endpoints asks up to ten others twice a second whether they hear it; if fewer than half reply, it grants 0.4 of the limit until they do. With the log away for all, entries hear each other and nothing changes.

--- a/src/celerytrack/entry/fleet_view.py
+++ b/src/celerytrack/entry/fleet_view.py
@@ -71,9 +71,14 @@
         self.addresses: dict[ReplicaId, str] = {}
         self.entries: dict[EntryId, EntryInfo] = {}
         self._listed = False
+        self._read_at_s = time.monotonic()
         self._cache_events_from: dict[ReplicaId, int] = {}
         self._session: aiohttp.ClientSession | None = None
 
+    def age_s(self, now_s: float) -> float:
+        """Time since the instance list was last read."""
+        return now_s - self._read_at_s
+
     def is_gone(self, entry_id: EntryId, now_s: float) -> bool:
         """Whether the platform no longer lists ``entry_id`` as running.
 
@@ -98,6 +103,7 @@
             self._apply(item)
         self._mark_missing({item["id"] for item in data["instances"]})
         self._listed = True
+        self._read_at_s = time.monotonic()
         await asyncio.gather(*(self._poll_replica(r) for r in list(self.replicas)))
 
     async def run(self) -> None:
--- a/src/celerytrack/entry/notices.py
+++ b/src/celerytrack/entry/notices.py
@@ -67,6 +67,7 @@
 
     :param address: peer address of this entry.
     :param live_peers: returns the other live entries at a time.
+    :param view_age_s: returns how old that knowledge is.
     """
 
     def __init__(
@@ -74,6 +75,7 @@
         entry_id: EntryId,
         address: str,
         live_peers: Callable[[float], Iterable[Peer]],
+        view_age_s: Callable[[float], float],
         rng: random.Random,
     ) -> None:
         self._address = address
@@ -81,7 +83,7 @@
         self._socket = DatagramSocket(self._on_data)
         self._openings: defaultdict[str, OpeningQueue] = defaultdict(OpeningQueue)
         self.sync = NoticeSync(
-            entry_id, address, self._send, live_peers, time.monotonic(), rng
+            entry_id, address, self._send, live_peers, time.monotonic(), rng, view_age_s
         )
 
     async def run(self) -> None:
--- a/src/celerytrack/entry/state.py
+++ b/src/celerytrack/entry/state.py
@@ -84,7 +84,11 @@
         self.attempts_deadline = SharedDeadline()
         self.suspects = EntrySuspects(self.entry_id)
         self.notices = EntryNotices(
-            self.entry_id, self.spec.peer_address, self._notice_peers, self.rng
+            self.entry_id,
+            self.spec.peer_address,
+            self._notice_peers,
+            self.view.age_s,
+            self.rng,
         )
         register_limits(self.metrics.registry, self.notices.sync.limits)
         register_notices(self.metrics.registry, self.notices.sync)
--- a/src/celerytrack/gateway/state.py
+++ b/src/celerytrack/gateway/state.py
@@ -102,6 +102,7 @@
             self._notice_peers,
             started_s,
             self.rng,
+            self.share_sync.members.read_age_s,
         )
         self.limit_sync = self.notices.limits
         self.openings: defaultdict[ServiceName, OpeningQueue] = defaultdict(
--- a/src/celerytrack/lab/limit_fleet.py
+++ b/src/celerytrack/lab/limit_fleet.py
@@ -38,6 +38,8 @@
 """Time after which requests count from an entry that passed on the limit."""
 CUT_S = 8.0
 """How long a third of the entries is cut off."""
+ISOLATED_S = 12.0
+"""How long it lasts after the others have missed the rows of those cut off."""
 WARM_UP_S = 6.0
 """Time before the limits begin, in which the membership settles."""
 
@@ -192,6 +194,8 @@
         match fault:
             case LimitFault.THIRD_CUT:
                 await self._fleet.cut_a_third(CUT_S)
+            case LimitFault.THIRD_ISOLATED:
+                await self._fleet.cut_a_third(ISOLATED_S, from_log=True)
             case LimitFault.STOPS | LimitFault.KILLS:
                 planned = fault is LimitFault.STOPS
                 await self._fleet.restart_in_turn(self._scenario.lasts_s, planned)
--- a/src/celerytrack/lab/limit_scenarios.py
+++ b/src/celerytrack/lab/limit_scenarios.py
@@ -14,6 +14,7 @@
     NO_MESSAGES = "no messages"
     LATE_ROWS = "late rows"
     THIRD_CUT = "a third cut off"
+    THIRD_ISOLATED = "a third cut off from entries and log"
     STOPS = "stops in turn"
     KILLS = "kills"
     ADDED = "entries added"
--- a/src/celerytrack/lab/peer_fleet.py
+++ b/src/celerytrack/lab/peer_fleet.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import bisect
+import math
 import random
 import time
 from collections import Counter
@@ -46,6 +47,7 @@
     """A modelled entry process.
 
     :ivar cut_off: whether no message reaches it or leaves it.
+    :ivar log_lost_at_s: since when it can't read the log either.
     :ivar sent_bytes: bytes that it sent to others, by second.
     """
 
@@ -53,6 +55,7 @@
     notices: NoticeSync
     view_lag_s: float
     cut_off: bool = False
+    log_lost_at_s: float = math.inf
     alive: bool = True
     task: asyncio.Task[None] | None = None
     sent_bytes: Counter[int] = attrs.field(factory=Counter)
@@ -95,6 +98,7 @@
             lambda now_s: self._live_peers(entry_id, now_s),
             time.monotonic(),
             self._rng,
+            lambda now_s: max(0.0, now_s - self.entries[entry_id].log_lost_at_s),
         )
         lag_s = self._rng.uniform(*self._faults.view_lag_s)
         entry = ModelPeer(entry_id, notices, lag_s)
@@ -104,17 +108,33 @@
 
     def publish_view(self) -> None:
         """Make the present membership known, which each entry sees later."""
-        alive = (e.entry_id for e in self.entries.values() if e.alive)
+        alive = (
+            e.entry_id
+            for e in self.entries.values()
+            if e.alive and e.log_lost_at_s == math.inf
+        )
         peers = tuple(Peer(entry_id, entry_id) for entry_id in alive)
         self._views.append((time.monotonic(), peers))
 
-    async def cut_a_third(self, lasts_s: float) -> None:
-        """Cut a third of the entries off from the others for a time."""
-        for entry in list(self.entries.values())[::3]:
+    async def cut_a_third(self, lasts_s: float, from_log: bool = False) -> None:
+        """Cut a third of the entries off from the others for a time.
+
+        :param from_log: whether they are cut off from the log too, so that the others
+            miss their rows.
+        """
+        cut = list(self.entries.values())[::3]
+        for entry in cut:
             entry.cut_off = True
+            if from_log:
+                entry.log_lost_at_s = time.monotonic()
+        if from_log:
+            await asyncio.sleep(SILENCE_S)
+            self.publish_view()
         await asyncio.sleep(lasts_s)
-        for entry in self.entries.values():
+        for entry in cut:
             entry.cut_off = False
+            entry.log_lost_at_s = math.inf
+        self.publish_view()
 
     async def restart_in_turn(self, within_s: float, planned: bool) -> None:
         """Stop or kill all entries one after the other, and start them again."""
@@ -144,10 +164,9 @@
 
     def _live_peers(self, entry_id: EntryId, now_s: float) -> Iterable[Peer]:
         entry = self.entries.get(entry_id)
-        lag_s = entry.view_lag_s if entry else 0.0
-        index = bisect.bisect_right(
-            self._views, now_s - lag_s, key=lambda view: view[0]
-        )
+        if entry is not None:
+            now_s = min(now_s - entry.view_lag_s, entry.log_lost_at_s)
+        index = bisect.bisect_right(self._views, now_s, key=lambda view: view[0])
         peers = self._views[max(0, index - 1)][1] if self._views else ()
         return [peer for peer in peers if peer.entry_id != entry_id]
 
--- a/src/celerytrack/limits/grants.py
+++ b/src/celerytrack/limits/grants.py
@@ -3,7 +3,8 @@
 The standby grants a smaller share, so that it and an owner that others still reach stay
 within what an endpoint tolerates beyond its limit. So does a new owner after a change
 of the membership, until all entries have noticed the change or the previous owner hands
-over: two entries may take themselves for the owner meanwhile.
+over, and an owner that is cut off from the others and the log: two entries may take
+themselves for the owner meanwhile.
 """
 
 import asyncio
@@ -84,7 +85,10 @@
         limit_per_s = self._tracker.limit_per_s(endpoint_id)
         if grants is None or limit_per_s is None:
             return 0.0
-        return grants.share(now_s) * limit_per_s
+        share = grants.share(now_s)
+        if self._owners.is_isolated:
+            share = min(share, REDUCED_SHARE)
+        return share * limit_per_s
 
     def on_ask(self, ask: LeaseAsk, now_s: float) -> None:
         """Decide on a request for a lease, now or when a token is there."""
@@ -154,6 +158,11 @@
         for grants in self._grants.values():
             grants.full_from_s = self._owners.settled_at_s
 
+    def update_rates(self, now_s: float) -> None:
+        """Grant at the rates that hold from now on."""
+        for endpoint_id in self._grants:
+            self.update_rate(endpoint_id, now_s)
+
     def close(self, endpoint_id: EndpointId, now_s: float) -> None:
         """Grant leases for an endpoint no longer; those who wait ask anew."""
         grants = self._grants.pop(endpoint_id, None)
--- a/src/celerytrack/limits/messages.py
+++ b/src/celerytrack/limits/messages.py
@@ -15,6 +15,8 @@
 RETURN_KIND = "unlease"
 NEWS_KIND = "limits"
 HANDOVER_KIND = "limit-owner"
+CHECK_KIND = "check"
+CHECK_REPLY_KIND = "checked"
 
 MAX_LIMIT_PER_S = 1e9
 MAX_PRIORITY = 1_000
@@ -85,7 +87,29 @@
     tokens: float
 
 
-LimitMessage = LeaseAsk | LeaseReply | LeaseReturn | LimitNews | OwnerHandover
+@attrs.frozen
+class PeerCheck:
+    """The sender asks whether the receiver hears it."""
+
+    sender: str
+
+
+@attrs.frozen
+class PeerReply:
+    """The sender heard a check of the receiver."""
+
+    sender: str
+
+
+LimitMessage = (
+    LeaseAsk
+    | LeaseReply
+    | LeaseReturn
+    | LimitNews
+    | OwnerHandover
+    | PeerCheck
+    | PeerReply
+)
 
 
 class LimitMessageError(ValueError):
@@ -117,6 +141,10 @@
             return (NEWS_KIND, sender, [_report_fields(r) for r in reports])
         case OwnerHandover(report, tokens):
             return (HANDOVER_KIND, _report_fields(report), tokens)
+        case PeerCheck(sender):
+            return (CHECK_KIND, sender)
+        case PeerReply(sender):
+            return (CHECK_REPLY_KIND, sender)
 
 
 def _report_fields(report: LimitReport) -> tuple[str, int, float, float, float]:
@@ -129,10 +157,20 @@
     )
 
 
+_KINDS = (
+    ASK_KIND,
+    REPLY_KIND,
+    RETURN_KIND,
+    NEWS_KIND,
+    HANDOVER_KIND,
+    CHECK_KIND,
+    CHECK_REPLY_KIND,
+)
+
+
 def is_limit_message(fields: Any) -> bool:
     """Whether unpacked ``fields`` are meant as a message about limits."""
-    kinds = (ASK_KIND, REPLY_KIND, RETURN_KIND, NEWS_KIND, HANDOVER_KIND)
-    return isinstance(fields, list) and bool(fields) and fields[0] in kinds
+    return isinstance(fields, list) and bool(fields) and fields[0] in _KINDS
 
 
 def limit_message_of(fields: Any) -> LimitMessage:
@@ -173,6 +211,10 @@
             return OwnerHandover(
                 _report(report), decode_number(tokens, MAX_LIMIT_PER_S, "tokens")
             )
+        case ["check", str(sender)]:
+            return PeerCheck(decode_text(sender))
+        case ["checked", str(sender)]:
+            return PeerReply(decode_text(sender))
     raise LimitMessageError(f"not a message about limits: {str(fields)[:100]}")
 
 
--- a/src/celerytrack/limits/sync.py
+++ b/src/celerytrack/limits/sync.py
@@ -27,6 +27,8 @@
     LimitMessage,
     LimitNews,
     OwnerHandover,
+    PeerCheck,
+    PeerReply,
 )
 from celerytrack.limits.tracker import LimitChange, LimitReport, LimitTracker
 from celerytrack.notices.owners import EndpointOwners, Peer
@@ -51,6 +53,7 @@
     :param address: peer address of this entry.
     :param send: sends a message to the entry at an address, without guarantee.
     :param live_peers: returns the other live entries at a time.
+    :param view_age_s: returns how old that knowledge is.
     :ivar tracker: the limits as this entry knows them; false if there are none.
     :ivar asks: leases for this entry's requests.
     :ivar grants: leases that this entry grants.
@@ -63,9 +66,10 @@
         send: Callable[[str, LimitMessage], None],
         live_peers: Callable[[float], Iterable[Peer]],
         started_s: float,
+        view_age_s: Callable[[float], float],
     ) -> None:
         self.tracker = LimitTracker()
-        self.owners = EndpointOwners(entry_id, address, started_s)
+        self.owners = EndpointOwners(entry_id, address, started_s, view_age_s)
         self.asks = LeaseAsks(self.tracker, self.owners, self._deliver)
         self.grants = LeaseGrants(self.tracker, self.owners, self._deliver)
         self._address = address
@@ -117,6 +121,7 @@
         """
         if self.owners.detect_freeze(now_s):
             self.grants.reduce_all()
+        self._check_isolation(now_s)
         joined = self.owners.update(self._live_peers(now_s), now_s)
         if joined is not None:
             self.asks.forget_absent_entries()
@@ -132,7 +137,7 @@
     # -- messages ---------------------------------------------------------------
 
     def receive(self, message: LimitMessage) -> None:
-        """Handle a message of another entry."""
+        """Handle a message of another entry, or of this one to itself."""
         now_s = time.monotonic()
         match message:
             case LeaseAsk():
@@ -146,10 +151,23 @@
                 self.grants.on_return(message, now_s)
             case LimitNews():
                 self._on_news(message, now_s)
+            case PeerCheck(sender):
+                self._send(sender, PeerReply(self._address))
+            case PeerReply(sender):
+                self.owners.record_reply(sender)
             case OwnerHandover():
                 self._merge(message.report, "handover", now_s)
                 self.grants.on_handover(message, now_s)
 
+    def _check_isolation(self, now_s: float) -> None:
+        if self.owners.end_check(now_s):
+            if not self.owners.is_isolated:
+                self.grants.reduce_all()
+            self.grants.update_rates(now_s)
+        if self.tracker:
+            for address in self.owners.begin_check(now_s):
+                self._send(address, PeerCheck(self._address))
+
     def _deliver(self, address: str, message: LimitMessage) -> None:
         if address == self._address:
             self.receive(message)
--- a/src/celerytrack/notices/owners.py
+++ b/src/celerytrack/notices/owners.py
@@ -4,7 +4,8 @@
 first is the endpoint's *owner*, the second its *standby*. Without I/O.
 """
 
-from collections.abc import Iterable
+import random
+from collections.abc import Callable, Iterable
 
 import attrs
 
@@ -14,6 +15,11 @@
 SETTLE_S = 4.0
 """Time after which all entries have noticed a change of the membership: heartbeats are
 missed for as long before an entry counts as silent."""
+STALE_VIEW_S = 1.0
+"""Age of the membership from which an owner checks whether the others hear it. If they
+don't, they notice its silence later, and another owner follows it."""
+MAX_CHECKED = 10
+"""Most entries that are asked in one check."""
 FREEZE_S = 2.0
 """A longer pause between two updates means that the process stood still."""
 
@@ -29,19 +35,31 @@
 class EndpointOwners:
     """The live entries, and the owners of endpoints among them.
 
+    :param view_age_s: returns how old the membership is that this entry knows.
     :ivar address: peer address of this entry.
     :ivar peers: addresses of the other live entries.
     :ivar settled_at_s: when the last change of the membership will have been noticed
         by all entries.
     """
 
-    def __init__(self, entry_id: EntryId, address: str, started_s: float) -> None:
+    def __init__(
+        self,
+        entry_id: EntryId,
+        address: str,
+        started_s: float,
+        view_age_s: Callable[[float], float] = lambda now_s: 0.0,
+    ) -> None:
+        self._rng = random.Random(entry_id)
         self.address = address
         self.peers: dict[EntryId, str] = {}
         self.settled_at_s = started_s + SETTLE_S
         self._entry_id = entry_id
         self._leaving = False
         self._updated_at_s = started_s
+        self._view_age_s = view_age_s
+        self._unanswered: set[str] = set()
+        self._answered: set[str] = set()
+        self._isolated = False
         self._rankings: dict[EndpointId, list[EntryId]] = {}
 
     def ranking(self, endpoint_id: EndpointId) -> list[EntryId]:
@@ -90,6 +108,42 @@
         self._rankings.clear()
         return joined
 
+    @property
+    def is_isolated(self) -> bool:
+        """Whether this entry was cut off from the others and the log at the last check:
+        another owner of its endpoints may follow without its knowing."""
+        return self._isolated
+
+    def record_reply(self, address: str) -> None:
+        """Record that an entry replied to a check."""
+        if address in self._unanswered:
+            self._unanswered.discard(address)
+            self._answered.add(address)
+
+    def end_check(self, now_s: float) -> bool:
+        """End the last check: this entry is isolated if fewer than half replied.
+
+        :returns: whether it became isolated, or is so no longer.
+        """
+        isolated = len(self._answered) < len(self._unanswered)
+        changed = isolated is not self._isolated
+        self._isolated = isolated
+        if changed and not isolated:
+            self.settled_at_s = now_s + SETTLE_S
+        return changed
+
+    def begin_check(self, now_s: float) -> list[str]:
+        """Begin a check if the membership is stale.
+
+        :returns: the addresses of the entries to ask.
+        """
+        asked: list[str] = []
+        if self._view_age_s(now_s) > STALE_VIEW_S:
+            addresses = list(self.peers.values())
+            asked = self._rng.sample(addresses, min(MAX_CHECKED, len(addresses)))
+        self._unanswered, self._answered = set(asked), set()
+        return asked
+
     def detect_freeze(self, now_s: float) -> bool:
         """Whether the process stood still since the last call.
 
--- a/src/celerytrack/notices/sync.py
+++ b/src/celerytrack/notices/sync.py
@@ -35,6 +35,7 @@
     :param address: peer address of this entry.
     :param send: sends a message to the entry at an address, without guarantee.
     :param live_peers: returns the other live entries at a time.
+    :param view_age_s: returns how old that knowledge is.
     :ivar state: what placement asks.
     :ivar limits: the rate limits of endpoints.
     """
@@ -47,9 +48,12 @@
         live_peers: Callable[[float], Iterable[Peer]],
         started_s: float,
         rng: random.Random,
+        view_age_s: Callable[[float], float] = lambda now_s: 0.0,
     ) -> None:
         self.state = EndpointNotices()
-        self.limits = LimitSync(entry_id, address, send, live_peers, started_s)
+        self.limits = LimitSync(
+            entry_id, address, send, live_peers, started_s, view_age_s
+        )
         self._rng = rng
         self._leaving_sync = LeavingSync(self.state.leaving, self.limits.owners, send)
         self._limits_end_at_s: dict[EndpointId, float] = {}
--- a/tests/test_limit_model.py
+++ b/tests/test_limit_model.py
@@ -25,6 +25,8 @@
         (9, 20.0, False, (LimitFault.ADDED, LimitFault.MESSAGES_LOST)),
         (76, 0.5, True, ()),
         (76, 2.5, False, (LimitFault.THIRD_CUT,)),
+        (9, 2.5, False, (LimitFault.THIRD_ISOLATED,)),
+        (76, 2.5, False, (LimitFault.THIRD_ISOLATED,)),
         (76, 2.5, False, (LimitFault.MESSAGES_LOST, LimitFault.STOPS)),
         (195, 2.5, False, (LimitFault.CHANGES,)),
         (195, 0.5, False, (LimitFault.STOPS,)),
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -53,7 +53,11 @@
         ),
         suspects=_suspects(),
         notices=EntryNotices(
-            EntryId("e"), "127.0.0.1:1", lambda now_s: [], random.Random(1)
+            EntryId("e"),
+            "127.0.0.1:1",
+            lambda now_s: [],
+            lambda now_s: 0.0,
+            random.Random(1),
         ),
         choose=make_chooser("predicted"),
         spec=types.SimpleNamespace(zone=Zone("z")),
