--- a/src/celerytrack/gateway/pipeline.py
+++ b/src/celerytrack/gateway/pipeline.py
@@ -7,7 +7,6 @@
 from aiohttp import web
 from returns.result import Failure, Success
 
-from celerytrack.endpoint import Endpoint
 from celerytrack.events import Event, log_event
 from celerytrack.gateway.admission import (
     NO_ENDPOINT_RETRY_AFTER_S,
@@ -17,44 +16,28 @@
     settle,
 )
 from celerytrack.gateway.attempts import (
-    AttemptResult,
     CallerDisconnectedError,
-    attempt,
     finish_stream,
-    withheld,
 )
 from celerytrack.gateway.exchange import (
     AttemptFailure,
     BufferedAnswer,
     Exchange,
 )
-from celerytrack.gateway.openings import refused_until_opening, wait_for_opening
 from celerytrack.gateway.outcomes import (
     abort_stream,
     count_outcome,
     log_admitted_while_draining,
     make_response,
     record_answer,
-    record_attempt_failure,
     refuse,
 )
-from celerytrack.gateway.placement import (
-    Placement,
-    is_backpressure,
-    no_endpoint,
-    place,
-)
 from celerytrack.gateway.quarantine import (
-    begin_probe,
-    cancel_probe,
-    cancel_probe_later,
-    choose_endpoint,
-    quarantine_failure,
     quarantine_refusal,
-    record_success,
     suspect_state_of,
 )
 from celerytrack.gateway.refusals import RefusedError
+from celerytrack.gateway.sending import make_attempt
 from celerytrack.gateway.state import Gateway
 from celerytrack.loop_time import loop_time
 from celerytrack.planned_stop import Lasting, PlannedStop
@@ -181,7 +164,7 @@
     budget = gateway.retry_budget(exchange.service, now_s)
     budget.record_request()
     while True:
-        result = await _make_attempt(gateway, exchange)
+        result = await make_attempt(gateway, exchange)
         match result:
             case Success(None):
                 assert exchange.response is not None
@@ -223,149 +206,6 @@
     )
 
 
-async def _make_attempt(gateway: Gateway, exchange: Exchange) -> AttemptResult:
-    while True:
-        now_s = time.monotonic()
-        if gateway.is_endpoint_view_stale(now_s):
-            return Failure(no_endpoint("what is known of endpoints is too old"))
-        suspect_state = suspect_state_of(gateway, exchange, now_s)
-        if suspect_state is SuspectState.QUARANTINED:
-            return Failure(quarantine_failure(gateway, exchange, now_s))
-        if not gateway.notices:
-            chosen = choose_endpoint(gateway, exchange, suspect_state, now_s)
-            if chosen is None:
-                return Failure(no_endpoint("none has room"))
-            placement = Placement(chosen)
-            return await _send_placed(gateway, exchange, placement, suspect_state)
-        placed = await place(gateway, exchange, suspect_state)
-        if isinstance(placed, Placement):
-            return await _send_or_give_back(gateway, exchange, placed, suspect_state)
-        if not await wait_for_opening(gateway, exchange):
-            return Failure(refused_until_opening(gateway, exchange, placed))
-
-
-async def _send_or_give_back(
-    gateway: Gateway,
-    exchange: Exchange,
-    placement: Placement,
-    suspect_state: SuspectState,
-) -> AttemptResult:
-    try:
-        return await _send_placed(gateway, exchange, placement, suspect_state)
-    finally:
-        placement.give_back_unused(gateway)
-
-
-async def _send_placed(
-    gateway: Gateway,
-    exchange: Exchange,
-    placement: Placement,
-    suspect_state: SuspectState,
-) -> AttemptResult:
-    if suspect_state is SuspectState.CLEAR:
-        return await _send(gateway, exchange, placement)
-    if suspect_state is SuspectState.WATCHED:
-        return await _send_suspect(gateway, exchange, placement)
-    return await _send_probe(gateway, exchange, placement)
-
-
-async def _send_probe(
-    gateway: Gateway, exchange: Exchange, placement: Placement
-) -> AttemptResult:
-    endpoint = placement.choice.endpoint
-    if not await begin_probe(gateway, exchange, endpoint):
-        return Failure(quarantine_failure(gateway, exchange, time.monotonic()))
-    finish_probe = cancel_probe
-    try:
-        if not gateway.endpoints.is_available(endpoint, time.monotonic()):
-            return Failure(no_endpoint("the endpoint left as it was claimed"))
-        result = await _send_suspect(gateway, exchange, placement)
-        match result:
-            case Failure(failure) if failure.was_interrupted:
-                finish_probe = cancel_probe_later
-        return result
-    finally:
-        finish_probe(gateway, exchange)
-
-
-async def _send_suspect(
-    gateway: Gateway, exchange: Exchange, placement: Placement
-) -> AttemptResult:
-    endpoint_id = placement.choice.endpoint.endpoint_id
-    gateway.suspects_in_flight[endpoint_id] += 1
-    try:
-        return await _send(gateway, exchange, placement)
-    finally:
-        gateway.suspects_in_flight[endpoint_id] -= 1
-
-
-async def _send(
-    gateway: Gateway, exchange: Exchange, placement: Placement
-) -> AttemptResult:
-    now_s = time.monotonic()
-    endpoints = gateway.endpoints
-    chosen = placement.choice
-    endpoint = chosen.endpoint
-    if not endpoints.may_send(endpoint, now_s):
-        return Failure(withheld())
-    ran_before = exchange.may_have_run
-    placement.used = True
-    exchange.tried.append(endpoint.endpoint_id)
-    exchange.may_have_run = True
-    exchange.choice = chosen
-    dispatch = endpoints.record_dispatch(chosen, exchange.profile, now_s)
-    gateway.announce_prompt(endpoint.endpoint_id, chosen.work_s)
-    gateway.telemetry.attempts[endpoint.endpoint_id] += 1
-    returns = gateway.notices.state.returns
-    is_return = returns.record_sent(endpoint.endpoint_id)
-    is_plain = not exchange.facts.parts
-    try:
-        result = await attempt(gateway, exchange, endpoint, dispatch)
-        if is_plain and _was_backpressure(gateway, endpoint, result):
-            # The time of a rejection says nothing of how long an answer takes.
-            is_plain = False
-    finally:
-        dispatch.finish(time.monotonic(), is_plain)
-        if is_return:
-            returns.record_done(endpoint.endpoint_id)
-    match result:
-        case Success(answer):
-            if answer is not None and answer.status >= 500:
-                endpoints.record_failure(endpoint, False, time.monotonic())
-            else:
-                endpoints.record_success(endpoint)
-                record_success(gateway, exchange)
-        case Failure(failure):
-            placement.used = failure.sent
-            if failure.withheld:
-                exchange.tried.pop()
-            else:
-                exchange.unreached += failure.address_reused or not failure.sent
-            record_attempt_failure(gateway, exchange, endpoint.endpoint_id, failure)
-            if not failure.withheld and not is_backpressure(gateway, endpoint, failure):
-                endpoints.record_failure(endpoint, failure.hard, time.monotonic())
-            if failure.was_interrupted:
-                gateway.crash_detector.report_interrupted(
-                    endpoint, exchange.fingerprint
-                )
-            if failure.address_reused:
-                # While registrations cannot be read, the next request would also be
-                # sent there, and be refused if its route allows one attempt only.
-                endpoints.deregister_now(endpoint.endpoint_id, time.monotonic())
-            if failure.verdict is Verdict.DID_NOT_RUN:
-                exchange.may_have_run = ran_before
-    return result
-
-
-def _was_backpressure(
-    gateway: Gateway, endpoint: Endpoint, result: AttemptResult
-) -> bool:
-    match result:
-        case Failure(failure):
-            return is_backpressure(gateway, endpoint, failure)
-    return False
-
-
 def _give_up(
     gateway: Gateway, exchange: Exchange, failure: AttemptFailure
 ) -> web.StreamResponse:
