--- a/src/celerytrack/entry/notices.py
+++ b/src/celerytrack/entry/notices.py
@@ -116,7 +116,13 @@
         if notices is NO_NOTICES and not self.sync:
             return
         self.sync.record_answer(
-            endpoint_id, 0, notices, sent_at_s, request_id, answer.status == 200
+            endpoint_id,
+            0,
+            notices,
+            sent_at_s,
+            request_id,
+            succeeded=answer.status == 200,
+            now_s=time.monotonic(),
         )
 
     def give_back(self, leased: LeasedReplica) -> None:
--- a/src/celerytrack/gateway/attempts.py
+++ b/src/celerytrack/gateway/attempts.py
@@ -181,6 +181,7 @@
         dispatch.sent_at_s,
         exchange.facts.request_id,
         succeeded=_is_authentic(facts) and not facts.did_not_run,
+        now_s=time.monotonic(),
     )
 
 
--- a/src/celerytrack/lab/notice_fleet.py
+++ b/src/celerytrack/lab/notice_fleet.py
@@ -371,6 +371,7 @@
                 arrived_s,
                 request_id,
                 succeeded=backoff_s is None,
+                now_s=now_s,
             )
         if mechanism is Mechanism.RETURN_AT_ONCE:
             entry.peer.notices.state.returns.clear()
--- a/src/celerytrack/notices/sync.py
+++ b/src/celerytrack/notices/sync.py
@@ -69,6 +69,7 @@
         sent_at_s: float,
         request_id: RequestId,
         succeeded: bool,
+        now_s: float,
     ) -> None:
         """Record what the endpoint's answer to a request says.
 
@@ -76,7 +77,6 @@
         :param succeeded: whether the endpoint ran the request; only then does it tell
             by its silence that a limit ended.
         """
-        now_s = time.monotonic()
         for unreadable in notices.unreadable:
             _log_unreadable(endpoint_id, unreadable, request_id)
         if notices.leaving:
--- a/tests/test_notice_state.py
+++ b/tests/test_notice_state.py
@@ -330,7 +330,9 @@
 
     def _hear(self, name: str) -> None:
         notices = AnswerNotices(leaving=True)
-        self.syncs[name].record_answer(A, 0, notices, 0.0, RequestId("r"), True)
+        self.syncs[name].record_answer(
+            A, 0, notices, 0.0, RequestId("r"), True, time.monotonic()
+        )
 
     def _known(self) -> list[str]:
         return [n for n, sync in self.syncs.items() if sync.state.is_leaving(A, 0)]
@@ -369,7 +371,9 @@
     def test_an_entry_that_starts_is_told_of_a_limit(self) -> None:
         """It owned the limited endpoint from its start, so that no owner told it."""
         notices = AnswerNotices(limit_per_s=5.0)
-        self.syncs["e0"].record_answer(A, 0, notices, 0.0, RequestId("r"), True)
+        self.syncs["e0"].record_answer(
+            A, 0, notices, 0.0, RequestId("r"), True, time.monotonic()
+        )
         self.live.append("e3")
         self.syncs["e3"] = self._sync("e3")
         now_s = time.monotonic()
