--- a/bench/notice_bench.py
+++ b/bench/notice_bench.py
@@ -36,7 +36,11 @@
     NoticeScenario("three of twelve leave", leave_at_once=3),
     NoticeScenario("all leave", leave_at_once=12),
     NoticeScenario(
-        "a hundred leave in a minute", endpoints=120, leaves_every_s=0.6, lasts_s=64.0
+        "a hundred leave in a minute",
+        endpoints=120,
+        requests_per_s=60.0,
+        leaves_every_s=0.6,
+        lasts_s=64.0,
     ),
     NoticeScenario("three back off", rejecting=3),
     NoticeScenario("all back off", rejecting=12, backoff_s=2.5),
