Names that needed explaining; one loop of the modelled benches

ModelLog.away is unreachable, ModelStore.cut partitioned, EndpointPool.restores restored_registrations, suspect_sent and suspect_done begin_suspect and end_suspect, lab/after_return lab/recovery_time, and ConnectResult's values are those of its names. The loop over scenarios and seeds that stood in three benches is in bench/rows.py.

--- a/bench/restore_bench.py
+++ b/bench/restore_bench.py
@@ -19,13 +19,13 @@
 from bench.restore_plot import plot
 from bench.rows import keep_rows, make_parser, print_row
 from celerytrack.gateway import share_sync
-from celerytrack.lab.after_return import (
+from celerytrack.lab.prepaid_fleet import PrepaidFleet
+from celerytrack.lab.prepaid_scenarios import Fault, FaultKind, Scenario
+from celerytrack.lab.recovery_time import (
     SampledRequest,
     most_writes_per_s,
     normal_again_s,
 )
-from celerytrack.lab.prepaid_fleet import PrepaidFleet
-from celerytrack.lab.prepaid_scenarios import Fault, FaultKind, Scenario
 from celerytrack.lab.virtual_time import run_virtual
 
 AT_S, AWAY_S = 10.0, 0.5
--- a/bench/rows.py
+++ b/bench/rows.py
@@ -1,9 +1,12 @@
 """Options and output of benchmarks that print rows of figures."""
 
 import argparse
+import concurrent.futures
 import json
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
+from typing import Any, TypeVar
 
+_Scenario = TypeVar("_Scenario")
 Row = dict[str, object]
 Plot = Callable[[list[Row], list[Row], str], None]
 """Called with the earlier rows, the present rows and the picture's file."""
@@ -29,6 +32,26 @@
     print(" ".join(f"{k}={v}" for k, v in row.items()), flush=True)
 
 
+def play_rows(
+    play: Callable[[_Scenario, int], Any],
+    summarise: Callable[[_Scenario, Sequence[Any]], Row],
+    scenarios: Sequence[_Scenario],
+    seeds: int,
+    jobs: int,
+) -> list[Row]:
+    """Play each scenario with the seeds from 1 on; print and return a row of each."""
+    rows = []
+    with concurrent.futures.ProcessPoolExecutor(jobs) as pool:
+        plays = [
+            [pool.submit(play, scenario, seed) for seed in range(1, seeds + 1)]
+            for scenario in scenarios
+        ]
+        for scenario, runs in zip(scenarios, plays, strict=True):
+            rows.append(summarise(scenario, [run.result() for run in runs]))
+            print_row(rows[-1])
+    return rows
+
+
 def keep_rows(rows: list[Row], args: argparse.Namespace, plot: Plot) -> None:
     """Write and plot the rows as the options say."""
     if args.json:
--- a/src/celerytrack/endpoints.py
+++ b/src/celerytrack/endpoints.py
@@ -112,16 +112,18 @@
         self._endpoints: dict[EndpointId, Endpoint] = {}
         self._tombstones: LRUCache[EndpointId, Registration] = LRUCache(MAX_TOMBSTONES)
         self._notices = EndpointNotices() if notices is None else notices
-        self.restores = RestoredRegistrations()
+        self.restored_registrations = RestoredRegistrations()
 
     def register(self, registration: Registration, now_s: float) -> RegistrationChange:
         """Apply a registration record that was read at ``now_s``."""
         known = self._endpoints.get(registration.endpoint_id)
         last = known.registration if known else None
         last = last or self._tombstones.get(registration.endpoint_id)
-        if last is not None and self.restores.is_outdated(registration, last):
+        if last is not None and self.restored_registrations.is_outdated(
+            registration, last
+        ):
             return RegistrationChange.STALE
-        self.restores.mark_written(registration.endpoint_id)
+        self.restored_registrations.mark_written(registration.endpoint_id)
         if known is None:
             self._add(registration, now_s)
             return RegistrationChange.NEW
@@ -142,7 +144,7 @@
         gone = (
             i for i, e in self._endpoints.items() if e.deregistered_at_s is not None
         )
-        self.restores.on_log_restored({*gone, *self._tombstones})
+        self.restored_registrations.on_log_restored({*gone, *self._tombstones})
 
     def _add(self, registration: Registration, now_s: float) -> None:
         endpoint = Endpoint(registration)
--- a/src/celerytrack/entry/suspects.py
+++ b/src/celerytrack/entry/suspects.py
@@ -119,11 +119,11 @@
             raise
         return self.tracker.is_probing(fingerprint)
 
-    def suspect_sent(self, replica: ReplicaId) -> None:
+    def begin_suspect(self, replica: ReplicaId) -> None:
         """Count a suspect request sent to ``replica``."""
         self._suspects_in_flight[replica] += 1
 
-    def suspect_done(self, replica: ReplicaId) -> None:
+    def end_suspect(self, replica: ReplicaId) -> None:
         """Count a suspect request at ``replica`` that has ended."""
         self._suspects_in_flight[replica] -= 1
 
--- a/src/celerytrack/entry/upstream.py
+++ b/src/celerytrack/entry/upstream.py
@@ -181,7 +181,7 @@
         end_attempt = state.notices.begin_attempt(replica.replica_id)
         suspected = suspect_state is not SuspectState.CLEAR
         if suspected:
-            state.suspects.suspect_sent(replica.replica_id)
+            state.suspects.begin_suspect(replica.replica_id)
         try:
             async with state.attempts_deadline.scope():
                 result = await attempt(sent)
@@ -196,7 +196,7 @@
             sent.finish(time.time())
             end_attempt()
             if suspected:
-                state.suspects.suspect_done(replica.replica_id)
+                state.suspects.end_suspect(replica.replica_id)
         _record_outcome(state, admitted, replica.replica_id, result)
         match result:
             case Success(_):
--- a/src/celerytrack/gateway/watches.py
+++ b/src/celerytrack/gateway/watches.py
@@ -124,10 +124,14 @@
             if rewritten:
                 drop(endpoint_id)
             else:
-                gateway.endpoints.restores.mark_missing(endpoint_id, now_s)
+                gateway.endpoints.restored_registrations.mark_missing(
+                    endpoint_id, now_s
+                )
 
     def on_caught_up(at_s: float) -> None:
-        for endpoint_id in gateway.endpoints.restores.pop_expired(time.monotonic()):
+        for endpoint_id in gateway.endpoints.restored_registrations.pop_expired(
+            time.monotonic()
+        ):
             drop(endpoint_id)
         gateway.endpoints_known_at_s = at_s
         gateway.endpoints_read_time_s = time.monotonic() - at_s
--- a/src/celerytrack/lab/crash_fleet.py
+++ b/src/celerytrack/lab/crash_fleet.py
@@ -13,7 +13,6 @@
 
 from celerytrack.findings import Findings
 from celerytrack.fingerprint import Fingerprint, FingerprintPrefix, fingerprint_of
-from celerytrack.lab.after_return import most_in_a_second
 from celerytrack.lab.crash_endpoints import ModelRequest, ModelService
 from celerytrack.lab.crash_entry import CrashEntry, ModelAnswer
 from celerytrack.lab.crash_scenarios import (
@@ -24,6 +23,7 @@
     CrashScenario,
 )
 from celerytrack.lab.model_log import ModelLog
+from celerytrack.lab.recovery_time import most_in_a_second
 
 MESSAGE_DELAY_S = 0.001
 """Delay of a peer message."""
@@ -152,7 +152,7 @@
         third = self._entries[: len(self._entries) // 3]
         match fault:
             case CrashFault.LOG_AWAY:
-                self._log.away = True
+                self._log.unreachable = True
                 await asyncio.sleep(8.0)
                 self._end_log_outage()
             case CrashFault.THIRD_APART:
@@ -170,18 +170,18 @@
             case CrashFault.OLDER_COPY:
                 older = self._log.copy()
                 await asyncio.sleep(4.0)
-                self._log.away = True
+                self._log.unreachable = True
                 await asyncio.sleep(0.5)
                 self._log.restore(older)
                 self._end_log_outage()
 
     def _end_log_outage(self) -> None:
-        self._log.away = False
+        self._log.unreachable = False
         self._log_available_s = asyncio.get_running_loop().time()
 
     def _set_partitioned(self, entries: list[CrashEntry], partitioned: bool) -> None:
         for entry in entries:
-            entry.partitioned = entry.store.cut = partitioned
+            entry.partitioned = entry.store.partitioned = partitioned
             entry.last_change_s = asyncio.get_running_loop().time()
 
     async def _restart(self, entry: CrashEntry) -> None:
@@ -197,7 +197,9 @@
         now_s = asyncio.get_running_loop().time()
         changed_s = max(entry.last_change_s, self._log_available_s)
         changed_lately = now_s - changed_s < KNOWN_WITHIN_S
-        connected = not (changed_lately or entry.store.cut or self._log.away)
+        connected = not (
+            changed_lately or entry.store.partitioned or self._log.unreachable
+        )
         arrivals = self._arrivals.setdefault(request.fingerprint, [])
         arrivals.append((now_s, connected))
         crashes_s = self._crashes_s.setdefault(request.fingerprint, [])
--- a/src/celerytrack/lab/model_log.py
+++ b/src/celerytrack/lab/model_log.py
@@ -42,7 +42,7 @@
     :ivar late_s: additional time before an append lands.
     :ivar lost_share: share of reads and appends that are executed without a reply.
     :ivar appends: appends so far; ``bytes_in`` and ``bytes_out`` count their traffic.
-    :ivar away: whether the log is unavailable and refuses every call.
+    :ivar unreachable: whether the log is unavailable and refuses every call.
     :ivar era: rises by one with each restore from an older backup.
     :ivar asked_s: when each append or :meth:`set_epoch` arrived, whatever its result.
     """
@@ -53,7 +53,7 @@
     appends: int = 0
     bytes_in: int = 0
     bytes_out: int = 0
-    away: bool = False
+    unreachable: bool = False
     era: int = 1
     asked_s: list[float] = attrs.field(factory=list)
     records: list[tuple[str, bytes]] = attrs.field(factory=list)
@@ -110,12 +110,12 @@
 class ModelStore:
     """One entry's client of the modelled log, with the real client's interface.
 
-    :ivar cut: whether the entry is partitioned from the log.
+    :ivar partitioned: whether the entry is partitioned from the log.
     :ivar eras: observes the era of each reply; a new one per incarnation of the entry.
     """
 
     def __init__(self, log: ModelLog) -> None:
-        self.cut = False
+        self.partitioned = False
         self.eras = EraTracker()
         self._log = log
 
@@ -131,7 +131,7 @@
         arriving: asyncio.Event | None = None,
     ) -> Result[Batch, StoreError]:
         """Records from ``offset`` on, once there is one or ``wait_s`` has passed."""
-        if wait_s and not self.cut and not self._log.away:
+        if wait_s and not self.partitioned and not self._log.unreachable:
             await self._hold(offset, wait_s)
         return await self._call(ANSWER_S, lambda: self._records(offset))
 
@@ -179,13 +179,13 @@
     ) -> Result[_T, StoreError]:
         """The log's reply after ``takes_s``, or a failure without one."""
         changes_at_call = self.eras.changes
-        if self.cut:
+        if self.partitioned:
             await asyncio.sleep(CALL_TIMEOUT_S)
             return _NO_REPLY
         await asyncio.sleep(takes_s)
-        if self.cut:
+        if self.partitioned:
             return _NO_REPLY
-        result = _UNAVAILABLE if self._log.away else execute()
+        result = _UNAVAILABLE if self._log.unreachable else execute()
         era = Era(self._log.era)
         if may_be_lost and self._log.rng.random() < self._log.lost_share:
             # The caller notices only by the timeout.
--- a/src/celerytrack/lab/prepaid_fleet.py
+++ b/src/celerytrack/lab/prepaid_fleet.py
@@ -15,7 +15,6 @@
 from celerytrack.gateway.admission import RETRY_ELSEWHERE_AFTER_S, insufficient_tokens
 from celerytrack.gateway.share_sync import ShareSync
 from celerytrack.ids import AccountId
-from celerytrack.lab.after_return import SampledRequest
 from celerytrack.lab.model_entry import ModelEntry
 from celerytrack.lab.model_log import ModelLog
 from celerytrack.lab.prepaid_scenarios import (
@@ -25,6 +24,7 @@
     Scenario,
     Work,
 )
+from celerytrack.lab.recovery_time import SampledRequest
 from celerytrack.lab.virtual_time import on_instance
 from celerytrack.prepaid import Reservation
 from celerytrack.verdict import Reason
@@ -137,21 +137,21 @@
             await asyncio.gather(*(self._start(entry) for entry in affected))
             return
         for entry in affected:
-            entry.store.cut = True
+            entry.store.partitioned = True
             entry.partitioned = fault.kind is FaultKind.CUT
         await asyncio.sleep(fault.for_s)
         for entry in affected:
-            entry.store.cut = entry.partitioned = False
+            entry.store.partitioned = entry.partitioned = False
 
     async def _inject_log_fault(self, fault: Fault) -> None:
         await asyncio.sleep(fault.at_s - fault.loses_s)
         backup = self.log.copy()
         await asyncio.sleep(fault.loses_s)
-        self.log.away = True
+        self.log.unreachable = True
         await asyncio.sleep(fault.for_s)
         if fault.kind is FaultKind.RESTORED:
             self.log.restore(backup)
-        self.log.away = False
+        self.log.unreachable = False
 
     # -- callers ------------------------------------------------------------
 
--- a/src/celerytrack/lab/prepaid_scenarios.py
+++ b/src/celerytrack/lab/prepaid_scenarios.py
@@ -5,7 +5,7 @@
 import attrs
 
 from celerytrack.ids import AccountId
-from celerytrack.lab.after_return import SampledRequest
+from celerytrack.lab.recovery_time import SampledRequest
 
 
 @attrs.frozen
--- a/src/celerytrack/process_end.py
+++ b/src/celerytrack/process_end.py
@@ -16,9 +16,9 @@
 class ConnectResult(enum.Enum):
     """Result of a connection attempt."""
 
-    ACCEPTED = "taken"
+    ACCEPTED = "accepted"
     REFUSED = "refused"
-    UNREACHABLE = "silent"
+    UNREACHABLE = "unreachable"
 
 
 async def probe_address(address: str) -> ConnectResult:
--- a/tests/test_after_return.py
+++ b/tests/test_recovery_time.py
@@ -4,7 +4,7 @@
 
 from nose2.tools import params
 
-from celerytrack.lab.after_return import (
+from celerytrack.lab.recovery_time import (
     SampledRequest,
     most_writes_per_s,
     normal_again_s,
