ModelStore.cut keeps its name

The rename changed the source of a stateful test, whose derandomized examples follow it, and the check that the model catches entries that trust a backup then drew no example that shows it. Better named together with that test.

--- a/src/celerytrack/lab/crash_fleet.py
+++ b/src/celerytrack/lab/crash_fleet.py
@@ -181,7 +181,7 @@
 
     def _set_partitioned(self, entries: list[CrashEntry], partitioned: bool) -> None:
         for entry in entries:
-            entry.partitioned = entry.store.partitioned = partitioned
+            entry.partitioned = entry.store.cut = partitioned
             entry.last_change_s = asyncio.get_running_loop().time()
 
     async def _restart(self, entry: CrashEntry) -> None:
@@ -197,9 +197,7 @@
         now_s = asyncio.get_running_loop().time()
         changed_s = max(entry.last_change_s, self._log_available_s)
         changed_lately = now_s - changed_s < KNOWN_WITHIN_S
-        connected = not (
-            changed_lately or entry.store.partitioned or self._log.unreachable
-        )
+        connected = not (changed_lately or entry.store.cut or self._log.unreachable)
         arrivals = self._arrivals.setdefault(request.fingerprint, [])
         arrivals.append((now_s, connected))
         crashes_s = self._crashes_s.setdefault(request.fingerprint, [])
--- a/src/celerytrack/lab/model_log.py
+++ b/src/celerytrack/lab/model_log.py
@@ -110,12 +110,12 @@
 class ModelStore:
     """One entry's client of the modelled log, with the real client's interface.
 
-    :ivar partitioned: whether the entry is partitioned from the log.
+    :ivar cut: whether the entry is partitioned from the log.
     :ivar eras: observes the era of each reply; a new one per incarnation of the entry.
     """
 
     def __init__(self, log: ModelLog) -> None:
-        self.partitioned = False
+        self.cut = False
         self.eras = EraTracker()
         self._log = log
 
@@ -131,7 +131,7 @@
         arriving: asyncio.Event | None = None,
     ) -> Result[Batch, StoreError]:
         """Records from ``offset`` on, once there is one or ``wait_s`` has passed."""
-        if wait_s and not self.partitioned and not self._log.unreachable:
+        if wait_s and not self.cut and not self._log.unreachable:
             await self._hold(offset, wait_s)
         return await self._call(ANSWER_S, lambda: self._records(offset))
 
@@ -179,11 +179,11 @@
     ) -> Result[_T, StoreError]:
         """The log's reply after ``takes_s``, or a failure without one."""
         changes_at_call = self.eras.changes
-        if self.partitioned:
+        if self.cut:
             await asyncio.sleep(CALL_TIMEOUT_S)
             return _NO_REPLY
         await asyncio.sleep(takes_s)
-        if self.partitioned:
+        if self.cut:
             return _NO_REPLY
         result = _UNAVAILABLE if self._log.unreachable else execute()
         era = Era(self._log.era)
--- a/src/celerytrack/lab/prepaid_fleet.py
+++ b/src/celerytrack/lab/prepaid_fleet.py
@@ -137,11 +137,11 @@
             await asyncio.gather(*(self._start(entry) for entry in affected))
             return
         for entry in affected:
-            entry.store.partitioned = True
+            entry.store.cut = True
             entry.partitioned = fault.kind is FaultKind.CUT
         await asyncio.sleep(fault.for_s)
         for entry in affected:
-            entry.store.partitioned = entry.partitioned = False
+            entry.store.cut = entry.partitioned = False
 
     async def _inject_log_fault(self, fault: Fault) -> None:
         await asyncio.sleep(fault.at_s - fault.loses_s)
--- a/tests/restored_fleet.py
+++ b/tests/restored_fleet.py
@@ -142,13 +142,13 @@
         instance = self.instances[i]
         await self._spend_in_burst([i], tokens)
         await self.run(0.4)
-        instance.store.partitioned = True
+        instance.store.cut = True
         self.restore_log(0.05, backups_ago, 0.5)
         await self.run(0.4)
         await self._spend_in_burst([j for j in range(ENTRIES) if j != i], tokens)
         await self.run(for_s)
         await self._spend_in_burst([i], tokens)
-        instance.store.partitioned = False
+        instance.store.cut = False
 
     async def _spend_in_burst(self, numbers: list[int], tokens: int) -> None:
         for _ in range(8):
@@ -196,7 +196,7 @@
         """End all faults and wait until every entry must know everything."""
         for instance in self.instances:
             store = instance.store
-            store.partitioned = False
+            store.cut = False
             store.lost_share = store.late_s = store.slow_s = 0.0
         while self.log.unavailable or not all(i.serves for i in self.instances):
             await self.run(0.5)
--- a/tests/test_restore_model.py
+++ b/tests/test_restore_model.py
@@ -89,7 +89,7 @@
         case "compact":
             fleet.log.compact()
         case "partition":
-            fleet.instances[arguments["i"]].store.partitioned = arguments["partitioned"]
+            fleet.instances[arguments["i"]].store.cut = arguments["partitioned"]
         case "faults":
             store = fleet.instances[arguments.pop("i")].store
             for field, value in arguments.items():
