Own interface: a replica that started again under its id is used

Found by reading: the instance list tells no start, so a replica that had said that it leaves stayed closed for good when it came back under its id. Its load report tells its start (born_ms), which the entry takes as its incarnation. A replica that leaves is a last resort only while all of its model leave, as at the gateway.

--- a/src/celerytrack/entry/app.py
+++ b/src/celerytrack/entry/app.py
@@ -79,7 +79,7 @@
             "leaving_replicas": sorted(
                 r
                 for r, v in state.view.replicas.items()
-                if v.leaving or state.notices.is_leaving(r)
+                if v.leaving or state.notices.is_leaving(v)
             ),
             "backoffs_s": {
                 endpoint_id: round(until_s - now_s, 3)
--- a/src/celerytrack/entry/chat.py
+++ b/src/celerytrack/entry/chat.py
@@ -144,7 +144,7 @@
     except CONNECTION_ERRORS:
         return Failure(replica_failed())
     state.notices.record_answer(
-        sent.replica.replica_id, upstream, sent_at_s, answer.admitted.request_id
+        sent.replica, upstream, sent_at_s, answer.admitted.request_id
     )
     try:
         if upstream.status != 200:
--- a/src/celerytrack/entry/fleet_view.py
+++ b/src/celerytrack/entry/fleet_view.py
@@ -180,6 +180,7 @@
             # as live. Mark it now, so that no request has to fail first.
             load.record_failure(time.time())
             return
+        load.born_ms = int(report.get("born_ms", load.born_ms))
         load.capacity = int(report.get("capacity", load.capacity))
         load.cache.capacity_blocks = int(
             report.get("cache_blocks", load.cache.capacity_blocks)
--- a/src/celerytrack/entry/notices.py
+++ b/src/celerytrack/entry/notices.py
@@ -63,8 +63,6 @@
 class EntryNotices:
     """What replicas said of themselves, kept together with the other entries.
 
-    Each replica has an id of its own for each of its starts.
-
     :param address: peer address of this entry.
     :param live_peers: returns the other live entries at a time.
     :param view_age_s: returns how old that knowledge is.
@@ -102,7 +100,7 @@
 
     def record_answer(
         self,
-        replica_id: ReplicaId,
+        replica: ReplicaLoad,
         answer: aiohttp.ClientResponse,
         sent_at_s: float,
         request_id: RequestId,
@@ -111,13 +109,12 @@
 
         :param sent_at_s: when its request was sent, on the monotonic clock.
         """
-        endpoint_id = EndpointId(replica_id)
         notices = decode_notices(answer.status, answer.headers, time.time())
         if notices is NO_NOTICES and not self.sync:
             return
         self.sync.record_answer(
-            endpoint_id,
-            0,
+            EndpointId(replica.replica_id),
+            replica.born_ms,
             notices,
             sent_at_s,
             request_id,
@@ -145,12 +142,16 @@
     def last_resorts(
         self, replicas: Iterable[ReplicaLoad], now_s: float
     ) -> list[ReplicaLoad]:
-        """The replicas that leave and may be used if there is no other."""
-        state = self.sync.state
+        """The replicas that leave and may be used, if all of ``replicas`` leave."""
+        replicas = list(replicas)
+        if not all(r.leaving or self.is_leaving(r) for r in replicas):
+            return []
         return [
             replica
             for replica in replicas
-            if state.is_last_resort(EndpointId(replica.replica_id), 0, now_s)
+            if self.sync.state.is_last_resort(
+                EndpointId(replica.replica_id), replica.born_ms, now_s
+            )
             and self._opens_in_s(replica, now_s) <= 0
         ]
 
@@ -163,7 +164,7 @@
         openings = [
             ReplicaOpening(replica, self._opens_in_s(replica, now_s))
             for replica in replicas
-            if not replica.leaving and not self.is_leaving(replica.replica_id)
+            if not replica.leaving and not self.is_leaving(replica)
         ]
         closed = [opening for opening in openings if opening.opens_in_s > 0]
         return min(closed, key=lambda opening: opening.opens_in_s, default=None)
@@ -183,13 +184,15 @@
         detail = "all back ends leave or back off"
         return did_not_run(Reason.BACKING_OFF, retry_after_s, detail)
 
-    def may_send(self, replica_id: ReplicaId, now_s: float) -> bool:
+    def may_send(self, replica: ReplicaLoad, now_s: float) -> bool:
         """Whether a request that was placed may be sent now."""
-        return self.sync.state.may_send(EndpointId(replica_id), 0, now_s)
+        endpoint_id = EndpointId(replica.replica_id)
+        return self.sync.state.may_send(endpoint_id, replica.born_ms, now_s)
 
-    def is_leaving(self, replica_id: ReplicaId) -> bool:
+    def is_leaving(self, replica: ReplicaLoad) -> bool:
         """Whether a replica said that it leaves."""
-        return self.sync.state.is_leaving(EndpointId(replica_id), 0)
+        endpoint_id = EndpointId(replica.replica_id)
+        return self.sync.state.is_leaving(endpoint_id, replica.born_ms)
 
     def begin_attempt(self, replica_id: ReplicaId) -> Callable[[], None]:
         """Count a request that is sent now; returns what to call when it has ended."""
@@ -198,9 +201,11 @@
             return lambda: None
         return lambda: returns.record_done(endpoint_id)
 
-    def is_backing_off(self, replica_id: ReplicaId) -> bool:
+    def is_backing_off(self, replica: ReplicaLoad) -> bool:
         """Whether a replica asked for a backoff that is not known to be over."""
-        return self.sync.state.backoffs.until_s(EndpointId(replica_id), 0) is not None
+        endpoint_id = EndpointId(replica.replica_id)
+        backoffs = self.sync.state.backoffs
+        return backoffs.until_s(endpoint_id, replica.born_ms) is not None
 
     async def lease(
         self,
@@ -242,11 +247,11 @@
         return not replica.leaving and not self._is_closed(replica, now_s)
 
     def _is_closed(self, replica: ReplicaLoad, now_s: float) -> bool:
-        is_leaving = self.is_leaving(replica.replica_id)
-        return is_leaving or self._opens_in_s(replica, now_s) > 0
+        return self.is_leaving(replica) or self._opens_in_s(replica, now_s) > 0
 
     def _opens_in_s(self, replica: ReplicaLoad, now_s: float) -> float:
-        return self.sync.state.opens_in_s(EndpointId(replica.replica_id), 0, now_s)
+        endpoint_id = EndpointId(replica.replica_id)
+        return self.sync.state.opens_in_s(endpoint_id, replica.born_ms, now_s)
 
     def _send(self, address: str, message: NoticeMessage) -> None:
         self._socket.send([address], encode_notice_message(message))
--- a/src/celerytrack/entry/service_calls.py
+++ b/src/celerytrack/entry/service_calls.py
@@ -140,9 +140,7 @@
     sent_at_s = time.monotonic()
     try:
         async with state.upstream.post(url, json=admitted.body, headers=headers) as r:
-            state.notices.record_answer(
-                sent.replica.replica_id, r, sent_at_s, admitted.request_id
-            )
+            state.notices.record_answer(sent.replica, r, sent_at_s, admitted.request_id)
             if r.status != 200:
                 return Failure(bad_status(r.status))
             return Success(await r.json())
--- a/src/celerytrack/entry/state.py
+++ b/src/celerytrack/entry/state.py
@@ -265,7 +265,7 @@
             return True
         now_s = time.monotonic()
         return all(
-            self.notices.may_send(replica_id, now_s)
+            self.notices.may_send(self.view.replicas[replica_id], now_s)
             for replica_id, known in self.view.addresses.items()
             if known == address and not self.view.replicas[replica_id].leaving
         )
--- a/src/celerytrack/entry/upstream.py
+++ b/src/celerytrack/entry/upstream.py
@@ -169,7 +169,7 @@
         ):
             state.notices.give_back(placed)
             return Failure(history.refusal or _quarantine_refusal(state, admitted))
-        if not state.notices.may_send(replica.replica_id, time.monotonic()):
+        if not state.notices.may_send(replica, time.monotonic()):
             state.notices.give_back(placed)
             state.suspects.cancel_probe(admitted)
             continue
@@ -324,7 +324,7 @@
         and refusal != replica_unreachable()
         and (
             state.notices.is_limited(replica.replica_id)
-            or state.notices.is_backing_off(replica.replica_id)
+            or state.notices.is_backing_off(replica)
         )
     )
 
@@ -344,7 +344,7 @@
     match result:
         case Success(_):
             suspects.record_success(admitted, time.monotonic())
-        case Failure(_) if state.notices.is_leaving(replica):
+        case Failure(_) if state.notices.is_leaving(state.view.replicas[replica]):
             # It ends on its own, whatever it runs.
             suspects.cancel_probe(admitted)
         case Failure(refusal) if refusal.verdict is Verdict.MAY_HAVE_RUN:
--- a/src/celerytrack/replica_load.py
+++ b/src/celerytrack/replica_load.py
@@ -132,6 +132,7 @@
     Times are wall-clock seconds, because reports carry the replica's clock.
 
     :ivar capacity: sequences the replica batches at once.
+    :ivar born_ms: start of its incarnation, in Unix milliseconds; 0 if unknown.
     :ivar own: the load from this entry.
     :ivar peers: the load each peer announced, and when it arrived.
     :ivar reported: the replica's last report, which lags.
@@ -152,6 +153,7 @@
     leaving: bool = False
     slowness: float = 1.0
     ejected_until_s: float = 0.0
+    born_ms: int = 0
     cache: PrefixIndex = attrs.field(factory=PrefixIndex)
     _own_history: deque[tuple[float, Load]] = attrs.field(
         factory=lambda: deque([(0.0, Load())], maxlen=_MAX_HISTORY)
--- a/src/celerytrack/standins/engine.py
+++ b/src/celerytrack/standins/engine.py
@@ -258,6 +258,7 @@
                 "queued": len(state.queue),
                 "prefill_tokens": sum(job.tokens for _, _, job in state.prefills),
                 "at_s": now_s,
+                "born_ms": notices.born_ms,
                 "capacity": state.capacity,
                 "cache_blocks": state.cache_blocks,
             }
--- a/src/celerytrack/standins/notices.py
+++ b/src/celerytrack/standins/notices.py
@@ -42,11 +42,13 @@
     The knobs are those of :class:`NamedLimit`; ``says_leaving``; ``backoff_s``, which
     the requests that are turned away ask for, and ``rejects_share``, how many are.
 
+    :ivar born_ms: start of the stand-in, in Unix milliseconds.
     :ivar late: requests of entries that had been told long enough that it leaves.
     :ivar worst_backoff: most requests of one entry in the rest of a backoff.
     """
 
     knobs: dict[str, Any]
+    born_ms: int = attrs.field(factory=lambda: int(time.time() * 1_000))
     limit: NamedLimit = attrs.field(init=False)
     late: int = 0
     worst_backoff: int = 0
--- a/src/celerytrack/standins/service.py
+++ b/src/celerytrack/standins/service.py
@@ -69,7 +69,12 @@
 
     async def load(request: web.Request) -> web.Response:
         return web.json_response(
-            {"running": state.running, "at_s": time.time(), "capacity": 64}
+            {
+                "running": state.running,
+                "at_s": time.time(),
+                "capacity": 64,
+                "born_ms": notices.born_ms,
+            }
         )
 
     async def stats(request: web.Request) -> web.Response:
--- a/tests/test_own_notices.py
+++ b/tests/test_own_notices.py
@@ -1,12 +1,18 @@
 """Replicas that say that they leave or back off, for the product's own interface."""
 
 import asyncio
+import random
+import time
 import unittest
 
+from celerytrack.entry.notices import EntryNotices
+from celerytrack.ids import EndpointId, EntryId, ReplicaId, RequestId, Zone
 from celerytrack.load.caller import Outcome, Result
 from celerytrack.load.mix import MIXES
 from celerytrack.load.notices import Said, check_notices, say
 from celerytrack.load.runner import Plan, run_plan
+from celerytrack.notices.answer import AnswerNotices
+from celerytrack.replica_load import ReplicaLoad
 from tests.fleet import Fleet, get_json
 
 RATE_PER_S = 40.0
@@ -19,6 +25,25 @@
     return await run_plan(plan, MIXES["haddad"], entries, keys)
 
 
+class IncarnationTest(unittest.TestCase):
+    def test_a_replica_that_started_again_is_used(self) -> None:
+        """It left, and was never used again under its id."""
+        notices = EntryNotices(
+            EntryId("e"), "127.0.0.1:1", lambda _: [], lambda _: 0.0, random.Random(1)
+        )
+        replica = ReplicaLoad(ReplicaId("r"), Zone("z"), "m", born_ms=1_000)
+        said = AnswerNotices(leaving=True)
+        now_s = time.monotonic()
+        notices.sync.record_answer(
+            EndpointId("r"), replica.born_ms, said, now_s, RequestId("q"), True, now_s
+        )
+        self.assertEqual(notices.closed([replica], now_s + 2.0), {"r"})
+        self.assertEqual(notices.last_resorts([replica], now_s + 1.0), [replica])
+        self.assertEqual(notices.last_resorts([replica], now_s + 2.0), [])
+        replica.born_ms = 2_000
+        self.assertEqual(notices.closed([replica], now_s + 2.0), frozenset())
+
+
 class OwnNoticesTest(unittest.TestCase):
     def test_a_replica_that_said_it_leaves_gets_no_more_requests(self) -> None:
         """Each entry sent to it until the instance list said so."""
