--- a/src/celerytrack/gateway/state.py
+++ b/src/celerytrack/gateway/state.py
@@ -5,7 +5,6 @@
 import random
 import time
 import uuid
-from collections import defaultdict
 
 from cachetools import LRUCache
 
@@ -105,8 +104,8 @@
             self.share_sync.members.read_age_s,
         )
         self.limit_sync = self.notices.limits
-        self.openings: defaultdict[ServiceName, OpeningQueue] = defaultdict(
-            OpeningQueue
+        self.openings: collections.defaultdict[ServiceName, OpeningQueue] = (
+            collections.defaultdict(OpeningQueue)
         )
         self.endpoints = EndpointPool(settings.zone, self.rng, self.notices.state)
         self.endpoints_known = False
--- a/src/celerytrack/limits/sync.py
+++ b/src/celerytrack/limits/sync.py
@@ -1,10 +1,9 @@
 """Keeps the rate limits of endpoints in the sum over all entries.
 
 Each limited endpoint has an owner among the entries
-(:mod:`celerytrack.notices.owners`).
-Before a request is sent to a limited endpoint, the owner grants a lease for it
-(:mod:`celerytrack.limits.grants`, :mod:`celerytrack.limits.asks`); no other request is
-sent there.
+(:mod:`celerytrack.notices.owners`). Before a request is sent to a limited endpoint, the
+owner grants a lease for it (:mod:`celerytrack.limits.grants`,
+:mod:`celerytrack.limits.asks`); no other request is sent there.
 
 Nothing is written to the log. What an entry knows of limits is repeated by the owner
 while they hold, is part of each request for a lease and its reply, and comes with each
--- a/src/celerytrack/notices/owners.py
+++ b/src/celerytrack/notices/owners.py
@@ -1,4 +1,4 @@
-"""Which entry owns a limited endpoint, by the live entries.
+"""Which entry owns an endpoint that is limited or leaves, by the live entries.
 
 Every entry ranks the live entries for an endpoint by the same rendezvous hash. The
 first is the endpoint's *owner*, the second its *standby*. Without I/O.
