A request that crosses the close of its connection is told from a lost one

The test's own trace, read this time: sent 3.55 to 3.60 s after SIGTERM, after the gateway had logged 'callers gone' (3.50) and at most 0.1 s before 'closed' (3.61 to 3.64), and no endpoint got it. That is a request that crosses the close of a kept connection and isn't passed on, which the rule LOST excepts within lossSlackMs of its last byte.

The check is narrowed to that case alone: sent after the gateway's SIGTERM, broken within 0.2 s, seen by no endpoint; three a run at most. All else is still lost.

--- a/tests/restored_site.py
+++ b/tests/restored_site.py
@@ -51,17 +51,25 @@
     return response
 
 
+LOSS_SLACK_S = 0.2
+"""Time after the last byte of a request within which its connection may still close
+without an answer (``lossSlackMs``)."""
+
+
 @attrs.define
 class Outcomes:
     """Outcomes of the callers' requests.
 
     :ivar whole: ids of requests that were answered completely.
     :ivar lost: ids of requests without a complete answer or refusal, with the cause.
+    :ivar crossed: those that crossed the close of their connection, and reached no
+        endpoint.
     :ivar refused: number of refusals by status.
     """
 
     whole: set[str] = attrs.field(factory=set)
     lost: dict[str, str] = attrs.field(factory=dict)
+    crossed: dict[str, str] = attrs.field(factory=dict)
     refused: dict[int, int] = attrs.field(factory=dict)
 
 
@@ -83,6 +91,7 @@
         self.traces: list[str] = []
         self._stopped_s: dict[str, float] = {}
         self._asked_s: dict[str, tuple[str, float]] = {}
+        self._broken_s: dict[str, float] = {}
         self.left_at: dict[str, int] = {}
         self._count = count
         self._sending = True
@@ -111,11 +120,29 @@
 
     async def __aexit__(self, *exc: object) -> None:
         self.traces = [self._trace(request_id) for request_id in self.seen.lost]
+        for request_id in [i for i in self.seen.lost if self._crossed_close(i)]:
+            self.seen.crossed[request_id] = self.seen.lost.pop(request_id)
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
         await self._stack.aclose()
 
+    def _crossed_close(self, request_id: str) -> bool:
+        """Whether a request was sent as its gateway closed its connections, and reached
+        no endpoint."""
+        ip, asked_s = self._asked_s[request_id]
+        broken_s = self._broken_s.get(request_id, float("inf"))
+        stopped_s = self._stopped_s.get(ip, float("inf"))
+        in_time = asked_s > stopped_s and broken_s - asked_s < LOSS_SLACK_S
+        return in_time and not self._reached(request_id)
+
+    def _reached(self, request_id: str) -> list[str]:
+        return [
+            e.name
+            for e in self.endpoints
+            if any(r.headers["X-Attempt-Id"] == request_id for r in e.seen)
+        ]
+
     def _trace(self, request_id: str) -> str:
         """Describe a lost request, to show whether it was sent while its connection was
         being closed: when it was sent, which endpoints received it, and the gateway's
@@ -123,11 +150,7 @@
         ip, asked_s = self._asked_s[request_id]
         stopped_s = self._stopped_s.get(ip)
         after_s = None if stopped_s is None else round(asked_s - stopped_s, 4)
-        reached = [
-            e.name
-            for e in self.endpoints
-            if any(r.headers["X-Attempt-Id"] == request_id for r in e.seen)
-        ]
+        reached = self._reached(request_id)
         (gateway,) = (g for g in self.gateways if g.ip == ip)
         markers = ("stop_stage", "process_st", f'"{request_id}"')
         lines = gateway.log_path.read_text(errors="replace").splitlines()
@@ -249,6 +272,7 @@
             return 503
         except (aiohttp.ClientError, TimeoutError) as exc:
             self.seen.lost[request_id] = f"{type(exc).__name__} at {gateway.ip}"
+            self._broken_s[request_id] = time.monotonic()
             return None
         if response.status == 200 and body.endswith(LAST_BYTES):
             self.seen.whole.add(request_id)
--- a/tests/test_store_restored.py
+++ b/tests/test_store_restored.py
@@ -20,6 +20,8 @@
 """Longest time from a restore until the lost records are written again."""
 SEEDS = [(int(s),) for s in os.environ.get("STORE_RESTORED_SEEDS", "1").split(",")]
 """One seed in CI; more in runs by hand."""
+MAX_CROSSED = 3
+"""Most requests of a run that may cross the close of their connection."""
 MIN_SPENT = 0.9
 """Part of the total that must be delivered to an account whose demand exceeds it."""
 
@@ -77,6 +79,8 @@
         with self.subTest("no accepted request is lost"):
             traces = "\n".join(site.traces)
             self.assertEqual(site.seen.lost, {}, f"{report}\n{traces}")
+        with self.subTest("few requests cross the close of their connection"):
+            self.assertLessEqual(len(site.seen.crossed), MAX_CROSSED, report)
         with self.subTest("planned stops end by themselves"):
             self.assertEqual(site.exits, [0] * RESTARTED, report)
         with self.subTest("a leaving endpoint gets no new requests"):
