An owner gives the others time to reply before it takes itself for cut off

Found by reading: any message of a planned stop ticks the membership, which ended a check of the moment before; with the log away the owner of a limited endpoint then granted 0.4 of its limit for some seconds. A check now lasts 0.25 s at least.

--- a/src/celerytrack/notices/owners.py
+++ b/src/celerytrack/notices/owners.py
@@ -18,6 +18,8 @@
 STALE_VIEW_S = 1.0
 """Age of the membership from which an owner checks whether the others hear it. If they
 don't, they notice its silence later, and another owner follows it."""
+CHECK_S = 0.25
+"""Shortest time that the others have for their replies."""
 MAX_CHECKED = 10
 """Most entries that are asked in one check."""
 FREEZE_S = 2.0
@@ -57,6 +59,7 @@
         self._leaving = False
         self._updated_at_s = started_s
         self._view_age_s = view_age_s
+        self._checked_at_s = started_s
         self._unanswered: set[str] = set()
         self._answered: set[str] = set()
         self._isolated = False
@@ -125,6 +128,8 @@
 
         :returns: whether it became isolated, or is so no longer.
         """
+        if now_s - self._checked_at_s < CHECK_S:
+            return False
         isolated = len(self._answered) < len(self._unanswered)
         changed = isolated is not self._isolated
         self._isolated = isolated
@@ -137,6 +142,9 @@
 
         :returns: the addresses of the entries to ask.
         """
+        if now_s - self._checked_at_s < CHECK_S:
+            return []
+        self._checked_at_s = now_s
         asked: list[str] = []
         if self._view_age_s(now_s) > STALE_VIEW_S:
             addresses = list(self.peers.values())
--- a/tests/test_notice_state.py
+++ b/tests/test_notice_state.py
@@ -22,7 +22,7 @@
     encode_notice_message,
     notice_message_of,
 )
-from celerytrack.notices.owners import Peer
+from celerytrack.notices.owners import EndpointOwners, Peer
 from celerytrack.notices.returns import FULL_WINDOW, MAX_RETURN_S, ReturnTracker
 from celerytrack.notices.state import LAST_RESORT_S, EndpointNotices
 from celerytrack.notices.sync import NoticeSync
@@ -306,6 +306,32 @@
         self.assertEqual(list(homes), [B if home == A else A])
 
 
+class IsolationTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.owners = EndpointOwners(EntryId("e"), "e", 0.0, lambda now_s: now_s)
+        self.owners.update([Peer(EntryId(n), n) for n in "abcd"], 0.0)
+        self.assertEqual(sorted(self.owners.begin_check(2.0)), list("abcd"))
+
+    @params((2, False), (1, True))
+    def test_an_owner_is_isolated_if_fewer_than_half_reply(
+        self, replies: int, isolated: bool
+    ) -> None:
+        """It granted a whole limit beside the owner that followed it."""
+        for address in "abcd"[:replies]:
+            self.owners.record_reply(address)
+        self.assertIs(self.owners.end_check(2.5), isolated)
+        self.assertIs(self.owners.is_isolated, isolated)
+
+    def test_the_others_have_time_to_reply(self) -> None:
+        """A message made it look at the replies at once, and it took itself for cut
+        off."""
+        self.assertFalse(self.owners.end_check(2.01))
+        self.assertEqual(self.owners.begin_check(2.01), [])
+        for address in "abc":
+            self.owners.record_reply(address)
+        self.assertFalse(self.owners.end_check(2.5))
+
+
 class MessageTest(unittest.TestCase):
     """Entries tell each other of endpoints that leave."""
 
