A load report's start is checked before it is taken

Found by reading: a replica's report with a start that is no number (null, NaN, infinite) raised in the task that follows the replicas, and any other number was taken, so that a wrong one opened or closed a replica for good. Only a whole number of milliseconds within 2**53 counts. Nine rows; null, NaN and infinite raised before.

--- a/src/celerytrack/entry/fleet_view.py
+++ b/src/celerytrack/entry/fleet_view.py
@@ -27,6 +27,18 @@
 """Age of the last heartbeat after which an entry no longer counts as running."""
 
 
+MAX_BORN_MS = 2**53
+"""Latest start that a replica may report: far in the future, and exact in JSON."""
+
+
+def read_born_ms(report: dict[str, Any], known_ms: int) -> int:
+    """The start that a load report tells, or the known one if it tells none."""
+    born_ms = report.get("born_ms")
+    if type(born_ms) is int and 0 < born_ms <= MAX_BORN_MS:
+        return born_ms
+    return known_ms
+
+
 @attrs.define
 class EntryInfo:
     """An entry of the instance list, this entry included."""
@@ -180,7 +192,7 @@
             # as live. Mark it now, so that no request has to fail first.
             load.record_failure(time.time())
             return
-        load.born_ms = int(report.get("born_ms", load.born_ms))
+        load.born_ms = read_born_ms(report, load.born_ms)
         load.capacity = int(report.get("capacity", load.capacity))
         load.cache.capacity_blocks = int(
             report.get("cache_blocks", load.cache.capacity_blocks)
--- a/tests/test_own_notices.py
+++ b/tests/test_own_notices.py
@@ -5,6 +5,9 @@
 import time
 import unittest
 
+from nose2.tools import params
+
+from celerytrack.entry.fleet_view import read_born_ms
 from celerytrack.entry.notices import EntryNotices
 from celerytrack.ids import EndpointId, EntryId, ReplicaId, RequestId, Zone
 from celerytrack.load.caller import Outcome, Result
@@ -44,6 +47,26 @@
         self.assertEqual(notices.closed([replica], now_s + 2.0), frozenset())
 
 
+class LoadReportTest(unittest.TestCase):
+    @params(
+        (2_000, 2_000),
+        (None, 1_000),
+        (0, 1_000),
+        (-5, 1_000),
+        (True, 1_000),
+        ("2000", 1_000),
+        (float("nan"), 1_000),
+        (float("inf"), 1_000),
+        (1 << 80, 1_000),
+    )
+    def test_only_a_time_is_taken_for_a_start(
+        self, reported: object, born_ms: int
+    ) -> None:
+        """A report that named none ended the task that follows the replicas, or closed
+        or opened a replica by mistake."""
+        self.assertEqual(read_born_ms({"born_ms": reported}, 1_000), born_ms)
+
+
 class OwnNoticesTest(unittest.TestCase):
     def test_a_replica_that_said_it_leaves_gets_no_more_requests(self) -> None:
         """Each entry sent to it until the instance list said so."""
