Own interface: no lease is taken for a replica that is closed

Found by reading: while all replicas with room were limited, one that backed off or left was still a candidate for a lease. The request was stopped before it was sent, gave the lease back and took another, until its time was up. Now only replicas that may be sent to are candidates; if there are none, the refusal comes at once with the time of the first opening. The test failed first (a lease).

--- a/src/celerytrack/entry/notices.py
+++ b/src/celerytrack/entry/notices.py
@@ -20,6 +20,7 @@
 from celerytrack.limits.asks import Lease
 from celerytrack.limits.leases import LeaseDenied
 from celerytrack.limits.placement import (
+    MIN_RETRY_AFTER_S,
     Candidate,
     LeasePlacer,
     spread_retry_after_s,
@@ -233,8 +234,12 @@
         leased = await placer.lease_best(choose_candidate)
         if leased is not None:
             return LeasedReplica(leased.choice, leased.lease)
-        limited = [r for r in may_run if self.is_limited(r.replica_id)]
+        limited = [
+            r for r in may_run if self.is_limited(r.replica_id) and self._is_valid(r)
+        ]
         candidates = [_candidate(replica, max_wait_s) for replica in limited]
+        if not candidates:
+            return self._refusal_without_lease(may_run)
         waited = await placer.lease_in_time(candidates, rng)
         if isinstance(waited, LeaseDenied):
             retry_after_s = spread_retry_after_s(waited.retry_after_s, rng)
@@ -242,6 +247,14 @@
             return did_not_run(Reason.RATE_LIMITED, retry_after_s, detail)
         return LeasedReplica(waited.choice, waited.lease)
 
+    def _refusal_without_lease(self, may_run: Sequence[ReplicaLoad]) -> Refusal:
+        """The refusal if no replica that has room may be sent a request."""
+        opening = self.next_opening(may_run, time.monotonic())
+        if opening is not None:
+            return self.refusal_until(opening.opens_in_s)
+        detail = "no back end has room"
+        return did_not_run(Reason.NO_CAPACITY, MIN_RETRY_AFTER_S, detail)
+
     def _is_valid(self, replica: ReplicaLoad) -> bool:
         now_s = time.monotonic()
         return not replica.leaving and not self._is_closed(replica, now_s)
--- a/tests/test_own_notices.py
+++ b/tests/test_own_notices.py
@@ -16,6 +16,7 @@
 from celerytrack.load.runner import Plan, run_plan
 from celerytrack.notices.answer import AnswerNotices
 from celerytrack.replica_load import ReplicaLoad
+from celerytrack.verdict import Refusal
 from tests.fleet import Fleet, get_json
 
 RATE_PER_S = 40.0
@@ -47,6 +48,24 @@
         self.assertEqual(notices.closed([replica], now_s + 2.0), frozenset())
 
 
+class LeaseTest(unittest.IsolatedAsyncioTestCase):
+    async def test_no_lease_is_taken_for_a_replica_that_backs_off(self) -> None:
+        """It was leased, not sent to, and leased again until the time was up."""
+        notices = EntryNotices(
+            EntryId("e"), "127.0.0.1:1", lambda _: [], lambda _: 0.0, random.Random(1)
+        )
+        replica = ReplicaLoad(ReplicaId("r"), Zone("z"), "m")
+        now_s = time.monotonic()
+        said = AnswerNotices(limit_per_s=50.0, backoff_s=5.0)
+        notices.sync.record_answer(
+            EndpointId("r"), 0, said, now_s, RequestId("q"), False, now_s
+        )
+        placed = await notices.lease(
+            lambda excluded: None, [replica], 0, 0.5, random.Random(1)
+        )
+        self.assertIsInstance(placed, Refusal)
+
+
 class LoadReportTest(unittest.TestCase):
     @params(
         (2_000, 2_000),
