--- a/src/celerytrack/notices/returns.py
+++ b/src/celerytrack/notices/returns.py
@@ -74,7 +74,7 @@
         if known is None or not succeeded or sent_at_s < known.opens_at_s:
             return
         known.window *= 2
-        if known.window > FULL_WINDOW:
+        if known.window >= FULL_WINDOW:
             del self._returns[endpoint_id]
 
     def record_done(self, endpoint_id: EndpointId) -> None:
--- a/tests/test_notice_state.py
+++ b/tests/test_notice_state.py
@@ -191,6 +191,7 @@
                     break
             returns.record_answer(A, 1.0, succeeded=True)
         self.assertEqual(sent[:3], [1, 1, 2])
+        self.assertEqual(len(sent), 4)
 
     def test_answers_to_earlier_requests_do_not_widen_it(self) -> None:
         """Load came back at once with the answers from before the backoff."""
