--- a/src/celerytrack/limits/sync.py
+++ b/src/celerytrack/limits/sync.py
@@ -160,6 +160,12 @@
 
     def _check_isolation(self, now_s: float) -> None:
         if self.owners.end_check(now_s):
+            log_event(
+                _log,
+                Event.OWNER_ISOLATED,
+                logging.WARNING,
+                in_force=self.owners.is_isolated,
+            )
             if not self.owners.is_isolated:
                 self.grants.reduce_all()
             self.grants.update_rates(now_s)
--- a/tests/test_notice_state.py
+++ b/tests/test_notice_state.py
@@ -12,6 +12,7 @@
 
 from celerytrack.endpoint import Registration, RequestProfile
 from celerytrack.endpoints import EndpointPool
+from celerytrack.events import Event
 from celerytrack.ids import EndpointId, EntryId, RequestId, ServiceName, Zone
 from celerytrack.notices.answer import AnswerNotices, NoticeKind
 from celerytrack.notices.backoff import MAX_BACKOFF_S, BackoffTracker
@@ -332,6 +333,25 @@
             self.owners.record_reply(address)
         self.assertFalse(self.owners.end_check(2.5))
 
+    def test_a_cut_is_logged(self) -> None:
+        """An owner granted less, and no line said why."""
+        sync = NoticeSync(
+            EntryId("e"),
+            "e",
+            lambda address, message: None,
+            lambda now_s: [Peer(EntryId("a"), "a")],
+            0.0,
+            random.Random(1),
+            lambda now_s: now_s,
+        )
+        named = AnswerNotices(limit_per_s=5.0)
+        sync.record_answer(A, 0, named, 0.0, RequestId("r"), True, 1.0)
+        with self.assertLogs("celerytrack.limits.sync") as logs:
+            for second in (2.0, 2.5, 3.0):
+                sync.tick(second)
+        events = [record.event for record in logs.records]
+        self.assertEqual(events.count(Event.OWNER_ISOLATED), 1)
+
 
 class MessageTest(unittest.TestCase):
     """Entries tell each other of endpoints that leave."""
