A 503 that asks for a backoff is no failure, whether or not it says it did not run

Found by reading: a 503 with Retry-After and without X-Not-Executed closed the endpoint and counted as a failure besides, which could eject it after its backoff.

--- a/src/celerytrack/gateway/placement.py
+++ b/src/celerytrack/gateway/placement.py
@@ -54,12 +54,15 @@
     sign of a fault."""
     if failure.reason is not Reason.NO_CAPACITY or failure.hard:
         return False
-    endpoint_id, born_ms = endpoint.endpoint_id, endpoint.registration.born_ms
+    limit_per_s = gateway.limit_sync.tracker.limit_per_s(endpoint.endpoint_id)
+    return limit_per_s is not None or is_backing_off(gateway, endpoint)
+
+
+def is_backing_off(gateway: Gateway, endpoint: Endpoint) -> bool:
+    """Whether an endpoint asked for a backoff that is not known to be over."""
+    born_ms = endpoint.registration.born_ms
     backoffs = gateway.notices.state.backoffs
-    return (
-        gateway.limit_sync.tracker.limit_per_s(endpoint_id) is not None
-        or backoffs.until_s(endpoint_id, born_ms) is not None
-    )
+    return backoffs.until_s(endpoint.endpoint_id, born_ms) is not None
 
 
 async def place(
--- a/src/celerytrack/gateway/sending.py
+++ b/src/celerytrack/gateway/sending.py
@@ -12,6 +12,7 @@
 from celerytrack.gateway.outcomes import record_attempt_failure
 from celerytrack.gateway.placement import (
     Placement,
+    is_backing_off,
     is_backpressure,
     no_endpoint,
     place,
@@ -143,7 +144,8 @@
     match result:
         case Success(answer):
             if answer is not None and answer.status >= 500:
-                endpoints.record_failure(endpoint, False, time.monotonic())
+                if answer.status != 503 or not is_backing_off(gateway, endpoint):
+                    endpoints.record_failure(endpoint, False, time.monotonic())
             else:
                 endpoints.record_success(endpoint)
                 record_success(gateway, exchange)
--- a/tests/test_endpoint_notices.py
+++ b/tests/test_endpoint_notices.py
@@ -235,6 +235,20 @@
             self.assertEqual(endpoint.failure_rate, 0.0)
             self.assertEqual(endpoint.latency_s, latency_s)
 
+    async def test_a_503_that_may_have_run_is_no_sign_of_a_fault(self) -> None:
+        """The endpoint was closed by its word, and ejected for it afterwards."""
+
+        async def ask_for_rest(request: web.BaseRequest) -> web.StreamResponse:
+            echo = {"X-Attempt-Id": request.headers["X-Attempt-Id"], **SEAL_HEADERS}
+            return web.Response(status=503, headers={**echo, "Retry-After": "1"})
+
+        fleet = Fleet(Endpoint("i-0", ask_for_rest), config=config(maxAttempts=1))
+        async with fleet:
+            self.assertEqual((await fleet.ask("/plain/x"))[0], 503)
+            endpoint = fleet.gateways[0].endpoints._endpoints[I_0]
+            self.assertTrue(_backs_off(fleet.gateways[0]))
+            self.assertEqual(endpoint.failure_rate, 0.0)
+
     async def test_a_success_does_not_end_it(self) -> None:
         """The answer to a request sent before opened the endpoint again."""
         endpoints = make_noticing(1, seed=12)
