Test fleet: links between gateways and endpoints that can be cut

Each connection of a gateway to an endpoint goes through a proxy of its own; links of single gateways hang, are reset, or refuse new connections, while callers, the log and other gateways reach everything. Connections that check whether an endpoint ended are made with the same kind of socket as requests, so that a cut holds for them too.

--- a/src/celerytrack/http_session.py
+++ b/src/celerytrack/http_session.py
@@ -58,7 +58,7 @@
         a connection; a request that may not fails with :class:`WithheldError`.
     """
     connector = GatedConnector(
-        limit=0, keepalive_timeout=idle_s, socket_factory=_make_socket
+        limit=0, keepalive_timeout=idle_s, socket_factory=make_socket
     )
     connector.may_send = may_send
     return aiohttp.ClientSession(
@@ -68,7 +68,7 @@
     )
 
 
-def _make_socket(info: aiohttp.AddrInfoType) -> socket.socket:
+def make_socket(info: aiohttp.AddrInfoType) -> socket.socket:
     """Make a socket that detects an unreachable peer.
 
     A machine that lost power or its network path does not even send a reset, so
--- a/src/celerytrack/process_end.py
+++ b/src/celerytrack/process_end.py
@@ -2,6 +2,9 @@
 
 import asyncio
 import enum
+import socket
+
+from celerytrack import http_session
 
 CONNECT_TIMEOUT_S = 0.5
 """Connect timeout. Within a region a connection takes a few ms, so an instance that
@@ -24,14 +27,19 @@
 async def probe_address(address: str) -> ConnectResult:
     """Connect to ``address`` and close the connection."""
     host, port = address.rsplit(":", 1)
+    target = (host, int(port))
+    sock = http_session.make_socket(
+        (socket.AF_INET, socket.SOCK_STREAM, socket.IPPROTO_TCP, "", target)
+    )
     try:
         async with asyncio.timeout(CONNECT_TIMEOUT_S):
-            _, writer = await asyncio.open_connection(host, int(port))
+            await asyncio.get_running_loop().sock_connect(sock, target)
     except ConnectionRefusedError:
         return ConnectResult.REFUSED
     except (OSError, TimeoutError):
         return ConnectResult.UNREACHABLE
-    writer.close()
+    finally:
+        sock.close()
     return ConnectResult.ACCEPTED
 
 
--- a/tests/gateway_fleet.py
+++ b/tests/gateway_fleet.py
@@ -1,6 +1,7 @@
 """In-process gateways with a stand-in log and scripted endpoints."""
 
 import asyncio
+import contextvars
 import json
 import pathlib
 import random
@@ -26,6 +27,7 @@
     ENTRIES_TOPIC,
 )
 from tests.keyed_log import KeyedLog
+from tests.link_cuts import Links, current_gateway
 
 HOST = "h.example"
 KEY = "key-of-t"
@@ -160,6 +162,7 @@
     :param config: configuration in force when the gateways start.
     :param link_bytes_per_s: rate at which answers of the log arrive; 0 for no limit.
     :param ready_within_s: time limit for the start of the gateways.
+    :param links: links between gateways and endpoints that can be cut.
     """
 
     def __init__(
@@ -169,7 +172,9 @@
         config: bytes = config(),
         link_bytes_per_s: float = 0.0,
         ready_within_s: float = 8.0,
+        links: Links | None = None,
     ) -> None:
+        self.links = links
         self.log = KeyedLog()
         self.log.link.bytes_per_s = link_bytes_per_s
         self.endpoints = endpoints
@@ -194,6 +199,8 @@
         for endpoint in self.endpoints:
             self._runners.append(await endpoint.start())
             self.log.put(ENDPOINTS_TOPIC, endpoint.name, endpoint.registration())
+        if self.links is not None:
+            await self.links.open(self.count, (e.port for e in self.endpoints))
         for i in range(self.count):
             self._start_gateway(i)
         try:
@@ -234,7 +241,9 @@
         server = EntryServer(gateway, pathlib.Path("unused"))
         self.gateways.append(gateway)
         self.servers.append(server)
-        self._tasks.append(asyncio.create_task(server.run()))
+        context = contextvars.copy_context()
+        context.run(current_gateway.set, i)
+        self._tasks.append(asyncio.create_task(server.run(), context=context))
 
     async def __aexit__(self, *exc: object) -> None:
         await self.http.close()
@@ -243,6 +252,8 @@
         for server in self.servers:
             await server.abort()
         await asyncio.gather(*self._tasks, return_exceptions=True)
+        if self.links is not None:
+            await self.links.close()
         for runner in self._runners:
             await runner.cleanup()
 
