Observability: a log line when the links to a service's endpoints are in doubt

The logs of the incident name one failed endpoint a line; whether others were heard meanwhile, and how early an entry could have known, they did not tell.

--- a/src/celerytrack/gateway/attempts.py
+++ b/src/celerytrack/gateway/attempts.py
@@ -137,6 +137,7 @@
     if facts.request_id not in (None, exchange.facts.request_id):
         # The connection delivered another answer to an earlier request.
         return _unusable_answer("answer to another request")
+    gateway.reach.record_heard(exchange.service, time.monotonic())
     _record_notices(gateway, exchange, dispatch, response, facts)
     if facts.did_not_run:
         return Failure(
@@ -220,6 +221,7 @@
             return _connection_failure(Reason.UPSTREAM_CUT, Verdict.MAY_HAVE_RUN, exc)
         if not data:
             break
+        gateway.reach.record_heard(exchange.service, time.monotonic())
         received = events.feed(data)
         if received is None:
             continue
--- a/src/celerytrack/gateway/connections.py
+++ b/src/celerytrack/gateway/connections.py
@@ -30,15 +30,19 @@
     """Connections to one incarnation of an endpoint, and the requests on them.
 
     :param may_send: whether the endpoint may be sent a request now.
+    :param on_connected: called when a new connection was made.
     """
 
-    def __init__(self, may_send: Callable[[], bool]) -> None:
+    def __init__(
+        self, may_send: Callable[[], bool], on_connected: Callable[[], None]
+    ) -> None:
         timeout = aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S)
         self.session = make_http_session(
             ENDPOINT_IDLE_S,
             timeout,
             auto_decompress=False,
             may_send=lambda address: may_send(),
+            on_connected=lambda address: on_connected(),
         )
         # aiohttp repeats a GET on its own when a reused connection breaks, so a call
         # that must run at most once could run twice without notice.
@@ -80,10 +84,16 @@
     """Connections to the current incarnation of each endpoint.
 
     :param may_send: whether an endpoint may be sent a request now.
+    :param on_connected: called with an endpoint when a new connection was made.
     """
 
-    def __init__(self, may_send: Callable[[Endpoint], bool]) -> None:
+    def __init__(
+        self,
+        may_send: Callable[[Endpoint], bool],
+        on_connected: Callable[[Endpoint], None],
+    ) -> None:
         self._may_send = may_send
+        self._on_connected = on_connected
         self._current: dict[EndpointId, IncarnationConnections] = {}
         self._closing: set[asyncio.Task[None]] = set()
 
@@ -91,7 +101,9 @@
         """Return the connections to an endpoint's current incarnation."""
         current = self._current.get(endpoint.endpoint_id)
         if current is None:
-            current = IncarnationConnections(lambda: self._may_send(endpoint))
+            current = IncarnationConnections(
+                lambda: self._may_send(endpoint), lambda: self._on_connected(endpoint)
+            )
             self._current[endpoint.endpoint_id] = current
         return current
 
--- a/src/celerytrack/gateway/sending.py
+++ b/src/celerytrack/gateway/sending.py
@@ -158,6 +158,13 @@
             record_attempt_failure(gateway, exchange, endpoint.endpoint_id, failure)
             if not failure.withheld and not is_backpressure(gateway, endpoint, failure):
                 endpoints.record_failure(endpoint, failure.hard, time.monotonic())
+            if failure.hard and not failure.address_reused:
+                gateway.reach.record_failure(
+                    exchange.service,
+                    endpoint.endpoint_id,
+                    failure.sent,
+                    time.monotonic(),
+                )
             if failure.was_interrupted:
                 gateway.crash_detector.report_interrupted(
                     endpoint, exchange.fingerprint
--- a/src/celerytrack/gateway/state.py
+++ b/src/celerytrack/gateway/state.py
@@ -39,6 +39,7 @@
 from celerytrack.planned_stop import PlannedStop
 from celerytrack.platform.settings import ProcessSettings
 from celerytrack.platform.store import StoreClient
+from celerytrack.reachability.monitor import ReachMonitor
 from celerytrack.retries import RetryBudget
 from celerytrack.routes import RoutingTable
 from celerytrack.suspect_logs import log_quarantined
@@ -67,6 +68,7 @@
     :ivar endpoints_reachable: whether the store answered that read.
     :ivar limit_sync: keeps the rate limits of endpoints together with other entries.
     :ivar notices: what endpoints say of themselves in their answers.
+    :ivar reach: whether this entry reaches the endpoints.
     :ivar openings: requests that wait for an endpoint to open, by service.
     :ivar suspect_sync: tracks which requests crash endpoints, here and elsewhere.
     :ivar suspects_in_flight: number of suspected requests that this entry has in
@@ -124,7 +126,11 @@
         self.closing = False
         self.durations = RecentDurations()
         self._retry_budgets: dict[ServiceName, RetryBudget] = {}
-        self.connections = EndpointConnections(self._may_send)
+        self.reach = ReachMonitor()
+        self.connections = EndpointConnections(
+            self._may_send,
+            lambda endpoint: self.reach.record_connected(endpoint.registration.service),
+        )
         self.crash_detector = CrashDetector(
             self.endpoints.is_superseded,
             self.endpoints.is_leaving,
--- a/src/celerytrack/http_session.py
+++ b/src/celerytrack/http_session.py
@@ -24,9 +24,11 @@
     another request that it wants no more.
 
     :ivar may_send: whether a request to ``host:port`` may be sent.
+    :ivar on_connected: called with ``host:port`` when a new connection was made.
     """
 
     may_send: Callable[[str], bool] | None = None
+    on_connected: Callable[[str], None] | None = None
 
     async def connect(
         self, req: aiohttp.ClientRequest, *args: Any, **kwargs: Any
@@ -42,12 +44,21 @@
             raise WithheldError(address)
         return connection
 
+    async def _create_connection(
+        self, req: aiohttp.ClientRequest, *args: Any, **kwargs: Any
+    ) -> Any:
+        protocol = await super()._create_connection(req, *args, **kwargs)
+        if self.on_connected is not None:
+            self.on_connected(f"{req.url.host}:{req.url.port}")
+        return protocol
+
 
 def make_http_session(
     idle_s: float,
     timeout: aiohttp.ClientTimeout | None = None,
     auto_decompress: bool = True,
     may_send: Callable[[str], bool] | None = None,
+    on_connected: Callable[[str], None] | None = None,
 ) -> aiohttp.ClientSession:
     """Make a session without a limit on connections.
 
@@ -56,11 +67,13 @@
     :param auto_decompress: whether response bodies are decompressed.
     :param may_send: whether a request to ``host:port`` may be sent, asked when it has
         a connection; a request that may not fails with :class:`WithheldError`.
+    :param on_connected: called with ``host:port`` when a new connection was made.
     """
     connector = GatedConnector(
         limit=0, keepalive_timeout=idle_s, socket_factory=make_socket
     )
     connector.may_send = may_send
+    connector.on_connected = on_connected
     return aiohttp.ClientSession(
         connector=connector,
         timeout=timeout or aiohttp.ClientTimeout(total=None),
