Own interface: an entry that reaches no replica sends its callers' requests through another

The same fault and mechanism as at the gateways: links in doubt, a check, one attempt by another entry, cost and claims where the caller is. Entries take such requests on an address of their own (relay_address, optional) that no caller is given, from entries of the instance list. Failed polls of replicas are signs as well; a crash counts only if no other entry reaches the replica.

--- a/src/celerytrack/cli/entry.py
+++ b/src/celerytrack/cli/entry.py
@@ -1,6 +1,5 @@
 """``celerytrack-entry``: run one entry instance."""
 
-import functools
 import logging
 
 from aiohttp import web
@@ -10,6 +9,7 @@
 
 from celerytrack.cli._serve import run, serve
 from celerytrack.entry.app import make_app
+from celerytrack.entry.relay_server import open_relay
 from celerytrack.entry.state import EntryState
 from celerytrack.entry.stopping import LISTENER_S, finish_by
 from celerytrack.events import Event, log_event, setup_logging
@@ -41,23 +41,32 @@
         entry = EntryState(fleet, entry_id)
 
         async def main() -> None:
+            relay: list[web.AppRunner | None] = []
+
+            async def start() -> None:
+                await entry.start()
+                relay.append(await open_relay(entry))
+
+            async def stop(runner: web.AppRunner) -> None:
+                await _stop(entry, runner, relay[0])
+
             await serve(
-                make_app(entry),
-                entry.spec.address,
-                entry.start,
-                functools.partial(_stop, entry),
-                LISTENER_S / 2,
+                make_app(entry), entry.spec.address, start, stop, LISTENER_S / 2
             )
 
         run(main)
         return 0
 
 
-async def _stop(entry: EntryState, runner: web.AppRunner) -> None:
+async def _stop(
+    entry: EntryState, runner: web.AppRunner, relay: web.AppRunner | None
+) -> None:
     log_event(_log, Event.PROCESS_STOPPING, entry=entry.entry_id)
     times = await entry.stop()
     # Answers in flight still need the connections.
     await finish_by(times.listener_until_s, runner.cleanup())
+    if relay is not None:
+        await finish_by(times.listener_until_s, relay.cleanup())
     entry.log_stage("listener closed", times)
     await finish_by(times.connections_until_s, entry.close())
     log_event(
--- a/src/celerytrack/entry/app.py
+++ b/src/celerytrack/entry/app.py
@@ -76,6 +76,7 @@
             "grants": len(state.grant_manager.escrow.grants),
             "ledger_backlog": state.grant_manager.writer.backlog,
             "limits": state.notices.sync.limits.tracker.limited(),
+            "links_down": sorted(state.reach.tracker.down()),
             "leaving_replicas": sorted(
                 r
                 for r, v in state.view.replicas.items()
--- a/src/celerytrack/entry/chat.py
+++ b/src/celerytrack/entry/chat.py
@@ -12,21 +12,16 @@
 
 from celerytrack.entry.admission import AdmittedRequest, handle, reserve
 from celerytrack.entry.answers import StoredAnswer
+from celerytrack.entry.calls import CONNECTION_ERRORS, CallFailedError, Post
 from celerytrack.entry.charging import charge
 from celerytrack.entry.refusals import RefusedError
 from celerytrack.entry.state import EntryState
 from celerytrack.entry.upstream import (
-    CONNECT_ERRORS,
-    CONNECTION_ERRORS,
     bad_status,
-    replica_failed,
-    replica_unreachable,
-    replica_withheld,
     try_replicas,
 )
 from celerytrack.escrow import GrantReservation
 from celerytrack.events import Event, log_event
-from celerytrack.http_session import WithheldError
 from celerytrack.prompts import count_tokens, prompt_blocks, prompt_text
 from celerytrack.replica_load import Ask, Attempt
 from celerytrack.settings import BackendKind
@@ -100,7 +95,7 @@
             state,
             answer.admitted,
             answer.ask,
-            lambda sent: _stream_from(state, request, sent, answer),
+            lambda sent, post: _stream_from(state, request, sent, post, answer),
         )
     except _CallerDisconnectedError:
         await _bill_disconnected(state, answer, reservation)
@@ -120,7 +115,11 @@
 
 
 async def _stream_from(
-    state: EntryState, request: web.Request, sent: Attempt, answer: _Answer
+    state: EntryState,
+    request: web.Request,
+    sent: Attempt,
+    post: Post,
+    answer: _Answer,
 ) -> Result[None, Refusal]:
     """Stream the answer, or the rest of it, from the replica of ``sent``."""
     body = {
@@ -132,20 +131,10 @@
         # The caller already has these tokens; the engine resumes after them.
         "resume_from": answer.relay.tokens,
     }
-    url = f"http://{state.view.addresses[sent.replica.replica_id]}/v1/chat/completions"
-    headers = {"X-Request-Id": answer.admitted.request_id}
-    sent_at_s = time.monotonic()
     try:
-        upstream = await state.upstream.post(url, json=body, headers=headers)
-    except WithheldError:
-        return Failure(replica_withheld())
-    except CONNECT_ERRORS:
-        return Failure(replica_unreachable())
-    except CONNECTION_ERRORS:
-        return Failure(replica_failed())
-    state.notices.record_answer(
-        sent.replica, upstream, sent_at_s, answer.admitted.request_id
-    )
+        upstream = await post("/v1/chat/completions", body)
+    except CallFailedError as exc:
+        return Failure(exc.refusal)
     try:
         if upstream.status != 200:
             return Failure(bad_status(upstream.status))
--- a/src/celerytrack/entry/fleet_view.py
+++ b/src/celerytrack/entry/fleet_view.py
@@ -17,12 +17,15 @@
 
 from celerytrack.entry.peers import Heartbeat
 from celerytrack.events import Event, log_event
+from celerytrack.http_session import make_http_session
 from celerytrack.ids import EntryId, ReplicaId, Zone
 from celerytrack.replica_load import Load, ReplicaLoad
 
 _log = logging.getLogger(__name__)
 
 
+POLL_IDLE_S = 15.0
+"""Idle time after which a connection for polls is not reused."""
 HEARTBEAT_TIMEOUT_S = 1.0
 """Age of the last heartbeat after which an entry no longer counts as running."""
 
@@ -39,6 +42,17 @@
     return known_ms
 
 
+class _UnreachedError(Exception):
+    """A replica did not answer.
+
+    :ivar sent: whether there was a connection.
+    """
+
+    def __init__(self, sent: bool) -> None:
+        super().__init__()
+        self.sent = sent
+
+
 @attrs.define
 class EntryInfo:
     """An entry of the instance list, this entry included."""
@@ -47,6 +61,8 @@
     address: str
     zone: Zone
     peer_address: str = ""
+    relay_address: str = ""
+    """Where it takes requests of other entries; empty if it takes none."""
     leaving: bool = False
     gone: bool = False
     draining: bool = False
@@ -68,6 +84,9 @@
     :param instances_address: ``host:port`` of the instance list.
     :param poll_s: the interval between reads of both.
     :param on_entry: called with the peer address of each newly listed entry.
+    :param on_heard: called with a replica that answered.
+    :param on_unreached: called with a replica that did not, and whether there was a
+        connection to it.
     """
 
     def __init__(
@@ -75,7 +94,11 @@
         instances_address: str,
         poll_s: float,
         on_entry: Callable[[str], None] = lambda address: None,
+        on_heard: Callable[[ReplicaLoad], None] = lambda replica: None,
+        on_unreached: Callable[[ReplicaLoad, bool], None] = lambda replica, sent: None,
     ) -> None:
+        self._on_heard = on_heard
+        self._on_unreached = on_unreached
         self._on_entry = on_entry
         self._url = f"http://{instances_address}/instances"
         self._poll_s = poll_s
@@ -104,7 +127,7 @@
     async def refresh(self) -> None:
         """Read the instance list and the replicas' loads once."""
         if self._session is None:
-            self._session = aiohttp.ClientSession()
+            self._session = make_http_session(POLL_IDLE_S)
         try:
             timeout = aiohttp.ClientTimeout(total=self._poll_s * 2)
             async with self._session.get(self._url, timeout=timeout) as resp:
@@ -167,6 +190,7 @@
                 zone = Zone(item["zone"])
                 peer_address = item["peer_address"]
                 entry = EntryInfo(entry_id, item["address"], zone, peer_address)
+                entry.relay_address = item.get("relay_address", "")
                 self.entries[entry_id] = entry
                 self._on_entry(peer_address)
             entry.leaving = leaving
@@ -186,7 +210,13 @@
 
     async def _poll_replica(self, replica_id: ReplicaId) -> None:
         load = self.replicas[replica_id]
-        report = await self._get_json(self.addresses[replica_id], "/load")
+        try:
+            report = await self._get_json(self.addresses[replica_id], "/load")
+        except _UnreachedError as exc:
+            report = None
+            self._on_unreached(load, exc.sent)
+        else:
+            self._on_heard(load)
         if report is None:
             # The replica is dead or unreachable although the list may still show it
             # as live. Mark it now, so that no request has to fail first.
@@ -206,7 +236,10 @@
     async def _poll_cache(self, replica_id: ReplicaId) -> None:
         start = self._cache_events_from.get(replica_id, 0)
         path = f"/cache_events?from={start}"
-        answer = await self._get_json(self.addresses[replica_id], path)
+        try:
+            answer = await self._get_json(self.addresses[replica_id], path)
+        except _UnreachedError:
+            return
         if answer is None:
             return
         # An event may arrive after the block was reused or evicted, or never. The
@@ -221,7 +254,10 @@
         self._cache_events_from[replica_id] = int(answer["next"])
 
     async def _get_json(self, address: str, path: str) -> Any:
-        """The JSON body, or ``None`` if no valid answer arrived in time."""
+        """The JSON body, or ``None`` if the answer is invalid.
+
+        :raises _UnreachedError: if no answer arrived in time.
+        """
         assert self._session is not None
         timeout = aiohttp.ClientTimeout(total=self._poll_s)
         try:
@@ -229,5 +265,9 @@
                 f"http://{address}{path}", timeout=timeout
             ) as resp:
                 return await resp.json() if resp.status == 200 else None
-        except (aiohttp.ClientError, TimeoutError, ValueError):
+        except (ValueError, aiohttp.ContentTypeError):
             return None
+        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
+            raise _UnreachedError(sent=False) from None
+        except (aiohttp.ClientError, TimeoutError, OSError):
+            raise _UnreachedError(sent=True) from None
--- a/src/celerytrack/entry/notices.py
+++ b/src/celerytrack/entry/notices.py
@@ -36,6 +36,13 @@
 from celerytrack.notices.sync import NoticeSync
 from celerytrack.notices.waiting import OpeningQueue
 from celerytrack.platform.notices import decode_notices
+from celerytrack.reachability.messages import (
+    LinkNews,
+    LinkNewsError,
+    encode_link_news,
+    is_link_news,
+    link_news_of,
+)
 from celerytrack.replica_load import ReplicaLoad
 from celerytrack.verdict import Reason, Refusal, did_not_run
 
@@ -67,6 +74,7 @@
     :param address: peer address of this entry.
     :param live_peers: returns the other live entries at a time.
     :param view_age_s: returns how old that knowledge is.
+    :param on_link_news: called with what another entry says of its links.
     """
 
     def __init__(
@@ -76,7 +84,9 @@
         live_peers: Callable[[float], Iterable[Peer]],
         view_age_s: Callable[[float], float],
         rng: random.Random,
+        on_link_news: Callable[[LinkNews], None] = lambda news: None,
     ) -> None:
+        self._on_link_news = on_link_news
         self._address = address
         self._rng = rng
         self._socket = DatagramSocket(self._on_data)
@@ -269,10 +279,20 @@
     def _send(self, address: str, message: NoticeMessage) -> None:
         self._socket.send([address], encode_notice_message(message))
 
+    def tell_links(self, news: LinkNews) -> None:
+        """Tell the other entries of this entry's links to replicas."""
+        addresses = self.sync.limits.owners.peers.values()
+        self._socket.send(addresses, encode_link_news(news))
+
     def _on_data(self, data: bytes) -> None:
         try:
-            message = notice_message_of(msgpack.unpackb(data))
+            fields = msgpack.unpackb(data)
+            if is_link_news(fields):
+                self._on_link_news(link_news_of(fields))
+                return
+            message = notice_message_of(fields)
         except (
+            LinkNewsError,
             NoticeMessageError,
             ValueError,
             TypeError,
--- /dev/null
+++ b/src/celerytrack/entry/relay_server.py
@@ -0,0 +1,260 @@
+"""Serves requests that other entries send through this one, for the own interface.
+
+They arrive on an address of their own that no caller is given, from entries of the
+instance list only. One attempt is made, never through a third entry; its cost is
+reserved and billed where the caller is.
+"""
+
+import logging
+import time
+from typing import Any
+
+import aiohttp
+import attrs
+from aiohttp import web
+from returns.result import Failure, Result, Success
+
+from celerytrack.entry.admission import AdmittedRequest
+from celerytrack.entry.calls import (
+    CONNECTION_ERRORS,
+    CallFailedError,
+    Post,
+    replica_failed,
+)
+from celerytrack.entry.relay import links_down
+from celerytrack.entry.relay_format import (
+    RELAY_PATH,
+    REPLICA_PATH,
+    RelayedCall,
+    decode_call,
+)
+from celerytrack.entry.state import EntryState
+from celerytrack.entry.upstream import bad_status, try_replicas_once
+from celerytrack.events import Event, log_event
+from celerytrack.ids import EntryId, ReplicaId, RequestId, ServiceName
+from celerytrack.process_end import ConnectResult, probe_address
+from celerytrack.prompts import prompt_blocks, prompt_text
+from celerytrack.reachability.relayed import (
+    RELAYED_HEADER,
+    RelayOutcome,
+    encode_outcome,
+)
+from celerytrack.replica_load import Ask, Attempt
+from celerytrack.settings import BackendKind
+from celerytrack.strict import UnreadableError
+from celerytrack.verdict import Reason, Refusal, Verdict, did_not_run
+
+_log = logging.getLogger(__name__)
+
+MAX_IN_PROGRESS = 256
+"""Most requests of other entries in progress here, which bounds their memory."""
+MAX_BODY_BYTES = 8 * 1024 * 1024
+"""Two bodies of the largest size that a caller may send."""
+
+
+@attrs.define
+class _Answer:
+    """The answer of a replica, once its head was passed on.
+
+    :ivar replica: the replica that was chosen.
+    """
+
+    response: web.StreamResponse | None = None
+    replica: ReplicaId | None = None
+
+
+async def open_relay(state: EntryState) -> web.AppRunner | None:
+    """Take requests of other entries, if this entry has an address for them."""
+    if not state.spec.relay_address:
+        return None
+    host, port = state.spec.relay_address.rsplit(":", 1)
+    app = make_relay_app(state)
+    # An entry that closes its connection gives its request up.
+    runner = web.AppRunner(app, access_log=None, handler_cancellation=True)
+    await runner.setup()
+    await web.TCPSite(runner, host, int(port), reuse_address=True).start()
+    return runner
+
+
+def make_relay_app(state: EntryState) -> web.Application:
+    """The application on the address for other entries."""
+
+    async def relay(request: web.Request) -> web.StreamResponse:
+        return await _handle_relayed(state, request)
+
+    async def replica(request: web.Request) -> web.StreamResponse:
+        return await _handle_replica_query(state, request)
+
+    app = web.Application(client_max_size=MAX_BODY_BYTES)
+    app.add_routes([web.post(RELAY_PATH, relay), web.get(REPLICA_PATH, replica)])
+    return app
+
+
+async def _handle_replica_query(
+    state: EntryState, request: web.Request
+) -> web.StreamResponse:
+    """Whether this entry reaches a replica that it knows."""
+    address = state.view.addresses.get(ReplicaId(request.query.get("replica", "")))
+    if address is None:
+        return web.Response(status=404)
+    reached = await probe_address(address) is ConnectResult.ACCEPTED
+    return web.Response(status=204 if reached else 503)
+
+
+async def _handle_relayed(
+    state: EntryState, request: web.Request
+) -> web.StreamResponse:
+    try:
+        call = decode_call(await request.read())
+        admitted = _admit(state, request, call)
+    except (UnreadableError, _NotAdmittedError) as exc:
+        return _refuse(did_not_run(Reason.NO_CONFIG, None, str(exc)))
+    if state.draining:
+        return _refuse(did_not_run(Reason.DRAINING, None, "this entry stops"))
+    if state.relays_in_progress >= MAX_IN_PROGRESS:
+        detail = "too many requests of other entries"
+        return _refuse(did_not_run(Reason.NO_CAPACITY, None, detail))
+    state.relays_in_progress += 1
+    state.begin_request()
+    try:
+        return await _serve(state, request, call, admitted)
+    finally:
+        state.end_request()
+        state.relays_in_progress -= 1
+
+
+class _NotAdmittedError(Exception):
+    """The request is not one of a known entry for a known class and account."""
+
+
+def _admit(
+    state: EntryState, request: web.Request, call: RelayedCall
+) -> AdmittedRequest:
+    order = call.order
+    if not _is_known(state, request, order.sender_id):
+        raise _NotAdmittedError("sent by no known entry")
+    config = state.config.config
+    if config is None:
+        raise _NotAdmittedError("no configuration read yet")
+    work = config.work_class(order.work_class)
+    accounts = [a for a in config.accounts if a.account_id == order.account]
+    if work is None or not accounts:
+        raise _NotAdmittedError("no such class or account here")
+    request_id = RequestId(order.request_id)
+    return AdmittedRequest(call.caller_body, accounts[0], work, None, request_id, "")
+
+
+def _is_known(state: EntryState, request: web.Request, sender: EntryId) -> bool:
+    info = state.view.entries.get(sender)
+    if info is None or request.transport is None:
+        return False
+    peer = request.transport.get_extra_info("peername")
+    return peer is not None and info.peer_address.rsplit(":", 1)[0] == peer[0]
+
+
+async def _serve(
+    state: EntryState,
+    request: web.Request,
+    call: RelayedCall,
+    admitted: AdmittedRequest,
+) -> web.StreamResponse:
+    work = admitted.work
+    is_engine = work.kind is BackendKind.ENGINE
+    path = "/v1/chat/completions" if is_engine else f"/call/{work.name}"
+    blocks = prompt_blocks(prompt_text(call.caller_body)) if is_engine else ()
+    answer = _Answer()
+
+    async def attempt(sent: Attempt, post: Post) -> Result[None, Refusal]:
+        answer.replica = sent.replica.replica_id
+        try:
+            upstream = await post(path, call.replica_body)
+        except CallFailedError as exc:
+            return Failure(exc.refusal)
+        if upstream.status != 200:
+            upstream.release()
+            return Failure(bad_status(upstream.status))
+        return await _pass_on(request, sent, upstream, answer)
+
+    if state.reach.is_down(ServiceName(work.model)):
+        return _refuse(links_down())
+    ask = Ask(work.model, work.priority, blocks)
+    started_s = time.monotonic()
+    result = await try_replicas_once(
+        state, admitted, ask, call.order.tried_ids, attempt
+    )
+    _log_served(call, answer, result, time.monotonic() - started_s)
+    match result:
+        case Failure(refusal):
+            if answer.response is None:
+                return _refuse(refusal, answer.replica)
+            if request.transport is not None:
+                request.transport.close()
+    assert answer.response is not None
+    return answer.response
+
+
+async def _pass_on(
+    request: web.Request,
+    sent: Attempt,
+    upstream: aiohttp.ClientResponse,
+    answer: _Answer,
+) -> Result[None, Refusal]:
+    """Pass a replica's answer on as it arrives.
+
+    :raises ConnectionError: if the other entry has gone.
+    """
+    outcome = RelayOutcome(sent.replica.replica_id, sent=True)
+    headers = {RELAYED_HEADER: encode_outcome(outcome)}
+    if "Content-Type" in upstream.headers:
+        headers["Content-Type"] = upstream.headers["Content-Type"]
+    answer.response = web.StreamResponse(status=upstream.status, headers=headers)
+    complete = False
+    try:
+        await answer.response.prepare(request)
+        while True:
+            try:
+                data = await upstream.content.readany()
+            except CONNECTION_ERRORS:
+                return Failure(replica_failed())
+            if not data:
+                break
+            if not sent.answered:
+                sent.record_first_token(time.time())
+            await answer.response.write(data)
+        await answer.response.write_eof()
+        complete = True
+    finally:
+        if complete:
+            upstream.release()
+        else:
+            upstream.close()
+    return Success(None)
+
+
+def _refuse(refusal: Refusal, replica: ReplicaId | None = None) -> web.Response:
+    ran = refusal.verdict is Verdict.MAY_HAVE_RUN
+    outcome = RelayOutcome(
+        replica,
+        refusal.reason,
+        refusal.verdict,
+        ran,
+        refusal.retry_after_s,
+        refusal.detail,
+    )
+    headers = {RELAYED_HEADER: encode_outcome(outcome)}
+    return web.Response(status=502 if ran else 503, headers=headers)
+
+
+def _log_served(
+    call: RelayedCall, answer: _Answer, result: Result[Any, Refusal], took_s: float
+) -> None:
+    refusal = result.failure() if isinstance(result, Failure) else None
+    log_event(
+        _log,
+        Event.RELAY_SERVED,
+        request_id=call.order.request_id,
+        sender=call.order.sender,
+        endpoint=answer.replica,
+        outcome="answered" if refusal is None else refusal.reason.value,
+        took_ms=round(took_s * 1_000),
+    )
--- a/src/celerytrack/entry/service_calls.py
+++ b/src/celerytrack/entry/service_calls.py
@@ -10,22 +10,22 @@
 
 from celerytrack.entry.admission import AdmittedRequest, choose_replica, handle, reserve
 from celerytrack.entry.answers import StoredAnswer
+from celerytrack.entry.calls import (
+    CONNECTION_ERRORS,
+    CallFailedError,
+    Post,
+    replica_failed,
+)
 from celerytrack.entry.charging import charge
 from celerytrack.entry.claims import Claim, ClaimState
 from celerytrack.entry.refusals import RefusedError
 from celerytrack.entry.state import EntryState
 from celerytrack.entry.upstream import (
-    CONNECT_ERRORS,
-    CONNECTION_ERRORS,
     bad_status,
-    replica_failed,
-    replica_unreachable,
-    replica_withheld,
     try_replicas,
 )
 from celerytrack.events import Event, log_event
-from celerytrack.http_session import WithheldError
-from celerytrack.replica_load import Ask, Attempt
+from celerytrack.replica_load import Ask
 from celerytrack.settings import BackendKind
 from celerytrack.verdict import Reason, Refusal, Verdict, did_not_run, may_have_run
 
@@ -93,7 +93,7 @@
         state,
         admitted,
         ask,
-        lambda sent: _attempt(state, sent, admitted),
+        lambda sent, post: _attempt(post, admitted),
     )
     match sent:
         case Failure(refusal):
@@ -131,22 +131,13 @@
     raise RefusedError(may_have_run(Reason.DUPLICATE_IN_FLIGHT, 2.0, detail))
 
 
-async def _attempt(
-    state: EntryState, sent: Attempt, admitted: AdmittedRequest
-) -> Result[Any, Refusal]:
-    address = state.view.addresses[sent.replica.replica_id]
-    url = f"http://{address}/call/{admitted.work.name}"
-    headers = {"X-Request-Id": admitted.request_id}
-    sent_at_s = time.monotonic()
+async def _attempt(post: Post, admitted: AdmittedRequest) -> Result[Any, Refusal]:
     try:
-        async with state.upstream.post(url, json=admitted.body, headers=headers) as r:
-            state.notices.record_answer(sent.replica, r, sent_at_s, admitted.request_id)
-            if r.status != 200:
-                return Failure(bad_status(r.status))
-            return Success(await r.json())
-    except WithheldError:
-        return Failure(replica_withheld())
-    except CONNECT_ERRORS:
-        return Failure(replica_unreachable())
+        async with await post(f"/call/{admitted.work.name}", admitted.body) as answer:
+            if answer.status != 200:
+                return Failure(bad_status(answer.status))
+            return Success(await answer.json())
+    except CallFailedError as exc:
+        return Failure(exc.refusal)
     except (*CONNECTION_ERRORS, ValueError):
         return Failure(replica_failed())
--- a/src/celerytrack/entry/suspects.py
+++ b/src/celerytrack/entry/suspects.py
@@ -11,6 +11,7 @@
 import logging
 import time
 from collections import Counter
+from collections.abc import Awaitable, Callable
 from typing import Protocol
 
 from celerytrack.events import Event, log_event
@@ -51,10 +52,23 @@
         """Identifies repeats of the request."""
 
 
+async def _is_reached_by_nobody(replica: ReplicaId) -> bool:
+    return False
+
+
 class EntrySuspects:
-    """The requests that this entry suspects of crashing replicas."""
+    """The requests that this entry suspects of crashing replicas.
 
-    def __init__(self, entry_id: EntryId) -> None:
+    :param is_reached: whether another entry reaches a replica that refuses connections
+        here, so that it has not crashed.
+    """
+
+    def __init__(
+        self,
+        entry_id: EntryId,
+        is_reached: Callable[[ReplicaId], Awaitable[bool]] = _is_reached_by_nobody,
+    ) -> None:
+        self._is_reached = is_reached
         self.tracker = SuspectTracker(entry_id)
         self._suspects_in_flight: Counter[ReplicaId] = Counter()
         self._tasks: set[asyncio.Task[None]] = set()
@@ -164,7 +178,7 @@
                 has_crashed = await has_ended(address)
         except TimeoutError:
             has_crashed = False
-        if not has_crashed:
+        if not has_crashed or await self._is_reached(replica):
             self.tracker.cancel_probe(fingerprint)
             return
         crash = Crash(EndpointId(replica), at_s, model)
--- a/src/celerytrack/entry/upstream.py
+++ b/src/celerytrack/entry/upstream.py
@@ -8,7 +8,6 @@
 from collections.abc import Awaitable, Callable, Collection
 from typing import TypeVar
 
-import aiohttp
 import attrs
 from returns.result import Failure, Result, Success
 
@@ -17,12 +16,19 @@
     choose_replica,
     suspect_state_of,
 )
+from celerytrack.entry.calls import (
+    Post,
+    direct_post,
+    replica_unreachable,
+    replica_withheld,
+)
 from celerytrack.entry.notices import LeasedReplica
 from celerytrack.entry.refusals import RefusedError
+from celerytrack.entry.relay import relay
 from celerytrack.entry.shared_deadline import DeadlineExceededError
 from celerytrack.entry.state import EntryState
 from celerytrack.events import Event, log_event
-from celerytrack.ids import ReplicaId, RequestId
+from celerytrack.ids import ReplicaId, RequestId, ServiceName
 from celerytrack.replica_load import Ask, Attempt, ReplicaLoad
 from celerytrack.retries import backoff_s, may_retry
 from celerytrack.routing import Placement, predict_first_token_s
@@ -34,6 +40,9 @@
 
 T = TypeVar("T")
 
+AttemptCall = Callable[[Attempt, Post], Awaitable[Result[T, Refusal]]]
+"""Makes one attempt: posts to its replica and handles the answer."""
+
 MAX_PROBE_S = 60.0
 """Longest time for which a request counts as probed if the entry that runs the probe
 does not report its end."""
@@ -41,10 +50,6 @@
 """Longest wait of an answer that has begun for a replica: its caller sees a pause."""
 MAX_ATTEMPTS_WITHOUT_TOKENS = 3
 """Consecutive attempts of one request that may end without a token of the answer."""
-CONNECT_ERRORS = (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError)
-"""Errors raised before a connection was made: the replica received nothing."""
-CONNECTION_ERRORS = (aiohttp.ClientError, TimeoutError, ConnectionError)
-"""Errors of an established connection: the replica may have read the request."""
 _NOT_RUN_STATUSES = frozenset({400, 404, 408, 421, 429, 503})
 """Statuses by which a replica guarantees that it did not run the request."""
 
@@ -58,23 +63,6 @@
     NO_REPLICA = "no_replica"
 
 
-def replica_unreachable() -> Refusal:
-    """The refusal if no connection to the replica could be made."""
-    return did_not_run(Reason.UPSTREAM_FAILED, 1.0, "back end unreachable")
-
-
-def replica_withheld() -> Refusal:
-    """The refusal if the replica said, before the request was sent, that it wants
-    none."""
-    return did_not_run(Reason.BACKING_OFF, 0.0, "back end wants no requests")
-
-
-def replica_failed() -> Refusal:
-    """The refusal if the connection failed after the replica may have read the
-    request."""
-    return may_have_run(Reason.UPSTREAM_FAILED, 1.0, "back end failed")
-
-
 def bad_status(status: int) -> Refusal:
     """The refusal if the replica answered with a status other than 200."""
     detail = f"back end answered {status}"
@@ -83,6 +71,12 @@
     return may_have_run(Reason.UPSTREAM_FAILED, 1.0, detail)
 
 
+def links_lost() -> Refusal:
+    """The refusal if this entry lost its links while an attempt was in progress."""
+    detail = "this entry reaches no back end any more"
+    return may_have_run(Reason.UPSTREAM_CUT, 1.0, detail)
+
+
 def stop_deadline_exceeded() -> Refusal:
     """The refusal if the entry stops before the replica's answer is complete."""
     detail = "the entry stopped before the answer was whole; ask /v1/route again"
@@ -138,7 +132,7 @@
     state: EntryState,
     admitted: AdmittedRequest,
     ask: Ask,
-    attempt: Callable[[Attempt], Awaitable[Result[T, Refusal]]],
+    attempt: AttemptCall[T],
 ) -> Result[T, Refusal]:
     """Run ``attempt`` on one replica after another until one succeeds.
 
@@ -148,78 +142,208 @@
     history = _AttemptHistory(
         answer_at_s=time.monotonic() + admitted.work.ttft_target_s
     )
-    work, request_id = admitted.work, admitted.request_id
     while True:
         if state.attempts_deadline.has_passed(time.monotonic()):
             return Failure(history.refusal or draining_before_send())
-        suspect_state = suspect_state_of(state, admitted, time.monotonic())
-        if suspect_state is SuspectState.QUARANTINED:
-            return Failure(history.refusal or _quarantine_refusal(state, admitted))
-        placed = await _place(state, admitted, history, ask, suspect_state)
-        if isinstance(placed, Refusal):
-            if history.refusal is not None:
-                _log_not_retried(request_id, NoRetryReason.NO_REPLICA, placed)
-            return Failure(history.refusal or placed)
-        replica = placed.replica
-        if (
-            suspect_state is SuspectState.PROBE_ONLY
-            and not await state.suspects.begin_probe(
-                admitted.fingerprint, replica.replica_id, MAX_PROBE_S
-            )
-        ):
-            state.notices.give_back(placed)
-            return Failure(history.refusal or _quarantine_refusal(state, admitted))
-        if not state.notices.may_send(replica, time.monotonic()):
-            state.notices.give_back(placed)
-            state.suspects.cancel_probe(admitted)
-            continue
-        now_s = time.time()
-        first_token_s = predict_first_token_s(
-            replica, replica.load(now_s), ask, Placement()
-        )
-        sent = replica.begin_attempt(ask, first_token_s, now_s)
-        end_attempt = state.notices.begin_attempt(replica.replica_id)
-        suspected = suspect_state is not SuspectState.CLEAR
-        if suspected:
-            state.suspects.begin_suspect(replica.replica_id)
         try:
-            async with state.attempts_deadline.scope():
-                result = await attempt(sent)
+            sent, result = await _attempt(state, admitted, history, ask, attempt)
         except DeadlineExceededError:
-            state.suspects.cancel_probe(admitted)
             return Failure(stop_deadline_exceeded())
-        except BaseException:
-            # The caller disconnected or the process stops: the probe has no result.
-            state.suspects.cancel_probe(admitted)
-            raise
-        finally:
-            sent.finish(time.time())
-            end_attempt()
-            if suspected:
-                state.suspects.end_suspect(replica.replica_id)
-        _record_outcome(state, admitted, replica.replica_id, result)
         match result:
             case Success(_):
-                replica.record_success()
                 return result
+            case Failure(refusal) if sent is None:
+                return Failure(history.refusal or refusal)
             case Failure(refusal) if refusal == replica_withheld():
-                state.notices.give_back(placed)
-                _log_attempt_failed(request_id, replica.replica_id, refusal)
                 continue
             case Failure(refusal):
-                if refusal == replica_unreachable():
-                    state.notices.give_back(placed)
-                if not _is_backpressure(state, replica, refusal):
-                    replica.record_failure(time.time())
-                _log_attempt_failed(request_id, replica.replica_id, refusal)
+                assert sent is not None
                 history.record_failure(sent, refusal)
-                why = _reason_not_to_retry(state, work, refusal, history)
+                why = _reason_not_to_retry(state, admitted.work, refusal, history)
                 if why is not None:
-                    _log_not_retried(request_id, why, refusal)
+                    _log_not_retried(admitted.request_id, why, refusal)
                     return Failure(history.refusal or refusal)
         await asyncio.sleep(backoff_s(max(history.failed_in_row - 1, 0), state.rng))
 
 
+async def try_replicas_once(
+    state: EntryState,
+    admitted: AdmittedRequest,
+    ask: Ask,
+    avoid: frozenset[ReplicaId],
+    attempt: AttemptCall[T],
+) -> Result[T, Refusal]:
+    """Send a request of another entry to one replica, from here.
+
+    Only a replica that received nothing is followed by another.
+
+    :param avoid: replicas that are not to be chosen.
+    """
+    answer_at_s = time.monotonic() + admitted.work.ttft_target_s
+    history = _AttemptHistory(answer_at_s, avoid=avoid)
+    for _ in range(MAX_ATTEMPTS_WITHOUT_TOKENS):
+        try:
+            sent, result = await _attempt_directly(
+                state, admitted, history, ask, attempt
+            )
+        except DeadlineExceededError:
+            return Failure(stop_deadline_exceeded())
+        match result:
+            case Failure(refusal) if sent is not None and refusal in (
+                replica_unreachable(),
+                replica_withheld(),
+            ):
+                history.avoid |= {sent.replica.replica_id}
+            case _:
+                break
+    return result
+
+
+async def _attempt(
+    state: EntryState,
+    admitted: AdmittedRequest,
+    history: _AttemptHistory,
+    ask: Ask,
+    attempt: AttemptCall[T],
+) -> tuple[Attempt | None, Result[T, Refusal]]:
+    """Make one attempt, from here or through another entry.
+
+    :returns: the attempt, ``None`` if there was none, and its result.
+    :raises DeadlineExceededError: if the entry stops before its end.
+    """
+    if await _may_send_directly(state, admitted.work):
+        return await _attempt_directly(state, admitted, history, ask, attempt)
+    return await _attempt_elsewhere(state, admitted, history, ask, attempt)
+
+
+async def _may_send_directly(state: EntryState, work: WorkClass) -> bool:
+    """Whether this entry reaches the replicas, once a doubt of it is settled."""
+    if not state.reach.tracker:
+        return True
+    service = ServiceName(work.model)
+    await state.reach.settled(service)
+    running = sum(
+        replica.own.running
+        for replica in state.view.replicas.values()
+        if replica.model == work.model
+    )
+    return state.reach.tracker.has_direct_room(service, running)
+
+
+async def _attempt_elsewhere(
+    state: EntryState,
+    admitted: AdmittedRequest,
+    history: _AttemptHistory,
+    ask: Ask,
+    attempt: AttemptCall[T],
+) -> tuple[Attempt | None, Result[T, Refusal]]:
+    """Make one attempt through another entry, or from here if none helps while load
+    returns to links that work again."""
+    state_now = suspect_state_of(state, admitted, time.monotonic())
+    if state_now in (SuspectState.QUARANTINED, SuspectState.PROBE_ONLY):
+        return None, Failure(_quarantine_refusal(state, admitted))
+    next_ask = history.next_ask(ask)
+    async with state.attempts_deadline.scope():
+        sent, result = await relay(state, admitted, next_ask, history.avoid, attempt)
+    match result:
+        case Failure(refusal) if refusal.verdict is Verdict.DID_NOT_RUN:
+            if not state.reach.is_down(ServiceName(admitted.work.model)):
+                return await _attempt_directly(state, admitted, history, ask, attempt)
+            return None, result
+    return sent, result
+
+
+async def _attempt_directly(
+    state: EntryState,
+    admitted: AdmittedRequest,
+    history: _AttemptHistory,
+    ask: Ask,
+    attempt: AttemptCall[T],
+) -> tuple[Attempt | None, Result[T, Refusal]]:
+    """Choose a replica and send the request there from here.
+
+    :returns: the attempt, ``None`` if there was none, and its result.
+    """
+    suspect_state = suspect_state_of(state, admitted, time.monotonic())
+    if suspect_state is SuspectState.QUARANTINED:
+        return None, Failure(_quarantine_refusal(state, admitted))
+    placed = await _place(state, admitted, history, ask, suspect_state)
+    if isinstance(placed, Refusal):
+        if history.refusal is not None:
+            _log_not_retried(admitted.request_id, NoRetryReason.NO_REPLICA, placed)
+        return None, Failure(placed)
+    replica = placed.replica
+    if (
+        suspect_state is SuspectState.PROBE_ONLY
+        and not await state.suspects.begin_probe(
+            admitted.fingerprint, replica.replica_id, MAX_PROBE_S
+        )
+    ):
+        state.notices.give_back(placed)
+        return None, Failure(_quarantine_refusal(state, admitted))
+    now_s = time.time()
+    first_token_s = predict_first_token_s(
+        replica, replica.load(now_s), ask, Placement()
+    )
+    sent = replica.begin_attempt(ask, first_token_s, now_s)
+    if not state.notices.may_send(replica, time.monotonic()):
+        sent.finish(time.time())
+        state.notices.give_back(placed)
+        state.suspects.cancel_probe(admitted)
+        return sent, Failure(replica_withheld())
+    result = await _send(state, admitted, sent, suspect_state, attempt)
+    _record_outcome(state, admitted, replica.replica_id, result)
+    match result:
+        case Success(_):
+            replica.record_success()
+            state.reach.record_answer(ServiceName(replica.model))
+        case Failure(refusal):
+            if refusal in (replica_withheld(), replica_unreachable()):
+                state.notices.give_back(placed)
+            if not _is_no_fault(state, replica, refusal):
+                replica.record_failure(time.time())
+            _log_attempt_failed(admitted.request_id, replica.replica_id, refusal)
+    return sent, result
+
+
+async def _send(
+    state: EntryState,
+    admitted: AdmittedRequest,
+    sent: Attempt,
+    suspect_state: SuspectState,
+    attempt: AttemptCall[T],
+) -> Result[T, Refusal]:
+    """Run an attempt from here, and count it while it runs.
+
+    :raises DeadlineExceededError: if the entry stops before its end.
+    """
+    replica = sent.replica
+    end_attempt = state.notices.begin_attempt(replica.replica_id)
+    suspected = suspect_state is not SuspectState.CLEAR
+    if suspected:
+        state.suspects.begin_suspect(replica.replica_id)
+    post = direct_post(state, replica, admitted.request_id)
+    may_repeat = admitted.work.idempotent
+    try:
+        async with state.attempts_deadline.scope():
+            with state.ended_if_links_fail(replica.model, may_repeat) as scope:
+                async with scope:
+                    return await attempt(sent, post)
+    except TimeoutError:
+        if not scope.expired():
+            raise
+        return Failure(links_lost())
+    except BaseException:
+        # The caller disconnected or the process stops: the probe has no result.
+        state.suspects.cancel_probe(admitted)
+        raise
+    finally:
+        sent.finish(time.time())
+        end_attempt()
+        if suspected:
+            state.suspects.end_suspect(replica.replica_id)
+
+
 async def _place(
     state: EntryState,
     admitted: AdmittedRequest,
@@ -315,6 +439,13 @@
     return choose_replica(state, admitted.work, next_ask, excluded)
 
 
+def _is_no_fault(state: EntryState, replica: ReplicaLoad, refusal: Refusal) -> bool:
+    """Whether a failed attempt is no sign of a fault of the replica."""
+    return refusal in (replica_withheld(), links_lost()) or _is_backpressure(
+        state, replica, refusal
+    )
+
+
 def _is_backpressure(state: EntryState, replica: ReplicaLoad, refusal: Refusal) -> bool:
     """Whether a replica that is limited or backs off rejected a request, which is no
     sign of a fault."""
@@ -347,6 +478,8 @@
         case Failure(_) if state.notices.is_leaving(state.view.replicas[replica]):
             # It ends on its own, whatever it runs.
             suspects.cancel_probe(admitted)
+        case Failure(refusal) if refusal == links_lost():
+            suspects.cancel_probe(admitted)
         case Failure(refusal) if refusal.verdict is Verdict.MAY_HAVE_RUN:
             address = state.view.addresses[replica]
             model = admitted.work.model
--- a/src/celerytrack/gateway/relay.py
+++ b/src/celerytrack/gateway/relay.py
@@ -23,14 +23,14 @@
 from celerytrack.gateway.outcomes import log_relayed
 from celerytrack.gateway.relay_format import (
     RelayOrder,
-    decode_outcome,
     encode_order,
     failure_of,
 )
 from celerytrack.gateway.state import Gateway
-from celerytrack.ids import EndpointId, EntryId
+from celerytrack.ids import EntryId
 from celerytrack.platform.http import SKIPPED_AUTO_HEADERS, relayed_headers
 from celerytrack.reachability.helpers import REFUSED_S, UNREACHABLE_S, Helper
+from celerytrack.reachability.relayed import decode_outcome
 from celerytrack.strict import UnreadableError
 from celerytrack.verdict import Reason, Verdict
 
@@ -170,8 +170,8 @@
     except UnreadableError as exc:
         # An entry of an earlier release answers every other path with 404.
         return _failed(helper, exc, Verdict.DID_NOT_RUN)
-    if outcome.endpoint is not None:
-        exchange.tried.append(EndpointId(outcome.endpoint))
+    if outcome.endpoint_id is not None:
+        exchange.tried.append(outcome.endpoint_id)
     if outcome.reason is not None:
         return Failure(failure_of(outcome, helper.entry_id))
     return await handle_response(gateway, exchange, None, response)
--- a/src/celerytrack/gateway/relay_server.py
+++ b/src/celerytrack/gateway/relay_server.py
@@ -45,7 +45,7 @@
         order = decode_order(request.headers)
     except UnreadableError as exc:
         return _refuse(Reason.NO_CONFIG, str(exc))
-    if order is None or not _is_known(gateway, request, order.sender_id):
+    if not _is_known(gateway, request, order.sender_id):
         return _refuse(Reason.NO_CONFIG, "sent by no known entry")
     if gateway.leaving:
         return _refuse(Reason.DRAINING, "this entry stops")
--- a/src/celerytrack/http_session.py
+++ b/src/celerytrack/http_session.py
@@ -1,7 +1,7 @@
 """HTTP sessions that detect an unreachable peer."""
 
 import socket
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from typing import Any
 
 import aiohttp
@@ -59,6 +59,7 @@
     auto_decompress: bool = True,
     may_send: Callable[[str], bool] | None = None,
     on_connected: Callable[[str], None] | None = None,
+    headers: Mapping[str, str] | None = None,
 ) -> aiohttp.ClientSession:
     """Make a session without a limit on connections.
 
@@ -68,6 +69,7 @@
     :param may_send: whether a request to ``host:port`` may be sent, asked when it has
         a connection; a request that may not fails with :class:`WithheldError`.
     :param on_connected: called with ``host:port`` when a new connection was made.
+    :param headers: headers of every request.
     """
     connector = GatedConnector(
         limit=0, keepalive_timeout=idle_s, socket_factory=make_socket
@@ -78,6 +80,7 @@
         connector=connector,
         timeout=timeout or aiohttp.ClientTimeout(total=None),
         auto_decompress=auto_decompress,
+        headers=headers,
     )
 
 
--- a/src/celerytrack/platform/http.py
+++ b/src/celerytrack/platform/http.py
@@ -7,6 +7,7 @@
 from multidict import CIMultiDict, CIMultiDictProxy
 
 from celerytrack.ids import AccountId, EndpointId, RequestId
+from celerytrack.reachability.relayed import RELAYED_HEADER
 
 READY_PATH = "/ready"
 RESOLVE_PATH = "/resolve"
@@ -24,8 +25,6 @@
 _URGENCY = "X-Request-Urgency"
 RELAY_HEADER = "Celerytrack-Relay"
 """Header of a request that an entry sends through another."""
-RELAYED_HEADER = "Celerytrack-Relayed"
-"""Header of the other entry's answer to it."""
 _MAX_URGENCY = 9
 """Highest urgency number; 0 is the most urgent."""
 _MAX_COUNT_DIGITS = 15
--- a/src/celerytrack/settings.py
+++ b/src/celerytrack/settings.py
@@ -49,6 +49,13 @@
         raise ValueError(f"{attribute.name} {value!r} must be host:port")
 
 
+def _validate_optional_address(
+    instance: object, attribute: "attrs.Attribute[Any]", value: str
+) -> None:
+    if value:
+        _validate_address(instance, attribute, value)
+
+
 def _validate_key(
     instance: object, attribute: "attrs.Attribute[Any]", value: str
 ) -> None:
@@ -170,12 +177,15 @@
 
     :ivar address: listen address for callers.
     :ivar peer_address: listen address for the other entries.
+    :ivar relay_address: listen address for callers' requests that other entries send
+        through this one; empty if it takes none.
     """
 
     entry_id: EntryId = attrs.field(validator=_validate_name)
     address: str = attrs.field(validator=_validate_address)
     peer_address: str = attrs.field(validator=_validate_address)
     zone: Zone = attrs.field(validator=_validate_name)
+    relay_address: str = attrs.field(default="", validator=_validate_optional_address)
 
 
 @attrs.frozen
--- a/src/celerytrack/standins/instances.py
+++ b/src/celerytrack/standins/instances.py
@@ -48,6 +48,7 @@
             "role": "entry",
             "address": entry.address,
             "peer_address": entry.peer_address,
+            "relay_address": entry.relay_address,
             "zone": entry.zone,
             "state": "live",
         }
--- a/tests/link_cuts.py
+++ b/tests/link_cuts.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import contextlib
 import contextvars
 import enum
 import socket
@@ -164,7 +165,9 @@
         async def serve(
             reader: asyncio.StreamReader, writer: asyncio.StreamWriter
         ) -> None:
-            await self._proxy(gateway, port, reader, writer)
+            # The server of asyncio's streams logs a handler that is cancelled.
+            with contextlib.suppress(asyncio.CancelledError):
+                await self._proxy(gateway, port, reader, writer)
 
         server = await asyncio.start_server(serve, "127.0.0.1", 0)
         self._servers.append(server)
--- /dev/null
+++ b/tests/test_own_cut.py
@@ -0,0 +1,40 @@
+"""Entries of the own interface that reach no replica."""
+
+import asyncio
+import random
+import unittest
+
+from nose2.tools import params
+
+from tests.link_cuts import LinkState
+from tests.own_cut_fleet import OwnCutFleet
+
+RATE_PER_S = 40.0
+KNOWN_AFTER_S = 3.0
+
+
+async def _serve_while_cut(state: LinkState) -> tuple[list[int], list[int], int]:
+    async with OwnCutFleet(3) as fleet:
+        rng = random.Random(5)
+        await fleet.play(RATE_PER_S, 1.0, rng, 0)
+        fleet.links.set_state([0, 1], state)
+        results = await fleet.play(RATE_PER_S, KNOWN_AFTER_S + 3.0, rng, 10_000)
+        counted = [(e, status) for e, at_s, status in results if at_s > KNOWN_AFTER_S]
+        cut = [status for entry, status in counted if entry < 2]
+        others = [status for entry, status in counted if entry == 2]
+        most_runs = max(fleet.runs_of_once_only().values())
+        return cut, others, most_runs
+
+
+class OwnCutTest(unittest.TestCase):
+    @params(LinkState.HANG, LinkState.RESET, LinkState.REFUSE_NEW)
+    def test_callers_of_cut_entries_are_served_like_the_others(
+        self, state: LinkState
+    ) -> None:
+        """An entry without links to replicas refused what its neighbours had room
+        for."""
+        cut, others, most_runs = asyncio.run(_serve_while_cut(state))
+        self.assertGreater(len(cut), 20)
+        self.assertEqual(set(others), {200})
+        self.assertGreaterEqual(cut.count(200), 0.95 * len(cut), cut)
+        self.assertEqual(most_runs, 1)
