Brittle endpoints: the rate that they bear is learned, and shared by all entries

Cause: nothing read the word. Each entry sent as before; the rejections of all entries add up at an endpoint, and what a fallen one leaves over makes the next one fall.

Change: the word is a line in what endpoints say of themselves. A brittle endpoint needs leases like a limited one, granted by its owner for all entries, one at a time. A rate is kept over a fall. A fall under load is no sign against the requests that ran there.

--- a/src/celerytrack/entry/notices.py
+++ b/src/celerytrack/entry/notices.py
@@ -131,6 +131,7 @@
             request_id,
             succeeded=answer.status == 200,
             now_s=time.monotonic(),
+            rejected=answer.status in (429, 503),
         )
 
     def give_back(self, leased: LeasedReplica) -> None:
@@ -142,6 +143,11 @@
         """Whether a replica has a limit now."""
         return self.sync.limits.tracker.limit_per_s(EndpointId(replica_id)) is not None
 
+    def is_brittle(self, replica: ReplicaLoad) -> bool:
+        """Whether a replica said that it falls over under load."""
+        endpoint_id = EndpointId(replica.replica_id)
+        return self.sync.limits.tracker.bears_per_s(endpoint_id) is not None
+
     def closed(
         self, replicas: Iterable[ReplicaLoad], now_s: float
     ) -> frozenset[ReplicaId]:
--- a/src/celerytrack/entry/upstream.py
+++ b/src/celerytrack/entry/upstream.py
@@ -475,8 +475,7 @@
     match result:
         case Success(_):
             suspects.record_success(admitted, time.monotonic())
-        case Failure(_) if state.notices.is_leaving(state.view.replicas[replica]):
-            # It ends on its own, whatever it runs.
+        case Failure(_) if _ends_by_itself(state, state.view.replicas[replica]):
             suspects.cancel_probe(admitted)
         case Failure(refusal) if refusal == links_lost():
             suspects.cancel_probe(admitted)
@@ -488,6 +487,11 @@
             suspects.cancel_probe(admitted)
 
 
+def _ends_by_itself(state: EntryState, replica: ReplicaLoad) -> bool:
+    """Whether a replica that ends is no sign against the requests that it ran."""
+    return state.notices.is_leaving(replica) or state.notices.is_brittle(replica)
+
+
 def _reason_not_to_retry(
     state: EntryState, work: WorkClass, refusal: Refusal, history: _AttemptHistory
 ) -> NoRetryReason | None:
--- a/src/celerytrack/gateway/attempts.py
+++ b/src/celerytrack/gateway/attempts.py
@@ -206,6 +206,7 @@
         exchange.facts.request_id,
         succeeded=_is_authentic(facts) and not facts.did_not_run,
         now_s=time.monotonic(),
+        rejected=facts.did_not_run,
     )
 
 
--- a/src/celerytrack/gateway/crash_detector.py
+++ b/src/celerytrack/gateway/crash_detector.py
@@ -35,7 +35,8 @@
 
     :param is_superseded: whether a later incarnation has registered under an endpoint's
         id.
-    :param is_leaving: whether an endpoint is known to leave.
+    :param ends_by_itself: whether an endpoint is known to leave, or to fall over under
+        load, whatever it runs.
     :param is_reached: whether another entry reaches an endpoint that refuses
         connections here: then the link of this entry failed, not the endpoint.
     :param on_crash: called with each endpoint that crashed.
@@ -44,12 +45,12 @@
     def __init__(
         self,
         is_superseded: Callable[[Endpoint], bool],
-        is_leaving: Callable[[Endpoint], bool],
+        ends_by_itself: Callable[[Endpoint], bool],
         is_reached: Callable[[Endpoint], Awaitable[bool]],
         on_crash: Callable[[CrashedEndpoint], None],
     ) -> None:
         self._is_superseded = is_superseded
-        self._is_leaving = is_leaving
+        self._ends_by_itself = ends_by_itself
         self._is_reached = is_reached
         self._on_crash = on_crash
         self._interrupted: dict[EndpointId, set[Fingerprint]] = {}
@@ -58,9 +59,9 @@
     def report_interrupted(self, endpoint: Endpoint, fingerprint: Fingerprint) -> None:
         """Check ``endpoint`` for a crash after a request to it was interrupted.
 
-        An endpoint that leaves is not checked: it exits on its own, whatever it runs.
+        One that ends by itself is not checked.
         """
-        if self._is_leaving(endpoint) or endpoint.deregistered_at_s is not None:
+        if self._ends_by_itself(endpoint) or endpoint.deregistered_at_s is not None:
             return
         interrupted = self._interrupted.get(endpoint.endpoint_id)
         if interrupted is not None:
--- a/src/celerytrack/gateway/state.py
+++ b/src/celerytrack/gateway/state.py
@@ -153,7 +153,7 @@
         )
         self.crash_detector = CrashDetector(
             self.endpoints.is_superseded,
-            self.endpoints.is_leaving,
+            self._ends_by_itself,
             lambda endpoint: is_reached_elsewhere(self, endpoint),
             self._on_endpoint_crash,
         )
@@ -351,6 +351,12 @@
         members = self.share_sync.members.live_peers(now_s)
         return [Peer(member.entry_id, member.peer_address) for member in members]
 
+    def _ends_by_itself(self, endpoint: Endpoint) -> bool:
+        """Whether an endpoint that ends is no sign against the requests that it ran."""
+        tracker = self.notices.limits.tracker
+        is_brittle = tracker.bears_per_s(endpoint.endpoint_id) is not None
+        return is_brittle or self.endpoints.is_leaving(endpoint)
+
     def _may_send(self, endpoint: Endpoint) -> bool:
         return self.endpoints.may_send(endpoint, time.monotonic())
 
--- a/src/celerytrack/limits/grants.py
+++ b/src/celerytrack/limits/grants.py
@@ -8,6 +8,7 @@
 """
 
 import asyncio
+import logging
 import math
 import time
 from collections.abc import Callable
@@ -15,8 +16,11 @@
 import attrs
 from cachetools import LRUCache
 
+from celerytrack.events import Event, log_event
 from celerytrack.ids import EndpointId
+from celerytrack.limits.learned import LearnedRates
 from celerytrack.limits.leases import (
+    BURST_S,
     OWNER_RETRY_AFTER_S,
     LeaseDecision,
     LeaseDenied,
@@ -34,6 +38,8 @@
 from celerytrack.limits.tracker import LimitTracker
 from celerytrack.notices.owners import SETTLE_S, EndpointOwners
 
+_log = logging.getLogger(__name__)
+
 REDUCED_SHARE = 0.4
 """Share of the limit that a standby or a new owner grants: endpoints tolerate half as
 much again as their limit, and an old owner may still grant all of it."""
@@ -77,6 +83,7 @@
         self._owners = owners
         self._deliver = deliver
         self._grants: dict[EndpointId, _Grants] = {}
+        self._learned = LearnedRates()
         self._returnable: LRUCache[tuple[str, int], int] = LRUCache(MAX_RETURNABLE)
 
     def rate_per_s(self, endpoint_id: EndpointId, now_s: float) -> float:
@@ -88,8 +95,17 @@
         share = grants.share(now_s)
         if self._owners.is_isolated:
             share = min(share, REDUCED_SHARE)
+        learned_per_s = self._learned_per_s(endpoint_id, now_s)
+        if learned_per_s is not None:
+            limit_per_s = min(limit_per_s, learned_per_s)
         return share * limit_per_s
 
+    def _learned_per_s(self, endpoint_id: EndpointId, now_s: float) -> float | None:
+        """The rate that a brittle endpoint bears, if that is known."""
+        if self._tracker.bears_per_s(endpoint_id) is None:
+            return None
+        return self._learned.get(endpoint_id).grow(now_s)
+
     def on_ask(self, ask: LeaseAsk, now_s: float) -> None:
         """Decide on a request for a lease, now or when a token is there."""
         endpoint_id = ask.report.endpoint_id
@@ -102,7 +118,10 @@
             return
         grants = self._open(endpoint_id, now_s)
         self._decide_waiting(endpoint_id, grants, now_s)
-        request = LeaseRequest(key, ask.priority, ask.max_wait_s, ask.count)
+        # Several leases at once would arrive together at an endpoint with little room.
+        is_brittle = self._tracker.bears_per_s(endpoint_id) is not None
+        count = 1 if is_brittle else ask.count
+        request = LeaseRequest(key, ask.priority, ask.max_wait_s, count)
         decision = grants.queue.request(request, now_s)
         if decision is not None:
             self._answer(endpoint_id, key, decision, now_s)
@@ -123,6 +142,29 @@
         self._decide_waiting(message.endpoint_id, grants, now_s)
         self._schedule(message.endpoint_id, grants, now_s)
 
+    def on_rejection(self, endpoint_id: EndpointId, now_s: float) -> None:
+        """Grant less for a brittle endpoint that turned a request away."""
+        bears_per_s = self._tracker.bears_per_s(endpoint_id)
+        if bears_per_s is None or not self._owners.may_grant(endpoint_id):
+            return
+        grants = self._open(endpoint_id, now_s)
+        learned = self._learned.get(endpoint_id)
+        pause_s = learned.record_rejection(bears_per_s, now_s)
+        self.update_rate(endpoint_id, now_s)
+        grants.queue.pause(pause_s, now_s)
+        self._schedule(endpoint_id, grants, now_s)
+        log_event(
+            _log,
+            Event.RATE_LEARNED,
+            endpoint=endpoint_id,
+            rate_per_s=learned.rate_per_s and round(learned.rate_per_s, 2),
+            bears_per_s=bears_per_s,
+        )
+
+    def expire(self, now_s: float) -> None:
+        """Forget learned rates that are no longer used."""
+        self._learned.expire(now_s)
+
     def on_handover(self, message: OwnerHandover, now_s: float) -> None:
         """Take an endpoint over from its previous owner."""
         endpoint_id = message.report.endpoint_id
@@ -136,8 +178,12 @@
     def update_rate(self, endpoint_id: EndpointId, now_s: float) -> None:
         """Grant at the rate that holds from now on."""
         grants = self._grants.get(endpoint_id)
-        if grants is not None:
-            grants.queue.set_rate(self.rate_per_s(endpoint_id, now_s), now_s)
+        if grants is None:
+            return
+        is_brittle = self._tracker.bears_per_s(endpoint_id) is not None
+        grants.queue.set_rate(
+            self.rate_per_s(endpoint_id, now_s), now_s, 0.0 if is_brittle else BURST_S
+        )
 
     def update_owners(self, now_s: float) -> None:
         """Take over and hand over after a change of the membership."""
@@ -207,6 +253,8 @@
     ) -> None:
         if isinstance(decision, LeaseGranted):
             self._returnable[key] = decision.count
+            if self._tracker.bears_per_s(endpoint_id) is not None:
+                self._learned.get(endpoint_id).record_grant(now_s)
         self._reply(endpoint_id, key, decision, now_s)
 
     def _reply(
--- a/src/celerytrack/limits/leases.py
+++ b/src/celerytrack/limits/leases.py
@@ -81,15 +81,22 @@
         self._tokens = 0.0
         self._filled_at_s = now_s
         self._waiting: list[_Waiting] = []
+        self._burst_s = BURST_S
 
     @property
     def tokens(self) -> float:
         """Tokens left when the bucket was last filled."""
         return self._tokens
 
-    def set_rate(self, rate_per_s: float, now_s: float) -> None:
-        """Change the rate from now on."""
+    def set_rate(
+        self, rate_per_s: float, now_s: float, burst_s: float = BURST_S
+    ) -> None:
+        """Change the rate from now on.
+
+        :param burst_s: time for which unused tokens are kept, beyond the first one.
+        """
         self._fill(now_s)
+        self._burst_s = burst_s
         self._rate_per_s = max(rate_per_s, MIN_RATE_PER_S)
         self._tokens = min(self._tokens, self._burst)
 
@@ -98,6 +105,12 @@
         self._fill(now_s)
         self._tokens = min(self._tokens + tokens, self._burst)
 
+    def pause(self, pause_s: float, now_s: float) -> None:
+        """Grant nothing for a time."""
+        self._fill(now_s)
+        if pause_s > 0:
+            self._tokens = min(self._tokens, 1.0 - pause_s * self._rate_per_s)
+
     def request(self, request: LeaseRequest, now_s: float) -> LeaseDecision | None:
         """Decide on a request at once; ``None`` if it waits.
 
@@ -154,7 +167,7 @@
 
     @property
     def _burst(self) -> float:
-        return 1.0 + BURST_S * self._rate_per_s
+        return 1.0 + self._burst_s * self._rate_per_s
 
     def _fill(self, now_s: float) -> None:
         passed_s = max(0.0, now_s - self._filled_at_s)
--- a/src/celerytrack/limits/messages.py
+++ b/src/celerytrack/limits/messages.py
@@ -15,6 +15,7 @@
 RETURN_KIND = "unlease"
 NEWS_KIND = "limits"
 HANDOVER_KIND = "limit-owner"
+REJECTION_KIND = "rejected"
 CHECK_KIND = "check"
 CHECK_REPLY_KIND = "checked"
 
@@ -87,6 +88,14 @@
     tokens: float
 
 
+@attrs.frozen
+class Rejection:
+    """A brittle endpoint turned a request of the sender away."""
+
+    sender: str
+    endpoint_id: EndpointId
+
+
 @attrs.frozen
 class PeerCheck:
     """The sender asks whether the receiver hears it."""
@@ -107,6 +116,7 @@
     | LeaseReturn
     | LimitNews
     | OwnerHandover
+    | Rejection
     | PeerCheck
     | PeerReply
 )
@@ -141,20 +151,24 @@
             return (NEWS_KIND, sender, [_report_fields(r) for r in reports])
         case OwnerHandover(report, tokens):
             return (HANDOVER_KIND, _report_fields(report), tokens)
+        case Rejection(sender, endpoint_id):
+            return (REJECTION_KIND, sender, endpoint_id)
         case PeerCheck(sender):
             return (CHECK_KIND, sender)
         case PeerReply(sender):
             return (CHECK_REPLY_KIND, sender)
 
 
-def _report_fields(report: LimitReport) -> tuple[str, int, float, float, float]:
-    return (
+def _report_fields(report: LimitReport) -> tuple[Any, ...]:
+    fields = (
         report.endpoint_id,
         report.born_ms,
         report.limit_per_s,
         report.named_age_s,
         report.absent_age_s,
     )
+    # Earlier releases read five fields, and know no brittle endpoints.
+    return fields if report.bears_per_s is None else (*fields, report.bears_per_s)
 
 
 _KINDS = (
@@ -163,6 +177,7 @@
     RETURN_KIND,
     NEWS_KIND,
     HANDOVER_KIND,
+    REJECTION_KIND,
     CHECK_KIND,
     CHECK_REPLY_KIND,
 )
@@ -211,6 +226,9 @@
             return OwnerHandover(
                 _report(report), decode_number(tokens, MAX_LIMIT_PER_S, "tokens")
             )
+        case ["rejected", str(sender), str(endpoint_id)]:
+            name = EndpointId(decode_text(endpoint_id))
+            return Rejection(decode_text(sender), name)
         case ["check", str(sender)]:
             return PeerCheck(decode_text(sender))
         case ["checked", str(sender)]:
@@ -228,6 +246,9 @@
                 decode_number(named_age_s, math.inf, "age"),
                 decode_number(absent_age_s, math.inf, "age"),
             )
+        case [*fields, bears_per_s] if len(fields) == 5:
+            bears = decode_number(bears_per_s, MAX_LIMIT_PER_S, "rejections")
+            return attrs.evolve(_report(fields), bears_per_s=bears)
     raise LimitMessageError(f"not a report of a limit: {str(fields)[:100]}")
 
 
--- a/src/celerytrack/limits/sync.py
+++ b/src/celerytrack/limits/sync.py
@@ -28,8 +28,14 @@
     OwnerHandover,
     PeerCheck,
     PeerReply,
+    Rejection,
+)
+from celerytrack.limits.tracker import (
+    UNLIMITED_PER_S,
+    LimitChange,
+    LimitReport,
+    LimitTracker,
 )
-from celerytrack.limits.tracker import LimitChange, LimitReport, LimitTracker
 from celerytrack.notices.owners import EndpointOwners, Peer
 
 _log = logging.getLogger(__name__)
@@ -86,20 +92,28 @@
         limit_per_s: float | None,
         sent_at_s: float,
         now_s: float,
+        bears_per_s: float | None = None,
+        rejected: bool = False,
     ) -> None:
         """Record what the answer of an endpoint says.
 
         :param limit_per_s: the limit that it names; ``None`` if it names none.
         :param sent_at_s: when its request was sent.
+        :param bears_per_s: rejections a second that it bears, if it is brittle.
+        :param rejected: whether it turned the request away.
         """
+        if bears_per_s is not None and limit_per_s is None:
+            limit_per_s = UNLIMITED_PER_S
         if limit_per_s is None:
             change = self.tracker.record_absent(endpoint_id, born_ms, sent_at_s)
         else:
             change = self.tracker.record_named(
-                endpoint_id, born_ms, limit_per_s, sent_at_s, now_s
+                endpoint_id, born_ms, limit_per_s, sent_at_s, now_s, bears_per_s
             )
         if change is not None:
             self._on_change(change, _FROM_ANSWER, now_s)
+        if rejected and self.tracker.bears_per_s(endpoint_id) is not None:
+            self._report_rejection(endpoint_id)
 
     def forget(self, endpoint_id: EndpointId) -> None:
         """Forget an endpoint whose incarnation is gone."""
@@ -127,6 +141,7 @@
             self.grants.update_owners(now_s)
         joined = joined or []
         if self.tracker:
+            self.grants.expire(now_s)
             for change in self.tracker.expire(now_s):
                 self._on_change(change, "unconfirmed", now_s)
             self._repeat_begun(joined, now_s)
@@ -150,6 +165,8 @@
                 self.grants.on_return(message, now_s)
             case LimitNews():
                 self._on_news(message, now_s)
+            case Rejection(_, endpoint_id):
+                self.grants.on_rejection(endpoint_id, now_s)
             case PeerCheck(sender):
                 self._send(sender, PeerReply(self._address))
             case PeerReply(sender):
@@ -158,6 +175,12 @@
                 self._merge(message.report, "handover", now_s)
                 self.grants.on_handover(message, now_s)
 
+    def _report_rejection(self, endpoint_id: EndpointId) -> None:
+        """Tell those that grant leases for a brittle endpoint that it has no room."""
+        for entry in self.owners.ranking(endpoint_id)[:2]:
+            message = Rejection(self._address, endpoint_id)
+            self._deliver(self.owners.address_of(entry), message)
+
     def _check_isolation(self, now_s: float) -> None:
         if self.owners.end_check(now_s):
             log_event(
@@ -263,8 +286,12 @@
         _log,
         event,
         endpoint=change.endpoint_id,
-        limit_per_s=change.new_per_s,
-        old_per_s=change.old_per_s,
+        limit_per_s=_shown(change.new_per_s),
+        old_per_s=_shown(change.old_per_s),
         source=source,
         owner=owner,
     )
+
+
+def _shown(limit_per_s: float | None) -> float | None:
+    return None if limit_per_s == UNLIMITED_PER_S else limit_per_s
--- a/src/celerytrack/limits/tracker.py
+++ b/src/celerytrack/limits/tracker.py
@@ -1,7 +1,8 @@
 """Rate limits that endpoints name in their answers, as one entry knows them.
 
 An endpoint in need names the requests a second that it takes from all entries
-together, in each answer for as long as the limit holds. Without I/O.
+together, in each answer for as long as the limit holds. A brittle one names the
+rejections a second that it bears. Without I/O.
 
 Answers overtake each other. An answer was made after its request was sent and before
 it arrived here. A limit has therefore ended only if an answer without one belongs to a
@@ -15,6 +16,9 @@
 
 from celerytrack.ids import EndpointId
 
+UNLIMITED_PER_S = 1e9
+"""Limit of an endpoint that names none, but says that it is brittle: its requests need
+leases as well."""
 MAX_KNOWN_LIMITS = 4_096
 """Most endpoints whose limit is kept, to bound memory."""
 MAX_UNCONFIRMED_S = 60.0
@@ -36,6 +40,7 @@
     :ivar named_age_s: time since an answer last named a limit.
     :ivar absent_age_s: time since the newest request was sent whose answer named none;
         infinite if there was no such answer.
+    :ivar bears_per_s: rejections a second that it bears, if it is brittle.
     """
 
     endpoint_id: EndpointId
@@ -43,6 +48,7 @@
     limit_per_s: float
     named_age_s: float
     absent_age_s: float = math.inf
+    bears_per_s: float | None = None
 
     @property
     def is_limited(self) -> bool:
@@ -82,17 +88,25 @@
     named_at_s: float
     confirmed_at_s: float
     absent_at_s: float = -math.inf
+    bears_per_s: float | None = None
 
     @property
     def now_per_s(self) -> float | None:
         return self.limit_per_s if self.named_at_s > self.absent_at_s else None
 
-    def name(self, limit_per_s: float, sent_at_s: float, arrived_at_s: float) -> None:
+    def name(
+        self,
+        limit_per_s: float,
+        sent_at_s: float,
+        arrived_at_s: float,
+        bears_per_s: float | None,
+    ) -> None:
         # Of two answers in doubtful order, the lower limit counts.
         is_lower = limit_per_s <= self.limit_per_s
         if (arrived_at_s if is_lower else sent_at_s) >= self.confirmed_at_s:
             self.limit_per_s = limit_per_s
             self.confirmed_at_s = arrived_at_s
+            self.bears_per_s = bears_per_s
         self.named_at_s = max(self.named_at_s, arrived_at_s)
 
 
@@ -113,6 +127,14 @@
         known = self._known.get(endpoint_id)
         return known.now_per_s if known else None
 
+    def bears_per_s(self, endpoint_id: EndpointId) -> float | None:
+        """Rejections a second that a brittle endpoint bears; ``None`` if it is not
+        brittle."""
+        known = self._known.get(endpoint_id)
+        if known is None or known.now_per_s is None:
+            return None
+        return known.bears_per_s
+
     def limited(self) -> dict[EndpointId, float]:
         """The endpoints that have a limit now."""
         limits = ((i, known.now_per_s) for i, known in self._known.items())
@@ -125,10 +147,13 @@
         limit_per_s: float,
         sent_at_s: float,
         arrived_at_s: float,
+        bears_per_s: float | None = None,
     ) -> LimitChange | None:
         """Record an answer that named a limit.
 
+        :param limit_per_s: :data:`UNLIMITED_PER_S` if it only said that it is brittle.
         :param sent_at_s: when its request was sent.
+        :param bears_per_s: rejections a second that it bears, if it is brittle.
         """
         old_per_s = self.limit_per_s(endpoint_id)
         known = self._known.get(endpoint_id)
@@ -138,10 +163,14 @@
             if len(self._known) >= MAX_KNOWN_LIMITS:
                 return None
             self._known[endpoint_id] = _KnownLimit(
-                born_ms, limit_per_s, arrived_at_s, arrived_at_s
+                born_ms,
+                limit_per_s,
+                arrived_at_s,
+                arrived_at_s,
+                bears_per_s=bears_per_s,
             )
         elif arrived_at_s > known.absent_at_s:
-            known.name(limit_per_s, sent_at_s, arrived_at_s)
+            known.name(limit_per_s, sent_at_s, arrived_at_s, bears_per_s)
         return self._change(endpoint_id, old_per_s)
 
     def record_absent(
@@ -165,7 +194,12 @@
         old_per_s = self.limit_per_s(endpoint_id)
         if report.is_limited or endpoint_id in self._known:
             self.record_named(
-                endpoint_id, born_ms, report.limit_per_s, named_at_s, named_at_s
+                endpoint_id,
+                born_ms,
+                report.limit_per_s,
+                named_at_s,
+                named_at_s,
+                report.bears_per_s,
             )
         if math.isfinite(report.absent_age_s):
             absent_at_s = now_s - report.absent_age_s - REPORT_SLACK_S
@@ -183,6 +217,7 @@
             known.limit_per_s,
             max(0.0, now_s - known.named_at_s),
             max(0.0, now_s - known.absent_at_s),
+            known.bears_per_s,
         )
 
     def forget(self, endpoint_id: EndpointId) -> None:
--- a/src/celerytrack/notices/answer.py
+++ b/src/celerytrack/notices/answer.py
@@ -10,6 +10,8 @@
 
     LIMIT = "limit"
     """The requests a second that it takes from all entries together."""
+    BRITTLE = "brittle"
+    """The rejections a second after which it falls over."""
     LEAVING = "leaving"
     """It takes no new requests any more, and will end."""
     BACKOFF = "backoff"
@@ -29,6 +31,8 @@
     """What the head of an answer says of its endpoint.
 
     :ivar limit_per_s: the rate limit that it names; ``None`` if it names none.
+    :ivar bears_per_s: the rejections a second that it bears; ``None`` if it does not
+        say that it is brittle.
     :ivar leaving: whether it says that it leaves.
     :ivar backoff_s: for how long it wants no requests; ``None`` if it does not say.
     :ivar unreadable: what it says besides.
@@ -38,11 +42,13 @@
     leaving: bool = False
     backoff_s: float | None = None
     unreadable: tuple[UnreadableNotice, ...] = ()
+    bears_per_s: float | None = None
 
     @property
     def is_limit_known(self) -> bool:
         """Whether the answer tells if there is a limit."""
-        return all(item.kind is not NoticeKind.LIMIT for item in self.unreadable)
+        kinds = {item.kind for item in self.unreadable}
+        return not kinds & {NoticeKind.LIMIT, NoticeKind.BRITTLE}
 
 
 NO_NOTICES = AnswerNotices()
--- a/src/celerytrack/notices/sync.py
+++ b/src/celerytrack/notices/sync.py
@@ -70,12 +70,14 @@
         request_id: RequestId,
         succeeded: bool,
         now_s: float,
+        rejected: bool = False,
     ) -> None:
         """Record what the endpoint's answer to a request says.
 
         :param sent_at_s: when the request was sent.
         :param succeeded: whether the endpoint ran the request; only then does it tell
             by its silence that a limit ended.
+        :param rejected: whether it turned the request away.
         """
         for unreadable in notices.unreadable:
             _log_unreadable(endpoint_id, unreadable, request_id)
@@ -89,11 +91,16 @@
             self.state.returns.record_answer(endpoint_id, sent_at_s, succeeded)
         if self._is_past_last_resort(endpoint_id, born_ms, now_s):
             return
-        if notices.limit_per_s is not None or (
-            self.limits.tracker and succeeded and notices.is_limit_known
-        ):
+        names_any = notices.limit_per_s is not None or notices.bears_per_s is not None
+        if names_any or (self.limits.tracker and succeeded and notices.is_limit_known):
             self.limits.record_answer(
-                endpoint_id, born_ms, notices.limit_per_s, sent_at_s, now_s
+                endpoint_id,
+                born_ms,
+                notices.limit_per_s,
+                sent_at_s,
+                now_s,
+                notices.bears_per_s,
+                rejected,
             )
 
     def forget(self, endpoint_id: EndpointId) -> None:
@@ -208,7 +215,7 @@
 def _log_unreadable(
     endpoint_id: EndpointId, unreadable: UnreadableNotice, request_id: RequestId
 ) -> None:
-    is_limit = unreadable.kind is NoticeKind.LIMIT
+    is_limit = unreadable.kind in (NoticeKind.LIMIT, NoticeKind.BRITTLE)
     log_event(
         _log,
         Event.LIMIT_UNREADABLE if is_limit else Event.NOTICE_UNREADABLE,
--- a/src/celerytrack/platform/notices.py
+++ b/src/celerytrack/platform/notices.py
@@ -15,7 +15,9 @@
 )
 
 _LIMIT = "Server-Limit"
+_BRITTLE = "Server-Brittle"
 _LEAVING = "Server-Leaving"
+_SAID = (_LIMIT, _BRITTLE, _LEAVING)
 _RETRY_AFTER = "Retry-After"
 _DATE = "Date"
 _BACKOFF_STATUS = 503
@@ -41,15 +43,19 @@
     :param now_unix_s: the time of day, for a time that the answer gives as a date.
     """
     asks_backoff = status == _BACKOFF_STATUS and _RETRY_AFTER in headers
-    if not asks_backoff and _LIMIT not in headers and _LEAVING not in headers:
+    if not asks_backoff and not any(name in headers for name in _SAID):
         return NO_NOTICES
     unreadable: list[UnreadableNotice] = []
-    limit_per_s = backoff_s = None
+    limit_per_s = bears_per_s = backoff_s = None
     leaving = False
     try:
-        limit_per_s = _limit_per_s(headers.getall(_LIMIT, ()))
+        limit_per_s = _rate_per_s(headers.getall(_LIMIT, ()))
     except NoticeError as exc:
         unreadable.append(UnreadableNotice(NoticeKind.LIMIT, str(exc)))
+    try:
+        bears_per_s = _rate_per_s(headers.getall(_BRITTLE, ()))
+    except NoticeError as exc:
+        unreadable.append(UnreadableNotice(NoticeKind.BRITTLE, str(exc)))
     try:
         leaving = _is_leaving(headers.getall(_LEAVING, ()))
     except NoticeError as exc:
@@ -61,16 +67,23 @@
             backoff_s = _backoff_s(headers.getall(_RETRY_AFTER), from_unix_s)
         except NoticeError as exc:
             unreadable.append(UnreadableNotice(NoticeKind.BACKOFF, str(exc)))
-    return AnswerNotices(limit_per_s, leaving, backoff_s, tuple(unreadable))
+    return AnswerNotices(
+        limit_per_s, leaving, backoff_s, tuple(unreadable), bears_per_s
+    )
 
 
 def notice_headers(
-    limit: str | None = None, leaving: bool = False, backoff: str | None = None
+    limit: str | None = None,
+    leaving: bool = False,
+    backoff: str | None = None,
+    brittle: str | None = None,
 ) -> dict[str, str]:
     """The headers by which an endpoint says something of itself."""
     headers = {}
     if limit is not None:
         headers[_LIMIT] = limit
+    if brittle is not None:
+        headers[_BRITTLE] = brittle
     if leaving:
         headers[_LEAVING] = "1"
     if backoff is not None:
@@ -79,7 +92,7 @@
 
 
 def decode_limit(text: str) -> float:
-    """Decode a rate limit, in requests a second.
+    """Decode a rate limit, in requests or rejections a second.
 
     :raises NoticeError: if it is not a decimal number.
     """
@@ -89,7 +102,7 @@
     return float(text)
 
 
-def _limit_per_s(values: Iterable[str]) -> float | None:
+def _rate_per_s(values: Iterable[str]) -> float | None:
     different = list(dict.fromkeys(values))
     # Two different values are unreadable: together they match no number.
     return decode_limit(",".join(different)) if different else None
