Sockets: a silence of a second does not end a stream

What callers would see: a stream to a sound endpoint that says nothing for a second or so breaks off. Cause, by the rule that TCP_USER_TIMEOUT also decides when keep-alive probes give up: probes each second with a limit of 1.5 s gave up at the second one, 1.01 s after the silence could have begun; the count of probes has no say. With two seconds between probes the shortest silence that ends an idle connection is 2 s. A request whose bytes meet a silence is sent again 1.4 s later, within the limit, as before; a longer limit would notice an endpoint without power too late for callers, who leave after 2 s.

--- a/src/celerytrack/http_session.py
+++ b/src/celerytrack/http_session.py
@@ -9,7 +9,12 @@
 ACK_TIMEOUT_MS = 1_500
 """A connection whose bytes are not acknowledged for this long is closed. Without this
 limit, a call on a connection whose network path is lost hangs until its timeout."""
-KEEPALIVE_INTERVAL_S = 1
+KEEPALIVE_IDLE_S = 1
+"""Time without traffic after which a connection is probed."""
+KEEPALIVE_INTERVAL_S = 2
+"""Interval of the probes. The kernel gives up at the first one that is due later than
+:data:`ACK_TIMEOUT_MS` after the last sign of the peer, whatever their number: with one
+second, a sound peer that is silent for a second would lose its connections."""
 _KEEPALIVE_PROBES = 2
 
 
@@ -95,7 +100,7 @@
     sock.setblocking(False)
     for option, value in (
         (socket.TCP_USER_TIMEOUT, ACK_TIMEOUT_MS),
-        (socket.TCP_KEEPIDLE, KEEPALIVE_INTERVAL_S),
+        (socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S),
         (socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S),
         (socket.TCP_KEEPCNT, _KEEPALIVE_PROBES),
     ):
