--- a/src/celerytrack/reachability/monitor.py
+++ b/src/celerytrack/reachability/monitor.py
@@ -8,7 +8,7 @@
 import logging
 import random
 import time
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Awaitable, Callable, Iterable, Sequence
 
 import attrs
 
@@ -56,6 +56,7 @@
     :ivar tell: sends news of this entry's links to the other entries.
     :ivar on_down: called when the links to a service turn out to be down, with the
         time at which they came into doubt.
+    :ivar check: whether any of several endpoints can be reached.
     """
 
     entry_id: EntryId
@@ -64,6 +65,7 @@
     owed: Callable[[], Iterable[OwedAnswer]]
     tell: Callable[[LinkNews], None]
     on_down: Callable[[ServiceName, float], None]
+    check: Callable[[Sequence[CheckTarget]], Awaitable[bool]] = is_any_reached
 
 
 class ReachMonitor:
@@ -173,7 +175,7 @@
             if before is LinkState.DOWN:
                 targets = targets[:1]
             began_s = time.monotonic()
-            reached = not targets or await is_any_reached(targets)
+            reached = not targets or await self._entry.check(targets)
             now_s = time.monotonic()
             if reached:
                 self.evidence.record_connected(service)
