--- a/src/celerytrack/cli/load.py
+++ b/src/celerytrack/cli/load.py
@@ -14,7 +14,13 @@
 
 from celerytrack.load.checker import audit
 from celerytrack.load.mix import MIXES
-from celerytrack.load.notices import Said, check_limits, check_notices, say
+from celerytrack.load.notices import (
+    Said,
+    check_brittle,
+    check_limits,
+    check_notices,
+    say,
+)
 from celerytrack.load.report import summarise, table
 from celerytrack.load.runner import Plan, run_plan
 from celerytrack.settings import Config, FleetSettings, SettingsError, load_json
@@ -38,6 +44,8 @@
         option("leaving", None, "Ids of replicas that say they leave.", flag=False),
         option("backoff", None, "Backoff that all replicas ask for.", flag=False),
         option("rejects", None, "Share of requests rejected.", flag=False, default="0"),
+        option("brittle", None, "Rejections that all replicas bear.", flag=False),
+        option("room", None, "Requests that plain services take.", flag=False),
         option("json", None, "Print JSON."),
     ]
 
@@ -71,12 +79,13 @@
             results = await run_plan(plan, MIXES[fleet.deployment], entries, keys)
             checks = await check_limits(fleet)
             notices = await check_notices(fleet)
+            brittle = await check_brittle(fleet)
             if said != Said() or leaving:
                 await say(fleet, Said())
             await asyncio.sleep(fleet.tuning.ledger_flush_s * 5)
             found = await audit(fleet, non_idempotent)
             targets = {c.name: c.ttft_target_s for c in config.classes}
-            return summarise(results, found, targets, checks, notices)
+            return summarise(results, found, targets, checks, notices, brittle)
 
         summary = asyncio.run(go())
         self.line(json.dumps(summary) if self.option("json") else table(summary))
@@ -85,10 +94,13 @@
     def _said(self) -> Said:
         """What all replicas are to say of themselves."""
         limit, backoff = self.option("limit"), self.option("backoff")
+        brittle, room = self.option("brittle"), self.option("room")
         return Said(
             limit_per_s=None if limit is None else float(limit),
             backoff_s=None if backoff is None else float(backoff),
             rejects_share=float(self.option("rejects")),
+            bears_per_s=None if brittle is None else float(brittle),
+            room=None if room is None else int(room),
         )
 
 
--- a/src/celerytrack/limits/learned.py
+++ b/src/celerytrack/limits/learned.py
@@ -13,6 +13,7 @@
 import attrs
 
 from celerytrack.ids import EndpointId
+from celerytrack.limits.tracker import UNLIMITED_PER_S
 
 MEASURE_S = 1.0
 """Time over which leases are counted, for the rate that led to a rejection."""
@@ -20,8 +21,13 @@
 MIN_DECREASE_INTERVAL_S = 0.3
 """Rejections that follow sooner belong to requests sent at the old rate."""
 INCREASE_SHARE_PER_S = 0.06
+MAX_INCREASE_SHARE_PER_S = 0.5
 MIN_INCREASE_PER_S2 = 0.1
 """Growth of the rate in a second, as a share of it and at least."""
+QUIET_S = 2.0
+"""Time without a rejection after which the share doubles with each second: a rate
+learned from few requests may be far too low."""
+MIN_MEASURE_S = 0.2
 MIN_RATE_PER_S = 0.5
 TOLERATED_SHARE = 0.3
 """Share of the rejections it bears up to which the rate is not lowered: a few of them
@@ -30,6 +36,7 @@
 """Share of the rejections it bears that is kept for requests on their way."""
 REJECTIONS_S = 1.0
 """Time over which an endpoint counts its rejections."""
+_MAX_DOUBLINGS = 8.0
 KEPT_S = 60.0
 """How long a learned rate is kept for an endpoint that has fallen over, or that says
 no more that it is brittle."""
@@ -78,8 +85,11 @@
         if self.rate_per_s is None:
             return None
         passed_s = max(0.0, now_s - self._changed_at_s)
-        growth = max(INCREASE_SHARE_PER_S * self.rate_per_s, MIN_INCREASE_PER_S2)
-        self.rate_per_s += growth * passed_s
+        rejected_at_s = self._rejected_at_s[-1] if self._rejected_at_s else now_s
+        doublings = min(max(0.0, now_s - rejected_at_s - QUIET_S), _MAX_DOUBLINGS)
+        share = min(INCREASE_SHARE_PER_S * 2.0**doublings, MAX_INCREASE_SHARE_PER_S)
+        growth = max(share * self.rate_per_s, MIN_INCREASE_PER_S2)
+        self.rate_per_s = min(self.rate_per_s + growth * passed_s, UNLIMITED_PER_S)
         self._changed_at_s = now_s
         return self.rate_per_s
 
@@ -90,7 +100,9 @@
 
     def _rate_before(self, now_s: float) -> float:
         recent = sum(at_s > now_s - MEASURE_S for at_s in self._granted_at_s)
-        measured_per_s = max(recent / MEASURE_S, MIN_RATE_PER_S)
+        known_s = now_s - self._granted_at_s[0] if self._granted_at_s else 0.0
+        over_s = min(max(known_s, MIN_MEASURE_S), MEASURE_S)
+        measured_per_s = max(recent / over_s, MIN_RATE_PER_S)
         if self.rate_per_s is None:
             return measured_per_s
         # Leases that were not asked for say nothing of what the endpoint bears.
--- a/src/celerytrack/load/caller.py
+++ b/src/celerytrack/load/caller.py
@@ -31,6 +31,8 @@
     :ivar ttft_s: time to the first token, or to the whole answer of a service.
     :ivar gaps_s: times between tokens.
     :ivar key: its idempotency key.
+    :ivar first_entry: address of the entry of the first try.
+    :ivar first_served: whether the first try was served.
     """
 
     work_class: str
@@ -43,6 +45,8 @@
     verdict: str = ""
     retry_after_s: float | None = None
     key: str = ""
+    first_entry: str = ""
+    first_served: bool = False
 
 
 @attrs.define
@@ -92,6 +96,7 @@
         key = key or uuid.uuid4().hex
         last = Result(work_class, account, Outcome.FAILED, reason="no entry")
         may_have_run = False
+        first: tuple[str, bool] | None = None
         for attempt in range(3):
             entries = await self._route(account, refresh=attempt > 0)
             for address in entries:
@@ -107,7 +112,9 @@
                         work_class, account, Outcome.FAILED, reason="connection"
                     )
                     may_have_run = True
+                    first = first or (address, False)
                     continue
+                first = first or (address, last.outcome == Outcome.DONE)
                 if may_have_run and last.outcome == Outcome.REFUSED:
                     # This entry ran nothing, but the entry whose connection failed
                     # may have run the request.
@@ -117,10 +124,8 @@
                     continue
                 if last.outcome == Outcome.FAILED:
                     continue
-                last.key = key
-                return last
-        last.key = key
-        return last
+                return _completed(last, key, first)
+        return _completed(last, key, first)
 
     def _headers(self, account: str, key: str) -> dict[str, str]:
         return {"Authorization": f"Bearer {self.keys[account]}", "Idempotency-Key": key}
@@ -202,6 +207,13 @@
             return result
 
 
+def _completed(result: Result, key: str, first: tuple[str, bool] | None) -> Result:
+    result.key = key
+    if first is not None:
+        result.first_entry, result.first_served = first
+    return result
+
+
 def _refused(work_class: str, account: str, error: dict[str, Any]) -> Result:
     return Result(
         work_class,
--- a/src/celerytrack/load/notices.py
+++ b/src/celerytrack/load/notices.py
@@ -19,12 +19,34 @@
     :ivar leaving: whether they leave.
     :ivar backoff_s: backoff that rejections ask for; ``None`` for no rejections.
     :ivar rejects_share: share of the requests that are rejected.
+    :ivar bears_per_s: rejections a second that they bear; ``None`` if they are not
+        brittle.
+    :ivar room: requests that a brittle plain service takes at once.
     """
 
     limit_per_s: float | None = None
     leaving: bool = False
     backoff_s: float | None = None
     rejects_share: float = 0.0
+    bears_per_s: float | None = None
+    room: int | None = None
+
+
+@attrs.frozen
+class BrittleCheck:
+    """What a brittle replica had to turn away.
+
+    :ivar worst: most rejections in any second.
+    """
+
+    replica_id: str
+    bears_per_s: float
+    worst: int
+
+    @property
+    def is_kept(self) -> bool:
+        """Whether it bore them."""
+        return self.worst <= self.bears_per_s
 
 
 @attrs.frozen
@@ -86,6 +108,8 @@
         "says_leaving": said.leaving,
         "backoff_s": said.backoff_s,
         "rejects_share": said.rejects_share,
+        "bears_per_s": said.bears_per_s,
+        "room": said.room,
     }
     async with http.post(f"http://{spec.address}/_faults", json=knobs) as answer:
         answer.raise_for_status()
@@ -103,6 +127,17 @@
     return checks
 
 
+async def check_brittle(fleet: FleetSettings) -> list[BrittleCheck]:
+    """Read what the replicas that are brittle had to turn away."""
+    checks = []
+    for spec, stats in await _read_stats(fleet):
+        found = stats.get("brittle", {})
+        if found.get("bears_per_s") is not None:
+            check = BrittleCheck(spec.replica_id, found["bears_per_s"], found["worst"])
+            checks.append(check)
+    return checks
+
+
 async def check_notices(fleet: FleetSettings) -> list[NoticeCheck]:
     """Read what arrived at the replicas that leave or ask for backoffs."""
     checks = []
--- a/src/celerytrack/load/report.py
+++ b/src/celerytrack/load/report.py
@@ -11,7 +11,8 @@
 
 from celerytrack.load.caller import Outcome, Result
 from celerytrack.load.checker import Audit
-from celerytrack.load.notices import LimitCheck, NoticeCheck
+from celerytrack.load.entries import check_entries
+from celerytrack.load.notices import BrittleCheck, LimitCheck, NoticeCheck
 from celerytrack.slo import burn
 
 _MAX_US = 120_000_000
@@ -30,13 +31,16 @@
     targets_s: dict[str, float],
     limits: Sequence[LimitCheck] = (),
     notices: Sequence[NoticeCheck] = (),
+    brittle: Sequence[BrittleCheck] = (),
 ) -> dict[str, Any]:
     """Return the percentiles and counts of each class, and the audit's figures.
 
     :param targets_s: first-token targets by class.
     :param limits: what arrived at replicas that named a limit.
     :param notices: what arrived at replicas that left or asked for backoffs.
+    :param brittle: what brittle replicas had to turn away.
     """
+    entries = check_entries(results)
     by_class: dict[str, list[Result]] = defaultdict(list)
     for result in results:
         by_class[result.work_class].append(result)
@@ -80,6 +84,10 @@
         "limits_exceeded": sum(not check.is_kept for check in limits),
         "notices": [attrs.asdict(check) for check in notices],
         "notices_broken": sum(not check.is_kept for check in notices),
+        "brittle": [attrs.asdict(check) for check in brittle],
+        "brittle_exceeded": sum(not check.is_kept for check in brittle),
+        "entries": [attrs.asdict(check) for check in entries],
+        "entries_behind": sum(check.is_behind for check in entries),
     }
 
 
@@ -129,4 +137,12 @@
             f"{summary['notices_broken']}, late at leaving {late}, most of one entry "
             f"in a backoff {worst}"
         )
+    if summary["brittle"]:
+        worst = max(row["worst"] for row in summary["brittle"])
+        lines.append(
+            f"brittle replicas {len(summary['brittle'])}, most rejections in a second "
+            f"{worst}, beyond what they bear {summary['brittle_exceeded']}"
+        )
+    if summary["entries_behind"]:
+        lines.append(f"entries served far worse: {summary['entries_behind']}")
     return "\n".join(lines)
--- a/src/celerytrack/standins/notices.py
+++ b/src/celerytrack/standins/notices.py
@@ -9,6 +9,7 @@
 from aiohttp import web
 
 from celerytrack.platform.notices import notice_headers
+from celerytrack.standins.brittle import Brittleness
 from celerytrack.standins.limits import NamedLimit
 
 LEAVING_SETTLE_S = 2.0
@@ -39,8 +40,9 @@
 class SaidNotices:
     """Names limits, leaves and asks for backoffs, as the fault knobs say.
 
-    The knobs are those of :class:`NamedLimit`; ``says_leaving``; ``backoff_s``, which
-    the requests that are turned away ask for, and ``rejects_share``, how many are.
+    The knobs are those of :class:`NamedLimit` and :class:`Brittleness`;
+    ``says_leaving``; ``backoff_s``, which the requests that are turned away ask for,
+    and ``rejects_share``, how many are.
 
     :ivar born_ms: start of the stand-in, in Unix milliseconds.
     :ivar late: requests of entries that had been told long enough that it leaves.
@@ -50,6 +52,7 @@
     knobs: dict[str, Any]
     born_ms: int = attrs.field(factory=lambda: int(time.time() * 1_000))
     limit: NamedLimit = attrs.field(init=False)
+    brittleness: Brittleness = attrs.field(init=False)
     late: int = 0
     worst_backoff: int = 0
     _senders: dict[str, _Sender] = attrs.field(factory=lambda: defaultdict(_Sender))
@@ -57,16 +60,23 @@
 
     def __attrs_post_init__(self) -> None:
         self.limit = NamedLimit(self.knobs)
+        self.brittleness = Brittleness(self.knobs)
 
-    def reject_or_record(self, request: web.Request) -> web.Response | None:
+    def reject_or_record(
+        self, request: web.Request, running: int = 0
+    ) -> web.Response | None:
         """Record a request that arrived.
 
+        :param running: requests in progress.
         :returns: the answer that turns it away; ``None`` if it is to be run.
         """
         now_s = time.monotonic()
         sender = self._senders[request.headers.get(_SENDER, "")]
         self.limit.record_arrival()
         self._count(sender, now_s)
+        if self.brittleness.rejects(running, now_s):
+            headers = self._headers(sender, now_s, None)
+            return web.json_response({"error": "full"}, status=503, headers=headers)
         backoff_s = self.knobs.get("backoff_s")
         if backoff_s is None or self._rng.random() >= self.knobs["rejects_share"]:
             return None
@@ -84,6 +94,7 @@
         """What the load tool checks."""
         return {
             "limit": self.limit.stats(),
+            "brittle": self.brittleness.stats(),
             "notices": {
                 "says_leaving": bool(self.knobs.get("says_leaving")),
                 "late": self.late,
@@ -100,7 +111,8 @@
             sender.told_at_s = None
         elif sender.told_at_s is None:
             sender.told_at_s = now_s
-        return self.limit.headers() | notice_headers(leaving=leaving, backoff=backoff)
+        own = notice_headers(leaving=leaving, backoff=backoff)
+        return self.limit.headers() | self.brittleness.headers() | own
 
     def _count(self, sender: _Sender, now_s: float) -> None:
         told_at_s = sender.told_at_s
--- a/src/celerytrack/standins/service.py
+++ b/src/celerytrack/standins/service.py
@@ -23,6 +23,7 @@
     """The service's counters.
 
     :ivar knobs: what it says of itself (:mod:`celerytrack.standins.notices`).
+    :ivar notices: what it says of itself, and counts.
     :ivar runs: number of runs by operation and request id.
     :ivar marked: which request bodies crash the service.
     """
@@ -34,6 +35,10 @@
     knobs: dict[str, Any] = attrs.field(factory=dict)
     runs: dict[str, int] = attrs.field(factory=dict)
     running: int = 0
+    notices: SaidNotices = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self.notices = SaidNotices(self.knobs)
 
 
 def answer_for(request_id: str, operation: str) -> dict[str, Any]:
@@ -44,12 +49,12 @@
 
 def make_app(state: ServiceState) -> web.Application:
     """The plain service stand-in as an aiohttp application."""
-    notices = SaidNotices(state.knobs)
+    notices = state.notices
 
     async def call(request: web.Request) -> web.Response:
         if (refused := await apply_faults(state.faults, request)) is not None:
             return refused
-        if (rejected := notices.reject_or_record(request)) is not None:
+        if (rejected := notices.reject_or_record(request, state.running)) is not None:
             return rejected
         operation = request.match_info["operation"]
         request_id = request.headers.get("X-Request-Id", "")
--- a/tests/test_own_cut.py
+++ b/tests/test_own_cut.py
@@ -6,6 +6,8 @@
 
 from nose2.tools import params
 
+from celerytrack.load.caller import Outcome, Result
+from celerytrack.load.entries import check_entries
 from tests.link_cuts import LinkState
 from tests.own_cut_fleet import OwnCutFleet
 
@@ -38,3 +40,24 @@
         self.assertEqual(set(others), {200})
         self.assertGreaterEqual(cut.count(200), 0.95 * len(cut), cut)
         self.assertEqual(most_runs, 1)
+
+
+class LoadToolTest(unittest.TestCase):
+    @params(
+        ((40, 40), (40, 40), 0),
+        ((40, 0), (40, 40), 1),
+        ((40, 29), (40, 40), 0),
+        ((40, 20), (40, 24), 0),
+        ((10, 0), (40, 40), 0),
+    )
+    def test_it_tells_when_an_entry_serves_far_worse(
+        self, one: tuple[int, int], other: tuple[int, int], behind: int
+    ) -> None:
+        """Callers who tried again elsewhere hid what their first try met."""
+        results = [
+            Result("c", "a", Outcome.DONE, first_entry=name, first_served=n < served)
+            for name, (tries, served) in (("one", one), ("other", other))
+            for n in range(tries)
+        ]
+        checks = check_entries(results)
+        self.assertEqual(sum(check.is_behind for check in checks), behind)
