--- a/bench/core_slopes.py
+++ b/bench/core_slopes.py
@@ -18,8 +18,8 @@
 from celerytrack.ids import AccountId, EntryId, GrantId, ReplicaId, RequestId, Zone
 from celerytrack.ledger import Bill, Ledger
 from celerytrack.prompts import prompt_blocks
-from celerytrack.replica_load import Ask, ReplicaLoad
-from celerytrack.routing import make_chooser
+from celerytrack.routing.replica_load import Ask, ReplicaLoad
+from celerytrack.routing.replicas import make_chooser
 from celerytrack.settings import Config, structure
 
 
--- a/bench/rows_bench.py
+++ b/bench/rows_bench.py
@@ -10,7 +10,7 @@
 from collections.abc import Callable
 
 from celerytrack.ids import AccountId, EntryId, Zone
-from celerytrack.members import Member, MembershipView, MemberState
+from celerytrack.membership.members import Member, MembershipView, MemberState
 from celerytrack.platform.rows import decode_member, encode_member
 from celerytrack.prepaid import AccountClaim, PrepaidBudgets
 
--- a/src/celerytrack/__init__.py
+++ b/src/celerytrack/__init__.py
@@ -17,14 +17,20 @@
     Zone,
 )
 from celerytrack.ledger import AccountLedger, Bill, BillOutcome, Ledger, OpenGrant
-from celerytrack.replica_load import Ask, Attempt, Load, PrefixIndex, ReplicaLoad
-from celerytrack.retries import RetryBudget, backoff_s, may_retry
-from celerytrack.routing import (
+from celerytrack.routing.rendezvous import rendezvous
+from celerytrack.routing.replica_load import (
+    Ask,
+    Attempt,
+    Load,
+    PrefixIndex,
+    ReplicaLoad,
+)
+from celerytrack.routing.replicas import (
     Placement,
     make_chooser,
     predict_first_token_s,
-    rendezvous,
 )
+from celerytrack.routing.retries import RetryBudget, backoff_s, may_retry
 from celerytrack.settings import Config, FleetSettings, SettingsError, load_json
 from celerytrack.verdict import Reason, Refusal, Verdict, did_not_run, may_have_run
 
--- a/src/celerytrack/entry/admission.py
+++ b/src/celerytrack/entry/admission.py
@@ -19,8 +19,8 @@
 from celerytrack.escrow import GrantReservation, budget_refusal
 from celerytrack.fingerprint import Fingerprint
 from celerytrack.ids import ReplicaId, RequestId
-from celerytrack.replica_load import Ask, ReplicaLoad
-from celerytrack.routing import retry_after_s
+from celerytrack.routing.replica_load import Ask, ReplicaLoad
+from celerytrack.routing.replicas import retry_after_s
 from celerytrack.settings import Account, BackendKind, Config, WorkClass
 from celerytrack.suspects import SuspectState
 from celerytrack.verdict import Reason, Refusal, did_not_run, may_have_run
--- a/src/celerytrack/entry/app.py
+++ b/src/celerytrack/entry/app.py
@@ -27,7 +27,7 @@
 from celerytrack.entry.service_calls import service_call
 from celerytrack.entry.state import EntryState
 from celerytrack.ids import EntryId
-from celerytrack.routing import rendezvous
+from celerytrack.routing.rendezvous import rendezvous
 
 ENTRIES_PER_ACCOUNT = 2
 """Entries in the answer of ``/v1/route``: the preferred one and one for failover."""
--- a/src/celerytrack/entry/calls.py
+++ b/src/celerytrack/entry/calls.py
@@ -9,7 +9,7 @@
 from celerytrack.entry.state import EntryState
 from celerytrack.http_session import WithheldError
 from celerytrack.ids import RequestId, ServiceName
-from celerytrack.replica_load import ReplicaLoad
+from celerytrack.routing.replica_load import ReplicaLoad
 from celerytrack.verdict import Reason, Refusal, did_not_run, may_have_run
 
 CONNECT_ERRORS = (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError)
--- a/src/celerytrack/entry/chat.py
+++ b/src/celerytrack/entry/chat.py
@@ -23,7 +23,7 @@
 from celerytrack.escrow import GrantReservation
 from celerytrack.events import Event, log_event
 from celerytrack.prompts import count_tokens, prompt_blocks, prompt_text
-from celerytrack.replica_load import Ask, Attempt
+from celerytrack.routing.replica_load import Ask, Attempt
 from celerytrack.settings import BackendKind
 from celerytrack.sse import DONE_EVENT, AnswerRelay, event_bytes
 from celerytrack.verdict import Reason, Refusal, did_not_run, may_have_run
--- a/src/celerytrack/entry/fleet_view.py
+++ b/src/celerytrack/entry/fleet_view.py
@@ -19,7 +19,7 @@
 from celerytrack.events import Event, log_event
 from celerytrack.http_session import make_http_session
 from celerytrack.ids import EntryId, ReplicaId, Zone
-from celerytrack.replica_load import Load, ReplicaLoad
+from celerytrack.routing.replica_load import Load, ReplicaLoad
 
 _log = logging.getLogger(__name__)
 
--- a/src/celerytrack/entry/notices.py
+++ b/src/celerytrack/entry/notices.py
@@ -43,7 +43,7 @@
     is_link_news,
     link_news_of,
 )
-from celerytrack.replica_load import ReplicaLoad
+from celerytrack.routing.replica_load import ReplicaLoad
 from celerytrack.verdict import Reason, Refusal, did_not_run
 
 _log = logging.getLogger(__name__)
--- a/src/celerytrack/entry/peers.py
+++ b/src/celerytrack/entry/peers.py
@@ -20,7 +20,7 @@
 from celerytrack.findings import Findings
 from celerytrack.ids import EntryId, ReplicaId
 from celerytrack.platform.suspect_records import decode_findings, encode_findings
-from celerytrack.replica_load import Load
+from celerytrack.routing.replica_load import Load
 
 _log = logging.getLogger(__name__)
 
--- a/src/celerytrack/entry/relay.py
+++ b/src/celerytrack/entry/relay.py
@@ -30,7 +30,7 @@
 from celerytrack.ids import EntryId, ReplicaId, ServiceName
 from celerytrack.reachability.helpers import REFUSED_S, UNREACHABLE_S, Helper
 from celerytrack.reachability.relayed import RelayOutcome, decode_outcome
-from celerytrack.replica_load import Ask, Attempt, ReplicaLoad
+from celerytrack.routing.replica_load import Ask, Attempt, ReplicaLoad
 from celerytrack.strict import UnreadableError
 from celerytrack.verdict import Reason, Refusal, did_not_run
 
--- a/src/celerytrack/entry/relay_server.py
+++ b/src/celerytrack/entry/relay_server.py
@@ -39,7 +39,7 @@
     RelayOutcome,
     encode_outcome,
 )
-from celerytrack.replica_load import Ask, Attempt
+from celerytrack.routing.replica_load import Ask, Attempt
 from celerytrack.settings import BackendKind
 from celerytrack.strict import UnreadableError
 from celerytrack.verdict import Reason, Refusal, Verdict, did_not_run
--- a/src/celerytrack/entry/service_calls.py
+++ b/src/celerytrack/entry/service_calls.py
@@ -25,7 +25,7 @@
     try_replicas,
 )
 from celerytrack.events import Event, log_event
-from celerytrack.replica_load import Ask
+from celerytrack.routing.replica_load import Ask
 from celerytrack.settings import BackendKind
 from celerytrack.verdict import Reason, Refusal, Verdict, did_not_run, may_have_run
 
--- a/src/celerytrack/entry/state.py
+++ b/src/celerytrack/entry/state.py
@@ -34,9 +34,10 @@
 from celerytrack.reachability.helpers import Helper, HelperChoice
 from celerytrack.reachability.messages import LinkNews
 from celerytrack.reachability.monitor import EntryLinks, ReachMonitor
-from celerytrack.replica_load import Load, ReplicaLoad
-from celerytrack.retries import RetryBudget
-from celerytrack.routing import make_chooser, rendezvous
+from celerytrack.routing.rendezvous import rendezvous
+from celerytrack.routing.replica_load import Load, ReplicaLoad
+from celerytrack.routing.replicas import make_chooser
+from celerytrack.routing.retries import RetryBudget
 from celerytrack.settings import FleetSettings, GrantPolicy
 
 _log = logging.getLogger(__name__)
--- a/src/celerytrack/entry/upstream.py
+++ b/src/celerytrack/entry/upstream.py
@@ -29,9 +29,9 @@
 from celerytrack.entry.state import EntryState
 from celerytrack.events import Event, log_event
 from celerytrack.ids import ReplicaId, RequestId, ServiceName
-from celerytrack.replica_load import Ask, Attempt, ReplicaLoad
-from celerytrack.retries import backoff_s, may_retry
-from celerytrack.routing import Placement, predict_first_token_s
+from celerytrack.routing.replica_load import Ask, Attempt, ReplicaLoad
+from celerytrack.routing.replicas import Placement, predict_first_token_s
+from celerytrack.routing.retries import backoff_s, may_retry
 from celerytrack.settings import WorkClass
 from celerytrack.suspects import SuspectState
 from celerytrack.verdict import Reason, Refusal, Verdict, did_not_run, may_have_run
--- a/src/celerytrack/gateway/admission.py
+++ b/src/celerytrack/gateway/admission.py
@@ -11,7 +11,7 @@
 from celerytrack.ids import AccountId
 from celerytrack.platform.http import RequestError, decode_request
 from celerytrack.prepaid import Reservation
-from celerytrack.routes import RoutingTable, pick_service
+from celerytrack.routing.routes import RoutingTable, pick_service
 from celerytrack.verdict import Reason, Refusal, did_not_run
 
 DEFAULT_DEADLINE_S = 30.0
--- a/src/celerytrack/gateway/attempts.py
+++ b/src/celerytrack/gateway/attempts.py
@@ -8,7 +8,6 @@
 from aiohttp import web
 from returns.result import Failure, Result, Success
 
-from celerytrack.endpoint import Dispatch, Endpoint
 from celerytrack.gateway.connections import EndpointGoneError, IncarnationConnections
 from celerytrack.gateway.exchange import AttemptFailure, BufferedAnswer, Exchange
 from celerytrack.gateway.relay_format import answered_headers
@@ -24,7 +23,8 @@
     returned_headers,
 )
 from celerytrack.platform.notices import decode_notices
-from celerytrack.prefill import urgency
+from celerytrack.routing.endpoint import Dispatch, Endpoint
+from celerytrack.routing.prefill import urgency
 from celerytrack.verdict import Reason, Verdict
 
 CONNECT_ERRORS = (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError)
--- a/src/celerytrack/gateway/connections.py
+++ b/src/celerytrack/gateway/connections.py
@@ -11,10 +11,10 @@
 
 import aiohttp
 
-from celerytrack.endpoint import Endpoint
 from celerytrack.http_session import make_http_session
 from celerytrack.ids import EndpointId
 from celerytrack.process_end import CONNECT_TIMEOUT_S
+from celerytrack.routing.endpoint import Endpoint
 
 ENDPOINT_IDLE_S = 4.0
 """Idle time after which a connection to an endpoint is not reused. It is below the idle
--- a/src/celerytrack/gateway/crash_detector.py
+++ b/src/celerytrack/gateway/crash_detector.py
@@ -10,10 +10,10 @@
 
 import attrs
 
-from celerytrack.endpoint import Endpoint
 from celerytrack.fingerprint import Fingerprint
 from celerytrack.ids import EndpointId
 from celerytrack.process_end import has_ended
+from celerytrack.routing.endpoint import Endpoint
 
 RESTART_REPORT_S = 3.0
 """Time in which a process that restarts at once under the same id registers again."""
--- a/src/celerytrack/gateway/endpoint_queries.py
+++ b/src/celerytrack/gateway/endpoint_queries.py
@@ -11,11 +11,11 @@
 
 from aiohttp import web
 
-from celerytrack.endpoint import Endpoint
 from celerytrack.events import Event, log_event
 from celerytrack.gateway.peer_requests import ENDPOINT_REACHED_STATUS
 from celerytrack.ids import EndpointId
 from celerytrack.process_end import ConnectResult, probe_address
+from celerytrack.routing.endpoint import Endpoint
 
 if TYPE_CHECKING:
     from celerytrack.gateway.state import Gateway
--- a/src/celerytrack/gateway/exchange.py
+++ b/src/celerytrack/gateway/exchange.py
@@ -6,7 +6,6 @@
 from aiohttp import web
 from multidict import CIMultiDict
 
-from celerytrack.endpoint import Choice, Dispatch, RequestProfile
 from celerytrack.fingerprint import (
     Fingerprint,
     FingerprintPrefix,
@@ -17,7 +16,8 @@
 from celerytrack.ids import AccountId, EndpointId, EntryId, ServiceName
 from celerytrack.loop_time import loop_time
 from celerytrack.platform.http import RequestFacts
-from celerytrack.routes import Route
+from celerytrack.routing.endpoint import Choice, Dispatch, RequestProfile
+from celerytrack.routing.routes import Route
 from celerytrack.streams import EventSplitter
 from celerytrack.verdict import Reason, Verdict
 
--- a/src/celerytrack/gateway/last_row.py
+++ b/src/celerytrack/gateway/last_row.py
@@ -5,13 +5,13 @@
 
 from celerytrack.eras import Era
 from celerytrack.events import Event, log_event
-from celerytrack.members import Member, MembershipView
-from celerytrack.prepaid import PrepaidBudgets
-from celerytrack.row_age import (
+from celerytrack.membership.members import Member, MembershipView
+from celerytrack.membership.row_age import (
     age_after_power_loss_s,
     age_at_start_s,
     age_by_peer_clocks_s,
 )
+from celerytrack.prepaid import PrepaidBudgets
 
 _log = logging.getLogger(__name__)
 
--- a/src/celerytrack/gateway/openings.py
+++ b/src/celerytrack/gateway/openings.py
@@ -6,12 +6,12 @@
 
 import attrs
 
-from celerytrack.endpoint import Opening
 from celerytrack.gateway.admission import NO_ENDPOINT_RETRY_AFTER_S
 from celerytrack.gateway.exchange import AttemptFailure, Exchange
 from celerytrack.gateway.state import Gateway
 from celerytrack.ids import EndpointId
 from celerytrack.limits.placement import spread_retry_after_s
+from celerytrack.routing.endpoint import Opening
 from celerytrack.verdict import Reason
 
 RESUME_WAIT_S = 1.0
--- a/src/celerytrack/gateway/placement.py
+++ b/src/celerytrack/gateway/placement.py
@@ -5,7 +5,6 @@
 
 import attrs
 
-from celerytrack.endpoint import Choice, Endpoint
 from celerytrack.gateway.exchange import AttemptFailure, Exchange
 from celerytrack.gateway.openings import max_placement_wait_s
 from celerytrack.gateway.quarantine import choose_endpoint
@@ -18,6 +17,7 @@
     LeasePlacer,
     spread_retry_after_s,
 )
+from celerytrack.routing.endpoint import Choice, Endpoint
 from celerytrack.suspects import SuspectState
 from celerytrack.verdict import Reason, Verdict
 
@@ -37,7 +37,7 @@
     def give_back_unused(self, gateway: Gateway) -> None:
         """Return the lease if the request was not sent."""
         if self.lease is not None and not self.used:
-            gateway.limit_sync.asks.give_back(self.lease)
+            gateway.notices.limits.asks.give_back(self.lease)
 
 
 def no_endpoint(detail: str) -> AttemptFailure:
@@ -54,7 +54,7 @@
     sign of a fault."""
     if failure.reason is not Reason.NO_CAPACITY or failure.hard:
         return False
-    limit_per_s = gateway.limit_sync.tracker.limit_per_s(endpoint.endpoint_id)
+    limit_per_s = gateway.notices.limits.tracker.limit_per_s(endpoint.endpoint_id)
     return limit_per_s is not None or is_backing_off(gateway, endpoint)
 
 
@@ -74,7 +74,7 @@
     if gateway.notices.state:
         withheld = gateway.endpoints.withheld(exchange.service, now_s)
         exchange.withheld.update(withheld)
-    if gateway.limit_sync.tracker:
+    if gateway.notices.limits.tracker:
         return await _place_within_limits(gateway, exchange, suspect_state)
     chosen = choose_endpoint(gateway, exchange, suspect_state, now_s)
     return Placement(chosen) if chosen else no_endpoint("none has room")
@@ -91,7 +91,7 @@
         return Candidate(chosen.endpoint.endpoint_id, chosen) if chosen else None
 
     placer = LeasePlacer[Choice](
-        gateway.limit_sync,
+        gateway.notices.limits,
         exchange.priority,
         lambda choice: gateway.endpoints.is_available(
             choice.endpoint, time.monotonic()
@@ -117,7 +117,7 @@
     load_ratio = gateway.fleet_load_ratio(exchange.service, now_s)
     connections = gateway.max_connections(exchange.service)
     candidates = []
-    for endpoint_id in gateway.limit_sync.tracker.limited():
+    for endpoint_id in gateway.notices.limits.tracker.limited():
         if endpoint_id in exchange.tried:
             continue
         choice = gateway.endpoints.predict_at(
--- a/src/celerytrack/gateway/quarantine.py
+++ b/src/celerytrack/gateway/quarantine.py
@@ -8,13 +8,13 @@
 import time
 from collections.abc import Collection
 
-from celerytrack.endpoint import Choice, Endpoint
 from celerytrack.events import Event, log_event
 from celerytrack.findings import Probe
 from celerytrack.gateway.exchange import AttemptFailure, Exchange
 from celerytrack.gateway.state import Gateway
 from celerytrack.ids import EndpointId
 from celerytrack.process_end import CRASH_DETECTION_S
+from celerytrack.routing.endpoint import Choice, Endpoint
 from celerytrack.suspects import SuspectState
 from celerytrack.verdict import Reason, Refusal, Verdict, did_not_run
 
--- a/src/celerytrack/gateway/reservations.py
+++ b/src/celerytrack/gateway/reservations.py
@@ -13,7 +13,7 @@
 
 from celerytrack.gateway.peer_requests import PeerClient
 from celerytrack.ids import AccountId, EntryId
-from celerytrack.members import MembershipView
+from celerytrack.membership.members import MembershipView
 from celerytrack.prepaid import PrepaidBudgets, Reservation
 
 MAX_TOKEN_WAIT_S = 0.35
--- a/src/celerytrack/gateway/sending.py
+++ b/src/celerytrack/gateway/sending.py
@@ -5,7 +5,6 @@
 
 from returns.result import Failure, Success
 
-from celerytrack.endpoint import Endpoint
 from celerytrack.gateway.attempts import AttemptResult, attempt, withheld
 from celerytrack.gateway.exchange import AttemptFailure, Exchange
 from celerytrack.gateway.openings import refused_until_opening, wait_for_opening
@@ -28,6 +27,7 @@
 )
 from celerytrack.gateway.relay import links_down, relay
 from celerytrack.gateway.state import Gateway
+from celerytrack.routing.endpoint import Endpoint
 from celerytrack.suspects import SuspectState
 from celerytrack.verdict import Verdict
 
--- a/src/celerytrack/gateway/server.py
+++ b/src/celerytrack/gateway/server.py
@@ -23,7 +23,12 @@
 from celerytrack.gateway.tail import KeyedTail
 from celerytrack.gateway.watches import make_config_tail, make_endpoint_tail
 from celerytrack.ids import Zone
-from celerytrack.members import ADDRESS_TTL_S, Member, MemberState, choose_addresses
+from celerytrack.membership.members import (
+    ADDRESS_TTL_S,
+    Member,
+    MemberState,
+    choose_addresses,
+)
 from celerytrack.planned_stop import PlannedStop
 from celerytrack.platform.http import (
     READY_PATH,
--- a/src/celerytrack/gateway/share_sync.py
+++ b/src/celerytrack/gateway/share_sync.py
@@ -2,9 +2,9 @@
 
 It folds each row of the entries topic into the
 :class:`~celerytrack.prepaid.PrepaidBudgets` and the
-:class:`~celerytrack.members.MembershipView`, and appends this entry's row, one append
-at a time. Appends are numbered: the store recognises one that arrives late or twice,
-so it never overwrites a later row.
+:class:`~celerytrack.membership.members.MembershipView`, and appends this entry's row,
+one append at a time. Appends are numbered: the store recognises one that arrives late
+or twice, so it never overwrites a later row.
 """
 
 import asyncio
@@ -26,17 +26,17 @@
 from celerytrack.gateway.row_writer import FencedError, LogRestoredError, RowWriter
 from celerytrack.gateway.tail import RETRY_MAX_S, RETRY_S, KeyedTail
 from celerytrack.ids import EntryId, Zone
-from celerytrack.member import rows_of_other_eras
-from celerytrack.members import (
+from celerytrack.membership.member import rows_of_other_eras
+from celerytrack.membership.members import (
     Member,
     MembershipView,
     MemberState,
 )
+from celerytrack.membership.row_rate import RowRateLimiter, heartbeat_interval_s
 from celerytrack.platform.log_format import KeyedRecord
 from celerytrack.platform.rows import RowError, decode_member, encode_member
 from celerytrack.platform.topics import ENTRIES_TOPIC
 from celerytrack.prepaid import PrepaidBudgets
-from celerytrack.row_rate import RowRateLimiter, heartbeat_interval_s
 
 _log = logging.getLogger(__name__)
 
--- a/src/celerytrack/gateway/state.py
+++ b/src/celerytrack/gateway/state.py
@@ -11,8 +11,6 @@
 from cachetools import LRUCache
 
 from celerytrack.durations import RecentDurations
-from celerytrack.endpoint import Endpoint
-from celerytrack.endpoints import EndpointPool
 from celerytrack.eras import EraChange, EraTracker
 from celerytrack.events import Event, log_event
 from celerytrack.findings import Crash, Findings
@@ -46,8 +44,10 @@
 from celerytrack.reachability.helpers import Helper, HelperChoice
 from celerytrack.reachability.messages import LinkNews
 from celerytrack.reachability.monitor import EntryLinks, OwedAnswer, ReachMonitor
-from celerytrack.retries import RetryBudget
-from celerytrack.routes import RoutingTable
+from celerytrack.routing.endpoint import Endpoint
+from celerytrack.routing.endpoints import EndpointPool
+from celerytrack.routing.retries import RetryBudget
+from celerytrack.routing.routes import RoutingTable
 from celerytrack.suspect_logs import log_quarantined
 from celerytrack.suspects import MAX_SUSPECTS, SuspectState
 
@@ -72,7 +72,6 @@
     :ivar endpoints_known_at_s: the same for the endpoints' registrations.
     :ivar endpoints_read_time_s: duration of the last read of the registrations.
     :ivar endpoints_reachable: whether the store answered that read.
-    :ivar limit_sync: keeps the rate limits of endpoints together with other entries.
     :ivar notices: what endpoints say of themselves in their answers.
     :ivar reach: whether this entry reaches the endpoints.
     :ivar helpers: the entries that requests go through while it reaches none.
@@ -113,7 +112,6 @@
             self.rng,
             self.share_sync.members.read_age_s,
         )
-        self.limit_sync = self.notices.limits
         self.openings: collections.defaultdict[ServiceName, OpeningQueue] = (
             collections.defaultdict(OpeningQueue)
         )
@@ -125,7 +123,7 @@
         self.endpoints_read_time_s = 0.0
         self.endpoints_reachable = True
         self.telemetry = Telemetry()
-        register_limits(self.telemetry.registry, self.limit_sync)
+        register_limits(self.telemetry.registry, self.notices.limits)
         register_notices(self.telemetry.registry, self.notices)
         self.eras.on_change(self._on_era_change)
         self.in_flight = 0
--- a/src/celerytrack/gateway/suspect_sync.py
+++ b/src/celerytrack/gateway/suspect_sync.py
@@ -27,7 +27,7 @@
     encode_findings,
 )
 from celerytrack.platform.topics import SUSPECTS_TOPIC
-from celerytrack.routing import rendezvous
+from celerytrack.routing.rendezvous import rendezvous
 from celerytrack.suspects import SuspectTracker
 
 _log = logging.getLogger(__name__)
--- a/src/celerytrack/gateway/watches.py
+++ b/src/celerytrack/gateway/watches.py
@@ -3,8 +3,6 @@
 import logging
 import time
 
-from celerytrack.endpoint import Registration
-from celerytrack.endpoints import RegistrationChange
 from celerytrack.events import Event, log_event
 from celerytrack.gateway.state import Gateway
 from celerytrack.gateway.tail import KeyedTail
@@ -13,6 +11,8 @@
 from celerytrack.platform.log_format import KeyedRecord
 from celerytrack.platform.registry import RegistrationError, decode_registration
 from celerytrack.platform.topics import CONFIG_KEY, CONFIG_TOPIC, ENDPOINTS_TOPIC
+from celerytrack.routing.endpoint import Registration
+from celerytrack.routing.endpoints import RegistrationChange
 
 _log = logging.getLogger(__name__)
 
--- a/src/celerytrack/lab/cut_fleet.py
+++ b/src/celerytrack/lab/cut_fleet.py
@@ -14,8 +14,6 @@
 
 import attrs
 
-from celerytrack.endpoint import Choice, Registration, RequestProfile
-from celerytrack.endpoints import EndpointPool
 from celerytrack.ids import EndpointId, EntryId, ServiceName, Zone
 from celerytrack.lab.cut_scenarios import CutKind, CutOutcome, CutScenario
 from celerytrack.process_end import CONNECT_TIMEOUT_S
@@ -24,6 +22,8 @@
 from celerytrack.reachability.links import MAX_CHECK_S
 from celerytrack.reachability.messages import LinkNews, encode_link_news
 from celerytrack.reachability.monitor import EntryLinks, OwedAnswer, ReachMonitor
+from celerytrack.routing.endpoint import Choice, Registration, RequestProfile
+from celerytrack.routing.endpoints import EndpointPool
 
 SLOTS = 8
 WORK_S = (0.02, 0.06)
--- a/src/celerytrack/lab/notice_fleet.py
+++ b/src/celerytrack/lab/notice_fleet.py
@@ -14,8 +14,6 @@
 
 import attrs
 
-from celerytrack.endpoint import Choice, Registration, RequestProfile
-from celerytrack.endpoints import EndpointPool
 from celerytrack.ids import EndpointId, EntryId, RequestId, ServiceName, Zone
 from celerytrack.lab.notice_scenarios import (
     Mechanism,
@@ -32,6 +30,8 @@
 )
 from celerytrack.notices.answer import AnswerNotices
 from celerytrack.notices.waiting import OpeningQueue
+from celerytrack.routing.endpoint import Choice, Registration, RequestProfile
+from celerytrack.routing.endpoints import EndpointPool
 from celerytrack.standins.notices import (
     BACKOFF_SLACK_S,
     LEAVING_SETTLE_S,
--- /dev/null
+++ b/src/celerytrack/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Which entries there are, and how they keep each other informed of it."""
--- a/src/celerytrack/members.py
+++ b/src/celerytrack/membership/members.py
@@ -1,6 +1,7 @@
 """Membership of the fleet and the addresses given to callers, without I/O.
 
-Each entry renews its :class:`Member` row as a heartbeat (:mod:`celerytrack.row_rate`).
+Each entry renews its :class:`Member` row as a heartbeat
+(:mod:`celerytrack.membership.row_rate`).
 An entry that misses some heartbeats is left out of address answers, but only while this
 entry can read the log. While the log is unreachable no row is renewed, and the last
 view stays valid.
@@ -14,9 +15,9 @@
 import attrs
 
 from celerytrack.ids import EntryId, Zone
-from celerytrack.links import min_caller_link_mbps
-from celerytrack.member import Member, MemberState, is_older_row
-from celerytrack.row_rate import heartbeat_interval_s
+from celerytrack.membership.link_capacity import min_caller_link_mbps
+from celerytrack.membership.member import Member, MemberState, is_older_row
+from celerytrack.membership.row_rate import heartbeat_interval_s
 
 MISSED_HEARTBEATS = 3.5
 """Heartbeat intervals after which an entry counts as silent: one row may be lost and
--- a/src/celerytrack/row_age.py
+++ b/src/celerytrack/membership/row_age.py
@@ -6,8 +6,8 @@
 
 import statistics
 
-from celerytrack.members import MIN_CLOCK_PEERS, Member
-from celerytrack.row_rate import MIN_HEARTBEAT_INTERVAL_S
+from celerytrack.membership.members import MIN_CLOCK_PEERS, Member
+from celerytrack.membership.row_rate import MIN_HEARTBEAT_INTERVAL_S
 
 CLOCK_SLACK_S = 0.2
 """Largest difference of two readings of the clock offset on one instance."""
--- a/src/celerytrack/notices/owners.py
+++ b/src/celerytrack/notices/owners.py
@@ -10,7 +10,7 @@
 import attrs
 
 from celerytrack.ids import EndpointId, EntryId
-from celerytrack.routing import rendezvous
+from celerytrack.routing.rendezvous import rendezvous
 
 SETTLE_S = 4.0
 """Time after which all entries have noticed a change of the membership: heartbeats are
--- a/src/celerytrack/platform/config.py
+++ b/src/celerytrack/platform/config.py
@@ -4,7 +4,7 @@
 from attrs import validators as v
 
 from celerytrack.ids import AccountId, ServiceName
-from celerytrack.routes import (
+from celerytrack.routing.routes import (
     DEFAULT_MAX_BODY_BYTES,
     ClientAccount,
     RetrySafety,
--- a/src/celerytrack/platform/registry.py
+++ b/src/celerytrack/platform/registry.py
@@ -10,8 +10,8 @@
 import attrs
 from attrs import validators as v
 
-from celerytrack.endpoint import Registration
 from celerytrack.ids import EndpointId, ServiceName, Zone
+from celerytrack.routing.endpoint import Registration
 from celerytrack.strict import (
     UnreadableError,
     parse_json,
--- a/src/celerytrack/platform/rows.py
+++ b/src/celerytrack/platform/rows.py
@@ -8,7 +8,7 @@
 
 from celerytrack.eras import Era
 from celerytrack.ids import AccountId, EntryId, Zone
-from celerytrack.members import Member, MemberState
+from celerytrack.membership.members import Member, MemberState
 from celerytrack.prepaid import AccountClaim
 
 _DECODE_ERRORS = (
--- a/src/celerytrack/endpoints.py
+++ b/src/celerytrack/routing/endpoints.py
@@ -12,13 +12,21 @@
 """
 
 import enum
-import heapq
 import random
-from collections.abc import Collection, Iterable, Sequence
+from collections.abc import Collection, Sequence
 
 from cachetools import LRUCache
 
-from celerytrack.endpoint import (
+from celerytrack.ids import EndpointId, ServiceName, Zone
+from celerytrack.notices.state import EndpointNotices
+from celerytrack.routing.ejection import (
+    forgive,
+    record_crash,
+    record_error,
+    record_success,
+    record_unreached,
+)
+from celerytrack.routing.endpoint import (
     Choice,
     Dispatch,
     Endpoint,
@@ -26,47 +34,15 @@
     Registration,
     RequestProfile,
 )
-from celerytrack.ids import EndpointId, ServiceName, Zone
-from celerytrack.notices.state import EndpointNotices
-from celerytrack.prefill import PREFILL_TOKENS_PER_S, prefill_s
-from celerytrack.restored_registrations import RestoredRegistrations
-from celerytrack.routing import rendezvous_weight
-
-RUNNING_REQUEST_COST_S = 0.00015
-"""Time that each running request adds to the time to first token: its part of the few
-decoding steps until then."""
-FIRST_TOKEN_OVERHEAD_S = 0.01
-"""Time to first token beyond the prefill: two engine steps and the network round
-trip."""
-LEAVE_HOME_FACTOR = 7.0
-"""Weight of an uncached token of a shared part at an engine that is not the home. Its
-prefill evicts parts of other sessions there, and the session's next request goes to
-the home again."""
-SECOND_HOME_FACTOR = 3.0
-"""The same weight at the second home. All entries send the overflow of the home there,
-so that the part is probably cached at the second home, and at no other engine."""
-COLD_FACTOR = 1.6
-"""Factor on the predicted time of an endpoint that is warming up. It is in the middle
-of what cold caches of compiled code and data cost; the endpoint's measured
-answers correct the prediction."""
-CROSS_ZONE_COST_S = 0.004
-"""Cost of an endpoint in another failure domain: the network round trip, and the price
-of traffic between domains."""
-MIN_EJECTION_S = 0.4
-"""Ejection time after the first failed connection or missing answer; it doubles with
-each further failure."""
-MAX_EJECTION_S = 5.0
-"""Longest ejection. A replaced endpoint has a new id, so a longer ejection would only
-delay the return of an endpoint that has recovered."""
-FAILURE_EWMA_WEIGHT = 0.15
-"""Weight of the newest answer in the moving average of an endpoint's failure rate."""
-GREY_FAILURE_RATE = 0.35
-"""Failure rate that ejects an endpoint which accepts connections (grey failure), if it
-is also more than :data:`GREY_FAILURE_FACTOR` times the average rate of the service's
-other endpoints."""
-GREY_FAILURE_FACTOR = 2.0
-GREY_EJECTION_S = 2.0
-"""Ejection time after a grey failure, until a request tries the endpoint again."""
+from celerytrack.routing.predictions import (
+    has_capacity,
+    home_engines,
+    is_home,
+    predict_s,
+)
+from celerytrack.routing.prefill import prefill_s
+from celerytrack.routing.restored_registrations import RestoredRegistrations
+
 DEREGISTERED_GRACE_S = 1.5
 """How long an endpoint without registration is still used if its service has no other.
 Registrations expire while the store is unreachable and are written again within two
@@ -74,11 +50,6 @@
 MAX_TOMBSTONES = 1_024
 """Removed endpoints whose last record is kept, so that an older record that arrives
 late does not register them again."""
-CRASH_EJECTION_S = 4.0
-"""Ejection time after a crash. The registration stays until some heartbeats are missed,
-and each request sent there loses the time of a failed connection."""
-QUEUE_FACTOR = 4.0
-"""Most requests of all entries at an endpoint, as a multiple of its slots."""
 
 
 class RegistrationChange(enum.Enum):
@@ -168,8 +139,7 @@
         """Eject an endpoint that crashed, as observed by some entry."""
         known = self._endpoints.get(endpoint_id)
         if known is not None:
-            ejected_until_s = max(known.ejected_until_s, now_s + CRASH_EJECTION_S)
-            known.ejected_until_s = ejected_until_s
+            record_crash(known, now_s)
 
     def is_available(self, endpoint: Endpoint, now_s: float) -> bool:
         """Whether an endpoint that was chosen earlier still accepts requests."""
@@ -211,9 +181,11 @@
         if not closed:
             return None
         first_s, index = min(closed)
-        homes = self._homes(profile, candidates)
+        homes = home_engines(profile, candidates)
         first = candidates[index]
-        predicted_s = self._predict(first, profile, homes, fleet_load_ratio, now_s)
+        predicted_s = predict_s(
+            first, profile, homes, self._zone, fleet_load_ratio, now_s
+        )
         return Opening(first_s, predicted_s, all_closed=min(opens_in_s) > 0)
 
     def withheld(self, service: ServiceName, now_s: float) -> list[EndpointId]:
@@ -246,11 +218,8 @@
         """Forget the connections to endpoints of ``service`` that failed: the links of
         this entry were down, not the endpoints."""
         for endpoint in self._endpoints.values():
-            failed = endpoint.consecutive_failures > 0
-            if failed and endpoint.registration.service == service:
-                endpoint.consecutive_failures = 0
-                endpoint.failure_rate = 0.0
-                endpoint.ejected_until_s = 0.0
+            if endpoint.registration.service == service:
+                forgive(endpoint)
 
     def available_builds(self, service: ServiceName, now_s: float) -> set[str]:
         """The builds of the available endpoints of ``service``."""
@@ -297,7 +266,7 @@
         if self._notices:
             candidates = [e for e in candidates if self._opens_in_s(e, now_s) <= 0]
         available = [
-            e for e in candidates if _has_capacity(e, fleet_load_ratio, max_connections)
+            e for e in candidates if has_capacity(e, fleet_load_ratio, max_connections)
         ]
         return self._choose_among(
             available, candidates, profile, fleet_load_ratio, now_s
@@ -317,7 +286,7 @@
             e
             for e in candidates
             if e.endpoint_id == endpoint_id
-            and _has_capacity(e, fleet_load_ratio, max_connections)
+            and has_capacity(e, fleet_load_ratio, max_connections)
             and self._opens_in_s(e, now_s) <= 0
         ]
         return self._choose_among(
@@ -334,12 +303,12 @@
     ) -> Choice | None:
         if not available:
             return None
-        homes = self._homes(profile, candidates)
+        homes = home_engines(profile, candidates)
         healthy = [e for e in available if now_s >= e.ejected_until_s] or available
 
         costs = [
             (
-                self._predict(e, profile, homes, fleet_load_ratio, now_s),
+                predict_s(e, profile, homes, self._zone, fleet_load_ratio, now_s),
                 self._rng.random(),
                 i,
             )
@@ -347,7 +316,7 @@
         ]
         predicted_s, _, index = min(costs)
         best = healthy[index]
-        uncached = best.uncached_tokens(profile, _is_home(best, homes), now_s)
+        uncached = best.uncached_tokens(profile, is_home(best, homes), now_s)
         return Choice(best, predicted_s, prefill_s(uncached, profile.prompt_tokens))
 
     def record_dispatch(
@@ -370,8 +339,7 @@
 
     def record_success(self, endpoint: Endpoint) -> None:
         """Record a successful answer."""
-        endpoint.consecutive_failures = 0
-        endpoint.failure_rate -= FAILURE_EWMA_WEIGHT * endpoint.failure_rate
+        record_success(endpoint)
 
     def record_failure(self, endpoint: Endpoint, hard: bool, now_s: float) -> None:
         """Record a failed answer.
@@ -379,18 +347,10 @@
         :param hard: whether the connection failed, broke or timed out, so that the next
             request would fail too; otherwise the endpoint answered with an error.
         """
-        endpoint.failure_rate += FAILURE_EWMA_WEIGHT * (1 - endpoint.failure_rate)
         if hard:
-            endpoint.consecutive_failures += 1
-            ejection_s = min(
-                MIN_EJECTION_S * 2 ** (endpoint.consecutive_failures - 1),
-                MAX_EJECTION_S,
-            )
-            endpoint.ejected_until_s = now_s + ejection_s
-        elif endpoint.failure_rate > max(
-            GREY_FAILURE_RATE, GREY_FAILURE_FACTOR * self._peer_failure_rate(endpoint)
-        ):
-            endpoint.ejected_until_s = now_s + GREY_EJECTION_S
+            record_unreached(endpoint, now_s)
+        else:
+            record_error(endpoint, self._peer_failure_rate(endpoint), now_s)
 
     # -- internals ---------------------------------------------------------
 
@@ -422,61 +382,6 @@
             endpoint.endpoint_id, endpoint.registration.born_ms
         )
 
-    def _opens_in_s(self, endpoint: Endpoint, now_s: float) -> float:
-        return self._notices.opens_in_s(
-            endpoint.endpoint_id, endpoint.registration.born_ms, now_s
-        )
-
-    def _homes(
-        self, profile: RequestProfile, candidates: Iterable[Endpoint]
-    ) -> list[Endpoint]:
-        """The home of the session and its second home, the same at all entries."""
-        if not profile.parts:
-            return []
-        session = profile.session_key
-        return heapq.nlargest(
-            2, candidates, key=lambda e: rendezvous_weight(session, e.endpoint_id)
-        )
-
-    def _predict(
-        self,
-        endpoint: Endpoint,
-        profile: RequestProfile,
-        homes: Sequence[Endpoint],
-        fleet_load_ratio: float,
-        now_s: float,
-    ) -> float:
-        slots = max(1, endpoint.registration.slots)
-        running = endpoint.running * fleet_load_ratio
-        cross_zone_s = (
-            0.0 if endpoint.registration.zone == self._zone else CROSS_ZONE_COST_S
-        )
-        excess_load = max(0.0, running / slots - 1.0)
-        cold_factor = COLD_FACTOR if now_s < endpoint.cold_until_s else 1.0
-        if not profile.parts:
-            busy_factor = 1.0 + running / slots + excess_load
-            seconds = (
-                endpoint.latency_s * busy_factor * (1 + endpoint.failure_rate)
-                + cross_zone_s
-            )
-            return cold_factor * seconds
-        rank = homes.index(endpoint) if endpoint in homes else len(homes)
-        uncached = endpoint.uncached_tokens(profile, _is_home(endpoint, homes), now_s)
-        factor = SECOND_HOME_FACTOR if rank == 1 else LEAVE_HOME_FACTOR
-        shared = max(0, uncached - profile.unshared_tokens) * (factor - 1)
-        seconds = (
-            prefill_s(uncached, profile.prompt_tokens)
-            + running * RUNNING_REQUEST_COST_S
-            + FIRST_TOKEN_OVERHEAD_S
-        )
-        seconds += shared / PREFILL_TOKENS_PER_S
-        seconds += endpoint.pending_prefill_s + endpoint.peer_prefill_left_s(now_s)
-        seconds += excess_load * 0.5
-        seconds = (
-            endpoint.slowness * seconds * (1 + endpoint.failure_rate) + cross_zone_s
-        )
-        return cold_factor * seconds
-
     def _peer_failure_rate(self, endpoint: Endpoint) -> float:
         peers = [
             e.failure_rate
@@ -486,16 +391,7 @@
         ]
         return sum(peers) / len(peers) if peers else 0.0
 
-
-def _is_home(endpoint: Endpoint, homes: Sequence[Endpoint]) -> bool:
-    """Whether ``endpoint`` is the session's home, which caches its shared parts."""
-    return bool(homes) and endpoint is homes[0]
-
-
-def _has_capacity(
-    endpoint: Endpoint, fleet_load_ratio: float, max_connections: int
-) -> bool:
-    connection_limit = max(2.0, max_connections / fleet_load_ratio)
-    slots = endpoint.registration.slots
-    queue_limit = max(4.0, QUEUE_FACTOR * slots / fleet_load_ratio)
-    return endpoint.running < min(connection_limit, queue_limit)
+    def _opens_in_s(self, endpoint: Endpoint, now_s: float) -> float:
+        return self._notices.opens_in_s(
+            endpoint.endpoint_id, endpoint.registration.born_ms, now_s
+        )
--- a/src/celerytrack/routing.py
+++ b/src/celerytrack/routing/replicas.py
@@ -1,10 +1,5 @@
-"""Routing decisions, without I/O: which entries serve an account, which
-replica serves a request, and whether to admit it at all.
-
-Accounts map to entries by rendezvous (highest random weight) hashing over
-the live entries. An account is then spent on few entries, which needs few
-grants and few ledger appends, and an entry that leaves moves only its own
-accounts.
+"""Routing decisions of the own interface, without I/O: which replica serves a request,
+and whether to admit it at all.
 
 Requests map to the replica with the earliest predicted first token. The
 prediction is the sum of two times, multiplied by the replica's recent slowness:
@@ -13,33 +8,17 @@
 """
 
 import itertools
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Sequence
 
 import attrs
-import mmh3
 
 from celerytrack.ids import Zone
-from celerytrack.replica_load import Ask, Load, ReplicaLoad
+from celerytrack.routing.replica_load import Ask, Load, ReplicaLoad
 
 SHED_THRESHOLDS = (1.0, 0.9, 0.8, 0.7, 0.6, 0.5, 0.5, 0.5, 0.5, 0.5)
 """Share of capacity in use from which a class is refused, indexed by priority."""
 
 
-def rendezvous_weight(key: str, node: str) -> int:
-    """The weight of ``node`` for ``key``; the highest one is chosen."""
-    return mmh3.hash64(f"{key}\x00{node}", signed=False)[0]
-
-
-def rendezvous(key: str, nodes: Iterable[str], count: int) -> list[str]:
-    """The ``count`` nodes with the highest hash weight for ``key``.
-
-    :param key: what is placed: an account id, or the name of a singleton task.
-    :param nodes: candidate node ids.
-    :returns: up to ``count`` node ids, best first; stable as nodes come and go.
-    """
-    return sorted(nodes, key=lambda n: rendezvous_weight(key, n), reverse=True)[:count]
-
-
 @attrs.frozen
 class Placement:
     """Parameters of the first-token prediction.
--- a/src/celerytrack/restored_registrations.py
+++ b/src/celerytrack/routing/restored_registrations.py
@@ -2,9 +2,9 @@
 
 from collections.abc import Set
 
-from celerytrack.endpoint import Registration
 from celerytrack.eras import REWRITE_GRACE_S
 from celerytrack.ids import EndpointId
+from celerytrack.routing.endpoint import Registration
 
 
 class RestoredRegistrations:
--- a/tests/gateway_fleet.py
+++ b/tests/gateway_fleet.py
@@ -16,7 +16,7 @@
 
 from celerytrack.gateway.server import EntryServer
 from celerytrack.gateway.state import Gateway
-from celerytrack.members import Member
+from celerytrack.membership.members import Member
 from celerytrack.platform.rows import decode_member
 from celerytrack.platform.settings import ProcessSettings
 from celerytrack.platform.store import StoreClient
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -21,7 +21,7 @@
 from celerytrack.ids import AccountId, EndpointId, EntryId, ServiceName
 from celerytrack.platform.store import StoreClient
 from celerytrack.platform.topics import ENDPOINTS_TOPIC, SUSPECTS_TOPIC
-from celerytrack.routing import rendezvous
+from celerytrack.routing.rendezvous import rendezvous
 from celerytrack.suspects import QUARANTINE_PERIODS_S, SuspectState, SuspectTracker
 from tests.crashing_endpoints import MARKER, Answers, CrashRun
 from tests.gateway_fleet import Endpoint, Fleet
--- a/tests/test_endpoint_limits.py
+++ b/tests/test_endpoint_limits.py
@@ -33,15 +33,15 @@
 
 
 def _limit_of(gateway: Gateway, endpoint_id: EndpointId = I_0) -> float | None:
-    return gateway.limit_sync.tracker.limit_per_s(endpoint_id)
+    return gateway.notices.limits.tracker.limit_per_s(endpoint_id)
 
 
 def _counts(fleet: Fleet) -> Counter[str]:
-    return sum((g.limit_sync.asks.counts for g in fleet.gateways), Counter())
+    return sum((g.notices.limits.asks.counts for g in fleet.gateways), Counter())
 
 
 def _owner(fleet: Fleet) -> int:
-    sync = fleet.gateways[0].limit_sync
+    sync = fleet.gateways[0].notices.limits
     owner = sync.owners.owner(I_0)
     return [gateway.entry_id for gateway in fleet.gateways].index(owner)
 
@@ -50,10 +50,10 @@
     """Wait until the membership counts as settled at all gateways."""
     peers = len(fleet.gateways) - 1
     await fleet.wait_until(
-        lambda: all(len(g.limit_sync.owners.peers) == peers for g in fleet.gateways)
+        lambda: all(len(g.notices.limits.owners.peers) == peers for g in fleet.gateways)
     )
     for gateway in fleet.gateways:
-        gateway.limit_sync.owners.settled_at_s -= OWNER_SETTLE_S
+        gateway.notices.limits.owners.settled_at_s -= OWNER_SETTLE_S
 
 
 async def _hear(fleet: Fleet, endpoint: LimitedEndpoint, limit: str) -> None:
@@ -225,7 +225,7 @@
             return
         gateway.peer_messenger.send = lambda addresses, data: None  # type: ignore[method-assign]
         if how == "is killed":
-            gateway.limit_sync.receive = lambda message: None  # type: ignore[method-assign]
+            gateway.notices.limits.receive = lambda message: None  # type: ignore[method-assign]
             fleet._tasks[owner].cancel()
 
     async def test_an_owner_that_stood_still_grants_less_at_first(self) -> None:
@@ -234,7 +234,7 @@
         async with fleet_of(endpoints, 2) as fleet:
             await _settle(fleet)
             await _hear(fleet, endpoint, "10")
-            sync = fleet.gateways[_owner(fleet)].limit_sync
+            sync = fleet.gateways[_owner(fleet)].notices.limits
             now_s = time.monotonic()
             await fleet.ask("/plain/x", "opens the bucket")
             self.assertEqual(sync.grants.rate_per_s(I_0, now_s), 10.0)
@@ -379,7 +379,7 @@
             await _hear(fleet, endpoint, "5")
             await asyncio.sleep(BEGAN_REPEAT_S + 2 * TICK_S)
             for gateway in fleet.gateways:
-                gateway.limit_sync._announced_at_s = time.monotonic()
+                gateway.notices.limits._announced_at_s = time.monotonic()
             sent: list[LimitMessage] = []
             _record_messages(fleet, sent.append)
             owner = _owner(fleet)
@@ -393,4 +393,4 @@
 
 def _record_messages(fleet: Fleet, record: Callable[[LimitMessage], None]) -> None:
     for gateway in fleet.gateways:
-        gateway.limit_sync._send = lambda address, message: record(message)  # type: ignore[method-assign]
+        gateway.notices.limits._send = lambda address, message: record(message)  # type: ignore[method-assign]
--- a/tests/test_endpoint_notices.py
+++ b/tests/test_endpoint_notices.py
@@ -40,7 +40,7 @@
     """Wait until all gateways know each other."""
     peers = len(fleet.gateways) - 1
     await fleet.wait_until(
-        lambda: all(len(g.limit_sync.owners.peers) == peers for g in fleet.gateways)
+        lambda: all(len(g.notices.limits.owners.peers) == peers for g in fleet.gateways)
     )
 
 
--- a/tests/test_endpoints.py
+++ b/tests/test_endpoints.py
@@ -6,16 +6,16 @@
 import attrs
 from nose2.tools import params
 
-from celerytrack.endpoint import Choice, Registration, RequestProfile
-from celerytrack.endpoints import (
+from celerytrack.ids import AccountId, EndpointId, ServiceName, Zone
+from celerytrack.routing.ejection import MIN_EJECTION_S
+from celerytrack.routing.endpoint import Choice, Registration, RequestProfile
+from celerytrack.routing.endpoints import (
     DEREGISTERED_GRACE_S,
-    MIN_EJECTION_S,
     EndpointPool,
     RegistrationChange,
 )
-from celerytrack.ids import AccountId, EndpointId, ServiceName, Zone
-from celerytrack.prefill import prefill_s
-from celerytrack.routes import (
+from celerytrack.routing.prefill import prefill_s
+from celerytrack.routing.routes import (
     ClientAccount,
     RetrySafety,
     Route,
--- a/tests/test_eras.py
+++ b/tests/test_eras.py
@@ -5,15 +5,19 @@
 
 from nose2.tools import params
 
-from celerytrack.endpoint import Registration
-from celerytrack.endpoints import DEREGISTERED_GRACE_S, EndpointPool, RegistrationChange
 from celerytrack.eras import REWRITE_GRACE_S, Era, EraStatus, EraTracker
 from celerytrack.ids import AccountId, EndpointId, EntryId, ServiceName, Zone
-from celerytrack.members import Member, MembershipView, MemberState
+from celerytrack.membership.members import Member, MembershipView, MemberState
 from celerytrack.platform.log_format import decode_era
 from celerytrack.platform.rows import decode_member, encode_member
 from celerytrack.prepaid import AccountClaim, PrepaidBudgets
 from celerytrack.prepaid.restore_hold import MAX_HOLD_S
+from celerytrack.routing.endpoint import Registration
+from celerytrack.routing.endpoints import (
+    DEREGISTERED_GRACE_S,
+    EndpointPool,
+    RegistrationChange,
+)
 from celerytrack.strict import UnreadableError
 
 SAME, CHANGED, LATE = EraStatus.SAME, EraStatus.CHANGED, EraStatus.LATE
--- a/tests/test_notice_state.py
+++ b/tests/test_notice_state.py
@@ -10,8 +10,6 @@
 from multidict import CIMultiDict
 from nose2.tools import params
 
-from celerytrack.endpoint import Registration, RequestProfile
-from celerytrack.endpoints import EndpointPool
 from celerytrack.events import Event
 from celerytrack.ids import EndpointId, EntryId, RequestId, ServiceName, Zone
 from celerytrack.notices.answer import AnswerNotices, NoticeKind
@@ -28,6 +26,8 @@
 from celerytrack.notices.state import LAST_RESORT_S, EndpointNotices
 from celerytrack.notices.sync import NoticeSync
 from celerytrack.platform.notices import decode_notices
+from celerytrack.routing.endpoint import Registration, RequestProfile
+from celerytrack.routing.endpoints import EndpointPool
 
 S = ServiceName("s")
 A, B = EndpointId("a"), EndpointId("b")
--- a/tests/test_outside_records.py
+++ b/tests/test_outside_records.py
@@ -8,7 +8,6 @@
 from hypothesis import strategies as st
 from nose2.tools import params
 
-from celerytrack.endpoint import Registration
 from celerytrack.gateway.peer_messages import (
     LeavingMessage,
     LongPromptMessage,
@@ -21,13 +20,14 @@
     decode_transfer_request,
 )
 from celerytrack.ids import EndpointId, ServiceName, Zone
-from celerytrack.members import Member
+from celerytrack.membership.members import Member
 from celerytrack.platform import log_format
 from celerytrack.platform.config import ConfigError, decode_config
 from celerytrack.platform.http import RequestError, decode_request
 from celerytrack.platform.registry import RegistrationError, decode_registration
 from celerytrack.platform.rows import RowError, decode_member
-from celerytrack.routes import RoutingTable
+from celerytrack.routing.endpoint import Registration
+from celerytrack.routing.routes import RoutingTable
 from celerytrack.strict import UnreadableError
 from tests.gateway_fleet import config
 
--- a/tests/test_own_notices.py
+++ b/tests/test_own_notices.py
@@ -15,7 +15,7 @@
 from celerytrack.load.notices import Said, check_notices, say
 from celerytrack.load.runner import Plan, run_plan
 from celerytrack.notices.answer import AnswerNotices
-from celerytrack.replica_load import ReplicaLoad
+from celerytrack.routing.replica_load import ReplicaLoad
 from celerytrack.verdict import Refusal
 from tests.fleet import Fleet, get_json
 
--- a/tests/test_peer_messages.py
+++ b/tests/test_peer_messages.py
@@ -7,14 +7,14 @@
 
 from nose2.tools import params
 
-from celerytrack.endpoint import Registration, RequestProfile
-from celerytrack.endpoints import EndpointPool
 from celerytrack.gateway.peer_messages import (
     LeavingMessage,
     LongPromptMessage,
     PeerMessenger,
 )
 from celerytrack.ids import EndpointId, EntryId, ServiceName, Zone
+from celerytrack.routing.endpoint import Registration, RequestProfile
+from celerytrack.routing.endpoints import EndpointPool
 
 SERVICE = ServiceName("llm")
 
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -8,7 +8,7 @@
 from celerytrack.entry.fleet_view import HEARTBEAT_TIMEOUT_S, EntryInfo, FleetView
 from celerytrack.entry.peers import Heartbeat
 from celerytrack.ids import EntryId, ReplicaId, Zone
-from celerytrack.replica_load import Load, ReplicaLoad
+from celerytrack.routing.replica_load import Load, ReplicaLoad
 
 E2, R1 = EntryId("entry-2"), ReplicaId("r1")
 
--- a/tests/test_prefill.py
+++ b/tests/test_prefill.py
@@ -4,7 +4,7 @@
 
 from nose2.tools import params
 
-from celerytrack.prefill import PromptSize, prefill_s, size_of, urgency
+from celerytrack.routing.prefill import PromptSize, prefill_s, size_of, urgency
 
 
 class PrefillTest(unittest.TestCase):
--- a/tests/test_prepaid.py
+++ b/tests/test_prepaid.py
@@ -8,28 +8,31 @@
 from nose2.tools import params
 
 from celerytrack.ids import AccountId, EntryId, Zone
-from celerytrack.links import NARROW_LINK_FACTOR, min_caller_link_mbps
-from celerytrack.members import (
+from celerytrack.membership.link_capacity import (
+    NARROW_LINK_FACTOR,
+    min_caller_link_mbps,
+)
+from celerytrack.membership.members import (
     Member,
     MembershipView,
     MemberState,
     choose_addresses,
 )
-from celerytrack.prepaid import AccountClaim, PrepaidBudgets
-from celerytrack.prepaid.policy import AccountUsage, share_target
-from celerytrack.prepaid.rows import FoldedRows, RowSums
-from celerytrack.prepaid.shares import OUTAGE_AGE_S, UNLOCK_DELAY_S, Share
-from celerytrack.row_age import (
+from celerytrack.membership.row_age import (
     age_after_power_loss_s,
     age_at_start_s,
     age_by_peer_clocks_s,
 )
-from celerytrack.row_rate import (
+from celerytrack.membership.row_rate import (
     MAX_FLEET_ROWS_PER_S,
     ROW_BURST,
     RowRateLimiter,
     heartbeat_interval_s,
 )
+from celerytrack.prepaid import AccountClaim, PrepaidBudgets
+from celerytrack.prepaid.policy import AccountUsage, share_target
+from celerytrack.prepaid.rows import FoldedRows, RowSums
+from celerytrack.prepaid.shares import OUTAGE_AGE_S, UNLOCK_DELAY_S, Share
 
 A = AccountId("a")
 ME, PEER, THIRD = EntryId("me"), EntryId("peer"), EntryId("third")
--- a/tests/test_prepaid_model.py
+++ b/tests/test_prepaid_model.py
@@ -25,9 +25,9 @@
 from nose2.tools import params
 
 from celerytrack.ids import AccountId, EntryId, Zone
-from celerytrack.members import Member, MemberState
+from celerytrack.membership.members import Member, MemberState
+from celerytrack.membership.row_age import age_at_start_s
 from celerytrack.prepaid import AccountClaim, PrepaidBudgets, Reservation
-from celerytrack.row_age import age_at_start_s
 
 LONG_S = 5.0
 """A partition in which an entry spends more than its next incarnation counts if that
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -7,9 +7,10 @@
 
 from celerytrack.ids import EntryId, ReplicaId, Zone
 from celerytrack.prompts import BLOCK_CHARS, prompt_blocks
-from celerytrack.replica_load import Ask, Load, PrefixIndex, ReplicaLoad
-from celerytrack.retries import RetryBudget, backoff_s, may_retry
-from celerytrack.routing import make_chooser, rendezvous
+from celerytrack.routing.rendezvous import rendezvous
+from celerytrack.routing.replica_load import Ask, Load, PrefixIndex, ReplicaLoad
+from celerytrack.routing.replicas import make_chooser
+from celerytrack.routing.retries import RetryBudget, backoff_s, may_retry
 from celerytrack.verdict import Reason, did_not_run, may_have_run
 
 Z1, Z2 = Zone("z1"), Zone("z2")
--- a/tests/test_share_sync.py
+++ b/tests/test_share_sync.py
@@ -10,7 +10,7 @@
 from celerytrack.gateway.reservations import ROW_WAIT_S
 from celerytrack.gateway.share_sync import ShareSync
 from celerytrack.ids import AccountId, EntryId, Zone
-from celerytrack.members import Member, MemberState
+from celerytrack.membership.members import Member, MemberState
 from celerytrack.prepaid import AccountClaim
 
 A = AccountId("a")
--- a/tests/test_slow_link.py
+++ b/tests/test_slow_link.py
@@ -13,7 +13,7 @@
 
 from celerytrack.gateway.tail import RETRY_MAX_S, KeyedTail
 from celerytrack.ids import AccountId, EntryId, Zone
-from celerytrack.members import Member, MemberState
+from celerytrack.membership.members import Member, MemberState
 from celerytrack.platform.rows import encode_member
 from celerytrack.platform.topics import (
     CONFIG_KEY,
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -16,9 +16,9 @@
 from celerytrack.entry.upstream import try_replicas
 from celerytrack.fingerprint import Fingerprint
 from celerytrack.ids import EntryId, ReplicaId, RequestId, Zone
-from celerytrack.replica_load import Ask, Load, ReplicaLoad
-from celerytrack.retries import RetryBudget
-from celerytrack.routing import make_chooser
+from celerytrack.routing.replica_load import Ask, Load, ReplicaLoad
+from celerytrack.routing.replicas import make_chooser
+from celerytrack.routing.retries import RetryBudget
 from celerytrack.verdict import Reason, Verdict, did_not_run, may_have_run
 
 DID_NOT_RUN = Failure(did_not_run(Reason.UPSTREAM_FAILED))
