--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -1,6 +1,7 @@
 """Attempts of one request on several replicas."""
 
 import asyncio
+import contextlib
 import random
 import time
 import types
@@ -16,6 +17,7 @@
 from celerytrack.entry.upstream import try_replicas
 from celerytrack.fingerprint import Fingerprint
 from celerytrack.ids import EntryId, ReplicaId, RequestId, Zone
+from celerytrack.reachability.monitor import EntryLinks, ReachMonitor
 from celerytrack.routing.replica_load import Ask, Load, ReplicaLoad
 from celerytrack.routing.replicas import make_chooser
 from celerytrack.routing.retries import RetryBudget
@@ -64,7 +66,23 @@
         retries=RetryBudget(ratio=0.0),
         attempts_deadline=SharedDeadline(),
         rng=random.Random(1),
+        reach=_reach(),
+        ended_if_links_fail=lambda model, may_repeat: contextlib.nullcontext(
+            asyncio.timeout(None)
+        ),
+    )
+
+
+def _reach() -> ReachMonitor:
+    links = EntryLinks(
+        EntryId("e"),
+        0.0,
+        lambda service: (),
+        lambda: (),
+        lambda news: None,
+        lambda service, doubted_at_s: None,
     )
+    return ReachMonitor(links, random.Random(1))
 
 
 def _run(state, outcomes: str, priority: int = 0):
@@ -74,7 +92,7 @@
     """
     tried = []
 
-    async def attempt(sent):
+    async def attempt(sent, post):
         tried.append(sent.replica.replica_id)
         outcome = outcomes[len(tried) - 1]
         if outcome == "t":
@@ -108,7 +126,7 @@
         state, tried = _state(), []
         work = _work(idempotent=idempotent)
 
-        async def attempt(sent):
+        async def attempt(sent, post):
             tried.append(sent.replica.replica_id)
             return outcomes[len(tried) - 1]
 
@@ -199,7 +217,7 @@
         state = _state()
         started = []
 
-        async def attempt(sent):
+        async def attempt(sent, post):
             started.append(sent)
             await asyncio.Event().wait()
 
