A cut entry that can't help names one that does

An entry that refuses for want of links now names one that lately served its own requests, and while some refuse, entries that served lately go first (one request in ten explores).

--- a/src/celerytrack/entry/relay.py
+++ b/src/celerytrack/entry/relay.py
@@ -96,9 +96,13 @@
             replica_id = ReplicaId(relayed.outcome.endpoint)
             sent.replica.replica_id = replica_id
         if not _was_refused(relayed):
+            state.helpers.record_served(helper.entry_id, service, time.monotonic())
             break
         wait_s = UNREACHABLE_S if relayed.unreached else REFUSED_S
         state.helpers.record_refused(helper, service, time.monotonic() + wait_s)
+        if relayed.outcome is not None and relayed.outcome.helper is not None:
+            named = EntryId(relayed.outcome.helper)
+            state.helpers.record_served(named, service, time.monotonic())
     return sent, result
 
 
--- a/src/celerytrack/entry/relay_server.py
+++ b/src/celerytrack/entry/relay_server.py
@@ -175,8 +175,10 @@
             return Failure(bad_status(upstream.status))
         return await _pass_on(request, sent, upstream, answer)
 
-    if state.reach.is_down(ServiceName(work.model)):
-        return _refuse(links_down())
+    service = ServiceName(work.model)
+    if state.reach.is_down(service):
+        helper = state.helpers.proven(service, time.monotonic())
+        return _refuse(links_down(), helper=helper)
     ask = Ask(work.model, work.priority, blocks)
     started_s = time.monotonic()
     result = await try_replicas_once(
@@ -231,7 +233,11 @@
     return Success(None)
 
 
-def _refuse(refusal: Refusal, replica: ReplicaId | None = None) -> web.Response:
+def _refuse(
+    refusal: Refusal,
+    replica: ReplicaId | None = None,
+    helper: EntryId | None = None,
+) -> web.Response:
     ran = refusal.verdict is Verdict.MAY_HAVE_RUN
     outcome = RelayOutcome(
         replica,
@@ -240,6 +246,7 @@
         ran,
         refusal.retry_after_s,
         refusal.detail,
+        helper,
     )
     headers = {RELAYED_HEADER: encode_outcome(outcome)}
     return web.Response(status=502 if ran else 503, headers=headers)
--- a/src/celerytrack/gateway/exchange.py
+++ b/src/celerytrack/gateway/exchange.py
@@ -41,6 +41,7 @@
     :ivar address_reused: another endpoint has the address now, so the endpoint was not
         reached and no longer exists.
     :ivar retry_after_s: when an attempt may succeed, if known.
+    :ivar helper: an entry that may help where another could not.
     :ivar withheld: whether the endpoint's word came before the request was sent.
     :ivar links_down: whether the attempt was given up since this entry reaches no
         endpoint, which says nothing of the one it was sent to.
@@ -55,6 +56,7 @@
     retry_after_s: float | None = None
     withheld: bool = False
     links_down: bool = False
+    helper: EntryId | None = None
 
     @property
     def was_interrupted(self) -> bool:
--- a/src/celerytrack/gateway/relay.py
+++ b/src/celerytrack/gateway/relay.py
@@ -83,6 +83,9 @@
                 _pass_over(gateway, exchange, helper, refused)
                 failure = refused
             case _:
+                gateway.helpers.record_served(
+                    helper.entry_id, exchange.service, time.monotonic()
+                )
                 return result
     if failure.reason not in _LASTING:
         failure = attrs.evolve(failure, reason=Reason.ISOLATED, hard=False)
@@ -98,6 +101,10 @@
     elif refused.reason in _PASSED_OVER:
         until_s += REFUSED_S
     gateway.helpers.record_refused(helper, exchange.service, until_s)
+    if refused.helper is not None:
+        gateway.helpers.record_served(
+            refused.helper, exchange.service, time.monotonic()
+        )
 
 
 async def _relay_through(
--- a/src/celerytrack/gateway/relay_format.py
+++ b/src/celerytrack/gateway/relay_format.py
@@ -94,6 +94,7 @@
         sent=failure.sent,
         retry_after_s=failure.retry_after_s,
         detail=failure.detail,
+        helper=failure.helper,
     )
     return CIMultiDict({RELAYED_HEADER: encode_outcome(outcome)})
 
@@ -108,4 +109,5 @@
         f"through {helper}: {outcome.detail}",
         sent=outcome.sent,
         retry_after_s=outcome.retry_after_s,
+        helper=None if outcome.helper is None else EntryId(outcome.helper),
     )
--- a/src/celerytrack/gateway/relay_server.py
+++ b/src/celerytrack/gateway/relay_server.py
@@ -108,10 +108,21 @@
     finally:
         gateway.exchanges.discard(exchange)
     endpoint_id = exchange.tried[-1] if len(exchange.tried) > tried else None
+    result = result.alt(lambda failure: _with_helper(gateway, exchange, failure))
     log_relay_served(gateway, exchange, endpoint_id, result)
     return await _respond(exchange, endpoint_id, result)
 
 
+def _with_helper(
+    gateway: Gateway, exchange: Exchange, failure: AttemptFailure
+) -> AttemptFailure:
+    """Name an entry that helps this one, if it can't help itself."""
+    if failure.reason is not Reason.ISOLATED:
+        return failure
+    helper = gateway.helpers.proven(exchange.service, time.monotonic())
+    return attrs.evolve(failure, helper=helper)
+
+
 async def _attempt_once(
     gateway: Gateway, exchange: Exchange
 ) -> Result[BufferedAnswer | None, AttemptFailure]:
--- a/src/celerytrack/lab/cut_fleet.py
+++ b/src/celerytrack/lab/cut_fleet.py
@@ -280,14 +280,20 @@
             await asyncio.sleep(self._rng.uniform(*MESSAGE_DELAY_S))
             target = next(e for e in self._entries if e.entry_id == helper.entry_id)
             if not target.alive or target.monitor.is_down(S):
-                entry.helpers.record_refused(helper, S, time.monotonic() + REFUSED_S)
+                now_s = time.monotonic()
+                entry.helpers.record_refused(helper, S, now_s + REFUSED_S)
+                named = target.helpers.proven(S, now_s) if target.alive else None
+                if named is not None:
+                    entry.helpers.record_served(named, S, now_s)
                 continue
             entry.helpers.begin(helper)
             target.for_others += 1
             most = max(self._outcome.most_in_progress, target.for_others)
             self._outcome.most_in_progress = most
             try:
-                return await self._send(target, call, tried)
+                result = await self._send(target, call, tried)
+                entry.helpers.record_served(helper.entry_id, S, time.monotonic())
+                return result
             finally:
                 target.for_others -= 1
                 entry.helpers.end(helper)
--- a/src/celerytrack/reachability/helpers.py
+++ b/src/celerytrack/reachability/helpers.py
@@ -2,6 +2,7 @@
 Without I/O."""
 
 import collections
+import math
 import random
 from collections.abc import Collection, Iterable
 
@@ -17,6 +18,11 @@
 """How long an entry that refused to help with a service is passed over."""
 UNREACHABLE_S = 2.0
 """How long an entry that could not be reached is passed over."""
+PROVEN_S = 3.0
+"""How long an entry counts as one that helps after it has served a request."""
+EXPLORE_SHARE = 0.1
+"""Share of the requests that go to entries of which nothing is known, while others
+refuse: the ones that help must not get all load for ever."""
 OTHER_ZONE_REQUESTS = 2
 """Requests in progress at a helper in this entry's zone that weigh as much as the
 way to another zone."""
@@ -97,6 +103,7 @@
     _in_progress: collections.Counter[EntryId] = attrs.field(
         factory=collections.Counter
     )
+    _served_at_s: dict[tuple[EntryId, ServiceName], float] = attrs.field(factory=dict)
     _passed_over_until_s: dict[tuple[EntryId, ServiceName], float] = attrs.field(
         factory=dict
     )
@@ -119,8 +126,23 @@
         ]
         if not candidates:
             return None
+        if self._are_some_passed_over(service, now_s):
+            candidates = self._prefer_proven(candidates, service, now_s)
         return min(candidates, key=lambda h: (self._cost(h), self.rng.random()))
 
+    def record_served(self, entry: EntryId, service: ServiceName, now_s: float) -> None:
+        """Record that a request was served through an entry, or is said to be."""
+        self._served_at_s[entry, service] = now_s
+
+    def proven(self, service: ServiceName, now_s: float) -> EntryId | None:
+        """An entry that lately served a request; ``None`` if none is known."""
+        proven = [
+            entry
+            for (entry, known_service), at_s in self._served_at_s.items()
+            if known_service == service and now_s - at_s < PROVEN_S
+        ]
+        return self.rng.choice(proven) if proven else None
+
     def record_refused(
         self, helper: Helper, service: ServiceName, until_s: float
     ) -> None:
@@ -143,6 +165,28 @@
         ]
         for key in over:
             del self._passed_over_until_s[key]
+        served = self._served_at_s
+        self._served_at_s = {k: s for k, s in served.items() if now_s - s < PROVEN_S}
+
+    def _are_some_passed_over(self, service: ServiceName, now_s: float) -> bool:
+        return any(
+            known_service == service and until_s > now_s
+            for (_, known_service), until_s in self._passed_over_until_s.items()
+        )
+
+    def _prefer_proven(
+        self, candidates: list[Helper], service: ServiceName, now_s: float
+    ) -> list[Helper]:
+        """Those that served lately, while others refuse and no news tell which."""
+        proven = [
+            helper
+            for helper in candidates
+            if now_s - self._served_at_s.get((helper.entry_id, service), -math.inf)
+            < PROVEN_S
+        ]
+        if not proven or self.rng.random() < EXPLORE_SHARE:
+            return candidates
+        return proven
 
     def _may_help(self, helper: Helper, service: ServiceName, now_s: float) -> bool:
         until_s = self._passed_over_until_s.get((helper.entry_id, service), now_s)
--- a/src/celerytrack/reachability/relayed.py
+++ b/src/celerytrack/reachability/relayed.py
@@ -45,6 +45,7 @@
     :ivar reason: why there is no endpoint's answer; ``None`` if there is one.
     :ivar sent: whether it may have reached the endpoint.
     :ivar retry_after_s: when an attempt may succeed, if known.
+    :ivar helper: another entry that lately served such a request, if this one can't.
     """
 
     endpoint: str | None = None
@@ -53,6 +54,7 @@
     sent: bool = False
     retry_after_s: float | None = None
     detail: str = ""
+    helper: str | None = None
 
     @property
     def endpoint_id(self) -> EndpointId | None:
@@ -67,6 +69,7 @@
     sent: bool = False
     retry_after_s: float | None = None
     detail: str = ""
+    helper: str | None = None
 
 
 def encode_outcome(outcome: RelayOutcome) -> str:
@@ -101,5 +104,11 @@
     if retry_after_s is not None and not 0 <= retry_after_s < math.inf:
         retry_after_s = None
     return RelayOutcome(
-        wire.endpoint, reason, verdict, wire.sent, retry_after_s, wire.detail
+        wire.endpoint,
+        reason,
+        verdict,
+        wire.sent,
+        retry_after_s,
+        wire.detail,
+        wire.helper,
     )
--- a/tests/test_reachability.py
+++ b/tests/test_reachability.py
@@ -24,6 +24,7 @@
 from celerytrack.reachability.helpers import (
     NEWS_TTL_S,
     OTHER_ZONE_REQUESTS,
+    PROVEN_S,
     Helper,
     HelperChoice,
     PeerLinks,
@@ -226,6 +227,17 @@
         self.choice.expire(1.0)
         self.assertIn(self._choose(1.0), self.helpers[:2])
 
+    def test_an_entry_that_helps_is_found_without_news(self) -> None:
+        """Requests asked three of two hundred entries that could not help."""
+        for helper in self.helpers[:1]:
+            self.choice.record_refused(helper, S, 9.0)
+        self.assertIsNone(self.choice.proven(S, 1.0))
+        self.choice.record_served(EntryId("e2"), S, 1.0)
+        self.assertEqual(self.choice.proven(S, 2.0), EntryId("e2"))
+        chosen = [self._choose(2.0) for _ in range(50)]
+        self.assertGreater(chosen.count(self.helpers[2]), 30)
+        self.assertIsNone(self.choice.proven(S, 1.0 + PROVEN_S))
+
 
 class MessageTest(unittest.TestCase):
     def test_news_are_read_as_written(self) -> None:
