--- a/src/celerytrack/cli/ctl.py
+++ b/src/celerytrack/cli/ctl.py
@@ -10,6 +10,7 @@
 import json
 import time
 import uuid
+from collections.abc import Collection
 from typing import Any
 
 import aiohttp
@@ -296,7 +297,9 @@
                 f"{' draining' if row['draining'] else ''}"
                 f"{_limits_text(row.get('limits', {}))}"
                 f"{_backoffs_text(row.get('backoffs_s', {}))}"
-                f"{_leaving_text(row.get('leaving_replicas', []))}"
+                f"{_names_text('leaving', row.get('leaving_replicas', []))}"
+                f"{_names_text('brittle', row.get('brittle', {}))}"
+                f"{_names_text('no links to', row.get('links_down', []))}"
             )
         return 0
 
@@ -313,8 +316,8 @@
     return f" backing off: {', '.join(left)}" if backoffs_s else ""
 
 
-def _leaving_text(replicas: list[str]) -> str:
-    return f" leaving: {', '.join(replicas)}" if replicas else ""
+def _names_text(label: str, names: Collection[str]) -> str:
+    return f" {label}: {', '.join(sorted(names))}" if names else ""
 
 
 def main() -> int:
--- a/src/celerytrack/entry/app.py
+++ b/src/celerytrack/entry/app.py
@@ -75,7 +75,8 @@
             "held_tokens": held,
             "grants": len(state.grant_manager.escrow.grants),
             "ledger_backlog": state.grant_manager.writer.backlog,
-            "limits": state.notices.sync.limits.tracker.limited(),
+            "limits": state.notices.sync.limits.tracker.named(),
+            "brittle": state.notices.sync.limits.tracker.brittle(),
             "links_down": sorted(state.reach.tracker.down()),
             "leaving_replicas": sorted(
                 r
--- a/src/celerytrack/limits/metrics.py
+++ b/src/celerytrack/limits/metrics.py
@@ -22,7 +22,7 @@
             "Requests a second that an endpoint takes from all entries.",
             labels=["endpoint"],
         )
-        for endpoint_id, limit_per_s in self._limits.tracker.limited().items():
+        for endpoint_id, limit_per_s in self._limits.tracker.named().items():
             named.add_metric([endpoint_id], limit_per_s)
         leases = CounterMetricFamily(
             "celerytrack_leases",
--- a/src/celerytrack/limits/tracker.py
+++ b/src/celerytrack/limits/tracker.py
@@ -135,8 +135,18 @@
             return None
         return known.bears_per_s
 
+    def brittle(self) -> dict[EndpointId, float]:
+        """The brittle endpoints, and the rejections a second that they bear."""
+        bears = ((i, self.bears_per_s(i)) for i in self._known)
+        return {i: bears_per_s for i, bears_per_s in bears if bears_per_s is not None}
+
+    def named(self) -> dict[EndpointId, float]:
+        """The rate limits that endpoints name now."""
+        return {i: v for i, v in self.limited().items() if v < UNLIMITED_PER_S}
+
     def limited(self) -> dict[EndpointId, float]:
-        """The endpoints that have a limit now."""
+        """The endpoints that need leases now, with :data:`UNLIMITED_PER_S` for those
+        that name no limit."""
         limits = ((i, known.now_per_s) for i, known in self._known.items())
         return {i: limit for i, limit in limits if limit is not None}
 
--- a/tests/test_own_cut.py
+++ b/tests/test_own_cut.py
@@ -42,6 +42,22 @@
         self.assertEqual(most_runs, 1)
 
 
+class StatusTest(unittest.IsolatedAsyncioTestCase):
+    async def test_the_status_names_what_an_entry_does_not_reach(self) -> None:
+        """Operators saw a refusal, and not whose fault it was."""
+        async with OwnCutFleet(2) as fleet:
+            fleet.services[0].knobs["bears_per_s"] = 3
+            fleet.links.set_state([0], LinkState.RESET)
+            rng = random.Random(9)
+            await fleet.play(RATE_PER_S, 2.0, rng, 0)
+            address = fleet.settings.entries[0].address
+            async with fleet.http.get(f"http://{address}/status") as answer:
+                status = await answer.json()
+        self.assertEqual(status["links_down"], ["m", "s"])
+        self.assertEqual(status["brittle"], {"service-0": 3.0})
+        self.assertEqual(status["limits"], {})
+
+
 class LoadToolTest(unittest.TestCase):
     @params(
         ((40, 40), (40, 40), 0),
