--- a/src/celerytrack/reachability/check.py
+++ b/src/celerytrack/reachability/check.py
@@ -10,8 +10,8 @@
 from celerytrack.process_end import ConnectResult, probe_address
 from celerytrack.reachability.links import MAX_CHECK_S
 
-FIRST_CONNECTIONS = 2
-MORE_CONNECTIONS = 2
+FIRST_CONNECTIONS = 1
+MORE_CONNECTIONS = 3
 """Connections of a check, at once and after :data:`MORE_AFTER_S`: with endpoints that
 fail by themselves among them, one is still likely to accept."""
 MORE_AFTER_S = 0.05
