--- a/src/celerytrack/entry/fleet_view.py
+++ b/src/celerytrack/entry/fleet_view.py
@@ -86,7 +86,7 @@
     :param on_entry: called with the peer address of each newly listed entry.
     :param on_heard: called with a replica that answered.
     :param on_unreached: called with a replica that did not, and whether there was a
-        connection to it.
+        connection to it; returns whether that is held against the replica.
     """
 
     def __init__(
@@ -95,7 +95,7 @@
         poll_s: float,
         on_entry: Callable[[str], None] = lambda address: None,
         on_heard: Callable[[ReplicaLoad], None] = lambda replica: None,
-        on_unreached: Callable[[ReplicaLoad, bool], None] = lambda replica, sent: None,
+        on_unreached: Callable[[ReplicaLoad, bool], bool] = lambda replica, sent: True,
     ) -> None:
         self._on_heard = on_heard
         self._on_unreached = on_unreached
@@ -213,13 +213,13 @@
         try:
             report = await self._get_json(self.addresses[replica_id], "/load")
         except _UnreachedError as exc:
-            report = None
-            self._on_unreached(load, exc.sent)
-        else:
-            self._on_heard(load)
-        if report is None:
             # The replica is dead or unreachable although the list may still show it
             # as live. Mark it now, so that no request has to fail first.
+            if self._on_unreached(load, exc.sent):
+                load.record_failure(time.time())
+            return
+        self._on_heard(load)
+        if report is None:
             load.record_failure(time.time())
             return
         load.born_ms = read_born_ms(report, load.born_ms)
--- a/src/celerytrack/entry/relay.py
+++ b/src/celerytrack/entry/relay.py
@@ -18,6 +18,7 @@
     Post,
     replica_failed,
 )
+from celerytrack.entry.reach import potential_helpers
 from celerytrack.entry.relay_format import (
     MAX_TRIED,
     RELAY_PATH,
@@ -40,6 +41,8 @@
 MAX_HELPERS = 3
 """Entries that one attempt asks, one after the other; each refuses at once."""
 RETRY_AFTER_S = 0.5
+_PASSED_OVER = frozenset({Reason.ISOLATED, Reason.DRAINING, Reason.NO_CONFIG})
+"""Reasons for which the next request would be refused too."""
 
 
 def links_down() -> Refusal:
@@ -67,19 +70,19 @@
     ask: Ask,
     tried: Collection[ReplicaId],
     attempt: Callable[[Attempt, Post], Awaitable[Result[T, Refusal]]],
-) -> tuple[Attempt, Result[T, Refusal]]:
+) -> tuple[Attempt | None, Result[T, Refusal]]:
     """Make one attempt through another entry.
 
-    :returns: the attempt, at the replica that the other entry chose, and its result.
+    :returns: the attempt, at the replica that the other entry chose, ``None`` if no
+        entry sent the request, and its result.
     """
     service = ServiceName(ask.model)
     result: Result[T, Refusal] = Failure(links_down())
-    sent = _attempt_at(ReplicaId(""), ask)
     asked: set[EntryId] = set()
     for _ in range(MAX_HELPERS):
         now_s = time.monotonic()
         helper = state.helpers.choose(
-            state.potential_helpers(now_s), service, asked, now_s
+            potential_helpers(state, now_s), service, asked, now_s
         )
         if helper is None:
             break
@@ -97,13 +100,24 @@
             sent.replica.replica_id = replica_id
         if not _was_refused(relayed):
             state.helpers.record_served(helper.entry_id, service, time.monotonic())
-            break
-        wait_s = UNREACHABLE_S if relayed.unreached else REFUSED_S
-        state.helpers.record_refused(helper, service, time.monotonic() + wait_s)
+            return sent, result
+        _pass_over(state, relayed, service, time.monotonic())
         if relayed.outcome is not None and relayed.outcome.helper is not None:
             named = EntryId(relayed.outcome.helper)
             state.helpers.record_served(named, service, time.monotonic())
-    return sent, result
+    return None, result
+
+
+def _pass_over(
+    state: EntryState, relayed: _Relayed, service: ServiceName, now_s: float
+) -> None:
+    """Ask an entry that could not help no more for a while, if it could not the next
+    time."""
+    if relayed.unreached:
+        now_s += UNREACHABLE_S
+    elif relayed.outcome is not None and relayed.outcome.reason in _PASSED_OVER:
+        now_s += REFUSED_S
+    state.helpers.record_refused(relayed.helper, service, now_s)
 
 
 def _attempt_at(replica_id: ReplicaId, ask: Ask) -> Attempt:
--- a/src/celerytrack/entry/relay_server.py
+++ b/src/celerytrack/entry/relay_server.py
@@ -20,6 +20,8 @@
     CallFailedError,
     Post,
     replica_failed,
+    replica_unreachable,
+    replica_withheld,
 )
 from celerytrack.entry.relay import links_down
 from celerytrack.entry.relay_format import (
@@ -239,11 +241,15 @@
     helper: EntryId | None = None,
 ) -> web.Response:
     ran = refusal.verdict is Verdict.MAY_HAVE_RUN
+    arrived = replica is not None and refusal not in (
+        replica_unreachable(),
+        replica_withheld(),
+    )
     outcome = RelayOutcome(
         replica,
         refusal.reason,
         refusal.verdict,
-        ran,
+        ran or arrived,
         refusal.retry_after_s,
         refusal.detail,
         helper,
--- a/src/celerytrack/entry/service_calls.py
+++ b/src/celerytrack/entry/service_calls.py
@@ -25,6 +25,7 @@
     try_replicas,
 )
 from celerytrack.events import Event, log_event
+from celerytrack.ids import ServiceName
 from celerytrack.routing.replica_load import Ask
 from celerytrack.settings import BackendKind
 from celerytrack.verdict import Reason, Refusal, Verdict, did_not_run, may_have_run
@@ -65,7 +66,8 @@
     try:
         # Check that some replica has room before the intent is recorded, so that a
         # call refused for lack of capacity can still be retried.
-        choose_replica(state, admitted.work, ask, frozenset())
+        if not state.reach.is_down(ServiceName(ask.model)):
+            choose_replica(state, admitted.work, ask, frozenset())
         if not admitted.work.idempotent:
             claim = await _claim(state, admitted)
         if claim.state is ClaimState.FINISHED:
--- a/src/celerytrack/entry/state.py
+++ b/src/celerytrack/entry/state.py
@@ -1,13 +1,11 @@
 """The state of one entry instance and the tasks that keep it up to date."""
 
 import asyncio
-import contextlib
 import logging
 import random
 import time
 import uuid
 from collections import defaultdict
-from collections.abc import Iterator
 
 import aiohttp
 
@@ -19,21 +17,23 @@
 from celerytrack.entry.metrics import EntryMetrics
 from celerytrack.entry.notices import EntryNotices
 from celerytrack.entry.peers import HEARTBEAT_S, Heartbeat, PeerLink
+from celerytrack.entry.reach import (
+    is_reached_elsewhere,
+    make_reach,
+    record_link_news,
+)
 from celerytrack.entry.shared_deadline import SharedDeadline
 from celerytrack.entry.stopping import StopTimes, plan_stop
 from celerytrack.entry.suspects import EntrySuspects
 from celerytrack.events import Event, log_event
 from celerytrack.findings import Findings
 from celerytrack.http_session import make_http_session
-from celerytrack.ids import EndpointId, EntryId, ReplicaId, ServiceName
+from celerytrack.ids import EndpointId, EntryId, ServiceName
 from celerytrack.limits.metrics import register_limits
 from celerytrack.logclient import LogClient
 from celerytrack.notices.metrics import register_notices
 from celerytrack.notices.owners import Peer
-from celerytrack.reachability.check import CheckTarget
-from celerytrack.reachability.helpers import Helper, HelperChoice
-from celerytrack.reachability.messages import LinkNews
-from celerytrack.reachability.monitor import EntryLinks, ReachMonitor
+from celerytrack.reachability.helpers import HelperChoice
 from celerytrack.routing.rendezvous import rendezvous
 from celerytrack.routing.replica_load import Load, ReplicaLoad
 from celerytrack.routing.replicas import make_chooser
@@ -48,8 +48,6 @@
 """Idle time after which a connection to a replica or an entry is not reused."""
 RELAY_CONNECT_TIMEOUT_S = 0.3
 """Time limit for a connection to another entry."""
-MAX_ASKED = 3
-"""Entries that are asked whether they reach a replica."""
 _DRAIN_LEDGER_S = 10.0
 """Longest a drain waits for the log to accept the last bills and settles."""
 
@@ -98,30 +96,22 @@
         self.draining = False
         self.in_flight = 0
         self.attempts_deadline = SharedDeadline()
-        self.suspects = EntrySuspects(self.entry_id, self._is_reached_elsewhere)
+        self.suspects = EntrySuspects(
+            self.entry_id, lambda replica_id: is_reached_elsewhere(self, replica_id)
+        )
         self.notices = EntryNotices(
             self.entry_id,
             self.spec.peer_address,
             self._notice_peers,
             self.view.age_s,
             self.rng,
-            self._on_link_news,
+            lambda news: record_link_news(self, news),
         )
         self.helpers = HelperChoice(self.spec.zone, self.rng)
         self.relays_in_progress = 0
-        self.reach = ReachMonitor(
-            EntryLinks(
-                self.entry_id,
-                time.monotonic(),
-                self._check_targets,
-                lambda: (),
-                self.notices.tell_links,
-                self._on_links_down,
-            ),
-            self.rng,
-        )
-        self._ended_with_links: defaultdict[str, set[asyncio.Timeout]]
-        self._ended_with_links = defaultdict(set)
+        self.reach = make_reach(self)
+        self.ended_with_links: defaultdict[str, set[asyncio.Timeout]]
+        self.ended_with_links = defaultdict(set)
         register_limits(self.metrics.registry, self.notices.sync.limits)
         register_notices(self.metrics.registry, self.notices.sync)
         self._idle = asyncio.Event()
@@ -323,41 +313,17 @@
         """Record that a replica answered."""
         self.reach.record_heard(ServiceName(replica.model), time.monotonic())
 
-    def record_unreached(self, replica: ReplicaLoad, sent: bool) -> None:
+    def record_unreached(self, replica: ReplicaLoad, sent: bool) -> bool:
         """Record that a replica was not reached, or a connection to it broke.
 
         :param sent: whether there was a connection.
+        :returns: whether it may be the replica's fault: not while this entry reaches
+            none.
         """
         service = ServiceName(replica.model)
         endpoint_id = EndpointId(replica.replica_id)
         self.reach.record_failure(service, endpoint_id, sent, time.monotonic())
-
-    def potential_helpers(self, now_s: float) -> list[Helper]:
-        """The entries that may send a request for this one."""
-        return [
-            Helper(entry_id, info.relay_address, info.zone)
-            for entry_id, info in self.view.entries.items()
-            if entry_id != self.entry_id
-            and info.relay_address
-            and info.is_usable(now_s)
-        ]
-
-    @contextlib.contextmanager
-    def ended_if_links_fail(
-        self, model: str, may_repeat: bool
-    ) -> Iterator[asyncio.Timeout]:
-        """A timeout that expires when this entry reaches no replica of ``model``.
-
-        :param may_repeat: whether the attempt may be made again elsewhere; otherwise
-            it is left to its own end.
-        """
-        timeout = asyncio.timeout(None)
-        if may_repeat:
-            self._ended_with_links[model].add(timeout)
-        try:
-            yield timeout
-        finally:
-            self._ended_with_links[model].discard(timeout)
+        return not self.reach.is_down(service)
 
     def _on_connected(self, address: str) -> None:
         for replica_id, known in self.view.addresses.items():
@@ -365,69 +331,6 @@
                 model = self.view.replicas[replica_id].model
                 self.reach.record_connected(ServiceName(model))
 
-    def _check_targets(self, service: ServiceName) -> list[CheckTarget]:
-        return [
-            CheckTarget(EndpointId(replica_id), self.view.addresses[replica_id])
-            for replica_id, replica in self.view.replicas.items()
-            if replica.model == service and not replica.leaving
-        ]
-
-    def _on_links_down(self, service: ServiceName, doubted_at_s: float) -> None:
-        """Take back what failures said of single replicas, and end attempts that can
-        be made elsewhere, unless open connections live on."""
-        for replica in self.view.replicas.values():
-            if replica.model == service:
-                replica.record_success()
-        if self.reach.evidence.heard_at_s(service) > doubted_at_s:
-            return
-        now_s = asyncio.get_running_loop().time()
-        for timeout in self._ended_with_links[service]:
-            if not timeout.expired():
-                timeout.reschedule(now_s)
-
-    def _on_link_news(self, news: LinkNews) -> None:
-        if news.entry_id == self.entry_id:
-            return
-        if self.helpers.peer_links.record(news, time.monotonic()):
-            log_event(
-                _log, Event.PEER_LINKS, entry=news.entry_id, down=sorted(news.services)
-            )
-
-    async def _is_reached_elsewhere(self, replica_id: ReplicaId) -> bool:
-        """Whether another entry reaches a replica that refuses connections here."""
-        replica = self.view.replicas.get(replica_id)
-        if replica is None:
-            return False
-        service = ServiceName(replica.model)
-        await self.reach.settled(service)
-        reached = self.reach.is_down(service)
-        if not reached:
-            now_s = time.monotonic()
-            helpers = self.potential_helpers(now_s)
-            asked = self.rng.sample(helpers, min(MAX_ASKED, len(helpers)))
-            answers = (self._reaches(helper, replica_id) for helper in asked)
-            reached = any(await asyncio.gather(*answers))
-        if reached:
-            log_event(
-                _log,
-                Event.CRASH_UNCONFIRMED,
-                logging.WARNING,
-                endpoint=replica_id,
-                seen_by=None,
-            )
-        return reached
-
-    async def _reaches(self, helper: Helper, replica_id: ReplicaId) -> bool:
-        url = f"http://{helper.address}/replica"
-        timeout = aiohttp.ClientTimeout(total=RELAY_CONNECT_TIMEOUT_S)
-        try:
-            async with self.relay_session.get(
-                url, params={"replica": replica_id}, timeout=timeout
-            ) as answer:
-                return answer.status == 204
-        except (aiohttp.ClientError, OSError, TimeoutError):
-            return False
-
     def _notice_peers(self, now_s: float) -> list[Peer]:
         return [
             Peer(entry_id, info.peer_address)
--- a/src/celerytrack/entry/upstream.py
+++ b/src/celerytrack/entry/upstream.py
@@ -5,15 +5,13 @@
 import enum
 import logging
 import time
-from collections.abc import Awaitable, Callable, Collection
+from collections.abc import Awaitable, Callable
 from typing import TypeVar
 
-import attrs
 from returns.result import Failure, Result, Success
 
 from celerytrack.entry.admission import (
     AdmittedRequest,
-    choose_replica,
     suspect_state_of,
 )
 from celerytrack.entry.calls import (
@@ -22,8 +20,8 @@
     replica_unreachable,
     replica_withheld,
 )
-from celerytrack.entry.notices import LeasedReplica
-from celerytrack.entry.refusals import RefusedError
+from celerytrack.entry.placement import AttemptHistory, place
+from celerytrack.entry.reach import ended_if_links_fail
 from celerytrack.entry.relay import relay
 from celerytrack.entry.shared_deadline import DeadlineExceededError
 from celerytrack.entry.state import EntryState
@@ -46,8 +44,6 @@
 MAX_PROBE_S = 60.0
 """Longest time for which a request counts as probed if the entry that runs the probe
 does not report its end."""
-RESUME_WAIT_S = 1.0
-"""Longest wait of an answer that has begun for a replica: its caller sees a pause."""
 MAX_ATTEMPTS_WITHOUT_TOKENS = 3
 """Consecutive attempts of one request that may end without a token of the answer."""
 _NOT_RUN_STATUSES = frozenset({400, 404, 408, 421, 429, 503})
@@ -89,45 +85,6 @@
     return did_not_run(Reason.DRAINING, 0.0, detail)
 
 
-@attrs.define
-class _AttemptHistory:
-    """The state of one request's attempts.
-
-    :ivar answer_at_s: until when the first token is in time, on the monotonic clock.
-    :ivar streaming: the caller has received a part of the answer.
-    :ivar failed_in_row: consecutive failed attempts that produced no token.
-    :ivar avoid: replicas that failed the request since its last token.
-    :ivar refusal: the answer if no attempt succeeds. Once an attempt may have run it,
-        its refusal is kept, however later attempts end.
-    """
-
-    answer_at_s: float
-    streaming: bool = False
-    failed_in_row: int = 0
-    avoid: frozenset[ReplicaId] = frozenset()
-    refusal: Refusal | None = None
-
-    def next_ask(self, ask: Ask) -> Ask:
-        """The next attempt's placement request.
-
-        A started answer gets the top priority: it is not shed in favor of more
-        urgent requests, which can still be refused.
-        """
-        return attrs.evolve(ask, priority=0) if self.streaming else ask
-
-    def record_failure(self, sent: Attempt, refusal: Refusal) -> None:
-        """Count a failed attempt; one that produced tokens resets the count."""
-        if sent.answered:
-            self.streaming = True
-            self.failed_in_row = 0
-            self.avoid = frozenset()
-        else:
-            self.failed_in_row += 1
-        self.avoid |= {sent.replica.replica_id}
-        if self.refusal is None or refusal.verdict is Verdict.MAY_HAVE_RUN:
-            self.refusal = refusal
-
-
 async def try_replicas(
     state: EntryState,
     admitted: AdmittedRequest,
@@ -139,9 +96,7 @@
     :returns: the first success, or the refusal that the caller gets.
     """
     state.retries.record_request()
-    history = _AttemptHistory(
-        answer_at_s=time.monotonic() + admitted.work.ttft_target_s
-    )
+    history = AttemptHistory(answer_at_s=time.monotonic() + admitted.work.ttft_target_s)
     while True:
         if state.attempts_deadline.has_passed(time.monotonic()):
             return Failure(history.refusal or draining_before_send())
@@ -180,7 +135,7 @@
     :param avoid: replicas that are not to be chosen.
     """
     answer_at_s = time.monotonic() + admitted.work.ttft_target_s
-    history = _AttemptHistory(answer_at_s, avoid=avoid)
+    history = AttemptHistory(answer_at_s, avoid=avoid)
     for _ in range(MAX_ATTEMPTS_WITHOUT_TOKENS):
         try:
             sent, result = await _attempt_directly(
@@ -202,7 +157,7 @@
 async def _attempt(
     state: EntryState,
     admitted: AdmittedRequest,
-    history: _AttemptHistory,
+    history: AttemptHistory,
     ask: Ask,
     attempt: AttemptCall[T],
 ) -> tuple[Attempt | None, Result[T, Refusal]]:
@@ -233,7 +188,7 @@
 async def _attempt_elsewhere(
     state: EntryState,
     admitted: AdmittedRequest,
-    history: _AttemptHistory,
+    history: AttemptHistory,
     ask: Ask,
     attempt: AttemptCall[T],
 ) -> tuple[Attempt | None, Result[T, Refusal]]:
@@ -245,18 +200,15 @@
     next_ask = history.next_ask(ask)
     async with state.attempts_deadline.scope():
         sent, result = await relay(state, admitted, next_ask, history.avoid, attempt)
-    match result:
-        case Failure(refusal) if refusal.verdict is Verdict.DID_NOT_RUN:
-            if not state.reach.is_down(ServiceName(admitted.work.model)):
-                return await _attempt_directly(state, admitted, history, ask, attempt)
-            return None, result
+    if sent is None and not state.reach.is_down(ServiceName(admitted.work.model)):
+        return await _attempt_directly(state, admitted, history, ask, attempt)
     return sent, result
 
 
 async def _attempt_directly(
     state: EntryState,
     admitted: AdmittedRequest,
-    history: _AttemptHistory,
+    history: AttemptHistory,
     ask: Ask,
     attempt: AttemptCall[T],
 ) -> tuple[Attempt | None, Result[T, Refusal]]:
@@ -267,7 +219,7 @@
     suspect_state = suspect_state_of(state, admitted, time.monotonic())
     if suspect_state is SuspectState.QUARANTINED:
         return None, Failure(_quarantine_refusal(state, admitted))
-    placed = await _place(state, admitted, history, ask, suspect_state)
+    placed = await place(state, admitted, history, ask, suspect_state)
     if isinstance(placed, Refusal):
         if history.refusal is not None:
             _log_not_retried(admitted.request_id, NoRetryReason.NO_REPLICA, placed)
@@ -326,7 +278,7 @@
     may_repeat = admitted.work.idempotent
     try:
         async with state.attempts_deadline.scope():
-            with state.ended_if_links_fail(replica.model, may_repeat) as scope:
+            with ended_if_links_fail(state, replica.model, may_repeat) as scope:
                 async with scope:
                     return await attempt(sent, post)
     except TimeoutError:
@@ -344,101 +296,6 @@
             state.suspects.end_suspect(replica.replica_id)
 
 
-async def _place(
-    state: EntryState,
-    admitted: AdmittedRequest,
-    history: _AttemptHistory,
-    ask: Ask,
-    suspect_state: SuspectState,
-) -> LeasedReplica | Refusal:
-    """Choose the replica of the next attempt, with a lease if it is limited."""
-
-    def choose(excluded: Collection[ReplicaId]) -> ReplicaLoad | None:
-        try:
-            return _choose_replica(
-                state, admitted, history, ask, suspect_state, frozenset(excluded)
-            )
-        except RefusedError:
-            return None
-
-    while True:
-        try:
-            replica = _choose_replica(state, admitted, history, ask, suspect_state)
-            break
-        except RefusedError as exc:
-            if not await _wait_for_opening(state, history, ask):
-                return exc.refusal
-    if not state.notices.sync.limits.tracker:
-        return LeasedReplica(replica)
-    may_run = [
-        replica
-        for replica in state.view.replicas.values()
-        if replica.model == ask.model
-        and not replica.leaving
-        and replica.replica_id not in history.avoid
-    ]
-    next_ask = history.next_ask(ask)
-    max_wait_s = _max_wait_s(replica, history, next_ask)
-    return await state.notices.lease(
-        choose, may_run, next_ask.priority, max_wait_s, state.rng
-    )
-
-
-async def _wait_for_opening(
-    state: EntryState, history: _AttemptHistory, ask: Ask
-) -> bool:
-    """Wait for a replica that backs off, if an answer from there is in time.
-
-    :returns: whether there may be a replica now.
-    """
-    next_ask = history.next_ask(ask)
-    replicas = (
-        replica
-        for replica in state.view.replicas.values()
-        if replica.model == ask.model and replica.replica_id not in history.avoid
-    )
-    opening = state.notices.next_opening(replicas, time.monotonic())
-    if opening is None:
-        return False
-    max_wait_s = _max_wait_s(opening.replica, history, next_ask)
-    return await state.notices.wait_for_opening(opening, next_ask.priority, max_wait_s)
-
-
-def _max_wait_s(replica: ReplicaLoad, history: _AttemptHistory, ask: Ask) -> float:
-    if history.streaming:
-        return RESUME_WAIT_S
-    load = replica.load(time.time())
-    first_token_s = predict_first_token_s(replica, load, ask, Placement())
-    return max(0.0, history.answer_at_s - first_token_s - time.monotonic())
-
-
-def _choose_replica(
-    state: EntryState,
-    admitted: AdmittedRequest,
-    history: _AttemptHistory,
-    ask: Ask,
-    suspect_state: SuspectState,
-    limited: frozenset[ReplicaId] = frozenset(),
-) -> ReplicaLoad:
-    """Choose the replica of the next attempt.
-
-    While other replicas have room, a request is not sent to one on which a probe
-    runs, and a suspect request is not sent to one that runs another suspect.
-
-    :param limited: replicas whose rate limit leaves no room now.
-    :raises RefusedError: if no replica has room.
-    """
-    next_ask = history.next_ask(ask)
-    excluded = history.avoid | limited
-    to_avoid = state.suspects.replicas_to_avoid(suspect_state, time.monotonic())
-    if to_avoid:
-        try:
-            return choose_replica(state, admitted.work, next_ask, excluded | to_avoid)
-        except RefusedError:
-            pass
-    return choose_replica(state, admitted.work, next_ask, excluded)
-
-
 def _is_no_fault(state: EntryState, replica: ReplicaLoad, refusal: Refusal) -> bool:
     """Whether a failed attempt is no sign of a fault of the replica."""
     return refusal in (replica_withheld(), links_lost()) or _is_backpressure(
@@ -493,7 +350,7 @@
 
 
 def _reason_not_to_retry(
-    state: EntryState, work: WorkClass, refusal: Refusal, history: _AttemptHistory
+    state: EntryState, work: WorkClass, refusal: Refusal, history: AttemptHistory
 ) -> NoRetryReason | None:
     """Why the failed attempt is not retried; ``None`` if it is, which takes a token
     of the retry budget unless the answer has started."""
--- a/src/celerytrack/gateway/endpoint_queries.py
+++ b/src/celerytrack/gateway/endpoint_queries.py
@@ -13,6 +13,7 @@
 
 from celerytrack.events import Event, log_event
 from celerytrack.gateway.peer_requests import ENDPOINT_REACHED_STATUS
+from celerytrack.gateway.reach import potential_helpers
 from celerytrack.ids import EndpointId
 from celerytrack.process_end import ConnectResult, probe_address
 from celerytrack.routing.endpoint import Endpoint
@@ -39,7 +40,7 @@
         return True
     helpers = [
         helper
-        for helper in gateway.potential_helpers(time.monotonic())
+        for helper in potential_helpers(gateway, time.monotonic())
         if not gateway.helpers.peer_links.is_down(
             helper.entry_id, service, time.monotonic()
         )
--- a/src/celerytrack/gateway/relay.py
+++ b/src/celerytrack/gateway/relay.py
@@ -21,6 +21,7 @@
 )
 from celerytrack.gateway.exchange import AttemptFailure, Exchange
 from celerytrack.gateway.outcomes import log_relayed
+from celerytrack.gateway.reach import potential_helpers
 from celerytrack.gateway.relay_format import (
     RelayOrder,
     encode_order,
@@ -70,7 +71,7 @@
     for _ in range(MAX_HELPERS):
         now_s = time.monotonic()
         helper = gateway.helpers.choose(
-            gateway.potential_helpers(now_s), exchange.service, asked, now_s
+            potential_helpers(gateway, now_s), exchange.service, asked, now_s
         )
         if helper is None:
             break
--- a/src/celerytrack/gateway/state.py
+++ b/src/celerytrack/gateway/state.py
@@ -1,12 +1,10 @@
 """State of an entry process, shared by its tasks and handlers."""
 
-import asyncio
 import collections
 import logging
 import random
 import time
 import uuid
-from collections.abc import Iterator
 
 from cachetools import LRUCache
 
@@ -28,6 +26,7 @@
     PeerMessenger,
 )
 from celerytrack.gateway.peer_requests import PeerClient
+from celerytrack.gateway.reach import make_reach, record_link_news
 from celerytrack.gateway.share_sync import ShareSync
 from celerytrack.gateway.suspect_sync import SuspectSync
 from celerytrack.gateway.telemetry import Telemetry
@@ -40,10 +39,8 @@
 from celerytrack.planned_stop import PlannedStop
 from celerytrack.platform.settings import ProcessSettings
 from celerytrack.platform.store import StoreClient
-from celerytrack.reachability.check import CheckTarget
-from celerytrack.reachability.helpers import Helper, HelperChoice
+from celerytrack.reachability.helpers import HelperChoice
 from celerytrack.reachability.messages import LinkNews
-from celerytrack.reachability.monitor import EntryLinks, OwedAnswer, ReachMonitor
 from celerytrack.routing.endpoint import Endpoint
 from celerytrack.routing.endpoints import EndpointPool
 from celerytrack.routing.retries import RetryBudget
@@ -134,17 +131,7 @@
         self._retry_budgets: dict[ServiceName, RetryBudget] = {}
         self.helpers = HelperChoice(settings.zone, self.rng)
         self.relays_in_progress = 0
-        self.reach = ReachMonitor(
-            EntryLinks(
-                self.entry_id,
-                started_s,
-                self._check_targets,
-                self._owed_answers,
-                self._tell_links,
-                self._on_links_down,
-            ),
-            self.rng,
-        )
+        self.reach = make_reach(self)
         self.connections = EndpointConnections(
             self._may_send,
             lambda endpoint: self.reach.record_connected(endpoint.registration.service),
@@ -283,68 +270,10 @@
             case Findings():
                 self._on_findings(message)
             case LinkNews():
-                self._on_link_news(message)
+                record_link_news(self, message)
             case _:
                 self.notices.receive(message)
 
-    def _on_link_news(self, news: LinkNews) -> None:
-        now_s = time.monotonic()
-        if news.entry_id == self.entry_id:
-            return
-        if self.helpers.peer_links.record(news, now_s):
-            log_event(
-                _log,
-                Event.PEER_LINKS,
-                entry=news.entry_id,
-                down=sorted(news.services),
-            )
-
-    def _tell_links(self, news: LinkNews) -> None:
-        self.helpers.expire(time.monotonic())
-        members = self.share_sync.members.live_peers(time.monotonic())
-        addresses = [member.peer_address for member in members]
-        self.peer_messenger.send_link_news(addresses, news)
-
-    def _check_targets(self, service: ServiceName) -> list[CheckTarget]:
-        return [
-            CheckTarget(registration.endpoint_id, registration.address)
-            for registration in self.endpoints.serving(service, time.monotonic())
-        ]
-
-    def _owed_answers(self) -> Iterator[OwedAnswer]:
-        for exchange in self.exchanges:
-            dispatch = exchange.dispatch
-            if dispatch is not None:
-                yield OwedAnswer(
-                    exchange.service, dispatch.sent_at_s, dispatch.predicted_s
-                )
-
-    def _on_links_down(self, service: ServiceName, doubted_at_s: float) -> None:
-        """Take back what failures said of single endpoints, and end attempts that can
-        be made elsewhere.
-
-        If anything was heard since the doubt began, open connections live on and are
-        left alone. A call that must run at most once may have run and waits.
-        """
-        self.endpoints.forgive_unreached(service)
-        if self.reach.evidence.heard_at_s(service) > doubted_at_s:
-            return
-        now_s = asyncio.get_running_loop().time()
-        for exchange in self.exchanges:
-            timeout = exchange.attempt_timeout
-            ends = exchange.service == service and exchange.route.is_retry_safe
-            if ends and timeout is not None and not timeout.expired():
-                exchange.links_lost = True
-                timeout.reschedule(now_s)
-
-    def potential_helpers(self, now_s: float) -> list[Helper]:
-        """The entries that may send a request for this one."""
-        split = self.share_sync.members.caller_split(now_s)
-        return [
-            Helper(member.entry_id, member.peer_address, member.zone)
-            for member in split.caller_peers
-        ]
-
     def _notice_peers(self, now_s: float) -> list[Peer]:
         members = self.share_sync.members.live_peers(now_s)
         return [Peer(member.entry_id, member.peer_address) for member in members]
--- a/tests/test_relays.py
+++ b/tests/test_relays.py
@@ -10,6 +10,7 @@
 import aiohttp
 from aiohttp import web
 
+from celerytrack.gateway.reach import potential_helpers
 from celerytrack.gateway.relay_format import RelayOrder, encode_order
 from celerytrack.gateway.state import Gateway
 from celerytrack.ids import AccountId, ServiceName
@@ -37,7 +38,7 @@
     others = len(fleet.gateways) - 1
     await fleet.wait_until(
         lambda: all(
-            len(gateway.potential_helpers(time.monotonic())) == others
+            len(potential_helpers(gateway, time.monotonic())) == others
             for gateway in fleet.gateways
         )
     )
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -1,11 +1,11 @@
 """Attempts of one request on several replicas."""
 
 import asyncio
-import contextlib
 import random
 import time
 import types
 import unittest
+from collections import defaultdict
 from unittest import mock
 
 from nose2.tools import params
@@ -67,9 +67,7 @@
         attempts_deadline=SharedDeadline(),
         rng=random.Random(1),
         reach=_reach(),
-        ended_if_links_fail=lambda model, may_repeat: contextlib.nullcontext(
-            asyncio.timeout(None)
-        ),
+        ended_with_links=defaultdict(set),
     )
 
 
