--- a/src/celerytrack/gateway/relay_server.py
+++ b/src/celerytrack/gateway/relay_server.py
@@ -52,12 +52,14 @@
     if gateway.relays_in_progress >= MAX_IN_PROGRESS:
         return _refuse(Reason.NO_CAPACITY, "too many requests of other entries")
     gateway.relays_in_progress += 1
+    gateway.in_flight += 1
     try:
         exchange = await _admit(gateway, request, order, started_s)
         return await _serve(gateway, exchange, len(exchange.tried))
     except RefusedError as exc:
         return _refuse(Reason.NO_CONFIG, f"not admitted here: {exc.refusal.detail}")
     finally:
+        gateway.in_flight -= 1
         gateway.relays_in_progress -= 1
 
 
@@ -99,13 +101,15 @@
     gateway.exchanges.add(exchange)
     result: Result[BufferedAnswer | None, AttemptFailure]
     try:
-        async with asyncio.timeout_at(loop_time(exchange.deadline_at_s)):
+        async with asyncio.timeout_at(loop_time(exchange.deadline_at_s)) as timeout:
+            exchange.timeout = timeout
             result = await _attempt_once(gateway, exchange)
     except TimeoutError:
         result = Failure(_timed_out(exchange))
     except CallerDisconnectedError:
         raise asyncio.CancelledError from None
     finally:
+        exchange.timeout = None
         gateway.exchanges.discard(exchange)
     endpoint_id = exchange.tried[-1] if len(exchange.tried) > tried else None
     result = result.alt(lambda failure: _with_helper(gateway, exchange, failure))
--- a/tests/test_relays.py
+++ b/tests/test_relays.py
@@ -127,6 +127,25 @@
         ran = [r for e in endpoints for r in e.seen if r.path == "/once/x"]
         self.assertEqual(len(ran), 1)
 
+    async def test_a_planned_stop_of_a_helper_cuts_nothing(self) -> None:
+        """It did not count the requests of other entries and closed too early."""
+
+        async def run(request: web.BaseRequest) -> web.StreamResponse:
+            if request.path.startswith("/once"):
+                await asyncio.sleep(1.5)
+            echo = {"X-Attempt-Id": request.headers["X-Attempt-Id"], **SEAL_HEADERS}
+            return web.Response(body=b"good", headers=echo)
+
+        fleet, _ = cut_fleet([Endpoint(f"i-{n}", run) for n in range(2)], 2)
+        async with fleet:
+            await _cut(fleet, [0], LinkState.RESET)
+            asking = asyncio.create_task(fleet.ask("/once/x", "once"))
+            await asyncio.sleep(0.3)
+            self.assertEqual(fleet.gateways[1].in_flight, 1)
+            fleet.servers[1].stop()
+            status, _, _ = await asking
+        self.assertEqual(status, 200)
+
     async def test_a_request_never_goes_through_two_entries(self) -> None:
         """A cut entry passed on what another cut entry had sent it."""
         fleet, _ = cut_fleet(make_working(4), 3)
