A doubt in the moment a check ends is checked; news of an instance that starts again are heard

A check that had ended but was not yet forgotten kept the next one from starting; the links stayed in doubt for ever, requests went directly, and a cut after that was never seen. Each tick now sees to it that a doubt has a check. News of an entry whose instance had started again, with a clock that began anew, counted as older for ever at entries that had never been cut off themselves, since only those forgot what was old; so did each choice of an endpoint look at them.

--- a/src/celerytrack/entry/reach.py
+++ b/src/celerytrack/entry/reach.py
@@ -40,6 +40,7 @@
         lambda: (),
         state.notices.tell_links,
         lambda service, doubted_at_s: _on_links_down(state, service, doubted_at_s),
+        expire=state.helpers.expire,
     )
     return ReachMonitor(links, state.rng)
 
--- a/src/celerytrack/gateway/reach.py
+++ b/src/celerytrack/gateway/reach.py
@@ -28,6 +28,7 @@
         lambda: _owed_answers(gateway),
         lambda news: _tell(gateway, news),
         lambda service, doubted_at_s: _on_links_down(gateway, service, doubted_at_s),
+        expire=gateway.helpers.expire,
     )
     return ReachMonitor(links, gateway.rng)
 
@@ -66,9 +67,7 @@
 
 
 def _tell(gateway: "Gateway", news: LinkNews) -> None:
-    now_s = time.monotonic()
-    gateway.helpers.expire(now_s)
-    members = gateway.share_sync.members.live_peers(now_s)
+    members = gateway.share_sync.members.live_peers(time.monotonic())
     addresses = [member.peer_address for member in members]
     gateway.peer_messenger.send_link_news(addresses, news)
 
--- a/src/celerytrack/lab/cut_fleet.py
+++ b/src/celerytrack/lab/cut_fleet.py
@@ -142,6 +142,7 @@
             lambda news: self._tell(entry, news),
             lambda service, doubted_at_s: self._on_down(entry),
             lambda targets: self._check(entry, targets),
+            helpers.expire,
         )
         monitor = ReachMonitor(links, rng)
         task = asyncio.get_running_loop().create_task(monitor.run())
@@ -163,7 +164,6 @@
         return False
 
     def _tell(self, entry: _Entry, news: LinkNews) -> None:
-        entry.helpers.expire(time.monotonic())
         size = len(encode_link_news(news)) + DATAGRAM_OVERHEAD_BYTES
         loop = asyncio.get_running_loop()
         for other in self._entries:
--- a/src/celerytrack/reachability/helpers.py
+++ b/src/celerytrack/reachability/helpers.py
@@ -56,7 +56,9 @@
         """Record news of another entry; returns whether they change anything."""
         known = self._known.get(news.entry_id)
         if known is not None and _is_older(news, known.news):
-            return False
+            # An instance that started again counts from the beginning.
+            if now_s - known.read_at_s < NEWS_TTL_S:
+                return False
         self._known[news.entry_id] = _KnownNews(news, now_s)
         before = known.news.services if known is not None else frozenset()
         return news.services != before
--- a/src/celerytrack/reachability/links.py
+++ b/src/celerytrack/reachability/links.py
@@ -78,6 +78,11 @@
         links = self._links.get(service)
         return None if links is None else links.doubted_at_s
 
+    def in_doubt(self) -> list[ServiceName]:
+        """The services to which the links are in doubt."""
+        in_doubt = LinkState.IN_DOUBT
+        return [s for s, links in self._links.items() if links.state is in_doubt]
+
     def down(self) -> list[ServiceName]:
         """The services to which the links are down."""
         return [s for s, links in self._links.items() if links.state is LinkState.DOWN]
--- a/src/celerytrack/reachability/monitor.py
+++ b/src/celerytrack/reachability/monitor.py
@@ -57,6 +57,7 @@
     :ivar on_down: called when the links to a service turn out to be down, with the
         time at which they came into doubt.
     :ivar check: whether any of several endpoints can be reached.
+    :ivar expire: forgets what is too old of other entries; called often.
     """
 
     entry_id: EntryId
@@ -66,6 +67,7 @@
     tell: Callable[[LinkNews], None]
     on_down: Callable[[ServiceName, float], None]
     check: Callable[[Sequence[CheckTarget]], Awaitable[bool]] = is_any_reached
+    expire: Callable[[float], None] = lambda now_s: None
 
 
 class ReachMonitor:
@@ -140,8 +142,12 @@
             if self._is_silent(owed, now_s):
                 self._silence_checked_at_s[owed.service] = now_s
                 self._begin_doubt(owed.service, now_s)
+        self._entry.expire(now_s)
         if self.tracker or self._told:
-            for service in self.tracker.due_checks(now_s):
+            for service in (
+                *self.tracker.in_doubt(),
+                *self.tracker.due_checks(now_s),
+            ):
                 self._start_check(service)
             for service in self.tracker.pop_ended_returns(now_s):
                 _log_up(service)
@@ -162,10 +168,9 @@
         self._start_check(service)
 
     def _start_check(self, service: ServiceName) -> None:
-        if service not in self._checks:
-            task = asyncio.create_task(self._check(service))
-            self._checks[service] = task
-            task.add_done_callback(lambda _: self._checks.pop(service, None))
+        check = self._checks.get(service)
+        if check is None or check.done():
+            self._checks[service] = asyncio.create_task(self._check(service))
 
     async def _check(self, service: ServiceName) -> None:
         while True:
--- a/tests/test_reachability.py
+++ b/tests/test_reachability.py
@@ -1,8 +1,10 @@
 """Evidence of links, their states, the choice of helpers, and their messages."""
 
+import asyncio
 import contextlib
 import math
 import random
+import time
 import unittest
 
 import msgpack
@@ -45,6 +47,7 @@
     encode_link_news,
     link_news_of,
 )
+from celerytrack.reachability.monitor import EntryLinks, ReachMonitor
 from celerytrack.reachability.relayed import (
     RELAYED_HEADER,
     RelayOutcome,
@@ -158,6 +161,38 @@
         self.assertEqual(self.tracker.down(), [S])
 
 
+class MonitorTest(unittest.IsolatedAsyncioTestCase):
+    async def test_a_doubt_in_the_moment_a_check_ends_is_checked(self) -> None:
+        """It was never settled, and a cut never seen after it."""
+        results = [False, True, False]
+        monitor = ReachMonitor(
+            EntryLinks(
+                EntryId("e"),
+                0.0,
+                lambda service: [CheckTarget(A, "")],
+                lambda: (),
+                lambda news: None,
+                lambda service, doubted_at_s: None,
+                lambda targets: _result(results.pop(0)),
+            ),
+            random.Random(1),
+        )
+        monitor.record_failure(S, A, sent=False, now_s=1.0)
+        await monitor.settled(S)
+        self.assertTrue(monitor.is_down(S))
+        monitor.tick(time.monotonic() + 1.0)
+        while monitor.is_down(S):
+            await asyncio.sleep(0)
+        monitor.record_failure(S, A, sent=False, now_s=time.monotonic() + 1.0)
+        self.assertIs(monitor.tracker.state(S), LinkState.IN_DOUBT)
+        await monitor.settled(S)
+        self.assertTrue(monitor.is_down(S))
+
+
+async def _result(reached: bool) -> bool:
+    return reached
+
+
 class CheckTest(unittest.TestCase):
     def test_endpoints_that_have_not_failed_are_checked_first(self) -> None:
         """A check asked only those that had crashed."""
@@ -218,6 +253,13 @@
         self.assertTrue(links.record(_news(1, S, started_s=2.0), 0.3))
         self.assertTrue(links.is_down(EntryId("e1"), S, 0.3))
 
+    def test_an_instance_that_starts_again_is_heard(self) -> None:
+        """Its clock had begun anew, and its news counted as older for ever."""
+        links = PeerLinks()
+        links.record(_news(9, started_s=5_000.0), 0.0)
+        self.assertFalse(links.record(_news(1, S), NEWS_TTL_S / 2))
+        self.assertTrue(links.record(_news(1, S), NEWS_TTL_S))
+
     def test_an_entry_that_refused_is_passed_over_for_a_while(self) -> None:
         """Each request asked it again."""
         for helper in self.helpers[:2]:
