An answer that no entry made leaves a relayed request in doubt

Found by reading the diff. An answer of another entry without the relay's header was taken for that of an earlier release, which answers an unknown path with 404, whatever its status. An entry that failed after it had sent a request answers 500, without the header too: a once-only call counted as not run and was sent again (TWICE). Only 404, 405 and 413 show that nothing was done; every other answer without the header is in doubt, in both interfaces. The test fails without the change.

--- a/src/celerytrack/entry/relay.py
+++ b/src/celerytrack/entry/relay.py
@@ -30,7 +30,11 @@
 from celerytrack.events import Event, log_event
 from celerytrack.ids import EntryId, ReplicaId, ServiceName
 from celerytrack.reachability.helpers import REFUSED_S, UNREACHABLE_S, Helper
-from celerytrack.reachability.relayed import RelayOutcome, decode_outcome
+from celerytrack.reachability.relayed import (
+    UNHANDLED_STATUSES,
+    RelayOutcome,
+    decode_outcome,
+)
 from celerytrack.routing.replica_load import Ask, Attempt, ReplicaLoad
 from celerytrack.strict import UnreadableError
 from celerytrack.verdict import Reason, Refusal, did_not_run
@@ -99,7 +103,8 @@
             replica_id = ReplicaId(relayed.outcome.endpoint)
             sent.replica.replica_id = replica_id
         if not _was_refused(relayed):
-            state.helpers.record_served(helper.entry_id, service, time.monotonic())
+            if relayed.outcome is not None:
+                state.helpers.record_served(helper.entry_id, service, time.monotonic())
             return sent, result
         _pass_over(state, relayed, service, time.monotonic())
         if relayed.outcome is not None and relayed.outcome.helper is not None:
@@ -159,8 +164,9 @@
         try:
             relayed.outcome = decode_outcome(answer.headers)
         except UnreadableError:
-            # No entry listens there, or one of an earlier release.
             answer.close()
+            if answer.status not in UNHANDLED_STATUSES:
+                raise CallFailedError(replica_failed()) from None
             relayed.unreached = True
             raise CallFailedError(links_down()) from None
         if relayed.outcome.reason is not None:
--- a/src/celerytrack/gateway/relay.py
+++ b/src/celerytrack/gateway/relay.py
@@ -31,7 +31,7 @@
 from celerytrack.ids import EntryId
 from celerytrack.platform.http import SKIPPED_AUTO_HEADERS, relayed_headers
 from celerytrack.reachability.helpers import REFUSED_S, UNREACHABLE_S, Helper
-from celerytrack.reachability.relayed import decode_outcome
+from celerytrack.reachability.relayed import UNHANDLED_STATUSES, decode_outcome
 from celerytrack.strict import UnreadableError
 from celerytrack.verdict import Reason, Verdict
 
@@ -83,6 +83,8 @@
                     return result
                 _pass_over(gateway, exchange, helper, refused)
                 failure = refused
+            case Failure(broken) if broken.hard:
+                return result
             case _:
                 gateway.helpers.record_served(
                     helper.entry_id, exchange.service, time.monotonic()
@@ -176,8 +178,9 @@
     try:
         outcome = decode_outcome(response.headers)
     except UnreadableError as exc:
-        # An entry of an earlier release answers every other path with 404.
-        return _failed(helper, exc, Verdict.DID_NOT_RUN)
+        unhandled = response.status in UNHANDLED_STATUSES
+        verdict = Verdict.DID_NOT_RUN if unhandled else Verdict.MAY_HAVE_RUN
+        return _failed(helper, exc, verdict)
     if outcome.endpoint_id is not None:
         exchange.tried.append(outcome.endpoint_id)
     if outcome.reason is not None:
--- a/src/celerytrack/reachability/relayed.py
+++ b/src/celerytrack/reachability/relayed.py
@@ -17,6 +17,11 @@
 MAX_NAME_CHARS = 256
 NAME: Callable[..., None] = v.and_(v.min_len(1), v.max_len(MAX_NAME_CHARS))
 """Validator of a name in a message between entries."""
+UNHANDLED_STATUSES = frozenset({404, 405, 413})
+"""Statuses of answers without the header that show that nothing was done: an earlier
+release knows no such path, or the body is too large to be read."""
+MAX_DETAIL_CHARS = 300
+"""A longer text would not fit into a header."""
 _REASONS = frozenset(
     {
         Reason.BACKING_OFF,
@@ -77,6 +82,7 @@
     fields = attrs.asdict(outcome)
     fields["reason"] = None if outcome.reason is None else outcome.reason.value
     fields["verdict"] = outcome.verdict.value
+    fields["detail"] = outcome.detail[:MAX_DETAIL_CHARS]
     return json.dumps(fields)
 
 
--- a/tests/test_relays.py
+++ b/tests/test_relays.py
@@ -127,6 +127,20 @@
         ran = [r for e in endpoints for r in e.seen if r.path == "/once/x"]
         self.assertEqual(len(ran), 1)
 
+    async def test_a_helper_that_fails_leaves_a_once_only_call_in_doubt(self) -> None:
+        """An answer that no entry made was taken for a refusal, and the call was sent
+        again."""
+        endpoints = make_working(2)
+        fleet, _ = cut_fleet(endpoints, 3)
+        with mock.patch("celerytrack.gateway.relay_server._respond") as respond:
+            respond.side_effect = RuntimeError("a fault of the helper")
+            async with fleet:
+                await _cut(fleet, [0], LinkState.RESET)
+                status, _, _ = await fleet.ask("/once/x", "once")
+        self.assertEqual(status, 502)
+        ran = [r for e in endpoints for r in e.seen if r.path == "/once/x"]
+        self.assertEqual(len(ran), 1)
+
     async def test_a_planned_stop_of_a_helper_cuts_nothing(self) -> None:
         """It did not count the requests of other entries and closed too early."""
 
