A service that fails whole is not taken for a cut when a crash is judged

Found by reading the diff. While an entry reaches no endpoint of a service, no crash was recorded, since its own links may be down. If another service answered since the doubt began, the links work: the other entries are asked as usual, and the crash counts if none reaches the endpoint. An entry with one service only still waits for the endpoints' new registrations. Both interfaces; the test fails without the change (there was no such question). The cut tests and those of crashing requests pass.

--- a/src/celerytrack/entry/reach.py
+++ b/src/celerytrack/entry/reach.py
@@ -89,9 +89,8 @@
     if replica is None:
         return False
     service = ServiceName(replica.model)
-    await state.reach.settled(service)
     seen_by = None
-    reached = state.reach.is_down(service)
+    reached = await state.reach.may_be_cut_off(service)
     if not reached:
         helpers = potential_helpers(state, time.monotonic())
         asked = state.rng.sample(helpers, min(MAX_ASKED, len(helpers)))
--- a/src/celerytrack/gateway/endpoint_queries.py
+++ b/src/celerytrack/gateway/endpoint_queries.py
@@ -30,12 +30,11 @@
 async def is_reached_elsewhere(gateway: "Gateway", endpoint: Endpoint) -> bool:
     """Whether an endpoint that refuses connections here is reached by another entry.
 
-    It is not asked while this entry reaches no endpoint of the service: then its own
-    links are down, whatever became of the endpoint.
+    It is not asked while this entry's own links may be down, whatever became of the
+    endpoint.
     """
     service = endpoint.registration.service
-    await gateway.reach.settled(service)
-    if gateway.reach.is_down(service):
+    if await gateway.reach.may_be_cut_off(service):
         _log_unconfirmed(endpoint, None)
         return True
     helpers = [
--- a/src/celerytrack/reachability/evidence.py
+++ b/src/celerytrack/reachability/evidence.py
@@ -62,6 +62,11 @@
         """When an answer last arrived."""
         return self._signs[service].heard_at_s
 
+    def heard_elsewhere_at_s(self, service: ServiceName) -> float:
+        """When an answer last arrived from any other service."""
+        others = (s.heard_at_s for name, s in self._signs.items() if name != service)
+        return max(others, default=float("-inf"))
+
     def failed(self, service: ServiceName) -> set[EndpointId]:
         """The endpoints that failed since another was reached."""
         signs = self._signs[service]
--- a/src/celerytrack/reachability/monitor.py
+++ b/src/celerytrack/reachability/monitor.py
@@ -92,6 +92,18 @@
         """Whether this entry reaches no endpoint of a service."""
         return self.tracker.state(service) is LinkState.DOWN
 
+    async def may_be_cut_off(self, service: ServiceName) -> bool:
+        """Whether this entry's own links may be why it reaches no endpoint of a
+        service, once a doubt of it is settled.
+
+        Answers of another service since the doubt began show that its links work.
+        """
+        await self.settled(service)
+        doubted_at_s = self.tracker.doubted_at_s(service)
+        if doubted_at_s is None or not self.is_down(service):
+            return False
+        return self.evidence.heard_elsewhere_at_s(service) < doubted_at_s
+
     def record_heard(self, service: ServiceName, now_s: float) -> None:
         """Record that a part of an answer arrived."""
         self.evidence.record_heard(service, now_s)
--- a/tests/test_reachability.py
+++ b/tests/test_reachability.py
@@ -188,6 +188,28 @@
         await monitor.settled(S)
         self.assertTrue(monitor.is_down(S))
 
+    async def test_a_service_that_fails_whole_is_not_taken_for_a_cut(self) -> None:
+        """A request that ended all endpoints of a service was never suspected."""
+        for heard_elsewhere, cut_off in ((False, True), (True, False)):
+            monitor = ReachMonitor(
+                EntryLinks(
+                    EntryId("e"),
+                    0.0,
+                    lambda service: [CheckTarget(A, "")],
+                    lambda: (),
+                    lambda news: None,
+                    lambda service, doubted_at_s: None,
+                    lambda targets: _result(False),
+                ),
+                random.Random(1),
+            )
+            monitor.record_heard(T, 0.5)
+            monitor.record_failure(S, A, sent=False, now_s=1.0)
+            if heard_elsewhere:
+                monitor.record_heard(T, 1.1)
+            self.assertIs(await monitor.may_be_cut_off(S), cut_off)
+            self.assertFalse(await monitor.may_be_cut_off(T))
+
 
 async def _result(reached: bool) -> bool:
     return reached
