Own interface: the sender of a relayed request is known before its body is read

Now the sender's address, the planned stop and the number in progress are checked first, as at the gateways; the order in the body is checked after. The test covers a stranger's order, no order, too large a body and another address: one of five requests runs.

--- a/src/celerytrack/entry/relay_server.py
+++ b/src/celerytrack/entry/relay_server.py
@@ -106,11 +106,8 @@
 async def _handle_relayed(
     state: EntryState, request: web.Request
 ) -> web.StreamResponse:
-    try:
-        call = decode_call(await request.read())
-        admitted = _admit(state, request, call)
-    except (UnreadableError, _NotAdmittedError) as exc:
-        return _refuse(did_not_run(Reason.NO_CONFIG, None, str(exc)))
+    if not _is_from_an_entry(state, request):
+        return _refuse(did_not_run(Reason.NO_CONFIG, None, "sent by no known entry"))
     if state.draining:
         return _refuse(did_not_run(Reason.DRAINING, None, "this entry stops"))
     if state.relays_in_progress >= MAX_IN_PROGRESS:
@@ -119,7 +116,11 @@
     state.relays_in_progress += 1
     state.begin_request()
     try:
+        call = decode_call(await request.read())
+        admitted = _admit(state, request, call)
         return await _serve(state, request, call, admitted)
+    except (UnreadableError, _NotAdmittedError) as exc:
+        return _refuse(did_not_run(Reason.NO_CONFIG, None, str(exc)))
     finally:
         state.end_request()
         state.relays_in_progress -= 1
@@ -146,6 +147,11 @@
     return AdmittedRequest(call.caller_body, accounts[0], work, None, request_id, "")
 
 
+def _is_from_an_entry(state: EntryState, request: web.Request) -> bool:
+    """Whether a request comes from an entry's address, before its body is read."""
+    return any(_is_known(state, request, sender) for sender in state.view.entries)
+
+
 def _is_known(state: EntryState, request: web.Request, sender: EntryId) -> bool:
     info = state.view.entries.get(sender)
     if info is None or request.transport is None:
--- a/tests/test_own_cut.py
+++ b/tests/test_own_cut.py
@@ -6,6 +6,13 @@
 
 from nose2.tools import params
 
+from celerytrack.entry.relay_format import (
+    RELAY_PATH,
+    RelayedCall,
+    RelayOrder,
+    encode_call,
+)
+from celerytrack.entry.relay_server import MAX_BODY_BYTES
 from celerytrack.load.caller import Outcome, Result
 from celerytrack.load.entries import check_entries
 from tests.link_cuts import LinkState
@@ -58,6 +65,30 @@
         self.assertEqual(status["limits"], {})
 
 
+class WayInTest(unittest.IsolatedAsyncioTestCase):
+    async def test_only_entries_may_send_requests_through_another(self) -> None:
+        """Whoever reached the port for entries had its body read, and was served."""
+        async with OwnCutFleet(2) as fleet:
+            entry, address = fleet.entries[0], fleet.settings.entries[0].relay_address
+            order = RelayOrder("entry-1", "account-1", "lookup", "r1")
+            body = encode_call(RelayedCall(order, {}, {}))
+            stranger = encode_call(
+                RelayedCall(RelayOrder("entry-9", "account-1", "lookup", "r2"), {}, {})
+            )
+            statuses = []
+            for data in (body, stranger, b"{", b"x" * (MAX_BODY_BYTES + 1)):
+                url = f"http://{address}{RELAY_PATH}"
+                async with fleet.http.post(url, data=data) as answer:
+                    statuses.append(answer.status)
+            for info in entry.view.entries.values():
+                info.peer_address = "192.0.2.1:1"
+            async with fleet.http.post(url, data=body) as answer:
+                statuses.append(answer.status)
+            self.assertEqual(entry.relays_in_progress, 0)
+        self.assertEqual(statuses, [200, 503, 503, 413, 503])
+        self.assertEqual(sum(sum(s.runs.values()) for s in fleet.services), 1)
+
+
 class LoadToolTest(unittest.TestCase):
     @params(
         ((40, 40), (40, 40), 0),
