--- a/src/celerytrack/entry/relay.py
+++ b/src/celerytrack/entry/relay.py
@@ -29,7 +29,7 @@
 from celerytrack.entry.state import EntryState
 from celerytrack.events import Event, log_event
 from celerytrack.ids import EntryId, ReplicaId, ServiceName
-from celerytrack.reachability.helpers import REFUSED_S, UNREACHABLE_S, Helper
+from celerytrack.reachability.helpers import MAX_HELPERS, Helper
 from celerytrack.reachability.relayed import (
     UNHANDLED_STATUSES,
     RelayOutcome,
@@ -42,11 +42,7 @@
 _log = logging.getLogger(__name__)
 T = TypeVar("T")
 
-MAX_HELPERS = 3
-"""Entries that one attempt asks, one after the other; each refuses at once."""
 RETRY_AFTER_S = 0.5
-_PASSED_OVER = frozenset({Reason.ISOLATED, Reason.DRAINING, Reason.NO_CONFIG})
-"""Reasons for which the next request would be refused too."""
 
 
 def links_down() -> Refusal:
@@ -106,23 +102,19 @@
             if relayed.outcome is not None:
                 state.helpers.record_served(helper.entry_id, service, time.monotonic())
             return sent, result
-        _pass_over(state, relayed, service, time.monotonic())
-        if relayed.outcome is not None and relayed.outcome.helper is not None:
-            named = EntryId(relayed.outcome.helper)
-            state.helpers.record_served(named, service, time.monotonic())
+        _record_refused(state, relayed, service, time.monotonic())
     return None, result
 
 
-def _pass_over(
+def _record_refused(
     state: EntryState, relayed: _Relayed, service: ServiceName, now_s: float
 ) -> None:
-    """Ask an entry that could not help no more for a while, if it could not the next
-    time."""
-    if relayed.unreached:
-        now_s += UNREACHABLE_S
-    elif relayed.outcome is not None and relayed.outcome.reason in _PASSED_OVER:
-        now_s += REFUSED_S
-    state.helpers.record_refused(relayed.helper, service, now_s)
+    entry, outcome = relayed.helper.entry_id, relayed.outcome
+    if outcome is None or outcome.reason is None:
+        state.helpers.record_unreachable(entry, service, now_s)
+        return
+    named = None if outcome.helper is None else EntryId(outcome.helper)
+    state.helpers.record_refused(entry, service, outcome.reason, named, now_s)
 
 
 def _attempt_at(replica_id: ReplicaId, ask: Ask) -> Attempt:
--- a/src/celerytrack/entry/relay_server.py
+++ b/src/celerytrack/entry/relay_server.py
@@ -37,6 +37,7 @@
 from celerytrack.process_end import ConnectResult, probe_address
 from celerytrack.prompts import prompt_blocks, prompt_text
 from celerytrack.reachability.relayed import (
+    MAX_IN_PROGRESS,
     RELAYED_HEADER,
     RelayOutcome,
     encode_outcome,
@@ -48,8 +49,6 @@
 
 _log = logging.getLogger(__name__)
 
-MAX_IN_PROGRESS = 256
-"""Most requests of other entries in progress here, which bounds their memory."""
 MAX_BODY_BYTES = 8 * 1024 * 1024
 """Two bodies of the largest size that a caller may send."""
 
--- a/src/celerytrack/gateway/relay.py
+++ b/src/celerytrack/gateway/relay.py
@@ -30,15 +30,11 @@
 from celerytrack.gateway.state import Gateway
 from celerytrack.ids import EntryId
 from celerytrack.platform.http import SKIPPED_AUTO_HEADERS, relayed_headers
-from celerytrack.reachability.helpers import REFUSED_S, UNREACHABLE_S, Helper
+from celerytrack.reachability.helpers import MAX_HELPERS, Helper
 from celerytrack.reachability.relayed import UNHANDLED_STATUSES, decode_outcome
 from celerytrack.strict import UnreadableError
 from celerytrack.verdict import Reason, Verdict
 
-MAX_HELPERS = 3
-"""Entries that one attempt asks, one after the other; each refuses at once."""
-_PASSED_OVER = frozenset({Reason.ISOLATED, Reason.DRAINING, Reason.NO_CONFIG})
-"""Reasons for which the next request would be refused too."""
 _LASTING = frozenset(
     {
         Reason.BACKING_OFF,
@@ -81,7 +77,7 @@
             case Failure(refused) if refused.verdict is Verdict.DID_NOT_RUN:
                 if refused.sent:
                     return result
-                _pass_over(gateway, exchange, helper, refused)
+                _record_refused(gateway, exchange, helper, refused)
                 failure = refused
             case Failure(broken) if broken.hard:
                 return result
@@ -95,19 +91,16 @@
     return Failure(failure)
 
 
-def _pass_over(
+def _record_refused(
     gateway: Gateway, exchange: Exchange, helper: Helper, refused: AttemptFailure
 ) -> None:
-    until_s = time.monotonic()
+    entry, service, now_s = helper.entry_id, exchange.service, time.monotonic()
     if refused.hard:
-        until_s += UNREACHABLE_S
-    elif refused.reason in _PASSED_OVER:
-        until_s += REFUSED_S
-    gateway.helpers.record_refused(helper, exchange.service, until_s)
-    if refused.helper is not None:
-        gateway.helpers.record_served(
-            refused.helper, exchange.service, time.monotonic()
-        )
+        gateway.helpers.record_unreachable(entry, service, now_s)
+        return
+    gateway.helpers.record_refused(
+        entry, service, refused.reason, refused.helper, now_s
+    )
 
 
 async def _relay_through(
--- a/src/celerytrack/gateway/relay_server.py
+++ b/src/celerytrack/gateway/relay_server.py
@@ -27,11 +27,10 @@
 from celerytrack.gateway.state import Gateway
 from celerytrack.ids import EndpointId, EntryId
 from celerytrack.loop_time import loop_time
+from celerytrack.reachability.relayed import MAX_IN_PROGRESS
 from celerytrack.strict import UnreadableError
 from celerytrack.verdict import Reason, Verdict, did_not_run
 
-MAX_IN_PROGRESS = 256
-"""Most requests of other entries in progress here, which bounds their memory."""
 MAX_UNSENT = 3
 """Endpoints that may be unreachable before a request is refused."""
 
--- a/src/celerytrack/lab/cut_fleet.py
+++ b/src/celerytrack/lab/cut_fleet.py
@@ -18,12 +18,13 @@
 from celerytrack.lab.cut_scenarios import CutKind, CutOutcome, CutScenario
 from celerytrack.process_end import CONNECT_TIMEOUT_S
 from celerytrack.reachability.check import FIRST_CONNECTIONS, CheckTarget
-from celerytrack.reachability.helpers import REFUSED_S, Helper, HelperChoice
+from celerytrack.reachability.helpers import MAX_HELPERS, Helper, HelperChoice
 from celerytrack.reachability.links import MAX_CHECK_S
 from celerytrack.reachability.messages import LinkNews, encode_link_news
 from celerytrack.reachability.monitor import EntryLinks, OwedAnswer, ReachMonitor
 from celerytrack.routing.endpoint import Choice, Registration, RequestProfile
 from celerytrack.routing.endpoints import EndpointPool
+from celerytrack.verdict import Reason
 
 SLOTS = 8
 WORK_S = (0.02, 0.06)
@@ -39,7 +40,6 @@
 """How long the run goes on after the cut."""
 ONCE_ONLY_SHARE = 0.2
 MAX_ATTEMPTS = 3
-MAX_HELPERS = 3
 RESTART_S = 1.5
 NO_CONNECTION_LIMIT = 1_000_000
 S = ServiceName("s")
@@ -281,10 +281,10 @@
             target = next(e for e in self._entries if e.entry_id == helper.entry_id)
             if not target.alive or target.monitor.is_down(S):
                 now_s = time.monotonic()
-                entry.helpers.record_refused(helper, S, now_s + REFUSED_S)
                 named = target.helpers.proven(S, now_s) if target.alive else None
-                if named is not None:
-                    entry.helpers.record_served(named, S, now_s)
+                entry.helpers.record_refused(
+                    helper.entry_id, S, Reason.ISOLATED, named, now_s
+                )
                 continue
             entry.helpers.begin(helper)
             target.for_others += 1
--- a/src/celerytrack/reachability/helpers.py
+++ b/src/celerytrack/reachability/helpers.py
@@ -10,6 +10,7 @@
 
 from celerytrack.ids import EntryId, ServiceName, Zone
 from celerytrack.reachability.messages import LinkNews
+from celerytrack.verdict import Reason
 
 NEWS_TTL_S = 3.5
 """How long an entry's links count as down without further news; it repeats them each
@@ -18,11 +19,15 @@
 """How long an entry that refused to help with a service is passed over."""
 UNREACHABLE_S = 2.0
 """How long an entry that could not be reached is passed over."""
+MAX_HELPERS = 3
+"""Entries that one attempt asks, one after the other; each refuses at once."""
 PROVEN_S = 3.0
 """How long an entry counts as one that helps after it has served a request."""
 EXPLORE_SHARE = 0.1
 """Share of the requests that go to entries of which nothing is known, while others
 refuse: the ones that help must not get all load for ever."""
+_PASSED_OVER = frozenset({Reason.ISOLATED, Reason.DRAINING, Reason.NO_CONFIG})
+"""Reasons for which an entry would refuse the next request too."""
 OTHER_ZONE_REQUESTS = 2
 """Requests in progress at a helper in this entry's zone that weigh as much as the
 way to another zone."""
@@ -146,10 +151,28 @@
         return self.rng.choice(proven) if proven else None
 
     def record_refused(
-        self, helper: Helper, service: ServiceName, until_s: float
+        self,
+        entry: EntryId,
+        service: ServiceName,
+        reason: Reason,
+        named: EntryId | None,
+        now_s: float,
+    ) -> None:
+        """Record that an entry did not send a request; it is passed over for a while if
+        it would not send the next one.
+
+        :param named: an entry that helps, as the one that refused says.
+        """
+        if reason in _PASSED_OVER:
+            self._passed_over_until_s[entry, service] = now_s + REFUSED_S
+        if named is not None:
+            self.record_served(named, service, now_s)
+
+    def record_unreachable(
+        self, entry: EntryId, service: ServiceName, now_s: float
     ) -> None:
-        """Pass over an entry for requests to a service until ``until_s``."""
-        self._passed_over_until_s[helper.entry_id, service] = until_s
+        """Record that an entry could not be reached, or takes no requests."""
+        self._passed_over_until_s[entry, service] = now_s + UNREACHABLE_S
 
     def begin(self, helper: Helper) -> None:
         """Count a request that goes through ``helper``."""
--- a/src/celerytrack/reachability/relayed.py
+++ b/src/celerytrack/reachability/relayed.py
@@ -20,6 +20,8 @@
 UNHANDLED_STATUSES = frozenset({404, 405, 413})
 """Statuses of answers without the header that show that nothing was done: an earlier
 release knows no such path, or the body is too large to be read."""
+MAX_IN_PROGRESS = 256
+"""Most requests of other entries in progress at one, which bounds their memory."""
 MAX_DETAIL_CHARS = 300
 """A longer text would not fit into a header."""
 _REASONS = frozenset(
--- a/tests/test_reachability.py
+++ b/tests/test_reachability.py
@@ -27,6 +27,7 @@
     NEWS_TTL_S,
     OTHER_ZONE_REQUESTS,
     PROVEN_S,
+    REFUSED_S,
     Helper,
     HelperChoice,
     PeerLinks,
@@ -285,22 +286,32 @@
     def test_an_entry_that_refused_is_passed_over_for_a_while(self) -> None:
         """Each request asked it again."""
         for helper in self.helpers[:2]:
-            self.choice.record_refused(helper, S, 1.0)
+            reason = Reason.ISOLATED
+            self.choice.record_refused(helper.entry_id, S, reason, None, 0.0)
         self.assertEqual(self._choose(0.5), self.helpers[2])
         self.assertIsNone(self.choice.choose(self.helpers, S, {EntryId("e2")}, 0.5))
-        self.choice.expire(1.0)
-        self.assertIn(self._choose(1.0), self.helpers[:2])
+        self.choice.expire(REFUSED_S)
+        self.assertIn(self._choose(REFUSED_S), self.helpers[:2])
+
+    def test_an_entry_that_has_no_room_now_is_asked_again(self) -> None:
+        """One request too many closed a helper to a second of requests."""
+        for helper in self.helpers:
+            reason = Reason.NO_CAPACITY
+            self.choice.record_refused(helper.entry_id, S, reason, None, 0.0)
+        self.assertIsNotNone(self._choose(0.1))
+        self.choice.record_unreachable(EntryId("e0"), S, 0.0)
+        self.assertEqual(self._choose(0.1), self.helpers[1])
 
     def test_an_entry_that_helps_is_found_without_news(self) -> None:
         """Requests asked three of two hundred entries that could not help."""
-        for helper in self.helpers[:1]:
-            self.choice.record_refused(helper, S, 9.0)
-        self.assertIsNone(self.choice.proven(S, 1.0))
-        self.choice.record_served(EntryId("e2"), S, 1.0)
+        self.choice.record_refused(EntryId("e0"), S, Reason.ISOLATED, None, 1.5)
+        self.assertIsNone(self.choice.proven(S, 1.5))
+        named = EntryId("e2")
+        self.choice.record_refused(EntryId("e0"), S, Reason.ISOLATED, named, 1.5)
         self.assertEqual(self.choice.proven(S, 2.0), EntryId("e2"))
         chosen = [self._choose(2.0) for _ in range(50)]
         self.assertGreater(chosen.count(self.helpers[2]), 30)
-        self.assertIsNone(self.choice.proven(S, 1.0 + PROVEN_S))
+        self.assertIsNone(self.choice.proven(S, 1.5 + PROVEN_S))
 
 
 class MessageTest(unittest.TestCase):
