No latency is learned of endpoints while links are not up

The entry predicted long times for sound endpoints after the cut. Times of attempts that end while any links are in doubt, down or returning are left out.

--- a/src/celerytrack/gateway/sending.py
+++ b/src/celerytrack/gateway/sending.py
@@ -166,7 +166,8 @@
             is_plain = False
     finally:
         exchange.dispatch = None
-        dispatch.finish(time.monotonic(), is_plain)
+        # Behind links that are not up, its time says nothing of the endpoint.
+        dispatch.finish(time.monotonic(), is_plain and not gateway.reach.tracker)
         if is_return:
             returns.record_done(endpoint.endpoint_id)
     match result:
--- a/tests/test_cut_entries.py
+++ b/tests/test_cut_entries.py
@@ -16,6 +16,7 @@
     is_served_alike,
     make_working,
 )
+from tests.gateway_fleet import config
 from tests.link_cuts import LinkState
 
 
@@ -50,3 +51,19 @@
         self.assertGreater(own.calls, 20)
         self.assertTrue(is_served_alike(own, others), f"{own} {others}")
         self.assertEqual(ended, 0)
+
+
+class LearnedWhileCutTest(unittest.IsolatedAsyncioTestCase):
+    async def test_no_latency_is_learned_behind_a_cut(self) -> None:
+        """Endpoints looked slow for the time that requests waited behind the cut."""
+        fleet, links = cut_fleet(make_working(4), 2, config=config(timeoutMs=1_000))
+        async with fleet:
+            callers = CutCallers(fleet, random.Random(4), paths=("/once/x",))
+            for _ in range(20):
+                await callers.ask(0, "/once/x")
+            endpoints = fleet.gateways[0].endpoints._endpoints.values()
+            before_s = max(endpoint.latency_s for endpoint in endpoints)
+            links.set_state([0], LinkState.HANG)
+            await asyncio.gather(*(callers.ask(0, "/once/x") for _ in range(12)))
+            after_s = max(endpoint.latency_s for endpoint in endpoints)
+        self.assertLessEqual(after_s, before_s)
