--- a/src/celerytrack/limits/learned.py
+++ b/src/celerytrack/limits/learned.py
@@ -71,7 +71,13 @@
         while self._rejected_at_s[0] <= now_s - REJECTIONS_S:
             self._rejected_at_s.popleft()
         too_many = len(self._rejected_at_s) >= TOLERATED_SHARE * bears_per_s
-        if too_many and now_s - self._decreased_at_s >= MIN_DECREASE_INTERVAL_S:
+        # A standby that granted nothing does not know which rate was too high.
+        is_known = self.rate_per_s is not None or bool(self._granted_at_s)
+        if (
+            too_many
+            and is_known
+            and now_s - self._decreased_at_s >= MIN_DECREASE_INTERVAL_S
+        ):
             self._decreased_at_s = now_s
             rate_per_s = DECREASE_FACTOR * self._rate_before(now_s)
             self.rate_per_s = max(rate_per_s, MIN_RATE_PER_S)
@@ -95,8 +101,11 @@
 
     def is_unused(self, now_s: float) -> bool:
         """Whether nothing was granted or rejected for a long time."""
-        newest_s = self._granted_at_s[-1] if self._granted_at_s else -math.inf
-        return now_s - max(newest_s, self._decreased_at_s) > KEPT_S
+        newest_s = max(
+            times[-1] if times else -math.inf
+            for times in (self._granted_at_s, self._rejected_at_s)
+        )
+        return now_s - newest_s > KEPT_S
 
     def _rate_before(self, now_s: float) -> float:
         recent = sum(at_s > now_s - MEASURE_S for at_s in self._granted_at_s)
--- a/tests/test_learned_rate.py
+++ b/tests/test_learned_rate.py
@@ -61,6 +61,14 @@
         self.assertLess(second, first)
         self.assertGreater(learned.grow(10.0) or 0.0, 1.3 * second)
 
+    def test_a_standby_that_granted_nothing_learns_no_rate(self) -> None:
+        """It took over with half a request a second, and the endpoint stayed idle."""
+        learned = LearnedRate()
+        for number in range(5):
+            learned.record_rejection(2.0, float(number))
+        self.assertIsNone(learned.grow(9.0))
+        self.assertFalse(learned.is_unused(9.0))
+
     def test_a_few_rejections_do_not_lower_it(self) -> None:
         """Endpoints that bear ten a second were left half idle for one."""
         learned = LearnedRate()
@@ -71,6 +79,7 @@
         """All entries rushed to an endpoint that was back."""
         rates = LearnedRates()
         learned = rates.get(E)
+        learned.record_grant(0.9)
         learned.record_rejection(1.0, 1.0)
         rates.expire(1.0 + KEPT_S / 2)
         self.assertIs(rates.get(E), learned)
