--- a/src/celerytrack/gateway/exchange.py
+++ b/src/celerytrack/gateway/exchange.py
@@ -158,6 +158,11 @@
         if self.timeout is not None and not self.timeout.expired():
             self.timeout.reschedule(loop_time(at_s))
 
+    @property
+    def takes_up(self) -> bool:
+        """Whether the caller goes on with a stream that an earlier request began."""
+        return self.route.resumable and self.facts.last_event_id is not None
+
     @property
     def resume_from(self) -> str | None:
         """The id of the event after which the next attempt resumes the stream."""
--- a/src/celerytrack/gateway/outcomes.py
+++ b/src/celerytrack/gateway/outcomes.py
@@ -13,6 +13,7 @@
 from celerytrack.gateway.state import Gateway
 from celerytrack.ids import EndpointId, EntryId
 from celerytrack.planned_stop import PlannedStop
+from celerytrack.routing.endpoint import Registration
 from celerytrack.verdict import Refusal, Verdict
 
 _log = logging.getLogger(__name__)
@@ -139,6 +140,30 @@
     )
 
 
+def log_taken_up(exchange: Exchange) -> None:
+    """Log a request that goes on with a stream that an earlier one began."""
+    log_event(
+        _log,
+        Event.STREAM_TAKEN_UP,
+        request_id=exchange.facts.request_id,
+        route=exchange.route.name,
+        service=exchange.service,
+        first=exchange.facts.resumes,
+    )
+
+
+def log_resumed(exchange: Exchange, registration: Registration) -> None:
+    """Log that an endpoint goes on with a stream."""
+    log_event(
+        _log,
+        Event.STREAM_RESUMED,
+        request_id=exchange.facts.request_id,
+        endpoint=registration.endpoint_id,
+        version=registration.version,
+        events=exchange.events.event_count,
+    )
+
+
 def _since_start_ms(exchange: Exchange, at_s: float | None) -> int | None:
     return None if at_s is None else round((at_s - exchange.started_s) * 1_000)
 
--- a/src/celerytrack/gateway/pipeline.py
+++ b/src/celerytrack/gateway/pipeline.py
@@ -28,6 +28,7 @@
     abort_stream,
     count_outcome,
     log_admitted_while_draining,
+    log_taken_up,
     make_response,
     record_answer,
     refuse,
@@ -84,6 +85,8 @@
         return refuse(gateway, request, None, exc.refusal)
     gateway.exchanges.add(exchange)
     try:
+        if exchange.takes_up:
+            log_taken_up(exchange)
         _check_quarantine(gateway, exchange, time.monotonic())
         if gateway.stop is not None:
             _admit_while_draining(gateway, exchange, gateway.stop, time.monotonic())
--- a/src/celerytrack/gateway/sending.py
+++ b/src/celerytrack/gateway/sending.py
@@ -8,7 +8,7 @@
 from celerytrack.gateway.attempts import AttemptResult, attempt, withheld
 from celerytrack.gateway.exchange import AttemptFailure, Exchange
 from celerytrack.gateway.openings import refused_until_opening, wait_for_opening
-from celerytrack.gateway.outcomes import record_attempt_failure
+from celerytrack.gateway.outcomes import log_resumed, record_attempt_failure
 from celerytrack.gateway.placement import (
     Placement,
     is_backing_off,
@@ -153,6 +153,8 @@
     exchange.tried.append(endpoint.endpoint_id)
     exchange.may_have_run = True
     exchange.choice = chosen
+    if exchange.response is not None or exchange.takes_up:
+        log_resumed(exchange, endpoint.registration)
     dispatch = endpoints.record_dispatch(chosen, exchange.profile, now_s)
     exchange.dispatch = dispatch
     gateway.announce_prompt(endpoint.endpoint_id, chosen.work_s)
--- a/src/celerytrack/gateway/watches.py
+++ b/src/celerytrack/gateway/watches.py
@@ -78,6 +78,7 @@
         event,
         endpoint=registration.endpoint_id,
         service=registration.service,
+        version=registration.version,
         born_ms=registration.born_ms,
     )
 
--- a/src/celerytrack/platform/http.py
+++ b/src/celerytrack/platform/http.py
@@ -18,6 +18,7 @@
 _PROMPT = "X-Prompt-Prefix"
 _MODEL = "X-Model"
 _LAST_EVENT = "Last-Event-Id"
+_RESUMES = "Resumes"
 _SEAL = "X-Response-Seal"
 _NOT_RUN = "X-Not-Executed"
 _EXPECTED = "X-Expect-Replica"
@@ -29,6 +30,8 @@
 """Highest urgency number; 0 is the most urgent."""
 _MAX_COUNT_DIGITS = 15
 """Most digits of a token count: more than any prompt needs, and within 64 bits."""
+_MAX_ID_CHARS = 128
+"""Longest id of an earlier request that is looked up."""
 _MAX_DEADLINE_MS = 86_400_000.0
 """Longest deadline that a caller may set: one day."""
 
@@ -83,6 +86,8 @@
     :ivar parts: ``(key, tokens)`` of the prompt's parts, in order; a key
         identifies the part and all parts before it, for the same model.
     :ivar last_event_id: last event that the caller got of an aborted stream.
+    :ivar resumes: the request that brought the first event of that stream; ``None`` if
+        it is not named, or not as one id of another request.
     """
 
     request_id: RequestId
@@ -93,13 +98,16 @@
     output_tokens: int = 0
     parts: tuple[tuple[str, int], ...] = ()
     last_event_id: str | None = None
+    resumes: RequestId | None = None
 
 
 class RequestError(ValueError):
     """A caller's headers cannot be decoded."""
 
 
-def decode_request(headers: Mapping[str, str]) -> RequestFacts:
+def decode_request(
+    headers: "CIMultiDictProxy[str] | CIMultiDict[str]",
+) -> RequestFacts:
     """Decode a caller's headers.
 
     :raises RequestError: naming the header.
@@ -126,9 +134,26 @@
         output_tokens=output_tokens,
         parts=parts,
         last_event_id=headers.get(_LAST_EVENT),
+        resumes=_resumed_request(headers, request_id),
     )
 
 
+def _resumed_request(
+    headers: "CIMultiDictProxy[str] | CIMultiDict[str]", request_id: str
+) -> RequestId | None:
+    """The request that began the stream that this one takes up.
+
+    Without the last event it says nothing: the stream begins anew.
+    """
+    named = set(headers.getall(_RESUMES, ()))
+    if len(named) != 1 or _LAST_EVENT not in headers:
+        return None
+    first = named.pop()
+    if not 0 < len(first) <= _MAX_ID_CHARS or first == request_id:
+        return None
+    return RequestId(first)
+
+
 def _bearer(value: str | None) -> str | None:
     if value is None:
         return None
--- a/tests/test_outside_records.py
+++ b/tests/test_outside_records.py
@@ -6,6 +6,7 @@
 import msgpack
 from hypothesis import given, settings
 from hypothesis import strategies as st
+from multidict import CIMultiDict
 from nose2.tools import params
 
 from celerytrack.gateway.peer_messages import (
@@ -148,7 +149,7 @@
         were not validated.
         """
         with self.assertRaises(RequestError):
-            decode_request({"X-Attempt-Id": "r", "Host": "h", **headers})
+            decode_request(CIMultiDict({"X-Attempt-Id": "r", "Host": "h", **headers}))
 
 
 _json = st.recursive(
