A stream goes on only at the version that began it, within one answer

What callers saw: streams with events of two software versions. Cause: a broken stream went on at whichever endpoint the choice by load and prompt gave; the version that an endpoint registers was not asked.

Why it works: the origin (service and version) is taken with the first event that the caller gets, and is part of the request's profile, from which every choice, prediction and opening starts; the send asks once more. A relayed attempt is told the version and tells the one that answers; an answer of another version is not passed on. Versions are compared for equality only.

--- a/src/celerytrack/gateway/attempts.py
+++ b/src/celerytrack/gateway/attempts.py
@@ -273,8 +273,11 @@
     if gateway.leaving:
         answer.force_close()
     exchange.response = answer
+    if exchange.origin is None:
+        exchange.origin = exchange.writer
     if exchange.sender is not None:
-        answer.headers.update(answered_headers(exchange.tried[-1]))
+        headers = answered_headers(exchange.tried[-1], exchange.writer)
+        answer.headers.update(headers)
     else:
         took_s = time.monotonic() - exchange.started_s
         gateway.telemetry.first_answer.labels(exchange.route.name).observe(took_s)
--- a/src/celerytrack/gateway/exchange.py
+++ b/src/celerytrack/gateway/exchange.py
@@ -15,6 +15,7 @@
 )
 from celerytrack.ids import AccountId, EndpointId, EntryId, ServiceName
 from celerytrack.loop_time import loop_time
+from celerytrack.origins.origin import StreamOrigin
 from celerytrack.platform.http import RequestFacts
 from celerytrack.routing.endpoint import Choice, Dispatch, RequestProfile
 from celerytrack.routing.routes import Route
@@ -91,6 +92,8 @@
         not known.
     :ivar may_have_run: whether an endpoint may have run the request.
     :ivar response: the stream to the caller, once it has begun.
+    :ivar origin: what wrote the events that the caller has, once it has some.
+    :ivar writer: what writes the answer of the attempt in progress.
     :ivar events: parser of the stream, which counts the events relayed so far.
     :ivar timeout: ends the wait for tokens and the attempts at ``deadline_at_s``.
     """
@@ -119,6 +122,8 @@
     sent_unknown: int = 0
     may_have_run: bool = False
     response: web.StreamResponse | None = None
+    origin: StreamOrigin | None = None
+    writer: StreamOrigin | None = None
     events: EventSplitter = attrs.field(factory=EventSplitter)
     timeout: asyncio.Timeout | None = None
     _fingerprint_prefix: FingerprintPrefix | None = None
@@ -147,8 +152,8 @@
 
     @property
     def profile(self) -> RequestProfile:
-        """The service and the prompt, by which an endpoint is chosen."""
-        return RequestProfile(self.service, self.facts.parts)
+        """The service, the prompt and the origin, by which an endpoint is chosen."""
+        return RequestProfile(self.service, self.facts.parts, self.origin)
 
     def shorten_deadline(self, at_s: float) -> None:
         """Set the deadline to ``at_s`` unless it is already earlier."""
--- a/src/celerytrack/gateway/relay.py
+++ b/src/celerytrack/gateway/relay.py
@@ -29,6 +29,7 @@
 )
 from celerytrack.gateway.state import Gateway
 from celerytrack.ids import EntryId
+from celerytrack.origins.origin import StreamOrigin
 from celerytrack.platform.http import SKIPPED_AUTO_HEADERS, relayed_headers
 from celerytrack.reachability.helpers import MAX_HELPERS, Helper
 from celerytrack.reachability.relayed import UNHANDLED_STATUSES, decode_outcome
@@ -46,6 +47,10 @@
 """Reasons that hold at every entry."""
 
 
+class _OtherVersionError(Exception):
+    """Another entry sent a stream to an endpoint of another version."""
+
+
 def links_down() -> AttemptFailure:
     """Return the failure of a request that neither this entry nor another can send."""
     return AttemptFailure(
@@ -135,6 +140,7 @@
         left_s=max(0.0, exchange.deadline_at_s - time.monotonic()),
         tried=list(exchange.tried),
         resume_from=exchange.resume_from if exchange.route.stream else None,
+        version=None if exchange.origin is None else exchange.origin.version,
     )
     url = yarl.URL(f"http://{helper.address}{request.raw_path}", encoded=True)
     try:
@@ -178,6 +184,9 @@
         exchange.tried.append(outcome.endpoint_id)
     if outcome.reason is not None:
         return Failure(failure_of(outcome, helper.entry_id))
+    exchange.writer = StreamOrigin(exchange.service, outcome.version)
+    if exchange.origin not in (None, exchange.writer):
+        return _failed(helper, _OtherVersionError(), Verdict.MAY_HAVE_RUN)
     return await handle_response(gateway, exchange, None, response)
 
 
--- a/src/celerytrack/gateway/relay_format.py
+++ b/src/celerytrack/gateway/relay_format.py
@@ -13,6 +13,7 @@
 
 from celerytrack.gateway.exchange import AttemptFailure
 from celerytrack.ids import EndpointId, EntryId, ServiceName
+from celerytrack.origins.origin import StreamOrigin
 from celerytrack.platform.http import RELAY_HEADER
 from celerytrack.reachability.relayed import (
     NAME,
@@ -36,6 +37,8 @@
     :ivar left_s: time left for the answer.
     :ivar tried: endpoints that are not to be chosen.
     :ivar resume_from: the stream resumes after this event.
+    :ivar version: the software version that wrote the events before it; ``None`` if it
+        has none or was begun by an earlier release of the entry.
     """
 
     sender: str = attrs.field(validator=NAME)
@@ -43,6 +46,7 @@
     left_s: float = attrs.field(validator=v.and_(v.ge(0.0), v.le(_MAX_LEFT_S)))
     tried: list[str] = attrs.field(factory=list, validator=v.max_len(MAX_TRIED))
     resume_from: str | None = None
+    version: str | None = None
 
     @property
     def sender_id(self) -> EntryId:
@@ -52,6 +56,13 @@
     def service_name(self) -> ServiceName:
         return ServiceName(self.service)
 
+    @property
+    def origin(self) -> StreamOrigin | None:
+        """What wrote the events that the caller has, if it has some."""
+        if self.resume_from is None:
+            return None
+        return StreamOrigin(self.service_name, self.version)
+
     @property
     def tried_ids(self) -> list[EndpointId]:
         return [EndpointId(endpoint_id) for endpoint_id in self.tried]
@@ -77,9 +88,15 @@
     return RELAY_HEADER in headers
 
 
-def answered_headers(endpoint_id: EndpointId) -> CIMultiDict[str]:
-    """The header that goes with an endpoint's answer."""
-    outcome = RelayOutcome(endpoint_id, sent=True)
+def answered_headers(
+    endpoint_id: EndpointId, writer: StreamOrigin | None
+) -> CIMultiDict[str]:
+    """The header that goes with an endpoint's answer.
+
+    :param writer: the service and software version of the endpoint.
+    """
+    version = None if writer is None else writer.version
+    outcome = RelayOutcome(endpoint_id, sent=True, version=version)
     return CIMultiDict({RELAYED_HEADER: encode_outcome(outcome)})
 
 
--- a/src/celerytrack/gateway/relay_server.py
+++ b/src/celerytrack/gateway/relay_server.py
@@ -90,6 +90,7 @@
         service=order.service_name,
         deadline_at_s=started_s + order.left_s,
         tried=order.tried_ids,
+        origin=order.origin,
         sender=order.sender_id,
     )
 
@@ -149,7 +150,7 @@
         case Success(BufferedAnswer() as answer):
             assert endpoint_id is not None
             headers = answer.headers.copy()
-            headers.update(answered_headers(endpoint_id))
+            headers.update(answered_headers(endpoint_id, exchange.writer))
             return web.Response(status=answer.status, headers=headers, body=answer.body)
         case Success(None):
             assert exchange.response is not None
--- a/src/celerytrack/gateway/sending.py
+++ b/src/celerytrack/gateway/sending.py
@@ -27,6 +27,7 @@
 )
 from celerytrack.gateway.relay import links_down, relay
 from celerytrack.gateway.state import Gateway
+from celerytrack.origins.origin import StreamOrigin
 from celerytrack.routing.endpoint import Endpoint
 from celerytrack.suspects import SuspectState
 from celerytrack.verdict import Verdict
@@ -145,7 +146,9 @@
     endpoints = gateway.endpoints
     chosen = placement.choice
     endpoint = chosen.endpoint
-    if not endpoints.may_send(endpoint, now_s):
+    registration = endpoint.registration
+    fits = exchange.profile.fits(registration)
+    if not fits or not endpoints.may_send(endpoint, now_s):
         record_attempt_failure(gateway, exchange, endpoint.endpoint_id, withheld())
         return Failure(withheld())
     ran_before = exchange.may_have_run
@@ -154,7 +157,8 @@
     exchange.may_have_run = True
     exchange.choice = chosen
     if exchange.response is not None or exchange.takes_up:
-        log_resumed(exchange, endpoint.registration)
+        log_resumed(exchange, registration)
+    exchange.writer = StreamOrigin(registration.service, registration.version)
     dispatch = endpoints.record_dispatch(chosen, exchange.profile, now_s)
     exchange.dispatch = dispatch
     gateway.announce_prompt(endpoint.endpoint_id, chosen.work_s)
--- /dev/null
+++ b/src/celerytrack/origins/__init__.py
@@ -0,0 +1,1 @@
+"""Which software version began a stream, so that it goes on nowhere else."""
--- a/src/celerytrack/reachability/relayed.py
+++ b/src/celerytrack/reachability/relayed.py
@@ -53,6 +53,7 @@
     :ivar sent: whether it may have reached the endpoint.
     :ivar retry_after_s: when an attempt may succeed, if known.
     :ivar helper: another entry that lately served such a request, if this one can't.
+    :ivar version: software version of the endpoint that answers; ``None`` if unknown.
     """
 
     endpoint: str | None = None
@@ -62,6 +63,7 @@
     retry_after_s: float | None = None
     detail: str = ""
     helper: str | None = None
+    version: str | None = None
 
     @property
     def endpoint_id(self) -> EndpointId | None:
@@ -77,6 +79,7 @@
     retry_after_s: float | None = None
     detail: str = ""
     helper: str | None = None
+    version: str | None = None
 
 
 def encode_outcome(outcome: RelayOutcome) -> str:
@@ -101,7 +104,7 @@
         raise UnreadableError("no answer to a relayed request")
     wire: _Wire = structure(_converter, parse_json(raw), _Wire)
     if wire.reason is None:
-        return RelayOutcome(endpoint=wire.endpoint, sent=True)
+        return RelayOutcome(endpoint=wire.endpoint, sent=True, version=wire.version)
     try:
         reason, verdict = Reason(wire.reason), Verdict(wire.verdict)
     except ValueError:
--- a/src/celerytrack/routing/endpoint.py
+++ b/src/celerytrack/routing/endpoint.py
@@ -6,6 +6,7 @@
 import attrs
 
 from celerytrack.ids import EndpointId, ServiceName, Zone
+from celerytrack.origins.origin import StreamOrigin
 
 INITIAL_LATENCY_S = 0.03
 """Assumed latency of a plain call until an endpoint has answered some."""
@@ -68,10 +69,20 @@
 
     :ivar parts: ``(key, tokens)`` of the prompt's parts, in order; a key
         identifies the part and all parts before it.
+    :ivar origin: what began the stream that the request goes on with; ``None`` if it
+        may be sent to any endpoint of the service.
     """
 
     service: ServiceName
     parts: tuple[tuple[str, int], ...] = ()
+    origin: StreamOrigin | None = None
+
+    def fits(self, registration: Registration) -> bool:
+        """Whether an endpoint may write the next event of the stream."""
+        if self.origin is None:
+            return True
+        wrote = StreamOrigin(registration.service, registration.version)
+        return self.origin == wrote
 
     @property
     def unshared_tokens(self) -> int:
--- a/src/celerytrack/routing/endpoints.py
+++ b/src/celerytrack/routing/endpoints.py
@@ -171,7 +171,7 @@
         :param avoid: endpoints that must not be chosen.
         :returns: ``None`` if none is.
         """
-        candidates = self._candidates(profile.service, now_s)
+        candidates = self._fitting(profile, now_s)
         opens_in_s = [self._opens_in_s(e, now_s) for e in candidates]
         closed = [
             (wait_s, i)
@@ -259,9 +259,7 @@
         :returns: ``None`` if no endpoint has capacity.
         """
         candidates = [
-            e
-            for e in self._candidates(profile.service, now_s)
-            if e.endpoint_id not in avoid
+            e for e in self._fitting(profile, now_s) if e.endpoint_id not in avoid
         ]
         if self._notices:
             candidates = [e for e in candidates if self._opens_in_s(e, now_s) <= 0]
@@ -281,7 +279,7 @@
         now_s: float,
     ) -> Choice | None:
         """The choice of a given endpoint; ``None`` if it has no capacity."""
-        candidates = self._candidates(profile.service, now_s)
+        candidates = self._fitting(profile, now_s)
         available = [
             e
             for e in candidates
@@ -354,6 +352,13 @@
 
     # -- internals ---------------------------------------------------------
 
+    def _fitting(self, profile: RequestProfile, now_s: float) -> list[Endpoint]:
+        """The endpoints that a request may be sent to."""
+        candidates = self._candidates(profile.service, now_s)
+        if profile.origin is None:
+            return candidates
+        return [e for e in candidates if profile.fits(e.registration)]
+
     def _candidates(self, service: ServiceName, now_s: float) -> list[Endpoint]:
         not_draining = [
             e
--- a/tests/stream_callers.py
+++ b/tests/stream_callers.py
@@ -13,7 +13,7 @@
 from tests.versioned_endpoints import EVENTS
 
 TAKE_UP_AFTER_S = 0.05
-TRIES = 3
+MAX_TRIES = 3
 RETRY_AFTER_MAX_S = 1.0
 
 
@@ -54,6 +54,7 @@
 
     :ivar leaves_share: share of the callers that leave a stream in the middle and take
         it up at another gateway.
+    :ivar tries: most tries of one stream.
     :ivar alive: the gateways that callers know.
     :ivar worst_lag_s: longest time by which the event loop was late.
     """
@@ -61,6 +62,7 @@
     fleet: Fleet
     rng: random.Random
     leaves_share: float = 0.0
+    tries: int = MAX_TRIES
     streams: list[Stream] = attrs.field(factory=list)
     alive: list[int] = attrs.field(factory=list)
     worst_lag_s: float = 0.0
@@ -89,7 +91,7 @@
         if self.rng.random() < self.leaves_share:
             leaves_after = self.rng.randint(1, EVENTS - 1)
         gateway = self.rng.choice(self.alive)
-        for number in range(TRIES):
+        for number in range(self.tries):
             taken_up = stream.began
             if taken_up and not stream.taken_up:
                 stream.taken_up_s = time.monotonic()
