An endpoint that may have started again is no stream's until it has registered

Why it works: while a connection of an incarnation is open, its process lives. When the endpoint itself ends the last one, or refuses one, what runs there is in doubt: no stream goes on there, and one that begins there gets its origin when it is known. A doubt ends with a new registration, or 3 s of registrations that say nothing new; not while the log is away. Without a time of birth, another version is another incarnation.

--- a/src/celerytrack/gateway/attempts.py
+++ b/src/celerytrack/gateway/attempts.py
@@ -94,6 +94,8 @@
     except WithheldError:
         return Failure(withheld())
     except CONNECT_ERRORS as exc:
+        if _was_refused(exc):
+            gateway.endpoint_doubts.record_sign(dispatch.endpoint, time.monotonic())
         detail = f"{type(exc).__name__}: {exc}"
         return Failure(
             AttemptFailure(
@@ -120,6 +122,11 @@
             response.close()
 
 
+def _was_refused(exc: BaseException) -> bool:
+    os_error = getattr(exc, "os_error", None)
+    return isinstance(os_error, ConnectionRefusedError)
+
+
 def withheld() -> AttemptFailure:
     """Return the failure of a request that its endpoint's word kept from being sent."""
     detail = "the endpoint said meanwhile that it wants no requests"
@@ -256,7 +263,7 @@
             exchange.first_data_at_s = time.monotonic()
             if dispatch is not None:
                 dispatch.record_first_output(exchange.first_data_at_s)
-            await _start_stream(gateway, exchange, response)
+            await _start_stream(gateway, exchange, dispatch, response)
         await _write(exchange, received.data)
     if events.has_partial or _was_reset(response, protocol):
         return _unusable_answer("a stream ended in the middle of an event")
@@ -266,7 +273,10 @@
 
 
 async def _start_stream(
-    gateway: Gateway, exchange: Exchange, response: aiohttp.ClientResponse
+    gateway: Gateway,
+    exchange: Exchange,
+    dispatch: Dispatch | None,
+    response: aiohttp.ClientResponse,
 ) -> None:
     answer = web.StreamResponse(
         status=response.status, headers=returned_headers(response.headers)
@@ -274,7 +284,7 @@
     if gateway.leaving:
         answer.force_close()
     exchange.response = answer
-    record_began(gateway, exchange)
+    record_began(gateway, exchange, dispatch)
     if exchange.sender is not None:
         headers = answered_headers(exchange.tried[-1], exchange.writer)
         answer.headers.update(headers)
--- a/src/celerytrack/gateway/connections.py
+++ b/src/celerytrack/gateway/connections.py
@@ -11,7 +11,7 @@
 
 import aiohttp
 
-from celerytrack.http_session import make_http_session
+from celerytrack.http_session import GatedConnector, make_http_session
 from celerytrack.ids import EndpointId
 from celerytrack.process_end import CONNECT_TIMEOUT_S
 from celerytrack.routing.endpoint import Endpoint
@@ -31,10 +31,15 @@
 
     :param may_send: whether the endpoint may be sent a request now.
     :param on_connected: called when a new connection was made.
+    :param on_ended: called when the endpoint has ended the last open connection. While
+        one lives on, so does the process at its other end.
     """
 
     def __init__(
-        self, may_send: Callable[[], bool], on_connected: Callable[[], None]
+        self,
+        may_send: Callable[[], bool],
+        on_connected: Callable[[], None],
+        on_ended: Callable[[], None],
     ) -> None:
         timeout = aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S)
         self.session = make_http_session(
@@ -47,8 +52,21 @@
         # aiohttp repeats a GET on its own when a reused connection breaks, so a call
         # that must run at most once could run twice without notice.
         self.session._retry_connection = False
+        self._open = 0
+        self._on_ended = on_ended
+        connector = self.session.connector
+        assert isinstance(connector, GatedConnector)
+        connector.watch(self._record_open, self._record_closed)
         self._requests: set[asyncio.Timeout] = set()
 
+    def _record_open(self) -> None:
+        self._open += 1
+
+    def _record_closed(self, by_peer: bool) -> None:
+        self._open -= 1
+        if by_peer and not self._open:
+            self._on_ended()
+
     @contextlib.asynccontextmanager
     async def abort_on_loss(self) -> AsyncIterator[asyncio.Timeout]:
         """Abort the enclosed request if the incarnation is lost.
@@ -87,15 +105,18 @@
 
     :param may_send: whether an endpoint may be sent a request now.
     :param on_connected: called with an endpoint when a new connection was made.
+    :param on_ended: called with an endpoint that has ended the last open connection.
     """
 
     def __init__(
         self,
         may_send: Callable[[Endpoint], bool],
         on_connected: Callable[[Endpoint], None],
+        on_ended: Callable[[Endpoint], None],
     ) -> None:
         self._may_send = may_send
         self._on_connected = on_connected
+        self._on_ended = on_ended
         self._current: dict[EndpointId, IncarnationConnections] = {}
         self._closing: set[asyncio.Task[None]] = set()
 
@@ -104,7 +125,9 @@
         current = self._current.get(endpoint.endpoint_id)
         if current is None:
             current = IncarnationConnections(
-                lambda: self._may_send(endpoint), lambda: self._on_connected(endpoint)
+                lambda: self._may_send(endpoint),
+                lambda: self._on_connected(endpoint),
+                lambda: self._on_ended(endpoint),
             )
             self._current[endpoint.endpoint_id] = current
         return current
--- /dev/null
+++ b/src/celerytrack/gateway/endpoint_doubts.py
@@ -0,0 +1,100 @@
+"""Endpoints whose process may have ended, so that another may have its address.
+
+A run that breaks ends its connection too. If it was the last one open, a new connection
+that lives on shows that the process is the same: one that starts takes longer.
+"""
+
+import asyncio
+import logging
+import random
+from collections.abc import Awaitable, Callable
+
+from cachetools import TTLCache
+
+from celerytrack.events import Event, log_event
+from celerytrack.origins.messages import EndpointEnded
+from celerytrack.process_end import ConnectResult, probe_address
+from celerytrack.routing.endpoint import Endpoint
+from celerytrack.routing.endpoints import DOUBT_S, EndpointPool
+
+_log = logging.getLogger(__name__)
+
+HOLD_S = 0.1
+"""How long a process that is about to end may keep a new connection open."""
+MAX_TELL_DELAY_S = 0.02
+"""Longest time before an entry tells the others: of the many that see an endpoint end,
+few tell."""
+MAX_HEARD = 1_024
+
+
+class EndpointDoubts:
+    """Records signs that endpoints have ended, and checks them.
+
+    :param endpoints: the endpoints, which keep the doubt.
+    :param is_reached: whether another entry reaches an endpoint that refuses
+        connections here.
+    :param tell: tells the other entries that an incarnation has ended.
+    """
+
+    def __init__(
+        self,
+        endpoints: EndpointPool,
+        is_reached: Callable[[Endpoint], Awaitable[bool]],
+        tell: Callable[[EndpointEnded], None],
+        rng: random.Random,
+    ) -> None:
+        self._endpoints = endpoints
+        self._is_reached = is_reached
+        self._tell = tell
+        self._rng = rng
+        self._heard: TTLCache[EndpointEnded, None] = TTLCache(MAX_HEARD, DOUBT_S)
+        self._checks: set[asyncio.Task[None]] = set()
+
+    def record_sign(self, endpoint: Endpoint, now_s: float) -> None:
+        """Record that an endpoint ended the last connection to it, or refused one.
+
+        It matters for streams only, and where a service has one version the doubt is
+        left to pass by itself.
+        """
+        registration = endpoint.registration
+        if not self._endpoints.doubt(endpoint, now_s):
+            return
+        if not self._endpoints.has_versions(registration.service, now_s):
+            return
+        task = asyncio.get_running_loop().create_task(self._check(endpoint, now_s))
+        self._checks.add(task)
+        task.add_done_callback(self._checks.discard)
+
+    def receive(self, ended: EndpointEnded, now_s: float) -> None:
+        """Apply what another entry found."""
+        self._heard[ended] = None
+        self._endpoints.doubt_incarnation(ended.endpoint_id, ended.born_ms, now_s)
+
+    async def close(self) -> None:
+        """Cancel the checks in progress."""
+        for task in self._checks:
+            task.cancel()
+        await asyncio.gather(*self._checks, return_exceptions=True)
+
+    async def _check(self, endpoint: Endpoint, since_s: float) -> None:
+        address = endpoint.registration.address
+        result = await probe_address(address, HOLD_S)
+        if result is ConnectResult.ACCEPTED:
+            self._endpoints.settle_doubt(endpoint, since_s)
+            return
+        log_event(
+            _log,
+            Event.ENDPOINT_IN_DOUBT,
+            endpoint=endpoint.endpoint_id,
+            version=endpoint.registration.version,
+            check=result.value,
+        )
+        if result is ConnectResult.REFUSED:
+            await self._tell_others(endpoint)
+
+    async def _tell_others(self, endpoint: Endpoint) -> None:
+        ended = EndpointEnded(endpoint.endpoint_id, endpoint.registration.born_ms)
+        await asyncio.sleep(self._rng.uniform(0.0, MAX_TELL_DELAY_S))
+        if ended not in self._heard and not await self._is_reached(endpoint):
+            self._heard[ended] = None
+            self._tell(ended)
--- a/src/celerytrack/gateway/exchange.py
+++ b/src/celerytrack/gateway/exchange.py
@@ -93,6 +93,8 @@
     :ivar may_have_run: whether an endpoint may have run the request.
     :ivar response: the stream to the caller, once it has begun.
     :ivar origin: what wrote the events that the caller has, once it has some.
+    :ivar origin_endpoint: the endpoint that wrote the first of them, if this entry
+        sent the request there.
     :ivar writer: what writes the answer of the attempt in progress.
     :ivar events: parser of the stream, which counts the events relayed so far.
     :ivar timeout: ends the wait for tokens and the attempts at ``deadline_at_s``.
@@ -123,6 +125,7 @@
     may_have_run: bool = False
     response: web.StreamResponse | None = None
     origin: StreamOrigin | None = None
+    origin_endpoint: EndpointId | None = None
     writer: StreamOrigin | None = None
     events: EventSplitter = attrs.field(factory=EventSplitter)
     timeout: asyncio.Timeout | None = None
--- a/src/celerytrack/gateway/origins.py
+++ b/src/celerytrack/gateway/origins.py
@@ -10,7 +10,7 @@
 from celerytrack.ids import EntryId
 from celerytrack.origins.memory import StreamId
 from celerytrack.origins.origin import StreamOrigin
-from celerytrack.routing.endpoint import Endpoint
+from celerytrack.routing.endpoint import Dispatch, Endpoint, Registration
 from celerytrack.verdict import Reason, did_not_run
 
 _log = logging.getLogger(__name__)
@@ -100,18 +100,78 @@
     )
 
 
-def origin_at(endpoint: Endpoint) -> StreamOrigin:
-    """What a stream has as its origin that begins at an endpoint."""
+def record_began(
+    gateway: Gateway, exchange: Exchange, dispatch: Dispatch | None
+) -> None:
+    """Record what writes the first event that is passed on to the caller.
+
+    :param dispatch: ``None`` if another entry sent the request to the endpoint.
+    """
+    if dispatch is not None:
+        exchange.writer = _writer_at(gateway, dispatch.endpoint)
+    if exchange.origin is not None or exchange.writer is None:
+        return
+    exchange.origin = exchange.writer
+    if dispatch is not None:
+        exchange.origin_endpoint = dispatch.endpoint.endpoint_id
+    if exchange.sender is None and exchange.route.resumable:
+        _record_origin(gateway, exchange, exchange.origin)
+
+
+def _record_origin(gateway: Gateway, exchange: Exchange, origin: StreamOrigin) -> None:
+    stream = StreamId(exchange.account, exchange.facts.request_id)
+    now_s = time.monotonic()
+    if origin.version is not None:
+        gateway.origins.record_began(stream, origin, now_s)
+    elif exchange.origin_endpoint is not None:
+        gateway.unresolved_origins.add(stream, exchange.origin_endpoint, now_s)
+
+
+def _writer_at(gateway: Gateway, endpoint: Endpoint) -> StreamOrigin:
     registration = endpoint.registration
-    return StreamOrigin(registration.service, registration.version)
+    version = None if gateway.endpoints.is_doubted(endpoint) else registration.version
+    return StreamOrigin(registration.service, version)
+
 
+def resolve_origin(gateway: Gateway, exchange: Exchange) -> bool:
+    """Find what began the stream of a request, if that was in doubt.
 
-def record_began(gateway: Gateway, exchange: Exchange) -> None:
-    """Record that the first event of a stream is passed on to the caller."""
-    if exchange.origin is None:
-        exchange.origin = exchange.writer
-    if exchange.takes_up or not exchange.route.resumable or exchange.sender is not None:
+    :returns: whether the request may be sent.
+    """
+    origin, endpoint_id = exchange.origin, exchange.origin_endpoint
+    if origin is None or origin.version is not None:
+        return True
+    resolved = None if endpoint_id is None else gateway.endpoints.origin_at(endpoint_id)
+    if resolved is None or resolved.service != origin.service:
+        return False
+    exchange.origin = resolved
+    return True
+
+
+def resolve_origins(gateway: Gateway) -> None:
+    """Record the origins that the newest registrations tell."""
+    if not gateway.unresolved_origins:
         return
-    if exchange.origin is not None and exchange.origin.version is not None:
-        stream = StreamId(exchange.account, exchange.facts.request_id)
-        gateway.origins.record_began(stream, exchange.origin, time.monotonic())
+    now_s = time.monotonic()
+    origin_at = gateway.endpoints.origin_at
+    for stream, origin in gateway.unresolved_origins.pop_resolved(origin_at, now_s):
+        gateway.origins.record_began(stream, origin, now_s)
+
+
+def correct_origins(gateway: Gateway, registration: Registration) -> None:
+    """Correct the origin of the streams in progress at an endpoint that registers as
+    another incarnation: a connection that is still open leads to that one.
+
+    What other entries were told before makes the stream one that can't be taken up.
+    """
+    origin = StreamOrigin(registration.service, registration.version)
+    for exchange in gateway.exchanges:
+        dispatch = exchange.dispatch
+        if dispatch is None or exchange.origin_endpoint != registration.endpoint_id:
+            continue
+        before = dispatch.endpoint.registration
+        if before.endpoint_id != registration.endpoint_id:
+            continue
+        if before.address == registration.address and exchange.origin != origin:
+            exchange.origin = origin
+            _record_origin(gateway, exchange, origin)
--- a/src/celerytrack/gateway/relay.py
+++ b/src/celerytrack/gateway/relay.py
@@ -20,6 +20,7 @@
     has_body,
 )
 from celerytrack.gateway.exchange import AttemptFailure, Exchange
+from celerytrack.gateway.origins import resolve_origin
 from celerytrack.gateway.outcomes import log_relayed
 from celerytrack.gateway.reach import potential_helpers
 from celerytrack.gateway.relay_format import (
@@ -67,6 +68,8 @@
 
     :raises CallerDisconnectedError: if the caller disconnects during the answer.
     """
+    if not resolve_origin(gateway, exchange):
+        return Failure(links_down())
     failure = links_down()
     asked: set[EntryId] = set()
     for _ in range(MAX_HELPERS):
--- a/src/celerytrack/gateway/sending.py
+++ b/src/celerytrack/gateway/sending.py
@@ -8,7 +8,7 @@
 from celerytrack.gateway.attempts import AttemptResult, attempt, withheld
 from celerytrack.gateway.exchange import AttemptFailure, Exchange
 from celerytrack.gateway.openings import refused_until_opening, wait_for_opening
-from celerytrack.gateway.origins import origin_at
+from celerytrack.gateway.origins import resolve_origin
 from celerytrack.gateway.outcomes import log_resumed, record_attempt_failure
 from celerytrack.gateway.placement import (
     Placement,
@@ -46,6 +46,8 @@
             return result
     while True:
         now_s = time.monotonic()
+        if not resolve_origin(gateway, exchange):
+            return Failure(no_endpoint("what began the stream is in doubt"))
         if gateway.is_endpoint_view_stale(now_s):
             return Failure(no_endpoint("what is known of endpoints is too old"))
         suspect_state = suspect_state_of(gateway, exchange, now_s)
@@ -158,7 +160,7 @@
     exchange.choice = chosen
     if exchange.response is not None or exchange.takes_up:
         log_resumed(exchange, registration)
-    exchange.writer = origin_at(endpoint)
+    exchange.writer = None
     dispatch = endpoints.record_dispatch(chosen, exchange.profile, now_s)
     exchange.dispatch = dispatch
     gateway.announce_prompt(endpoint.endpoint_id, chosen.work_s)
--- a/src/celerytrack/gateway/state.py
+++ b/src/celerytrack/gateway/state.py
@@ -15,6 +15,7 @@
 from celerytrack.fingerprint import Fingerprint
 from celerytrack.gateway.connections import EndpointConnections
 from celerytrack.gateway.crash_detector import CrashDetector, CrashedEndpoint
+from celerytrack.gateway.endpoint_doubts import EndpointDoubts
 from celerytrack.gateway.endpoint_queries import is_reached_elsewhere
 from celerytrack.gateway.exchange import Exchange
 from celerytrack.gateway.hedged_store import HedgedStore
@@ -37,6 +38,7 @@
 from celerytrack.notices.sync import NoticeSync
 from celerytrack.notices.waiting import OpeningQueue
 from celerytrack.origins.messages import (
+    EndpointEnded,
     OriginAnswer,
     OriginNews,
     OriginQuery,
@@ -45,6 +47,7 @@
 )
 from celerytrack.origins.ring import Holder
 from celerytrack.origins.sync import OriginSync
+from celerytrack.origins.unresolved import UnresolvedOrigins
 from celerytrack.planned_stop import PlannedStop
 from celerytrack.platform.settings import ProcessSettings
 from celerytrack.platform.store import StoreClient
@@ -80,6 +83,8 @@
     :ivar endpoints_reachable: whether the store answered that read.
     :ivar notices: what endpoints say of themselves in their answers.
     :ivar origins: what began the streams that callers may take up.
+    :ivar endpoint_doubts: checks whether endpoints have started again.
+    :ivar unresolved_origins: streams that began at endpoints that were in doubt.
     :ivar reach: whether this entry reaches the endpoints.
     :ivar helpers: the entries that requests go through while it reaches none.
     :ivar relays_in_progress: requests of other entries in progress here.
@@ -130,6 +135,13 @@
             self.endpoints,
             started_s,
         )
+        self.unresolved_origins = UnresolvedOrigins()
+        self.endpoint_doubts = EndpointDoubts(
+            self.endpoints,
+            lambda endpoint: is_reached_elsewhere(self, endpoint),
+            self._tell_endpoint_ended,
+            self.rng,
+        )
         self.endpoints_known = False
         self.routing_table: RoutingTable | None = None
         self.config_known_at_s = float("-inf")
@@ -152,6 +164,7 @@
         self.connections = EndpointConnections(
             self._may_send,
             lambda endpoint: self.reach.record_connected(endpoint.registration.service),
+            self._doubt_endpoint,
         )
         self.crash_detector = CrashDetector(
             self.endpoints.is_superseded,
@@ -288,6 +301,8 @@
                 self._on_findings(message)
             case LinkNews():
                 record_link_news(self, message)
+            case EndpointEnded():
+                self.endpoint_doubts.receive(message, time.monotonic())
             case (
                 OriginNews()
                 | OriginQuery()
@@ -319,6 +334,13 @@
         is_brittle = tracker.bears_per_s(endpoint.endpoint_id) is not None
         return is_brittle or self.endpoints.is_leaving(endpoint)
 
+    def _tell_endpoint_ended(self, ended: EndpointEnded) -> None:
+        for member in self.share_sync.members.live_peers(time.monotonic()):
+            self.peer_messenger.send_origin_message(member.peer_address, ended)
+
+    def _doubt_endpoint(self, endpoint: Endpoint) -> None:
+        self.endpoint_doubts.record_sign(endpoint, time.monotonic())
+
     def _may_send(self, endpoint: Endpoint) -> bool:
         return self.endpoints.may_send(endpoint, time.monotonic())
 
@@ -381,6 +403,7 @@
     async def close(self) -> None:
         """Close all connections."""
         await self.crash_detector.close()
+        await self.endpoint_doubts.close()
         await self.connections.close()
         self.peer_messenger.close()
         await self.peer_client.close()
--- a/src/celerytrack/gateway/watches.py
+++ b/src/celerytrack/gateway/watches.py
@@ -4,6 +4,7 @@
 import time
 
 from celerytrack.events import Event, log_event
+from celerytrack.gateway.origins import correct_origins, resolve_origins
 from celerytrack.gateway.state import Gateway
 from celerytrack.gateway.tail import KeyedTail
 from celerytrack.ids import EndpointId
@@ -110,6 +111,7 @@
             return
         result = gateway.endpoints.register(registration, now_s)
         if result is RegistrationChange.RESTARTED:
+            correct_origins(gateway, registration)
             gateway.connections.drop(endpoint_id)
             gateway.notices.forget(endpoint_id)
         service, version = registration.service, registration.version
@@ -137,7 +139,8 @@
             time.monotonic()
         ):
             drop(endpoint_id)
-        gateway.endpoints_known_at_s = at_s
+        gateway.endpoints_known_at_s = gateway.endpoints.known_at_s = at_s
+        resolve_origins(gateway)
         gateway.endpoints_read_time_s = time.monotonic() - at_s
 
     def on_reachability(reachable: bool) -> None:
--- a/src/celerytrack/http_session.py
+++ b/src/celerytrack/http_session.py
@@ -1,10 +1,13 @@
 """HTTP sessions that detect an unreachable peer."""
 
+import asyncio
+import functools
 import socket
 from collections.abc import Callable, Mapping
 from typing import Any
 
 import aiohttp
+from aiohttp.client_proto import ResponseHandler
 
 ACK_TIMEOUT_MS = 1_500
 """A connection whose bytes are not acknowledged for this long is closed. Without this
@@ -22,6 +25,41 @@
     """A request was not sent: its endpoint may be sent nothing any more."""
 
 
+class WatchedConnection(ResponseHandler):
+    """A connection that tells how it ended.
+
+    :param on_open: called when it is made.
+    :param on_closed: called when it has ended, with whether the peer ended it. A peer
+        that is not heard of is not known to have ended anything.
+    """
+
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        on_open: Callable[[], None],
+        on_closed: Callable[[bool], None],
+    ) -> None:
+        super().__init__(loop)
+        self._on_open = on_open
+        self._on_closed = on_closed
+        self._ended_by_peer = False
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Tell that the connection is made."""
+        super().connection_made(transport)
+        self._on_open()
+
+    def eof_received(self) -> None:
+        """Note that the peer ended the connection."""
+        self._ended_by_peer = True
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Tell that the connection has ended."""
+        super().connection_lost(exc)
+        was_reset = isinstance(exc, ConnectionResetError)
+        self._on_closed(self._ended_by_peer or was_reset)
+
+
 class GatedConnector(aiohttp.TCPConnector):
     """Asks again whether a request may be sent once it has a connection.
 
@@ -35,6 +73,14 @@
     may_send: Callable[[str], bool] | None = None
     on_connected: Callable[[str], None] | None = None
 
+    def watch(
+        self, on_open: Callable[[], None], on_closed: Callable[[bool], None]
+    ) -> None:
+        """Call back as connections are made and end."""
+        self._factory = functools.partial(  # type: ignore[assignment]
+            WatchedConnection, loop=self._loop, on_open=on_open, on_closed=on_closed
+        )
+
     async def connect(
         self, req: aiohttp.ClientRequest, *args: Any, **kwargs: Any
     ) -> Any:
--- a/src/celerytrack/origins/messages.py
+++ b/src/celerytrack/origins/messages.py
@@ -6,7 +6,7 @@
 import attrs
 import msgpack
 
-from celerytrack.ids import AccountId, EntryId, RequestId, ServiceName
+from celerytrack.ids import AccountId, EndpointId, EntryId, RequestId, ServiceName
 from celerytrack.origins.memory import FoundOrigin, StreamId
 from celerytrack.origins.origin import StreamOrigin
 
@@ -15,8 +15,16 @@
 ANSWER_KIND = "stream-origin"
 VERSION_QUERY_KIND = "versions?"
 VERSION_NEWS_KIND = "versions"
+ENDED_KIND = "endpoint-ended"
 _KINDS = frozenset(
-    {NEWS_KIND, QUERY_KIND, ANSWER_KIND, VERSION_QUERY_KIND, VERSION_NEWS_KIND}
+    {
+        NEWS_KIND,
+        QUERY_KIND,
+        ANSWER_KIND,
+        VERSION_QUERY_KIND,
+        VERSION_NEWS_KIND,
+        ENDED_KIND,
+    }
 )
 MAX_ORIGINS = 12
 """Most origins or versions in one message, which must fit a datagram."""
@@ -78,7 +86,20 @@
     seen: tuple[SeenVersion, ...]
 
 
-OriginMessage = OriginNews | OriginQuery | OriginAnswer | VersionQuery | VersionNews
+@attrs.frozen
+class EndpointEnded:
+    """An incarnation of an endpoint refuses connections: another may follow it.
+
+    :ivar born_ms: start of the incarnation; 0 if unknown.
+    """
+
+    endpoint_id: EndpointId
+    born_ms: int
+
+
+OriginMessage = (
+    OriginNews | OriginQuery | OriginAnswer | VersionQuery | VersionNews | EndpointEnded
+)
 
 
 class OriginMessageError(ValueError):
@@ -108,6 +129,8 @@
         case VersionNews(seen):
             names = [(s.service, s.version, s.age_s) for s in seen]
             fields = (VERSION_NEWS_KIND, names)
+        case EndpointEnded(endpoint_id, born_ms):
+            fields = (ENDED_KIND, endpoint_id, born_ms)
     return bytes(msgpack.packb(fields))
 
 
@@ -136,6 +159,8 @@
             return VersionQuery(EntryId(_name(asker)))
         case ["versions", list(rows)] if len(rows) <= MAX_ORIGINS:
             return VersionNews(tuple(map(_seen, rows)))
+        case ["endpoint-ended", endpoint_id, born_ms]:
+            return EndpointEnded(EndpointId(_name(endpoint_id)), _number(born_ms))
     raise OriginMessageError(f"not about origins: {str(fields)[:100]}")
 
 
--- a/src/celerytrack/origins/sync.py
+++ b/src/celerytrack/origins/sync.py
@@ -144,7 +144,7 @@
             self._ask_versions(now_s)
 
     def receive(self, message: OriginMessage, now_s: float) -> None:
-        """Apply a message of another entry."""
+        """Apply a message of another entry about streams or versions."""
         match message:
             case OriginNews(origins):
                 for stream, origin in origins:
--- a/src/celerytrack/process_end.py
+++ b/src/celerytrack/process_end.py
@@ -24,16 +24,22 @@
     UNREACHABLE = "unreachable"
 
 
-async def probe_address(address: str) -> ConnectResult:
-    """Connect to ``address`` and close the connection."""
+async def probe_address(address: str, hold_s: float = 0.0) -> ConnectResult:
+    """Connect to ``address`` and close the connection.
+
+    :param hold_s: how long the connection must stay open to count as accepted.
+    """
     host, port = address.rsplit(":", 1)
     target = (host, int(port))
     sock = http_session.make_socket(
         (socket.AF_INET, socket.SOCK_STREAM, socket.IPPROTO_TCP, "", target)
     )
+    loop = asyncio.get_running_loop()
     try:
         async with asyncio.timeout(CONNECT_TIMEOUT_S):
-            await asyncio.get_running_loop().sock_connect(sock, target)
+            await loop.sock_connect(sock, target)
+        if hold_s and not await _stays_open(sock, hold_s):
+            return ConnectResult.UNREACHABLE
     except ConnectionRefusedError:
         return ConnectResult.REFUSED
     except (OSError, TimeoutError):
@@ -43,6 +49,15 @@
     return ConnectResult.ACCEPTED
 
 
+async def _stays_open(sock: socket.socket, hold_s: float) -> bool:
+    try:
+        async with asyncio.timeout(hold_s):
+            await asyncio.get_running_loop().sock_recv(sock, 1)
+    except TimeoutError:
+        return True
+    return False
+
+
 async def has_ended(address: str) -> bool:
     """Whether ``address`` refuses connections, as that of a crashed process does."""
     for delay_s in CONNECT_DELAYS_S:
--- a/src/celerytrack/routing/endpoints.py
+++ b/src/celerytrack/routing/endpoints.py
@@ -19,6 +19,7 @@
 
 from celerytrack.ids import EndpointId, ServiceName, Zone
 from celerytrack.notices.state import EndpointNotices
+from celerytrack.origins.origin import StreamOrigin
 from celerytrack.routing.ejection import (
     forgive,
     record_crash,
@@ -48,6 +49,9 @@
 """How long an endpoint without registration is still used if its service has no other.
 Registrations expire while the store is unreachable and are written again within two
 seconds; an endpoint that has left keeps serving for two seconds."""
+DOUBT_S = 3.0
+"""Time in which a process that started again at its address has registered. Until the
+registrations of then are known, what runs there is in doubt."""
 MAX_TOMBSTONES = 1_024
 """Removed endpoints whose last record is kept, so that an older record that arrives
 late does not register them again."""
@@ -71,6 +75,7 @@
 
     :param zone: the failure domain of this entry.
     :param notices: what endpoints said of themselves.
+    :ivar known_at_s: time before which every registration is known.
     """
 
     def __init__(
@@ -86,6 +91,7 @@
         self._notices = EndpointNotices() if notices is None else notices
         self.restored_registrations = RestoredRegistrations()
         self._version_history = VersionHistory()
+        self.known_at_s = float("-inf")
 
     def register(self, registration: Registration, now_s: float) -> RegistrationChange:
         """Apply a registration record that was read at ``now_s``."""
@@ -103,7 +109,7 @@
         if known is None:
             self._add(registration, now_s)
             return RegistrationChange.NEW
-        if 0 < known.registration.born_ms < registration.born_ms:
+        if _is_other_incarnation(known.registration, registration):
             # The statistics and cached parts belong to an earlier incarnation. Parts
             # counted as cached would need an unpredicted prefill. Earlier requests
             # refer to the old object and finish there.
@@ -140,11 +146,49 @@
         """
         self.mark_deregistered(endpoint_id, now_s - DEREGISTERED_GRACE_S)
 
+    def doubt(self, endpoint: Endpoint, now_s: float) -> bool:
+        """Record a sign that an endpoint's process may have ended.
+
+        :returns: whether it was not in doubt before.
+        """
+        was_doubted = self.is_doubted(endpoint)
+        endpoint.doubted_at_s = now_s
+        return not was_doubted
+
+    def settle_doubt(self, endpoint: Endpoint, since_s: float) -> None:
+        """Record that the process was alive after the sign at ``since_s``."""
+        if endpoint.doubted_at_s == since_s:
+            endpoint.doubted_at_s = None
+
+    def is_doubted(self, endpoint: Endpoint) -> bool:
+        """Whether another incarnation than the registered one may run at an endpoint.
+
+        Its version may be another one.
+        """
+        doubted_at_s = endpoint.doubted_at_s
+        return doubted_at_s is not None and self.known_at_s < doubted_at_s + DOUBT_S
+
+    def doubt_incarnation(
+        self, endpoint_id: EndpointId, born_ms: int, now_s: float
+    ) -> None:
+        """Record that an incarnation has ended, as another entry found."""
+        known = self._endpoints.get(endpoint_id)
+        if known is not None and known.registration.born_ms == born_ms:
+            self.doubt(known, now_s)
+
+    def origin_at(self, endpoint_id: EndpointId) -> StreamOrigin | None:
+        """What runs at an endpoint; ``None`` if it is not known or in doubt."""
+        known = self._endpoints.get(endpoint_id)
+        if known is None or self.is_doubted(known):
+            return None
+        return StreamOrigin(known.registration.service, known.registration.version)
+
     def mark_crashed(self, endpoint_id: EndpointId, now_s: float) -> None:
         """Eject an endpoint that crashed, as observed by some entry."""
         known = self._endpoints.get(endpoint_id)
         if known is not None:
             record_crash(known, now_s)
+            self.doubt(known, now_s)
 
     def is_available(self, endpoint: Endpoint, now_s: float) -> bool:
         """Whether an endpoint that was chosen earlier still accepts requests."""
@@ -387,7 +431,11 @@
         candidates = self._candidates(profile.service, now_s)
         if profile.origin is None:
             return candidates
-        return [e for e in candidates if profile.fits(e.registration)]
+        fitting = [e for e in candidates if profile.fits(e.registration)]
+        sure = [e for e in fitting if not self.is_doubted(e)]
+        if sure or self.has_versions(profile.service, now_s):
+            return sure
+        return fitting
 
     def _candidates(self, service: ServiceName, now_s: float) -> list[Endpoint]:
         not_draining = [
@@ -430,3 +478,14 @@
         return self._notices.opens_in_s(
             endpoint.endpoint_id, endpoint.registration.born_ms, now_s
         )
+
+
+def _is_other_incarnation(known: Registration, registration: Registration) -> bool:
+    """Whether a registration is of a later incarnation than the known one.
+
+    Without a time of birth, another version tells it.
+    """
+    if known.born_ms and registration.born_ms:
+        return known.born_ms < registration.born_ms
+    versions = (known.version, registration.version)
+    return all(versions) and versions[0] != versions[1]
--- a/tests/test_mixed_versions.py
+++ b/tests/test_mixed_versions.py
@@ -96,6 +96,7 @@
         (6, 6, _a_gateway_ends),
         (24, 3, _nothing_changes),
         (6, 6, _all_old_but_two_end),
+        (6, 6, _old_come_back_as_new),
     )
     def test_a_stream_keeps_its_version_while_the_fleet_changes(
         self, gateways: int, old: int, change: Change
--- a/tests/test_origins.py
+++ b/tests/test_origins.py
@@ -10,11 +10,12 @@
 from multidict import CIMultiDict
 from nose2.tools import params
 
-from celerytrack.ids import AccountId, EntryId, RequestId, ServiceName
+from celerytrack.ids import AccountId, EndpointId, EntryId, RequestId, ServiceName
 from celerytrack.origins import memory as memory_module
 from celerytrack.origins.lookups import MAX_LOOKUPS_OF_ACCOUNT, Lookups
 from celerytrack.origins.memory import KEEP_S, FoundOrigin, OriginMemory, StreamId
 from celerytrack.origins.messages import (
+    EndpointEnded,
     OriginAnswer,
     OriginMessage,
     OriginMessageError,
@@ -127,6 +128,7 @@
         st.none() | st.builds(FoundOrigin, _origins, _ages_s),
     )
     | st.builds(VersionQuery, _names.map(EntryId))
+    | st.builds(EndpointEnded, _names.map(EndpointId), _numbers)
     | st.builds(
         VersionNews,
         st.lists(
@@ -154,7 +156,14 @@
 
     @given(
         st.sampled_from(
-            ["stream-origins", "stream-origin?", "stream-origin", "versions", "x"]
+            [
+                "stream-origins",
+                "stream-origin?",
+                "stream-origin",
+                "versions",
+                "versions?",
+                "endpoint-ended",
+            ]
         ),
         st.lists(_json, max_size=5),
     )
