New work keeps off a version that shrinks while it has another place

Cause: nothing told streams that can go nowhere else from work that can.

Why it works: the first attempt of new work leaves out versions that had twice as many endpoints within the last minute; what is turned away elsewhere may use them, so that no room lies idle while others are full. A service with one version, and one that grows, notices nothing.

--- a/src/celerytrack/routing/endpoints.py
+++ b/src/celerytrack/routing/endpoints.py
@@ -13,6 +13,7 @@
 
 import enum
 import random
+from collections import Counter
 from collections.abc import Collection, Iterable, Sequence
 
 from cachetools import LRUCache
@@ -340,10 +341,30 @@
         available = [
             e for e in candidates if has_capacity(e, fleet_load_ratio, max_connections)
         ]
+        if (
+            profile.origin is None
+            # What was turned away elsewhere may use the room that is kept.
+            and not avoid
+            and self.has_versions(profile.service, now_s)
+        ):
+            available = self._keep_room(available, profile, now_s)
         return self._choose_among(
             available, candidates, profile, fleet_load_ratio, now_s
         )
 
+    def _keep_room(
+        self, available: list[Endpoint], profile: RequestProfile, now_s: float
+    ) -> list[Endpoint]:
+        """Keep new work off versions that shrink, while it has another place: streams
+        that began there can go nowhere else."""
+        service = profile.service
+        counts = Counter(
+            e.registration.version for e in self._candidates(service, now_s)
+        )
+        shrunk = self._version_history.shrunk(service, counts, now_s)
+        kept = [e for e in available if e.registration.version not in shrunk]
+        return kept or available
+
     def predict_at(
         self,
         endpoint_id: EndpointId,
--- a/src/celerytrack/routing/versions.py
+++ b/src/celerytrack/routing/versions.py
@@ -1,7 +1,9 @@
 """The software versions of services, without I/O."""
 
 from collections import defaultdict
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable, Iterator, Mapping
+
+import attrs
 
 from celerytrack.ids import ServiceName
 from celerytrack.origins.memory import KEEP_S
@@ -9,6 +11,12 @@
 _CACHE_S = 0.25
 
 
+@attrs.frozen
+class _Count:
+    count: int
+    at_s: float
+
+
 class VersionHistory:
     """The versions that endpoints of each service have, or had until lately.
 
@@ -17,6 +25,7 @@
 
     def __init__(self) -> None:
         self._seen_s: defaultdict[ServiceName, dict[str, float]] = defaultdict(dict)
+        self._most: dict[tuple[ServiceName, str], _Count] = {}
         self._cached: dict[ServiceName, tuple[float, frozenset[str]]] = {}
 
     def __iter__(self) -> Iterator[tuple[ServiceName, str, float]]:
@@ -32,6 +41,22 @@
             self._cached.pop(service, None)
         seen_s[version] = max(now_s, seen_s.get(version, now_s))
 
+    def shrunk(
+        self, service: ServiceName, counts: Mapping[str, int], now_s: float
+    ) -> set[str]:
+        """The versions that lately had twice as many endpoints as now, or more.
+
+        :param counts: the present number of endpoints of each version.
+        """
+        shrunk = set()
+        for version, count in counts.items():
+            most = self._most.get((service, version))
+            if most is None or count >= most.count or now_s - most.at_s > KEEP_S:
+                self._most[service, version] = _Count(count, now_s)
+            elif 2 * count <= most.count:
+                shrunk.add(version)
+        return shrunk
+
     def versions(
         self, service: ServiceName, present: Iterable[str], now_s: float
     ) -> frozenset[str]:
@@ -47,6 +72,7 @@
         for version, at_s in list(seen_s.items()):
             if now_s - at_s > KEEP_S:
                 del seen_s[version]
+                self._most.pop((service, version), None)
         versions = frozenset(seen_s)
         self._cached[service] = (now_s, versions)
         return versions
--- /dev/null
+++ b/tests/test_version_room.py
@@ -0,0 +1,81 @@
+"""Room for streams that can go on only at the last endpoints of a version."""
+
+import random
+import unittest
+
+from celerytrack.ids import EndpointId, ServiceName, Zone
+from celerytrack.origins.memory import KEEP_S
+from celerytrack.origins.origin import StreamOrigin
+from celerytrack.routing.endpoint import Registration, RequestProfile
+from celerytrack.routing.endpoints import EndpointPool
+
+S = ServiceName("s")
+Z = Zone("z")
+OLD, NEW = "v1", "v2"
+NEW_WORK = RequestProfile(S)
+
+
+def _register(pool: EndpointPool, name: str, version: str, now_s: float) -> None:
+    endpoint_id = EndpointId(name)
+    registration = Registration(
+        endpoint_id, S, f"{name}:1", Z, 8, False, version=version
+    )
+    pool.register(registration, now_s)
+
+
+def _pool_that_shrank(before: int, after: int, new: int) -> EndpointPool:
+    """Endpoints of the old version, of which some have left, beside new ones."""
+    pool = EndpointPool(Z, random.Random(1))
+    for number in range(before):
+        _register(pool, f"old-{number}", OLD, 0.0)
+    for number in range(new):
+        _register(pool, f"new-{number}", NEW, 0.0)
+    _chosen_versions(pool, 0.0)
+    for number in range(after, before):
+        pool.deregister_now(EndpointId(f"old-{number}"), 1.0)
+    return pool
+
+
+def _chosen_versions(
+    pool: EndpointPool,
+    now_s: float,
+    avoid: tuple[EndpointId, ...] = (),
+    profile: RequestProfile = NEW_WORK,
+) -> set[str]:
+    versions = set()
+    for _ in range(40):
+        choice = pool.choose(profile, 1.0, 100, avoid, now_s)
+        if choice is not None:
+            versions.add(choice.endpoint.registration.version)
+    return versions
+
+
+class RoomTest(unittest.TestCase):
+    def test_new_work_keeps_off_a_version_that_shrinks(self) -> None:
+        """The last endpoints of a version were full of work that could go anywhere."""
+        pool = _pool_that_shrank(6, 2, 6)
+        self.assertEqual(_chosen_versions(pool, 2.0), {NEW})
+        origin = RequestProfile(S, (), StreamOrigin(S, OLD))
+        self.assertEqual(_chosen_versions(pool, 2.0, profile=origin), {OLD})
+
+    def test_work_turned_away_elsewhere_may_use_the_room(self) -> None:
+        """Room that was kept lay idle while the other version was full."""
+        pool = _pool_that_shrank(6, 2, 1)
+        tried = (EndpointId("new-0"),)
+        self.assertEqual(_chosen_versions(pool, 2.0, tried), {OLD})
+
+    def test_a_version_that_grows_or_stays_gets_new_work(self) -> None:
+        """The first endpoints of a new version got none."""
+        pool = _pool_that_shrank(6, 6, 1)
+        self.assertEqual(_chosen_versions(pool, 2.0), {OLD, NEW})
+
+    def test_the_room_is_kept_for_a_while_only(self) -> None:
+        """A version that shrank long ago got no new work any more."""
+        pool = _pool_that_shrank(6, 2, 6)
+        _chosen_versions(pool, 2.0)
+        self.assertEqual(_chosen_versions(pool, 2.0 + KEEP_S), {OLD, NEW})
+
+    def test_one_version_shrinks_without_notice(self) -> None:
+        """A service with one version refused new work as endpoints left."""
+        pool = _pool_that_shrank(6, 2, 0)
+        self.assertEqual(_chosen_versions(pool, 2.0), {OLD})
