--- a/tests/stream_callers.py
+++ b/tests/stream_callers.py
@@ -26,6 +26,8 @@
     :ivar wrong: events that came twice or out of order.
     :ivar first_id: the try that brought the first event.
     :ivar began: whether a first event came.
+    :ivar refusals: bodies of the answers of entries that refused a try.
+    :ivar trace: id, gateway, status and event numbers of each try.
     :ivar taken_up: tries that took the stream up.
     :ivar went_on: whether one of them brought an event.
     """
@@ -40,7 +42,7 @@
     taken_up: int = 0
     went_on: bool = False
     taken_up_s: float = 0.0
-    unknown: bool = False
+    refusals: list[str] = attrs.field(factory=list)
     trace: list[tuple[str, int, int, str]] = attrs.field(factory=list)
 
     @property
@@ -133,6 +135,7 @@
             ) as response:
                 status = response.status
                 if status != 200:
+                    stream.refusals.append((await response.read()).decode())
                     wait_s = float(response.headers.get("Retry-After", "0"))
                     return min(wait_s, RETRY_AFTER_MAX_S)
                 await self._read_events(stream, request_id, response, leaves_after)
