Own interface: an answer goes on only at the version that began it

Cause: replicas stated no version, and a broken answer went on by token count at any replica of the model.

Why it works: replicas state their version in load reports and in the head of each answer. The version is taken with the first token that the caller gets and is part of what the next attempt asks of a replica, also through another entry; the head of the answer is asked once more, since reports lag, and nothing of another version is passed on. Replicas that state none count as of one version.

--- a/src/celerytrack/entry/admission.py
+++ b/src/celerytrack/entry/admission.py
@@ -258,7 +258,7 @@
     replicas = [
         r
         for r in state.view.replicas.values()
-        if r.model == ask.model and r.replica_id not in avoid
+        if ask.fits(r) and r.replica_id not in avoid
     ]
     closed = state.notices.closed(replicas, time.monotonic())
     open_replicas = [r for r in replicas if r.replica_id not in closed]
--- a/src/celerytrack/entry/chat.py
+++ b/src/celerytrack/entry/chat.py
@@ -12,7 +12,12 @@
 
 from celerytrack.entry.admission import AdmittedRequest, handle, reserve
 from celerytrack.entry.answers import StoredAnswer
-from celerytrack.entry.calls import CONNECTION_ERRORS, CallFailedError, Post
+from celerytrack.entry.calls import (
+    CONNECTION_ERRORS,
+    CallFailedError,
+    Post,
+    replica_failed,
+)
 from celerytrack.entry.charging import charge
 from celerytrack.entry.refusals import RefusedError
 from celerytrack.entry.state import EntryState
@@ -22,6 +27,7 @@
 )
 from celerytrack.escrow import GrantReservation
 from celerytrack.events import Event, log_event
+from celerytrack.origins.origin import VERSION_HEADER
 from celerytrack.prompts import count_tokens, prompt_blocks, prompt_text
 from celerytrack.routing.replica_load import Ask, Attempt
 from celerytrack.settings import BackendKind
@@ -44,7 +50,11 @@
 
 @attrs.define
 class _Answer:
-    """One answer in progress."""
+    """One answer in progress.
+
+    :ivar version: software version that wrote the part that the caller has; ``None``
+        if it has none.
+    """
 
     admitted: AdmittedRequest
     prompt_tokens: int
@@ -52,6 +62,7 @@
     ask: Ask
     started_s: float
     relay: AnswerRelay
+    version: str | None = None
     response: web.StreamResponse | None = None
 
     @property
@@ -138,6 +149,8 @@
     try:
         if upstream.status != 200:
             return Failure(bad_status(upstream.status))
+        if not _is_of_version(upstream, sent, answer):
+            return Failure(replica_failed())
         await _relay_events(state, request, sent, upstream, answer)
         return Success(None)
     except _IncompleteStreamError:
@@ -151,6 +164,28 @@
             upstream.close()
 
 
+def _is_of_version(
+    upstream: aiohttp.ClientResponse, sent: Attempt, answer: _Answer
+) -> bool:
+    """Whether a replica goes on at the version that began the answer.
+
+    What it says now is fresher than its last report.
+    """
+    version = upstream.headers.get(VERSION_HEADER, "")
+    sent.replica.version = version
+    if answer.version not in (None, version):
+        log_event(
+            _log,
+            Event.VERSION_REJECTED,
+            request_id=answer.admitted.request_id,
+            endpoint=sent.replica.replica_id,
+            version=version,
+            began_at=answer.version,
+        )
+        return False
+    return True
+
+
 async def _response_ended(upstream: aiohttp.ClientResponse) -> bool:
     """Whether the engine ends its response after ``[DONE]``."""
     try:
@@ -186,6 +221,7 @@
             continue
         if not sent.answered and relay.tokens > tokens_before:
             sent.record_first_token(time.time())
+            answer.version = sent.version = sent.replica.version
         try:
             if answer.response is None:
                 answer.response = await _start_response(state, request, answer)
--- a/src/celerytrack/entry/fleet_view.py
+++ b/src/celerytrack/entry/fleet_view.py
@@ -34,6 +34,10 @@
 """Latest start that a replica may report: far in the future, and exact in JSON."""
 
 
+MAX_VERSION_CHARS = 100
+"""Most characters of a software version that a replica may report."""
+
+
 def read_born_ms(report: dict[str, Any], known_ms: int) -> int:
     """The start that a load report tells, or the known one if it tells none."""
     born_ms = report.get("born_ms")
@@ -222,6 +226,7 @@
         if report is None:
             load.record_failure(time.time())
             return
+        load.version = str(report.get("version", ""))[:MAX_VERSION_CHARS]
         load.born_ms = read_born_ms(report, load.born_ms)
         load.capacity = int(report.get("capacity", load.capacity))
         load.cache.capacity_blocks = int(
--- a/src/celerytrack/entry/placement.py
+++ b/src/celerytrack/entry/placement.py
@@ -26,6 +26,8 @@
     :ivar answer_at_s: until when the first token is in time, on the monotonic clock.
     :ivar streaming: the caller has received a part of the answer.
     :ivar failed_in_row: consecutive failed attempts that produced no token.
+    :ivar version: software version that wrote the received part; ``None`` if there is
+        none.
     :ivar avoid: replicas that failed the request since its last token.
     :ivar refusal: the answer if no attempt succeeds. Once an attempt may have run it,
         its refusal is kept, however later attempts end.
@@ -33,6 +35,7 @@
 
     answer_at_s: float
     streaming: bool = False
+    version: str | None = None
     failed_in_row: int = 0
     avoid: frozenset[ReplicaId] = frozenset()
     refusal: Refusal | None = None
@@ -41,14 +44,17 @@
         """The next attempt's placement request.
 
         A started answer gets the top priority: it is not shed in favor of more
-        urgent requests, which can still be refused.
+        urgent requests, which can still be refused. It goes on at its version only.
         """
-        return attrs.evolve(ask, priority=0) if self.streaming else ask
+        if not self.streaming:
+            return ask
+        return attrs.evolve(ask, priority=0, version=self.version)
 
     def record_failure(self, sent: Attempt, refusal: Refusal) -> None:
         """Count a failed attempt; one that produced tokens resets the count."""
         if sent.answered:
             self.streaming = True
+            self.version = sent.version
             self.failed_in_row = 0
             self.avoid = frozenset()
         else:
@@ -84,14 +90,14 @@
                 return exc.refusal
     if not state.notices.sync.limits.tracker:
         return LeasedReplica(replica)
+    next_ask = history.next_ask(ask)
     may_run = [
         replica
         for replica in state.view.replicas.values()
-        if replica.model == ask.model
+        if next_ask.fits(replica)
         and not replica.leaving
         and replica.replica_id not in history.avoid
     ]
-    next_ask = history.next_ask(ask)
     max_wait_s = _max_wait_s(replica, history, next_ask)
     return await state.notices.lease(
         choose, may_run, next_ask.priority, max_wait_s, state.rng
@@ -109,7 +115,7 @@
     replicas = (
         replica
         for replica in state.view.replicas.values()
-        if replica.model == ask.model and replica.replica_id not in history.avoid
+        if next_ask.fits(replica) and replica.replica_id not in history.avoid
     )
     opening = state.notices.next_opening(replicas, time.monotonic())
     if opening is None:
--- a/src/celerytrack/entry/relay.py
+++ b/src/celerytrack/entry/relay.py
@@ -91,7 +91,7 @@
         sent = _attempt_at(ReplicaId(f"through {helper.entry_id}"), ask)
         state.helpers.begin(helper)
         try:
-            result = await attempt(sent, _post(state, admitted, tried, relayed))
+            result = await attempt(sent, _post(state, admitted, ask, tried, relayed))
         finally:
             state.helpers.end(helper)
         _log_relayed(admitted, relayed, result)
@@ -132,6 +132,7 @@
 def _post(
     state: EntryState,
     admitted: AdmittedRequest,
+    ask: Ask,
     tried: Collection[ReplicaId],
     relayed: _Relayed,
 ) -> Post:
@@ -141,6 +142,7 @@
         work_class=admitted.work.name,
         request_id=admitted.request_id,
         tried=[str(replica_id) for replica_id in sorted(tried)][:MAX_TRIED],
+        version=ask.version,
     )
 
     async def post(path: str, body: Any) -> aiohttp.ClientResponse:
--- a/src/celerytrack/entry/relay_format.py
+++ b/src/celerytrack/entry/relay_format.py
@@ -24,6 +24,8 @@
     :ivar sender: the entry whose caller sent the request.
     :ivar account: the client account, which pays where the caller is.
     :ivar tried: replicas that are not to be chosen.
+    :ivar version: software version that wrote the part of the answer that the caller
+        has; ``None`` if it has none.
     """
 
     sender: str = attrs.field(validator=NAME)
@@ -31,6 +33,7 @@
     work_class: str = attrs.field(validator=NAME)
     request_id: str = attrs.field(validator=NAME)
     tried: list[str] = attrs.field(factory=list, validator=v.max_len(MAX_TRIED))
+    version: str | None = None
 
     @property
     def sender_id(self) -> EntryId:
--- a/src/celerytrack/entry/relay_server.py
+++ b/src/celerytrack/entry/relay_server.py
@@ -34,6 +34,7 @@
 from celerytrack.entry.upstream import bad_status, try_replicas_once
 from celerytrack.events import Event, log_event
 from celerytrack.ids import EntryId, ReplicaId, RequestId, ServiceName
+from celerytrack.origins.origin import VERSION_HEADER
 from celerytrack.process_end import ConnectResult, probe_address
 from celerytrack.prompts import prompt_blocks, prompt_text
 from celerytrack.reachability.relayed import (
@@ -186,7 +187,7 @@
     if state.reach.is_down(service):
         helper = state.helpers.proven(service, time.monotonic())
         return _refuse(links_down(), helper=helper)
-    ask = Ask(work.model, work.priority, blocks)
+    ask = Ask(work.model, work.priority, blocks, call.order.version)
     started_s = time.monotonic()
     result = await try_replicas_once(
         state, admitted, ask, call.order.tried_ids, attempt
@@ -214,8 +215,9 @@
     """
     outcome = RelayOutcome(sent.replica.replica_id, sent=True)
     headers = {RELAYED_HEADER: encode_outcome(outcome)}
-    if "Content-Type" in upstream.headers:
-        headers["Content-Type"] = upstream.headers["Content-Type"]
+    for name in ("Content-Type", VERSION_HEADER):
+        if name in upstream.headers:
+            headers[name] = upstream.headers[name]
     answer.response = web.StreamResponse(status=upstream.status, headers=headers)
     complete = False
     try:
--- a/src/celerytrack/origins/origin.py
+++ b/src/celerytrack/origins/origin.py
@@ -8,6 +8,9 @@
 
 from celerytrack.ids import ServiceName
 
+VERSION_HEADER = "X-Version"
+"""Header in which a replica of the own interface states its software version."""
+
 
 @attrs.frozen
 class StreamOrigin:
--- a/src/celerytrack/routing/replica_load.py
+++ b/src/celerytrack/routing/replica_load.py
@@ -33,11 +33,20 @@
     :ivar model: the model or plain service.
     :ivar priority: the class priority; 0 is shed last.
     :ivar blocks: hashes of the prompt's blocks (empty for plain services).
+    :ivar version: software version that wrote the part of the answer that the caller
+        has; ``None`` if it has none.
     """
 
     model: str
     priority: int
     blocks: tuple[int, ...] = ()
+    version: str | None = None
+
+    def fits(self, replica: "ReplicaLoad") -> bool:
+        """Whether a replica may run the request, or go on with its answer."""
+        if replica.model != self.model:
+            return False
+        return self.version is None or self.version == replica.version
 
 
 class PrefixIndex:
@@ -101,6 +110,8 @@
     :ivar prefill_tokens: its prompt tokens counted as pending prefill.
     :ivar predicted_s: time to the first token as predicted when it was sent.
     :ivar answered: whether its first token arrived.
+    :ivar version: software version that wrote what the caller got; ``None`` if it got
+        nothing.
     """
 
     replica: "ReplicaLoad"
@@ -108,6 +119,7 @@
     prefill_tokens: int
     predicted_s: float
     answered: bool = False
+    version: str | None = None
 
     def record_first_token(self, now_s: float) -> None:
         """Record that its first token arrived, which means that prefill is done."""
@@ -132,6 +144,7 @@
     Times are wall-clock seconds, because reports carry the replica's clock.
 
     :ivar capacity: sequences the replica batches at once.
+    :ivar version: its software version; empty if it states none.
     :ivar born_ms: start of its incarnation, in Unix milliseconds; 0 if unknown.
     :ivar own: the load from this entry.
     :ivar peers: the load each peer announced, and when it arrived.
@@ -154,6 +167,7 @@
     slowness: float = 1.0
     ejected_until_s: float = 0.0
     born_ms: int = 0
+    version: str = ""
     cache: PrefixIndex = attrs.field(factory=PrefixIndex)
     _own_history: deque[tuple[float, Load]] = attrs.field(
         factory=lambda: deque([(0.0, Load())], maxlen=_MAX_HISTORY)
--- a/src/celerytrack/routing/replicas.py
+++ b/src/celerytrack/routing/replicas.py
@@ -81,7 +81,7 @@
     threshold = SHED_THRESHOLDS[min(ask.priority, len(SHED_THRESHOLDS) - 1)]
     available = []
     for replica in replicas:
-        if replica.model != ask.model or replica.leaving:
+        if not ask.fits(replica) or replica.leaving:
             continue
         load = replica.load(now_s)
         if load.running < replica.capacity * threshold:
--- a/src/celerytrack/standins/engine.py
+++ b/src/celerytrack/standins/engine.py
@@ -25,6 +25,7 @@
 import attrs
 from aiohttp import web
 
+from celerytrack.origins.origin import VERSION_HEADER
 from celerytrack.prompts import BLOCK_TOKENS, count_tokens, prompt_blocks, prompt_text
 from celerytrack.sse import DONE_EVENT, event_bytes
 from celerytrack.standins._common import Faults, apply_faults, faults_routes
@@ -46,6 +47,7 @@
         "event_gap_rate": 0.0,
         "cut_after_tokens": 0,
         "cut_streams": 0,
+        "cut_share": 0.0,
     }
 
 
@@ -67,11 +69,13 @@
     """The engine's batch, queue, cache and order history.
 
     :ivar knobs: lags, event gaps, and ``cut_streams``: how many streams to abort after
-        ``cut_after_tokens`` tokens.
+        ``cut_after_tokens`` tokens, or ``cut_share``: which share of them.
+    :ivar version: software version, which it states in answers, events and reports.
     :ivar marked: which prompts crash the engine.
     """
 
     replica_id: str
+    version: str = ""
     capacity: int = 16
     token_s: float = 0.004
     tokens_per_event: int = 1
@@ -181,7 +185,9 @@
         self.events.append((now_s, kind, block))
 
 
-def _chunk(request_id: str, model: str, first: int, last: int, total: int) -> bytes:
+def _chunk(
+    request_id: str, model: str, version: str, first: int, last: int, total: int
+) -> bytes:
     text = "".join(token_text(request_id, i) for i in range(first, last))
     finish = "length" if last == total else None
     return event_bytes(
@@ -189,6 +195,7 @@
             "id": request_id,
             "object": "chat.completion.chunk",
             "model": model,
+            "system_fingerprint": version,
             "choices": [
                 {"index": 0, "delta": {"content": text}, "finish_reason": finish}
             ],
@@ -209,7 +216,9 @@
         last = min(first + state.tokens_per_event, total)
         slower = 1 + state.running / state.capacity
         await asyncio.sleep(state.token_s * (last - first) * slower)
-        await resp.write(_chunk(request_id, model, first, last, total))
+        await resp.write(_chunk(request_id, model, state.version, first, last, total))
+        if state._rng.random() < state.knobs["cut_share"] / total:
+            raise ConnectionResetError("aborted by the cut_share fault")
         if state.knobs["cut_streams"] and last >= state.knobs["cut_after_tokens"]:
             state.knobs["cut_streams"] -= 1
             raise ConnectionResetError("aborted by the cut_streams fault")
@@ -236,6 +245,8 @@
             await state.prefill(prompt, priority)
             await state.marked.crash_if_marked(prompt)
             headers = {"Content-Type": "text/event-stream", **notices.headers(request)}
+            if state.version:
+                headers[VERSION_HEADER] = state.version
             resp = web.StreamResponse(headers=headers)
             await resp.prepare(request)
             start = int(body.get("resume_from", 0))
@@ -259,6 +270,7 @@
                 "prefill_tokens": sum(job.tokens for _, _, job in state.prefills),
                 "at_s": now_s,
                 "born_ms": notices.born_ms,
+                "version": state.version,
                 "capacity": state.capacity,
                 "cache_blocks": state.cache_blocks,
             }
--- a/tests/own_cut_fleet.py
+++ b/tests/own_cut_fleet.py
@@ -85,6 +85,7 @@
     """Stand-ins, replicas and entries on loopback.
 
     :ivar entries: the state of each entry.
+    :ivar engines: the state of each engine.
     :ivar services: the state of each plain service.
     """
 
@@ -93,6 +94,7 @@
         self.settings = cattrs.structure(document, FleetSettings)
         self.links = Links()
         self.entries: list[EntryState] = []
+        self.engines: list[engine.EngineState] = []
         self.services: list[service.ServiceState] = []
         self.http = aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0))
         self._runners: list[web.AppRunner] = []
@@ -118,7 +120,9 @@
 
     def _replica(self, replica_id: str) -> web.Application:
         if replica_id.startswith("engine"):
-            return engine.make_app(engine.EngineState(replica_id, token_s=0.002))
+            state_of_engine = engine.EngineState(replica_id, token_s=0.002)
+            self.engines.append(state_of_engine)
+            return engine.make_app(state_of_engine)
         state = service.ServiceState(replica_id)
         self.services.append(state)
         return service.make_app(state)
