The retry budget's sum over all entries follows the fleet

Now the share changes with the members, and a part of a retry is one by chance: in the test 9, 195 and 460 entries together stay within half more than the budget and use more than half of it. It is still divided by the number of entries, not by their load.

--- a/src/celerytrack/gateway/state.py
+++ b/src/celerytrack/gateway/state.py
@@ -388,16 +388,16 @@
         return known.max_connections if known else 1
 
     def retry_budget(self, service: ServiceName, now_s: float) -> RetryBudget:
-        """The retry budget for ``service``."""
+        """The retry budget for ``service``, with this entry's share of the burst."""
+        shares = self.share_sync.members.caller_split(now_s).rate_limit_shares
+        burst = RETRY_SHARE * self.settings.retry_slack / 2 / shares
         budget = self._retry_budgets.get(service)
         if budget is None:
-            share = RETRY_SHARE * self.settings.retry_slack / 2
-            burst = max(
-                1.0,
-                share / self.share_sync.members.caller_split(now_s).rate_limit_shares,
-            )
-            budget = RetryBudget(self.settings.retry_ratio * RETRY_SHARE, burst)
+            ratio = self.settings.retry_ratio * RETRY_SHARE
+            budget = RetryBudget(ratio, burst, self.rng)
             self._retry_budgets[service] = budget
+        elif budget.burst != burst:
+            budget.resize(burst)
         return budget
 
     async def close(self) -> None:
--- a/src/celerytrack/routing/retries.py
+++ b/src/celerytrack/routing/retries.py
@@ -24,12 +24,17 @@
 class RetryBudget:
     """A token bucket filled by requests and emptied by retries.
 
+    A share of less than one retry is used by chance, so that the sum over many entries
+    stays what it should be.
+
     :ivar ratio: retries that one request adds.
     :ivar burst: capacity of the bucket in retries; it starts full.
+    :ivar rng: decides whether a part of a retry is one.
     """
 
     ratio: float = attrs.field(default=RETRY_RATIO, validator=attrs.validators.ge(0))
     burst: float = attrs.field(default=_BURST, validator=attrs.validators.gt(0))
+    rng: random.Random = attrs.field(factory=random.Random)
     _tokens: float = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
@@ -39,12 +44,20 @@
         """Add the share of an incoming request to the bucket."""
         self._tokens = min(self._tokens + self.ratio, self.burst)
 
+    def resize(self, burst: float) -> None:
+        """Change the capacity: the share of an entry changes with the fleet."""
+        self.burst = burst
+        self._tokens = min(self._tokens, burst)
+
     def try_acquire(self) -> bool:
         """Take one retry from the bucket; ``False`` means that none is left."""
-        if self._tokens < 1:
+        if self._tokens >= 1:
+            self._tokens -= 1
+            return True
+        if self.burst >= 1:
             return False
-        self._tokens -= 1
-        return True
+        part, self._tokens = self._tokens, 0.0
+        return self.rng.random() < part
 
 
 def may_retry(refusal: Refusal, idempotent: bool) -> bool:
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -208,3 +208,25 @@
         rng = random.Random(1)
         for attempt in range(20):
             self.assertLessEqual(backoff_s(attempt, rng), 0.5)
+
+
+class SharedRetryBudgetTest(unittest.TestCase):
+    @params(9, 195, 460)
+    def test_the_sum_over_many_entries_keeps_to_the_budget(self, entries: int) -> None:
+        """Each of hundreds of entries had a whole retry, whatever its share was."""
+        budget, rng = 36.0, random.Random(7)
+        shares = [
+            RetryBudget(0.0, budget / entries, random.Random(rng.random()))
+            for _ in range(entries)
+        ]
+        retries = sum(share.try_acquire() for share in shares for _ in range(20))
+        self.assertLessEqual(retries, 1.5 * budget)
+        self.assertGreater(retries, 0.5 * budget)
+
+    def test_a_share_follows_the_fleet(self) -> None:
+        """An entry that knew of no other at its first request kept the whole budget."""
+        budget = RetryBudget(0.0, 18.0)
+        budget.resize(3.0)
+        self.assertEqual(sum(budget.try_acquire() for _ in range(20)), 3)
+        budget.resize(18.0)
+        self.assertFalse(budget.try_acquire())
