Links of an entry depend on what they need, not on its whole state

gateway/state with gateway/reach and endpoint_queries, and entry/state with entry/reach, imported each other (for types). The links now name what they need as a protocol; no circle of imports is left in the package.

--- a/src/celerytrack/entry/reach.py
+++ b/src/celerytrack/entry/reach.py
@@ -4,23 +4,24 @@
 import asyncio
 import contextlib
 import logging
+import random
 import time
+from collections import defaultdict
 from collections.abc import Iterator
-from typing import TYPE_CHECKING
+from typing import Protocol
 
 import aiohttp
 
+from celerytrack.entry.fleet_view import FleetView
+from celerytrack.entry.notices import EntryNotices
 from celerytrack.entry.relay_format import REPLICA_PATH
 from celerytrack.events import Event, log_event
-from celerytrack.ids import EndpointId, ReplicaId, ServiceName
+from celerytrack.ids import EndpointId, EntryId, ReplicaId, ServiceName
 from celerytrack.reachability.check import CheckTarget
-from celerytrack.reachability.helpers import Helper
+from celerytrack.reachability.helpers import Helper, HelperChoice
 from celerytrack.reachability.messages import LinkNews
 from celerytrack.reachability.monitor import EntryLinks, ReachMonitor
 
-if TYPE_CHECKING:
-    from celerytrack.entry.state import EntryState
-
 _log = logging.getLogger(__name__)
 
 MAX_ASKED = 3
@@ -28,7 +29,23 @@
 ASK_TIMEOUT_S = 0.3
 
 
-def make_reach(state: "EntryState") -> ReachMonitor:
+class LinkedEntry(Protocol):
+    """What the links of an entry concern in its state."""
+
+    entry_id: EntryId
+    rng: random.Random
+    view: FleetView
+    notices: EntryNotices
+    helpers: HelperChoice
+    reach: ReachMonitor
+    ended_with_links: defaultdict[str, set[asyncio.Timeout]]
+
+    @property
+    def relay_session(self) -> aiohttp.ClientSession:
+        """The HTTP session for requests through other entries."""
+
+
+def make_reach(state: LinkedEntry) -> ReachMonitor:
     """Make the monitor of an entry's links.
 
     Polls of the replicas find silence, so no owed answers are watched for it.
@@ -45,7 +62,7 @@
     return ReachMonitor(links, state.rng)
 
 
-def potential_helpers(state: "EntryState", now_s: float) -> list[Helper]:
+def potential_helpers(state: LinkedEntry, now_s: float) -> list[Helper]:
     """The entries that may send a request for this one."""
     return [
         Helper(entry_id, info.relay_address, info.zone)
@@ -56,7 +73,7 @@
 
 @contextlib.contextmanager
 def ended_if_links_fail(
-    state: "EntryState", model: str, may_repeat: bool
+    state: LinkedEntry, model: str, may_repeat: bool
 ) -> Iterator[asyncio.Timeout]:
     """A timeout that expires when this entry reaches no replica of ``model``.
 
@@ -72,7 +89,7 @@
         state.ended_with_links[model].discard(timeout)
 
 
-def record_link_news(state: "EntryState", news: LinkNews) -> None:
+def record_link_news(state: LinkedEntry, news: LinkNews) -> None:
     """Record what another entry says of its links."""
     if news.entry_id == state.entry_id:
         return
@@ -82,7 +99,7 @@
         )
 
 
-async def is_reached_elsewhere(state: "EntryState", replica_id: ReplicaId) -> bool:
+async def is_reached_elsewhere(state: LinkedEntry, replica_id: ReplicaId) -> bool:
     """Whether a replica that refuses connections here has not ended: another entry
     reaches it, or this one reaches none."""
     replica = state.view.replicas.get(replica_id)
@@ -111,7 +128,7 @@
 
 
 async def _is_reached_by(
-    state: "EntryState", helper: Helper, replica_id: ReplicaId
+    state: LinkedEntry, helper: Helper, replica_id: ReplicaId
 ) -> bool:
     timeout = aiohttp.ClientTimeout(total=ASK_TIMEOUT_S)
     try:
@@ -125,7 +142,7 @@
         return False
 
 
-def _check_targets(state: "EntryState", service: ServiceName) -> list[CheckTarget]:
+def _check_targets(state: LinkedEntry, service: ServiceName) -> list[CheckTarget]:
     return [
         CheckTarget(EndpointId(replica_id), state.view.addresses[replica_id])
         for replica_id, replica in state.view.replicas.items()
@@ -134,7 +151,7 @@
 
 
 def _on_links_down(
-    state: "EntryState", service: ServiceName, doubted_at_s: float
+    state: LinkedEntry, service: ServiceName, doubted_at_s: float
 ) -> None:
     """Take back what failures said of single replicas, and end attempts that can be
     made elsewhere, unless open connections live on."""
--- a/src/celerytrack/gateway/endpoint_queries.py
+++ b/src/celerytrack/gateway/endpoint_queries.py
@@ -7,27 +7,30 @@
 import asyncio
 import logging
 import time
-from typing import TYPE_CHECKING
+from typing import Protocol
 
 from aiohttp import web
 
 from celerytrack.events import Event, log_event
-from celerytrack.gateway.peer_requests import ENDPOINT_REACHED_STATUS
-from celerytrack.gateway.reach import potential_helpers
+from celerytrack.gateway.peer_requests import ENDPOINT_REACHED_STATUS, PeerClient
+from celerytrack.gateway.reach import LinkedEntry, potential_helpers
 from celerytrack.ids import EndpointId
 from celerytrack.process_end import ConnectResult, probe_address
 from celerytrack.routing.endpoint import Endpoint
 
-if TYPE_CHECKING:
-    from celerytrack.gateway.state import Gateway
-
 _log = logging.getLogger(__name__)
 
 MAX_ASKED = 3
 """Entries that are asked at once; their links may be cut as well."""
 
 
-async def is_reached_elsewhere(gateway: "Gateway", endpoint: Endpoint) -> bool:
+class AskingEntry(LinkedEntry, Protocol):
+    """What asking other entries concerns in an entry's state."""
+
+    peer_client: PeerClient
+
+
+async def is_reached_elsewhere(gateway: AskingEntry, endpoint: Endpoint) -> bool:
     """Whether an endpoint that refuses connections here is reached by another entry.
 
     It is not asked while this entry's own links may be down, whatever became of the
@@ -71,7 +74,7 @@
 
 
 async def handle_endpoint_query(
-    gateway: "Gateway", request: web.BaseRequest
+    gateway: LinkedEntry, request: web.BaseRequest
 ) -> web.Response:
     """Answer another entry that asks whether this one reaches an endpoint.
 
--- a/src/celerytrack/gateway/reach.py
+++ b/src/celerytrack/gateway/reach.py
@@ -2,24 +2,40 @@
 
 import asyncio
 import logging
+import random
 import time
 from collections.abc import Iterator
-from typing import TYPE_CHECKING
+from typing import Protocol
 
 from celerytrack.events import Event, log_event
-from celerytrack.ids import ServiceName
+from celerytrack.gateway.exchange import Exchange
+from celerytrack.gateway.peer_messages import PeerMessenger
+from celerytrack.gateway.share_sync import ShareSync
+from celerytrack.ids import EntryId, ServiceName
 from celerytrack.reachability.check import CheckTarget
-from celerytrack.reachability.helpers import Helper
+from celerytrack.reachability.helpers import Helper, HelperChoice
 from celerytrack.reachability.messages import LinkNews
 from celerytrack.reachability.monitor import EntryLinks, OwedAnswer, ReachMonitor
-
-if TYPE_CHECKING:
-    from celerytrack.gateway.state import Gateway
+from celerytrack.routing.endpoints import EndpointPool
 
 _log = logging.getLogger(__name__)
 
 
-def make_reach(gateway: "Gateway") -> ReachMonitor:
+class LinkedEntry(Protocol):
+    """What the links of an entry concern in its state."""
+
+    entry_id: EntryId
+    started_s: float
+    rng: random.Random
+    endpoints: EndpointPool
+    exchanges: set[Exchange]
+    helpers: HelperChoice
+    peer_messenger: PeerMessenger
+    share_sync: ShareSync
+    reach: ReachMonitor
+
+
+def make_reach(gateway: LinkedEntry) -> ReachMonitor:
     """Make the monitor of a gateway's links."""
     links = EntryLinks(
         gateway.entry_id,
@@ -33,7 +49,7 @@
     return ReachMonitor(links, gateway.rng)
 
 
-def potential_helpers(gateway: "Gateway", now_s: float) -> list[Helper]:
+def potential_helpers(gateway: LinkedEntry, now_s: float) -> list[Helper]:
     """The entries that may send a request for this one."""
     split = gateway.share_sync.members.caller_split(now_s)
     return [
@@ -42,7 +58,7 @@
     ]
 
 
-def record_link_news(gateway: "Gateway", news: LinkNews) -> None:
+def record_link_news(gateway: LinkedEntry, news: LinkNews) -> None:
     """Record what another entry says of its links."""
     if news.entry_id == gateway.entry_id:
         return
@@ -52,28 +68,28 @@
         )
 
 
-def _check_targets(gateway: "Gateway", service: ServiceName) -> list[CheckTarget]:
+def _check_targets(gateway: LinkedEntry, service: ServiceName) -> list[CheckTarget]:
     return [
         CheckTarget(registration.endpoint_id, registration.address)
         for registration in gateway.endpoints.serving(service, time.monotonic())
     ]
 
 
-def _owed_answers(gateway: "Gateway") -> Iterator[OwedAnswer]:
+def _owed_answers(gateway: LinkedEntry) -> Iterator[OwedAnswer]:
     for exchange in gateway.exchanges:
         dispatch = exchange.dispatch
         if dispatch is not None:
             yield OwedAnswer(exchange.service, dispatch.sent_at_s, dispatch.predicted_s)
 
 
-def _tell(gateway: "Gateway", news: LinkNews) -> None:
+def _tell(gateway: LinkedEntry, news: LinkNews) -> None:
     members = gateway.share_sync.members.live_peers(time.monotonic())
     addresses = [member.peer_address for member in members]
     gateway.peer_messenger.send_link_news(addresses, news)
 
 
 def _on_links_down(
-    gateway: "Gateway", service: ServiceName, doubted_at_s: float
+    gateway: LinkedEntry, service: ServiceName, doubted_at_s: float
 ) -> None:
     """Take back what failures said of single endpoints, and end attempts that can be
     made elsewhere.
