--- a/src/celerytrack/cli/ctl.py
+++ b/src/celerytrack/cli/ctl.py
@@ -300,6 +300,7 @@
                 f"{_names_text('leaving', row.get('leaving_replicas', []))}"
                 f"{_names_text('brittle', row.get('brittle', {}))}"
                 f"{_names_text('no links to', row.get('links_down', []))}"
+                f"{_versions_text(row.get('versions', {}))}"
             )
         return 0
 
@@ -316,6 +317,17 @@
     return f" backing off: {', '.join(left)}" if backoffs_s else ""
 
 
+def _versions_text(versions: dict[str, dict[str, int]]) -> str:
+    """The models whose replicas are of several versions."""
+    named = (
+        f"{model} {', '.join(f'{v} x{n}' for v, n in sorted(counts.items()))}"
+        for model, counts in sorted(versions.items())
+        if len(counts) > 1
+    )
+    text = "; ".join(named)
+    return f" versions: {text}" if text else ""
+
+
 def _names_text(label: str, names: Collection[str]) -> str:
     return f" {label}: {', '.join(sorted(names))}" if names else ""
 
--- a/src/celerytrack/cli/load.py
+++ b/src/celerytrack/cli/load.py
@@ -20,6 +20,7 @@
     check_limits,
     check_notices,
     say,
+    set_versions,
 )
 from celerytrack.load.report import summarise, table
 from celerytrack.load.runner import Plan, run_plan
@@ -46,6 +47,8 @@
         option("rejects", None, "Share of requests rejected.", flag=False, default="0"),
         option("brittle", None, "Rejections that all replicas bear.", flag=False),
         option("room", None, "Requests that plain services take.", flag=False),
+        option("versions", None, "Software versions of engines, by turns.", flag=False),
+        option("cuts", None, "Share of answers cut off.", flag=False, default="0"),
         option("json", None, "Print JSON."),
     ]
 
@@ -71,7 +74,12 @@
         said = self._said()
         leaving = frozenset(filter(None, str(self.option("leaving") or "").split(",")))
 
+        versions = list(filter(None, str(self.option("versions") or "").split(",")))
+        cut_share = float(self.option("cuts"))
+
         async def go() -> dict[str, object]:
+            if versions or cut_share:
+                await set_versions(fleet, versions, cut_share)
             if said != Said():
                 await say(fleet, said)
             if leaving:
@@ -82,6 +90,8 @@
             brittle = await check_brittle(fleet)
             if said != Said() or leaving:
                 await say(fleet, Said())
+            if versions or cut_share:
+                await set_versions(fleet, [], 0.0)
             await asyncio.sleep(fleet.tuning.ledger_flush_s * 5)
             found = await audit(fleet, non_idempotent)
             targets = {c.name: c.ttft_target_s for c in config.classes}
--- a/src/celerytrack/entry/app.py
+++ b/src/celerytrack/entry/app.py
@@ -77,6 +77,7 @@
             "ledger_backlog": state.grant_manager.writer.backlog,
             "limits": state.notices.sync.limits.tracker.named(),
             "brittle": state.notices.sync.limits.tracker.brittle(),
+            "versions": state.view.versions(),
             "links_down": sorted(state.reach.tracker.down()),
             "leaving_replicas": sorted(
                 r
--- a/src/celerytrack/entry/fleet_view.py
+++ b/src/celerytrack/entry/fleet_view.py
@@ -9,6 +9,7 @@
 import asyncio
 import logging
 import time
+from collections import Counter, defaultdict
 from collections.abc import Callable
 from typing import Any
 
@@ -114,6 +115,15 @@
         self._cache_events_from: dict[ReplicaId, int] = {}
         self._session: aiohttp.ClientSession | None = None
 
+    def versions(self) -> dict[str, dict[str, int]]:
+        """How many replicas of each software version each model has, if they state
+        any."""
+        found: defaultdict[str, Counter[str]] = defaultdict(Counter)
+        for replica in self.replicas.values():
+            if replica.version and not replica.leaving:
+                found[replica.model][replica.version] += 1
+        return {model: dict(counts) for model, counts in found.items()}
+
     def age_s(self, now_s: float) -> float:
         """Time since the instance list was last read."""
         return now_s - self._read_at_s
--- a/src/celerytrack/gateway/origins.py
+++ b/src/celerytrack/gateway/origins.py
@@ -27,7 +27,9 @@
     """
     now_s = time.monotonic()
     origin = _sole_origin(gateway, exchange, now_s)
-    if origin is None:
+    if origin is not None:
+        gateway.telemetry.taken_up.labels("one_version").inc()
+    else:
         origin = await _asked_origin(gateway, exchange, now_s)
     if origin is None or origin.version is None:
         detail = "what began the stream is not known"
@@ -50,11 +52,18 @@
 
     An entry that has just started doesn't know which versions ended before.
     """
-    services = [service for service, _ in exchange.route.services]
-    if len(services) > 1 or not gateway.origins.knows_versions(now_s):
+    if not gateway.origins.knows_versions(now_s):
         return None
+    return _only_version(gateway, exchange, now_s)
+
+
+def _only_version(
+    gateway: Gateway, exchange: Exchange, now_s: float
+) -> StreamOrigin | None:
+    """The service and version of a route that has no other."""
+    services = [service for service, _ in exchange.route.services]
     versions = gateway.endpoints.versions(services[0], now_s)
-    if len(versions) != 1:
+    if len(services) > 1 or len(versions) != 1:
         return None
     return StreamOrigin(services[0], next(iter(versions)))
 
@@ -69,13 +78,14 @@
         known = await gateway.origins.find(stream, now_s)
     if known is not None:
         found = known.found
+        source = "told" if known.known_from is None else "asked"
+        gateway.telemetry.taken_up.labels(source).inc()
         _log_found(exchange, found.origin, known.known_from, found.age_s, now_s)
         return found.origin
-    versions = gateway.endpoints.versions(exchange.service, time.monotonic())
-    origin = None
-    if len(versions) == 1 and len(exchange.route.services) == 1:
-        # This entry is too young to be sure, and no other knows better.
-        origin = StreamOrigin(exchange.service, next(iter(versions)))
+    # This entry may be too young to be sure of the versions, and no other knows better.
+    origin = _only_version(gateway, exchange, time.monotonic())
+    source = "unknown" if origin is None else "one_version"
+    gateway.telemetry.taken_up.labels(source).inc()
     _log_found(exchange, origin, None, None, now_s)
     return origin
 
--- a/src/celerytrack/gateway/telemetry.py
+++ b/src/celerytrack/gateway/telemetry.py
@@ -74,6 +74,12 @@
             "Endpoints that ended while they ran requests of this entry.",
             registry=self.registry,
         )
+        self.taken_up = prom.Counter(
+            "celerytrack_streams_taken_up_total",
+            "Requests that take up a stream, by how its version is known.",
+            ("known",),
+            registry=self.registry,
+        )
         self.suspects = prom.Gauge(
             "celerytrack_suspects",
             "Requests under which endpoints ended, by what they are taken for.",
--- a/src/celerytrack/load/caller.py
+++ b/src/celerytrack/load/caller.py
@@ -33,6 +33,7 @@
     :ivar key: its idempotency key.
     :ivar first_entry: address of the entry of the first try.
     :ivar first_served: whether the first try was served.
+    :ivar versions: software versions that wrote its events.
     """
 
     work_class: str
@@ -47,6 +48,7 @@
     key: str = ""
     first_entry: str = ""
     first_served: bool = False
+    versions: set[str] = attrs.field(factory=set)
 
 
 @attrs.define
@@ -203,6 +205,7 @@
                 elif not replayed:
                     result.gaps_s.append(now - last_at)
                 last_at = now
+                result.versions.add(chunk.get("system_fingerprint", ""))
                 text.append(chunk["choices"][0]["delta"]["content"])
             return result
 
--- a/src/celerytrack/load/notices.py
+++ b/src/celerytrack/load/notices.py
@@ -1,12 +1,13 @@
 """What the load tool has the replica stand-ins say of themselves, and its check."""
 
 import asyncio
+from collections.abc import Sequence
 from typing import Any
 
 import aiohttp
 import attrs
 
-from celerytrack.settings import FleetSettings, ReplicaSpec
+from celerytrack.settings import BackendKind, FleetSettings, ReplicaSpec
 from celerytrack.standins.limits import allowed_requests
 from celerytrack.standins.notices import MAX_DURING_BACKOFF
 
@@ -115,6 +116,24 @@
         answer.raise_for_status()
 
 
+async def set_versions(
+    fleet: FleetSettings, versions: Sequence[str], cut_share: float
+) -> None:
+    """Have engines state software versions, by turns, and break some answers off.
+
+    :param versions: none for no version.
+    :param cut_share: share of the answers that break off.
+    """
+    engines = [s for s in fleet.replicas if s.kind is BackendKind.ENGINE]
+    async with aiohttp.ClientSession() as http:
+        for number, spec in enumerate(engines):
+            version = versions[number % len(versions)] if versions else ""
+            knobs = {"version": version, "cut_share": cut_share}
+            url = f"http://{spec.address}/_faults"
+            async with http.post(url, json=knobs) as answer:
+                answer.raise_for_status()
+
+
 async def check_limits(fleet: FleetSettings) -> list[LimitCheck]:
     """Read what arrived at the replicas that name a limit."""
     checks = []
--- a/src/celerytrack/load/report.py
+++ b/src/celerytrack/load/report.py
@@ -80,6 +80,7 @@
             1 for r in results if r.outcome in (Outcome.CUT, Outcome.FAILED)
         ),
         "wrong_answers": sum(1 for r in results if r.outcome == Outcome.WRONG),
+        "mixed_versions": sum(len(r.versions) > 1 for r in results),
         "limits": [attrs.asdict(check) for check in limits],
         "limits_exceeded": sum(not check.is_kept for check in limits),
         "notices": [attrs.asdict(check) for check in notices],
@@ -143,6 +144,8 @@
             f"brittle replicas {len(summary['brittle'])}, most rejections in a second "
             f"{worst}, beyond what they bear {summary['brittle_exceeded']}"
         )
+    if summary["mixed_versions"]:
+        lines.append(f"answers of several versions: {summary['mixed_versions']}")
     if summary["entries_behind"]:
         lines.append(f"entries served far worse: {summary['entries_behind']}")
     return "\n".join(lines)
