--- a/src/celerytrack/gateway/endpoint_doubts.py
+++ b/src/celerytrack/gateway/endpoint_doubts.py
@@ -54,9 +54,11 @@
         """Record that an endpoint ended the last connection to it, or refused one.
 
         It matters for streams only, and where a service has one version the doubt is
-        left to pass by itself.
+        left to pass by itself. One that leaves gets no stream.
         """
         registration = endpoint.registration
+        if self._endpoints.is_leaving(endpoint):
+            return
         if not self._endpoints.doubt(endpoint, now_s):
             return
         if not self._endpoints.has_versions(registration.service, now_s):
--- a/src/celerytrack/gateway/exchange.py
+++ b/src/celerytrack/gateway/exchange.py
@@ -169,7 +169,7 @@
     @property
     def takes_up(self) -> bool:
         """Whether the caller goes on with a stream that an earlier request began."""
-        return self.route.resumable and self.facts.last_event_id is not None
+        return self.route.resumable and bool(self.facts.last_event_id)
 
     @property
     def resume_from(self) -> str | None:
--- a/src/celerytrack/gateway/origins.py
+++ b/src/celerytrack/gateway/origins.py
@@ -54,10 +54,10 @@
     """
     if not gateway.origins.knows_versions(now_s):
         return None
-    return _only_version(gateway, exchange, now_s)
+    return only_origin(gateway, exchange, now_s)
 
 
-def _only_version(
+def only_origin(
     gateway: Gateway, exchange: Exchange, now_s: float
 ) -> StreamOrigin | None:
     """The service and version of a route that has no other."""
@@ -83,7 +83,7 @@
         _log_found(exchange, found.origin, known.known_from, found.age_s, now_s)
         return found.origin
     # This entry may be too young to be sure of the versions, and no other knows better.
-    origin = _only_version(gateway, exchange, time.monotonic())
+    origin = only_origin(gateway, exchange, time.monotonic())
     source = "unknown" if origin is None else "one_version"
     gateway.telemetry.taken_up.labels(source).inc()
     _log_found(exchange, origin, None, None, now_s)
--- a/src/celerytrack/gateway/placement.py
+++ b/src/celerytrack/gateway/placement.py
@@ -47,6 +47,13 @@
     )
 
 
+def none_has_room(exchange: Exchange) -> AttemptFailure:
+    """Return the failure of a request for which no endpoint has room."""
+    origin = exchange.origin
+    of_version = "" if origin is None else f" of version {origin.version}"
+    return no_endpoint(f"none{of_version} has room")
+
+
 def is_backpressure(
     gateway: Gateway, endpoint: Endpoint, failure: AttemptFailure
 ) -> bool:
@@ -77,7 +84,7 @@
     if gateway.notices.limits.tracker:
         return await _place_within_limits(gateway, exchange, suspect_state)
     chosen = choose_endpoint(gateway, exchange, suspect_state, now_s)
-    return Placement(chosen) if chosen else no_endpoint("none has room")
+    return Placement(chosen) if chosen else none_has_room(exchange)
 
 
 async def _place_within_limits(
@@ -103,7 +110,7 @@
         return Placement(leased.choice, leased.lease)
     candidates = _limited_candidates(gateway, exchange, time.monotonic())
     if not candidates:
-        return no_endpoint("none has room")
+        return none_has_room(exchange)
     waited = await placer.lease_in_time(candidates, gateway.rng)
     if isinstance(waited, LeaseDenied):
         return _rate_limited(spread_retry_after_s(waited.retry_after_s, gateway.rng))
--- a/src/celerytrack/gateway/relay_server.py
+++ b/src/celerytrack/gateway/relay_server.py
@@ -15,6 +15,7 @@
 from celerytrack.gateway.admission import admit
 from celerytrack.gateway.attempts import CallerDisconnectedError, finish_stream
 from celerytrack.gateway.exchange import AttemptFailure, BufferedAnswer, Exchange
+from celerytrack.gateway.origins import only_origin
 from celerytrack.gateway.outcomes import abort_connection, log_relay_served
 from celerytrack.gateway.refusals import RefusedError
 from celerytrack.gateway.relay_format import (
@@ -84,13 +85,17 @@
         refusal = did_not_run(Reason.NO_CONFIG, None, "no such service here")
         raise RefusedError(refusal)
     last_event_id = order.resume_from or exchange.facts.last_event_id
+    origin = order.origin
+    if origin is not None and origin.version is None:
+        # An earlier release names no version.
+        origin = only_origin(gateway, exchange, started_s) or origin
     return attrs.evolve(
         exchange,
         facts=attrs.evolve(exchange.facts, last_event_id=last_event_id),
         service=order.service_name,
         deadline_at_s=started_s + order.left_s,
         tried=order.tried_ids,
-        origin=order.origin,
+        origin=origin,
         sender=order.sender_id,
     )
 
--- a/src/celerytrack/gateway/sending.py
+++ b/src/celerytrack/gateway/sending.py
@@ -15,6 +15,7 @@
     is_backing_off,
     is_backpressure,
     no_endpoint,
+    none_has_room,
     place,
 )
 from celerytrack.gateway.quarantine import (
@@ -56,7 +57,7 @@
         if not gateway.notices:
             chosen = choose_endpoint(gateway, exchange, suspect_state, now_s)
             if chosen is None:
-                return Failure(no_endpoint("none has room"))
+                return Failure(none_has_room(exchange))
             placement = Placement(chosen)
             return await _send_placed(gateway, exchange, placement, suspect_state)
         placed = await place(gateway, exchange, suspect_state)
--- a/src/celerytrack/gateway/state.py
+++ b/src/celerytrack/gateway/state.py
@@ -132,6 +132,7 @@
             self.entry_id,
             self.peer_messenger.send_origin_message,
             self._origin_holders,
+            self._peer_address,
             self.endpoints,
             started_s,
         )
@@ -314,6 +315,10 @@
             case _:
                 self.notices.receive(message)
 
+    def _peer_address(self, entry_id: EntryId) -> str | None:
+        member = self.share_sync.members.member(entry_id)
+        return None if member is None else member.peer_address
+
     def _origin_holders(self, now_s: float) -> list[Holder]:
         holders = [
             Holder(member.entry_id, member.peer_address, member.started_s)
--- a/src/celerytrack/lab/version_fleet.py
+++ b/src/celerytrack/lab/version_fleet.py
@@ -169,6 +169,7 @@
             entry_id,
             lambda address, message: self._send(entry, address, message),
             lambda now_s: [e.holder for e in self._entries if self._is_listed(e)],
+            lambda entry_id: entry_id.split("-")[1],
             pool,
             time.monotonic(),
         )
--- a/src/celerytrack/origins/lookups.py
+++ b/src/celerytrack/origins/lookups.py
@@ -12,9 +12,9 @@
 from celerytrack.origins.memory import FoundOrigin
 from celerytrack.origins.messages import OriginAnswer
 
-MAX_LOOKUPS = 256
+MAX_LOOKUPS = 128
 """Most questions at once, which bounds what invented streams cost."""
-MAX_LOOKUPS_OF_ACCOUNT = 64
+MAX_LOOKUPS_OF_ACCOUNT = 32
 """Most questions at once for one client account."""
 
 
--- a/src/celerytrack/origins/sync.py
+++ b/src/celerytrack/origins/sync.py
@@ -84,6 +84,7 @@
 
     :param send: sends a message to the entry at an address, without guarantee.
     :param live_holders: returns the live entries, this one included.
+    :param address_of: returns the address of any known entry, also of one that leaves.
     :param versions: the versions of services.
     :param started_s: start of this entry.
     """
@@ -93,6 +94,7 @@
         entry_id: EntryId,
         send: SendMessage,
         live_holders: Callable[[float], Iterable[Holder]],
+        address_of: Callable[[EntryId], str | None],
         versions: Versions,
         started_s: float,
     ) -> None:
@@ -100,6 +102,7 @@
         self._entry_id = entry_id
         self._send = send
         self._live_holders = live_holders
+        self._address_of = address_of
         self._versions = versions
         self._started_s = started_s
         self._versions_told = False
@@ -224,7 +227,7 @@
     def _answer(
         self, asker: EntryId, number: int, stream: StreamId, now_s: float
     ) -> None:
-        address = self._address_of(asker, now_s)
+        address = self._address_of(asker)
         if address is not None:
             found = self.memory.find(stream, now_s)
             self._send(address, OriginAnswer(self._entry_id, number, found))
@@ -237,21 +240,21 @@
             self._send(holder.address, VersionQuery(self._entry_id))
 
     def _answer_versions(self, asker: EntryId, now_s: float) -> None:
-        address = self._address_of(asker, now_s)
+        address = self._address_of(asker)
         if address is None:
             return
-        newest = sorted(self._versions.seen_versions(), key=lambda row: -row[2])
+        several = (
+            row
+            for row in list(self._versions.seen_versions())
+            if self._versions.has_versions(row[0], now_s)
+        )
+        newest = sorted(several, key=lambda row: -row[2])
         seen = tuple(
             SeenVersion(service, version, max(0.0, now_s - seen_s))
             for service, version, seen_s in newest[:MAX_ORIGINS]
         )
         self._send(address, VersionNews(seen))
 
-    def _address_of(self, entry_id: EntryId, now_s: float) -> str | None:
-        self._update_ring(now_s)
-        addresses = (h.address for h in self._holders if h.entry_id == entry_id)
-        return next(addresses, None)
-
     def _tell_untold(self, service: ServiceName, now_s: float) -> None:
         self._update_ring(now_s)
         untold = self._untold.pop(service)
--- a/tests/test_origins.py
+++ b/tests/test_origins.py
@@ -200,11 +200,19 @@
         self.members = holders(count)
         self.entries = {
             h.address: OriginSync(
-                h.entry_id, self.send, lambda now_s: self.members, self, 0.0
+                h.entry_id,
+                self.send,
+                lambda now_s: self.members,
+                self.address_of,
+                self,
+                0.0,
             )
             for h in self.members
         }
 
+    def address_of(self, entry_id: EntryId) -> str:
+        return "a" + entry_id[1:]
+
     def has_versions(self, service: ServiceName, now_s: float) -> bool:
         return len(self.versions) > 1
 
