--- a/tests/test_mixed_versions.py
+++ b/tests/test_mixed_versions.py
@@ -8,6 +8,7 @@
 from nose2.tools import params
 
 from tests.gateway_fleet import Fleet, config
+from tests.link_cuts import Links, LinkState
 from tests.stream_callers import StreamCallers
 from tests.versioned_endpoints import (
     NEW,
@@ -82,6 +83,23 @@
         await endpoint.come_back_as(NEW, log_put)
 
 
+async def _play_relayed() -> tuple[StreamCallers, float]:
+    """Streams of which half begin at gateways that reach no endpoint."""
+    endpoints = make_versioned(8, 4, SEED, breaks_share=0.3)
+    links = Links()
+    async with fleet_of(endpoints, 4, CONFIG, links) as fleet:
+        callers = StreamCallers(fleet, random.Random(SEED), 0.25)
+        await callers.play(10.0, 2.0)
+        links.set_state([0, 1], LinkState.RESET)
+        await asyncio.sleep(2.0)
+        callers.streams.clear()
+        await callers.play(20.0, 10.0)
+        counters = (
+            g.telemetry.relayed.labels("sent", "answered") for g in fleet.gateways
+        )
+        return callers, sum(counter._value.get() for counter in counters)
+
+
 class MixedVersionsTest(unittest.TestCase):
     @params((0.2, 0.0, 3), (0.0, 0.25, 3), (0.2, 0.0, 1))
     def test_a_stream_goes_on_only_at_its_version(
@@ -106,8 +124,15 @@
         callers = asyncio.run(_play_change(gateways, old, change))
         self._check(callers)
 
-    def _check(self, callers: StreamCallers) -> None:
-        self.assertGreater(len(callers.streams), 400)
+    def test_streams_through_another_entry_keep_their_version(self) -> None:
+        """An entry without links did not tell the one that sends for it which version
+        its caller's stream had, nor learn which one had begun it."""
+        callers, relayed = asyncio.run(_play_relayed())
+        self.assertGreater(relayed, 50)
+        self._check(callers, least_streams=100)
+
+    def _check(self, callers: StreamCallers, least_streams: int = 400) -> None:
+        self.assertGreater(len(callers.streams), least_streams)
         self.assertEqual(sum(s.wrong for s in callers.streams), 0)
         shown = [(s.number, s.versions, s.trace) for s in callers.mixed]
         self.assertLessEqual(len(callers.mixed), MIXED_ALLOWED, shown)
--- a/tests/versioned_endpoints.py
+++ b/tests/versioned_endpoints.py
@@ -9,6 +9,7 @@
 from celerytrack.platform.topics import ENDPOINTS_TOPIC
 from tests.gateway_fleet import SEAL_HEADERS, Endpoint, Fleet
 from tests.keyed_log import KeyedLog
+from tests.link_cuts import Links
 
 OLD, NEW = "v1.1", "v1.2"
 EVENTS = 20
@@ -132,7 +133,16 @@
 
 
 def fleet_of(
-    endpoints: Sequence[VersionedEndpoint], gateways: int, config: bytes
+    endpoints: Sequence[VersionedEndpoint],
+    gateways: int,
+    config: bytes,
+    links: Links | None = None,
 ) -> Fleet:
     """A fleet of gateways before ``endpoints``."""
-    return Fleet(*endpoints, gateways=gateways, config=config, ready_within_s=15.0)
+    return Fleet(
+        *endpoints,
+        gateways=gateways,
+        config=config,
+        ready_within_s=15.0,
+        links=links,
+    )
