A stream of a route that is split, or has moved, goes on at its service

Found by reading the diff. A route's services were taken for one when each had one version: a stream was refused at an entry that didn't know it (split; the test fails on with nine entries), or went on at the service that its route leads to by now (moved).

--- a/src/celerytrack/gateway/origins.py
+++ b/src/celerytrack/gateway/origins.py
@@ -63,7 +63,7 @@
     """The service and version of a route that has no other."""
     services = [service for service, _ in exchange.route.services]
     versions = gateway.endpoints.versions(services[0], now_s)
-    if len(services) > 1 or len(versions) != 1:
+    if not versions or gateway.endpoints.has_versions(services[0], now_s):
         return None
     return StreamOrigin(services[0], next(iter(versions)))
 
--- a/src/celerytrack/gateway/watches.py
+++ b/src/celerytrack/gateway/watches.py
@@ -14,6 +14,7 @@
 from celerytrack.platform.topics import CONFIG_KEY, CONFIG_TOPIC, ENDPOINTS_TOPIC
 from celerytrack.routing.endpoint import Registration
 from celerytrack.routing.endpoints import RegistrationChange
+from celerytrack.routing.routes import moved_services, shared_services
 
 _log = logging.getLogger(__name__)
 
@@ -52,6 +53,11 @@
         # A read that lags behind must not reinstate an older version.
         log_event(_log, Event.CONFIG_IGNORED_STALE, version=table.version)
         return
+    now_s = time.monotonic()
+    if known is not None:
+        # Streams of a route that moves may have begun at its service before.
+        gateway.endpoints.set_shared_services(moved_services(known, table), now_s)
+    gateway.endpoints.set_shared_services(shared_services(table), now_s)
     gateway.routing_table = table
     gateway.share_sync.budgets.set_totals(
         {
--- a/src/celerytrack/routing/endpoints.py
+++ b/src/celerytrack/routing/endpoints.py
@@ -285,9 +285,18 @@
         return self._version_history.versions(service, present, now_s)
 
     def has_versions(self, service: ServiceName, now_s: float) -> bool:
-        """Whether ``service`` has several software versions."""
+        """Whether a stream of a route to ``service`` may have begun at another version
+        or service."""
+        if self._version_history.is_shared(service, now_s):
+            return True
         return len(self.versions(service, now_s)) > 1
 
+    def set_shared_services(
+        self, services: Collection[ServiceName], now_s: float
+    ) -> None:
+        """Set the services that share a route, or whose routes have just changed."""
+        self._version_history.set_shared(services, now_s)
+
     def record_version(self, service: ServiceName, version: str, seen_s: float) -> None:
         """Record that an endpoint of ``service`` had a version at a time."""
         self._version_history.record(service, version, seen_s)
--- a/src/celerytrack/routing/routes.py
+++ b/src/celerytrack/routing/routes.py
@@ -144,3 +144,24 @@
         if left < 0:
             return name
     return route.services[-1][0]
+
+
+def shared_services(table: RoutingTable) -> set[ServiceName]:
+    """The services among which a route is split."""
+    return {
+        service
+        for route in table.routes
+        if len(route.services) > 1
+        for service, _ in route.services
+    }
+
+
+def moved_services(before: RoutingTable, after: RoutingTable) -> set[ServiceName]:
+    """The services, before and after, of routes that lead elsewhere by a change."""
+    services_before = {route.name: dict(route.services) for route in before.routes}
+    moved: set[ServiceName] = shared_services(before)
+    for route in after.routes:
+        old, new = services_before.get(route.name), dict(route.services)
+        if old is not None and old.keys() != new.keys():
+            moved.update(old, new)
+    return moved
--- a/src/celerytrack/routing/versions.py
+++ b/src/celerytrack/routing/versions.py
@@ -1,7 +1,7 @@
 """The software versions of services, without I/O."""
 
 from collections import defaultdict
-from collections.abc import Iterable, Iterator, Mapping
+from collections.abc import Collection, Iterable, Iterator, Mapping
 
 import attrs
 
@@ -25,6 +25,8 @@
 
     def __init__(self) -> None:
         self._seen_s: defaultdict[ServiceName, dict[str, float]] = defaultdict(dict)
+        self._shared: frozenset[ServiceName] = frozenset()
+        self._shared_until_s: dict[ServiceName, float] = {}
         self._most: dict[tuple[ServiceName, str], _Count] = {}
         self._cached: dict[ServiceName, tuple[float, frozenset[str]]] = {}
 
@@ -41,6 +43,22 @@
             self._cached.pop(service, None)
         seen_s[version] = max(now_s, seen_s.get(version, now_s))
 
+    def set_shared(self, services: Collection[ServiceName], now_s: float) -> None:
+        """Set the services among which routes are split now.
+
+        A stream of such a route, or of one that was split or led to another service
+        lately, may have begun at any of them.
+        """
+        ended = self._shared.difference(services)
+        self._shared_until_s.update(dict.fromkeys(ended, now_s + KEEP_S))
+        self._shared = frozenset(services)
+
+    def is_shared(self, service: ServiceName, now_s: float) -> bool:
+        """Whether a stream of a route to ``service`` may have begun at another."""
+        if service in self._shared:
+            return True
+        return now_s < self._shared_until_s.get(service, 0.0)
+
     def shrunk(
         self, service: ServiceName, counts: Mapping[str, int], now_s: float
     ) -> set[str]:
--- a/tests/test_origins.py
+++ b/tests/test_origins.py
@@ -388,3 +388,34 @@
                     Resumes="first",
                 )
                 self.assertEqual((status, body.count(OLD.encode())), (200, 2))
+
+    async def test_a_stream_of_a_split_route_goes_on_at_its_service(self) -> None:
+        """A stream went on at the other service of its route, where the same version's
+        name stood for other software, or was refused."""
+        split = [{"service": "s", "weight": 1.0}, {"service": "s2", "weight": 1.0}]
+        routes = config(timeoutMs=4_000, service=None, trafficSplit=split)
+        endpoints = make_versioned(4, 4, 1)
+        async with fleet_of(endpoints, 9, routes) as fleet:
+            for endpoint in endpoints[2:]:
+                raw = endpoint.registration(service="s2")
+                fleet.log.put("keyed.servers", f"{endpoint.name}b", raw)
+                fleet.log.put("keyed.servers", endpoint.name, b"")
+            await asyncio.sleep(2.5)
+            for number in range(8):
+                name = f"first{number}"
+                seen = [len(e.seen) for e in endpoints]
+                status, _, _ = await fleet.ask("/resume/x", name, gateway=0)
+                self.assertEqual(status, 200)
+                began = [len(e.seen) for e in endpoints]
+                status, _, _ = await fleet.ask(
+                    "/resume/x",
+                    f"next{number}",
+                    gateway=1 + number,
+                    Last_Event_Id="19",
+                    Resumes=name,
+                )
+                self.assertEqual(status, 200)
+                went_on = [len(e.seen) for e in endpoints]
+                at_first = [a > b for a, b in zip(began, seen, strict=True)]
+                at_next = [a > b for a, b in zip(went_on, began, strict=True)]
+                self.assertEqual(any(at_first[:2]), any(at_next[:2]))
--- a/tests/test_version_room.py
+++ b/tests/test_version_room.py
@@ -1,13 +1,20 @@
-"""Room for streams that can go on only at the last endpoints of a version."""
+"""Versions of services: room for the streams of one that shrinks, and shared routes."""
 
+import json
 import random
 import unittest
 
 from celerytrack.ids import EndpointId, ServiceName, Zone
 from celerytrack.origins.memory import KEEP_S
 from celerytrack.origins.origin import StreamOrigin
+from celerytrack.platform.config import decode_config
 from celerytrack.routing.endpoint import Registration, RequestProfile
 from celerytrack.routing.endpoints import EndpointPool
+from celerytrack.routing.routes import (
+    RoutingTable,
+    moved_services,
+    shared_services,
+)
 
 S = ServiceName("s")
 Z = Zone("z")
@@ -50,6 +57,23 @@
     return versions
 
 
+def _table(*routes: tuple[str, ...]) -> RoutingTable:
+    document = {
+        "version": 1,
+        "routes": [
+            {
+                "name": name,
+                "host": "h",
+                "pathPrefix": f"/{name}/",
+                "kind": "stream",
+                "trafficSplit": [{"service": s, "weight": 1.0} for s in services],
+            }
+            for name, *services in routes
+        ],
+    }
+    return decode_config(json.dumps(document).encode())
+
+
 class RoomTest(unittest.TestCase):
     def test_new_work_keeps_off_a_version_that_shrinks(self) -> None:
         """The last endpoints of a version were full of work that could go anywhere."""
@@ -79,3 +103,22 @@
         """A service with one version refused new work as endpoints left."""
         pool = _pool_that_shrank(6, 2, 0)
         self.assertEqual(_chosen_versions(pool, 2.0), {OLD})
+
+
+class SharedServiceTest(unittest.TestCase):
+    def test_a_service_whose_route_moved_is_shared_for_a_while(self) -> None:
+        """A stream that began before its route moved went on at the other service."""
+        pool = _pool_that_shrank(2, 2, 0)
+        pool.set_shared_services({S}, 1.0)
+        pool.set_shared_services((), 1.0)
+        self.assertTrue(pool.has_versions(S, 1.0 + KEEP_S / 2))
+        self.assertFalse(pool.has_versions(S, 1.0 + KEEP_S))
+
+    def test_routes_that_move_or_split_are_found(self) -> None:
+        """A change of a route's services went by without notice."""
+        before, split = _table(("a", "s"), ("b", "s3")), _table(("a", "s", "s2"))
+        moved = _table(("a", "s2"), ("b", "s3"))
+        self.assertEqual(shared_services(before), set())
+        self.assertEqual(shared_services(split), {"s", "s2"})
+        self.assertEqual(moved_services(before, moved), {"s", "s2"})
+        self.assertEqual(moved_services(before, before), set())
