A sign during the check of an endpoint is settled with it

Found by reading the diff: a second run that broke within the 0.1 s of a check left its endpoint in doubt for 3 s and more, since no other check begins meanwhile; streams of its version were kept off it for nothing. The connection of the check lives on over both signs (the test fails without). News of an end from another entry outweigh it, because it may lead to the next process.

--- a/src/celerytrack/gateway/endpoint_doubts.py
+++ b/src/celerytrack/gateway/endpoint_doubts.py
@@ -79,9 +79,9 @@
         await asyncio.gather(*self._checks, return_exceptions=True)
 
     async def _check(self, endpoint: Endpoint, since_s: float) -> None:
-        address = endpoint.registration.address
-        result = await probe_address(address, HOLD_S)
-        if result is ConnectResult.ACCEPTED:
+        ended = _ended(endpoint)
+        result = await probe_address(endpoint.registration.address, HOLD_S)
+        if result is ConnectResult.ACCEPTED and ended not in self._heard:
             self._endpoints.settle_doubt(endpoint, since_s)
             return
         log_event(
@@ -92,11 +92,15 @@
             check=result.value,
         )
         if result is ConnectResult.REFUSED:
-            await self._tell_others(endpoint)
+            await self._tell_others(endpoint, ended)
 
-    async def _tell_others(self, endpoint: Endpoint) -> None:
-        ended = EndpointEnded(endpoint.endpoint_id, endpoint.registration.born_ms)
+    async def _tell_others(self, endpoint: Endpoint, ended: EndpointEnded) -> None:
         await asyncio.sleep(self._rng.uniform(0.0, MAX_TELL_DELAY_S))
         if ended not in self._heard and not await self._is_reached(endpoint):
             self._heard[ended] = None
             self._tell(ended)
+
+
+def _ended(endpoint: Endpoint) -> EndpointEnded:
+    """The news that the present incarnation of an endpoint has ended."""
+    return EndpointEnded(endpoint.endpoint_id, endpoint.registration.born_ms)
--- a/src/celerytrack/routing/endpoints.py
+++ b/src/celerytrack/routing/endpoints.py
@@ -157,8 +157,8 @@
         return not was_doubted
 
     def settle_doubt(self, endpoint: Endpoint, since_s: float) -> None:
-        """Record that the process was alive after the sign at ``since_s``."""
-        if endpoint.doubted_at_s == since_s:
+        """Record that the process is alive since the sign at ``since_s``."""
+        if endpoint.doubted_at_s is not None and endpoint.doubted_at_s >= since_s:
             endpoint.doubted_at_s = None
 
     def is_doubted(self, endpoint: Endpoint) -> bool:
--- a/tests/test_endpoint_doubts.py
+++ b/tests/test_endpoint_doubts.py
@@ -198,6 +198,28 @@
         self.assertEqual(choose(pool, OLD), "a")
         self.assertEqual(told, [])
 
+    async def test_a_sign_during_a_check_is_settled_with_it(self) -> None:
+        """Two runs that broke shortly after each other left an endpoint in doubt."""
+        port = free_port()
+        await _serve(self, port)
+        pool = pool_of(registration(port=port), registration("b", NEW))
+        doubts = EndpointDoubts(pool, None, None, random.Random(1))  # type: ignore[arg-type]
+        doubts.record_sign(pool._endpoints[A], 1.0)
+        doubts.record_sign(pool._endpoints[A], 1.05)
+        await asyncio.gather(*doubts._checks)
+        self.assertEqual(choose(pool, OLD), "a")
+
+    async def test_news_of_an_end_outweigh_a_check(self) -> None:
+        """A connection to the next process settled the doubt of the one before."""
+        port = free_port()
+        await _serve(self, port)
+        pool = pool_of(registration(port=port), registration("b", NEW))
+        doubts = EndpointDoubts(pool, None, None, random.Random(1))  # type: ignore[arg-type]
+        doubts.record_sign(pool._endpoints[A], 1.0)
+        doubts.receive(EndpointEnded(A, 0), 1.01)
+        await asyncio.gather(*doubts._checks)
+        self.assertIsNone(choose(pool, OLD))
+
     @params((False, 1), (True, 0))
     def test_others_are_told_of_an_end_that_they_see_as_well(
         self, reached: bool, messages: int
