--- a/src/celerytrack/gateway/placement.py
+++ b/src/celerytrack/gateway/placement.py
@@ -40,6 +40,10 @@
             gateway.notices.limits.asks.give_back(self.lease)
 
 
+IN_DOUBT = "what began the stream is in doubt"
+"""Detail of the failure of a stream that began at an endpoint in doubt."""
+
+
 def no_endpoint(detail: str) -> AttemptFailure:
     """Return the failure of a request that may be sent to no endpoint."""
     return AttemptFailure(
--- a/src/celerytrack/gateway/sending.py
+++ b/src/celerytrack/gateway/sending.py
@@ -11,6 +11,7 @@
 from celerytrack.gateway.origins import resolve_origin
 from celerytrack.gateway.outcomes import log_resumed, record_attempt_failure
 from celerytrack.gateway.placement import (
+    IN_DOUBT,
     Placement,
     is_backing_off,
     is_backpressure,
@@ -48,7 +49,7 @@
     while True:
         now_s = time.monotonic()
         if not resolve_origin(gateway, exchange):
-            return Failure(no_endpoint("what began the stream is in doubt"))
+            return Failure(no_endpoint(IN_DOUBT))
         if gateway.is_endpoint_view_stale(now_s):
             return Failure(no_endpoint("what is known of endpoints is too old"))
         suspect_state = suspect_state_of(gateway, exchange, now_s)
--- a/src/celerytrack/http_session.py
+++ b/src/celerytrack/http_session.py
@@ -51,6 +51,7 @@
 
     def eof_received(self) -> None:
         """Note that the peer ended the connection."""
+        super().eof_received()
         self._ended_by_peer = True
 
     def connection_lost(self, exc: BaseException | None) -> None:
