An entry with old registrations asks before it takes a version for the only one

Found by reading the diff: an entry cut off from the log for a while, that also missed the one message of a second version, took each stream that came to it for one of the version that it knew. Now registrations over 3 s old make it ask about each stream taken up, and its own view counts only if some entry answers. In the test an entry that is behind refuses a stream of the version it doesn't know, and goes on with one that nobody knows.

--- a/src/celerytrack/gateway/origins.py
+++ b/src/celerytrack/gateway/origins.py
@@ -15,6 +15,8 @@
 
 _log = logging.getLogger(__name__)
 
+FRESH_VIEW_S = 3.0
+"""Age of the registrations up to which no other version can have come up unnoticed."""
 UNKNOWN_RETRY_AFTER_S = 0.3
 """``Retry-After`` if no entry says what began the stream: a message may be late, or the
 caller may come to an entry that knows."""
@@ -50,10 +52,13 @@
 ) -> StreamOrigin | None:
     """The origin if nothing else can have begun the stream.
 
-    An entry that has just started doesn't know which versions ended before.
+    An entry that has just started doesn't know which versions ended before, and one
+    that has not read the registrations for a while not which have come up.
     """
     if not gateway.origins.knows_versions(now_s):
         return None
+    if gateway.endpoints_view_age_s(now_s) > FRESH_VIEW_S:
+        return None
     return only_origin(gateway, exchange, now_s)
 
 
@@ -71,19 +76,17 @@
 async def _asked_origin(
     gateway: Gateway, exchange: Exchange, now_s: float
 ) -> StreamOrigin | None:
-    first = exchange.facts.resumes
-    known = None
-    if first is not None:
-        stream = StreamId(exchange.account, first)
-        known = await gateway.origins.find(stream, now_s)
+    first = exchange.facts.resumes or exchange.facts.request_id
+    finding = await gateway.origins.find(StreamId(exchange.account, first), now_s)
+    known = finding.known
     if known is not None:
         found = known.found
         source = "told" if known.known_from is None else "asked"
         gateway.telemetry.taken_up.labels(source).inc()
         _log_found(exchange, found.origin, known.known_from, found.age_s, now_s)
         return found.origin
-    # This entry may be too young to be sure of the versions, and no other knows better.
-    origin = only_origin(gateway, exchange, time.monotonic())
+    # Other entries answer, and know no other version either.
+    origin = only_origin(gateway, exchange, time.monotonic()) if finding.heard else None
     source = "unknown" if origin is None else "one_version"
     gateway.telemetry.taken_up.labels(source).inc()
     _log_found(exchange, origin, None, None, now_s)
--- a/src/celerytrack/gateway/state.py
+++ b/src/celerytrack/gateway/state.py
@@ -214,6 +214,10 @@
         """
         return self.config_age_s(now_s) < self.settings.config_in_force_s
 
+    def endpoints_view_age_s(self, now_s: float) -> float:
+        """Age of the known registrations."""
+        return now_s - self.endpoints_known_at_s
+
     def is_endpoint_view_stale(self, now_s: float) -> bool:
         """Whether the log answers, but too slowly to learn in time that an endpoint
         leaves.
--- a/src/celerytrack/lab/version_fleet.py
+++ b/src/celerytrack/lab/version_fleet.py
@@ -401,7 +401,7 @@
         versions = entry.pool.versions(S, now_s)
         if len(versions) == 1 and entry.origins.knows_versions(now_s):
             return StreamOrigin(S, next(iter(versions)))
-        known = await entry.origins.find(StreamId(None, first_id), now_s)
+        known = (await entry.origins.find(StreamId(None, first_id), now_s)).known
         if known is None or known.found.origin.version is None:
             return None
         return known.found.origin
--- a/src/celerytrack/origins/lookups.py
+++ b/src/celerytrack/origins/lookups.py
@@ -26,6 +26,7 @@
     :ivar awaited: entries that have not answered.
     :ivar found: the first answer that says what began the stream.
     :ivar found_by: the entry that gave it.
+    :ivar heard: whether any entry has answered.
     :ivar changed: set when nothing more is awaited.
     """
 
@@ -33,6 +34,7 @@
     awaited: set[EntryId] = attrs.field(factory=set)
     found: FoundOrigin | None = None
     found_by: EntryId | None = None
+    heard: bool = False
     changed: asyncio.Event = attrs.field(factory=asyncio.Event)
 
 
@@ -70,6 +72,7 @@
         if lookup is None or answer.entry_id not in lookup.awaited:
             return
         lookup.awaited.discard(answer.entry_id)
+        lookup.heard = True
         if lookup.found is None and answer.found is not None:
             lookup.found, lookup.found_by = answer.found, answer.entry_id
         if lookup.found is not None or not lookup.awaited:
--- a/src/celerytrack/origins/sync.py
+++ b/src/celerytrack/origins/sync.py
@@ -60,6 +60,17 @@
     known_from: EntryId | None
 
 
+@attrs.frozen
+class Finding:
+    """What came of asking what began a stream.
+
+    :ivar heard: whether an entry answered, or there is no other.
+    """
+
+    known: KnownOrigin | None
+    heard: bool
+
+
 @attrs.frozen
 class _OwnStream:
     origin: StreamOrigin
@@ -191,28 +202,26 @@
             if holder.entry_id != self._entry_id:
                 self._send(holder.address, news)
 
-    async def find(self, stream: StreamId, now_s: float) -> KnownOrigin | None:
-        """What began a stream; ``None`` if no entry says so in time."""
-        known = self.memory.find(stream, now_s)
-        if known is not None:
-            return KnownOrigin(known, None)
+    async def find(self, stream: StreamId, now_s: float) -> Finding:
+        """Find what began a stream, here or at other entries."""
+        held = self.memory.find(stream, now_s)
+        if held is not None:
+            return Finding(KnownOrigin(held, None), heard=True)
         with self._lookups.open(stream.account) as lookup:
             if lookup is None:
-                return None
-            found = await self._ask(lookup, stream, now_s)
-        if found is not None:
-            origin = found.found.origin
+                return Finding(None, heard=False)
+            finding = await self._ask(lookup, stream, now_s)
+        if finding.known is not None:
+            origin = finding.known.found.origin
             self.memory.record(stream, origin, time.monotonic())
-        return found
+        return finding
 
-    async def _ask(
-        self, lookup: Lookup, stream: StreamId, now_s: float
-    ) -> KnownOrigin | None:
+    async def _ask(self, lookup: Lookup, stream: StreamId, now_s: float) -> Finding:
         self._update_ring(now_s)
         holders = self._ring.holders_of(stream, ASKED + 1)
         asked = [h for h in holders if h.entry_id != self._entry_id][:ASKED]
         if not asked:
-            return None
+            return Finding(None, heard=True)
         query = OriginQuery(self._entry_id, lookup.number, stream)
         for wait_s in (*ASK_AGAIN_AFTER_S, ASK_AGAIN_AFTER_S[0]):
             lookup.awaited.update(holder.entry_id for holder in asked)
@@ -221,8 +230,8 @@
                 self._send(holder.address, query)
             await _wait(lookup, wait_s)
             if lookup.found is not None:
-                return KnownOrigin(lookup.found, lookup.found_by)
-        return None
+                return Finding(KnownOrigin(lookup.found, lookup.found_by), heard=True)
+        return Finding(None, lookup.heard)
 
     def _answer(
         self, asker: EntryId, number: int, stream: StreamId, now_s: float
--- a/tests/test_origins.py
+++ b/tests/test_origins.py
@@ -32,6 +32,7 @@
 from celerytrack.origins.ring import Holder, HolderRing
 from celerytrack.origins.sync import COPIES, OriginSync
 from celerytrack.platform.http import decode_request
+from celerytrack.routing.endpoints import RegistrationChange
 from tests.gateway_fleet import config
 from tests.versioned_endpoints import NEW, OLD, fleet_of, make_versioned
 
@@ -240,7 +241,7 @@
             name = stream(str(number))
             self.entries[first].record_began(name, OLD_ORIGIN, 1.0)
             await asyncio.sleep(0.001)
-            known = await self.entries[other].find(name, 1.0)
+            known = (await self.entries[other].find(name, 1.0)).known
             found += known is not None and known.found.origin == OLD_ORIGIN
         return found / count
 
@@ -263,8 +264,8 @@
         await asyncio.sleep(0.01)
         network.cut = {"a1", "a2"}
         for name in begun:
-            known = await network.entries["a5"].find(name, 1.0)
-            self.assertIsNotNone(known)
+            finding = await network.entries["a5"].find(name, 1.0)
+            self.assertIsNotNone(finding.known)
 
     async def test_a_new_member_is_told_of_streams_in_its_part(self) -> None:
         """Entries that started in turn forgot what those before them knew."""
@@ -295,8 +296,17 @@
         network.versions.add(NEW)
         entry.tick(1.5)
         await asyncio.sleep(0.01)
-        known = await network.entries["a8"].find(stream("0"), 2.0)
-        self.assertIsNotNone(known)
+        finding = await network.entries["a8"].find(stream("0"), 2.0)
+        self.assertIsNotNone(finding.known)
+
+    async def test_an_entry_that_hears_nobody_knows_that(self) -> None:
+        """One that was cut off took its silence for the word of all others."""
+        network = Network(6)
+        finding = await network.entries["a5"].find(stream(), 1.0)
+        self.assertEqual((finding.known, finding.heard), (None, True))
+        network.lost_share = 1.0
+        finding = await network.entries["a5"].find(stream("r2"), 1.0)
+        self.assertEqual((finding.known, finding.heard), (None, False))
 
 
 class LookupTest(unittest.TestCase):
@@ -419,3 +429,32 @@
                 at_first = [a > b for a, b in zip(began, seen, strict=True)]
                 at_next = [a > b for a, b in zip(went_on, began, strict=True)]
                 self.assertEqual(any(at_first[:2]), any(at_next[:2]))
+
+    async def test_an_entry_with_old_registrations_asks_the_others(self) -> None:
+        """An entry that had missed a second version, by its log and by a message that
+        was lost, took streams of it for those of the only version that it knew."""
+        endpoints = make_versioned(2, 1, 1)
+        async with fleet_of(endpoints[:1], 3, config(timeoutMs=4_000)) as fleet:
+            behind = fleet.gateways[2]
+            register = behind.endpoints.register
+            behind.endpoints.register = lambda *_: RegistrationChange.SAME  # type: ignore[method-assign]
+            behind.endpoints.record_version = lambda *_: None  # type: ignore[method-assign]
+            behind.endpoints_view_age_s = lambda now_s: 9.0  # type: ignore[method-assign]
+            runner = await endpoints[1].start()
+            self.addAsyncCleanup(runner.cleanup)
+            fleet.log.put("keyed.servers", "i-1", endpoints[1].registration())
+            fleet.log.put(
+                "keyed.servers", "i-0", endpoints[0].registration(state="draining")
+            )
+            await asyncio.sleep(1.5)
+            _, _, body = await fleet.ask("/resume/x", "first", gateway=0)
+            self.assertIn(NEW.encode(), body)
+            status, _, _ = await fleet.ask(
+                "/resume/x", "next", gateway=2, Last_Event_Id="9", Resumes="first"
+            )
+            self.assertEqual((status, len(endpoints[0].seen)), (503, 0))
+            status, _, _ = await fleet.ask(
+                "/resume/x", "other", gateway=2, Last_Event_Id="9", Resumes="invented"
+            )
+            self.assertEqual(status, 200)
+            behind.endpoints.register = register  # type: ignore[method-assign]
