--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -380,6 +380,6 @@
         """Hashing of large bodies delayed the streams that an entry relays."""
         place = FingerprintPrefix(b"place!")
         body = bytes(4 * 1024 * 1024)
-        began_s = time.perf_counter()
+        began_s = time.process_time()
         fingerprint_of(place, body)
-        self.assertLess(time.perf_counter() - began_s, 0.05)
+        self.assertLess(time.process_time() - began_s, 0.05)
