--- a/tests/stream_callers.py
+++ b/tests/stream_callers.py
@@ -14,6 +14,7 @@
 
 TAKE_UP_AFTER_S = 0.05
 MAX_TRIES = 3
+MAX_PLAY_S = 60.0
 RETRY_AFTER_MAX_S = 1.0
 
 
@@ -73,11 +74,16 @@
     def __attrs_post_init__(self) -> None:
         self.alive = list(range(len(self.fleet.gateways)))
 
-    async def play(self, rate_per_s: float, lasts_s: float) -> None:
-        """Begin streams at a mean rate, then wait until all have ended."""
-        ends_s = time.monotonic() + lasts_s
-        tasks = []
-        while time.monotonic() < ends_s:
+    async def play(self, rate_per_s: float, lasts_s: float, least: int = 0) -> None:
+        """Begin streams at a mean rate, then wait until all have ended.
+
+        :param least: streams that are begun at least, however long it takes.
+        """
+        begun_s = time.monotonic()
+        tasks: list[asyncio.Task[Stream]] = []
+        while time.monotonic() < begun_s + lasts_s or len(tasks) < least:
+            if time.monotonic() > begun_s + MAX_PLAY_S:
+                break
             tasks.append(asyncio.create_task(self.read()))
             pause_s = self.rng.expovariate(rate_per_s)
             due_s = time.monotonic() + pause_s
--- a/tests/test_mixed_versions.py
+++ b/tests/test_mixed_versions.py
@@ -23,6 +23,7 @@
 LEAST_RATIO = 0.5
 RATE_PER_S = 40.0
 LASTS_S = 14.0
+LEAST_STREAMS = 400
 SEED = 50
 CONFIG = config(timeoutMs=8_000)
 
@@ -33,7 +34,7 @@
     endpoints = make_versioned(12, 6, SEED, breaks_share=breaks_share)
     async with fleet_of(endpoints, 6, CONFIG) as fleet:
         callers = StreamCallers(fleet, random.Random(SEED), leaves_share, tries)
-        await callers.play(RATE_PER_S, LASTS_S)
+        await callers.play(RATE_PER_S, LASTS_S, LEAST_STREAMS + 1)
         return callers
 
 
@@ -44,7 +45,7 @@
     async with fleet_of(endpoints, gateways, CONFIG) as fleet:
         callers = StreamCallers(fleet, random.Random(seed), 0.25)
         changing = asyncio.create_task(change(fleet, endpoints, callers))
-        await callers.play(RATE_PER_S, LASTS_S)
+        await callers.play(RATE_PER_S, LASTS_S, LEAST_STREAMS + 1)
         await changing
         return callers
 
@@ -131,7 +132,9 @@
         self.assertGreater(relayed, 50)
         self._check(callers, least_streams=100)
 
-    def _check(self, callers: StreamCallers, least_streams: int = 400) -> None:
+    def _check(
+        self, callers: StreamCallers, least_streams: int = LEAST_STREAMS
+    ) -> None:
         self.assertGreater(len(callers.streams), least_streams)
         self.assertEqual(sum(s.wrong for s in callers.streams), 0)
         shown = [(s.number, s.versions, s.trace) for s in callers.mixed]
