A version that comes back is told to the other entries again

Found by reading the diff: each version was announced once in a process's life, so that after a roll back no entry told the others, and one that read the registration later took the version that it knew for the only one. The new test asks for the second one; the old set never forgot.

--- a/src/celerytrack/origins/sync.py
+++ b/src/celerytrack/origins/sync.py
@@ -118,7 +118,7 @@
         self._started_s = started_s
         self._versions_told = False
         self._versions_asked = 0
-        self._announced: set[tuple[ServiceName, str]] = set()
+        self._announced_s: dict[tuple[ServiceName, str], float] = {}
         self._lookups = Lookups()
         self._holders: frozenset[Holder] = frozenset()
         self._ring = HolderRing()
@@ -176,7 +176,7 @@
             case VersionNews(seen):
                 self._versions_told = True
                 for row in seen:
-                    self._announced.add((row.service, row.version))
+                    self._announced_s[row.service, row.version] = now_s
                     self._versions.record_version(
                         row.service, row.version, now_s - row.age_s
                     )
@@ -192,10 +192,12 @@
         self, service: ServiceName, version: str, now_s: float
     ) -> None:
         """Tell all entries of a version of a service that has another as well, unless
-        one has told it: registrations are read at different moments."""
-        if (service, version) in self._announced:
+        one has told it lately: registrations are read at different moments, and a
+        version may come back."""
+        announced_s = self._announced_s.get((service, version), float("-inf"))
+        if now_s - announced_s < KEEP_S:
             return
-        self._announced.add((service, version))
+        self._announced_s[service, version] = now_s
         self._update_ring(now_s)
         news = VersionNews((SeenVersion(service, version, 0.0),))
         for holder in self._holders:
--- a/tests/test_origins.py
+++ b/tests/test_origins.py
@@ -299,6 +299,16 @@
         finding = await network.entries["a8"].find(stream("0"), 2.0)
         self.assertIsNotNone(finding.known)
 
+    async def test_a_version_that_comes_back_is_told_again(self) -> None:
+        """A version that was rolled back to later was told to nobody."""
+        network = Network(6)
+        entry = network.entries["a0"]
+        entry.announce_version(SERVICE, OLD, 1.0)
+        entry.announce_version(SERVICE, OLD, 2.0)
+        self.assertEqual(network.sent, 5)
+        entry.announce_version(SERVICE, OLD, 2.0 + KEEP_S)
+        self.assertEqual(network.sent, 10)
+
     async def test_an_entry_that_hears_nobody_knows_that(self) -> None:
         """One that was cut off took its silence for the word of all others."""
         network = Network(6)
