The own interface's test asks again for nine in ten answers to be whole

The trace showed only that answers refused before their first token don't belong to it, so of those that began 0.9 must be whole, as before.

--- a/tests/test_own_versions.py
+++ b/tests/test_own_versions.py
@@ -12,7 +12,7 @@
 
 OLD, NEW = "v1.1", "v1.2"
 MIXED_ALLOWED = 2
-LEAST_RATIO = 0.5
+LEAST_WHOLE = 0.9
 TOKENS = 200
 STREAMS = 120
 
@@ -61,5 +61,4 @@
         begun = [whole for versions, whole in answers if versions]
         self.assertLessEqual(mixed, MIXED_ALLOWED)
         self.assertGreater(len(begun), STREAMS / 2)
-        began_share = len(begun) / len(answers)
-        self.assertGreaterEqual(sum(begun) / len(begun), LEAST_RATIO * began_share)
+        self.assertGreaterEqual(sum(begun), LEAST_WHOLE * len(begun))
