The refused address of test links is held while they are open

Cause, the only one found that gives this picture: links that are "reset" lead to an address that was free when asked for, and was given back. A server that was opened after it on any free port, as the proxies of the links are, could be given the same port; then the cut gateway reached an endpoint through it, was never cut off, and `test_relays._cut` asked for ever. It is likely, not proved, that this was it: the run's output does not name the test. The port stays bound, without a listener: connections are refused, and nobody is given it.

--- a/tests/link_cuts.py
+++ b/tests/link_cuts.py
@@ -43,12 +43,21 @@
     """Open connections live on, new ones are refused."""
 
 
-def unused_address() -> tuple[str, int]:
-    """An address at which connections are refused."""
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        address: tuple[str, int] = sock.getsockname()
-        return address
+class RefusingAddress:
+    """An address at which connections are refused.
+
+    Its port is held: another server would be given a free one, and connections would
+    be accepted.
+    """
+
+    def __init__(self) -> None:
+        self._socket = socket.socket()
+        self._socket.bind(("127.0.0.1", 0))
+        self.address: tuple[str, int] = self._socket.getsockname()
+
+    def close(self) -> None:
+        """Free the port."""
+        self._socket.close()
 
 
 class BlackHole:
@@ -110,7 +119,7 @@
         self._pipes: defaultdict[int, set[_Pipe]] = defaultdict(set)
         self._proxies: dict[tuple[int, int], tuple[str, int]] = {}
         self._servers: list[asyncio.Server] = []
-        self._refusing = unused_address()
+        self._refusing = RefusingAddress()
         self._black_hole = BlackHole()
         self._patch = mock.patch.object(http_session, "make_socket", self._make_socket)
         self._make_real_socket = http_session.make_socket
@@ -135,6 +144,7 @@
         for server in self._servers:
             server.close()
         self._black_hole.close()
+        self._refusing.close()
 
     def set_state(self, gateways: Iterable[int], state: LinkState) -> None:
         """Cut the links of ``gateways``, or bring them back."""
@@ -159,7 +169,11 @@
         state = self._states[gateway]
         if state is LinkState.UP:
             return proxy
-        return self._black_hole.address if state is LinkState.HANG else self._refusing
+        return (
+            self._black_hole.address
+            if state is LinkState.HANG
+            else self._refusing.address
+        )
 
     async def _open_link(self, gateway: int, port: int) -> None:
         async def serve(
