--- a/tests/gateway_fleet.py
+++ b/tests/gateway_fleet.py
@@ -282,6 +282,19 @@
                 raise AssertionError("the condition was not met in time")
             await asyncio.sleep(0.01)
 
+    async def repeat_until(
+        self,
+        condition: Callable[[], bool],
+        act: Callable[[], Awaitable[object]],
+        within_s: float = 30.0,
+    ) -> None:
+        """Repeat ``act`` until ``condition`` holds."""
+        deadline_s = time.monotonic() + within_s
+        while not condition():
+            if time.monotonic() > deadline_s:
+                raise AssertionError("the condition was not met in time")
+            await act()
+
     async def ask(
         self,
         path: str,
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -49,10 +49,15 @@
 
 async def _quarantine_everywhere(fleet: Fleet, run: CrashRun) -> None:
     """Repeat the crashing request until all entries have it in quarantine."""
-    while not all(_is_quarantined(gateway) for gateway in fleet.gateways):
+
+    async def ask() -> None:
         await run.ask(run.marked, MARKER)
         await asyncio.sleep(0.05)
 
+    await fleet.repeat_until(
+        lambda: all(_is_quarantined(gateway) for gateway in fleet.gateways), ask
+    )
+
 
 async def _read_quarantined(store: StoreClient) -> OperatorView:
     """Read the suspects as operators do, once the log shows the quarantine.
--- a/tests/test_endpoint_limits.py
+++ b/tests/test_endpoint_limits.py
@@ -59,8 +59,10 @@
 async def _hear(fleet: Fleet, endpoint: LimitedEndpoint, limit: str) -> None:
     """Let gateway 0 hear a limit, and wait until all know it."""
     endpoint.limit = limit
-    while _limit_of(fleet.gateways[0]) is None:
-        await fleet.ask("/plain/x", "hear")
+    await fleet.repeat_until(
+        lambda: _limit_of(fleet.gateways[0]) is not None,
+        lambda: fleet.ask("/plain/x", "hear"),
+    )
     await fleet.wait_until(
         lambda: all(_limit_of(g) is not None for g in fleet.gateways), 2.0
     )
--- a/tests/test_endpoint_notices.py
+++ b/tests/test_endpoint_notices.py
@@ -52,6 +52,12 @@
     endpoint.rejects_share = 0.0
 
 
+async def _ask_served(callers: NoticeCallers) -> None:
+    status = await callers.ask()
+    if status != 200:
+        raise AssertionError(f"answered with {status}")
+
+
 class LeavingTest(unittest.IsolatedAsyncioTestCase):
     async def test_an_endpoint_that_said_it_leaves_gets_no_more_requests(self) -> None:
         """Entries sent to it until the log said so, seconds later."""
@@ -87,8 +93,9 @@
             await _settle(fleet)
             callers = NoticeCallers(fleet, random.Random(4))
             endpoints[0].leaving = "1"
-            while not endpoints[0].arrivals:
-                await callers.ask(gateway=0)
+            await fleet.repeat_until(
+                lambda: endpoints[0].arrivals > 0, lambda: callers.ask(gateway=0)
+            )
             await fleet.wait_until(lambda: all(map(_leaves, fleet.gateways)), 1.0)
 
     async def test_a_heartbeat_does_not_take_it_back(self) -> None:
@@ -97,8 +104,7 @@
         async with fleet_of(endpoints, 1) as fleet:
             callers = NoticeCallers(fleet, random.Random(5))
             endpoints[0].leaving = "1"
-            while not endpoints[0].arrivals:
-                await callers.ask()
+            await fleet.repeat_until(lambda: endpoints[0].arrivals > 0, callers.ask)
             record = endpoints[0].endpoint.registration(sequence=9)
             fleet.log.put(ENDPOINTS_TOPIC, "i-0", b"")
             await asyncio.sleep(2.0)
@@ -143,8 +149,10 @@
 
             connector._create_connection = open_and_hear
             callers = NoticeCallers(fleet, random.Random(6))
-            while not _backs_off(gateway):
-                self.assertEqual(await callers.ask(), 200)
+            await fleet.repeat_until(
+                lambda: _backs_off(gateway),
+                lambda: _ask_served(callers),
+            )
             self.assertEqual(endpoints[0].arrivals, 0)
             self.assertEqual(endpoint.failure_rate, 0.0)
 
@@ -373,8 +381,9 @@
         endpoints[0].rejects_share = 1.0
         async with fleet_of(endpoints, 1) as fleet:
             callers = NoticeCallers(fleet, random.Random(15))
-            while not endpoints[0].arrivals:
-                self.assertEqual(await callers.ask(), 200)
+            await fleet.repeat_until(
+                lambda: endpoints[0].arrivals > 0, lambda: _ask_served(callers)
+            )
             self.assertTrue(_leaves(fleet.gateways[0]))
 
     async def test_nothing_is_told_while_nobody_says_anything(self) -> None:
--- a/tests/test_relays.py
+++ b/tests/test_relays.py
@@ -53,8 +53,10 @@
         await callers.ask(gateway)
     fleet.links.set_state(gateways, state)
     for gateway in gateways:
-        while not _is_down(fleet.gateways[gateway]):
-            await callers.ask(gateway, "/plain/x")
+        await fleet.repeat_until(
+            lambda gateway=gateway: _is_down(fleet.gateways[gateway]),
+            lambda gateway=gateway: callers.ask(gateway, "/plain/x"),
+        )
 
 
 def _slow_stream(events: int, pause_s: float) -> Endpoint:
