--- a/src/celerytrack/limits/grants.py
+++ b/src/celerytrack/limits/grants.py
@@ -53,12 +53,14 @@
 
     :ivar is_owner: whether this entry is the owner, or the standby.
     :ivar full_from_s: from when on it grants all of the limit as the owner.
+    :ivar opened_at_s: since when this entry grants leases for the endpoint.
     :ivar handed_over_at_s: when the previous owner handed over.
     """
 
     queue: LeaseQueue
     is_owner: bool
     full_from_s: float
+    opened_at_s: float
     handed_over_at_s: float = -math.inf
     timer: asyncio.TimerHandle | None = None
 
@@ -159,6 +161,9 @@
             endpoint=endpoint_id,
             rate_per_s=learned.rate_per_s and round(learned.rate_per_s, 2),
             bears_per_s=bears_per_s,
+            granted=learned.granted(now_s),
+            is_owner=grants.is_owner,
+            granting_s=round(now_s - grants.opened_at_s, 1),
         )
 
     def expire(self, now_s: float) -> None:
@@ -229,6 +234,7 @@
                 LeaseQueue(0.0, now_s),
                 self._owners.is_own(endpoint_id),
                 self._owners.settled_at_s,
+                now_s,
             )
             self._grants[endpoint_id] = grants
         self.update_rate(endpoint_id, now_s)
--- a/src/celerytrack/limits/learned.py
+++ b/src/celerytrack/limits/learned.py
@@ -61,6 +61,10 @@
         while self._granted_at_s[0] < now_s - MEASURE_S:
             self._granted_at_s.popleft()
 
+    def granted(self, now_s: float) -> int:
+        """Leases granted in the last :data:`MEASURE_S`."""
+        return sum(at_s > now_s - MEASURE_S for at_s in self._granted_at_s)
+
     def record_rejection(self, bears_per_s: float, now_s: float) -> float:
         """Lower the rate after a rejection.
 
@@ -108,7 +112,7 @@
         return now_s - newest_s > KEPT_S
 
     def _rate_before(self, now_s: float) -> float:
-        recent = sum(at_s > now_s - MEASURE_S for at_s in self._granted_at_s)
+        recent = self.granted(now_s)
         known_s = now_s - self._granted_at_s[0] if self._granted_at_s else 0.0
         over_s = min(max(known_s, MIN_MEASURE_S), MEASURE_S)
         measured_per_s = max(recent / over_s, MIN_RATE_PER_S)
