--- a/tests/gateway_fleet.py
+++ b/tests/gateway_fleet.py
@@ -188,6 +188,7 @@
         )
         self._store_port = free_port()
         self._tasks: list[asyncio.Task[int]] = []
+        self._killed: set[int] = set()
         self._runners: list[web.ServerRunner] = []
 
     async def __aenter__(self) -> "Fleet":
@@ -211,10 +212,14 @@
         return self
 
     def _all_ready(self) -> bool:
-        for task in self._tasks:
-            if task.done():
+        for i, task in enumerate(self._tasks):
+            if task.done() and i not in self._killed:
                 raise AssertionError(f"a gateway ended: {task.result()}")
-        return all(gateway.ready for gateway in self.gateways)
+        return all(
+            gateway.ready
+            for i, gateway in enumerate(self.gateways)
+            if i not in self._killed
+        )
 
     async def add_gateway(self) -> None:
         """Start another gateway and wait until it is ready."""
@@ -247,6 +252,7 @@
 
     async def end_gateway(self, i: int) -> None:
         """End a gateway at once, as if its process were killed."""
+        self._killed.add(i)
         self._tasks[i].cancel()
         await self.servers[i].abort()
         await asyncio.gather(self._tasks[i], return_exceptions=True)
