Leases of a brittle endpoint count what is in progress and what is in doubt

Cause: the owner learned a rate. An entry that took over knew none, and granted two fifths of no limit until rejections came back; the rate grew in a lull in which nobody asked; and a rate says nothing of long requests that still run. Nothing bounded the leases whose requests may still be rejected.

The leases in doubt (granted in the last 0.25 s, no end reported) and the rejections of the last second together stay under what the endpoint bears, whatever was learned; a third of it, one at least, is kept for a standby or new owner, so that two entries together stay within it. Room is a number in progress: it falls to what was in progress at a rejection, to one less when a request's time runs out while it is full, and grows by one while all of it is used, not in a lull. Entries report the end of each request (lease-end, a third datagram); leases of entries that are gone, or older than the sender's oldest, are dropped, others after 10 s. Both interfaces.

Why it works: every possible rejection is a lease in doubt, and those are counted before they are granted, also by an owner that knows nothing yet.

--- a/src/celerytrack/entry/notices.py
+++ b/src/celerytrack/entry/notices.py
@@ -25,6 +25,7 @@
     LeasePlacer,
     spread_retry_after_s,
 )
+from celerytrack.limits.room import LeaseOutcome
 from celerytrack.notices.answer import NO_NOTICES
 from celerytrack.notices.messages import (
     NoticeMessage,
@@ -139,6 +140,11 @@
         if leased.lease is not None:
             self.sync.limits.asks.give_back(leased.lease)
 
+    def end_lease(self, leased: LeasedReplica, outcome: LeaseOutcome) -> None:
+        """Report the end of a request that was sent with a lease."""
+        if leased.lease is not None:
+            self.sync.limits.asks.end(leased.lease, outcome)
+
     def is_limited(self, replica_id: ReplicaId) -> bool:
         """Whether a replica has a limit now."""
         return self.sync.limits.tracker.limit_per_s(EndpointId(replica_id)) is not None
--- a/src/celerytrack/entry/upstream.py
+++ b/src/celerytrack/entry/upstream.py
@@ -27,6 +27,7 @@
 from celerytrack.entry.state import EntryState
 from celerytrack.events import Event, log_event
 from celerytrack.ids import ReplicaId, RequestId, ServiceName
+from celerytrack.limits.room import LeaseOutcome
 from celerytrack.routing.replica_load import Ask, Attempt, ReplicaLoad
 from celerytrack.routing.replicas import Placement, predict_first_token_s
 from celerytrack.routing.retries import backoff_s, may_retry
@@ -243,21 +244,34 @@
         state.notices.give_back(placed)
         state.suspects.cancel_probe(admitted)
         return sent, Failure(replica_withheld())
-    result = await _send(state, admitted, sent, suspect_state, attempt)
+    outcome = LeaseOutcome.ABANDONED
+    try:
+        result = await _send(state, admitted, sent, suspect_state, attempt)
+        ran = isinstance(result, Success)
+        outcome = LeaseOutcome.RAN if ran else LeaseOutcome.FAILED
+        if _was_not_sent(result):
+            state.notices.give_back(placed)
+    finally:
+        state.notices.end_lease(placed, outcome)
     _record_outcome(state, admitted, replica.replica_id, result)
     match result:
         case Success(_):
             replica.record_success()
             state.reach.record_answer(ServiceName(replica.model))
         case Failure(refusal):
-            if refusal in (replica_withheld(), replica_unreachable()):
-                state.notices.give_back(placed)
             if not _is_no_fault(state, replica, refusal):
                 replica.record_failure(time.time())
             _log_attempt_failed(admitted.request_id, replica.replica_id, refusal)
     return sent, result
 
 
+def _was_not_sent(result: Result[T, Refusal]) -> bool:
+    match result:
+        case Failure(refusal):
+            return refusal in (replica_withheld(), replica_unreachable())
+    return False
+
+
 async def _send(
     state: EntryState,
     admitted: AdmittedRequest,
--- a/src/celerytrack/gateway/placement.py
+++ b/src/celerytrack/gateway/placement.py
@@ -17,6 +17,7 @@
     LeasePlacer,
     spread_retry_after_s,
 )
+from celerytrack.limits.room import LeaseOutcome
 from celerytrack.routing.endpoint import Choice, Endpoint
 from celerytrack.suspects import SuspectState
 from celerytrack.verdict import Reason, Verdict
@@ -34,10 +35,15 @@
     lease: Lease | None = None
     used: bool = False
 
-    def give_back_unused(self, gateway: Gateway) -> None:
-        """Return the lease if the request was not sent."""
-        if self.lease is not None and not self.used:
-            gateway.notices.limits.asks.give_back(self.lease)
+    def end_lease(self, gateway: Gateway, outcome: LeaseOutcome) -> None:
+        """Return the lease if the request was not sent, or report its end."""
+        if self.lease is None:
+            return
+        asks = gateway.notices.limits.asks
+        if self.used:
+            asks.end(self.lease, outcome)
+        else:
+            asks.give_back(self.lease)
 
 
 IN_DOUBT = "what began the stream is in doubt"
--- a/src/celerytrack/gateway/sending.py
+++ b/src/celerytrack/gateway/sending.py
@@ -30,6 +30,7 @@
 )
 from celerytrack.gateway.relay import links_down, relay
 from celerytrack.gateway.state import Gateway
+from celerytrack.limits.room import LeaseOutcome
 from celerytrack.routing.endpoint import Endpoint
 from celerytrack.suspects import SuspectState
 from celerytrack.verdict import Verdict
@@ -63,7 +64,7 @@
             return await _send_placed(gateway, exchange, placement, suspect_state)
         placed = await place(gateway, exchange, suspect_state)
         if isinstance(placed, Placement):
-            return await _send_or_give_back(gateway, exchange, placed, suspect_state)
+            return await _send_leased(gateway, exchange, placed, suspect_state)
         if not await wait_for_opening(gateway, exchange):
             return Failure(refused_until_opening(gateway, exchange, placed))
 
@@ -88,16 +89,20 @@
     return False
 
 
-async def _send_or_give_back(
+async def _send_leased(
     gateway: Gateway,
     exchange: Exchange,
     placement: Placement,
     suspect_state: SuspectState,
 ) -> AttemptResult:
+    outcome = LeaseOutcome.ABANDONED
     try:
-        return await _send_placed(gateway, exchange, placement, suspect_state)
+        result = await _send_placed(gateway, exchange, placement, suspect_state)
+        ran = isinstance(result, Success)
+        outcome = LeaseOutcome.RAN if ran else LeaseOutcome.FAILED
+        return result
     finally:
-        placement.give_back_unused(gateway)
+        placement.end_lease(gateway, outcome)
 
 
 async def _send_placed(
--- a/src/celerytrack/limits/asks.py
+++ b/src/celerytrack/limits/asks.py
@@ -22,7 +22,14 @@
     LeaseDenied,
     LeaseGranted,
 )
-from celerytrack.limits.messages import LeaseAsk, LeaseReply, LeaseReturn, LimitMessage
+from celerytrack.limits.messages import (
+    LeaseAsk,
+    LeaseEnd,
+    LeaseReply,
+    LeaseReturn,
+    LimitMessage,
+)
+from celerytrack.limits.room import LeaseOutcome
 from celerytrack.limits.tracker import LimitTracker
 from celerytrack.notices.owners import EndpointOwners
 
@@ -124,6 +131,7 @@
         self._owners = owners
         self._deliver = deliver
         self._pending: dict[int, asyncio.Future[LeaseDecision]] = {}
+        self._open: dict[EndpointId, set[int]] = {}
         self._nonces = itertools.count(1)
         self._batches: dict[EndpointId, _Batch] = {}
         self._denials: dict[EndpointId, _Denial] = {}
@@ -166,12 +174,15 @@
         lease = Lease(endpoint_id, nonce, self._owners.address_of(grantor))
         address = self._owners.address
         ask = LeaseAsk(address, nonce, report, priority, max_wait_s, size)
+        if report.bears_per_s is not None:
+            self._open.setdefault(endpoint_id, set()).add(nonce)
         decision = await self._ask(grantor, lease, ask)
         now_s = time.monotonic()
         if isinstance(decision, LeaseGranted):
             self.counts["granted"] += 1
             batch.fill(lease, decision.count, now_s)
             return lease
+        self._close(lease)
         self.counts["denied"] += 1
         self._remember_denial(endpoint_id, decision, priority, now_s)
         return decision
@@ -180,11 +191,28 @@
         """Return leases whose requests were not sent."""
         if lease.grantor is None:
             return
+        self._close(lease)
         self.counts["returned"] += 1
         address = self._owners.address
         message = LeaseReturn(address, lease.nonce, lease.endpoint_id, count)
         self._deliver(lease.grantor, message)
 
+    def end(self, lease: Lease, outcome: LeaseOutcome) -> None:
+        """Report the end of a request to a brittle endpoint, whose room the owner
+        learns from it."""
+        if lease.grantor is None or not self._close(lease):
+            return
+        still_open = self._open.get(lease.endpoint_id)
+        oldest_nonce = min(still_open) if still_open else lease.nonce
+        message = LeaseEnd(
+            self._owners.address,
+            lease.nonce,
+            lease.endpoint_id,
+            outcome,
+            oldest_nonce,
+        )
+        self._deliver(lease.grantor, message)
+
     def on_reply(self, reply: LeaseReply) -> None:
         """Pass the decision of an owner or standby on to the request that waits."""
         future = self._pending.get(reply.nonce)
@@ -203,6 +231,16 @@
         for entry_id in self._silent_asks.keys() - self._owners.peers.keys():
             del self._silent_asks[entry_id]
 
+    def _close(self, lease: Lease) -> bool:
+        """Forget a lease; returns whether its end is to be reported."""
+        nonces = self._open.get(lease.endpoint_id)
+        if nonces is None or lease.nonce not in nonces:
+            return False
+        nonces.remove(lease.nonce)
+        if not nonces:
+            del self._open[lease.endpoint_id]
+        return True
+
     async def _ask(
         self, grantor: EntryId, lease: Lease, ask: LeaseAsk
     ) -> LeaseDecision:
--- a/src/celerytrack/limits/grants.py
+++ b/src/celerytrack/limits/grants.py
@@ -18,9 +18,7 @@
 
 from celerytrack.events import Event, log_event
 from celerytrack.ids import EndpointId
-from celerytrack.limits.learned import LearnedRates
 from celerytrack.limits.leases import (
-    BURST_S,
     OWNER_RETRY_AFTER_S,
     LeaseDecision,
     LeaseDenied,
@@ -30,11 +28,19 @@
 )
 from celerytrack.limits.messages import (
     LeaseAsk,
+    LeaseEnd,
     LeaseReply,
     LeaseReturn,
     LimitMessage,
     OwnerHandover,
 )
+from celerytrack.limits.room import (
+    LearnedRooms,
+    LeaseKey,
+    LeaseOutcome,
+    owner_in_doubt,
+    standby_in_doubt,
+)
 from celerytrack.limits.tracker import LimitTracker
 from celerytrack.notices.owners import SETTLE_S, EndpointOwners
 
@@ -85,8 +91,8 @@
         self._owners = owners
         self._deliver = deliver
         self._grants: dict[EndpointId, _Grants] = {}
-        self._learned = LearnedRates()
-        self._returnable: LRUCache[tuple[str, int], int] = LRUCache(MAX_RETURNABLE)
+        self._rooms = LearnedRooms()
+        self._returnable: LRUCache[LeaseKey, int] = LRUCache(MAX_RETURNABLE)
 
     def rate_per_s(self, endpoint_id: EndpointId, now_s: float) -> float:
         """Leases a second that this entry grants for an endpoint."""
@@ -97,17 +103,8 @@
         share = grants.share(now_s)
         if self._owners.is_isolated:
             share = min(share, REDUCED_SHARE)
-        learned_per_s = self._learned_per_s(endpoint_id, now_s)
-        if learned_per_s is not None:
-            limit_per_s = min(limit_per_s, learned_per_s)
         return share * limit_per_s
 
-    def _learned_per_s(self, endpoint_id: EndpointId, now_s: float) -> float | None:
-        """The rate that a brittle endpoint bears, if that is known."""
-        if self._tracker.bears_per_s(endpoint_id) is None:
-            return None
-        return self._learned.get(endpoint_id).grow(now_s)
-
     def on_ask(self, ask: LeaseAsk, now_s: float) -> None:
         """Decide on a request for a lease, now or when a token is there."""
         endpoint_id = ask.report.endpoint_id
@@ -120,10 +117,7 @@
             return
         grants = self._open(endpoint_id, now_s)
         self._decide_waiting(endpoint_id, grants, now_s)
-        # Several leases at once would arrive together at an endpoint with little room.
-        is_brittle = self._tracker.bears_per_s(endpoint_id) is not None
-        count = 1 if is_brittle else ask.count
-        request = LeaseRequest(key, ask.priority, ask.max_wait_s, count)
+        request = LeaseRequest(key, ask.priority, ask.max_wait_s, ask.count)
         decision = grants.queue.request(request, now_s)
         if decision is not None:
             self._answer(endpoint_id, key, decision, now_s)
@@ -141,34 +135,46 @@
             return
         if not grants.queue.cancel(key):
             grants.queue.add_tokens(returned, now_s)
+        if grants.queue.room is not None:
+            grants.queue.room.record_end(key, LeaseOutcome.FAILED, now_s)
         self._decide_waiting(message.endpoint_id, grants, now_s)
         self._schedule(message.endpoint_id, grants, now_s)
 
+    def on_end(self, message: LeaseEnd, now_s: float) -> None:
+        """Record that the request of a lease has ended."""
+        room = self._rooms.get(message.endpoint_id)
+        room.record_end((message.sender, message.nonce), message.outcome, now_s)
+        room.drop_before(message.sender, message.oldest_nonce)
+        grants = self._grants.get(message.endpoint_id)
+        if grants is not None:
+            self._decide_waiting(message.endpoint_id, grants, now_s)
+            self._schedule(message.endpoint_id, grants, now_s)
+
     def on_rejection(self, endpoint_id: EndpointId, now_s: float) -> None:
         """Grant less for a brittle endpoint that turned a request away."""
         bears_per_s = self._tracker.bears_per_s(endpoint_id)
         if bears_per_s is None or not self._owners.may_grant(endpoint_id):
             return
         grants = self._open(endpoint_id, now_s)
-        learned = self._learned.get(endpoint_id)
-        pause_s = learned.record_rejection(bears_per_s, now_s)
-        self.update_rate(endpoint_id, now_s)
-        grants.queue.pause(pause_s, now_s)
+        room = self._rooms.get(endpoint_id)
+        room.record_rejection(now_s)
         self._schedule(endpoint_id, grants, now_s)
         log_event(
             _log,
-            Event.RATE_LEARNED,
+            Event.ROOM_LEARNED,
             endpoint=endpoint_id,
-            rate_per_s=learned.rate_per_s and round(learned.rate_per_s, 2),
+            room=room.limit,
+            in_progress=room.in_progress,
+            in_doubt=room.in_doubt(now_s),
+            rejections=room.rejections(now_s),
             bears_per_s=bears_per_s,
-            granted=learned.granted(now_s),
             is_owner=grants.is_owner,
             granting_s=round(now_s - grants.opened_at_s, 1),
         )
 
     def expire(self, now_s: float) -> None:
-        """Forget learned rates that are no longer used."""
-        self._learned.expire(now_s)
+        """Forget rooms that are no longer used."""
+        self._rooms.expire(now_s)
 
     def on_handover(self, message: OwnerHandover, now_s: float) -> None:
         """Take an endpoint over from its previous owner."""
@@ -185,13 +191,34 @@
         grants = self._grants.get(endpoint_id)
         if grants is None:
             return
-        is_brittle = self._tracker.bears_per_s(endpoint_id) is not None
-        grants.queue.set_rate(
-            self.rate_per_s(endpoint_id, now_s), now_s, 0.0 if is_brittle else BURST_S
+        bears_per_s = self._tracker.bears_per_s(endpoint_id)
+        rate_per_s = self.rate_per_s(endpoint_id, now_s)
+        if bears_per_s is None:
+            grants.queue.room = None
+            grants.queue.set_rate(rate_per_s, now_s)
+            return
+        grants.queue.room = self._rooms.get(endpoint_id)
+        grants.queue.room.max_in_doubt = self._max_in_doubt(
+            endpoint_id, grants, bears_per_s, now_s
         )
+        grants.queue.set_rate(rate_per_s, now_s, burst_s=0.0)
+
+    def _max_in_doubt(
+        self,
+        endpoint_id: EndpointId,
+        grants: _Grants,
+        bears_per_s: float,
+        now_s: float,
+    ) -> int:
+        """Leases of a brittle endpoint whose requests may be rejected in one second."""
+        if grants.share(now_s) < 1.0 or self._owners.is_isolated:
+            return standby_in_doubt(bears_per_s)
+        has_standby = len(self._owners.ranking(endpoint_id)) > 1
+        return owner_in_doubt(bears_per_s, has_standby)
 
     def update_owners(self, now_s: float) -> None:
         """Take over and hand over after a change of the membership."""
+        self._rooms.keep_senders({self._owners.address, *self._owners.peers.values()})
         for endpoint_id, grants in list(self._grants.items()):
             is_owner = self._owners.is_own(endpoint_id)
             if grants.is_owner and not is_owner:
@@ -253,20 +280,18 @@
     def _answer(
         self,
         endpoint_id: EndpointId,
-        key: tuple[str, int],
+        key: LeaseKey,
         decision: LeaseDecision,
         now_s: float,
     ) -> None:
         if isinstance(decision, LeaseGranted):
             self._returnable[key] = decision.count
-            if self._tracker.bears_per_s(endpoint_id) is not None:
-                self._learned.get(endpoint_id).record_grant(now_s)
         self._reply(endpoint_id, key, decision, now_s)
 
     def _reply(
         self,
         endpoint_id: EndpointId,
-        key: tuple[str, int],
+        key: LeaseKey,
         decision: LeaseDecision,
         now_s: float,
     ) -> None:
--- a/src/celerytrack/limits/leases.py
+++ b/src/celerytrack/limits/leases.py
@@ -10,6 +10,8 @@
 
 import attrs
 
+from celerytrack.limits.room import LearnedRoom, LeaseKey
+
 MIN_RATE_PER_S = 0.25
 """Rate at which a limit of 0 is tried: only an answer tells that it has ended."""
 BURST_S = 0.25
@@ -32,7 +34,7 @@
     :ivar count: number of requests that the sender expects soon.
     """
 
-    key: tuple[str, int]
+    key: LeaseKey
     priority: int
     max_wait_s: float
     count: int = 1
@@ -74,9 +76,11 @@
     The bucket starts empty: what other entries sent just before is unknown.
 
     :param rate_per_s: leases a second.
+    :ivar room: what a brittle endpoint has room for; ``None`` if it is not brittle.
     """
 
     def __init__(self, rate_per_s: float, now_s: float) -> None:
+        self.room: LearnedRoom | None = None
         self._rate_per_s = max(rate_per_s, MIN_RATE_PER_S)
         self._tokens = 0.0
         self._filled_at_s = now_s
@@ -105,24 +109,16 @@
         self._fill(now_s)
         self._tokens = min(self._tokens + tokens, self._burst)
 
-    def pause(self, pause_s: float, now_s: float) -> None:
-        """Grant nothing for a time."""
-        self._fill(now_s)
-        if pause_s > 0:
-            self._tokens = min(self._tokens, 1.0 - pause_s * self._rate_per_s)
-
     def request(self, request: LeaseRequest, now_s: float) -> LeaseDecision | None:
         """Decide on a request at once; ``None`` if it waits.
 
         Call :meth:`pop_decided` first.
         """
         self._fill(now_s)
-        if self._tokens >= _WHOLE_TOKEN and not self._waiting:
-            count = max(1, min(request.count, int(self._tokens)))
-            self._tokens -= count
-            return LeaseGranted(count)
+        if self._may_grant(now_s) and not self._waiting:
+            return self._grant(request, now_s)
         ahead = sum(w.request.priority <= request.priority for w in self._waiting)
-        wait_s = (1.0 - self._tokens + ahead) / self._rate_per_s
+        wait_s = self._expected_wait_s(ahead, now_s)
         if wait_s > request.max_wait_s or len(self._waiting) >= MAX_WAITING:
             return LeaseDenied(wait_s)
         self._waiting.append(_Waiting(request, now_s + request.max_wait_s))
@@ -133,7 +129,7 @@
         """The waiting requests, the most urgent first."""
         return [w.request for w in self._waiting]
 
-    def cancel(self, key: tuple[str, int]) -> bool:
+    def cancel(self, key: LeaseKey) -> bool:
         """Remove a waiting request; returns whether it was waiting."""
         count = len(self._waiting)
         self._waiting = [w for w in self._waiting if w.request.key != key]
@@ -146,11 +142,11 @@
         waiting: list[_Waiting] = []
         for item in self._waiting:
             if now_s >= item.expires_at_s:
-                denied = LeaseDenied((1.0 + len(waiting)) / self._rate_per_s)
+                denied = LeaseDenied(self._expected_wait_s(len(waiting), now_s))
                 decided.append((item.request, denied))
-            elif self._tokens >= _WHOLE_TOKEN:
-                self._tokens -= 1.0
-                decided.append((item.request, LeaseGranted()))
+            elif self._may_grant(now_s):
+                single = attrs.evolve(item.request, count=1)
+                decided.append((item.request, self._grant(single, now_s)))
             else:
                 waiting.append(item)
         self._waiting = waiting
@@ -162,6 +158,8 @@
             return math.inf
         self._fill(now_s)
         token_s = (1.0 - self._tokens) / self._rate_per_s
+        if self.room is not None:
+            token_s = max(token_s, self.room.opens_in_s(now_s))
         expiry_s = min(w.expires_at_s for w in self._waiting) - now_s
         return max(0.0, min(token_s, expiry_s))
 
@@ -169,6 +167,26 @@
     def _burst(self) -> float:
         return 1.0 + self._burst_s * self._rate_per_s
 
+    def _may_grant(self, now_s: float) -> bool:
+        has_room = self.room is None or self.room.has_room(now_s)
+        return has_room and self._tokens >= _WHOLE_TOKEN
+
+    def _grant(self, request: LeaseRequest, now_s: float) -> LeaseGranted:
+        """Grant a lease; of a brittle endpoint one at a time, as each is counted."""
+        count = max(1, min(request.count, int(self._tokens)))
+        if self.room is not None:
+            count = 1
+            self.room.record_grant(request.key, now_s)
+        self._tokens -= count
+        return LeaseGranted(count)
+
+    def _expected_wait_s(self, ahead: int, now_s: float) -> float:
+        """Time until a lease is expected for a request with ``ahead`` before it."""
+        wait_s = (1.0 - self._tokens + ahead) / self._rate_per_s
+        if self.room is None:
+            return wait_s
+        return max(wait_s, self.room.expected_wait_s(ahead, now_s))
+
     def _fill(self, now_s: float) -> None:
         passed_s = max(0.0, now_s - self._filled_at_s)
         self._tokens = min(self._tokens + passed_s * self._rate_per_s, self._burst)
--- a/src/celerytrack/limits/messages.py
+++ b/src/celerytrack/limits/messages.py
@@ -8,11 +8,13 @@
 
 from celerytrack.ids import EndpointId
 from celerytrack.limits.leases import LeaseDecision, LeaseDenied, LeaseGranted
+from celerytrack.limits.room import LeaseOutcome
 from celerytrack.limits.tracker import LimitReport
 
 ASK_KIND = "lease"
 REPLY_KIND = "leased"
 RETURN_KIND = "unlease"
+END_KIND = "lease-end"
 NEWS_KIND = "limits"
 HANDOVER_KIND = "limit-owner"
 REJECTION_KIND = "rejected"
@@ -69,6 +71,21 @@
     count: int = 1
 
 
+@attrs.frozen
+class LeaseEnd:
+    """The request of a lease for a brittle endpoint has ended.
+
+    :ivar oldest_nonce: none older is in progress or asked for by the sender, whose
+        reports of their ends may be lost.
+    """
+
+    sender: str
+    nonce: int
+    endpoint_id: EndpointId
+    outcome: LeaseOutcome
+    oldest_nonce: int
+
+
 @attrs.frozen
 class LimitNews:
     """What the sender knows of some limits."""
@@ -114,6 +131,7 @@
     LeaseAsk
     | LeaseReply
     | LeaseReturn
+    | LeaseEnd
     | LimitNews
     | OwnerHandover
     | Rejection
@@ -147,6 +165,8 @@
             return (REPLY_KIND, nonce, granted, retry_after_s, fields)
         case LeaseReturn(sender, nonce, endpoint_id, count):
             return (RETURN_KIND, sender, nonce, endpoint_id, count)
+        case LeaseEnd(sender, nonce, endpoint_id, outcome, oldest_nonce):
+            return (END_KIND, sender, nonce, endpoint_id, outcome.value, oldest_nonce)
         case LimitNews(sender, reports):
             return (NEWS_KIND, sender, [_report_fields(r) for r in reports])
         case OwnerHandover(report, tokens):
@@ -175,6 +195,7 @@
     ASK_KIND,
     REPLY_KIND,
     RETURN_KIND,
+    END_KIND,
     NEWS_KIND,
     HANDOVER_KIND,
     REJECTION_KIND,
@@ -218,6 +239,21 @@
                 EndpointId(decode_text(endpoint_id)),
                 int(decode_number(count, MAX_COUNT, "count")),
             )
+        case [
+            "lease-end",
+            str(sender),
+            int(nonce),
+            str(endpoint_id),
+            "ran" | "failed" | "abandoned" as outcome,
+            int(oldest_nonce),
+        ]:
+            return LeaseEnd(
+                decode_text(sender),
+                nonce,
+                EndpointId(decode_text(endpoint_id)),
+                LeaseOutcome(outcome),
+                oldest_nonce,
+            )
         case ["limits", str(sender), list(reports)] if len(reports) <= MAX_REPORTS:
             return LimitNews(
                 decode_text(sender), tuple(_report(item) for item in reports)
--- /dev/null
+++ b/src/celerytrack/limits/room.py
@@ -0,0 +1,253 @@
+"""The room of a brittle endpoint, learned from what became of its leases. Without I/O.
+
+Such an endpoint names no room, only the rejections a second after which it falls over,
+and its room shrinks without a word. The owner of the endpoint, which grants the leases
+of all entries, bounds two numbers:
+
+- the leases whose requests may still be rejected, together with the rejections of the
+  last second. This bound holds whatever the room is, also for an owner that knows
+  nothing yet.
+- the leases in progress, by a limit that falls to what was in progress at a rejection,
+  and grows by one while all of it is in use.
+"""
+
+import collections
+import enum
+import math
+from collections.abc import Collection
+
+import attrs
+
+from celerytrack.ids import EndpointId
+
+LeaseKey = tuple[str, int]
+"""Peer address of the entry that asked for a lease, and the nonce of its request."""
+
+REJECTIONS_S = 1.0
+"""Time over which an endpoint counts its rejections."""
+REPORT_LAG_S = 0.1
+"""Time that a rejection may be older or newer than its report."""
+IN_DOUBT_S = 0.25
+"""Time after which a lease whose request was not rejected counts as accepted: an
+endpoint without room rejects at once."""
+GROWTH_COST_S = 8.0
+"""Time between two attempts to grow, times the rejections that may be in doubt: each
+failed attempt takes one of them for a second."""
+MAX_GROWTH_DOUBLINGS = 2
+MIN_PAUSE_S = 0.25
+MAX_PAUSE_DOUBLINGS = 3
+"""Pause after a rejection while nothing else was in progress, and how often it
+doubles."""
+LEASE_KEPT_S = 10.0
+"""How long a lease whose end was not reported counts as in progress."""
+STANDBY_SHARE = 1 / 3
+"""Share of the rejections an endpoint bears that is kept for the leases of a standby or
+a new owner: another entry may still take itself for the owner."""
+USUAL_RUN_S = 0.1
+"""Time of a request while none has been measured."""
+RUN_WEIGHT = 0.1
+"""Weight of the newest request in the mean time of a request."""
+KEPT_S = 60.0
+"""How long a room is kept for an endpoint that has fallen over, or that says no more
+that it is brittle."""
+
+
+def standby_in_doubt(bears_per_s: float) -> int:
+    """Leases in doubt that a standby or a new owner may grant.
+
+    :param bears_per_s: rejections a second that the endpoint bears.
+    """
+    borne = math.floor(bears_per_s)
+    return max(math.floor(STANDBY_SHARE * borne), int(borne >= 2))
+
+
+def owner_in_doubt(bears_per_s: float, has_standby: bool) -> int:
+    """Leases in doubt that the owner may grant.
+
+    An endpoint that bears no rejection gets one request at a time all the same.
+    """
+    kept = standby_in_doubt(bears_per_s) if has_standby else 0
+    return max(1, math.floor(bears_per_s) - kept)
+
+
+class LeaseOutcome(enum.Enum):
+    """What became of the request of a lease."""
+
+    RAN = "ran"
+    FAILED = "failed"
+    """It was rejected, or its connection broke."""
+    ABANDONED = "abandoned"
+    """Its time ran out, or its caller left."""
+
+
+@attrs.frozen
+class _OpenLease:
+    """A lease in progress.
+
+    :ivar level: leases in progress when it was granted, this one included.
+    """
+
+    granted_at_s: float
+    level: int
+
+
+class LearnedRoom:
+    """The leases in progress at one brittle endpoint, and what it has room for.
+
+    :ivar max_in_doubt: bound of leases in doubt and recent rejections together.
+    :ivar limit: most leases in progress.
+    """
+
+    def __init__(self) -> None:
+        self.max_in_doubt = 1
+        self.limit = 1
+        self._leases: dict[LeaseKey, _OpenLease] = {}
+        self._rejected_at_s: collections.deque[float] = collections.deque()
+        self._used_at_s = -math.inf
+        self._grows_at_s = -math.inf
+        self._growth_doublings = 0
+        self._paused_until_s = -math.inf
+        self._pause_doublings = 0
+        self._mean_run_s = USUAL_RUN_S
+
+    @property
+    def in_progress(self) -> int:
+        """Leases in progress."""
+        return len(self._leases)
+
+    def in_doubt(self, now_s: float) -> int:
+        """Leases whose requests may still be rejected."""
+        return sum(
+            now_s - lease.granted_at_s < IN_DOUBT_S for lease in self._leases.values()
+        )
+
+    def rejections(self, now_s: float) -> int:
+        """Rejections that the endpoint may still count."""
+        self._expire(now_s)
+        return len(self._rejected_at_s)
+
+    def has_room(self, now_s: float) -> bool:
+        """Whether a lease may be granted now."""
+        return self.opens_in_s(now_s) <= 0.0
+
+    def opens_in_s(self, now_s: float) -> float:
+        """Time until a lease may be granted, if no lease ends before."""
+        self._expire(now_s)
+        paused_s = max(0.0, self._paused_until_s - now_s)
+        if self.in_progress >= self.limit:
+            return max(paused_s, self._first_lease_s(LEASE_KEPT_S, now_s))
+        if self.max_in_doubt <= 0:
+            return max(paused_s, REJECTIONS_S)
+        if self.in_doubt(now_s) + len(self._rejected_at_s) < self.max_in_doubt:
+            return paused_s
+        rejection_s = math.inf
+        if self._rejected_at_s:
+            counted_s = REJECTIONS_S + REPORT_LAG_S
+            rejection_s = self._rejected_at_s[0] + counted_s - now_s
+        return max(paused_s, min(rejection_s, self._first_lease_s(IN_DOUBT_S, now_s)))
+
+    def expected_wait_s(self, ahead: int, now_s: float) -> float:
+        """Time until a lease is expected.
+
+        :param ahead: requests that are served before.
+        """
+        queued = ahead + max(0, self.in_progress + 1 - self.limit)
+        run_s = queued * self._mean_run_s / self.limit
+        opens_in_s = self.opens_in_s(now_s)
+        if self.in_progress >= self.limit:
+            return run_s
+        return max(run_s, opens_in_s)
+
+    def record_grant(self, key: LeaseKey, now_s: float) -> None:
+        """Count a lease that was granted."""
+        self._used_at_s = now_s
+        self._leases[key] = _OpenLease(now_s, self.in_progress + 1)
+
+    def record_end(self, key: LeaseKey, outcome: LeaseOutcome, now_s: float) -> None:
+        """Count the end of a lease."""
+        lease = self._leases.pop(key, None)
+        if lease is None or outcome is LeaseOutcome.FAILED:
+            return
+        run_s = now_s - lease.granted_at_s
+        self._mean_run_s += RUN_WEIGHT * (run_s - self._mean_run_s)
+        # What was not in use says nothing of the room.
+        is_full = lease.level >= self.limit
+        if outcome is LeaseOutcome.ABANDONED:
+            if is_full:
+                self._shrink(lease.level - 1, now_s)
+            return
+        self._pause_doublings = 0
+        if is_full and now_s >= self._grows_at_s:
+            self.limit = lease.level + 1
+            self._growth_doublings = max(0, self._growth_doublings - 1)
+
+    def record_rejection(self, now_s: float) -> None:
+        """Count a request that the endpoint rejected, whoever sent it."""
+        self._used_at_s = now_s
+        self._rejected_at_s.append(now_s)
+        others = max(0, self.in_progress - 1)
+        if others == 0:
+            pause_s = MIN_PAUSE_S * 2.0**self._pause_doublings
+            self._paused_until_s = now_s + pause_s
+            self._pause_doublings = min(self._pause_doublings + 1, MAX_PAUSE_DOUBLINGS)
+        self._shrink(others, now_s)
+
+    def _shrink(self, limit: int, now_s: float) -> None:
+        """Lower the limit, and keep it for a time."""
+        self.limit = max(1, min(self.limit, limit))
+        cost_s = GROWTH_COST_S / max(1, self.max_in_doubt)
+        self._grows_at_s = now_s + cost_s * 2.0**self._growth_doublings
+        self._growth_doublings = min(self._growth_doublings + 1, MAX_GROWTH_DOUBLINGS)
+
+    def drop_before(self, sender: str, nonce: int) -> None:
+        """Drop the leases of an entry that end unheard: its oldest one is ``nonce``."""
+        for key in [k for k in self._leases if k[0] == sender and k[1] < nonce]:
+            del self._leases[key]
+
+    def keep_senders(self, senders: Collection[str]) -> None:
+        """Drop the leases of entries that are gone."""
+        for key in [k for k in self._leases if k[0] not in senders]:
+            del self._leases[key]
+
+    def is_unused(self, now_s: float) -> bool:
+        """Whether nothing was granted or rejected for a long time."""
+        return now_s - self._used_at_s > KEPT_S
+
+    def _first_lease_s(self, lasts_s: float, now_s: float) -> float:
+        """Time until the first of the leases younger than ``lasts_s`` is as old."""
+        left_s = (
+            lease.granted_at_s + lasts_s - now_s for lease in self._leases.values()
+        )
+        return min((s for s in left_s if s > 0), default=math.inf)
+
+    def _expire(self, now_s: float) -> None:
+        counted_s = REJECTIONS_S + REPORT_LAG_S
+        while self._rejected_at_s and now_s - self._rejected_at_s[0] >= counted_s:
+            self._rejected_at_s.popleft()
+        # The oldest lease is the first.
+        for key, lease in list(self._leases.items()):
+            if now_s - lease.granted_at_s < LEASE_KEPT_S:
+                break
+            del self._leases[key]
+
+
+class LearnedRooms:
+    """The rooms of the brittle endpoints that this entry grants leases for."""
+
+    def __init__(self) -> None:
+        self._known: dict[EndpointId, LearnedRoom] = {}
+
+    def get(self, endpoint_id: EndpointId) -> LearnedRoom:
+        """The room of an endpoint, also from before it fell over."""
+        return self._known.setdefault(endpoint_id, LearnedRoom())
+
+    def keep_senders(self, senders: Collection[str]) -> None:
+        """Drop the leases of entries that are gone."""
+        for room in self._known.values():
+            room.keep_senders(senders)
+
+    def expire(self, now_s: float) -> None:
+        """Forget the rooms that are no longer used."""
+        unused = [i for i, room in self._known.items() if room.is_unused(now_s)]
+        for endpoint_id in unused:
+            del self._known[endpoint_id]
--- a/src/celerytrack/limits/sync.py
+++ b/src/celerytrack/limits/sync.py
@@ -21,6 +21,7 @@
 from celerytrack.limits.messages import (
     MAX_REPORTS,
     LeaseAsk,
+    LeaseEnd,
     LeaseReply,
     LeaseReturn,
     LimitMessage,
@@ -163,6 +164,8 @@
                 self.asks.on_reply(message)
             case LeaseReturn():
                 self.grants.on_return(message, now_s)
+            case LeaseEnd():
+                self.grants.on_end(message, now_s)
             case LimitNews():
                 self._on_news(message, now_s)
             case Rejection(_, endpoint_id):
