A new endpoint of a service with brittle ones needs leases until it has answered

Callers saw a brittle endpoint that was back after its fall, under a new id, fall again: it had said nothing yet, so no entry asked for leases and each sent what it liked. Cause: the word is kept by endpoint, and an endpoint that starts has none. Change: while endpoints of a service are brittle, one that registers anew is taken for brittle, with the fewest rejections that one of them bears; its first answer confirms or ends it. Gateways only: the own interface's replicas keep their ids and their word. Test: failed before (no entry knew it as brittle).

--- a/src/celerytrack/gateway/watches.py
+++ b/src/celerytrack/gateway/watches.py
@@ -90,6 +90,24 @@
     )
 
 
+def _presume_brittle(
+    gateway: Gateway, registration: Registration, now_s: float
+) -> None:
+    """Take a new endpoint for brittle while others of its service are.
+
+    Until its first answer, each entry would send it as much as it likes.
+    """
+    borne = [
+        bears_per_s
+        for endpoint_id, bears_per_s in gateway.notices.limits.tracker.brittle().items()
+        if gateway.endpoints.service_of(endpoint_id) == registration.service
+    ]
+    if borne:
+        gateway.notices.limits.presume_brittle(
+            registration.endpoint_id, registration.born_ms, min(borne), now_s
+        )
+
+
 def make_endpoint_tail(gateway: Gateway) -> KeyedTail:
     """Return a tail that applies the endpoints' registrations."""
 
@@ -123,6 +141,8 @@
         service, version = registration.service, registration.version
         if gateway.endpoints_known and gateway.endpoints.has_versions(service, now_s):
             gateway.origins.announce_version(service, version, now_s)
+        if result in (RegistrationChange.NEW, RegistrationChange.RESTARTED):
+            _presume_brittle(gateway, registration, now_s)
         if result is not RegistrationChange.SAME:
             _log_registration(registration, result)
 
--- a/src/celerytrack/limits/sync.py
+++ b/src/celerytrack/limits/sync.py
@@ -51,6 +51,8 @@
 """How long an entry repeats to the owner that a limit has ended."""
 _FROM_ANSWER = "answer"
 """Source of what an endpoint itself told this entry."""
+_PRESUMED = "presumed"
+"""Source of what is only taken for true."""
 
 
 class LimitSync:
@@ -116,6 +118,19 @@
         if rejected and self.tracker.bears_per_s(endpoint_id) is not None:
             self._report_rejection(endpoint_id)
 
+    def presume_brittle(
+        self, endpoint_id: EndpointId, born_ms: int, bears_per_s: float, now_s: float
+    ) -> None:
+        """Take an endpoint that has said nothing yet for brittle, until it answers.
+
+        :param bears_per_s: rejections a second that others of its service bear.
+        """
+        change = self.tracker.record_named(
+            endpoint_id, born_ms, UNLIMITED_PER_S, now_s, now_s, bears_per_s
+        )
+        if change is not None:
+            self._on_change(change, _PRESUMED, now_s)
+
     def forget(self, endpoint_id: EndpointId) -> None:
         """Forget an endpoint whose incarnation is gone."""
         if self.tracker:
--- a/src/celerytrack/routing/endpoints.py
+++ b/src/celerytrack/routing/endpoints.py
@@ -257,6 +257,11 @@
         """The registrations of the endpoints of ``service`` that serve."""
         return [e.registration for e in self._candidates(service, now_s)]
 
+    def service_of(self, endpoint_id: EndpointId) -> ServiceName | None:
+        """The service of an endpoint; ``None`` if it is not known."""
+        known = self._endpoints.get(endpoint_id)
+        return None if known is None else known.registration.service
+
     def address_of(self, endpoint_id: EndpointId) -> str | None:
         """The address of a registered endpoint."""
         known = self._endpoints.get(endpoint_id)
--- a/tests/test_brittle_endpoints.py
+++ b/tests/test_brittle_endpoints.py
@@ -7,6 +7,8 @@
 import attrs
 from nose2.tools import params
 
+from celerytrack.ids import EndpointId
+from celerytrack.platform.topics import ENDPOINTS_TOPIC
 from tests.brittle_endpoints import (
     WORK_RANGE_S,
     BrittleCallers,
@@ -62,6 +64,30 @@
         )
 
 
+NEW_ENDPOINT = EndpointId("i-new")
+
+
+class NewEndpointTest(unittest.IsolatedAsyncioTestCase):
+    async def test_it_needs_leases_until_it_has_answered(self) -> None:
+        """Each entry sent what it liked to an endpoint that was back under a new id."""
+        brittle, other = make_brittle(2, seed=1)
+        brittle.bears = 3
+        async with Fleet(brittle, other, gateways=2) as fleet:
+            trackers = [g.notices.limits.tracker for g in fleet.gateways]
+            await fleet.repeat_until(
+                lambda: all(tracker.brittle() for tracker in trackers),
+                lambda: fleet.ask("/plain/x"),
+            )
+            fleet.log.put(ENDPOINTS_TOPIC, NEW_ENDPOINT, other.registration())
+            await fleet.wait_until(
+                lambda: all(t.bears_per_s(NEW_ENDPOINT) == 3 for t in trackers)
+            )
+            await fleet.repeat_until(
+                lambda: all(t.bears_per_s(NEW_ENDPOINT) is None for t in trackers),
+                lambda: fleet.ask("/plain/x"),
+            )
+
+
 class BrittleTest(unittest.TestCase):
     @params((5, 6, 150.0, 1), (10, 6, 80.0, 2), (2, 9, 150.0, 3))
     def test_brittle_endpoints_stay_up_and_are_used(
