A closed datagram socket sends nothing

A request that ended while its process closed reported the end of its lease on a closed transport, which raised without a loop to log it (seen once in a test's output). The socket forgets its transport as it closes, like one that was never opened.

--- a/src/celerytrack/datagrams.py
+++ b/src/celerytrack/datagrams.py
@@ -43,6 +43,7 @@
         """Close the socket."""
         if self._transport is not None:
             self._transport.close()
+            self._transport = None
 
     # -- asyncio.DatagramProtocol ------------------------------------------
 
