--- a/src/celerytrack/lab/limit_fleet.py
+++ b/src/celerytrack/lab/limit_fleet.py
@@ -14,6 +14,7 @@
 import attrs
 
 from celerytrack.ids import EndpointId, EntryId
+from celerytrack.lab.lease_placement import place
 from celerytrack.lab.limit_scenarios import LimitFault, LimitOutcome, LimitScenario
 from celerytrack.lab.peer_fleet import (
     MESSAGE_DELAY_S,
@@ -22,8 +23,6 @@
     PeerFaults,
     PeerFleet,
 )
-from celerytrack.limits.leases import LeaseDenied
-from celerytrack.limits.placement import Candidate, LeasePlacer
 from celerytrack.standins.limits import (
     SETTLE_S,
     WINDOW_S,
@@ -31,8 +30,6 @@
 )
 
 ANSWER_S = (0.02, 0.4)
-MAX_WAIT_S = 0.3
-"""Time for which a request may wait for a lease."""
 LATE_VIEW_LAG_S = (0.5, 4.0)
 TOLD_BEFORE_S = 0.5
 """Time after which requests count from an entry that passed on the limit."""
@@ -113,9 +110,10 @@
         return self._rng.choice(alive)
 
     async def _serve(self, entry: ModelPeer) -> None:
-        endpoint = await self._place(entry)
-        if endpoint is None:
+        leased = await place(entry, self._endpoints, self._rng)
+        if leased is None:
             return
+        endpoint = leased.choice
         self._outcome.served += 1
         sent_at_s = time.monotonic()
         await asyncio.sleep(self._rng.uniform(*MESSAGE_DELAY_S))
@@ -130,32 +128,6 @@
                 endpoint.endpoint_id, 0, limit_per_s, sent_at_s, now_s
             )
 
-    async def _place(self, entry: ModelPeer) -> _Endpoint | None:
-        def choose(
-            excluded: Collection[EndpointId],
-        ) -> Candidate[_Endpoint] | None:
-            allowed = [e for e in self._endpoints if e.endpoint_id not in excluded]
-            if not allowed:
-                return None
-            endpoint = self._rng.choice(allowed)
-            return Candidate(endpoint.endpoint_id, endpoint)
-
-        if not entry.notices.limits.tracker:
-            return self._rng.choice(self._endpoints)
-        placer = LeasePlacer[_Endpoint](
-            entry.notices.limits, 0, lambda endpoint: True, []
-        )
-        leased = await placer.lease_best(choose)
-        if leased is not None:
-            return leased.choice
-        limited = [
-            Candidate(e.endpoint_id, e, MAX_WAIT_S)
-            for e in self._endpoints
-            if e.is_limited
-        ]
-        waited = await placer.lease_in_time(limited, self._rng)
-        return None if isinstance(waited, LeaseDenied) else waited.choice
-
     # -- endpoints ---------------------------------------------------------------------
 
     def _limit_per_s(self, endpoint: _Endpoint) -> float | None:
--- a/src/celerytrack/limits/leases.py
+++ b/src/celerytrack/limits/leases.py
@@ -10,7 +10,7 @@
 
 import attrs
 
-from celerytrack.limits.room import LearnedRoom, LeaseKey
+from celerytrack.limits.room import MIN_STEP_S, LearnedRoom, LeaseKey
 
 MIN_RATE_PER_S = 0.25
 """Rate at which a limit of 0 is tried: only an answer tells that it has ended."""
@@ -161,7 +161,7 @@
         if self.room is not None:
             token_s = max(token_s, self.room.opens_in_s(now_s))
         expiry_s = min(w.expires_at_s for w in self._waiting) - now_s
-        return max(0.0, min(token_s, expiry_s))
+        return max(MIN_STEP_S, min(token_s, expiry_s))
 
     @property
     def _burst(self) -> float:
--- a/src/celerytrack/limits/room.py
+++ b/src/celerytrack/limits/room.py
@@ -43,6 +43,8 @@
 STANDBY_SHARE = 1 / 3
 """Share of the rejections an endpoint bears that is kept for the leases of a standby or
 a new owner: another entry may still take itself for the owner."""
+MIN_STEP_S = 0.001
+"""Shortest time until something changes: by the rounding of times it could be none."""
 USUAL_RUN_S = 0.1
 """Time of a request while none has been measured."""
 RUN_WEIGHT = 0.1
@@ -135,16 +137,16 @@
         self._expire(now_s)
         paused_s = max(0.0, self._paused_until_s - now_s)
         if self.in_progress >= self.limit:
-            return max(paused_s, self._first_lease_s(LEASE_KEPT_S, now_s))
-        if self.max_in_doubt <= 0:
-            return max(paused_s, REJECTIONS_S)
-        if self.in_doubt(now_s) + len(self._rejected_at_s) < self.max_in_doubt:
+            full_s = self._first_lease_s(LEASE_KEPT_S, now_s)
+        elif self.max_in_doubt <= 0:
+            full_s = REJECTIONS_S
+        elif self.in_doubt(now_s) + len(self._rejected_at_s) < self.max_in_doubt:
             return paused_s
-        rejection_s = math.inf
-        if self._rejected_at_s:
-            counted_s = REJECTIONS_S + REPORT_LAG_S
-            rejection_s = self._rejected_at_s[0] + counted_s - now_s
-        return max(paused_s, min(rejection_s, self._first_lease_s(IN_DOUBT_S, now_s)))
+        else:
+            full_s = min(
+                self._first_rejection_s(now_s), self._first_lease_s(IN_DOUBT_S, now_s)
+            )
+        return max(paused_s, full_s, MIN_STEP_S)
 
     def expected_wait_s(self, ahead: int, now_s: float) -> float:
         """Time until a lease is expected.
@@ -213,6 +215,12 @@
         """Whether nothing was granted or rejected for a long time."""
         return now_s - self._used_at_s > KEPT_S
 
+    def _first_rejection_s(self, now_s: float) -> float:
+        """Time until the endpoint no longer counts the first of its rejections."""
+        if not self._rejected_at_s:
+            return math.inf
+        return self._rejected_at_s[0] + REJECTIONS_S + REPORT_LAG_S - now_s
+
     def _first_lease_s(self, lasts_s: float, now_s: float) -> float:
         """Time until the first of the leases younger than ``lasts_s`` is as old."""
         left_s = (
