A new owner counts what the previous one has in doubt at a brittle endpoint

Cause: an owner that stops hands its endpoint over with the tokens of a bucket that brittle endpoints do not use, and the new one granted all of its share at once, beside what the old one had just granted. Change: the handover's tokens are the leases that may still be granted at once; what is missing counts as rejected at the new owner.

--- a/src/celerytrack/limits/grants.py
+++ b/src/celerytrack/limits/grants.py
@@ -183,8 +183,11 @@
             return
         grants = self._open(endpoint_id, now_s)
         grants.handed_over_at_s = grants.full_from_s = now_s
-        grants.queue.add_tokens(message.tokens, now_s)
         self.update_rate(endpoint_id, now_s)
+        if grants.queue.room is not None:
+            grants.queue.room.take_over(int(message.tokens), now_s)
+        else:
+            grants.queue.add_tokens(message.tokens, now_s)
 
     def update_rate(self, endpoint_id: EndpointId, now_s: float) -> None:
         """Grant at the rate that holds from now on."""
@@ -274,7 +277,10 @@
         if report is None or now_s < grants.full_from_s:
             return
         owner = self._owners.owner(endpoint_id)
-        message = OwnerHandover(report, max(0.0, grants.queue.tokens))
+        tokens = max(0.0, grants.queue.tokens)
+        if grants.queue.room is not None:
+            tokens = float(grants.queue.room.spare(now_s))
+        message = OwnerHandover(report, tokens)
         self._deliver(self._owners.address_of(owner), message)
 
     def _answer(
--- a/src/celerytrack/limits/messages.py
+++ b/src/celerytrack/limits/messages.py
@@ -98,7 +98,8 @@
 class OwnerHandover:
     """The sender no longer owns an endpoint; the receiver does.
 
-    :ivar tokens: tokens left in the bucket.
+    :ivar tokens: tokens left in the bucket; of a brittle endpoint, leases that may be
+        granted at once.
     """
 
     report: LimitReport
--- a/src/celerytrack/limits/room.py
+++ b/src/celerytrack/limits/room.py
@@ -128,6 +128,16 @@
         self._expire(now_s)
         return len(self._rejected_at_s)
 
+    def spare(self, now_s: float) -> int:
+        """Leases that may be granted at once as far as rejections go."""
+        used = self.in_doubt(now_s) + self.rejections(now_s)
+        return max(0, self.max_in_doubt - used)
+
+    def take_over(self, spare: int, now_s: float) -> None:
+        """Count what the previous owner has in doubt, of which ``spare`` was left."""
+        for _ in range(self.max_in_doubt - spare):
+            self._rejected_at_s.append(now_s)
+
     def has_room(self, now_s: float) -> bool:
         """Whether a lease may be granted now."""
         return self.opens_in_s(now_s) <= 0.0
