The line of a crash names the parts of prompts that its requests had

It names the ten parts that most interrupted requests had now, and how many had them. A part is named with its model; the last one of a prompt is left out, as it is the request's own.

--- a/src/celerytrack/gateway/crash_detector.py
+++ b/src/celerytrack/gateway/crash_detector.py
@@ -6,18 +6,33 @@
 """
 
 import asyncio
+from collections import Counter
 from collections.abc import Awaitable, Callable
 
 import attrs
 
 from celerytrack.fingerprint import Fingerprint
-from celerytrack.ids import EndpointId
+from celerytrack.ids import EndpointId, PartId
 from celerytrack.process_end import has_ended
 from celerytrack.routing.endpoint import Endpoint
 
 RESTART_REPORT_S = 3.0
 """Time in which a process that restarts at once under the same id registers again."""
 
+LOGGED_PARTS = 10
+"""Most parts of prompts in the log line of a crash."""
+
+
+@attrs.frozen
+class Interrupted:
+    """A request that was interrupted at an endpoint.
+
+    :ivar parts: parts of its prompt that others may have too.
+    """
+
+    fingerprint: Fingerprint
+    parts: tuple[PartId, ...] = ()
+
 
 @attrs.frozen
 class CrashedEndpoint:
@@ -27,7 +42,12 @@
     """
 
     endpoint: Endpoint
-    interrupted: frozenset[Fingerprint]
+    interrupted: frozenset[Interrupted]
+
+    def most_shared_parts(self) -> dict[PartId, int]:
+        """The parts that most of the interrupted requests had, and how many had them."""
+        counts = Counter(part for r in self.interrupted for part in set(r.parts))
+        return dict(counts.most_common(LOGGED_PARTS))
 
 
 class CrashDetector:
@@ -53,10 +73,10 @@
         self._ends_by_itself = ends_by_itself
         self._is_reached = is_reached
         self._on_crash = on_crash
-        self._interrupted: dict[EndpointId, set[Fingerprint]] = {}
+        self._interrupted: dict[EndpointId, set[Interrupted]] = {}
         self._tasks: set[asyncio.Task[None]] = set()
 
-    def report_interrupted(self, endpoint: Endpoint, fingerprint: Fingerprint) -> None:
+    def report_interrupted(self, endpoint: Endpoint, request: Interrupted) -> None:
         """Check ``endpoint`` for a crash after a request to it was interrupted.
 
         One that ends by itself is not checked.
@@ -65,9 +85,9 @@
             return
         interrupted = self._interrupted.get(endpoint.endpoint_id)
         if interrupted is not None:
-            interrupted.add(fingerprint)
+            interrupted.add(request)
             return
-        self._interrupted[endpoint.endpoint_id] = {fingerprint}
+        self._interrupted[endpoint.endpoint_id] = {request}
         task = asyncio.get_running_loop().create_task(self._check_for_crash(endpoint))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
--- a/src/celerytrack/gateway/sending.py
+++ b/src/celerytrack/gateway/sending.py
@@ -6,6 +6,7 @@
 from returns.result import Failure, Success
 
 from celerytrack.gateway.attempts import AttemptResult, attempt, withheld
+from celerytrack.gateway.crash_detector import Interrupted
 from celerytrack.gateway.exchange import AttemptFailure, Exchange
 from celerytrack.gateway.openings import refused_until_opening, wait_for_opening
 from celerytrack.gateway.origins import resolve_origin
@@ -211,9 +212,8 @@
                     time.monotonic(),
                 )
             if failure.was_interrupted:
-                gateway.crash_detector.report_interrupted(
-                    endpoint, exchange.fingerprint
-                )
+                request = Interrupted(exchange.fingerprint, exchange.facts.shared_parts)
+                gateway.crash_detector.report_interrupted(endpoint, request)
             if failure.address_reused:
                 # While registrations cannot be read, the next request would also be
                 # sent there, and be refused if its route allows one attempt only.
--- a/src/celerytrack/gateway/state.py
+++ b/src/celerytrack/gateway/state.py
@@ -244,7 +244,8 @@
             Event.ENDPOINT_ENDED,
             logging.WARNING,
             endpoint=crashed.endpoint.endpoint_id,
-            fingerprints=sorted(f.hex() for f in crashed.interrupted),
+            fingerprints=sorted(r.fingerprint.hex() for r in crashed.interrupted),
+            parts=crashed.most_shared_parts(),
         )
         now_s = time.monotonic()
         registration = crashed.endpoint.registration
@@ -253,7 +254,7 @@
             registration.endpoint_id, registration.born_ms, registration.build
         )
         found = self.suspect_sync.tracker.record_crash(
-            crash, crashed.interrupted, now_s
+            crash, [r.fingerprint for r in crashed.interrupted], now_s
         )
         self.suspect_sync.publish(found)
         self._log_quarantined(found)
--- a/src/celerytrack/ids.py
+++ b/src/celerytrack/ids.py
@@ -13,3 +13,5 @@
 ServiceName = NewType("ServiceName", str)
 EndpointId = NewType("EndpointId", str)
 """One incarnation of an endpoint's process; a restart has a new id."""
+PartId = NewType("PartId", str)
+"""A part of a prompt for one model; requests whose prompts share it have the same."""
--- a/src/celerytrack/platform/http.py
+++ b/src/celerytrack/platform/http.py
@@ -6,7 +6,7 @@
 import attrs
 from multidict import CIMultiDict, CIMultiDictProxy
 
-from celerytrack.ids import AccountId, EndpointId, RequestId
+from celerytrack.ids import AccountId, EndpointId, PartId, RequestId
 from celerytrack.reachability.relayed import RELAYED_HEADER
 
 READY_PATH = "/ready"
@@ -85,6 +85,8 @@
     :ivar output_tokens: maximum number of generated tokens.
     :ivar parts: ``(key, tokens)`` of the prompt's parts, in order; a key
         identifies the part and all parts before it, for the same model.
+    :ivar shared_parts: the model and the id of each part but the last, which belongs to
+        the request or its session.
     :ivar last_event_id: last event that the caller got of an aborted stream.
     :ivar resumes: the request that brought the first event of that stream; ``None`` if
         it is not named, or not as one id of another request.
@@ -97,6 +99,7 @@
     input_tokens: int = 0
     output_tokens: int = 0
     parts: tuple[tuple[str, int], ...] = ()
+    shared_parts: tuple[PartId, ...] = ()
     last_event_id: str | None = None
     resumes: RequestId | None = None
 
@@ -121,7 +124,8 @@
         counts = [_count(n) for n in tokens.split(",")] if tokens else [0, 0]
         deadline = headers.get(_DEADLINE)
         deadline_s = _time_s(deadline) if deadline else None
-        parts = _parts(headers.get(_MODEL, ""), prompt) if prompt else ()
+        model = headers.get(_MODEL, "")
+        parts = _parts(model, prompt) if prompt else ()
         input_tokens, output_tokens = counts
     except ValueError as exc:
         raise RequestError(f"cannot read the headers: {exc}") from None
@@ -133,6 +137,7 @@
         input_tokens=input_tokens,
         output_tokens=output_tokens,
         parts=parts,
+        shared_parts=_shared_parts(model, prompt) if prompt else (),
         last_event_id=headers.get(_LAST_EVENT),
         resumes=_resumed_request(headers, request_id),
     )
@@ -171,6 +176,11 @@
     return tuple(parts)
 
 
+def _shared_parts(model: str, prompt: str) -> tuple[PartId, ...]:
+    names = (item.strip().partition(":")[0] for item in prompt.split(",")[:-1])
+    return tuple(PartId(f"{model}/{name}") for name in names)
+
+
 def _count(text: str) -> int:
     # Reserving a negative count would add tokens to the account.
     if not text.strip().isdecimal() or len(text) > _MAX_COUNT_DIGITS:
