--- a/src/celerytrack/gateway/crash_detector.py
+++ b/src/celerytrack/gateway/crash_detector.py
@@ -45,7 +45,7 @@
     interrupted: frozenset[Interrupted]
 
     def most_shared_parts(self) -> dict[PartId, int]:
-        """The parts that most of the interrupted requests had, and how many had them."""
+        """The parts of most of the interrupted requests, and how many had each."""
         counts = Counter(part for r in self.interrupted for part in set(r.parts))
         return dict(counts.most_common(LOGGED_PARTS))
 
