Evidence of crashes is kept by feature: whole requests, and parts of prompts

Cause: evidence was kept by a fingerprint that covers the body.

Change: the same table, messages, record, list and lift take features. A feature is the fingerprint of a request, or of a part of its prompt but the last, by service and model (the own interface: a message of a chat but the last). A request is as suspect as the worst of its features; a probe claims all of them. Endpoints' answers clear the parts of their prompts, and parts answered in the last minute by the same build are not named at all, so that a system prompt is no suspect. Features that were in the same crashes can't be told apart by them: a request that lacks one of them is a probe. A request that waited for its place asks for its state again.

Why it works: the part that crashes each endpoint is in every crash and in no answer; after three crashes no entry sends it, and the other parts are answered meanwhile.

Tests that named one probed fingerprint name a list of one now.

--- a/src/celerytrack/entry/admission.py
+++ b/src/celerytrack/entry/admission.py
@@ -15,7 +15,7 @@
 from celerytrack.entry.answers import StoredAnswer
 from celerytrack.entry.refusals import RefusedError, refuse
 from celerytrack.entry.state import EntryState
-from celerytrack.entry.suspects import fingerprint
+from celerytrack.entry.suspects import fingerprint, part_fingerprints_of
 from celerytrack.escrow import GrantReservation, budget_refusal
 from celerytrack.fingerprint import Fingerprint
 from celerytrack.ids import ReplicaId, RequestId
@@ -53,6 +53,11 @@
         """Identifies repeats of the request, whatever their idempotency key."""
         return fingerprint(self.work, self.account.account_id, self.body)
 
+    @property
+    def part_fingerprints(self) -> tuple[Fingerprint, ...]:
+        """Identify the parts of its prompt that other requests may have."""
+        return part_fingerprints_of(self.work, self.body)
+
 
 def request_id_for(account: str, key: str | None) -> RequestId:
     """The request id; derived from the idempotency key, so that retries share it."""
@@ -161,7 +166,7 @@
     """Whether the request is suspected of crashing replicas, and how strongly."""
     if not state.suspects.tracker:
         return SuspectState.CLEAR
-    return state.suspects.state_of(admitted.fingerprint, admitted.work, now_s)
+    return state.suspects.state_of(admitted, admitted.work, now_s)
 
 
 def refuse_quarantined(
@@ -172,9 +177,7 @@
     :raises RefusedError: if replicas crashed repeatedly while they ran the request.
     """
     if suspect_state_of(state, admitted, now_s) is SuspectState.QUARANTINED:
-        raise RefusedError(
-            state.suspects.quarantine_refusal(admitted.fingerprint, now_s)
-        )
+        raise RefusedError(state.suspects.quarantine_refusal(admitted, now_s))
 
 
 @contextlib.contextmanager
--- a/src/celerytrack/entry/suspects.py
+++ b/src/celerytrack/entry/suspects.py
@@ -7,17 +7,33 @@
 """
 
 import asyncio
+import hashlib
 import json
 import logging
 import time
 from collections import Counter
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Sequence
 from typing import Protocol
 
 from celerytrack.events import Event, log_event
 from celerytrack.findings import Crash, Findings, Probe
-from celerytrack.fingerprint import Fingerprint, RequestHead, fingerprint_of, prefix_of
-from celerytrack.ids import AccountId, EndpointId, EntryId, ReplicaId
+from celerytrack.fingerprint import (
+    MAX_PARTS,
+    Fingerprint,
+    RequestHead,
+    fingerprint_of,
+    is_part,
+    part_fingerprints,
+    prefix_of,
+)
+from celerytrack.ids import (
+    AccountId,
+    EndpointId,
+    EntryId,
+    PartId,
+    ReplicaId,
+    ServiceName,
+)
 from celerytrack.process_end import CRASH_DETECTION_S, has_ended
 from celerytrack.settings import WorkClass
 from celerytrack.suspect_logs import log_quarantined
@@ -44,13 +60,33 @@
     return fingerprint_of(prefix_of(head), raw)
 
 
-class Fingerprinted(Protocol):
-    """A request whose fingerprint is computed on access."""
+def part_fingerprints_of(work: WorkClass, body: object) -> tuple[Fingerprint, ...]:
+    """The parts of a chat prompt: its messages but for the last, which is its own."""
+    messages = body.get("messages") if isinstance(body, dict) else None
+    if not isinstance(messages, list):
+        return ()
+    shared = messages[: min(len(messages) - 1, MAX_PARTS)]
+    raw = (json.dumps(message, sort_keys=True).encode() for message in shared)
+    parts = [PartId(hashlib.blake2b(r, digest_size=16).hexdigest()) for r in raw]
+    return part_fingerprints(ServiceName(work.model), parts)
+
+
+class Featured(Protocol):
+    """A request whose features are computed on access."""
 
     @property
     def fingerprint(self) -> Fingerprint:
         """Identifies repeats of the request."""
 
+    @property
+    def part_fingerprints(self) -> tuple[Fingerprint, ...]:
+        """Identify the parts of its prompt that others may have."""
+
+
+def features_of(request: Featured) -> tuple[Fingerprint, ...]:
+    """What may crash replicas: the request as a whole, or a part of its prompt."""
+    return (*request.part_fingerprints, request.fingerprint)
+
 
 async def _is_reached_by_nobody(replica: ReplicaId) -> bool:
     return False
@@ -85,18 +121,21 @@
         self.tracker.merge(findings, True, now_s)
 
     def state_of(
-        self, fingerprint: Fingerprint, work: WorkClass, now_s: float
+        self, request: Featured, work: WorkClass, now_s: float
     ) -> SuspectState:
         """How strongly a request is suspected of crashing replicas."""
-        return self.tracker.state_of(fingerprint, {work.model}, now_s)
+        features = features_of(request)
+        return self.tracker.state_of_request(features, {work.model}, now_s)
 
-    def quarantine_refusal(self, fingerprint: Fingerprint, now_s: float) -> Refusal:
+    def quarantine_refusal(self, request: Featured, now_s: float) -> Refusal:
         """The refusal of a request that is quarantined or probed by another entry."""
+        fingerprint = self.tracker.worst_of(features_of(request)) or request.fingerprint
         allowed_in_s = self.tracker.retry_after_s(fingerprint, now_s)
         retry_after_s = (
             OPERATOR_LIFT_RETRY_AFTER_S if allowed_in_s is None else allowed_in_s
         )
-        detail = f"replicas ended under request {fingerprint.hex()}"
+        kind = "part" if is_part(fingerprint) else "request"
+        detail = f"replicas ended under {kind} {fingerprint.hex()}"
         retry_after_s = max(retry_after_s, TYPICAL_PROBE_S)
         return did_not_run(Reason.QUARANTINED, retry_after_s, detail)
 
@@ -116,22 +155,23 @@
         return frozenset(names)
 
     async def begin_probe(
-        self, fingerprint: Fingerprint, replica: ReplicaId, lasts_s: float
+        self, request: Featured, replica: ReplicaId, lasts_s: float
     ) -> bool:
         """Begin a half-open probe: one entry sends the request, and no other does.
 
         :returns: whether this entry may send the probe.
         """
-        probe = Probe(fingerprint, EndpointId(replica), lasts_s)
-        if self.tracker.begin_probe(probe, time.monotonic()) is None:
+        features = self.tracker.to_probe(features_of(request))
+        probes = [Probe(f, EndpointId(replica), lasts_s) for f in features]
+        if self.tracker.begin_probes(probes, time.monotonic()) is None:
             return False
         try:
             await asyncio.sleep(PROBE_PROPAGATION_S)
         except asyncio.CancelledError:
             # The caller disconnected during the wait.
-            self.tracker.cancel_probe(fingerprint)
+            self.tracker.cancel_probes(features)
             raise
-        return self.tracker.is_probing(fingerprint)
+        return self.tracker.is_probing(features)
 
     def begin_suspect(self, replica: ReplicaId) -> None:
         """Count a suspect request sent to ``replica``."""
@@ -141,18 +181,21 @@
         """Count a suspect request at ``replica`` that has ended."""
         self._suspects_in_flight[replica] -= 1
 
-    def cancel_probe(self, request: Fingerprinted) -> None:
+    def cancel_probe(self, request: Featured) -> None:
         """End this entry's probe of the request, if it runs one, without a result."""
         if self.tracker:
-            self.tracker.cancel_probe(request.fingerprint)
+            self.tracker.cancel_probes(features_of(request))
 
-    def record_success(self, request: Fingerprinted, now_s: float) -> None:
-        """Clear the request: a replica answered it completely."""
+    def record_success(self, request: Featured, model: str, now_s: float) -> None:
+        """Clear the request and its parts: a replica answered it completely."""
+        parts = request.part_fingerprints
+        self.tracker.sound_parts.record(parts, model, now_s)
         if not self.tracker:
             return
-        fingerprint = request.fingerprint
-        cleared = self.tracker.record_success(fingerprint, now_s)
+        features = (*parts, request.fingerprint)
+        cleared = self.tracker.record_successes(features, now_s)
         if not cleared.is_empty:
+            fingerprint = cleared.cleared[0].fingerprint
             log_event(
                 _log,
                 Event.SUSPECT_CLEARED,
@@ -162,15 +205,20 @@
             )
 
     def check_for_crash(
-        self, fingerprint: Fingerprint, replica: ReplicaId, address: str, model: str
+        self, request: Featured, replica: ReplicaId, address: str, model: str
     ) -> None:
         """Check whether the replica crashed while it ran the request."""
-        task = asyncio.create_task(self._check(fingerprint, replica, address, model))
+        features = features_of(request)
+        task = asyncio.create_task(self._check(features, replica, address, model))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
     async def _check(
-        self, fingerprint: Fingerprint, replica: ReplicaId, address: str, model: str
+        self,
+        features: Sequence[Fingerprint],
+        replica: ReplicaId,
+        address: str,
+        model: str,
     ) -> None:
         at_s = int(time.time()) // SAME_CRASH_WINDOW_S
         try:
@@ -179,18 +227,22 @@
         except TimeoutError:
             has_crashed = False
         if not has_crashed or await self._is_reached(replica):
-            self.tracker.cancel_probe(fingerprint)
+            self.tracker.cancel_probes(features)
             return
         crash = Crash(EndpointId(replica), at_s, model)
         now_s = time.monotonic()
-        self.tracker.record_crash(crash, [fingerprint], now_s)
+        found = self.tracker.record_crash(crash, features, now_s)
+        # Of the features that are cleared by now, the probe is over as well.
+        self.tracker.cancel_probes(features)
+        fingerprints = [evidence.fingerprint for evidence in found.evidence]
         log_event(
             _log,
             Event.ENDPOINT_ENDED,
             logging.WARNING,
             endpoint=replica,
-            fingerprints=[fingerprint.hex()],
+            fingerprints=[fingerprint.hex() for fingerprint in fingerprints],
         )
-        suspect = self.tracker.describe(fingerprint, now_s)
-        if suspect.state is SuspectState.QUARANTINED:
-            log_quarantined(_log, suspect)
+        for fingerprint in fingerprints:
+            suspect = self.tracker.describe(fingerprint, now_s)
+            if suspect.state is SuspectState.QUARANTINED:
+                log_quarantined(_log, suspect)
--- a/src/celerytrack/entry/upstream.py
+++ b/src/celerytrack/entry/upstream.py
@@ -229,7 +229,7 @@
     if (
         suspect_state is SuspectState.PROBE_ONLY
         and not await state.suspects.begin_probe(
-            admitted.fingerprint, replica.replica_id, MAX_PROBE_S
+            admitted, replica.replica_id, MAX_PROBE_S
         )
     ):
         state.notices.give_back(placed)
@@ -332,7 +332,7 @@
 
 
 def _quarantine_refusal(state: EntryState, admitted: AdmittedRequest) -> Refusal:
-    return state.suspects.quarantine_refusal(admitted.fingerprint, time.monotonic())
+    return state.suspects.quarantine_refusal(admitted, time.monotonic())
 
 
 def _record_outcome(
@@ -345,7 +345,7 @@
     suspects = state.suspects
     match result:
         case Success(_):
-            suspects.record_success(admitted, time.monotonic())
+            suspects.record_success(admitted, admitted.work.model, time.monotonic())
         case Failure(_) if _ends_by_itself(state, state.view.replicas[replica]):
             suspects.cancel_probe(admitted)
         case Failure(refusal) if refusal == links_lost():
@@ -353,7 +353,7 @@
         case Failure(refusal) if refusal.verdict is Verdict.MAY_HAVE_RUN:
             address = state.view.addresses[replica]
             model = admitted.work.model
-            suspects.check_for_crash(admitted.fingerprint, replica, address, model)
+            suspects.check_for_crash(admitted, replica, address, model)
         case Failure(_):
             suspects.cancel_probe(admitted)
 
--- a/src/celerytrack/fingerprint.py
+++ b/src/celerytrack/fingerprint.py
@@ -6,14 +6,20 @@
 
 A fingerprint has two parts. The first covers everything but the bytes of the body, so
 that most requests are told apart without hashing the body.
+
+A part of a prompt has a fingerprint as well, with the same first part for all: what is
+known of requests that crash endpoints is kept in the same way for both.
 """
 
+import functools
 import hashlib
+import itertools
+from collections.abc import Iterable
 from typing import NewType
 
 import attrs
 
-from celerytrack.ids import AccountId
+from celerytrack.ids import AccountId, PartId, ServiceName
 
 PREFIX_BYTES = 6
 BODY_DIGEST_BYTES = 10
@@ -24,6 +30,12 @@
 """Digest of everything but the body's bytes: destination, caller and body length."""
 Fingerprint = NewType("Fingerprint", bytes)
 """A :data:`FingerprintPrefix`, followed by the digest of the body."""
+PART_PREFIX = FingerprintPrefix(b"\0part\0")
+"""First part of the fingerprints of all parts of prompts."""
+MAX_PARTS = 64
+"""Most parts of one prompt that are told apart."""
+CACHED_PARTS = 8_192
+"""Most parts whose fingerprint is kept."""
 
 
 @attrs.frozen
@@ -56,6 +68,28 @@
     return Fingerprint(prefix + digest)
 
 
+@functools.lru_cache(CACHED_PARTS)
+def part_fingerprint(service: ServiceName, part: PartId) -> Fingerprint:
+    """The fingerprint of a part of a prompt for one service."""
+    data = f"{len(service)}:{service}{part}".encode(errors="surrogateescape")
+    digest = hashlib.blake2b(data, digest_size=BODY_DIGEST_BYTES).digest()
+    return Fingerprint(PART_PREFIX + digest)
+
+
+def part_fingerprints(
+    service: ServiceName, parts: Iterable[PartId]
+) -> tuple[Fingerprint, ...]:
+    """The fingerprints of the first :data:`MAX_PARTS` parts of a prompt."""
+    return tuple(
+        part_fingerprint(service, part) for part in itertools.islice(parts, MAX_PARTS)
+    )
+
+
+def is_part(fingerprint: Fingerprint) -> bool:
+    """Whether ``fingerprint`` is that of a part of prompts."""
+    return prefix_in(fingerprint) == PART_PREFIX
+
+
 def prefix_in(fingerprint: Fingerprint) -> FingerprintPrefix:
     """The first part of ``fingerprint``."""
     return FingerprintPrefix(fingerprint[:PREFIX_BYTES])
--- a/src/celerytrack/gateway/crash_detector.py
+++ b/src/celerytrack/gateway/crash_detector.py
@@ -11,7 +11,7 @@
 
 import attrs
 
-from celerytrack.fingerprint import Fingerprint
+from celerytrack.fingerprint import Fingerprint, part_fingerprints
 from celerytrack.ids import EndpointId, PartId
 from celerytrack.process_end import has_ended
 from celerytrack.routing.endpoint import Endpoint
@@ -44,6 +44,14 @@
     endpoint: Endpoint
     interrupted: frozenset[Interrupted]
 
+    def features(self) -> set[Fingerprint]:
+        """The fingerprints of the interrupted requests and of their prompts' parts."""
+        service = self.endpoint.registration.service
+        found = {request.fingerprint for request in self.interrupted}
+        for request in self.interrupted:
+            found.update(part_fingerprints(service, request.parts))
+        return found
+
     def most_shared_parts(self) -> dict[PartId, int]:
         """The parts of most of the interrupted requests, and how many had each."""
         counts = Counter(part for r in self.interrupted for part in set(r.parts))
--- a/src/celerytrack/gateway/exchange.py
+++ b/src/celerytrack/gateway/exchange.py
@@ -11,6 +11,7 @@
     FingerprintPrefix,
     RequestHead,
     fingerprint_of,
+    part_fingerprints,
     prefix_of,
 )
 from celerytrack.ids import AccountId, EndpointId, EntryId, ServiceName
@@ -97,6 +98,7 @@
         sent the request there.
     :ivar writer: what writes the answer of the attempt in progress.
     :ivar events: parser of the stream, which counts the events relayed so far.
+    :ivar probed: suspected features of the request for which this attempt is a probe.
     :ivar timeout: ends the wait for tokens and the attempts at ``deadline_at_s``.
     """
 
@@ -128,6 +130,7 @@
     origin_endpoint: EndpointId | None = None
     writer: StreamOrigin | None = None
     events: EventSplitter = attrs.field(factory=EventSplitter)
+    probed: list[Fingerprint] = attrs.field(factory=list)
     timeout: asyncio.Timeout | None = None
     _fingerprint_prefix: FingerprintPrefix | None = None
     _fingerprint: Fingerprint | None = None
@@ -153,6 +156,11 @@
             self._fingerprint = fingerprint_of(self.fingerprint_prefix, self.body)
         return self._fingerprint
 
+    @property
+    def part_fingerprints(self) -> tuple[Fingerprint, ...]:
+        """The values that all requests share whose prompts have the same parts."""
+        return part_fingerprints(self.service, self.facts.shared_parts)
+
     @property
     def profile(self) -> RequestProfile:
         """The service, the prompt and the origin, by which an endpoint is chosen."""
--- a/src/celerytrack/gateway/quarantine.py
+++ b/src/celerytrack/gateway/quarantine.py
@@ -10,6 +10,7 @@
 
 from celerytrack.events import Event, log_event
 from celerytrack.findings import Probe
+from celerytrack.fingerprint import PART_PREFIX, Fingerprint, is_part
 from celerytrack.gateway.exchange import AttemptFailure, Exchange
 from celerytrack.gateway.state import Gateway
 from celerytrack.ids import EndpointId
@@ -22,6 +23,8 @@
 
 TYPICAL_PROBE_S = 1.0
 """``Retry-After`` during a half-open probe: most probes have ended by then."""
+MAX_PART_CHARS = 80
+"""Most characters of a part's name in a refusal."""
 OPERATOR_LIFT_RETRY_AFTER_S = 3_600.0
 """``Retry-After`` if only an operator can lift the quarantine, who may do so
 meanwhile."""
@@ -32,24 +35,48 @@
 ) -> SuspectState:
     """Return how suspect a request is now."""
     tracker = gateway.suspect_sync.tracker
-    if not tracker or not tracker.has_prefix(exchange.fingerprint_prefix):
+    if not tracker:
+        return SuspectState.CLEAR
+    features = _suspected_features(gateway, exchange)
+    if not features:
         return SuspectState.CLEAR
     builds = gateway.endpoints.available_builds(exchange.service, now_s)
-    return tracker.state_of(exchange.fingerprint, builds, now_s)
+    return tracker.state_of_request(features, builds, now_s)
+
+
+def _suspected_features(gateway: Gateway, exchange: Exchange) -> list[Fingerprint]:
+    """The features of a request that may be suspected."""
+    tracker = gateway.suspect_sync.tracker
+    features: list[Fingerprint] = []
+    if tracker.has_prefix(PART_PREFIX):
+        features.extend(exchange.part_fingerprints)
+    if tracker.has_prefix(exchange.fingerprint_prefix):
+        features.append(exchange.fingerprint)
+    return features
 
 
 def quarantine_refusal(gateway: Gateway, exchange: Exchange, now_s: float) -> Refusal:
     """Return the refusal of a quarantined request."""
-    allowed_in_s = gateway.suspect_sync.tracker.retry_after_s(
-        exchange.fingerprint, now_s
-    )
+    tracker = gateway.suspect_sync.tracker
+    worst = tracker.worst_of(_suspected_features(gateway, exchange))
+    allowed_in_s: float | None = 0.0
+    if worst is not None:
+        allowed_in_s = tracker.retry_after_s(worst, now_s)
     if allowed_in_s is None:
         allowed_in_s = OPERATOR_LIFT_RETRY_AFTER_S
-    detail = f"endpoints ended under request {exchange.fingerprint.hex()}"
+    detail = _quarantine_detail(exchange, worst or exchange.fingerprint)
     retry_after_s = max(allowed_in_s, TYPICAL_PROBE_S)
     return did_not_run(Reason.QUARANTINED, retry_after_s, detail)
 
 
+def _quarantine_detail(exchange: Exchange, worst: Fingerprint) -> str:
+    if not is_part(worst):
+        return f"endpoints ended under request {worst.hex()}"
+    names = zip(exchange.part_fingerprints, exchange.facts.shared_parts, strict=False)
+    name = dict(names).get(worst, "")[:MAX_PART_CHARS]
+    return f"endpoints ended under part {worst.hex()} ({name!r}) of prompts"
+
+
 def quarantine_failure(
     gateway: Gateway, exchange: Exchange, now_s: float
 ) -> AttemptFailure:
@@ -116,18 +143,24 @@
     :return: whether this entry may send the probe.
     """
     now_s = time.monotonic()
-    fingerprint = exchange.fingerprint
-    probe = Probe(fingerprint, endpoint.endpoint_id, exchange.deadline_at_s - now_s)
+    sync = gateway.suspect_sync
+    features = sync.tracker.to_probe(_suspected_features(gateway, exchange))
+    if not features:
+        # It was cleared meanwhile.
+        return True
+    left_s = exchange.deadline_at_s - now_s
+    probes = [Probe(f, endpoint.endpoint_id, left_s) for f in features]
     members = gateway.share_sync.members.live_peers(now_s)
     others = [member.entry_id for member in members]
-    if not await gateway.suspect_sync.begin_probe(probe, others):
+    if not await sync.begin_probes(probes, others):
         return False
+    exchange.probed = features
     log_event(
         _log,
         Event.SUSPECT_TRIED,
         logging.WARNING,
         request_id=exchange.facts.request_id,
-        fingerprint=fingerprint.hex(),
+        fingerprint=features[0].hex(),
         endpoint=endpoint.endpoint_id,
     )
     return True
@@ -136,7 +169,7 @@
 def cancel_probe(gateway: Gateway, exchange: Exchange) -> None:
     """End an inconclusive probe, so that another may begin."""
     sync = gateway.suspect_sync
-    sync.publish(sync.tracker.cancel_probe(exchange.fingerprint))
+    sync.publish(sync.tracker.cancel_probes(exchange.probed))
 
 
 def cancel_probe_later(gateway: Gateway, exchange: Exchange) -> None:
@@ -148,13 +181,19 @@
     loop.call_later(CRASH_DETECTION_S, cancel_probe, gateway, exchange)
 
 
-def record_success(gateway: Gateway, exchange: Exchange) -> None:
-    """Clear a request after a complete answer: it did not cause the crashes of other
-    endpoints."""
-    sync = gateway.suspect_sync
-    if not sync.tracker or not sync.tracker.has_prefix(exchange.fingerprint_prefix):
+def record_success(gateway: Gateway, exchange: Exchange, build: str) -> None:
+    """Clear a request and the parts of its prompt after a complete answer: they did not
+    cause the crashes of other endpoints.
+
+    :param build: build of the endpoint that answered.
+    """
+    sync, now_s = gateway.suspect_sync, time.monotonic()
+    if exchange.facts.shared_parts:
+        sync.tracker.sound_parts.record(exchange.part_fingerprints, build, now_s)
+    if not sync.tracker:
         return
-    findings = sync.tracker.record_success(exchange.fingerprint, time.monotonic())
+    features = _suspected_features(gateway, exchange)
+    findings = sync.tracker.record_successes(features, now_s)
     if findings.is_empty:
         return
     sync.publish(findings)
@@ -163,6 +202,6 @@
         Event.SUSPECT_CLEARED,
         logging.WARNING,
         request_id=exchange.facts.request_id,
-        fingerprint=exchange.fingerprint.hex(),
+        fingerprint=findings.cleared[0].fingerprint.hex(),
         endings=[evidence.crash.endpoint_id for evidence in findings.cleared],
     )
--- a/src/celerytrack/gateway/sending.py
+++ b/src/celerytrack/gateway/sending.py
@@ -65,6 +65,10 @@
             return await _send_placed(gateway, exchange, placement, suspect_state)
         placed = await place(gateway, exchange, suspect_state)
         if isinstance(placed, Placement):
+            if suspect_state_of(gateway, exchange, time.monotonic()) != suspect_state:
+                # Endpoints crashed under it, or it was cleared, while it waited.
+                placed.end_lease(gateway, LeaseOutcome.FAILED)
+                continue
             return await _send_leased(gateway, exchange, placed, suspect_state)
         if not await wait_for_opening(gateway, exchange):
             return Failure(refused_until_opening(gateway, exchange, placed))
@@ -188,12 +192,13 @@
             returns.record_done(endpoint.endpoint_id)
     match result:
         case Success(answer):
+            build = registration.build
             if answer is not None and answer.status >= 500:
                 if answer.status != 503 or not is_backing_off(gateway, endpoint):
                     endpoints.record_failure(endpoint, False, time.monotonic())
             else:
                 endpoints.record_success(endpoint)
-                record_success(gateway, exchange)
+                record_success(gateway, exchange, build)
             gateway.reach.record_answer(exchange.service)
         case Failure(failure):
             placement.used = failure.sent
--- a/src/celerytrack/gateway/state.py
+++ b/src/celerytrack/gateway/state.py
@@ -253,9 +253,7 @@
         crash = Crash(
             registration.endpoint_id, registration.born_ms, registration.build
         )
-        found = self.suspect_sync.tracker.record_crash(
-            crash, [r.fingerprint for r in crashed.interrupted], now_s
-        )
+        found = self.suspect_sync.tracker.record_crash(crash, crashed.features(), now_s)
         self.suspect_sync.publish(found)
         self._log_quarantined(found)
 
--- a/src/celerytrack/gateway/suspect_sync.py
+++ b/src/celerytrack/gateway/suspect_sync.py
@@ -107,8 +107,11 @@
         self.tracker.merge(findings, False, time.monotonic())
         self._on_change(findings)
 
-    async def begin_probe(self, probe: Probe, others: Sequence[EntryId]) -> bool:
-        """Begin a half-open probe: one entry sends the request, and no other does.
+    async def begin_probes(
+        self, probes: Sequence[Probe], others: Sequence[EntryId]
+    ) -> bool:
+        """Begin a half-open probe of the suspected features of one request: one entry
+        sends it, and no other sends one with any of them.
 
         While the log accepts no records, some entries may not learn of the probe. Then
         only the entry that comes first in rendezvous order among the live ones may send
@@ -117,7 +120,8 @@
         :param others: the other live entries.
         :return: whether this entry may send the probe.
         """
-        findings = self.tracker.begin_probe(probe, time.monotonic())
+        fingerprints = [probe.fingerprint for probe in probes]
+        findings = self.tracker.begin_probes(probes, time.monotonic())
         if findings is None:
             return False
         self.publish(findings)
@@ -125,12 +129,12 @@
             logged = self._log_writable and await self._wait_logged(PUBLISH_TIMEOUT_S)
         except asyncio.CancelledError:
             # The caller has disconnected, or the deadline has passed.
-            self.publish(self.tracker.cancel_probe(probe.fingerprint))
+            self.publish(self.tracker.cancel_probes(fingerprints))
             raise
-        allowed = logged or self._is_preferred(probe.fingerprint, others)
-        if allowed and self.tracker.is_probing(probe.fingerprint):
+        allowed = logged or self._is_preferred(fingerprints[0], others)
+        if allowed and self.tracker.is_probing(fingerprints):
             return True
-        self.publish(self.tracker.cancel_probe(probe.fingerprint))
+        self.publish(self.tracker.cancel_probes(fingerprints))
         return False
 
     def _is_preferred(
--- a/src/celerytrack/lab/crash_endpoints.py
+++ b/src/celerytrack/lab/crash_endpoints.py
@@ -29,12 +29,19 @@
 class ModelRequest:
     """A request, the same at each repetition.
 
+    :ivar parts: parts of its prompt, which other requests may have.
     :ivar lasts_s: how long it runs, or until it crashes its endpoint.
     """
 
     fingerprint: Fingerprint
     crashes: bool
     lasts_s: float
+    parts: tuple[Fingerprint, ...] = ()
+
+    @property
+    def features(self) -> tuple[Fingerprint, ...]:
+        """What may crash endpoints: the whole request or one of its parts."""
+        return (*self.parts, self.fingerprint)
 
 
 @attrs.define(eq=False)
--- a/src/celerytrack/lab/crash_entry.py
+++ b/src/celerytrack/lab/crash_entry.py
@@ -178,7 +178,7 @@
         if self.sync is None or not self._tracking:
             return SuspectState.CLEAR
         now_s = asyncio.get_running_loop().time()
-        return self.sync.tracker.state_of(request.fingerprint, {BUILD}, now_s)
+        return self.sync.tracker.state_of_request(request.features, {BUILD}, now_s)
 
     def _choose(
         self, state: SuspectState, tried: Sequence[EndpointId]
@@ -215,12 +215,13 @@
         others: Sequence[EntryId],
     ) -> bool:
         assert self.sync is not None
-        probe = Probe(request.fingerprint, endpoint.endpoint_id, PROBE_S)
-        return await self.sync.begin_probe(probe, others)
+        features = self.sync.tracker.to_probe(request.features)
+        probes = [Probe(f, endpoint.endpoint_id, PROBE_S) for f in features]
+        return await self.sync.begin_probes(probes, others)
 
     def _cancel_probe(self, request: ModelRequest) -> None:
         if self.sync is not None:
-            self.sync.publish(self.sync.tracker.cancel_probe(request.fingerprint))
+            self.sync.publish(self.sync.tracker.cancel_probes(request.features))
 
     def _record_crash(self, request: ModelRequest, endpoint: ModelEndpoint) -> None:
         if self.sync is None or not self._tracking:
@@ -228,10 +229,12 @@
         now_s = asyncio.get_running_loop().time()
         crash = Crash(endpoint.endpoint_id, 0, BUILD)
         tracker = self.sync.tracker
-        self.sync.publish(tracker.record_crash(crash, [request.fingerprint], now_s))
+        self.sync.publish(tracker.record_crash(crash, request.features, now_s))
 
     def _record_success(self, request: ModelRequest) -> None:
         if self.sync is None or not self._tracking:
             return
         now_s = asyncio.get_running_loop().time()
-        self.sync.publish(self.sync.tracker.record_success(request.fingerprint, now_s))
+        tracker = self.sync.tracker
+        tracker.sound_parts.record(request.parts, BUILD, now_s)
+        self.sync.publish(tracker.record_successes(request.features, now_s))
--- a/src/celerytrack/suspect_logs.py
+++ b/src/celerytrack/suspect_logs.py
@@ -13,6 +13,7 @@
         Event.SUSPECT_SHUT_OUT,
         logging.WARNING,
         fingerprint=suspect.fingerprint.hex(),
+        kind=suspect.kind,
         endings=[crash.endpoint_id for crash in suspect.crashes],
         free_in_s=suspect.quarantine_left_s,
     )
--- a/src/celerytrack/suspects.py
+++ b/src/celerytrack/suspects.py
@@ -1,8 +1,11 @@
 """Quarantine of requests that may have crashed their endpoints, without I/O.
 
 A request that crashes its endpoint is repeated at any entry, and crashes each endpoint
-that runs it. Evidence is therefore kept per request, by fingerprint, and is the same at
-all entries: a grow-only set of crashes and a grow-only set of cleared crashes.
+that runs it. Evidence is therefore kept by features of requests, and is the same at all
+entries: a grow-only set of crashes and a grow-only set of cleared crashes for each. A
+feature is a fingerprint: of a whole request, or of a part of its prompt, which
+crashes endpoints whatever else the request holds. A request is as suspect as the
+worst of its features.
 
 Harmless requests that run beside a crashing request are suspected too. A request that
 succeeds at any entry is cleared of all its crashes. A request that was running in two
@@ -10,13 +13,19 @@
 """
 
 import enum
-from collections.abc import Collection, Iterable
+from collections.abc import Collection, Iterable, Sequence
 
 import attrs
 
 from celerytrack.findings import Crash, Evidence, Findings, Probe
-from celerytrack.fingerprint import Fingerprint, FingerprintPrefix, prefix_in
+from celerytrack.fingerprint import (
+    Fingerprint,
+    FingerprintPrefix,
+    is_part,
+    prefix_in,
+)
 from celerytrack.ids import EndpointId, EntryId
+from celerytrack.sound_parts import SoundParts
 
 CRASHES_TO_PROBE = 2
 CRASHES_TO_QUARANTINE = 3
@@ -53,6 +62,10 @@
     """The request is not sent to any endpoint."""
 
 
+_SEVERITY = list(SuspectState)
+"""The states, from the least to the most suspect."""
+
+
 @attrs.define
 class _ActiveProbe:
     """A probe in progress, of this or another entry."""
@@ -85,7 +98,7 @@
 
 @attrs.frozen
 class Suspect:
-    """One suspected request, as operators see it.
+    """One suspected feature of requests, as operators see it.
 
     :ivar quarantine_left_s: time until it may be probed; ``None`` if only an operator
         can lift the quarantine.
@@ -96,6 +109,11 @@
     crashes: tuple[Crash, ...]
     quarantine_left_s: float | None
 
+    @property
+    def kind(self) -> str:
+        """Whether it is a whole request or a part of prompts."""
+        return "part" if is_part(self.fingerprint) else "request"
+
 
 class SuspectTracker:
     """The suspected requests, as one entry knows them.
@@ -105,7 +123,9 @@
 
     def __init__(self, entry_id: EntryId) -> None:
         self.entry_id = entry_id
+        self.sound_parts = SoundParts()
         self._suspects: dict[Fingerprint, _Suspicion] = {}
+        self._quarantinable: set[Fingerprint] = set()
         self._prefix_counts: dict[FingerprintPrefix, int] = {}
         self._probes: dict[Fingerprint, _ActiveProbe] = {}
         self._own_evidence: dict[Evidence, float] = {}
@@ -131,7 +151,11 @@
 
         :returns: what to send to the other entries.
         """
-        found = tuple(Evidence(fingerprint, crash) for fingerprint in fingerprints)
+        found = tuple(
+            Evidence(fingerprint, crash)
+            for fingerprint in fingerprints
+            if not self.sound_parts.is_sound(fingerprint, crash.build, now_s)
+        )
         for evidence in found:
             self._own_evidence[evidence] = now_s
             self._add_crash(evidence, now_s)
@@ -145,7 +169,10 @@
             probes that are missing there are over.
         """
         for evidence in findings.evidence:
+            fingerprint, build = evidence.fingerprint, evidence.crash.build
             self._add_crash(evidence, now_s)
+            if self.sound_parts.is_sound(fingerprint, build, now_s):
+                self._clear(evidence, now_s)
         for evidence in findings.cleared:
             self._clear(evidence, now_s)
         if complete:
@@ -181,6 +208,17 @@
         self._own_cleared.update(dict.fromkeys(findings.cleared, now_s))
         return findings
 
+    def record_successes(
+        self, fingerprints: Iterable[Fingerprint], now_s: float
+    ) -> Findings:
+        """Clear the features of a request that succeeded.
+
+        :returns: what to send to the other entries.
+        """
+        found = [self.record_success(f, now_s) for f in fingerprints]
+        cleared = tuple(evidence for findings in found for evidence in findings.cleared)
+        return Findings(self.entry_id, cleared=cleared)
+
     def lift(self, fingerprint: Fingerprint, now_s: float) -> Findings:
         """Clear a request of all its crashes, which ends its quarantine.
 
@@ -220,6 +258,57 @@
         may_probe = left_s <= 0 or other_builds
         return SuspectState.PROBE_ONLY if may_probe else SuspectState.QUARANTINED
 
+    def state_of_request(
+        self, features: Collection[Fingerprint], builds: Collection[str], now_s: float
+    ) -> SuspectState:
+        """Whether and how a request with ``features`` may be sent."""
+        states = {self._state_among(f, features, builds, now_s) for f in features}
+        return max(states, key=_SEVERITY.index, default=SuspectState.CLEAR)
+
+    def _state_among(
+        self,
+        fingerprint: Fingerprint,
+        features: Collection[Fingerprint],
+        builds: Collection[str],
+        now_s: float,
+    ) -> SuspectState:
+        """The state of one of the ``features`` of a request.
+
+        Two features that were in the same crashes can't be told apart by them: without
+        the other one, the request is a probe.
+        """
+        state = self.state_of(fingerprint, builds, now_s)
+        if state is SuspectState.QUARANTINED and self._is_explained(
+            fingerprint, features
+        ):
+            return SuspectState.PROBE_ONLY
+        return state
+
+    def _is_explained(
+        self, fingerprint: Fingerprint, features: Collection[Fingerprint]
+    ) -> bool:
+        """Whether a feature that the request lacks was in all crashes of one that it
+        has."""
+        crashes = set(self._suspects[fingerprint].uncleared)
+        return any(
+            crashes.issubset(self._suspects[other].uncleared)
+            for other in self._quarantinable
+            if other not in features
+        )
+
+    def to_probe(self, features: Iterable[Fingerprint]) -> list[Fingerprint]:
+        """Those of a request's features that only a probe may have, the one with most
+        crashes first."""
+        counts = {
+            f: len(self._suspects[f].uncleared) for f in features if f in self._suspects
+        }
+        suspects = [f for f, count in counts.items() if count >= CRASHES_TO_PROBE]
+        return sorted(suspects, key=lambda f: (-counts[f], f))
+
+    def worst_of(self, features: Iterable[Fingerprint]) -> Fingerprint | None:
+        """The feature of a request with most crashes; ``None`` if none has any."""
+        return next(iter(self.to_probe(features)), None)
+
     def retry_after_s(self, fingerprint: Fingerprint, now_s: float) -> float | None:
         """Time until a request that is quarantined or being probed may be sent;
         ``None`` if an operator must lift the quarantine."""
@@ -233,36 +322,40 @@
         left_s = _quarantine_left_s(suspicion, now_s)
         return None if left_s is None else max(0.0, left_s, probe_s)
 
-    def begin_probe(self, probe: Probe, now_s: float) -> Findings | None:
-        """Begin a probe of a request.
+    def begin_probes(self, probes: Sequence[Probe], now_s: float) -> Findings | None:
+        """Begin to probe the suspected features of one request.
 
-        :returns: what to send to the other entries; ``None`` if a probe of the request
+        :returns: what to send to the other entries; ``None`` if a probe of one of them
             is in progress.
         """
-        active = self._probes.get(probe.fingerprint)
-        if active is not None and active.ends_s > now_s:
+        known = (self._probes.get(probe.fingerprint) for probe in probes)
+        if any(active is not None and active.ends_s > now_s for active in known):
             return None
-        ends_s = now_s + probe.remaining_s
-        self._probes[probe.fingerprint] = _ActiveProbe(
-            self.entry_id, probe.endpoint_id, ends_s
-        )
-        return Findings(self.entry_id, probes=(probe,))
+        for probe in probes:
+            ends_s = now_s + probe.remaining_s
+            self._probes[probe.fingerprint] = _ActiveProbe(
+                self.entry_id, probe.endpoint_id, ends_s
+            )
+        return Findings(self.entry_id, probes=tuple(probes))
 
-    def is_probing(self, fingerprint: Fingerprint) -> bool:
-        """Whether this entry has a probe of the request in progress."""
-        active = self._probes.get(fingerprint)
-        return active is not None and active.entry_id == self.entry_id
+    def is_probing(self, fingerprints: Iterable[Fingerprint]) -> bool:
+        """Whether this entry has probes of all these features in progress."""
+        known = (self._probes.get(fingerprint) for fingerprint in fingerprints)
+        return all(
+            active is not None and active.entry_id == self.entry_id for active in known
+        )
 
-    def cancel_probe(self, fingerprint: Fingerprint) -> Findings:
-        """End this entry's probe without a result.
+    def cancel_probes(self, fingerprints: Iterable[Fingerprint]) -> Findings:
+        """End this entry's probes without a result.
 
         :returns: what to send to the other entries.
         """
-        if not self.is_probing(fingerprint):
-            return Findings(self.entry_id)
-        active = self._probes.pop(fingerprint)
-        finished = Probe(fingerprint, active.endpoint_id, 0.0)
-        return Findings(self.entry_id, probes=(finished,))
+        finished = []
+        for fingerprint in fingerprints:
+            if self.is_probing([fingerprint]):
+                active = self._probes.pop(fingerprint)
+                finished.append(Probe(fingerprint, active.endpoint_id, 0.0))
+        return Findings(self.entry_id, probes=tuple(finished))
 
     def probed_endpoints(self, now_s: float) -> set[EndpointId]:
         """The endpoints at which probes are in progress."""
@@ -346,6 +439,7 @@
 
     def _evict(self, fingerprint: Fingerprint) -> None:
         del self._suspects[fingerprint]
+        self._quarantinable.discard(fingerprint)
         self._probes.pop(fingerprint, None)
         prefix = prefix_in(fingerprint)
         self._prefix_counts[prefix] -= 1
@@ -365,6 +459,8 @@
         if evidence.crash in suspicion.crashes:
             return
         suspicion.crashes[evidence.crash] = now_s
+        if len(suspicion.crashes) >= CRASHES_TO_QUARANTINE:
+            self._quarantinable.add(evidence.fingerprint)
         active = self._probes.get(evidence.fingerprint)
         if active is not None and active.endpoint_id == evidence.crash.endpoint_id:
             del self._probes[evidence.fingerprint]
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -243,13 +243,13 @@
         deadline, and no entry could probe the request again."""
         self.fleet.log.unresponsive = True
         probe = Probe(self.fingerprint, EndpointId("i-9"), 60.0)
-        task = asyncio.create_task(self.sync.begin_probe(probe, []))
+        task = asyncio.create_task(self.sync.begin_probes([probe], []))
         await asyncio.sleep(0.1)
-        self.assertTrue(self.sync.tracker.is_probing(self.fingerprint))
+        self.assertTrue(self.sync.tracker.is_probing([self.fingerprint]))
         task.cancel()
         with self.assertRaises(asyncio.CancelledError):
             await task
-        self.assertFalse(self.sync.tracker.is_probing(self.fingerprint))
+        self.assertFalse(self.sync.tracker.is_probing([self.fingerprint]))
         self.fleet.log.unresponsive = False
 
     @params(("e0@127.0.0.1", True), ("another", False))
@@ -278,7 +278,7 @@
                 crash = Crash(EndpointId(f"i-{number}"))
                 sync.tracker.record_crash(crash, [fingerprint], time.monotonic())
             probe = Probe(fingerprint, EndpointId("i-9"), 60.0)
-            self.assertEqual(await sync.begin_probe(probe, others), may)
+            self.assertEqual(await sync.begin_probes([probe], others), may)
 
 
 class EvidenceTest(unittest.IsolatedAsyncioTestCase):
--- a/tests/test_own_crashing.py
+++ b/tests/test_own_crashing.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import time
+import types
 import unittest
 
 import attrs
@@ -10,12 +11,13 @@
 from celerytrack.entry.peers import Heartbeat
 from celerytrack.entry.state import EntryState
 from celerytrack.entry.suspects import EntrySuspects
-from celerytrack.findings import Findings, Probe
+from celerytrack.findings import Crash, Findings, Probe
 from celerytrack.fingerprint import Fingerprint
 from celerytrack.ids import EndpointId, EntryId, ReplicaId
 from celerytrack.load.mix import MIXES
 from celerytrack.load.runner import REPEATED, Plan, run_plan
 from celerytrack.settings import FleetSettings, load_json
+from celerytrack.suspects import CRASHES_TO_PROBE
 from tests.fleet import ROOT, Fleet, get_json
 
 KNOWN = Fingerprint(b"r" * 16)
@@ -64,13 +66,17 @@
         """Guards against a claim that stays for a minute, in which no entry can try the
         request, after the caller disconnected while the claim was being propagated."""
         suspects = EntrySuspects(EntryId("e1"))
-        claim = asyncio.create_task(suspects.begin_probe(KNOWN, ReplicaId("r"), 60.0))
+        for number in range(CRASHES_TO_PROBE):
+            crash = Crash(EndpointId("r"), number)
+            suspects.tracker.record_crash(crash, [KNOWN], 0.0)
+        request = types.SimpleNamespace(fingerprint=KNOWN, part_fingerprints=())
+        claim = asyncio.create_task(suspects.begin_probe(request, ReplicaId("r"), 60.0))
         await asyncio.sleep(0)
-        self.assertTrue(suspects.tracker.is_probing(KNOWN))
+        self.assertTrue(suspects.tracker.is_probing([KNOWN]))
         claim.cancel()
         with self.assertRaises(asyncio.CancelledError):
             await claim
-        self.assertFalse(suspects.tracker.is_probing(KNOWN))
+        self.assertFalse(suspects.tracker.is_probing([KNOWN]))
 
     def test_a_heartbeat_without_findings_ends_the_probes_of_its_entry(self) -> None:
         """Guards against a probe without a result that blocks the request for a
--- a/tests/test_suspects.py
+++ b/tests/test_suspects.py
@@ -9,17 +9,21 @@
 
 from celerytrack.findings import Crash, Evidence, Findings, Probe
 from celerytrack.fingerprint import (
+    MAX_PARTS,
     Fingerprint,
     FingerprintPrefix,
     fingerprint_of,
+    part_fingerprint,
+    part_fingerprints,
     prefix_in,
 )
-from celerytrack.ids import EndpointId, EntryId
+from celerytrack.ids import EndpointId, EntryId, PartId, ServiceName
 from celerytrack.platform.suspect_records import (
     FindingsError,
     decode_findings,
     encode_findings,
 )
+from celerytrack.sound_parts import SOUND_S
 from celerytrack.suspects import (
     MAX_PUBLISHED,
     MAX_SUSPECTS,
@@ -110,6 +114,123 @@
         self.assertEqual(tracker.state_of(BAD, {V1}, 2.0), SuspectState.CLEAR)
 
 
+SERVICE = ServiceName("s")
+GUILTY, BESIDE, COMMON = (part_fingerprint(SERVICE, PartId(f"m/{n}")) for n in "gbc")
+
+
+def _request(number: int, *parts: Fingerprint) -> list[Fingerprint]:
+    """The features of a request that is like no other."""
+    return [*parts, fingerprint_of(PREFIX, b"request %d" % number)]
+
+
+def _crash_under(tracker: SuspectTracker, *parts: Fingerprint) -> None:
+    """Three endpoints crash under different requests with the same parts."""
+    for number in range(3):
+        tracker.record_crash(_crash(number), _request(number, *parts), 0.0)
+
+
+class PartTest(unittest.TestCase):
+    def _state(
+        self, tracker: SuspectTracker, *parts: Fingerprint, at_s: float = 1.0
+    ) -> SuspectState:
+        return tracker.state_of_request(_request(99, *parts), {V1}, at_s)
+
+    @params(
+        (0, SuspectState.CLEAR),
+        (1, SuspectState.WATCHED),
+        (2, SuspectState.PROBE_ONLY),
+        (3, SuspectState.QUARANTINED),
+    )
+    def test_the_state_follows_the_crashes_under_a_part(
+        self, crashes: int, state: SuspectState
+    ) -> None:
+        """No two requests were alike, and each endpoint that got one crashed."""
+        tracker = SuspectTracker(ME)
+        for number in range(crashes):
+            tracker.record_crash(_crash(number), _request(number, GUILTY), 0.0)
+        self.assertEqual(self._state(tracker, GUILTY), state)
+        self.assertEqual(self._state(tracker, COMMON), SuspectState.CLEAR)
+
+    @params((V1, SuspectState.CLEAR), (V2, SuspectState.QUARANTINED))
+    def test_a_part_that_is_answered_is_no_suspect(
+        self, build: str, state: SuspectState
+    ) -> None:
+        """A system prompt was held back with the part beside it, or a part stayed free
+        that a new build does not bear."""
+        tracker = SuspectTracker(ME)
+        tracker.sound_parts.record([COMMON], build, 0.0)
+        _crash_under(tracker, COMMON)
+        self.assertEqual(self._state(tracker, COMMON, BESIDE), state)
+
+    def test_a_part_that_is_answered_here_is_not_held_back_by_others(self) -> None:
+        """An entry that had just started named a system prompt, and all refused it."""
+        tracker = SuspectTracker(ME)
+        tracker.sound_parts.record([COMMON], V1, 0.0)
+        found = tuple(Evidence(COMMON, _crash(n)) for n in range(3))
+        tracker.merge(Findings(OTHER, found), False, 1.0)
+        self.assertEqual(self._state(tracker, COMMON), SuspectState.CLEAR)
+
+    def test_an_answer_long_ago_shows_nothing(self) -> None:
+        """A part that had been sound for a day went on crashing endpoints."""
+        tracker = SuspectTracker(ME)
+        tracker.sound_parts.record([GUILTY], V1, -SOUND_S)
+        _crash_under(tracker, GUILTY)
+        self.assertEqual(self._state(tracker, GUILTY), SuspectState.QUARANTINED)
+
+    def test_a_part_that_stood_beside_a_guilty_one_may_be_probed_alone(self) -> None:
+        """A sound part that was only seen beside a guilty one was held back alone."""
+        tracker = SuspectTracker(ME)
+        _crash_under(tracker, GUILTY, BESIDE)
+        both = self._state(tracker, GUILTY, BESIDE)
+        self.assertEqual(both, SuspectState.QUARANTINED)
+        self.assertEqual(self._state(tracker, BESIDE), SuspectState.PROBE_ONLY)
+        tracker.record_successes(_request(9, BESIDE), 2.0)
+        self.assertEqual(self._state(tracker, BESIDE), SuspectState.CLEAR)
+        self.assertEqual(self._state(tracker, GUILTY), SuspectState.QUARANTINED)
+
+    def test_a_part_that_crashes_alone_is_probed_so_once(self) -> None:
+        """Each request with a guilty part was a probe of another pair."""
+        tracker = SuspectTracker(ME)
+        _crash_under(tracker, GUILTY, BESIDE)
+        tracker.record_crash(_crash(3), _request(3, GUILTY), 0.0)
+        self.assertEqual(self._state(tracker, GUILTY), SuspectState.QUARANTINED)
+
+    def test_a_probe_claims_all_suspected_parts(self) -> None:
+        """Two requests with the same guilty part and others beside it were probed at
+        once."""
+        tracker = SuspectTracker(ME)
+        for number in range(2):
+            features = _request(number, GUILTY, BESIDE, COMMON)
+            tracker.record_crash(_crash(number), features, 0.0)
+        first = tracker.to_probe(_request(8, GUILTY, BESIDE))
+        self.assertEqual(set(first), {GUILTY, BESIDE})
+        probes = [Probe(f, EndpointId("i-8"), 5.0) for f in first]
+        self.assertIsNotNone(tracker.begin_probes(probes, 1.0))
+        second = tracker.to_probe(_request(9, COMMON, GUILTY))
+        probes = [Probe(f, EndpointId("i-9"), 5.0) for f in second]
+        self.assertIsNone(tracker.begin_probes(probes, 1.1))
+        self.assertFalse(tracker.is_probing([COMMON]))
+
+    def test_a_flood_of_parts_does_not_free_a_guilty_one(self) -> None:
+        """An account that named thousands of parts had the evidence evicted."""
+        tracker = SuspectTracker(ME)
+        _crash_under(tracker, GUILTY)
+        for number in range(2 * MAX_SUSPECTS // MAX_PARTS):
+            names = (PartId(f"m/{number}/{n}") for n in range(10 * MAX_PARTS))
+            parts = part_fingerprints(SERVICE, names)
+            tracker.record_crash(_crash(10 + number), parts, 1.0 + number)
+        self.assertLessEqual(len(tracker), MAX_SUSPECTS)
+        self.assertEqual(self._state(tracker, GUILTY), SuspectState.QUARANTINED)
+
+    def test_names_of_any_bytes_are_told_apart(self) -> None:
+        """A name that is no text ended the request, or the entry."""
+        names = ["m/", "m/\udcff", "m//", "m/" + "x" * 10_000]
+        found = part_fingerprints(SERVICE, [PartId(name) for name in names])
+        self.assertEqual(len(set(found)), len(names))
+        other = part_fingerprint(ServiceName("other"), PartId("m/"))
+        self.assertNotIn(other, found)
+
+
 class QuarantineEndTest(unittest.TestCase):
     @params(
         (3, QUARANTINE_PERIODS_S[0]),
@@ -156,25 +277,25 @@
 
     def test_one_entry_at_a_time_probes_a_request(self) -> None:
         tracker = _tracker(2)
-        self.assertIsNotNone(tracker.begin_probe(self._probe(), 0.0))
-        self.assertIsNone(tracker.begin_probe(self._probe(), 1.0))
-        tracker.cancel_probe(BAD)
-        self.assertIsNotNone(tracker.begin_probe(self._probe(), 2.0))
+        self.assertIsNotNone(tracker.begin_probes([self._probe()], 0.0))
+        self.assertIsNone(tracker.begin_probes([self._probe()], 1.0))
+        tracker.cancel_probes([BAD])
+        self.assertIsNotNone(tracker.begin_probes([self._probe()], 2.0))
 
     def test_a_probe_of_an_entry_that_is_gone_expires(self) -> None:
         tracker = _tracker(2)
         tracker.merge(Findings(OTHER, probes=(self._probe(),)), False, 0.0)
-        self.assertIsNone(tracker.begin_probe(self._probe(), 4.9))
-        self.assertIsNotNone(tracker.begin_probe(self._probe(), 5.0))
+        self.assertIsNone(tracker.begin_probes([self._probe()], 4.9))
+        self.assertIsNotNone(tracker.begin_probes([self._probe()], 5.0))
 
     @params((EntryId("a"), False), (EntryId("z"), True))
     def test_of_two_concurrent_probes_the_lower_entry_id_wins(
         self, other: EntryId, wins: bool
     ) -> None:
         tracker = _tracker(2)
-        tracker.begin_probe(self._probe(), 0.0)
+        tracker.begin_probes([self._probe()], 0.0)
         tracker.merge(Findings(other, probes=(self._probe(),)), False, 0.001)
-        self.assertEqual(tracker.is_probing(BAD), wins)
+        self.assertEqual(tracker.is_probing([BAD]), wins)
 
     @params(
         (
@@ -186,9 +307,9 @@
     )
     def test_a_probe_is_over_when(self, _: str, act: object) -> None:
         tracker = _tracker(2)
-        tracker.begin_probe(self._probe(), 0.0)
+        tracker.begin_probes([self._probe()], 0.0)
         act(tracker)  # type: ignore[operator]
-        self.assertFalse(tracker.is_probing(BAD))
+        self.assertFalse(tracker.is_probing([BAD]))
         self.assertEqual(tracker.probed_endpoints(1.0), set())
 
 
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -42,7 +42,10 @@
 
 def _admitted(work: types.SimpleNamespace) -> types.SimpleNamespace:
     return types.SimpleNamespace(
-        work=work, request_id=RequestId("r"), fingerprint=Fingerprint(b"r" * 16)
+        work=work,
+        request_id=RequestId("r"),
+        fingerprint=Fingerprint(b"r" * 16),
+        part_fingerprints=(),
     )
 
 
