Entries that answer a part tell those that suspect it

Cause: an entry that had answered the part lately took it for sound by itself, and said nothing; entries with few callers had no answer of it, and named and held it back; and no single guilty part was in all of its crashes. Change: an entry that hears of two crashes under a part which it answers tells all, after a random time of up to 0.2 s, so that one message is enough (own interface: in its next heartbeat).

--- a/src/celerytrack/entry/suspects.py
+++ b/src/celerytrack/entry/suspects.py
@@ -113,6 +113,7 @@
         """The findings for the next heartbeat."""
         if not self.tracker:
             return None
+        self.tracker.clear_sound(now_s)
         findings = self.tracker.own_findings(now_s, time.time())
         return None if findings.is_empty else findings
 
--- a/src/celerytrack/gateway/server.py
+++ b/src/celerytrack/gateway/server.py
@@ -182,7 +182,7 @@
         return await handle_peer_request(transfer, known_row, request)
 
     async def _metrics(self, request: web.BaseRequest) -> web.StreamResponse:
-        self._gateway.update_suspect_metrics()
+        self._gateway.crash_findings.update_metrics()
         body = self._gateway.telemetry.render()
         return web.Response(body=body, content_type="text/plain")
 
--- a/src/celerytrack/gateway/state.py
+++ b/src/celerytrack/gateway/state.py
@@ -6,15 +6,13 @@
 import time
 import uuid
 
-from cachetools import LRUCache
-
 from celerytrack.durations import RecentDurations
 from celerytrack.eras import EraChange, EraTracker
 from celerytrack.events import Event, log_event
-from celerytrack.findings import Crash, Findings
-from celerytrack.fingerprint import Fingerprint
+from celerytrack.findings import Findings
 from celerytrack.gateway.connections import EndpointConnections
-from celerytrack.gateway.crash_detector import CrashDetector, CrashedEndpoint
+from celerytrack.gateway.crash_detector import CrashDetector
+from celerytrack.gateway.crash_findings import CrashFindings
 from celerytrack.gateway.endpoint_doubts import EndpointDoubts
 from celerytrack.gateway.endpoint_queries import is_reached_elsewhere
 from celerytrack.gateway.exchange import Exchange
@@ -57,8 +55,6 @@
 from celerytrack.routing.endpoints import EndpointPool
 from celerytrack.routing.retries import RetryBudget
 from celerytrack.routing.routes import RoutingTable
-from celerytrack.suspect_logs import log_quarantined
-from celerytrack.suspects import MAX_SUSPECTS, SuspectState
 
 _log = logging.getLogger(__name__)
 
@@ -90,6 +86,7 @@
     :ivar relays_in_progress: requests of other entries in progress here.
     :ivar openings: requests that wait for an endpoint to open, by service.
     :ivar suspect_sync: tracks which requests crash endpoints, here and elsewhere.
+    :ivar crash_findings: what crashes of endpoints say of requests.
     :ivar suspects_in_flight: number of suspected requests that this entry has in
         flight at each endpoint.
     """
@@ -167,11 +164,12 @@
             lambda endpoint: self.reach.record_connected(endpoint.registration.service),
             self._doubt_endpoint,
         )
+        self.crash_findings: CrashFindings
         self.crash_detector = CrashDetector(
             self.endpoints.is_superseded,
             self._ends_by_itself,
             lambda endpoint: is_reached_elsewhere(self, endpoint),
-            self._on_endpoint_crash,
+            lambda crashed: self.crash_findings.on_crash(crashed),
         )
         self.suspect_sync = SuspectSync(
             self.store,
@@ -179,12 +177,12 @@
             self.boot_id,
             self.eras,
             self._send_findings,
-            self._log_quarantined,
+            lambda findings: self.crash_findings.on_merged(findings),
         )
-        self.suspects_in_flight: collections.Counter[EndpointId] = collections.Counter()
-        self._logged_quarantines: LRUCache[Fingerprint, frozenset[Crash]] = LRUCache(
-            MAX_SUSPECTS
+        self.crash_findings = CrashFindings(
+            self.suspect_sync, self.endpoints.mark_crashed, self.telemetry, self.rng
         )
+        self.suspects_in_flight: collections.Counter[EndpointId] = collections.Counter()
 
     @property
     def leaving(self) -> bool:
@@ -237,62 +235,12 @@
             self.config_known_at_s = float("-inf")
         self.endpoints.on_log_restored()
 
-    def _on_endpoint_crash(self, crashed: CrashedEndpoint) -> None:
-        self.telemetry.endpoints_ended.inc()
-        log_event(
-            _log,
-            Event.ENDPOINT_ENDED,
-            logging.WARNING,
-            endpoint=crashed.endpoint.endpoint_id,
-            fingerprints=sorted(r.fingerprint.hex() for r in crashed.interrupted),
-            parts=crashed.most_shared_parts(),
-        )
-        now_s = time.monotonic()
-        registration = crashed.endpoint.registration
-        self.endpoints.mark_crashed(registration.endpoint_id, now_s)
-        crash = Crash(
-            registration.endpoint_id, registration.born_ms, registration.build
-        )
-        found = self.suspect_sync.tracker.record_crash(crash, crashed.features(), now_s)
-        self.suspect_sync.publish(found)
-        self._log_quarantined(found)
-
     def _send_findings(self, findings: Findings) -> None:
         members = self.share_sync.members.live_peers(time.monotonic())
         self.suspect_sync.entry_count = len(members) + 1
         addresses = [member.peer_address for member in members]
         self.peer_messenger.send_findings(addresses, findings)
 
-    def _on_findings(self, findings: Findings) -> None:
-        now_s = time.monotonic()
-        for evidence in findings.evidence:
-            self.endpoints.mark_crashed(evidence.crash.endpoint_id, now_s)
-        self.suspect_sync.receive(findings)
-
-    def _log_quarantined(self, findings: Findings) -> None:
-        """Log newly quarantined requests, once for the same set of crashes."""
-        now_s = time.monotonic()
-        for fingerprint in {evidence.fingerprint for evidence in findings.evidence}:
-            suspect = self.suspect_sync.tracker.describe(fingerprint, now_s)
-            if suspect.state is not SuspectState.QUARANTINED:
-                continue
-            crashes = frozenset(suspect.crashes)
-            if self._logged_quarantines.get(fingerprint) == crashes:
-                continue
-            self._logged_quarantines[fingerprint] = crashes
-            log_quarantined(_log, suspect)
-
-    def update_suspect_metrics(self) -> None:
-        """Update the gauges of suspected requests."""
-        suspects = self.suspect_sync.tracker.list_suspects(time.monotonic())
-        counts = collections.Counter(suspect.state for suspect in suspects)
-        for state in (
-            SuspectState.WATCHED,
-            SuspectState.PROBE_ONLY,
-            SuspectState.QUARANTINED,
-        ):
-            self.telemetry.suspects.labels(state.value).set(counts[state])
-
     def _on_peer_message(self, message: PeerMessage) -> None:
         match message:
             case LongPromptMessage(endpoint_id, work_s):
@@ -302,7 +250,7 @@
                 log_event(_log, Event.PEER_LEAVING, entry=entry_id)
                 self.notices.tick(time.monotonic())
             case Findings():
-                self._on_findings(message)
+                self.crash_findings.receive(message)
             case LinkNews():
                 record_link_news(self, message)
             case EndpointEnded():
--- a/src/celerytrack/suspects.py
+++ b/src/celerytrack/suspects.py
@@ -169,10 +169,7 @@
             probes that are missing there are over.
         """
         for evidence in findings.evidence:
-            fingerprint, build = evidence.fingerprint, evidence.crash.build
             self._add_crash(evidence, now_s)
-            if self.sound_parts.is_sound(fingerprint, build, now_s):
-                self._clear(evidence, now_s)
         for evidence in findings.cleared:
             self._clear(evidence, now_s)
         if complete:
@@ -219,6 +216,33 @@
         cleared = tuple(evidence for findings in found for evidence in findings.cleared)
         return Findings(self.entry_id, cleared=cleared)
 
+    def clear_sound(self, now_s: float) -> Findings:
+        """Clear the parts that others suspect and that are answered here.
+
+        :returns: what to send to the other entries.
+        """
+        sound = [f for f in self._suspects if self._is_told_sound(f, now_s)]
+        return self.record_successes(sound, now_s)
+
+    def has_sound_suspects(self, findings: Findings, now_s: float) -> bool:
+        """Whether other entries suspect a part that is answered here."""
+        return any(self._is_told_sound(e.fingerprint, now_s) for e in findings.evidence)
+
+    def _is_told_sound(self, fingerprint: Fingerprint, now_s: float) -> bool:
+        suspicion = self._suspects.get(fingerprint)
+        return (
+            suspicion is not None
+            and len(suspicion.uncleared) >= CRASHES_TO_PROBE
+            and self._is_sound(fingerprint, now_s)
+        )
+
+    def _is_sound(self, fingerprint: Fingerprint, now_s: float) -> bool:
+        """Whether each build that crashed under a part has answered it here."""
+        builds = {crash.build for crash in self._suspects[fingerprint].uncleared}
+        return all(
+            self.sound_parts.is_sound(fingerprint, build, now_s) for build in builds
+        )
+
     def lift(self, fingerprint: Fingerprint, now_s: float) -> Findings:
         """Clear a request of all its crashes, which ends its quarantine.
 
@@ -247,6 +271,8 @@
         uncleared = suspicion.uncleared if suspicion else []
         if suspicion is None or not uncleared:
             return SuspectState.CLEAR
+        if self._is_sound(fingerprint, now_s):
+            return SuspectState.CLEAR
         if len(uncleared) < CRASHES_TO_PROBE:
             return SuspectState.WATCHED
         if len(uncleared) < CRASHES_TO_QUARANTINE:
@@ -287,14 +313,14 @@
     def _is_explained(
         self, fingerprint: Fingerprint, features: Collection[Fingerprint]
     ) -> bool:
-        """Whether a feature that the request lacks was in all crashes of one that it
-        has."""
-        crashes = set(self._suspects[fingerprint].uncleared)
-        return any(
-            crashes.issubset(self._suspects[other].uncleared)
-            for other in self._quarantinable
-            if other not in features
-        )
+        """Whether each crash of a feature was also one of another quarantined feature
+        that the request lacks."""
+        left = set(self._suspects[fingerprint].uncleared)
+        for other in self._quarantinable:
+            crashes = self._suspects[other].uncleared
+            if other not in features and len(crashes) >= CRASHES_TO_QUARANTINE:
+                left.difference_update(crashes)
+        return not left
 
     def to_probe(self, features: Iterable[Fingerprint]) -> list[Fingerprint]:
         """Those of a request's features that only a probe may have, the one with most
--- a/tests/test_crashing_parts.py
+++ b/tests/test_crashing_parts.py
@@ -87,7 +87,11 @@
 
 
 class CrashingPartsTest(unittest.TestCase):
-    @params((Day(), 1), (Day(gateways=24, guilty=("bx", "ax")), 2))
+    @params(
+        (Day(), 1),
+        (Day(gateways=24, guilty=("bx", "ax")), 2),
+        (Day(24, 12, 10.0, ("bx", "by"), 3), 3),
+    )
     def test_a_part_that_crashes_endpoints_is_held_back(
         self, day: Day, seed: int
     ) -> None:
--- a/tests/test_suspects.py
+++ b/tests/test_suspects.py
@@ -167,8 +167,16 @@
         tracker = SuspectTracker(ME)
         tracker.sound_parts.record([COMMON], V1, 0.0)
         found = tuple(Evidence(COMMON, _crash(n)) for n in range(3))
-        tracker.merge(Findings(OTHER, found), False, 1.0)
+        findings = Findings(OTHER, found)
+        tracker.merge(findings, False, 1.0)
         self.assertEqual(self._state(tracker, COMMON), SuspectState.CLEAR)
+        other = SuspectTracker(OTHER)
+        other.record_crash(_crash(0), [COMMON], 0.0)
+        other.record_crash(_crash(1), [COMMON], 0.0)
+        self.assertTrue(tracker.has_sound_suspects(findings, 1.0))
+        other.merge(tracker.clear_sound(1.1), False, 1.1)
+        self.assertEqual(self._state(other, COMMON), SuspectState.CLEAR)
+        self.assertFalse(tracker.has_sound_suspects(findings, 1.2))
 
     def test_an_answer_long_ago_shows_nothing(self) -> None:
         """A part that had been sound for a day went on crashing endpoints."""
@@ -195,6 +203,17 @@
         tracker.record_crash(_crash(3), _request(3, GUILTY), 0.0)
         self.assertEqual(self._state(tracker, GUILTY), SuspectState.QUARANTINED)
 
+    def test_a_part_beside_several_guilty_ones_may_be_probed_alone(self) -> None:
+        """A system prompt that only stood beside two guilty parts was held back."""
+        tracker = SuspectTracker(ME)
+        for number in range(6):
+            guilty = (GUILTY, BESIDE)[number % 2]
+            features = _request(number, COMMON, guilty)
+            tracker.record_crash(_crash(number), features, 0.0)
+        self.assertEqual(self._state(tracker, COMMON), SuspectState.PROBE_ONLY)
+        both = self._state(tracker, COMMON, GUILTY)
+        self.assertEqual(both, SuspectState.QUARANTINED)
+
     def test_a_probe_claims_all_suspected_parts(self) -> None:
         """Two requests with the same guilty part and others beside it were probed at
         once."""
