A stream whose answer ends with its connection goes on after it breaks

Cause: an endpoint that ends the last connection to it is in doubt, for its process may have been replaced by one of another version. Where a service has one version, the doubt was left to pass by itself, in 3 s; an answer that ends with its connection makes it the common case, and a stream that begins in doubt has no version to go on with. The doubt protects a service whose first upgraded endpoint is not registered yet. Change: in such a service an end that the endpoint announced (Connection: close, or no length) is no sign; every other end is checked at once, by a connection that shows within 0.1 s that the process lives on, as it was with several versions. An attempt that breaks is a sign itself. Services with several versions are treated as before.

--- a/src/celerytrack/gateway/connections.py
+++ b/src/celerytrack/gateway/connections.py
@@ -11,7 +11,7 @@
 
 import aiohttp
 
-from celerytrack.http_session import GatedConnector, make_http_session
+from celerytrack.http_session import ConnectionEnd, GatedConnector, make_http_session
 from celerytrack.ids import EndpointId
 from celerytrack.process_end import CONNECT_TIMEOUT_S
 from celerytrack.routing.endpoint import Endpoint
@@ -31,15 +31,16 @@
 
     :param may_send: whether the endpoint may be sent a request now.
     :param on_connected: called when a new connection was made.
-    :param on_ended: called when the endpoint has ended the last open connection. While
-        one lives on, so does the process at its other end.
+    :param on_ended: called when the endpoint has ended the last open connection, with
+        whether it had announced that. While one lives on, so does the process at its
+        other end.
     """
 
     def __init__(
         self,
         may_send: Callable[[], bool],
         on_connected: Callable[[], None],
-        on_ended: Callable[[], None],
+        on_ended: Callable[[bool], None],
     ) -> None:
         timeout = aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S)
         self.session = make_http_session(
@@ -62,10 +63,10 @@
     def _record_open(self) -> None:
         self._open += 1
 
-    def _record_closed(self, by_peer: bool) -> None:
+    def _record_closed(self, end: ConnectionEnd) -> None:
         self._open -= 1
-        if by_peer and not self._open:
-            self._on_ended()
+        if end is not ConnectionEnd.HERE and not self._open:
+            self._on_ended(end is ConnectionEnd.ANNOUNCED)
 
     @contextlib.asynccontextmanager
     async def abort_on_loss(self) -> AsyncIterator[asyncio.Timeout]:
@@ -105,14 +106,15 @@
 
     :param may_send: whether an endpoint may be sent a request now.
     :param on_connected: called with an endpoint when a new connection was made.
-    :param on_ended: called with an endpoint that has ended the last open connection.
+    :param on_ended: called with an endpoint that has ended the last open connection,
+        and whether it had announced that.
     """
 
     def __init__(
         self,
         may_send: Callable[[Endpoint], bool],
         on_connected: Callable[[Endpoint], None],
-        on_ended: Callable[[Endpoint], None],
+        on_ended: Callable[[Endpoint, bool], None],
     ) -> None:
         self._may_send = may_send
         self._on_connected = on_connected
@@ -127,7 +129,7 @@
             current = IncarnationConnections(
                 lambda: self._may_send(endpoint),
                 lambda: self._on_connected(endpoint),
-                lambda: self._on_ended(endpoint),
+                lambda announced: self._on_ended(endpoint, announced),
             )
             self._current[endpoint.endpoint_id] = current
         return current
--- a/src/celerytrack/gateway/endpoint_doubts.py
+++ b/src/celerytrack/gateway/endpoint_doubts.py
@@ -50,18 +50,23 @@
         self._heard: TTLCache[EndpointEnded, None] = TTLCache(MAX_HEARD, DOUBT_S)
         self._checks: set[asyncio.Task[None]] = set()
 
-    def record_sign(self, endpoint: Endpoint, now_s: float) -> None:
+    def record_sign(
+        self, endpoint: Endpoint, now_s: float, announced: bool = False
+    ) -> None:
         """Record that an endpoint ended the last connection to it, or refused one.
 
-        It matters for streams only, and where a service has one version the doubt is
-        left to pass by itself. One that leaves gets no stream.
+        It matters for streams only; one that leaves gets no stream.
+
+        :param announced: whether it had said so, or an answer without a length ended.
+            Where a service has one version, that is no sign: a check would cost a
+            connection for each such answer.
         """
-        registration = endpoint.registration
+        service = endpoint.registration.service
         if self._endpoints.is_leaving(endpoint):
             return
-        if not self._endpoints.doubt(endpoint, now_s):
+        if announced and not self._endpoints.has_versions(service, now_s):
             return
-        if not self._endpoints.has_versions(registration.service, now_s):
+        if not self._endpoints.doubt(endpoint, now_s):
             return
         task = asyncio.get_running_loop().create_task(self._check(endpoint, now_s))
         self._checks.add(task)
--- a/src/celerytrack/gateway/sending.py
+++ b/src/celerytrack/gateway/sending.py
@@ -217,6 +217,7 @@
                     time.monotonic(),
                 )
             if failure.was_interrupted:
+                gateway.endpoint_doubts.record_sign(endpoint, time.monotonic())
                 request = Interrupted(exchange.fingerprint, exchange.facts.shared_parts)
                 gateway.crash_detector.report_interrupted(endpoint, request)
             if failure.address_reused:
--- a/src/celerytrack/gateway/state.py
+++ b/src/celerytrack/gateway/state.py
@@ -294,8 +294,8 @@
         for member in self.share_sync.members.live_peers(time.monotonic()):
             self.peer_messenger.send_origin_message(member.peer_address, ended)
 
-    def _doubt_endpoint(self, endpoint: Endpoint) -> None:
-        self.endpoint_doubts.record_sign(endpoint, time.monotonic())
+    def _doubt_endpoint(self, endpoint: Endpoint, announced: bool) -> None:
+        self.endpoint_doubts.record_sign(endpoint, time.monotonic(), announced)
 
     def _may_send(self, endpoint: Endpoint) -> bool:
         return self.endpoints.may_send(endpoint, time.monotonic())
--- a/src/celerytrack/http_session.py
+++ b/src/celerytrack/http_session.py
@@ -1,6 +1,7 @@
 """HTTP sessions that detect an unreachable peer."""
 
 import asyncio
+import enum
 import functools
 import socket
 from collections.abc import Callable, Mapping
@@ -25,24 +26,33 @@
     """A request was not sent: its endpoint may be sent nothing any more."""
 
 
+class ConnectionEnd(enum.Enum):
+    """How a connection ended."""
+
+    BY_PEER = "by_peer"
+    ANNOUNCED = "announced"
+    """By the peer, as it had said, or as the end of an answer without a length."""
+    HERE = "here"
+    """By this process, or the peer was not heard of."""
+
+
 class WatchedConnection(ResponseHandler):
     """A connection that tells how it ended.
 
     :param on_open: called when it is made.
-    :param on_closed: called when it has ended, with whether the peer ended it. A peer
-        that is not heard of is not known to have ended anything.
+    :param on_closed: called when it has ended.
     """
 
     def __init__(
         self,
         loop: asyncio.AbstractEventLoop,
         on_open: Callable[[], None],
-        on_closed: Callable[[bool], None],
+        on_closed: Callable[[ConnectionEnd], None],
     ) -> None:
         super().__init__(loop)
         self._on_open = on_open
         self._on_closed = on_closed
-        self._ended_by_peer = False
+        self._end = ConnectionEnd.HERE
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Tell that the connection is made."""
@@ -51,14 +61,15 @@
 
     def eof_received(self) -> None:
         """Note that the peer ended the connection."""
+        is_announced = self._should_close
         super().eof_received()
-        self._ended_by_peer = True
+        self._end = ConnectionEnd.ANNOUNCED if is_announced else ConnectionEnd.BY_PEER
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Tell that the connection has ended."""
         super().connection_lost(exc)
         was_reset = isinstance(exc, ConnectionResetError)
-        self._on_closed(self._ended_by_peer or was_reset)
+        self._on_closed(ConnectionEnd.BY_PEER if was_reset else self._end)
 
 
 class GatedConnector(aiohttp.TCPConnector):
@@ -75,7 +86,7 @@
     on_connected: Callable[[str], None] | None = None
 
     def watch(
-        self, on_open: Callable[[], None], on_closed: Callable[[bool], None]
+        self, on_open: Callable[[], None], on_closed: Callable[[ConnectionEnd], None]
     ) -> None:
         """Call back as connections are made and end."""
         self._factory = functools.partial(  # type: ignore[assignment]
--- a/tests/test_endpoint_doubts.py
+++ b/tests/test_endpoint_doubts.py
@@ -9,7 +9,7 @@
 from nose2.tools import params
 
 from celerytrack.gateway.endpoint_doubts import EndpointDoubts
-from celerytrack.http_session import GatedConnector, make_http_session
+from celerytrack.http_session import ConnectionEnd, GatedConnector, make_http_session
 from celerytrack.ids import EndpointId, RequestId, ServiceName, Zone
 from celerytrack.origins.memory import KEEP_S, StreamId
 from celerytrack.origins.messages import EndpointEnded
@@ -137,10 +137,18 @@
 
 
 async def _serve(test: unittest.IsolatedAsyncioTestCase, port: int) -> web.ServerRunner:
-    async def answer(request: web.BaseRequest) -> web.Response:
+    async def answer(request: web.BaseRequest) -> web.StreamResponse:
         if request.path == "/end":
             assert request.transport is not None
             request.transport.abort()
+        if request.path == "/last":
+            last = web.StreamResponse()
+            last.force_close()
+            await last.prepare(request)
+            await last.write(b"part")
+            assert request.transport is not None
+            request.transport.close()
+            return last
         return web.Response()
 
     runner = web.ServerRunner(web.Server(answer))
@@ -151,14 +159,18 @@
 
 
 class SignTest(unittest.IsolatedAsyncioTestCase):
-    @params(("/end", [True]), ("/ok", [False]))
+    @params(
+        ("/end", [ConnectionEnd.BY_PEER]),
+        ("/last", [ConnectionEnd.ANNOUNCED]),
+        ("/ok", [ConnectionEnd.HERE]),
+    )
     def test_who_ended_a_connection_is_known(
-        self, path: str, expected: list[bool]
+        self, path: str, expected: list[ConnectionEnd]
     ) -> None:
         """Connections that this entry closed were taken for signs of an end."""
         asyncio.run(self._end(path, expected))
 
-    async def _end(self, path: str, expected: list[bool]) -> None:
+    async def _end(self, path: str, expected: list[ConnectionEnd]) -> None:
         port, closed = free_port(), []
         await _serve(self, port)
         session = make_http_session(4.0)
@@ -198,6 +210,19 @@
         self.assertEqual(choose(pool, OLD), "a")
         self.assertEqual(told, [])
 
+    async def test_one_version_needs_a_check_but_for_an_announced_end(self) -> None:
+        """A stream whose answer ended with its connection could not go on."""
+        port = free_port()
+        await _serve(self, port)
+        pool = pool_of(registration(port=port))
+        doubts = EndpointDoubts(pool, None, None, random.Random(1))  # type: ignore[arg-type]
+        doubts.record_sign(pool._endpoints[A], 1.0, announced=True)
+        self.assertIsNotNone(pool.origin_at(A))
+        doubts.record_sign(pool._endpoints[A], 1.0)
+        self.assertIsNone(pool.origin_at(A))
+        await asyncio.gather(*doubts._checks)
+        self.assertIsNotNone(pool.origin_at(A))
+
     async def test_a_sign_during_a_check_is_settled_with_it(self) -> None:
         """Two runs that broke shortly after each other left an endpoint in doubt."""
         port = free_port()
