--- a/bench/crash_bench.py
+++ b/bench/crash_bench.py
@@ -39,6 +39,13 @@
     CrashScenario("two crashing", crashing=2),
     CrashScenario("twenty crashing", crashing=20),
     CrashScenario("thirty a second", repeats_per_s=30.0),
+    CrashScenario("a part", by_part=True),
+    CrashScenario("two parts", by_part=True, crashing=2),
+    CrashScenario("a part, thirty a second", by_part=True, repeats_per_s=30.0),
+    *(
+        CrashScenario(f"a part, {fault.value}", by_part=True, faults=(fault,))
+        for fault in CrashFault
+    ),
 )
 
 
--- a/src/celerytrack/lab/crash_fleet.py
+++ b/src/celerytrack/lab/crash_fleet.py
@@ -11,19 +11,28 @@
 from collections.abc import Coroutine
 from typing import Any
 
+import attrs
+
 from celerytrack.findings import Findings
-from celerytrack.fingerprint import Fingerprint, FingerprintPrefix, fingerprint_of
+from celerytrack.fingerprint import (
+    Fingerprint,
+    FingerprintPrefix,
+    fingerprint_of,
+    part_fingerprint,
+)
+from celerytrack.ids import EntryId, PartId, ServiceName
 from celerytrack.lab.crash_endpoints import ModelRequest, ModelService
 from celerytrack.lab.crash_entry import CrashEntry, ModelAnswer
 from celerytrack.lab.crash_scenarios import (
-    CRASHES_TO_QUARANTINE,
     KNOWN_WITHIN_S,
     CrashFault,
     CrashOutcome,
     CrashScenario,
 )
 from celerytrack.lab.model_log import ModelLog
+from celerytrack.lab.peer_fleet import DATAGRAM_OVERHEAD_BYTES
 from celerytrack.lab.recovery_time import most_in_a_second
+from celerytrack.platform.suspect_records import encode_findings
 
 MESSAGE_DELAY_S = 0.001
 """Delay of a peer message."""
@@ -38,6 +47,11 @@
 THIRD = 1 / 3
 RESTART_PAUSE_S = 0.2
 _PREFIX = FingerprintPrefix(b"place!")
+_SERVICE = ServiceName("s")
+FIRST_PARTS = tuple(part_fingerprint(_SERVICE, PartId(f"first {n}")) for n in range(3))
+MIDDLE_PARTS = tuple(
+    part_fingerprint(_SERVICE, PartId(f"middle {n}")) for n in range(40)
+)
 
 
 class CrashFleet:
@@ -53,6 +67,7 @@
         self._outcome = CrashOutcome()
         self._log_available_s = float("-inf")
         self._numbers = itertools.count()
+        self._sent_bytes: Counter[tuple[EntryId, int]] = Counter()
         self._tasks: list[asyncio.Task[Any]] = []
         self._entries = [
             CrashEntry(
@@ -75,20 +90,13 @@
         self._spawn(self._service.replace_crashed())
         for fault in self._scenario.faults:
             self._spawn(self._inject(fault))
-        crashing = [
-            ModelRequest(
-                fingerprint_of(_PREFIX, b"crashing %d" % n),
-                True,
-                self._rng.uniform(*CRASHES_AFTER_S),
-            )
-            for n in range(self._scenario.crashing)
-        ]
+        crashing = [self._crashing(n) for n in range(self._scenario.crashing)]
         for request in crashing:
             self._spawn(self._repeat(request))
         self._spawn(self._send_harmless_requests())
         began_s = asyncio.get_running_loop().time()
         await asyncio.sleep(self._scenario.lasts_s)
-        self._evaluate([request.fingerprint for request in crashing], began_s)
+        self._evaluate([_culprit(request) for request in crashing], began_s)
         await self._end()
         return self._outcome
 
@@ -102,11 +110,25 @@
     def _spawn(self, coro: Coroutine[Any, Any, Any]) -> None:
         self._tasks.append(asyncio.get_running_loop().create_task(coro))
 
+    def _crashing(self, number: int) -> ModelRequest:
+        """A request that crashes endpoints, as a whole or by a part of its prompt."""
+        fingerprint = fingerprint_of(_PREFIX, b"crashing %d" % number)
+        parts: tuple[Fingerprint, ...] = ()
+        if self._scenario.by_part:
+            guilty = part_fingerprint(_SERVICE, PartId(f"guilty {number}"))
+            parts = FIRST_PARTS[0], guilty
+        lasts_s = self._rng.uniform(*CRASHES_AFTER_S)
+        return ModelRequest(fingerprint, True, lasts_s, parts)
+
     # -- callers -------------------------------------------------------------
 
     async def _repeat(self, request: ModelRequest) -> None:
         while True:
             await asyncio.sleep(self._rng.expovariate(self._scenario.repeats_per_s))
+            if request.parts:
+                number = next(self._numbers)
+                fingerprint = fingerprint_of(_PREFIX, b"with a part %d" % number)
+                request = attrs.evolve(request, fingerprint=fingerprint)
             self._spawn(self._send(request))
 
     async def _send_harmless_requests(self) -> None:
@@ -120,7 +142,10 @@
         body = b"hot %d" % number if hot else b"%d" % number
         long = self._rng.random() < LONG_SHARE
         lasts_s = self._rng.uniform(*(LONG_S if long else SHORT_S))
-        request = ModelRequest(fingerprint_of(_PREFIX, body), False, lasts_s)
+        parts: tuple[Fingerprint, ...] = ()
+        if self._scenario.by_part:
+            parts = self._rng.choice(FIRST_PARTS), self._rng.choice(MIDDLE_PARTS)
+        request = ModelRequest(fingerprint_of(_PREFIX, body), False, lasts_s, parts)
         answer = await self._send(request)
         if answer is ModelAnswer.DOWN:
             return
@@ -137,6 +162,10 @@
 
     def _announce(self, sender: CrashEntry, findings: Findings) -> None:
         loop = asyncio.get_running_loop()
+        size = len(encode_findings(findings)) + DATAGRAM_OVERHEAD_BYTES
+        others = len(self._entries) - 1
+        self._outcome.messages += others
+        self._sent_bytes[sender.entry_id, int(loop.time())] += size * others
         for entry in self._entries:
             if entry is not sender and self._reaches(sender, entry):
                 loop.call_later(MESSAGE_DELAY_S, entry.receive, findings)
@@ -198,9 +227,10 @@
         changed_s = max(entry.last_change_s, self._log_available_s)
         changed_lately = now_s - changed_s < KNOWN_WITHIN_S
         connected = not (changed_lately or entry.store.cut or self._log.unreachable)
-        arrivals = self._arrivals.setdefault(request.fingerprint, [])
+        culprit = _culprit(request)
+        arrivals = self._arrivals.setdefault(culprit, [])
         arrivals.append((now_s, connected))
-        crashes_s = self._crashes_s.setdefault(request.fingerprint, [])
+        crashes_s = self._crashes_s.setdefault(culprit, [])
         crashes_s.append(now_s + request.lasts_s)
 
     def _evaluate(self, crashing: list[Fingerprint], began_s: float) -> None:
@@ -209,14 +239,21 @@
         late: Counter[Fingerprint] = Counter()
         for fingerprint in crashing:
             crashes_s = sorted(self._crashes_s.get(fingerprint, []))
-            if len(crashes_s) < CRASHES_TO_QUARANTINE:
+            counted = self._scenario.crashes_counted
+            if len(crashes_s) < counted:
                 continue
-            from_s = crashes_s[CRASHES_TO_QUARANTINE - 1] + KNOWN_WITHIN_S
+            from_s = crashes_s[counted - 1] + KNOWN_WITHIN_S
             late[fingerprint] = sum(
                 at_s > from_s and connected
                 for at_s, connected in self._arrivals[fingerprint]
             )
         outcome.late_arrivals = max(late.values(), default=0)
+        outcome.control_bytes_per_s = max(self._sent_bytes.values(), default=0)
         writes_s = [at_s for at_s in self._log.asked_s if at_s >= began_s]
         outcome.writes = len(writes_s)
         outcome.writes_per_s_most = most_in_a_second(writes_s)
+
+
+def _culprit(request: ModelRequest) -> Fingerprint:
+    """What of a crashing request crashes endpoints."""
+    return request.parts[-1] if request.parts else request.fingerprint
--- a/src/celerytrack/lab/crash_scenarios.py
+++ b/src/celerytrack/lab/crash_scenarios.py
@@ -10,6 +10,7 @@
 """Longest time until all connected entries know that a request crashed three
 endpoints."""
 CRASHES_TO_QUARANTINE = 3
+CRASHES_OF_A_PART = 5
 ENDPOINTS = {9: 12, 76: 30, 195: 62}
 """Endpoints of the service, by the number of entries."""
 
@@ -41,6 +42,8 @@
     """One fleet, its load and its faults.
 
     :ivar crashing: number of different requests that crash endpoints.
+    :ivar by_part: whether it is a part of their prompts that does: then no two of these
+        requests are alike, and their other parts are those of harmless ones.
     :ivar tracking: whether entries track the requests that crash endpoints.
     """
 
@@ -51,6 +54,12 @@
     lasts_s: float = 24.0
     faults: tuple[CrashFault, ...] = ()
     tracking: bool = True
+    by_part: bool = False
+
+    @property
+    def crashes_counted(self) -> int:
+        """Crashes after which no more than a few requests may reach endpoints."""
+        return CRASHES_OF_A_PART if self.by_part else CRASHES_TO_QUARANTINE
 
     @property
     def endpoints(self) -> int:
@@ -72,6 +81,8 @@
         the crash that should quarantine the request, sent by connected entries; of the
         crashing request with most of them.
     :ivar falsely_quarantined: harmless requests that were refused as crashing.
+    :ivar messages: peer messages that entries sent.
+    :ivar control_bytes_per_s: most bytes a second that one entry sent in them.
     """
 
     crashes: int = 0
@@ -81,6 +92,8 @@
     falsely_quarantined: int = 0
     writes: int = 0
     writes_per_s_most: int = 0
+    messages: int = 0
+    control_bytes_per_s: int = 0
 
     @property
     def served_share(self) -> float:
@@ -102,4 +115,6 @@
         "falsely": sum(r.falsely_quarantined for r in runs),
         "writes_mean": round(statistics.fmean(r.writes for r in runs), 1),
         "writes_per_s_most": max(r.writes_per_s_most for r in runs),
+        "messages_mean": round(statistics.fmean(r.messages for r in runs)),
+        "control_kb_per_s": round(max(r.control_bytes_per_s for r in runs) / 1_000, 1),
     }
--- a/tests/test_crash_model.py
+++ b/tests/test_crash_model.py
@@ -44,6 +44,25 @@
                 outcome.late_arrivals, MAX_LATE_ARRIVALS, f"seed {seed}: {outcome}"
             )
 
+    @params(
+        (9, 1, ()),
+        (9, 2, (CrashFault.NOTES_LOST,)),
+        (9, 1, (CrashFault.LOG_AWAY,)),
+        (9, 1, (CrashFault.STOPS_IN_TURN,)),
+        (76, 1, (CrashFault.THIRD_APART,)),
+        (195, 2, ()),
+    )
+    def test_a_quarantined_part_reaches_few_endpoints(
+        self, entries: int, crashing: int, faults: tuple[CrashFault, ...]
+    ) -> None:
+        """No two requests with the part were alike, and none was held back."""
+        scenario = CrashScenario(
+            "", entries=entries, crashing=crashing, faults=faults, by_part=True
+        )
+        outcome = _run(scenario, SEEDS[0])
+        self.assertLessEqual(outcome.late_arrivals, MAX_LATE_ARRIVALS, outcome)
+        self.assertGreaterEqual(outcome.served_share, MIN_SERVED_SHARE, outcome)
+
     def test_harmless_requests_beside_it_are_served(self) -> None:
         for seed in SEEDS:
             outcome = _run(CrashScenario(""), seed)
