--- a/src/celerytrack/cli/load.py
+++ b/src/celerytrack/cli/load.py
@@ -41,6 +41,7 @@
         option("seed", None, "Random seed.", flag=False, default="1"),
         option("repeat", None, "Marked requests per second.", flag=False, default="0"),
         option("marker", None, "Text of the marked requests.", flag=False, default=""),
+        option("by-part", None, "Marker in a message before the last; none alike."),
         option("limit", None, "Rate limit that all replicas name.", flag=False),
         option("leaving", None, "Ids of replicas that say they leave.", flag=False),
         option("backoff", None, "Backoff that all replicas ask for.", flag=False),
@@ -66,6 +67,7 @@
             int(self.option("seed")),
             float(self.option("repeat")),
             str(self.option("marker")),
+            bool(self.option("by-part")),
         )
         keys = {a.account_id: a.key for a in config.accounts}
         entries = [e.address for e in fleet.entries]
--- a/src/celerytrack/cli/suspect_commands.py
+++ b/src/celerytrack/cli/suspect_commands.py
@@ -134,6 +134,7 @@
     since = datetime.datetime.fromtimestamp(since_s, datetime.UTC)
     return {
         "fingerprint": suspect.fingerprint.hex(),
+        "kind": suspect.kind,
         "standing": suspect.state.value,
         "since": since.isoformat(timespec="seconds"),
         "endings": [
@@ -143,10 +144,10 @@
 
 
 class SuspectsCommand(Command):
-    """List the requests that are suspected of crashing endpoints."""
+    """List the requests and parts of prompts suspected of crashing endpoints."""
 
     name = "suspects"
-    description = "List requests suspected of crashing endpoints, with the crashes."
+    description = "List requests and parts of prompts suspected of crashing endpoints."
     options = [_STORE, option("json", None, "Print JSON.")]
 
     def handle(self) -> int:
@@ -169,13 +170,16 @@
             endings = row["endings"]
             assert isinstance(endings, list)
             names = ", ".join(f"{e['endpoint']} ({e['build']})" for e in endings)
-            known = f"{row['fingerprint']} {row['standing']:8} since {row['since']}"
+            known = (
+                f"{row['fingerprint']} {row['kind']:7} {row['standing']:8} "
+                f"since {row['since']}"
+            )
             self.line(f"{known}: {names}")
         return 0
 
 
 class LiftCommand(Command):
-    """Lift the quarantine of a request."""
+    """Lift the quarantine of a request or a part of prompts."""
 
     name = "lift"
     description = "Lift the quarantine of a request at all entries."
--- a/src/celerytrack/load/caller.py
+++ b/src/celerytrack/load/caller.py
@@ -93,8 +93,12 @@
         max_tokens: int,
         service: bool,
         key: str | None = None,
+        before: tuple[str, ...] = (),
     ) -> Result:
-        """Send one request; fail over to the account's other entries."""
+        """Send one request; fail over to the account's other entries.
+
+        :param before: messages of the chat before the prompt.
+        """
         key = key or uuid.uuid4().hex
         last = Result(work_class, account, Outcome.FAILED, reason="no entry")
         may_have_run = False
@@ -107,7 +111,12 @@
                         last = await self._service(address, work_class, account, key)
                     else:
                         last = await self._chat(
-                            address, work_class, account, prompt, max_tokens, key
+                            address,
+                            work_class,
+                            account,
+                            (*before, prompt),
+                            max_tokens,
+                            key,
                         )
                 except (aiohttp.ClientError, TimeoutError, ConnectionError):
                     last = Result(
@@ -162,7 +171,7 @@
         address: str,
         work_class: str,
         account: str,
-        prompt: str,
+        messages: tuple[str, ...],
         max_tokens: int,
         key: str,
     ) -> Result:
@@ -171,7 +180,7 @@
             "model": work_class,
             "stream": True,
             "max_tokens": max_tokens,
-            "messages": [{"role": "user", "content": prompt}],
+            "messages": [{"role": "user", "content": text} for text in messages],
         }
         async with self.http.post(
             f"http://{address}/v1/chat/completions",
--- a/src/celerytrack/load/runner.py
+++ b/src/celerytrack/load/runner.py
@@ -24,6 +24,8 @@
     :ivar repeats_per_s: rate at which one marked request is repeated in addition, each
         time to an entry drawn at random.
     :ivar marker: prompt of the marked request.
+    :ivar by_part: whether the marker is a message before the prompt, so that no two
+        marked requests are alike.
     """
 
     rate_per_s: float
@@ -32,6 +34,7 @@
     seed: int = 1
     repeats_per_s: float = 0.0
     marker: str = ""
+    by_part: bool = False
 
 
 REPEATED = "repeated"
@@ -72,8 +75,10 @@
     while time.monotonic() < end_s and len(tasks) < plan.max_requests:
         caller = Caller(entries, keys, http)
         caller.routes[account] = (end_s, [rng.choice(entries)])
+        before = (plan.marker,) if plan.by_part else ()
+        prompt = f"prompt {rng.getrandbits(64):016x}" if plan.by_part else plan.marker
         request = caller.send(
-            kind.work_class, account, plan.marker, kind.max_tokens, False
+            kind.work_class, account, prompt, kind.max_tokens, False, before=before
         )
         tasks.append(asyncio.create_task(request))
         await asyncio.sleep(rng.expovariate(plan.repeats_per_s))
--- a/tests/test_own_crashing.py
+++ b/tests/test_own_crashing.py
@@ -7,6 +7,7 @@
 import unittest
 
 import attrs
+from nose2.tools import params
 
 from celerytrack.entry.peers import Heartbeat
 from celerytrack.entry.state import EntryState
@@ -32,12 +33,13 @@
 
 
 class OwnCrashingTest(unittest.TestCase):
-    def test_a_crashing_request_crashes_few_replicas(self) -> None:
-        """Guards against one request that is repeated at any entry and crashes one
-        replica after another."""
+    @params(False, True)
+    def test_a_crashing_request_crashes_few_replicas(self, by_part: bool) -> None:
+        """Guards against one request that is repeated at any entry, or a message that
+        many requests have, and that crashes one replica after another."""
         args = ("--marker", MARKER, "--back-s", "1.0")
         with Fleet("haddad", entries=4, engine_args=args) as fleet:
-            crashes_s, results = asyncio.run(self._run_load(fleet))
+            crashes_s, results = asyncio.run(self._run_load(fleet, by_part))
         repeated = [r for r in results if r.work_class == REPEATED]
         self.assertGreater(len(repeated), 10)
         self.assertGreaterEqual(len(crashes_s), 3, "fewer than 3 replicas crashed")
@@ -46,10 +48,10 @@
         harmless = [r for r in results if r.work_class != REPEATED]
         self.assertNotIn("quarantined", {r.reason for r in harmless})
 
-    async def _run_load(self, fleet: Fleet) -> tuple[list[float], list]:
+    async def _run_load(self, fleet: Fleet, by_part: bool) -> tuple[list[float], list]:
         keys = {a.account_id: a.key for a in fleet.config.accounts}
         entries = [e.address for e in fleet.entry_specs]
-        plan = Plan(20.0, DURATION_S, 500, 1, repeats_per_s=3.0, marker=MARKER)
+        plan = Plan(20.0, DURATION_S, 500, 1, 3.0, MARKER, by_part)
         engines = [r for r in fleet.fleet.replicas if r.kind.value == "engine"]
         watched = [
             asyncio.create_task(asyncio.to_thread(_watch, r.address)) for r in engines
