Findings of many features are told in several messages

Found by reading: an entry whose requests have long lists of parts could name more than a thousand features in one crash, in a message that the others reject and no datagram holds; the evidence would have stayed at that entry and in the 64 items of its record.

--- a/src/celerytrack/findings.py
+++ b/src/celerytrack/findings.py
@@ -1,5 +1,7 @@
 """Evidence about requests that crash endpoints, as entries exchange it."""
 
+from collections.abc import Iterator
+
 import attrs
 
 from celerytrack.fingerprint import Fingerprint
@@ -57,6 +59,19 @@
     probes: tuple[Probe, ...] = ()
     observed_at_s: tuple[int, ...] = ()
 
+    def split(self, most: int) -> Iterator["Findings"]:
+        """The same findings in several, each with at most ``most`` items of a kind."""
+        lengths = map(len, (self.evidence, self.cleared, self.probes))
+        for start in range(0, max(lengths), most):
+            part = slice(start, start + most)
+            yield Findings(
+                self.entry_id,
+                self.evidence[part],
+                self.cleared[part],
+                self.probes[part],
+                self.observed_at_s[part],
+            )
+
     @property
     def is_empty(self) -> bool:
         """Whether there is nothing to report."""
--- a/src/celerytrack/gateway/suspect_sync.py
+++ b/src/celerytrack/gateway/suspect_sync.py
@@ -41,6 +41,9 @@
 PUBLISH_TIMEOUT_S = 0.5
 """Longest wait until a probe is on the log, where the other entries can read it. A slow
 store answers in less."""
+MAX_SENT = 100
+"""Most items of each kind in a peer message, some 6 KB: prompts of many parts name as
+many features in one crash."""
 WRITE_PAUSE_S = 0.1
 """Shortest time between two records of this entry."""
 WRITE_PAUSE_PER_ENTRY_S = 0.002
@@ -99,7 +102,8 @@
         """Send findings to the other entries in a peer message and through the log."""
         if findings.is_empty:
             return
-        self._broadcast(findings)
+        for part in findings.split(MAX_SENT):
+            self._broadcast(part)
         self._schedule_write()
 
     def receive(self, findings: Findings) -> None:
--- a/tests/test_suspects.py
+++ b/tests/test_suspects.py
@@ -241,6 +241,19 @@
         self.assertLessEqual(len(tracker), MAX_SUSPECTS)
         self.assertEqual(self._state(tracker, GUILTY), SuspectState.QUARANTINED)
 
+    def test_many_parts_are_told_in_several_messages(self) -> None:
+        """One crash under long lists of parts made a message that none could read."""
+        names = [PartId(f"m/{n}") for n in range(2_500)]
+        evidence = tuple(
+            Evidence(part_fingerprint(SERVICE, name), _crash(0)) for name in names
+        )
+        parts = list(Findings(OTHER, evidence).split(100))
+        self.assertEqual([len(part.evidence) for part in parts], [100] * 25)
+        decoded = [decode_findings(encode_findings(part)) for part in parts]
+        told = [e for found in decoded for e in found.evidence]
+        self.assertEqual(tuple(told), evidence)
+        self.assertEqual(list(Findings(OTHER).split(100)), [])
+
     def test_names_of_any_bytes_are_told_apart(self) -> None:
         """A name that is no text ended the request, or the entry."""
         names = ["m/", "m/\udcff", "m//", "m/" + "x" * 10_000]
