--- a/src/celerytrack/lab/brittle_fleet.py
+++ b/src/celerytrack/lab/brittle_fleet.py
@@ -15,13 +15,11 @@
 
 from celerytrack.ids import EndpointId, EntryId
 from celerytrack.lab.lease_placement import place
-from celerytrack.lab.limit_fleet import LATE_VIEW_LAG_S
+from celerytrack.lab.limit_faults import inject, peer_faults
 from celerytrack.lab.limit_scenarios import LimitFault
 from celerytrack.lab.peer_fleet import (
     MESSAGE_DELAY_S,
-    MESSAGE_LOSS_SHARE,
     ModelPeer,
-    PeerFaults,
     PeerFleet,
 )
 from celerytrack.limits.asks import Lease
@@ -158,7 +156,7 @@
         self._scenario = scenario
         self._rng = random.Random(seed)
         self._outcome = BrittleOutcome()
-        self._fleet = PeerFleet(_peer_faults(scenario.faults), self._rng)
+        self._fleet = PeerFleet(peer_faults(scenario.faults), self._rng)
         self._endpoints = [
             _Endpoint(EndpointId(f"i-{n}"), scenario.bears)
             for n in range(scenario.endpoints)
@@ -242,27 +240,7 @@
 
     async def _inject(self, fault: LimitFault) -> None:
         await asyncio.sleep(FAULT_S)
-        match fault:
-            case LimitFault.THIRD_CUT:
-                await self._fleet.cut_a_third(CUT_S)
-            case LimitFault.THIRD_ISOLATED:
-                await self._fleet.cut_a_third(CUT_S, from_log=True)
-            case LimitFault.STOPS | LimitFault.KILLS:
-                planned = fault is LimitFault.STOPS
-                await self._fleet.restart_in_turn(LASTS_S, planned)
-            case LimitFault.ADDED:
-                for number in range(max(1, self._scenario.entries // 3)):
-                    self._fleet.start(EntryId(f"new{number}"))
-                self._fleet.publish_view()
-
-
-def _peer_faults(faults: Sequence[LimitFault]) -> PeerFaults:
-    lost_share = MESSAGE_LOSS_SHARE
-    if LimitFault.MESSAGES_LOST in faults:
-        lost_share = 1 / 3
-    if LimitFault.LATE_ROWS in faults:
-        return PeerFaults(LATE_VIEW_LAG_S, lost_share)
-    return PeerFaults(lost_share=lost_share)
+        await inject(self._fleet, fault, CUT_S, CUT_S, LASTS_S)
 
 
 def summary(
--- a/src/celerytrack/lab/limit_fleet.py
+++ b/src/celerytrack/lab/limit_fleet.py
@@ -9,18 +9,17 @@
 import math
 import random
 import time
-from collections.abc import Collection, Iterable
+from collections.abc import Iterable
 
 import attrs
 
 from celerytrack.ids import EndpointId, EntryId
 from celerytrack.lab.lease_placement import place
+from celerytrack.lab.limit_faults import inject, peer_faults
 from celerytrack.lab.limit_scenarios import LimitFault, LimitOutcome, LimitScenario
 from celerytrack.lab.peer_fleet import (
     MESSAGE_DELAY_S,
-    MESSAGE_LOSS_SHARE,
     ModelPeer,
-    PeerFaults,
     PeerFleet,
 )
 from celerytrack.standins.limits import (
@@ -30,9 +29,10 @@
 )
 
 ANSWER_S = (0.02, 0.4)
-LATE_VIEW_LAG_S = (0.5, 4.0)
 TOLD_BEFORE_S = 0.5
 """Time after which requests count from an entry that passed on the limit."""
+FAULT_S = 4.0
+"""When a fault begins, after the limits."""
 CUT_S = 8.0
 """How long a third of the entries is cut off."""
 ISOLATED_S = 12.0
@@ -69,7 +69,7 @@
         self._scenario = scenario
         self._rng = random.Random(seed)
         self._outcome = LimitOutcome()
-        self._fleet = PeerFleet(_peer_faults(scenario.faults), self._rng)
+        self._fleet = PeerFleet(peer_faults(scenario.faults), self._rng)
         self._limits_began_s = WARM_UP_S
         self._endpoints = [
             _Endpoint(EndpointId(f"i-{n}"), n < scenario.limited)
@@ -162,30 +162,8 @@
     # -- faults ------------------------------------------------------------------------
 
     async def _inject(self, fault: LimitFault) -> None:
-        await asyncio.sleep(4.0)
-        match fault:
-            case LimitFault.THIRD_CUT:
-                await self._fleet.cut_a_third(CUT_S)
-            case LimitFault.THIRD_ISOLATED:
-                await self._fleet.cut_a_third(ISOLATED_S, from_log=True)
-            case LimitFault.STOPS | LimitFault.KILLS:
-                planned = fault is LimitFault.STOPS
-                await self._fleet.restart_in_turn(self._scenario.lasts_s, planned)
-            case LimitFault.ADDED:
-                for number in range(max(1, self._scenario.entries // 3)):
-                    self._fleet.start(EntryId(f"new{number}"))
-                self._fleet.publish_view()
-
-
-def _peer_faults(faults: Collection[LimitFault]) -> PeerFaults:
-    lost_share = MESSAGE_LOSS_SHARE
-    if LimitFault.MESSAGES_LOST in faults:
-        lost_share = 1 / 3
-    if LimitFault.NO_MESSAGES in faults:
-        lost_share = 1.0
-    if LimitFault.LATE_ROWS in faults:
-        return PeerFaults(LATE_VIEW_LAG_S, lost_share)
-    return PeerFaults(lost_share=lost_share)
+        await asyncio.sleep(FAULT_S)
+        await inject(self._fleet, fault, CUT_S, ISOLATED_S, self._scenario.lasts_s)
 
 
 def worst_window(times_s: Iterable[float]) -> int:
