A brittle endpoint is not throttled before its first rejection, nor for long requests

Found by reading: the limit on leases in progress began at one and grew with each answer, so that endpoints with room for 32 long requests would have been held at a few for many seconds for their word alone. There is no limit until the first rejection now (what is in doubt is bounded all the same), and a lease that is no longer in doubt counts as accepted, before its answer.

--- a/src/celerytrack/limits/room.py
+++ b/src/celerytrack/limits/room.py
@@ -7,8 +7,8 @@
 - the leases whose requests may still be rejected, together with the rejections of the
   last second. This bound holds whatever the room is, also for an owner that knows
   nothing yet.
-- the leases in progress, by a limit that falls to what was in progress at a rejection,
-  and grows by one while all of it is in use.
+- the leases in progress, from the first rejection on, by a limit that falls to what was
+  in progress at a rejection, and grows by one while all of it is in use.
 """
 
 import collections
@@ -82,27 +82,29 @@
     """Its time ran out, or its caller left."""
 
 
-@attrs.frozen
+@attrs.define
 class _OpenLease:
     """A lease in progress.
 
     :ivar level: leases in progress when it was granted, this one included.
+    :ivar in_doubt: whether its request may still be rejected.
     """
 
     granted_at_s: float
     level: int
+    in_doubt: bool = True
 
 
 class LearnedRoom:
     """The leases in progress at one brittle endpoint, and what it has room for.
 
     :ivar max_in_doubt: bound of leases in doubt and recent rejections together.
-    :ivar limit: most leases in progress.
+    :ivar limit: most leases in progress; ``None`` until the first rejection.
     """
 
     def __init__(self) -> None:
         self.max_in_doubt = 1
-        self.limit = 1
+        self.limit: int | None = None
         self._leases: dict[LeaseKey, _OpenLease] = {}
         self._rejected_at_s: collections.deque[float] = collections.deque()
         self._used_at_s = -math.inf
@@ -119,9 +121,8 @@
 
     def in_doubt(self, now_s: float) -> int:
         """Leases whose requests may still be rejected."""
-        return sum(
-            now_s - lease.granted_at_s < IN_DOUBT_S for lease in self._leases.values()
-        )
+        self._expire(now_s)
+        return sum(lease.in_doubt for lease in self._leases.values())
 
     def rejections(self, now_s: float) -> int:
         """Rejections that the endpoint may still count."""
@@ -146,7 +147,7 @@
         """Time until a lease may be granted, if no lease ends before."""
         self._expire(now_s)
         paused_s = max(0.0, self._paused_until_s - now_s)
-        if self.in_progress >= self.limit:
+        if self._is_full(self.in_progress):
             full_s = self._first_lease_s(LEASE_KEPT_S, now_s)
         elif self.max_in_doubt <= 0:
             full_s = REJECTIONS_S
@@ -163,12 +164,12 @@
 
         :param ahead: requests that are served before.
         """
+        opens_in_s = self.opens_in_s(now_s)
+        if self.limit is None:
+            return opens_in_s
         queued = ahead + max(0, self.in_progress + 1 - self.limit)
         run_s = queued * self._mean_run_s / self.limit
-        opens_in_s = self.opens_in_s(now_s)
-        if self.in_progress >= self.limit:
-            return run_s
-        return max(run_s, opens_in_s)
+        return run_s if self._is_full(self.in_progress) else max(run_s, opens_in_s)
 
     def record_grant(self, key: LeaseKey, now_s: float) -> None:
         """Count a lease that was granted."""
@@ -182,16 +183,12 @@
             return
         run_s = now_s - lease.granted_at_s
         self._mean_run_s += RUN_WEIGHT * (run_s - self._mean_run_s)
-        # What was not in use says nothing of the room.
-        is_full = lease.level >= self.limit
         if outcome is LeaseOutcome.ABANDONED:
-            if is_full:
+            if self._is_full(lease.level):
                 self._shrink(lease.level - 1, now_s)
             return
         self._pause_doublings = 0
-        if is_full and now_s >= self._grows_at_s:
-            self.limit = lease.level + 1
-            self._growth_doublings = max(0, self._growth_doublings - 1)
+        self._record_accepted(lease, now_s)
 
     def record_rejection(self, now_s: float) -> None:
         """Count a request that the endpoint rejected, whoever sent it."""
@@ -204,9 +201,23 @@
             self._pause_doublings = min(self._pause_doublings + 1, MAX_PAUSE_DOUBLINGS)
         self._shrink(others, now_s)
 
+    def _is_full(self, level: int) -> bool:
+        """Whether so many leases are as many as may be in progress."""
+        return self.limit is not None and level >= self.limit
+
+    def _record_accepted(self, lease: _OpenLease, now_s: float) -> None:
+        """Record that the endpoint had room for a request."""
+        if not lease.in_doubt:
+            return
+        lease.in_doubt = False
+        # What was not in use says nothing of the room.
+        if self._is_full(lease.level) and now_s >= self._grows_at_s:
+            self.limit = lease.level + 1
+            self._growth_doublings = max(0, self._growth_doublings - 1)
+
     def _shrink(self, limit: int, now_s: float) -> None:
         """Lower the limit, and keep it for a time."""
-        self.limit = max(1, min(self.limit, limit))
+        self.limit = max(1, limit if self.limit is None else min(self.limit, limit))
         cost_s = GROWTH_COST_S / max(1, self.max_in_doubt)
         self._grows_at_s = now_s + cost_s * 2.0**self._growth_doublings
         self._growth_doublings = min(self._growth_doublings + 1, MAX_GROWTH_DOUBLINGS)
@@ -242,11 +253,12 @@
         counted_s = REJECTIONS_S + REPORT_LAG_S
         while self._rejected_at_s and now_s - self._rejected_at_s[0] >= counted_s:
             self._rejected_at_s.popleft()
-        # The oldest lease is the first.
         for key, lease in list(self._leases.items()):
-            if now_s - lease.granted_at_s < LEASE_KEPT_S:
-                break
-            del self._leases[key]
+            age_s = now_s - lease.granted_at_s
+            if age_s >= IN_DOUBT_S:
+                self._record_accepted(lease, now_s)
+            if age_s >= LEASE_KEPT_S:
+                del self._leases[key]
 
 
 class LearnedRooms:
