--- a/src/celerytrack/limits/messages.py
+++ b/src/celerytrack/limits/messages.py
@@ -88,7 +88,7 @@
 
 @attrs.frozen
 class LimitNews:
-    """What the sender knows of some limits; without any, it asks for what is known."""
+    """What the sender knows of some limits."""
 
     sender: str
     reports: tuple[LimitReport, ...]
--- a/src/celerytrack/limits/sync.py
+++ b/src/celerytrack/limits/sync.py
@@ -47,11 +47,6 @@
 """Interval at which an owner repeats the limits of its endpoints."""
 BEGAN_REPEAT_S = 1.0
 """When an owner repeats a limit that has begun, for those that did not get the news."""
-STARTING_S = 5.0
-"""Time after its start in which an entry asks those that it finds for what they know:
-until they find it, it would send to limited endpoints without leases."""
-MAX_ASKED = 3
-"""Most entries that it asks at once, as one message may be lost."""
 ENDED_NEWS_S = 2.0
 """How long an entry repeats to the owner that a limit has ended."""
 _FROM_ANSWER = "answer"
@@ -88,7 +83,7 @@
         self._address = address
         self._send = send
         self._live_peers = live_peers
-        self._started_s = self._announced_at_s = started_s
+        self._announced_at_s = started_s
         self._began_at_s: dict[EndpointId, float] = {}
         self._ended_at_s: dict[EndpointId, float] = {}
         self._owned: set[EndpointId] = set()
@@ -161,9 +156,6 @@
             self.asks.forget_absent_entries()
             self.grants.update_owners(now_s)
         joined = joined or []
-        if now_s - self._started_s < STARTING_S:
-            for address in joined[:MAX_ASKED]:
-                self._send(address, LimitNews(self._address, ()))
         if self.tracker:
             self.grants.expire(now_s)
             for change in self.tracker.expire(now_s):
@@ -234,9 +226,6 @@
             self._on_change(change, source, now_s)
 
     def _on_news(self, news: LimitNews, now_s: float) -> None:
-        if not news.reports:
-            # An entry that has just started asks what is known.
-            self._announce(sorted(self.tracker.limited()), [news.sender], now_s)
         for report in news.reports:
             self._merge(report, news.sender, now_s)
             known = self.tracker.report(report.endpoint_id, now_s)
