An entry that restarts within the silence limit is told of limits and leavings

What callers saw: after a kill, a brittle endpoint was sent requests beyond what it bears, and fell. An entry that was back before the others counted it as silent (3.5 s; own interface 1 s) came back under its id and address. The others compared only these, saw no change, and told it nothing until the owner's repeat, up to five seconds later; until then it sent without leases.

Change: a peer has an incarnation, the row's start (gateway) or the heartbeat's boot id (own interface); one whose incarnation changed counts as joined. Owners and the time by which all have noticed stay, as the ranking does.

Measured: the new test of three gateways fails before (nothing known after 1 s) and passes. Nothing is sent while nothing is known.

--- a/src/celerytrack/entry/fleet_view.py
+++ b/src/celerytrack/entry/fleet_view.py
@@ -73,6 +73,8 @@
     draining: bool = False
     last_heartbeat_s: float = float("-inf")
     """When its last heartbeat arrived (monotonic seconds)."""
+    boot_id: str = ""
+    """Its incarnation, as in that heartbeat."""
 
     def is_alive(self, now_s: float) -> bool:
         """Whether its last heartbeat is recent."""
@@ -175,6 +177,7 @@
         info = self.entries.get(heartbeat.entry)
         if info is not None:
             info.last_heartbeat_s = now_s
+            info.boot_id = heartbeat.boot_id
             info.draining = heartbeat.draining
         wall_s = time.time()
         for replica_id, replica in self.replicas.items():
--- a/src/celerytrack/entry/state.py
+++ b/src/celerytrack/entry/state.py
@@ -333,7 +333,7 @@
 
     def _notice_peers(self, now_s: float) -> list[Peer]:
         return [
-            Peer(entry_id, info.peer_address)
+            Peer(entry_id, info.peer_address, info.boot_id)
             for entry_id, info in self.view.entries.items()
             if entry_id != self.entry_id and info.is_usable(now_s)
         ]
--- a/src/celerytrack/gateway/state.py
+++ b/src/celerytrack/gateway/state.py
@@ -282,7 +282,10 @@
 
     def _notice_peers(self, now_s: float) -> list[Peer]:
         members = self.share_sync.members.live_peers(now_s)
-        return [Peer(member.entry_id, member.peer_address) for member in members]
+        return [
+            Peer(member.entry_id, member.peer_address, str(member.started_s))
+            for member in members
+        ]
 
     def _ends_by_itself(self, endpoint: Endpoint) -> bool:
         """Whether an endpoint that ends is no sign against the requests that it ran."""
--- a/src/celerytrack/lab/peer_fleet.py
+++ b/src/celerytrack/lab/peer_fleet.py
@@ -57,6 +57,7 @@
     cut_off: bool = False
     log_lost_at_s: float = math.inf
     alive: bool = True
+    incarnation: int = 0
     task: asyncio.Task[None] | None = None
     sent_bytes: Counter[int] = attrs.field(factory=Counter)
 
@@ -101,19 +102,20 @@
             lambda now_s: max(0.0, now_s - self.entries[entry_id].log_lost_at_s),
         )
         lag_s = self._rng.uniform(*self._faults.view_lag_s)
-        entry = ModelPeer(entry_id, notices, lag_s)
+        previous = self.entries.get(entry_id)
+        incarnation = previous.incarnation + 1 if previous else 0
+        entry = ModelPeer(entry_id, notices, lag_s, incarnation=incarnation)
         entry.task = self.spawn(notices.run())
         self.entries[entry_id] = entry
         return entry
 
     def publish_view(self) -> None:
         """Make the present membership known, which each entry sees later."""
-        alive = (
-            e.entry_id
+        peers = tuple(
+            Peer(e.entry_id, e.entry_id, str(e.incarnation))
             for e in self.entries.values()
             if e.alive and e.log_lost_at_s == math.inf
         )
-        peers = tuple(Peer(entry_id, entry_id) for entry_id in alive)
         self._views.append((time.monotonic(), peers))
 
     async def cut_a_third(self, lasts_s: float, from_log: bool = False) -> None:
--- a/src/celerytrack/notices/owners.py
+++ b/src/celerytrack/notices/owners.py
@@ -28,10 +28,14 @@
 
 @attrs.frozen
 class Peer:
-    """Another live entry."""
+    """Another live entry.
+
+    :ivar incarnation: changes as the entry restarts.
+    """
 
     entry_id: EntryId
     address: str
+    incarnation: str = ""
 
 
 class EndpointOwners:
@@ -54,6 +58,7 @@
         self._rng = random.Random(entry_id)
         self.address = address
         self.peers: dict[EntryId, str] = {}
+        self._live: dict[EntryId, Peer] = {}
         self.settled_at_s = started_s + SETTLE_S
         self._entry_id = entry_id
         self._leaving = False
@@ -100,15 +105,19 @@
     def update(self, peers: Iterable[Peer], now_s: float) -> list[str] | None:
         """Record the other live entries.
 
-        :returns: the addresses of those that joined; ``None`` if nothing changed.
+        :returns: the addresses of those that joined or restarted; ``None`` if nothing
+            changed.
         """
-        peers_by_id = {peer.entry_id: peer.address for peer in peers}
-        if peers_by_id == self.peers:
+        live = {peer.entry_id: peer for peer in peers}
+        if live == self._live:
             return None
-        joined = [a for i, a in peers_by_id.items() if i not in self.peers]
-        self.peers = peers_by_id
-        self.settled_at_s = now_s + SETTLE_S
-        self._rankings.clear()
+        joined = [p.address for i, p in live.items() if self._live.get(i) != p]
+        self._live = live
+        addresses = {i: peer.address for i, peer in live.items()}
+        if addresses != self.peers:
+            self.peers = addresses
+            self.settled_at_s = now_s + SETTLE_S
+            self._rankings.clear()
         return joined
 
     @property
--- a/tests/gateway_fleet.py
+++ b/tests/gateway_fleet.py
@@ -226,6 +226,13 @@
         self._start_gateway(len(self.gateways))
         await self.wait_until(self._all_ready, self.ready_within_s)
 
+    async def restart_gateway(self, i: int) -> None:
+        """Kill a gateway, and start it again at once under its addresses as the last
+        one of the list."""
+        await self.end_gateway(i)
+        self._run_gateway(self.gateways[i].settings)
+        await self.wait_until(self._all_ready, self.ready_within_s)
+
     def _start_gateway(self, i: int) -> None:
         settings = ProcessSettings(
             entry_id=f"e{i}",
@@ -242,12 +249,15 @@
             retry_slack=50.0,
             max_ttl_s=5.0,
         )
+        self._run_gateway(settings)
+
+    def _run_gateway(self, settings: ProcessSettings) -> None:
         gateway = Gateway(settings, time.monotonic())
         server = EntryServer(gateway, pathlib.Path("unused"))
         self.gateways.append(gateway)
         self.servers.append(server)
         context = contextvars.copy_context()
-        context.run(current_gateway.set, i)
+        context.run(current_gateway.set, len(self.gateways) - 1)
         self._tasks.append(asyncio.create_task(server.run(), context=context))
 
     async def end_gateway(self, i: int) -> None:
--- a/tests/test_endpoint_limits.py
+++ b/tests/test_endpoint_limits.py
@@ -230,6 +230,16 @@
             gateway.notices.limits.receive = lambda message: None  # type: ignore[method-assign]
             fleet._tasks[owner].cancel()
 
+    async def test_an_entry_that_restarts_is_told_of_the_limit(self) -> None:
+        """Back before it counted as silent, it sent without leases for seconds."""
+        (endpoint,) = endpoints = make_endpoints(1, 0, "")
+        async with fleet_of(endpoints, 3) as fleet:
+            await _settle(fleet)
+            await _hear(fleet, endpoint, "10")
+            await fleet.restart_gateway((_owner(fleet) + 1) % 3)
+            tracker = fleet.gateways[-1].notices.limits.tracker
+            await fleet.wait_until(lambda: tracker.limit_per_s(I_0) is not None, 1.0)
+
     async def test_an_owner_that_stood_still_grants_less_at_first(self) -> None:
         """A process that woke up granted the whole limit beside its successor."""
         (endpoint,) = endpoints = make_endpoints(1, 0, "")
--- a/tests/test_notice_state.py
+++ b/tests/test_notice_state.py
@@ -360,6 +360,7 @@
         self.sent: list[tuple[str, str, object]] = []
         self.lost = False
         self.live = ["e0", "e1", "e2"]
+        self.incarnations: dict[str, str] = {}
         self.syncs = {name: self._sync(name) for name in self.live}
         for sync in self.syncs.values():
             sync.tick(0.0)
@@ -371,7 +372,11 @@
                 self.syncs[address].receive(message)
 
         def peers(now_s: float) -> list[Peer]:
-            return [Peer(EntryId(n), n) for n in self.live if n != name]
+            return [
+                Peer(EntryId(n), n, self.incarnations.get(n, ""))
+                for n in self.live
+                if n != name
+            ]
 
         return NoticeSync(EntryId(name), name, send, peers, 0.0, random.Random(1))
 
@@ -428,6 +433,16 @@
             sync.tick(now_s)
         self.assertEqual(self.syncs["e3"].limits.tracker.limit_per_s(A), 5.0)
 
+    def test_an_entry_that_restarts_is_told(self) -> None:
+        """It was back before it counted as silent, and nobody told it anything."""
+        self._hear("e0")
+        self.incarnations["e2"] = "2"
+        self.syncs["e2"] = self._sync("e2")
+        now_s = self.syncs["e0"].state.leaving.heard_at_s(A, 0) or 0.0
+        for sync in self.syncs.values():
+            sync.tick(now_s + 0.5)
+        self.assertIn("e2", self._known())
+
     def test_nothing_is_told_while_nothing_leaves(self) -> None:
         """It cost messages at rest, or long after the endpoint was gone."""
         for sync in self.syncs.values():
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -62,6 +62,13 @@
         view.record_heartbeat(_heartbeat(), 100.0 - age_s)
         self.assertEqual(view.is_gone(E2, 100.0), gone)
 
+    def test_a_restart_shows_in_the_heartbeats(self):
+        """An entry that was back within their timeout was told nothing of limits."""
+        view = self._view()
+        for boot_id in ("b", "c"):
+            view.record_heartbeat(_heartbeat(boot_id=boot_id), 100.0)
+            self.assertEqual(view.entries[E2].boot_id, boot_id)
+
     def test_a_replica_missing_in_a_heartbeat_has_no_load(self):
         view = self._view()
         for loads, expected in (({R1: Load(3, 900)}, Load(3, 900)), ({}, Load())):
