One that joined is told of limits by three entries besides the owners

What callers saw: an entry that had just started sent to brittle endpoints without leases until each owner had noticed it, at its next look at the membership, up to half a second after it read the row.

Change: while an entry knows of limits, leavings or backoffs it looks at the membership five times a tick, and three entries, chosen by a hash of the new one's address, tell it all the limits they know; owners tell theirs as before. Nothing is sent while nothing is known.

--- a/src/celerytrack/limits/sync.py
+++ b/src/celerytrack/limits/sync.py
@@ -151,19 +151,34 @@
         if self.owners.detect_freeze(now_s):
             self.grants.reduce_all()
         self._check_isolation(now_s)
-        joined = self.owners.update(self._live_peers(now_s), now_s)
-        if joined is not None:
-            self.asks.forget_absent_entries()
-            self.grants.update_owners(now_s)
-        joined = joined or []
+        joined = self.follow_members(now_s)
         if self.tracker:
             self.grants.expire(now_s)
             for change in self.tracker.expire(now_s):
                 self._on_change(change, "unconfirmed", now_s)
-            self._repeat_begun(joined, now_s)
+            self._repeat_begun(now_s)
             self._repeat_ended(now_s)
         return joined
 
+    def follow_members(self, now_s: float) -> list[str]:
+        """Compare the membership, and tell those that joined what is known.
+
+        :returns: the addresses of entries that joined.
+        """
+        joined = self.owners.update(self._live_peers(now_s), now_s)
+        if joined is None:
+            return []
+        self.asks.forget_absent_entries()
+        self.grants.update_owners(now_s)
+        limited = set(self.tracker.limited())
+        own = {i for i in limited if self.owners.is_own(i)}
+        for address in joined:
+            # One that joined may be the owner now, and knows nothing yet.
+            sponsors = self.owners.is_sponsor(address)
+            told = limited if sponsors else limited & (self._owned | own)
+            self._announce(sorted(told), [address], now_s)
+        return joined
+
     # -- messages ---------------------------------------------------------------
 
     def receive(self, message: LimitMessage) -> None:
@@ -265,12 +280,8 @@
             for address in addresses:
                 self._send(address, news)
 
-    def _repeat_begun(self, joined: Sequence[str], now_s: float) -> None:
+    def _repeat_begun(self, now_s: float) -> None:
         own = [i for i in self.tracker.limited() if self.owners.is_own(i)]
-        if joined:
-            # One that joined may be the owner now, and knows nothing yet.
-            told = self._owned.union(own).intersection(self.tracker.limited())
-            self._announce(sorted(told), joined, now_s)
         self._owned = set(own)
         due = [
             endpoint_id
--- a/src/celerytrack/notices/leaving_sync.py
+++ b/src/celerytrack/notices/leaving_sync.py
@@ -61,11 +61,15 @@
             self._told_from_s[endpoint_id] = now_s - TELL_OWNER_S
             self._next_repeat_s[endpoint_id] = now_s + ANNOUNCE_S
 
-    def tick(self, joined: Sequence[str], now_s: float) -> None:
-        """Repeat what is due.
+    def tell_joined(self, joined: Sequence[str], now_s: float) -> None:
+        """Tell entries that joined what this one tells, or told until they did."""
+        # One that joined may be the owner now, and knows nothing yet.
+        own = {i for i in self._told_from_s if self._owners.is_own(i)}
+        told = (self._owned | own).intersection(self._told_from_s)
+        self._announce(sorted(told), joined, now_s)
 
-        :param joined: addresses of entries that have joined since the last call.
-        """
+    def tick(self, now_s: float) -> None:
+        """Repeat what is due."""
         for endpoint_id, from_s in list(self._told_from_s.items()):
             if now_s - from_s > TOLD_S:
                 del self._told_from_s[endpoint_id]
@@ -74,10 +78,6 @@
             elif now_s - from_s < TELL_OWNER_S and not self._owners.is_own(endpoint_id):
                 self._tell_owner(endpoint_id, now_s)
         own = [i for i in self._told_from_s if self._owners.is_own(i)]
-        if joined:
-            # One that joined may be the owner now, and knows nothing yet.
-            told = self._owned.union(own).intersection(self._told_from_s)
-            self._announce(sorted(told), joined, now_s)
         self._owned = set(own)
         due = [i for i in own if now_s >= self._next_repeat_s[i]]
         for endpoint_id in due:
--- a/src/celerytrack/notices/sync.py
+++ b/src/celerytrack/notices/sync.py
@@ -4,10 +4,11 @@
 """
 
 import asyncio
+import itertools
 import logging
 import random
 import time
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Sequence
 
 from celerytrack.events import Event, log_event
 from celerytrack.ids import EndpointId, EntryId, RequestId
@@ -20,6 +21,9 @@
 
 _log = logging.getLogger(__name__)
 
+CHECKS_PER_TICK = 5
+"""Looks at the membership in each tick while something is known that an entry which
+joined has to know too."""
 RETURN_SPACING_S = 0.005
 """Mean time between the first requests of two entries to an endpoint whose backoffs
 end together."""
@@ -117,19 +121,23 @@
 
     async def run(self) -> None:
         """Follow the membership and repeat news until cancelled."""
-        while True:
-            self.tick(time.monotonic())
-            await asyncio.sleep(TICK_S)
+        for check in itertools.count():
+            now_s = time.monotonic()
+            if check % CHECKS_PER_TICK == 0:
+                self.tick(now_s)
+            elif self:
+                self._tell_joined(self.limits.follow_members(now_s), now_s)
+            await asyncio.sleep(TICK_S / CHECKS_PER_TICK)
 
     def tick(self, now_s: float) -> None:
         """Follow the membership, repeat news and end what is over."""
-        joined = self.limits.tick(now_s)
+        self._tell_joined(self.limits.tick(now_s), now_s)
         if not self.state:
             return
         for endpoint_id in self.state.backoffs.pop_ended(now_s):
             log_event(_log, Event.BACKOFF_ENDED, endpoint=endpoint_id)
         self.state.returns.expire(now_s)
-        self._leaving_sync.tick(joined, now_s)
+        self._leaving_sync.tick(now_s)
         self._end_limits(now_s)
 
     def receive(self, message: NoticeMessage) -> None:
@@ -147,6 +155,10 @@
             self._limits_end_at_s[endpoint_id] = heard_at_s + LAST_RESORT_S
             self._leaving_sync.on_told(endpoint_id, now_s)
 
+    def _tell_joined(self, joined: Sequence[str], now_s: float) -> None:
+        if joined and self.state:
+            self._leaving_sync.tell_joined(joined, now_s)
+
     def _record_leaving(
         self,
         endpoint_id: EndpointId,
--- a/tests/test_notice_state.py
+++ b/tests/test_notice_state.py
@@ -21,7 +21,7 @@
     encode_notice_message,
     notice_message_of,
 )
-from celerytrack.notices.owners import EndpointOwners, Peer
+from celerytrack.notices.owners import SPONSORS, EndpointOwners, Peer
 from celerytrack.notices.returns import FULL_WINDOW, MAX_RETURN_S, ReturnTracker
 from celerytrack.notices.state import LAST_RESORT_S, EndpointNotices
 from celerytrack.notices.sync import NoticeSync
@@ -443,6 +443,24 @@
             sync.tick(now_s + 0.5)
         self.assertIn("e2", self._known())
 
+    def test_three_entries_tell_one_that_joined_of_limits(self) -> None:
+        """One that its owners noticed late sent without leases."""
+        self.live = [f"e{n}" for n in range(10)]
+        self.syncs = {name: self._sync(name) for name in self.live}
+        for sync in self.syncs.values():
+            sync.tick(0.0)
+        self.syncs["e0"].record_answer(
+            A, 0, AnswerNotices(limit_per_s=5.0), 0.0, RequestId("r"), True, 0.0
+        )
+        self.sent.clear()
+        self.live.append("new")
+        for sync in self.syncs.values():
+            sync.tick(0.1)
+        tellers = {name for name, address, _ in self.sent if address == "new"}
+        owner = str(self.syncs["e0"].limits.owners.owner(A))
+        self.assertIn(owner, tellers)
+        self.assertIn(len(tellers), (SPONSORS, SPONSORS + 1))
+
     def test_nothing_is_told_while_nothing_leaves(self) -> None:
         """It cost messages at rest, or long after the endpoint was gone."""
         for sync in self.syncs.values():
