Test processes on one machine don't give the same port twice

Seen: of three runs of 24 gateways at once one ended with "address already in use" (a gateway's metrics port), before any request.

Change: a process claims the ports it has given at another loopback address, which the others look at; it holds the last 300.

--- a/tests/gateway_fleet.py
+++ b/tests/gateway_fleet.py
@@ -1,6 +1,7 @@
 """In-process gateways with a stand-in log and scripted endpoints."""
 
 import asyncio
+import collections
 import contextvars
 import json
 import pathlib
@@ -40,13 +41,34 @@
 _PORTS = range(12_000, 32_000)
 _rng = random.Random()
 _given_ports: set[int] = set()
+_CLAIM_HOST = "127.0.0.2"
+"""Address at which a test process claims the ports that it has given."""
+_claims: collections.deque[socket.socket] = collections.deque()
+MAX_CLAIMS = 300
+
+
+def _claim(port: int) -> bool:
+    """Claim a port before other test processes on this machine."""
+    claim = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    try:
+        claim.bind((_CLAIM_HOST, port))
+    except OSError:
+        claim.close()
+        return False
+    _claims.append(claim)
+    if len(_claims) > MAX_CLAIMS:
+        _claims.popleft().close()
+    return True
 
 
 def free_port() -> int:
-    """Find a loopback port that is free for TCP and UDP, a new one each time."""
+    """Find a loopback port that is free for TCP and UDP, a new one each time.
+
+    Its user may listen later: until then no other test process gets it.
+    """
     while True:
         port = _rng.choice(_PORTS)
-        if port in _given_ports:
+        if port in _given_ports or not _claim(port):
             continue
         try:
             for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
