Leases of an entry that was killed and is back are dropped

What callers saw: after the kill of an entry that is back within the silence limit, room of brittle endpoints stayed idle while requests were refused. Its leases, of which nobody reports the end, counted as in progress for 10 s, as its address was never gone. Killed entries stay listed now until they are silent, and are back before.

Change: as an entry joins, its accepted leases are dropped; those in doubt are of its new incarnation.

--- a/src/celerytrack/lab/peer_fleet.py
+++ b/src/celerytrack/lab/peer_fleet.py
@@ -47,6 +47,8 @@
     """A modelled entry process.
 
     :ivar cut_off: whether no message reaches it or leaves it.
+    :ivar silent_from_s: when the others miss its rows, if it was killed.
+    :ivar incarnation: number of its starts before this one.
     :ivar log_lost_at_s: since when it can't read the log either.
     :ivar sent_bytes: bytes that it sent to others, by second.
     """
@@ -57,10 +59,15 @@
     cut_off: bool = False
     log_lost_at_s: float = math.inf
     alive: bool = True
+    silent_from_s: float = math.inf
     incarnation: int = 0
     task: asyncio.Task[None] | None = None
     sent_bytes: Counter[int] = attrs.field(factory=Counter)
 
+    def is_listed(self, now_s: float) -> bool:
+        """Whether others count it as live, also after a kill until it is silent."""
+        return self.alive or now_s < self.silent_from_s
+
 
 class PeerFleet:
     """Entries, their membership and their messages.
@@ -114,7 +121,7 @@
         peers = tuple(
             Peer(e.entry_id, e.entry_id, str(e.incarnation))
             for e in self.entries.values()
-            if e.alive and e.log_lost_at_s == math.inf
+            if e.is_listed(time.monotonic()) and e.log_lost_at_s == math.inf
         )
         self._views.append((time.monotonic(), peers))
 
@@ -158,9 +165,9 @@
             entry.alive = False
         if entry.task is not None:
             entry.task.cancel()
-        await asyncio.sleep(DOWN_S if planned else SILENCE_S)
         if not planned:
-            self.publish_view()
+            entry.silent_from_s = time.monotonic() + SILENCE_S
+        await asyncio.sleep(DOWN_S)
         self.start(entry.entry_id)
         self.publish_view()
 
--- a/src/celerytrack/limits/grants.py
+++ b/src/celerytrack/limits/grants.py
@@ -219,6 +219,10 @@
         has_standby = len(self._owners.ranking(endpoint_id)) > 1
         return owner_in_doubt(bears_per_s, has_standby)
 
+    def on_joined(self, address: str, now_s: float) -> None:
+        """Forget the leases that an entry had before it restarted."""
+        self._rooms.drop_accepted(address, now_s)
+
     def update_owners(self, now_s: float) -> None:
         """Take over and hand over after a change of the membership."""
         self._rooms.keep_senders({self._owners.address, *self._owners.peers.values()})
--- a/src/celerytrack/limits/room.py
+++ b/src/celerytrack/limits/room.py
@@ -232,6 +232,14 @@
         for key in [k for k in self._leases if k[0] not in senders]:
             del self._leases[key]
 
+    def drop_accepted(self, sender: str, now_s: float) -> None:
+        """Drop the leases of an entry that has restarted; those still in doubt are of
+        its new incarnation."""
+        self._expire(now_s)
+        for key, lease in list(self._leases.items()):
+            if key[0] == sender and not lease.in_doubt:
+                del self._leases[key]
+
     def is_unused(self, now_s: float) -> bool:
         """Whether nothing was granted or rejected for a long time."""
         return now_s - self._used_at_s > KEPT_S
@@ -276,6 +284,11 @@
         for room in self._known.values():
             room.keep_senders(senders)
 
+    def drop_accepted(self, sender: str, now_s: float) -> None:
+        """Drop the accepted leases of an entry that has restarted."""
+        for room in self._known.values():
+            room.drop_accepted(sender, now_s)
+
     def expire(self, now_s: float) -> None:
         """Forget the rooms that are no longer used."""
         unused = [i for i, room in self._known.items() if room.is_unused(now_s)]
--- a/src/celerytrack/limits/sync.py
+++ b/src/celerytrack/limits/sync.py
@@ -170,6 +170,8 @@
             return []
         self.asks.forget_absent_entries()
         self.grants.update_owners(now_s)
+        for address in joined:
+            self.grants.on_joined(address, now_s)
         limited = set(self.tracker.limited())
         own = {i for i in limited if self.owners.is_own(i)}
         for address in joined:
--- a/tests/test_learned_room.py
+++ b/tests/test_learned_room.py
@@ -145,6 +145,15 @@
         self.assertTrue(room.has_room(LEASE_KEPT_S + 0.1))
         self.assertEqual(room.in_progress, 0)
 
+    def test_leases_from_before_a_restart_are_dropped(self) -> None:
+        """An entry was killed and back at once; its endpoints stayed idle for 10 s."""
+        room = _room(limit=8)
+        _grant(room, 3, 0.0)
+        room.record_grant(("b:1", 1), 0.0)
+        room.record_grant(_key(9), 2.0)
+        room.drop_accepted("a:1", 2.0)
+        self.assertEqual(room.in_progress, 2)
+
     def test_without_any_room_it_tries_less_and_less(self) -> None:
         """An endpoint that took nothing was asked as often as it bore rejections."""
         room = _room(max_in_doubt=10)
