A lease whose end is not heard counts for three of the longest runs, not ten seconds

What callers saw: while messages were lost, or entries were killed, room of brittle endpoints stayed idle. Each lost report of an end took a place for 10 s, though the endpoint's requests run for a tenth of a second.

Change: such a lease counts for three times the longest run of late (it falls by a hundredth with each shorter run), at least 1 and at most 10 s, and 10 s while none has ended. One that runs longer and is dropped wrongly may cost a rejection, which lowers the limit again.

--- a/src/celerytrack/limits/room.py
+++ b/src/celerytrack/limits/room.py
@@ -38,8 +38,13 @@
 MAX_PAUSE_DOUBLINGS = 3
 """Pause after a rejection while nothing else was in progress, and how often it
 doubles."""
-LEASE_KEPT_S = 10.0
-"""How long a lease whose end was not reported counts as in progress."""
+UNREPORTED_RUNS = 3.0
+MIN_UNREPORTED_S = 1.0
+MAX_UNREPORTED_S = 10.0
+"""How long a lease counts as in progress while its end is not reported: so many times
+the longest run of late."""
+LONGEST_RUN_KEPT = 0.99
+"""Share of the longest run that is left after each shorter one."""
 STANDBY_SHARE = 1 / 3
 """Share of the rejections an endpoint bears that is kept for the leases of a standby or
 a new owner: another entry may still take itself for the owner."""
@@ -113,12 +118,23 @@
         self._paused_until_s = -math.inf
         self._pause_doublings = 0
         self._mean_run_s = USUAL_RUN_S
+        self._longest_run_s = 0.0
 
     @property
     def in_progress(self) -> int:
         """Leases in progress."""
         return len(self._leases)
 
+    @property
+    def _unreported_s(self) -> float:
+        """How long a lease counts as in progress while its end is not reported."""
+        if self._longest_run_s <= 0.0:
+            return MAX_UNREPORTED_S
+        return min(
+            max(MIN_UNREPORTED_S, UNREPORTED_RUNS * self._longest_run_s),
+            MAX_UNREPORTED_S,
+        )
+
     def in_doubt(self, now_s: float) -> int:
         """Leases whose requests may still be rejected."""
         self._expire(now_s)
@@ -148,7 +164,7 @@
         self._expire(now_s)
         paused_s = max(0.0, self._paused_until_s - now_s)
         if self._is_full(self.in_progress):
-            full_s = self._first_lease_s(LEASE_KEPT_S, now_s)
+            full_s = self._first_lease_s(self._unreported_s, now_s)
         elif self.max_in_doubt <= 0:
             full_s = REJECTIONS_S
         elif self.in_doubt(now_s) + len(self._rejected_at_s) < self.max_in_doubt:
@@ -183,6 +199,7 @@
             return
         run_s = now_s - lease.granted_at_s
         self._mean_run_s += RUN_WEIGHT * (run_s - self._mean_run_s)
+        self._longest_run_s = max(run_s, LONGEST_RUN_KEPT * self._longest_run_s)
         if outcome is LeaseOutcome.ABANDONED:
             if self._is_full(lease.level):
                 self._shrink(lease.level - 1, now_s)
@@ -265,7 +282,7 @@
             age_s = now_s - lease.granted_at_s
             if age_s >= IN_DOUBT_S:
                 self._record_accepted(lease, now_s)
-            if age_s >= LEASE_KEPT_S:
+            if age_s >= self._unreported_s:
                 del self._leases[key]
 
 
--- a/tests/test_learned_room.py
+++ b/tests/test_learned_room.py
@@ -23,7 +23,7 @@
 from celerytrack.limits.room import (
     IN_DOUBT_S,
     KEPT_S,
-    LEASE_KEPT_S,
+    MAX_UNREPORTED_S,
     LearnedRoom,
     LearnedRooms,
     LeaseKey,
@@ -142,7 +142,7 @@
         self.assertEqual(room.in_progress, 2)
         room.keep_senders({"a:1"})
         self.assertEqual(room.in_progress, 1)
-        self.assertTrue(room.has_room(LEASE_KEPT_S + 0.1))
+        self.assertTrue(room.has_room(MAX_UNREPORTED_S + 0.1))
         self.assertEqual(room.in_progress, 0)
 
     def test_leases_from_before_a_restart_are_dropped(self) -> None:
@@ -154,6 +154,20 @@
         room.drop_accepted("a:1", 2.0)
         self.assertEqual(room.in_progress, 2)
 
+    @params((0.1, 0.9, 1.1), (1.5, 4.4, 4.6), (20.0, 9.9, 10.1))
+    def test_a_lost_report_counts_for_some_runs(
+        self, run_s: float, kept_s: float, dropped_s: float
+    ) -> None:
+        """While messages were lost, each took a place of short requests for 10 s."""
+        room = _room(limit=2)
+        room.record_grant(_key(0), 0.0)
+        room.record_end(_key(0), LeaseOutcome.RAN, run_s)
+        room.record_grant(_key(1), run_s)
+        room.in_doubt(run_s + kept_s)
+        self.assertEqual(room.in_progress, 1)
+        room.in_doubt(run_s + dropped_s)
+        self.assertEqual(room.in_progress, 0)
+
     def test_without_any_room_it_tries_less_and_less(self) -> None:
         """An endpoint that took nothing was asked as often as it bore rejections."""
         room = _room(max_in_doubt=10)
