Own interface: the parts of a chat are hashed without encoding them as JSON

Change: messages are packed with msgpack, sorted by field; JSON is left for what it can't pack (lone surrogates, numbers of more than 64 bits). The order of fields inside a field's value makes another part now; clients that repeat a prompt write it the same way.

--- a/src/celerytrack/entry/suspects.py
+++ b/src/celerytrack/entry/suspects.py
@@ -15,6 +15,8 @@
 from collections.abc import Awaitable, Callable, Sequence
 from typing import Protocol
 
+import msgpack
+
 from celerytrack.events import Event, log_event
 from celerytrack.findings import Crash, Findings, Probe
 from celerytrack.fingerprint import (
@@ -66,11 +68,21 @@
     if not isinstance(messages, list):
         return ()
     shared = messages[: min(len(messages) - 1, MAX_PARTS)]
-    raw = (json.dumps(message, sort_keys=True).encode() for message in shared)
-    parts = [PartId(hashlib.blake2b(r, digest_size=16).hexdigest()) for r in raw]
+    parts = [PartId(_digest_of(message).hexdigest()) for message in shared]
     return part_fingerprints(ServiceName(work.model), parts)
 
 
+def _digest_of(message: object) -> "hashlib.blake2b":
+    """Digest of a message, whatever the order of its fields."""
+    fields = sorted(message.items()) if isinstance(message, dict) else message
+    try:
+        raw: bytes = msgpack.packb(fields)
+    except (ValueError, OverflowError):
+        # Half of a surrogate pair, or a number of more than 64 bits.
+        raw = json.dumps(message, sort_keys=True).encode()
+    return hashlib.blake2b(raw, digest_size=16)
+
+
 class Featured(Protocol):
     """A request whose features are computed on access."""
 
--- a/tests/test_own_crashing_parts.py
+++ b/tests/test_own_crashing_parts.py
@@ -4,6 +4,7 @@
 import unittest
 
 import attrs
+from nose2.tools import params
 
 from celerytrack.entry.suspects import EntrySuspects, part_fingerprints_of
 from celerytrack.findings import Crash
@@ -48,6 +49,21 @@
         for body in (None, [], {}, {"messages": None}, {"messages": []}, "x"):
             self.assertEqual(part_fingerprints_of(WORK, body), ())
 
+    def test_the_order_of_fields_makes_no_other_part(self) -> None:
+        """A guilty message of another client got through."""
+        message = _message("s")
+        turned = dict(reversed(message.items()))
+        bodies = [{"messages": [m, _message("x")]} for m in (message, turned)]
+        parts = {part_fingerprints_of(WORK, body) for body in bodies}
+        self.assertEqual(len(parts), 1)
+
+    @params("\ud800", 10**40, None, [[{"y": 0.5}]], "s")
+    def test_any_value_may_stand_in_a_message(self, value: object) -> None:
+        """A lone surrogate or a long number ended the request."""
+        for message in (value, {"content": value}):
+            body = {"messages": [message, _message("x")]}
+            self.assertEqual(len(part_fingerprints_of(WORK, body)), 1)
+
     def test_a_message_that_crashes_replicas_is_held_back(self) -> None:
         """No two requests were alike, and each replica that got one crashed."""
         suspects = EntrySuspects(EntryId("e"))
