Names: entries that tell one that joined; a suspected part that is sound

"Sponsor" is no term of the field: the number is JOIN_FANOUT, and tells_joined says whether an entry is one of these. _is_told_sound was to be read as "is told"; it is _is_suspect_but_sound. Names only; the tests of notices, suspects and rooms pass.

--- a/src/celerytrack/limits/sync.py
+++ b/src/celerytrack/limits/sync.py
@@ -176,8 +176,8 @@
         own = {i for i in limited if self.owners.is_own(i)}
         for address in joined:
             # One that joined may be the owner now, and knows nothing yet.
-            sponsors = self.owners.is_sponsor(address)
-            told = limited if sponsors else limited & (self._owned | own)
+            tells_all = self.owners.tells_joined(address)
+            told = limited if tells_all else limited & (self._owned | own)
             self._announce(sorted(told), [address], now_s)
         return joined
 
--- a/src/celerytrack/notices/owners.py
+++ b/src/celerytrack/notices/owners.py
@@ -22,7 +22,7 @@
 """Shortest time that the others have for their replies."""
 MAX_CHECKED = 10
 """Most entries that are asked in one check."""
-SPONSORS = 3
+JOIN_FANOUT = 3
 """Entries that tell one that joined all they know: one may see it late, one message may
 be lost."""
 FREEZE_S = 2.0
@@ -100,11 +100,11 @@
         """Peer address of a live entry, which may be this one."""
         return self.address if entry_id == self._entry_id else self.peers[entry_id]
 
-    def is_sponsor(self, address: str) -> bool:
+    def tells_joined(self, address: str) -> bool:
         """Whether this entry is among those that tell one that joined all they know."""
         others = [i for i, known in self.peers.items() if known != address]
-        sponsors = rendezvous(address, [*others, self._entry_id], SPONSORS)
-        return self._entry_id in sponsors
+        tellers = rendezvous(address, [*others, self._entry_id], JOIN_FANOUT)
+        return self._entry_id in tellers
 
     def begin_leaving(self) -> None:
         """Leave this entry out: a planned stop has begun."""
--- a/src/celerytrack/suspects.py
+++ b/src/celerytrack/suspects.py
@@ -221,14 +221,16 @@
 
         :returns: what to send to the other entries.
         """
-        sound = [f for f in self._suspects if self._is_told_sound(f, now_s)]
+        sound = [f for f in self._suspects if self._is_suspect_but_sound(f, now_s)]
         return self.record_successes(sound, now_s)
 
     def has_sound_suspects(self, findings: Findings, now_s: float) -> bool:
         """Whether other entries suspect a part that is answered here."""
-        return any(self._is_told_sound(e.fingerprint, now_s) for e in findings.evidence)
+        return any(
+            self._is_suspect_but_sound(e.fingerprint, now_s) for e in findings.evidence
+        )
 
-    def _is_told_sound(self, fingerprint: Fingerprint, now_s: float) -> bool:
+    def _is_suspect_but_sound(self, fingerprint: Fingerprint, now_s: float) -> bool:
         suspicion = self._suspects.get(fingerprint)
         return (
             suspicion is not None
--- a/tests/test_notice_state.py
+++ b/tests/test_notice_state.py
@@ -21,7 +21,7 @@
     encode_notice_message,
     notice_message_of,
 )
-from celerytrack.notices.owners import SPONSORS, EndpointOwners, Peer
+from celerytrack.notices.owners import JOIN_FANOUT, EndpointOwners, Peer
 from celerytrack.notices.returns import FULL_WINDOW, MAX_RETURN_S, ReturnTracker
 from celerytrack.notices.state import LAST_RESORT_S, EndpointNotices
 from celerytrack.notices.sync import NoticeSync
@@ -459,7 +459,7 @@
         tellers = {name for name, address, _ in self.sent if address == "new"}
         owner = str(self.syncs["e0"].limits.owners.owner(A))
         self.assertIn(owner, tellers)
-        self.assertIn(len(tellers), (SPONSORS, SPONSORS + 1))
+        self.assertIn(len(tellers), (JOIN_FANOUT, JOIN_FANOUT + 1))
 
     def test_nothing_is_told_while_nothing_leaves(self) -> None:
         """It cost messages at rest, or long after the endpoint was gone."""
