A lease that ends after it was dropped still teaches how long requests run

What callers saw: more rejections at brittle endpoints whose requests grow longer. Cause, of, found by reading: a lease is dropped after three of the longest runs (1 s at least), and its later end was not looked at, so that after short runs the long ones were never learned, and each counted as in progress for a part of its time only.

Change: a dropped lease keeps the time of its grant until 10 s are over; its end teaches the run. The new test fails before.

--- a/src/celerytrack/limits/room.py
+++ b/src/celerytrack/limits/room.py
@@ -119,6 +119,8 @@
         self._pause_doublings = 0
         self._mean_run_s = USUAL_RUN_S
         self._longest_run_s = 0.0
+        # When the leases were granted whose end was not reported in time.
+        self._dropped: dict[LeaseKey, float] = {}
 
     @property
     def in_progress(self) -> int:
@@ -195,11 +197,12 @@
     def record_end(self, key: LeaseKey, outcome: LeaseOutcome, now_s: float) -> None:
         """Count the end of a lease."""
         lease = self._leases.pop(key, None)
-        if lease is None or outcome is LeaseOutcome.FAILED:
+        granted_at_s = lease.granted_at_s if lease else self._dropped.pop(key, None)
+        if granted_at_s is None or outcome is LeaseOutcome.FAILED:
+            return
+        self._record_run(now_s - granted_at_s)
+        if lease is None:
             return
-        run_s = now_s - lease.granted_at_s
-        self._mean_run_s += RUN_WEIGHT * (run_s - self._mean_run_s)
-        self._longest_run_s = max(run_s, LONGEST_RUN_KEPT * self._longest_run_s)
         if outcome is LeaseOutcome.ABANDONED:
             if self._is_full(lease.level):
                 self._shrink(lease.level - 1, now_s)
@@ -218,6 +221,11 @@
             self._pause_doublings = min(self._pause_doublings + 1, MAX_PAUSE_DOUBLINGS)
         self._shrink(others, now_s)
 
+    def _record_run(self, run_s: float) -> None:
+        """Learn how long requests run, also from reports that come late."""
+        self._mean_run_s += RUN_WEIGHT * (run_s - self._mean_run_s)
+        self._longest_run_s = max(run_s, LONGEST_RUN_KEPT * self._longest_run_s)
+
     def _is_full(self, level: int) -> bool:
         """Whether so many leases are as many as may be in progress."""
         return self.limit is not None and level >= self.limit
@@ -284,6 +292,10 @@
                 self._record_accepted(lease, now_s)
             if age_s >= self._unreported_s:
                 del self._leases[key]
+                self._dropped[key] = lease.granted_at_s
+        for key, granted_at_s in list(self._dropped.items()):
+            if now_s - granted_at_s >= MAX_UNREPORTED_S:
+                del self._dropped[key]
 
 
 class LearnedRooms:
--- a/tests/test_learned_room.py
+++ b/tests/test_learned_room.py
@@ -168,6 +168,19 @@
         room.in_doubt(run_s + dropped_s)
         self.assertEqual(room.in_progress, 0)
 
+    def test_runs_that_grow_longer_are_learned(self) -> None:
+        """After short runs each long one was dropped, and its end taught nothing."""
+        room = _room(limit=2)
+        room.record_grant(_key(0), 0.0)
+        room.record_end(_key(0), LeaseOutcome.RAN, 0.1)
+        room.record_grant(_key(1), 1.0)
+        room.in_doubt(5.0)
+        self.assertEqual(room.in_progress, 0)
+        room.record_end(_key(1), LeaseOutcome.RAN, 5.0)
+        room.record_grant(_key(2), 6.0)
+        room.in_doubt(15.0)
+        self.assertEqual(room.in_progress, 1)
+
     def test_without_any_room_it_tries_less_and_less(self) -> None:
         """An endpoint that took nothing was asked as often as it bore rejections."""
         room = _room(max_in_doubt=10)
