The line of a crash shows the begin of long part names

Callers choose the names of their prompts' parts, up to a header's 8 KB each; refusals show 80 characters of one, the line of a crash showed up to ten whole. It shows 80 of each now. The new test has eight requests of parts of 8,000 characters: 64 KB of names before, 0.7 KB now.

--- a/src/celerytrack/fingerprint.py
+++ b/src/celerytrack/fingerprint.py
@@ -34,6 +34,8 @@
 """First part of the fingerprints of all parts of prompts."""
 MAX_PARTS = 64
 """Most parts of one prompt that are told apart."""
+MAX_PART_CHARS = 80
+"""Most characters of a part's name in a refusal or a log line."""
 CACHED_PARTS = 8_192
 """Most parts whose fingerprint is kept."""
 
--- a/src/celerytrack/gateway/crash_detector.py
+++ b/src/celerytrack/gateway/crash_detector.py
@@ -11,7 +11,7 @@
 
 import attrs
 
-from celerytrack.fingerprint import Fingerprint, part_fingerprints
+from celerytrack.fingerprint import MAX_PART_CHARS, Fingerprint, part_fingerprints
 from celerytrack.ids import EndpointId, PartId
 from celerytrack.process_end import has_ended
 from celerytrack.routing.endpoint import Endpoint
@@ -52,9 +52,14 @@
             found.update(part_fingerprints(service, request.parts))
         return found
 
-    def most_shared_parts(self) -> dict[PartId, int]:
-        """The parts of most of the interrupted requests, and how many had each."""
-        counts = Counter(part for r in self.interrupted for part in set(r.parts))
+    def most_shared_parts(self) -> dict[str, int]:
+        """The parts of most of the interrupted requests, and how many had each.
+
+        Callers choose their names, so that only the begin of each is shown.
+        """
+        counts = Counter(
+            part[:MAX_PART_CHARS] for r in self.interrupted for part in set(r.parts)
+        )
         return dict(counts.most_common(LOGGED_PARTS))
 
 
--- a/src/celerytrack/gateway/quarantine.py
+++ b/src/celerytrack/gateway/quarantine.py
@@ -10,7 +10,12 @@
 
 from celerytrack.events import Event, log_event
 from celerytrack.findings import Probe
-from celerytrack.fingerprint import PART_PREFIX, Fingerprint, is_part
+from celerytrack.fingerprint import (
+    MAX_PART_CHARS,
+    PART_PREFIX,
+    Fingerprint,
+    is_part,
+)
 from celerytrack.gateway.exchange import AttemptFailure, Exchange
 from celerytrack.gateway.state import Gateway
 from celerytrack.ids import EndpointId
@@ -23,8 +28,6 @@
 
 TYPICAL_PROBE_S = 1.0
 """``Retry-After`` during a half-open probe: most probes have ended by then."""
-MAX_PART_CHARS = 80
-"""Most characters of a part's name in a refusal."""
 OPERATOR_LIFT_RETRY_AFTER_S = 3_600.0
 """``Retry-After`` if only an operator can lift the quarantine, who may do so
 meanwhile."""
--- a/tests/test_suspects.py
+++ b/tests/test_suspects.py
@@ -9,6 +9,7 @@
 
 from celerytrack.findings import Crash, Evidence, Findings, Probe
 from celerytrack.fingerprint import (
+    MAX_PART_CHARS,
     MAX_PARTS,
     Fingerprint,
     FingerprintPrefix,
@@ -17,12 +18,14 @@
     part_fingerprints,
     prefix_in,
 )
-from celerytrack.ids import EndpointId, EntryId, PartId, ServiceName
+from celerytrack.gateway.crash_detector import CrashedEndpoint, Interrupted
+from celerytrack.ids import EndpointId, EntryId, PartId, ServiceName, Zone
 from celerytrack.platform.suspect_records import (
     FindingsError,
     decode_findings,
     encode_findings,
 )
+from celerytrack.routing.endpoint import Endpoint, Registration
 from celerytrack.sound_parts import SOUND_S
 from celerytrack.suspects import (
     MAX_PUBLISHED,
@@ -38,6 +41,7 @@
 PREFIX = FingerprintPrefix(b"place!")
 BAD = fingerprint_of(PREFIX, b"bad")
 GOOD = fingerprint_of(PREFIX, b"good")
+S = ServiceName("s")
 V1 = "s v1"
 V2 = "s v2"
 
@@ -129,6 +133,20 @@
         tracker.record_crash(_crash(number), _request(number, *parts), 0.0)
 
 
+class CrashedEndpointTest(unittest.TestCase):
+    def test_the_log_line_shows_the_begin_of_long_part_names(self) -> None:
+        """Callers choose them, and a crash wrote a line of tens of kilobytes."""
+        registration = Registration(EndpointId("i"), S, "h:1", Zone("z"), 8, False)
+        requests = frozenset(
+            Interrupted(BAD, (PartId("m/" + letter * 8_000), PartId("m/short")))
+            for letter in "abcdefgh"
+        )
+        crashed = CrashedEndpoint(Endpoint(registration), requests)
+        parts = crashed.most_shared_parts()
+        self.assertEqual(parts["m/short"], 8)
+        self.assertEqual(max(map(len, parts)), MAX_PART_CHARS)
+
+
 class PartTest(unittest.TestCase):
     def _state(
         self, tracker: SuspectTracker, *parts: Fingerprint, at_s: float = 1.0
