--- a/review/5/run.py
+++ b/review/5/run.py
@@ -1,9 +1,10 @@
-"""Case 5: all entries lose power while a release ends; streams change their version."""
+"""Case 5: requests reach a replica later than drainMs after its entry was removed."""
 
 import asyncio
 import os
 import pathlib
 import sys
+import time
 
 FOLDER = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent))
@@ -11,164 +12,84 @@
 import standins as s  # noqa: E402
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-ENTRIES = 3
-STREAMS = 12
-EVENTS = 100
-GAP_S = 0.07
-TIME_LIMIT_S = 12.0
-RELEASE_AT_S = 1.0
-DRAINS_AT_S = 1.5
-GONE_AFTER_S = 3.0
-POWER_LOSS_AT_S = 4.0
-DARK_S = 2.0
-STREAMS_ALLOWED = 2
-RETRIES = 4
-RETRY_PAUSE_S = 1.5
+ENTRIES = 4
+ROUNDS = 12
+CLIENTS = 8
+DRAIN_S = 2.0
+SERVES_ON_S = DRAIN_S + 0.06
+WORK_S = 0.08
+AWAY_S = 1.5
+SETTLED_S = 3.2
 
 CONFIG = {
     "version": 1,
     "routes": [
         {
-            "name": "r-ask",
+            "name": "r-grade",
             "host": s.HOST,
-            "pathPrefix": "/ask/",
-            "kind": "stream",
-            "timeoutMs": 12000,
-            "goalMs": 300,
-            "priority": 0,
-            "service": "tutor",
-            "maxAttempts": 2,
+            "pathPrefix": "/grade/",
+            "kind": "non_idempotent",
+            "timeoutMs": 600,
+            "goalMs": 125,
+            "priority": 2,
+            "service": "classroom",
+            "maxAttempts": 1,
             "public": False,
-            "affinity": True,
-            "streamResume": True,
-            "gapTargetMs": 250,
-        }
-    ],
-    "services": [
-        {
-            "name": "tutor",
-            "healthPath": "/health",
-            "connLimit": 360,
-            "engine": {"stride": 7},
         }
     ],
+    "services": [{"name": "classroom", "healthPath": "/health", "connLimit": 96}],
     "limits": {
         "headerBytes": 16384,
         "bodyBytes": 4194304,
         "headerTimeoutMs": 3000,
         "idleTimeoutMs": 15000,
     },
-    "tenants": [{"name": "hule930", "apiKeys": ["key-1"], "prepaid": 100000000}],
+    "tenants": [{"name": "hule930", "apiKeys": ["key-1"]}],
 }
 
 
 class Play:
-    def __init__(self, record: s.Record, entries: list[s.Entry]) -> None:
+    """One replica after the other, and when each was confirmed to be gone."""
+
+    def __init__(self, record: s.Record) -> None:
         self.record = record
-        self.entries = entries
-        self.versions: dict[str, str] = {}
-        self.mixed = 0
-        self.whole = 0
+        self.gone_at_s: dict[str, float] = {}
+        self.late: list[float] = []
+        self.late_ids: set[str] = set()
+        self.late_outcomes: dict[int | None, int] = {}
+        self.runs = 0
 
     async def answer(self, replica, got, writer) -> None:
-        """Stream events that say which software version wrote them."""
-        last = int(got.headers.get("last-event-id", 0))
-        version = self.versions[replica.replica_id]
-        self.record.write(
-            f"{replica.replica_id} ({version}) runs {got.attempt_id} after event {last}"
-        )
-        writer.write(s.head("200 OK", got.attempt_id, None))
-        for number in range(last + 1, EVENTS + 1):
-            data = f"id: {number}\ndata: {version} piece {number}\n\n".encode()
-            writer.write(f"{len(data):x}\r\n".encode() + data + b"\r\n")
-            await writer.drain()
-            await asyncio.sleep(GAP_S)
-        writer.write(b"0\r\n\r\n")
-
-    async def client(self, number: int) -> None:
-        """Take a stream up again, at any entry, while there is time left."""
-        loop = asyncio.get_running_loop()
-        until_s = loop.time() + TIME_LIMIT_S
-        first_id = f"stream-{number}-0"
-        events: list[str] = []
-        for attempt in range(1 + RETRIES):
-            left_s = until_s - loop.time()
-            if left_s <= 0.2:
-                break
-            attempt_id = f"stream-{number}-{attempt}"
-            headers = {
-                "X-Attempt-Id": attempt_id,
-                "X-Model": "m",
-                "X-Token-Count": f"300,{EVENTS * 7}",
-                "X-Prompt-Prefix": f"5c1e07a2:100,91bd{number:04d}:200",
-                "X-Deadline-Ms": str(int(left_s * 1_000)),
-                "Authorization": "Bearer key-1",
-            }
-            if events:
-                headers["Last-Event-Id"] = str(len(events))
-                headers["Resumes"] = first_id
-            else:
-                first_id = attempt_id
-            entry = self.entries[(number + attempt) % len(self.entries)]
-            try:
-                got = await s.request(
-                    entry.front, "POST", "/ask/2f", headers, b"q", left_s
+        self.runs += 1
+        gone_at_s = self.gone_at_s.get(replica.replica_id)
+        if gone_at_s is not None:
+            after_s = time.monotonic() - gone_at_s
+            if after_s > DRAIN_S:
+                self.late.append(after_s)
+                self.late_ids.add(got.attempt_id)
+                self.record.write(
+                    f"{got.attempt_id} reaches {replica.replica_id} "
+                    f"{after_s * 1_000:.0f} ms after its entry was removed"
                 )
-            except OSError:
-                await asyncio.sleep(RETRY_PAUSE_S)
-                continue
-            if got.status == 200:
-                parts = got.body.split(b"\n\n")[:-1]
-                events += [part.decode().split("data: ")[1] for part in parts]
-            self.record.write(
-                f"client {attempt_id}: status {got.status}, {len(events)} events so far"
-            )
-            if got.complete and got.status == 200:
-                break
-            pause_s = float(got.headers.get("retry-after", RETRY_PAUSE_S))
-            await asyncio.sleep(pause_s)
-        versions = {event.split()[0] for event in events}
-        self.mixed += len(versions) > 1
-        self.whole += len(events) == EVENTS
-        self.record.write(
-            f"stream {number}: {len(events)} events of {sorted(versions)}, "
-            f"the first {events[:1]}, the last {events[-1:]}"
-        )
-
-
-async def release(play: Play, store: s.Store, old: list[s.Replica]) -> list[s.Replica]:
-    """Replace the replicas: the new ones start first, the old ones drain and leave."""
-    await asyncio.sleep(RELEASE_AT_S)
-    new = [s.Replica(f"i-new-{i}", "tutor", play.answer) for i in range(2)]
-    for replica in new:
-        play.versions[replica.replica_id] = "v2"
-        await replica.start()
-        store.put_replica(replica.replica_id, replica.entry(version="v2"))
-    play.record.write("the replicas of v2 are ready")
-    await asyncio.sleep(DRAINS_AT_S - RELEASE_AT_S)
-    for replica in old:
-        store.put_replica(
-            replica.replica_id, replica.entry(state="draining", sequence=2)
-        )
-    play.record.write("the replicas of v1 drain")
-    await asyncio.sleep(GONE_AFTER_S)
-    for replica in old:
-        store.drop_replica(replica.replica_id)
-        await replica.stop()
-    play.record.write("the replicas of v1 are gone")
-    return new
-
-
-async def lose_power(play: Play) -> None:
-    """All machines of the system lose power, and are back after ``DARK_S``."""
-    await asyncio.sleep(POWER_LOSS_AT_S)
-    for entry in play.entries:
-        await entry.kill()
-    play.record.write("all machines of the system lose power")
-    await asyncio.sleep(DARK_S)
-    for entry in play.entries:
-        await entry.spawn()
-    play.record.write("all machines of the system start")
+        await asyncio.sleep(WORK_S)
+        writer.write(s.head("200 OK", got.attempt_id, 2) + b"ok")
+
+
+async def send(
+    entry: s.Entry, name: str, play: Play, counts: dict[int | None, int]
+) -> None:
+    for i in range(100_000):
+        headers = {
+            "X-Attempt-Id": f"{name}-{i}",
+            "X-Deadline-Ms": "600",
+            "Authorization": "Bearer key-1",
+        }
+        got = await s.request(entry.front, "POST", "/grade/2f", headers, b"q", 2.0)
+        counts[got.status] = counts.get(got.status, 0) + 1
+        if headers["X-Attempt-Id"] in play.late_ids:
+            late = play.late_outcomes
+            late[got.status] = late.get(got.status, 0) + 1
+        await asyncio.sleep(0.2 if got.status == 503 else 0.005)
 
 
 async def main() -> int:
@@ -176,38 +97,62 @@
     store = s.Store()
     await store.start()
     store.put_config(CONFIG)
+    play = Play(record)
     entries = [s.Entry(i, store.address) for i in range(ENTRIES)]
-    play = Play(record, entries)
-    old = [s.Replica(f"i-old-{i}", "tutor", play.answer) for i in range(2)]
-    new: list[s.Replica] = []
-    for replica in old:
-        play.versions[replica.replica_id] = "v1"
+    replicas: list[s.Replica] = []
+    tasks: list[asyncio.Task[None]] = []
+    counts: dict[int | None, int] = {}
+
+    async def add_replica() -> s.Replica:
+        replica = s.Replica(f"i-{len(replicas)}", "classroom", play.answer)
         await replica.start()
-        store.put_replica(replica.replica_id, replica.entry(version="v1"))
+        replicas.append(replica)
+        store.put_replica(replica.replica_id, replica.entry())
+        return replica
+
     try:
+        current = await add_replica()
         await asyncio.gather(*(entry.start() for entry in entries))
-        await asyncio.sleep(1.5)
-        clients = [asyncio.create_task(play.client(i)) for i in range(STREAMS)]
-        released = asyncio.create_task(release(play, store, old))
-        if TROUBLE:
-            await lose_power(play)
-        new = await released
-        await asyncio.gather(*clients)
-        record.write(f"{play.mixed} of {STREAMS} streams hold events of two versions")
-        return s.BROKEN if play.mixed > STREAMS_ALLOWED else s.HELD
+        for number, entry in enumerate(entries):
+            for client in range(CLIENTS):
+                name = f"c{number}.{client}"
+                tasks.append(asyncio.create_task(send(entry, name, play, counts)))
+        await asyncio.sleep(SETTLED_S)
+        for _ in range(ROUNDS):
+            if not TROUBLE:
+                await asyncio.sleep(SERVES_ON_S + AWAY_S + SETTLED_S)
+                continue
+            # It never says that it drains: its entry goes, and it serves on.
+            store.drop_replica(current.replica_id)
+            play.gone_at_s[current.replica_id] = time.monotonic()
+            record.write(f"the entry of {current.replica_id} is removed")
+            await asyncio.sleep(SERVES_ON_S)
+            await current.stop()
+            record.write(f"{current.replica_id} has ended")
+            await asyncio.sleep(AWAY_S)
+            current = await add_replica()
+            record.write(f"{current.replica_id} is there")
+            await asyncio.sleep(SETTLED_S)
+        record.write(
+            f"{play.runs} runs; {len(play.late)} reached a replica over "
+            f"{DRAIN_S * 1_000:.0f} ms after its entry was removed, the last "
+            f"{max(play.late, default=0) * 1_000:.0f} ms after, answered "
+            f"{play.late_outcomes}; all answers {counts}"
+        )
+        if not counts.get(200):
+            return s.COULD_NOT_RUN
+        return s.BROKEN if play.late else s.HELD
     finally:
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
         for entry in entries:
             await entry.close()
-        for replica in (*old, *new):
+        for replica in replicas:
             await replica.stop()
         await store.stop()
         record.close()
 
 
 if __name__ == "__main__":
-    try:
-        status = asyncio.run(main())
-    except Exception as exc:
-        print(f"the case could not run: {exc!r}", file=sys.stderr)
-        status = s.COULD_NOT_RUN
-    sys.exit(status)
+    sys.exit(s.run_case(main))
