Text that has no UTF-8 form is hashed, and ends no process

Callers saw entries refuse connections one after another: a request with the byte FF in Resumes on a resumable route, or a chat whose prompt was cut inside an emoji, ended the entry by a segmentation fault, and the client's next try ended the next one.

Cause: mmh3 takes the UTF-8 form of a str. A text with half a surrogate pair, or with a byte that was read as surrogateescape, has none; the library doesn't check for that and reads a null pointer. Nothing can be caught.

Evidence: tests.test_hashing, tests.test_hostile_requests (the new row) and tests.test_own_hostile each ended the test process with status 139 (SIGSEGV) on the code before.

Change: one function, hashing.hash64, is the only caller of the library; it passes bytes, which no text lacks (surrogatepass). All four uses go through it: stream ring, rendezvous, prompt blocks (with their seed). Other text keeps its hash, which entries of two releases share.

--- a/src/celerytrack/origins/ring.py
+++ b/src/celerytrack/origins/ring.py
@@ -8,8 +8,8 @@
 from collections.abc import Iterable
 
 import attrs
-import mmh3
 
+from celerytrack.hashing import hash64
 from celerytrack.ids import EntryId
 from celerytrack.origins.memory import StreamId
 
@@ -37,7 +37,7 @@
 
     def __init__(self, holders: Iterable[Holder] = ()) -> None:
         points = sorted(
-            (_hash(f"{holder.entry_id}\x00{number}"), holder.entry_id, holder)
+            (hash64(f"{holder.entry_id}\x00{number}"), holder.entry_id, holder)
             for holder in holders
             for number in range(POINTS_PER_ENTRY)
         )
@@ -57,8 +57,4 @@
 
 
 def _place(stream: StreamId) -> int:
-    return _hash(f"{stream.account or ''}\x00{stream.request_id}")
-
-
-def _hash(text: str) -> int:
-    return mmh3.hash64(text, signed=False)[0]
+    return hash64(f"{stream.account or ''}\x00{stream.request_id}")
--- a/src/celerytrack/prompts.py
+++ b/src/celerytrack/prompts.py
@@ -2,7 +2,7 @@
 
 from typing import Any
 
-import mmh3
+from celerytrack.hashing import hash64
 
 BLOCK_CHARS = 256
 """Characters of a prompt block; engines cache only whole blocks."""
@@ -34,6 +34,6 @@
     count = min(len(prompt) // BLOCK_CHARS, _MAX_BLOCKS)
     for i in range(count):
         block = prompt[i * BLOCK_CHARS : (i + 1) * BLOCK_CHARS]
-        previous = mmh3.hash64(block, seed=previous & _SEED_MASK, signed=False)[0]
+        previous = hash64(block, previous & _SEED_MASK)
         hashes.append(previous)
     return tuple(hashes)
--- a/src/celerytrack/routing/rendezvous.py
+++ b/src/celerytrack/routing/rendezvous.py
@@ -7,12 +7,12 @@
 
 from collections.abc import Iterable
 
-import mmh3
+from celerytrack.hashing import hash64
 
 
 def rendezvous_weight(key: str, node: str) -> int:
     """The weight of ``node`` for ``key``; the highest one is chosen."""
-    return mmh3.hash64(f"{key}\x00{node}", signed=False)[0]
+    return hash64(f"{key}\x00{node}")
 
 
 def rendezvous(key: str, nodes: Iterable[str], count: int) -> list[str]:
--- a/tests/test_hostile_requests.py
+++ b/tests/test_hostile_requests.py
@@ -48,6 +48,10 @@
         b"POST /plain/x HTTP/1.1\r\n" + _HEAD + b"\r\nX-Deadline-Ms: nan" + _END,
         b"POST /plain/x HTTP/1.1\r\n" + _HEAD + b"\r\nConnection: \xff,,," + _END,
         b"POST /plain/x HTTP/1.1\r\n" + _HEAD + b"\r\nLast-Event-Id: \xff" + _END,
+        b"POST /resume/x HTTP/1.1\r\n"
+        + _HEAD
+        + b"\r\nLast-Event-Id: 3\r\nResumes: \xff"
+        + _END,
         b"POST /plain/x HTTP/1.1\r\nTransfer-Encoding: chunked\r\n"
         + _HEAD
         + b"\r\n\r\nzz\r\n",
