Text of other writers is checked where it comes in

Cause: json.loads given bytes decodes them with surrogatepass, and the escape \ud83d gives the same lone surrogate. The registration was taken, as any text was. What encoded it later, a message about versions here, raised UnicodeEncodeError in the task that follows the registrations, and a process ends with any of its tasks.

Change: strict.py, which decodes all JSON of others, decodes the bytes strictly and accepts text only if it has a UTF-8 form; whatever encodes, hashes or logs it further in relies on that. A record that has none is refused as a whole and by the name of its field.

--- a/src/celerytrack/platform/log_format.py
+++ b/src/celerytrack/platform/log_format.py
@@ -3,12 +3,15 @@
 import base64
 import re
 import struct
+from typing import Any
 
 import attrs
+from attrs import validators as v
 
 from celerytrack.eras import Era
 from celerytrack.strict import (
     UnreadableError,
+    is_encodable,
     parse_json,
     strict_converter,
     structure,
@@ -53,7 +56,7 @@
 
 @attrs.frozen
 class _NewestEntry:
-    key: str
+    key: Any = attrs.field(validator=v.instance_of(str))
     value: str
     offset: int
 
@@ -70,12 +73,12 @@
     """One page of the newest records.
 
     :ivar end: the offset after the last record.
-    :ivar more: whether another page follows.
+    :ivar next_after: the key after which another page follows; ``None`` if none does.
     """
 
     records: list[KeyedRecord]
     end: int
-    more: bool
+    next_after: str | None
 
 
 _converter = strict_converter(forbid_extra_keys=False)
@@ -108,15 +111,32 @@
 
     :raises UnreadableError: if the answer is not in the store's format.
     """
-    page: _NewestPage = structure(_converter, parse_json(data), _NewestPage)
-    if page.hasMore and not page.entries:
-        # There is no key to ask for the next page after, so paging would never end.
-        raise UnreadableError("a page without entries has hasMore set")
+    # The key of one record must not hide the others: it is read whatever it holds.
+    document = parse_json(data.decode(errors="surrogateescape"))
+    page: _NewestPage = structure(_converter, document, _NewestPage)
     records = [
-        KeyedRecord(entry.offset, entry.key, _from_base64(entry.value))
+        KeyedRecord(entry.offset, _readable_key(entry.key), _from_base64(entry.value))
         for entry in page.entries
     ]
-    return Page(records, page.end, page.hasMore)
+    return Page(records, page.end, _next_after(page))
+
+
+def _next_after(page: _NewestPage) -> str | None:
+    """The last key of a page that can be asked for; the keys after it come again."""
+    if not page.hasMore:
+        return None
+    for entry in reversed(page.entries):
+        if is_encodable(entry.key):
+            return str(entry.key)
+    # Without a key to ask for the next page after, paging would never end.
+    raise UnreadableError("a page without a readable key has hasMore set")
+
+
+def _readable_key(key: str) -> str:
+    """A key as :func:`decode_batch` reads it."""
+    if is_encodable(key):
+        return key
+    return key.encode(errors="surrogatepass").decode(errors="replace")
 
 
 def _from_base64(value: str) -> bytes | None:
--- a/src/celerytrack/platform/store.py
+++ b/src/celerytrack/platform/store.py
@@ -147,11 +147,11 @@
             elif changes != self._eras.changes:
                 return Failure(_older_era_error(self._eras.known))
             records += page.records
-            if not page.more:
+            if page.next_after is None:
                 records.sort(key=lambda r: r.offset)
                 era = self._eras.known
                 return Success(Batch(tuple(records), first_end, first_end, era))
-            params["after"] = page.records[-1].key
+            params["after"] = page.next_after
 
     async def read(
         self,
--- a/src/celerytrack/strict.py
+++ b/src/celerytrack/strict.py
@@ -49,6 +49,18 @@
     return True
 
 
+def is_encodable(text: str) -> bool:
+    """Whether ``text`` has a UTF-8 form: it holds no half of a surrogate pair.
+
+    A JSON escape such as ``\\ud83d`` yields such a half, and no encoder takes it.
+    """
+    try:
+        text.encode()
+    except UnicodeEncodeError:
+        return False
+    return True
+
+
 def _finite(value: float) -> bool:
     # math.isfinite raises OverflowError for an integer beyond the range of a float.
     return isinstance(value, int) and value.bit_length() < 64 or math.isfinite(value)
@@ -64,7 +76,7 @@
         (bool, _accept_only("true or false", _accept_any, bool)),
         (int, _accept_only("a whole number", _accept_any, int)),
         (float, _accept_only("a number", _finite, int, float)),
-        (str, _accept_only("text", _accept_any, str)),
+        (str, _accept_only("text in UTF-8", is_encodable, str)),
     )
     for target, hook in hooks:
         converter.register_structure_hook(target, hook)
@@ -98,8 +110,10 @@
         of an object or holds a number that JSON does not define.
     """
     try:
+        # Given bytes, json.loads would let through those that are half a character.
+        text = raw if isinstance(raw, str) else raw.decode(json.detect_encoding(raw))
         return json.loads(
-            raw,
+            text,
             object_pairs_hook=_object_without_duplicates,
             parse_constant=_reject_constant,
         )
--- /dev/null
+++ b/tests/test_foreign_records.py
@@ -0,0 +1,68 @@
+"""Gateways go on while another writer's records in the log can't be used."""
+
+import asyncio
+import json
+import unittest
+
+from aiohttp import web
+from nose2.tools import params
+
+from celerytrack.platform.topics import CONFIG_KEY, CONFIG_TOPIC, ENDPOINTS_TOPIC
+from tests.gateway_fleet import SEAL_HEADERS, Endpoint, Fleet, config
+
+HALF_PAIR_BYTES = b"\xed\xa0\xbd"
+READ_S = 1.0
+"""Longer than two reads of the registrations are apart."""
+
+
+async def _good(request: web.BaseRequest) -> web.StreamResponse:
+    await request.read()
+    headers = {"X-Attempt-Id": request.headers["X-Attempt-Id"], **SEAL_HEADERS}
+    return web.Response(body=b"good", headers=headers)
+
+
+def _registration(**fields: object) -> bytes:
+    return Endpoint("x", _good).registration(**{"version": "2026.1", **fields})
+
+
+def _config(**fields: object) -> bytes:
+    """The next version of the configuration, with some fields replaced."""
+    return json.dumps({**json.loads(config(version=2)), **fields}).encode()
+
+
+class ForeignRecordTest(unittest.TestCase):
+    @params(
+        [_registration(service="o"), _registration(service="o", version="2-\ud83d")],
+        [
+            _registration(service="o"),
+            _registration(service="o").replace(b"2026.1", b"2-" + HALF_PAIR_BYTES),
+        ],
+        [_registration(version="2-\ud83d")],
+        [_registration(service="s\ud83d")],
+        [_registration(zone="\udcff")],
+    )
+    def test_a_registration_ends_no_process(self, records: list[bytes]) -> None:
+        """A text that no encoder takes ended all entries at each heartbeat of its
+        writer."""
+        asyncio.run(self._play(ENDPOINTS_TOPIC, records))
+
+    @params(
+        _config(tenants=[{"name": "t\ud83d", "apiKeys": ["k"], "prepaid": 10}]),
+        _config(services=[{"name": "s\ud83d"}]),
+        _config().replace(b'"/plain/"', b'"/' + HALF_PAIR_BYTES + b'/"'),
+    )
+    def test_a_configuration_ends_no_process(self, record: bytes) -> None:
+        """A configuration with such a text ended all entries; the one before it stays
+        in force."""
+        asyncio.run(self._play(CONFIG_TOPIC, [record]))
+
+    async def _play(self, topic: str, records: list[bytes]) -> None:
+        async with Fleet(Endpoint("i-1", _good), gateways=2) as fleet:
+            for number, record in enumerate(records):
+                key = CONFIG_KEY if topic == CONFIG_TOPIC else f"x-{number}"
+                fleet.log.put(topic, key, record)
+            await asyncio.sleep(READ_S)
+            for number, gateway in enumerate(fleet.gateways):
+                self.assertTrue(gateway.ready)
+                answer = await fleet.ask("/plain/x", f"r{number}", gateway=number)
+                self.assertEqual((answer[0], answer[2]), (200, b"good"))
--- a/tests/test_outside_records.py
+++ b/tests/test_outside_records.py
@@ -93,6 +93,10 @@
         (b'{"state":"ready","state":"draining"}', "twice"),
         (b"[" * 100_000, "deep"),
         (b"\xff\xfe\x00", "not JSON"),
+        (_record(version="2026.2-x").replace(b"-x", b"-\xed\xa0\xbd"), "not JSON"),
+        (_record(version="2026.2-\ud83d"), "version"),
+        (_record(service="s\udcff"), "service"),
+        (_record(zone="\ud83d"), "zone"),
         (b"[]", "$"),
     )
     def test_error_names_the_invalid_field(self, raw, named):
@@ -263,6 +267,18 @@
 
 
 class KeyTest(unittest.TestCase):
+    @params(b'"\\ud83d-1"', b'"\xed\xa0\xbd-1"', b'"\xff-1"')
+    def test_a_page_with_an_unreadable_key_is_read(self, key):
+        """The key of one record hid all others, and a process never got ready."""
+        entry = b'{"key": %s, "value": "e30=", "offset": 4}'
+        entries = b", ".join((entry % b'"i-1"', entry % key))
+        page = log_format.decode_page(
+            b'{"entries": [' + entries + b'], "end": 5, "hasMore": true}'
+        )
+        self.assertEqual(page.records[0].key, "i-1")
+        self.assertIn("\ufffd", page.records[1].key)
+        self.assertEqual(page.next_after, "i-1")
+
     def test_a_key_that_is_not_utf8_does_not_hide_later_records(self):
         """Guards against an entry that sees no further change of the registrations.
 
