--- a/src/celerytrack/gateway/logs.py
+++ b/src/celerytrack/gateway/logs.py
@@ -5,6 +5,7 @@
 import sys
 import time
 
+import attrs
 from pythonjsonlogger.json import JsonFormatter
 
 from celerytrack.events import Event
@@ -15,6 +16,36 @@
 LINES_BURST = 600.0
 """Capacity of the token bucket: covers a burst such as the first second of an
 outage."""
+MAX_WARNINGS_PER_S = 50.0
+"""Sustained rate of warnings and errors, which are counted apart: what others write or
+send must not fill the log."""
+WARNINGS_BURST = 600.0
+"""Capacity of the token bucket for warnings and errors."""
+
+
+@attrs.define
+class _TokenBucket:
+    """A rate limit on lines.
+
+    :ivar rate_per_s: how many tokens come back in a second.
+    """
+
+    rate_per_s: float
+    capacity: float
+    refilled_at_s: float
+    tokens: float = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self.tokens = self.capacity
+
+    def try_take(self, now_s: float) -> bool:
+        refill = (now_s - self.refilled_at_s) * self.rate_per_s
+        self.tokens = min(self.capacity, self.tokens + refill)
+        self.refilled_at_s = now_s
+        if self.tokens < 1:
+            return False
+        self.tokens -= 1
+        return True
 
 
 class BoundedHandler(logging.Handler):
@@ -28,8 +59,9 @@
     def __init__(self, fd: int) -> None:
         super().__init__()
         self._fd = fd
-        self._bucket = LINES_BURST
-        self._refilled_at_s = time.monotonic()
+        now_s = time.monotonic()
+        self._lines = _TokenBucket(MAX_LINES_PER_S, LINES_BURST, now_s)
+        self._warnings = _TokenBucket(MAX_WARNINGS_PER_S, WARNINGS_BURST, now_s)
         self._dropped = 0
         self._unwritten = b""
         os.set_blocking(fd, False)
@@ -37,16 +69,14 @@
     def emit(self, record: logging.LogRecord) -> None:
         """Write one line, or count it as dropped.
 
-        Warnings and errors are exempt from the rate limit.
+        Warnings and errors have a rate limit of their own, so that no number of other
+        lines displaces them.
         """
-        now_s = time.monotonic()
-        refill = (now_s - self._refilled_at_s) * MAX_LINES_PER_S
-        self._bucket = min(LINES_BURST, self._bucket + refill)
-        self._refilled_at_s = now_s
-        if self._bucket < 1 and record.levelno < logging.WARNING:
+        is_warning = record.levelno >= logging.WARNING
+        bucket = self._warnings if is_warning else self._lines
+        if not bucket.try_take(time.monotonic()):
             self._dropped += 1
             return
-        self._bucket -= 1
         lines = self.format(record)
         if self._dropped:
             lines += f"\n{self.format(self._make_dropped_record(record))}"
--- a/src/celerytrack/gateway/peer_messages.py
+++ b/src/celerytrack/gateway/peer_messages.py
@@ -68,6 +68,9 @@
 """Largest prefill time in a message: a prompt that fills an engine's memory takes half
 of it. A larger value would keep all entries from the engine."""
 
+MAX_DETAIL_CHARS = 300
+"""Most characters of an error in a log line."""
+
 
 @attrs.frozen
 class LongPromptMessage:
@@ -208,4 +211,9 @@
         except PeerMessageError as exc:
             log_event(_log, Event.NOTE_REJECTED, logging.WARNING, detail=str(exc))
             return
-        self._handler(message)
+        try:
+            self._handler(message)
+        except Exception as exc:
+            # Any entry, also one of another release, may have sent it.
+            detail = f"{type(message).__name__}: {exc!r}"[:MAX_DETAIL_CHARS]
+            log_event(_log, Event.NOTE_REJECTED, logging.WARNING, detail=detail)
--- a/src/celerytrack/gateway/watches.py
+++ b/src/celerytrack/gateway/watches.py
@@ -3,6 +3,7 @@
 import logging
 import time
 
+from celerytrack._recent import RecentKeys
 from celerytrack.events import Event, log_event
 from celerytrack.gateway.origins import correct_origins, resolve_origins
 from celerytrack.gateway.state import Gateway
@@ -18,6 +19,10 @@
 
 _log = logging.getLogger(__name__)
 
+MAX_KNOWN_FAULTS = 256
+"""Most faults of registrations that are remembered, so that each is logged once: their
+writer repeats them at each of its heartbeats."""
+
 
 def make_config_tail(gateway: Gateway) -> KeyedTail:
     """Return a tail that applies the operators' configuration."""
@@ -110,6 +115,7 @@
 
 def make_endpoint_tail(gateway: Gateway) -> KeyedTail:
     """Return a tail that applies the endpoints' registrations."""
+    faults = RecentKeys(MAX_KNOWN_FAULTS)
 
     def drop(endpoint_id: EndpointId) -> None:
         gateway.endpoints.mark_deregistered(endpoint_id, time.monotonic())
@@ -130,7 +136,11 @@
         except RegistrationError as exc:
             # Whoever wrote the record, it does not allow requests to be sent, and
             # the previous registration is no longer valid.
-            log_event(_log, Event.REGISTRATION_REJECTED, logging.ERROR, detail=str(exc))
+            detail = str(exc)
+            if faults.add(detail):
+                log_event(
+                    _log, Event.REGISTRATION_REJECTED, logging.ERROR, detail=detail
+                )
             gateway.endpoints.deregister_now(endpoint_id, now_s)
             return
         result = gateway.endpoints.register(registration, now_s)
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -10,7 +10,7 @@
 from celerytrack import slo
 from celerytrack.events import Event, log_event
 from celerytrack.explain import parse, summary, timeline
-from celerytrack.gateway.logs import LINES_BURST, BoundedHandler
+from celerytrack.gateway.logs import LINES_BURST, WARNINGS_BURST, BoundedHandler
 from celerytrack.limits.history import limit_rows
 from celerytrack.notices.history import notice_rows
 
@@ -171,3 +171,13 @@
         self.assertLess(len(lines), LINES_BURST * 1.2)
         self.assertIn("stream_cut", lines)
         self.assertIn("lines_dropped", lines)
+
+    def test_the_rate_of_warnings_is_bounded_as_well(self):
+        """Records of another writer, one warning each, filled the log."""
+        for i in range(int(WARNINGS_BURST) * 3):
+            log_event(self.log, Event.NOTE_REJECTED, logging.WARNING, i=i)
+        log_event(self.log, Event.ANSWERED)
+        lines = os.read(self.reader, 1 << 20).decode().splitlines()
+        self.assertLess(len(lines), WARNINGS_BURST * 1.2)
+        self.assertIn("answered", lines)
+        self.assertIn("lines_dropped", lines)
