Numbers of other writers have a largest value where they come in

Operators saw every entry end, and end again at each start: a configuration with a prepaid total of 1e300 was taken, and the next row that an entry wrote held a number that msgpack can't encode.

Cause: a number had to be finite, nothing more. The exception came where it was encoded, in the task that writes this entry's row.

Evidence: on the code before, both gateways of the new test's fleet end, and the bounds' tables fail at 2**53 + 1 for a claim in a row, 2**53 + 2 for a total (the next number that JSON tells apart) and 2**63 for a sequence.

Change: strict.py takes numbers of less than 2**63 in magnitude; a prepaid total and a claim of a row are 2**53 at most, so that sums of claims fit what a row can hold. The configuration is refused by the name of the field, and the one before it stays in force.

--- a/src/celerytrack/platform/config.py
+++ b/src/celerytrack/platform/config.py
@@ -24,6 +24,9 @@
     """A configuration record cannot be decoded."""
 
 
+MAX_PREPAID_TOKENS = 2**53
+"""Largest prepaid total: exact in JSON, and sums of entries' claims fit 64 bits."""
+
 # Attributes have the store's field names; undeclared fields are ignored.
 # ruff: noqa: N815
 
@@ -72,7 +75,10 @@
 class _Tenant:
     name: str
     apiKeys: tuple[str, ...] = ()
-    prepaid: float | None = attrs.field(default=None, validator=v.optional(v.ge(0)))
+    prepaid: float | None = attrs.field(
+        default=None,
+        validator=v.optional(v.and_(v.ge(0), v.le(MAX_PREPAID_TOKENS))),
+    )
     priority: int | None = None
 
 
--- a/src/celerytrack/platform/rows.py
+++ b/src/celerytrack/platform/rows.py
@@ -9,7 +9,9 @@
 from celerytrack.eras import Era
 from celerytrack.ids import AccountId, EntryId, Zone
 from celerytrack.membership.members import Member, MemberState
+from celerytrack.platform.config import MAX_PREPAID_TOKENS
 from celerytrack.prepaid import AccountClaim
+from celerytrack.strict import MAX_NUMBER
 
 _DECODE_ERRORS = (
     ValueError,
@@ -82,7 +84,7 @@
 
 def _shares(fields: Any) -> dict[AccountId, AccountClaim]:
     return {
-        AccountId(_text(account)): AccountClaim(*map(_whole, tokens))
+        AccountId(_text(account)): AccountClaim(*map(_tokens, tokens))
         for account, tokens in fields.items()
     }
 
@@ -122,9 +124,18 @@
     # corrupt the sum.
     if type(value) is not int:
         raise TypeError(f"must be a whole number, found {type(value).__name__}")
+    if not -MAX_NUMBER < value < MAX_NUMBER:
+        raise ValueError(f"must be below {MAX_NUMBER}, found {value}")
     return value
 
 
+def _tokens(value: Any) -> int:
+    tokens = _whole(value)
+    if abs(tokens) > MAX_PREPAID_TOKENS:
+        raise ValueError(f"must be {MAX_PREPAID_TOKENS} tokens at most, found {value}")
+    return tokens
+
+
 def _number(value: Any) -> float:
     if type(value) not in (int, float) or not math.isfinite(value):
         raise TypeError(f"must be a finite number, found {type(value).__name__}")
--- a/src/celerytrack/strict.py
+++ b/src/celerytrack/strict.py
@@ -6,7 +6,6 @@
 """
 
 import json
-import math
 from collections.abc import Callable
 from typing import Any
 
@@ -14,6 +13,9 @@
 
 _MAX_SHOWN_CHARS = 40
 """Characters of a bad value shown in an error, because a record may hold megabytes."""
+MAX_NUMBER = 2**63
+"""Numbers are below this in magnitude, so that each encoder and timer takes them."""
+_BOUNDED = f"between {-MAX_NUMBER} and {MAX_NUMBER}"
 
 
 class UnreadableError(ValueError):
@@ -32,14 +34,19 @@
 
 
 def _accept_only(
-    allowed: str, fits: Callable[[Any], bool], *types: type
+    allowed: str, within: str, fits: Callable[[Any], bool], *types: type
 ) -> Callable[[Any, type], Any]:
-    """A structure hook that accepts values of ``types`` only if ``fits`` holds."""
+    """A structure hook that accepts values of ``types`` only if ``fits`` holds.
+
+    :param within: what ``fits`` asks of such a value.
+    """
 
     def check(value: Any, target: type) -> Any:
         # bool is a subclass of int in Python, but JSON booleans are not numbers.
-        if type(value) not in types or not fits(value):
+        if type(value) not in types:
             raise TypeError(f"must be {allowed}, found {_render(value)}")
+        if not fits(value):
+            raise TypeError(f"must be {allowed} {within}, found {_render(value)}")
         return target(value)
 
     return check
@@ -61,9 +68,8 @@
     return True
 
 
-def _finite(value: float) -> bool:
-    # math.isfinite raises OverflowError for an integer beyond the range of a float.
-    return isinstance(value, int) and value.bit_length() < 64 or math.isfinite(value)
+def _is_bounded(value: float) -> bool:
+    return -MAX_NUMBER < value < MAX_NUMBER
 
 
 def strict_converter(forbid_extra_keys: bool) -> cattrs.Converter:
@@ -73,10 +79,10 @@
     """
     converter = cattrs.Converter(forbid_extra_keys=forbid_extra_keys)
     hooks = (
-        (bool, _accept_only("true or false", _accept_any, bool)),
-        (int, _accept_only("a whole number", _accept_any, int)),
-        (float, _accept_only("a number", _finite, int, float)),
-        (str, _accept_only("text in UTF-8", is_encodable, str)),
+        (bool, _accept_only("true or false", "", _accept_any, bool)),
+        (int, _accept_only("a whole number", _BOUNDED, _is_bounded, int)),
+        (float, _accept_only("a number", _BOUNDED, _is_bounded, int, float)),
+        (str, _accept_only("text", "that has a UTF-8 form", is_encodable, str)),
     )
     for target, hook in hooks:
         converter.register_structure_hook(target, hook)
--- a/tests/test_foreign_records.py
+++ b/tests/test_foreign_records.py
@@ -49,11 +49,12 @@
     @params(
         _config(tenants=[{"name": "t\ud83d", "apiKeys": ["k"], "prepaid": 10}]),
         _config(services=[{"name": "s\ud83d"}]),
+        _config(tenants=[{"name": "t", "apiKeys": ["k"], "prepaid": 1e300}]),
         _config().replace(b'"/plain/"', b'"/' + HALF_PAIR_BYTES + b'/"'),
     )
     def test_a_configuration_ends_no_process(self, record: bytes) -> None:
-        """A configuration with such a text ended all entries; the one before it stays
-        in force."""
+        """A text or number that no encoder takes ended all entries; the
+        configuration before it stays in force."""
         asyncio.run(self._play(CONFIG_TOPIC, [record]))
 
     async def _play(self, topic: str, records: list[bytes]) -> None:
--- a/tests/test_outside_records.py
+++ b/tests/test_outside_records.py
@@ -90,6 +90,7 @@
         (_record(born="1788282202008"), "born"),
         (_record(born=1.5), "born"),
         (_record(sequence={}), "sequence"),
+        (_record(sequence=2**63), "sequence"),
         (b'{"state":"ready","state":"draining"}', "twice"),
         (b"[" * 100_000, "deep"),
         (b"\xff\xfe\x00", "not JSON"),
@@ -266,6 +267,34 @@
         self._assert_only_raises(log_format.decode_appended, UnreadableError, raw, int)
 
 
+class RowNumberTest(unittest.TestCase):
+    @params((6, 2**53, True), (6, 2**53 + 1, False), (0, 2**63 - 1, True))
+    def test_the_numbers_of_a_row_are_bounded(self, field, number, valid):
+        """Sums with a claim of another writer fitted no row, and the entry ended."""
+        claim = [1] * 7
+        row = [1, "f", "p", "z", "serving", 0.0, 0.0, 0.0, None, None, 0.0]
+        if field:
+            claim[field] = number
+        else:
+            row[0] = number
+        raw = msgpack.packb([*row, {"a": claim}])
+        if valid:
+            self.assertIsInstance(decode_member("e", raw), Member)
+        else:
+            self.assertRaises(RowError, decode_member, "e", raw)
+
+    @params((2**53, True), (2**53 + 2, False), (1e300, False), (10**400, False))
+    def test_a_prepaid_total_is_bounded(self, tokens, valid):
+        """No row could hold a total of 1e300 tokens, and each entry ended."""
+        document = json.loads(config())
+        document["tenants"][0]["prepaid"] = tokens
+        raw = json.dumps(document).encode()
+        if valid:
+            self.assertEqual(decode_config(raw).accounts[0].prepaid_tokens, tokens)
+        else:
+            self.assertRaises(ConfigError, decode_config, raw)
+
+
 class KeyTest(unittest.TestCase):
     @params(b'"\\ud83d-1"', b'"\xed\xa0\xbd-1"', b'"\xff-1"')
     def test_a_page_with_an_unreadable_key_is_read(self, key):
