What goes into a header is checked where it comes in

Callers of one account got a bare 500 for every request: its name in the configuration held a line end, which no header carries. A request whose X-Attempt-Id held an odd byte ran under another id than its caller's, one with an odd byte in a model or prompt ran with another text, and a success could go back with another seal than its endpoint's.

Cause: the HTTP library refuses control characters with an exception, and leaves out, without a word, each byte that has no UTF-8 form.

Change: an account's name without control characters, or the configuration is refused; so are an endpoint's id and bytes of a key that can't be read. A request's id, Resumes, Last-Event-Id, model, token count and prompt must be UTF-8, or it gets 400 with the header's name, not run. A seal with odd bytes is none, as no one could return it unchanged.

--- a/src/celerytrack/platform/config.py
+++ b/src/celerytrack/platform/config.py
@@ -27,6 +27,9 @@
 MAX_PREPAID_TOKENS = 2**53
 """Largest prepaid total: exact in JSON, and sums of entries' claims fit 64 bits."""
 
+NO_CONTROLS = r"[^\x00-\x1f\x7f]+"
+"""Text that a header may carry."""
+
 # Attributes have the store's field names; undeclared fields are ignored.
 # ruff: noqa: N815
 
@@ -73,7 +76,8 @@
 
 @attrs.frozen
 class _Tenant:
-    name: str
+    # It becomes a header of each of its requests.
+    name: str = attrs.field(validator=v.matches_re(NO_CONTROLS))
     apiKeys: tuple[str, ...] = ()
     prepaid: float | None = attrs.field(
         default=None,
--- a/src/celerytrack/platform/http.py
+++ b/src/celerytrack/platform/http.py
@@ -8,6 +8,7 @@
 
 from celerytrack.ids import AccountId, EndpointId, PartId, RequestId
 from celerytrack.reachability.relayed import RELAYED_HEADER
+from celerytrack.strict import is_encodable
 
 READY_PATH = "/ready"
 RESOLVE_PATH = "/resolve"
@@ -26,6 +27,8 @@
 _URGENCY = "X-Request-Urgency"
 RELAY_HEADER = "Celerytrack-Relay"
 """Header of a request that an entry sends through another."""
+_READ_HEADERS = (_REQUEST_ID, _MODEL, _TOKENS, _PROMPT, _LAST_EVENT, _RESUMES)
+"""Headers of a request that are used here and must reach the endpoint as they are."""
 _MAX_URGENCY = 9
 """Highest urgency number; 0 is the most urgent."""
 _MAX_COUNT_DIGITS = 15
@@ -118,6 +121,7 @@
     request_id = headers.get(_REQUEST_ID)
     if not request_id:
         raise RequestError("the request has no id")
+    _check_text(headers)
     tokens = headers.get(_TOKENS)
     prompt = headers.get(_PROMPT)
     try:
@@ -143,6 +147,13 @@
     )
 
 
+def _check_text(headers: "CIMultiDictProxy[str] | CIMultiDict[str]") -> None:
+    for name in _READ_HEADERS:
+        if not all(map(is_encodable, headers.getall(name, ()))):
+            # The client library would leave the odd bytes out.
+            raise RequestError(f"{name} is not UTF-8")
+
+
 def _resumed_request(
     headers: "CIMultiDictProxy[str] | CIMultiDict[str]", request_id: str
 ) -> RequestId | None:
@@ -273,7 +284,8 @@
     return AnswerFacts(
         request_id=headers.get(_REQUEST_ID),
         did_not_run=status == 421 or _NOT_RUN in headers,
-        sealed=_SEAL in headers,
+        # A seal with odd bytes can't be returned unchanged.
+        sealed=_SEAL in headers and is_encodable(headers[_SEAL]),
         wrong_endpoint=status == 421,
     )
 
--- a/src/celerytrack/platform/registry.py
+++ b/src/celerytrack/platform/registry.py
@@ -22,6 +22,8 @@
 _READY = "ready"
 _DRAINING = "draining"
 _ADDRESS = re.compile(r"[A-Za-z0-9.-]{1,253}:[0-9]{1,5}")
+_ID = re.compile(r"[^\x00-\x1f\x7f\ufffd]+")
+"""Ids that a header may carry; U+FFFD stands for bytes that can't be read."""
 _MAX_SLOTS = 1_000_000
 """Most concurrent requests that an endpoint may register: far more than an engine runs,
 and still safe to sum and divide."""
@@ -71,6 +73,8 @@
 
     :raises RegistrationError: naming what is wrong.
     """
+    if not _ID.fullmatch(endpoint_id):
+        raise RegistrationError(f"{endpoint_id!r}: no id of an endpoint")
     try:
         record: _Record = structure(_converter, parse_json(raw), _Record)
     except UnreadableError as exc:
--- a/tests/test_foreign_records.py
+++ b/tests/test_foreign_records.py
@@ -8,7 +8,7 @@
 from nose2.tools import params
 
 from celerytrack.platform.topics import CONFIG_KEY, CONFIG_TOPIC, ENDPOINTS_TOPIC
-from tests.gateway_fleet import SEAL_HEADERS, Endpoint, Fleet, config
+from tests.gateway_fleet import KEY, SEAL_HEADERS, Endpoint, Fleet, config
 
 HALF_PAIR_BYTES = b"\xed\xa0\xbd"
 READ_S = 1.0
@@ -50,6 +50,8 @@
         _config(tenants=[{"name": "t\ud83d", "apiKeys": ["k"], "prepaid": 10}]),
         _config(services=[{"name": "s\ud83d"}]),
         _config(tenants=[{"name": "t", "apiKeys": ["k"], "prepaid": 1e300}]),
+        _config(tenants=[{"name": "t\r\nX-Tenant: u", "apiKeys": [KEY]}]),
+        _config(tenants=[{"name": "t\x00", "apiKeys": [KEY]}]),
         _config().replace(b'"/plain/"', b'"/' + HALF_PAIR_BYTES + b'/"'),
     )
     def test_a_configuration_ends_no_process(self, record: bytes) -> None:
--- a/tests/test_outside_records.py
+++ b/tests/test_outside_records.py
@@ -24,7 +24,11 @@
 from celerytrack.membership.members import Member
 from celerytrack.platform import log_format
 from celerytrack.platform.config import ConfigError, decode_config
-from celerytrack.platform.http import RequestError, decode_request
+from celerytrack.platform.http import (
+    RequestError,
+    decode_answer,
+    decode_request,
+)
 from celerytrack.platform.registry import RegistrationError, decode_registration
 from celerytrack.platform.rows import RowError, decode_member
 from celerytrack.routing.endpoint import Registration
@@ -267,6 +271,32 @@
         self._assert_only_raises(log_format.decode_appended, UnreadableError, raw, int)
 
 
+class TextTest(unittest.TestCase):
+    @params("X-Attempt-Id", "Resumes", "Last-Event-Id", "X-Model", "X-Prompt-Prefix")
+    def test_a_header_that_is_not_utf8_is_refused_by_name(self, name):
+        """The bytes that can't be encoded were left out, and a request ran under an id
+        that no caller had sent."""
+        odd = b"a\xff".decode(errors="surrogateescape")
+        headers = CIMultiDict({"X-Attempt-Id": "r", "Host": "h"})
+        headers[name] = odd
+        with self.assertRaises(RequestError) as caught:
+            decode_request(headers)
+        self.assertIn(name, str(caught.exception))
+
+    @params("", "a\r\nb", "a\x00", "\ufffd-1")
+    def test_an_id_that_no_header_carries_names_no_endpoint(self, endpoint_id):
+        """Each request to it ended with 500, since its id could not be sent."""
+        self.assertRaises(
+            RegistrationError, decode_registration, endpoint_id, _record()
+        )
+
+    def test_a_seal_that_is_not_utf8_is_none(self):
+        """A success went to the caller with another seal than its endpoint's."""
+        odd = b"a\xff".decode(errors="surrogateescape")
+        facts = decode_answer(200, CIMultiDict({"X-Response-Seal": odd}))
+        self.assertFalse(facts.sealed)
+
+
 class RowNumberTest(unittest.TestCase):
     @params((6, 2**53, True), (6, 2**53 + 1, False), (0, 2**63 - 1, True))
     def test_the_numbers_of_a_row_are_bounded(self, field, number, valid):
