Own interface: one record of another writer ends no task there either

Operators saw nothing, which is worse: after one record that was none an entry of the own interface went on with the configuration, the balances or the replicas that it knew, and no later change came into force.

The tasks that follow the log, the instance list and the other entries ended with an exception of one item, and nobody waits for them.

Texts of the instance list must have a UTF-8 form, numbers of a heartbeat must be whole.

--- a/src/celerytrack/entry/_tail.py
+++ b/src/celerytrack/entry/_tail.py
@@ -9,6 +9,7 @@
 
 from celerytrack.events import Event, log_event
 from celerytrack.logclient import LogClient, LogErrorKind
+from celerytrack.record_faults import RecordFaults
 
 _log = logging.getLogger(__name__)
 
@@ -36,12 +37,14 @@
     :returns: the next offset, or ``None`` if the log could not be read.
     """
     offset = start
+    faults = RecordFaults(_log, stream)
     while True:
         result = await log.read(stream, offset)
         match result:
             case Success(batch):
                 for at, record in batch.records:
-                    apply(at, record)
+                    with faults.caught(at):
+                        apply(at, record)
                 offset = batch.next_offset
                 if not batch.records:
                     return offset
@@ -85,13 +88,15 @@
     :param on_contact: called after each read with whether the log answered.
     """
     offset = start
+    faults = RecordFaults(_log, stream)
     while True:
         result = await log.read(stream, offset, wait_s=wait_s)
         match result:
             case Success(batch):
                 on_contact(True)
                 for at, record in batch.records:
-                    apply(at, record)
+                    with faults.caught(at):
+                        apply(at, record)
                 offset = batch.next_offset
             case Failure(error) if error.kind is LogErrorKind.TRIMMED:
                 offset = await _restore_after_trim(
--- a/src/celerytrack/entry/config_follower.py
+++ b/src/celerytrack/entry/config_follower.py
@@ -16,6 +16,7 @@
 
 from celerytrack.events import Event, log_event
 from celerytrack.logclient import LogClient, LogErrorKind
+from celerytrack.record_faults import RecordFaults
 from celerytrack.settings import Config, SettingsError, structure
 
 _log = logging.getLogger(__name__)
@@ -52,6 +53,7 @@
         self._next_offset = 0
         self._record: dict[str, Any] | None = None
         self._changed = asyncio.Event()
+        self._faults = RecordFaults(_log, CONFIG_STREAM)
 
     async def load_last(self) -> bool:
         """Apply the last record; ``False`` if the log is unreachable."""
@@ -59,7 +61,8 @@
             case Success(None):
                 return True
             case Success((offset, record)):
-                self._apply(offset, record)
+                with self._faults.caught(offset):
+                    self._apply(offset, record)
                 self._next_offset = offset + 1
                 return True
         return False
@@ -80,7 +83,8 @@
             match result:
                 case Success(batch):
                     for offset, record in batch.records:
-                        self._apply(offset, record)
+                        with self._faults.caught(offset):
+                            self._apply(offset, record)
                     self._next_offset = batch.next_offset
                     await self._maybe_republish(time.time())
                 case Failure(error) if error.kind is LogErrorKind.TRIMMED:
--- a/src/celerytrack/entry/fleet_view.py
+++ b/src/celerytrack/entry/fleet_view.py
@@ -20,7 +20,9 @@
 from celerytrack.events import Event, log_event
 from celerytrack.http_session import make_http_session
 from celerytrack.ids import EntryId, ReplicaId, Zone
+from celerytrack.record_faults import RecordFaults
 from celerytrack.routing.replica_load import Load, ReplicaLoad
+from celerytrack.strict import is_encodable
 
 _log = logging.getLogger(__name__)
 
@@ -35,6 +37,10 @@
 """Latest start that a replica may report: far in the future, and exact in JSON."""
 
 
+MAX_SHOWN_CHARS = 100
+"""Most characters of an item of the instance list in a log line."""
+
+
 MAX_VERSION_CHARS = 100
 """Most characters of a software version that a replica may report."""
 
@@ -116,6 +122,7 @@
         self._read_at_s = time.monotonic()
         self._cache_events_from: dict[ReplicaId, int] = {}
         self._session: aiohttp.ClientSession | None = None
+        self._faults = RecordFaults(_log, "instances")
 
     def versions(self) -> dict[str, dict[str, int]]:
         """How many replicas of each software version each model has, if they state
@@ -147,12 +154,17 @@
         try:
             timeout = aiohttp.ClientTimeout(total=self._poll_s * 2)
             async with self._session.get(self._url, timeout=timeout) as resp:
-                data = await resp.json()
-        except (aiohttp.ClientError, TimeoutError, ValueError):
+                items = (await resp.json())["instances"]
+        except (aiohttp.ClientError, TimeoutError, ValueError, KeyError, TypeError):
+            return
+        if not isinstance(items, list):
             return
-        for item in data["instances"]:
-            self._apply(item)
-        self._mark_missing({item["id"] for item in data["instances"]})
+        listed: set[str] = set()
+        for item in items:
+            with self._faults.caught(str(item)[:MAX_SHOWN_CHARS]):
+                self._apply(item)
+                listed.add(item["id"])
+        self._mark_missing(listed)
         self._listed = True
         self._read_at_s = time.monotonic()
         await asyncio.gather(*(self._poll_replica(r) for r in list(self.replicas)))
@@ -199,6 +211,9 @@
                 self._mark_leaving(replica)
 
     def _apply(self, item: dict[str, Any]) -> None:
+        for name, value in item.items():
+            if isinstance(value, str) and not is_encodable(value):
+                raise ValueError(f"{name} is not UTF-8")
         leaving = item["state"] != "live"
         if item["role"] == "entry":
             entry_id = EntryId(item["id"])
@@ -236,9 +251,15 @@
                 load.record_failure(time.time())
             return
         self._on_heard(load)
-        if report is None:
+        if not isinstance(report, dict):
             load.record_failure(time.time())
             return
+        with self._faults.caught(replica_id):
+            self._apply_report(load, report)
+        if "cache_blocks" in report:
+            await self._poll_cache(replica_id)
+
+    def _apply_report(self, load: ReplicaLoad, report: dict[str, Any]) -> None:
         load.version = str(report.get("version", ""))[:MAX_VERSION_CHARS]
         load.born_ms = read_born_ms(report, load.born_ms)
         load.capacity = int(report.get("capacity", load.capacity))
@@ -248,8 +269,6 @@
         running = int(report.get("running", 0)) + int(report.get("queued", 0))
         at_s = float(report.get("at_s", time.time()))
         load.report(Load(running, int(report.get("prefill_tokens", 0))), at_s)
-        if "cache_blocks" in report:
-            await self._poll_cache(replica_id)
 
     async def _poll_cache(self, replica_id: ReplicaId) -> None:
         start = self._cache_events_from.get(replica_id, 0)
@@ -260,6 +279,12 @@
             return
         if answer is None:
             return
+        with self._faults.caught(replica_id):
+            self._apply_cache_events(replica_id, answer)
+
+    def _apply_cache_events(
+        self, replica_id: ReplicaId, answer: dict[str, Any]
+    ) -> None:
         # An event may arrive after the block was reused or evicted, or never. The
         # index only guides the choice of a replica, so a wrong entry costs one more
         # prefill of a prompt and ages out.
--- a/src/celerytrack/entry/notices.py
+++ b/src/celerytrack/entry/notices.py
@@ -44,6 +44,7 @@
     is_link_news,
     link_news_of,
 )
+from celerytrack.record_faults import RecordFaults
 from celerytrack.routing.replica_load import ReplicaLoad
 from celerytrack.verdict import Reason, Refusal, did_not_run
 
@@ -88,6 +89,7 @@
         on_link_news: Callable[[LinkNews], None] = lambda news: None,
     ) -> None:
         self._on_link_news = on_link_news
+        self._faults = RecordFaults(_log, "peer messages")
         self._address = address
         self._rng = rng
         self._socket = DatagramSocket(self._on_data)
@@ -300,7 +302,9 @@
         try:
             fields = msgpack.unpackb(data)
             if is_link_news(fields):
-                self._on_link_news(link_news_of(fields))
+                news = link_news_of(fields)
+                with self._faults.caught(LinkNews.__name__):
+                    self._on_link_news(news)
                 return
             message = notice_message_of(fields)
         except (
@@ -313,7 +317,8 @@
         ) as exc:
             log_event(_log, Event.NOTE_REJECTED, logging.WARNING, detail=str(exc))
             return
-        self.sync.receive(message)
+        with self._faults.caught(type(message).__name__):
+            self.sync.receive(message)
 
 
 def _candidate(replica: ReplicaLoad, max_wait_s: float) -> Candidate[ReplicaLoad]:
--- a/src/celerytrack/entry/peers.py
+++ b/src/celerytrack/entry/peers.py
@@ -10,6 +10,7 @@
 import itertools
 import logging
 from collections.abc import Callable
+from typing import Any
 
 import attrs
 import msgpack
@@ -20,6 +21,7 @@
 from celerytrack.findings import Findings
 from celerytrack.ids import EntryId, ReplicaId
 from celerytrack.platform.suspect_records import decode_findings, encode_findings
+from celerytrack.record_faults import RecordFaults
 from celerytrack.routing.replica_load import Load
 
 _log = logging.getLogger(__name__)
@@ -62,14 +64,22 @@
         """
         try:
             entry, boot_id, seq, draining, loads, *more = msgpack.unpackb(data)
-            parsed = {ReplicaId(r): Load(n, t) for r, (n, t) in loads.items()}
+            parsed = {ReplicaId(r): _load(n, t) for r, (n, t) in loads.items()}
             # Releases before crash tracking send no findings.
             findings = decode_findings(more[0]) if more and more[0] else None
+            if type(seq) is not int:
+                raise TypeError("a sequence number must be whole")
         except (msgpack.UnpackException, TypeError, AttributeError) as exc:
             raise ValueError(f"not a heartbeat: {exc}") from None
         return cls(EntryId(entry), boot_id, seq, draining, parsed, findings)
 
 
+def _load(running: Any, prefill_tokens: Any) -> Load:
+    if type(running) is not int or type(prefill_tokens) is not int:
+        raise TypeError("a load must be whole numbers")
+    return Load(running, prefill_tokens)
+
+
 class PeerLink:
     """Owns the sockets between this entry and its peers.
 
@@ -93,6 +103,7 @@
         self._sub.setsockopt(zmq.SUBSCRIBE, b"")
         self._connected: set[str] = set()
         self._last_seq: dict[str, int] = {}
+        self._faults = RecordFaults(_log, "heartbeats")
 
     def start(self) -> list[asyncio.Task[None]]:
         """Open the publishing port and start the link's tasks."""
@@ -131,9 +142,13 @@
             except ValueError as exc:
                 log_event(_log, Event.PEER_NEWS_BAD, logging.WARNING, error=str(exc))
                 continue
-            # After a reconnect, queued heartbeats of the same incarnation may arrive
-            # after a newer one. They must not restore an old state.
-            sender = f"{heartbeat.entry}/{heartbeat.boot_id}"
-            if heartbeat.seq > self._last_seq.get(sender, -1):
-                self._last_seq[sender] = heartbeat.seq
-                self._on_heartbeat(heartbeat)
+            with self._faults.caught(heartbeat.entry):
+                self._receive(heartbeat)
+
+    def _receive(self, heartbeat: Heartbeat) -> None:
+        # After a reconnect, queued heartbeats of the same incarnation may arrive
+        # after a newer one. They must not restore an old state.
+        sender = f"{heartbeat.entry}/{heartbeat.boot_id}"
+        if heartbeat.seq > self._last_seq.get(sender, -1):
+            self._last_seq[sender] = heartbeat.seq
+            self._on_heartbeat(heartbeat)
--- a/src/celerytrack/gateway/peer_messages.py
+++ b/src/celerytrack/gateway/peer_messages.py
@@ -55,6 +55,7 @@
     is_link_news,
     link_news_of,
 )
+from celerytrack.record_faults import MAX_DETAIL_CHARS
 
 _log = logging.getLogger(__name__)
 
@@ -68,9 +69,6 @@
 """Largest prefill time in a message: a prompt that fills an engine's memory takes half
 of it. A larger value would keep all entries from the engine."""
 
-MAX_DETAIL_CHARS = 300
-"""Most characters of an error in a log line."""
-
 
 @attrs.frozen
 class LongPromptMessage:
--- a/src/celerytrack/gateway/tail.py
+++ b/src/celerytrack/gateway/tail.py
@@ -7,12 +7,12 @@
 
 from returns.result import Failure, Result, Success
 
-from celerytrack._recent import RecentKeys
 from celerytrack.eras import Era, EraTracker
 from celerytrack.events import Event, log_event
 from celerytrack.gateway.hedged_store import Store
 from celerytrack.platform.log_format import Batch, KeyedRecord
 from celerytrack.platform.store import StoreError, StoreErrorKind
+from celerytrack.record_faults import RecordFaults
 
 _log = logging.getLogger(__name__)
 
@@ -24,10 +24,6 @@
 NEWEST_COST_RATIO = 4 / 3
 """Cost of a record in a query for the newest of each key, relative to its cost in a
 read: the query encodes it in base64."""
-MAX_KNOWN_FAULTS = 256
-"""Most faults of records that are remembered, so that each is logged once."""
-MAX_DETAIL_CHARS = 300
-"""Most characters of an error in a log line; a record may hold megabytes."""
 
 
 class KeyedTail:
@@ -79,7 +75,7 @@
         self._eras = eras
         self._only_key = only_key
         self._era: Era | None = None
-        self._faults = RecentKeys(MAX_KNOWN_FAULTS)
+        self._faults = RecordFaults(_log, topic)
 
     async def poll(self, wait_s: float = 0.0) -> bool:
         """Read new records once; returns whether the store answered.
@@ -220,7 +216,8 @@
             case Success(batch):
                 self._update_reachability(None)
                 for record in batch.records:
-                    self._apply_record(record)
+                    with self._faults.caught(record.key):
+                        self._apply(record)
                     self._track_key(record)
                 self.next_offset = batch.next_offset
                 self._end = batch.end
@@ -235,23 +232,6 @@
                 self._update_reachability(error)
         return False
 
-    def _apply_record(self, record: KeyedRecord) -> None:
-        try:
-            self._apply(record)
-        except Exception as exc:
-            # Whoever wrote a record, it must not end the task that follows its topic,
-            # and with it the process.
-            detail = repr(exc)[:MAX_DETAIL_CHARS]
-            if self._faults.add((record.key, detail)):
-                log_event(
-                    _log,
-                    Event.RECORD_FAILED,
-                    logging.ERROR,
-                    topic=self.topic,
-                    key=record.key,
-                    detail=detail,
-                )
-
     def _track_key(self, record: KeyedRecord) -> None:
         if record.value is None:
             self._keys.discard(record.key)
--- a/src/celerytrack/gateway/watches.py
+++ b/src/celerytrack/gateway/watches.py
@@ -13,16 +13,13 @@
 from celerytrack.platform.log_format import KeyedRecord
 from celerytrack.platform.registry import RegistrationError, decode_registration
 from celerytrack.platform.topics import CONFIG_KEY, CONFIG_TOPIC, ENDPOINTS_TOPIC
+from celerytrack.record_faults import MAX_KNOWN_FAULTS
 from celerytrack.routing.endpoint import Registration
 from celerytrack.routing.endpoints import RegistrationChange
 from celerytrack.routing.routes import moved_services, shared_services
 
 _log = logging.getLogger(__name__)
 
-MAX_KNOWN_FAULTS = 256
-"""Most faults of registrations that are remembered, so that each is logged once: their
-writer repeats them at each of its heartbeats."""
-
 
 def make_config_tail(gateway: Gateway) -> KeyedTail:
     """Return a tail that applies the operators' configuration."""
--- a/tests/own_cut_fleet.py
+++ b/tests/own_cut_fleet.py
@@ -65,7 +65,7 @@
     }
 
 
-def _config() -> dict[str, Any]:
+def own_config() -> dict[str, Any]:
     def work(name: str, kind: str, model: str, **more: Any) -> dict[str, Any]:
         base = {"name": name, "kind": kind, "model": model, "ttft_target_s": 1.0}
         return {**base, **more}
@@ -87,6 +87,7 @@
     :ivar entries: the state of each entry.
     :ivar engines: the state of each engine.
     :ivar services: the state of each plain service.
+    :ivar listed: the instance list.
     """
 
     def __init__(self, entries: int, engines: int = 4, services: int = 4) -> None:
@@ -102,12 +103,12 @@
     async def __aenter__(self) -> "OwnCutFleet":
         platform = self.settings.platform
         await self._serve(log.make_app(), platform.log_address)
-        listed = instances.InstancesState(instances.seed(self.settings))
-        await self._serve(instances.make_app(listed), platform.instances_address)
+        self.listed = instances.InstancesState(instances.seed(self.settings))
+        await self._serve(instances.make_app(self.listed), platform.instances_address)
         for spec in self.settings.replicas:
             await self._serve(self._replica(spec.replica_id), spec.address)
         client = LogClient(platform.log_address, "test")
-        version, why = await apply_config(client, _config(), None)
+        version, why = await apply_config(client, own_config(), None)
         assert version >= 0, why
         assert await topup(client, ACCOUNT, BUDGET_TOKENS, "first")
         await client.close()
