Own interface: class names that callers invent stay out of the metrics

Operators lost an entry's metrics for good: the page ended with 500 after one chat whose model held half a surrogate pair. Each other invented name stayed there until the process ended, and a name of megabytes went into the log and the refusal.

Cause: a refusal was counted by the class that the caller named.

Evidence: tests.test_own_hostile: 500 for the metrics on the code before.

Change: a class that the configuration doesn't know is counted as "?", as a request without a class is; a refusal shows 80 characters of it.

--- a/src/celerytrack/entry/admission.py
+++ b/src/celerytrack/entry/admission.py
@@ -31,6 +31,11 @@
 """The same timeout while the ledger does not answer. It covers one lost reply, and
 a caller refused during a partition still gets its refusal at once."""
 _RETRY_AFTER_S = 2.0
+UNKNOWN_CLASS = "?"
+"""Class of a request that names none of the configuration. A name of a caller's own
+choice would stay in the metrics for good."""
+MAX_SHOWN_CHARS = 80
+"""Most characters of a caller's text in a refusal and its log line."""
 
 
 @attrs.frozen
@@ -97,14 +102,15 @@
     :raises RefusedError: ``did_not_run`` for a bad body, key or class, while the
         entry is draining, or for a non-idempotent call without an idempotency key.
     """
-    name = request.match_info.get("work_class", "?")
+    name = request.match_info.get("work_class", UNKNOWN_CLASS)
     try:
         body = await request.json()
     except json.JSONDecodeError:
         body = None
     if not isinstance(body, dict):
         detail = "body is not a JSON object"
-        raise RefusedError(did_not_run(Reason.BAD_REQUEST, None, detail), name)
+        refusal = did_not_run(Reason.BAD_REQUEST, None, detail)
+        raise RefusedError(refusal, _known_class(state, name))
     if kind is BackendKind.ENGINE:
         name = str(body.get("model", ""))
     try:
@@ -119,15 +125,21 @@
             detail = "a non-idempotent class needs an Idempotency-Key"
             raise RefusedError(did_not_run(Reason.BAD_REQUEST, None, detail))
     except RefusedError as exc:
-        raise RefusedError(exc.refusal, name) from None
+        raise RefusedError(exc.refusal, _known_class(state, name)) from None
     rid = request_id_for(account.account_id, key)
     return AdmittedRequest(body, account, work, key, rid, f"{account.account_id}:{key}")
 
 
+def _known_class(state: EntryState, name: str) -> str:
+    config = state.config.config
+    known = config is not None and config.work_class(name) is not None
+    return name if known else UNKNOWN_CLASS
+
+
 def _work_class(config: Config, name: str, kind: BackendKind) -> WorkClass:
     work = config.work_class(name)
     if work is None or work.kind is not kind:
-        detail = f"no {kind.value} class {name!r}"
+        detail = f"no {kind.value} class {name[:MAX_SHOWN_CHARS]!r}"
         raise RefusedError(did_not_run(Reason.UNKNOWN_CLASS, None, detail))
     return work
 
