A second endpoint's answer is not written into a stream that has begun

Cause: the pipeline made a new response of each answer that was read to its end, without asking whether one had begun. A failed attempt was asked that (_give_up), an answer wasn't: the two looked alike only while an answer could come first.

Change: to a stream that has begun, an answer that was read to its end counts as a failed attempt, whatever its status. It goes on elsewhere within the limits of attempts and the retry budget, and is broken off otherwise. Requests through another entry take the same way.

--- a/src/celerytrack/gateway/pipeline.py
+++ b/src/celerytrack/gateway/pipeline.py
@@ -179,10 +179,17 @@
                 record_answer(gateway, exchange, exchange.response.status)
                 return exchange.response
             case Success(BufferedAnswer() as answer):
-                retry = answer.status >= 500 and exchange.route.is_retry_safe
-                if not (retry and _within_limits(exchange) and budget.try_acquire()):
-                    record_answer(gateway, exchange, answer.status)
-                    return make_response(gateway, answer)
+                # To a stream that has begun, no answer but another stream fits.
+                begun = exchange.response is not None
+                failed = begun or answer.status >= 500
+                retry = failed and exchange.route.is_retry_safe
+                if retry and _within_limits(exchange) and budget.try_acquire():
+                    continue
+                if begun:
+                    detail = f"an endpoint that should go on answered {answer.status}"
+                    return abort_stream(gateway, exchange, detail)
+                record_answer(gateway, exchange, answer.status)
+                return make_response(gateway, answer)
             case Failure(failure):
                 retry = _is_retryable(exchange, failure) and _within_limits(exchange)
                 # A request that was never sent added no load, so the next attempt
