A stream goes on only with events that follow those the caller has

Cause: what a second endpoint sent was passed on as it came.

Change: the first numbered event of an answer that goes on must be greater than the last one that the caller has, and where an event had begun, at least one must follow. Otherwise the attempt failed: the stream goes on elsewhere or is broken off. Left-out events can't be told, as ids may grow by any step.

Evidence: the three new rows of tests.test_second_answers fail on the code before; a stream that goes on with 3, or with 30, is whole.

--- a/src/celerytrack/gateway/attempts.py
+++ b/src/celerytrack/gateway/attempts.py
@@ -26,6 +26,7 @@
 from celerytrack.platform.notices import decode_notices
 from celerytrack.routing.endpoint import Dispatch, Endpoint
 from celerytrack.routing.prefill import urgency
+from celerytrack.streams import RepeatedEventsError
 from celerytrack.verdict import Reason, Verdict
 
 CONNECT_ERRORS = (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError)
@@ -246,7 +247,7 @@
 ) -> AttemptResult:
     protocol = _protocol(response)
     events = exchange.events
-    events.reset()
+    events.resume(exchange.resume_from if exchange.route.resumable else None)
     while True:
         try:
             data = await response.content.readany()
@@ -256,7 +257,10 @@
             break
         if dispatch is not None:
             gateway.reach.record_heard(exchange.service, time.monotonic())
-        received = events.feed(data)
+        try:
+            received = events.feed(data)
+        except RepeatedEventsError:
+            return _unusable_answer("a stream that should go on repeats events")
         if received is None:
             continue
         if exchange.response is None:
@@ -269,6 +273,8 @@
         return _unusable_answer("a stream ended in the middle of an event")
     if exchange.response is None:
         return _unusable_answer("a stream without events")
+    if events.lacks_event:
+        return _unusable_answer("a stream that should go on ended at once")
     return Success(None)
 
 
--- a/src/celerytrack/streams.py
+++ b/src/celerytrack/streams.py
@@ -1,8 +1,16 @@
 """Splitting of server-sent event streams into complete events, without I/O."""
 
+import re
+
 import attrs
 
 _EVENT_END = b"\n\n"
+_NUMBER = re.compile("[0-9]{1,18}")
+_EVENT_NUMBER = re.compile(rb"(?:^|\n)id: *([0-9]{1,18})\r?\n")
+
+
+class RepeatedEventsError(Exception):
+    """A stream that should go on after an event holds that event or one before it."""
 
 
 @attrs.frozen
@@ -28,11 +36,14 @@
 
     :ivar event_count: number of events returned so far.
     :ivar last_id: the id of the last returned event that has one.
+    :ivar lacks_event: whether an event began that no connection has ended.
     """
 
     event_count: int = 0
     last_id: str | None = None
+    lacks_event: bool = False
     _buffer: bytes = b""
+    _after: int | None = None
 
     @property
     def has_partial(self) -> bool:
@@ -40,22 +51,43 @@
         return bool(self._buffer)
 
     def feed(self, data: bytes) -> EventBatch | None:
-        """Add bytes and return the events that are now complete, if any."""
+        """Add bytes and return the events that are now complete, if any.
+
+        :raises RepeatedEventsError: if a stream that goes on repeats an event.
+        """
         block, end, rest = (self._buffer + data).rpartition(_EVENT_END)
         if not end:
             self._buffer = rest
             return None
         self._buffer = rest
         block += end
+        self._check_begin(block)
+        self.lacks_event = False
         count = block.count(_EVENT_END)
         last_id = last_event_id(block)
         self.event_count += count
         self.last_id = last_id or self.last_id
         return EventBatch(block, count, last_id)
 
-    def reset(self) -> None:
-        """Discard the incomplete event: the stream resumes on a new connection."""
+    def resume(self, last_id: str | None) -> None:
+        """Go on with a new connection, which sends an incomplete event anew.
+
+        :param last_id: the event after which the stream goes on; ``None`` if it begins.
+        """
+        self.lacks_event |= self.has_partial
         self._buffer = b""
+        is_number = last_id is not None and _NUMBER.fullmatch(last_id) is not None
+        self._after = int(last_id) if last_id is not None and is_number else None
+
+    def _check_begin(self, block: bytes) -> None:
+        if self._after is None:
+            return
+        first = _EVENT_NUMBER.search(block)
+        if first is None:
+            return
+        if int(first[1]) <= self._after:
+            raise RepeatedEventsError
+        self._after = None
 
 
 def last_event_id(block: bytes) -> str | None:
--- a/tests/test_endpoints.py
+++ b/tests/test_endpoints.py
@@ -351,6 +351,6 @@
         """
         splitter = EventSplitter()
         splitter.feed(b"id: 1\ndata: a\n\nid: 2\nda")
-        splitter.reset()
+        splitter.resume(None)
         events = splitter.feed(b"id: 2\ndata: b\n\n")
         self.assertEqual(events.data, b"id: 2\ndata: b\n\n")
--- a/tests/test_second_answers.py
+++ b/tests/test_second_answers.py
@@ -57,6 +57,9 @@
         ("206 Partial Content", event(3)),
         ("304 Not Modified", b""),
         ("200 OK", b"no stream"),
+        ("200 OK", b""),
+        ("200 OK", event(1) + event(2) + event(3)),
+        ("200 OK", event(2) + event(3)),
     )
     def test_a_second_answer_is_not_written_into_a_stream(
         self, status: str, body: bytes, *headers: str
@@ -68,8 +71,8 @@
         self.assertFalse(answer.whole)
         self.assertEqual(answer.rest, b"")
 
-    def test_a_stream_that_goes_on_is_whole(self) -> None:
-        script = _second("200 OK", event(3) + event(4))
-        answer, _ = asyncio.run(_play(script))
-        self.assertEqual(answer.body, BEGUN + event(3) + event(4))
+    @params(event(3) + event(4), event(3), event(30))
+    def test_a_stream_that_goes_on_is_whole(self, rest: bytes) -> None:
+        answer, _ = asyncio.run(_play(_second("200 OK", rest)))
+        self.assertEqual(answer.body, BEGUN + rest)
         self.assertTrue(answer.whole)
