--- a/src/celerytrack/gateway/suspect_sync.py
+++ b/src/celerytrack/gateway/suspect_sync.py
@@ -10,17 +10,16 @@
 import time
 from collections.abc import Callable, Sequence
 
-from returns.result import Failure, Success
-
 from celerytrack.eras import EraTracker
 from celerytrack.events import Event, log_event
 from celerytrack.findings import Findings, Probe
 from celerytrack.fingerprint import Fingerprint
+from celerytrack.gateway.appender import KeyedAppender
 from celerytrack.gateway.hedged_store import Store
-from celerytrack.gateway.tail import RETRY_MAX_S, RETRY_S, KeyedTail
+from celerytrack.gateway.tail import KeyedTail
 from celerytrack.ids import EntryId
 from celerytrack.platform.log_format import KeyedRecord
-from celerytrack.platform.store import StoreErrorKind, Writer
+from celerytrack.platform.store import StoreError
 from celerytrack.platform.suspect_records import (
     FindingsError,
     decode_findings,
@@ -76,14 +75,15 @@
         self.entry_count = 1
         self._store = store
         self._entry_id = entry_id
-        self._name = f"{entry_id}/{boot_id}"
+        self._appender = KeyedAppender(
+            store, SUSPECTS_TOPIC, f"{entry_id}/{boot_id}", self._log_write_failure
+        )
         self._broadcast = broadcast
         self._on_change = on_change
         self._tail = KeyedTail(
             store, SUSPECTS_TOPIC, self._apply, self._reload, eras=eras
         )
         self._logged_value = b""
-        self._sequence = 0
         self._changes = 0
         self._written_changes = 0
         self._log_writable = True
@@ -184,37 +184,19 @@
         return b"" if record.is_empty else encode_findings(record)
 
     async def _append(self, value: bytes) -> None:
-        """Append ``value`` as this entry's record, retrying until the store answers."""
-        pause_s = RETRY_S
-        while True:
-            # A retry repeats the same bytes: the store answers a repeated sequence
-            # number as it answered the first append, whatever the bytes are.
-            writer = Writer(self._name, 1, self._sequence)
-            match await self._store.append(
-                SUSPECTS_TOPIC, self._entry_id, value, writer
-            ):
-                case Success(_):
-                    self._sequence += 1
-                    self._logged_value = value
-                    self._log_writable = True
-                    return
-                case Failure(error):
-                    self._log_write_failure(error.kind, error.detail)
-                    if error.kind is StoreErrorKind.OUT_OF_SEQUENCE:
-                        expected = error.expected
-                        following = self._sequence + 1
-                        self._sequence = following if expected is None else expected
-            await asyncio.sleep(pause_s)
-            pause_s = min(2 * pause_s, RETRY_MAX_S)
-
-    def _log_write_failure(self, kind: StoreErrorKind, detail: str) -> None:
+        """Append ``value`` as this entry's record."""
+        await self._appender.append(self._entry_id, value)
+        self._logged_value = value
+        self._log_writable = True
+
+    def _log_write_failure(self, error: StoreError) -> None:
         self._log_writable = False
         log_event(
             _log,
             Event.SUSPECTS_NOT_WRITTEN,
             logging.WARNING,
-            kind=kind.value,
-            detail=detail,
+            kind=error.kind.value,
+            detail=error.detail,
         )
 
     # -- reading -----------------------------------------------------------------
