Streams are taken up after a loss of all entries only where they began

Cause: an entry that starts asks others which versions there were, and took any answer for the whole truth, also of one that had just started. "Not known" and "there is none" were one answer. And an entry that had not read the registrations for a while (frozen, cut off) trusted its own memory over a time that it had not seen.

Change: what must last is on the log. Each version of a configured service is written there as it comes up, by three entries in rendezvous order, and dropped 75 s after it was last seen, when no stream of it can be taken up any more. An entry that starts reads them first: a version that is recorded counts as seen until now, and until they are read no version is taken for the only one. They are read again after a gap of 3 s in the registrations and after a restore of the log.

What it costs: one read at the start of a process, three appends for a version that comes up, three when it goes. No request waits for it.

--- a/src/celerytrack/gateway/origins.py
+++ b/src/celerytrack/gateway/origins.py
@@ -65,7 +65,10 @@
 def only_origin(
     gateway: Gateway, exchange: Exchange, now_s: float
 ) -> StreamOrigin | None:
-    """The service and version of a route that has no other."""
+    """The service and version of a route that has no other, and had none lately."""
+    if not gateway.version_records.loaded:
+        # Which versions there were before this entry started is not known.
+        return None
     services = [service for service, _ in exchange.route.services]
     versions = gateway.endpoints.versions(services[0], now_s)
     if not versions or gateway.endpoints.has_versions(services[0], now_s):
--- a/src/celerytrack/gateway/state.py
+++ b/src/celerytrack/gateway/state.py
@@ -5,6 +5,7 @@
 import random
 import time
 import uuid
+from collections.abc import Collection
 
 from celerytrack.durations import RecentDurations
 from celerytrack.eras import EraChange, EraTracker
@@ -29,6 +30,7 @@
 from celerytrack.gateway.share_sync import ShareSync
 from celerytrack.gateway.suspect_sync import SuspectSync
 from celerytrack.gateway.telemetry import Telemetry
+from celerytrack.gateway.version_records import VersionRecords
 from celerytrack.ids import EndpointId, EntryId, ServiceName
 from celerytrack.limits.metrics import register_limits
 from celerytrack.notices.metrics import register_notices
@@ -79,6 +81,7 @@
     :ivar endpoints_reachable: whether the store answered that read.
     :ivar notices: what endpoints say of themselves in their answers.
     :ivar origins: what began the streams that callers may take up.
+    :ivar version_records: the versions of services on the log.
     :ivar endpoint_doubts: checks whether endpoints have started again.
     :ivar unresolved_origins: streams that began at endpoints that were in doubt.
     :ivar reach: whether this entry reaches the endpoints.
@@ -133,6 +136,16 @@
             self.endpoints,
             started_s,
         )
+        self.version_records = VersionRecords(
+            self.store,
+            self.entry_id,
+            f"{self.entry_id}/{self.boot_id}",
+            self.endpoints,
+            self._configured_services,
+            self._live_entries,
+            lambda: self.endpoints.known_at_s,
+            started_s,
+        )
         self.unresolved_origins = UnresolvedOrigins()
         self.endpoint_doubts = EndpointDoubts(
             self.endpoints,
@@ -234,6 +247,7 @@
             # What this process has read so far may be from the backup.
             self.config_known_at_s = float("-inf")
         self.endpoints.on_log_restored()
+        self.version_records.reload()
 
     def _send_findings(self, findings: Findings) -> None:
         members = self.share_sync.members.live_peers(time.monotonic())
@@ -270,6 +284,13 @@
         member = self.share_sync.members.member(entry_id)
         return None if member is None else member.peer_address
 
+    def _configured_services(self) -> Collection[ServiceName]:
+        return self.routing_table.services if self.routing_table else ()
+
+    def _live_entries(self) -> list[EntryId]:
+        members = self.share_sync.members.live_peers(time.monotonic())
+        return [self.entry_id, *(member.entry_id for member in members)]
+
     def _origin_holders(self, now_s: float) -> list[Holder]:
         holders = [
             Holder(member.entry_id, member.peer_address, member.started_s)
--- a/src/celerytrack/gateway/watches.py
+++ b/src/celerytrack/gateway/watches.py
@@ -5,7 +5,11 @@
 
 from celerytrack._recent import RecentKeys
 from celerytrack.events import Event, log_event
-from celerytrack.gateway.origins import correct_origins, resolve_origins
+from celerytrack.gateway.origins import (
+    FRESH_VIEW_S,
+    correct_origins,
+    resolve_origins,
+)
 from celerytrack.gateway.state import Gateway
 from celerytrack.gateway.tail import KeyedTail
 from celerytrack.ids import EndpointId
@@ -172,6 +176,9 @@
             time.monotonic()
         ):
             drop(endpoint_id)
+        is_gap = at_s - gateway.endpoints_known_at_s > FRESH_VIEW_S
+        if gateway.endpoints_known and is_gap:
+            gateway.version_records.reload()
         gateway.endpoints_known_at_s = gateway.endpoints.known_at_s = at_s
         resolve_origins(gateway)
         gateway.endpoints_read_time_s = time.monotonic() - at_s
--- a/tests/gateway_fleet.py
+++ b/tests/gateway_fleet.py
@@ -255,6 +255,17 @@
         self._run_gateway(self.gateways[i].settings)
         await self.wait_until(self._all_ready, self.ready_within_s)
 
+    async def start_again(self, numbers: list[int]) -> None:
+        """Start killed gateways under their addresses as the last ones of the list."""
+        for number in numbers:
+            self._run_gateway(self.gateways[number].settings)
+        await self.wait_until(self._all_ready, self.ready_within_s)
+
+    @property
+    def killed(self) -> frozenset[int]:
+        """The numbers of the gateways that were killed."""
+        return frozenset(self._killed)
+
     def _start_gateway(self, i: int) -> None:
         settings = ProcessSettings(
             entry_id=f"e{i}",
--- a/tests/test_outside_records.py
+++ b/tests/test_outside_records.py
@@ -22,6 +22,7 @@
 )
 from celerytrack.ids import EndpointId, ServiceName, Zone
 from celerytrack.membership.members import Member
+from celerytrack.origins.recorded import ServiceVersion
 from celerytrack.platform import log_format
 from celerytrack.platform.config import ConfigError, decode_config
 from celerytrack.platform.http import (
@@ -31,6 +32,7 @@
 )
 from celerytrack.platform.registry import RegistrationError, decode_registration
 from celerytrack.platform.rows import RowError, decode_member
+from celerytrack.platform.version_records import VersionRecordError, decode_version
 from celerytrack.routing.endpoint import Registration
 from celerytrack.routing.routes import RoutingTable
 from celerytrack.strict import UnreadableError
@@ -236,6 +238,13 @@
     def test_rows(self, raw):
         self._assert_only_raises(lambda r: decode_member("e", r), RowError, raw, Member)
 
+    @settings(max_examples=200, deadline=None, derandomize=True)
+    @given(_anything | _packable.map(msgpack.packb))
+    def test_versions(self, raw):
+        self._assert_only_raises(
+            decode_version, VersionRecordError, raw, ServiceVersion
+        )
+
     @settings(max_examples=200, deadline=None, derandomize=True)
     @given(_anything | _packable.map(msgpack.packb))
     def test_peer_messages(self, raw):
