The time in which a leaving endpoint is used begins when it was last there

Cause: an entry used such an endpoint for 1.5 s after it had read the removal. It reads every 0.6 s, and later when a read is slow or fails; the bound runs from the confirmation. For requests that wait for a connection there was no bound at all, also at an endpoint that drains.

Change: all that an entry knows is when it last read that the endpoint was there. From then on it may be sent requests for drainMs less 0.25 s on the way; the pool asks that when it chooses a last resort, and again when a placed request has its connection, in whatever way it was placed: queued, leased, resumed, as a probe. After three missed heartbeats of reads the registration may merely have lapsed, and the grace of 1.5 s from the return of the log holds as before. DEREGISTERED_GRACE_S is LAPSED_GRACE_S now; its tests are as they were.

--- a/src/celerytrack/gateway/state.py
+++ b/src/celerytrack/gateway/state.py
@@ -55,6 +55,7 @@
 from celerytrack.reachability.messages import LinkNews
 from celerytrack.routing.endpoint import Endpoint
 from celerytrack.routing.endpoints import EndpointPool
+from celerytrack.routing.leaving_bounds import LeavingBounds
 from celerytrack.routing.retries import RetryBudget
 from celerytrack.routing.routes import RoutingTable
 
@@ -127,7 +128,10 @@
         self.openings: collections.defaultdict[ServiceName, OpeningQueue] = (
             collections.defaultdict(OpeningQueue)
         )
-        self.endpoints = EndpointPool(settings.zone, self.rng, self.notices.state)
+        bounds = LeavingBounds(settings.leaving_known_s, settings.endpoint_heartbeat_s)
+        self.endpoints = EndpointPool(
+            settings.zone, self.rng, self.notices.state, bounds
+        )
         self.origins = OriginSync(
             self.entry_id,
             self.peer_messenger.send_origin_message,
--- a/src/celerytrack/gateway/watches.py
+++ b/src/celerytrack/gateway/watches.py
@@ -118,8 +118,11 @@
     """Return a tail that applies the endpoints' registrations."""
     faults = RecentKeys(MAX_KNOWN_FAULTS)
 
-    def drop(endpoint_id: EndpointId) -> None:
-        gateway.endpoints.mark_deregistered(endpoint_id, time.monotonic())
+    known_before_s = gateway.endpoints.known_at_s
+
+    def drop(endpoint_id: EndpointId, present_at_s: float | None = None) -> None:
+        now_s = time.monotonic()
+        gateway.endpoints.mark_deregistered(endpoint_id, now_s, present_at_s)
         log_event(_log, Event.ENDPOINT_GONE, endpoint=endpoint_id)
 
     def apply(record: KeyedRecord) -> None:
@@ -165,7 +168,8 @@
             if endpoint_id in keys:
                 continue
             if rewritten:
-                drop(endpoint_id)
+                # By now the whole topic is known; this one may have left long before.
+                drop(endpoint_id, known_before_s)
             else:
                 gateway.endpoints.restored_registrations.mark_missing(
                     endpoint_id, now_s
@@ -179,6 +183,8 @@
         is_gap = at_s - gateway.endpoints_known_at_s > FRESH_VIEW_S
         if gateway.endpoints_known and is_gap:
             gateway.version_records.reload()
+        nonlocal known_before_s
+        known_before_s = gateway.endpoints.known_at_s
         gateway.endpoints_known_at_s = gateway.endpoints.known_at_s = at_s
         resolve_origins(gateway)
         gateway.endpoints_read_time_s = time.monotonic() - at_s
--- a/src/celerytrack/platform/settings.py
+++ b/src/celerytrack/platform/settings.py
@@ -35,7 +35,8 @@
     :ivar config_in_force_s: longest time allowed from the confirmation of a
         configuration until it is in force everywhere.
     :ivar leaving_known_s: longest time allowed from the confirmation that an endpoint
-        drains until all entries know it.
+        drains until all entries know it; it serves for as long.
+    :ivar endpoint_heartbeat_s: interval at which endpoints write their registrations.
     :ivar link_mbps: bandwidth of the instance's link; 0 if unknown.
     """
 
@@ -54,6 +55,7 @@
     max_ttl_s: float
     config_in_force_s: float = 2.0
     leaving_known_s: float = 2.0
+    endpoint_heartbeat_s: float = 1.2
     link_mbps: float = 0.0
 
 
@@ -95,6 +97,7 @@
         max_ttl_s=_number(bounds, "ttl_max_s", 5),
         config_in_force_s=_number(bounds, "configMs", 2_000) / 1_000,
         leaving_known_s=_number(bounds, "drainMs", 2_000) / 1_000,
+        endpoint_heartbeat_s=_number(data, "heartbeatMs", 1_200, "") / 1_000,
         link_mbps=_number(_table(data, "limits"), "linkMbps", 0, "limits"),
     )
 
--- a/src/celerytrack/routing/endpoint.py
+++ b/src/celerytrack/routing/endpoint.py
@@ -118,6 +118,7 @@
     :ivar ejected_until_s: until when it is ejected.
     :ivar deregistered_at_s: when its registration disappeared; ``None`` while it is
         registered.
+    :ivar send_until_s: until when requests may be sent to it: it is leaving.
     :ivar doubted_at_s: when this entry last had a sign that the process may have ended,
         so that another incarnation may have its address.
     """
@@ -134,6 +135,7 @@
     consecutive_failures: int = 0
     ejected_until_s: float = 0.0
     deregistered_at_s: float | None = None
+    send_until_s: float = math.inf
     doubted_at_s: float | None = None
     _cached_parts: OrderedDict[str, float] = attrs.field(factory=OrderedDict)
 
--- a/src/celerytrack/routing/endpoints.py
+++ b/src/celerytrack/routing/endpoints.py
@@ -12,6 +12,7 @@
 """
 
 import enum
+import math
 import random
 from collections import Counter
 from collections.abc import Collection, Iterable, Sequence
@@ -36,6 +37,7 @@
     Registration,
     RequestProfile,
 )
+from celerytrack.routing.leaving_bounds import LeavingBounds
 from celerytrack.routing.predictions import (
     has_capacity,
     home_engines,
@@ -46,10 +48,6 @@
 from celerytrack.routing.restored_registrations import RestoredRegistrations
 from celerytrack.routing.versions import VersionHistory
 
-DEREGISTERED_GRACE_S = 1.5
-"""How long an endpoint without registration is still used if its service has no other.
-Registrations expire while the store is unreachable and are written again within two
-seconds; an endpoint that has left keeps serving for two seconds."""
 DOUBT_S = 3.0
 """Time in which a process that started again at its address has registered. Until the
 registrations of then are known, what runs there is in doubt."""
@@ -84,12 +82,14 @@
         zone: Zone,
         rng: random.Random,
         notices: EndpointNotices | None = None,
+        leaving_bounds: LeavingBounds = LeavingBounds(),  # noqa: B008
     ) -> None:
         self._zone = zone
         self._rng = rng
         self._endpoints: dict[EndpointId, Endpoint] = {}
         self._tombstones: LRUCache[EndpointId, Registration] = LRUCache(MAX_TOMBSTONES)
         self._notices = EndpointNotices() if notices is None else notices
+        self._leaving_bounds = leaving_bounds
         self.restored_registrations = RestoredRegistrations()
         self._version_history = VersionHistory()
         self.known_at_s = float("-inf")
@@ -117,6 +117,10 @@
             self._add(registration, now_s)
             return RegistrationChange.RESTARTED
         changed = known.registration.draining is not registration.draining
+        if not registration.draining:
+            known.send_until_s = math.inf
+        elif changed:
+            known.send_until_s = self._leaving_bounds.send_until_s(self.known_at_s)
         known.registration = registration
         known.deregistered_at_s = None
         return RegistrationChange.CHANGED if changed else RegistrationChange.SAME
@@ -134,18 +138,34 @@
         endpoint.cold_until_s = now_s + registration.cold_s
         self._endpoints[registration.endpoint_id] = endpoint
 
-    def mark_deregistered(self, endpoint_id: EndpointId, now_s: float) -> None:
-        """Record that the registration of an endpoint disappeared."""
+    def mark_deregistered(
+        self, endpoint_id: EndpointId, now_s: float, present_at_s: float | None = None
+    ) -> None:
+        """Record that the registration of an endpoint disappeared.
+
+        :param present_at_s: when it was last known to be there; ``None`` for
+            :attr:`known_at_s`.
+        """
         known = self._endpoints.get(endpoint_id)
-        if known is not None and known.deregistered_at_s is None:
-            known.deregistered_at_s = now_s
+        if known is None or known.deregistered_at_s is not None:
+            return
+        if present_at_s is None:
+            present_at_s = self.known_at_s
+        known.deregistered_at_s = now_s
+        known.send_until_s = min(
+            known.send_until_s,
+            self._leaving_bounds.send_until_if_gone_s(present_at_s, now_s),
+        )
 
     def deregister_now(self, endpoint_id: EndpointId, now_s: float) -> None:
         """Record that an endpoint is gone, or that its newest record is unusable.
 
         It gets no more requests, even if its service has no other endpoint.
         """
-        self.mark_deregistered(endpoint_id, now_s - DEREGISTERED_GRACE_S)
+        self.mark_deregistered(endpoint_id, now_s)
+        known = self._endpoints.get(endpoint_id)
+        if known is not None:
+            known.send_until_s = min(known.send_until_s, now_s)
 
     def doubt(self, endpoint: Endpoint, now_s: float) -> bool:
         """Record a sign that an endpoint's process may have ended.
@@ -205,7 +225,10 @@
         return endpoint.registration.draining or self._said_leaving(endpoint)
 
     def may_send(self, endpoint: Endpoint, now_s: float) -> bool:
-        """Whether a request that was placed may be sent now, by the endpoint's word."""
+        """Whether a request that was placed may be sent now: not if the endpoint may
+        have left, and not against its own word."""
+        if now_s >= endpoint.send_until_s:
+            return False
         born_ms = endpoint.registration.born_ms
         return self._notices.may_send(endpoint.endpoint_id, born_ms, now_s)
 
@@ -323,7 +346,7 @@
             e
             for e in self._endpoints.values()
             if e.deregistered_at_s is not None
-            and now_s - e.deregistered_at_s > DEREGISTERED_GRACE_S
+            and now_s >= e.send_until_s
             and e.running == 0
         ]
         for endpoint in gone:
@@ -488,8 +511,7 @@
 
     def _is_last_resort(self, endpoint: Endpoint, now_s: float) -> bool:
         """Whether an endpoint that leaves is used if its service has no other."""
-        gone_s = endpoint.deregistered_at_s
-        if gone_s is not None and now_s - gone_s >= DEREGISTERED_GRACE_S:
+        if now_s >= endpoint.send_until_s:
             return False
         return not self._said_leaving(endpoint) or self._notices.is_last_resort(
             endpoint.endpoint_id, endpoint.registration.born_ms, now_s
--- a/tests/test_endpoints.py
+++ b/tests/test_endpoints.py
@@ -10,10 +10,10 @@
 from celerytrack.routing.ejection import MIN_EJECTION_S
 from celerytrack.routing.endpoint import Choice, Registration, RequestProfile
 from celerytrack.routing.endpoints import (
-    DEREGISTERED_GRACE_S,
     EndpointPool,
     RegistrationChange,
 )
+from celerytrack.routing.leaving_bounds import LAPSED_GRACE_S
 from celerytrack.routing.prefill import prefill_s
 from celerytrack.routing.routes import (
     ClientAccount,
@@ -233,7 +233,7 @@
         """
         pool = _pool(_start(2_000, 5))
         pool.mark_deregistered(EndpointId("a"), 1.0)
-        pool.evict_deregistered(1.0 + 2 * DEREGISTERED_GRACE_S)
+        pool.evict_deregistered(1.0 + 2 * LAPSED_GRACE_S)
         self.assertIs(pool.register(_start(1_000, 9), 9.0), RegistrationChange.STALE)
         self.assertIsNone(_choose(pool, now_s=9.0))
 
@@ -273,8 +273,8 @@
     def test_the_only_endpoint_is_used_for_the_grace_period(self):
         pool = _pool(_reg("a"))
         pool.mark_deregistered(EndpointId("a"), 1.0)
-        self.assertEqual(_choose(pool, now_s=1.0 + DEREGISTERED_GRACE_S / 2), "a")
-        self.assertIsNone(_choose(pool, now_s=1.1 + DEREGISTERED_GRACE_S))
+        self.assertEqual(_choose(pool, now_s=1.0 + LAPSED_GRACE_S / 2), "a")
+        self.assertIsNone(_choose(pool, now_s=1.1 + LAPSED_GRACE_S))
 
     def test_an_endpoint_with_an_unusable_record_has_no_grace_period(self):
         pool = _pool(_reg("a"))
--- a/tests/test_eras.py
+++ b/tests/test_eras.py
@@ -13,11 +13,8 @@
 from celerytrack.prepaid import AccountClaim, PrepaidBudgets
 from celerytrack.prepaid.restore_hold import MAX_HOLD_S
 from celerytrack.routing.endpoint import Registration
-from celerytrack.routing.endpoints import (
-    DEREGISTERED_GRACE_S,
-    EndpointPool,
-    RegistrationChange,
-)
+from celerytrack.routing.endpoints import EndpointPool, RegistrationChange
+from celerytrack.routing.leaving_bounds import LAPSED_GRACE_S
 from celerytrack.strict import UnreadableError
 
 SAME, CHANGED, LATE = EraStatus.SAME, EraStatus.CHANGED, EraStatus.LATE
@@ -233,7 +230,7 @@
         pool.register(_registration(5), 0.0)
         pool.mark_deregistered(EndpointId("e"), 1.0)
         if forgotten:
-            pool.evict_deregistered(1.1 + DEREGISTERED_GRACE_S)
+            pool.evict_deregistered(1.1 + LAPSED_GRACE_S)
         return pool
 
     @params(
