Own interface: a replica that left gets no call that was placed before

A call that had waited for its lease or connection went to a replica that had left the instance list meanwhile.

On a connection it was worse: with all replicas of an address leaving, there was none to ask, and the answer was yes.

Change: a call is withheld, and placed elsewhere, if its replica leaves by the time it is sent or has its connection.

--- a/src/celerytrack/entry/state.py
+++ b/src/celerytrack/entry/state.py
@@ -300,13 +300,16 @@
 
     def _may_send_to(self, address: str) -> bool:
         """Whether the replica at an address may be sent a request now."""
-        if not self.notices.sync.state:
-            return True
-        now_s = time.monotonic()
-        return all(
-            self.notices.may_send(self.view.replicas[replica_id], now_s)
+        there = [
+            self.view.replicas[replica_id]
             for replica_id, known in self.view.addresses.items()
-            if known == address and not self.view.replicas[replica_id].leaving
+            if known == address
+        ]
+        now_s = time.monotonic()
+        # Another replica may have the address of one that has left.
+        staying = [replica for replica in there if not replica.leaving]
+        return bool(staying) and all(
+            self.notices.may_send(replica, now_s) for replica in staying
         )
 
     def record_heard(self, replica: ReplicaLoad) -> None:
--- a/src/celerytrack/entry/upstream.py
+++ b/src/celerytrack/entry/upstream.py
@@ -239,7 +239,7 @@
         replica, replica.load(now_s), ask, Placement()
     )
     sent = replica.begin_attempt(ask, first_token_s, now_s)
-    if not state.notices.may_send(replica, time.monotonic()):
+    if replica.leaving or not state.notices.may_send(replica, time.monotonic()):
         sent.finish(time.time())
         state.notices.give_back(placed)
         state.suspects.cancel_probe(admitted)
--- a/tests/test_own_notices.py
+++ b/tests/test_own_notices.py
@@ -1,6 +1,7 @@
 """Replicas that say that they leave or back off, for the product's own interface."""
 
 import asyncio
+import itertools
 import random
 import time
 import unittest
@@ -18,6 +19,7 @@
 from celerytrack.routing.replica_load import ReplicaLoad
 from celerytrack.verdict import Refusal
 from tests.fleet import Fleet, get_json
+from tests.own_cut_fleet import OwnCutFleet
 
 RATE_PER_S = 40.0
 
@@ -114,3 +116,32 @@
         self.assertLessEqual(outcomes, {Outcome.DONE, Outcome.REFUSED})
         done = sum(r.outcome == Outcome.DONE for r in results)
         self.assertGreaterEqual(done, 0.8 * len(results))
+
+
+class PlacedCallTest(unittest.IsolatedAsyncioTestCase):
+    async def test_a_replica_that_left_meanwhile_gets_no_call_that_was_placed(
+        self,
+    ) -> None:
+        """It was chosen, left the list while the call waited, and got it all the
+        same."""
+        async with OwnCutFleet(1) as fleet:
+            entry, left = fleet.entries[0], []
+            choose, choices = entry.choose, itertools.count()
+
+            def choose_one_that_leaves(*args):
+                replica = choose(*args)
+                # The first choice only checks that a replica has room.
+                if next(choices) == 1:
+                    left.append(replica)
+                    replica.leaving = True
+                return replica
+
+            entry.choose = choose_one_that_leaves
+            # The list says so only later.
+            entry.view.refresh = _nothing
+            self.assertEqual(await fleet.call(0, "lookup", 1), 200)
+            number = int(left[0].replica_id.removeprefix("service-"))
+            self.assertEqual(sum(fleet.services[number].runs.values()), 0)
+
+
+async def _nothing() -> None: ...
