Answers without end are cut off, and the endpoint is avoided

Ten requests at one faulty endpoint took 455 MB in 2 s (memoryMb is 300, beyond which the platform kills the process), and a head that came byte by byte held its request to the deadline while other endpoints were idle.

Cause: the HTTP library bounds a line and the headers of a head. An answer that is read to its end, an event that is incomplete, the size or extension of a chunk and a head in time had no bound.

Change: AnswerLimits, one place with units, in the settings file under [answers]. A connection counts the bytes before a head is complete (64 KiB) and the time from its first byte (1 s), and the bytes of a body that hold nothing of its content (16 KiB); an incomplete event has 256 KiB; an answer that is read to its end 16 MiB, and all of an endpoint together 8 MiB, but that the oldest may go on to its own bound. Past a bound the connection is closed here, the attempt failed hard: the request goes on elsewhere if it may, the endpoint is ejected. The own interface has the same bounds; there an engine that goes on after max_tokens is cut off as well, and the caller isn't billed for more.

--- /dev/null
+++ b/src/celerytrack/bounded_connection.py
@@ -0,0 +1,118 @@
+"""Connections that end an answer whose head or framing has no end."""
+
+import asyncio
+from typing import Any
+
+import aiohttp
+from aiohttp.client_proto import ResponseHandler
+
+from celerytrack.answer_limits import DEFAULT_LIMITS, AnswerBytes, AnswerLimits
+
+SWITCHING_PROTOCOLS = 101
+"""The only interim answer after which no other head follows."""
+
+
+class EndlessAnswerError(aiohttp.ClientPayloadError):
+    """The bytes of an answer lead to nothing: the connection was closed."""
+
+
+async def read_body(
+    response: aiohttp.ClientResponse, answer_bytes: AnswerBytes
+) -> bytes:
+    """Read an answer to its end.
+
+    :raises AnswerTooLargeError: if it is too large.
+    """
+    parts = []
+    try:
+        await answer_bytes.reserve(response, 0)
+        while data := await response.content.readany():
+            await answer_bytes.reserve(response, len(data))
+            parts.append(data)
+        return b"".join(parts)
+    finally:
+        answer_bytes.release(response)
+
+
+class BoundedConnection(ResponseHandler):
+    """A connection to an endpoint that is bounded in bytes and time.
+
+    The library bounds a line of a head. It reads on without end if a head comes byte by
+    byte, after interim answers, and in the size or extension of a chunk.
+    """
+
+    def __init__(
+        self, loop: asyncio.AbstractEventLoop, limits: AnswerLimits = DEFAULT_LIMITS
+    ) -> None:
+        super().__init__(loop)
+        self._limits = limits
+        self._has_head = False
+        self._head_bytes = 0
+        self._framing_bytes = 0
+        self._content_bytes = 0
+        self._content: aiohttp.StreamReader | None = None
+        self._head_timer: asyncio.TimerHandle | None = None
+
+    def set_response_params(self, **params: Any) -> None:
+        """Begin to read the answer to another request."""
+        self._has_head = False
+        self._head_bytes = self._framing_bytes = self._content_bytes = 0
+        self._content = None
+        super().set_response_params(**params)
+
+    def feed_data(self, data: Any, size: int = 0) -> None:
+        """Take a head that is complete."""
+        message, content = data
+        self._stop_head_timer()
+        if message.code >= 200 or message.code == SWITCHING_PROTOCOLS:
+            self._has_head = True
+            self._content = content
+        super().feed_data(data, size)
+
+    def data_received(self, data: bytes) -> None:
+        """Take bytes, and close the connection if they are too many."""
+        if not self._has_head:
+            self._head_bytes += len(data)
+            if self._head_timer is None and data:
+                self._head_timer = self._loop.call_later(
+                    self._limits.head_timeout_s, self._give_up, "a head takes too long"
+                )
+        super().data_received(data)
+        if self._has_head:
+            self._check_framing(len(data))
+        elif self._head_bytes > self._limits.head_bytes:
+            self._give_up("a head is too long")
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Stop the timer of a head that will not come."""
+        self._stop_head_timer()
+        self._content = None
+        super().connection_lost(exc)
+
+    def _check_framing(self, count: int) -> None:
+        content = self._content
+        if content is None:
+            return
+        if content.total_bytes > self._content_bytes:
+            self._content_bytes = content.total_bytes
+            self._framing_bytes = 0
+            return
+        self._framing_bytes += count
+        if self._framing_bytes > self._limits.framing_bytes:
+            self._give_up("the framing of a body is too long")
+
+    def _stop_head_timer(self) -> None:
+        if self._head_timer is not None:
+            self._head_timer.cancel()
+            self._head_timer = None
+
+    def _give_up(self, detail: str) -> None:
+        self._stop_head_timer()
+        error = EndlessAnswerError(detail)
+        content = self._content
+        if content is not None and not content.is_eof():
+            content.set_exception(error)
+        self.set_exception(error)
+        self.force_close()
+        if self.transport is not None:
+            self.transport.abort()
--- a/src/celerytrack/entry/chat.py
+++ b/src/celerytrack/entry/chat.py
@@ -10,6 +10,7 @@
 from aiohttp import web
 from returns.result import Failure, Result, Success
 
+from celerytrack.answer_limits import AnswerTooLargeError
 from celerytrack.entry.admission import AdmittedRequest, handle, reserve
 from celerytrack.entry.answers import StoredAnswer
 from celerytrack.entry.calls import (
@@ -67,7 +68,7 @@
 
     @property
     def spent_tokens(self) -> int:
-        return self.prompt_tokens + self.relay.tokens
+        return self.prompt_tokens + min(self.relay.tokens, self.max_tokens)
 
 
 async def chat(state: EntryState, request: web.Request) -> web.StreamResponse:
@@ -216,7 +217,13 @@
             raise _IncompleteStreamError from None
         if not data:
             raise _IncompleteStreamError
-        out = relay.feed(data)
+        try:
+            out = relay.feed(data)
+        except AnswerTooLargeError:
+            raise _IncompleteStreamError from None
+        if relay.tokens > answer.max_tokens:
+            # The engine goes on without end; the caller has paid for no more.
+            raise _IncompleteStreamError
         if not out:
             continue
         if not sent.answered and relay.tokens > tokens_before:
--- a/src/celerytrack/entry/service_calls.py
+++ b/src/celerytrack/entry/service_calls.py
@@ -1,6 +1,7 @@
 """``POST /v1/services/{class}``: a call to a plain service, JSON in and out."""
 
 import asyncio
+import json
 import logging
 import time
 from typing import Any
@@ -8,6 +9,8 @@
 from aiohttp import web
 from returns.result import Failure, Result, Success
 
+from celerytrack.answer_limits import AnswerBytes, AnswerTooLargeError
+from celerytrack.bounded_connection import read_body
 from celerytrack.entry.admission import AdmittedRequest, choose_replica, handle, reserve
 from celerytrack.entry.answers import StoredAnswer
 from celerytrack.entry.calls import (
@@ -32,6 +35,8 @@
 
 _log = logging.getLogger(__name__)
 
+JSON_TYPE = "application/json"
+
 
 async def service_call(state: EntryState, request: web.Request) -> web.StreamResponse:
     started_s = time.monotonic()
@@ -95,7 +100,9 @@
         state,
         admitted,
         ask,
-        lambda sent, post: _attempt(post, admitted),
+        lambda sent, post: _attempt(
+            post, admitted, state.answer_bytes[sent.replica.replica_id]
+        ),
     )
     match sent:
         case Failure(refusal):
@@ -133,13 +140,17 @@
     raise RefusedError(may_have_run(Reason.DUPLICATE_IN_FLIGHT, 2.0, detail))
 
 
-async def _attempt(post: Post, admitted: AdmittedRequest) -> Result[Any, Refusal]:
+async def _attempt(
+    post: Post, admitted: AdmittedRequest, answer_bytes: AnswerBytes
+) -> Result[Any, Refusal]:
     try:
         async with await post(f"/call/{admitted.work.name}", admitted.body) as answer:
             if answer.status != 200:
                 return Failure(bad_status(answer.status))
-            return Success(await answer.json())
+            if answer.content_type != JSON_TYPE:
+                return Failure(replica_failed())
+            return Success(json.loads(await read_body(answer, answer_bytes)))
     except CallFailedError as exc:
         return Failure(exc.refusal)
-    except (*CONNECTION_ERRORS, ValueError):
+    except (*CONNECTION_ERRORS, AnswerTooLargeError, ValueError, RecursionError):
         return Failure(replica_failed())
--- a/src/celerytrack/entry/state.py
+++ b/src/celerytrack/entry/state.py
@@ -9,6 +9,7 @@
 
 import aiohttp
 
+from celerytrack.answer_limits import DEFAULT_LIMITS, AnswerBytes
 from celerytrack.entry.answers import AnswerCache
 from celerytrack.entry.claims import Claims
 from celerytrack.entry.config_follower import ConfigFollower
@@ -28,7 +29,7 @@
 from celerytrack.events import Event, log_event
 from celerytrack.findings import Findings
 from celerytrack.http_session import make_http_session
-from celerytrack.ids import EndpointId, EntryId, ServiceName
+from celerytrack.ids import EndpointId, EntryId, ReplicaId, ServiceName
 from celerytrack.limits.metrics import register_limits
 from celerytrack.logclient import LogClient
 from celerytrack.notices.metrics import register_notices
@@ -94,6 +95,9 @@
         self.rng = random.Random(self.boot_id)
         self.metrics = EntryMetrics()
         self.draining = False
+        self.answer_bytes: defaultdict[ReplicaId, AnswerBytes] = defaultdict(
+            lambda: AnswerBytes(DEFAULT_LIMITS)
+        )
         self.in_flight = 0
         self.attempts_deadline = SharedDeadline()
         self.suspects = EntrySuspects(
--- a/src/celerytrack/gateway/attempts.py
+++ b/src/celerytrack/gateway/attempts.py
@@ -8,6 +8,8 @@
 from aiohttp import web
 from returns.result import Failure, Result, Success
 
+from celerytrack.answer_limits import AnswerBytes, AnswerTooLargeError
+from celerytrack.bounded_connection import read_body
 from celerytrack.gateway.connections import EndpointGoneError, IncarnationConnections
 from celerytrack.gateway.exchange import AttemptFailure, BufferedAnswer, Exchange
 from celerytrack.gateway.origins import record_began
@@ -26,7 +28,7 @@
 from celerytrack.platform.notices import decode_notices
 from celerytrack.routing.endpoint import Dispatch, Endpoint
 from celerytrack.routing.prefill import urgency
-from celerytrack.streams import RepeatedEventsError
+from celerytrack.streams import OversizedEventError, RepeatedEventsError
 from celerytrack.verdict import Reason, Verdict
 
 CONNECT_ERRORS = (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError)
@@ -111,7 +113,9 @@
         return _connection_failure(Reason.UPSTREAM_FAILED, Verdict.MAY_HAVE_RUN, exc)
     complete = False
     try:
-        result = await handle_response(gateway, exchange, dispatch, response)
+        result = await handle_response(
+            gateway, exchange, dispatch, response, connections.answer_bytes
+        )
         complete = isinstance(result, Success)
         return result
     finally:
@@ -158,10 +162,12 @@
     exchange: Exchange,
     dispatch: Dispatch | None,
     response: aiohttp.ClientResponse,
+    answer_bytes: AnswerBytes,
 ) -> AttemptResult:
     """Relay an endpoint's answer, or read it.
 
     :param dispatch: ``None`` if another entry sent the request to the endpoint.
+    :param answer_bytes: what answers that are read to their end take.
     :raises CallerDisconnectedError: if the caller disconnects meanwhile.
     """
     facts = decode_answer(response.status, response.headers)
@@ -185,7 +191,7 @@
         return _unusable_answer("success without signature or id")
     if exchange.route.stream and response.status == 200:
         return await _relay(gateway, exchange, dispatch, response)
-    return await _read_answer(dispatch, response)
+    return await _read_answer(dispatch, response, answer_bytes)
 
 
 def _record_notices(
@@ -224,11 +230,15 @@
 
 
 async def _read_answer(
-    dispatch: Dispatch | None, response: aiohttp.ClientResponse
+    dispatch: Dispatch | None,
+    response: aiohttp.ClientResponse,
+    answer_bytes: AnswerBytes,
 ) -> AttemptResult:
     protocol = _protocol(response)
     try:
-        body = await response.read()
+        body = await read_body(response, answer_bytes)
+    except AnswerTooLargeError:
+        return _unusable_answer("an answer is too large")
     except CONNECTION_ERRORS as exc:
         return _connection_failure(Reason.UPSTREAM_CUT, Verdict.MAY_HAVE_RUN, exc)
     if _was_reset(response, protocol):
@@ -247,6 +257,7 @@
 ) -> AttemptResult:
     protocol = _protocol(response)
     events = exchange.events
+    events.max_event_bytes = gateway.settings.answer_limits.event_bytes
     events.resume(exchange.resume_from if exchange.route.resumable else None)
     while True:
         try:
@@ -259,6 +270,8 @@
             gateway.reach.record_heard(exchange.service, time.monotonic())
         try:
             received = events.feed(data)
+        except OversizedEventError:
+            return _unusable_answer("an event is too large")
         except RepeatedEventsError:
             return _unusable_answer("a stream that should go on repeats events")
         if received is None:
--- a/src/celerytrack/gateway/connections.py
+++ b/src/celerytrack/gateway/connections.py
@@ -11,6 +11,7 @@
 
 import aiohttp
 
+from celerytrack.answer_limits import AnswerBytes, AnswerLimits
 from celerytrack.http_session import ConnectionEnd, GatedConnector, make_http_session
 from celerytrack.ids import EndpointId
 from celerytrack.process_end import CONNECT_TIMEOUT_S
@@ -34,6 +35,8 @@
     :param on_ended: called when the endpoint has ended the last open connection, with
         whether it had announced that. While one lives on, so does the process at its
         other end.
+    :param limits: bounds of its answers.
+    :ivar answer_bytes: those that are read to their end.
     """
 
     def __init__(
@@ -41,7 +44,9 @@
         may_send: Callable[[], bool],
         on_connected: Callable[[], None],
         on_ended: Callable[[bool], None],
+        limits: AnswerLimits,
     ) -> None:
+        self.answer_bytes = AnswerBytes(limits)
         timeout = aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S)
         self.session = make_http_session(
             ENDPOINT_IDLE_S,
@@ -49,6 +54,7 @@
             auto_decompress=False,
             may_send=lambda address: may_send(),
             on_connected=lambda address: on_connected(),
+            limits=limits,
         )
         # aiohttp repeats a GET on its own when a reused connection breaks, so a call
         # that must run at most once could run twice without notice.
@@ -108,6 +114,7 @@
     :param on_connected: called with an endpoint when a new connection was made.
     :param on_ended: called with an endpoint that has ended the last open connection,
         and whether it had announced that.
+    :param limits: bounds of the answers of each endpoint.
     """
 
     def __init__(
@@ -115,7 +122,9 @@
         may_send: Callable[[Endpoint], bool],
         on_connected: Callable[[Endpoint], None],
         on_ended: Callable[[Endpoint, bool], None],
+        limits: AnswerLimits,
     ) -> None:
+        self._limits = limits
         self._may_send = may_send
         self._on_connected = on_connected
         self._on_ended = on_ended
@@ -130,6 +139,7 @@
                 lambda: self._may_send(endpoint),
                 lambda: self._on_connected(endpoint),
                 lambda announced: self._on_ended(endpoint, announced),
+                self._limits,
             )
             self._current[endpoint.endpoint_id] = current
         return current
--- a/src/celerytrack/gateway/relay.py
+++ b/src/celerytrack/gateway/relay.py
@@ -191,7 +191,9 @@
     exchange.writer = StreamOrigin(exchange.service, outcome.version)
     if exchange.origin not in (None, exchange.writer):
         return _failed(helper, _OtherVersionError(), Verdict.MAY_HAVE_RUN)
-    return await handle_response(gateway, exchange, None, response)
+    return await handle_response(
+        gateway, exchange, None, response, gateway.relayed_bytes
+    )
 
 
 def _failed(helper: Helper, exc: BaseException, verdict: Verdict) -> AttemptResult:
--- a/src/celerytrack/gateway/state.py
+++ b/src/celerytrack/gateway/state.py
@@ -7,6 +7,7 @@
 import uuid
 from collections.abc import Collection
 
+from celerytrack.answer_limits import AnswerBytes
 from celerytrack.durations import RecentDurations
 from celerytrack.eras import EraChange, EraTracker
 from celerytrack.events import Event, log_event
@@ -87,6 +88,7 @@
     :ivar unresolved_origins: streams that began at endpoints that were in doubt.
     :ivar reach: whether this entry reaches the endpoints.
     :ivar helpers: the entries that requests go through while it reaches none.
+    :ivar relayed_bytes: answers of other entries that are read to their end.
     :ivar relays_in_progress: requests of other entries in progress here.
     :ivar openings: requests that wait for an endpoint to open, by service.
     :ivar suspect_sync: tracks which requests crash endpoints, here and elsewhere.
@@ -180,7 +182,9 @@
             self._may_send,
             lambda endpoint: self.reach.record_connected(endpoint.registration.service),
             self._doubt_endpoint,
+            settings.answer_limits,
         )
+        self.relayed_bytes = AnswerBytes(settings.answer_limits)
         self.crash_findings: CrashFindings
         self.crash_detector = CrashDetector(
             self.endpoints.is_superseded,
--- a/src/celerytrack/http_session.py
+++ b/src/celerytrack/http_session.py
@@ -8,7 +8,9 @@
 from typing import Any
 
 import aiohttp
-from aiohttp.client_proto import ResponseHandler
+
+from celerytrack.answer_limits import DEFAULT_LIMITS, AnswerLimits
+from celerytrack.bounded_connection import BoundedConnection
 
 ACK_TIMEOUT_MS = 1_500
 """A connection whose bytes are not acknowledged for this long is closed. Without this
@@ -20,6 +22,9 @@
 :data:`ACK_TIMEOUT_MS` after the last sign of the peer, whatever their number: with one
 second, a sound peer that is silent for a second would lose its connections."""
 _KEEPALIVE_PROBES = 2
+READ_BUFFER_BYTES = 131_072
+"""Bytes of an answer that a connection buffers before it stops reading; it may go on to
+twice as many."""
 
 
 class WithheldError(Exception):
@@ -36,7 +41,7 @@
     """By this process, or the peer was not heard of."""
 
 
-class WatchedConnection(ResponseHandler):
+class WatchedConnection(BoundedConnection):
     """A connection that tells how it ended.
 
     :param on_open: called when it is made.
@@ -46,10 +51,11 @@
     def __init__(
         self,
         loop: asyncio.AbstractEventLoop,
+        limits: AnswerLimits,
         on_open: Callable[[], None],
         on_closed: Callable[[ConnectionEnd], None],
     ) -> None:
-        super().__init__(loop)
+        super().__init__(loop, limits)
         self._on_open = on_open
         self._on_closed = on_closed
         self._end = ConnectionEnd.HERE
@@ -85,12 +91,23 @@
     may_send: Callable[[str], bool] | None = None
     on_connected: Callable[[str], None] | None = None
 
+    def bound(self, limits: AnswerLimits) -> None:
+        """Bound the answers on the connections."""
+        self._limits = limits
+        self._factory = functools.partial(  # type: ignore[assignment]
+            BoundedConnection, loop=self._loop, limits=limits
+        )
+
     def watch(
         self, on_open: Callable[[], None], on_closed: Callable[[ConnectionEnd], None]
     ) -> None:
         """Call back as connections are made and end."""
         self._factory = functools.partial(  # type: ignore[assignment]
-            WatchedConnection, loop=self._loop, on_open=on_open, on_closed=on_closed
+            WatchedConnection,
+            loop=self._loop,
+            limits=self._limits,
+            on_open=on_open,
+            on_closed=on_closed,
         )
 
     async def connect(
@@ -123,6 +140,7 @@
     may_send: Callable[[str], bool] | None = None,
     on_connected: Callable[[str], None] | None = None,
     headers: Mapping[str, str] | None = None,
+    limits: AnswerLimits = DEFAULT_LIMITS,
 ) -> aiohttp.ClientSession:
     """Make a session without a limit on connections.
 
@@ -133,10 +151,12 @@
         a connection; a request that may not fails with :class:`WithheldError`.
     :param on_connected: called with ``host:port`` when a new connection was made.
     :param headers: headers of every request.
+    :param limits: bounds of the answers.
     """
     connector = GatedConnector(
         limit=0, keepalive_timeout=idle_s, socket_factory=make_socket
     )
+    connector.bound(limits)
     connector.may_send = may_send
     connector.on_connected = on_connected
     return aiohttp.ClientSession(
@@ -144,6 +164,7 @@
         timeout=timeout or aiohttp.ClientTimeout(total=None),
         auto_decompress=auto_decompress,
         headers=headers,
+        read_bufsize=READ_BUFFER_BYTES,
     )
 
 
--- a/src/celerytrack/platform/settings.py
+++ b/src/celerytrack/platform/settings.py
@@ -7,8 +7,10 @@
 
 import attrs
 
+from celerytrack.answer_limits import DEFAULT_LIMITS, AnswerLimits
 from celerytrack.ids import EntryId, Zone
 from celerytrack.settings import SettingsError
+from celerytrack.strict import MAX_NUMBER
 
 SETTINGS_VARIABLE = "CELERYTRACK_SETTINGS"
 METRICS_PORT = 9102
@@ -36,6 +38,7 @@
         configuration until it is in force everywhere.
     :ivar leaving_known_s: longest time allowed from the confirmation that an endpoint
         drains until all entries know it; it serves for as long.
+    :ivar answer_limits: bounds of endpoints' answers; the settings may lack them.
     :ivar endpoint_heartbeat_s: interval at which endpoints write their registrations.
     :ivar link_mbps: bandwidth of the instance's link; 0 if unknown.
     """
@@ -56,6 +59,7 @@
     config_in_force_s: float = 2.0
     leaving_known_s: float = 2.0
     endpoint_heartbeat_s: float = 1.2
+    answer_limits: AnswerLimits = DEFAULT_LIMITS
     link_mbps: float = 0.0
 
 
@@ -99,6 +103,25 @@
         leaving_known_s=_number(bounds, "drainMs", 2_000) / 1_000,
         endpoint_heartbeat_s=_number(data, "heartbeatMs", 1_200, "") / 1_000,
         link_mbps=_number(_table(data, "limits"), "linkMbps", 0, "limits"),
+        answer_limits=_answer_limits(_table(data, "answers")),
+    )
+
+
+def _answer_limits(table: dict[str, Any]) -> AnswerLimits:
+    def number(name: str, default: float) -> float:
+        value = _number(table, name, default, "answers")
+        if not 0 < value < MAX_NUMBER:
+            raise SettingsError(f"$.answers.{name}: must be above 0, found {value!r}")
+        return value
+
+    limits = DEFAULT_LIMITS
+    return AnswerLimits(
+        head_bytes=int(number("headBytes", limits.head_bytes)),
+        head_timeout_s=number("headTimeoutMs", limits.head_timeout_s * 1_000) / 1_000,
+        framing_bytes=int(number("framingBytes", limits.framing_bytes)),
+        event_bytes=int(number("eventBytes", limits.event_bytes)),
+        body_bytes=int(number("bodyBytes", limits.body_bytes)),
+        endpoint_bytes=int(number("endpointBytes", limits.endpoint_bytes)),
     )
 
 
--- a/src/celerytrack/sse.py
+++ b/src/celerytrack/sse.py
@@ -11,6 +11,7 @@
 
 import attrs
 
+from celerytrack.answer_limits import DEFAULT_LIMITS, AnswerTooLargeError
 from celerytrack.ids import RequestId
 
 _EVENT_END = b"\n\n"
@@ -44,21 +45,31 @@
     tokens: int = 0
     complete: bool = False
     relayed: bytearray = attrs.field(factory=bytearray)
-    _partial: bytes = b""
+    _partial: bytearray = attrs.field(factory=bytearray)
     _event_head: bytes = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
         self._event_head = f'data: {{"id": "{self.request_id}"'.encode()
 
     def feed(self, data: bytes) -> bytes:
-        """Add bytes from the engine; returns the complete events to relay now."""
+        """Add bytes from the engine; returns the complete events to relay now.
+
+        :raises AnswerTooLargeError: if an event is too large.
+        """
         if self.complete:
             return b""
-        block, end, rest = (self._partial + data).rpartition(_EVENT_END)
-        self._partial = rest
+        partial = self._partial
+        # An event that comes byte by byte is not searched from its begin each time.
+        searched = max(0, len(partial) - len(_EVENT_END) + 1)
+        partial += data
+        at = partial.rfind(_EVENT_END, searched)
+        end = at + len(_EVENT_END) if at >= 0 else 0
+        if len(partial) - end > DEFAULT_LIMITS.event_bytes:
+            raise AnswerTooLargeError
         if not end:
             return b""
-        block += end
+        block = bytes(partial[:end])
+        del partial[:end]
         if block.endswith(_DONE):
             self.complete = True
             block = block[: -len(_DONE)]
@@ -74,7 +85,7 @@
         The received part of an incomplete event is dropped, because the new
         connection sends the whole event.
         """
-        self._partial = b""
+        self._partial.clear()
 
     def _has_only_own_events(self, block: bytes) -> bool:
         return block.count(self._event_head) == block.count(_EVENT_END)
--- a/src/celerytrack/streams.py
+++ b/src/celerytrack/streams.py
@@ -4,11 +4,17 @@
 
 import attrs
 
+from celerytrack.answer_limits import DEFAULT_LIMITS
+
 _EVENT_END = b"\n\n"
 _NUMBER = re.compile("[0-9]{1,18}")
 _EVENT_NUMBER = re.compile(rb"(?:^|\n)id: *([0-9]{1,18})\r?\n")
 
 
+class OversizedEventError(Exception):
+    """An event is larger than its limit."""
+
+
 class RepeatedEventsError(Exception):
     """A stream that should go on after an event holds that event or one before it."""
 
@@ -37,12 +43,14 @@
     :ivar event_count: number of events returned so far.
     :ivar last_id: the id of the last returned event that has one.
     :ivar lacks_event: whether an event began that no connection has ended.
+    :ivar max_event_bytes: bytes of an event after which it is given up.
     """
 
     event_count: int = 0
     last_id: str | None = None
     lacks_event: bool = False
-    _buffer: bytes = b""
+    max_event_bytes: int = DEFAULT_LIMITS.event_bytes
+    _buffer: bytearray = attrs.field(factory=bytearray)
     _after: int | None = None
 
     @property
@@ -54,13 +62,20 @@
         """Add bytes and return the events that are now complete, if any.
 
         :raises RepeatedEventsError: if a stream that goes on repeats an event.
+        :raises OversizedEventError: if the incomplete event is too large.
         """
-        block, end, rest = (self._buffer + data).rpartition(_EVENT_END)
+        buffer = self._buffer
+        # An event that comes byte by byte is not searched from its begin each time.
+        searched = max(0, len(buffer) - len(_EVENT_END) + 1)
+        buffer += data
+        at = buffer.rfind(_EVENT_END, searched)
+        end = at + len(_EVENT_END) if at >= 0 else 0
+        if len(buffer) - end > self.max_event_bytes:
+            raise OversizedEventError
         if not end:
-            self._buffer = rest
             return None
-        self._buffer = rest
-        block += end
+        block = bytes(buffer[:end])
+        del buffer[:end]
         self._check_begin(block)
         self.lacks_event = False
         count = block.count(_EVENT_END)
@@ -75,7 +90,7 @@
         :param last_id: the event after which the stream goes on; ``None`` if it begins.
         """
         self.lacks_event |= self.has_partial
-        self._buffer = b""
+        self._buffer.clear()
         is_number = last_id is not None and _NUMBER.fullmatch(last_id) is not None
         self._after = int(last_id) if last_id is not None and is_number else None
 
