A stream that breaks off waits for the check of its endpoint

Callers got streams cut that could have gone on: an endpoint that lives broke off a chunked answer, and every other endpoint was idle (705 "what began the stream is in doubt", or "none has room").

Cause: a broken connection, if it is the last one to its endpoint, puts in doubt what runs there; the check that settles it takes 0.1 s. A stream whose origin was in doubt, or for which every other endpoint was, ended at once instead of waiting for it. With one version only, where the doubt forbids nothing, an endpoint that had been tried and was sure still hid the others.

Change: a stream waits for a check in progress, up to 0.3 s, where its origin is in doubt or where it could go on at an endpoint that is; what was tried is left out before doubts are asked.

--- a/src/celerytrack/gateway/endpoint_doubts.py
+++ b/src/celerytrack/gateway/endpoint_doubts.py
@@ -7,11 +7,12 @@
 import asyncio
 import logging
 import random
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterable
 
 from cachetools import TTLCache
 
 from celerytrack.events import Event, log_event
+from celerytrack.ids import EndpointId
 from celerytrack.origins.messages import EndpointEnded
 from celerytrack.process_end import ConnectResult, probe_address
 from celerytrack.routing.endpoint import Endpoint
@@ -21,6 +22,8 @@
 
 HOLD_S = 0.1
 """How long a process that is about to end may keep a new connection open."""
+MAX_CHECK_S = 0.3
+"""Longest time for which a stream waits for a check."""
 MAX_TELL_DELAY_S = 0.02
 """Longest time before an entry tells the others: of the many that see an endpoint end,
 few tell."""
@@ -48,7 +51,7 @@
         self._tell = tell
         self._rng = rng
         self._heard: TTLCache[EndpointEnded, None] = TTLCache(MAX_HEARD, DOUBT_S)
-        self._checks: set[asyncio.Task[None]] = set()
+        self._checks: dict[EndpointId, asyncio.Task[None]] = {}
 
     def record_sign(
         self, endpoint: Endpoint, now_s: float, announced: bool = False
@@ -68,9 +71,30 @@
             return
         if not self._endpoints.doubt(endpoint, now_s):
             return
+        endpoint_id = endpoint.endpoint_id
         task = asyncio.get_running_loop().create_task(self._check(endpoint, now_s))
-        self._checks.add(task)
-        task.add_done_callback(self._checks.discard)
+        self._checks[endpoint_id] = task
+        task.add_done_callback(lambda done: self._forget(endpoint_id, done))
+
+    def _forget(self, endpoint_id: EndpointId, done: asyncio.Task[None]) -> None:
+        if self._checks.get(endpoint_id) is done:
+            del self._checks[endpoint_id]
+
+    async def settled(self, endpoint_ids: Iterable[EndpointId]) -> bool:
+        """Wait until one of the checks of some endpoints is over.
+
+        It is not waited for long: a process that lives shows it in :data:`HOLD_S`.
+
+        :returns: whether one was in progress and is over.
+        """
+        known = [self._checks[i] for i in endpoint_ids if i in self._checks]
+        checks = [check for check in known if not check.done()]
+        if not checks:
+            return False
+        done, _ = await asyncio.wait(
+            checks, timeout=MAX_CHECK_S, return_when=asyncio.FIRST_COMPLETED
+        )
+        return bool(done)
 
     def receive(self, ended: EndpointEnded, now_s: float) -> None:
         """Apply what another entry found."""
@@ -79,9 +103,10 @@
 
     async def close(self) -> None:
         """Cancel the checks in progress."""
-        for task in self._checks:
-            task.cancel()
-        await asyncio.gather(*self._checks, return_exceptions=True)
+        checks = list(self._checks.values())
+        for check in checks:
+            check.cancel()
+        await asyncio.gather(*checks, return_exceptions=True)
 
     async def _check(self, endpoint: Endpoint, since_s: float) -> None:
         ended = _ended(endpoint)
--- a/src/celerytrack/gateway/origins.py
+++ b/src/celerytrack/gateway/origins.py
@@ -164,6 +164,31 @@
     return True
 
 
+async def settle_origin(gateway: Gateway, exchange: Exchange) -> bool:
+    """Find what began the stream of a request, after a check in progress if need be.
+
+    :returns: whether the request may be sent.
+    """
+    if resolve_origin(gateway, exchange):
+        return True
+    if exchange.origin_endpoint is not None:
+        await gateway.endpoint_doubts.settled([exchange.origin_endpoint])
+    return resolve_origin(gateway, exchange)
+
+
+async def settle_doubts(gateway: Gateway, exchange: Exchange) -> bool:
+    """Wait for an endpoint that a stream could go on at, if it weren't in doubt.
+
+    :returns: whether a doubt was settled.
+    """
+    if exchange.origin is None:
+        return False
+    doubted = gateway.endpoints.doubted(
+        exchange.profile, exchange.tried, time.monotonic()
+    )
+    return await gateway.endpoint_doubts.settled(doubted)
+
+
 def resolve_origins(gateway: Gateway) -> None:
     """Record the origins that the newest registrations tell."""
     if not gateway.unresolved_origins:
--- a/src/celerytrack/gateway/relay.py
+++ b/src/celerytrack/gateway/relay.py
@@ -20,7 +20,7 @@
     has_body,
 )
 from celerytrack.gateway.exchange import AttemptFailure, Exchange
-from celerytrack.gateway.origins import resolve_origin
+from celerytrack.gateway.origins import settle_origin
 from celerytrack.gateway.outcomes import log_relayed
 from celerytrack.gateway.placement import IN_DOUBT, no_endpoint
 from celerytrack.gateway.reach import potential_helpers
@@ -69,7 +69,7 @@
 
     :raises CallerDisconnectedError: if the caller disconnects during the answer.
     """
-    if not resolve_origin(gateway, exchange):
+    if not await settle_origin(gateway, exchange):
         return Failure(no_endpoint(IN_DOUBT))
     failure = links_down()
     asked: set[EntryId] = set()
--- a/src/celerytrack/gateway/sending.py
+++ b/src/celerytrack/gateway/sending.py
@@ -9,7 +9,7 @@
 from celerytrack.gateway.crash_detector import Interrupted
 from celerytrack.gateway.exchange import AttemptFailure, Exchange
 from celerytrack.gateway.openings import refused_until_opening, wait_for_opening
-from celerytrack.gateway.origins import resolve_origin
+from celerytrack.gateway.origins import settle_doubts, settle_origin
 from celerytrack.gateway.outcomes import log_resumed, record_attempt_failure
 from celerytrack.gateway.placement import (
     IN_DOUBT,
@@ -50,7 +50,7 @@
             return result
     while True:
         now_s = time.monotonic()
-        if not resolve_origin(gateway, exchange):
+        if not await settle_origin(gateway, exchange):
             return Failure(no_endpoint(IN_DOUBT))
         if gateway.is_endpoint_view_stale(now_s):
             return Failure(no_endpoint("what is known of endpoints is too old"))
@@ -60,6 +60,8 @@
         if not gateway.notices:
             chosen = choose_endpoint(gateway, exchange, suspect_state, now_s)
             if chosen is None:
+                if await settle_doubts(gateway, exchange):
+                    continue
                 return Failure(none_has_room(exchange))
             placement = Placement(chosen)
             return await _send_placed(gateway, exchange, placement, suspect_state)
@@ -70,6 +72,8 @@
                 placed.end_lease(gateway, LeaseOutcome.FAILED)
                 continue
             return await _send_leased(gateway, exchange, placed, suspect_state)
+        if await settle_doubts(gateway, exchange):
+            continue
         if not await wait_for_opening(gateway, exchange):
             return Failure(refused_until_opening(gateway, exchange, placed))
 
--- a/src/celerytrack/routing/endpoints.py
+++ b/src/celerytrack/routing/endpoints.py
@@ -370,9 +370,7 @@
         :param avoid: endpoints that must not be chosen.
         :returns: ``None`` if no endpoint has capacity.
         """
-        candidates = [
-            e for e in self._fitting(profile, now_s) if e.endpoint_id not in avoid
-        ]
+        candidates = self._fitting(profile, now_s, avoid)
         if self._notices:
             candidates = [e for e in candidates if self._opens_in_s(e, now_s) <= 0]
         available = [
@@ -484,9 +482,30 @@
 
     # -- internals ---------------------------------------------------------
 
-    def _fitting(self, profile: RequestProfile, now_s: float) -> list[Endpoint]:
+    def doubted(
+        self, profile: RequestProfile, avoid: Collection[EndpointId], now_s: float
+    ) -> list[EndpointId]:
+        """The endpoints that a stream could go on at, if they were not in doubt."""
+        return [
+            e.endpoint_id
+            for e in self._candidates(profile.service, now_s)
+            if e.endpoint_id not in avoid
+            and profile.fits(e.registration)
+            and self.is_doubted(e)
+        ]
+
+    def _fitting(
+        self,
+        profile: RequestProfile,
+        now_s: float,
+        avoid: Collection[EndpointId] = (),
+    ) -> list[Endpoint]:
         """The endpoints that a request may be sent to."""
-        candidates = self._candidates(profile.service, now_s)
+        candidates = [
+            e
+            for e in self._candidates(profile.service, now_s)
+            if e.endpoint_id not in avoid
+        ]
         if profile.origin is None:
             return candidates
         fitting = [e for e in candidates if profile.fits(e.registration)]
