Own interface: a malformed chat gets 400 with its reason

Callers got a bare 500 and couldn't know whether their chat had run: for a body that isn't JSON as UTF-8, is nested 50,000 deep or has a number of 5,000 digits, for messages that are a text, numbers or an object, for a body whose stated encoding can't be read, and for odd bytes in the headers.

Cause: of what reading a body can raise, one error was caught; the shape of messages was taken for granted further in; the charset that a header names was trusted.

Change: one place reads bodies (entry/request_bodies.py). A body is UTF-8 whatever its header says. What can't be read is refused with 400, the reason and "did not run" before anything is reserved. Half of a surrogate pair, as an escape in valid JSON, is served: it goes on to the engine as it came, which can tell better what to make of it.

--- a/src/celerytrack/entry/admission.py
+++ b/src/celerytrack/entry/admission.py
@@ -3,7 +3,6 @@
 
 import contextlib
 import hashlib
-import json
 import time
 import uuid
 from collections.abc import Awaitable, Callable, Iterator
@@ -14,6 +13,7 @@
 
 from celerytrack.entry.answers import StoredAnswer
 from celerytrack.entry.refusals import RefusedError, refuse
+from celerytrack.entry.request_bodies import MalformedRequestError, read_json_object
 from celerytrack.entry.state import EntryState
 from celerytrack.entry.suspects import fingerprint, part_fingerprints_of
 from celerytrack.escrow import GrantReservation, budget_refusal
@@ -22,6 +22,7 @@
 from celerytrack.routing.replica_load import Ask, ReplicaLoad
 from celerytrack.routing.replicas import retry_after_s
 from celerytrack.settings import Account, BackendKind, Config, WorkClass
+from celerytrack.strict import is_encodable
 from celerytrack.suspects import SuspectState
 from celerytrack.verdict import Reason, Refusal, did_not_run, may_have_run
 
@@ -104,13 +105,11 @@
     """
     name = request.match_info.get("work_class", UNKNOWN_CLASS)
     try:
-        body = await request.json()
-    except json.JSONDecodeError:
-        body = None
-    if not isinstance(body, dict):
-        detail = "body is not a JSON object"
+        body = await read_json_object(request)
+    except MalformedRequestError as exc:
+        detail = str(exc)
         refusal = did_not_run(Reason.BAD_REQUEST, None, detail)
-        raise RefusedError(refusal, _known_class(state, name))
+        raise RefusedError(refusal, _known_class(state, name)) from None
     if kind is BackendKind.ENGINE:
         name = str(body.get("model", ""))
     try:
@@ -121,6 +120,9 @@
             detail = "entry is draining; ask /v1/route again"
             raise RefusedError(did_not_run(Reason.DRAINING, 0.0, detail))
         key = request.headers.get("Idempotency-Key")
+        if key is not None and not is_encodable(key):
+            detail = "the Idempotency-Key is not UTF-8"
+            raise RefusedError(did_not_run(Reason.BAD_REQUEST, None, detail))
         if not work.idempotent and key is None:
             detail = "a non-idempotent class needs an Idempotency-Key"
             raise RefusedError(did_not_run(Reason.BAD_REQUEST, None, detail))
--- a/src/celerytrack/entry/chat.py
+++ b/src/celerytrack/entry/chat.py
@@ -21,6 +21,7 @@
 )
 from celerytrack.entry.charging import charge
 from celerytrack.entry.refusals import RefusedError
+from celerytrack.entry.request_bodies import MalformedRequestError, check_messages
 from celerytrack.entry.state import EntryState
 from celerytrack.entry.upstream import (
     bad_status,
@@ -86,9 +87,13 @@
 
 def _new_answer(admitted: AdmittedRequest, started_s: float) -> _Answer:
     work = admitted.work
-    prompt = prompt_text(admitted.body)
+    try:
+        prompt = prompt_text(check_messages(admitted.body))
+    except MalformedRequestError as exc:
+        refusal = did_not_run(Reason.BAD_REQUEST, None, str(exc))
+        raise RefusedError(refusal) from None
     asked = admitted.body.get("max_tokens")
-    if asked is not None and (not isinstance(asked, int) or asked < 1):
+    if asked is not None and (type(asked) is not int or asked < 1):
         detail = "max_tokens must be a positive integer"
         raise RefusedError(did_not_run(Reason.BAD_REQUEST, None, detail))
     max_tokens = min(asked or work.max_output_tokens, work.max_output_tokens)
--- a/tests/test_own_hostile.py
+++ b/tests/test_own_hostile.py
@@ -1,8 +1,11 @@
 """Malformed requests of callers before an entry of the own interface."""
 
 import asyncio
+import json
 import unittest
 
+from nose2.tools import params
+
 from tests.own_cut_fleet import KEY, OwnCutFleet
 
 CHAT_PATH = "/v1/chat/completions"
@@ -17,11 +20,26 @@
 
 
 async def _post(fleet: OwnCutFleet, body: bytes) -> int:
-    url = f"http://{fleet.settings.entries[0].address}{CHAT_PATH}"
-    headers = {"Authorization": f"Bearer {KEY}", "Content-Type": "application/json"}
-    async with fleet.http.post(url, data=body, headers=headers) as answer:
-        await answer.read()
-        return answer.status
+    status, _ = await _ask(fleet, body, b"")
+    return status
+
+
+async def _ask(fleet: OwnCutFleet, body: bytes, header: bytes) -> tuple[int, bytes]:
+    """Send a chat on a connection of its own; returns its status and its answer."""
+    host, port = fleet.settings.entries[0].address.split(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    lines = [
+        f"POST {CHAT_PATH} HTTP/1.1".encode(),
+        b"Host: h",
+        b"Authorization: Bearer " + KEY.encode(),
+        b"Content-Length: %d" % len(body),
+        b"Connection: close",
+        header or b"Content-Type: application/json",
+    ]
+    writer.write(b"\r\n".join(lines) + b"\r\n\r\n" + body)
+    data = await reader.read(-1)
+    writer.close()
+    return int(data.split()[1]), data.partition(b"\r\n\r\n")[2]
 
 
 async def _metrics(fleet: OwnCutFleet) -> tuple[int, bytes]:
@@ -55,3 +73,47 @@
             self.assertEqual(status, 200)
             self.assertNotIn(b"invented", text)
             self.assertLess(len(text), 50_000)
+
+    @params(
+        (b"{",),
+        (b"",),
+        (b"[]",),
+        (b"[" * 50_000,),
+        (b'{"model": ' + b"[" * 50_000,),
+        (b'{"model": "story", "max_tokens": ' + b"9" * 5_000 + b"}",),
+        (b'{"model": "story", "max_tokens": true, "messages": []}',),
+        (b'{"model": "story", "messages": "a text"}',),
+        (b'{"model": "story", "messages": [1, 2]}',),
+        (b'{"model": "story", "messages": {}}',),
+        (b'{"model": "story\xff"}',),
+        (_chat(b"hi").decode().encode("utf-16"),),
+        (_chat(b"hi"), b"Idempotency-Key: \xff"),
+        (_chat(b"hi"), b"Content-Encoding: gzip"),
+        (_chat(b"hi"), b"Content-Encoding: deflate"),
+    )
+    def test_a_malformed_chat_is_refused_by_name(
+        self, body: bytes, header: bytes = b""
+    ) -> None:
+        """It got a bare 500, and its caller couldn't know whether it had run."""
+        status, answer = asyncio.run(self._play_malformed(body, header))
+        self.assertEqual(status, 400)
+        error = json.loads(answer)["error"]
+        self.assertEqual(error["reason"], "bad_request")
+        self.assertEqual(error["verdict"], "did_not_run")
+        self.assertLess(len(error["detail"]), 300)
+
+    async def _play_malformed(self, body: bytes, header: bytes) -> tuple[int, bytes]:
+        async with OwnCutFleet(1, engines=1, services=1) as fleet:
+            return await _ask(fleet, body, header)
+
+    @params(
+        (_chat(HALF_PAIR), b""),
+        (_chat(b"hi"), b"Content-Type: application/json; charset=\xff"),
+        (_chat(b"hi"), b"Content-Type: application/json; charset=nonsense"),
+    )
+    def test_an_odd_chat_that_can_be_read_is_served(
+        self, body: bytes, header: bytes
+    ) -> None:
+        status, answer = asyncio.run(self._play_malformed(body, header))
+        self.assertEqual(status, 200)
+        self.assertIn(b"[DONE]", answer)
