Checks of endpoints are cancelled with the process, also a second one

What a read of the diff showed: where an incarnation was put in doubt while the check of the one before ran, nothing held that check any more; and an attempt that had waited for a check decided by the time before.

Change: all checks are held until they end, beside the one to wait for; the time is read after the wait. The test of signs is as it was before.

Measured: tests.test_endpoint_doubts, test_broken_chunks and test_second_answers pass.

--- a/src/celerytrack/gateway/endpoint_doubts.py
+++ b/src/celerytrack/gateway/endpoint_doubts.py
@@ -51,7 +51,8 @@
         self._tell = tell
         self._rng = rng
         self._heard: TTLCache[EndpointEnded, None] = TTLCache(MAX_HEARD, DOUBT_S)
-        self._checks: dict[EndpointId, asyncio.Task[None]] = {}
+        self._checks: set[asyncio.Task[None]] = set()
+        self._check_of: dict[EndpointId, asyncio.Task[None]] = {}
 
     def record_sign(
         self, endpoint: Endpoint, now_s: float, announced: bool = False
@@ -73,12 +74,15 @@
             return
         endpoint_id = endpoint.endpoint_id
         task = asyncio.get_running_loop().create_task(self._check(endpoint, now_s))
-        self._checks[endpoint_id] = task
+        self._checks.add(task)
+        self._check_of[endpoint_id] = task
         task.add_done_callback(lambda done: self._forget(endpoint_id, done))
 
     def _forget(self, endpoint_id: EndpointId, done: asyncio.Task[None]) -> None:
-        if self._checks.get(endpoint_id) is done:
-            del self._checks[endpoint_id]
+        self._checks.discard(done)
+        # Another incarnation may be in doubt by now.
+        if self._check_of.get(endpoint_id) is done:
+            del self._check_of[endpoint_id]
 
     async def settled(self, endpoint_ids: Iterable[EndpointId]) -> bool:
         """Wait until one of the checks of some endpoints is over.
@@ -87,7 +91,7 @@
 
         :returns: whether one was in progress and is over.
         """
-        known = [self._checks[i] for i in endpoint_ids if i in self._checks]
+        known = [self._check_of[i] for i in endpoint_ids if i in self._check_of]
         checks = [check for check in known if not check.done()]
         if not checks:
             return False
@@ -103,10 +107,9 @@
 
     async def close(self) -> None:
         """Cancel the checks in progress."""
-        checks = list(self._checks.values())
-        for check in checks:
+        for check in self._checks:
             check.cancel()
-        await asyncio.gather(*checks, return_exceptions=True)
+        await asyncio.gather(*self._checks, return_exceptions=True)
 
     async def _check(self, endpoint: Endpoint, since_s: float) -> None:
         ended = _ended(endpoint)
--- a/src/celerytrack/gateway/sending.py
+++ b/src/celerytrack/gateway/sending.py
@@ -49,9 +49,9 @@
         if not _may_fall_back(gateway, exchange, result):
             return result
     while True:
-        now_s = time.monotonic()
         if not await settle_origin(gateway, exchange):
             return Failure(no_endpoint(IN_DOUBT))
+        now_s = time.monotonic()
         if gateway.is_endpoint_view_stale(now_s):
             return Failure(no_endpoint("what is known of endpoints is too old"))
         suspect_state = suspect_state_of(gateway, exchange, now_s)
--- a/tests/test_endpoint_doubts.py
+++ b/tests/test_endpoint_doubts.py
@@ -199,7 +199,7 @@
 
         doubts = EndpointDoubts(pool, is_reached, told.append, random.Random(1))
         doubts.record_sign(pool._endpoints[A], 1.0)
-        await asyncio.gather(*doubts._checks.values())
+        await asyncio.gather(*doubts._checks)
         return pool, told
 
     async def test_a_process_that_lives_on_is_not_in_doubt(self) -> None:
@@ -220,7 +220,7 @@
         self.assertIsNotNone(pool.origin_at(A))
         doubts.record_sign(pool._endpoints[A], 1.0)
         self.assertIsNone(pool.origin_at(A))
-        await asyncio.gather(*doubts._checks.values())
+        await asyncio.gather(*doubts._checks)
         self.assertIsNotNone(pool.origin_at(A))
 
     async def test_a_sign_during_a_check_is_settled_with_it(self) -> None:
@@ -231,7 +231,7 @@
         doubts = EndpointDoubts(pool, None, None, random.Random(1))  # type: ignore[arg-type]
         doubts.record_sign(pool._endpoints[A], 1.0)
         doubts.record_sign(pool._endpoints[A], 1.05)
-        await asyncio.gather(*doubts._checks.values())
+        await asyncio.gather(*doubts._checks)
         self.assertEqual(choose(pool, OLD), "a")
 
     async def test_news_of_an_end_outweigh_a_check(self) -> None:
@@ -242,7 +242,7 @@
         doubts = EndpointDoubts(pool, None, None, random.Random(1))  # type: ignore[arg-type]
         doubts.record_sign(pool._endpoints[A], 1.0)
         doubts.receive(EndpointEnded(A, 0), 1.01)
-        await asyncio.gather(*doubts._checks.values())
+        await asyncio.gather(*doubts._checks)
         self.assertIsNone(choose(pool, OLD))
 
     @params((False, 1), (True, 0))
