Entries that hold what began a stream tell members that are new to it

Callers whose streams could go on were refused after a release during which entries were lost one by one: three entries hold what began a stream, and each forgot it in its turn. Only the entry at which the stream began told new members, and it was lost as well.

Change: when members change, the first one left of those that held a stream tells the members that are new to it, 500 streams a tick at most, for services with several versions only.

--- a/src/celerytrack/origins/memory.py
+++ b/src/celerytrack/origins/memory.py
@@ -73,6 +73,14 @@
         self._streams.move_to_end(stream)
         return FoundOrigin(known.origin, now_s - known.began_s)
 
+    def known_streams(self) -> list[tuple[StreamId, StreamOrigin]]:
+        """The streams whose origin is known."""
+        return [
+            (stream, known.origin)
+            for stream, known in self._streams.items()
+            if known.origin.version is not None
+        ]
+
     def _expire(self, now_s: float) -> None:
         while self._streams:
             oldest = next(iter(self._streams.values()))
--- a/src/celerytrack/origins/sync.py
+++ b/src/celerytrack/origins/sync.py
@@ -43,6 +43,8 @@
 """How often an entry that starts asks which versions there were."""
 RING_CACHE_S = 0.1
 """Time for which the members are not read again."""
+MAX_HANDED_OVER = 500
+"""Most streams in a tick whose origin is looked at for members that are new to them."""
 MAX_OWN_STREAMS = 16_384
 """Most streams of this entry that are told again when members change."""
 
@@ -123,6 +125,10 @@
         self._holders: frozenset[Holder] = frozenset()
         self._ring = HolderRing()
         self._ring_at_s = float("-inf")
+        self._told_here_s = float("-inf")
+        self._handover: collections.deque[tuple[StreamId, StreamOrigin]]
+        self._handover = collections.deque()
+        self._handover_from = HolderRing()
         self._told: OrderedDict[StreamId, _OwnStream] = OrderedDict()
         self._untold: collections.defaultdict[
             ServiceName, OrderedDict[StreamId, _OwnStream]
@@ -152,8 +158,9 @@
         for service in list(self._untold):
             if self._untold[service] and self._versions.has_versions(service, now_s):
                 self._tell_untold(service, now_s)
-        if self._told:
+        if self._told or now_s - self._told_here_s <= KEEP_S:
             self._update_ring(now_s)
+        self._hand_over(now_s)
         if not self._versions_told and self._versions_asked < MAX_VERSION_QUERIES:
             self._ask_versions(now_s)
 
@@ -161,6 +168,7 @@
         """Apply a message of another entry about streams or versions."""
         match message:
             case OriginNews(origins):
+                self._told_here_s = now_s
                 for stream, origin in origins:
                     self.memory.record(stream, origin, now_s)
                     if origin.version is not None:
@@ -289,6 +297,9 @@
         _drop_old(self._told, now_s)
         before, self._ring = self._ring, HolderRing(holders)
         self._holders = holders
+        if not self._handover:
+            self._handover_from = before
+        self._handover = collections.deque(self.memory.known_streams())
         by_holder: collections.defaultdict[Holder, list[StreamId]]
         by_holder = collections.defaultdict(list)
         for stream in self._told:
@@ -298,6 +309,30 @@
                     by_holder[holder].append(stream)
         self._tell(by_holder)
 
+    def _hand_over(self, now_s: float) -> None:
+        """Tell members what they are to hold from now on: the entry at which a stream
+        began may be lost, and with it the only one that would tell them.
+
+        Of the entries that held a stream before, the first one that is left does it.
+        """
+        by_holder: collections.defaultdict[Holder, list[tuple[StreamId, StreamOrigin]]]
+        by_holder = collections.defaultdict(list)
+        for _ in range(min(len(self._handover), MAX_HANDED_OVER)):
+            stream, origin = self._handover.popleft()
+            if not self._versions.has_versions(origin.service, now_s):
+                continue
+            held = self._handover_from.holders_of(stream, COPIES)
+            left = [holder for holder in held if holder in self._holders]
+            if not left or left[0].entry_id != self._entry_id:
+                continue
+            for holder in self._ring.holders_of(stream, COPIES):
+                if holder not in held:
+                    by_holder[holder].append((stream, origin))
+        for holder, streams in by_holder.items():
+            for start in range(0, len(streams), MAX_ORIGINS):
+                news = OriginNews(tuple(streams[start : start + MAX_ORIGINS]))
+                self._send(holder.address, news)
+
     def _tell(self, by_holder: dict[Holder, list[StreamId]]) -> None:
         for holder, streams in by_holder.items():
             if holder.entry_id == self._entry_id:
--- a/tests/test_lost_origins.py
+++ b/tests/test_lost_origins.py
@@ -10,7 +10,7 @@
 from tests.gateway_fleet import Fleet
 from tests.raw_endpoints import RawEndpoint, RawRequest, answer_head, chunk, event
 
-GATEWAYS = 3
+GATEWAYS = 6
 STREAMS = 12
 MIXED_ALLOWED = 2
 LEAST_SHARE = 0.95
@@ -143,6 +143,24 @@
         _, taken = asyncio.run(self._play(False, False, False, one_by_one))
         self.assertGreaterEqual(sum(map(bool, taken)), LEAST_SHARE * STREAMS)
 
+    def test_streams_go_on_after_entries_were_lost_one_by_one_in_a_release(
+        self,
+    ) -> None:
+        """Each entry that had been told of a stream was lost in turn, and what began it
+        with the last of them."""
+        begun, taken = asyncio.run(self._play_release())
+        right = sum(map(str.__eq__, begun, taken))
+        self.assertGreaterEqual(right, LEAST_SHARE * STREAMS, Counter(taken))
+
+    async def _play_release(self) -> tuple[list[str], list[str]]:
+        site = _Site()
+        async with site.fleet:
+            await site.release()
+            await asyncio.sleep(RECORDED_S)
+            begun = await site.begin()
+            await _lose(site, one_by_one=True, dark=False)
+            return begun, await site.take_up()
+
     async def _play(
         self, up: bool, dark: bool, gone: bool, one_by_one: bool
     ) -> tuple[list[str], list[str]]:
