Versions are read again also while the log takes no records

Callers whose streams could go on would be refused for as long as the log takes no records but can be read: after a gap of 3 s in the registrations an entry reads the versions on the log again, and until then it takes no version for the only one.

One loop read and wrote; an append is repeated until the log takes it, and the read waited behind it.

Change: reading and writing are two tasks.

--- a/src/celerytrack/gateway/state.py
+++ b/src/celerytrack/gateway/state.py
@@ -150,7 +150,6 @@
             self.configured_services,
             self._live_entries,
             lambda: self.endpoints.known_at_s,
-            started_s,
         )
         self.unresolved_origins = UnresolvedOrigins()
         self.endpoint_doubts = EndpointDoubts(
--- a/src/celerytrack/gateway/version_records.py
+++ b/src/celerytrack/gateway/version_records.py
@@ -10,7 +10,6 @@
 from celerytrack.events import Event, log_event
 from celerytrack.gateway.appender import KeyedAppender
 from celerytrack.gateway.hedged_store import Store
-from celerytrack.gateway.reservations import wait_for_event
 from celerytrack.gateway.tail import RETRY_MAX_S, RETRY_S
 from celerytrack.ids import EntryId, ServiceName
 from celerytrack.origins.recorded import RecordedVersions, RecordKey, ServiceVersion
@@ -55,7 +54,6 @@
         services: Callable[[], Collection[ServiceName]],
         live_entries: Callable[[], list[EntryId]],
         known_at_s: Callable[[], float],
-        started_s: float,
     ) -> None:
         self.loaded = False
         self._store = store
@@ -64,7 +62,6 @@
         self._services = services
         self._live_entries = live_entries
         self._known_at_s = known_at_s
-        self._started_s = started_s
         self._reload_due = asyncio.Event()
         self._recorded = RecordedVersions(self._is_writer)
         self._appender = KeyedAppender(
@@ -73,12 +70,22 @@
 
     async def run(self) -> None:
         """Load what is on the log and write what changes, until cancelled."""
+        # A log that takes no records may still be read.
+        async with asyncio.TaskGroup() as tasks:
+            tasks.create_task(self._keep_loaded())
+            tasks.create_task(self._keep_written())
+
+    async def _keep_loaded(self) -> None:
+        while True:
+            await self._load()
+            await self._reload_due.wait()
+
+    async def _keep_written(self) -> None:
+        await asyncio.sleep(FIRST_WRITE_AFTER_S)
         while True:
-            if not self.loaded:
-                await self._load()
-            if time.monotonic() - self._started_s >= FIRST_WRITE_AFTER_S:
+            if self.loaded:
                 await self._write_changes()
-            await wait_for_event(self._reload_due, TICK_S)
+            await asyncio.sleep(TICK_S)
 
     def reload(self) -> None:
         """Read the log again: for a while versions may have come up unseen, or the log
