Log answers whose ids go back, that bear no id, and how each was framed

Events 707 (an id that doesn't increase within one answer: number, the one before it, endpoint) and 708 (an answer without id), `framing` in 700 and 705, a counter of such streams by endpoint.

--- a/src/celerytrack/gateway/attempts.py
+++ b/src/celerytrack/gateway/attempts.py
@@ -13,6 +13,7 @@
 from celerytrack.gateway.connections import EndpointGoneError, IncarnationConnections
 from celerytrack.gateway.exchange import AttemptFailure, BufferedAnswer, Exchange
 from celerytrack.gateway.origins import record_began
+from celerytrack.gateway.outcomes import log_disorder, log_unidentified
 from celerytrack.gateway.relay_format import answered_headers
 from celerytrack.gateway.state import Gateway
 from celerytrack.http_session import WithheldError
@@ -23,6 +24,7 @@
     Envelope,
     decode_answer,
     forwarded_headers,
+    framing_of,
     returned_headers,
 )
 from celerytrack.platform.notices import decode_notices
@@ -171,6 +173,9 @@
     :raises CallerDisconnectedError: if the caller disconnects meanwhile.
     """
     facts = decode_answer(response.status, response.headers)
+    exchange.framing = framing_of(response.headers)
+    if facts.request_id is None:
+        log_unidentified(gateway, exchange, response.status, facts.did_not_run)
     if facts.request_id not in (None, exchange.facts.request_id):
         # The connection delivered another answer to an earlier request.
         return _unusable_answer("answer to another request")
@@ -276,6 +281,8 @@
             return _unusable_answer("a stream that should go on repeats events")
         if received is None:
             continue
+        if received.disorder is not None:
+            log_disorder(gateway, exchange, received.disorder)
         if exchange.response is None:
             exchange.first_data_at_s = time.monotonic()
             if dispatch is not None:
--- a/src/celerytrack/gateway/exchange.py
+++ b/src/celerytrack/gateway/exchange.py
@@ -17,7 +17,7 @@
 from celerytrack.ids import AccountId, EndpointId, EntryId, ServiceName
 from celerytrack.loop_time import loop_time
 from celerytrack.origins.origin import StreamOrigin
-from celerytrack.platform.http import RequestFacts
+from celerytrack.platform.http import Framing, RequestFacts
 from celerytrack.routing.endpoint import Choice, Dispatch, RequestProfile
 from celerytrack.routing.routes import Route
 from celerytrack.streams import EventSplitter
@@ -97,6 +97,7 @@
     :ivar origin_endpoint: the endpoint that wrote the first of them, if this entry
         sent the request there.
     :ivar writer: what writes the answer of the attempt in progress.
+    :ivar framing: of the last answer of an endpoint.
     :ivar events: parser of the stream, which counts the events relayed so far.
     :ivar probed: suspected features of the request for which this attempt is a probe.
     :ivar timeout: ends the wait for tokens and the attempts at ``deadline_at_s``.
@@ -129,6 +130,7 @@
     origin: StreamOrigin | None = None
     origin_endpoint: EndpointId | None = None
     writer: StreamOrigin | None = None
+    framing: Framing | None = None
     events: EventSplitter = attrs.field(factory=EventSplitter)
     probed: list[Fingerprint] = attrs.field(factory=list)
     timeout: asyncio.Timeout | None = None
--- a/src/celerytrack/gateway/outcomes.py
+++ b/src/celerytrack/gateway/outcomes.py
@@ -14,6 +14,7 @@
 from celerytrack.ids import EndpointId, EntryId
 from celerytrack.planned_stop import PlannedStop
 from celerytrack.routing.endpoint import Registration
+from celerytrack.streams import Disorder
 from celerytrack.verdict import Refusal, Verdict
 
 _log = logging.getLogger(__name__)
@@ -32,6 +33,7 @@
         request_id=exchange.facts.request_id,
         route=exchange.route.name,
         events=exchange.events.event_count,
+        framing=exchange.framing.value if exchange.framing else None,
         detail=detail,
         tried=exchange.tried,
     )
@@ -117,6 +119,7 @@
         limited=exchange.limited,
         withheld=sorted(exchange.withheld),
         events=exchange.events.event_count,
+        framing=exchange.framing.value if exchange.framing else None,
         covered_ms=_since_start_ms(exchange, exchange.reserved_at_s),
         predicted_ms=round(choice.predicted_s * 1_000) if choice else None,
         work_ms=round(choice.work_s * 1_000) if choice else None,
@@ -164,6 +167,37 @@
     )
 
 
+def log_disorder(gateway: Gateway, exchange: Exchange, disorder: Disorder) -> None:
+    """Log and count a stream whose ids don't increase within one answer."""
+    endpoint_id = exchange.tried[-1] if exchange.tried else None
+    gateway.telemetry.disordered.labels(endpoint_id).inc()
+    log_event(
+        _log,
+        Event.STREAM_DISORDERED,
+        logging.WARNING,
+        request_id=exchange.facts.request_id,
+        endpoint=endpoint_id,
+        route=exchange.route.name,
+        number=disorder.number,
+        after=disorder.after,
+        tried=exchange.tried,
+    )
+
+
+def log_unidentified(
+    gateway: Gateway, exchange: Exchange, status: int, did_not_run: bool
+) -> None:
+    """Log an answer that doesn't say to which request it belongs."""
+    log_event(
+        _log,
+        Event.ANSWER_UNIDENTIFIED,
+        request_id=exchange.facts.request_id,
+        endpoint=exchange.tried[-1] if exchange.tried else None,
+        status=status,
+        did_not_run=did_not_run,
+    )
+
+
 def _since_start_ms(exchange: Exchange, at_s: float | None) -> int | None:
     return None if at_s is None else round((at_s - exchange.started_s) * 1_000)
 
--- a/src/celerytrack/gateway/telemetry.py
+++ b/src/celerytrack/gateway/telemetry.py
@@ -57,6 +57,12 @@
             ("endpoint", "reason"),
             registry=self.registry,
         )
+        self.disordered = prom.Counter(
+            "celerytrack_streams_disordered_total",
+            "Answers of endpoints whose event ids don't increase.",
+            ("endpoint",),
+            registry=self.registry,
+        )
         self.relayed = prom.Counter(
             "celerytrack_relayed_total",
             "Attempts made through another entry, or for one, by outcome.",
--- a/src/celerytrack/platform/http.py
+++ b/src/celerytrack/platform/http.py
@@ -1,5 +1,6 @@
 """HTTP headers and bodies exchanged with callers and endpoints."""
 
+import enum
 from collections.abc import Mapping
 from typing import Any
 
@@ -263,6 +264,22 @@
     return CIMultiDict((k, v) for k, v in headers.items() if k.lower() not in dropped)
 
 
+class Framing(enum.Enum):
+    """What tells where the body of an answer ends."""
+
+    LENGTH = "length"
+    CHUNKED = "chunked"
+    CONNECTION = "connection"
+    """The end of its connection."""
+
+
+def framing_of(headers: CIMultiDictProxy[str]) -> Framing:
+    """How the body of an answer is framed."""
+    if "Transfer-Encoding" in headers:
+        return Framing.CHUNKED
+    return Framing.LENGTH if "Content-Length" in headers else Framing.CONNECTION
+
+
 @attrs.frozen
 class AnswerFacts:
     """What the head of an endpoint's answer states.
--- a/src/celerytrack/streams.py
+++ b/src/celerytrack/streams.py
@@ -8,7 +8,7 @@
 
 _EVENT_END = b"\n\n"
 _NUMBER = re.compile("[0-9]{1,18}")
-_EVENT_NUMBER = re.compile(rb"(?:^|\n)id: *([0-9]{1,18})\r?\n")
+_EVENT_NUMBER = re.compile(rb"(?:^|\n)id: *([0-9]{1,18})(?=\r?\n)")
 
 
 class OversizedEventError(Exception):
@@ -19,6 +19,18 @@
     """A stream that should go on after an event holds that event or one before it."""
 
 
+@attrs.frozen
+class Disorder:
+    """Two events in a row whose ids don't increase.
+
+    :ivar after: the id of the first of them.
+    :ivar number: the id of the second.
+    """
+
+    after: int
+    number: int
+
+
 @attrs.frozen
 class EventBatch:
     """Consecutive complete events.
@@ -26,11 +38,13 @@
     :ivar data: their bytes, unchanged.
     :ivar count: number of events.
     :ivar last_id: the id of the last event that has one.
+    :ivar disorder: where the ids first don't increase.
     """
 
     data: bytes
     count: int
     last_id: str | None
+    disorder: Disorder | None = None
 
 
 @attrs.define
@@ -52,6 +66,7 @@
     max_event_bytes: int = DEFAULT_LIMITS.event_bytes
     _buffer: bytearray = attrs.field(factory=bytearray)
     _after: int | None = None
+    _newest: int | None = None
 
     @property
     def has_partial(self) -> bool:
@@ -82,7 +97,7 @@
         last_id = last_event_id(block)
         self.event_count += count
         self.last_id = last_id or self.last_id
-        return EventBatch(block, count, last_id)
+        return EventBatch(block, count, last_id, self._find_disorder(block))
 
     def resume(self, last_id: str | None) -> None:
         """Go on with a new connection, which sends an incomplete event anew.
@@ -91,9 +106,19 @@
         """
         self.lacks_event |= self.has_partial
         self._buffer.clear()
+        self._newest = None
         is_number = last_id is not None and _NUMBER.fullmatch(last_id) is not None
         self._after = int(last_id) if last_id is not None and is_number else None
 
+    def _find_disorder(self, block: bytes) -> Disorder | None:
+        found = None
+        for text in _EVENT_NUMBER.findall(block):
+            number = int(text)
+            if found is None and self._newest is not None and number <= self._newest:
+                found = Disorder(self._newest, number)
+            self._newest = number
+        return found
+
     def _check_begin(self, block: bytes) -> None:
         if self._after is None:
             return
