--- a/src/celerytrack/gateway/attempts.py
+++ b/src/celerytrack/gateway/attempts.py
@@ -1,21 +1,29 @@
 """Sends a request to one endpoint and relays the answer."""
 
-import asyncio
 import time
 
 import aiohttp
 import yarl
 from aiohttp import web
-from returns.result import Failure, Result, Success
+from returns.result import Failure, Success
 
 from celerytrack.answer_limits import AnswerBytes, AnswerTooLargeError
 from celerytrack.bounded_connection import read_body
+from celerytrack.gateway.answer_ends import protocol_of, was_reset
+from celerytrack.gateway.attempt_failures import (
+    CONNECT_ERRORS,
+    CONNECTION_ERRORS,
+    AttemptResult,
+    connection_failure,
+    links_lost,
+    unusable_answer,
+    withheld,
+)
 from celerytrack.gateway.connections import EndpointGoneError, IncarnationConnections
 from celerytrack.gateway.exchange import AttemptFailure, BufferedAnswer, Exchange
-from celerytrack.gateway.origins import record_began
-from celerytrack.gateway.outcomes import log_disorder, log_unidentified
-from celerytrack.gateway.relay_format import answered_headers
+from celerytrack.gateway.outcomes import log_unidentified
 from celerytrack.gateway.state import Gateway
+from celerytrack.gateway.stream_relay import relay_stream
 from celerytrack.http_session import WithheldError
 from celerytrack.notices.answer import NO_NOTICES
 from celerytrack.platform.http import (
@@ -30,21 +38,8 @@
 from celerytrack.platform.notices import decode_notices
 from celerytrack.routing.endpoint import Dispatch, Endpoint
 from celerytrack.routing.prefill import urgency
-from celerytrack.streams import OversizedEventError, RepeatedEventsError
 from celerytrack.verdict import Reason, Verdict
 
-CONNECT_ERRORS = (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError)
-"""Errors raised before there was a connection: nothing was sent."""
-CONNECTION_ERRORS = (aiohttp.ClientError, OSError)
-"""Errors of a connection, after which the request may have run."""
-
-AttemptResult = Result["BufferedAnswer | None", AttemptFailure]
-"""``Success(None)`` if a stream was relayed completely."""
-
-
-class CallerDisconnectedError(Exception):
-    """The caller closed the connection."""
-
 
 async def attempt(
     gateway: Gateway, exchange: Exchange, endpoint: Endpoint, dispatch: Dispatch
@@ -72,8 +67,8 @@
             return await _send(gateway, exchange, dispatch, connections, url, envelope)
     except EndpointGoneError:
         if exchange.links_lost:
-            return Failure(_links_lost())
-        return _unusable_answer("the endpoint started again")
+            return Failure(links_lost())
+        return unusable_answer("the endpoint started again")
     finally:
         exchange.attempt_timeout = None
 
@@ -112,7 +107,7 @@
             )
         )
     except CONNECTION_ERRORS as exc:
-        return _connection_failure(Reason.UPSTREAM_FAILED, Verdict.MAY_HAVE_RUN, exc)
+        return connection_failure(Reason.UPSTREAM_FAILED, Verdict.MAY_HAVE_RUN, exc)
     complete = False
     try:
         result = await handle_response(
@@ -134,26 +129,6 @@
     return isinstance(os_error, ConnectionRefusedError)
 
 
-def withheld() -> AttemptFailure:
-    """Return the failure of a request that its endpoint's word kept from being sent."""
-    detail = "the endpoint said meanwhile that it wants no requests"
-    return AttemptFailure(
-        Reason.BACKING_OFF,
-        Verdict.DID_NOT_RUN,
-        False,
-        detail,
-        sent=False,
-        withheld=True,
-    )
-
-
-def _links_lost() -> AttemptFailure:
-    detail = "this entry reaches no endpoint any more"
-    return AttemptFailure(
-        Reason.UPSTREAM_CUT, Verdict.MAY_HAVE_RUN, False, detail, links_down=True
-    )
-
-
 def has_body(request: web.BaseRequest) -> bool:
     """Whether a request is passed on with its body."""
     return request.body_exists or request.method in ("POST", "PUT", "PATCH")
@@ -178,7 +153,7 @@
         log_unidentified(gateway, exchange, response.status, facts.did_not_run)
     if facts.request_id not in (None, exchange.facts.request_id):
         # The connection delivered another answer to an earlier request.
-        return _unusable_answer("answer to another request")
+        return unusable_answer("answer to another request")
     if dispatch is not None:
         gateway.reach.record_heard(exchange.service, time.monotonic())
         _record_notices(gateway, exchange, dispatch, response, facts)
@@ -193,9 +168,9 @@
             )
         )
     if response.status < 300 and not _is_authentic(facts):
-        return _unusable_answer("success without signature or id")
+        return unusable_answer("success without signature or id")
     if exchange.route.stream and response.status == 200:
-        return await _relay(gateway, exchange, dispatch, response)
+        return await relay_stream(gateway, exchange, dispatch, response)
     return await _read_answer(dispatch, response, answer_bytes)
 
 
@@ -239,139 +214,16 @@
     response: aiohttp.ClientResponse,
     answer_bytes: AnswerBytes,
 ) -> AttemptResult:
-    protocol = _protocol(response)
+    protocol = protocol_of(response)
     try:
         body = await read_body(response, answer_bytes)
     except AnswerTooLargeError:
-        return _unusable_answer("an answer is too large")
+        return unusable_answer("an answer is too large")
     except CONNECTION_ERRORS as exc:
-        return _connection_failure(Reason.UPSTREAM_CUT, Verdict.MAY_HAVE_RUN, exc)
-    if _was_reset(response, protocol):
-        return _unusable_answer("an answer without length was reset")
+        return connection_failure(Reason.UPSTREAM_CUT, Verdict.MAY_HAVE_RUN, exc)
+    if was_reset(response, protocol):
+        return unusable_answer("an answer without length was reset")
     if dispatch is not None:
         dispatch.record_first_output(time.monotonic())
     headers = returned_headers(response.headers)
     return Success(BufferedAnswer(response.status, headers, body))
-
-
-async def _relay(
-    gateway: Gateway,
-    exchange: Exchange,
-    dispatch: Dispatch | None,
-    response: aiohttp.ClientResponse,
-) -> AttemptResult:
-    protocol = _protocol(response)
-    events = exchange.events
-    events.max_event_bytes = gateway.settings.answer_limits.event_bytes
-    events.resume(exchange.resume_from if exchange.route.resumable else None)
-    while True:
-        try:
-            data = await response.content.readany()
-        except CONNECTION_ERRORS as exc:
-            return _connection_failure(Reason.UPSTREAM_CUT, Verdict.MAY_HAVE_RUN, exc)
-        if not data:
-            break
-        if dispatch is not None:
-            gateway.reach.record_heard(exchange.service, time.monotonic())
-        try:
-            received = events.feed(data)
-        except OversizedEventError:
-            return _unusable_answer("an event is too large")
-        except RepeatedEventsError:
-            return _unusable_answer("a stream that should go on repeats events")
-        if received is None:
-            continue
-        if received.disorder is not None:
-            log_disorder(gateway, exchange, received.disorder)
-        if exchange.response is None:
-            exchange.first_data_at_s = time.monotonic()
-            if dispatch is not None:
-                dispatch.record_first_output(exchange.first_data_at_s)
-            await _start_stream(gateway, exchange, dispatch, response)
-        await _write(exchange, received.data)
-    if events.has_partial or _was_reset(response, protocol):
-        return _unusable_answer("a stream ended in the middle of an event")
-    if exchange.response is None:
-        return _unusable_answer("a stream without events")
-    if events.lacks_event:
-        return _unusable_answer("a stream that should go on ended at once")
-    return Success(None)
-
-
-async def _start_stream(
-    gateway: Gateway,
-    exchange: Exchange,
-    dispatch: Dispatch | None,
-    response: aiohttp.ClientResponse,
-) -> None:
-    answer = web.StreamResponse(
-        status=response.status, headers=returned_headers(response.headers)
-    )
-    if gateway.leaving:
-        answer.force_close()
-    exchange.response = answer
-    record_began(gateway, exchange, dispatch)
-    if exchange.sender is not None:
-        headers = answered_headers(exchange.tried[-1], exchange.writer)
-        answer.headers.update(headers)
-    else:
-        took_s = time.monotonic() - exchange.started_s
-        gateway.telemetry.first_answer.labels(exchange.route.name).observe(took_s)
-    try:
-        await answer.prepare(exchange.request)
-    except ConnectionError:
-        raise CallerDisconnectedError from None
-
-
-async def _write(exchange: Exchange, data: bytes) -> None:
-    assert exchange.response is not None
-    try:
-        await exchange.response.write(data)
-    except ConnectionError:
-        raise CallerDisconnectedError from None
-
-
-async def finish_stream(exchange: Exchange) -> None:
-    """End the answer to the caller after a stream was relayed completely.
-
-    :raises CallerDisconnectedError: if the caller has disconnected.
-    """
-    assert exchange.response is not None
-    try:
-        await exchange.response.write_eof()
-    except ConnectionError:
-        raise CallerDisconnectedError from None
-
-
-def _protocol(response: aiohttp.ClientResponse) -> asyncio.BaseProtocol | None:
-    connection = response.connection
-    return None if connection is None else connection.protocol
-
-
-def _was_reset(
-    response: aiohttp.ClientResponse, protocol: asyncio.BaseProtocol | None
-) -> bool:
-    """Whether a connection reset ended an answer that has no explicit length.
-
-    aiohttp takes any end of the connection as the end of such an answer, so a reset
-    would make a truncated answer look complete.
-    """
-    has_length = (
-        "Content-Length" in response.headers or "Transfer-Encoding" in response.headers
-    )
-    if has_length or protocol is None:
-        return False
-    exception = getattr(protocol, "exception", lambda: None)()
-    return isinstance(exception, aiohttp.ClientOSError)
-
-
-def _connection_failure(
-    reason: Reason, verdict: Verdict, exc: BaseException
-) -> AttemptResult:
-    detail = f"{type(exc).__name__}: {exc}"
-    return Failure(AttemptFailure(reason, verdict, True, detail))
-
-
-def _unusable_answer(detail: str) -> AttemptResult:
-    failure = AttemptFailure(Reason.UPSTREAM_CUT, Verdict.MAY_HAVE_RUN, True, detail)
-    return Failure(failure)
--- a/src/celerytrack/gateway/pipeline.py
+++ b/src/celerytrack/gateway/pipeline.py
@@ -15,10 +15,6 @@
     reserve,
     settle,
 )
-from celerytrack.gateway.attempts import (
-    CallerDisconnectedError,
-    finish_stream,
-)
 from celerytrack.gateway.exchange import (
     AttemptFailure,
     BufferedAnswer,
@@ -41,6 +37,7 @@
 from celerytrack.gateway.refusals import RefusedError
 from celerytrack.gateway.sending import make_attempt
 from celerytrack.gateway.state import Gateway
+from celerytrack.gateway.stream_relay import CallerDisconnectedError, finish_stream
 from celerytrack.loop_time import loop_time
 from celerytrack.planned_stop import Lasting, PlannedStop
 from celerytrack.prepaid import Reservation
--- a/src/celerytrack/gateway/relay.py
+++ b/src/celerytrack/gateway/relay.py
@@ -12,13 +12,12 @@
 import yarl
 from returns.result import Failure, Success
 
-from celerytrack.gateway.attempts import (
+from celerytrack.gateway.attempt_failures import (
     CONNECT_ERRORS,
     CONNECTION_ERRORS,
     AttemptResult,
-    handle_response,
-    has_body,
 )
+from celerytrack.gateway.attempts import handle_response, has_body
 from celerytrack.gateway.exchange import AttemptFailure, Exchange
 from celerytrack.gateway.origins import settle_origin
 from celerytrack.gateway.outcomes import log_relayed
--- a/src/celerytrack/gateway/relay_server.py
+++ b/src/celerytrack/gateway/relay_server.py
@@ -13,7 +13,6 @@
 from returns.result import Failure, Result, Success
 
 from celerytrack.gateway.admission import admit
-from celerytrack.gateway.attempts import CallerDisconnectedError, finish_stream
 from celerytrack.gateway.exchange import AttemptFailure, BufferedAnswer, Exchange
 from celerytrack.gateway.origins import only_origin
 from celerytrack.gateway.outcomes import abort_connection, log_relay_served
@@ -26,6 +25,7 @@
 )
 from celerytrack.gateway.sending import make_attempt
 from celerytrack.gateway.state import Gateway
+from celerytrack.gateway.stream_relay import CallerDisconnectedError, finish_stream
 from celerytrack.ids import EndpointId, EntryId
 from celerytrack.loop_time import loop_time
 from celerytrack.reachability.relayed import MAX_IN_PROGRESS
--- a/src/celerytrack/gateway/sending.py
+++ b/src/celerytrack/gateway/sending.py
@@ -5,7 +5,8 @@
 
 from returns.result import Failure, Success
 
-from celerytrack.gateway.attempts import AttemptResult, attempt, withheld
+from celerytrack.gateway.attempt_failures import AttemptResult, withheld
+from celerytrack.gateway.attempts import attempt
 from celerytrack.gateway.crash_detector import Interrupted
 from celerytrack.gateway.exchange import AttemptFailure, Exchange
 from celerytrack.gateway.openings import refused_until_opening, wait_for_opening
--- /dev/null
+++ b/src/celerytrack/gateway/stream_relay.py
@@ -0,0 +1,122 @@
+"""Relays a stream of events from an endpoint to the caller."""
+
+import time
+
+import aiohttp
+from aiohttp import web
+from returns.result import Success
+
+from celerytrack.gateway.answer_ends import protocol_of, was_reset
+from celerytrack.gateway.attempt_failures import (
+    CONNECTION_ERRORS,
+    AttemptResult,
+    connection_failure,
+    unusable_answer,
+)
+from celerytrack.gateway.exchange import Exchange
+from celerytrack.gateway.origins import record_began
+from celerytrack.gateway.outcomes import log_disorder
+from celerytrack.gateway.relay_format import answered_headers
+from celerytrack.gateway.state import Gateway
+from celerytrack.platform.http import returned_headers
+from celerytrack.routing.endpoint import Dispatch
+from celerytrack.streams import OversizedEventError, RepeatedEventsError
+from celerytrack.verdict import Reason, Verdict
+
+
+class CallerDisconnectedError(Exception):
+    """The caller closed the connection."""
+
+
+async def relay_stream(
+    gateway: Gateway,
+    exchange: Exchange,
+    dispatch: Dispatch | None,
+    response: aiohttp.ClientResponse,
+) -> AttemptResult:
+    """Relay an endpoint's events as they arrive.
+
+    :param dispatch: ``None`` if another entry sent the request to the endpoint.
+    :raises CallerDisconnectedError: if the caller disconnects meanwhile.
+    """
+    protocol = protocol_of(response)
+    events = exchange.events
+    events.max_event_bytes = gateway.settings.answer_limits.event_bytes
+    events.resume(exchange.resume_from if exchange.route.resumable else None)
+    while True:
+        try:
+            data = await response.content.readany()
+        except CONNECTION_ERRORS as exc:
+            return connection_failure(Reason.UPSTREAM_CUT, Verdict.MAY_HAVE_RUN, exc)
+        if not data:
+            break
+        if dispatch is not None:
+            gateway.reach.record_heard(exchange.service, time.monotonic())
+        try:
+            received = events.feed(data)
+        except OversizedEventError:
+            return unusable_answer("an event is too large")
+        except RepeatedEventsError:
+            return unusable_answer("a stream that should go on repeats events")
+        if received is None:
+            continue
+        if received.disorder is not None:
+            log_disorder(gateway, exchange, received.disorder)
+        if exchange.response is None:
+            exchange.first_data_at_s = time.monotonic()
+            if dispatch is not None:
+                dispatch.record_first_output(exchange.first_data_at_s)
+            await _start_stream(gateway, exchange, dispatch, response)
+        await _write(exchange, received.data)
+    if events.has_partial or was_reset(response, protocol):
+        return unusable_answer("a stream ended in the middle of an event")
+    if exchange.response is None:
+        return unusable_answer("a stream without events")
+    if events.lacks_event:
+        return unusable_answer("a stream that should go on ended at once")
+    return Success(None)
+
+
+async def _start_stream(
+    gateway: Gateway,
+    exchange: Exchange,
+    dispatch: Dispatch | None,
+    response: aiohttp.ClientResponse,
+) -> None:
+    answer = web.StreamResponse(
+        status=response.status, headers=returned_headers(response.headers)
+    )
+    if gateway.leaving:
+        answer.force_close()
+    exchange.response = answer
+    record_began(gateway, exchange, dispatch)
+    if exchange.sender is not None:
+        headers = answered_headers(exchange.tried[-1], exchange.writer)
+        answer.headers.update(headers)
+    else:
+        took_s = time.monotonic() - exchange.started_s
+        gateway.telemetry.first_answer.labels(exchange.route.name).observe(took_s)
+    try:
+        await answer.prepare(exchange.request)
+    except ConnectionError:
+        raise CallerDisconnectedError from None
+
+
+async def _write(exchange: Exchange, data: bytes) -> None:
+    assert exchange.response is not None
+    try:
+        await exchange.response.write(data)
+    except ConnectionError:
+        raise CallerDisconnectedError from None
+
+
+async def finish_stream(exchange: Exchange) -> None:
+    """End the answer to the caller after a stream was relayed completely.
+
+    :raises CallerDisconnectedError: if the caller has disconnected.
+    """
+    assert exchange.response is not None
+    try:
+        await exchange.response.write_eof()
+    except ConnectionError:
+        raise CallerDisconnectedError from None
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -12,8 +12,8 @@
 from nose2.tools import params
 
 from celerytrack.gateway import peer_requests
-from celerytrack.gateway.attempts import CallerDisconnectedError, finish_stream
 from celerytrack.gateway.reservations import MAX_TOKEN_WAIT_S, PEER_REQUESTS_TIMEOUT_S
+from celerytrack.gateway.stream_relay import CallerDisconnectedError, finish_stream
 from celerytrack.ids import AccountId
 from celerytrack.planned_stop import PlannedStop
 from celerytrack.platform.topics import (
