Events of a stream that come again are passed on once, another run's never

What callers saw: an endpoint that repeats itself within one answer had all of it passed on: ids 1 1 2 2 3 3, 1 2 3 4 2 3 4 5 6, 1 2 4 3 5 6, with an end that looks complete, on every kind of stream route.

Cause: ids were compared once, at the first event after a resume. Within an answer nothing was compared, so an endpoint's second run was joined to its first.

Now each event is judged by its number and bytes (event_order.py). One that came before, byte for byte, is dropped and not charged. One that goes back and isn't the same begins another run: the answer ends there and the stream goes on elsewhere after the last good event, or is cut where it can't be resumed. One that comes after a later one can't be given to the caller any more: the stream is cut, also where it could be resumed. An endpoint whose answer repeats counts as failing, as one that spoils its answers. What has no number, or one beyond forty digits, is not judged.

--- /dev/null
+++ b/src/celerytrack/event_order.py
@@ -0,0 +1,91 @@
+"""Judges by their ids whether the events of a stream belong to one run, without I/O.
+
+The ids of a run increase. An endpoint may repeat events, or begin its run again within
+one answer; what it writes then is no part of what the caller has.
+"""
+
+import enum
+import re
+
+import attrs
+
+MAX_RECENT = 128
+"""Events of which a repeat is known by its bytes; one that is older ends the answer."""
+_OWN_NUMBER = re.compile(rb"^id: *([0-9]{1,40})\r?$", re.M)
+
+
+class Standing(enum.Enum):
+    """How an event stands to those before it."""
+
+    NEXT = "next"
+    REPEAT = "repeat"
+    """It came before, byte for byte."""
+    OTHER_RUN = "other_run"
+    """It goes back and isn't what came before: another run has begun."""
+    LATE = "late"
+    """A later event came before it, so the caller lacks it."""
+
+
+@attrs.frozen
+class Disorder:
+    """An event that does not follow those before it.
+
+    :ivar standing: how it stands to them.
+    :ivar number: its number.
+    :ivar after: the highest number before it.
+    """
+
+    standing: Standing
+    number: int
+    after: int
+
+
+@attrs.define
+class EventOrder:
+    """The events of one answer so far.
+
+    An event without a number is not judged.
+
+    :ivar newest: the highest number so far; of a stream that goes on, the event after
+        which it does.
+    :ivar repeats: events that came before, byte for byte.
+    :ivar disorder: the last event that did not follow.
+    """
+
+    newest: int | None = None
+    repeats: int = 0
+    disorder: Disorder | None = None
+    _recent: dict[int, int] = attrs.field(factory=dict)
+
+    def judge(self, event: bytes) -> Standing:
+        """How an event stands to those before it; one that follows is remembered."""
+        number = number_of(event)
+        if number is None:
+            return Standing.NEXT
+        if self.newest is None or number > self.newest:
+            self.newest = number
+            self._remember(number, event)
+            return Standing.NEXT
+        standing = self._standing_of_earlier(number, event)
+        self.repeats += standing is Standing.REPEAT
+        self.disorder = Disorder(standing, number, self.newest)
+        return standing
+
+    def _standing_of_earlier(self, number: int, event: bytes) -> Standing:
+        known = self._recent.get(number)
+        if known == hash(event):
+            return Standing.REPEAT
+        if known is None and self._recent and number > min(self._recent):
+            return Standing.LATE
+        return Standing.OTHER_RUN
+
+    def _remember(self, number: int, event: bytes) -> None:
+        self._recent[number] = hash(event)
+        if len(self._recent) > MAX_RECENT:
+            del self._recent[next(iter(self._recent))]
+
+
+def number_of(event: bytes) -> int | None:
+    """The number in an event's id, or ``None`` if its id is none."""
+    found = _OWN_NUMBER.search(event)
+    return None if found is None else int(found[1])
--- a/src/celerytrack/gateway/attempt_failures.py
+++ b/src/celerytrack/gateway/attempt_failures.py
@@ -44,7 +44,14 @@
     return Failure(AttemptFailure(reason, verdict, True, detail))
 
 
-def unusable_answer(detail: str) -> AttemptResult:
+def unusable_answer(detail: str, is_final: bool = False) -> AttemptResult:
     """Return the result of an attempt whose answer can't be passed on."""
-    failure = AttemptFailure(Reason.UPSTREAM_CUT, Verdict.MAY_HAVE_RUN, True, detail)
-    return Failure(failure)
+    return Failure(
+        AttemptFailure(
+            Reason.UPSTREAM_CUT,
+            Verdict.MAY_HAVE_RUN,
+            True,
+            detail,
+            is_final=is_final,
+        )
+    )
--- a/src/celerytrack/gateway/exchange.py
+++ b/src/celerytrack/gateway/exchange.py
@@ -43,6 +43,7 @@
     :ivar address_reused: another endpoint has the address now, so the endpoint was not
         reached and no longer exists.
     :ivar retry_after_s: when an attempt may succeed, if known.
+    :ivar is_final: whether no other attempt can mend it.
     :ivar helper: an entry that may help where another could not.
     :ivar withheld: whether the endpoint's word came before the request was sent.
     :ivar links_down: whether the attempt was given up since this entry reaches no
@@ -58,6 +59,7 @@
     retry_after_s: float | None = None
     withheld: bool = False
     links_down: bool = False
+    is_final: bool = False
     helper: EntryId | None = None
 
     @property
--- a/src/celerytrack/gateway/outcomes.py
+++ b/src/celerytrack/gateway/outcomes.py
@@ -7,6 +7,7 @@
 from aiohttp import web
 from returns.result import Failure, Result
 
+from celerytrack.event_order import Disorder
 from celerytrack.events import Event, log_event
 from celerytrack.gateway.exchange import AttemptFailure, BufferedAnswer, Exchange
 from celerytrack.gateway.refusals import refusal_response
@@ -14,7 +15,6 @@
 from celerytrack.ids import EndpointId, EntryId
 from celerytrack.planned_stop import PlannedStop
 from celerytrack.routing.endpoint import Registration
-from celerytrack.streams import Disorder
 from celerytrack.verdict import Refusal, Verdict
 
 _log = logging.getLogger(__name__)
@@ -167,8 +167,10 @@
     )
 
 
-def log_disorder(gateway: Gateway, exchange: Exchange, disorder: Disorder) -> None:
-    """Log and count a stream whose ids don't increase within one answer."""
+def log_disorder(
+    gateway: Gateway, exchange: Exchange, disorder: Disorder, repeats: int
+) -> None:
+    """Log and count an answer whose events don't follow each other."""
     endpoint_id = exchange.tried[-1] if exchange.tried else None
     gateway.telemetry.disordered.labels(endpoint_id).inc()
     log_event(
@@ -178,8 +180,10 @@
         request_id=exchange.facts.request_id,
         endpoint=endpoint_id,
         route=exchange.route.name,
+        standing=disorder.standing.value,
         number=disorder.number,
         after=disorder.after,
+        repeats=repeats,
         tried=exchange.tried,
     )
 
--- a/src/celerytrack/gateway/pipeline.py
+++ b/src/celerytrack/gateway/pipeline.py
@@ -196,6 +196,8 @@
 
 
 def _is_retryable(exchange: Exchange, failure: AttemptFailure) -> bool:
+    if failure.is_final:
+        return False
     if failure.reason in _NOT_RETRIED_AT_ONCE and not failure.withheld:
         # An immediate retry gives the same result. The loop would occupy the event
         # loop until the deadline and block every other request.
--- a/src/celerytrack/gateway/sending.py
+++ b/src/celerytrack/gateway/sending.py
@@ -201,6 +201,9 @@
             if answer is not None and answer.status >= 500:
                 if answer.status != 503 or not is_backing_off(gateway, endpoint):
                     endpoints.record_failure(endpoint, False, time.monotonic())
+            elif answer is None and exchange.events.order.repeats:
+                # What it repeats was dropped, but it spoils its answers.
+                endpoints.record_failure(endpoint, True, time.monotonic())
             else:
                 endpoints.record_success(endpoint)
                 record_success(gateway, exchange, build)
--- a/src/celerytrack/gateway/stream_relay.py
+++ b/src/celerytrack/gateway/stream_relay.py
@@ -6,6 +6,7 @@
 from aiohttp import web
 from returns.result import Success
 
+from celerytrack.event_order import Disorder, Standing
 from celerytrack.gateway.answer_ends import protocol_of, was_reset
 from celerytrack.gateway.attempt_failures import (
     CONNECTION_ERRORS,
@@ -20,7 +21,7 @@
 from celerytrack.gateway.state import Gateway
 from celerytrack.platform.http import returned_headers
 from celerytrack.routing.endpoint import Dispatch
-from celerytrack.streams import OversizedEventError, RepeatedEventsError
+from celerytrack.streams import EventBatch, OversizedEventError
 from celerytrack.verdict import Reason, Verdict
 
 
@@ -34,15 +35,29 @@
     dispatch: Dispatch | None,
     response: aiohttp.ClientResponse,
 ) -> AttemptResult:
-    """Relay an endpoint's events as they arrive.
+    """Relay an endpoint's events as they arrive, those of one run and each once.
 
     :param dispatch: ``None`` if another entry sent the request to the endpoint.
     :raises CallerDisconnectedError: if the caller disconnects meanwhile.
     """
-    protocol = protocol_of(response)
     events = exchange.events
     events.max_event_bytes = gateway.settings.answer_limits.event_bytes
     events.resume(exchange.resume_from if exchange.route.resumable else None)
+    try:
+        return await _relay_events(gateway, exchange, dispatch, response)
+    finally:
+        if events.order.disorder is not None:
+            log_disorder(gateway, exchange, events.order.disorder, events.order.repeats)
+
+
+async def _relay_events(
+    gateway: Gateway,
+    exchange: Exchange,
+    dispatch: Dispatch | None,
+    response: aiohttp.ClientResponse,
+) -> AttemptResult:
+    protocol = protocol_of(response)
+    events = exchange.events
     while True:
         try:
             data = await response.content.readany()
@@ -56,18 +71,11 @@
             received = events.feed(data)
         except OversizedEventError:
             return unusable_answer("an event is too large")
-        except RepeatedEventsError:
-            return unusable_answer("a stream that should go on repeats events")
         if received is None:
             continue
+        await _pass_on(gateway, exchange, dispatch, response, received)
         if received.disorder is not None:
-            log_disorder(gateway, exchange, received.disorder)
-        if exchange.response is None:
-            exchange.first_data_at_s = time.monotonic()
-            if dispatch is not None:
-                dispatch.record_first_output(exchange.first_data_at_s)
-            await _start_stream(gateway, exchange, dispatch, response)
-        await _write(exchange, received.data)
+            return _out_of_order(received.disorder)
     if events.has_partial or was_reset(response, protocol):
         return unusable_answer("a stream ended in the middle of an event")
     if exchange.response is None:
@@ -77,6 +85,30 @@
     return Success(None)
 
 
+def _out_of_order(disorder: Disorder) -> AttemptResult:
+    if disorder.standing is Standing.LATE:
+        # The caller has a later event, so no endpoint can add the one it lacks.
+        return unusable_answer("an event came late", is_final=True)
+    return unusable_answer("an answer went back to an earlier event")
+
+
+async def _pass_on(
+    gateway: Gateway,
+    exchange: Exchange,
+    dispatch: Dispatch | None,
+    response: aiohttp.ClientResponse,
+    received: EventBatch,
+) -> None:
+    if not received.count:
+        return
+    if exchange.response is None:
+        exchange.first_data_at_s = time.monotonic()
+        if dispatch is not None:
+            dispatch.record_first_output(exchange.first_data_at_s)
+        await _start_stream(gateway, exchange, dispatch, response)
+    await _write(exchange, received.data)
+
+
 async def _start_stream(
     gateway: Gateway,
     exchange: Exchange,
--- a/src/celerytrack/streams.py
+++ b/src/celerytrack/streams.py
@@ -5,32 +5,20 @@
 import attrs
 
 from celerytrack.answer_limits import DEFAULT_LIMITS
+from celerytrack.event_order import (
+    Disorder,
+    EventOrder,
+    Standing,
+)
 
 _EVENT_END = b"\n\n"
-_NUMBER = re.compile("[0-9]{1,18}")
-_EVENT_NUMBER = re.compile(rb"(?:^|\n)id: *([0-9]{1,18})(?=\r?\n)")
+_NUMBER = re.compile("[0-9]{1,40}")
 
 
 class OversizedEventError(Exception):
     """An event is larger than its limit."""
 
 
-class RepeatedEventsError(Exception):
-    """A stream that should go on after an event holds that event or one before it."""
-
-
-@attrs.frozen
-class Disorder:
-    """Two events in a row whose ids don't increase.
-
-    :ivar after: the id of the first of them.
-    :ivar number: the id of the second.
-    """
-
-    after: int
-    number: int
-
-
 @attrs.frozen
 class EventBatch:
     """Consecutive complete events.
@@ -38,7 +26,7 @@
     :ivar data: their bytes, unchanged.
     :ivar count: number of events.
     :ivar last_id: the id of the last event that has one.
-    :ivar disorder: where the ids first don't increase.
+    :ivar disorder: what came after them and does not follow: the answer ends there.
     """
 
     data: bytes
@@ -49,7 +37,7 @@
 
 @attrs.define
 class EventSplitter:
-    """Buffers the bytes of a stream and returns complete events.
+    """Buffers the bytes of a stream and returns complete events, each once.
 
     An endpoint may stop in the middle of an event. Forwarding the partial event would
     corrupt the stream, because the next endpoint sends the event again as a whole.
@@ -58,15 +46,15 @@
     :ivar last_id: the id of the last returned event that has one.
     :ivar lacks_event: whether an event began that no connection has ended.
     :ivar max_event_bytes: bytes of an event after which it is given up.
+    :ivar order: of the events of the present connection.
     """
 
     event_count: int = 0
     last_id: str | None = None
     lacks_event: bool = False
     max_event_bytes: int = DEFAULT_LIMITS.event_bytes
+    order: EventOrder = attrs.field(factory=EventOrder)
     _buffer: bytearray = attrs.field(factory=bytearray)
-    _after: int | None = None
-    _newest: int | None = None
 
     @property
     def has_partial(self) -> bool:
@@ -76,7 +64,6 @@
     def feed(self, data: bytes) -> EventBatch | None:
         """Add bytes and return the events that are now complete, if any.
 
-        :raises RepeatedEventsError: if a stream that goes on repeats an event.
         :raises OversizedEventError: if the incomplete event is too large.
         """
         buffer = self._buffer
@@ -91,13 +78,7 @@
             return None
         block = bytes(buffer[:end])
         del buffer[:end]
-        self._check_begin(block)
-        self.lacks_event = False
-        count = block.count(_EVENT_END)
-        last_id = last_event_id(block)
-        self.event_count += count
-        self.last_id = last_id or self.last_id
-        return EventBatch(block, count, last_id, self._find_disorder(block))
+        return self._judged(_split(block))
 
     def resume(self, last_id: str | None) -> None:
         """Go on with a new connection, which sends an incomplete event anew.
@@ -106,28 +87,35 @@
         """
         self.lacks_event |= self.has_partial
         self._buffer.clear()
-        self._newest = None
         is_number = last_id is not None and _NUMBER.fullmatch(last_id) is not None
-        self._after = int(last_id) if last_id is not None and is_number else None
-
-    def _find_disorder(self, block: bytes) -> Disorder | None:
-        found = None
-        for text in _EVENT_NUMBER.findall(block):
-            number = int(text)
-            if found is None and self._newest is not None and number <= self._newest:
-                found = Disorder(self._newest, number)
-            self._newest = number
-        return found
-
-    def _check_begin(self, block: bytes) -> None:
-        if self._after is None:
-            return
-        first = _EVENT_NUMBER.search(block)
-        if first is None:
-            return
-        if int(first[1]) <= self._after:
-            raise RepeatedEventsError
-        self._after = None
+        self.order = EventOrder(int(last_id) if last_id and is_number else None)
+
+    def _judged(self, events: list[bytes]) -> EventBatch | None:
+        """The events that follow those before them, each once."""
+        following: list[bytes] = []
+        disorder = None
+        for event in events:
+            standing = self.order.judge(event)
+            if standing is Standing.NEXT:
+                following.append(event)
+            elif standing is not Standing.REPEAT:
+                disorder = self.order.disorder
+                break
+        if not following and disorder is None:
+            return None
+        block = b"".join(following)
+        last_id = last_event_id(block)
+        self.lacks_event = self.lacks_event and not following
+        self.event_count += len(following)
+        self.last_id = last_id or self.last_id
+        return EventBatch(block, len(following), last_id, disorder)
+
+
+def _split(block: bytes) -> list[bytes]:
+    if block.count(_EVENT_END) == 1:
+        return [block]
+    events = block[: -len(_EVENT_END)].split(_EVENT_END)
+    return [event + _EVENT_END for event in events]
 
 
 def last_event_id(block: bytes) -> str | None:
--- a/tests/test_repeated_events.py
+++ b/tests/test_repeated_events.py
@@ -4,6 +4,8 @@
 import re
 import unittest
 
+from nose2.tools import params
+
 from tests.gateway_fleet import Fleet
 from tests.raw_endpoints import (
     RawAnswer,
@@ -28,7 +30,7 @@
     return [int(text) for text in re.findall(rb"^id: (\d+)$", answer.body, re.M)]
 
 
-async def ask_repeating(path: str, first: bytes) -> RawAnswer:
+async def ask_repeating(path: str, first: bytes, endpoints: int = 2) -> RawAnswer:
     """Ask for a stream whose first answer is ``first``; the next one goes on."""
 
     async def script(request: RawRequest, writer: asyncio.StreamWriter) -> None:
@@ -38,11 +40,16 @@
         head = answer_head(request, "200 OK", "Transfer-Encoding: chunked")
         writer.write(head + chunk(body) + b"0\r\n\r\n")
 
-    endpoints = [RawEndpoint(f"i-{n}", script) for n in range(2)]
-    async with Fleet(*endpoints) as fleet:
+    fleet_endpoints = [RawEndpoint(f"i-{n}", script) for n in range(endpoints)]
+    async with Fleet(*fleet_endpoints) as fleet:
         return await ask_raw(fleet, path, "r1")
 
 
+def other(*numbers: int) -> bytes:
+    """Events of another run with these numbers."""
+    return run(*numbers).replace(b"data: t", b"data: u")
+
+
 class RepeatedEventsTest(unittest.TestCase):
     def test_a_stream_that_goes_back_is_not_passed_on(self) -> None:
         """An endpoint began its run again in the same answer: a caller got 1 2 3 4 2 3
@@ -50,3 +57,53 @@
         answer = asyncio.run(ask_repeating("/resume/x", run(1, 2, 3, 4, 2, 3, 4, 5, 6)))
         self.assertEqual(numbers_of(answer), list(range(1, EVENTS + 1)))
         self.assertTrue(answer.whole)
+
+    @params("/stream/x", "/resume/x")
+    def test_an_event_that_comes_again_is_passed_on_once(self, path: str) -> None:
+        """Each event came twice, or some came again: callers got all of it."""
+        for first in (
+            run(1, 1, 2, 2, 3, 3, 4, 4, 5, 5, 6, 6),
+            run(1, 2, 3, 4, 2, 5, 6),
+            run(1, 2, 3, 4, 2, 3, 4, 5, 6),
+            run(1, 2, 3, 4, 5, 6, 1, 2, 3, 4, 5, 6),
+        ):
+            answer = asyncio.run(ask_repeating(path, first, endpoints=1))
+            self.assertEqual(numbers_of(answer), list(range(1, EVENTS + 1)), first)
+            self.assertTrue(answer.whole)
+
+    @params(
+        run(1, 2, 3) + other(1, 2, 3, 4, 5, 6),
+        run(1, 2, 3) + other(3, 4, 5, 6),
+        run(1, 2, 3) + other(2) + run(4, 5, 6),
+    )
+    def test_another_run_is_not_joined_to_the_first(self, first: bytes) -> None:
+        """An endpoint began another run in the same answer: its events followed those
+        of the first."""
+        answer = asyncio.run(ask_repeating("/stream/x", first))
+        self.assertEqual((answer.body, answer.whole), (run(1, 2, 3), False))
+        answer = asyncio.run(ask_repeating("/resume/x", first))
+        self.assertEqual(answer.body, run(*range(1, EVENTS + 1)))
+        self.assertTrue(answer.whole)
+
+    @params("/stream/x", "/resume/x")
+    def test_an_event_that_comes_too_late_ends_the_stream(self, path: str) -> None:
+        """Two events changed places: the caller got one after a later one."""
+        answer = asyncio.run(ask_repeating(path, run(1, 2, 4, 3, 5, 6)))
+        self.assertEqual((answer.body, answer.whole), (run(1, 2, 4), False))
+
+    @params(
+        b"id: x\ndata: a\n\nid: x\ndata: a\n\n",
+        b"data: a\n\ndata: a\n\ndata: b\n\n",
+        b"id: -1\ndata: a\n\nid: -2\ndata: b\n\n",
+        b"id:\ndata: a\n\nid: 1.5\ndata: b\n\nid: 1\ndata: c\n\n",
+        b"id: 007\ndata: a\n\nid: 8\ndata: b\n\n",
+        b"id: 9223372036854775807\ndata: a\n\nid: 9223372036854775808\ndata: b\n\n",
+        b"id: %d\ndata: a\n\nid: %d\ndata: b\n\n" % (10**50, 10**49),
+        b"id:  5 \ndata: a\n\nid:  4 \ndata: b\n\n",
+        b": comment\n\nid: 11\ndata: a\n\n: comment\n\n: comment\n\n",
+        b"id: 1\ndata: a\n\ndata: no id\n\nid: 2\ndata: b\n\ndata: no id\n\n",
+    )
+    def test_what_has_no_number_is_passed_on(self, body: bytes) -> None:
+        """A stream that is right must not break on ids that can't be compared."""
+        answer = asyncio.run(ask_repeating("/stream/x", body, endpoints=1))
+        self.assertEqual((answer.body, answer.whole), (body, True))
