Lines of a stream may end with CR LF

What callers saw: 502 and nothing of a sound stream whose lines end with CR LF, as the standard of event streams allows.

Cause: an event's end was searched as two LF in a row only, so the stream ended in the middle of its first event. Once a CR has come, a blank line may have one too; streams without CR are split as before. A line end of CR alone is not taken for one.

--- a/src/celerytrack/streams.py
+++ b/src/celerytrack/streams.py
@@ -12,6 +12,9 @@
 )
 
 _EVENT_END = b"\n\n"
+_CR = b"\r"
+_ANY_EVENT_END = re.compile(rb"\n\r?\n")
+_LONGEST_EVENT_END = 3
 _NUMBER = re.compile("[0-9]{1,40}")
 
 
@@ -55,6 +58,7 @@
     max_event_bytes: int = DEFAULT_LIMITS.event_bytes
     order: EventOrder = attrs.field(factory=EventOrder)
     _buffer: bytearray = attrs.field(factory=bytearray)
+    _has_cr: bool = False
 
     @property
     def has_partial(self) -> bool:
@@ -68,17 +72,17 @@
         """
         buffer = self._buffer
         # An event that comes byte by byte is not searched from its begin each time.
-        searched = max(0, len(buffer) - len(_EVENT_END) + 1)
+        searched = max(0, len(buffer) - _LONGEST_EVENT_END + 1)
         buffer += data
-        at = buffer.rfind(_EVENT_END, searched)
-        end = at + len(_EVENT_END) if at >= 0 else 0
+        self._has_cr = self._has_cr or _CR in data
+        end = self._last_end(searched)
         if len(buffer) - end > self.max_event_bytes:
             raise OversizedEventError
         if not end:
             return None
         block = bytes(buffer[:end])
         del buffer[:end]
-        return self._judged(_split(block))
+        return self._judged(self._split(block))
 
     def resume(self, last_id: str | None) -> None:
         """Go on with a new connection, which sends an incomplete event anew.
@@ -90,6 +94,23 @@
         is_number = last_id is not None and _NUMBER.fullmatch(last_id) is not None
         self.order = EventOrder(int(last_id) if last_id and is_number else None)
 
+    def _last_end(self, searched: int) -> int:
+        at = self._buffer.rfind(_EVENT_END, searched)
+        end = at + len(_EVENT_END) if at >= 0 else 0
+        if self._has_cr:
+            for found in _ANY_EVENT_END.finditer(self._buffer, max(end - 1, searched)):
+                end = found.end()
+        return end
+
+    def _split(self, block: bytes) -> list[bytes]:
+        if self._has_cr:
+            ends = [found.end() for found in _ANY_EVENT_END.finditer(block)]
+            return [block[a:b] for a, b in zip([0, *ends], ends, strict=False)]
+        if block.count(_EVENT_END) == 1:
+            return [block]
+        events = block[: -len(_EVENT_END)].split(_EVENT_END)
+        return [event + _EVENT_END for event in events]
+
     def _judged(self, events: list[bytes]) -> EventBatch | None:
         """The events that follow those before them, each once."""
         following: list[bytes] = []
@@ -111,13 +132,6 @@
         return EventBatch(block, len(following), last_id, disorder)
 
 
-def _split(block: bytes) -> list[bytes]:
-    if block.count(_EVENT_END) == 1:
-        return [block]
-    events = block[: -len(_EVENT_END)].split(_EVENT_END)
-    return [event + _EVENT_END for event in events]
-
-
 def last_event_id(block: bytes) -> str | None:
     """The value of the last ``id:`` line in ``block``, or ``None``."""
     at = block.rfind(b"\nid:")
--- a/tests/test_repeated_events.py
+++ b/tests/test_repeated_events.py
@@ -1,11 +1,13 @@
 """Streams whose endpoint repeats itself within one answer."""
 
 import asyncio
+import random
 import re
 import unittest
 
 from nose2.tools import params
 
+from celerytrack.streams import EventSplitter
 from tests.gateway_fleet import Fleet
 from tests.raw_endpoints import (
     RawAnswer,
@@ -107,3 +109,27 @@
         """A stream that is right must not break on ids that can't be compared."""
         answer = asyncio.run(ask_repeating("/stream/x", body, endpoints=1))
         self.assertEqual((answer.body, answer.whole), (body, True))
+
+
+class LineEndTest(unittest.TestCase):
+    @params("/stream/x", "/resume/x")
+    def test_lines_may_end_with_cr_lf(self, path: str) -> None:
+        """A sound stream whose lines end with CR LF got 502, nothing of it."""
+        body = run(*range(1, EVENTS + 1)).replace(b"\n", b"\r\n")
+        answer = asyncio.run(ask_repeating(path, body, endpoints=1))
+        self.assertEqual((answer.status, answer.body), (200, body))
+        self.assertTrue(answer.whole)
+
+    @params(b"\n", b"\r\n")
+    def test_events_are_the_same_however_their_bytes_come(self, end: bytes) -> None:
+        data = run(*range(1, 30)).replace(b"\n", end) + b"id: 30"
+        rng = random.Random(7)
+        for _ in range(200):
+            events, out, at = EventSplitter(), b"", 0
+            while at < len(data):
+                size = rng.randint(1, 25)
+                batch = events.feed(data[at : at + size])
+                out += b"" if batch is None else batch.data
+                at += size
+            self.assertEqual((out, events.event_count), (data[: -len(b"id: 30")], 29))
+            self.assertTrue(events.has_partial)
