A cut event is not joined with the first of another run

What callers saw: where an endpoint's run stopped inside an event and began again in the same answer, the cut event and the first of the new run came as one: 1 2 3 4 5 2 3 4 5 6, the 5 made of two events.

Cause: an event ends at a blank line, whatever stands before it. An id inside an event now shows that it may be two. Where a field is cut short the second part counts as the event; where the id may be text, the event is held back until the next one tells: if that goes back, the first part is dropped. A stream that ends without the event that was cut isn't complete. Left: a run that begins again with the very event that was cut inside its text can't be told from one event.

Evidence: eight of the rows fail on the code before; rows of texts that look like ids pass on both.

--- a/src/celerytrack/gateway/stream_relay.py
+++ b/src/celerytrack/gateway/stream_relay.py
@@ -78,10 +78,12 @@
             return _out_of_order(received.disorder)
     if events.has_partial or was_reset(response, protocol):
         return unusable_answer("a stream ended in the middle of an event")
+    if (received := events.finish()) is not None:
+        await _pass_on(gateway, exchange, dispatch, response, received)
     if exchange.response is None:
         return unusable_answer("a stream without events")
     if events.lacks_event:
-        return unusable_answer("a stream that should go on ended at once")
+        return unusable_answer("a stream ended without an event that began")
     return Success(None)
 
 
--- a/src/celerytrack/streams.py
+++ b/src/celerytrack/streams.py
@@ -9,6 +9,8 @@
     Disorder,
     EventOrder,
     Standing,
+    find_join,
+    number_of,
 )
 
 _EVENT_END = b"\n\n"
@@ -59,6 +61,7 @@
     order: EventOrder = attrs.field(factory=EventOrder)
     _buffer: bytearray = attrs.field(factory=bytearray)
     _has_cr: bool = False
+    _held: bytes = b""
 
     @property
     def has_partial(self) -> bool:
@@ -82,15 +85,21 @@
             return None
         block = bytes(buffer[:end])
         del buffer[:end]
-        return self._judged(self._split(block))
+        return self._batch(self._split(block))
+
+    def finish(self) -> EventBatch | None:
+        """Return what was held back when the answer has ended."""
+        held, self._held = self._held, b""
+        return self._judged([held]) if held else None
 
     def resume(self, last_id: str | None) -> None:
         """Go on with a new connection, which sends an incomplete event anew.
 
         :param last_id: the event after which the stream goes on; ``None`` if it begins.
         """
-        self.lacks_event |= self.has_partial
+        self.lacks_event |= self.has_partial or bool(self._held)
         self._buffer.clear()
+        self._held = b""
         is_number = last_id is not None and _NUMBER.fullmatch(last_id) is not None
         self.order = EventOrder(int(last_id) if last_id and is_number else None)
 
@@ -111,6 +120,35 @@
         events = block[: -len(_EVENT_END)].split(_EVENT_END)
         return [event + _EVENT_END for event in events]
 
+    def _batch(self, events: list[bytes]) -> EventBatch | None:
+        """Events that are one each.
+
+        One that may be two is held back until the next one tells: if that goes back,
+        the first part was cut and a run begins again with the second.
+        """
+        single: list[bytes] = []
+        for event in events:
+            if self._held:
+                single.append(self._released(event))
+            joined = find_join(event)
+            if joined is None:
+                single.append(event)
+            elif joined.is_certain:
+                self.lacks_event = True
+                single.append(joined.rest)
+            else:
+                self._held = event
+        return self._judged(single)
+
+    def _released(self, following: bytes) -> bytes:
+        held, self._held = self._held, b""
+        number, next_number = number_of(held), number_of(following)
+        joined = find_join(held)
+        if number is None or next_number is None or next_number > number or not joined:
+            return held
+        self.lacks_event = True
+        return joined.rest
+
     def _judged(self, events: list[bytes]) -> EventBatch | None:
         """The events that follow those before them, each once."""
         following: list[bytes] = []
--- a/tests/test_repeated_events.py
+++ b/tests/test_repeated_events.py
@@ -133,3 +133,33 @@
                 at += size
             self.assertEqual((out, events.event_count), (data[: -len(b"id: 30")], 29))
             self.assertTrue(events.has_partial)
+
+
+class JoinedEventTest(unittest.TestCase):
+    @params(b"i", b"id: ", b"id: 5", b"id: 5\n", b"id: 5\nda", b"id: 5\ndata: t")
+    def test_an_event_cut_short_is_not_joined_with_another(self, cut: bytes) -> None:
+        """A run stopped inside an event and began again in the same answer: the cut
+        event and the first of the new run were passed on as one."""
+        for path in ("/stream/x", "/resume/x"):
+            first = run(1, 2, 3, 4) + cut + run(2, 3, 4, 5, 6)
+            answer = asyncio.run(ask_repeating(path, first))
+            self.assertEqual(answer.body, run(*range(1, EVENTS + 1)))
+            self.assertTrue(answer.whole)
+
+    @params(b"id: 5\nda", b"id: 5\ndata: t")
+    def test_a_cut_event_is_not_joined_with_another_run(self, cut: bytes) -> None:
+        first = run(1, 2, 3, 4) + cut + other(2, 3, 4, 5, 6)
+        answer = asyncio.run(ask_repeating("/stream/x", first))
+        self.assertEqual((answer.body, answer.whole), (run(1, 2, 3, 4), False))
+
+    @params(
+        b"id: 1\ndata: of id: 1\ndata: b\n\n",
+        b"id: 1\ndata: a\n\nid: 2\ndata: see id: 1\ndata: b\n\nid: 3\ndata: c\n\n",
+        b"id: 1\ndata: a\n\nid: 2\ndata: see id: 1\ndata: b\n\n",
+        b"id: 1\ndata: id: 1\n\nid: 2\ndata: id: 2\n\n",
+        b"event: e\nid: 1\ndata: see id: 0\n\n",
+    )
+    def test_an_event_that_names_another_is_passed_on(self, body: bytes) -> None:
+        """Text that looks like an id must not break a sound stream."""
+        answer = asyncio.run(ask_repeating("/stream/x", body, endpoints=1))
+        self.assertEqual((answer.body, answer.whole), (body, True))
