An answer without id is taken for a request's only on a connection's first one

What callers saw: an endpoint answered twice, the second time late, with 500 or 404 and without an id.

Cause: an id that names another request was refused, none at all was not, and a failure needs no id to be passed on. Nothing says which request such an answer belongs to once the connection has carried another.

Each answer now knows whether it is the first of its connection. Without an id any later one is no answer: the request may have run, and the connection is closed.

--- a/src/celerytrack/bounded_connection.py
+++ b/src/celerytrack/bounded_connection.py
@@ -5,6 +5,7 @@
 
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
+from aiohttp.connector import Connection
 
 from celerytrack.answer_limits import DEFAULT_LIMITS, AnswerBytes, AnswerLimits
 
@@ -34,17 +35,39 @@
         answer_bytes.release(response)
 
 
+class AnsweredResponse(aiohttp.ClientResponse):
+    """An answer that knows whether its connection has carried another one before.
+
+    What an endpoint writes beyond an answer arrives where the next one is expected.
+    """
+
+    is_first: bool = False
+
+    async def start(self, connection: Connection) -> "AnsweredResponse":
+        """Read the head of the answer."""
+        # A short answer has given its connection back by the end of this.
+        protocol = connection.protocol
+        self.is_first = isinstance(protocol, BoundedConnection) and (
+            protocol.requests == 1
+        )
+        await super().start(connection)
+        return self
+
+
 class BoundedConnection(ResponseHandler):
     """A connection to an endpoint that is bounded in bytes and time.
 
     The library bounds a line of a head. It reads on without end if a head comes byte by
     byte, after interim answers, and in the size or extension of a chunk.
+
+    :ivar requests: requests that were sent on it so far.
     """
 
     def __init__(
         self, loop: asyncio.AbstractEventLoop, limits: AnswerLimits = DEFAULT_LIMITS
     ) -> None:
         super().__init__(loop)
+        self.requests = 0
         self._limits = limits
         self._has_head = False
         self._head_bytes = 0
@@ -55,6 +78,7 @@
 
     def set_response_params(self, **params: Any) -> None:
         """Begin to read the answer to another request."""
+        self.requests += 1
         self._has_head = False
         self._head_bytes = self._framing_bytes = self._content_bytes = 0
         self._content = None
--- a/src/celerytrack/gateway/attempts.py
+++ b/src/celerytrack/gateway/attempts.py
@@ -8,7 +8,7 @@
 from returns.result import Failure, Success
 
 from celerytrack.answer_limits import AnswerBytes, AnswerTooLargeError
-from celerytrack.bounded_connection import read_body
+from celerytrack.bounded_connection import AnsweredResponse, read_body
 from celerytrack.gateway.answer_ends import protocol_of, was_reset
 from celerytrack.gateway.attempt_failures import (
     CONNECT_ERRORS,
@@ -154,6 +154,8 @@
     if facts.request_id not in (None, exchange.facts.request_id):
         # The connection delivered another answer to an earlier request.
         return unusable_answer("answer to another request")
+    if facts.request_id is None and not _is_first(response):
+        return unusable_answer("an answer without id on a connection used before")
     if dispatch is not None:
         gateway.reach.record_heard(exchange.service, time.monotonic())
         _record_notices(gateway, exchange, dispatch, response, facts)
@@ -174,6 +176,10 @@
     return await _read_answer(dispatch, response, answer_bytes)
 
 
+def _is_first(response: aiohttp.ClientResponse) -> bool:
+    return isinstance(response, AnsweredResponse) and response.is_first
+
+
 def _record_notices(
     gateway: Gateway,
     exchange: Exchange,
--- a/src/celerytrack/http_session.py
+++ b/src/celerytrack/http_session.py
@@ -10,7 +10,7 @@
 import aiohttp
 
 from celerytrack.answer_limits import DEFAULT_LIMITS, AnswerLimits
-from celerytrack.bounded_connection import BoundedConnection
+from celerytrack.bounded_connection import AnsweredResponse, BoundedConnection
 
 ACK_TIMEOUT_MS = 1_500
 """A connection whose bytes are not acknowledged for this long is closed. Without this
@@ -164,6 +164,7 @@
         timeout=timeout or aiohttp.ClientTimeout(total=None),
         auto_decompress=auto_decompress,
         headers=headers,
+        response_class=AnsweredResponse,
         read_bufsize=READ_BUFFER_BYTES,
     )
 
