An answer without length that ends with its endpoint's process is not complete

What callers saw: three of six events as a whole stream, or a part of a plain answer as all of it, after the process of an endpoint was killed.

Cause: an answer may have no length and end with its connection. The kernel ends the connections of a killed process with FIN, as at the end of such an answer; only a reset counted as a break.

Such an answer counts as complete only if the endpoint's address still takes a connection: the kernel closes a process's listener before the connections that it accepted. Otherwise it broke off: a stream that can be resumed goes on elsewhere, the others are seen as incomplete, once-only calls as in doubt. An endpoint known to leave may close its listener first and still end its answers, so its FIN is believed. Each answer without length costs one connection, in addition to the one that it ends.

HTTP/1.0 is not mended by this. Left: a process that starts again within the moment, and one whose parent listens.

--- a/src/celerytrack/gateway/answer_ends.py
+++ b/src/celerytrack/gateway/answer_ends.py
@@ -4,10 +4,18 @@
 
 import aiohttp
 
+from celerytrack.gateway.state import Gateway
+from celerytrack.platform.http import Framing, framing_of
+from celerytrack.process_end import ConnectResult, probe_address
+from celerytrack.routing.endpoint import Endpoint
+
+PROCESS_ENDED = "an answer without length ended with its endpoint's process"
+"""Why such an answer isn't passed on, or not as complete."""
+
 
 def protocol_of(response: aiohttp.ClientResponse) -> asyncio.BaseProtocol | None:
-    connection = response.connection
     """The protocol of an answer's connection, while it has one."""
+    connection = response.connection
     return None if connection is None else connection.protocol
 
 
@@ -26,3 +34,20 @@
         return False
     exception = getattr(protocol, "exception", lambda: None)()
     return isinstance(exception, aiohttp.ClientOSError)
+
+
+async def ended_with_process(
+    gateway: Gateway, endpoint: Endpoint, response: aiohttp.ClientResponse
+) -> bool:
+    """Whether an answer without length ended since its endpoint's process did.
+
+    The connections of a process that is killed are closed as at the end of an answer,
+    after its listener. One that leaves may close its listener first, and still end its
+    answers.
+    """
+    if framing_of(response.headers) is not Framing.CONNECTION:
+        return False
+    if gateway.endpoints.is_leaving(endpoint):
+        return False
+    address = endpoint.registration.address
+    return await probe_address(address) is not ConnectResult.ACCEPTED
--- a/src/celerytrack/gateway/attempts.py
+++ b/src/celerytrack/gateway/attempts.py
@@ -9,7 +9,12 @@
 
 from celerytrack.answer_limits import AnswerBytes, AnswerTooLargeError
 from celerytrack.bounded_connection import read_body
-from celerytrack.gateway.answer_ends import protocol_of, was_reset
+from celerytrack.gateway.answer_ends import (
+    PROCESS_ENDED,
+    ended_with_process,
+    protocol_of,
+    was_reset,
+)
 from celerytrack.gateway.attempt_failures import (
     CONNECT_ERRORS,
     CONNECTION_ERRORS,
@@ -171,7 +176,7 @@
         return unusable_answer("success without signature or id")
     if exchange.route.stream and response.status == 200:
         return await relay_stream(gateway, exchange, dispatch, response)
-    return await _read_answer(dispatch, response, answer_bytes)
+    return await _read_answer(gateway, dispatch, response, answer_bytes)
 
 
 def _record_notices(
@@ -210,6 +215,7 @@
 
 
 async def _read_answer(
+    gateway: Gateway,
     dispatch: Dispatch | None,
     response: aiohttp.ClientResponse,
     answer_bytes: AnswerBytes,
@@ -224,6 +230,8 @@
     if was_reset(response, protocol):
         return unusable_answer("an answer without length was reset")
     if dispatch is not None:
+        if await ended_with_process(gateway, dispatch.endpoint, response):
+            return unusable_answer(PROCESS_ENDED)
         dispatch.record_first_output(time.monotonic())
     headers = returned_headers(response.headers)
     return Success(BufferedAnswer(response.status, headers, body))
--- a/src/celerytrack/gateway/stream_relay.py
+++ b/src/celerytrack/gateway/stream_relay.py
@@ -6,7 +6,12 @@
 from aiohttp import web
 from returns.result import Success
 
-from celerytrack.gateway.answer_ends import protocol_of, was_reset
+from celerytrack.gateway.answer_ends import (
+    PROCESS_ENDED,
+    ended_with_process,
+    protocol_of,
+    was_reset,
+)
 from celerytrack.gateway.attempt_failures import (
     CONNECTION_ERRORS,
     AttemptResult,
@@ -72,6 +77,8 @@
         return unusable_answer("a stream ended in the middle of an event")
     if exchange.response is None:
         return unusable_answer("a stream without events")
+    if dispatch and await ended_with_process(gateway, dispatch.endpoint, response):
+        return unusable_answer(PROCESS_ENDED)
     if events.lacks_event:
         return unusable_answer("a stream that should go on ended at once")
     return Success(None)
--- a/tests/test_killed_endpoints.py
+++ b/tests/test_killed_endpoints.py
@@ -14,6 +14,7 @@
 )
 
 CUT_AFTER = 3
+EVENTS = 6
 READ_S = 0.1
 
 
@@ -47,7 +48,33 @@
         self.assertEqual(answer.body.count(b"id: "), CUT_AFTER)
         self.assertFalse(answer.whole)
 
+    def test_a_plain_answer_of_a_killed_process_does_not_look_complete(self) -> None:
+        answer = asyncio.run(_ask_killed("/once/x"))
+        self.assertEqual(answer.status, 502)
 
-async def _ask_killed(path: str) -> RawAnswer:
-    async with Fleet(KilledEndpoint("i-0")) as fleet:
+    def test_a_resumable_stream_of_a_killed_process_goes_on_elsewhere(self) -> None:
+        answer = asyncio.run(_ask_killed("/resume/x", sound=True))
+        self.assertEqual(answer.body.count(b"id: "), EVENTS)
+        self.assertTrue(answer.whole)
+
+    def test_an_answer_of_a_process_that_lives_is_complete(self) -> None:
+        answer = asyncio.run(_ask_sound())
+        self.assertEqual(answer.body.count(b"id: "), EVENTS)
+        self.assertTrue(answer.whole)
+
+
+async def _go_on(request: RawRequest, writer: asyncio.StreamWriter) -> None:
+    after = int(request.header("Last-Event-Id") or 0)
+    rest = b"".join(event(number) for number in range(after + 1, EVENTS + 1))
+    writer.write(answer_head(request) + rest)
+
+
+async def _ask_killed(path: str, sound: bool = False) -> RawAnswer:
+    others = [RawEndpoint("i-1", _go_on)] if sound else []
+    async with Fleet(KilledEndpoint("i-0"), *others) as fleet:
         return await ask_raw(fleet, path, "r1")
+
+
+async def _ask_sound() -> RawAnswer:
+    async with Fleet(RawEndpoint("i-0", _go_on)) as fleet:
+        return await ask_raw(fleet, "/stream/x", "r1")
