Streams that break off reset the connections of callers of HTTP/1.0

What callers saw: a caller of HTTP/1.0 got the events so far, then FIN: an end that looks complete, where the stream had broken off, and also where the entry was killed.

Cause: without chunks the end of the connection is the end of the answer, and we closed it as usual; the kernel does the same for a killed process.

From its begin until it is whole, the connection of such a stream resets when it closes, whoever closes it; with the last byte it is set to end as usual.

Evidence: the stream that breaks off (FIN before, reset now) and the entry that gets SIGKILL as a process fail on the code before; a whole stream passes on both.

--- a/src/celerytrack/gateway/stream_relay.py
+++ b/src/celerytrack/gateway/stream_relay.py
@@ -26,6 +26,7 @@
 from celerytrack.platform.http import returned_headers
 from celerytrack.routing.endpoint import Dispatch
 from celerytrack.streams import OversizedEventError, RepeatedEventsError
+from celerytrack.unframed_answers import mark_begun, mark_whole
 from celerytrack.verdict import Reason, Verdict
 
 
@@ -103,6 +104,7 @@
     else:
         took_s = time.monotonic() - exchange.started_s
         gateway.telemetry.first_answer.labels(exchange.route.name).observe(took_s)
+    mark_begun(exchange.request)
     try:
         await answer.prepare(exchange.request)
     except ConnectionError:
@@ -123,6 +125,7 @@
     :raises CallerDisconnectedError: if the caller has disconnected.
     """
     assert exchange.response is not None
+    mark_whole(exchange.request)
     try:
         await exchange.response.write_eof()
     except ConnectionError:
