--- a/src/celerytrack/gateway/stream_relay.py
+++ b/src/celerytrack/gateway/stream_relay.py
@@ -7,7 +7,12 @@
 from returns.result import Success
 
 from celerytrack.event_order import Disorder, Standing
-from celerytrack.gateway.answer_ends import protocol_of, was_reset
+from celerytrack.gateway.answer_ends import (
+    PROCESS_ENDED,
+    ended_with_process,
+    protocol_of,
+    was_reset,
+)
 from celerytrack.gateway.attempt_failures import (
     CONNECTION_ERRORS,
     AttemptResult,
@@ -22,6 +27,7 @@
 from celerytrack.platform.http import returned_headers
 from celerytrack.routing.endpoint import Dispatch
 from celerytrack.streams import EventBatch, OversizedEventError
+from celerytrack.unframed_answers import mark_begun, mark_whole
 from celerytrack.verdict import Reason, Verdict
 
 
@@ -78,6 +84,8 @@
             return _out_of_order(received.disorder)
     if events.has_partial or was_reset(response, protocol):
         return unusable_answer("a stream ended in the middle of an event")
+    if dispatch and await ended_with_process(gateway, dispatch.endpoint, response):
+        return unusable_answer(PROCESS_ENDED)
     if (received := events.finish()) is not None:
         await _pass_on(gateway, exchange, dispatch, response, received)
     if exchange.response is None:
@@ -130,6 +138,7 @@
     else:
         took_s = time.monotonic() - exchange.started_s
         gateway.telemetry.first_answer.labels(exchange.route.name).observe(took_s)
+    mark_begun(exchange.request)
     try:
         await answer.prepare(exchange.request)
     except ConnectionError:
@@ -150,6 +159,7 @@
     :raises CallerDisconnectedError: if the caller has disconnected.
     """
     assert exchange.response is not None
+    mark_whole(exchange.request)
     try:
         await exchange.response.write_eof()
     except ConnectionError:
