A stream is charged by the configuration that admitted it

What operators saw: a version that no longer lists a service charged the streams that still ran there one token an event instead of seven, and their account spent 69,000 of 60,000 tokens. A version with fewer tokens an event did the same.

Cause: the tokens of an event were looked up as the request ended, in the newest configuration; a service that isn't there counted as one token.

They are kept with the request from its admission, and the larger of that and the newest value counts; if neither is known, all output tokens that were reserved.

--- a/src/celerytrack/gateway/admission.py
+++ b/src/celerytrack/gateway/admission.py
@@ -111,6 +111,7 @@
         cover the request, whatever other entries hold.
     """
     facts, account = exchange.facts, exchange.account
+    exchange.event_tokens = _event_tokens(gateway, exchange)
     tokens = facts.input_tokens + facts.output_tokens
     budgets = gateway.share_sync.budgets
     if account is None or not tokens or not budgets.is_limited(account):
@@ -169,15 +170,31 @@
     if not exchange.may_have_run:
         budgets.release(reservation)
         return
-    assert gateway.routing_table is not None
-    service = gateway.routing_table.services.get(exchange.service)
-    tokens_per_event = service.max_event_tokens if service else 1
     # A stream is charged one event more than was relayed: that event may have been
     # in transit to the caller when the stream ended.
     streamed = exchange.response is not None
-    output_tokens = (
-        exchange.events.event_count + (1 if streamed else 0)
-    ) * tokens_per_event
+    events = exchange.events.event_count + (1 if streamed else 0)
+    output_tokens = _streamed_tokens(gateway, exchange, events)
     budgets.commit(
         reservation, exchange.facts.input_tokens + output_tokens, time.monotonic()
     )
+
+
+def _event_tokens(gateway: Gateway, exchange: Exchange) -> int | None:
+    """Most output tokens in an event of the request's service, if it is configured."""
+    table = gateway.routing_table
+    service = table.services.get(exchange.service) if table else None
+    return service.max_event_tokens if service else None
+
+
+def _streamed_tokens(gateway: Gateway, exchange: Exchange, events: int) -> int:
+    """Output tokens that ``events`` events may hold.
+
+    A configuration that came into force meanwhile may list the service with fewer
+    tokens an event, or no longer; what runs was begun under the one before.
+    """
+    known = [exchange.event_tokens, _event_tokens(gateway, exchange)]
+    counts = [count for count in known if count is not None]
+    if events and not counts:
+        return exchange.facts.output_tokens
+    return events * max(counts, default=0)
--- a/src/celerytrack/gateway/exchange.py
+++ b/src/celerytrack/gateway/exchange.py
@@ -82,6 +82,8 @@
         connection, or another endpoint has their address now.
     :ivar limited: endpoints that were not chosen because their rate limit left no room.
     :ivar withheld: endpoints that were not chosen because they leave or back off.
+    :ivar event_tokens: most output tokens in one event of the service as the request
+        was admitted; ``None`` if it was not configured.
     :ivar reserved_at_s: when the maximum cost was reserved, or found to need no
         reservation.
     :ivar first_data_at_s: when the first events of the answer arrived.
@@ -118,6 +120,7 @@
     unreached: int = 0
     limited: list[EndpointId] = attrs.field(factory=list)
     withheld: set[EndpointId] = attrs.field(factory=set)
+    event_tokens: int | None = None
     reserved_at_s: float | None = None
     first_data_at_s: float | None = None
     choice: Choice | None = None
