Answers of endpoints that take no connection in time are complete

Callers of endpoints that answer without a length and had no room for one more connection got 502 for whole plain answers, and whole streams that looked broken: the check of whether the endpoint's process had ended took a connection that wasn't accepted in time for that. A process that has ended has no listener, and its machine refuses connections; a full one leaves them unanswered. Only a refusal counts now.

Before, the two cases of the new test failed: 502 for the plain answer, and a stream of six events that did not look complete.

--- a/src/celerytrack/gateway/answer_ends.py
+++ b/src/celerytrack/gateway/answer_ends.py
@@ -43,11 +43,11 @@
 
     The connections of a process that is killed are closed as at the end of an answer,
     after its listener. One that leaves may close its listener first, and still end its
-    answers.
+    answers. One that takes no connection in time may be at its limit of connections.
     """
     if framing_of(response.headers) is not Framing.CONNECTION:
         return False
     if gateway.endpoints.is_leaving(endpoint):
         return False
     address = endpoint.registration.address
-    return await probe_address(address) is not ConnectResult.ACCEPTED
+    return await probe_address(address) is ConnectResult.REFUSED
--- a/tests/test_killed_endpoints.py
+++ b/tests/test_killed_endpoints.py
@@ -3,6 +3,8 @@
 import asyncio
 import unittest
 
+from nose2.tools import params
+
 from tests.gateway_fleet import Fleet
 from tests.raw_endpoints import (
     RawAnswer,
@@ -16,6 +18,7 @@
 CUT_AFTER = 3
 EVENTS = 6
 READ_S = 0.1
+FILLED_S = 0.2
 
 
 class KilledEndpoint(RawEndpoint):
@@ -40,6 +43,36 @@
         self._server.close()
 
 
+class FullEndpoint(RawEndpoint):
+    """An endpoint that takes no more connections as its answers end."""
+
+    def __init__(self, name: str) -> None:
+        super().__init__(name, self._stream)
+        self._waiting: list[asyncio.StreamWriter] = []
+
+    async def start(self) -> "FullEndpoint":  # type: ignore[override]
+        self._server = await asyncio.start_server(
+            self._serve, "127.0.0.1", self.port, backlog=1
+        )
+        return self
+
+    async def cleanup(self) -> None:
+        for writer in self._waiting:
+            writer.close()
+        self._server.close()
+
+    async def _stream(self, request: RawRequest, writer: asyncio.StreamWriter) -> None:
+        listener = self._server.sockets[0].fileno()
+        asyncio.get_running_loop().remove_reader(listener)
+        try:
+            async with asyncio.timeout(FILLED_S):
+                while True:
+                    connection = await asyncio.open_connection("127.0.0.1", self.port)
+                    self._waiting.append(connection[1])
+        except TimeoutError:
+            await _go_on(request, writer)
+
+
 class KilledEndpointTest(unittest.TestCase):
     def test_a_stream_of_a_killed_process_does_not_look_complete(self) -> None:
         """The kernel ends the connections of a killed process with FIN, the end of an
@@ -62,6 +95,17 @@
         self.assertEqual(answer.body.count(b"id: "), EVENTS)
         self.assertTrue(answer.whole)
 
+    @params("/stream/x", "/once/x")
+    def test_an_answer_of_an_endpoint_without_room_for_connections_is_complete(
+        self, path: str
+    ) -> None:
+        """A connection that isn't accepted in time is no sign of a process that ended:
+        whole answers of endpoints at their limit of connections were refused."""
+        answer = asyncio.run(_ask_full(path))
+        self.assertEqual(answer.status, 200)
+        self.assertEqual(answer.body.count(b"id: "), EVENTS)
+        self.assertTrue(answer.whole)
+
 
 async def _go_on(request: RawRequest, writer: asyncio.StreamWriter) -> None:
     after = int(request.header("Last-Event-Id") or 0)
@@ -78,3 +122,8 @@
 async def _ask_sound() -> RawAnswer:
     async with Fleet(RawEndpoint("i-0", _go_on)) as fleet:
         return await ask_raw(fleet, "/stream/x", "r1")
+
+
+async def _ask_full(path: str) -> RawAnswer:
+    async with Fleet(FullEndpoint("i-0")) as fleet:
+        return await ask_raw(fleet, path, "r1")
