Answers of endpoints whose registration is removed are complete

Some endpoints leave without saying so: only their registration is removed, and they serve on for a while. Callers whose answers without a length ended after the listener was closed got 502 for a whole plain answer, or a whole stream that looked broken, since only a record or a word of leaving counted. An endpoint without registration now counts as one that leaves, as for crashes, and what it says while its address is checked counts too.

Before, both cases of the new test failed (502, and a stream that did not look complete). The registration of a process that is killed goes only long after its connections, so its answers are still refused; the tests of those pass as before.

--- a/src/celerytrack/gateway/answer_ends.py
+++ b/src/celerytrack/gateway/answer_ends.py
@@ -47,7 +47,16 @@
     """
     if framing_of(response.headers) is not Framing.CONNECTION:
         return False
-    if gateway.endpoints.is_leaving(endpoint):
+    if _is_leaving(gateway, endpoint):
         return False
     address = endpoint.registration.address
-    return await probe_address(address) is ConnectResult.REFUSED
+    if await probe_address(address) is not ConnectResult.REFUSED:
+        return False
+    # What it said may have arrived meanwhile.
+    return not _is_leaving(gateway, endpoint)
+
+
+def _is_leaving(gateway: Gateway, endpoint: Endpoint) -> bool:
+    """Whether an endpoint leaves; some only remove their registration before."""
+    is_registered = endpoint.deregistered_at_s is None
+    return not is_registered or gateway.endpoints.is_leaving(endpoint)
--- a/tests/test_killed_endpoints.py
+++ b/tests/test_killed_endpoints.py
@@ -5,6 +5,7 @@
 
 from nose2.tools import params
 
+from celerytrack.platform.topics import ENDPOINTS_TOPIC
 from tests.gateway_fleet import Fleet
 from tests.raw_endpoints import (
     RawAnswer,
@@ -19,6 +20,8 @@
 EVENTS = 6
 READ_S = 0.1
 FILLED_S = 0.2
+POLL_S = 0.02
+DEREGISTERED_S = 2.5
 
 
 class KilledEndpoint(RawEndpoint):
@@ -43,6 +46,21 @@
         self._server.close()
 
 
+class DeregisteredEndpoint(KilledEndpoint):
+    """An endpoint that leaves: its registration goes, then its listener."""
+
+    fleet: Fleet
+
+    async def _stream(self, request: RawRequest, writer: asyncio.StreamWriter) -> None:
+        self.fleet.log.put(ENDPOINTS_TOPIC, self.name, b"")
+        endpoints = self.fleet.gateways[0].endpoints
+        async with asyncio.timeout(DEREGISTERED_S):
+            while endpoints.registered_ids():
+                await asyncio.sleep(POLL_S)
+        self._server.close()
+        await _go_on(request, writer)
+
+
 class FullEndpoint(RawEndpoint):
     """An endpoint that takes no more connections as its answers end."""
 
@@ -95,6 +113,17 @@
         self.assertEqual(answer.body.count(b"id: "), EVENTS)
         self.assertTrue(answer.whole)
 
+    @params("/stream/x", "/once/x")
+    def test_an_answer_of_an_endpoint_that_is_deregistered_is_complete(
+        self, path: str
+    ) -> None:
+        """An endpoint whose registration is removed leaves: it closed its listener and
+        ended its answers, and they were refused."""
+        answer = asyncio.run(_ask_leaving(path))
+        self.assertEqual(answer.status, 200)
+        self.assertEqual(answer.body.count(b"id: "), EVENTS)
+        self.assertTrue(answer.whole)
+
     @params("/stream/x", "/once/x")
     def test_an_answer_of_an_endpoint_without_room_for_connections_is_complete(
         self, path: str
@@ -127,3 +156,10 @@
 async def _ask_full(path: str) -> RawAnswer:
     async with Fleet(FullEndpoint("i-0")) as fleet:
         return await ask_raw(fleet, path, "r1")
+
+
+async def _ask_leaving(path: str) -> RawAnswer:
+    endpoint = DeregisteredEndpoint("i-0")
+    async with Fleet(endpoint) as fleet:
+        endpoint.fleet = fleet
+        return await ask_raw(fleet, path, "r1")
