The test of a killed endpoint's resumable stream asks the killed one first

Which of two endpoints got the request was left to the choice, and it was the sound one: the test passed also without the check of whether the process had ended. Now whichever of two endpoints is asked first ends in its stream, the other goes on, and both must have been asked. Without the check (a trial, not kept) it fails now, with one endpoint asked.

--- a/tests/test_killed_endpoints.py
+++ b/tests/test_killed_endpoints.py
@@ -18,6 +18,7 @@
 
 CUT_AFTER = 3
 EVENTS = 6
+EACH_ONCE = [1, 1]
 READ_S = 0.1
 FILLED_S = 0.2
 POLL_S = 0.02
@@ -26,10 +27,14 @@
 
 class KilledEndpoint(RawEndpoint):
     """An endpoint that ends in a stream as a killed process does: its listener first,
-    then its connections, by FIN."""
+    then its connections, by FIN.
 
-    def __init__(self, name: str) -> None:
+    :param killed: names of those that have ended; only one of them does.
+    """
+
+    def __init__(self, name: str, killed: list[str] | None = None) -> None:
         super().__init__(name, self._stream)
+        self._killed = [] if killed is None else killed
 
     async def start(self) -> "KilledEndpoint":  # type: ignore[override]
         self._server = await asyncio.start_server(self._serve, "127.0.0.1", self.port)
@@ -39,6 +44,10 @@
         self._server.close()
 
     async def _stream(self, request: RawRequest, writer: asyncio.StreamWriter) -> None:
+        if self._killed:
+            await _go_on(request, writer)
+            return
+        self._killed.append(self.name)
         begun = b"".join(event(number) for number in range(1, CUT_AFTER + 1))
         writer.write(answer_head(request) + begun)
         await writer.drain()
@@ -104,7 +113,9 @@
         self.assertEqual(answer.status, 502)
 
     def test_a_resumable_stream_of_a_killed_process_goes_on_elsewhere(self) -> None:
-        answer = asyncio.run(_ask_killed("/resume/x", sound=True))
+        """Whichever endpoint is asked first is killed."""
+        answer, asked = asyncio.run(_ask_two())
+        self.assertEqual(asked, EACH_ONCE)
         self.assertEqual(answer.body.count(b"id: "), EVENTS)
         self.assertTrue(answer.whole)
 
@@ -142,12 +153,20 @@
     writer.write(answer_head(request) + rest)
 
 
-async def _ask_killed(path: str, sound: bool = False) -> RawAnswer:
-    others = [RawEndpoint("i-1", _go_on)] if sound else []
-    async with Fleet(KilledEndpoint("i-0"), *others) as fleet:
+async def _ask_killed(path: str) -> RawAnswer:
+    async with Fleet(KilledEndpoint("i-0")) as fleet:
         return await ask_raw(fleet, path, "r1")
 
 
+async def _ask_two() -> tuple[RawAnswer, list[int]]:
+    """The answer to a request, and how often each of two endpoints was asked."""
+    killed: list[str] = []
+    endpoints = [KilledEndpoint(f"i-{n}", killed) for n in range(2)]
+    async with Fleet(*endpoints) as fleet:
+        answer = await ask_raw(fleet, "/resume/x", "r1")
+    return answer, [len(endpoint.requests) for endpoint in endpoints]
+
+
 async def _ask_sound() -> RawAnswer:
     async with Fleet(RawEndpoint("i-0", _go_on)) as fleet:
         return await ask_raw(fleet, "/stream/x", "r1")
