Answers that end with one process share a probe of its address

Each answer without a length that ended made a connection of its own to its endpoint's address, all at once with a process that ends, and a plain answer of an endpoint that takes no connections waited up to 0.5 s for it. A probe that began before an answer ended doesn't show that the process lives: such an answer waits for the next one.

--- a/src/celerytrack/gateway/answer_ends.py
+++ b/src/celerytrack/gateway/answer_ends.py
@@ -1,12 +1,12 @@
 """Whether the end of an endpoint's answer is the end of its body."""
 
 import asyncio
+import time
 
 import aiohttp
 
 from celerytrack.gateway.state import Gateway
 from celerytrack.platform.http import Framing, framing_of
-from celerytrack.process_end import ConnectResult, probe_address
 from celerytrack.routing.endpoint import Endpoint
 
 PROCESS_ENDED = "an answer without length ended with its endpoint's process"
@@ -50,7 +50,8 @@
     if _is_leaving(gateway, endpoint):
         return False
     address = endpoint.registration.address
-    if await probe_address(address) is not ConnectResult.REFUSED:
+    probes = gateway.endpoint_doubts.end_probes
+    if not await probes.refuses(address, time.monotonic()):
         return False
     # What it said may have arrived meanwhile.
     return not _is_leaving(gateway, endpoint)
--- a/src/celerytrack/gateway/endpoint_doubts.py
+++ b/src/celerytrack/gateway/endpoint_doubts.py
@@ -12,6 +12,7 @@
 from cachetools import TTLCache
 
 from celerytrack.events import Event, log_event
+from celerytrack.gateway.end_probes import EndProbes
 from celerytrack.ids import EndpointId
 from celerytrack.origins.messages import EndpointEnded
 from celerytrack.process_end import ConnectResult, probe_address
@@ -37,6 +38,7 @@
     :param is_reached: whether another entry reaches an endpoint that refuses
         connections here.
     :param tell: tells the other entries that an incarnation has ended.
+    :ivar end_probes: those for answers that end.
     """
 
     def __init__(
@@ -50,6 +52,7 @@
         self._is_reached = is_reached
         self._tell = tell
         self._rng = rng
+        self.end_probes = EndProbes()
         self._heard: TTLCache[EndpointEnded, None] = TTLCache(MAX_HEARD, DOUBT_S)
         self._checks: set[asyncio.Task[None]] = set()
         self._check_of: dict[EndpointId, asyncio.Task[None]] = {}
