An endpoint's end is told to others also if another process came up meanwhile

An entry that finds an endpoint's address refusing connections asks others whether they reach it, as its own link may be cut, and tells them of the end only if they don't. If the endpoint had started again at its address by then, they reached the new process, and the end wasn't told: entries without a connection took its old registration for true and could record the old version as the origin of a stream that the new one began, which then went on at the old version elsewhere. Now the entry connects once more itself: an address that refused it and takes a connection now runs another process, while a link that is cut still refuses.

Before, the new test failed: no one was told.

--- a/src/celerytrack/gateway/endpoint_doubts.py
+++ b/src/celerytrack/gateway/endpoint_doubts.py
@@ -132,9 +132,20 @@
 
     async def _tell_others(self, endpoint: Endpoint, ended: EndpointEnded) -> None:
         await asyncio.sleep(self._rng.uniform(0.0, MAX_TELL_DELAY_S))
-        if ended not in self._heard and not await self._is_reached(endpoint):
-            self._heard[ended] = None
-            self._tell(ended)
+        if ended in self._heard or await self._only_link_is_cut(endpoint):
+            return
+        self._heard[ended] = None
+        self._tell(ended)
+
+    async def _only_link_is_cut(self, endpoint: Endpoint) -> bool:
+        """Whether an endpoint that refused a connection lives, and others reach it.
+
+        If it takes one by now, they may have reached a process that has come up since.
+        """
+        if not await self._is_reached(endpoint):
+            return False
+        result = await probe_address(endpoint.registration.address)
+        return result is not ConnectResult.ACCEPTED
 
 
 def _ended(endpoint: Endpoint) -> EndpointEnded:
--- a/tests/test_endpoint_doubts.py
+++ b/tests/test_endpoint_doubts.py
@@ -259,6 +259,25 @@
 
         asyncio.run(check())
 
+    async def test_others_are_told_of_an_end_after_which_another_process_has_begun(
+        self,
+    ) -> None:
+        """Others reached the process that had come up at the address by then, so those
+        without a connection took it for the one before."""
+        port = free_port()
+        pool = pool_of(registration(port=port), registration("b", NEW))
+        told: list[EndpointEnded] = []
+
+        async def is_reached(endpoint: object) -> bool:
+            await _serve(self, port)
+            return True
+
+        doubts = EndpointDoubts(pool, is_reached, told.append, random.Random(1))
+        doubts.record_sign(pool._endpoints[A], 1.0)
+        await asyncio.gather(*doubts._checks)
+        self.assertEqual(told, [EndpointEnded(A, 0)])
+        self.assertIsNone(choose(pool, OLD))
+
     async def test_what_another_entry_saw_is_in_doubt_here(self) -> None:
         """A stream began at an endpoint that only others had seen end."""
         pool = pool_of(registration(), registration("b", NEW))
