--- a/src/celerytrack/gateway/answer_ends.py
+++ b/src/celerytrack/gateway/answer_ends.py
@@ -1,12 +1,12 @@
 """Whether the end of an endpoint's answer is the end of its body."""
 
 import asyncio
+import time
 
 import aiohttp
 
 from celerytrack.gateway.state import Gateway
 from celerytrack.platform.http import Framing, framing_of
-from celerytrack.process_end import ConnectResult, probe_address
 from celerytrack.routing.endpoint import Endpoint
 
 PROCESS_ENDED = "an answer without length ended with its endpoint's process"
@@ -43,11 +43,21 @@
 
     The connections of a process that is killed are closed as at the end of an answer,
     after its listener. One that leaves may close its listener first, and still end its
-    answers.
+    answers. One that takes no connection in time may be at its limit of connections.
     """
     if framing_of(response.headers) is not Framing.CONNECTION:
         return False
-    if gateway.endpoints.is_leaving(endpoint):
+    if _is_leaving(gateway, endpoint):
         return False
     address = endpoint.registration.address
-    return await probe_address(address) is not ConnectResult.ACCEPTED
+    probes = gateway.endpoint_doubts.end_probes
+    if not await probes.refuses(address, time.monotonic()):
+        return False
+    # What it said may have arrived meanwhile.
+    return not _is_leaving(gateway, endpoint)
+
+
+def _is_leaving(gateway: Gateway, endpoint: Endpoint) -> bool:
+    """Whether an endpoint leaves; some only remove their registration before."""
+    is_registered = endpoint.deregistered_at_s is None
+    return not is_registered or gateway.endpoints.is_leaving(endpoint)
--- a/tests/test_killed_endpoints.py
+++ b/tests/test_killed_endpoints.py
@@ -3,6 +3,9 @@
 import asyncio
 import unittest
 
+from nose2.tools import params
+
+from celerytrack.platform.topics import ENDPOINTS_TOPIC
 from tests.gateway_fleet import Fleet
 from tests.raw_endpoints import (
     RawAnswer,
@@ -15,15 +18,23 @@
 
 CUT_AFTER = 3
 EVENTS = 6
+EACH_ONCE = [1, 1]
 READ_S = 0.1
+FILLED_S = 0.2
+POLL_S = 0.02
+DEREGISTERED_S = 2.5
 
 
 class KilledEndpoint(RawEndpoint):
     """An endpoint that ends in a stream as a killed process does: its listener first,
-    then its connections, by FIN."""
+    then its connections, by FIN.
 
-    def __init__(self, name: str) -> None:
+    :param killed: names of those that have ended; only one of them does.
+    """
+
+    def __init__(self, name: str, killed: list[str] | None = None) -> None:
         super().__init__(name, self._stream)
+        self._killed = [] if killed is None else killed
 
     async def start(self) -> "KilledEndpoint":  # type: ignore[override]
         self._server = await asyncio.start_server(self._serve, "127.0.0.1", self.port)
@@ -33,6 +44,10 @@
         self._server.close()
 
     async def _stream(self, request: RawRequest, writer: asyncio.StreamWriter) -> None:
+        if self._killed:
+            await _go_on(request, writer)
+            return
+        self._killed.append(self.name)
         begun = b"".join(event(number) for number in range(1, CUT_AFTER + 1))
         writer.write(answer_head(request) + begun)
         await writer.drain()
@@ -40,6 +55,51 @@
         self._server.close()
 
 
+class DeregisteredEndpoint(KilledEndpoint):
+    """An endpoint that leaves: its registration goes, then its listener."""
+
+    fleet: Fleet
+
+    async def _stream(self, request: RawRequest, writer: asyncio.StreamWriter) -> None:
+        self.fleet.log.put(ENDPOINTS_TOPIC, self.name, b"")
+        endpoints = self.fleet.gateways[0].endpoints
+        async with asyncio.timeout(DEREGISTERED_S):
+            while endpoints.registered_ids():
+                await asyncio.sleep(POLL_S)
+        self._server.close()
+        await _go_on(request, writer)
+
+
+class FullEndpoint(RawEndpoint):
+    """An endpoint that takes no more connections as its answers end."""
+
+    def __init__(self, name: str) -> None:
+        super().__init__(name, self._stream)
+        self._waiting: list[asyncio.StreamWriter] = []
+
+    async def start(self) -> "FullEndpoint":  # type: ignore[override]
+        self._server = await asyncio.start_server(
+            self._serve, "127.0.0.1", self.port, backlog=1
+        )
+        return self
+
+    async def cleanup(self) -> None:
+        for writer in self._waiting:
+            writer.close()
+        self._server.close()
+
+    async def _stream(self, request: RawRequest, writer: asyncio.StreamWriter) -> None:
+        listener = self._server.sockets[0].fileno()
+        asyncio.get_running_loop().remove_reader(listener)
+        try:
+            async with asyncio.timeout(FILLED_S):
+                while True:
+                    connection = await asyncio.open_connection("127.0.0.1", self.port)
+                    self._waiting.append(connection[1])
+        except TimeoutError:
+            await _go_on(request, writer)
+
+
 class KilledEndpointTest(unittest.TestCase):
     def test_a_stream_of_a_killed_process_does_not_look_complete(self) -> None:
         """The kernel ends the connections of a killed process with FIN, the end of an
@@ -53,7 +113,9 @@
         self.assertEqual(answer.status, 502)
 
     def test_a_resumable_stream_of_a_killed_process_goes_on_elsewhere(self) -> None:
-        answer = asyncio.run(_ask_killed("/resume/x", sound=True))
+        """Whichever endpoint is asked first is killed."""
+        answer, asked = asyncio.run(_ask_two())
+        self.assertEqual(asked, EACH_ONCE)
         self.assertEqual(answer.body.count(b"id: "), EVENTS)
         self.assertTrue(answer.whole)
 
@@ -62,6 +124,28 @@
         self.assertEqual(answer.body.count(b"id: "), EVENTS)
         self.assertTrue(answer.whole)
 
+    @params("/stream/x", "/once/x")
+    def test_an_answer_of_an_endpoint_that_is_deregistered_is_complete(
+        self, path: str
+    ) -> None:
+        """An endpoint whose registration is removed leaves: it closed its listener and
+        ended its answers, and they were refused."""
+        answer = asyncio.run(_ask_leaving(path))
+        self.assertEqual(answer.status, 200)
+        self.assertEqual(answer.body.count(b"id: "), EVENTS)
+        self.assertTrue(answer.whole)
+
+    @params("/stream/x", "/once/x")
+    def test_an_answer_of_an_endpoint_without_room_for_connections_is_complete(
+        self, path: str
+    ) -> None:
+        """A connection that isn't accepted in time is no sign of a process that ended:
+        whole answers of endpoints at their limit of connections were refused."""
+        answer = asyncio.run(_ask_full(path))
+        self.assertEqual(answer.status, 200)
+        self.assertEqual(answer.body.count(b"id: "), EVENTS)
+        self.assertTrue(answer.whole)
+
 
 async def _go_on(request: RawRequest, writer: asyncio.StreamWriter) -> None:
     after = int(request.header("Last-Event-Id") or 0)
@@ -69,12 +153,32 @@
     writer.write(answer_head(request) + rest)
 
 
-async def _ask_killed(path: str, sound: bool = False) -> RawAnswer:
-    others = [RawEndpoint("i-1", _go_on)] if sound else []
-    async with Fleet(KilledEndpoint("i-0"), *others) as fleet:
+async def _ask_killed(path: str) -> RawAnswer:
+    async with Fleet(KilledEndpoint("i-0")) as fleet:
         return await ask_raw(fleet, path, "r1")
 
 
+async def _ask_two() -> tuple[RawAnswer, list[int]]:
+    """The answer to a request, and how often each of two endpoints was asked."""
+    killed: list[str] = []
+    endpoints = [KilledEndpoint(f"i-{n}", killed) for n in range(2)]
+    async with Fleet(*endpoints) as fleet:
+        answer = await ask_raw(fleet, "/resume/x", "r1")
+    return answer, [len(endpoint.requests) for endpoint in endpoints]
+
+
 async def _ask_sound() -> RawAnswer:
     async with Fleet(RawEndpoint("i-0", _go_on)) as fleet:
         return await ask_raw(fleet, "/stream/x", "r1")
+
+
+async def _ask_full(path: str) -> RawAnswer:
+    async with Fleet(FullEndpoint("i-0")) as fleet:
+        return await ask_raw(fleet, path, "r1")
+
+
+async def _ask_leaving(path: str) -> RawAnswer:
+    endpoint = DeregisteredEndpoint("i-0")
+    async with Fleet(endpoint) as fleet:
+        endpoint.fleet = fleet
+        return await ask_raw(fleet, path, "r1")
