Own interface: a kept connection's next answer must name its request

What callers saw: a replica answered a call twice, the second time late. The next call on that connection got the second answer as its own, once-only calls too, and it was kept for the repeats of that call; a late 503 said of a call that runs that it did not.

Cause: a plain answer bears no id, and whatever came on a connection was taken for the answer to the last request sent on it. The head of a chat's answer was taken the same way.

Replicas are sent X-Request-Id already. An answer that repeats it is its request's; the first one of a connection is too, whatever it says, as replicas may use ids of their own or none. Any other is given up, logged (event 712) and counts as a fault of the replica: the call may have run. A connection is kept only after an answer that repeats the id. The cost: a replica that does not repeat it is connected to anew for each call. The stand-ins repeat it now. A replica that repeats it on its successes only, and rejects on a kept connection without it, has such a rejection taken for a call that may have run.

--- a/src/celerytrack/entry/calls.py
+++ b/src/celerytrack/entry/calls.py
@@ -1,17 +1,22 @@
 """How one attempt reaches a replica: from here, or through another entry."""
 
+import logging
 import time
 from collections.abc import Awaitable, Callable
 from typing import Any
 
 import aiohttp
 
+from celerytrack.entry.identified_answers import REQUEST_ID_HEADER, is_own_answer
 from celerytrack.entry.state import EntryState
+from celerytrack.events import Event, log_event
 from celerytrack.http_session import WithheldError
 from celerytrack.ids import RequestId, ServiceName
 from celerytrack.routing.replica_load import ReplicaLoad
 from celerytrack.verdict import Reason, Refusal, did_not_run, may_have_run
 
+_log = logging.getLogger(__name__)
+
 CONNECT_ERRORS = (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError)
 """Errors raised before a connection was made: the replica received nothing."""
 CONNECTION_ERRORS = (aiohttp.ClientError, TimeoutError, ConnectionError)
@@ -58,7 +63,7 @@
         sent_at_s = time.monotonic()
         try:
             answer = await state.upstream.post(
-                url, json=body, headers={"X-Request-Id": request_id}
+                url, json=body, headers={REQUEST_ID_HEADER: request_id}
             )
         except WithheldError:
             raise CallFailedError(replica_withheld()) from None
@@ -69,7 +74,25 @@
             state.record_unreached(replica, sent=True)
             raise CallFailedError(replica_failed()) from None
         state.reach.record_heard(service, time.monotonic())
+        if not is_own_answer(answer):
+            answer.close()
+            _log_not_own(answer, replica, request_id)
+            raise CallFailedError(replica_failed())
         state.notices.record_answer(replica, answer, sent_at_s, request_id)
         return answer
 
     return post
+
+
+def _log_not_own(
+    answer: aiohttp.ClientResponse, replica: ReplicaLoad, request_id: RequestId
+) -> None:
+    log_event(
+        _log,
+        Event.ANSWER_NOT_OWN,
+        logging.WARNING,
+        request_id=request_id,
+        endpoint=replica.replica_id,
+        status=answer.status,
+        answers=answer.headers.get(REQUEST_ID_HEADER),
+    )
--- a/src/celerytrack/entry/state.py
+++ b/src/celerytrack/entry/state.py
@@ -15,6 +15,7 @@
 from celerytrack.entry.config_follower import ConfigFollower
 from celerytrack.entry.fleet_view import EntryInfo, FleetView
 from celerytrack.entry.grant_manager import GrantManager
+from celerytrack.entry.identified_answers import IdentifiedResponse
 from celerytrack.entry.metrics import EntryMetrics
 from celerytrack.entry.notices import EntryNotices
 from celerytrack.entry.peers import HEARTBEAT_S, Heartbeat, PeerLink
@@ -169,6 +170,7 @@
             may_send=self._may_send_to,
             on_connected=self._on_connected,
             headers={"X-Client": self.entry_id},
+            response_class=IdentifiedResponse,
         )
         self._relay_session = make_http_session(
             UPSTREAM_IDLE_S,
--- a/src/celerytrack/http_session.py
+++ b/src/celerytrack/http_session.py
@@ -141,6 +141,7 @@
     on_connected: Callable[[str], None] | None = None,
     headers: Mapping[str, str] | None = None,
     limits: AnswerLimits = DEFAULT_LIMITS,
+    response_class: type[AnsweredResponse] = AnsweredResponse,
 ) -> aiohttp.ClientSession:
     """Make a session without a limit on connections.
 
@@ -152,6 +153,7 @@
     :param on_connected: called with ``host:port`` when a new connection was made.
     :param headers: headers of every request.
     :param limits: bounds of the answers.
+    :param response_class: how the head of an answer is read.
     """
     connector = GatedConnector(
         limit=0, keepalive_timeout=idle_s, socket_factory=make_socket
@@ -164,7 +166,7 @@
         timeout=timeout or aiohttp.ClientTimeout(total=None),
         auto_decompress=auto_decompress,
         headers=headers,
-        response_class=AnsweredResponse,
+        response_class=response_class,
         read_bufsize=READ_BUFFER_BYTES,
     )
 
--- a/src/celerytrack/standins/_common.py
+++ b/src/celerytrack/standins/_common.py
@@ -50,6 +50,13 @@
     return [web.post("/_faults", set_faults), web.get("/_faults", get_faults)]
 
 
+async def echo_request_id(request: web.Request, answer: web.StreamResponse) -> None:
+    """Say in an answer, as it is prepared, to which request it belongs."""
+    request_id = request.headers.get("X-Request-Id")
+    if request_id is not None:
+        answer.headers["X-Request-Id"] = request_id
+
+
 async def apply_faults(faults: Faults, request: web.Request) -> web.Response | None:
     """Delay, drop or refuse ``request`` as the faults say.
 
--- a/src/celerytrack/standins/engine.py
+++ b/src/celerytrack/standins/engine.py
@@ -28,7 +28,12 @@
 from celerytrack.origins.origin import VERSION_HEADER
 from celerytrack.prompts import BLOCK_TOKENS, count_tokens, prompt_blocks, prompt_text
 from celerytrack.sse import DONE_EVENT, event_bytes
-from celerytrack.standins._common import Faults, apply_faults, faults_routes
+from celerytrack.standins._common import (
+    Faults,
+    apply_faults,
+    echo_request_id,
+    faults_routes,
+)
 from celerytrack.standins.crashes import MarkedCrash
 from celerytrack.standins.notices import SaidNotices
 
@@ -323,6 +328,7 @@
         )
 
     app = web.Application(client_max_size=4 * 1024 * 1024)
+    app.on_response_prepare.append(echo_request_id)
     app.add_routes(
         [
             web.post("/v1/chat/completions", completions),
--- a/src/celerytrack/standins/service.py
+++ b/src/celerytrack/standins/service.py
@@ -13,7 +13,13 @@
 import attrs
 from aiohttp import web
 
-from celerytrack.standins._common import Faults, apply_faults, faults_routes, lose_reply
+from celerytrack.standins._common import (
+    Faults,
+    apply_faults,
+    echo_request_id,
+    faults_routes,
+    lose_reply,
+)
 from celerytrack.standins.crashes import MarkedCrash
 from celerytrack.standins.notices import SaidNotices
 
@@ -93,6 +99,7 @@
         )
 
     app = web.Application()
+    app.on_response_prepare.append(echo_request_id)
     app.add_routes(
         [
             web.post("/call/{operation}", call),
