Own interface: a chat ends at its first [DONE]

What callers saw: an engine wrote its answer again after [DONE]. Where the second run came with the first end in one read, both were relayed, as one answer, stored and billed so.

Cause: only a [DONE] that was the last event of what had been read ended the answer.

The first one does now, wherever it stands; the rest is dropped. As before, a connection whose answer has not ended after it isn't used again.

Evidence: the row of one large read fails before, passes now; the rows of small reads pass on both.

--- a/src/celerytrack/sse.py
+++ b/src/celerytrack/sse.py
@@ -70,9 +70,10 @@
             return b""
         block = bytes(partial[:end])
         del partial[:end]
-        if block.endswith(_DONE):
+        done_at = _find_done(block)
+        if done_at >= 0:
             self.complete = True
-            block = block[: -len(_DONE)]
+            block = block[:done_at]
         out = block if self._has_only_own_events(block) else self._own_events(block)
         if out:
             self._count_tokens(out)
@@ -109,6 +110,14 @@
             self.tokens += out.count(_EVENT_END)
 
 
+def _find_done(block: bytes) -> int:
+    """Where the first event that ends an answer begins, -1 if there is none."""
+    if block.startswith(_DONE):
+        return 0
+    at = block.find(_EVENT_END + _DONE)
+    return at if at < 0 else at + len(_EVENT_END)
+
+
 def _parse(event: bytes) -> dict[str, Any] | None:
     if not event.startswith(_DATA_PREFIX):
         return None
--- a/tests/test_sse.py
+++ b/tests/test_sse.py
@@ -57,6 +57,18 @@
         relay.feed(OURS)
         self.assertEqual(relay.feed(_event("r1", "late")), b"")
 
+    @params(1, 40, 1000)
+    def test_an_answer_begun_again_after_its_end_is_dropped(self, size):
+        """An engine wrote its answer twice; what came together with the first end was
+        relayed."""
+        again = _event("r1", "x", 1) + _event("r1", "y", 2) + DONE_EVENT
+        for twice in (OURS + again, OURS + again[:-5]):
+            relay = AnswerRelay(RequestId("r1"))
+            pieces = (twice[i : i + size] for i in range(0, len(twice), size))
+            out = b"".join(relay.feed(piece) for piece in pieces)
+            self.assertEqual(out + DONE_EVENT, OURS)
+            self.assertEqual((relay.tokens, relay.complete), (2, True))
+
     def test_an_event_that_was_cut_off_is_relayed_whole(self):
         relay = AnswerRelay(RequestId("r1"))
         first, second = _event("r1", "a", 1), _event("r1", "b", 2)
