--- /dev/null
+++ b/tests/process_soak/__init__.py
@@ -0,0 +1,1 @@
+"""A soak of real processes: entries, endpoints that stutter, faults from outside."""
