The soak of processes: upgrades, restarts over a pause, callers that leave, other bytes

Endpoints refuse requests for another lifetime (421), send interim answers, cut plain answers short and add bytes that are no answer. They come back as another version, or start again while all entries are paused. Callers leave and take streams up at once. Checked besides: the receipt of a stream, bytes that are no answer, the version over take-ups.

--- a/tests/process_soak/__main__.py
+++ b/tests/process_soak/__main__.py
@@ -8,7 +8,7 @@
 import tempfile
 
 from tests.gateway_processes import ROOT
-from tests.process_soak.endpoint import EXTRA_STUTTERS, STREAM_STUTTERS
+from tests.process_soak.endpoint import STUTTERS
 from tests.process_soak.plan import FAULTS
 from tests.process_soak.soak import Found, Options, soak
 
@@ -24,8 +24,7 @@
     parser.add_argument("--entries", type=int, default=3)
     parser.add_argument("--endpoints", type=int, default=5)
     parser.add_argument("--faults", type=_names, default=FAULTS)
-    stutters = STREAM_STUTTERS + EXTRA_STUTTERS
-    parser.add_argument("--stutters", type=_names, default=stutters)
+    parser.add_argument("--stutters", type=_names, default=STUTTERS)
     parser.add_argument("--tree", type=pathlib.Path, default=ROOT)
     parser.add_argument("--keep", type=pathlib.Path, help="folder for what is kept")
     return parser.parse_args(arguments)
--- a/tests/process_soak/callers.py
+++ b/tests/process_soak/callers.py
@@ -17,6 +17,7 @@
     """A request of a caller.
 
     :ivar after: the last event that the caller has of the stream; 0 for none.
+    :ivar leaves_after: bytes after which the caller leaves; ``None`` if it stays.
     """
 
     request_id: str
@@ -24,6 +25,7 @@
     version: str = "1.1"
     keeps: bool = True
     after: int = 0
+    leaves_after: int | None = None
 
     def data(self) -> bytes:
         """The bytes of the request."""
@@ -58,6 +60,8 @@
         self.is_open = False
         self._slow = slow
         self._buffer = b""
+        self._at_end = False
+        self._leaves_at: int | None = None
         self._socket: socket.socket | None = None
 
     async def open(self, address: str) -> None:
@@ -87,6 +91,9 @@
         loop = asyncio.get_running_loop()
         try:
             async with asyncio.timeout(ANSWER_WITHIN_S):
+                self._leaves_at = None
+                if request.leaves_after is not None:
+                    self._leaves_at = len(self.received) + request.leaves_after
                 await loop.sock_sendall(self._socket, request.data())
                 answer = await self._read_answer()
         except (OSError, TimeoutError) as error:
@@ -97,11 +104,11 @@
             self.close()
         return answer
 
-    _at_end = False
-
     async def _fill(self) -> bool:
         """Read some bytes; tell whether there were any."""
         assert self._socket is not None
+        if self._leaves_at is not None and len(self.received) >= self._leaves_at:
+            raise ConnectionAbortedError("the caller has left")
         size = 200 if self._slow else 65_536
         if self._slow:
             await asyncio.sleep(0.01)
@@ -111,11 +118,17 @@
         self._at_end = self._at_end or not data
         return bool(data)
 
-    async def _read_answer(self) -> Answer:
+    async def _read_head(self) -> bytes:
         while b"\r\n\r\n" not in self._buffer:
             if not await self._fill():
                 raise BrokenError("the connection ended before a head")
         head, _, self._buffer = self._buffer.partition(b"\r\n\r\n")
+        return head
+
+    async def _read_answer(self) -> Answer:
+        head = await self._read_head()
+        while re.match(rb"HTTP/1\.1 1\d\d", head):
+            head = await self._read_head()
         found = re.match(rb"HTTP/1\.[01] (\d{3})", head)
         if found is None:
             return Answer(0, head, self._buffer, True)
--- a/tests/process_soak/endpoint.py
+++ b/tests/process_soak/endpoint.py
@@ -22,7 +22,9 @@
     "cut_new_run",
     "short",
 )
-EXTRA_STUTTERS = ("extra_at_once", "extra_late", "extra_halves")
+PLAIN_STUTTERS = ("plain_short", "interim")
+EXTRA_STUTTERS = ("extra_at_once", "extra_late", "extra_halves", "extra_garbage")
+STUTTERS = STREAM_STUTTERS + PLAIN_STUTTERS + EXTRA_STUTTERS
 
 
 class Endpoint:
@@ -106,12 +108,12 @@
         path = head.split(" ", 2)[1]
         request_id = _header(head, "X-Attempt-Id")
         fields = {"id": request_id, "path": path}
+        expected = _header(head, "X-Expect-Replica")
+        if expected not in ("", endpoint.name):
+            await self._refuse("421 Another", fields)
+            return True
         if rng.random() < 0.03:
-            endpoint.record(did="refused", **fields)
-            body = json.dumps({"request": request_id, "refused": True}).encode()
-            await self._write_plain(
-                request_id, "503 Full", body, "length", ("X-Not-Executed: 1",)
-            )
+            await self._refuse("503 Full", fields)
             return True
         run = endpoint.next_run()
         after = int(_header(head, "Last-Event-Id") or 0)
@@ -130,11 +132,36 @@
             status = "500 Failed" if fails else "200 OK"
             size = rng.choice((0, 50, 3_000, 40_000))
             body = _plain_body(request_id, run, size)
+            stutter = endpoint.stutter(PLAIN_STUTTERS)
+            endpoint.record(
+                did="plain", id=request_id, run=run, stutter=stutter, framing=framing
+            )
+            if stutter == "interim":
+                await self._send(_interim(request_id))
+            if stutter == "plain_short" and framing != "end":
+                await self._write_part(request_id, status, body, framing)
+                return False
             await self._write_plain(request_id, status, body, framing, ())
         self._start_extra(request_id, run, framing)
         self._earlier_id = request_id
         return framing != "end"
 
+    async def _refuse(self, status: str, fields: dict[str, str]) -> None:
+        self._endpoint.record(did="refused", status=status, **fields)
+        request_id = fields["id"]
+        body = json.dumps({"request": request_id, "refused": True}).encode()
+        await self._write_plain(
+            request_id, status, body, "length", ("X-Not-Executed: 1",)
+        )
+
+    async def _write_part(
+        self, request_id: str, status: str, body: bytes, framing: str
+    ) -> None:
+        """Write an answer that ends inside its body."""
+        async with self._lock:
+            head = _head(request_id, request_id, status, framing, len(body), ())
+            await self._send(head + _framed(body, framing)[:-1])
+
     async def _send(self, data: bytes) -> None:
         """Write in pieces of any size."""
         rng = self._endpoint.rng
@@ -189,7 +216,11 @@
         if is_short:
             pieces = pieces[: len(pieces) // 2]
         async with self._lock:
-            await self._send(_head(request_id, run, "200 OK", framing, 0, STREAM))
+            if endpoint.stutter(("interim",)):
+                await self._send(_interim(request_id))
+            await self._send(
+                _head(request_id, request_id, "200 OK", framing, 0, STREAM)
+            )
             for piece in pieces:
                 await self._send(_framed(piece, framing))
                 await asyncio.sleep(pause_s)
@@ -213,6 +244,8 @@
         body = _plain_body(request_id, run, rng.choice((0, 200)))
         seal_of = named or request_id
         data = _head(named, seal_of, status, "length", len(body), headers) + body
+        if kind == "extra_garbage":
+            data = rng.choice((b"\r\n", b"garbage\r\n\r\n", body + data, data[9:]))
         self._endpoint.record(did=kind, id=request_id, named=named, status=status)
         try:
             if kind != "extra_at_once":
@@ -256,6 +289,10 @@
     return "".join(f"{line}\r\n" for line in lines).encode() + b"\r\n"
 
 
+def _interim(request_id: str) -> bytes:
+    return f"HTTP/1.1 103 Early Hints\r\nX-Attempt-Id: {request_id}\r\n\r\n".encode()
+
+
 def _framed(data: bytes, framing: str) -> bytes:
     return b"%x\r\n%s\r\n" % (len(data), data) if framing == "chunked" else data
 
--- a/tests/process_soak/judging.py
+++ b/tests/process_soak/judging.py
@@ -71,8 +71,8 @@
         return None
 
 
-def stream_faults(answer: Answer, token: str, after: int) -> list[str]:
-    """What is wrong with a stream that goes on after ``after``."""
+def stream_faults(answer: Answer, request_id: str, token: str, after: int) -> list[str]:
+    """What is wrong with the stream ``token`` that goes on after ``after``."""
     events, faults = parse_events(answer.body)
     if not answer.looks_whole:
         # An event may be cut where the stream is.
@@ -82,7 +82,8 @@
         numbers = [after, *(event.number for event in events)]
         if numbers[-1] > numbers[-2] + 1:
             faults = [GAP_BEFORE_CUT]
-    if any(event.stream != token for event in events):
+    is_sealed = answer.header("X-Response-Seal") == f"seal.{request_id}"
+    if not is_sealed or any(event.stream != token for event in events):
         faults.append("of_another_request")
     last = events[-1] if events else None
     if answer.looks_whole and (last is None or last.number != last.last):
@@ -109,13 +110,15 @@
 
 def plain_faults(answer: Answer, request_id: str) -> list[str]:
     """What is wrong with an answer to a plain request."""
-    if not answer.looks_whole:
-        return []
+    if not 200 <= answer.status < 600:
+        return ["no_answer"]
     seal = answer.header("X-Response-Seal")
     if not seal:
-        return ["success_without_seal"] if 200 <= answer.status < 300 else []
+        return ["success_without_seal"] if answer.status < 300 else []
     if seal != f"seal.{request_id}":
         return ["of_another_request"]
+    if not answer.looks_whole:
+        return []
     try:
         body = json.loads(answer.body)
     except ValueError:
--- a/tests/process_soak/plan.py
+++ b/tests/process_soak/plan.py
@@ -8,6 +8,8 @@
     "endpoint_kill",
     "endpoint_term",
     "endpoint_pause",
+    "endpoint_upgrade",
+    "restart_over_pause",
     "entry_kill",
     "entry_term",
     "entry_pause",
@@ -21,6 +23,8 @@
 class Fault:
     """One fault.
 
+    :ivar kind: ``endpoint_upgrade`` kills an endpoint, which comes back as a new
+        version; ``restart_over_pause`` one that starts again while entries are paused.
     :ivar target: number of the entry or endpoint.
     :ivar for_s: how long it lasts; a killed process starts again after it.
     """
@@ -42,6 +46,7 @@
         at_s = rng.uniform(0.3, 3.0)
         while at_s < seconds - 1.0:
             target = rng.randrange(count)
-            plan.append(Fault(at_s, name, target, rng.uniform(0.1, 1.5)))
+            for_s = rng.uniform(0.1, 1.5)
+            plan.append(Fault(at_s, name, target, for_s))
             at_s += rng.expovariate(1 / 2.5) + 0.2
     return sorted(plan, key=lambda fault: fault.at_s)
--- a/tests/process_soak/processes.py
+++ b/tests/process_soak/processes.py
@@ -58,6 +58,7 @@
 class EndpointProcess:
     """An endpoint that starts again under another id.
 
+    :ivar version: of the software that it starts with.
     :param proxied: whether a proxy stands before it. Its answers are framed then: a
         proxy takes connections also where the process is gone.
     """
@@ -66,6 +67,7 @@
         self._i = i
         self._options = options
         self._lifetime = 0
+        self.version = 1
         self._port = free_port()
         self.proxy = Proxy(free_port(), self._port) if proxied else None
         self._process: asyncio.subprocess.Process | None = None
@@ -84,6 +86,7 @@
             "zone": "z",
             "slots": 8,
             "state": state,
+            "version": f"v{self.version}",
         }
         return json.dumps(data).encode()
 
@@ -94,7 +97,7 @@
         text = json.dumps(
             {
                 "name": self.name,
-                "version": 1,
+                "version": self.version,
                 "port": self._port,
                 "seed": f"{options.seed} {self.name}",
                 "framed": self.proxy is not None,
--- a/tests/process_soak/soak.py
+++ b/tests/process_soak/soak.py
@@ -173,8 +173,26 @@
         await asyncio.sleep(fault.for_s)
         await entry.spawn()
 
+    async def _restart_over_pause(self, endpoint: EndpointProcess) -> None:
+        """Start an endpoint again before any entry can see that it ended."""
+        for entry in self.entries:
+            entry.signal(signal.SIGSTOP)
+        try:
+            endpoint.signal(signal.SIGKILL)
+            await endpoint.wait(4.0)
+            older = endpoint.name
+            await endpoint.start()
+        finally:
+            for entry in self.entries:
+                entry.signal(signal.SIGCONT)
+        self.log.put(ENDPOINTS_TOPIC, older, b"")
+        self.log.put(ENDPOINTS_TOPIC, endpoint.name, endpoint.registration())
+
     async def _play_endpoint(self, fault: Fault) -> None:
         endpoint = self.endpoints[fault.target]
+        if fault.kind == "restart_over_pause":
+            await self._restart_over_pause(endpoint)
+            return
         if fault.kind == "endpoint_pause":
             endpoint.signal(signal.SIGSTOP)
             try:
@@ -189,6 +207,8 @@
             endpoint.signal(signal.SIGTERM)
         else:
             endpoint.signal(signal.SIGKILL)
+        if fault.kind == "endpoint_upgrade":
+            endpoint.version += 1
         await endpoint.wait(4.0)
         await asyncio.sleep(fault.for_s / 2)
         self.log.put(ENDPOINTS_TOPIC, endpoint.name, b"")
@@ -252,7 +272,8 @@
     ) -> Request:
         version = "1.0" if rng.random() < 0.2 else "1.1"
         keeps = version == "1.1" and rng.random() < 0.7
-        return Request(request_id, path, version, keeps, after)
+        leaves_after = rng.randrange(2_000) if rng.random() < 0.08 else None
+        return Request(request_id, path, version, keeps, after, leaves_after)
 
     async def _ask(self, caller: Caller, request: Request) -> Answer | None:
         self.found.asked[request.request_id] = request.path
@@ -284,7 +305,7 @@
     ) -> None:
         """Ask for a stream, and take it up elsewhere where it broke off."""
         path = f"/{kind}/{name}-{rng.randrange(3, 25)}"
-        after = 0
+        after, version = 0, 0
         taken: Caller | None = caller
         for turn in range(TAKE_UPS if kind == "resume" else 1):
             if taken is None:
@@ -293,11 +314,14 @@
                 request = self._request(rng, f"{name}t{turn}", path, after)
                 answer = await self._ask(taken, request)
                 if answer is not None and answer.status == 200:
-                    faults = stream_faults(answer, name, after)
+                    faults = stream_faults(answer, request.request_id, name, after)
                     events, _ = parse_events(answer.body)
                     faults = self._without_swapped(kind, faults, events)
                     self._blame(kind, faults, request, taken)
+                    if events and version not in (0, events[0].version):
+                        self._blame(kind, ["version_taken_up"], request, taken)
                     after = events[-1].number if events else after
+                    version = events[-1].version if events else version
                     if answer.looks_whole:
                         break
                 elif answer is not None:
--- a/tests/test_process_soak.py
+++ b/tests/test_process_soak.py
@@ -9,7 +9,7 @@
 from nose2.tools import params
 
 from tests.gateway_processes import ROOT
-from tests.process_soak.endpoint import EXTRA_STUTTERS, STREAM_STUTTERS
+from tests.process_soak.endpoint import STUTTERS
 from tests.process_soak.judging import (
     Answer,
     plain_faults,
@@ -30,7 +30,7 @@
         entries=2,
         endpoints=4,
         faults=FAULTS,
-        stutters=STREAM_STUTTERS + EXTRA_STUTTERS,
+        stutters=STUTTERS,
         tree=ROOT,
         folder=pathlib.Path(folder),
     )
@@ -92,13 +92,17 @@
         (_event(1) + _event(2, stream="t"), False, ["of_another_request"]),
     )
     def test_streams(self, body: bytes, whole: bool, faults: list[str]) -> None:
-        answer = Answer(200, b"HTTP/1.1 200 OK", body, whole)
-        self.assertEqual(stream_faults(answer, "s", 0), faults)
+        head = b"HTTP/1.1 200 OK\r\nX-Response-Seal: seal.r\r\n"
+        answer = Answer(200, head, body, whole)
+        self.assertEqual(stream_faults(answer, "r", "s", 0), faults)
+        mixed = stream_faults(answer, "q", "s", 0)
+        self.assertIn("of_another_request", mixed)
 
     @params(
         (200, "seal.r", b'{"request": "r"}', []),
         (500, "seal.r", b'{"request": "r"}', []),
         (502, "", b"", []),
+        (0, "", b"garbage", ["no_answer"]),
         (200, "", b'{"request": "r"}', ["success_without_seal"]),
         (500, "seal.q", b'{"request": "q"}', ["of_another_request"]),
         (200, "seal.r", b'{"request": "q"}', ["of_another_request"]),
