--- a/tests/process_soak/__main__.py
+++ b/tests/process_soak/__main__.py
@@ -25,6 +25,7 @@
     parser.add_argument("--endpoints", type=int, default=5)
     parser.add_argument("--faults", type=_names, default=FAULTS)
     parser.add_argument("--stutters", type=_names, default=STUTTERS)
+    parser.add_argument("--framed", action="store_true", help="each answer is")
     parser.add_argument("--tree", type=pathlib.Path, default=ROOT)
     parser.add_argument("--keep", type=pathlib.Path, help="folder for what is kept")
     return parser.parse_args(arguments)
@@ -51,6 +52,7 @@
         stutters=given.stutters,
         tree=given.tree.resolve(),
         folder=folder,
+        unframed=not given.framed,
     )
     found = asyncio.run(soak(options))
     print(f"seed {given.seed}, {given.seconds:g} s")
