Empty lines between events whose lines end with CR LF are passed on

Callers of a stream with lines that end with CR LF, and with more than one empty line after an event, got the stream without some of those bytes.

Cause: the end of the last complete event is searched backwards in the buffer, the events are then told apart from the begin of the block. The two searches meet empty lines differently, and what stood after the last event's end by the second was dropped.

Evidence: a property test found "\n\r\n\n" before the change (it came out as "\n\r\n"). The last event now always ends where the block does, so no byte can remain.

--- a/src/celerytrack/streams.py
+++ b/src/celerytrack/streams.py
@@ -114,6 +114,8 @@
     def _split(self, block: bytes) -> list[bytes]:
         if self._has_cr:
             ends = [found.end() for found in _ANY_EVENT_END.finditer(block)]
+            # Empty lines beyond the last event's own belong to it.
+            ends[-1] = len(block)
             return [block[a:b] for a, b in zip([0, *ends], ends, strict=False)]
         if block.count(_EVENT_END) == 1:
             return [block]
