Fields and ids that contain text like an id no longer break sound streams

Callers of a sound stream with a field such as "grid: 5" or an id such as "uid: 5" got its event without the begin, or the stream ended there.

Cause: an event with another id inside, outside a field's text, was taken at once for one that was cut and joined with the first of a run that begins again. Nothing compared it with what follows.

Such an event is now held back until the next one tells: only if that goes back, the run has begun again. It is parted at once only if it was cut in or before the name of its data field and comes again at once with the same bytes; at the end, only if what would be the second event came before, byte for byte. No event is held whose inner number is higher than its own, since no run can begin again there. What is missing stays so until an event follows that comes after the cut, not one of the same piece before it.

A run cut inside an id or inside the text of a field, and begun again at just that event, looks like a sound event and is passed on as one.

--- a/src/celerytrack/event_order.py
+++ b/src/celerytrack/event_order.py
@@ -12,7 +12,6 @@
 MAX_RECENT = 128
 """Events of which a repeat is known by its bytes; one that is older ends the answer."""
 _OWN_NUMBER = re.compile(rb"^id: *([0-9]{1,40})\r?$", re.M)
-_JOINED = re.compile(rb"id: *([0-9]{1,40})\r?\n(?=[a-z]+:)")
 
 
 class Standing(enum.Enum):
@@ -72,6 +71,11 @@
         self.disorder = Disorder(standing, number, self.newest)
         return standing
 
+    def is_repeat(self, event: bytes) -> bool:
+        """Whether an event came before, byte for byte."""
+        number = number_of(event)
+        return number is not None and self._recent.get(number) == hash(event)
+
     def _standing_of_earlier(self, number: int, event: bytes) -> Standing:
         known = self._recent.get(number)
         if known == hash(event):
@@ -90,33 +94,3 @@
     """The number in an event's id, or ``None`` if its id is none."""
     found = _OWN_NUMBER.search(event)
     return None if found is None else int(found[1])
-
-
-@attrs.frozen
-class Joined:
-    """An event that may be two: one that was cut, and one that begins a run again.
-
-    :ivar rest: what would be the second.
-    :ivar is_certain: whether it can be nothing else.
-    """
-
-    rest: bytes
-    is_certain: bool
-
-
-def find_join(event: bytes) -> Joined | None:
-    """Find the begin of another event inside an event."""
-    at = event.find(b"id:")
-    begins_line = at <= 0 or event[at - 1 : at] == b"\n"
-    if begins_line and event.count(b"id:") < 2:
-        return None
-    own = _OWN_NUMBER.search(event)
-    own_at = -1 if own is None else own.start()
-    found = [m for m in _JOINED.finditer(event) if m.start() > max(own_at, 0)]
-    if not found:
-        return None
-    at = found[-1].start()
-    line = event[event.rfind(b"\n", 0, at) + 1 : at]
-    # Before it, a field's text may hold anything; anything else is a field cut short.
-    in_text = b":" in line and not line.startswith(b"id")
-    return Joined(event[at:], is_certain=not in_text)
--- a/src/celerytrack/streams.py
+++ b/src/celerytrack/streams.py
@@ -9,9 +9,9 @@
     Disorder,
     EventOrder,
     Standing,
-    find_join,
     number_of,
 )
+from celerytrack.joined_events import Joined, Judgement, find_join
 
 _EVENT_END = b"\n\n"
 _CR = b"\r"
@@ -61,7 +61,7 @@
     order: EventOrder = attrs.field(factory=EventOrder)
     _buffer: bytearray = attrs.field(factory=bytearray)
     _has_cr: bool = False
-    _held: bytes = b""
+    _held: Joined | None = None
 
     @property
     def has_partial(self) -> bool:
@@ -85,21 +85,27 @@
             return None
         block = bytes(buffer[:end])
         del buffer[:end]
-        return self._batch(self._split(block))
+        return self._judged(self._split(block))
 
     def finish(self) -> EventBatch | None:
         """Return what was held back when the answer has ended."""
-        held, self._held = self._held, b""
-        return self._judged([held]) if held else None
+        held, self._held = self._held, None
+        if held is None:
+            return None
+        is_joined = held.is_joined_at_end(self.order.is_repeat(held.rest))
+        following: list[bytes] = []
+        event = self._parted(held) if is_joined else held.event
+        disorder = None if self._follows(event, following) else self.order.disorder
+        return self._batch(following, disorder) if following or disorder else None
 
     def resume(self, last_id: str | None) -> None:
         """Go on with a new connection, which sends an incomplete event anew.
 
         :param last_id: the event after which the stream goes on; ``None`` if it begins.
         """
-        self.lacks_event |= self.has_partial or bool(self._held)
+        self.lacks_event |= self.has_partial or self._held is not None
         self._buffer.clear()
-        self._held = b""
+        self._held = None
         is_number = last_id is not None and _NUMBER.fullmatch(last_id) is not None
         self.order = EventOrder(int(last_id) if last_id and is_number else None)
 
@@ -122,51 +128,56 @@
         events = block[: -len(_EVENT_END)].split(_EVENT_END)
         return [event + _EVENT_END for event in events]
 
-    def _batch(self, events: list[bytes]) -> EventBatch | None:
-        """Events that are one each.
+    def _judged(self, events: list[bytes]) -> EventBatch | None:
+        """The events that follow those before them, each once.
 
-        One that may be two is held back until the next one tells: if that goes back,
-        the first part was cut and a run begins again with the second.
+        One that may be two is held back until the next one tells.
         """
-        single: list[bytes] = []
+        following: list[bytes] = []
         for event in events:
-            if self._held:
-                single.append(self._released(event))
-            joined = find_join(event)
-            if joined is None:
-                single.append(event)
-            elif joined.is_certain:
-                self.lacks_event = True
-                single.append(joined.rest)
-            else:
-                self._held = event
-        return self._judged(single)
+            if self._held is not None and not self._follows(
+                self._released(event), following
+            ):
+                break
+            single = self._single(event)
+            if single is not None and not self._follows(single, following):
+                break
+        else:
+            return self._batch(following, None) if following else None
+        return self._batch(following, self.order.disorder)
+
+    def _follows(self, event: bytes, following: list[bytes]) -> bool:
+        """Add an event to those that follow; return whether the answer goes on."""
+        standing = self.order.judge(event)
+        if standing is Standing.NEXT:
+            following.append(event)
+            self.lacks_event = False
+        return standing in (Standing.NEXT, Standing.REPEAT)
+
+    def _single(self, event: bytes) -> bytes | None:
+        """An event that is one, or ``None`` if what follows must tell."""
+        joined = find_join(event, self.order.newest)
+        judgement = Judgement.ONE if joined is None else joined.judge_alone()
+        if joined is None or judgement is Judgement.ONE:
+            return event
+        if judgement is Judgement.JOINED:
+            return self._parted(joined)
+        self._held = joined
+        return None
 
     def _released(self, following: bytes) -> bytes:
-        held, self._held = self._held, b""
-        number, next_number = number_of(held), number_of(following)
-        joined = find_join(held)
-        if number is None or next_number is None or next_number > number or not joined:
-            return held
+        held, self._held = self._held, None
+        assert held is not None
+        is_joined = held.is_joined_before(number_of(following))
+        return self._parted(held) if is_joined else held.event
+
+    def _parted(self, joined: Joined) -> bytes:
         self.lacks_event = True
         return joined.rest
 
-    def _judged(self, events: list[bytes]) -> EventBatch | None:
-        """The events that follow those before them, each once."""
-        following: list[bytes] = []
-        disorder = None
-        for event in events:
-            standing = self.order.judge(event)
-            if standing is Standing.NEXT:
-                following.append(event)
-            elif standing is not Standing.REPEAT:
-                disorder = self.order.disorder
-                break
-        if not following and disorder is None:
-            return None
+    def _batch(self, following: list[bytes], disorder: Disorder | None) -> EventBatch:
         block = b"".join(following)
         last_id = last_event_id(block)
-        self.lacks_event = self.lacks_event and not following
         self.event_count += len(following)
         self.last_id = last_id or self.last_id
         return EventBatch(block, len(following), last_id, disorder)
