An address that takes a connection must still be that of the same process

Cause: a connection that is accepted was taken for a sign that the process lives.

The process at the address is asked who it is, at its service's health path and with the id that is expected. Another id, or its refusal to be that one, shows that the endpoint has ended; so does an address that refuses after it closed the connection. An endpoint that doesn't answer in 0.25 s is believed to live: it is busy.

--- a/src/celerytrack/gateway/answer_ends.py
+++ b/src/celerytrack/gateway/answer_ends.py
@@ -5,6 +5,7 @@
 
 import aiohttp
 
+from celerytrack.gateway.identity_checks import has_other_process
 from celerytrack.gateway.state import Gateway
 from celerytrack.platform.http import Framing, framing_of
 from celerytrack.routing.endpoint import Endpoint
@@ -53,6 +54,7 @@
     address = endpoint.registration.address
     probes = gateway.endpoint_doubts.end_probes
     if not await probes.refuses(address, time.monotonic()):
-        return False
+        path = gateway.health_path(endpoint.registration.service)
+        return await has_other_process(endpoint, path)
     # What it said may have arrived meanwhile.
     return not gateway.endpoints.is_leaving(endpoint)
--- /dev/null
+++ b/src/celerytrack/gateway/identity_checks.py
@@ -0,0 +1,77 @@
+"""Asks an endpoint's address which process is there now.
+
+A process that is killed may be followed by another one at its address before anybody
+looks, and its listener may take a last connection as it closes.
+"""
+
+import asyncio
+import enum
+import socket
+
+from celerytrack import http_session
+from celerytrack.ids import EndpointId
+from celerytrack.platform.http import encode_identity_check, is_from_other
+from celerytrack.routing.endpoint import Endpoint
+
+MAX_WAIT_S = 0.25
+"""Longest time for which the end of an answer waits for one check."""
+RETRY_DELAYS_S = (0.0, 0.02, 0.05)
+"""Delays before the checks while connections are closed without an answer: a listener
+that closes refuses soon after, an endpoint at its limit of connections goes on."""
+_MAX_HEAD_BYTES = 16_384
+_HEAD_END = b"\r\n\r\n"
+
+
+class Identity(enum.Enum):
+    """What a check says of the process at an address."""
+
+    SAME = "same"
+    """It is the endpoint, or nothing says otherwise."""
+    OTHER = "other"
+    NONE = "none"
+    CLOSED = "closed"
+    """The connection was closed without an answer."""
+
+
+async def has_other_process(endpoint: Endpoint, health_path: str) -> bool:
+    """Whether an endpoint's process isn't at its address any more."""
+    for delay_s in RETRY_DELAYS_S:
+        await asyncio.sleep(delay_s)
+        identity = await check_identity(
+            endpoint.registration.address, endpoint.endpoint_id, health_path
+        )
+        if identity is not Identity.CLOSED:
+            return identity is not Identity.SAME
+    return False
+
+
+async def check_identity(
+    address: str, endpoint_id: EndpointId, health_path: str
+) -> Identity:
+    """Ask the process at ``address`` whether it is ``endpoint_id``."""
+    host, port = address.rsplit(":", 1)
+    target = (host, int(port))
+    sock = http_session.make_socket(
+        (socket.AF_INET, socket.SOCK_STREAM, socket.IPPROTO_TCP, "", target)
+    )
+    loop = asyncio.get_running_loop()
+    head = b""
+    try:
+        async with asyncio.timeout(MAX_WAIT_S):
+            await loop.sock_connect(sock, target)
+            request = encode_identity_check(address, health_path, endpoint_id)
+            await loop.sock_sendall(sock, request)
+            while _HEAD_END not in head and len(head) < _MAX_HEAD_BYTES:
+                data = await loop.sock_recv(sock, _MAX_HEAD_BYTES)
+                if not data:
+                    return Identity.CLOSED
+                head += data
+    except ConnectionRefusedError:
+        return Identity.NONE
+    except TimeoutError:
+        return Identity.SAME
+    except OSError:
+        return Identity.CLOSED
+    finally:
+        sock.close()
+    return Identity.OTHER if is_from_other(head, endpoint_id) else Identity.SAME
--- a/src/celerytrack/gateway/state.py
+++ b/src/celerytrack/gateway/state.py
@@ -58,7 +58,7 @@
 from celerytrack.routing.endpoints import EndpointPool
 from celerytrack.routing.leaving_bounds import LeavingBounds
 from celerytrack.routing.retries import RetryBudget
-from celerytrack.routing.routes import RoutingTable
+from celerytrack.routing.routes import DEFAULT_HEALTH_PATH, RoutingTable
 
 _log = logging.getLogger(__name__)
 
@@ -384,6 +384,11 @@
         known = self.routing_table.services.get(service)
         return known.max_connections if known else 1
 
+    def health_path(self, service: ServiceName) -> str:
+        """The path at which an endpoint of ``service`` says who it is."""
+        known = self.routing_table.services.get(service) if self.routing_table else None
+        return known.health_path if known else DEFAULT_HEALTH_PATH
+
     def retry_budget(self, service: ServiceName, now_s: float) -> RetryBudget:
         """The retry budget for ``service``, with this entry's share of the burst."""
         shares = self.share_sync.members.caller_split(now_s).rate_limit_shares
--- a/src/celerytrack/platform/config.py
+++ b/src/celerytrack/platform/config.py
@@ -5,6 +5,7 @@
 
 from celerytrack.ids import AccountId, ServiceName
 from celerytrack.routing.routes import (
+    DEFAULT_HEALTH_PATH,
     DEFAULT_MAX_BODY_BYTES,
     ClientAccount,
     RetrySafety,
@@ -71,6 +72,9 @@
 class _Service:
     name: str
     connLimit: int = attrs.field(default=100, validator=v.ge(1))
+    healthPath: str = attrs.field(
+        default=DEFAULT_HEALTH_PATH, validator=v.matches_re(r"/[!-~]*")
+    )
     engine: _Engine | None = None
 
 
@@ -153,6 +157,7 @@
     return Service(
         name=ServiceName(data.name),
         max_connections=data.connLimit,
+        health_path=data.healthPath,
         # The stride is the step between the token counts of two consecutive events.
         max_event_tokens=data.engine.stride if data.engine else 1,
     )
--- a/src/celerytrack/platform/http.py
+++ b/src/celerytrack/platform/http.py
@@ -24,6 +24,7 @@
 _SEAL = "X-Response-Seal"
 _NOT_RUN = "X-Not-Executed"
 _EXPECTED = "X-Expect-Replica"
+_NAMED = "X-Replica-Id"
 _ACCOUNT = "X-Tenant"
 _URGENCY = "X-Request-Urgency"
 RELAY_HEADER = "Celerytrack-Relay"
@@ -307,6 +308,27 @@
     )
 
 
+def encode_identity_check(address: str, path: str, endpoint_id: EndpointId) -> bytes:
+    """A request that asks the process at ``address`` whether it is ``endpoint_id``."""
+    lines = (
+        f"GET {path} HTTP/1.1",
+        f"Host: {address}",
+        f"{_EXPECTED}: {endpoint_id}",
+        "Connection: close",
+    )
+    return "\r\n".join((*lines, "", "")).encode()
+
+
+def is_from_other(head: bytes, endpoint_id: EndpointId) -> bool:
+    """Whether the head of the answer to such a request shows another endpoint."""
+    status_line, *lines = head.partition(b"\r\n\r\n")[0].split(b"\r\n")
+    if status_line.split(b" ")[1:2] == [b"421"]:
+        return True
+    fields = (line.partition(b":") for line in lines)
+    named = [v.strip() for k, _, v in fields if k.lower() == _NAMED.lower().encode()]
+    return bool(named) and named != [endpoint_id.encode()]
+
+
 def encode_addresses(addresses: list[str], ttl_s: float) -> dict[str, Any]:
     """The body of an address answer."""
     return {"addresses": addresses, "ttlS": ttl_s}
--- a/src/celerytrack/routing/routes.py
+++ b/src/celerytrack/routing/routes.py
@@ -11,6 +11,8 @@
 
 from celerytrack.ids import AccountId, ServiceName
 
+DEFAULT_HEALTH_PATH = "/health"
+"""Path at which endpoints say who they are if the configuration names none."""
 DEFAULT_MAX_BODY_BYTES = 4 * 1024 * 1024
 """Largest request body if the configuration sets no limit."""
 
@@ -65,12 +67,14 @@
     """One service: a set of endpoints that serve the same requests.
 
     :ivar max_connections: connections that one endpoint accepts from all entries.
+    :ivar health_path: path at which an endpoint says who it is.
     :ivar max_event_tokens: most output tokens in one event of a model engine's stream.
     """
 
     name: ServiceName
     max_connections: int
     max_event_tokens: int = 1
+    health_path: str = DEFAULT_HEALTH_PATH
 
 
 @attrs.frozen
