A stream to a caller of HTTP/1.0 is whole once it has left this process

Cause: the connection was set to end as usual before the last bytes had been handed to the kernel. An entry that was killed then would have closed it as after a whole answer.

The buffer of the connection is emptied first, then the connection is set to end as usual.

--- a/src/celerytrack/gateway/stream_relay.py
+++ b/src/celerytrack/gateway/stream_relay.py
@@ -27,7 +27,7 @@
 from celerytrack.platform.http import returned_headers
 from celerytrack.routing.endpoint import Dispatch
 from celerytrack.streams import EventBatch, OversizedEventError
-from celerytrack.unframed_answers import mark_begun, mark_whole
+from celerytrack.unframed_answers import mark_begun, mark_whole, send_at_once
 from celerytrack.verdict import Reason, Verdict
 
 
@@ -159,8 +159,9 @@
     :raises CallerDisconnectedError: if the caller has disconnected.
     """
     assert exchange.response is not None
-    mark_whole(exchange.request)
+    send_at_once(exchange.request)
     try:
         await exchange.response.write_eof()
+        mark_whole(exchange.request)
     except ConnectionError:
         raise CallerDisconnectedError from None
--- a/src/celerytrack/unframed_answers.py
+++ b/src/celerytrack/unframed_answers.py
@@ -4,6 +4,7 @@
 which the kernel sends also if this process is killed, once lingering is switched off.
 """
 
+import asyncio
 import socket
 import struct
 
@@ -23,6 +24,12 @@
     _set_linger(request, _RESET_AT_CLOSE)
 
 
+def send_at_once(request: web.BaseRequest) -> None:
+    """Have the end of the answer wait until all of it has left this process."""
+    if is_unframed(request) and isinstance(request.transport, asyncio.WriteTransport):
+        request.transport.set_write_buffer_limits(0)
+
+
 def mark_whole(request: web.BaseRequest) -> None:
     """Have the connection end as usual."""
     _set_linger(request, _END_AT_CLOSE)
