Own interface: the events of a chat answer belong to one run, each once

What callers saw: an engine repeated events or began its run again in one answer; the caller got all of it, as a whole answer, which was stored for repeats. A cut event joined with the next was dropped and the rest looked whole.

Cause: token counts were only added up, never compared.

The gateway's rule judges events by their token counts now: repeats are dropped; another run, or an event that is two, ends the attempt, and the answer goes on elsewhere after the last token. After a late event the answer is cut, as the caller lacks one.

The neighbouring fleet tests were not run on this commit.

--- a/src/celerytrack/entry/chat.py
+++ b/src/celerytrack/entry/chat.py
@@ -50,6 +50,10 @@
     """The engine's stream ended before the answer was complete."""
 
 
+class _LacksEventError(Exception):
+    """The caller lacks an event before the last one that it has: nothing mends that."""
+
+
 @attrs.define
 class _Answer:
     """One answer in progress.
@@ -117,6 +121,10 @@
     except _CallerDisconnectedError:
         await _bill_disconnected(state, answer, reservation)
         raise ConnectionResetError from None
+    except _LacksEventError:
+        state.grant_manager.escrow.release(reservation)
+        late = may_have_run(Reason.UPSTREAM_CUT, 1.0, "an event came late")
+        return await _answer_refusal(state, answer, late)
     except asyncio.CancelledError:
         state.grant_manager.escrow.release(reservation)
         raise
@@ -157,7 +165,10 @@
             return Failure(bad_status(upstream.status))
         if not _is_of_version(upstream, sent, answer):
             return Failure(replica_failed())
-        await _relay_events(state, request, sent, upstream, answer)
+        try:
+            await _relay_events(state, request, sent, upstream, answer)
+        finally:
+            _log_disorder(sent, answer)
         return Success(None)
     except _IncompleteStreamError:
         answer.relay.resume()
@@ -192,6 +203,25 @@
     return True
 
 
+def _log_disorder(sent: Attempt, answer: _Answer) -> None:
+    relay = answer.relay
+    disorder = relay.order.disorder
+    if disorder is None and not relay.is_disordered:
+        return
+    log_event(
+        _log,
+        Event.ANSWER_DISORDERED,
+        logging.WARNING,
+        request_id=answer.admitted.request_id,
+        endpoint=sent.replica.replica_id,
+        standing="joined" if disorder is None else disorder.standing.value,
+        number=None if disorder is None else disorder.number,
+        after=relay.order.newest,
+        repeats=relay.order.repeats,
+        ended=relay.is_disordered,
+    )
+
+
 async def _response_ended(upstream: aiohttp.ClientResponse) -> bool:
     """Whether the engine ends its response after ``[DONE]``."""
     try:
@@ -211,6 +241,7 @@
     """Relay the engine's events until the answer is complete.
 
     :raises _IncompleteStreamError: if the engine's stream ends before that.
+    :raises _LacksEventError: if an event came after a later one.
     :raises _CallerDisconnectedError: if the caller's connection is closed.
     """
     relay = answer.relay
@@ -229,17 +260,37 @@
         if relay.tokens > answer.max_tokens:
             # The engine goes on without end; the caller has paid for no more.
             raise _IncompleteStreamError
-        if not out:
-            continue
-        if not sent.answered and relay.tokens > tokens_before:
-            sent.record_first_token(time.time())
-            answer.version = sent.version = sent.replica.version
-        try:
-            if answer.response is None:
-                answer.response = await _start_response(state, request, answer)
-            await answer.response.write(out)
-        except ConnectionError:
-            raise _CallerDisconnectedError from None
+        if out:
+            await _write(state, request, sent, answer, out, tokens_before)
+        if relay.lacks_event:
+            sent.replica.record_failure(time.time())
+            raise _LacksEventError
+        if relay.is_disordered:
+            raise _IncompleteStreamError
+
+
+async def _write(
+    state: EntryState,
+    request: web.Request,
+    sent: Attempt,
+    answer: _Answer,
+    out: bytes,
+    tokens_before: int,
+) -> None:
+    """Write events to the caller.
+
+    :param tokens_before: that the caller had before this attempt.
+    :raises _CallerDisconnectedError: if the caller's connection is closed.
+    """
+    if not sent.answered and answer.relay.tokens > tokens_before:
+        sent.record_first_token(time.time())
+        answer.version = sent.version = sent.replica.version
+    try:
+        if answer.response is None:
+            answer.response = await _start_response(state, request, answer)
+        await answer.response.write(out)
+    except ConnectionError:
+        raise _CallerDisconnectedError from None
 
 
 async def _start_response(
--- a/src/celerytrack/sse.py
+++ b/src/celerytrack/sse.py
@@ -12,6 +12,7 @@
 import attrs
 
 from celerytrack.answer_limits import DEFAULT_LIMITS, AnswerTooLargeError
+from celerytrack.event_order import EventOrder, Standing
 from celerytrack.ids import RequestId
 
 _EVENT_END = b"\n\n"
@@ -38,15 +39,21 @@
     :ivar tokens: output tokens received, as the engine counts them
         (``usage.completion_tokens``, cumulative), otherwise one per event.
     :ivar complete: whether the engine ended the stream with ``[DONE]``.
+    :ivar is_disordered: whether an event came that does not follow: what the replica
+        sends after it is no part of the answer.
+    :ivar order: of the events of the present connection, by their token counts.
     :ivar relayed: all bytes relayed so far.
     """
 
     request_id: RequestId
     tokens: int = 0
     complete: bool = False
+    is_disordered: bool = False
+    order: EventOrder = attrs.field(factory=EventOrder)
     relayed: bytearray = attrs.field(factory=bytearray)
     _partial: bytearray = attrs.field(factory=bytearray)
     _event_head: bytes = attrs.field(init=False)
+    _goes_on: bool = False
 
     def __attrs_post_init__(self) -> None:
         self._event_head = f'data: {{"id": "{self.request_id}"'.encode()
@@ -56,7 +63,7 @@
 
         :raises AnswerTooLargeError: if an event is too large.
         """
-        if self.complete:
+        if self.complete or self.is_disordered:
             return b""
         partial = self._partial
         # An event that comes byte by byte is not searched from its begin each time.
@@ -72,14 +79,23 @@
         del partial[:end]
         done_at = _find_done(block)
         if done_at >= 0:
-            self.complete = True
             block = block[:done_at]
-        out = block if self._has_only_own_events(block) else self._own_events(block)
+        own = self._split(block)
+        if not self._has_only_own_events(block):
+            own = self._own_events(own)
+        out = b"".join(self._following(own))
+        self.complete = done_at >= 0 and not self.is_disordered
         if out:
             self._count_tokens(out)
             self.relayed += out
         return out
 
+    @property
+    def lacks_event(self) -> bool:
+        """Whether an event came after a later one, which was relayed."""
+        disorder = self.order.disorder
+        return disorder is not None and disorder.standing is Standing.LATE
+
     def resume(self) -> None:
         """Continue on a new connection.
 
@@ -87,20 +103,61 @@
         connection sends the whole event.
         """
         self._partial.clear()
+        self.is_disordered = False
+        self.order = EventOrder(self.tokens)
+        self._goes_on = True
 
     def _has_only_own_events(self, block: bytes) -> bool:
-        return block.count(self._event_head) == block.count(_EVENT_END)
-
-    def _own_events(self, block: bytes) -> bytes:
+        head, ends = self._event_head, block.count(_EVENT_END)
+        return (
+            block.startswith(head)
+            and block.count(head) == ends
+            and block.count(_EVENT_END + head) == ends - 1
+        )
+
+    def _split(self, block: bytes) -> list[bytes]:
+        events = block.split(_EVENT_END)
+        return [event + _EVENT_END for event in events[:-1]]
+
+    def _own_events(self, events: list[bytes]) -> list[bytes]:
         # An event with another id means that the engine mixed up streams: its answer
         # to another request arrived late on this connection. The event is dropped,
         # because only a request's own events may reach its caller.
         kept = []
-        for event in block.split(_EVENT_END):
-            data = _parse(event)
+        for event in events:
+            data = _parse(event[: -len(_EVENT_END)])
             if data is not None and data.get("id") == self.request_id:
-                kept.append(event + _EVENT_END)
-        return b"".join(kept)
+                kept.append(event)
+            elif data is None and self._event_head in event:
+                # It was cut, and another one begins inside it.
+                self.is_disordered = True
+                break
+        return kept
+
+    def _following(self, events: list[bytes]) -> list[bytes]:
+        """The events that follow those before them, each once."""
+        following = []
+        for event in events:
+            standing = self._judge(event)
+            if standing is Standing.NEXT:
+                following.append(event)
+            elif standing is not Standing.REPEAT:
+                self.is_disordered = True
+                break
+        return following
+
+    def _judge(self, event: bytes) -> Standing:
+        counts = _COMPLETION_TOKENS.findall(event)
+        if not counts:
+            return Standing.NEXT
+        count, newest = int(counts[-1]), self.order.newest
+        standing = self.order.judge(b"id: %d\n%b" % (count, event))
+        if standing is Standing.NEXT:
+            self._goes_on = False
+        elif standing is not Standing.REPEAT and count == newest and not self._goes_on:
+            # An event may say how the answer ended, and hold no token.
+            return Standing.NEXT
+        return standing
 
     def _count_tokens(self, out: bytes) -> None:
         usage = _COMPLETION_TOKENS.findall(out)
--- a/tests/test_sse.py
+++ b/tests/test_sse.py
@@ -1,5 +1,6 @@
 """Table-driven tests of the relay of an engine's event stream."""
 
+import re
 import unittest
 
 from nose2.tools import params
@@ -18,6 +19,10 @@
 OURS = _event("r1", "a", 1) + _event("r1", "b", 2) + DONE_EVENT
 
 
+def _texts(out: bytes) -> str:
+    return "".join(re.findall('"content": "(.)"', out.decode()))
+
+
 class AnswerRelayTest(unittest.TestCase):
     @params(1, 2, 7, 40, 1000)
     def test_any_split_of_the_bytes_gives_the_same_answer(self, size):
@@ -84,3 +89,55 @@
         relay.resume()
         relay.feed(_event("r1", "d", 1))
         self.assertEqual(relay.tokens, 7)
+
+    @params(
+        # events as text and count, relayed texts, tokens, the answer ends there
+        (["a1", "b2", "b2", "c3"], "abc", 3, False),
+        (["a1", "a1", "b2", "b2"], "ab", 2, False),
+        (["a1", "b2", "c3", "a1", "b2", "c3", "d4"], "abcd", 4, False),
+        (["a1", "b2", "x1", "y2", "z3"], "ab", 2, True),
+        (["a1", "c3", "b2", "d4"], "ac", 3, True),
+        # The end of a run may come in an event of its own, without a token.
+        (["a0", "b1", "c2", "d2"], "abcd", 2, False),
+        (["a", "b", "b"], "abb", 3, False),
+    )
+    def test_each_event_of_one_run_is_relayed_once(self, events, texts, tokens, ends):
+        """An engine repeated events, or began its run again, in one answer; the caller
+        got all of it as a whole answer."""
+        written = [_event("r1", e[0], int(e[1:]) if e[1:] else None) for e in events]
+        for pieces in (written, [b"".join(written)]):
+            relay = AnswerRelay(RequestId("r1"))
+            out = b"".join(relay.feed(piece) for piece in [*pieces, DONE_EVENT])
+            self.assertEqual(_texts(out), texts)
+            self.assertEqual(relay.is_disordered, ends)
+            self.assertEqual(relay.complete, not ends)
+            self.assertEqual(relay.tokens, tokens)
+
+    @params((["a1", "b2"], ["b2", "c3"], True), (["a1", "b2"], ["c3"], False))
+    def test_an_answer_that_goes_on_repeats_nothing(self, first, second, ends):
+        """A replica that went on with an answer began again before its last token."""
+        relay = AnswerRelay(RequestId("r1"))
+        for text in first:
+            relay.feed(_event("r1", text[0], int(text[1])))
+        relay.resume()
+        out = b"".join(relay.feed(_event("r1", t[0], int(t[1]))) for t in second)
+        self.assertEqual(relay.is_disordered, ends)
+        self.assertEqual(_texts(out), "" if ends else "c")
+
+    @params(10, 30, 45)
+    def test_an_event_that_is_two_ends_the_answer(self, cut):
+        """An engine stopped inside an event and began its run again: the event was
+        dropped, the others were relayed as a whole answer."""
+        relay = AnswerRelay(RequestId("r1"))
+        second = _event("r1", "b", 2)
+        out = relay.feed(_event("r1", "a", 1) + second[:cut] + OURS)
+        self.assertEqual(_texts(out), "a")
+        self.assertEqual((relay.is_disordered, relay.complete), (True, False))
+
+    def test_an_event_that_is_two_hides_no_other_answer(self):
+        """The ids of a block were only counted: an event with two of them made up for
+        one of another request."""
+        relay = AnswerRelay(RequestId("r1"))
+        cut = _event("r1", "b", 2)[:45]
+        out = relay.feed(_event("r2", "x", 1) + cut + OURS)
+        self.assertEqual(out, b"")
