A run cut in its id's line end is not joined with another

Cause: a cut inside an id was known by what stands before the second one, up to its digits; the CR of the line's end was not part of it.

Evidence: the row that cuts there fails on the code before; the other rows of lines with CR LF pass on both.

--- a/src/celerytrack/joined_events.py
+++ b/src/celerytrack/joined_events.py
@@ -13,7 +13,7 @@
 from celerytrack.event_order import number_of
 
 _INNER_ID = re.compile(rb"id: *([0-9]{1,40})\r?\n(?=[a-z-]+:)")
-_CUT_ID = re.compile(rb"(?:i|id|id:|id: *[0-9]{0,40})\Z")
+_CUT_ID = re.compile(rb"(?:i|id|id:|id: *[0-9]{0,40}\r?)\Z")
 _CUT_DATA = re.compile(rb"\n(?:data|dat|da|d)?\Z")
 _NO_FIELD = re.compile(rb"(?:\A|\n)[a-z-]*\Z")
 
--- a/tests/test_repeated_events.py
+++ b/tests/test_repeated_events.py
@@ -146,6 +146,14 @@
             self.assertEqual(answer.body, run(*range(1, EVENTS + 1)))
             self.assertTrue(answer.whole)
 
+    @params(b"id: 5", b"id: 5\r", b"id: 5\r\n", b"id: 5\r\nda", b"id: 5\r\ndata: t")
+    def test_an_event_cut_short_in_lines_with_cr_lf(self, cut: bytes) -> None:
+        whole = run(*range(1, EVENTS + 1)).replace(b"\n", b"\r\n")
+        again = run(2, 3, 4, 5, 6).replace(b"\n", b"\r\n")
+        first = run(1, 2, 3, 4).replace(b"\n", b"\r\n") + cut + again
+        answer = asyncio.run(ask_repeating("/stream/x", first, endpoints=1))
+        self.assertEqual((answer.body, answer.whole), (whole, True))
+
     @params(b"id: 5\nda", b"id: 5\ndata: t")
     def test_a_cut_event_is_not_joined_with_another_run(self, cut: bytes) -> None:
         first = run(1, 2, 3, 4) + cut + other(2, 3, 4, 5, 6)
