Two events that change places are put in order, a gap before a break is read anew

Cause: an event was passed on although it left out numbers. Ids only increase, by the page, so that alone is no fault; but where each had the next number so far, one that doesn't may have come early. It waits for the next one now: an event that belongs before it is passed on first; if a higher one comes, numbers may be left out in this answer, and no further event waits. With the end of the answer it is passed on; if the answer breaks off, the stream goes on before the gap.

The row 1 2 4 3 5 6 of the test of late events asked that the stream be cut; it is whole now, in order, and asks for that. A late event after a gap that was there from the beginning (1 3 2) is still cut. Rows of sound streams that leave numbers out pass on the code before and now; the others fail before.

--- a/src/celerytrack/event_order.py
+++ b/src/celerytrack/event_order.py
@@ -56,6 +56,17 @@
     repeats: int = 0
     disorder: Disorder | None = None
     _recent: dict[int, int] = attrs.field(factory=dict)
+    _is_dense: bool | None = None
+
+    def is_early(self, number: int | None) -> bool:
+        """Whether an event leaves others out, where so far each had the next number."""
+        if number is None or self.newest is None or not self._is_dense:
+            return False
+        return number > self.newest + 1
+
+    def allow_gaps(self) -> None:
+        """Note that numbers are left out."""
+        self._is_dense = False
 
     def judge(self, event: bytes) -> Standing:
         """How an event stands to those before it; one that follows is remembered."""
@@ -63,6 +74,8 @@
         if number is None:
             return Standing.NEXT
         if self.newest is None or number > self.newest:
+            if self.newest is not None and self._is_dense is not False:
+                self._is_dense = number == self.newest + 1
             self.newest = number
             self._remember(number, event)
             return Standing.NEXT
--- a/src/celerytrack/streams.py
+++ b/src/celerytrack/streams.py
@@ -62,6 +62,7 @@
     _buffer: bytearray = attrs.field(factory=bytearray)
     _has_cr: bool = False
     _held: Joined | None = None
+    _early: bytes = b""
 
     @property
     def has_partial(self) -> bool:
@@ -90,12 +91,16 @@
     def finish(self) -> EventBatch | None:
         """Return what was held back when the answer has ended."""
         held, self._held = self._held, None
-        if held is None:
-            return None
-        is_joined = held.is_joined_at_end(self.order.is_repeat(held.rest))
         following: list[bytes] = []
-        event = self._parted(held) if is_joined else held.event
-        disorder = None if self._follows(event, following) else self.order.disorder
+        goes_on = True
+        if held is not None:
+            is_joined = held.is_joined_at_end(self.order.is_repeat(held.rest))
+            event = self._parted(held) if is_joined else held.event
+            goes_on = self._follows(event, following)
+        early, self._early = self._early, b""
+        if goes_on and early:
+            goes_on = self._add(early, following)
+        disorder = None if goes_on else self.order.disorder
         return self._batch(following, disorder) if following or disorder else None
 
     def resume(self, last_id: str | None) -> None:
@@ -103,9 +108,11 @@
 
         :param last_id: the event after which the stream goes on; ``None`` if it begins.
         """
-        self.lacks_event |= self.has_partial or self._held is not None
+        is_held = self._held is not None or bool(self._early)
+        self.lacks_event |= self.has_partial or is_held
         self._buffer.clear()
         self._held = None
+        self._early = b""
         is_number = last_id is not None and _NUMBER.fullmatch(last_id) is not None
         self.order = EventOrder(int(last_id) if last_id and is_number else None)
 
@@ -147,7 +154,36 @@
         return self._batch(following, self.order.disorder)
 
     def _follows(self, event: bytes, following: list[bytes]) -> bool:
-        """Add an event to those that follow; return whether the answer goes on."""
+        """Add an event to those that follow; return whether the answer goes on.
+
+        Where each had the next number, one that leaves some out waits for the next one:
+        two may have changed places.
+        """
+        number = number_of(event)
+        early, self._early = self._early, b""
+        if early:
+            early_number = number_of(early)
+            assert early_number is not None
+            if number is not None and number < early_number:
+                return self._fill(event, early, following)
+            self.order.allow_gaps()
+            if not self._add(early, following):
+                return False
+        if self.order.is_early(number):
+            self._early = event
+            return True
+        return self._add(event, following)
+
+    def _fill(self, event: bytes, early: bytes, following: list[bytes]) -> bool:
+        if not self._add(event, following):
+            self.lacks_event = True
+            return False
+        if self.order.is_early(number_of(early)):
+            self._early = early
+            return True
+        return self._add(early, following)
+
+    def _add(self, event: bytes, following: list[bytes]) -> bool:
         standing = self.order.judge(event)
         if standing is Standing.NEXT:
             following.append(event)
