An answer that has no body needs no sign of its end

Answers of status 204 and 304, and to HEAD, have no length and no body: their end was taken for that of their connection, and the endpoint was asked twice whether it lives.

Two rows of the tests of second answers count what endpoints are sent; they failed since the endpoint is asked who it is, and pass now.

--- a/src/celerytrack/gateway/answer_ends.py
+++ b/src/celerytrack/gateway/answer_ends.py
@@ -10,6 +10,7 @@
 from celerytrack.platform.http import Framing, framing_of
 from celerytrack.routing.endpoint import Endpoint
 
+_WITHOUT_BODY = frozenset({204, 304})
 PROCESS_ENDED = "an answer without length ended with its endpoint's process"
 """Why such an answer isn't passed on, or not as complete."""
 
@@ -49,6 +50,8 @@
     """
     if framing_of(response.headers) is not Framing.CONNECTION:
         return False
+    if response.method == "HEAD" or response.status in _WITHOUT_BODY:
+        return False
     if gateway.endpoints.is_leaving(endpoint):
         return False
     address = endpoint.registration.address
