A kept connection that gets bytes nobody asked for is closed

What callers could get: an extra answer that arrives while a connection is idle was kept by the HTTP library and taken for the next request's answer. Neither the log's answers nor those of other entries bear an id: the second of two appends got the first one's offset as its success, and a second transfer of tokens between entries counted the first one's tokens, which no entry had given.

Cause: the library closes a connection with unread bytes only as an answer ends; later bytes wait in its parser, and nothing asks for them before the next request.

A connection whose answer is complete closes at the next byte that comes, and isn't used if bytes wait in its socket as a request looks for one. The end of the peer alone is left to the event loop, which tells an end of the endpoint from ours.

Evidence: raw stand-ins of the log and of an entry (late, half, halves, after an interim answer, not an answer, and unread as the next request is sent) fail on the code before in nine of eleven rows and pass now. That the real log or an entry answers twice, no run shows. Left: an extra answer that comes after the next request was sent has no mark on the log's and the entries' connections.

--- a/src/celerytrack/bounded_connection.py
+++ b/src/celerytrack/bounded_connection.py
@@ -1,6 +1,10 @@
-"""Connections that end an answer whose head or framing has no end."""
+"""Connections that end an answer whose head or framing has no end.
+
+They are closed by bytes that no request asked for.
+"""
 
 import asyncio
+import select
 from typing import Any
 
 import aiohttp
@@ -95,6 +99,12 @@
 
     def data_received(self, data: bytes) -> None:
         """Take bytes, and close the connection if they are too many."""
+        if data and self._is_answered():
+            # The library keeps them, and takes them for the next request's answer.
+            self.force_close()
+            if self.transport is not None:
+                self.transport.abort()
+            return
         if not self._has_head:
             self._head_bytes += len(data)
             if self._head_timer is None and data:
@@ -107,6 +117,24 @@
         elif self._head_bytes > self._limits.head_bytes:
             self._give_up("a head is too long")
 
+    def is_connected(self) -> bool:
+        """Whether a request may be sent on it."""
+        # What waits unread came before the request: it is no answer to it.
+        is_spoiled = self._is_answered() and self._has_unread()
+        return super().is_connected() and not is_spoiled
+
+    def _is_answered(self) -> bool:
+        return self._has_head and self._content is not None and self._content.is_eof()
+
+    def _has_unread(self) -> bool:
+        """Whether bytes of the peer wait; its end alone is left to the event loop."""
+        sock = self.transport and self.transport.get_extra_info("socket")
+        if not sock or sock.fileno() < 0:
+            return False
+        poll = select.poll()
+        poll.register(sock.fileno(), select.POLLIN | select.POLLRDHUP)
+        return any(found == select.POLLIN for _, found in poll.poll(0))
+
     def connection_lost(self, exc: BaseException | None) -> None:
         """Stop the timer of a head that will not come."""
         self._stop_head_timer()
