--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -329,7 +329,8 @@
         gone = aiohttp.ClientConnectionResetError("Cannot write to closing transport")
         response.write_eof.side_effect = gone
         with self.assertRaises(CallerDisconnectedError):
-            asyncio.run(finish_stream(mock.Mock(response=response)))
+            request = mock.Mock(version=aiohttp.HttpVersion11)
+            asyncio.run(finish_stream(mock.Mock(response=response, request=request)))
 
 
 class PrepaidTest(unittest.IsolatedAsyncioTestCase):
