Own interface: an answer that goes on may end with an event without a token

An uncut one logged a disorder that was none.

An event with the newest count and no text is passed on; with text it is another run as before. Counts of tokens aren't taken for numbers that must not be left out.

Evidence: both rows fail on the code before.

--- a/src/celerytrack/sse.py
+++ b/src/celerytrack/sse.py
@@ -49,7 +49,7 @@
     tokens: int = 0
     complete: bool = False
     is_disordered: bool = False
-    order: EventOrder = attrs.field(factory=EventOrder)
+    order: EventOrder = attrs.field(factory=lambda: EventOrder(is_dense=False))
     relayed: bytearray = attrs.field(factory=bytearray)
     _partial: bytearray = attrs.field(factory=bytearray)
     _event_head: bytes = attrs.field(init=False)
@@ -104,7 +104,7 @@
         """
         self._partial.clear()
         self.is_disordered = False
-        self.order = EventOrder(self.tokens)
+        self.order = EventOrder(self.tokens, is_dense=False)
         self._goes_on = True
 
     def _has_only_own_events(self, block: bytes) -> bool:
@@ -151,12 +151,15 @@
         if not counts:
             return Standing.NEXT
         count, newest = int(counts[-1]), self.order.newest
+        disorder = self.order.disorder
         standing = self.order.judge(b"id: %d\n%b" % (count, event))
         if standing is Standing.NEXT:
             self._goes_on = False
-        elif standing is not Standing.REPEAT and count == newest and not self._goes_on:
+        elif standing is not Standing.REPEAT and count == newest:
             # An event may say how the answer ended, and hold no token.
-            return Standing.NEXT
+            if not self._goes_on or not _holds_text(event):
+                self.order.disorder = disorder
+                return Standing.NEXT
         return standing
 
     def _count_tokens(self, out: bytes) -> None:
@@ -175,6 +178,15 @@
     return at if at < 0 else at + len(_EVENT_END)
 
 
+def _holds_text(event: bytes) -> bool:
+    data = _parse(event.rstrip(b"\n"))
+    choices = data.get("choices") if data else None
+    if not isinstance(choices, list):
+        return False
+    deltas = [choice.get("delta") for choice in choices if isinstance(choice, dict)]
+    return any(delta.get("content") for delta in deltas if isinstance(delta, dict))
+
+
 def _parse(event: bytes) -> dict[str, Any] | None:
     if not event.startswith(_DATA_PREFIX):
         return None
--- a/tests/test_sse.py
+++ b/tests/test_sse.py
@@ -82,6 +82,20 @@
         out += relay.feed(second + DONE_EVENT)
         self.assertEqual(out, first + second)
 
+    @params("role", "finish")
+    def test_an_answer_goes_on_with_an_event_without_a_token(self, kind):
+        """Its count is that of the last event before, and it was taken for another
+        run: the answer could never end."""
+        relay = AnswerRelay(RequestId("r1"))
+        relay.feed(_event("r1", "a", 1) + _event("r1", "b", 2))
+        relay.resume()
+        choice = {"role": {"delta": {"role": "assistant"}}, "finish": {"delta": {}}}
+        data = {"id": "r1", "choices": [choice[kind]]}
+        last = event_bytes({**data, "usage": {"completion_tokens": 2}})
+        self.assertEqual(relay.feed(last + DONE_EVENT), last)
+        self.assertTrue(relay.complete)
+        self.assertIsNone(relay.order.disorder)
+
     def test_the_token_count_never_decreases(self):
         """An engine that restarts its count would send the answer back to its start."""
         relay = AnswerRelay(RequestId("r1"))
