An event that belongs before the first of an answer is late, not another run

Cause: a lower number counted as late only above the lowest that was known; below, it was taken for another run, and the stream went on after the higher one. Whether numbers are left out was forgotten with each connection.

Where none were left out so far, any unknown number above that after which the answer goes on is late. A connection that goes on with such a stream waits for the event after a gap at once. Late is final: the stream is cut, as no endpoint can add what is missing.

Evidence: the two new tests fail on the code before, the row 2 1 3 on a resumable route. Left: through another entry the sender sees a break only, and resumes.

--- a/src/celerytrack/event_order.py
+++ b/src/celerytrack/event_order.py
@@ -57,6 +57,15 @@
     disorder: Disorder | None = None
     _recent: dict[int, int] = attrs.field(factory=dict)
     _is_dense: bool | None = None
+    _after: int | None = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self._after = self.newest
+
+    @property
+    def is_dense(self) -> bool | None:
+        """Whether each event had the next number; ``None`` if not known yet."""
+        return self._is_dense
 
     def is_early(self, number: int | None) -> bool:
         """Whether an event leaves others out, where so far each had the next number."""
@@ -75,7 +84,9 @@
             return Standing.NEXT
         if self.newest is None or number > self.newest:
             if self.newest is not None and self._is_dense is not False:
-                self._is_dense = number == self.newest + 1
+                is_next = number == self.newest + 1
+                # The first of a connection says nothing of the others.
+                self._is_dense = is_next if is_next or self._recent else self._is_dense
             self.newest = number
             self._remember(number, event)
             return Standing.NEXT
@@ -93,10 +104,16 @@
         known = self._recent.get(number)
         if known == hash(event):
             return Standing.REPEAT
-        if known is None and self._recent and number > min(self._recent):
+        if known is None and self._recent and number > self._oldest():
             return Standing.LATE
         return Standing.OTHER_RUN
 
+    def _oldest(self) -> int:
+        """The number up to which an event that isn't known may have been passed on."""
+        if len(self._recent) == MAX_RECENT or self._is_dense is False:
+            return min(self._recent)
+        return -1 if self._after is None else self._after
+
     def _remember(self, number: int, event: bytes) -> None:
         self._recent[number] = hash(event)
         if len(self._recent) > MAX_RECENT:
--- a/src/celerytrack/streams.py
+++ b/src/celerytrack/streams.py
@@ -114,7 +114,10 @@
         self._held = None
         self._early = b""
         is_number = last_id is not None and _NUMBER.fullmatch(last_id) is not None
-        self.order = EventOrder(int(last_id) if last_id and is_number else None)
+        # What another connection goes on with is of the same kind.
+        is_dense = self.order.is_dense
+        after = int(last_id) if last_id and is_number else None
+        self.order = EventOrder(after, is_dense=is_dense or None)
 
     def _last_end(self, searched: int) -> int:
         at = self._buffer.rfind(_EVENT_END, searched)
--- a/tests/test_repeated_events.py
+++ b/tests/test_repeated_events.py
@@ -7,6 +7,7 @@
 
 from nose2.tools import params
 
+from celerytrack.event_order import Standing
 from celerytrack.streams import EventSplitter
 from tests.gateway_fleet import Fleet
 from tests.raw_endpoints import (
@@ -90,8 +91,28 @@
     @params("/stream/x", "/resume/x")
     def test_an_event_that_comes_too_late_ends_the_stream(self, path: str) -> None:
         """The caller got one after a later one."""
-        answer = asyncio.run(ask_repeating(path, run(1, 3, 2, 4, 5, 6)))
-        self.assertEqual((answer.body, answer.whole), (run(1, 3), False))
+        for first, passed_on in (
+            (run(1, 3, 2, 4, 5, 6), run(1, 3)),
+            (run(2, 1, 3, 4, 5, 6), run(2)),
+            (run(3, 4, 5, 1, 2, 6), run(3, 4, 5)),
+        ):
+            answer = asyncio.run(ask_repeating(path, first))
+            self.assertEqual((answer.body, answer.whole), (passed_on, False))
+
+    def test_the_first_events_of_a_connection_that_goes_on_change_places(self) -> None:
+        """They were taken for a run of their own, and the caller lacked one."""
+        events = EventSplitter()
+        events.feed(run(1, 2, 3))
+        events.resume("3")
+        self.assertIsNone(events.feed(run(5)))
+        batch = events.feed(run(4))
+        self.assertEqual(batch and batch.data, run(4, 5))
+        events = EventSplitter()
+        events.resume("2")
+        events.feed(run(4))
+        batch = events.feed(run(3))
+        standing = batch and batch.disorder and batch.disorder.standing
+        self.assertIs(standing, Standing.LATE)
 
     @params(
         run(1, 2, 4, 3, 5, 6),
