An endpoint that repeats events counts as failing, not as unreachable

A repeat that was dropped counted as a hard failure, as of an endpoint that takes no connection, and kept a whole answer from clearing the request of a suspicion. It counts as a failure of the endpoint, and the answer as the success that it is.

Found by reading (a reviewer); no run shows what it cost.

--- a/src/celerytrack/gateway/sending.py
+++ b/src/celerytrack/gateway/sending.py
@@ -203,7 +203,8 @@
                     endpoints.record_failure(endpoint, False, time.monotonic())
             elif answer is None and exchange.events.order.repeats:
                 # What it repeats was dropped, but it spoils its answers.
-                endpoints.record_failure(endpoint, True, time.monotonic())
+                endpoints.record_failure(endpoint, False, time.monotonic())
+                record_success(gateway, exchange, build)
             else:
                 endpoints.record_success(endpoint)
                 record_success(gateway, exchange, build)
