The end of an answer without length is checked also of an endpoint that leaves

Cause: an endpoint that leaves was believed, as it may close its listener before its answers end. It is checked like the others.

Evidence: both rows of the test fail on the code before.

--- a/src/celerytrack/gateway/answer_ends.py
+++ b/src/celerytrack/gateway/answer_ends.py
@@ -44,20 +44,16 @@
     """Whether an answer without length ended since its endpoint's process did.
 
     The connections of a process that is killed are closed as at the end of an answer,
-    after its listener; another process may have its address by now. One that says that
-    it leaves may close its listener first, and still end its answers. One that takes no
+    after its listener; another process may have its address by now. One that takes no
     connection in time may be at its limit of connections.
     """
     if framing_of(response.headers) is not Framing.CONNECTION:
         return False
     if response.method == "HEAD" or response.status in _WITHOUT_BODY:
         return False
-    if gateway.endpoints.is_leaving(endpoint):
-        return False
     address = endpoint.registration.address
     probes = gateway.endpoint_doubts.end_probes
-    if not await probes.refuses(address, time.monotonic()):
-        path = gateway.health_path(endpoint.registration.service)
-        return await has_other_process(endpoint, path)
-    # What it said may have arrived meanwhile.
-    return not gateway.endpoints.is_leaving(endpoint)
+    if await probes.refuses(address, time.monotonic()):
+        return True
+    path = gateway.health_path(endpoint.registration.service)
+    return await has_other_process(endpoint, path)
--- a/tests/test_killed_endpoints.py
+++ b/tests/test_killed_endpoints.py
@@ -23,6 +23,7 @@
 FILLED_S = 0.2
 POLL_S = 0.02
 DEREGISTERED_S = 2.5
+DRAINING_KNOWN_S = 0.5
 
 
 class KilledEndpoint(RawEndpoint):
@@ -70,6 +71,18 @@
         await _go_on(request, writer)
 
 
+class DrainingEndpoint(KilledEndpoint):
+    """An endpoint that is killed while it is registered as draining."""
+
+    fleet: Fleet
+
+    async def _stream(self, request: RawRequest, writer: asyncio.StreamWriter) -> None:
+        registration = self.registration(state="draining")
+        self.fleet.log.put(ENDPOINTS_TOPIC, self.name, registration)
+        await asyncio.sleep(DRAINING_KNOWN_S)
+        await super()._stream(request, writer)
+
+
 class FullEndpoint(RawEndpoint):
     """An endpoint that takes no more connections as its answers end."""
 
@@ -130,7 +143,15 @@
     ) -> None:
         """An entry that had been stopped read that a killed endpoint was gone before it
         read the end of its connection, and took that for a planned one."""
-        answer = asyncio.run(_ask_leaving(path))
+        answer = asyncio.run(_ask_leaving(path, DeregisteredEndpoint("i-0")))
+        self.assertFalse(answer.status == 200 and answer.whole)
+
+    @params("/stream/x", "/once/x")
+    def test_an_answer_of_a_draining_endpoint_that_is_killed_does_not_look_complete(
+        self, path: str
+    ) -> None:
+        """The end of its connection was believed since it leaves."""
+        answer = asyncio.run(_ask_leaving(path, DrainingEndpoint("i-0")))
         self.assertFalse(answer.status == 200 and answer.whole)
 
     @params("/stream/x", "/once/x")
@@ -176,8 +197,9 @@
         return await ask_raw(fleet, path, "r1")
 
 
-async def _ask_leaving(path: str) -> RawAnswer:
-    endpoint = DeregisteredEndpoint("i-0")
+async def _ask_leaving(
+    path: str, endpoint: DeregisteredEndpoint | DrainingEndpoint
+) -> RawAnswer:
     async with Fleet(endpoint) as fleet:
         endpoint.fleet = fleet
         return await ask_raw(fleet, path, "r1")
