The check of an answer's end ends before the answer's deadline

Cause: the check had up to a second of its own within the deadline of the request, and the deadline ended both. It lasts .25 s at most now and ends before the deadline; without a result the answer is whole.

--- a/src/celerytrack/gateway/answer_ends.py
+++ b/src/celerytrack/gateway/answer_ends.py
@@ -10,6 +10,10 @@
 from celerytrack.platform.http import Framing, framing_of
 from celerytrack.routing.endpoint import Endpoint
 
+MAX_CHECK_S = 0.25
+"""Longest time for which the end of an answer waits for a sign that it isn't one."""
+SEND_MARGIN_S = 0.05
+"""Time that the end of an answer has to be sent before its deadline."""
 _WITHOUT_BODY = frozenset({204, 304})
 PROCESS_ENDED = "an answer without length ended with its endpoint's process"
 """Why such an answer isn't passed on, or not as complete."""
@@ -39,21 +43,37 @@
 
 
 async def ended_with_process(
-    gateway: Gateway, endpoint: Endpoint, response: aiohttp.ClientResponse
+    gateway: Gateway,
+    endpoint: Endpoint,
+    response: aiohttp.ClientResponse,
+    deadline_at_s: float,
 ) -> bool:
     """Whether an answer without length ended since its endpoint's process did.
 
     The connections of a process that is killed are closed as at the end of an answer,
     after its listener; another process may have its address by now. One that takes no
-    connection in time may be at its limit of connections.
+    connection, or doesn't answer, in time may be full.
+
+    :param deadline_at_s: by when the answer must be sent; without a result until then
+        the process counts as alive.
     """
     if framing_of(response.headers) is not Framing.CONNECTION:
         return False
     if response.method == "HEAD" or response.status in _WITHOUT_BODY:
         return False
+    now_s = time.monotonic()
+    left_s = min(MAX_CHECK_S, deadline_at_s - now_s - SEND_MARGIN_S)
+    try:
+        async with asyncio.timeout(max(0.0, left_s)):
+            return await _has_ended(gateway, endpoint, now_s)
+    except TimeoutError:
+        return False
+
+
+async def _has_ended(gateway: Gateway, endpoint: Endpoint, now_s: float) -> bool:
     address = endpoint.registration.address
     probes = gateway.endpoint_doubts.end_probes
-    if await probes.refuses(address, time.monotonic()):
+    if await probes.refuses(address, now_s):
         return True
     path = gateway.health_path(endpoint.registration.service)
     return await has_other_process(endpoint, path)
--- a/src/celerytrack/gateway/attempts.py
+++ b/src/celerytrack/gateway/attempts.py
@@ -178,7 +178,7 @@
         return unusable_answer("success without signature or id")
     if exchange.route.stream and response.status == 200:
         return await relay_stream(gateway, exchange, dispatch, response)
-    return await _read_answer(gateway, dispatch, response, answer_bytes)
+    return await _read_answer(gateway, exchange, dispatch, response, answer_bytes)
 
 
 def _is_first(response: aiohttp.ClientResponse) -> bool:
@@ -222,6 +222,7 @@
 
 async def _read_answer(
     gateway: Gateway,
+    exchange: Exchange,
     dispatch: Dispatch | None,
     response: aiohttp.ClientResponse,
     answer_bytes: AnswerBytes,
@@ -236,7 +237,9 @@
     if was_reset(response, protocol):
         return unusable_answer("an answer without length was reset")
     if dispatch is not None:
-        if await ended_with_process(gateway, dispatch.endpoint, response):
+        if await ended_with_process(
+            gateway, dispatch.endpoint, response, exchange.deadline_at_s
+        ):
             return unusable_answer(PROCESS_ENDED)
         dispatch.record_first_output(time.monotonic())
     headers = returned_headers(response.headers)
--- a/tests/test_killed_endpoints.py
+++ b/tests/test_killed_endpoints.py
@@ -24,6 +24,8 @@
 POLL_S = 0.02
 DEREGISTERED_S = 2.5
 DRAINING_KNOWN_S = 0.5
+BUSY_S = 1.8
+"""Nearly the timeout of the routes."""
 
 
 class KilledEndpoint(RawEndpoint):
@@ -83,6 +85,20 @@
         await super()._stream(request, writer)
 
 
+class BusyEndpoint(RawEndpoint):
+    """An endpoint whose answers take long, and that answers no check meanwhile."""
+
+    def __init__(self, name: str) -> None:
+        super().__init__(name, self._answer)
+
+    async def _answer(self, request: RawRequest, writer: asyncio.StreamWriter) -> None:
+        if not request.request_id:
+            await asyncio.sleep(BUSY_S / 2)
+            return
+        await asyncio.sleep(BUSY_S)
+        await _go_on(request, writer)
+
+
 class FullEndpoint(RawEndpoint):
     """An endpoint that takes no more connections as its answers end."""
 
@@ -154,6 +170,16 @@
         answer = asyncio.run(_ask_leaving(path, DrainingEndpoint("i-0")))
         self.assertFalse(answer.status == 200 and answer.whole)
 
+    @params("/stream/x", "/once/x")
+    def test_a_whole_answer_is_not_lost_to_the_check_of_its_end(
+        self, path: str
+    ) -> None:
+        """The endpoint was busy, and the check lasted past the deadline."""
+        answer = asyncio.run(_ask_busy(path))
+        self.assertEqual(answer.status, 200)
+        self.assertEqual(answer.body.count(b"id: "), EVENTS)
+        self.assertTrue(answer.whole)
+
     @params("/stream/x", "/once/x")
     def test_an_answer_of_an_endpoint_without_room_for_connections_is_complete(
         self, path: str
@@ -197,6 +223,11 @@
         return await ask_raw(fleet, path, "r1")
 
 
+async def _ask_busy(path: str) -> RawAnswer:
+    async with Fleet(BusyEndpoint("i-0")) as fleet:
+        return await ask_raw(fleet, path, "r1")
+
+
 async def _ask_leaving(
     path: str, endpoint: DeregisteredEndpoint | DrainingEndpoint
 ) -> RawAnswer:
