A failing test of a process that was replaced and doesn't say who it is

A reviewer showed that a successor at a killed endpoint's address that rejects the check without an id is taken for the endpoint: three of six events look whole.

--- a/tests/test_identity_checks.py
+++ b/tests/test_identity_checks.py
@@ -57,27 +57,33 @@
 class ReplacedEndpoint(KilledEndpoint):
     """An endpoint whose successor is at its address before its connections end."""
 
+    def __init__(self, name: str, answer: bytes) -> None:
+        super().__init__(name)
+        self._answer = answer
+
     async def _stream(self, request: RawRequest, writer: asyncio.StreamWriter) -> None:
         await super()._stream(request, writer)
-        successor = RawEndpoint("i-9", _be_another)
-        successor.port = self.port
-        await successor.start()
 
+        async def be_another(check: RawRequest, writer: asyncio.StreamWriter) -> None:
+            writer.write(self._answer)
 
-async def _be_another(request: RawRequest, writer: asyncio.StreamWriter) -> None:
-    writer.write(b"HTTP/1.1 421 Other\r\nContent-Length: 0\r\n\r\n")
+        successor = RawEndpoint("i-9", be_another)
+        successor.port = self.port
+        await successor.start()
 
 
-async def _ask_replaced() -> RawAnswer:
-    async with Fleet(ReplacedEndpoint("i-0")) as fleet:
+async def _ask_replaced(status: bytes) -> RawAnswer:
+    answer = b"HTTP/1.1 %s\r\nContent-Length: 0\r\n\r\n" % status
+    async with Fleet(ReplacedEndpoint("i-0", answer)) as fleet:
         return await ask_raw(fleet, "/stream/x", "r1")
 
 
 class ReplacedEndpointTest(unittest.TestCase):
+    @params(b"421 Other", b"503 Full", b"404 Not Found")
     def test_a_stream_of_a_process_that_was_replaced_does_not_look_complete(
-        self,
+        self, status: bytes
     ) -> None:
         """Another process took the connection that was to show that the one lives."""
-        answer = asyncio.run(_ask_replaced())
+        answer = asyncio.run(_ask_replaced(status))
         self.assertEqual(answer.body.count(b"id: "), CUT_AFTER)
         self.assertFalse(answer.whole)
