--- a/src/celerytrack/gateway/origins.py
+++ b/src/celerytrack/gateway/origins.py
@@ -1,15 +1,16 @@
 """The origin of the stream that a request goes on with: found, recorded, corrected."""
 
 import logging
+import math
 import time
 
 from celerytrack.events import Event, log_event
 from celerytrack.gateway.exchange import Exchange
 from celerytrack.gateway.refusals import RefusedError
 from celerytrack.gateway.state import Gateway
-from celerytrack.ids import EntryId
 from celerytrack.origins.memory import StreamId
 from celerytrack.origins.origin import StreamOrigin
+from celerytrack.origins.sync import KnownOrigin
 from celerytrack.routing.endpoint import Dispatch, Endpoint, Registration
 from celerytrack.verdict import Reason, did_not_run
 
@@ -31,6 +32,7 @@
     origin = _sole_origin(gateway, exchange, now_s)
     if origin is not None:
         gateway.telemetry.taken_up.labels("one_version").inc()
+        _log_found(gateway, exchange, origin, "one_version", now_s)
     else:
         origin = await _asked_origin(gateway, exchange, now_s)
     if origin is None or origin.version is None:
@@ -86,23 +88,27 @@
         found = known.found
         source = "told" if known.known_from is None else "asked"
         gateway.telemetry.taken_up.labels(source).inc()
-        _log_found(exchange, found.origin, known.known_from, found.age_s, now_s)
+        _log_found(gateway, exchange, found.origin, source, now_s, known)
         return found.origin
     # Other entries answer, and know no other version either.
     origin = only_origin(gateway, exchange, time.monotonic()) if finding.heard else None
     source = "unknown" if origin is None else "one_version"
     gateway.telemetry.taken_up.labels(source).inc()
-    _log_found(exchange, origin, None, None, now_s)
+    source = "unknown" if origin is None else "one_version_after_asking"
+    _log_found(gateway, exchange, origin, source, now_s)
     return origin
 
 
 def _log_found(
+    gateway: Gateway,
     exchange: Exchange,
     origin: StreamOrigin | None,
-    known_from: EntryId | None,
-    age_s: float | None,
+    source: str,
     asked_s: float,
+    known: KnownOrigin | None = None,
 ) -> None:
+    now_s = time.monotonic()
+    view_age_s = gateway.endpoints_view_age_s(now_s)
     log_event(
         _log,
         Event.STREAM_ORIGIN,
@@ -110,9 +116,11 @@
         first=exchange.facts.resumes,
         service=None if origin is None else origin.service,
         version=None if origin is None else origin.version,
-        known_from=known_from,
-        age_ms=None if age_s is None else round(age_s * 1_000),
-        took_ms=round((time.monotonic() - asked_s) * 1_000),
+        source=source,
+        known_from=None if known is None else known.known_from,
+        age_ms=None if known is None else round(known.found.age_s * 1_000),
+        view_age_ms=round(view_age_s * 1_000) if view_age_s < math.inf else None,
+        took_ms=round((now_s - asked_s) * 1_000),
     )
 
 
