A stream is of the only version only as long as a view of the registrations supports it

Callers saw streams that hold events of two software versions: begun at endpoints of a new version through entries in touch, taken up at an entry that was cut off, and gone on with at the old version.

Cause: an entry took the one version that it knew for the one that began a stream. Alone, it did so for 3 s after its last read of the registrations; after a question that any entry had answered, at any age of its view. But a stream could begin at a new version as soon as any entry had read it.

Change: both sides keep to one bound. A view of the registrations supports 'no other version' for VIEW_LEASE_S, counted from the begin of its read, also after others were asked. In a service with several versions a resumable stream begins at a version only ESTABLISHED_AFTER_S after this entry first read it: an entry that has not read it by then has no lease. It is also asked at the send, since a registration may change while a request waits for its place. Nothing is sent or read for this.

Why it works: an entry that doesn't know a version read the registrations last before the version was written, thus before any other entry read it. Its lease is over when the first stream begins there.

A service with one version is not affected.

Ways weighed: a read of the log after each take-up costs reads at each entry and refuses streams of the old version behind a cut; acknowledgements by all entries cost a message from each to each.

Tests: test_an_entry_with_old_registrations asked that a stream that nobody knows goes on at an entry whose view is 9 s old, beside two versions: that is the fault, it must be refused now. It waits longer before its first stream, which begins at the new version alone.

--- a/src/celerytrack/gateway/exchange.py
+++ b/src/celerytrack/gateway/exchange.py
@@ -170,8 +170,10 @@
 
     @property
     def profile(self) -> RequestProfile:
-        """The service, the prompt and the origin, by which an endpoint is chosen."""
-        return RequestProfile(self.service, self.facts.parts, self.origin)
+        """What decides which endpoints may run the request, and how soon."""
+        return RequestProfile(
+            self.service, self.facts.parts, self.origin, self.route.resumable
+        )
 
     def shorten_deadline(self, at_s: float) -> None:
         """Set the deadline to ``at_s`` unless it is already earlier."""
--- a/src/celerytrack/gateway/origins.py
+++ b/src/celerytrack/gateway/origins.py
@@ -12,12 +12,11 @@
 from celerytrack.origins.origin import StreamOrigin
 from celerytrack.origins.sync import KnownOrigin
 from celerytrack.routing.endpoint import Dispatch, Endpoint, Registration
+from celerytrack.routing.versions import VIEW_LEASE_S
 from celerytrack.verdict import Reason, did_not_run
 
 _log = logging.getLogger(__name__)
 
-FRESH_VIEW_S = 3.0
-"""Age of the registrations up to which no other version can have come up unnoticed."""
 UNKNOWN_RETRY_AFTER_S = 0.3
 """``Retry-After`` if no entry says what began the stream: a message may be late, or the
 caller may come to an entry that knows."""
@@ -54,20 +53,22 @@
 ) -> StreamOrigin | None:
     """The origin if nothing else can have begun the stream.
 
-    An entry that has just started doesn't know which versions ended before, and one
-    that has not read the registrations for a while not which have come up.
+    An entry that has just started doesn't know which versions ended before.
     """
     if not gateway.origins.knows_versions(now_s):
         return None
-    if gateway.endpoints_view_age_s(now_s) > FRESH_VIEW_S:
-        return None
-    return only_origin(gateway, exchange, now_s)
+    return only_origin(gateway, exchange, now_s, now_s)
 
 
 def only_origin(
-    gateway: Gateway, exchange: Exchange, now_s: float
+    gateway: Gateway, exchange: Exchange, began_before_s: float, now_s: float
 ) -> StreamOrigin | None:
-    """The service and version of a route that has no other, and had none lately."""
+    """The service and version of a route that has no other, and had none lately.
+
+    :param began_before_s: a time before which the stream began.
+    """
+    if gateway.endpoints_view_age_s(began_before_s) > VIEW_LEASE_S:
+        return None
     if not gateway.version_records.loaded:
         # Which versions there were before this entry started is not known.
         return None
@@ -91,7 +92,9 @@
         _log_found(gateway, exchange, found.origin, source, now_s, known)
         return found.origin
     # Other entries answer, and know no other version either.
-    origin = only_origin(gateway, exchange, time.monotonic()) if finding.heard else None
+    origin = None
+    if finding.heard:
+        origin = only_origin(gateway, exchange, now_s, time.monotonic())
     source = "unknown" if origin is None else "one_version"
     gateway.telemetry.taken_up.labels(source).inc()
     source = "unknown" if origin is None else "one_version_after_asking"
--- a/src/celerytrack/gateway/relay_server.py
+++ b/src/celerytrack/gateway/relay_server.py
@@ -88,7 +88,7 @@
     origin = order.origin
     if origin is not None and origin.version is None:
         # An earlier release names no version.
-        origin = only_origin(gateway, exchange, started_s) or origin
+        origin = only_origin(gateway, exchange, started_s, started_s) or origin
     return attrs.evolve(
         exchange,
         facts=attrs.evolve(exchange.facts, last_event_id=last_event_id),
--- a/src/celerytrack/gateway/sending.py
+++ b/src/celerytrack/gateway/sending.py
@@ -166,7 +166,7 @@
     chosen = placement.choice
     endpoint = chosen.endpoint
     registration = endpoint.registration
-    fits = exchange.profile.fits(registration)
+    fits = endpoints.fits(endpoint, exchange.profile, now_s)
     if not fits or not endpoints.may_send(endpoint, now_s):
         record_attempt_failure(gateway, exchange, endpoint.endpoint_id, withheld())
         return Failure(withheld())
--- a/src/celerytrack/gateway/watches.py
+++ b/src/celerytrack/gateway/watches.py
@@ -6,7 +6,6 @@
 from celerytrack._recent import RecentKeys
 from celerytrack.events import Event, log_event
 from celerytrack.gateway.origins import (
-    FRESH_VIEW_S,
     correct_origins,
     resolve_origins,
 )
@@ -24,6 +23,10 @@
 
 _log = logging.getLogger(__name__)
 
+UNSEEN_GAP_S = 3.0
+"""Time without a view of the registrations after which the versions are read from the
+log: some may have come up and ended in it."""
+
 
 def make_config_tail(gateway: Gateway) -> KeyedTail:
     """Return a tail that applies the operators' configuration."""
@@ -186,7 +189,7 @@
             time.monotonic()
         ):
             drop(endpoint_id)
-        is_gap = at_s - gateway.endpoints_known_at_s > FRESH_VIEW_S
+        is_gap = at_s - gateway.endpoints_known_at_s > UNSEEN_GAP_S
         if gateway.endpoints_known and is_gap:
             gateway.version_records.reload()
         nonlocal known_before_s
--- a/src/celerytrack/routing/endpoint.py
+++ b/src/celerytrack/routing/endpoint.py
@@ -71,11 +71,13 @@
         identifies the part and all parts before it.
     :ivar origin: what began the stream that the request goes on with; ``None`` if it
         may be sent to any endpoint of the service.
+    :ivar resumable: whether its stream may be taken up, at any entry.
     """
 
     service: ServiceName
     parts: tuple[tuple[str, int], ...] = ()
     origin: StreamOrigin | None = None
+    resumable: bool = False
 
     def fits(self, registration: Registration) -> bool:
         """Whether an endpoint may write the next event of the stream."""
@@ -106,6 +108,7 @@
 class Endpoint:
     """One endpoint as this entry sees it.
 
+    :ivar registered_at_s: when this version was first read to be registered here.
     :ivar running: requests of this entry in progress there.
     :ivar pending_prefill_s: engine time to prefill the pending prompts of this entry.
     :ivar peer_prefill_s: engine time to prefill the pending prompts of other entries,
@@ -124,6 +127,7 @@
     """
 
     registration: Registration
+    registered_at_s: float = -math.inf
     running: int = 0
     pending_prefill_s: float = 0.0
     peer_prefill_s: float = 0.0
--- a/src/celerytrack/routing/endpoints.py
+++ b/src/celerytrack/routing/endpoints.py
@@ -116,8 +116,15 @@
             # The statistics and cached parts belong to an earlier incarnation. Parts
             # counted as cached would need an unpredicted prefill. Earlier requests
             # refer to the old object and finish there.
+            self._record_present(known, now_s)
             self._add(registration, now_s)
             return RegistrationChange.RESTARTED
+        if (
+            known.deregistered_at_s is not None
+            or known.registration.version != registration.version
+        ):
+            self._record_present(known, now_s)
+            known.registered_at_s = now_s
         changed = known.registration.draining is not registration.draining
         if not registration.draining:
             known.send_until_s = math.inf
@@ -136,7 +143,7 @@
         self.restored_registrations.on_log_restored({*gone, *self._tombstones})
 
     def _add(self, registration: Registration, now_s: float) -> None:
-        endpoint = Endpoint(registration)
+        endpoint = Endpoint(registration, registered_at_s=now_s)
         endpoint.cold_until_s = now_s + registration.cold_s
         self._endpoints[registration.endpoint_id] = endpoint
 
@@ -153,6 +160,7 @@
             return
         if present_at_s is None:
             present_at_s = self.known_at_s
+        self._record_present(known, now_s)
         known.deregistered_at_s = now_s
         self._unregistered.add(endpoint_id)
         known.send_until_s = min(
@@ -227,6 +235,18 @@
         """Whether an endpoint is known to leave, by its record or its own word."""
         return endpoint.registration.draining or self._said_leaving(endpoint)
 
+    def fits(self, endpoint: Endpoint, profile: RequestProfile, now_s: float) -> bool:
+        """Whether an endpoint's version may write the next event of a request."""
+        if profile.origin is not None or not profile.resumable:
+            return profile.fits(endpoint.registration)
+        if len(self.versions(profile.service, now_s)) < 2:
+            return True
+        self._record_present(endpoint, now_s)
+        registration = endpoint.registration
+        return self._version_history.is_established(
+            registration.service, registration.version
+        )
+
     def may_send(self, endpoint: Endpoint, now_s: float) -> bool:
         """Whether a request that was placed may be sent now: not if the endpoint may
         have left, and not against its own word."""
@@ -506,13 +526,34 @@
             if e.endpoint_id not in avoid
         ]
         if profile.origin is None:
-            return candidates
+            return self._established(candidates, profile, now_s)
         fitting = [e for e in candidates if profile.fits(e.registration)]
         sure = [e for e in fitting if not self.is_doubted(e)]
         if sure or self.has_versions(profile.service, now_s):
             return sure
         return fitting
 
+    def _established(
+        self, candidates: list[Endpoint], profile: RequestProfile, now_s: float
+    ) -> list[Endpoint]:
+        """The endpoints at whose version a stream may begin."""
+        if not profile.resumable or len(self.versions(profile.service, now_s)) < 2:
+            return candidates
+        for endpoint in candidates:
+            self._record_present(endpoint, now_s)
+        return [e for e in candidates if self.fits(e, profile, now_s)]
+
+    def _record_present(self, endpoint: Endpoint, now_s: float) -> None:
+        """Record for how long the version of an endpoint has been registered."""
+        if endpoint.deregistered_at_s is None:
+            registration = endpoint.registration
+            self._version_history.record_present(
+                registration.service,
+                registration.version,
+                endpoint.registered_at_s,
+                now_s,
+            )
+
     def _candidates(self, service: ServiceName, now_s: float) -> list[Endpoint]:
         not_draining = [
             e
--- a/src/celerytrack/routing/versions.py
+++ b/src/celerytrack/routing/versions.py
@@ -8,6 +8,13 @@
 from celerytrack.ids import ServiceName
 from celerytrack.origins.memory import KEEP_S
 
+VIEW_LEASE_S = 1.5
+"""How long a view of the registrations supports that a service has no other version,
+counted from the begin of its read: longer than a poll and a slow answer together."""
+ESTABLISHED_AFTER_S = VIEW_LEASE_S + 0.1
+"""Time after which an entry lets streams begin at a version that it has just read, in
+a service with several. By then an entry that does not know the version has no lease,
+and takes no other version for the only one."""
 _CACHE_S = 0.25
 
 
@@ -28,6 +35,7 @@
         self._shared: frozenset[ServiceName] = frozenset()
         self._shared_until_s: dict[ServiceName, float] = {}
         self._most: dict[tuple[ServiceName, str], _Count] = {}
+        self._established: set[tuple[ServiceName, str]] = set()
         self._cached: dict[ServiceName, tuple[float, frozenset[str]]] = {}
 
     def __iter__(self) -> Iterator[tuple[ServiceName, str, float]]:
@@ -43,6 +51,17 @@
             self._cached.pop(service, None)
         seen_s[version] = max(now_s, seen_s.get(version, now_s))
 
+    def record_present(
+        self, service: ServiceName, version: str, since_s: float, now_s: float
+    ) -> None:
+        """Record that an endpoint with a version has been registered since a time."""
+        if now_s - since_s >= ESTABLISHED_AFTER_S:
+            self._established.add((service, version))
+
+    def is_established(self, service: ServiceName, version: str) -> bool:
+        """Whether all entries with a lease on their view know the version."""
+        return (service, version) in self._established
+
     def set_shared(self, services: Collection[ServiceName], now_s: float) -> None:
         """Set the services among which routes are split now.
 
@@ -91,6 +110,7 @@
             if now_s - at_s > KEEP_S:
                 del seen_s[version]
                 self._most.pop((service, version), None)
+                self._established.discard((service, version))
         versions = frozenset(seen_s)
         self._cached[service] = (now_s, versions)
         return versions
--- a/tests/test_origins.py
+++ b/tests/test_origins.py
@@ -34,6 +34,7 @@
 from celerytrack.origins.sync import COPIES, OriginSync
 from celerytrack.platform.http import decode_request
 from celerytrack.routing.endpoints import RegistrationChange
+from celerytrack.routing.versions import ESTABLISHED_AFTER_S
 from tests.gateway_fleet import Fleet, config
 from tests.versioned_endpoints import NEW, OLD, fleet_of, make_versioned
 
@@ -480,7 +481,8 @@
             fleet.log.put(
                 "keyed.servers", "i-0", endpoints[0].registration(state="draining")
             )
-            await asyncio.sleep(1.5)
+            # Read by then, and established.
+            await asyncio.sleep(1.0 + ESTABLISHED_AFTER_S)
             _, _, body = await fleet.ask("/resume/x", "first", gateway=0)
             self.assertIn(NEW.encode(), body)
             status, _, _ = await fleet.ask(
@@ -490,5 +492,5 @@
             status, _, _ = await fleet.ask(
                 "/resume/x", "other", gateway=2, Last_Event_Id="9", Resumes="invented"
             )
-            self.assertEqual(status, 200)
+            self.assertEqual((status, len(endpoints[0].seen)), (503, 0))
             behind.endpoints.register = register  # type: ignore[method-assign]
--- a/tests/test_out_of_step.py
+++ b/tests/test_out_of_step.py
@@ -21,6 +21,8 @@
 KNOWN_S = 3.5
 """Longer than an entry waits after its start before it writes versions."""
 LEAST_NEW = 20
+LEASED_S = 0.5
+"""Time after a cut in which the last view of the registrations holds for certain."""
 FIRST_EVENT_AFTER_S = 0.1
 """Long enough that endpoints which have just joined look no worse than the others."""
 
@@ -136,5 +138,8 @@
         ways = Counter((s.before, s.after) for s in streams)
         mixed = [s for s in streams if s.after not in ("", s.before)]
         self.assertEqual(mixed, [], ways)
+        if case.isolation.log:
+            leased = [s for s in streams if s.taken_after_s < LEASED_S]
+            self.assertEqual([s for s in leased if s.after != s.before], [], ways)
         begun_new = sum(s.before == NEW for s in streams)
         self.assertGreater(begun_new, LEAST_NEW, ways)
--- a/tests/test_version_room.py
+++ b/tests/test_version_room.py
@@ -4,6 +4,8 @@
 import random
 import unittest
 
+from nose2.tools import params
+
 from celerytrack.ids import EndpointId, ServiceName, Zone
 from celerytrack.origins.memory import KEEP_S
 from celerytrack.origins.origin import StreamOrigin
@@ -15,6 +17,7 @@
     moved_services,
     shared_services,
 )
+from celerytrack.routing.versions import ESTABLISHED_AFTER_S
 
 S = ServiceName("s")
 Z = Zone("z")
@@ -57,6 +60,51 @@
     return versions
 
 
+BEGINS = RequestProfile(S, resumable=True)
+GOES_ON = RequestProfile(S, (), StreamOrigin(S, NEW), resumable=True)
+JOINED_S = 100.0
+EARLY_S = JOINED_S + ESTABLISHED_AFTER_S - 0.01
+LATE_S = JOINED_S + ESTABLISHED_AFTER_S + 0.01
+
+
+class NewVersionTest(unittest.TestCase):
+    @params(
+        (BEGINS, EARLY_S, {OLD}),
+        (BEGINS, LATE_S, {OLD, NEW}),
+        (NEW_WORK, JOINED_S, {OLD, NEW}),
+        (GOES_ON, JOINED_S, {NEW}),
+    )
+    def test_streams_begin_only_at_versions_that_all_entries_know(
+        self, profile: RequestProfile, now_s: float, versions: set[str]
+    ) -> None:
+        """A stream began at a version that other entries had not read, and these took
+        the only one that they knew for the one that began it."""
+        pool = EndpointPool(Z, random.Random(1))
+        _register(pool, "old", OLD, 0.0)
+        _register(pool, "new", NEW, JOINED_S)
+        self.assertEqual(_chosen_versions(pool, now_s, profile=profile), versions)
+
+    @params((EARLY_S - JOINED_S, True), (LATE_S - JOINED_S, False))
+    def test_a_version_that_left_before_all_knew_it_is_new_again(
+        self, left_after_s: float, is_new: bool
+    ) -> None:
+        """The time without the version counted as time in which entries read it."""
+        pool = EndpointPool(Z, random.Random(1))
+        _register(pool, "old", OLD, 0.0)
+        _register(pool, "new", NEW, JOINED_S)
+        pool.mark_deregistered(EndpointId("new"), JOINED_S + left_after_s)
+        back_s = JOINED_S + 10.0
+        _register(pool, "new", NEW, back_s)
+        versions = _chosen_versions(pool, back_s, profile=BEGINS)
+        self.assertEqual(NEW not in versions, is_new)
+
+    def test_streams_begin_at_the_only_version_at_once(self) -> None:
+        """Entries that start turned away what could go nowhere else."""
+        pool = EndpointPool(Z, random.Random(1))
+        _register(pool, "new", NEW, JOINED_S)
+        self.assertEqual(_chosen_versions(pool, JOINED_S, profile=BEGINS), {NEW})
+
+
 def _table(*routes: tuple[str, ...]) -> RoutingTable:
     document = {
         "version": 1,
