--- a/src/celerytrack/routing/versions.py
+++ b/src/celerytrack/routing/versions.py
@@ -13,8 +13,8 @@
 counted from the begin of its read: longer than a poll and a slow answer together."""
 ESTABLISHED_AFTER_S = VIEW_LEASE_S + 0.1
 """Time after which an entry lets streams begin at a version that it has just read, in
-a service with several. By then an entry that does not know the version has no lease,
-and takes no other version for the only one."""
+a service with several. By then an entry that does not know the version has no view
+lease, and takes no other version for the only one."""
 _CACHE_S = 0.25
 
 
@@ -59,7 +59,7 @@
             self._established.add((service, version))
 
     def is_established(self, service: ServiceName, version: str) -> bool:
-        """Whether all entries with a lease on their view know the version."""
+        """Whether all entries with a view lease know the version."""
         return (service, version) in self._established
 
     def set_shared(self, services: Collection[ServiceName], now_s: float) -> None:
