A stream that waits for a new version is told why, and until when

Right after the last endpoint of a version was replaced, resumable streams are refused for up to 1.6 s. The refusal said 'none has room', and its Retry-After of .5 s let callers come back in vain. It says now that no version is established, and the time until the first one is.

The new test fails before: the body doesn't name the reason. After it, the caller that waits as told gets its stream, and a plain request is served meanwhile.

--- a/src/celerytrack/gateway/placement.py
+++ b/src/celerytrack/gateway/placement.py
@@ -57,8 +57,12 @@
     )
 
 
-def none_has_room(exchange: Exchange) -> AttemptFailure:
+def none_has_room(gateway: Gateway, exchange: Exchange, now_s: float) -> AttemptFailure:
     """Return the failure of a request for which no endpoint has room."""
+    wait_s = gateway.endpoints.established_in_s(exchange.profile, now_s)
+    if wait_s is not None:
+        failure = no_endpoint("none of an established version has room")
+        return attrs.evolve(failure, retry_after_s=wait_s)
     origin = exchange.origin
     of_version = "" if origin is None else f" of version {origin.version}"
     return no_endpoint(f"none{of_version} has room")
@@ -94,7 +98,7 @@
     if gateway.notices.limits.tracker:
         return await _place_within_limits(gateway, exchange, suspect_state)
     chosen = choose_endpoint(gateway, exchange, suspect_state, now_s)
-    return Placement(chosen) if chosen else none_has_room(exchange)
+    return Placement(chosen) if chosen else none_has_room(gateway, exchange, now_s)
 
 
 async def _place_within_limits(
@@ -118,9 +122,10 @@
     leased = await placer.lease_best(choose)
     if leased is not None:
         return Placement(leased.choice, leased.lease)
-    candidates = _limited_candidates(gateway, exchange, time.monotonic())
+    now_s = time.monotonic()
+    candidates = _limited_candidates(gateway, exchange, now_s)
     if not candidates:
-        return none_has_room(exchange)
+        return none_has_room(gateway, exchange, now_s)
     waited = await placer.lease_in_time(candidates, gateway.rng)
     if isinstance(waited, LeaseDenied):
         return _rate_limited(spread_retry_after_s(waited.retry_after_s, gateway.rng))
--- a/src/celerytrack/gateway/sending.py
+++ b/src/celerytrack/gateway/sending.py
@@ -63,7 +63,7 @@
             if chosen is None:
                 if await settle_doubts(gateway, exchange):
                     continue
-                return Failure(none_has_room(exchange))
+                return Failure(none_has_room(gateway, exchange, now_s))
             placement = Placement(chosen)
             return await _send_placed(gateway, exchange, placement, suspect_state)
         placed = await place(gateway, exchange, suspect_state)
--- a/src/celerytrack/routing/endpoints.py
+++ b/src/celerytrack/routing/endpoints.py
@@ -46,7 +46,7 @@
 )
 from celerytrack.routing.prefill import prefill_s
 from celerytrack.routing.restored_registrations import RestoredRegistrations
-from celerytrack.routing.versions import VersionHistory
+from celerytrack.routing.versions import ESTABLISHED_AFTER_S, VersionHistory
 
 DOUBT_S = 3.0
 """Time in which a process that started again at its address has registered. Until the
@@ -247,6 +247,23 @@
             registration.service, registration.version
         )
 
+    def established_in_s(self, profile: RequestProfile, now_s: float) -> float | None:
+        """Time until a stream may begin at a version that has just come up.
+
+        :returns: ``None`` if no endpoint waits for that.
+        """
+        if profile.origin is not None:
+            return None
+        new = [
+            e
+            for e in self._candidates(profile.service, now_s)
+            if not self.fits(e, profile, now_s)
+        ]
+        if not new:
+            return None
+        first_s = min(e.registered_at_s for e in new)
+        return max(0.0, first_s + ESTABLISHED_AFTER_S - now_s)
+
     def may_send(self, endpoint: Endpoint, now_s: float) -> bool:
         """Whether a request that was placed may be sent now: not if the endpoint may
         have left, and not against its own word."""
--- a/tests/test_out_of_step.py
+++ b/tests/test_out_of_step.py
@@ -2,6 +2,7 @@
 other entries, alone or in a group."""
 
 import asyncio
+import math
 import time
 import unittest
 from collections import Counter
@@ -10,6 +11,7 @@
 from nose2.tools import params
 
 from celerytrack.platform.topics import ENDPOINTS_TOPIC
+from celerytrack.routing.versions import ESTABLISHED_AFTER_S
 from tests.entry_isolation import Isolation, isolate
 from tests.gateway_fleet import Fleet
 from tests.raw_endpoints import RawEndpoint, RawRequest, answer_head, chunk, event
@@ -143,3 +145,25 @@
             self.assertEqual([s for s in leased if s.after != s.before], [], ways)
         begun_new = sum(s.before == NEW for s in streams)
         self.assertGreater(begun_new, LEAST_NEW, ways)
+
+
+class ReplacedVersionTest(unittest.IsolatedAsyncioTestCase):
+    async def test_streams_are_told_when_the_new_version_takes_them(self) -> None:
+        """The last endpoint of a version was replaced: the refusal of a stream named no
+        reason, and a time at which it was refused again."""
+        old, new = _Endpoint("i-old", OLD), _Endpoint("i-new", NEW)
+        async with Fleet(old) as fleet:
+            self.addAsyncCleanup((await new.start()).cleanup)
+            fleet.log.put(ENDPOINTS_TOPIC, new.name, new.registration())
+            fleet.log.put(ENDPOINTS_TOPIC, old.name, b"")
+            pool = fleet.gateways[0].endpoints
+            await fleet.wait_until(lambda: pool.registered_ids() == [new.name])
+            status, headers, body = await fleet.ask("/resume/x", "r1")
+            self.assertEqual(status, 503)
+            self.assertIn(b"established", body)
+            retry_after_s = float(headers["Retry-After"])
+            self.assertLessEqual(retry_after_s, math.ceil(ESTABLISHED_AFTER_S))
+            status, _, _ = await fleet.ask("/plain/x", "r2")
+            self.assertEqual(status, 200)
+            await asyncio.sleep(retry_after_s)
+            self.assertEqual(await _ask(fleet, "r3", 0), NEW)
