An answer of the own interface's log that stops after its head ends no task

What callers saw: nothing yet; found by a table of places at which answers stop. An entry whose log connection was closed by FIN right after the head of an answer without length lost the task that had asked (the configuration's follower, the ledger's, the writer's): TypeError in each of append, read and last. A 404 that stopped there said "the stream is empty".

Cause: the library reads an empty body as null, which raised an error that no caller expects; `last` didn't look at the body of a 404 at all.

Rows with a length or in chunks were sound, and so were the platform store's append, newest, end and read (a batch that stops between two records counts just those that arrived, and is read on from there).

Why it works: an answer whose status means something only with its fields (200, 404, 409, 410) and that has none is unreadable, which each call already turns into its own failure: unknown outcome for an append, unreachable for a read.

--- a/src/celerytrack/logclient.py
+++ b/src/celerytrack/logclient.py
@@ -12,10 +12,14 @@
 import attrs
 from returns.result import Failure, Result, Success
 
+from celerytrack.strict import UnreadableError
+
 READ_IDLE_TIMEOUT_S = 2.0
 """Longest wait for the next bytes of a read, in addition to the time that the log may
 hold it. A change must be in force within five seconds, even if the read that was held
 before it is never answered."""
+_STATUSES_WITH_FIELDS = frozenset({200, 404, 409, 410})
+"""Statuses of answers that mean something only with their body."""
 
 
 class LogErrorKind(enum.Enum):
@@ -59,6 +63,21 @@
     start_offset: int
 
 
+async def _read_fields(response: aiohttp.ClientResponse) -> dict[str, Any]:
+    """Read an answer to its end.
+
+    One without length that stops after its head raises no error by itself.
+
+    :raises UnreadableError: if it succeeded, or says where the log is, without fields.
+    """
+    data = await response.json(content_type=None)
+    if isinstance(data, dict):
+        return data
+    if response.status in _STATUSES_WITH_FIELDS:
+        raise UnreadableError(f"an answer with {response.status} must be an object")
+    return {}
+
+
 class LogClient:
     """Client of one log service over a shared aiohttp session.
 
@@ -96,7 +115,7 @@
             async with self._http().post(
                 self._base + stream, json=body, timeout=timeout
             ) as resp:
-                data = await resp.json(content_type=None)
+                data = await _read_fields(resp)
                 if resp.status == 200:
                     return Success(Appended(data["first_offset"], data["next_offset"]))
                 if resp.status == 409:
@@ -123,7 +142,7 @@
             async with self._http().get(
                 self._base + stream, params=params, timeout=timeout
             ) as resp:
-                data = await resp.json(content_type=None)
+                data = await _read_fields(resp)
                 if resp.status == 410:
                     return Failure(
                         LogError(
@@ -144,7 +163,7 @@
             async with self._http().get(
                 self._base + stream + "/last", timeout=timeout
             ) as resp:
-                data = await resp.json(content_type=None)
+                data = await _read_fields(resp)
                 if resp.status == 404:
                     return Success(None)
                 if resp.status != 200:
