An epoch is set once the store's answer has arrived whole

What callers saw: nothing; found by the table of places at which answers of the log stop. An entry took an answer of 200 without length as the store's word that earlier incarnations of it are fenced off, wherever its body stopped, also right after the head.

Cause: setting an epoch was the only call that didn't look at the body.

Why it works: the answer is an object, which none of its beginnings is, or it is empty and its head says so. An empty answer without length is none for any call. A caller of set_epoch asks again after such a failure, as after a lost answer.

Other way of being wrong: a store that confirms an epoch with text that is no object, or with an empty answer that only the end of its connection ends, is asked for ever.

--- a/src/celerytrack/platform/log_format.py
+++ b/src/celerytrack/platform/log_format.py
@@ -106,6 +106,15 @@
     return appended.offset
 
 
+def check_confirmed(data: bytes) -> None:
+    """Check the answer to a call that appends nothing: it is empty, or an object.
+
+    :raises UnreadableError: if it stops in its middle.
+    """
+    if data and not isinstance(parse_json(data), dict):
+        raise UnreadableError("an answer must be an object")
+
+
 def decode_page(data: bytes) -> Page:
     """Decode one page of the newest record of each key.
 
--- a/src/celerytrack/platform/store.py
+++ b/src/celerytrack/platform/store.py
@@ -18,10 +18,12 @@
 from celerytrack.eras import Era, EraStatus, EraTracker
 from celerytrack.events import Event, log_event
 from celerytrack.http_session import make_http_session
+from celerytrack.platform.http import Framing, framing_of
 from celerytrack.platform.log_format import (
     ERA_HEADER,
     Batch,
     KeyedRecord,
+    check_confirmed,
     decode_appended,
     decode_batch,
     decode_era,
@@ -201,7 +203,7 @@
     async def set_epoch(self, topic: str, writer: Writer) -> Result[None, StoreError]:
         """Fence off appends of earlier incarnations of ``writer``."""
         answer = await self._append(topic, b"", writer)
-        return answer.map(lambda _: None)
+        return answer.bind(lambda data: _decode_answer(lambda: check_confirmed(data)))
 
     async def _append(
         self, topic: str, body: bytes, writer: Writer
@@ -244,6 +246,8 @@
                 ):
                     return Failure(_older_era_error(era))
                 if response.status == 200:
+                    if not data and framing_of(response.headers) is Framing.CONNECTION:
+                        return Failure(_no_body())
                     return Success(data)
                 return Failure(_error_of_status(response.status, data))
         except (aiohttp.ClientError, OSError, TimeoutError) as exc:
@@ -263,6 +267,11 @@
         return None
 
 
+def _no_body() -> StoreError:
+    detail = "an answer without length or body"
+    return StoreError(StoreErrorKind.UNREADABLE, detail)
+
+
 def _older_era_error(era: Era | None) -> StoreError:
     return StoreError(StoreErrorKind.OLDER_ERA, f"era {era}")
 
--- a/tests/test_cut_log_answers.py
+++ b/tests/test_cut_log_answers.py
@@ -29,6 +29,10 @@
     return await store.append("keyed.t", "k", b"v", WRITER)
 
 
+async def _set_epoch(store: StoreClient) -> Result[Any, Any]:
+    return await store.set_epoch("keyed.t", WRITER)
+
+
 async def _read(store: StoreClient) -> Result[Any, Any]:
     return await store.read("keyed.t", 2)
 
@@ -101,6 +105,7 @@
             for framing in Framing
             for call, body in (
                 (_append, APPENDED),
+                (_set_epoch, APPENDED),
                 (_newest, PAGE),
                 (_end, PAGE),
             )
@@ -109,7 +114,7 @@
     def test_an_answer_that_stops_is_no_answer(
         self, call: StoreCall, body: bytes, framing: Framing
     ) -> None:
-        """An append or a read counted as done though the store's answer
+        """An append, a new epoch or a read counted as done though the store's answer
         broke off."""
         results = asyncio.run(_store_results(frame(body, framing), call))
         self.assertEqual(_taken(results), [])
