A relayed answer without length that ends counts as broken off

What callers saw: nothing known; found by the table of places at which answers of another entry stop. Where a relayed answer had neither a length nor chunks, its caller got its beginning as the whole: a plain answer of no bytes "Content-Length: 0", a stream of one of three events with its end.

Cause: the end of an answer without length is checked only where this entry sent the request itself. Entries give each answer a length or chunks, whatever the endpoint did, so one without is not what an entry wrote, or not all of it.

Why it works: without an endpoint of its own to ask, such an end is a break. Answers without a body (HEAD, 204, 304) stay as they were.

Other way of being wrong: none found, since no entry writes such an answer; an answer with a length and one in chunks are passed on (same file).

--- a/src/celerytrack/gateway/answer_ends.py
+++ b/src/celerytrack/gateway/answer_ends.py
@@ -44,7 +44,7 @@
 
 async def ended_with_process(
     gateway: Gateway,
-    endpoint: Endpoint,
+    endpoint: Endpoint | None,
     response: aiohttp.ClientResponse,
     deadline_at_s: float,
 ) -> bool:
@@ -54,6 +54,8 @@
     after its listener; another process may have its address by now. One that takes no
     connection, or doesn't answer, in time may be full.
 
+    :param endpoint: ``None`` if another entry passed the answer on: entries give each
+        one a length or chunks, so without them it broke off.
     :param deadline_at_s: by when the answer must be sent; without a result until then
         the process counts as alive.
     """
@@ -61,6 +63,8 @@
         return False
     if response.method == "HEAD" or response.status in _WITHOUT_BODY:
         return False
+    if endpoint is None:
+        return True
     now_s = time.monotonic()
     left_s = min(MAX_CHECK_S, deadline_at_s - now_s - SEND_MARGIN_S)
     try:
--- a/src/celerytrack/gateway/attempts.py
+++ b/src/celerytrack/gateway/attempts.py
@@ -236,11 +236,10 @@
         return connection_failure(Reason.UPSTREAM_CUT, Verdict.MAY_HAVE_RUN, exc)
     if was_reset(response, protocol):
         return unusable_answer("an answer without length was reset")
+    endpoint = None if dispatch is None else dispatch.endpoint
+    if await ended_with_process(gateway, endpoint, response, exchange.deadline_at_s):
+        return unusable_answer(PROCESS_ENDED)
     if dispatch is not None:
-        if await ended_with_process(
-            gateway, dispatch.endpoint, response, exchange.deadline_at_s
-        ):
-            return unusable_answer(PROCESS_ENDED)
         dispatch.record_first_output(time.monotonic())
     headers = returned_headers(response.headers)
     return Success(BufferedAnswer(response.status, headers, body))
--- a/src/celerytrack/gateway/stream_relay.py
+++ b/src/celerytrack/gateway/stream_relay.py
@@ -84,9 +84,8 @@
             return _out_of_order(received.disorder)
     if events.has_partial or was_reset(response, protocol):
         return unusable_answer("a stream ended in the middle of an event")
-    if dispatch and await ended_with_process(
-        gateway, dispatch.endpoint, response, exchange.deadline_at_s
-    ):
+    endpoint = None if dispatch is None else dispatch.endpoint
+    if await ended_with_process(gateway, endpoint, response, exchange.deadline_at_s):
         return unusable_answer(PROCESS_ENDED)
     if (received := events.finish()) is not None:
         await _pass_on(gateway, exchange, dispatch, response, received)
