--- a/tests/raw_endpoints.py
+++ b/tests/raw_endpoints.py
@@ -140,10 +140,11 @@
             data = await reader.read(-1)
     finally:
         writer.close()
-    return _parse(data)
+    return parse_answer(data)
 
 
-def _parse(data: bytes) -> RawAnswer:
+def parse_answer(data: bytes) -> RawAnswer:
+    """Take the bytes of a connection that has ended apart."""
     head, _, raw = data.partition(b"\r\n\r\n")
     status = int(head.split()[1]) if head else 0
     if b"chunked" not in head.lower():
