A process that doesn't say who it is isn't taken for the endpoint that was there

Cause: any answer to the check but 421 or another id counted as the endpoint's.

Evidence (test_identity_checks on the unchanged code): 7 of 30 rows fail, among them test_a_stream_of_a_process_that_was_replaced_does_not_look_complete rows 2 (503) and 3 (404): AssertionError: True is not false. The other five are answers of 200, 503, 400, 404 and of bytes that are no HTTP, without an id: SAME, now UNNAMED.

One that starts again under the same id can't be told.

Changes to tests: IdentityTest's rows of 404 and of bytes that are no HTTP said SAME; that was the fault, they say UNNAMED. A test that needs another answer asks for it (answers_checks). test_process_soak 31, test_killed_endpoints 12, test_repeated_events 51, test_second_answers 20, test_unframed_answers 3, test_unidentified_answers 1, test_lost_origins 7, test_broken_chunks 12 passed.

--- a/src/celerytrack/gateway/identity_checks.py
+++ b/src/celerytrack/gateway/identity_checks.py
@@ -10,7 +10,7 @@
 
 from celerytrack import http_session
 from celerytrack.ids import EndpointId
-from celerytrack.platform.http import encode_identity_check, is_from_other
+from celerytrack.platform.http import encode_identity_check, names_process
 from celerytrack.routing.endpoint import Endpoint
 
 MAX_WAIT_S = 0.25
@@ -26,13 +26,22 @@
     """What a check says of the process at an address."""
 
     SAME = "same"
-    """It is the endpoint, or nothing says otherwise."""
+    """It is the endpoint, or says nothing in time."""
     OTHER = "other"
+    UNNAMED = "unnamed"
+    """It answers, and doesn't say who it is, as each endpoint does."""
     NONE = "none"
     CLOSED = "closed"
     """The connection was closed without an answer."""
 
 
+_IDENTITY_OF = {
+    True: Identity.SAME,
+    False: Identity.OTHER,
+    None: Identity.UNNAMED,
+}
+
+
 async def has_other_process(endpoint: Endpoint, health_path: str) -> bool:
     """Whether an endpoint's process isn't at its address any more."""
     for delay_s in RETRY_DELAYS_S:
@@ -74,4 +83,4 @@
         return Identity.CLOSED
     finally:
         sock.close()
-    return Identity.OTHER if is_from_other(head, endpoint_id) else Identity.SAME
+    return _IDENTITY_OF[names_process(head, endpoint_id)]
--- a/src/celerytrack/platform/http.py
+++ b/src/celerytrack/platform/http.py
@@ -76,6 +76,8 @@
 _NOT_RELAYED = frozenset({"content-length", "expect", RELAY_HEADER.lower()})
 _NOT_RETURNED = frozenset({"content-length", "date", "server", RELAYED_HEADER.lower()})
 
+_FULL_STATUSES = frozenset({b"429", b"503"})
+
 SKIPPED_AUTO_HEADERS = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
 """Headers that the client library would add by default. An endpoint that used an
 encoding they offer would return a body that the caller cannot read."""
@@ -319,14 +321,23 @@
     return "\r\n".join((*lines, "", "")).encode()
 
 
-def is_from_other(head: bytes, endpoint_id: EndpointId) -> bool:
-    """Whether the head of the answer to such a request shows another endpoint."""
+def names_process(head: bytes, endpoint_id: EndpointId) -> bool | None:
+    """Whether the head of the answer to such a request is of ``endpoint_id``.
+
+    :returns: ``None`` if it doesn't say.
+    """
     status_line, *lines = head.partition(b"\r\n\r\n")[0].split(b"\r\n")
-    if status_line.split(b" ")[1:2] == [b"421"]:
-        return True
-    fields = (line.partition(b":") for line in lines)
-    named = [v.strip() for k, _, v in fields if k.lower() == _NAMED.lower().encode()]
-    return bool(named) and named != [endpoint_id.encode()]
+    status = b"".join(status_line.split(b" ")[1:2])
+    if status == b"421":
+        return False
+    pairs = [line.partition(b":") for line in lines]
+    fields = [(name.lower(), value.strip()) for name, _, value in pairs]
+    named = [value for name, value in fields if name == _NAMED.lower().encode()]
+    if named:
+        return named == [endpoint_id.encode()]
+    # A full endpoint rejects a check like any request, and another one with 421.
+    is_rejected = any(name == _NOT_RUN.lower().encode() for name, _ in fields)
+    return True if status in _FULL_STATUSES and is_rejected else None
 
 
 def encode_addresses(addresses: list[str], ttl_s: float) -> dict[str, Any]:
--- a/tests/process_soak/endpoint.py
+++ b/tests/process_soak/endpoint.py
@@ -112,6 +112,10 @@
         if expected not in ("", endpoint.name):
             await self._refuse("421 Another", fields)
             return True
+        if path == "/health":
+            named = (f"X-Replica-Id: {endpoint.name}",)
+            await self._write_plain("", "200 OK", b"", "length", named)
+            return True
         if rng.random() < 0.03:
             await self._refuse("503 Full", fields)
             return True
--- a/tests/raw_endpoints.py
+++ b/tests/raw_endpoints.py
@@ -6,6 +6,7 @@
 
 import attrs
 
+from celerytrack.routing.routes import DEFAULT_HEALTH_PATH
 from tests.gateway_fleet import Endpoint, Fleet
 
 
@@ -44,10 +45,18 @@
     """An endpoint that writes what ``script`` does.
 
     :param keeps: whether a connection stays open after an answer.
+    :param answers_checks: whether it says who it is at the path of its health;
+        otherwise the script does.
     :ivar open: connections that are open now.
     """
 
-    def __init__(self, name: str, script: RawScript, keeps: bool = False) -> None:
+    def __init__(
+        self,
+        name: str,
+        script: RawScript,
+        keeps: bool = False,
+        answers_checks: bool = True,
+    ) -> None:
         async def no_script(request: object) -> None: ...
 
         super().__init__(name, no_script)  # type: ignore[arg-type]
@@ -55,6 +64,7 @@
         self.requests: list[RawRequest] = []
         self._raw_script = script
         self._keeps = keeps
+        self._answers_checks = answers_checks
 
     async def start(self) -> _Runner:  # type: ignore[override]
         return _Runner(await asyncio.start_server(self._serve, "127.0.0.1", self.port))
@@ -70,7 +80,10 @@
                 length = int(request.header("Content-Length") or 0)
                 await reader.readexactly(length)
                 self.requests.append(request)
-                await self._raw_script(request, writer)
+                if self._answers_checks and request.path == DEFAULT_HEALTH_PATH:
+                    writer.write(health_answer(self.name))
+                else:
+                    await self._raw_script(request, writer)
                 await writer.drain()
                 if not self._keeps:
                     return
@@ -82,6 +95,13 @@
             writer.close()
 
 
+def health_answer(name: str) -> bytes:
+    """The answer of an endpoint that is asked for its health."""
+    return b"HTTP/1.1 200 OK\r\nX-Replica-Id: %s\r\nContent-Length: 0\r\n\r\n" % (
+        name.encode()
+    )
+
+
 def answer_head(request: RawRequest, status: str = "200 OK", *headers: str) -> bytes:
     """The head of an answer with id and seal."""
     lines = (
--- a/tests/test_identity_checks.py
+++ b/tests/test_identity_checks.py
@@ -9,7 +9,7 @@
 from celerytrack.ids import EndpointId
 from tests.gateway_fleet import Fleet, free_port
 from tests.raw_endpoints import RawAnswer, RawEndpoint, RawRequest, ask_raw
-from tests.test_killed_endpoints import CUT_AFTER, KilledEndpoint
+from tests.test_killed_endpoints import CUT_AFTER, EVENTS, KilledEndpoint, _go_on
 
 ASKED = EndpointId("i-7")
 
@@ -37,8 +37,14 @@
         (b"HTTP/1.1 503 Full\r\nX-Replica-Id: i-8\r\n\r\n", Identity.OTHER),
         (b"HTTP/1.1 421 Other\r\n\r\n", Identity.OTHER),
         (b"HTTP/1.1 503 Full\r\nX-Not-Executed: 1\r\n\r\n", Identity.SAME),
-        (b"HTTP/1.1 404 No\r\n\r\n", Identity.SAME),
-        (b"\xff\xfe no answer \r\n\r\n", Identity.SAME),
+        (b"HTTP/1.1 429 Full\r\nx-not-executed: 1\r\n\r\n", Identity.SAME),
+        (b"HTTP/1.1 503 Leaves\r\nX-Replica-Id: i-7\r\n\r\n", Identity.SAME),
+        (b"HTTP/1.1 421 Other\r\nX-Not-Executed: 1\r\n\r\n", Identity.OTHER),
+        (b"HTTP/1.1 200 OK\r\n\r\n", Identity.UNNAMED),
+        (b"HTTP/1.1 503 Full\r\n\r\n", Identity.UNNAMED),
+        (b"HTTP/1.1 400 No Id\r\nX-Not-Executed: 1\r\n\r\n", Identity.UNNAMED),
+        (b"HTTP/1.1 404 No\r\n\r\n", Identity.UNNAMED),
+        (b"\xff\xfe no answer \r\n\r\n", Identity.UNNAMED),
         (b"HTTP/1.1 200 OK\r\nX-Rep", Identity.CLOSED),
         (None, Identity.CLOSED),
     )
@@ -67,7 +73,7 @@
         async def be_another(check: RawRequest, writer: asyncio.StreamWriter) -> None:
             writer.write(self._answer)
 
-        successor = RawEndpoint("i-9", be_another)
+        successor = RawEndpoint("i-9", be_another, answers_checks=False)
         successor.port = self.port
         await successor.start()
 
@@ -78,6 +84,49 @@
         return await ask_raw(fleet, "/stream/x", "r1")
 
 
+class CheckedEndpoint(RawEndpoint):
+    """A sound endpoint that answers checks of its health with ``answer``."""
+
+    def __init__(self, name: str, answer: bytes) -> None:
+        super().__init__(name, self._serve_all, answers_checks=False)
+        self._answer = answer
+
+    async def _serve_all(
+        self, request: RawRequest, writer: asyncio.StreamWriter
+    ) -> None:
+        if request.request_id:
+            await _go_on(request, writer)
+        else:
+            writer.write(self._answer)
+
+
+async def _ask_checked(answer: bytes, path: str) -> RawAnswer:
+    async with Fleet(CheckedEndpoint("i-0", answer)) as fleet:
+        return await ask_raw(fleet, path, "r1")
+
+
+class CheckedEndpointTest(unittest.TestCase):
+    @params(
+        *(
+            (path, answer)
+            for path in ("/stream/x", "/once/x")
+            for answer in (
+                b"HTTP/1.1 200 OK\r\nX-Replica-Id: i-0\r\n\r\n",
+                b"HTTP/1.1 503 Leaves\r\nX-Replica-Id: i-0\r\n\r\n",
+                b"HTTP/1.1 503 Full\r\nX-Not-Executed: 1\r\n\r\n",
+                b"HTTP/1.1 429 Full\r\nX-Not-Executed: 1\r\n\r\n",
+                b"",
+            )
+        )
+    )
+    def test_a_whole_answer_is_passed_on(self, path: str, answer: bytes) -> None:
+        """Answers of endpoints that leave, are full, or take no more connections were
+        taken for cut, since the check of their process was rejected."""
+        got = asyncio.run(_ask_checked(answer, path))
+        self.assertEqual((got.status, got.body.count(b"id: ")), (200, EVENTS))
+        self.assertTrue(got.whole)
+
+
 class ReplacedEndpointTest(unittest.TestCase):
     @params(b"421 Other", b"503 Full", b"404 Not Found")
     def test_a_stream_of_a_process_that_was_replaced_does_not_look_complete(
--- a/tests/test_killed_endpoints.py
+++ b/tests/test_killed_endpoints.py
@@ -89,7 +89,7 @@
     """An endpoint whose answers take long, and that answers no check meanwhile."""
 
     def __init__(self, name: str) -> None:
-        super().__init__(name, self._answer)
+        super().__init__(name, self._answer, answers_checks=False)
 
     async def _answer(self, request: RawRequest, writer: asyncio.StreamWriter) -> None:
         if not request.request_id:
