--- a/tests/process_soak/__main__.py
+++ b/tests/process_soak/__main__.py
@@ -8,9 +8,11 @@
 import tempfile
 
 from tests.gateway_processes import ROOT
+from tests.process_soak.calls import Found
 from tests.process_soak.endpoint import STUTTERS
 from tests.process_soak.plan import FAULTS
-from tests.process_soak.soak import Found, Options, soak
+from tests.process_soak.site import Options
+from tests.process_soak.soak import soak
 
 
 def _names(text: str) -> tuple[str, ...]:
--- a/tests/test_process_soak.py
+++ b/tests/test_process_soak.py
@@ -9,6 +9,7 @@
 from nose2.tools import params
 
 from tests.gateway_processes import ROOT
+from tests.process_soak.calls import Found
 from tests.process_soak.endpoint import STUTTERS
 from tests.process_soak.judging import (
     Answer,
@@ -17,7 +18,8 @@
     stream_faults,
 )
 from tests.process_soak.plan import FAULTS, make_plan
-from tests.process_soak.soak import Found, Options, soak
+from tests.process_soak.site import Options
+from tests.process_soak.soak import soak
 
 SECONDS = 6.0
 LAST = 6
