Links of the soak's entries that can go silent

The soak had no entry that is cut off from the log or from others. The product isn't touched. Not used yet.

--- a/tests/keyed_log.py
+++ b/tests/keyed_log.py
@@ -17,6 +17,9 @@
 _LENGTH = struct.Struct(">I")
 _BATCH_HEADER = struct.Struct(">QQ")
 _CHUNK_BYTES = 16_384
+View = Callable[[str, str, bytes], bytes]
+"""The value that a reader gets, of a topic, a key and the value that was written."""
+_VIEW = web.AppKey("view", View)
 
 
 @attrs.define
@@ -159,9 +162,13 @@
         if text is not None:
             answer.headers[ERA_HEADER] = text
 
-    def make_app(self) -> web.Application:
-        """The HTTP application."""
+    def make_app(self, view: View | None = None) -> web.Application:
+        """The HTTP application.
+
+        :param view: gives the values that this application's readers get.
+        """
         app = web.Application()
+        app[_VIEW] = view or _as_written
         app.on_response_prepare.append(self._add_era_header)
         app.router.add_post("/log-append", self._append)
         app.router.add_get("/log-read", self._read)
@@ -221,8 +228,10 @@
             return web.json_response({"first": topic.first}, status=410)
         max_bytes = int(request.query.get("maxKb", 1_024)) * 1_024
         body = _BATCH_HEADER.pack(len(topic.records), topic.first)
+        view = request.app[_VIEW]
         for key, value in topic.records[start:]:
-            content = bytes([len(key)]) + key.encode() + value
+            seen = view(name, key, value)
+            content = bytes([len(key)]) + key.encode() + seen
             if len(body) > _BATCH_HEADER.size and len(body) + len(content) > max_bytes:
                 break
             body += _LENGTH.pack(len(content)) + content
@@ -241,9 +250,14 @@
         await self._wait_until_responsive()
         if self._refuses(request):
             return web.Response(status=503)
-        topic = self.topic(request.query["topic"])
+        name = request.query["topic"]
+        topic, view = self.topic(name), request.app[_VIEW]
         entries = [
-            {"key": key, "value": base64.b64encode(value).decode(), "offset": offset}
+            {
+                "key": key,
+                "value": base64.b64encode(view(name, key, value)).decode(),
+                "offset": offset,
+            }
             for key, (offset, value) in sorted(topic.newest().items())
             if key > request.query.get("after", "")
         ]
@@ -251,6 +265,10 @@
         return await self.link.send(request, json.dumps(page).encode())
 
 
+def _as_written(topic: str, key: str, value: bytes) -> bytes:
+    return value
+
+
 def _decode(body: bytes) -> list[tuple[str, bytes]]:
     records = []
     at = 0
--- a/tests/process_soak/proxy.py
+++ b/tests/process_soak/proxy.py
@@ -1,4 +1,5 @@
-"""A loopback proxy that resets connections and carries bytes in one direction only."""
+"""A loopback proxy that resets connections, carries bytes in one direction only, or
+goes silent."""
 
 import asyncio
 import socket
@@ -8,17 +9,21 @@
 
 
 class Proxy:
-    """Carries connections to ``port``.
+    """Carries connections to a target on loopback.
 
     :ivar cut_forth: bytes to the endpoint are lost, as long as it is set.
     :ivar cut_back: bytes of the endpoint are lost, as long as it is set.
     """
 
-    def __init__(self, port: int, target_port: int) -> None:
+    def __init__(
+        self, port: int, target_port: int, target_host: str = "127.0.0.1"
+    ) -> None:
         self.port = port
         self.cut_forth = False
         self.cut_back = False
-        self._target_port = target_port
+        self._target = (target_host, target_port)
+        self._speaks = asyncio.Event()
+        self._speaks.set()
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
         self._tasks: set[asyncio.Task[None]] = set()
@@ -36,6 +41,13 @@
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
+    def set_silent(self, silent: bool) -> None:
+        """Hold all bytes and new connections back, or let them go on."""
+        if silent:
+            self._speaks.clear()
+        else:
+            self._speaks.set()
+
     def reset(self) -> None:
         """Reset all connections."""
         for writer in list(self._writers):
@@ -50,9 +62,8 @@
         self._writers.add(writer)
         far_writer = None
         try:
-            far_reader, far_writer = await asyncio.open_connection(
-                "127.0.0.1", self._target_port
-            )
+            await self._speaks.wait()
+            far_reader, far_writer = await asyncio.open_connection(*self._target)
             self._writers.add(far_writer)
             async with asyncio.TaskGroup() as group:
                 group.create_task(self._carry(reader, far_writer, True))
@@ -76,11 +87,13 @@
     ) -> None:
         lost = False
         while data := await reader.read(65_536):
+            await self._speaks.wait()
             # A connection that has lost bytes carries no more of them.
             lost = lost or (self.cut_forth if forth else self.cut_back)
             if not lost:
                 writer.write(data)
                 await writer.drain()
+        await self._speaks.wait()
         if not lost:
             writer.close()
 
