--- a/tests/process_soak/processes.py
+++ b/tests/process_soak/processes.py
@@ -61,6 +61,7 @@
     """An endpoint that starts again under another id.
 
     :ivar version: of the software that it starts with.
+    :ivar serves: whether it runs and doesn't leave.
     :param proxied: whether a proxy stands before it. Its answers are framed then: a
         proxy takes connections also where the process is gone.
     """
@@ -70,6 +71,7 @@
         self._options = options
         self._lifetime = 0
         self.version = 1
+        self.serves = False
         self._port = free_port()
         self.proxy = Proxy(free_port(), self._port) if proxied else None
         self._process: asyncio.subprocess.Process | None = None
@@ -122,9 +124,11 @@
         line = await asyncio.wait_for(self._process.stdout.readline(), 10.0)
         if line != b"up\n":
             raise AssertionError(f"{self.name} did not start")
+        self.serves = True
 
     def signal(self, number: signal.Signals) -> None:
         """Send a signal to the process if it runs."""
+        self.serves = number is signal.SIGCONT
         if self._process is not None and self._process.returncode is None:
             os.kill(self._process.pid, number)
 
--- a/tests/process_soak/soak.py
+++ b/tests/process_soak/soak.py
@@ -7,7 +7,7 @@
 from typing import Any
 
 from tests.process_soak.calls import Calls, Found, read_records
-from tests.process_soak.judging import record_faults
+from tests.process_soak.judging import record_faults, rule_faults
 from tests.process_soak.plan import Fault, make_plan
 from tests.process_soak.site import Options, Site
 
@@ -43,6 +43,12 @@
     for name, fault_name in record_faults(runs, found.refused, once):
         found.wrong[f"{found.asked[name].split('/')[1]} {fault_name}"] += 1
         found.evidence.append({"faults": [fault_name], "request": name})
+    for name in rule_faults(len(found.mixed), found.begun, found.taken_up):
+        found.wrong[f"rule {name}"] += 1
+    if found.mixed:
+        (options.folder / "mixed.json").write_text(json.dumps(found.mixed, indent=1))
+    for ip in site.ended:
+        found.wrong[f"entry {ip} ended"] += 1
     if found.evidence:
         (options.folder / "evidence.json").write_text(
             json.dumps(found.evidence, indent=1)
