--- a/tests/process_soak/calls.py
+++ b/tests/process_soak/calls.py
@@ -214,6 +214,8 @@
         self._blame(stream.kind, faults, request, caller)
         if events and stream.version not in (0, events[0].version):
             self._blame(stream.kind, ["version_taken_up"], request, caller)
+        if events and not stream.first and stream.kind == "resume":
+            self.found.counts[f"begun at version {events[0].version}"] += 1
         stream.add(request, caller.entry, events)
         return answer.looks_whole
 
@@ -232,7 +234,9 @@
         served = answer is not None and answer.status == 200
         kind = "taken up" if stream.first else "begun"
         counts = before and self._counts(stream, entry)
-        where = "in touch" if counts else "out of step"
+        where = "in touch" if counts else "not in touch"
+        if stream.after >= stream.last:
+            where = "at its end"
         self.found.counts[f"{kind} {where}: {'served' if served else 'not'}"] += 1
         if counts:
             share = self.found.taken_up if stream.first else self.found.begun
