--- a/tests/process_soak/calls.py
+++ b/tests/process_soak/calls.py
@@ -17,6 +17,7 @@
     Answer,
     Event,
     Share,
+    failure_reason,
     is_mixed,
     parse_events,
     plain_faults,
@@ -149,6 +150,9 @@
         except BrokenError:
             self.found.counts[f"{kind} without answer"] += 1
             return None
+        reason = failure_reason(answer.body)
+        if reason:
+            self.found.counts[f"reason {answer.status} {reason}"] += 1
         if answer.status in PROMISES:
             self.found.refused.add(request.request_id)
         name = "whole" if answer.looks_whole else "cut"
--- a/tests/process_soak/judging.py
+++ b/tests/process_soak/judging.py
@@ -156,7 +156,7 @@
     if not seal:
         if answer.status < 300:
             return ["success_without_seal"]
-        if answer.looks_whole and not _has_verdict(answer.body):
+        if answer.looks_whole and not failure_reason(answer.body):
             return ["no_verdict"]
         return []
     if seal != f"seal.{request_id}":
@@ -172,12 +172,13 @@
     return []
 
 
-def _has_verdict(body: bytes) -> bool:
-    """Whether a body is that of a refusal or failure of ours."""
+def failure_reason(body: bytes) -> str:
+    """The reason that a refusal or failure of ours names, with its verdict."""
     try:
-        return bool(json.loads(body)["error"]["verdict"])
+        error = json.loads(body)["error"]
+        return f"{error['reason']} {error['verdict']}"
     except (ValueError, KeyError, TypeError):
-        return False
+        return ""
 
 
 def record_faults(
--- a/tests/test_process_soak.py
+++ b/tests/test_process_soak.py
@@ -185,7 +185,7 @@
         (200, "seal.r", b'{"request": "r"}', []),
         (500, "seal.r", b'{"request": "r"}', []),
         (502, "", b"", ["no_verdict"]),
-        (502, "", b'{"error": {"verdict": "may_have_run"}}', []),
+        (502, "", b'{"error": {"reason": "r", "verdict": "may_have_run"}}', []),
         (500, "", b"500 Internal Server Error", ["no_verdict"]),
         (503, "", b'{"error": "no"}', ["no_verdict"]),
         (503, "", b"[]", ["no_verdict"]),
