A failing test of processes that follow at once at an endpoint's address

An entry without a connection has no sign at all, also while the others check.

The first new test is of exactly this sequence and needs no seed; the other side, an endpoint that lives on while all runs of one entry break, is a test too (it passes).

--- a/tests/test_mixed_versions.py
+++ b/tests/test_mixed_versions.py
@@ -84,6 +84,15 @@
         await endpoint.come_back_as(NEW, log_put)
 
 
+async def _old_are_replaced_at_once(
+    fleet: Fleet, endpoints: Sequence[VersionedEndpoint], callers: StreamCallers
+) -> None:
+    log_put = LogPut(fleet.log)
+    for endpoint in [e for e in endpoints if e.version == OLD]:
+        await asyncio.sleep(1.2)
+        await endpoint.come_back_as(NEW, log_put, starts_after_s=0.0)
+
+
 async def _play_relayed() -> tuple[StreamCallers, float]:
     """Streams of which half begin at gateways that reach no endpoint."""
     endpoints = make_versioned(8, 4, SEED, breaks_share=0.3)
@@ -125,6 +134,15 @@
         callers = asyncio.run(_play_change(gateways, old, change))
         self._check(callers)
 
+    @params(2, 3)
+    def test_a_stream_keeps_its_version_where_processes_follow_at_once(
+        self, seed: int
+    ) -> None:
+        """A process followed before anyone saw its address refuse a connection: what
+        it began was recorded as begun by the one before, and streams went on there."""
+        play = _play_change(6, 6, _old_are_replaced_at_once, seed)
+        self._check(asyncio.run(play))
+
     def test_streams_through_another_entry_keep_their_version(self) -> None:
         """An entry without links did not tell the one that sends for it which version
         its caller's stream had, nor learn which one had begun it."""
--- /dev/null
+++ b/tests/test_replaced_endpoints.py
@@ -0,0 +1,89 @@
+"""A process takes the address of an endpoint before it has registered."""
+
+import asyncio
+import random
+import unittest
+
+from nose2.tools import params
+
+from celerytrack.ids import EndpointId
+from tests.gateway_fleet import Fleet, config
+from tests.stream_callers import StreamCallers
+from tests.versioned_endpoints import (
+    EVENT_PAUSE_S,
+    NEW,
+    OLD,
+    VersionedEndpoint,
+    fleet_of,
+    make_versioned,
+)
+
+GATEWAYS = 3
+CHECKED_S = 0.6
+"""Time in which the checks of an endpoint are over."""
+REPLACED = EndpointId("i-0")
+
+
+async def _begin(fleet: Fleet, gateways: list[int]) -> list["asyncio.Task[object]"]:
+    """Begin streams through some gateways, each with a connection to each endpoint."""
+    tasks: list[asyncio.Task[object]] = []
+    for gateway in gateways:
+        callers = StreamCallers(fleet, random.Random(1), tries=1)
+        callers.alive = [gateway]
+        tasks += [asyncio.create_task(callers.read()) for _ in range(6)]
+    await asyncio.sleep(4 * EVENT_PAUSE_S)
+    return tasks
+
+
+def _known_versions(fleet: Fleet) -> list[str | None]:
+    origins = [gateway.endpoints.origin_at(REPLACED) for gateway in fleet.gateways]
+    return [None if origin is None else origin.version for origin in origins]
+
+
+async def _break_connections(endpoint: VersionedEndpoint, callers: set[int]) -> None:
+    """Break the runs of the callers with these ports, with their connections."""
+    for request in endpoint.seen:
+        if request.transport is None:
+            continue
+        if request.transport.get_extra_info("peername")[1] in callers:
+            request.transport.abort()
+
+
+class ReplacedEndpointTest(unittest.TestCase):
+    @params(([0, 1, 2],), ([0, 1],))
+    def test_what_follows_at_an_address_is_not_taken_for_the_one_before(
+        self, connected: list[int]
+    ) -> None:
+        """A process that followed at once took the check for one that lives on, at
+        entries that had connections to the one before and at one that had none."""
+        asyncio.run(self._replace(connected))
+
+    async def _replace(self, connected: list[int]) -> None:
+        endpoints = make_versioned(2, 1, 1)
+        async with fleet_of(endpoints, GATEWAYS, config(timeoutMs=8_000)) as fleet:
+            begun = await _begin(fleet, connected)
+            self.assertGreaterEqual(len(endpoints[0].callers), len(connected))
+            await endpoints[0].replace(NEW)
+            await asyncio.sleep(CHECKED_S)
+            self.assertNotIn(OLD, _known_versions(fleet))
+            for task in begun:
+                task.cancel()
+            await asyncio.gather(*begun, return_exceptions=True)
+
+    def test_an_endpoint_whose_runs_break_is_known_to_live(self) -> None:
+        """All runs of one entry broke; the connections of the others live on."""
+        asyncio.run(self._break())
+
+    async def _break(self) -> None:
+        endpoints = make_versioned(2, 1, 1)
+        async with fleet_of(endpoints, GATEWAYS, config(timeoutMs=8_000)) as fleet:
+            begun = await _begin(fleet, [0])
+            of_first = {port for _, port in endpoints[0].callers}
+            begun += await _begin(fleet, [1])
+            self.assertGreater(len(endpoints[0].callers), len(of_first))
+            await _break_connections(endpoints[0], of_first)
+            await asyncio.sleep(CHECKED_S)
+            self.assertEqual(_known_versions(fleet), [OLD] * GATEWAYS)
+            for task in begun:
+                task.cancel()
+            await asyncio.gather(*begun, return_exceptions=True)
--- a/tests/versioned_endpoints.py
+++ b/tests/versioned_endpoints.py
@@ -14,6 +14,7 @@
 OLD, NEW = "v1.1", "v1.2"
 EVENTS = 20
 EVENT_PAUSE_S = 0.05
+STARTS_AFTER_S = 0.1
 REGISTERED_AFTER_S = 0.6
 
 
@@ -63,14 +64,23 @@
             if connection.transport is not None:
                 connection.transport.abort()
 
-    async def come_back_as(self, version: str, log_put: "LogPut") -> None:
+    async def come_back_as(
+        self,
+        version: str,
+        log_put: "LogPut",
+        starts_after_s: float = STARTS_AFTER_S,
+    ) -> None:
         """Start again under the same id and address; the registration follows."""
+        await self.replace(version, starts_after_s)
+        await asyncio.sleep(REGISTERED_AFTER_S)
+        log_put(self)
+
+    async def replace(self, version: str, starts_after_s: float = 0.0) -> None:
+        """End; another process takes the address."""
         await self.end()
-        await asyncio.sleep(0.1)
+        await asyncio.sleep(starts_after_s)
         self.version = version
         await self._listen()
-        await asyncio.sleep(REGISTERED_AFTER_S)
-        log_put(self)
 
     async def _run(self, request: web.BaseRequest) -> web.StreamResponse:
         headers = {"X-Attempt-Id": request.headers["X-Attempt-Id"]}
