A new connection to an endpoint no longer shows that its process is the same

Cause: an entry whose last connection was ended by the endpoint connected anew and took a connection that stayed open for .1 s for a sign that the process lives on: 'one that starts takes longer'. It was the successor's. No entry was told, so those without a connection knew nothing.

Change: .02 s after the sign an entry asks others (at most eight, over the kept HTTP connections between entries) what their connections say: one that was open before the sign and still is shows that the process lives; one that ended within .1 s of it says, with this one's own, that the process ended, and all are told. If nobody knows, the endpoint stays in doubt here; with one version only, a new connection settles it as before. A doubt settles .02 s after the sign where a connection is left, .1 s before. A sign that follows a witness's answer is checked by itself. What began in doubt is recorded as soon as the doubt is settled, not with the next read of the registrations.

Why it works: a connection can't outlive its process, whoever has the address next.

Tests changed: EndpointDoubts needs a witness in the tests that settle a doubt (they said that a new connection settles it, which is the fault); that a new connection alone doesn't is a test now. settle_doubt takes when the process was seen alive.

--- a/src/celerytrack/gateway/connections.py
+++ b/src/celerytrack/gateway/connections.py
@@ -7,11 +7,14 @@
 
 import asyncio
 import contextlib
+import time
+from collections import deque
 from collections.abc import AsyncIterator, Callable
 
 import aiohttp
 
 from celerytrack.answer_limits import AnswerBytes, AnswerLimits
+from celerytrack.gateway.end_witness import Witness
 from celerytrack.http_session import ConnectionEnd, GatedConnector, make_http_session
 from celerytrack.ids import EndpointId
 from celerytrack.process_end import CONNECT_TIMEOUT_S
@@ -23,6 +26,11 @@
 request is in transit leaves the outcome of that request unknown."""
 
 
+SAME_END_S = 0.1
+"""Time between which two entries see connections of one process end: each event loop
+may be late."""
+
+
 class EndpointGoneError(Exception):
     """The incarnation of the endpoint to which a request was sent is gone."""
 
@@ -59,7 +67,8 @@
         # aiohttp repeats a GET on its own when a reused connection breaks, so a call
         # that must run at most once could run twice without notice.
         self.session._retry_connection = False
-        self._open = 0
+        self._opened_s: deque[float] = deque()
+        self._ended_s = float("-inf")
         self._on_ended = on_ended
         connector = self.session.connector
         assert isinstance(connector, GatedConnector)
@@ -67,13 +76,25 @@
         self._requests: set[asyncio.Timeout] = set()
 
     def _record_open(self) -> None:
-        self._open += 1
+        self._opened_s.append(time.monotonic())
 
     def _record_closed(self, end: ConnectionEnd) -> None:
-        self._open -= 1
-        if end is not ConnectionEnd.HERE and not self._open:
+        # Which one ended is not known. Taking it for the oldest, no connection is
+        # counted as older than it is.
+        self._opened_s.popleft()
+        if end is ConnectionEnd.BY_PEER:
+            self._ended_s = time.monotonic()
+        if end is not ConnectionEnd.HERE and not self._opened_s:
             self._on_ended(end is ConnectionEnd.ANNOUNCED)
 
+    def witness(self, at_s: float) -> Witness:
+        """What these connections say of an end of the process at ``at_s``."""
+        if self._opened_s and self._opened_s[0] < at_s:
+            return Witness.KEPT
+        if abs(self._ended_s - at_s) <= SAME_END_S:
+            return Witness.ENDED
+        return Witness.NONE
+
     @contextlib.asynccontextmanager
     async def abort_on_loss(self) -> AsyncIterator[asyncio.Timeout]:
         """Abort the enclosed request if the incarnation is lost.
@@ -144,6 +165,11 @@
             self._current[endpoint.endpoint_id] = current
         return current
 
+    def witness(self, endpoint_id: EndpointId, at_s: float) -> Witness:
+        """What the connections to an endpoint say of an end of its process then."""
+        current = self._current.get(endpoint_id)
+        return Witness.NONE if current is None else current.witness(at_s)
+
     def drop(self, endpoint_id: EndpointId) -> None:
         """Close the connections to an incarnation that is gone; another may follow."""
         lost = self._current.pop(endpoint_id, None)
--- a/src/celerytrack/gateway/endpoint_doubts.py
+++ b/src/celerytrack/gateway/endpoint_doubts.py
@@ -1,18 +1,21 @@
 """Endpoints whose process may have ended, so that another may have its address.
 
-A run that breaks ends its connection too. If it was the last one open, a new connection
-that lives on shows that the process is the same: one that starts takes longer.
+A run that breaks ends its connection too. If it was the last one open here, connections
+of other entries that outlive it show that the process is the same. A new connection
+doesn't: another process may have the address within a millisecond.
 """
 
 import asyncio
 import logging
 import random
+import time
 from collections.abc import Awaitable, Callable, Iterable
 
 from cachetools import TTLCache
 
 from celerytrack.events import Event, log_event
 from celerytrack.gateway.end_probes import EndProbes
+from celerytrack.gateway.end_witness import Witness
 from celerytrack.ids import EndpointId
 from celerytrack.origins.messages import EndpointEnded
 from celerytrack.process_end import ConnectResult, probe_address
@@ -23,6 +26,8 @@
 
 HOLD_S = 0.1
 """How long a process that is about to end may keep a new connection open."""
+SEEN_AFTER_S = 0.02
+"""Time after which the other entries have seen the end of a process as well."""
 MAX_CHECK_S = 0.3
 """Longest time for which a stream waits for a check."""
 MAX_TELL_DELAY_S = 0.02
@@ -38,6 +43,8 @@
     :param is_reached: whether another entry reaches an endpoint that refuses
         connections here.
     :param tell: tells the other entries that an incarnation has ended.
+    :param ask: what the connections of all entries say of an end at a time.
+    :param on_settled: called when a process has shown that it lives.
     :ivar end_probes: those for answers that end.
     """
 
@@ -47,7 +54,11 @@
         is_reached: Callable[[Endpoint], Awaitable[bool]],
         tell: Callable[[EndpointEnded], None],
         rng: random.Random,
+        ask: Callable[[Endpoint, float], Awaitable[Witness]],
+        on_settled: Callable[[], None] = lambda: None,
     ) -> None:
+        self._ask = ask
+        self._on_settled = on_settled
         self._endpoints = endpoints
         self._is_reached = is_reached
         self._tell = tell
@@ -115,27 +126,78 @@
         await asyncio.gather(*self._checks, return_exceptions=True)
 
     async def _check(self, endpoint: Endpoint, since_s: float) -> None:
-        ended = _ended(endpoint)
-        result = await probe_address(endpoint.registration.address, HOLD_S)
-        if result is ConnectResult.ACCEPTED and ended not in self._heard:
-            self._endpoints.settle_doubt(endpoint, since_s)
-            return
+        address = endpoint.registration.address
+        probing = asyncio.create_task(probe_address(address, HOLD_S))
+        try:
+            witness = await self._find_witness(endpoint, since_s, probing)
+            if witness is Witness.KEPT:
+                return
+            result = None
+            if witness is Witness.NONE:
+                result = await probing
+                if self._is_alive_if_alone(endpoint, since_s, result):
+                    return
+        finally:
+            probing.cancel()
         log_event(
             _log,
             Event.ENDPOINT_IN_DOUBT,
             endpoint=endpoint.endpoint_id,
             version=endpoint.registration.version,
-            check=result.value,
+            check=witness.value if result is None else result.value,
         )
-        if result is ConnectResult.REFUSED:
-            await self._tell_others(endpoint, ended)
+        if result is None:
+            await asyncio.sleep(self._rng.uniform(0.0, MAX_TELL_DELAY_S))
+            self._tell_once(_ended(endpoint))
+        elif result is ConnectResult.REFUSED:
+            await self._tell_others(endpoint, _ended(endpoint))
+
+    async def _find_witness(
+        self, endpoint: Endpoint, since_s: float, probing: asyncio.Task[ConnectResult]
+    ) -> Witness:
+        """Ask for connections that outlive the sign, and those that follow meanwhile.
+
+        Where new ones are refused, another process may be the next to accept them.
+
+        :returns: ``KEPT`` if the doubt is settled.
+        """
+        while True:
+            await asyncio.sleep(SEEN_AFTER_S)
+            if probing.done() and probing.result() is ConnectResult.REFUSED:
+                return Witness.NONE
+            asked_s = time.monotonic()
+            witness = await self._ask(endpoint, since_s)
+            if witness is not Witness.KEPT:
+                return witness
+            if _ended(endpoint) in self._heard:
+                return Witness.NONE
+            if self._endpoints.settle_doubt(endpoint, since_s, asked_s):
+                self._on_settled()
+                return witness
+            since_s = endpoint.doubted_at_s or since_s
+
+    def _is_alive_if_alone(
+        self, endpoint: Endpoint, since_s: float, result: ConnectResult
+    ) -> bool:
+        """Whether a new connection settles the doubt: where there is one version, what
+        follows at the address is most likely of that one too."""
+        now_s = time.monotonic()
+        if result is not ConnectResult.ACCEPTED or _ended(endpoint) in self._heard:
+            return False
+        if self._endpoints.has_versions(endpoint.registration.service, now_s):
+            return False
+        return self._endpoints.settle_doubt(endpoint, since_s, now_s)
+
+    def _tell_once(self, ended: EndpointEnded) -> None:
+        if ended not in self._heard:
+            self._heard[ended] = None
+            self._tell(ended)
 
     async def _tell_others(self, endpoint: Endpoint, ended: EndpointEnded) -> None:
         await asyncio.sleep(self._rng.uniform(0.0, MAX_TELL_DELAY_S))
         if ended in self._heard or await self._only_link_is_cut(endpoint):
             return
-        self._heard[ended] = None
-        self._tell(ended)
+        self._tell_once(ended)
 
     async def _only_link_is_cut(self, endpoint: Endpoint) -> bool:
         """Whether an endpoint that refused a connection lives, and others reach it.
--- a/src/celerytrack/gateway/endpoint_queries.py
+++ b/src/celerytrack/gateway/endpoint_queries.py
@@ -12,7 +12,15 @@
 from aiohttp import web
 
 from celerytrack.events import Event, log_event
-from celerytrack.gateway.peer_requests import ENDPOINT_REACHED_STATUS, PeerClient
+from celerytrack.gateway.connections import EndpointConnections
+from celerytrack.gateway.end_witness import Witness
+from celerytrack.gateway.peer_requests import (
+    BORN_FIELD,
+    ENDPOINT_REACHED_STATUS,
+    SIGN_AGE_FIELD,
+    WITNESS_STATUS,
+    PeerClient,
+)
 from celerytrack.gateway.reach import LinkedEntry, potential_helpers
 from celerytrack.ids import EndpointId
 from celerytrack.process_end import ConnectResult, probe_address
@@ -22,12 +30,15 @@
 
 MAX_ASKED = 3
 """Entries that are asked at once; their links may be cut as well."""
+MAX_WITNESSES = 8
+"""Entries that are asked for their connections: of many, few have one."""
 
 
 class AskingEntry(LinkedEntry, Protocol):
     """What asking other entries concerns in an entry's state."""
 
     peer_client: PeerClient
+    connections: EndpointConnections
 
 
 async def is_reached_elsewhere(gateway: AskingEntry, endpoint: Endpoint) -> bool:
@@ -73,13 +84,69 @@
     )
 
 
+async def ask_witnesses(
+    gateway: AskingEntry, endpoint: Endpoint, sign_s: float
+) -> Witness:
+    """What the connections of this entry and others say of an end of an endpoint's
+    process at ``sign_s``."""
+    own = gateway.connections.witness(endpoint.endpoint_id, sign_s)
+    if own is Witness.KEPT:
+        return own
+    helpers = potential_helpers(gateway, time.monotonic())
+    asked = gateway.rng.sample(helpers, min(MAX_WITNESSES, len(helpers)))
+    sign_age_s = time.monotonic() - sign_s
+    born_ms = endpoint.registration.born_ms
+    answers = [
+        asyncio.ensure_future(
+            gateway.peer_client.ask_witness(
+                helper.address, endpoint.endpoint_id, born_ms, sign_age_s
+            )
+        )
+        for helper in asked
+    ]
+    found = Witness.NONE
+    try:
+        for answer in asyncio.as_completed(answers):
+            witness = await answer
+            if witness is Witness.KEPT:
+                return witness
+            if witness is Witness.ENDED:
+                found = witness
+    finally:
+        for pending in answers:
+            pending.cancel()
+    if await gateway.reach.may_be_cut_off(endpoint.registration.service):
+        return Witness.NONE
+    return found
+
+
+def _answer_witness(
+    gateway: AskingEntry, endpoint_id: EndpointId, request: web.BaseRequest
+) -> web.Response:
+    born_ms = gateway.endpoints.born_ms(endpoint_id)
+    try:
+        sign_age_s = int(request.query[SIGN_AGE_FIELD]) / 1_000
+        asked_born_ms = int(request.query[BORN_FIELD])
+    except (KeyError, ValueError):
+        return web.Response(status=400)
+    witness = Witness.NONE
+    if born_ms == asked_born_ms:
+        sign_s = time.monotonic() - sign_age_s
+        witness = gateway.connections.witness(endpoint_id, sign_s)
+    return web.Response(status=WITNESS_STATUS[witness])
+
+
 async def handle_endpoint_query(
-    gateway: LinkedEntry, request: web.BaseRequest
+    gateway: AskingEntry, request: web.BaseRequest
 ) -> web.Response:
-    """Answer another entry that asks whether this one reaches an endpoint.
+    """Answer another entry that asks whether this one reaches an endpoint, or whether
+    its connections outlive a sign of an end.
 
     Only registered endpoints are connected to.
     """
+    asked_id = EndpointId(request.query.get("endpoint", ""))
+    if SIGN_AGE_FIELD in request.query:
+        return _answer_witness(gateway, asked_id, request)
     endpoint_id = EndpointId(request.query.get("endpoint", ""))
     address = gateway.endpoints.address_of(endpoint_id)
     if address is None:
--- a/src/celerytrack/gateway/origins.py
+++ b/src/celerytrack/gateway/origins.py
@@ -197,16 +197,6 @@
     return await gateway.endpoint_doubts.settled(doubted)
 
 
-def resolve_origins(gateway: Gateway) -> None:
-    """Record the origins that the newest registrations tell."""
-    if not gateway.unresolved_origins:
-        return
-    now_s = time.monotonic()
-    origin_at = gateway.endpoints.origin_at
-    for stream, origin in gateway.unresolved_origins.pop_resolved(origin_at, now_s):
-        gateway.origins.record_began(stream, origin, now_s)
-
-
 def correct_origins(gateway: Gateway, registration: Registration) -> None:
     """Correct the origin of the streams in progress at an endpoint that registers as
     another incarnation: a connection that is still open leads to that one.
--- a/src/celerytrack/gateway/peer_requests.py
+++ b/src/celerytrack/gateway/peer_requests.py
@@ -13,6 +13,7 @@
 from attrs import validators as v
 
 from celerytrack.events import Event, log_event
+from celerytrack.gateway.end_witness import Witness
 from celerytrack.http_session import make_http_session
 from celerytrack.ids import AccountId, EndpointId, EntryId
 from celerytrack.platform.rows import RowError, decode_shares, encode_shares
@@ -41,6 +42,13 @@
 """Path of the question whether the other entry reaches an endpoint."""
 ENDPOINT_REACHED_STATUS = 204
 """Status of the answer that it does; any other says nothing."""
+SIGN_AGE_FIELD = "signAgeMs"
+"""Field of the question whether its connections outlive a sign of an end of so long
+ago."""
+BORN_FIELD = "born"
+WITNESS_STATUS = {Witness.KEPT: 200, Witness.ENDED: 410, Witness.NONE: 404}
+"""Status of the answer. Entries of earlier releases answer whether they reach the
+endpoint, which says nothing."""
 
 _TOKENS = v.and_(v.ge(0), v.lt(2**63))
 _converter = strict_converter(forbid_extra_keys=False)
@@ -157,6 +165,29 @@
         except (aiohttp.ClientError, OSError, TimeoutError):
             return False
 
+    async def ask_witness(
+        self, address: str, endpoint_id: EndpointId, born_ms: int, sign_age_s: float
+    ) -> Witness:
+        """Ask the entry at ``address`` what its connections to an endpoint say.
+
+        :param sign_age_s: how long ago there was a sign that its process has ended.
+        """
+        query = {
+            "endpoint": endpoint_id,
+            BORN_FIELD: str(born_ms),
+            SIGN_AGE_FIELD: str(round(sign_age_s * 1_000)),
+        }
+        try:
+            async with self._session.get(
+                f"http://{address}{ENDPOINT_PATH}", params=query
+            ) as response:
+                for witness, status in WITNESS_STATUS.items():
+                    if response.status == status:
+                        return witness
+        except (aiohttp.ClientError, OSError, TimeoutError):
+            pass
+        return Witness.NONE
+
     async def close(self) -> None:
         """Close the connections."""
         for session in (self._client_session, self._relay_session):
--- a/src/celerytrack/gateway/state.py
+++ b/src/celerytrack/gateway/state.py
@@ -16,7 +16,7 @@
 from celerytrack.gateway.crash_detector import CrashDetector
 from celerytrack.gateway.crash_findings import CrashFindings
 from celerytrack.gateway.endpoint_doubts import EndpointDoubts
-from celerytrack.gateway.endpoint_queries import is_reached_elsewhere
+from celerytrack.gateway.endpoint_queries import ask_witnesses, is_reached_elsewhere
 from celerytrack.gateway.exchange import Exchange
 from celerytrack.gateway.hedged_store import HedgedStore
 from celerytrack.gateway.peer_messages import (
@@ -157,6 +157,8 @@
             lambda endpoint: is_reached_elsewhere(self, endpoint),
             self._tell_endpoint_ended,
             self.rng,
+            lambda endpoint, sign_s: ask_witnesses(self, endpoint, sign_s),
+            self.resolve_origins,
         )
         self.endpoints_known = False
         self.routing_table: RoutingTable | None = None
@@ -331,6 +333,15 @@
         is_brittle = tracker.bears_per_s(endpoint.endpoint_id) is not None
         return is_brittle or self.endpoints.is_leaving(endpoint)
 
+    def resolve_origins(self) -> None:
+        """Record the origins that the newest registrations tell."""
+        if not self.unresolved_origins:
+            return
+        now_s = time.monotonic()
+        origin_at = self.endpoints.origin_at
+        for stream, origin in self.unresolved_origins.pop_resolved(origin_at, now_s):
+            self.origins.record_began(stream, origin, now_s)
+
     def _tell_endpoint_ended(self, ended: EndpointEnded) -> None:
         for member in self.share_sync.members.live_peers(time.monotonic()):
             self.peer_messenger.send_origin_message(member.peer_address, ended)
--- a/src/celerytrack/gateway/watches.py
+++ b/src/celerytrack/gateway/watches.py
@@ -5,11 +5,7 @@
 
 from celerytrack._recent import RecentKeys
 from celerytrack.events import Event, log_event
-from celerytrack.gateway.origins import (
-    FRESH_VIEW_S,
-    correct_origins,
-    resolve_origins,
-)
+from celerytrack.gateway.origins import FRESH_VIEW_S, correct_origins
 from celerytrack.gateway.state import Gateway
 from celerytrack.gateway.tail import KeyedTail
 from celerytrack.ids import EndpointId
@@ -192,7 +188,7 @@
         nonlocal known_before_s
         known_before_s = gateway.endpoints.known_at_s
         gateway.endpoints_known_at_s = gateway.endpoints.known_at_s = at_s
-        resolve_origins(gateway)
+        gateway.resolve_origins()
         gateway.endpoints_read_time_s = time.monotonic() - at_s
 
     def on_reachability(reachable: bool) -> None:
--- a/src/celerytrack/routing/endpoints.py
+++ b/src/celerytrack/routing/endpoints.py
@@ -179,10 +179,18 @@
         endpoint.doubted_at_s = now_s
         return not was_doubted
 
-    def settle_doubt(self, endpoint: Endpoint, since_s: float) -> None:
-        """Record that the process is alive since the sign at ``since_s``."""
-        if endpoint.doubted_at_s is not None and endpoint.doubted_at_s >= since_s:
+    def settle_doubt(
+        self, endpoint: Endpoint, since_s: float, alive_at_s: float
+    ) -> bool:
+        """Record that a process lived at ``alive_at_s`` that was there before the sign
+        at ``since_s``.
+
+        :returns: whether it is in doubt no more: not after a later sign.
+        """
+        doubted_at_s = endpoint.doubted_at_s
+        if doubted_at_s is not None and since_s <= doubted_at_s <= alive_at_s:
             endpoint.doubted_at_s = None
+        return endpoint.doubted_at_s is None
 
     def is_doubted(self, endpoint: Endpoint) -> bool:
         """Whether another incarnation than the registered one may run at an endpoint.
@@ -295,6 +303,11 @@
             return None
         return known.registration.address
 
+    def born_ms(self, endpoint_id: EndpointId) -> int | None:
+        """The start of the registered incarnation; ``None`` if there is none."""
+        known = self._endpoints.get(endpoint_id)
+        return None if known is None else known.registration.born_ms
+
     def forgive_unreached(self, service: ServiceName) -> None:
         """Forget the connections to endpoints of ``service`` that failed: the links of
         this entry were down, not the endpoints."""
--- a/tests/test_endpoint_doubts.py
+++ b/tests/test_endpoint_doubts.py
@@ -2,12 +2,15 @@
 
 import asyncio
 import random
+import time
 import unittest
+from collections.abc import Awaitable, Callable
 
 import aiohttp
 from aiohttp import web
 from nose2.tools import params
 
+from celerytrack.gateway.end_witness import Witness
 from celerytrack.gateway.endpoint_doubts import EndpointDoubts
 from celerytrack.http_session import ConnectionEnd, GatedConnector, make_http_session
 from celerytrack.ids import EndpointId, RequestId, ServiceName, Zone
@@ -15,7 +18,7 @@
 from celerytrack.origins.messages import EndpointEnded
 from celerytrack.origins.origin import StreamOrigin
 from celerytrack.origins.unresolved import UnresolvedOrigins
-from celerytrack.routing.endpoint import Registration, RequestProfile
+from celerytrack.routing.endpoint import Endpoint, Registration, RequestProfile
 from celerytrack.routing.endpoints import DOUBT_S, EndpointPool, RegistrationChange
 from tests.gateway_fleet import free_port
 
@@ -23,6 +26,7 @@
 ZONE = Zone("z")
 OLD, NEW = "v1.1", "v1.2"
 A = EndpointId("a")
+Ask = Callable[[Endpoint, float], Awaitable[Witness]]
 
 
 def registration(
@@ -53,6 +57,21 @@
     return None if choice is None else choice.endpoint.endpoint_id
 
 
+async def kept(endpoint: Endpoint, sign_s: float) -> Witness:
+    """A connection of another entry lives on."""
+    return Witness.KEPT
+
+
+async def none(endpoint: Endpoint, sign_s: float) -> Witness:
+    """No other entry has a connection."""
+    return Witness.NONE
+
+
+async def ended(endpoint: Endpoint, sign_s: float) -> Witness:
+    """Another entry saw a connection end at that time."""
+    return Witness.ENDED
+
+
 class OtherIncarnationTest(unittest.TestCase):
     @params(
         (registration(), registration(version=NEW), RegistrationChange.RESTARTED),
@@ -187,7 +206,7 @@
         self.assertEqual(closed, expected)
 
     async def _check(
-        self, ports: tuple[int, int], reached: bool
+        self, ports: tuple[int, int], reached: bool, ask: Ask = none
     ) -> tuple[EndpointPool, list[EndpointEnded]]:
         pool = pool_of(
             registration(port=ports[0]), registration("b", NEW, port=ports[1])
@@ -197,7 +216,7 @@
         async def is_reached(endpoint: object) -> bool:
             return reached
 
-        doubts = EndpointDoubts(pool, is_reached, told.append, random.Random(1))
+        doubts = EndpointDoubts(pool, is_reached, told.append, random.Random(1), ask)
         doubts.record_sign(pool._endpoints[A], 1.0)
         await asyncio.gather(*doubts._checks)
         return pool, told
@@ -206,16 +225,57 @@
         """A run that broke with its connection kept streams from its endpoint."""
         port = free_port()
         await _serve(self, port)
-        pool, told = await self._check((port, free_port()), reached=True)
+        pool, told = await self._check((port, free_port()), reached=True, ask=kept)
         self.assertEqual(choose(pool, OLD), "a")
         self.assertEqual(told, [])
 
+    @params((none, 0), (ended, 1))
+    def test_a_new_connection_does_not_show_that_a_process_lives_on(
+        self, ask: Ask, messages: int
+    ) -> None:
+        """A process that followed at once was taken for the one before; entries without
+        a connection were not told of an end that two had seen."""
+
+        async def check() -> None:
+            port = free_port()
+            await _serve(self, port)
+            pool, told = await self._check((port, free_port()), reached=True, ask=ask)
+            self.assertIsNone(choose(pool, OLD))
+            self.assertEqual(len(told), messages)
+
+        asyncio.run(check())
+
+    async def test_a_sign_after_the_witness_is_checked_again(self) -> None:
+        """An end during the answer of another entry was settled with the one before."""
+        pool = pool_of(registration(), registration("b", NEW))
+        endpoint = pool._endpoints[A]
+        witnesses = [Witness.KEPT, Witness.ENDED]
+        told: list[EndpointEnded] = []
+
+        async def ask(asked: Endpoint, sign_s: float) -> Witness:
+            if len(witnesses) == 2:
+                await asyncio.sleep(0.01)
+                doubts.record_sign(endpoint, time.monotonic())
+            return witnesses.pop(0)
+
+        async def is_reached(asked: Endpoint) -> bool:
+            return True
+
+        port = free_port()
+        await _serve(self, port)
+        pool.register(registration(port=port), 0.0)
+        doubts = EndpointDoubts(pool, is_reached, told.append, random.Random(1), ask)
+        doubts.record_sign(endpoint, time.monotonic())
+        await asyncio.gather(*doubts._checks)
+        self.assertIsNone(choose(pool, OLD))
+        self.assertEqual(told, [EndpointEnded(A, 0)])
+
     async def test_one_version_needs_a_check_but_for_an_announced_end(self) -> None:
         """A stream whose answer ended with its connection could not go on."""
         port = free_port()
         await _serve(self, port)
         pool = pool_of(registration(port=port))
-        doubts = EndpointDoubts(pool, None, None, random.Random(1))  # type: ignore[arg-type]
+        doubts = EndpointDoubts(pool, None, None, random.Random(1), kept)  # type: ignore[arg-type]
         doubts.record_sign(pool._endpoints[A], 1.0, announced=True)
         self.assertIsNotNone(pool.origin_at(A))
         doubts.record_sign(pool._endpoints[A], 1.0)
@@ -228,7 +288,7 @@
         port = free_port()
         await _serve(self, port)
         pool = pool_of(registration(port=port), registration("b", NEW))
-        doubts = EndpointDoubts(pool, None, None, random.Random(1))  # type: ignore[arg-type]
+        doubts = EndpointDoubts(pool, None, None, random.Random(1), kept)  # type: ignore[arg-type]
         doubts.record_sign(pool._endpoints[A], 1.0)
         doubts.record_sign(pool._endpoints[A], 1.05)
         await asyncio.gather(*doubts._checks)
@@ -239,7 +299,7 @@
         port = free_port()
         await _serve(self, port)
         pool = pool_of(registration(port=port), registration("b", NEW))
-        doubts = EndpointDoubts(pool, None, None, random.Random(1))  # type: ignore[arg-type]
+        doubts = EndpointDoubts(pool, None, None, random.Random(1), kept)  # type: ignore[arg-type]
         doubts.record_sign(pool._endpoints[A], 1.0)
         doubts.receive(EndpointEnded(A, 0), 1.01)
         await asyncio.gather(*doubts._checks)
@@ -272,7 +332,7 @@
             await _serve(self, port)
             return True
 
-        doubts = EndpointDoubts(pool, is_reached, told.append, random.Random(1))
+        doubts = EndpointDoubts(pool, is_reached, told.append, random.Random(1), none)
         doubts.record_sign(pool._endpoints[A], 1.0)
         await asyncio.gather(*doubts._checks)
         self.assertEqual(told, [EndpointEnded(A, 0)])
@@ -281,6 +341,6 @@
     async def test_what_another_entry_saw_is_in_doubt_here(self) -> None:
         """A stream began at an endpoint that only others had seen end."""
         pool = pool_of(registration(), registration("b", NEW))
-        doubts = EndpointDoubts(pool, None, None, random.Random(1))  # type: ignore[arg-type]
+        doubts = EndpointDoubts(pool, None, None, random.Random(1), kept)  # type: ignore[arg-type]
         doubts.receive(EndpointEnded(A, 0), 1.0)
         self.assertIsNone(choose(pool, OLD))
