A log that goes on beyond one answer is read on at once

What callers saw: five records of another writer of 200 KB each in the topic of the registrations, and 2 s later every entry refused everything with no_endpoint (503), "what is known of endpoints is too old", though the endpoints were up.

Cause: KeyedTail.follow read one answer per interval (.6 s), and an answer holds 128 KB or one larger record. The view counts as known only once an answer reaches the end of the log: as long as each answer said that the log goes on, it aged without limit.

Change: a turn reads on at once while the answer states more and progress is made, up to 1 MB or .5 s; then it pauses for a quarter of the time it took, at most the interval. Between two answers the event loop is left to requests for as long as applying the last one took. Each answer states an end; once the records below it are read, all that was written before that answer is known, even if the log has grown since (StatedEnds). So a view that is caught up is as old as what was really read, and one that is lost still ages. The drain bound stays: a leaving not read by then was confirmed after that time. The staleness check adds the duration of the last answer, as before; it is measured apart from the view's age, which a log that grows makes larger.

Other topics: configuration and suspects are followed by the same function. Rows of entries are read without pause up to the entry's own row, versions by newest only; the own interface's followers are long polls without a pause. These had no such interval.

--- a/src/celerytrack/gateway/tail.py
+++ b/src/celerytrack/gateway/tail.py
@@ -10,6 +10,7 @@
 from celerytrack.eras import Era, EraTracker
 from celerytrack.events import Event, log_event
 from celerytrack.gateway.hedged_store import Store
+from celerytrack.gateway.read_turns import ReadTurn, StatedEnds, size_of
 from celerytrack.platform.log_format import Batch, KeyedRecord
 from celerytrack.platform.store import StoreError, StoreErrorKind
 from celerytrack.record_faults import RecordFaults
@@ -37,17 +38,22 @@
     newest record of each key is read anew. If the tail continued from its old offset,
     it would silently miss what was appended below that offset after the restore.
 
+    A log that goes on beyond an answer is read on at once, in bounded turns. Otherwise
+    each large record of another writer would delay all later ones by an interval.
+
     :param apply: called with each record read, in the order of the log.
     :param on_reload: called with the existing keys after a part of the log was skipped;
         any other key was dropped meanwhile.
-    :param on_caught_up: called each time the tail has caught up, with the time on the
-        monotonic clock before which everything written is known.
+    :param on_caught_up: called each time the tail has caught up with an end of the
+        topic that an answer stated, with the time on the monotonic clock before which
+        everything written is known.
     :param on_reachability: called when the store becomes unreachable or is reachable
         again.
     :param only_key: the only key whose records matter, if there is one; of a backlog
         only the last record is read.
     :param eras: tracks the newest era in any answer of the store; without it, only
         answers to this tail count.
+    :ivar last_read_s: how long the last answer took.
     """
 
     def __init__(
@@ -64,6 +70,7 @@
         self.topic = topic
         self.next_offset: int | None = None
         self.reachable = True
+        self.last_read_s = 0.0
         self._store = store
         self._apply = apply
         self._on_reload = on_reload
@@ -72,6 +79,9 @@
         self._keys: set[str] = set()
         self._end = 0
         self._end_is_stale = False
+        self._stated_ends = StatedEnds()
+        self._read_bytes = 0
+        self._apply_s = 0.0
         self._eras = eras
         self._only_key = only_key
         self._era: Era | None = None
@@ -122,16 +132,51 @@
             pause_s = min(2 * pause_s, RETRY_MAX_S)
 
     async def follow(self, interval_s: float, wait_s: float = 0.0) -> None:
-        """Poll until cancelled, ``interval_s`` apart."""
+        """Read in turns until cancelled, ``interval_s`` apart.
+
+        If a turn ends before the log does, the next one follows sooner.
+        """
         pause_s = RETRY_S
         while True:
             # After an outage the first read is no long poll: it returns at once.
-            if await self.poll(wait_s if self.reachable else 0.0):
-                pause_s = RETRY_S
-                await asyncio.sleep(interval_s)
-            else:
+            is_held = self.reachable and not self._is_behind
+            turn = await self.read_turn(wait_s if is_held else 0.0)
+            if turn is None:
                 await asyncio.sleep(pause_s)
                 pause_s = min(2 * pause_s, RETRY_MAX_S)
+                continue
+            pause_s = RETRY_S
+            now_s = time.monotonic()
+            # A turn with room left read all, or met an answer that held no record.
+            is_cut = self._is_behind and not turn.has_room(now_s)
+            rest_s = turn.pause_s(now_s) if is_cut else interval_s
+            await asyncio.sleep(min(interval_s, rest_s))
+
+    async def read_turn(self, wait_s: float = 0.0) -> ReadTurn | None:
+        """Read new records, and on at once while the log goes on and the turn has room.
+
+        :param wait_s: how long the store may hold the first call (long poll).
+        :returns: the turn; ``None`` if the store did not answer.
+        """
+        begun_s = time.monotonic()
+        if not await self.poll(wait_s):
+            return None
+        turn = ReadTurn(time.monotonic() if wait_s else begun_s)
+        turn.left_bytes -= self._read_bytes
+        while self._is_behind and turn.has_room(time.monotonic()):
+            before = self.next_offset
+            # Applying an answer occupies the event loop: requests get as much of it.
+            await asyncio.sleep(self._apply_s)
+            if not await self.poll():
+                return None
+            if self.next_offset == before:
+                break
+            turn.left_bytes -= self._read_bytes
+        return turn
+
+    @property
+    def _is_behind(self) -> bool:
+        return self.next_offset is not None and self.next_offset < self._end
 
     async def _refresh_end(self) -> bool:
         """Query the end of the topic again; returns whether the store answered.
@@ -177,6 +222,8 @@
                 return False
             case Success(batch):
                 self._set_era(batch)
+                # Offsets may be assigned anew in another era.
+                self._stated_ends.clear()
         if not self._apply_result(result, started_s):
             return False
         batch = result.unwrap()
@@ -209,21 +256,27 @@
     ) -> bool:
         """Apply an answer of the store; returns whether there was one.
 
-        :param complete_at_s: a time before the store made the answer. If the answer
-            reaches the end of the topic, all records written before are known.
+        :param complete_at_s: a time before the store made the answer. Once the end that
+            it states is reached, all records written before are known.
         """
         match result:
             case Success(batch):
                 self._update_reachability(None)
+                begun_s = time.monotonic()
                 for record in batch.records:
                     with self._faults.caught(record.key):
                         self._apply(record)
                     self._track_key(record)
+                self._apply_s = time.monotonic() - begun_s
                 self.next_offset = batch.next_offset
                 self._end = batch.end
                 self._end_is_stale = bool(batch.records)
-                if batch.next_offset >= batch.end:
-                    self._on_caught_up(complete_at_s)
+                self._read_bytes = size_of(batch)
+                self.last_read_s = time.monotonic() - complete_at_s
+                self._stated_ends.note(batch.end, complete_at_s)
+                known_at_s = self._stated_ends.pop_reached(batch.next_offset)
+                if known_at_s is not None:
+                    self._on_caught_up(known_at_s)
                 return True
             case Failure(error) if error.kind is StoreErrorKind.OLDER_ERA:
                 # The store is reachable: it answers the next call in its new era.
--- a/src/celerytrack/gateway/watches.py
+++ b/src/celerytrack/gateway/watches.py
@@ -193,12 +193,12 @@
         known_before_s = gateway.endpoints.known_at_s
         gateway.endpoints_known_at_s = gateway.endpoints.known_at_s = at_s
         resolve_origins(gateway)
-        gateway.endpoints_read_time_s = time.monotonic() - at_s
+        gateway.endpoints_read_time_s = tail.last_read_s
 
     def on_reachability(reachable: bool) -> None:
         gateway.endpoints_reachable = reachable
 
-    return KeyedTail(
+    tail = KeyedTail(
         gateway.store,
         ENDPOINTS_TOPIC,
         apply,
@@ -207,3 +207,4 @@
         on_reachability,
         gateway.eras,
     )
+    return tail
