What proves that there is one version: a read at once, another entry's view, the answers of all

Callers saw streams of a service with one version refused (503, origin_unknown) at an entry whose link to the log was silent or slow, or while the log was away for all: from 1.5 s after its last read on, if no entry that was asked knew the stream (its first entry had ended, or wasn't among the five asked).

Evidence: tests.test_out_of_step.OneVersionTest on: 60 of 80 take-ups refused in 4 s at one entry whose log is silent, and 60 of 80 while the log is silent for all.

Change: a take-up whose lease is over waits .28 s at most, beside the question for its stream, for one of three proofs, each good for the time of a lease and shared by all take-ups: the next read of the registrations, made at once (one in flight, .1 s apart at least); the fresh view or the proof of another entry (messages "sole-version?" and "sole-version"); the answers of all other entries, whatever the age of their views. Three keepers of a service ask all on behalf of the others, so that not each asks each.

Why it works: whoever reads another version lets streams begin there only 1.6 s later. What an entry answered before it read one holds for 1.5 s from the question on. One that is cut off, alone or in a group, misses an answer, and refuses within .4 s.

A fresh view sends and reads nothing.

Tests: rows of entries that stand still 1.2, 2 and 4 s, and of entries cut off alone and in twos, pass on too; they guard the new proofs. Messages of the two kinds join the generated ones.

Open: an entry of an earlier release answers neither kind (it logs 'unknown message'), so that all together prove nothing during a roll. An entry that starts and reads another version while no other one can read the log, and none knows the new one, isn't asked.

--- a/src/celerytrack/gateway/origins.py
+++ b/src/celerytrack/gateway/origins.py
@@ -1,18 +1,20 @@
 """The origin of the stream that a request goes on with: found, recorded, corrected."""
 
+import asyncio
 import logging
 import math
 import time
 
+import attrs
+
 from celerytrack.events import Event, log_event
 from celerytrack.gateway.exchange import Exchange
 from celerytrack.gateway.refusals import RefusedError
 from celerytrack.gateway.state import Gateway
 from celerytrack.origins.memory import StreamId
 from celerytrack.origins.origin import StreamOrigin
-from celerytrack.origins.sync import KnownOrigin
+from celerytrack.origins.sync import Finding, KnownOrigin
 from celerytrack.routing.endpoint import Dispatch, Endpoint, Registration
-from celerytrack.routing.versions import VIEW_LEASE_S
 from celerytrack.verdict import Reason, did_not_run
 
 _log = logging.getLogger(__name__)
@@ -67,23 +69,15 @@
 
     :param began_before_s: a time before which the stream began.
     """
-    if gateway.endpoints_view_age_s(began_before_s) > VIEW_LEASE_S:
-        return None
-    if not gateway.version_records.loaded:
-        # Which versions there were before this entry started is not known.
-        return None
-    services = [service for service, _ in exchange.route.services]
-    versions = gateway.endpoints.versions(services[0], now_s)
-    if not versions or gateway.endpoints.has_versions(services[0], now_s):
-        return None
-    return StreamOrigin(services[0], next(iter(versions)))
+    service, _ = exchange.route.services[0]
+    version = gateway.sole_versions.supported(service, began_before_s, now_s)
+    return None if version is None else StreamOrigin(service, version)
 
 
 async def _asked_origin(
     gateway: Gateway, exchange: Exchange, now_s: float
 ) -> StreamOrigin | None:
-    first = exchange.facts.resumes or exchange.facts.request_id
-    finding = await gateway.origins.find(StreamId(exchange.account, first), now_s)
+    finding = await _ask_others(gateway, exchange, now_s)
     known = finding.known
     if known is not None:
         found = known.found
@@ -91,7 +85,7 @@
         gateway.telemetry.taken_up.labels(source).inc()
         _log_found(gateway, exchange, found.origin, source, now_s, known)
         return found.origin
-    # Other entries answer, and know no other version either.
+    # Others know no other version either, or all that could have begun a stream at one.
     origin = None
     if finding.heard:
         origin = only_origin(gateway, exchange, now_s, time.monotonic())
@@ -102,6 +96,30 @@
     return origin
 
 
+async def _ask_others(gateway: Gateway, exchange: Exchange, now_s: float) -> Finding:
+    """Ask what began a stream, until it is proved that only one version can have."""
+    first = exchange.facts.resumes or exchange.facts.request_id
+    service, _ = exchange.route.services[0]
+    stream = StreamId(exchange.account, first)
+    if not gateway.origins.knows_versions(now_s):
+        return await gateway.origins.find(stream, now_s)
+    asking = asyncio.create_task(gateway.origins.find(stream, now_s))
+    proving = asyncio.create_task(gateway.sole_versions.find(service, now_s))
+    try:
+        await asyncio.wait((asking, proving), return_when=asyncio.FIRST_COMPLETED)
+        if asking.done() and asking.result().known is not None:
+            return asking.result()
+        if await proving is not None and not asking.done():
+            return Finding(None, heard=True)
+        finding = await asking
+        return attrs.evolve(
+            finding, heard=finding.heard or proving.result() is not None
+        )
+    finally:
+        asking.cancel()
+        proving.cancel()
+
+
 def _log_found(
     gateway: Gateway,
     exchange: Exchange,
--- a/src/celerytrack/gateway/state.py
+++ b/src/celerytrack/gateway/state.py
@@ -5,7 +5,7 @@
 import random
 import time
 import uuid
-from collections.abc import Collection
+from collections.abc import Callable, Collection
 
 from celerytrack.answer_limits import AnswerBytes
 from celerytrack.durations import RecentDurations
@@ -43,10 +43,13 @@
     OriginAnswer,
     OriginNews,
     OriginQuery,
+    SoleVersionAnswer,
+    SoleVersionQuery,
     VersionNews,
     VersionQuery,
 )
 from celerytrack.origins.ring import Holder
+from celerytrack.origins.sole_versions import SoleVersions, SoleView
 from celerytrack.origins.sync import OriginSync
 from celerytrack.origins.unresolved import UnresolvedOrigins
 from celerytrack.planned_stop import PlannedStop
@@ -83,6 +86,8 @@
     :ivar endpoints_reachable: whether the store answered that read.
     :ivar notices: what endpoints say of themselves in their answers.
     :ivar origins: what began the streams that callers may take up.
+    :ivar sole_versions: the services that are proved to have had one version only.
+    :ivar read_endpoints_now: has the registrations read at once.
     :ivar version_records: the versions of services on the log.
     :ivar endpoint_doubts: checks whether endpoints have started again.
     :ivar unresolved_origins: streams that began at endpoints that were in doubt.
@@ -151,6 +156,14 @@
             self._live_entries,
             lambda: self.endpoints.known_at_s,
         )
+        self.sole_versions = SoleVersions(
+            self.entry_id,
+            self.peer_messenger.send_origin_message,
+            self._recent_holders,
+            self._sole_view,
+            lambda: self.read_endpoints_now(),
+        )
+        self.read_endpoints_now: Callable[[], None] = lambda: None
         self.unresolved_origins = UnresolvedOrigins()
         self.endpoint_doubts = EndpointDoubts(
             self.endpoints,
@@ -286,6 +299,8 @@
                 | VersionQuery()
             ):
                 self.origins.receive(message, time.monotonic())
+            case SoleVersionQuery() | SoleVersionAnswer():
+                self.sole_versions.receive(message, time.monotonic())
             case _:
                 self.notices.receive(message)
 
@@ -318,6 +333,22 @@
             holders.append(Holder(self.entry_id, address, self.started_s))
         return holders
 
+    def _recent_holders(self, now_s: float) -> list[Holder]:
+        return [
+            Holder(member.entry_id, member.peer_address, member.started_s)
+            for member in self.share_sync.members.recent_peers(now_s)
+        ]
+
+    def _sole_view(self, service: ServiceName, now_s: float) -> SoleView | None:
+        if not self.version_records.loaded:
+            # Which versions there were before this entry started is not known.
+            return None
+        versions = self.endpoints.versions(service, now_s)
+        if not versions or self.endpoints.has_versions(service, now_s):
+            return None
+        read_at_s = now_s - self.endpoints_view_age_s(now_s)
+        return SoleView(next(iter(versions)), read_at_s)
+
     def _notice_peers(self, now_s: float) -> list[Peer]:
         members = self.share_sync.members.live_peers(now_s)
         return [
@@ -406,6 +437,7 @@
         """Close all connections."""
         await self.crash_detector.close()
         await self.endpoint_doubts.close()
+        await self.sole_versions.close()
         await self.connections.close()
         self.peer_messenger.close()
         await self.peer_client.close()
--- a/src/celerytrack/gateway/tail.py
+++ b/src/celerytrack/gateway/tail.py
@@ -21,6 +21,8 @@
 RETRY_MAX_S = 0.3
 """Longest pause between two attempts while the store is unreachable: two outages may be
 half a second apart, and a claim stays locked unless a row is written between them."""
+MIN_PAUSE_S = 0.1
+"""Shortest pause between two reads, however urgent the next one is."""
 NEWEST_COST_RATIO = 4 / 3
 """Cost of a record in a query for the newest of each key, relative to its cost in a
 read: the query encodes it in base64."""
@@ -76,6 +78,7 @@
         self._only_key = only_key
         self._era: Era | None = None
         self._faults = RecordFaults(_log, topic)
+        self._is_urgent = asyncio.Event()
 
     async def poll(self, wait_s: float = 0.0) -> bool:
         """Read new records once; returns whether the store answered.
@@ -126,13 +129,27 @@
         pause_s = RETRY_S
         while True:
             # After an outage the first read is no long poll: it returns at once.
+            self._is_urgent.clear()
             if await self.poll(wait_s if self.reachable else 0.0):
                 pause_s = RETRY_S
-                await asyncio.sleep(interval_s)
+                await self._pause(interval_s)
             else:
                 await asyncio.sleep(pause_s)
                 pause_s = min(2 * pause_s, RETRY_MAX_S)
 
+    def read_now(self) -> None:
+        """Have the next poll begin at once, or soon after the one in progress."""
+        self._is_urgent.set()
+
+    async def _pause(self, interval_s: float) -> None:
+        shortest_s = min(MIN_PAUSE_S, interval_s)
+        await asyncio.sleep(shortest_s)
+        try:
+            async with asyncio.timeout(interval_s - shortest_s):
+                await self._is_urgent.wait()
+        except TimeoutError:
+            return
+
     async def _refresh_end(self) -> bool:
         """Query the end of the topic again; returns whether the store answered.
 
--- a/src/celerytrack/gateway/watches.py
+++ b/src/celerytrack/gateway/watches.py
@@ -197,11 +197,12 @@
         gateway.endpoints_known_at_s = gateway.endpoints.known_at_s = at_s
         resolve_origins(gateway)
         gateway.endpoints_read_time_s = time.monotonic() - at_s
+        gateway.sole_versions.on_view()
 
     def on_reachability(reachable: bool) -> None:
         gateway.endpoints_reachable = reachable
 
-    return KeyedTail(
+    tail = KeyedTail(
         gateway.store,
         ENDPOINTS_TOPIC,
         apply,
@@ -210,3 +211,5 @@
         on_reachability,
         gateway.eras,
     )
+    gateway.read_endpoints_now = tail.read_now
+    return tail
--- a/src/celerytrack/membership/members.py
+++ b/src/celerytrack/membership/members.py
@@ -223,6 +223,15 @@
 
     def live_peers(self, now_s: float) -> list[Member]:
         """The other entries that are alive and serving."""
+        return [
+            member
+            for member in self.recent_peers(now_s)
+            if member.state is MemberState.SERVING
+            and self._leaving_starts_s.get(member.entry_id) != member.started_s
+        ]
+
+    def recent_peers(self, now_s: float) -> list[Member]:
+        """The other entries that may be alive, also those that leave."""
         limit_s = _silence_limit_s(len(self._entries))
         readable = now_s - self._last_read_s < limit_s / 2
         settled = readable and now_s - self._readable_since_s > limit_s
@@ -230,8 +239,6 @@
             known.member
             for entry, known in self._entries.items()
             if entry != self.entry_id
-            and known.member.state is MemberState.SERVING
-            and self._leaving_starts_s.get(entry) != known.member.started_s
             and not (settled and now_s - known.read_at_s > limit_s)
         ]
 
--- a/src/celerytrack/origins/messages.py
+++ b/src/celerytrack/origins/messages.py
@@ -15,6 +15,8 @@
 ANSWER_KIND = "stream-origin"
 VERSION_QUERY_KIND = "versions?"
 VERSION_NEWS_KIND = "versions"
+SOLE_QUERY_KIND = "sole-version?"
+SOLE_ANSWER_KIND = "sole-version"
 ENDED_KIND = "endpoint-ended"
 _KINDS = frozenset(
     {
@@ -23,6 +25,8 @@
         ANSWER_KIND,
         VERSION_QUERY_KIND,
         VERSION_NEWS_KIND,
+        SOLE_QUERY_KIND,
+        SOLE_ANSWER_KIND,
         ENDED_KIND,
     }
 )
@@ -86,6 +90,34 @@
     seen: tuple[SeenVersion, ...]
 
 
+@attrs.frozen
+class SoleVersionQuery:
+    """A question whether a service has had one version only.
+
+    :ivar number: the answer repeats it.
+    :ivar passes_on: whether to ask all others before the answer, if need be.
+    """
+
+    asker: EntryId
+    number: int
+    service: ServiceName
+    passes_on: bool
+
+
+@attrs.frozen
+class SoleVersionAnswer:
+    """The answer to such a question.
+
+    :ivar version: the only one; ``None`` if there were several, or it is not known.
+    :ivar age_s: age of what supports that, at the answer.
+    """
+
+    entry_id: EntryId
+    number: int
+    version: str | None
+    age_s: float
+
+
 @attrs.frozen
 class EndpointEnded:
     """An incarnation of an endpoint refuses connections: another may follow it.
@@ -98,7 +130,14 @@
 
 
 OriginMessage = (
-    OriginNews | OriginQuery | OriginAnswer | VersionQuery | VersionNews | EndpointEnded
+    OriginNews
+    | OriginQuery
+    | OriginAnswer
+    | VersionQuery
+    | VersionNews
+    | SoleVersionQuery
+    | SoleVersionAnswer
+    | EndpointEnded
 )
 
 
@@ -129,6 +168,10 @@
         case VersionNews(seen):
             names = [(s.service, s.version, s.age_s) for s in seen]
             fields = (VERSION_NEWS_KIND, names)
+        case SoleVersionQuery(asker, number, service, passes_on):
+            fields = (SOLE_QUERY_KIND, asker, number, service, passes_on)
+        case SoleVersionAnswer(entry_id, number, version, age_s):
+            fields = (SOLE_ANSWER_KIND, entry_id, number, version, age_s)
         case EndpointEnded(endpoint_id, born_ms):
             fields = (ENDED_KIND, endpoint_id, born_ms)
     return bytes(msgpack.packb(fields))
@@ -159,6 +202,18 @@
             return VersionQuery(EntryId(_name(asker)))
         case ["versions", list(rows)] if len(rows) <= MAX_ORIGINS:
             return VersionNews(tuple(map(_seen, rows)))
+        case ["sole-version?", asker, number, service, bool(passes_on)]:
+            name = ServiceName(_name(service))
+            return SoleVersionQuery(
+                EntryId(_name(asker)), _number(number), name, passes_on
+            )
+        case ["sole-version", entry_id, number, version, float(age_s)] if (
+            0 <= age_s < math.inf
+        ):
+            text = None if version is None else _version(version)
+            return SoleVersionAnswer(
+                EntryId(_name(entry_id)), _number(number), text, age_s
+            )
         case ["endpoint-ended", endpoint_id, born_ms]:
             return EndpointEnded(EndpointId(_name(endpoint_id)), _number(born_ms))
     raise OriginMessageError(f"not about origins: {str(fields)[:100]}")
@@ -191,10 +246,14 @@
 
 
 def _origin(service: Any, version: Any) -> StreamOrigin:
-    text = version if version in (None, "") else _name(version)
+    text = None if version is None else _version(version)
     return StreamOrigin(ServiceName(_name(service)), text)
 
 
+def _version(version: Any) -> str:
+    return "" if version == "" else _name(version)
+
+
 def _number(number: Any) -> int:
     if type(number) is not int or not 0 <= number < _MAX_NUMBER:
         raise OriginMessageError(f"not a number: {str(number)[:100]}")
--- a/tests/test_origins.py
+++ b/tests/test_origins.py
@@ -23,6 +23,8 @@
     OriginNews,
     OriginQuery,
     SeenVersion,
+    SoleVersionAnswer,
+    SoleVersionQuery,
     VersionNews,
     VersionQuery,
     encode_origin_message,
@@ -131,6 +133,20 @@
         st.none() | st.builds(FoundOrigin, _origins, _ages_s),
     )
     | st.builds(VersionQuery, _names.map(EntryId))
+    | st.builds(
+        SoleVersionQuery,
+        _names.map(EntryId),
+        _numbers,
+        _names.map(ServiceName),
+        st.booleans(),
+    )
+    | st.builds(
+        SoleVersionAnswer,
+        _names.map(EntryId),
+        _numbers,
+        st.none() | st.text(max_size=40),
+        _ages_s,
+    )
     | st.builds(EndpointEnded, _names.map(EndpointId), _numbers)
     | st.builds(
         VersionNews,
@@ -165,6 +181,8 @@
                 "stream-origin",
                 "versions",
                 "versions?",
+                "sole-version?",
+                "sole-version",
                 "endpoint-ended",
             ]
         ),
--- a/tests/test_out_of_step.py
+++ b/tests/test_out_of_step.py
@@ -23,6 +23,11 @@
 LEAST_NEW = 20
 LEASED_S = 0.5
 """Time after a cut in which the last view of the registrations holds for certain."""
+TAKE_UPS = 12
+"""Take-ups at once: fewer than the slots of two endpoints."""
+REFUSED_WITHIN_S = 0.4
+LEAST_SHARE = 0.95
+"""Share of the take-ups that go on, where one version is proved."""
 FIRST_EVENT_AFTER_S = 0.1
 """Long enough that endpoints which have just joined look no worse than the others."""
 
@@ -143,3 +148,119 @@
             self.assertEqual([s for s in leased if s.after != s.before], [], ways)
         begun_new = sum(s.before == NEW for s in streams)
         self.assertGreater(begun_new, LEAST_NEW, ways)
+
+
+@attrs.frozen
+class _TakeUp:
+    """A take-up in a service with one version.
+
+    :ivar at_s: time since the begin of the fault.
+    """
+
+    at_s: float
+    took_s: float
+    status: int
+    headers: dict[str, str]
+
+
+async def _take_up(fleet: Fleet, number: int, gateway: int, since_s: float) -> _TakeUp:
+    resumes = {"Last-Event-Id": "2", "Resumes": f"s{number}"}
+    started_s = time.monotonic()
+    status, headers, _ = await fleet.ask(
+        "/resume/x", f"t{number}", gateway=gateway, **resumes
+    )
+    took_s = time.monotonic() - started_s
+    return _TakeUp(started_s - since_s, took_s, status, headers)
+
+
+async def _play_one_version(
+    cut: tuple[int, ...], isolation: Isolation, lasts_s: float
+) -> list[_TakeUp]:
+    """Take streams of the only version up at entries that are cut off.
+
+    The entry at which they began has ended.
+    """
+    endpoints = [_Endpoint(f"i-old-{n}", OLD) for n in range(2)]
+    async with Fleet(*endpoints, gateways=GATEWAYS) as fleet:
+        await asyncio.sleep(KNOWN_S)
+        isolate(fleet, cut, isolation)
+        cut_s = time.monotonic()
+        streams = []
+        for number in range(int(STREAMS_PER_S * lasts_s)):
+            taker = cut[number % len(cut)]
+            taking_up = _take_up(fleet, number, taker, cut_s)
+            streams.append(asyncio.create_task(taking_up))
+            await asyncio.sleep(1 / STREAMS_PER_S)
+        return list(await asyncio.gather(*streams))
+
+
+async def _play_standing_still(
+    stands_s: float, joins: bool
+) -> Counter[tuple[str, str]]:
+    """Take streams up at an entry as it wakes, which has seen nothing for a while.
+
+    If no version joins, all entries stand still, and the one at which the streams began
+    has ended.
+    """
+    old = [_Endpoint(f"i-old-{n}", OLD) for n in range(2)]
+    new = [_Endpoint(f"i-new-{n}", NEW) for n in range(2)]
+    taker = GATEWAYS - 1
+    async with Fleet(*old, gateways=GATEWAYS) as fleet:
+        await asyncio.sleep(KNOWN_S)
+        before = [OLD] * TAKE_UPS
+        if joins:
+            wake = isolate(fleet, (taker,), Isolation())
+            for endpoint in new:
+                await endpoint.start()
+                fleet.log.put(ENDPOINTS_TOPIC, endpoint.name, endpoint.registration())
+            await asyncio.sleep(stands_s)
+            begun = [_ask(fleet, f"s{n}", n % taker) for n in range(TAKE_UPS)]
+            before = await asyncio.gather(*begun)
+            wake()
+        resumes = [{"Last-Event-Id": "2", "Resumes": f"s{n}"} for n in range(TAKE_UPS)]
+        waiting = [
+            asyncio.create_task(_ask(fleet, f"t{n}", taker, **resumes[n]))
+            for n in range(TAKE_UPS)
+        ]
+        await asyncio.sleep(0)
+        time.sleep(0.0 if joins else stands_s)
+        return Counter(zip(before, await asyncio.gather(*waiting), strict=True))
+
+
+class OneVersionTest(unittest.TestCase):
+    @params((3,), (0, 1, 2, 3))
+    def test_streams_of_the_only_version_go_on_while_the_log_is_silent(
+        self, *cut: int
+    ) -> None:
+        """Entries refused to go on with streams of a service that had one version only,
+        though others had a view of the registrations, or were all in touch."""
+        isolation = Isolation(datagrams=False)
+        taken = asyncio.run(_play_one_version(cut, isolation, lasts_s=4.0))
+        refused = [t for t in taken if t.status != 200]
+        self.assertLessEqual(len(refused), (1 - LEAST_SHARE) * len(taken), refused)
+
+    @params((3,), (2, 3))
+    def test_entries_that_are_cut_off_refuse_soon(self, *cut: int) -> None:
+        """A caller waited for an entry that could not tell what began its stream."""
+        taken = asyncio.run(_play_one_version(cut, Isolation(), lasts_s=4.0))
+        refused = [t for t in taken if t.status != 200]
+        late = [t for t in taken if t.at_s > 2.0]
+        self.assertEqual([t for t in late if t.status != 503], [])
+        self.assertEqual([t for t in refused if "Retry-After" not in t.headers], [])
+        slow = [t for t in refused if t.took_s > REFUSED_WITHIN_S]
+        self.assertEqual(slow, [])
+
+    @params(1.2, 2.0, 4.0)
+    def test_streams_of_the_only_version_go_on_at_an_entry_that_stood_still(
+        self, stands_s: float
+    ) -> None:
+        """A process that woke refused what came meanwhile, before it read anything."""
+        ways = asyncio.run(_play_standing_still(stands_s, joins=False))
+        self.assertEqual(ways, {(OLD, OLD): TAKE_UPS})
+
+    @params(1.2, 2.0, 4.0)
+    def test_an_entry_that_stood_still_mixes_no_versions(self, stands_s: float) -> None:
+        """A process that woke took its old view of the registrations for a new one."""
+        ways = asyncio.run(_play_standing_still(stands_s, joins=True))
+        mixed = [way for way in ways if way[1] not in ("", way[0])]
+        self.assertEqual(mixed, [], ways)
