--- a/src/celerytrack/gateway/watches.py
+++ b/src/celerytrack/gateway/watches.py
@@ -194,6 +194,7 @@
         gateway.endpoints_known_at_s = gateway.endpoints.known_at_s = at_s
         gateway.resolve_origins()
         gateway.endpoints_read_time_s = tail.last_read_s
+        gateway.sole_versions.on_view()
 
     def on_reachability(reachable: bool) -> None:
         gateway.endpoints_reachable = reachable
@@ -207,4 +208,5 @@
         on_reachability,
         gateway.eras,
     )
+    gateway.read_endpoints_now = tail.read_now
     return tail
