Own interface: the first digits of a number aren't taken for a service's answer

What callers saw: nothing known; found by the table of places at which answers stop. A service whose answer has no length and is a number that broke off (FIN): callers of the own interface got 200 with its first digits, and the repeats of the call got them again; through another entry too, which passed it on in chunks with their end.

Cause: such an answer is taken for whole if it is valid JSON. The beginning of an object, a list, a text, true, false or null isn't; that of a number is.

Evidence (test_cut_own_answers on the unchanged code): rows 5 and 6 of test_no_beginning_of_an_answer_is_taken_for_it fail, [(123456, 52, 1), (123456, 53, 12), ...] direct and through another entry. Sound: the same values with a length or in chunks, and all others without, at places in the head and each one behind it.

Why it works: an answer in JSON without length whose last byte is a digit has not shown its end. The caller is told that the call may have run; the entry in between breaks its own answer off.

Other way of being wrong: a whole number without length is refused too, always; nothing tells it from one that stopped. A digit before white space or any other value passes.

--- a/src/celerytrack/entry/relay_server.py
+++ b/src/celerytrack/entry/relay_server.py
@@ -23,6 +23,7 @@
     replica_unreachable,
     replica_withheld,
 )
+from celerytrack.entry.json_ends import may_go_on
 from celerytrack.entry.relay import links_down
 from celerytrack.entry.relay_format import (
     RELAY_PATH,
@@ -220,6 +221,7 @@
             headers[name] = upstream.headers[name]
     answer.response = web.StreamResponse(status=upstream.status, headers=headers)
     complete = False
+    last_byte = b""
     try:
         await answer.response.prepare(request)
         while True:
@@ -232,6 +234,9 @@
             if not sent.answered:
                 sent.record_first_token(time.time())
             await answer.response.write(data)
+            last_byte = data[-1:]
+        if may_go_on(upstream, last_byte):
+            return Failure(replica_failed())
         await answer.response.write_eof()
         complete = True
     finally:
--- a/src/celerytrack/entry/service_calls.py
+++ b/src/celerytrack/entry/service_calls.py
@@ -21,6 +21,7 @@
 )
 from celerytrack.entry.charging import charge
 from celerytrack.entry.claims import Claim, ClaimState
+from celerytrack.entry.json_ends import JSON_TYPE, may_go_on
 from celerytrack.entry.refusals import RefusedError
 from celerytrack.entry.state import EntryState
 from celerytrack.entry.upstream import (
@@ -35,8 +36,6 @@
 
 _log = logging.getLogger(__name__)
 
-JSON_TYPE = "application/json"
-
 
 async def service_call(state: EntryState, request: web.Request) -> web.StreamResponse:
     started_s = time.monotonic()
@@ -149,7 +148,10 @@
                 return Failure(bad_status(answer.status))
             if answer.content_type != JSON_TYPE:
                 return Failure(replica_failed())
-            return Success(json.loads(await read_body(answer, answer_bytes)))
+            body = await read_body(answer, answer_bytes)
+            if may_go_on(answer, body[-1:]):
+                return Failure(replica_failed())
+            return Success(json.loads(body))
     except CallFailedError as exc:
         return Failure(exc.refusal)
     except (*CONNECTION_ERRORS, AnswerTooLargeError, ValueError, RecursionError):
--- /dev/null
+++ b/tests/test_cut_own_answers.py
@@ -0,0 +1,124 @@
+"""Answers of services before the own interface that stop in their head or body."""
+
+import asyncio
+import itertools
+import json
+import unittest
+from typing import Any
+
+import aiohttp
+from aiohttp import web
+from nose2.tools import params
+
+from celerytrack.entry.relay_format import (
+    RELAY_PATH,
+    RelayedCall,
+    RelayOrder,
+    encode_call,
+)
+from tests.cut_answers import Framing, body_begins, frame
+from tests.own_cut_fleet import ACCOUNT, KEY, OwnCutFleet
+
+HEAD_STEP = 17
+VALUES: tuple[Any, ...] = (123456, 12.5, {"a": 12}, [1, 2], "text", True, None)
+NUMBERS = 2
+"""How many of the values are numbers; they come first."""
+
+
+class _CutFleet(OwnCutFleet):
+    """A fleet whose service answers each call with ``answer``, and closes."""
+
+    answer = b""
+
+    def __init__(self) -> None:
+        super().__init__(1, engines=1, services=1)
+
+    def _replica(self, replica_id: str) -> web.Application:
+        app = super()._replica(replica_id)
+        app.middlewares.append(self._answer_cut)
+        return app
+
+    @web.middleware
+    async def _answer_cut(self, request: web.Request, handler) -> web.StreamResponse:
+        if not request.path.startswith("/call/") or request.transport is None:
+            return await handler(request)
+        request.transport.write(self.answer)
+        request.transport.close()
+        return web.Response()
+
+    async def ask(self, number: int) -> tuple[int, Any]:
+        """Status and value of a call of a caller."""
+        address = self.settings.entries[0].address
+        headers = {"Authorization": f"Bearer {KEY}", "Idempotency-Key": f"k{number}"}
+        url = f"http://{address}/v1/services/file"
+        async with self.http.post(url, json={}, headers=headers) as answer:
+            return answer.status, await answer.json()
+
+    async def ask_as_entry(self, number: int) -> tuple[int, Any]:
+        """Status and value of a call that another entry sends through this one."""
+        address = self.settings.entries[0].relay_address
+        order = RelayOrder("entry-0", str(ACCOUNT), "file", f"k{number}")
+        body = encode_call(RelayedCall(order, {}, {}))
+        async with self.http.post(f"http://{address}{RELAY_PATH}", data=body) as answer:
+            try:
+                return answer.status, json.loads(await answer.read())
+            except (aiohttp.ClientPayloadError, ValueError):
+                return 0, None
+
+
+def _answer(value: Any, framing: Framing) -> bytes:
+    return frame(json.dumps(value).encode(), framing, "Content-Type: application/json")
+
+
+async def _ask_each(framing: Framing, relayed: bool) -> list[tuple[Any, int, Any]]:
+    """What callers took for each value, at each place of its answer but the end."""
+    taken = []
+    async with _CutFleet() as fleet:
+        ask = fleet.ask_as_entry if relayed else fleet.ask
+        numbers = itertools.count()
+        for value in VALUES:
+            answer = _answer(value, framing)
+            begins = body_begins(answer)
+            for size in (*range(0, begins, HEAD_STEP), *range(begins, len(answer))):
+                fleet.answer = answer[:size]
+                status, got = await ask(next(numbers))
+                if status == 200:
+                    taken.append((value, size, got))
+    return taken
+
+
+async def _ask_whole(framing: Framing, relayed: bool) -> list[Any]:
+    """The values that callers got."""
+    got = []
+    async with _CutFleet() as fleet:
+        ask = fleet.ask_as_entry if relayed else fleet.ask
+        for number, value in enumerate(VALUES):
+            fleet.answer = _answer(value, framing)
+            status, answered = await ask(number)
+            if status == 200:
+                got.append(answered)
+    return got
+
+
+ROWS = [(framing, relayed) for framing in Framing for relayed in (False, True)]
+
+
+class CutServiceAnswerTest(unittest.TestCase):
+    @params(*ROWS)
+    def test_no_beginning_of_an_answer_is_taken_for_it(
+        self, framing: Framing, relayed: bool
+    ) -> None:
+        """The first digits of a number were taken for the number, and kept for the
+        repeats of the call."""
+        self.assertEqual(asyncio.run(_ask_each(framing, relayed)), [])
+
+    @params(*ROWS)
+    def test_a_whole_answer_is_taken(self, framing: Framing, relayed: bool) -> None:
+        """Of a number without framing nothing tells that it is whole."""
+        unframed = framing is Framing.CONNECTION
+        whole = list(VALUES[NUMBERS:] if unframed else VALUES)
+        self.assertEqual(asyncio.run(_ask_whole(framing, relayed)), whole)
+
+
+if __name__ == "__main__":
+    unittest.main()
