The head of another answer ends a stream without length

Cause: what follows in such an answer is its body until its connection ends, and an event without a number isn't judged.

Evidence (test_heads_in_streams on the unchanged code): 22 of 29 rows fail: all 18 with one endpoint (six events, three, or three and a part, followed by an answer with a stream, other bytes, or nothing; /stream and /resume), all 4 of resumable streams beside a sound endpoint. b'id: 3\ndata: t\n\nHTTP/1.1 200 OK\r\nX-Attempt-Id: r1\r\nX-...'

The answer ends there: whether all had come before, nothing tells, so it isn't whole, and a resumable stream goes on at another endpoint, which has the rest, or nothing more.

Measured after: 29 of 29 (7 of them events that quote heads, passed on before and after); test_repeated_events 51, test_second_answers 20, test_event_charges 3, test_sound_streams 2, test_process_soak 31 passed.

Other way of being wrong: a stream that cannot be resumed and was whole when its endpoint wrote another answer is broken off; an event whose text quotes a status line with CR LF and a header after it ends the stream. A cut line followed by a head whose first header begins with lower case isn't told. Chats of the own interface pass on only events with their own id, so a head never reached their callers; plain answers: not worked on.

--- a/src/celerytrack/event_order.py
+++ b/src/celerytrack/event_order.py
@@ -24,6 +24,8 @@
     """It goes back and isn't what came before: another run has begun."""
     LATE = "late"
     """A later event came before it, so the caller lacks it."""
+    OTHER_ANSWER = "other_answer"
+    """It holds the head of another answer."""
 
 
 @attrs.frozen
@@ -31,8 +33,8 @@
     """An event that does not follow those before it.
 
     :ivar standing: how it stands to them.
-    :ivar number: its number.
-    :ivar after: the highest number before it.
+    :ivar number: its number; of another answer's head, ``after``.
+    :ivar after: the highest number before it, 0 if there is none.
     """
 
     standing: Standing
@@ -95,6 +97,11 @@
         self.disorder = Disorder(standing, number, self.newest)
         return standing
 
+    def end_at_other_answer(self) -> None:
+        """Note that what comes next belongs to another answer."""
+        newest = self.newest or 0
+        self.disorder = Disorder(Standing.OTHER_ANSWER, newest, newest)
+
     def is_repeat(self, event: bytes) -> bool:
         """Whether an event came before, byte for byte."""
         number = number_of(event)
--- a/src/celerytrack/gateway/stream_relay.py
+++ b/src/celerytrack/gateway/stream_relay.py
@@ -100,6 +100,8 @@
     if disorder.standing is Standing.LATE:
         # The caller has a later event, so no endpoint can add the one it lacks.
         return unusable_answer("an event came late", is_final=True)
+    if disorder.standing is Standing.OTHER_ANSWER:
+        return unusable_answer("another answer began within a stream")
     return unusable_answer("an answer went back to an earlier event")
 
 
--- a/src/celerytrack/streams.py
+++ b/src/celerytrack/streams.py
@@ -18,6 +18,11 @@
 _ANY_EVENT_END = re.compile(rb"\n\r?\n")
 _LONGEST_EVENT_END = 3
 _NUMBER = re.compile("[0-9]{1,40}")
+_HEAD_BEGIN = b"HTTP/1."
+_HEAD_LINE = re.compile(rb"(?:\A|\n)HTTP/1\.[01] [0-9]{3}[ \r\n]")
+_HEAD_LINES = re.compile(rb"HTTP/1\.[01] [0-9]{3}[^\n]*\r\n[A-Z][A-Za-z0-9-]*:")
+"""The begin of a head, also within a line that was cut; names of an event's own fields
+begin with lower case."""
 
 
 class OversizedEventError(Exception):
@@ -145,6 +150,8 @@
         """
         following: list[bytes] = []
         for event in events:
+            if _HEAD_BEGIN in event and self._ends_at_head(event):
+                break
             if self._held is not None and not self._follows(
                 self._released(event), following
             ):
@@ -156,6 +163,16 @@
             return self._batch(following, None) if following else None
         return self._batch(following, self.order.disorder)
 
+    def _ends_at_head(self, event: bytes) -> bool:
+        """Whether an event holds the head of another answer, and no more of this one
+        follows."""
+        head = _HEAD_LINE.search(event) or _HEAD_LINES.search(event)
+        if head is None:
+            return False
+        self.lacks_event |= head.start() > 0
+        self.order.end_at_other_answer()
+        return True
+
     def _follows(self, event: bytes, following: list[bytes]) -> bool:
         """Add an event to those that follow; return whether the answer goes on.
 
