--- a/tests/test_cut_own_answers.py
+++ b/tests/test_cut_own_answers.py
@@ -4,22 +4,28 @@
 import itertools
 import json
 import unittest
+from types import SimpleNamespace
 from typing import Any
 
 import aiohttp
 from aiohttp import web
 from nose2.tools import params
 
+from celerytrack.entry.reach import _is_reached_by
 from celerytrack.entry.relay_format import (
     RELAY_PATH,
     RelayedCall,
     RelayOrder,
     encode_call,
 )
-from tests.cut_answers import Framing, body_begins, frame
+from celerytrack.http_session import make_http_session
+from celerytrack.ids import EntryId, ReplicaId, Zone
+from celerytrack.reachability.helpers import Helper
+from tests.cut_answers import Cut, CutServer, Framing, body_begins, cuts, frame
 from tests.own_cut_fleet import ACCOUNT, KEY, OwnCutFleet
 
 HEAD_STEP = 17
+IDLE_S = 5.0
 VALUES: tuple[Any, ...] = (123456, 12.5, {"a": 12}, [1, 2], "text", True, None)
 NUMBERS = 2
 """How many of the values are numbers; they come first."""
@@ -100,6 +106,26 @@
     return got
 
 
+async def _query_each() -> list[tuple[Cut, bool]]:
+    """Whether another entry seems to reach a replica, for each place of its answer."""
+    answer = frame(b"", Framing.CONNECTION, status="204 No Content")
+    reached = []
+    async with make_http_session(IDLE_S) as session:
+        state = SimpleNamespace(relay_session=session)
+        for cut in cuts(answer):
+            async with CutServer(answer, cut) as server:
+                helper = Helper(EntryId("e"), server.address, Zone("z"))
+                seen = await _is_reached_by(state, helper, ReplicaId("s-0"))  # type: ignore[arg-type]
+                reached.append((cut, seen))
+    return reached
+
+
+class CutQueryTest(unittest.TestCase):
+    def test_a_replica_is_not_reached_by_an_answer_that_stops(self) -> None:
+        """The begin of another entry's answer showed that a replica lives."""
+        self.assertEqual([c for c, seen in asyncio.run(_query_each()) if seen], [])
+
+
 ROWS = [(framing, relayed) for framing in Framing for relayed in (False, True)]
 
 
--- a/tests/test_identity_checks.py
+++ b/tests/test_identity_checks.py
@@ -7,11 +7,13 @@
 
 from celerytrack.gateway.identity_checks import Identity, check_identity
 from celerytrack.ids import EndpointId
+from tests.cut_answers import Cut, CutServer, Framing, body_begins, cuts, frame
 from tests.gateway_fleet import Fleet, free_port
 from tests.raw_endpoints import RawAnswer, RawEndpoint, RawRequest, ask_raw
 from tests.test_killed_endpoints import CUT_AFTER, EVENTS, KilledEndpoint, _go_on
 
 ASKED = EndpointId("i-7")
+AT_ONCE = 10
 
 
 async def _check(answer: bytes | None) -> tuple[Identity, bytes]:
@@ -84,6 +86,27 @@
         return await ask_raw(fleet, "/stream/x", "r1")
 
 
+async def _check_each() -> set[tuple[bool, Identity]]:
+    """What checks say whose answer stops at each place, and whether its head ended."""
+    answer = frame(b"good", Framing.LENGTH, "X-Replica-Id: i-7")
+    begins = body_begins(answer)
+    room = asyncio.Semaphore(AT_ONCE)
+
+    async def one(cut: Cut) -> tuple[bool, Identity]:
+        async with room, CutServer(answer, cut) as server:
+            identity = await check_identity(server.address, ASKED, "/alive")
+            return cut.size >= begins, identity
+
+    return set(await asyncio.gather(*map(one, cuts(answer))))
+
+
+class CutCheckTest(unittest.TestCase):
+    def test_a_head_that_stops_says_nothing(self) -> None:
+        """The begin of an answer to a check counted as the endpoint's, or another's."""
+        said = asyncio.run(_check_each())
+        self.assertEqual(said, {(False, Identity.CLOSED), (True, Identity.SAME)})
+
+
 class CheckedEndpoint(RawEndpoint):
     """A sound endpoint that answers checks of its health with ``answer``."""
 
