--- a/src/celerytrack/gateway/sending.py
+++ b/src/celerytrack/gateway/sending.py
@@ -63,7 +63,7 @@
             if chosen is None:
                 if await settle_doubts(gateway, exchange):
                     continue
-                return Failure(none_has_room(exchange))
+                return Failure(none_has_room(gateway, exchange, now_s))
             placement = Placement(chosen)
             return await _send_placed(gateway, exchange, placement, suspect_state)
         placed = await place(gateway, exchange, suspect_state)
@@ -166,7 +166,7 @@
     chosen = placement.choice
     endpoint = chosen.endpoint
     registration = endpoint.registration
-    fits = exchange.profile.fits(registration)
+    fits = endpoints.fits(endpoint, exchange.profile, now_s)
     if not fits or not endpoints.may_send(endpoint, now_s):
         record_attempt_failure(gateway, exchange, endpoint.endpoint_id, withheld())
         return Failure(withheld())
--- a/tests/test_replaced_endpoints.py
+++ b/tests/test_replaced_endpoints.py
@@ -7,6 +7,7 @@
 from nose2.tools import params
 
 from celerytrack.ids import EndpointId
+from celerytrack.routing.versions import ESTABLISHED_AFTER_S
 from tests.gateway_fleet import Fleet, config
 from tests.stream_callers import StreamCallers
 from tests.versioned_endpoints import (
@@ -61,6 +62,7 @@
     async def _replace(self, connected: list[int]) -> None:
         endpoints = make_versioned(2, 1, 1)
         async with fleet_of(endpoints, GATEWAYS, config(timeoutMs=8_000)) as fleet:
+            await asyncio.sleep(ESTABLISHED_AFTER_S + 0.1)
             begun = await _begin(fleet, connected)
             self.assertGreaterEqual(len(endpoints[0].callers), len(connected))
             await endpoints[0].replace(NEW)
@@ -77,6 +79,7 @@
     async def _break(self) -> None:
         endpoints = make_versioned(2, 1, 1)
         async with fleet_of(endpoints, GATEWAYS, config(timeoutMs=8_000)) as fleet:
+            await asyncio.sleep(ESTABLISHED_AFTER_S + 0.1)
             begun = await _begin(fleet, [0])
             of_first = {port for _, port in endpoints[0].callers}
             begun += await _begin(fleet, [1])
