--- a/tests/test_replaced_endpoints.py
+++ b/tests/test_replaced_endpoints.py
@@ -1,15 +1,18 @@
 """A process takes the address of an endpoint before it has registered."""
 
 import asyncio
+import itertools
 import random
 import unittest
+from unittest import mock
 
 from nose2.tools import params
 
 from celerytrack.ids import EndpointId
 from celerytrack.routing.versions import ESTABLISHED_AFTER_S
+from tests import versioned_endpoints
 from tests.gateway_fleet import Fleet, config
-from tests.stream_callers import StreamCallers
+from tests.stream_callers import Stream, StreamCallers
 from tests.versioned_endpoints import (
     EVENT_PAUSE_S,
     NEW,
@@ -20,17 +23,19 @@
 )
 
 GATEWAYS = 3
+LONG_PAUSE_S = 0.4
 CHECKED_S = 0.6
 """Time in which the checks of an endpoint are over."""
 REPLACED = EndpointId("i-0")
 
 
-async def _begin(fleet: Fleet, gateways: list[int]) -> list["asyncio.Task[object]"]:
+async def _begin(fleet: Fleet, gateways: list[int]) -> list["asyncio.Task[Stream]"]:
     """Begin streams through some gateways, each with a connection to each endpoint."""
-    tasks: list[asyncio.Task[object]] = []
+    tasks: list[asyncio.Task[Stream]] = []
     for gateway in gateways:
         callers = StreamCallers(fleet, random.Random(1), tries=1)
         callers.alive = [gateway]
+        callers._ids = itertools.count(100 * gateway)
         tasks += [asyncio.create_task(callers.read()) for _ in range(6)]
     await asyncio.sleep(4 * EVENT_PAUSE_S)
     return tasks
@@ -72,6 +77,30 @@
                 task.cancel()
             await asyncio.gather(*begun, return_exceptions=True)
 
+    def test_a_first_event_of_another_process_is_not_passed_on(self) -> None:
+        """An entry without a connection sent a stream on to a process that had followed
+        just before it was told of the end; the first event came after the news."""
+        with mock.patch.object(versioned_endpoints, "EVENT_PAUSE_S", LONG_PAUSE_S):
+            stream = asyncio.run(self._take_up())
+        self.assertEqual(stream.versions, {OLD})
+        self.assertTrue(stream.refusals)
+
+    async def _take_up(self) -> Stream:
+        endpoints = make_versioned(2, 1, 1)
+        async with fleet_of(endpoints, GATEWAYS, config(timeoutMs=8_000)) as fleet:
+            await asyncio.sleep(ESTABLISHED_AFTER_S + 0.1)
+            callers = StreamCallers(fleet, random.Random(1), tries=1)
+            callers.alive = [0, 1]
+            begun = [asyncio.create_task(callers.read()) for _ in range(12)]
+            await asyncio.sleep(1.5 * LONG_PAUSE_S)
+            stream = next(s for s in callers.streams if s.versions == {OLD})
+            await endpoints[0].replace(NEW)
+            await callers._try(stream, 1, gateway=2, leaves_after=stream.last + 1)
+            for task in begun:
+                task.cancel()
+            await asyncio.gather(*begun, return_exceptions=True)
+            return stream
+
     def test_an_endpoint_whose_runs_break_is_known_to_live(self) -> None:
         """All runs of one entry broke; the connections of the others live on."""
         asyncio.run(self._break())
