Entries that are late say what their connections showed at the time of the sign

Cause: the age of the sign was added at the asked entry's own time. While the question is on its way (event loops that are late, .1 s here) the sign looks later than it was: none told of its own end, and a connection that was opened after the end could have counted as one that outlived it.

Change: the question may have been on its way for as long as it is waited for (.15 s): a connection counts as older only if it was opened before all of that, an end counts within it. What nobody knew at first is asked again when the new connection has been held.

Evidence and result: unit tests of both (the functions had no such parameter before). The reason was concluded from the times in the trace and the code.

--- a/src/celerytrack/gateway/connections.py
+++ b/src/celerytrack/gateway/connections.py
@@ -87,11 +87,15 @@
         if end is not ConnectionEnd.HERE and not self._opened_s:
             self._on_ended(end is ConnectionEnd.ANNOUNCED)
 
-    def witness(self, at_s: float) -> Witness:
-        """What these connections say of an end of the process at ``at_s``."""
-        if self._opened_s and self._opened_s[0] < at_s:
+    def witness(self, at_s: float, earlier_s: float = 0.0) -> Witness:
+        """What these connections say of an end of the process.
+
+        :param at_s: latest time of the sign of an end.
+        :param earlier_s: by how much earlier it may have been.
+        """
+        if self._opened_s and self._opened_s[0] < at_s - earlier_s:
             return Witness.KEPT
-        if abs(self._ended_s - at_s) <= SAME_END_S:
+        if -earlier_s - SAME_END_S <= self._ended_s - at_s <= SAME_END_S:
             return Witness.ENDED
         return Witness.NONE
 
@@ -165,10 +169,13 @@
             self._current[endpoint.endpoint_id] = current
         return current
 
-    def witness(self, endpoint_id: EndpointId, at_s: float) -> Witness:
-        """What the connections to an endpoint say of an end of its process then."""
+    def witness(
+        self, endpoint_id: EndpointId, at_s: float, earlier_s: float = 0.0
+    ) -> Witness:
+        """What the connections to an endpoint say of an end of its process at
+        ``at_s``, or by ``earlier_s`` earlier."""
         current = self._current.get(endpoint_id)
-        return Witness.NONE if current is None else current.witness(at_s)
+        return Witness.NONE if current is None else current.witness(at_s, earlier_s)
 
     def drop(self, endpoint_id: EndpointId) -> None:
         """Close the connections to an incarnation that is gone; another may follow."""
--- a/src/celerytrack/gateway/endpoint_doubts.py
+++ b/src/celerytrack/gateway/endpoint_doubts.py
@@ -130,26 +130,28 @@
         probing = asyncio.create_task(probe_address(address, HOLD_S))
         try:
             witness = await self._find_witness(endpoint, since_s, probing)
-            if witness is Witness.KEPT:
-                return
-            result = None
             if witness is Witness.NONE:
                 result = await probing
                 if self._is_alive_if_alone(endpoint, since_s, result):
                     return
+                # Others may have been late, to see the end or to answer.
+                witness = await self._find_witness(endpoint, since_s, probing)
         finally:
             probing.cancel()
+        if witness is Witness.KEPT:
+            return
+        seen = witness if witness is Witness.ENDED else result
         log_event(
             _log,
             Event.ENDPOINT_IN_DOUBT,
             endpoint=endpoint.endpoint_id,
             version=endpoint.registration.version,
-            check=witness.value if result is None else result.value,
+            check=seen.value,
         )
-        if result is None:
+        if seen is Witness.ENDED:
             await asyncio.sleep(self._rng.uniform(0.0, MAX_TELL_DELAY_S))
             self._tell_once(_ended(endpoint))
-        elif result is ConnectResult.REFUSED:
+        elif seen is ConnectResult.REFUSED:
             await self._tell_others(endpoint, _ended(endpoint))
 
     async def _find_witness(
--- a/src/celerytrack/gateway/endpoint_queries.py
+++ b/src/celerytrack/gateway/endpoint_queries.py
@@ -17,6 +17,7 @@
 from celerytrack.gateway.peer_requests import (
     BORN_FIELD,
     ENDPOINT_REACHED_STATUS,
+    PEER_REQUEST_TIMEOUT_S,
     SIGN_AGE_FIELD,
     WITNESS_STATUS,
     PeerClient,
@@ -131,8 +132,10 @@
         return web.Response(status=400)
     witness = Witness.NONE
     if born_ms == asked_born_ms:
-        sign_s = time.monotonic() - sign_age_s
-        witness = gateway.connections.witness(endpoint_id, sign_s)
+        # The question may have been on its way for as long as it is waited for.
+        witness = gateway.connections.witness(
+            endpoint_id, time.monotonic() - sign_age_s, PEER_REQUEST_TIMEOUT_S
+        )
     return web.Response(status=WITNESS_STATUS[witness])
 
 
--- a/tests/test_endpoint_doubts.py
+++ b/tests/test_endpoint_doubts.py
@@ -10,8 +10,11 @@
 from aiohttp import web
 from nose2.tools import params
 
+from celerytrack.answer_limits import DEFAULT_LIMITS
+from celerytrack.gateway.connections import IncarnationConnections
 from celerytrack.gateway.end_witness import Witness
 from celerytrack.gateway.endpoint_doubts import EndpointDoubts
+from celerytrack.gateway.peer_requests import PEER_REQUEST_TIMEOUT_S
 from celerytrack.http_session import ConnectionEnd, GatedConnector, make_http_session
 from celerytrack.ids import EndpointId, RequestId, ServiceName, Zone
 from celerytrack.origins.memory import KEEP_S, StreamId
@@ -26,6 +29,7 @@
 ZONE = Zone("z")
 OLD, NEW = "v1.1", "v1.2"
 A = EndpointId("a")
+LATE_S = PEER_REQUEST_TIMEOUT_S
 Ask = Callable[[Endpoint, float], Awaitable[Witness]]
 
 
@@ -177,6 +181,44 @@
     return runner
 
 
+class WitnessTest(unittest.IsolatedAsyncioTestCase):
+    async def _connections(self) -> IncarnationConnections:
+        connections = IncarnationConnections(
+            lambda: True, lambda: None, lambda announced: None, DEFAULT_LIMITS
+        )
+        self.addAsyncCleanup(connections.abort)
+        connections._record_open()
+        return connections
+
+    @params((0.2, Witness.KEPT), (0.1, Witness.NONE), (-0.1, Witness.NONE))
+    def test_a_connection_to_the_next_process_is_no_witness(
+        self, sign_after_s: float, expected: Witness
+    ) -> None:
+        """A question that came late made a connection opened after the end look older
+        than the end."""
+
+        async def check() -> None:
+            connections = await self._connections()
+            sign_s = time.monotonic() + sign_after_s
+            self.assertIs(connections.witness(sign_s, LATE_S), expected)
+
+        asyncio.run(check())
+
+    @params((LATE_S, Witness.ENDED), (-1.0, Witness.NONE), (1.0, Witness.NONE))
+    def test_an_end_is_told_in_answer_to_a_late_question(
+        self, late_s: float, expected: Witness
+    ) -> None:
+        """On busy entries the questions came late, and none told of its own end."""
+
+        async def check() -> None:
+            connections = await self._connections()
+            connections._record_closed(ConnectionEnd.BY_PEER)
+            sign_s = time.monotonic() + late_s
+            self.assertIs(connections.witness(sign_s, LATE_S), expected)
+
+        asyncio.run(check())
+
+
 class SignTest(unittest.IsolatedAsyncioTestCase):
     @params(
         ("/end", [ConnectionEnd.BY_PEER]),
