The first event of an endpoint that has come into doubt is not passed on to a begun stream

Cause: the doubt was asked before the send only. An entry without a connection learns of the end by the others' news, which come after it.

--- a/src/celerytrack/gateway/origins.py
+++ b/src/celerytrack/gateway/origins.py
@@ -145,6 +145,20 @@
         _record_origin(gateway, exchange, exchange.origin)
 
 
+async def may_be_other_version(
+    gateway: Gateway, exchange: Exchange, dispatch: Dispatch
+) -> bool:
+    """Whether an endpoint that was sent a stream to go on with has come into doubt
+    since, so that what it writes may be of another version."""
+    endpoint, service = dispatch.endpoint, exchange.service
+    if exchange.origin is None or not gateway.endpoints.is_doubted(endpoint):
+        return False
+    if not gateway.endpoints.has_versions(service, time.monotonic()):
+        return False
+    await gateway.endpoint_doubts.settled([endpoint.endpoint_id])
+    return gateway.endpoints.is_doubted(endpoint)
+
+
 def _record_origin(gateway: Gateway, exchange: Exchange, origin: StreamOrigin) -> None:
     stream = StreamId(exchange.account, exchange.facts.request_id)
     now_s = time.monotonic()
--- a/src/celerytrack/gateway/stream_relay.py
+++ b/src/celerytrack/gateway/stream_relay.py
@@ -20,7 +20,7 @@
     unusable_answer,
 )
 from celerytrack.gateway.exchange import Exchange
-from celerytrack.gateway.origins import record_began
+from celerytrack.gateway.origins import may_be_other_version, record_began
 from celerytrack.gateway.outcomes import log_disorder
 from celerytrack.gateway.relay_format import answered_headers
 from celerytrack.gateway.state import Gateway
@@ -64,6 +64,7 @@
 ) -> AttemptResult:
     protocol = protocol_of(response)
     events = exchange.events
+    has_passed_on = False
     while True:
         try:
             data = await response.content.readany()
@@ -73,12 +74,17 @@
             break
         if dispatch is not None:
             gateway.reach.record_heard(exchange.service, time.monotonic())
+        if dispatch and not has_passed_on:
+            # Before the event counts as one that the caller has.
+            if await may_be_other_version(gateway, exchange, dispatch):
+                return unusable_answer("another process may have the address")
         try:
             received = events.feed(data)
         except OversizedEventError:
             return unusable_answer("an event is too large")
         if received is None:
             continue
+        has_passed_on = has_passed_on or received.count > 0
         await _pass_on(gateway, exchange, dispatch, response, received)
         if received.disorder is not None:
             return _out_of_order(received.disorder)
