--- a/tests/test_replaced_endpoints.py
+++ b/tests/test_replaced_endpoints.py
@@ -17,12 +17,15 @@
     EVENT_PAUSE_S,
     NEW,
     OLD,
+    LogPut,
     VersionedEndpoint,
     fleet_of,
     make_versioned,
 )
 
 GATEWAYS = 3
+READ_S = 1.5
+"""Time in which all have read a registration, and what was found is told."""
 LONG_PAUSE_S = 0.4
 CHECKED_S = 0.6
 """Time in which the checks of an endpoint are over."""
@@ -77,6 +80,27 @@
                 task.cancel()
             await asyncio.gather(*begun, return_exceptions=True)
 
+    def test_a_process_that_has_registered_is_not_in_doubt(self) -> None:
+        """What entries found of the end of the process before was held against the one
+        that followed: it was ejected, and streams could not go on there."""
+        asyncio.run(self._register())
+
+    async def _register(self) -> None:
+        endpoints = make_versioned(2, 1, 1)
+        async with fleet_of(endpoints, GATEWAYS, config(timeoutMs=8_000)) as fleet:
+            await asyncio.sleep(ESTABLISHED_AFTER_S + 0.1)
+            begun = await _begin(fleet, [0, 1])
+            await endpoints[0].replace(NEW)
+            begun += await _begin(fleet, [2])
+            LogPut(fleet.log)(endpoints[0])
+            await asyncio.sleep(READ_S)
+            self.assertEqual(_known_versions(fleet), [NEW] * GATEWAYS)
+            now_s = asyncio.get_running_loop().time()
+            for gateway in fleet.gateways:
+                known = gateway.endpoints._endpoints[REPLACED]
+                self.assertLess(known.ejected_until_s, now_s)
+            await asyncio.gather(*begun)
+
     def test_a_first_event_of_another_process_is_not_passed_on(self) -> None:
         """An entry without a connection sent a stream on to a process that had followed
         just before it was told of the end; the first event came after the news."""
