The end of an incarnation is not held against the one that has registered since

What callers saw: streams refused in a roll though endpoints of their version are up, and a load that piles up at the others: each endpoint that came back was ejected and in doubt at all entries until 3 s after it had registered.

Cause: an endpoint that registers anew ends what runs there; that the incarnation before has ended is a finding (621) which is told to all, and EndpointPool.mark_crashed took the id alone: it ejected the endpoint, and raised a doubt, whichever incarnation had the id by then.

Change: the finding's time of birth and build (service and version) must be those of the registered incarnation.

--- a/src/celerytrack/gateway/crash_findings.py
+++ b/src/celerytrack/gateway/crash_findings.py
@@ -15,7 +15,6 @@
 from celerytrack.gateway.crash_detector import CrashedEndpoint
 from celerytrack.gateway.suspect_sync import SuspectSync
 from celerytrack.gateway.telemetry import Telemetry
-from celerytrack.ids import EndpointId
 from celerytrack.suspect_logs import log_quarantined
 from celerytrack.suspects import MAX_SUSPECTS, SuspectState
 
@@ -29,13 +28,13 @@
 class CrashFindings:
     """Records crashes, and what other entries find, and logs what follows.
 
-    :param mark_crashed: called with each endpoint that crashed, and the time.
+    :param mark_crashed: called with each incarnation that crashed, and the time.
     """
 
     def __init__(
         self,
         sync: SuspectSync,
-        mark_crashed: Callable[[EndpointId, float], None],
+        mark_crashed: Callable[[Crash, float], None],
         telemetry: Telemetry,
         rng: random.Random,
     ) -> None:
@@ -60,10 +59,10 @@
             parts=crashed.most_shared_parts(),
         )
         now_s = time.monotonic()
-        self._mark_crashed(registration.endpoint_id, now_s)
         crash = Crash(
             registration.endpoint_id, registration.born_ms, registration.build
         )
+        self._mark_crashed(crash, now_s)
         found = self._sync.tracker.record_crash(crash, crashed.features(), now_s)
         self._sync.publish(found)
         self._log_quarantined(found)
@@ -72,7 +71,7 @@
         """Record what another entry found, as a peer message tells it."""
         now_s = time.monotonic()
         for evidence in findings.evidence:
-            self._mark_crashed(evidence.crash.endpoint_id, now_s)
+            self._mark_crashed(evidence.crash, now_s)
         self._sync.receive(findings)
 
     def on_merged(self, findings: Findings) -> None:
--- a/src/celerytrack/routing/endpoints.py
+++ b/src/celerytrack/routing/endpoints.py
@@ -19,6 +19,7 @@
 
 from cachetools import LRUCache
 
+from celerytrack.findings import Crash
 from celerytrack.ids import EndpointId, ServiceName, Zone
 from celerytrack.notices.state import EndpointNotices
 from celerytrack.origins.origin import StreamOrigin
@@ -223,10 +224,16 @@
             return None
         return StreamOrigin(known.registration.service, known.registration.version)
 
-    def mark_crashed(self, endpoint_id: EndpointId, now_s: float) -> None:
-        """Eject an endpoint that crashed, as observed by some entry."""
-        known = self._endpoints.get(endpoint_id)
-        if known is not None:
+    def mark_crashed(self, crash: Crash, now_s: float) -> None:
+        """Eject an endpoint that crashed, as observed by some entry.
+
+        Another incarnation that has its id by now is not the one that crashed.
+        """
+        known = self._endpoints.get(crash.endpoint_id)
+        if known is None:
+            return
+        registration = known.registration
+        if (registration.born_ms, registration.build) == (crash.born_ms, crash.build):
             record_crash(known, now_s)
             self.doubt(known, now_s)
 
