--- a/tests/test_mixed_versions.py
+++ b/tests/test_mixed_versions.py
@@ -7,6 +7,7 @@
 
 from nose2.tools import params
 
+from celerytrack.routing.versions import ESTABLISHED_AFTER_S
 from tests.gateway_fleet import Fleet, config
 from tests.link_cuts import Links, LinkState
 from tests.stream_callers import StreamCallers
@@ -88,6 +89,8 @@
     fleet: Fleet, endpoints: Sequence[VersionedEndpoint], callers: StreamCallers
 ) -> None:
     log_put = LogPut(fleet.log)
+    # Before, no stream begins, and no entry has a connection that could end.
+    await asyncio.sleep(ESTABLISHED_AFTER_S)
     for endpoint in [e for e in endpoints if e.version == OLD]:
         await asyncio.sleep(1.2)
         await endpoint.come_back_as(NEW, log_put, starts_after_s=0.0)
