--- a/tests/test_endpoint_doubts.py
+++ b/tests/test_endpoint_doubts.py
@@ -128,6 +128,21 @@
         pool.doubt(pool._endpoints[A], 1.0)
         self.assertEqual(choose(pool, OLD), "a")
 
+    @params(([], "b"), (["b"], "a"))
+    def test_a_new_stream_keeps_off_an_endpoint_in_doubt(
+        self, tried: list[str], expected: str
+    ) -> None:
+        """Streams began where nothing could say what began them, and their take-ups
+        were refused, while other endpoints had room."""
+        pool = pool_of(registration(), registration("b", NEW))
+        pool.doubt(pool._endpoints[A], 1.0)
+        profile = RequestProfile(S, resumable=True)
+        avoid = [EndpointId(name) for name in tried]
+        for _ in range(20):
+            choice = pool.choose(profile, 1.0, 100, avoid, 5.0)
+            assert choice is not None
+            self.assertEqual(choice.endpoint.endpoint_id, expected)
+
     def test_a_new_registration_ends_the_doubt(self) -> None:
         """An endpoint that came back was kept from streams of its own version."""
         pool = pool_of(registration(), registration("b", NEW))
