New resumable streams keep off an endpoint in doubt while another has room

What callers saw: most of the streams refused in a roll had begun where nothing could say which version runs, and were taken up before the endpoint had registered: origin_unknown.

Cause: the choice for new streams did not look at the doubt.

Change: a choice for a new resumable stream leaves out endpoints in doubt while another has room; it is no refusal, where all are in doubt or full they are used as before.

--- a/src/celerytrack/routing/endpoints.py
+++ b/src/celerytrack/routing/endpoints.py
@@ -439,6 +439,10 @@
             and self.has_versions(profile.service, now_s)
         ):
             available = self._keep_room(available, profile, now_s)
+        if profile.resumable and profile.origin is None:
+            # What begins in doubt can be taken up only once that is settled.
+            sure = [e for e in available if not self.is_doubted(e)]
+            available = sure or available
         return self._choose_among(
             available, candidates, profile, fleet_load_ratio, now_s
         )
