An address is IP:PORT, decided once for both interfaces

What callers saw: a registration with the address ..:80, or with a host of 253 times x, was taken for an endpoint, and requests placed there got the HTTP library's own 500 page. Host names asked a resolver, in a thread, at each try.

Cause: the decoder took any letters, digits, dots and hyphens for a host. The own interface checked nothing: an item of the instance list without address left a replica without one, and the next poll of it ended the task that reads the list.

Change: addresses.is_address decides for both decoders. The platform has IPv4 by IP address and no name lookups, and none of the pages, examples or tests names a host, so no name has to keep working. 0.0.0.0 is refused, because a connection to it reaches this machine. A registration with another address is rejected as a whole, as before for other fields; in the instance list an item is checked before anything of it is known.

--- a/src/celerytrack/entry/fleet_view.py
+++ b/src/celerytrack/entry/fleet_view.py
@@ -16,6 +16,7 @@
 import aiohttp
 import attrs
 
+from celerytrack.addresses import is_address
 from celerytrack.entry.peers import Heartbeat
 from celerytrack.events import Event, log_event
 from celerytrack.http_session import make_http_session
@@ -53,6 +54,17 @@
     return known_ms
 
 
+def _read_address(item: dict[str, Any], name: str) -> str:
+    """An address of an item that this entry connects to.
+
+    :raises ValueError: if it is none.
+    """
+    address = item[name]
+    if not isinstance(address, str) or not is_address(address):
+        raise ValueError(f"{name} must be IP:PORT")
+    return address
+
+
 class _UnreachedError(Exception):
     """A replica did not answer.
 
@@ -220,9 +232,10 @@
             entry = self.entries.get(entry_id)
             if entry is None:
                 zone = Zone(item["zone"])
-                peer_address = item["peer_address"]
+                peer_address = _read_address(item, "peer_address")
                 entry = EntryInfo(entry_id, item["address"], zone, peer_address)
-                entry.relay_address = item.get("relay_address", "")
+                if item.get("relay_address"):
+                    entry.relay_address = _read_address(item, "relay_address")
                 self.entries[entry_id] = entry
                 self._on_entry(peer_address)
             entry.leaving = leaving
@@ -231,9 +244,10 @@
         replica_id = ReplicaId(item["id"])
         replica = self.replicas.get(replica_id)
         if replica is None:
+            address = _read_address(item, "address")
             replica = ReplicaLoad(replica_id, Zone(item["zone"]), item["model"])
             self.replicas[replica_id] = replica
-            self.addresses[replica_id] = item["address"]
+            self.addresses[replica_id] = address
             log_event(_log, Event.REPLICA_JOINED, replica=replica_id)
         if leaving:
             self._mark_leaving(replica)
--- a/src/celerytrack/platform/registry.py
+++ b/src/celerytrack/platform/registry.py
@@ -10,6 +10,7 @@
 import attrs
 from attrs import validators as v
 
+from celerytrack.addresses import is_address
 from celerytrack.ids import EndpointId, ServiceName, Zone
 from celerytrack.routing.endpoint import Registration
 from celerytrack.strict import (
@@ -21,7 +22,6 @@
 
 _READY = "ready"
 _DRAINING = "draining"
-_ADDRESS = re.compile(r"[A-Za-z0-9.-]{1,253}:[0-9]{1,5}")
 _ID = re.compile(r"[^\x00-\x1f\x7f\ufffd]+")
 """Ids that a header may carry; U+FFFD stands for bytes that can't be read."""
 _MAX_SLOTS = 1_000_000
@@ -40,8 +40,8 @@
 def _validate_address(
     instance: object, attribute: "attrs.Attribute[str]", value: str
 ) -> None:
-    if not _ADDRESS.fullmatch(value) or not 0 < int(value.rpartition(":")[2]) < 65_536:
-        raise ValueError("address must be host:port")
+    if not is_address(value):
+        raise ValueError("address must be IP:PORT")
 
 
 def _between(minimum: float, maximum: float) -> Any:
