Own interface: what isn't foreseen gets a truthful verdict

What callers saw: an exception of a library or of our own code became aiohttp's own 500 page; tokens reserved for the request stayed reserved until their grant ended, and a once-only call that was never sent stayed claimed, so that each retry was refused.

Cause: handlers let exceptions pass other than refusals, and gave the reservation back only for a refusal or a cancellation.

Change: entry/unforeseen.py is the one place, a middleware of both applications (callers' and other entries'). AdmittedRequest.progress says whether a replica may have run the request: set just before an attempt, taken back if the attempt certainly did not run it. Unset: 503, did_not_run, Retry-After; set: 502, may_have_run; an answer that has begun is aborted. Chats bill what the caller got, calls release, and a claim is abandoned if nothing was sent. To another entry the reason stays upstream_failed, which an earlier release knows.

Not tested: the fault of an entry that serves a relayed call of the own interface.

--- a/src/celerytrack/entry/admission.py
+++ b/src/celerytrack/entry/admission.py
@@ -16,6 +16,7 @@
 from celerytrack.entry.request_bodies import MalformedRequestError, read_json_object
 from celerytrack.entry.state import EntryState
 from celerytrack.entry.suspects import fingerprint, part_fingerprints_of
+from celerytrack.entry.unforeseen import Progress, follow_progress
 from celerytrack.escrow import GrantReservation, budget_refusal
 from celerytrack.fingerprint import Fingerprint
 from celerytrack.ids import ReplicaId, RequestId
@@ -45,6 +46,7 @@
 
     :ivar key: the caller's idempotency key, if it sent one.
     :ivar cache_key: ``account:key``, the key of its stored answer and its intent.
+    :ivar progress: how far it has come.
     """
 
     body: Any
@@ -53,6 +55,7 @@
     key: str | None
     request_id: RequestId
     cache_key: str
+    progress: Progress = attrs.field(factory=Progress, eq=False)
 
     @property
     def fingerprint(self) -> Fingerprint:
@@ -162,6 +165,7 @@
         admitted = await admit(state, request, kind)
     except RefusedError as exc:
         return refuse(state.metrics, exc.work_class, exc.refusal)
+    follow_progress(request, admitted.progress)
     stored = state.answers.get(admitted.cache_key) if admitted.key else None
     if stored is not None:
         return await replay(stored)
--- a/src/celerytrack/entry/app.py
+++ b/src/celerytrack/entry/app.py
@@ -26,6 +26,7 @@
 from celerytrack.entry.refusals import RefusedError, refusal_response
 from celerytrack.entry.service_calls import service_call
 from celerytrack.entry.state import EntryState
+from celerytrack.entry.unforeseen import answer_unforeseen
 from celerytrack.ids import EntryId
 from celerytrack.routing.rendezvous import rendezvous
 
@@ -127,6 +128,7 @@
             response.force_close()
 
     app = web.Application(client_max_size=_MAX_BODY_BYTES)
+    answer_unforeseen(app, state.metrics, refusal_response)
     app.on_response_prepare.append(close_connection)
     app.add_routes(
         [
--- a/src/celerytrack/entry/chat.py
+++ b/src/celerytrack/entry/chat.py
@@ -128,6 +128,9 @@
     except asyncio.CancelledError:
         state.grant_manager.escrow.release(reservation)
         raise
+    except Exception:
+        await _bill_relayed(state, answer, reservation)
+        raise
     match streamed:
         case Failure(refusal):
             state.grant_manager.escrow.release(reservation)
@@ -351,6 +354,13 @@
     engine has stopped by then, since its connection was closed.
     """
     state.metrics.requests.labels(answer.admitted.work.name, "caller_left").inc()
+    await _bill_relayed(state, answer, reservation)
+
+
+async def _bill_relayed(
+    state: EntryState, answer: _Answer, reservation: GrantReservation
+) -> None:
+    """Bill the tokens that the caller got, and release the rest."""
     if not answer.relay.tokens:
         state.grant_manager.escrow.release(reservation)
         return
--- a/src/celerytrack/entry/metrics.py
+++ b/src/celerytrack/entry/metrics.py
@@ -18,6 +18,7 @@
     billed_tokens: Counter = attrs.field(init=False)
     in_flight: Gauge = attrs.field(init=False)
     held_tokens: Gauge = attrs.field(init=False)
+    faults: Counter = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
         r = self.registry
@@ -49,6 +50,11 @@
         self.in_flight = Gauge(
             "celerytrack_in_flight", "Requests in progress", registry=r
         )
+        self.faults = Counter(
+            "celerytrack_request_faults",
+            "Requests that ended with an exception that isn't foreseen",
+            registry=r,
+        )
         self.held_tokens = Gauge(
             "celerytrack_escrow_held_tokens", "Tokens held in grants", registry=r
         )
--- a/src/celerytrack/entry/relay_server.py
+++ b/src/celerytrack/entry/relay_server.py
@@ -31,6 +31,7 @@
     decode_call,
 )
 from celerytrack.entry.state import EntryState
+from celerytrack.entry.unforeseen import answer_unforeseen, follow_progress
 from celerytrack.entry.upstream import bad_status, try_replicas_once
 from celerytrack.events import Event, log_event
 from celerytrack.ids import EntryId, ReplicaId, RequestId, ServiceName
@@ -87,7 +88,12 @@
     async def replica(request: web.Request) -> web.StreamResponse:
         return await _handle_replica_query(state, request)
 
+    def fault(refusal: Refusal) -> web.Response:
+        # An earlier release knows no other reason.
+        return _refuse(attrs.evolve(refusal, reason=Reason.UPSTREAM_FAILED))
+
     app = web.Application(client_max_size=MAX_BODY_BYTES)
+    answer_unforeseen(app, state.metrics, fault)
     app.add_routes([web.post(RELAY_PATH, relay), web.get(REPLICA_PATH, replica)])
     return app
 
@@ -118,6 +124,7 @@
     try:
         call = decode_call(await request.read())
         admitted = _admit(state, request, call)
+        follow_progress(request, admitted.progress)
         return await _serve(state, request, call, admitted)
     except (UnreadableError, _NotAdmittedError) as exc:
         return _refuse(did_not_run(Reason.NO_CONFIG, None, str(exc)))
--- a/src/celerytrack/entry/service_calls.py
+++ b/src/celerytrack/entry/service_calls.py
@@ -89,6 +89,11 @@
     except asyncio.CancelledError:
         state.grant_manager.escrow.release(reservation)
         raise
+    except Exception:
+        state.grant_manager.escrow.release(reservation)
+        if claim.claim_id and not admitted.progress.may_have_run:
+            state.claims.abandon(admitted.cache_key, claim.claim_id)
+        raise
     if claim.claim_id:
         state.claims.finish(admitted.cache_key, claim.claim_id, answer)
     await charge(state, admitted, reservation, cost)
--- a/src/celerytrack/entry/upstream.py
+++ b/src/celerytrack/entry/upstream.py
@@ -199,8 +199,11 @@
     if state_now in (SuspectState.QUARANTINED, SuspectState.PROBE_ONLY):
         return None, Failure(_quarantine_refusal(state, admitted))
     next_ask = history.next_ask(ask)
+    ran_before = admitted.progress.may_have_run
+    admitted.progress.may_have_run = True
     async with state.attempts_deadline.scope():
         sent, result = await relay(state, admitted, next_ask, history.avoid, attempt)
+    _record_progress(admitted, result, ran_before)
     if sent is None and not state.reach.is_down(ServiceName(admitted.work.model)):
         return await _attempt_directly(state, admitted, history, ask, attempt)
     return sent, result
@@ -245,8 +248,11 @@
         state.suspects.cancel_probe(admitted)
         return sent, Failure(replica_withheld())
     outcome = LeaseOutcome.ABANDONED
+    ran_before = admitted.progress.may_have_run
+    admitted.progress.may_have_run = True
     try:
         result = await _send(state, admitted, sent, suspect_state, attempt)
+        _record_progress(admitted, result, ran_before)
         ran = isinstance(result, Success)
         outcome = LeaseOutcome.RAN if ran else LeaseOutcome.FAILED
         if _was_not_sent(result):
@@ -265,6 +271,15 @@
     return sent, result
 
 
+def _record_progress(
+    admitted: AdmittedRequest, result: Result[T, Refusal], ran_before: bool
+) -> None:
+    """Note that an attempt did not run the request, if that is certain."""
+    match result:
+        case Failure(refusal) if refusal.verdict is Verdict.DID_NOT_RUN:
+            admitted.progress.may_have_run = ran_before
+
+
 def _was_not_sent(result: Result[T, Refusal]) -> bool:
     match result:
         case Failure(refusal):
--- a/tests/test_unforeseen.py
+++ b/tests/test_unforeseen.py
@@ -14,6 +14,8 @@
 
 from celerytrack.platform.http import RESOLVE_PATH
 from tests.gateway_fleet import SEAL_HEADERS, Endpoint, Fleet
+from tests.own_cut_fleet import KEY as OWN_KEY
+from tests.own_cut_fleet import OwnCutFleet
 
 LONG = "x" * 10_000
 MAX_LINE_CHARS = 1_000
@@ -133,3 +135,82 @@
 
 
 _JSON = "application/json"
+_ENTRY = "celerytrack.entry."
+
+
+class OwnUnforeseenTest(unittest.TestCase):
+    @params(
+        ("admission.admit", "lookup", NOT_RUN),
+        ("admission.refuse_quarantined", "file", NOT_RUN),
+        ("service_calls.reserve", "file", NOT_RUN),
+        ("service_calls.choose_replica", "file", NOT_RUN),
+        ("upstream.place", "file", NOT_RUN),
+        ("calls.is_own_answer", "file", MAY_HAVE_RUN),
+        ("service_calls.read_body", "file", MAY_HAVE_RUN),
+        ("service_calls.charge", "lookup", MAY_HAVE_RUN),
+        ("admission.admit", "story", NOT_RUN),
+        ("chat._new_answer", "story", NOT_RUN),
+        ("upstream.place", "story", NOT_RUN),
+        ("calls.is_own_answer", "story", MAY_HAVE_RUN),
+        ("chat._is_of_version", "story", MAY_HAVE_RUN),
+        ("chat._start_response", "story", MAY_HAVE_RUN),
+    )
+    def test_an_exception_becomes_a_verdict(
+        self, place: str, work_class: str, expected: tuple[int, str]
+    ) -> None:
+        """An exception became the HTTP library's own 500 page, and tokens that were
+        reserved for the request stayed so."""
+        answer = asyncio.run(self._ask(place, work_class, 1))
+        assert answer is not None
+        status, headers, body = answer
+        self.assertNotIn(b"Internal Server Error", body)
+        self.assertEqual(status, expected[0])
+        error = json.loads(body)["error"]
+        self.assertEqual(
+            (error["verdict"], error["reason"]), (expected[1], "unforeseen")
+        )
+        self.assertLess(len(body), MAX_LINE_CHARS)
+        self.assertEqual("Retry-After" in headers, expected is NOT_RUN)
+
+    @params(("chat._write", 2), ("chat._finish", 1))
+    def test_a_stream_that_has_begun_is_aborted(self, place: str, call: int) -> None:
+        """A stream that broke off must not look complete."""
+        self.assertIsNone(asyncio.run(self._ask(place, "story", call)))
+
+    async def _ask(
+        self, place: str, work_class: str, call: int
+    ) -> tuple[int, dict[str, str], bytes] | None:
+        """The answer; ``None`` if it was aborted after its head."""
+        async with OwnCutFleet(1) as fleet:
+            self.assertEqual(await fleet.call(0, work_class, 1), 200)
+            entry = fleet.entries[0]
+            with (
+                self.assertLogs("celerytrack", "INFO") as logs,
+                _patch(_ENTRY + place, call),
+            ):
+                answer = await self._call(fleet, work_class)
+            lines = [r for r in logs.records if r.message == "request_faulted"]
+            self.assertEqual(len(lines), 1)
+            self.assertLess(len(str(lines[0].__dict__)), 2 * MAX_LINE_CHARS)
+            name = "celerytrack_request_faults_total"
+            self.assertEqual(entry.metrics.registry.get_sample_value(name), 1.0)
+            self.assertEqual(entry.in_flight, 0)
+            self.assertEqual(await fleet.call(0, work_class, 3), 200)
+        return answer
+
+    async def _call(
+        self, fleet: OwnCutFleet, work_class: str
+    ) -> tuple[int, dict[str, str], bytes] | None:
+        address = fleet.settings.entries[0].address
+        path, body = f"services/{work_class}", dict[str, Any]()
+        if work_class == "story":
+            message = {"role": "user", "content": "prompt"}
+            path = "chat/completions"
+            body = {"model": "story", "max_tokens": 8, "messages": [message]}
+        headers = {"Authorization": f"Bearer {OWN_KEY}", "Idempotency-Key": "k2"}
+        url = f"http://{address}/v1/{path}"
+        try:
+            async with fleet.http.post(url, json=body, headers=headers) as answer:
+                return answer.status, dict(answer.headers), await answer.read()
+        except aiohttp.ClientPayloadError:
+            return None
