A read of a log that was just restored supports no only version

Callers saw streams of a new version go on at the old one, taken up at an entry that came back to a log which had been restored from a backup of before the release.

Cause: the lease counted a read of registrations that the log had lost and that were not written again yet, and the recorded versions were read in the same moment, once.

Change: only a read that began after what was lost is written again (EraTracker.is_rewritten_by, as for the configuration) renews the view that the lease rests on; with the first such read the recorded versions are read again.

Why it works: the platform has live endpoints back within 2 s, and entries write the versions that they know within a second.

In the 2 s after a restore take-ups go on by the lease of reads before it, and by the answers of all entries.

--- a/src/celerytrack/gateway/state.py
+++ b/src/celerytrack/gateway/state.py
@@ -82,6 +82,8 @@
     :ivar config_known_at_s: time on the monotonic clock up to which every confirmed
         configuration is known here.
     :ivar endpoints_known_at_s: the same for the endpoints' registrations.
+    :ivar complete_view_at_s: the same, without reads of a log that has lost some in a
+        restore, which may not be written again yet.
     :ivar endpoints_read_time_s: duration of the last read of the registrations.
     :ivar endpoints_reachable: whether the store answered that read.
     :ivar notices: what endpoints say of themselves in their answers.
@@ -177,6 +179,7 @@
         self._services_of: RoutingTable | None = None
         self.config_known_at_s = float("-inf")
         self.endpoints_known_at_s = float("-inf")
+        self.complete_view_at_s = float("-inf")
         self.endpoints_read_time_s = 0.0
         self.endpoints_reachable = True
         self.telemetry = Telemetry()
@@ -346,7 +349,8 @@
         versions = self.endpoints.versions(service, now_s)
         if not versions or self.endpoints.has_versions(service, now_s):
             return None
-        read_at_s = now_s - self.endpoints_view_age_s(now_s)
+        view_at_s = now_s - self.endpoints_view_age_s(now_s)
+        read_at_s = min(view_at_s, self.complete_view_at_s)
         return SoleView(next(iter(versions)), read_at_s)
 
     def _notice_peers(self, now_s: float) -> list[Peer]:
--- a/src/celerytrack/gateway/watches.py
+++ b/src/celerytrack/gateway/watches.py
@@ -195,6 +195,11 @@
         nonlocal known_before_s
         known_before_s = gateway.endpoints.known_at_s
         gateway.endpoints_known_at_s = gateway.endpoints.known_at_s = at_s
+        if gateway.eras.is_rewritten_by(at_s):
+            if not gateway.eras.is_rewritten_by(gateway.complete_view_at_s):
+                # The records of versions were read before others wrote them again.
+                gateway.version_records.reload()
+            gateway.complete_view_at_s = at_s
         resolve_origins(gateway)
         gateway.endpoints_read_time_s = time.monotonic() - at_s
         gateway.sole_versions.on_view()
--- a/tests/test_out_of_step.py
+++ b/tests/test_out_of_step.py
@@ -10,6 +10,7 @@
 from nose2.tools import params
 
 from celerytrack.platform.topics import ENDPOINTS_TOPIC
+from celerytrack.routing.versions import ESTABLISHED_AFTER_S
 from tests.entry_isolation import Isolation, isolate
 from tests.gateway_fleet import Fleet
 from tests.raw_endpoints import RawEndpoint, RawRequest, answer_head, chunk, event
@@ -26,6 +27,8 @@
 TAKE_UPS = 12
 """Take-ups at once: fewer than the slots of two endpoints."""
 REFUSED_WITHIN_S = 0.4
+WRITTEN_AGAIN_S = 1.9
+"""Time after a restore of the log in which the platform writes again what it lost."""
 LEAST_SHARE = 0.95
 """Share of the take-ups that go on, where one version is proved."""
 FIRST_EVENT_AFTER_S = 0.1
@@ -264,3 +267,45 @@
         ways = asyncio.run(_play_standing_still(stands_s, joins=True))
         mixed = [way for way in ways if way[1] not in ("", way[0])]
         self.assertEqual(mixed, [], ways)
+
+
+async def _play_restored_log() -> list[_Stream]:
+    """Take streams up at an entry that reads a log which was restored from a backup."""
+    old = [_Endpoint(f"i-old-{n}", OLD) for n in range(2)]
+    new = [_Endpoint(f"i-new-{n}", NEW) for n in range(2)]
+    taker = GATEWAYS - 1
+    async with Fleet(*old, gateways=GATEWAYS) as fleet:
+        await asyncio.sleep(KNOWN_S)
+        isolate(fleet, (taker,), Isolation(log=False))
+        reach_log = isolate(fleet, (taker,), Isolation(datagrams=False))
+        backup = fleet.log.copy()
+        for endpoint in new:
+            await endpoint.start()
+            fleet.log.put(ENDPOINTS_TOPIC, endpoint.name, endpoint.registration())
+        await asyncio.sleep(ESTABLISHED_AFTER_S + 1.0)
+        names = range(LEAST_NEW)
+        before = {n: await _ask(fleet, f"s{n}", n % taker) for n in names}
+        reach_log()
+        # The others write nothing that the log has lost.
+        isolate(fleet, range(taker), Isolation(datagrams=False))
+        fleet.log.restore(backup)
+        restored_s = time.monotonic()
+        streams = []
+        for number in names:
+            resumes = {"Last-Event-Id": "2", "Resumes": f"s{number}"}
+            after = await _ask(fleet, f"t{number}", taker, **resumes)
+            at_s = time.monotonic() - restored_s
+            streams.append(_Stream(at_s, before[number], after))
+            if at_s > WRITTEN_AGAIN_S:
+                break
+        return streams
+
+
+class RestoredLogTest(unittest.TestCase):
+    def test_a_log_that_lost_registrations_supports_no_only_version(self) -> None:
+        """An entry read a log that was restored from a backup, which lacked the newest
+        version, and took streams of that for streams of the only one."""
+        streams = asyncio.run(_play_restored_log())
+        mixed = [s for s in streams if s.after not in ("", s.before)]
+        self.assertEqual(mixed, [], streams)
+        self.assertIn(NEW, {s.before for s in streams})
