Registrations that were skipped may have held a version: the recorded versions are read again

Callers could see streams of a version that had come and gone go on at another one, at an entry that was behind on the registrations.

Cause: an entry that is behind (one answer holds 128 KB) reads the newest record of each key in place of those between. A version that was registered only there had never been for it; the recorded versions were read again after a gap of 3 s only, and here the log answers all the time.

Change: a part that was skipped, after the first load, has the recorded versions read again.

Why it works: whoever read the version wrote it there; a stream begins at it 1.6 s later at the soonest.

--- a/src/celerytrack/gateway/watches.py
+++ b/src/celerytrack/gateway/watches.py
@@ -170,6 +170,9 @@
             _log_registration(registration, result)
 
     def on_reload(keys: set[str]) -> None:
+        if gateway.endpoints_known:
+            # In the part that was skipped a version may have come up and ended.
+            gateway.version_records.reload()
         gateway.endpoints_known = True
         now_s = time.monotonic()
         rewritten = gateway.eras.is_rewritten_by(now_s)
--- a/tests/test_out_of_step.py
+++ b/tests/test_out_of_step.py
@@ -9,7 +9,10 @@
 import attrs
 from nose2.tools import params
 
-from celerytrack.platform.topics import ENDPOINTS_TOPIC
+from celerytrack.ids import ServiceName
+from celerytrack.origins.recorded import ServiceVersion
+from celerytrack.platform.topics import ENDPOINTS_TOPIC, VERSIONS_TOPIC
+from celerytrack.platform.version_records import encode_version
 from celerytrack.routing.versions import ESTABLISHED_AFTER_S
 from tests.entry_isolation import Isolation, isolate
 from tests.gateway_fleet import Fleet
@@ -24,6 +27,7 @@
 LEAST_NEW = 20
 LEASED_S = 0.5
 """Time after a cut in which the last view of the registrations holds for certain."""
+LARGE_RECORD_BYTES = 200_000
 TAKE_UPS = 12
 """Take-ups at once: fewer than the slots of two endpoints."""
 REFUSED_WITHIN_S = 0.4
@@ -309,3 +313,25 @@
         mixed = [s for s in streams if s.after not in ("", s.before)]
         self.assertEqual(mixed, [], streams)
         self.assertIn(NEW, {s.before for s in streams})
+
+
+class SkippedRegistrationsTest(unittest.IsolatedAsyncioTestCase):
+    async def test_a_version_that_came_and_went_in_a_skipped_part_is_read(self) -> None:
+        """The newest registrations were read at once in place of many, and a version
+        that was only in those between had never been there for this entry."""
+        endpoint = _Endpoint("i-old", OLD)
+        async with Fleet(endpoint) as fleet:
+            (gateway,) = fleet.gateways
+            await fleet.wait_until(lambda: gateway.version_records.loaded)
+            recorded = ServiceVersion(ServiceName("s"), NEW)
+            # Another entry saw it, and recorded it.
+            fleet.log.put(VERSIONS_TOPIC, recorded.record_key, encode_version(recorded))
+            # One read brings no more than this.
+            fleet.log.put(ENDPOINTS_TOPIC, "i-odd", b"x" * LARGE_RECORD_BYTES)
+            for _ in range(5):
+                joined = endpoint.registration(version=NEW)
+                fleet.log.put(ENDPOINTS_TOPIC, "i-new", joined)
+            fleet.log.put(ENDPOINTS_TOPIC, "i-new", b"")
+            await asyncio.sleep(2.0)
+            versions = gateway.endpoints.versions(recorded.service, time.monotonic())
+            self.assertEqual(versions, {OLD, NEW})
