--- a/src/celerytrack/gateway/watches.py
+++ b/src/celerytrack/gateway/watches.py
@@ -167,6 +167,9 @@
             _log_registration(registration, result)
 
     def on_reload(keys: set[str]) -> None:
+        if gateway.endpoints_known:
+            # In the part that was skipped a version may have come up and ended.
+            gateway.version_records.reload()
         gateway.endpoints_known = True
         now_s = time.monotonic()
         rewritten = gateway.eras.is_rewritten_by(now_s)
@@ -192,6 +195,11 @@
         nonlocal known_before_s
         known_before_s = gateway.endpoints.known_at_s
         gateway.endpoints_known_at_s = gateway.endpoints.known_at_s = at_s
+        if gateway.eras.is_rewritten_by(at_s):
+            if not gateway.eras.is_rewritten_by(gateway.complete_view_at_s):
+                # The records of versions were read before others wrote them again.
+                gateway.version_records.reload()
+            gateway.complete_view_at_s = at_s
         gateway.resolve_origins()
         gateway.endpoints_read_time_s = tail.last_read_s
         gateway.sole_versions.on_view()
--- a/tests/test_out_of_step.py
+++ b/tests/test_out_of_step.py
@@ -10,7 +10,10 @@
 import attrs
 from nose2.tools import params
 
-from celerytrack.platform.topics import ENDPOINTS_TOPIC
+from celerytrack.ids import ServiceName
+from celerytrack.origins.recorded import ServiceVersion
+from celerytrack.platform.topics import ENDPOINTS_TOPIC, VERSIONS_TOPIC
+from celerytrack.platform.version_records import encode_version
 from celerytrack.routing.versions import ESTABLISHED_AFTER_S
 from tests.entry_isolation import Isolation, isolate
 from tests.gateway_fleet import Fleet
@@ -25,9 +28,12 @@
 LEAST_NEW = 20
 LEASED_S = 0.5
 """Time after a cut in which the last view of the registrations holds for certain."""
+LARGE_RECORD_BYTES = 200_000
 TAKE_UPS = 12
 """Take-ups at once: fewer than the slots of two endpoints."""
 REFUSED_WITHIN_S = 0.4
+WRITTEN_AGAIN_S = 1.9
+"""Time after a restore of the log in which the platform writes again what it lost."""
 LEAST_SHARE = 0.95
 """Share of the take-ups that go on, where one version is proved."""
 FIRST_EVENT_AFTER_S = 0.1
@@ -288,3 +294,67 @@
         ways = asyncio.run(_play_standing_still(stands_s, joins=True))
         mixed = [way for way in ways if way[1] not in ("", way[0])]
         self.assertEqual(mixed, [], ways)
+
+
+async def _play_restored_log() -> list[_Stream]:
+    """Take streams up at an entry that reads a log which was restored from a backup."""
+    old = [_Endpoint(f"i-old-{n}", OLD) for n in range(2)]
+    new = [_Endpoint(f"i-new-{n}", NEW) for n in range(2)]
+    taker = GATEWAYS - 1
+    async with Fleet(*old, gateways=GATEWAYS) as fleet:
+        await asyncio.sleep(KNOWN_S)
+        isolate(fleet, (taker,), Isolation(log=False))
+        reach_log = isolate(fleet, (taker,), Isolation(datagrams=False))
+        backup = fleet.log.copy()
+        for endpoint in new:
+            await endpoint.start()
+            fleet.log.put(ENDPOINTS_TOPIC, endpoint.name, endpoint.registration())
+        await asyncio.sleep(ESTABLISHED_AFTER_S + 1.0)
+        names = range(LEAST_NEW)
+        before = {n: await _ask(fleet, f"s{n}", n % taker) for n in names}
+        reach_log()
+        # The others write nothing that the log has lost.
+        isolate(fleet, range(taker), Isolation(datagrams=False))
+        fleet.log.restore(backup)
+        restored_s = time.monotonic()
+        streams = []
+        for number in names:
+            resumes = {"Last-Event-Id": "2", "Resumes": f"s{number}"}
+            after = await _ask(fleet, f"t{number}", taker, **resumes)
+            at_s = time.monotonic() - restored_s
+            streams.append(_Stream(at_s, before[number], after))
+            if at_s > WRITTEN_AGAIN_S:
+                break
+        return streams
+
+
+class RestoredLogTest(unittest.TestCase):
+    def test_a_log_that_lost_registrations_supports_no_only_version(self) -> None:
+        """An entry read a log that was restored from a backup, which lacked the newest
+        version, and took streams of that for streams of the only one."""
+        streams = asyncio.run(_play_restored_log())
+        mixed = [s for s in streams if s.after not in ("", s.before)]
+        self.assertEqual(mixed, [], streams)
+        self.assertIn(NEW, {s.before for s in streams})
+
+
+class SkippedRegistrationsTest(unittest.IsolatedAsyncioTestCase):
+    async def test_a_version_that_came_and_went_in_a_skipped_part_is_read(self) -> None:
+        """The newest registrations were read at once in place of many, and a version
+        that was only in those between had never been there for this entry."""
+        endpoint = _Endpoint("i-old", OLD)
+        async with Fleet(endpoint) as fleet:
+            (gateway,) = fleet.gateways
+            await fleet.wait_until(lambda: gateway.version_records.loaded)
+            recorded = ServiceVersion(ServiceName("s"), NEW)
+            # Another entry saw it, and recorded it.
+            fleet.log.put(VERSIONS_TOPIC, recorded.record_key, encode_version(recorded))
+            # One read brings no more than this.
+            fleet.log.put(ENDPOINTS_TOPIC, "i-odd", b"x" * LARGE_RECORD_BYTES)
+            for _ in range(5):
+                joined = endpoint.registration(version=NEW)
+                fleet.log.put(ENDPOINTS_TOPIC, "i-new", joined)
+            fleet.log.put(ENDPOINTS_TOPIC, "i-new", b"")
+            await asyncio.sleep(2.0)
+            versions = gateway.endpoints.versions(recorded.service, time.monotonic())
+            self.assertEqual(versions, {OLD, NEW})
