--- a/tests/process_soak/calls.py
+++ b/tests/process_soak/calls.py
@@ -241,7 +241,10 @@
         where = "in touch" if counts else "not in touch"
         if stream.after >= stream.last:
             where = "at its end"
-        self.found.counts[f"{kind} {where}: {'served' if served else 'not'}"] += 1
+        name = "served" if served else "not"
+        if answer is not None and not served:
+            name = f"not, {answer.status} {failure_reason(answer.body)}"
+        self.found.counts[f"{kind} {where}: {name}"] += 1
         if counts:
             share = self.found.taken_up if stream.first else self.found.begun
             share.record(served)
