The model of an upgrade knows leases, proofs, and entries that are out of step

lab/version_fleet.py took the only version that an entry knew for the one that began a stream, at any age of its view, and let streams begin at a new version at once: neither what does nor what was before.

It now does what gateway/origins.py does (lease, SoleVersions, versions that are established), or with --no-leases what that did before (3 s, any age after an answer, no wait). New scenarios: one and three entries cut off from the log and from the others for 8 s while a version joins; one version with an entry cut off, and with the log away. Rows have take-ups, reads and messages a second.

--- a/bench/version_bench.py
+++ b/bench/version_bench.py
@@ -1,11 +1,11 @@
 """Streams over an upgrade of their service's software, in modelled time.
 
 ``python -m bench.version_bench [--entries 9,76,195] [--seeds 5] [--only NAME]
-[--jobs 4] [--no-pins] [--no-room] [--json FILE] [--against FILE --plot FILE]`` models
-fleets with the real choice of endpoints and the real keeping of origins. A run is
-broken if more than two streams hold events of two versions, or if of 12 or more streams
-that are taken up while two endpoints of their version serve, the share that goes on is
-under half of the share of new ones that begin.
+[--jobs 4] [--no-pins] [--no-room] [--no-leases] [--json FILE] [--against FILE --plot
+FILE]`` models fleets with the real choice of endpoints and the real keeping of origins.
+A run is broken if more than two streams hold events of two versions, or if of 12 or
+more streams that are taken up while two endpoints of their version serve, the share
+that goes on is under half of the share of new ones that begin.
 """
 
 import logging
@@ -32,6 +32,10 @@
     VersionScenario("same ids", same_ids=True),
     VersionScenario("two endpoints left", to_two=True),
     VersionScenario("two endpoints left, busy", to_two=True, load_share=0.85),
+    VersionScenario("one out of step", isolated=1),
+    VersionScenario("three out of step", isolated=3),
+    VersionScenario("one version, one out of step", isolated=1, upgrades=False),
+    VersionScenario("one version, log away", log_away=True, upgrades=False),
 )
 
 
@@ -46,6 +50,7 @@
     parser = make_parser(__doc__, entries="9,76,195", seeds=5, jobs=4)
     parser.add_argument("--no-pins", action="store_true")
     parser.add_argument("--no-room", action="store_true")
+    parser.add_argument("--no-leases", action="store_true")
     args = parser.parse_args()
     rows = []
     for entries in map(int, args.entries.split(",")):
@@ -55,6 +60,7 @@
                 entries=entries,
                 pins=not args.no_pins,
                 keeps_room=not args.no_room,
+                leases=not args.no_leases,
             )
             for scenario in SCENARIOS
             if args.only in scenario.name
--- a/src/celerytrack/lab/version_fleet.py
+++ b/src/celerytrack/lab/version_fleet.py
@@ -16,11 +16,14 @@
 from celerytrack.origins.memory import StreamId
 from celerytrack.origins.messages import (
     OriginMessage,
+    SoleVersionAnswer,
+    SoleVersionQuery,
     encode_origin_message,
 )
 from celerytrack.origins.origin import StreamOrigin
 from celerytrack.origins.ring import Holder
-from celerytrack.origins.sync import OriginSync
+from celerytrack.origins.sole_versions import SoleVersions, SoleView
+from celerytrack.origins.sync import Finding, OriginSync
 from celerytrack.routing.endpoint import Endpoint, Registration, RequestProfile
 from celerytrack.routing.endpoints import EndpointPool
 
@@ -38,6 +41,7 @@
 """Endpoints of a version that has shrunk."""
 RETRY_AFTER_S = 0.1
 POLL_S = 0.6
+MIN_PAUSE_S = 0.1
 DRAIN_S = 2.5
 REGISTERED_AFTER_S = 0.6
 DOWN_S = 1.0
@@ -45,6 +49,10 @@
 UPGRADE_LASTS_S = 24.0
 RUN_LASTS_S = 36.0
 SILENCE_S = 3.5
+FRESH_VIEW_S = 3.0
+"""Age of the registrations that is trusted without leases."""
+ISOLATED_BEFORE_S = 0.1
+ISOLATED_FOR_S = 8.0
 MESSAGE_DELAY_S = (0.0005, 0.003)
 DATAGRAM_OVERHEAD_BYTES = 28
 NO_CONNECTION_LIMIT = 1_000_000
@@ -85,9 +93,12 @@
     holder: Holder
     pool: EndpointPool
     origins: OriginSync
+    sole_versions: SoleVersions
+    is_urgent: asyncio.Event
     tasks: list[asyncio.Task[None]] = attrs.field(factory=list)
     alive: bool = True
     cut: bool = False
+    log_silent: bool = False
     read: int = 0
     connected: set[_Process] = attrs.field(factory=set)
 
@@ -140,7 +151,10 @@
             self._begin(EndpointId(f"i-{number}"), OLD)
         for number in range(scenario.entries):
             self._entries.append(self._start(number))
-        self._spawn(self._upgrade())
+        if scenario.upgrades:
+            self._spawn(self._upgrade())
+        if scenario.isolated:
+            self._spawn(self._isolate())
         if scenario.kills:
             self._spawn(self._kill_in_turn())
         if scenario.cut_share or scenario.log_away:
@@ -173,7 +187,17 @@
             pool,
             time.monotonic(),
         )
-        entry = _Entry(holder, pool, origins)
+        is_urgent = asyncio.Event()
+        sole_versions = SoleVersions(
+            entry_id,
+            lambda address, message: self._send(entry, address, message),
+            lambda now_s: [
+                e.holder for e in self._entries if self._is_listed(e) and e is not entry
+            ],
+            lambda service, now_s: _sole_view(pool, now_s),
+            is_urgent.set,
+        )
+        entry = _Entry(holder, pool, origins, sole_versions, is_urgent)
         self._read_log(entry)
         loop = asyncio.get_running_loop()
         entry.tasks = [
@@ -189,9 +213,17 @@
     async def _follow_log(self, entry: _Entry) -> None:
         await asyncio.sleep(self._rng.uniform(0.0, POLL_S))
         while True:
-            if not self._log_away:
+            entry.is_urgent.clear()
+            self._outcome.reads += 1
+            if not self._log_away and not entry.log_silent:
                 self._read_log(entry, announce=True)
-            await asyncio.sleep(POLL_S)
+                entry.sole_versions.on_view()
+            await asyncio.sleep(MIN_PAUSE_S)
+            try:
+                async with asyncio.timeout(POLL_S - MIN_PAUSE_S):
+                    await entry.is_urgent.wait()
+            except TimeoutError:
+                continue
 
     def _read_log(self, entry: _Entry, announce: bool = False) -> None:
         now_s = time.monotonic()
@@ -256,6 +288,13 @@
         for entry in self._entries:
             entry.cut = False
 
+    async def _isolate(self) -> None:
+        await asyncio.sleep(UPGRADE_AT_S - ISOLATED_BEFORE_S)
+        for is_cut in (True, False):
+            for entry in self._entries[: self._scenario.isolated]:
+                entry.cut = entry.log_silent = is_cut
+            await asyncio.sleep(ISOLATED_FOR_S)
+
     # -- endpoints -----------------------------------------------------------------
 
     def _begin(self, endpoint_id: EndpointId, version: str) -> None:
@@ -369,7 +408,9 @@
         """One try; returns whether an endpoint was sent the request."""
         attempt = _Try(RequestId(f"{stream.number}-{number}"))
         if stream.first_id is not None and self._scenario.pins:
-            attempt.origin = await self._find(entry, stream.first_id)
+            self._outcome.take_ups += 1
+            find = self._find if self._scenario.leases else self._find_without_leases
+            attempt.origin = await find(entry, stream.first_id)
             if attempt.origin is None:
                 self._outcome.unknown += 1
                 return False
@@ -397,20 +438,43 @@
             entry.origins.record_began(name, attempt.origin, time.monotonic())
 
     async def _find(self, entry: _Entry, first_id: RequestId) -> StreamOrigin | None:
+        now_s = time.monotonic()
+        sole = entry.sole_versions
+        knows = entry.origins.knows_versions(now_s)
+        version = sole.supported(S, now_s, now_s) if knows else None
+        if version is not None:
+            return StreamOrigin(S, version)
+        asking = asyncio.ensure_future(
+            entry.origins.find(StreamId(None, first_id), now_s)
+        )
+        proving = asyncio.ensure_future(sole.find(S, now_s) if knows else _nothing())
+        await asyncio.wait((asking, proving), return_when=asyncio.FIRST_COMPLETED)
+        if not (asking.done() and asking.result().known):
+            version = await proving
+        if version is not None:
+            asking.cancel()
+            return StreamOrigin(S, version)
+        return _version_known(await asking)
+
+    async def _find_without_leases(
+        self, entry: _Entry, first_id: RequestId
+    ) -> StreamOrigin | None:
         now_s = time.monotonic()
         versions = entry.pool.versions(S, now_s)
-        if len(versions) == 1 and entry.origins.knows_versions(now_s):
-            return StreamOrigin(S, next(iter(versions)))
-        known = (await entry.origins.find(StreamId(None, first_id), now_s)).known
-        if known is None or known.found.origin.version is None:
-            return None
-        return known.found.origin
+        sole = StreamOrigin(S, next(iter(versions))) if len(versions) == 1 else None
+        is_fresh = now_s - entry.pool.known_at_s <= FRESH_VIEW_S
+        if sole is not None and entry.origins.knows_versions(now_s) and is_fresh:
+            return sole
+        finding = await entry.origins.find(StreamId(None, first_id), now_s)
+        if finding.known is None and finding.heard:
+            return sole
+        return _version_known(finding)
 
     def _choose(self, entry: _Entry, attempt: _Try) -> Endpoint | None:
         if attempt.in_doubt:
             return None
         choice = entry.pool.choose(
-            RequestProfile(S, (), attempt.origin),
+            RequestProfile(S, (), attempt.origin, self._scenario.leases),
             float(len(self._entries)),
             NO_CONNECTION_LIMIT,
             attempt.tried,
@@ -460,5 +524,27 @@
 
 
 def _receive(target: _Entry, message: OriginMessage) -> None:
-    if target.alive:
+    if not target.alive:
+        return
+    if isinstance(message, SoleVersionQuery | SoleVersionAnswer):
+        target.sole_versions.receive(message, time.monotonic())
+    else:
         target.origins.receive(message, time.monotonic())
+
+
+def _sole_view(pool: EndpointPool, now_s: float) -> SoleView | None:
+    versions = pool.versions(S, now_s)
+    return (
+        SoleView(next(iter(versions)), pool.known_at_s) if len(versions) == 1 else None
+    )
+
+
+def _version_known(finding: Finding) -> StreamOrigin | None:
+    known = finding.known
+    if known is None or known.found.origin.version is None:
+        return None
+    return known.found.origin
+
+
+async def _nothing() -> str | None:
+    return None
--- a/src/celerytrack/lab/version_scenarios.py
+++ b/src/celerytrack/lab/version_scenarios.py
@@ -25,6 +25,12 @@
     :ivar same_ids: whether endpoints come back under their id and address.
     :ivar load_share: load as a share of the slots.
     :ivar to_two: whether the old version shrinks to two endpoints at once, and stays.
+    :ivar isolated: entries that are cut off from the log and from the others, together,
+        from just before the upgrade begins.
+    :ivar upgrades: whether a new version joins.
+    :ivar leases: whether a view of the registrations supports an only version for the
+        time of a lease, and streams begin at a new version after that; otherwise for
+        3 s, and at any age once another entry has answered.
     :ivar pins: whether streams keep to their version.
     :ivar keeps_room: whether new work keeps off the last slots of a small version.
     """
@@ -38,6 +44,9 @@
     same_ids: bool = False
     load_share: float = 0.5
     to_two: bool = False
+    isolated: int = 0
+    upgrades: bool = True
+    leases: bool = True
     pins: bool = True
     keeps_room: bool = True
 
@@ -58,8 +67,10 @@
     :ivar went_on: how many of them went on.
     :ivar taken_up_old: those of the old version while just two endpoints served it.
     :ivar went_on_old: how many of these went on.
+    :ivar take_ups: tries that took a stream up.
     :ivar unknown: tries refused since nobody knew what began the stream.
     :ivar messages: messages about origins.
+    :ivar reads: reads of the registrations.
     :ivar sent_bytes: bytes that each entry sent, by second.
     """
 
@@ -70,7 +81,9 @@
     went_on: int = 0
     taken_up_old: int = 0
     went_on_old: int = 0
+    take_ups: int = 0
     unknown: int = 0
+    reads: int = 0
     messages: int = 0
     lasted_s: float = 0.0
     sent_bytes: Counter[tuple[EntryId, int]] = attrs.field(factory=Counter)
@@ -119,11 +132,19 @@
             sum(o.went_on_old for o in outcomes) / max(1, taken_up_old), 3
         ),
         "unknown": sum(o.unknown for o in outcomes),
+        "take_ups": sum(o.take_ups for o in outcomes),
+        "reads_per_s": _per_s([o.reads for o in outcomes], outcomes),
+        "messages_per_s": _per_s([o.messages for o in outcomes], outcomes),
         "messages_per_stream": round(sum(o.messages for o in outcomes) / streams, 2),
         "bytes_per_s": _mean(mean_bytes),
         "busiest_bytes_per_s": max(busiest),
     }
 
 
+def _per_s(counts: Sequence[int], outcomes: Sequence[VersionOutcome]) -> float:
+    """The mean rate of all entries together."""
+    return _mean([n / o.lasted_s for n, o in zip(counts, outcomes, strict=True)])
+
+
 def _mean(values: Sequence[float]) -> float:
     return round(statistics.fmean(values), 3)
--- a/tests/test_version_model.py
+++ b/tests/test_version_model.py
@@ -23,6 +23,8 @@
         VersionScenario("log away", log_away=True),
         VersionScenario("same ids", same_ids=True),
         VersionScenario("two endpoints left, busy", to_two=True, load_share=0.85),
+        VersionScenario("one out of step", isolated=1),
+        VersionScenario("three out of step", isolated=3),
         VersionScenario("upgrade", entries=76, kills=True),
         VersionScenario("upgrade", entries=195, lost_share=0.1),
     )
@@ -39,3 +41,8 @@
         """The model shows the fault that pins mend."""
         scenario = VersionScenario("upgrade", pins=False)
         self.assertTrue(run_virtual(VersionFleet(scenario, 1).run()).is_broken)
+
+    def test_without_leases_entries_that_are_out_of_step_mix_streams(self) -> None:
+        """The model shows the fault that leases mend."""
+        scenario = VersionScenario("three out of step", isolated=3, leases=False)
+        self.assertGreater(run_virtual(VersionFleet(scenario, 1).run()).mixed, 0)
