A process that stood still reads the registrations before it refuses what waited

Callers got 503 (no_endpoint, 'what is known of endpoints is too old') from an entry as it woke, for all requests that had come while it stood still longer than drainMs (2 s).

Cause: the view of the endpoints is judged by its age before the first read after the pause has run, though that read takes milliseconds.

Why it works: the same check follows, on what was read after the pause.

--- a/src/celerytrack/gateway/sending.py
+++ b/src/celerytrack/gateway/sending.py
@@ -8,6 +8,7 @@
 from celerytrack.gateway.attempt_failures import AttemptResult, withheld
 from celerytrack.gateway.attempts import attempt
 from celerytrack.gateway.crash_detector import Interrupted
+from celerytrack.gateway.current_view import current_view_s
 from celerytrack.gateway.exchange import AttemptFailure, Exchange
 from celerytrack.gateway.openings import refused_until_opening, wait_for_opening
 from celerytrack.gateway.origins import settle_doubts, settle_origin
@@ -52,7 +53,7 @@
     while True:
         if not await settle_origin(gateway, exchange):
             return Failure(no_endpoint(IN_DOUBT))
-        now_s = time.monotonic()
+        now_s = await current_view_s(gateway)
         if gateway.is_endpoint_view_stale(now_s):
             return Failure(no_endpoint("what is known of endpoints is too old"))
         suspect_state = suspect_state_of(gateway, exchange, now_s)
--- a/src/celerytrack/gateway/state.py
+++ b/src/celerytrack/gateway/state.py
@@ -1,5 +1,6 @@
 """State of an entry process, shared by its tasks and handlers."""
 
+import asyncio
 import collections
 import logging
 import random
@@ -85,6 +86,7 @@
     :ivar complete_view_at_s: the same, without reads of a log that has lost some in a
         restore, which may not be written again yet.
     :ivar endpoints_read_time_s: duration of the last read of the registrations.
+    :ivar endpoints_read: set by each read of the registrations.
     :ivar endpoints_reachable: whether the store answered that read.
     :ivar notices: what endpoints say of themselves in their answers.
     :ivar origins: what began the streams that callers may take up.
@@ -182,6 +184,7 @@
         self.complete_view_at_s = float("-inf")
         self.endpoints_read_time_s = 0.0
         self.endpoints_reachable = True
+        self.endpoints_read = asyncio.Event()
         self.telemetry = Telemetry()
         register_limits(self.telemetry.registry, self.notices.limits)
         register_notices(self.telemetry.registry, self.notices)
--- a/src/celerytrack/gateway/watches.py
+++ b/src/celerytrack/gateway/watches.py
@@ -205,6 +205,7 @@
             gateway.complete_view_at_s = at_s
         resolve_origins(gateway)
         gateway.endpoints_read_time_s = time.monotonic() - at_s
+        gateway.endpoints_read.set()
         gateway.sole_versions.on_view()
 
     def on_reachability(reachable: bool) -> None:
