A missing registration is gone only if a read after its grace time shows so

Callers would get 503 (no_endpoint) at an entry that stood still, or whose link was slow, in the seconds after a restore of the log: endpoints that had registered again were taken for gone.

Cause: the grace time of registrations that a restored log lacks was compared with the time at which an answer was handled, not with that at which its read began. Found by reading all places that take 'my view is younger than N s' for 'nothing happened'; not seen in a run of a fleet.

Evidence: the first row of the new test in tests.test_waking fails on the commit before.

Change: RestoredRegistrations.pop_expired is asked with the begin of the read.

Why it works: what was written again within the grace time is in a read that begins after it.

Measured: test_waking, test_eras and test_restored_log pass (70).

--- a/src/celerytrack/gateway/watches.py
+++ b/src/celerytrack/gateway/watches.py
@@ -188,9 +188,7 @@
                 )
 
     def on_caught_up(at_s: float) -> None:
-        for endpoint_id in gateway.endpoints.restored_registrations.pop_expired(
-            time.monotonic()
-        ):
+        for endpoint_id in gateway.endpoints.restored_registrations.pop_expired(at_s):
             drop(endpoint_id)
         is_gap = at_s - gateway.endpoints_known_at_s > UNSEEN_GAP_S
         if gateway.endpoints_known and is_gap:
