--- a/tests/test_prepaid.py
+++ b/tests/test_prepaid.py
@@ -511,6 +511,15 @@
         view.fold(_member(PEER, state=MemberState.LEAVING), 0.0)
         self.assertEqual(view.live_peers(0.1), [])
 
+    def test_an_entry_that_leaves_may_still_know_what_others_do_not(self):
+        """Streams that it began are taken up at other entries."""
+        view = MembershipView(ME)
+        view.record_read(0.0)
+        view.fold(_member(PEER), 0.0)
+        view.mark_leaving(PEER, view.member(PEER).started_s)
+        self.assertEqual(view.live_peers(0.1), [])
+        self.assertEqual([m.entry_id for m in view.recent_peers(0.1)], [PEER])
+
     @params((6, 0.3), (80, 80 / 60), (300, 5.0))
     def test_the_row_rate_is_bounded_in_large_fleets(self, entries, expected_s):
         self.assertAlmostEqual(heartbeat_interval_s(entries), expected_s)
