--- a/src/celerytrack/gateway/watches.py
+++ b/src/celerytrack/gateway/watches.py
@@ -185,9 +185,7 @@
                 )
 
     def on_caught_up(at_s: float) -> None:
-        for endpoint_id in gateway.endpoints.restored_registrations.pop_expired(
-            time.monotonic()
-        ):
+        for endpoint_id in gateway.endpoints.restored_registrations.pop_expired(at_s):
             drop(endpoint_id)
         is_gap = at_s - gateway.endpoints_known_at_s > UNSEEN_GAP_S
         if gateway.endpoints_known and is_gap:
@@ -202,6 +200,7 @@
             gateway.complete_view_at_s = at_s
         gateway.resolve_origins()
         gateway.endpoints_read_time_s = tail.last_read_s
+        gateway.endpoints_read.set()
         gateway.sole_versions.on_view()
 
     def on_reachability(reachable: bool) -> None:
