--- a/src/celerytrack/gateway/endpoint_queries.py
+++ b/src/celerytrack/gateway/endpoint_queries.py
@@ -128,7 +128,7 @@
     try:
         sign_age_s = int(request.query[SIGN_AGE_FIELD]) / 1_000
         asked_born_ms = int(request.query[BORN_FIELD])
-    except (KeyError, ValueError):
+    except (KeyError, ValueError, OverflowError):
         return web.Response(status=400)
     witness = Witness.NONE
     if born_ms == asked_born_ms:
--- a/tests/test_replaced_endpoints.py
+++ b/tests/test_replaced_endpoints.py
@@ -8,6 +8,7 @@
 
 from nose2.tools import params
 
+from celerytrack.gateway.peer_requests import ENDPOINT_PATH
 from celerytrack.ids import EndpointId
 from celerytrack.routing.versions import ESTABLISHED_AFTER_S
 from tests import versioned_endpoints
@@ -125,6 +126,20 @@
             await asyncio.gather(*begun, return_exceptions=True)
             return stream
 
+    def test_what_is_no_age_of_a_sign_is_refused(self) -> None:
+        """A number that no float holds ended the answer to another entry with a 500."""
+        asyncio.run(self._ask_badly())
+
+    async def _ask_badly(self) -> None:
+        endpoints = make_versioned(1, 1, 1)
+        async with fleet_of(endpoints, 1, config()) as fleet:
+            address = fleet.gateways[0].settings.peer_address
+            for age, status in (("9" * 400, 400), ("x", 400), ("9" * 9, 404)):
+                query = {"endpoint": REPLACED, "born": "0", "signAgeMs": age}
+                url = f"http://{address}{ENDPOINT_PATH}"
+                async with fleet.http.get(url, params=query) as answer:
+                    self.assertEqual(answer.status, status)
+
     def test_an_endpoint_whose_runs_break_is_known_to_live(self) -> None:
         """All runs of one entry broke; the connections of the others live on."""
         asyncio.run(self._break())
