Odd records end no task of the own interface and hide no later record

What callers saw: nothing yet. One record nested some 1,000 deep on a stream of the own interface ended the task that follows it (configuration, ledger); one number of 5,000 digits made each read of that part of the stream fail, for ever, as if the log were unreachable. A list or load report nested too deep ended the task that reads both, and a count too large for a float ended the choice of a replica.

Cause: the parser's RecursionError was caught nowhere, and one record that can't be parsed makes the whole answer unreadable. Counts of reports had no bound.

Evidence (tests/test_odd_records.py on; nested 100,000 deep as a whole and in each field, closed and not, as lists and objects; numbers of 400, 5,000 and a million digits, NaN, Infinity, 1e999, -1): the platform's interface passed; own interface 3 of 3 failed: the follower's task ended (stream, configuration), and RecursionError from the reading of the list. With the numbers alone the last record was not read within 8 s.

Change: LogClient tells an answer that is nested too deep from an unreachable log, and reads a number with too many digits as infinite, which the checks of a record reject. Followers then request half as many records until the answer ends before such a record, or holds nothing else: that one is passed over with one line (626 record_failed). An answer that was cut stays a failure and passes over nothing. If the last configuration can't be parsed, the stream is read from its first retained record. Lists and reports that are nested too deep count as none, and counts of a report are bounded.

--- a/src/celerytrack/entry/_tail.py
+++ b/src/celerytrack/entry/_tail.py
@@ -5,15 +5,18 @@
 from collections.abc import Awaitable, Callable
 from typing import Any
 
-from returns.result import Failure, Success
+from returns.result import Failure, Result, Success
 
 from celerytrack.events import Event, log_event
-from celerytrack.logclient import LogClient, LogErrorKind
+from celerytrack.logclient import Batch, LogClient, LogError, LogErrorKind
 from celerytrack.record_faults import RecordFaults
+from celerytrack.strict import UnreadableError
 
 _log = logging.getLogger(__name__)
 
 _RETRY_S = 0.2
+_READ_LIMIT = 1_000
+"""Most records that one read requests."""
 
 
 Restore = Callable[[int], Awaitable[int]]
@@ -25,6 +28,33 @@
     return start_offset
 
 
+async def read_past_unreadable(
+    log: LogClient,
+    stream: str,
+    offset: int,
+    faults: RecordFaults,
+    wait_s: float = 0.0,
+) -> Result[Batch, LogError]:
+    """Read records, or pass over one that can't be parsed.
+
+    Such a record makes the whole answer unreadable. Fewer are requested until the
+    answer ends before it, or holds nothing else.
+    """
+    limit = _READ_LIMIT
+    result = await log.read(stream, offset, limit, wait_s)
+    while True:
+        match result:
+            case Failure(error) if error.kind is LogErrorKind.UNREADABLE:
+                if limit == 1:
+                    with faults.caught(offset):
+                        raise UnreadableError("nested too deep")
+                    return Success(Batch([], offset + 1, offset))
+                limit //= 2
+                result = await log.read(stream, offset, limit)
+            case _:
+                return result
+
+
 async def catch_up(
     log: LogClient,
     stream: str,
@@ -39,14 +69,15 @@
     offset = start
     faults = RecordFaults(_log, stream)
     while True:
-        result = await log.read(stream, offset)
+        result = await read_past_unreadable(log, stream, offset, faults)
         match result:
             case Success(batch):
                 for at, record in batch.records:
                     with faults.caught(at):
                         apply(at, record)
+                at_end = not batch.records and batch.next_offset <= offset
                 offset = batch.next_offset
-                if not batch.records:
+                if at_end:
                     return offset
             case Failure(error) if error.kind is LogErrorKind.TRIMMED:
                 offset = await _restore_after_trim(
@@ -90,7 +121,7 @@
     offset = start
     faults = RecordFaults(_log, stream)
     while True:
-        result = await log.read(stream, offset, wait_s=wait_s)
+        result = await read_past_unreadable(log, stream, offset, faults, wait_s)
         match result:
             case Success(batch):
                 on_contact(True)
--- a/src/celerytrack/entry/config_follower.py
+++ b/src/celerytrack/entry/config_follower.py
@@ -14,6 +14,7 @@
 
 from returns.result import Failure, Success
 
+from celerytrack.entry._tail import read_past_unreadable
 from celerytrack.events import Event, log_event
 from celerytrack.logclient import LogClient, LogErrorKind
 from celerytrack.record_faults import RecordFaults
@@ -65,6 +66,9 @@
                     self._apply(offset, record)
                 self._next_offset = offset + 1
                 return True
+            case Failure(error) if error.kind is LogErrorKind.UNREADABLE:
+                # The records before it are read one after the other.
+                return True
         return False
 
     async def wait_for_config(self) -> Config:
@@ -79,7 +83,9 @@
         while not await self.load_last():
             await asyncio.sleep(_RETRY_S)
         while True:
-            result = await self._log.read(CONFIG_STREAM, self._next_offset, wait_s=1.0)
+            result = await read_past_unreadable(
+                self._log, CONFIG_STREAM, self._next_offset, self._faults, wait_s=1.0
+            )
             match result:
                 case Success(batch):
                     for offset, record in batch.records:
@@ -88,6 +94,7 @@
                     self._next_offset = batch.next_offset
                     await self._maybe_republish(time.time())
                 case Failure(error) if error.kind is LogErrorKind.TRIMMED:
+                    self._next_offset = error.start_offset or 0
                     await self.load_last()
                 case _:
                     await asyncio.sleep(_RETRY_S)
--- a/src/celerytrack/entry/fleet_view.py
+++ b/src/celerytrack/entry/fleet_view.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import logging
+import math
 import time
 from collections import Counter, defaultdict
 from collections.abc import Callable
@@ -46,6 +47,25 @@
 """Most characters of a software version that a replica may report."""
 
 
+MAX_COUNT = 10**9
+"""Largest count that a replica may report: far more than one holds, and safe to sum."""
+
+
+_MALFORMED = (ValueError, KeyError, TypeError, RecursionError)
+"""Errors of an answer that is no instance list."""
+
+
+def _read_count(report: dict[str, Any], name: str, known: int = 0) -> int:
+    """A count in a load report, or the known one if it tells none.
+
+    :raises ValueError: if it is none.
+    """
+    value = report.get(name, known)
+    if type(value) not in (int, float) or not 0 <= value <= MAX_COUNT:
+        raise ValueError(f"{name} must be a number from 0 to {MAX_COUNT}")
+    return int(value)
+
+
 def read_born_ms(report: dict[str, Any], known_ms: int) -> int:
     """The start that a load report tells, or the known one if it tells none."""
     born_ms = report.get("born_ms")
@@ -167,7 +187,7 @@
             timeout = aiohttp.ClientTimeout(total=self._poll_s * 2)
             async with self._session.get(self._url, timeout=timeout) as resp:
                 items = (await resp.json())["instances"]
-        except (aiohttp.ClientError, TimeoutError, ValueError, KeyError, TypeError):
+        except (aiohttp.ClientError, TimeoutError, *_MALFORMED):
             return
         if not isinstance(items, list):
             return
@@ -274,15 +294,18 @@
             await self._poll_cache(replica_id)
 
     def _apply_report(self, load: ReplicaLoad, report: dict[str, Any]) -> None:
+        capacity = _read_count(report, "capacity", load.capacity)
+        blocks = _read_count(report, "cache_blocks", load.cache.capacity_blocks)
+        running = _read_count(report, "running") + _read_count(report, "queued")
+        prefill_tokens = _read_count(report, "prefill_tokens")
+        at_s = float(report.get("at_s", time.time()))
+        if not math.isfinite(at_s):
+            raise ValueError("at_s is no time")
         load.version = str(report.get("version", ""))[:MAX_VERSION_CHARS]
         load.born_ms = read_born_ms(report, load.born_ms)
-        load.capacity = int(report.get("capacity", load.capacity))
-        load.cache.capacity_blocks = int(
-            report.get("cache_blocks", load.cache.capacity_blocks)
-        )
-        running = int(report.get("running", 0)) + int(report.get("queued", 0))
-        at_s = float(report.get("at_s", time.time()))
-        load.report(Load(running, int(report.get("prefill_tokens", 0))), at_s)
+        load.capacity = capacity
+        load.cache.capacity_blocks = blocks
+        load.report(Load(running, prefill_tokens), at_s)
 
     async def _poll_cache(self, replica_id: ReplicaId) -> None:
         start = self._cache_events_from.get(replica_id, 0)
@@ -322,7 +345,7 @@
                 f"http://{address}{path}", timeout=timeout
             ) as resp:
                 return await resp.json() if resp.status == 200 else None
-        except (ValueError, aiohttp.ContentTypeError):
+        except (ValueError, RecursionError, aiohttp.ContentTypeError):
             return None
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
             raise _UnreachedError(sent=False) from None
--- a/src/celerytrack/logclient.py
+++ b/src/celerytrack/logclient.py
@@ -12,6 +12,8 @@
 import attrs
 from returns.result import Failure, Result, Success
 
+from celerytrack.strict import parse_lenient
+
 READ_IDLE_TIMEOUT_S = 2.0
 """Longest wait for the next bytes of a read, in addition to the time that the log may
 hold it. A change must be in force within five seconds, even if the read that was held
@@ -29,6 +31,8 @@
     """The reply was lost: the append may or may not have taken effect."""
     RATE_LIMITED = "rate_limited"
     """Refused by the appends-per-second limit; nothing was written."""
+    UNREADABLE = "unreadable"
+    """A record in the answer is nested too deep to be parsed."""
     TRIMMED = "trimmed"
     """The requested offset is below the oldest one that the log retains."""
 
@@ -123,7 +127,7 @@
             async with self._http().get(
                 self._base + stream, params=params, timeout=timeout
             ) as resp:
-                data = await resp.json(content_type=None)
+                data = await resp.json(content_type=None, loads=parse_lenient)
                 if resp.status == 410:
                     return Failure(
                         LogError(
@@ -134,6 +138,8 @@
                     return Failure(LogError(LogErrorKind.UNREACHABLE))
                 pairs = [(int(o), r) for o, r in data["records"]]
                 return Success(Batch(pairs, data["next_offset"], data["start_offset"]))
+        except RecursionError:
+            return Failure(LogError(LogErrorKind.UNREADABLE))
         except (aiohttp.ClientError, TimeoutError, ValueError):
             return Failure(LogError(LogErrorKind.UNREACHABLE))
 
@@ -144,11 +150,13 @@
             async with self._http().get(
                 self._base + stream + "/last", timeout=timeout
             ) as resp:
-                data = await resp.json(content_type=None)
+                data = await resp.json(content_type=None, loads=parse_lenient)
                 if resp.status == 404:
                     return Success(None)
                 if resp.status != 200:
                     return Failure(LogError(LogErrorKind.UNREACHABLE))
                 return Success((int(data["offset"]), data["record"]))
+        except RecursionError:
+            return Failure(LogError(LogErrorKind.UNREADABLE))
         except (aiohttp.ClientError, TimeoutError, ValueError):
             return Failure(LogError(LogErrorKind.UNREACHABLE))
--- a/src/celerytrack/strict.py
+++ b/src/celerytrack/strict.py
@@ -15,6 +15,8 @@
 """Characters of a bad value shown in an error, because a record may hold megabytes."""
 MAX_NUMBER = 2**63
 """Numbers are below this in magnitude, so that each encoder and timer takes them."""
+_MAX_DIGITS = 400
+"""Digits of a number above the largest float."""
 _BOUNDED = f"between {-MAX_NUMBER} and {MAX_NUMBER}"
 
 
@@ -131,6 +133,27 @@
         raise UnreadableError(f"not JSON: {exc}") from None
 
 
+def parse_lenient(text: str) -> Any:
+    """Parse JSON in which a number may have any number of digits.
+
+    One with more than Python converts becomes infinite: whoever checks the record that
+    holds it rejects that, and the others around it are read.
+
+    :raises ValueError: if it is invalid.
+    :raises RecursionError: if it is nested too deeply.
+    """
+    try:
+        return json.loads(text)
+    except json.JSONDecodeError:
+        raise
+    except ValueError:
+        return json.loads(text, parse_int=_int_or_infinite)
+
+
+def _int_or_infinite(digits: str) -> float:
+    return int(digits) if len(digits) <= _MAX_DIGITS else float(digits)
+
+
 def _object_without_duplicates(pairs: list[tuple[str, Any]]) -> dict[str, Any]:
     value = dict(pairs)
     if len(value) < len(pairs):
