--- a/src/celerytrack/gateway/origins.py
+++ b/src/celerytrack/gateway/origins.py
@@ -1,23 +1,24 @@
 """The origin of the stream that a request goes on with: found, recorded, corrected."""
 
+import asyncio
 import logging
 import math
 import time
 
+import attrs
+
 from celerytrack.events import Event, log_event
 from celerytrack.gateway.exchange import Exchange
 from celerytrack.gateway.refusals import RefusedError
 from celerytrack.gateway.state import Gateway
 from celerytrack.origins.memory import StreamId
 from celerytrack.origins.origin import StreamOrigin
-from celerytrack.origins.sync import KnownOrigin
+from celerytrack.origins.sync import Finding, KnownOrigin
 from celerytrack.routing.endpoint import Dispatch, Endpoint, Registration
 from celerytrack.verdict import Reason, did_not_run
 
 _log = logging.getLogger(__name__)
 
-FRESH_VIEW_S = 3.0
-"""Age of the registrations up to which no other version can have come up unnoticed."""
 UNKNOWN_RETRY_AFTER_S = 0.3
 """``Retry-After`` if no entry says what began the stream: a message may be late, or the
 caller may come to an entry that knows."""
@@ -54,35 +55,29 @@
 ) -> StreamOrigin | None:
     """The origin if nothing else can have begun the stream.
 
-    An entry that has just started doesn't know which versions ended before, and one
-    that has not read the registrations for a while not which have come up.
+    An entry that has just started doesn't know which versions ended before.
     """
     if not gateway.origins.knows_versions(now_s):
         return None
-    if gateway.endpoints_view_age_s(now_s) > FRESH_VIEW_S:
-        return None
-    return only_origin(gateway, exchange, now_s)
+    return only_origin(gateway, exchange, now_s, now_s)
 
 
 def only_origin(
-    gateway: Gateway, exchange: Exchange, now_s: float
+    gateway: Gateway, exchange: Exchange, began_before_s: float, now_s: float
 ) -> StreamOrigin | None:
-    """The service and version of a route that has no other, and had none lately."""
-    if not gateway.version_records.loaded:
-        # Which versions there were before this entry started is not known.
-        return None
-    services = [service for service, _ in exchange.route.services]
-    versions = gateway.endpoints.versions(services[0], now_s)
-    if not versions or gateway.endpoints.has_versions(services[0], now_s):
-        return None
-    return StreamOrigin(services[0], next(iter(versions)))
+    """The service and version of a route that has no other, and had none lately.
+
+    :param began_before_s: a time before which the stream began.
+    """
+    service, _ = exchange.route.services[0]
+    version = gateway.sole_versions.supported(service, began_before_s, now_s)
+    return None if version is None else StreamOrigin(service, version)
 
 
 async def _asked_origin(
     gateway: Gateway, exchange: Exchange, now_s: float
 ) -> StreamOrigin | None:
-    first = exchange.facts.resumes or exchange.facts.request_id
-    finding = await gateway.origins.find(StreamId(exchange.account, first), now_s)
+    finding = await _ask_others(gateway, exchange, now_s)
     known = finding.known
     if known is not None:
         found = known.found
@@ -90,8 +85,10 @@
         gateway.telemetry.taken_up.labels(source).inc()
         _log_found(gateway, exchange, found.origin, source, now_s, known)
         return found.origin
-    # Other entries answer, and know no other version either.
-    origin = only_origin(gateway, exchange, time.monotonic()) if finding.heard else None
+    # Others know no other version either, or all that could have begun a stream at one.
+    origin = None
+    if finding.heard:
+        origin = only_origin(gateway, exchange, now_s, time.monotonic())
     source = "unknown" if origin is None else "one_version"
     gateway.telemetry.taken_up.labels(source).inc()
     source = "unknown" if origin is None else "one_version_after_asking"
@@ -99,6 +96,30 @@
     return origin
 
 
+async def _ask_others(gateway: Gateway, exchange: Exchange, now_s: float) -> Finding:
+    """Ask what began a stream, until it is proved that only one version can have."""
+    first = exchange.facts.resumes or exchange.facts.request_id
+    service, _ = exchange.route.services[0]
+    stream = StreamId(exchange.account, first)
+    if not gateway.origins.knows_versions(now_s):
+        return await gateway.origins.find(stream, now_s)
+    asking = asyncio.create_task(gateway.origins.find(stream, now_s))
+    proving = asyncio.create_task(gateway.sole_versions.find(service, now_s))
+    try:
+        await asyncio.wait((asking, proving), return_when=asyncio.FIRST_COMPLETED)
+        if asking.done() and asking.result().known is not None:
+            return asking.result()
+        if await proving is not None and not asking.done():
+            return Finding(None, heard=True)
+        finding = await asking
+        return attrs.evolve(
+            finding, heard=finding.heard or proving.result() is not None
+        )
+    finally:
+        asking.cancel()
+        proving.cancel()
+
+
 def _log_found(
     gateway: Gateway,
     exchange: Exchange,
@@ -142,6 +163,20 @@
         _record_origin(gateway, exchange, exchange.origin)
 
 
+async def may_be_other_version(
+    gateway: Gateway, exchange: Exchange, dispatch: Dispatch
+) -> bool:
+    """Whether an endpoint that was sent a stream to go on with has come into doubt
+    since, so that what it writes may be of another version."""
+    endpoint, service = dispatch.endpoint, exchange.service
+    if exchange.origin is None or not gateway.endpoints.is_doubted(endpoint):
+        return False
+    if not gateway.endpoints.has_versions(service, time.monotonic()):
+        return False
+    await gateway.endpoint_doubts.settled([endpoint.endpoint_id])
+    return gateway.endpoints.is_doubted(endpoint)
+
+
 def _record_origin(gateway: Gateway, exchange: Exchange, origin: StreamOrigin) -> None:
     stream = StreamId(exchange.account, exchange.facts.request_id)
     now_s = time.monotonic()
@@ -197,16 +232,6 @@
     return await gateway.endpoint_doubts.settled(doubted)
 
 
-def resolve_origins(gateway: Gateway) -> None:
-    """Record the origins that the newest registrations tell."""
-    if not gateway.unresolved_origins:
-        return
-    now_s = time.monotonic()
-    origin_at = gateway.endpoints.origin_at
-    for stream, origin in gateway.unresolved_origins.pop_resolved(origin_at, now_s):
-        gateway.origins.record_began(stream, origin, now_s)
-
-
 def correct_origins(gateway: Gateway, registration: Registration) -> None:
     """Correct the origin of the streams in progress at an endpoint that registers as
     another incarnation: a connection that is still open leads to that one.
--- a/src/celerytrack/gateway/state.py
+++ b/src/celerytrack/gateway/state.py
@@ -5,7 +5,7 @@
 import random
 import time
 import uuid
-from collections.abc import Collection
+from collections.abc import Callable, Collection
 
 from celerytrack.answer_limits import AnswerBytes
 from celerytrack.durations import RecentDurations
@@ -16,7 +16,7 @@
 from celerytrack.gateway.crash_detector import CrashDetector
 from celerytrack.gateway.crash_findings import CrashFindings
 from celerytrack.gateway.endpoint_doubts import EndpointDoubts
-from celerytrack.gateway.endpoint_queries import is_reached_elsewhere
+from celerytrack.gateway.endpoint_queries import ask_witnesses, is_reached_elsewhere
 from celerytrack.gateway.exchange import Exchange
 from celerytrack.gateway.hedged_store import HedgedStore
 from celerytrack.gateway.peer_messages import (
@@ -43,10 +43,13 @@
     OriginAnswer,
     OriginNews,
     OriginQuery,
+    SoleVersionAnswer,
+    SoleVersionQuery,
     VersionNews,
     VersionQuery,
 )
 from celerytrack.origins.ring import Holder
+from celerytrack.origins.sole_versions import SoleVersions, SoleView
 from celerytrack.origins.sync import OriginSync
 from celerytrack.origins.unresolved import UnresolvedOrigins
 from celerytrack.planned_stop import PlannedStop
@@ -79,10 +82,14 @@
     :ivar config_known_at_s: time on the monotonic clock up to which every confirmed
         configuration is known here.
     :ivar endpoints_known_at_s: the same for the endpoints' registrations.
+    :ivar complete_view_at_s: the same, without reads of a log that has lost some in a
+        restore, which may not be written again yet.
     :ivar endpoints_read_time_s: duration of the last read of the registrations.
     :ivar endpoints_reachable: whether the store answered that read.
     :ivar notices: what endpoints say of themselves in their answers.
     :ivar origins: what began the streams that callers may take up.
+    :ivar sole_versions: the services that are proved to have had one version only.
+    :ivar read_endpoints_now: has the registrations read at once.
     :ivar version_records: the versions of services on the log.
     :ivar endpoint_doubts: checks whether endpoints have started again.
     :ivar unresolved_origins: streams that began at endpoints that were in doubt.
@@ -151,12 +158,22 @@
             self._live_entries,
             lambda: self.endpoints.known_at_s,
         )
+        self.sole_versions = SoleVersions(
+            self.entry_id,
+            self.peer_messenger.send_origin_message,
+            self._recent_holders,
+            self._sole_view,
+            lambda: self.read_endpoints_now(),
+        )
+        self.read_endpoints_now: Callable[[], None] = lambda: None
         self.unresolved_origins = UnresolvedOrigins()
         self.endpoint_doubts = EndpointDoubts(
             self.endpoints,
             lambda endpoint: is_reached_elsewhere(self, endpoint),
             self._tell_endpoint_ended,
             self.rng,
+            lambda endpoint, sign_s: ask_witnesses(self, endpoint, sign_s),
+            self.resolve_origins,
         )
         self.endpoints_known = False
         self.routing_table: RoutingTable | None = None
@@ -164,6 +181,7 @@
         self._services_of: RoutingTable | None = None
         self.config_known_at_s = float("-inf")
         self.endpoints_known_at_s = float("-inf")
+        self.complete_view_at_s = float("-inf")
         self.endpoints_read_time_s = 0.0
         self.endpoints_reachable = True
         self.telemetry = Telemetry()
@@ -286,6 +304,8 @@
                 | VersionQuery()
             ):
                 self.origins.receive(message, time.monotonic())
+            case SoleVersionQuery() | SoleVersionAnswer():
+                self.sole_versions.receive(message, time.monotonic())
             case _:
                 self.notices.receive(message)
 
@@ -318,6 +338,23 @@
             holders.append(Holder(self.entry_id, address, self.started_s))
         return holders
 
+    def _recent_holders(self, now_s: float) -> list[Holder]:
+        return [
+            Holder(member.entry_id, member.peer_address, member.started_s)
+            for member in self.share_sync.members.recent_peers(now_s)
+        ]
+
+    def _sole_view(self, service: ServiceName, now_s: float) -> SoleView | None:
+        if not self.version_records.loaded:
+            # Which versions there were before this entry started is not known.
+            return None
+        versions = self.endpoints.versions(service, now_s)
+        if not versions or self.endpoints.has_versions(service, now_s):
+            return None
+        view_at_s = now_s - self.endpoints_view_age_s(now_s)
+        read_at_s = min(view_at_s, self.complete_view_at_s)
+        return SoleView(next(iter(versions)), read_at_s)
+
     def _notice_peers(self, now_s: float) -> list[Peer]:
         members = self.share_sync.members.live_peers(now_s)
         return [
@@ -331,6 +368,15 @@
         is_brittle = tracker.bears_per_s(endpoint.endpoint_id) is not None
         return is_brittle or self.endpoints.is_leaving(endpoint)
 
+    def resolve_origins(self) -> None:
+        """Record the origins that the newest registrations tell."""
+        if not self.unresolved_origins:
+            return
+        now_s = time.monotonic()
+        origin_at = self.endpoints.origin_at
+        for stream, origin in self.unresolved_origins.pop_resolved(origin_at, now_s):
+            self.origins.record_began(stream, origin, now_s)
+
     def _tell_endpoint_ended(self, ended: EndpointEnded) -> None:
         for member in self.share_sync.members.live_peers(time.monotonic()):
             self.peer_messenger.send_origin_message(member.peer_address, ended)
@@ -406,6 +452,7 @@
         """Close all connections."""
         await self.crash_detector.close()
         await self.endpoint_doubts.close()
+        await self.sole_versions.close()
         await self.connections.close()
         self.peer_messenger.close()
         await self.peer_client.close()
--- a/src/celerytrack/gateway/stream_relay.py
+++ b/src/celerytrack/gateway/stream_relay.py
@@ -20,7 +20,7 @@
     unusable_answer,
 )
 from celerytrack.gateway.exchange import Exchange
-from celerytrack.gateway.origins import record_began
+from celerytrack.gateway.origins import may_be_other_version, record_began
 from celerytrack.gateway.outcomes import log_disorder
 from celerytrack.gateway.relay_format import answered_headers
 from celerytrack.gateway.state import Gateway
@@ -64,6 +64,7 @@
 ) -> AttemptResult:
     protocol = protocol_of(response)
     events = exchange.events
+    has_passed_on = False
     while True:
         try:
             data = await response.content.readany()
@@ -73,20 +74,24 @@
             break
         if dispatch is not None:
             gateway.reach.record_heard(exchange.service, time.monotonic())
+        if dispatch and not has_passed_on:
+            # Before the event counts as one that the caller has.
+            if await may_be_other_version(gateway, exchange, dispatch):
+                return unusable_answer("another process may have the address")
         try:
             received = events.feed(data)
         except OversizedEventError:
             return unusable_answer("an event is too large")
         if received is None:
             continue
+        has_passed_on = has_passed_on or received.count > 0
         await _pass_on(gateway, exchange, dispatch, response, received)
         if received.disorder is not None:
             return _out_of_order(received.disorder)
     if events.has_partial or was_reset(response, protocol):
         return unusable_answer("a stream ended in the middle of an event")
-    if dispatch and await ended_with_process(
-        gateway, dispatch.endpoint, response, exchange.deadline_at_s
-    ):
+    endpoint = None if dispatch is None else dispatch.endpoint
+    if await ended_with_process(gateway, endpoint, response, exchange.deadline_at_s):
         return unusable_answer(PROCESS_ENDED)
     if (received := events.finish()) is not None:
         await _pass_on(gateway, exchange, dispatch, response, received)
@@ -101,6 +106,8 @@
     if disorder.standing is Standing.LATE:
         # The caller has a later event, so no endpoint can add the one it lacks.
         return unusable_answer("an event came late", is_final=True)
+    if disorder.standing is Standing.OTHER_ANSWER:
+        return unusable_answer("another answer began within a stream")
     return unusable_answer("an answer went back to an earlier event")
 
 
--- a/src/celerytrack/gateway/watches.py
+++ b/src/celerytrack/gateway/watches.py
@@ -5,11 +5,7 @@
 
 from celerytrack._recent import RecentKeys
 from celerytrack.events import Event, log_event
-from celerytrack.gateway.origins import (
-    FRESH_VIEW_S,
-    correct_origins,
-    resolve_origins,
-)
+from celerytrack.gateway.origins import correct_origins
 from celerytrack.gateway.state import Gateway
 from celerytrack.gateway.tail import KeyedTail
 from celerytrack.ids import EndpointId
@@ -24,6 +20,10 @@
 
 _log = logging.getLogger(__name__)
 
+UNSEEN_GAP_S = 3.0
+"""Time without a view of the registrations after which the versions are read from the
+log: some may have come up and ended in it."""
+
 
 def make_config_tail(gateway: Gateway) -> KeyedTail:
     """Return a tail that applies the operators' configuration."""
@@ -167,6 +167,9 @@
             _log_registration(registration, result)
 
     def on_reload(keys: set[str]) -> None:
+        if gateway.endpoints_known:
+            # In the part that was skipped a version may have come up and ended.
+            gateway.version_records.reload()
         gateway.endpoints_known = True
         now_s = time.monotonic()
         rewritten = gateway.eras.is_rewritten_by(now_s)
@@ -186,14 +189,20 @@
             time.monotonic()
         ):
             drop(endpoint_id)
-        is_gap = at_s - gateway.endpoints_known_at_s > FRESH_VIEW_S
+        is_gap = at_s - gateway.endpoints_known_at_s > UNSEEN_GAP_S
         if gateway.endpoints_known and is_gap:
             gateway.version_records.reload()
         nonlocal known_before_s
         known_before_s = gateway.endpoints.known_at_s
         gateway.endpoints_known_at_s = gateway.endpoints.known_at_s = at_s
-        resolve_origins(gateway)
+        if gateway.eras.is_rewritten_by(at_s):
+            if not gateway.eras.is_rewritten_by(gateway.complete_view_at_s):
+                # The records of versions were read before others wrote them again.
+                gateway.version_records.reload()
+            gateway.complete_view_at_s = at_s
+        gateway.resolve_origins()
         gateway.endpoints_read_time_s = tail.last_read_s
+        gateway.sole_versions.on_view()
 
     def on_reachability(reachable: bool) -> None:
         gateway.endpoints_reachable = reachable
@@ -207,4 +216,5 @@
         on_reachability,
         gateway.eras,
     )
+    gateway.read_endpoints_now = tail.read_now
     return tail
--- a/src/celerytrack/logclient.py
+++ b/src/celerytrack/logclient.py
@@ -12,12 +12,14 @@
 import attrs
 from returns.result import Failure, Result, Success
 
-from celerytrack.strict import parse_lenient
+from celerytrack.strict import UnreadableError, parse_lenient
 
 READ_IDLE_TIMEOUT_S = 2.0
 """Longest wait for the next bytes of a read, in addition to the time that the log may
 hold it. A change must be in force within five seconds, even if the read that was held
 before it is never answered."""
+_STATUSES_WITH_FIELDS = frozenset({200, 404, 409, 410})
+"""Statuses of answers that mean something only with their body."""
 
 
 class LogErrorKind(enum.Enum):
@@ -63,6 +65,22 @@
     start_offset: int
 
 
+async def _read_fields(response: aiohttp.ClientResponse) -> dict[str, Any]:
+    """Read an answer to its end.
+
+    One without length that stops after its head raises no error by itself.
+
+    :raises UnreadableError: if it succeeded, or says where the log is, without fields.
+    :raises RecursionError: if it is nested too deeply.
+    """
+    data = await response.json(content_type=None, loads=parse_lenient)
+    if isinstance(data, dict):
+        return data
+    if response.status in _STATUSES_WITH_FIELDS:
+        raise UnreadableError(f"an answer with {response.status} must be an object")
+    return {}
+
+
 class LogClient:
     """Client of one log service over a shared aiohttp session.
 
@@ -100,7 +118,7 @@
             async with self._http().post(
                 self._base + stream, json=body, timeout=timeout
             ) as resp:
-                data = await resp.json(content_type=None)
+                data = await _read_fields(resp)
                 if resp.status == 200:
                     return Success(Appended(data["first_offset"], data["next_offset"]))
                 if resp.status == 409:
@@ -110,7 +128,7 @@
                 return Failure(LogError(LogErrorKind.UNREACHABLE))
         except aiohttp.ClientConnectorError:
             return Failure(LogError(LogErrorKind.UNREACHABLE))
-        except (aiohttp.ClientError, TimeoutError, ValueError):
+        except (aiohttp.ClientError, TimeoutError, ValueError, RecursionError):
             # The append may have taken effect before the connection failed. The
             # caller has to read the log to find out.
             return Failure(LogError(LogErrorKind.UNKNOWN_OUTCOME))
@@ -127,7 +145,7 @@
             async with self._http().get(
                 self._base + stream, params=params, timeout=timeout
             ) as resp:
-                data = await resp.json(content_type=None, loads=parse_lenient)
+                data = await _read_fields(resp)
                 if resp.status == 410:
                     return Failure(
                         LogError(
@@ -150,7 +168,7 @@
             async with self._http().get(
                 self._base + stream + "/last", timeout=timeout
             ) as resp:
-                data = await resp.json(content_type=None, loads=parse_lenient)
+                data = await _read_fields(resp)
                 if resp.status == 404:
                     return Success(None)
                 if resp.status != 200:
--- a/src/celerytrack/routing/endpoints.py
+++ b/src/celerytrack/routing/endpoints.py
@@ -19,6 +19,7 @@
 
 from cachetools import LRUCache
 
+from celerytrack.findings import Crash
 from celerytrack.ids import EndpointId, ServiceName, Zone
 from celerytrack.notices.state import EndpointNotices
 from celerytrack.origins.origin import StreamOrigin
@@ -46,7 +47,7 @@
 )
 from celerytrack.routing.prefill import prefill_s
 from celerytrack.routing.restored_registrations import RestoredRegistrations
-from celerytrack.routing.versions import VersionHistory
+from celerytrack.routing.versions import ESTABLISHED_AFTER_S, VersionHistory
 
 DOUBT_S = 3.0
 """Time in which a process that started again at its address has registered. Until the
@@ -116,8 +117,15 @@
             # The statistics and cached parts belong to an earlier incarnation. Parts
             # counted as cached would need an unpredicted prefill. Earlier requests
             # refer to the old object and finish there.
+            self._record_present(known, now_s)
             self._add(registration, now_s)
             return RegistrationChange.RESTARTED
+        if (
+            known.deregistered_at_s is not None
+            or known.registration.version != registration.version
+        ):
+            self._record_present(known, now_s)
+            known.registered_at_s = now_s
         changed = known.registration.draining is not registration.draining
         if not registration.draining:
             known.send_until_s = math.inf
@@ -136,7 +144,7 @@
         self.restored_registrations.on_log_restored({*gone, *self._tombstones})
 
     def _add(self, registration: Registration, now_s: float) -> None:
-        endpoint = Endpoint(registration)
+        endpoint = Endpoint(registration, registered_at_s=now_s)
         endpoint.cold_until_s = now_s + registration.cold_s
         self._endpoints[registration.endpoint_id] = endpoint
 
@@ -153,6 +161,7 @@
             return
         if present_at_s is None:
             present_at_s = self.known_at_s
+        self._record_present(known, now_s)
         known.deregistered_at_s = now_s
         self._unregistered.add(endpoint_id)
         known.send_until_s = min(
@@ -179,10 +188,18 @@
         endpoint.doubted_at_s = now_s
         return not was_doubted
 
-    def settle_doubt(self, endpoint: Endpoint, since_s: float) -> None:
-        """Record that the process is alive since the sign at ``since_s``."""
-        if endpoint.doubted_at_s is not None and endpoint.doubted_at_s >= since_s:
+    def settle_doubt(
+        self, endpoint: Endpoint, since_s: float, alive_at_s: float
+    ) -> bool:
+        """Record that a process lived at ``alive_at_s`` that was there before the sign
+        at ``since_s``.
+
+        :returns: whether it is in doubt no more: not after a later sign.
+        """
+        doubted_at_s = endpoint.doubted_at_s
+        if doubted_at_s is not None and since_s <= doubted_at_s <= alive_at_s:
             endpoint.doubted_at_s = None
+        return endpoint.doubted_at_s is None
 
     def is_doubted(self, endpoint: Endpoint) -> bool:
         """Whether another incarnation than the registered one may run at an endpoint.
@@ -207,10 +224,16 @@
             return None
         return StreamOrigin(known.registration.service, known.registration.version)
 
-    def mark_crashed(self, endpoint_id: EndpointId, now_s: float) -> None:
-        """Eject an endpoint that crashed, as observed by some entry."""
-        known = self._endpoints.get(endpoint_id)
-        if known is not None:
+    def mark_crashed(self, crash: Crash, now_s: float) -> None:
+        """Eject an endpoint that crashed, as observed by some entry.
+
+        Another incarnation that has its id by now is not the one that crashed.
+        """
+        known = self._endpoints.get(crash.endpoint_id)
+        if known is None:
+            return
+        registration = known.registration
+        if (registration.born_ms, registration.build) == (crash.born_ms, crash.build):
             record_crash(known, now_s)
             self.doubt(known, now_s)
 
@@ -227,6 +250,35 @@
         """Whether an endpoint is known to leave, by its record or its own word."""
         return endpoint.registration.draining or self._said_leaving(endpoint)
 
+    def fits(self, endpoint: Endpoint, profile: RequestProfile, now_s: float) -> bool:
+        """Whether an endpoint's version may write the next event of a request."""
+        if profile.origin is not None or not profile.resumable:
+            return profile.fits(endpoint.registration)
+        if len(self.versions(profile.service, now_s)) < 2:
+            return True
+        self._record_present(endpoint, now_s)
+        registration = endpoint.registration
+        return self._version_history.is_established(
+            registration.service, registration.version
+        )
+
+    def established_in_s(self, profile: RequestProfile, now_s: float) -> float | None:
+        """Time until a stream may begin at a version that has just come up.
+
+        :returns: ``None`` if no endpoint waits for that.
+        """
+        if profile.origin is not None:
+            return None
+        new = [
+            e
+            for e in self._candidates(profile.service, now_s)
+            if not self.fits(e, profile, now_s)
+        ]
+        if not new:
+            return None
+        first_s = min(e.registered_at_s for e in new)
+        return max(0.0, first_s + ESTABLISHED_AFTER_S - now_s)
+
     def may_send(self, endpoint: Endpoint, now_s: float) -> bool:
         """Whether a request that was placed may be sent now: not if the endpoint may
         have left, and not against its own word."""
@@ -295,6 +347,11 @@
             return None
         return known.registration.address
 
+    def born_ms(self, endpoint_id: EndpointId) -> int | None:
+        """The start of the registered incarnation; ``None`` if there is none."""
+        known = self._endpoints.get(endpoint_id)
+        return None if known is None else known.registration.born_ms
+
     def forgive_unreached(self, service: ServiceName) -> None:
         """Forget the connections to endpoints of ``service`` that failed: the links of
         this entry were down, not the endpoints."""
@@ -382,6 +439,10 @@
             and self.has_versions(profile.service, now_s)
         ):
             available = self._keep_room(available, profile, now_s)
+        if profile.resumable and profile.origin is None:
+            # What begins in doubt can be taken up only once that is settled.
+            sure = [e for e in available if not self.is_doubted(e)]
+            available = sure or available
         return self._choose_among(
             available, candidates, profile, fleet_load_ratio, now_s
         )
@@ -506,13 +567,34 @@
             if e.endpoint_id not in avoid
         ]
         if profile.origin is None:
-            return candidates
+            return self._established(candidates, profile, now_s)
         fitting = [e for e in candidates if profile.fits(e.registration)]
         sure = [e for e in fitting if not self.is_doubted(e)]
         if sure or self.has_versions(profile.service, now_s):
             return sure
         return fitting
 
+    def _established(
+        self, candidates: list[Endpoint], profile: RequestProfile, now_s: float
+    ) -> list[Endpoint]:
+        """The endpoints at whose version a stream may begin."""
+        if not profile.resumable or len(self.versions(profile.service, now_s)) < 2:
+            return candidates
+        for endpoint in candidates:
+            self._record_present(endpoint, now_s)
+        return [e for e in candidates if self.fits(e, profile, now_s)]
+
+    def _record_present(self, endpoint: Endpoint, now_s: float) -> None:
+        """Record for how long the version of an endpoint has been registered."""
+        if endpoint.deregistered_at_s is None:
+            registration = endpoint.registration
+            self._version_history.record_present(
+                registration.service,
+                registration.version,
+                endpoint.registered_at_s,
+                now_s,
+            )
+
     def _candidates(self, service: ServiceName, now_s: float) -> list[Endpoint]:
         not_draining = [
             e
--- a/tests/test_origins.py
+++ b/tests/test_origins.py
@@ -23,6 +23,8 @@
     OriginNews,
     OriginQuery,
     SeenVersion,
+    SoleVersionAnswer,
+    SoleVersionQuery,
     VersionNews,
     VersionQuery,
     encode_origin_message,
@@ -34,6 +36,7 @@
 from celerytrack.origins.sync import COPIES, OriginSync
 from celerytrack.platform.http import decode_request
 from celerytrack.routing.endpoints import RegistrationChange
+from celerytrack.routing.versions import ESTABLISHED_AFTER_S
 from tests.gateway_fleet import Fleet, config
 from tests.versioned_endpoints import NEW, OLD, fleet_of, make_versioned
 
@@ -130,6 +133,20 @@
         st.none() | st.builds(FoundOrigin, _origins, _ages_s),
     )
     | st.builds(VersionQuery, _names.map(EntryId))
+    | st.builds(
+        SoleVersionQuery,
+        _names.map(EntryId),
+        _numbers,
+        _names.map(ServiceName),
+        st.booleans(),
+    )
+    | st.builds(
+        SoleVersionAnswer,
+        _names.map(EntryId),
+        _numbers,
+        st.none() | st.text(max_size=40),
+        _ages_s,
+    )
     | st.builds(EndpointEnded, _names.map(EndpointId), _numbers)
     | st.builds(
         VersionNews,
@@ -164,6 +181,8 @@
                 "stream-origin",
                 "versions",
                 "versions?",
+                "sole-version?",
+                "sole-version",
                 "endpoint-ended",
             ]
         ),
@@ -480,7 +499,8 @@
             fleet.log.put(
                 "keyed.servers", "i-0", endpoints[0].registration(state="draining")
             )
-            await asyncio.sleep(1.5)
+            # Read by then, and established.
+            await asyncio.sleep(1.0 + ESTABLISHED_AFTER_S)
             _, _, body = await fleet.ask("/resume/x", "first", gateway=0)
             self.assertIn(NEW.encode(), body)
             status, _, _ = await fleet.ask(
@@ -490,5 +510,5 @@
             status, _, _ = await fleet.ask(
                 "/resume/x", "other", gateway=2, Last_Event_Id="9", Resumes="invented"
             )
-            self.assertEqual(status, 200)
+            self.assertEqual((status, len(endpoints[0].seen)), (503, 0))
             behind.endpoints.register = register  # type: ignore[method-assign]
