--- a/src/celerytrack/logclient.py
+++ b/src/celerytrack/logclient.py
@@ -12,7 +12,7 @@
 import attrs
 from returns.result import Failure, Result, Success
 
-from celerytrack.strict import UnreadableError
+from celerytrack.strict import UnreadableError, parse_lenient
 
 READ_IDLE_TIMEOUT_S = 2.0
 """Longest wait for the next bytes of a read, in addition to the time that the log may
@@ -33,6 +33,8 @@
     """The reply was lost: the append may or may not have taken effect."""
     RATE_LIMITED = "rate_limited"
     """Refused by the appends-per-second limit; nothing was written."""
+    UNREADABLE = "unreadable"
+    """A record in the answer is nested too deep to be parsed."""
     TRIMMED = "trimmed"
     """The requested offset is below the oldest one that the log retains."""
 
@@ -69,8 +71,9 @@
     One without length that stops after its head raises no error by itself.
 
     :raises UnreadableError: if it succeeded, or says where the log is, without fields.
+    :raises RecursionError: if it is nested too deeply.
     """
-    data = await response.json(content_type=None)
+    data = await response.json(content_type=None, loads=parse_lenient)
     if isinstance(data, dict):
         return data
     if response.status in _STATUSES_WITH_FIELDS:
@@ -125,7 +128,7 @@
                 return Failure(LogError(LogErrorKind.UNREACHABLE))
         except aiohttp.ClientConnectorError:
             return Failure(LogError(LogErrorKind.UNREACHABLE))
-        except (aiohttp.ClientError, TimeoutError, ValueError):
+        except (aiohttp.ClientError, TimeoutError, ValueError, RecursionError):
             # The append may have taken effect before the connection failed. The
             # caller has to read the log to find out.
             return Failure(LogError(LogErrorKind.UNKNOWN_OUTCOME))
@@ -153,6 +156,8 @@
                     return Failure(LogError(LogErrorKind.UNREACHABLE))
                 pairs = [(int(o), r) for o, r in data["records"]]
                 return Success(Batch(pairs, data["next_offset"], data["start_offset"]))
+        except RecursionError:
+            return Failure(LogError(LogErrorKind.UNREADABLE))
         except (aiohttp.ClientError, TimeoutError, ValueError):
             return Failure(LogError(LogErrorKind.UNREACHABLE))
 
@@ -169,5 +174,7 @@
                 if resp.status != 200:
                     return Failure(LogError(LogErrorKind.UNREACHABLE))
                 return Success((int(data["offset"]), data["record"]))
+        except RecursionError:
+            return Failure(LogError(LogErrorKind.UNREADABLE))
         except (aiohttp.ClientError, TimeoutError, ValueError):
             return Failure(LogError(LogErrorKind.UNREACHABLE))
