A version is established as soon as all entries know it

Callers of a service with several versions saw resumable streams refused for 1.6 s at each entry that had just started, and at all in a release that leaves only new endpoints: since a version is used for them only after that time.

Cause: the time is that of the view lease of an entry that may be cut off. Where none is, it is waited for in vain.

Change: an entry tells the others of each version at which no stream may begin yet, every .1 s those that have not answered; who is told records the version and acknowledges it. Once all members that may be alive have, the version is established; an entry without others establishes it at once. The time of 1.6 s is left for what is cut off, killed just now, or of an earlier release. While the rows of the members are not read, nothing is established this way.

Why it works: who has acknowledged a version takes no other one for the only one. An entry whose first row is not read yet isn't asked; it would have to start, and be cut off, within the second before (not shown by a run).

Cost: a message to and from each entry for each version, 195 times 194 of each once in a release of the largest fleet (reckoned, not measured).

--- a/src/celerytrack/gateway/server.py
+++ b/src/celerytrack/gateway/server.py
@@ -128,6 +128,7 @@
             gateway.notices.run(),
             gateway.reach.run(),
             gateway.origins.run(),
+            gateway.version_acks.run(),
             gateway.version_records.run(),
             self._follow(make_config_tail(gateway), CONFIG_PAUSE_S, CONFIG_LONG_POLL_S),
             self._follow(make_endpoint_tail(gateway), ENDPOINT_POLL_S, 0.0),
--- a/src/celerytrack/gateway/state.py
+++ b/src/celerytrack/gateway/state.py
@@ -46,6 +46,8 @@
     OriginQuery,
     SoleVersionAnswer,
     SoleVersionQuery,
+    VersionAck,
+    VersionAnnouncement,
     VersionNews,
     VersionQuery,
 )
@@ -53,6 +55,7 @@
 from celerytrack.origins.sole_versions import SoleVersions, SoleView
 from celerytrack.origins.sync import OriginSync
 from celerytrack.origins.unresolved import UnresolvedOrigins
+from celerytrack.origins.version_acks import VersionAcks
 from celerytrack.planned_stop import PlannedStop
 from celerytrack.platform.settings import ProcessSettings
 from celerytrack.platform.store import StoreClient
@@ -63,6 +66,7 @@
 from celerytrack.routing.leaving_bounds import LeavingBounds
 from celerytrack.routing.retries import RetryBudget
 from celerytrack.routing.routes import DEFAULT_HEALTH_PATH, RoutingTable
+from celerytrack.routing.versions import VIEW_LEASE_S
 
 _log = logging.getLogger(__name__)
 
@@ -91,6 +95,7 @@
     :ivar notices: what endpoints say of themselves in their answers.
     :ivar origins: what began the streams that callers may take up.
     :ivar sole_versions: the services that are proved to have had one version only.
+    :ivar version_acks: the versions that all entries know.
     :ivar read_endpoints_now: has the registrations read at once.
     :ivar version_records: the versions of services on the log.
     :ivar endpoint_doubts: checks whether endpoints have started again.
@@ -168,6 +173,13 @@
             lambda: self.read_endpoints_now(),
         )
         self.read_endpoints_now: Callable[[], None] = lambda: None
+        self.version_acks = VersionAcks(
+            self.entry_id,
+            self.peer_messenger.send_origin_message,
+            self._known_holders,
+            self.configured_services,
+            self.endpoints,
+        )
         self.unresolved_origins = UnresolvedOrigins()
         self.endpoint_doubts = EndpointDoubts(
             self.endpoints,
@@ -307,6 +319,11 @@
                 | VersionQuery()
             ):
                 self.origins.receive(message, time.monotonic())
+            case VersionAnnouncement(asker):
+                address = self._peer_address(asker)
+                self.version_acks.receive(message, address, time.monotonic())
+            case VersionAck():
+                self.version_acks.receive(message, None, time.monotonic())
             case SoleVersionQuery() | SoleVersionAnswer():
                 self.sole_versions.receive(message, time.monotonic())
             case _:
@@ -347,6 +364,12 @@
             for member in self.share_sync.members.recent_peers(now_s)
         ]
 
+    def _known_holders(self, now_s: float) -> list[Holder] | None:
+        members = self.share_sync.members
+        if not self.share_sync.started or members.read_age_s(now_s) > VIEW_LEASE_S:
+            return None
+        return self._recent_holders(now_s)
+
     def _sole_view(self, service: ServiceName, now_s: float) -> SoleView | None:
         if not self.version_records.loaded:
             # Which versions there were before this entry started is not known.
--- a/src/celerytrack/origins/messages.py
+++ b/src/celerytrack/origins/messages.py
@@ -17,6 +17,8 @@
 VERSION_NEWS_KIND = "versions"
 SOLE_QUERY_KIND = "sole-version?"
 SOLE_ANSWER_KIND = "sole-version"
+ANNOUNCEMENT_KIND = "version?"
+ACK_KIND = "version-known"
 ENDED_KIND = "endpoint-ended"
 _KINDS = frozenset(
     {
@@ -27,6 +29,8 @@
         VERSION_NEWS_KIND,
         SOLE_QUERY_KIND,
         SOLE_ANSWER_KIND,
+        ANNOUNCEMENT_KIND,
+        ACK_KIND,
         ENDED_KIND,
     }
 )
@@ -118,6 +122,24 @@
     age_s: float
 
 
+@attrs.frozen
+class VersionAnnouncement:
+    """A version that has just been read, which the other entry is to acknowledge."""
+
+    asker: EntryId
+    service: ServiceName
+    version: str
+
+
+@attrs.frozen
+class VersionAck:
+    """The word of an entry that it knows a version."""
+
+    entry_id: EntryId
+    service: ServiceName
+    version: str
+
+
 @attrs.frozen
 class EndpointEnded:
     """An incarnation of an endpoint refuses connections: another may follow it.
@@ -137,6 +159,8 @@
     | VersionNews
     | SoleVersionQuery
     | SoleVersionAnswer
+    | VersionAnnouncement
+    | VersionAck
     | EndpointEnded
 )
 
@@ -172,6 +196,10 @@
             fields = (SOLE_QUERY_KIND, asker, number, service, passes_on)
         case SoleVersionAnswer(entry_id, number, version, age_s):
             fields = (SOLE_ANSWER_KIND, entry_id, number, version, age_s)
+        case VersionAnnouncement(asker, service, version):
+            fields = (ANNOUNCEMENT_KIND, asker, service, version)
+        case VersionAck(entry_id, service, version):
+            fields = (ACK_KIND, entry_id, service, version)
         case EndpointEnded(endpoint_id, born_ms):
             fields = (ENDED_KIND, endpoint_id, born_ms)
     return bytes(msgpack.packb(fields))
@@ -214,6 +242,12 @@
             return SoleVersionAnswer(
                 EntryId(_name(entry_id)), _number(number), text, age_s
             )
+        case ["version?", asker, service, version]:
+            name = ServiceName(_name(service))
+            return VersionAnnouncement(EntryId(_name(asker)), name, _version(version))
+        case ["version-known", entry_id, service, version]:
+            name = ServiceName(_name(service))
+            return VersionAck(EntryId(_name(entry_id)), name, _version(version))
         case ["endpoint-ended", endpoint_id, born_ms]:
             return EndpointEnded(EndpointId(_name(endpoint_id)), _number(born_ms))
     raise OriginMessageError(f"not about origins: {str(fields)[:100]}")
--- /dev/null
+++ b/src/celerytrack/origins/version_acks.py
@@ -0,0 +1,112 @@
+"""Establishes a version that has just been read as soon as all entries know it.
+
+Without their acknowledgements it is established after a time
+(:data:`ESTABLISHED_AFTER_S`): an entry that is cut off doesn't answer.
+"""
+
+import asyncio
+import time
+from collections.abc import Callable, Collection, Iterable
+from typing import Protocol
+
+import attrs
+
+from celerytrack.ids import EntryId, ServiceName
+from celerytrack.origins.messages import (
+    OriginMessage,
+    VersionAck,
+    VersionAnnouncement,
+)
+from celerytrack.origins.recorded import ServiceVersion
+from celerytrack.origins.ring import Holder
+
+TICK_S = 0.1
+"""Interval at which entries that have not answered are told again."""
+
+
+class NewVersions(Protocol):
+    """The versions at which streams may not begin yet."""
+
+    def record_version(self, service: ServiceName, version: str, seen_s: float) -> None:
+        """Record that an endpoint of a service had a version at a time."""
+
+    def establish(self, subject: ServiceVersion) -> None:
+        """Record that all entries know a version."""
+
+    def unestablished(
+        self, services: Iterable[ServiceName], now_s: float
+    ) -> list[ServiceVersion]:
+        """The versions of services with several that some entry may not know."""
+
+
+@attrs.define
+class VersionAcks:
+    """The acknowledgements of versions.
+
+    :param send: sends a message to the entry at an address, without guarantee.
+    :param peers: returns the other entries that may go on with streams; ``None`` while
+        they are not known.
+    :param services: returns the services that are configured.
+    """
+
+    _entry_id: EntryId
+    _send: Callable[[str, OriginMessage], None]
+    _peers: Callable[[float], Collection[Holder] | None]
+    _services: Callable[[], Collection[ServiceName]]
+    _versions: NewVersions
+    _known_by: dict[ServiceVersion, set[Holder]] = attrs.field(factory=dict, init=False)
+
+    async def run(self) -> None:
+        """Tell the other entries of new versions, until cancelled."""
+        while True:
+            self.tick(time.monotonic())
+            await asyncio.sleep(TICK_S)
+
+    def tick(self, now_s: float) -> None:
+        """Tell the entries that have not answered."""
+        subjects = self._versions.unestablished(self._services(), now_s)
+        known_by = {subject: self._known_by.get(subject, set()) for subject in subjects}
+        self._known_by = known_by
+        peers = self._peers(now_s) if subjects else None
+        if peers is None:
+            return
+        for subject in subjects:
+            message = VersionAnnouncement(
+                self._entry_id, subject.service, subject.version
+            )
+            for peer in peers:
+                if peer not in known_by[subject]:
+                    self._send(peer.address, message)
+            self._check(subject, peers)
+
+    def receive(
+        self,
+        message: VersionAnnouncement | VersionAck,
+        address: str | None,
+        now_s: float,
+    ) -> None:
+        """Apply a message of another entry.
+
+        :param address: where that entry is; ``None`` if it is not known.
+        """
+        match message:
+            case VersionAnnouncement(_, service, version):
+                self._versions.record_version(service, version, now_s)
+                if address is not None:
+                    self._send(address, VersionAck(self._entry_id, service, version))
+            case VersionAck(entry_id, service, version):
+                self._record_ack(entry_id, ServiceVersion(service, version), now_s)
+
+    def _record_ack(
+        self, entry_id: EntryId, subject: ServiceVersion, now_s: float
+    ) -> None:
+        known_by = self._known_by.get(subject)
+        peers = self._peers(now_s)
+        if known_by is None or peers is None:
+            return
+        known_by.update(peer for peer in peers if peer.entry_id == entry_id)
+        self._check(subject, peers)
+
+    def _check(self, subject: ServiceVersion, peers: Collection[Holder]) -> None:
+        if all(peer in self._known_by[subject] for peer in peers):
+            self._versions.establish(subject)
--- a/src/celerytrack/routing/endpoints.py
+++ b/src/celerytrack/routing/endpoints.py
@@ -23,6 +23,7 @@
 from celerytrack.ids import EndpointId, ServiceName, Zone
 from celerytrack.notices.state import EndpointNotices
 from celerytrack.origins.origin import StreamOrigin
+from celerytrack.origins.recorded import ServiceVersion
 from celerytrack.routing.ejection import (
     forgive,
     record_crash,
@@ -389,6 +390,22 @@
         """Record that an endpoint of ``service`` had a version at a time."""
         self._version_history.record(service, version, seen_s)
 
+    def establish(self, subject: ServiceVersion) -> None:
+        """Record that all entries know a version: streams may begin there."""
+        self._version_history.establish(subject.service, subject.version)
+
+    def unestablished(
+        self, services: Iterable[ServiceName], now_s: float
+    ) -> list[ServiceVersion]:
+        """The versions of services with several at which no stream may begin yet."""
+        return [
+            ServiceVersion(service, version)
+            for service in services
+            if len(versions := self.versions(service, now_s)) > 1
+            for version in versions
+            if not self._version_history.is_established(service, version)
+        ]
+
     def seen_versions(self) -> Iterable[tuple[ServiceName, str, float]]:
         """Each service and version, and when it was last seen."""
         return self._version_history
--- a/src/celerytrack/routing/versions.py
+++ b/src/celerytrack/routing/versions.py
@@ -58,6 +58,10 @@
         if now_s - since_s >= ESTABLISHED_AFTER_S:
             self._established.add((service, version))
 
+    def establish(self, service: ServiceName, version: str) -> None:
+        """Record that all entries know a version."""
+        self._established.add((service, version))
+
     def is_established(self, service: ServiceName, version: str) -> bool:
         """Whether all entries with a view lease know the version."""
         return (service, version) in self._established
--- a/tests/test_origins.py
+++ b/tests/test_origins.py
@@ -25,6 +25,8 @@
     SeenVersion,
     SoleVersionAnswer,
     SoleVersionQuery,
+    VersionAck,
+    VersionAnnouncement,
     VersionNews,
     VersionQuery,
     encode_origin_message,
@@ -147,6 +149,15 @@
         st.none() | st.text(max_size=40),
         _ages_s,
     )
+    | st.builds(
+        VersionAnnouncement,
+        _names.map(EntryId),
+        _names.map(ServiceName),
+        st.text(max_size=40),
+    )
+    | st.builds(
+        VersionAck, _names.map(EntryId), _names.map(ServiceName), st.text(max_size=40)
+    )
     | st.builds(EndpointEnded, _names.map(EndpointId), _numbers)
     | st.builds(
         VersionNews,
@@ -183,6 +194,8 @@
                 "versions?",
                 "sole-version?",
                 "sole-version",
+                "version?",
+                "version-known",
                 "endpoint-ended",
             ]
         ),
--- a/tests/test_out_of_step.py
+++ b/tests/test_out_of_step.py
@@ -26,6 +26,8 @@
 KNOWN_S = 3.5
 """Longer than an entry waits after its start before it writes versions."""
 LEAST_NEW = 20
+ACKNOWLEDGED_S = 0.4
+"""Time in which entries in touch tell each other of a version, on a busy machine."""
 LEASED_S = 0.5
 """Time after a cut in which the last view of the registrations holds for certain."""
 LARGE_RECORD_BYTES = 200_000
@@ -163,7 +165,8 @@
         """The last endpoint of a version was replaced: the refusal of a stream named no
         reason, and a time at which it was refused again."""
         old, new = _Endpoint("i-old", OLD), _Endpoint("i-new", NEW)
-        async with Fleet(old) as fleet:
+        async with Fleet(old, gateways=2) as fleet:
+            isolate(fleet, [1], Isolation())
             self.addAsyncCleanup((await new.start()).cleanup)
             fleet.log.put(ENDPOINTS_TOPIC, new.name, new.registration())
             fleet.log.put(ENDPOINTS_TOPIC, old.name, b"")
@@ -179,6 +182,25 @@
             await asyncio.sleep(retry_after_s)
             self.assertEqual(await _ask(fleet, "r3", 0), NEW)
 
+    @params(1, 4)
+    async def test_streams_begin_at_once_where_all_entries_know_the_version(
+        self, gateways: int
+    ) -> None:
+        """Streams waited for the leases of entries that had long known the version, or
+        that don't exist: for 1.6 s in each release, and after each start."""
+        old, new = _Endpoint("i-old", OLD), _Endpoint("i-new", NEW)
+        async with Fleet(old, gateways=gateways) as fleet:
+            self.addAsyncCleanup((await new.start()).cleanup)
+            fleet.log.put(ENDPOINTS_TOPIC, new.name, new.registration())
+            fleet.log.put(ENDPOINTS_TOPIC, old.name, b"")
+            pools = [gateway.endpoints for gateway in fleet.gateways]
+            await fleet.wait_until(
+                lambda: all(pool.registered_ids() == [new.name] for pool in pools)
+            )
+            await asyncio.sleep(ACKNOWLEDGED_S)
+            for number in range(gateways):
+                self.assertEqual(await _ask(fleet, f"r{number}", number), NEW)
+
 
 @attrs.frozen
 class _TakeUp:
