--- a/src/celerytrack/gateway/end_witness.py
+++ b/src/celerytrack/gateway/end_witness.py
@@ -16,3 +16,5 @@
     """The endpoint ended some at that time."""
     NONE = "none"
     """There were none."""
+    ALONE = "alone"
+    """There were none, and there is no other entry that could have one."""
--- a/src/celerytrack/gateway/endpoint_doubts.py
+++ b/src/celerytrack/gateway/endpoint_doubts.py
@@ -130,9 +130,10 @@
         probing = asyncio.create_task(probe_address(address, HOLD_S))
         try:
             witness = await self._find_witness(endpoint, since_s, probing)
-            if witness is Witness.NONE:
+            if witness in (Witness.NONE, Witness.ALONE):
                 result = await probing
-                if self._is_alive_if_alone(endpoint, since_s, result):
+                is_alone = witness is Witness.ALONE
+                if self._is_alive_unwitnessed(endpoint, since_s, result, is_alone):
                     return
                 # Others may have been late, to see the end or to answer.
                 witness = await self._find_witness(endpoint, since_s, probing)
@@ -178,15 +179,24 @@
                 return witness
             since_s = endpoint.doubted_at_s or since_s
 
-    def _is_alive_if_alone(
-        self, endpoint: Endpoint, since_s: float, result: ConnectResult
+    def _is_alive_unwitnessed(
+        self,
+        endpoint: Endpoint,
+        since_s: float,
+        result: ConnectResult,
+        is_alone: bool,
     ) -> bool:
-        """Whether a new connection settles the doubt: where there is one version, what
-        follows at the address is most likely of that one too."""
+        """Whether a new connection settles the doubt.
+
+        Where there is one version, what follows at the address is most likely of that
+        one too. An entry without others has nobody to ask: most runs that break leave
+        their process alive.
+        """
         now_s = time.monotonic()
         if result is not ConnectResult.ACCEPTED or _ended(endpoint) in self._heard:
             return False
-        if self._endpoints.has_versions(endpoint.registration.service, now_s):
+        service = endpoint.registration.service
+        if not is_alone and self._endpoints.has_versions(service, now_s):
             return False
         return self._endpoints.settle_doubt(endpoint, since_s, now_s)
 
--- a/src/celerytrack/gateway/endpoint_queries.py
+++ b/src/celerytrack/gateway/endpoint_queries.py
@@ -94,6 +94,8 @@
     if own is Witness.KEPT:
         return own
     helpers = potential_helpers(gateway, time.monotonic())
+    if not helpers:
+        return Witness.ALONE
     asked = gateway.rng.sample(helpers, min(MAX_WITNESSES, len(helpers)))
     sign_age_s = time.monotonic() - sign_s
     born_ms = endpoint.registration.born_ms
--- a/tests/test_endpoint_doubts.py
+++ b/tests/test_endpoint_doubts.py
@@ -66,6 +66,10 @@
     return Witness.KEPT
 
 
+async def alone(endpoint: Endpoint, sign_s: float) -> Witness:
+    return Witness.ALONE
+
+
 async def none(endpoint: Endpoint, sign_s: float) -> Witness:
     """No other entry has a connection."""
     return Witness.NONE
@@ -286,6 +290,17 @@
         self.assertEqual(choose(pool, OLD), "a")
         self.assertEqual(told, [])
 
+    async def test_a_process_that_lives_on_is_not_in_doubt_at_the_only_entry(
+        self,
+    ) -> None:
+        """A stream that broke with the last connection was cut though its endpoint
+        lived: there is no other entry whose connections would show that."""
+        port = free_port()
+        await _serve(self, port)
+        pool, told = await self._check((port, free_port()), reached=True, ask=alone)
+        self.assertEqual(choose(pool, OLD), "a")
+        self.assertEqual(told, [])
+
     @params((none, 0), (ended, 1))
     def test_a_new_connection_does_not_show_that_a_process_lives_on(
         self, ask: Ask, messages: int
