Rounds that prove nothing are rare in large fleets, and ask no entries again that are cut off

No caller saw this: it is what the questions of a group of entries that is cut off cost.

Cause: a keeper asked all entries anew half a second after a round without a proof, and those that had not answered three times in a round.

Change: the pause after a round without a proof grows with the number of entries asked (.25 s and 5 ms for each); those that don't answer are asked again only if they are a quarter at most, or three.

Why it works: that many messages may be lost; entries that are cut off don't answer the second question either.

--- a/src/celerytrack/origins/sole_versions.py
+++ b/src/celerytrack/origins/sole_versions.py
@@ -15,6 +15,7 @@
 
 import asyncio
 import itertools
+import math
 import time
 from collections.abc import Callable, Collection
 
@@ -38,6 +39,11 @@
 """Longest that a take-up waits for a proof."""
 ROUND_PAUSE_S = 0.25
 """Time after a round without a proof in which no other begins."""
+PAUSE_PER_ENTRY_S = 0.005
+"""The same for each entry that was asked, more."""
+MOST_LOST_SHARE = 0.25
+"""Share of the entries asked that are asked again, if they are no more: that many
+messages may be lost. If more don't answer, they are cut off."""
 
 
 @attrs.frozen
@@ -98,7 +104,7 @@
         self._numbers = itertools.count()
         self._proofs: dict[ServiceName, SoleView] = {}
         self._rounds: dict[ServiceName, _Round] = {}
-        self._failed_s: dict[ServiceName, float] = {}
+        self._paused_until_s: dict[ServiceName, float] = {}
 
     def known(self, service: ServiceName, now_s: float) -> SoleView | None:
         """The newest proof that a service has had one version only."""
@@ -160,8 +166,7 @@
         if current is not None:
             return current
         view = self.known(service, now_s)
-        failed_s = self._failed_s.get(service, float("-inf"))
-        if view is None or now_s - failed_s < ROUND_PAUSE_S:
+        if view is None or now_s < self._paused_until_s.get(service, -math.inf):
             return None
         current = _Round(next(self._numbers), service, view.version, now_s)
         self._rounds[service] = current
@@ -176,7 +181,8 @@
                 if await self._is_supported_by(current, current.began_s + wait_until_s):
                     self._tell_askers(current)
                     return
-            self._failed_s[current.service] = time.monotonic()
+            pause_s = ROUND_PAUSE_S + PAUSE_PER_ENTRY_S * len(current.asked)
+            self._paused_until_s[current.service] = time.monotonic() + pause_s
         finally:
             del self._rounds[current.service]
 
@@ -204,15 +210,21 @@
         elif not is_last:
             # Each keeper answers a part of the entries, unless another one is silent.
             keepers = rendezvous(self._entry_id, keepers, 1)
-        for entry_id, address in peers.items():
-            if current.asks_all or entry_id in keepers:
-                current.asked[entry_id] = address
+        chosen = {
+            entry_id: address
+            for entry_id, address in peers.items()
+            if current.asks_all or entry_id in keepers
+        }
+        new = [e for e in chosen if e not in current.asked]
+        missing = [e for e in current.asked if e not in current.answered]
+        current.asked.update(chosen)
+        most_lost = max(KEEPERS, MOST_LOST_SHARE * len(current.asked))
+        again = missing if len(missing) <= most_lost else []
         query = SoleVersionQuery(
             self._entry_id, current.number, current.service, not current.asks_all
         )
-        for entry_id, address in current.asked.items():
-            if entry_id not in current.answered:
-                self._send(address, query)
+        for entry_id in (*new, *again):
+            self._send(current.asked[entry_id], query)
         self._conclude(current)
 
     def _answer(self, query: SoleVersionQuery, now_s: float) -> None:
--- a/tests/test_sole_versions.py
+++ b/tests/test_sole_versions.py
@@ -116,6 +116,18 @@
         self.assertEqual({version for version, _ in answers}, {None})
         self.assertLess(max(took_s for _, took_s in answers), REFUSED_WITHIN_S)
 
+    @params((76, 1), (195, 1), (195, 65))
+    def test_what_can_not_be_proved_is_not_asked_all_the_time(
+        self, count: int, cut: int
+    ) -> None:
+        """While some were cut off, the others asked everyone twice a second."""
+        entries = _Entries(count, lost_share=0.01)
+        entries.silent = set(range(cut))
+        lasts_s = 6.0
+        run_virtual(_ask_all(entries, lasts_s))
+        busiest = max(entries.sent_bytes.values())
+        self.assertLess(busiest / lasts_s, CONTROL_BYTES_PER_S)
+
     def test_one_entry_that_knows_another_version_leaves_it_unproved(self) -> None:
         """The answers of the others outvoted it."""
         entries = _Entries(9)
