An endpoint whose health check names nobody isn't taken for another process

Change: as an answer without length begins, its endpoint is checked. A check that is over while the answer still goes on was answered by the process that writes it: if that names nobody, its later checks aren't held against it. An answer that ends before the check is over says nothing, so the successor of a killed process is told as before.

One check more for each answer without length.

--- a/src/celerytrack/gateway/attempts.py
+++ b/src/celerytrack/gateway/attempts.py
@@ -35,6 +35,7 @@
     SKIPPED_AUTO_HEADERS,
     AnswerFacts,
     Envelope,
+    Framing,
     decode_answer,
     forwarded_headers,
     framing_of,
@@ -154,6 +155,12 @@
     """
     facts = decode_answer(response.status, response.headers)
     exchange.framing = framing_of(response.headers)
+    if dispatch is not None and exchange.framing is Framing.CONNECTION:
+        gateway.naming_checks.begin(
+            dispatch.endpoint,
+            gateway.health_path(exchange.service),
+            lambda: protocol_of(response) is not None,
+        )
     if facts.request_id is None:
         log_unidentified(gateway, exchange, response.status, facts.did_not_run)
     if facts.request_id not in (None, exchange.facts.request_id):
--- a/src/celerytrack/gateway/identity_checks.py
+++ b/src/celerytrack/gateway/identity_checks.py
@@ -7,6 +7,7 @@
 import asyncio
 import enum
 import socket
+from collections.abc import Callable
 
 from celerytrack import http_session
 from celerytrack.ids import EndpointId
@@ -49,11 +50,55 @@
         identity = await check_identity(
             endpoint.registration.address, endpoint.endpoint_id, health_path
         )
+        if identity is Identity.UNNAMED:
+            return not endpoint.is_unnamed
         if identity is not Identity.CLOSED:
             return identity is not Identity.SAME
     return False
 
 
+class NamingChecks:
+    """Finds out which endpoints answer checks without saying who they are.
+
+    A check that is over while an answer of the process still goes on was answered by
+    that process. Without it, the answers of an endpoint whose health check names nobody
+    would all look as if another process had followed.
+    """
+
+    def __init__(self) -> None:
+        self._tasks: dict[EndpointId, asyncio.Task[None]] = {}
+
+    def begin(
+        self, endpoint: Endpoint, health_path: str, is_going_on: Callable[[], bool]
+    ) -> None:
+        """Check an endpoint as an answer of it begins, once at a time.
+
+        :param is_going_on: whether the answer hasn't ended.
+        """
+        endpoint_id = endpoint.endpoint_id
+        if endpoint.is_unnamed or endpoint_id in self._tasks:
+            return
+        task = asyncio.create_task(_find_unnamed(endpoint, health_path, is_going_on))
+        self._tasks[endpoint_id] = task
+        task.add_done_callback(lambda _: self._tasks.pop(endpoint_id, None))
+
+    async def close(self) -> None:
+        """End the checks in progress."""
+        tasks = list(self._tasks.values())
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+
+async def _find_unnamed(
+    endpoint: Endpoint, health_path: str, is_going_on: Callable[[], bool]
+) -> None:
+    identity = await check_identity(
+        endpoint.registration.address, endpoint.endpoint_id, health_path
+    )
+    endpoint.is_unnamed = identity is Identity.UNNAMED and is_going_on()
+
+
 async def check_identity(
     address: str, endpoint_id: EndpointId, health_path: str
 ) -> Identity:
--- a/src/celerytrack/gateway/state.py
+++ b/src/celerytrack/gateway/state.py
@@ -20,6 +20,7 @@
 from celerytrack.gateway.endpoint_queries import ask_witnesses, is_reached_elsewhere
 from celerytrack.gateway.exchange import Exchange
 from celerytrack.gateway.hedged_store import HedgedStore
+from celerytrack.gateway.identity_checks import NamingChecks
 from celerytrack.gateway.peer_messages import (
     MIN_PROMPT_WORK_S,
     LeavingMessage,
@@ -99,6 +100,7 @@
     :ivar read_endpoints_now: has the registrations read at once.
     :ivar version_records: the versions of services on the log.
     :ivar endpoint_doubts: checks whether endpoints have started again.
+    :ivar naming_checks: checks whether endpoints say who they are.
     :ivar unresolved_origins: streams that began at endpoints that were in doubt.
     :ivar reach: whether this entry reaches the endpoints.
     :ivar helpers: the entries that requests go through while it reaches none.
@@ -189,6 +191,7 @@
             lambda endpoint, sign_s: ask_witnesses(self, endpoint, sign_s),
             self.resolve_origins,
         )
+        self.naming_checks = NamingChecks()
         self.endpoints_known = False
         self.routing_table: RoutingTable | None = None
         self._services: frozenset[ServiceName] = frozenset()
@@ -479,6 +482,7 @@
         await self.crash_detector.close()
         await self.endpoint_doubts.close()
         await self.sole_versions.close()
+        await self.naming_checks.close()
         await self.connections.close()
         self.peer_messenger.close()
         await self.peer_client.close()
--- a/src/celerytrack/routing/endpoint.py
+++ b/src/celerytrack/routing/endpoint.py
@@ -122,6 +122,7 @@
     :ivar deregistered_at_s: when its registration disappeared; ``None`` while it is
         registered.
     :ivar send_until_s: until when requests may be sent to it: it is leaving.
+    :ivar is_unnamed: whether its process answers checks without saying who it is.
     :ivar doubted_at_s: when this entry last had a sign that the process may have ended,
         so that another incarnation may have its address.
     """
@@ -140,6 +141,7 @@
     ejected_until_s: float = 0.0
     deregistered_at_s: float | None = None
     send_until_s: float = math.inf
+    is_unnamed: bool = False
     doubted_at_s: float | None = None
     _cached_parts: OrderedDict[str, float] = attrs.field(factory=OrderedDict)
 
