--- a/tests/test_out_of_step.py
+++ b/tests/test_out_of_step.py
@@ -271,6 +271,8 @@
         ways = asyncio.run(_play_standing_still(stands_s, joins=True))
         mixed = [way for way in ways if way[1] not in ("", way[0])]
         self.assertEqual(mixed, [], ways)
+        if stands_s > 2 * ESTABLISHED_AFTER_S:
+            self.assertIn(NEW, {before for before, _ in ways})
 
 
 async def _play_restored_log() -> list[_Stream]:
