Entries whose rows are not written are asked whether they know a version

Callers: streams that began at a new version went on at the old one, taken up at an entry that could read the log but not write to it (or was just back).

Cause: a version counted as known to all entries once those with recent rows had acknowledged it. An entry whose rows are not written for 3.5 s is none of these, reads on, and has a view lease until its next read.

Every entry whose row is not deleted is asked now; whoever doesn't answer, dead ones too, delays the new version to the 1.6 s after which no view lease is left.

--- a/src/celerytrack/gateway/state.py
+++ b/src/celerytrack/gateway/state.py
@@ -368,7 +368,11 @@
         members = self.share_sync.members
         if not self.share_sync.started or members.read_age_s(now_s) > VIEW_LEASE_S:
             return None
-        return self._recent_holders(now_s)
+        # One whose rows are not written may read on, and have a view lease.
+        return [
+            Holder(member.entry_id, member.peer_address, member.started_s)
+            for member in members.known_peers()
+        ]
 
     def _sole_view(self, service: ServiceName, now_s: float) -> SoleView | None:
         if not self.version_records.loaded:
--- a/src/celerytrack/membership/members.py
+++ b/src/celerytrack/membership/members.py
@@ -242,6 +242,14 @@
             and not (settled and now_s - known.read_at_s > limit_s)
         ]
 
+    def known_peers(self) -> list[Member]:
+        """The other entries whose rows are not deleted, also those that are silent."""
+        return [
+            known.member
+            for entry, known in self._entries.items()
+            if entry != self.entry_id
+        ]
+
     def caller_split(self, now_s: float) -> CallerSplit:
         """How the callers and the load are divided now; cached for a short time."""
         at_s, cached = self._cached_split
