A version that comes back is new once other entries may have forgotten it

Callers: streams that began at a version which had come back about a minute after it left could go on at another one, taken up at an entry that had forgotten the first.

Cause: a version stayed established for as long as the entry remembered it. Entries forget it at different moments: 60 s after they last saw it, which a run that lasted at its endpoint, or a late read, moves at one of them.

It is new again once no endpoint has been registered with it for 30 s, counted from what was known when it left; all entries remember it longer than that.

--- a/src/celerytrack/routing/endpoints.py
+++ b/src/celerytrack/routing/endpoints.py
@@ -108,6 +108,7 @@
             return RegistrationChange.STALE
         self.restored_registrations.mark_written(registration.endpoint_id)
         self._unregistered.discard(registration.endpoint_id)
+        self._lapse_if_forgotten(registration, now_s)
         self._record_version(registration, now_s)
         if known is not None:
             self._record_version(known.registration, now_s)
@@ -118,14 +119,14 @@
             # The statistics and cached parts belong to an earlier incarnation. Parts
             # counted as cached would need an unpredicted prefill. Earlier requests
             # refer to the old object and finish there.
-            self._record_present(known, now_s)
+            self._record_left(known, now_s)
             self._add(registration, now_s)
             return RegistrationChange.RESTARTED
         if (
             known.deregistered_at_s is not None
             or known.registration.version != registration.version
         ):
-            self._record_present(known, now_s)
+            self._record_left(known, now_s)
             known.registered_at_s = now_s
         changed = known.registration.draining is not registration.draining
         if not registration.draining:
@@ -162,7 +163,7 @@
             return
         if present_at_s is None:
             present_at_s = self.known_at_s
-        self._record_present(known, now_s)
+        self._record_left(known, now_s)
         known.deregistered_at_s = now_s
         self._unregistered.add(endpoint_id)
         known.send_until_s = min(
@@ -612,6 +613,29 @@
                 now_s,
             )
 
+    def _record_left(self, endpoint: Endpoint, now_s: float) -> None:
+        """Record that a version is no longer registered at an endpoint."""
+        self._record_present(endpoint, now_s)
+        if endpoint.deregistered_at_s is None:
+            registration = endpoint.registration
+            # It may have left at any time since then.
+            present_at_s = max(self.known_at_s, endpoint.registered_at_s)
+            self._version_history.record_left(
+                registration.service, registration.version, present_at_s
+            )
+
+    def _lapse_if_forgotten(self, registration: Registration, now_s: float) -> None:
+        """Take a version that comes back for a new one if others may do so."""
+        service, version = registration.service, registration.version
+        if not self._version_history.may_have_lapsed(service, version, now_s):
+            return
+        if not any(
+            e.deregistered_at_s is None
+            and (e.registration.service, e.registration.version) == (service, version)
+            for e in self._endpoints.values()
+        ):
+            self._version_history.lapse(service, version)
+
     def _candidates(self, service: ServiceName, now_s: float) -> list[Endpoint]:
         not_draining = [
             e
--- a/src/celerytrack/routing/versions.py
+++ b/src/celerytrack/routing/versions.py
@@ -15,6 +15,9 @@
 """Time after which an entry lets streams begin at a version that it has just read, in
 a service with several. By then an entry that does not know the version has no view
 lease, and takes no other version for the only one."""
+ESTABLISHED_WITHOUT_S = KEEP_S / 2
+"""Time without a registration after which a version is new again: entries forget it at
+different moments, :data:`KEEP_S` after they saw it."""
 _CACHE_S = 0.25
 
 
@@ -36,6 +39,7 @@
         self._shared_until_s: dict[ServiceName, float] = {}
         self._most: dict[tuple[ServiceName, str], _Count] = {}
         self._established: set[tuple[ServiceName, str]] = set()
+        self._left_s: dict[tuple[ServiceName, str], float] = {}
         self._cached: dict[ServiceName, tuple[float, frozenset[str]]] = {}
 
     def __iter__(self) -> Iterator[tuple[ServiceName, str, float]]:
@@ -58,6 +62,20 @@
         if now_s - since_s >= ESTABLISHED_AFTER_S:
             self._established.add((service, version))
 
+    def record_left(self, service: ServiceName, version: str, at_s: float) -> None:
+        """Record that an endpoint with a version was registered until after a time."""
+        self._left_s[service, version] = at_s
+
+    def may_have_lapsed(self, service: ServiceName, version: str, now_s: float) -> bool:
+        """Whether other entries may have forgotten a version, if no endpoint has it."""
+        left_s = self._left_s.get((service, version))
+        return left_s is not None and now_s - left_s > ESTABLISHED_WITHOUT_S
+
+    def lapse(self, service: ServiceName, version: str) -> None:
+        """Record that a version is new again."""
+        self._established.discard((service, version))
+        del self._left_s[service, version]
+
     def establish(self, service: ServiceName, version: str) -> None:
         """Record that all entries know a version."""
         self._established.add((service, version))
@@ -115,6 +133,7 @@
                 del seen_s[version]
                 self._most.pop((service, version), None)
                 self._established.discard((service, version))
+                self._left_s.pop((service, version), None)
         versions = frozenset(seen_s)
         self._cached[service] = (now_s, versions)
         return versions
