A test of streams that begin at once is run

nose2's params make a plain function of an async test: its coroutine was never awaited, and a body of self.fail() passes the same way (tried).

--- a/tests/test_out_of_step.py
+++ b/tests/test_out_of_step.py
@@ -160,6 +160,23 @@
         self.assertGreater(begun_new, LEAST_NEW, ways)
 
 
+async def _play_replaced(gateways: int) -> list[str]:
+    """Begin streams at each gateway once all have read that the version is another."""
+    old, new = _Endpoint("i-old", OLD), _Endpoint("i-new", NEW)
+    async with Fleet(old, gateways=gateways) as fleet:
+        runner = await new.start()
+        fleet.log.put(ENDPOINTS_TOPIC, new.name, new.registration())
+        fleet.log.put(ENDPOINTS_TOPIC, old.name, b"")
+        pools = [gateway.endpoints for gateway in fleet.gateways]
+        await fleet.wait_until(
+            lambda: all(pool.registered_ids() == [new.name] for pool in pools)
+        )
+        await asyncio.sleep(ACKNOWLEDGED_S)
+        begun = [await _ask(fleet, f"r{number}", number) for number in range(gateways)]
+        await runner.cleanup()
+        return begun
+
+
 class ReplacedVersionTest(unittest.IsolatedAsyncioTestCase):
     async def test_streams_are_told_when_the_new_version_takes_them(self) -> None:
         """The last endpoint of a version was replaced: the refusal of a stream named no
@@ -183,23 +200,14 @@
             self.assertEqual(await _ask(fleet, "r3", 0), NEW)
 
     @params(1, 4)
-    async def test_streams_begin_at_once_where_all_entries_know_the_version(
+    def test_streams_begin_at_once_where_all_entries_know_the_version(
         self, gateways: int
     ) -> None:
         """Streams waited for the leases of entries that had long known the version, or
         that don't exist: for 1.6 s in each release, and after each start."""
-        old, new = _Endpoint("i-old", OLD), _Endpoint("i-new", NEW)
-        async with Fleet(old, gateways=gateways) as fleet:
-            self.addAsyncCleanup((await new.start()).cleanup)
-            fleet.log.put(ENDPOINTS_TOPIC, new.name, new.registration())
-            fleet.log.put(ENDPOINTS_TOPIC, old.name, b"")
-            pools = [gateway.endpoints for gateway in fleet.gateways]
-            await fleet.wait_until(
-                lambda: all(pool.registered_ids() == [new.name] for pool in pools)
-            )
-            await asyncio.sleep(ACKNOWLEDGED_S)
-            for number in range(gateways):
-                self.assertEqual(await _ask(fleet, f"r{number}", number), NEW)
+        # A coroutine with parameters would not be awaited.
+        begun = asyncio.run(_play_replaced(gateways))
+        self.assertEqual(begun, [NEW] * gateways)
 
 
 @attrs.frozen
