Entries in touch answer those whose rows are old what proves one version

Callers: take-ups of the only version's streams were refused (503, origin_unknown) at an entry that had been cut off from the log alone for about 4 s, though others had a fresh view and could be asked.

Cause: questions were answered only to entries with recent rows, and one that is cut off from the log writes none.

Answers go to the address of any known row, as acknowledgements of versions do.

--- a/src/celerytrack/gateway/state.py
+++ b/src/celerytrack/gateway/state.py
@@ -171,6 +171,7 @@
             self._recent_holders,
             self._sole_view,
             lambda: self.read_endpoints_now(),
+            self._peer_address,
         )
         self.read_endpoints_now: Callable[[], None] = lambda: None
         self.version_acks = VersionAcks(
--- a/src/celerytrack/lab/version_fleet.py
+++ b/src/celerytrack/lab/version_fleet.py
@@ -196,6 +196,7 @@
             ],
             lambda service, now_s: _sole_view(pool, now_s),
             is_urgent.set,
+            lambda entry_id: entry_id.split("-")[1],
         )
         entry = _Entry(holder, pool, origins, sole_versions, is_urgent)
         self._read_log(entry)
--- a/src/celerytrack/origins/sole_versions.py
+++ b/src/celerytrack/origins/sole_versions.py
@@ -86,6 +86,8 @@
     :param view_of: returns what the registrations read here say of a service; ``None``
         if it has several versions, or is not known well enough.
     :param read_now: has the registrations read at once.
+    :param address_of: returns the address of an entry, also of one that is silent on
+        the log: cut off from it, it asks.
     """
 
     def __init__(
@@ -95,12 +97,14 @@
         peers: Callable[[float], Collection[Holder]],
         view_of: Callable[[ServiceName, float], SoleView | None],
         read_now: Callable[[], None],
+        address_of: Callable[[EntryId], str | None],
     ) -> None:
         self._entry_id = entry_id
         self._send = send
         self._peers = peers
         self._view_of = view_of
         self._read_now = read_now
+        self._address_of = address_of
         self._numbers = itertools.count()
         self._proofs: dict[ServiceName, SoleView] = {}
         self._rounds: dict[ServiceName, _Round] = {}
@@ -228,7 +232,7 @@
         self._conclude(current)
 
     def _answer(self, query: SoleVersionQuery, now_s: float) -> None:
-        address = self._address_of(query.asker, now_s)
+        address = self._address_of(query.asker)
         if address is None:
             return
         view = self.known(query.service, now_s)
@@ -244,7 +248,7 @@
         now_s = time.monotonic()
         view = self.known(current.service, now_s)
         for asker, number in current.askers.items():
-            address = self._address_of(asker, now_s)
+            address = self._address_of(asker)
             if address is not None:
                 self._send_answer(address, number, view, now_s)
 
@@ -256,12 +260,6 @@
         answer = SoleVersionAnswer(self._entry_id, number, version, age_s)
         self._send(address, answer)
 
-    def _address_of(self, entry_id: EntryId, now_s: float) -> str | None:
-        for peer in self._peers(now_s):
-            if peer.entry_id == entry_id:
-                return peer.address
-        return None
-
     def _apply_answer(self, answer: SoleVersionAnswer) -> None:
         for current in self._rounds.values():
             if current.number != answer.number:
--- a/tests/test_out_of_step.py
+++ b/tests/test_out_of_step.py
@@ -34,6 +34,8 @@
 TAKE_UPS = 12
 """Take-ups at once: fewer than the slots of two endpoints."""
 REFUSED_WITHIN_S = 0.4
+LONG_CUT_S = 8.0
+"""Longer than entries without a new row count as alive."""
 WRITTEN_AGAIN_S = 1.9
 """Time after a restore of the log in which the platform writes again what it lost."""
 LEAST_SHARE = 0.95
@@ -299,6 +301,15 @@
         refused = [t for t in taken if t.status != 200]
         self.assertLessEqual(len(refused), (1 - LEAST_SHARE) * len(taken), refused)
 
+    @params((3,), (1, 2, 3))
+    def test_entries_in_touch_tell_those_whose_rows_are_old(self, *cut: int) -> None:
+        """Entries that could neither read nor write the log for longer than it takes
+        to count as silent were not answered by those that could."""
+        isolation = Isolation(datagrams=False)
+        taken = asyncio.run(_play_one_version(cut, isolation, lasts_s=LONG_CUT_S))
+        refused = [t for t in taken if t.status != 200]
+        self.assertLessEqual(len(refused), (1 - LEAST_SHARE) * len(taken), refused)
+
     @params((3,), (2, 3))
     def test_entries_that_are_cut_off_refuse_soon(self, *cut: int) -> None:
         """A caller waited for an entry that could not tell what began its stream."""
--- a/tests/test_sole_versions.py
+++ b/tests/test_sole_versions.py
@@ -57,6 +57,7 @@
             lambda now_s: others,
             lambda service, now_s: self.views[number],
             read_now,
+            lambda entry_id: entry_id.removeprefix("e"),
         )
 
     def _send(self, sender: int, target: int, message: OriginMessage) -> None:
