--- a/tests/test_out_of_step.py
+++ b/tests/test_out_of_step.py
@@ -34,6 +34,8 @@
 TAKE_UPS = 12
 """Take-ups at once: fewer than the slots of two endpoints."""
 REFUSED_WITHIN_S = 0.4
+LONG_CUT_S = 8.0
+"""Longer than entries without a new row count as alive."""
 WRITTEN_AGAIN_S = 1.9
 """Time after a restore of the log in which the platform writes again what it lost."""
 LEAST_SHARE = 0.95
@@ -160,6 +162,23 @@
         self.assertGreater(begun_new, LEAST_NEW, ways)
 
 
+async def _play_replaced(gateways: int) -> list[str]:
+    """Begin streams at each gateway once all have read that the version is another."""
+    old, new = _Endpoint("i-old", OLD), _Endpoint("i-new", NEW)
+    async with Fleet(old, gateways=gateways) as fleet:
+        runner = await new.start()
+        fleet.log.put(ENDPOINTS_TOPIC, new.name, new.registration())
+        fleet.log.put(ENDPOINTS_TOPIC, old.name, b"")
+        pools = [gateway.endpoints for gateway in fleet.gateways]
+        await fleet.wait_until(
+            lambda: all(pool.registered_ids() == [new.name] for pool in pools)
+        )
+        await asyncio.sleep(ACKNOWLEDGED_S)
+        begun = [await _ask(fleet, f"r{number}", number) for number in range(gateways)]
+        await runner.cleanup()
+        return begun
+
+
 class ReplacedVersionTest(unittest.IsolatedAsyncioTestCase):
     async def test_streams_are_told_when_the_new_version_takes_them(self) -> None:
         """The last endpoint of a version was replaced: the refusal of a stream named no
@@ -183,23 +202,14 @@
             self.assertEqual(await _ask(fleet, "r3", 0), NEW)
 
     @params(1, 4)
-    async def test_streams_begin_at_once_where_all_entries_know_the_version(
+    def test_streams_begin_at_once_where_all_entries_know_the_version(
         self, gateways: int
     ) -> None:
         """Streams waited for the leases of entries that had long known the version, or
         that don't exist: for 1.6 s in each release, and after each start."""
-        old, new = _Endpoint("i-old", OLD), _Endpoint("i-new", NEW)
-        async with Fleet(old, gateways=gateways) as fleet:
-            self.addAsyncCleanup((await new.start()).cleanup)
-            fleet.log.put(ENDPOINTS_TOPIC, new.name, new.registration())
-            fleet.log.put(ENDPOINTS_TOPIC, old.name, b"")
-            pools = [gateway.endpoints for gateway in fleet.gateways]
-            await fleet.wait_until(
-                lambda: all(pool.registered_ids() == [new.name] for pool in pools)
-            )
-            await asyncio.sleep(ACKNOWLEDGED_S)
-            for number in range(gateways):
-                self.assertEqual(await _ask(fleet, f"r{number}", number), NEW)
+        # A coroutine with parameters would not be awaited.
+        begun = asyncio.run(_play_replaced(gateways))
+        self.assertEqual(begun, [NEW] * gateways)
 
 
 @attrs.frozen
@@ -291,6 +301,15 @@
         refused = [t for t in taken if t.status != 200]
         self.assertLessEqual(len(refused), (1 - LEAST_SHARE) * len(taken), refused)
 
+    @params((3,), (1, 2, 3))
+    def test_entries_in_touch_tell_those_whose_rows_are_old(self, *cut: int) -> None:
+        """Entries that could neither read nor write the log for longer than it takes
+        to count as silent were not answered by those that could."""
+        isolation = Isolation(datagrams=False)
+        taken = asyncio.run(_play_one_version(cut, isolation, lasts_s=LONG_CUT_S))
+        refused = [t for t in taken if t.status != 200]
+        self.assertLessEqual(len(refused), (1 - LEAST_SHARE) * len(taken), refused)
+
     @params((3,), (2, 3))
     def test_entries_that_are_cut_off_refuse_soon(self, *cut: int) -> None:
         """A caller waited for an entry that could not tell what began its stream."""
