An entry that ended before the log went away isn't asked for a proof

Cause: all entries together prove that there is one version, and an entry counts as silent only while the rows are read. When the log went away each row ever read counted again, and nobody answers for an ended entry.

Change: who may be alive is judged as of the last read of the rows; who was silent by then stays so. Just after the log is back all count, as before.

Left, by reading: an entry that read the log but wrote no rows for 3.5 s, right before the log went away for all, and is cut off from the datagrams of the others besides, isn't asked.

--- a/src/celerytrack/gateway/state.py
+++ b/src/celerytrack/gateway/state.py
@@ -170,7 +170,7 @@
         self.sole_versions = SoleVersions(
             self.entry_id,
             self.peer_messenger.send_origin_message,
-            self._recent_holders,
+            self._possible_holders,
             self._sole_view,
             lambda: self.read_endpoints_now(),
             self._peer_address,
@@ -362,10 +362,10 @@
             holders.append(Holder(self.entry_id, address, self.started_s))
         return holders
 
-    def _recent_holders(self, now_s: float) -> list[Holder]:
+    def _possible_holders(self, now_s: float) -> list[Holder]:
         return [
             Holder(member.entry_id, member.peer_address, member.started_s)
-            for member in self.share_sync.members.recent_peers(now_s)
+            for member in self.share_sync.members.possible_peers()
         ]
 
     def _known_holders(self, now_s: float) -> list[Holder] | None:
--- a/src/celerytrack/membership/members.py
+++ b/src/celerytrack/membership/members.py
@@ -242,6 +242,20 @@
             and not (settled and now_s - known.read_at_s > limit_s)
         ]
 
+    def possible_peers(self) -> list[Member]:
+        """The other entries that may be alive, as of the last read of the rows.
+
+        Those that were silent by then don't come back while the log is away.
+        """
+        limit_s = _silence_limit_s(len(self._entries))
+        settled = self._last_read_s - self._readable_since_s > limit_s
+        return [
+            known.member
+            for entry, known in self._entries.items()
+            if entry != self.entry_id
+            and not (settled and self._last_read_s - known.read_at_s > limit_s)
+        ]
+
     def known_peers(self) -> list[Member]:
         """The other entries whose rows are not deleted, also those that are silent."""
         return [
