The mocked request of the tests of replicas has its progress

 notes how far a request has come; 16 tests of tests.test_upstream failed since, with an AttributeError of their mock.

--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -14,6 +14,7 @@
 from celerytrack.entry.notices import EntryNotices
 from celerytrack.entry.shared_deadline import SharedDeadline
 from celerytrack.entry.suspects import EntrySuspects
+from celerytrack.entry.unforeseen import Progress
 from celerytrack.entry.upstream import try_replicas
 from celerytrack.fingerprint import Fingerprint
 from celerytrack.ids import EntryId, ReplicaId, RequestId, Zone
@@ -46,6 +47,7 @@
         request_id=RequestId("r"),
         fingerprint=Fingerprint(b"r" * 16),
         part_fingerprints=(),
+        progress=Progress(),
     )
 
 
