Acknowledgements of a version have a time limit

No caller saw this; found by the last read of the diff. An entry told each other one that did not answer of each new version ten times a second, for as long as two versions served and no resumable stream was placed: the row that an ended entry left, or an entry of an earlier release, cost that for ever. An acknowledgement also counted however old it was: where the row of one that never answered went away later, a version that had left meanwhile was established, though the others may have forgotten it.

Cause: gave the acknowledgements no end, and the time of 1.6 s was looked at only where a stream was placed.

Change: entries are told, and acknowledgements count, for ESTABLISHED_AFTER_S from the first message on. The pool establishes by time wherever it is asked which versions are new.

Why it works: after that time each version that is registered is established by itself.

--- a/src/celerytrack/origins/version_acks.py
+++ b/src/celerytrack/origins/version_acks.py
@@ -1,7 +1,8 @@
 """Establishes a version that has just been read as soon as all entries know it.
 
 Without their acknowledgements it is established after a time
-(:data:`ESTABLISHED_AFTER_S`): an entry that is cut off doesn't answer.
+(:data:`ESTABLISHED_AFTER_S`): an entry that is cut off doesn't answer, nor does one
+that has ended. Until then they are told again, and no longer.
 """
 
 import asyncio
@@ -19,6 +20,7 @@
 )
 from celerytrack.origins.recorded import ServiceVersion
 from celerytrack.origins.ring import Holder
+from celerytrack.routing.versions import ESTABLISHED_AFTER_S
 
 TICK_S = 0.1
 """Interval at which entries that have not answered are told again."""
@@ -39,6 +41,21 @@
         """The versions of services with several that some entry may not know."""
 
 
+@attrs.define
+class _Announcement:
+    """A version of which the other entries are told.
+
+    :ivar known_by: those that have acknowledged it.
+    """
+
+    began_s: float
+    known_by: set[Holder] = attrs.field(factory=set)
+
+    def is_over(self, now_s: float) -> bool:
+        """Whether the time is up: acknowledgements may be outdated by now."""
+        return now_s - self.began_s > ESTABLISHED_AFTER_S
+
+
 @attrs.define
 class VersionAcks:
     """The acknowledgements of versions.
@@ -54,7 +71,9 @@
     _peers: Callable[[float], Collection[Holder] | None]
     _services: Callable[[], Collection[ServiceName]]
     _versions: NewVersions
-    _known_by: dict[ServiceVersion, set[Holder]] = attrs.field(factory=dict, init=False)
+    _announcements: dict[ServiceVersion, _Announcement] = attrs.field(
+        factory=dict, init=False
+    )
 
     async def run(self) -> None:
         """Tell the other entries of new versions, until cancelled."""
@@ -65,19 +84,17 @@
     def tick(self, now_s: float) -> None:
         """Tell the entries that have not answered."""
         subjects = self._versions.unestablished(self._services(), now_s)
-        known_by = {subject: self._known_by.get(subject, set()) for subject in subjects}
-        self._known_by = known_by
-        peers = self._peers(now_s) if subjects else None
+        peers = self._peers(now_s) if subjects else []
         if peers is None:
             return
-        for subject in subjects:
-            message = VersionAnnouncement(
-                self._entry_id, subject.service, subject.version
-            )
-            for peer in peers:
-                if peer not in known_by[subject]:
-                    self._send(peer.address, message)
-            self._check(subject, peers)
+        before = self._announcements
+        self._announcements = {
+            subject: before.get(subject) or _Announcement(now_s) for subject in subjects
+        }
+        for subject, announcement in self._announcements.items():
+            if not announcement.is_over(now_s):
+                self._tell(subject, announcement, peers)
+                self._check(subject, announcement, peers)
 
     def receive(
         self,
@@ -97,16 +114,32 @@
             case VersionAck(entry_id, service, version):
                 self._record_ack(entry_id, ServiceVersion(service, version), now_s)
 
+    def _tell(
+        self,
+        subject: ServiceVersion,
+        announcement: _Announcement,
+        peers: Collection[Holder],
+    ) -> None:
+        message = VersionAnnouncement(self._entry_id, subject.service, subject.version)
+        for peer in peers:
+            if peer not in announcement.known_by:
+                self._send(peer.address, message)
+
     def _record_ack(
         self, entry_id: EntryId, subject: ServiceVersion, now_s: float
     ) -> None:
-        known_by = self._known_by.get(subject)
+        announcement = self._announcements.get(subject)
         peers = self._peers(now_s)
-        if known_by is None or peers is None:
+        if announcement is None or announcement.is_over(now_s) or peers is None:
             return
-        known_by.update(peer for peer in peers if peer.entry_id == entry_id)
-        self._check(subject, peers)
+        announcement.known_by.update(p for p in peers if p.entry_id == entry_id)
+        self._check(subject, announcement, peers)
 
-    def _check(self, subject: ServiceVersion, peers: Collection[Holder]) -> None:
-        if all(peer in self._known_by[subject] for peer in peers):
+    def _check(
+        self,
+        subject: ServiceVersion,
+        announcement: _Announcement,
+        peers: Collection[Holder],
+    ) -> None:
+        if all(peer in announcement.known_by for peer in peers):
             self._versions.establish(subject)
--- a/src/celerytrack/routing/endpoints.py
+++ b/src/celerytrack/routing/endpoints.py
@@ -399,13 +399,18 @@
         self, services: Iterable[ServiceName], now_s: float
     ) -> list[ServiceVersion]:
         """The versions of services with several at which no stream may begin yet."""
-        return [
+        subjects = [
             ServiceVersion(service, version)
             for service in services
             if len(versions := self.versions(service, now_s)) > 1
             for version in versions
-            if not self._version_history.is_established(service, version)
         ]
+        is_established = self._version_history.is_established
+        if all(is_established(s.service, s.version) for s in subjects):
+            return []
+        for endpoint in self._endpoints.values():
+            self._record_present(endpoint, now_s)
+        return [s for s in subjects if not is_established(s.service, s.version)]
 
     def seen_versions(self) -> Iterable[tuple[ServiceName, str, float]]:
         """Each service and version, and when it was last seen."""
--- a/tests/test_version_acks.py
+++ b/tests/test_version_acks.py
@@ -8,9 +8,10 @@
 from celerytrack.ids import EndpointId, EntryId, ServiceName, Zone
 from celerytrack.origins.messages import OriginMessage, VersionAck, VersionAnnouncement
 from celerytrack.origins.ring import Holder
-from celerytrack.origins.version_acks import VersionAcks
+from celerytrack.origins.version_acks import TICK_S, VersionAcks
 from celerytrack.routing.endpoint import Registration, RequestProfile
 from celerytrack.routing.endpoints import EndpointPool
+from celerytrack.routing.versions import ESTABLISHED_AFTER_S
 
 S = ServiceName("s")
 OLD, NEW = "v1", "v2"
@@ -100,6 +101,33 @@
         fleet[0].acks.tick(READ_S)
         self.assertTrue(fleet[1].pool.has_versions(S, READ_S))
 
+    def test_an_entry_that_does_not_answer_is_told_for_a_while_only(self) -> None:
+        """A row that an ended entry left, or an entry of an earlier release, cost ten
+        messages a second from each entry, for as long as two versions served."""
+        fleet = _fleet(3)
+        first = fleet[0]
+        fleet[-1].is_cut = True
+        first.read(NEW, READ_S)
+        for tick in range(100):
+            first.acks.tick(READ_S + tick * TICK_S)
+        most = 2 * (ESTABLISHED_AFTER_S / TICK_S + 2) + 2
+        self.assertLess(first.sent, most)
+
+    def test_acknowledgements_count_for_a_while_only(self) -> None:
+        """An entry that had forgotten a version counted as one that knows it, once the
+        row of another one that never answered was gone."""
+        fleet = _fleet(3)
+        first, last = fleet[0], fleet[-1]
+        last.is_cut = True
+        first.read(NEW, READ_S)
+        first.acks.tick(READ_S)
+        fleet.remove(last)
+        first.pool.mark_deregistered(EndpointId(f"i-{NEW}"), READ_S + 1.0)
+        late_s = READ_S + ESTABLISHED_AFTER_S + 0.1
+        first.acks.tick(late_s)
+        unestablished = first.pool.unestablished([S], late_s)
+        self.assertEqual([u.version for u in unestablished], [NEW])
+
     def test_nothing_is_sent_once_a_version_is_established(self) -> None:
         """Each tick cost a message to each entry."""
         fleet = _fleet(3)
