An odd address ends no socket for datagrams

What callers saw: nothing by itself; an entry that reads a row of another writer whose peer address has a port out of range, or a NUL, lost its socket: asyncio closes it after an OverflowError or TypeError of sendto. From then on it got and sent no datagram, which is an entry out of step. A host name was looked up while the event loop waited.

Evidence: the new test on: 'Fatal write error on datagram transport', and the datagram to the sound address doesn't arrive.

Change: a datagram goes only to IP:PORT, judged by the function that judges registrations; each other address is logged once, in a bounded form.

Measured: the datagram arrives; tests of addresses, peer messages and the own interface's notices pass (33).

--- a/src/celerytrack/datagrams.py
+++ b/src/celerytrack/datagrams.py
@@ -5,10 +5,17 @@
 from collections.abc import Callable, Iterable
 from typing import cast
 
+from celerytrack._recent import RecentKeys
+from celerytrack.addresses import is_address
 from celerytrack.events import Event, log_event
 
 _log = logging.getLogger(__name__)
 
+MAX_KNOWN_FAULTS = 256
+"""Most addresses that are remembered as none, so that each is logged once."""
+MAX_ADDRESS_CHARS = 64
+"""Most characters of such an address that are kept; a record may hold megabytes."""
+
 
 class DatagramSocket(asyncio.DatagramProtocol):
     """Sends and receives datagrams on one UDP socket.
@@ -21,6 +28,7 @@
     def __init__(self, on_data: Callable[[bytes], None]) -> None:
         self._on_data = on_data
         self._transport: asyncio.DatagramTransport | None = None
+        self._faults = RecentKeys(MAX_KNOWN_FAULTS)
 
     async def open(self, address: str) -> None:
         """Bind the socket to ``address`` (``host:port``)."""
@@ -30,10 +38,20 @@
         )
 
     def send(self, addresses: Iterable[str], data: bytes) -> None:
-        """Send ``data`` to each of ``addresses``."""
+        """Send ``data`` to each of ``addresses``.
+
+        What is no address is left out: some errors of the system's call would close
+        the socket, and a host name would be looked up while the event loop waits.
+        """
         if self._transport is None:
             return
         for address in addresses:
+            if not is_address(address):
+                shown = address[:MAX_ADDRESS_CHARS]
+                if self._faults.add(shown):
+                    detail = "no IP:PORT"
+                    log_event(_log, Event.NOTE_FAILED, address=shown, detail=detail)
+                continue
             try:
                 self._transport.sendto(data, _split_address(address))
             except (ValueError, OverflowError, OSError) as exc:
