An odd address in another writer's row ends no entry and reaches no caller

What callers saw: a row in the entries' topic whose peer address has a port out of range or a NUL ended both entries of a fleet (process_stopping; on the loop of asyncio, where the socket for datagrams closed and its next use ended a task; on uvloop, which our programs run on, none of six addresses ended one). A host that can't be encoded raised UnicodeError out of each request to that entry: a caller's request that needed its tokens failed, and the recovery of an entry's own row after a restore would end its task. The address answer named such an address to callers.

Cause: the addresses of rows were any text. The decoder of registrations judges them since, that of rows did not.

Change: an address in a row that is none reads as empty. The row's claims on prepaid totals count as before, since a row that isn't read would hold back all claims; but a member without an address is not one of ours: it is asked nothing, waited for nowhere, and named to no caller. Requests to other entries take ValueError for a failure.

--- a/src/celerytrack/gateway/peer_requests.py
+++ b/src/celerytrack/gateway/peer_requests.py
@@ -16,7 +16,7 @@
 from celerytrack.gateway.end_witness import Witness
 from celerytrack.http_session import make_http_session
 from celerytrack.ids import AccountId, EndpointId, EntryId
-from celerytrack.platform.rows import RowError, decode_shares, encode_shares
+from celerytrack.platform.rows import decode_shares, encode_shares
 from celerytrack.prepaid import AccountClaim
 from celerytrack.strict import (
     UnreadableError,
@@ -50,6 +50,9 @@
 """Status of the answer. Entries of earlier releases answer whether they reach the
 endpoint, which says nothing."""
 
+_FAILURES = (aiohttp.ClientError, OSError, TimeoutError, ValueError)
+"""Errors of a request: the connection, an answer that can't be read, or an address that
+no library encodes."""
 _TOKENS = v.and_(v.ge(0), v.lt(2**63))
 _converter = strict_converter(forbid_extra_keys=False)
 
@@ -133,7 +136,7 @@
                     return 0
                 answer = decode_transfer_reply(await response.read())
                 return min(tokens, answer.tokens)
-        except (aiohttp.ClientError, OSError, TimeoutError, UnreadableError) as exc:
+        except _FAILURES as exc:
             detail = f"{type(exc).__name__}: {exc}"
             log_event(_log, Event.GIFT_FAILED, address=address, detail=detail)
             return 0
@@ -150,7 +153,7 @@
                 if response.status != 200:
                     return {}
                 return decode_shares(await response.read())
-        except (aiohttp.ClientError, OSError, TimeoutError, RowError) as exc:
+        except _FAILURES as exc:
             detail = f"{type(exc).__name__}: {exc}"
             log_event(_log, Event.GIFT_FAILED, address=address, detail=detail)
             return {}
@@ -162,7 +165,7 @@
                 f"http://{address}{ENDPOINT_PATH}", params={"endpoint": endpoint_id}
             ) as response:
                 return response.status == ENDPOINT_REACHED_STATUS
-        except (aiohttp.ClientError, OSError, TimeoutError):
+        except _FAILURES:
             return False
 
     async def ask_witness(
@@ -184,7 +187,7 @@
                 for witness, status in WITNESS_STATUS.items():
                     if response.status == status:
                         return witness
-        except (aiohttp.ClientError, OSError, TimeoutError):
+        except _FAILURES:
             pass
         return Witness.NONE
 
--- a/src/celerytrack/lab/model_entry.py
+++ b/src/celerytrack/lab/model_entry.py
@@ -21,9 +21,21 @@
 """Time from the start of a process to its first call."""
 MAX_BOOT_MONOTONIC_S = 50_000.0
 """Upper bound of the random monotonic clock reading after a restart of an instance."""
+_PORT = 7_340
 _T = TypeVar("_T")
 
 
+def address_of(number: int) -> str:
+    """The address of the entry with a number."""
+    return f"10.0.{number >> 8}.{number & 255}:{_PORT}"
+
+
+def number_at(address: str) -> int:
+    """The number of the entry at an address."""
+    high, low = address.partition(":")[0].split(".")[2:]
+    return int(high) * 256 + int(low)
+
+
 class _PeerClient:
     """Sends peer requests to modelled entries."""
 
@@ -34,8 +46,8 @@
     async def request_transfer(
         self, address: str, account: AccountId, tokens: int
     ) -> int:
-        """Tokens that the entry at ``address``, which is its number, transferred."""
-        other = self._fleet[int(address)]
+        """Tokens that the entry at ``address`` transferred."""
+        other = self._fleet[number_at(address)]
         if self._me.partitioned or other.partitioned or other.reservations is None:
             await asyncio.sleep(PEER_REQUEST_TIMEOUT_S)
             return 0
@@ -49,7 +61,7 @@
         self, address: str, entry_id: EntryId
     ) -> Mapping[AccountId, AccountClaim]:
         """The row of ``entry_id`` as the entry at ``address`` knows it."""
-        other = self._fleet[int(address)]
+        other = self._fleet[number_at(address)]
         if self._me.partitioned or other.partitioned or other.share_sync is None:
             await asyncio.sleep(PEER_REQUEST_TIMEOUT_S)
             return {}
@@ -94,8 +106,8 @@
         share_sync = ShareSync(
             HedgedStore(self.store),
             EntryId(f"e{self.number}"),
-            str(self.number),
-            str(self.number),
+            address_of(self.number),
+            address_of(self.number),
             Zone("z"),
             _PeerClient(self, self._fleet),  # type: ignore[arg-type]
             loop.time() + self.clock.monotonic_ahead_s,
--- a/src/celerytrack/membership/member.py
+++ b/src/celerytrack/membership/member.py
@@ -26,8 +26,9 @@
     """The row of one entry.
 
     :ivar epoch: grows with each restart of the entry.
-    :ivar front_address: where callers connect.
-    :ivar peer_address: where other entries connect.
+    :ivar front_address: where callers connect; empty if they can't.
+    :ivar peer_address: where other entries connect; empty if they can't, as in the row
+        of another writer.
     :ivar made_s: when the row was made, on the instance's monotonic clock.
     :ivar clock_offset_s: wall clock minus monotonic clock at that moment; it changes
         when the instance reboots or its clock is set.
--- a/src/celerytrack/membership/members.py
+++ b/src/celerytrack/membership/members.py
@@ -11,6 +11,7 @@
 import math
 import random
 import statistics
+from collections.abc import Iterator
 
 import attrs
 
@@ -237,9 +238,8 @@
         settled = readable and now_s - self._readable_since_s > limit_s
         return [
             known.member
-            for entry, known in self._entries.items()
-            if entry != self.entry_id
-            and not (settled and now_s - known.read_at_s > limit_s)
+            for known in self._reachable()
+            if not (settled and now_s - known.read_at_s > limit_s)
         ]
 
     def possible_peers(self) -> list[Member]:
@@ -251,18 +251,19 @@
         settled = self._last_read_s - self._readable_since_s > limit_s
         return [
             known.member
-            for entry, known in self._entries.items()
-            if entry != self.entry_id
-            and not (settled and self._last_read_s - known.read_at_s > limit_s)
+            for known in self._reachable()
+            if not (settled and self._last_read_s - known.read_at_s > limit_s)
         ]
 
     def known_peers(self) -> list[Member]:
         """The other entries whose rows are not deleted, also those that are silent."""
-        return [
-            known.member
-            for entry, known in self._entries.items()
-            if entry != self.entry_id
-        ]
+        return [known.member for known in self._reachable()]
+
+    def _reachable(self) -> Iterator[_KnownEntry]:
+        """The other entries that have an address."""
+        for entry, known in self._entries.items():
+            if entry != self.entry_id and known.member.peer_address:
+                yield known
 
     def caller_split(self, now_s: float) -> CallerSplit:
         """How the callers and the load are divided now; cached for a short time."""
@@ -307,7 +308,7 @@
     fleet, entries in the caller's own domain are preferred.
     """
     min_mbps = min_caller_link_mbps([m.link_mbps for m in members])
-    eligible = [m for m in members if m.link_mbps >= min_mbps]
+    eligible = [m for m in members if m.front_address and m.link_mbps >= min_mbps]
     shuffled = rng.sample(eligible, len(eligible))
     shuffled.sort(key=lambda m: m.zone != zone)
     return [m.front_address for m in shuffled[:MAX_ADDRESSES]]
--- a/src/celerytrack/platform/rows.py
+++ b/src/celerytrack/platform/rows.py
@@ -6,6 +6,7 @@
 
 import msgpack
 
+from celerytrack.addresses import is_address
 from celerytrack.eras import Era
 from celerytrack.ids import AccountId, EntryId, Zone
 from celerytrack.membership.members import Member, MemberState
@@ -102,8 +103,8 @@
         return Member(
             entry_id=EntryId(entry_id),
             epoch=_whole(epoch),
-            front_address=_text(front),
-            peer_address=_text(peer),
+            front_address=_address(front),
+            peer_address=_address(peer),
             zone=Zone(_text(zone)),
             state=MemberState(state),
             made_s=_number(made_s),
@@ -142,6 +143,12 @@
     return float(value)
 
 
+def _address(value: Any) -> str:
+    """An address, empty if it is none: the row's claims count all the same."""
+    text = _text(value)
+    return text if is_address(text) else ""
+
+
 def _text(value: Any) -> str:
     if type(value) is not str:
         raise TypeError(f"must be text, found {type(value).__name__}")
--- a/tests/restored_fleet.py
+++ b/tests/restored_fleet.py
@@ -9,6 +9,7 @@
 import attrs
 
 from celerytrack.ids import AccountId, EndpointId, EntryId
+from celerytrack.lab.model_entry import number_at
 from celerytrack.lab.virtual_time import Clock, on_instance
 from celerytrack.platform.rows import decode_member
 from celerytrack.platform.topics import (
@@ -285,7 +286,7 @@
         self, address: str, account: AccountId, tokens: int
     ) -> int:
         """Model a token transfer between entries; its reply may be lost."""
-        other = self.instances[int(address)]
+        other = self.instances[number_at(address)]
         await asyncio.sleep(0.001)
         share_sync = other.gateway.share_sync
         if not other.up or not share_sync.started:
@@ -300,7 +301,7 @@
         self, address: str, entry_id: EntryId
     ) -> Mapping[AccountId, AccountClaim]:
         """Model a row query between entries; its reply may be lost."""
-        other = self.instances[int(address)]
+        other = self.instances[number_at(address)]
         await asyncio.sleep(0.001)
         if not other.up or self.peer_replies_lost:
             return {}
--- a/tests/restored_instance.py
+++ b/tests/restored_instance.py
@@ -10,6 +10,7 @@
 from celerytrack.gateway.state import Gateway
 from celerytrack.gateway.watches import make_config_tail, make_endpoint_tail
 from celerytrack.ids import AccountId, EntryId
+from celerytrack.lab.model_entry import address_of
 from celerytrack.lab.virtual_time import Clock, on_instance
 from celerytrack.platform.settings import ProcessSettings
 from tests.restored_log import RestoredLog, RestoredStore
@@ -80,10 +81,10 @@
                     entry_id=f"e{self.number}",
                     ip="127.0.0.1",
                     zone="z",
-                    front_address=f"f{self.number}",
+                    front_address=address_of(self.number),
                     readiness_address=None,
                     directory_address=None,
-                    peer_address=str(self.number),
+                    peer_address=address_of(self.number),
                     metrics_address=None,
                     store_address="store",
                     grace_s=8.0,
