--- a/src/celerytrack/gateway/state.py
+++ b/src/celerytrack/gateway/state.py
@@ -52,6 +52,7 @@
     VersionNews,
     VersionQuery,
 )
+from celerytrack.origins.recorded import ServiceVersion
 from celerytrack.origins.ring import Holder
 from celerytrack.origins.sole_versions import SoleVersions, SoleView
 from celerytrack.origins.sync import OriginSync
@@ -71,6 +72,8 @@
 
 _log = logging.getLogger(__name__)
 
+MAX_MISSING_SHOWN = 8
+"""Most entries that one log line names."""
 RETRY_SHARE = 0.7
 """Part of the fleet-wide retry budget that entries use: an entry counts only its own
 requests, and callers are not spread evenly."""
@@ -182,6 +185,7 @@
             self._known_holders,
             self.configured_services,
             self.endpoints,
+            _log_established,
         )
         self.unresolved_origins = UnresolvedOrigins()
         self.endpoint_doubts = EndpointDoubts(
@@ -492,3 +496,16 @@
         self.peer_messenger.close()
         await self.peer_client.close()
         await self.store.close()
+
+
+def _log_established(
+    subject: ServiceVersion, missing: list[EntryId], took_s: float
+) -> None:
+    log_event(
+        _log,
+        Event.VERSION_ESTABLISHED,
+        service=subject.service,
+        version=subject.version,
+        took_ms=round(took_s * 1_000),
+        missing=missing[:MAX_MISSING_SHOWN],
+    )
--- a/src/celerytrack/origins/version_acks.py
+++ b/src/celerytrack/origins/version_acks.py
@@ -35,6 +35,9 @@
     def establish(self, subject: ServiceVersion) -> None:
         """Record that all entries know a version."""
 
+    def is_established(self, subject: ServiceVersion) -> bool:
+        """Whether streams may begin at a version."""
+
     def unestablished(
         self, services: Iterable[ServiceName], now_s: float
     ) -> list[ServiceVersion]:
@@ -46,10 +49,16 @@
     """A version of which the other entries are told.
 
     :ivar known_by: those that have acknowledged it.
+    :ivar told: all others, as of the last tick.
     """
 
     began_s: float
     known_by: set[Holder] = attrs.field(factory=set)
+    told: Collection[Holder] = ()
+
+    def missing(self) -> list[EntryId]:
+        """The entries that have not acknowledged the version."""
+        return [peer.entry_id for peer in self.told if peer not in self.known_by]
 
     def is_over(self, now_s: float) -> bool:
         """Whether the time is up: acknowledgements may be outdated by now."""
@@ -64,6 +73,8 @@
     :param peers: returns the other entries that may go on with streams; ``None`` while
         they are not known.
     :param services: returns the services that are configured.
+    :param on_established: called with a version that is established, the entries that
+        did not acknowledge it, and the time that it took.
     """
 
     _entry_id: EntryId
@@ -71,6 +82,9 @@
     _peers: Callable[[float], Collection[Holder] | None]
     _services: Callable[[], Collection[ServiceName]]
     _versions: NewVersions
+    _on_established: Callable[[ServiceVersion, list[EntryId], float], None] = (
+        lambda subject, missing, took_s: None
+    )
     _announcements: dict[ServiceVersion, _Announcement] = attrs.field(
         factory=dict, init=False
     )
@@ -91,6 +105,10 @@
         self._announcements = {
             subject: before.get(subject) or _Announcement(now_s) for subject in subjects
         }
+        for subject, announcement in before.items():
+            if self._versions.is_established(subject):
+                took_s = now_s - announcement.began_s
+                self._on_established(subject, announcement.missing(), took_s)
         for subject, announcement in self._announcements.items():
             if not announcement.is_over(now_s):
                 self._tell(subject, announcement, peers)
@@ -121,6 +139,7 @@
         peers: Collection[Holder],
     ) -> None:
         message = VersionAnnouncement(self._entry_id, subject.service, subject.version)
+        announcement.told = peers
         for peer in peers:
             if peer not in announcement.known_by:
                 self._send(peer.address, message)
--- a/src/celerytrack/routing/endpoints.py
+++ b/src/celerytrack/routing/endpoints.py
@@ -395,6 +395,10 @@
         """Record that all entries know a version: streams may begin there."""
         self._version_history.establish(subject.service, subject.version)
 
+    def is_established(self, subject: ServiceVersion) -> bool:
+        """Whether streams may begin at a version beside others."""
+        return self._version_history.is_established(subject.service, subject.version)
+
     def unestablished(
         self, services: Iterable[ServiceName], now_s: float
     ) -> list[ServiceVersion]:
@@ -405,12 +409,11 @@
             if len(versions := self.versions(service, now_s)) > 1
             for version in versions
         ]
-        is_established = self._version_history.is_established
-        if all(is_established(s.service, s.version) for s in subjects):
+        if all(map(self.is_established, subjects)):
             return []
         for endpoint in self._endpoints.values():
             self._record_present(endpoint, now_s)
-        return [s for s in subjects if not is_established(s.service, s.version)]
+        return [s for s in subjects if not self.is_established(s)]
 
     def seen_versions(self) -> Iterable[tuple[ServiceName, str, float]]:
         """Each service and version, and when it was last seen."""
--- a/tests/test_version_acks.py
+++ b/tests/test_version_acks.py
@@ -128,6 +128,23 @@
         unestablished = first.pool.unestablished([S], late_s)
         self.assertEqual([u.version for u in unestablished], [NEW])
 
+    @params((False, []), (True, ["e2"]))
+    def test_it_is_told_when_a_version_is_established_and_who_is_missing(
+        self, is_cut: bool, missing: list[str]
+    ) -> None:
+        """Nothing said why streams did not begin at a version, or for whom."""
+        fleet = _fleet(3)
+        first = fleet[0]
+        fleet[-1].is_cut = is_cut
+        told: list[tuple[str, list[EntryId]]] = []
+        first.acks._on_established = lambda subject, names, took_s: told.append(
+            (subject.version, names)
+        )
+        first.read(NEW, READ_S)
+        for tick in range(30):
+            first.acks.tick(READ_S + tick * TICK_S)
+        self.assertEqual([row for row in told if row[0] == NEW], [(NEW, missing)])
+
     def test_nothing_is_sent_once_a_version_is_established(self) -> None:
         """Each tick cost a message to each entry."""
         fleet = _fleet(3)
