--- /dev/null
+++ b/src/celerytrack/callers/limits.py
@@ -0,0 +1,31 @@
+"""Limits of what callers hold of a process."""
+
+import attrs
+from attrs import validators as v
+
+_MIB = 1_048_576
+DEFAULT_MACHINE_BYTES = 300 * _MIB
+"""Memory of an instance whose settings don't tell it."""
+MEMORY_SHARE = 0.25
+"""Share of the instance's memory that callers may hold. The process itself takes up to
+a third, and the allocator keeps about as much again of what callers held."""
+
+
+def memory_budget_bytes(machine_bytes: float) -> int:
+    """Bytes that callers may hold on an instance with so much memory."""
+    return int(machine_bytes * MEMORY_SHARE)
+
+
+@attrs.frozen
+class CallerLimits:
+    """What callers may hold of a process.
+
+    :ivar memory_bytes: bytes of bodies, answers and heads of all callers together.
+    :ivar descriptors: descriptors of the process, of which callers' connections take
+        a share; 0 for as many as the operating system allows it.
+    """
+
+    memory_bytes: int = attrs.field(
+        default=memory_budget_bytes(DEFAULT_MACHINE_BYTES), validator=v.gt(0)
+    )
+    descriptors: int = attrs.field(default=0, validator=v.ge(0))
--- a/src/celerytrack/settings.py
+++ b/src/celerytrack/settings.py
@@ -23,6 +23,7 @@
 from attrs import validators as v
 
 from celerytrack import strict
+from celerytrack.callers.limits import CallerLimits
 from celerytrack.ids import AccountId, ClassName, EntryId, ReplicaId, Zone
 from celerytrack.strict import strict_converter
 
@@ -221,6 +222,7 @@
     :ivar instance_poll_s: interval between reads of the instance list, loads and peers.
     :ivar snapshot_every_s: interval between snapshots of the state in force on the
         log; must be well under half of the log's retention.
+    :ivar callers: what callers may hold of the process.
     """
 
     ledger_flush_s: float = attrs.field(default=0.02, validator=_positive)
@@ -230,6 +232,7 @@
     upstream_timeout_s: float = attrs.field(default=30.0, validator=_positive)
     instance_poll_s: float = attrs.field(default=0.5, validator=_positive)
     snapshot_every_s: float = attrs.field(default=60.0, validator=_positive)
+    callers: CallerLimits = CallerLimits()
     placement: str = attrs.field(
         default="predicted",
         validator=v.in_(("predicted", "round_robin", "least_loaded")),
--- a/tests/gateway_processes.py
+++ b/tests/gateway_processes.py
@@ -4,6 +4,7 @@
 import json
 import os
 import pathlib
+import resource
 import signal
 import sys
 import tempfile
@@ -56,14 +57,25 @@
     """One gateway process, killed by its process id when the context ends.
 
     :param i: number of the gateway, from 1.
+    :param more_settings: further tables of its settings file.
+    :param descriptors: how many it may open; ``None`` for as many as this process.
     """
 
-    def __init__(self, i: int, store_address: str, grace_s: float = 8.0) -> None:
+    def __init__(
+        self,
+        i: int,
+        store_address: str,
+        grace_s: float = 8.0,
+        more_settings: str = "",
+        descriptors: int | None = None,
+    ) -> None:
         self.ip = loopback_ip(i)
         self.front_address = f"{self.ip}:8227"
         self._folder = tempfile.TemporaryDirectory()
         self._settings = pathlib.Path(self._folder.name) / "boot.toml"
-        self._settings.write_text(settings_text(i, store_address, grace_s))
+        text = settings_text(i, store_address, grace_s)
+        self._settings.write_text(text + more_settings)
+        self._descriptors = descriptors
         self.log_path = pathlib.Path(self._folder.name) / "log"
         self._process: asyncio.subprocess.Process | None = None
 
@@ -102,6 +114,15 @@
                 stdout=out,
                 stderr=out,
             )
+        if self._descriptors is not None:
+            limit = (self._descriptors, self._descriptors)
+            resource.prlimit(self._process.pid, resource.RLIMIT_NOFILE, limit)
+
+    @property
+    def pid(self) -> int:
+        """The id of the process."""
+        assert self._process is not None
+        return self._process.pid
 
     async def _is_ready(self) -> bool:
         try:
--- /dev/null
+++ b/tests/test_crowds.py
@@ -0,0 +1,283 @@
+"""Crowds of callers on the platform's interface: an entry of its own process lives,
+stays within its memory and descriptors, and goes on to serve ordinary callers."""
+
+import asyncio
+import contextlib
+import json
+import unittest
+from collections.abc import AsyncIterator, Callable, Iterable, Iterator
+
+import aiohttp
+import attrs
+from aiohttp import web
+from nose2.tools import params
+
+from celerytrack.platform.topics import CONFIG_KEY, CONFIG_TOPIC, ENDPOINTS_TOPIC
+from tests.crowds import (
+    MIB,
+    Member,
+    answered,
+    chunk,
+    head,
+    open_descriptors,
+    resident_bytes,
+    standing,
+)
+from tests.gateway_fleet import (
+    HOST,
+    KEY,
+    SEAL_HEADERS,
+    Endpoint,
+    config,
+    free_port,
+)
+from tests.gateway_processes import PEER_PORT, GatewayProcess, loopback_ip
+from tests.keyed_log import KeyedLog
+
+BODY_BYTES = MIB
+"""Most bytes of a body in the configuration of these tests."""
+ANSWER_BYTES = 4 * MIB
+BUDGET_BYTES = 8 * MIB
+GROWTH_BYTES = 32 * MIB
+"""The budget, as much again for copies in use, and 16 MiB for connections and what the
+allocator keeps."""
+DESCRIPTORS = 160
+CONNECTION_LIMIT = 12
+"""Connections that an endpoint takes."""
+ENDPOINT_WAITS_S = 3.0
+SETTINGS = f"""
+[callers]
+memoryBytes = {BUDGET_BYTES}
+"""
+HEADERS = {
+    "Host": HOST,
+    "X-Attempt-Id": "crowd",
+    "X-Deadline-Ms": "60000",
+    "Authorization": f"Bearer {KEY}",
+}
+BAD_KEY = {**HEADERS, "Authorization": "Bearer nobody"}
+EVENT = b"x" * 8_000
+EVENTS = 600
+
+
+def _config() -> bytes:
+    data = json.loads(config(timeoutMs=60_000))
+    data["services"][0]["connLimit"] = CONNECTION_LIMIT
+    data["limits"] = {
+        "headerBytes": 16_384,
+        "bodyBytes": BODY_BYTES,
+        "headerTimeoutMs": 1_000,
+        "idleTimeoutMs": 3_000,
+    }
+    return json.dumps(data).encode()
+
+
+async def _answer(request: web.BaseRequest) -> web.StreamResponse:
+    """Answers as the path asks for."""
+    with contextlib.suppress(ConnectionError):
+        await request.read()
+    echo = {"X-Attempt-Id": request.headers["X-Attempt-Id"], **SEAL_HEADERS}
+    if request.path.endswith("/waits"):
+        await asyncio.sleep(ENDPOINT_WAITS_S)
+    if request.path.endswith("/large"):
+        return web.Response(body=b"a" * ANSWER_BYTES, headers=echo)
+    if not request.path.startswith(("/stream/", "/resume/")):
+        return web.Response(body=b"good", headers=echo)
+    response = web.StreamResponse(headers=echo)
+    await response.prepare(request)
+    events = EVENTS if request.path.endswith("/long") else 3
+    for i in range(1, events + 1):
+        await response.write(b"id: %d\ndata: %s\n\n" % (i, EVENT))
+    return response
+
+
+class Site:
+    """One entry process, two endpoints and a log."""
+
+    def __init__(self, port: int, descriptors: int | None = None) -> None:
+        store = f"127.0.0.1:{port}"
+        self.gateway = GatewayProcess(
+            1, store, more_settings=SETTINGS, descriptors=descriptors
+        )
+        self.http = aiohttp.ClientSession()
+
+    async def ask(self, path: str = "/plain/x") -> int | None:
+        """Send an ordinary request on a new connection; returns the status."""
+        headers = {**HEADERS, "X-Attempt-Id": "ordinary", "X-Deadline-Ms": "3000"}
+        url = f"http://{self.gateway.front_address}{path}"
+        connector = aiohttp.TCPConnector(force_close=True)
+        async with aiohttp.ClientSession(connector=connector) as http:
+            try:
+                async with http.post(url, data=b"body", headers=headers) as answer:
+                    await answer.read()
+                    return answer.status
+            except aiohttp.ClientError:
+                return None
+
+
+@contextlib.asynccontextmanager
+async def _site(descriptors: int | None = None) -> AsyncIterator[Site]:
+    log = KeyedLog()
+    log.put(CONFIG_TOPIC, CONFIG_KEY, _config())
+    async with contextlib.AsyncExitStack() as stack:
+        for name in ("i-1", "i-2"):
+            endpoint = Endpoint(name, _answer)
+            stack.push_async_callback((await endpoint.start()).cleanup)
+            log.put(ENDPOINTS_TOPIC, name, endpoint.registration())
+        port = free_port()
+        runner = web.AppRunner(log.make_app(), shutdown_timeout=0.1)
+        await runner.setup()
+        stack.push_async_callback(runner.cleanup)
+        await web.TCPSite(runner, "127.0.0.1", port).start()
+        site = Site(port, descriptors)
+        stack.push_async_callback(site.http.close)
+        await stack.enter_async_context(site.gateway)
+        yield site
+
+
+def _short_body(
+    size_bytes: int, headers: dict[str, str] = HEADERS, path: str = "/plain/x"
+) -> Iterator[bytes]:
+    """A body that stops a byte before its end."""
+    yield head(path, headers, f"Content-Length: {size_bytes}")
+    yield b"b" * (size_bytes - 1)
+
+
+def _whole_body(size_bytes: int, path: str) -> Iterator[bytes]:
+    yield head(path, HEADERS, f"Content-Length: {size_bytes}")
+    yield b"b" * size_bytes
+
+
+def _chunked_body(chunks: int) -> Iterator[bytes]:
+    """A body without its last chunk."""
+    yield head("/plain/x", HEADERS, "Transfer-Encoding: chunked")
+    for _ in range(chunks):
+        yield chunk(b"b" * (BODY_BYTES // 16))
+
+
+def _pipelined_body() -> Iterator[bytes]:
+    """A request that runs, and on its connection a large one that waits for it."""
+    yield from _whole_body(4, "/plain/waits")
+    yield from _short_body(BODY_BYTES)
+
+
+def _no_body(path: str) -> Iterator[bytes]:
+    yield head(path, HEADERS, "Content-Length: 0")
+
+
+def _unfinished_head() -> Iterator[bytes]:
+    yield b"POST /plain/x HTTP/1.1\r\nHost: h"
+
+
+def _nothing() -> Iterator[bytes]:
+    yield b""
+
+
+def _long_head() -> Iterator[bytes]:
+    """A head of many large fields that doesn't end."""
+    yield b"POST /plain/x HTTP/1.1\r\nHost: h\r\n"
+    for i in range(16):
+        yield b"X-Field-%d: %s\r\n" % (i, b"h" * 60_000)
+
+
+@attrs.frozen
+class _Crowd:
+    """A crowd of equal callers.
+
+    :ivar name: what it does.
+    :ivar size: number of callers.
+    :ivar sends: what each of them sends.
+    """
+
+    name: str
+    size: int
+    sends: Callable[[], Iterable[bytes]]
+
+    def members(self, address: str) -> list[Member]:
+        return [Member(address, self.sends()) for _ in range(self.size)]
+
+
+SHORT = _Crowd("a byte short", 60, lambda: _short_body(BODY_BYTES))
+CROWDS = (
+    SHORT,
+    _Crowd("unknown key", 60, lambda: _short_body(BODY_BYTES, BAD_KEY)),
+    _Crowd("no such route", 60, lambda: _short_body(BODY_BYTES, path="/no/x")),
+    _Crowd("chunks without the last", 60, lambda: _chunked_body(16)),
+    _Crowd("chunks beyond the limit", 30, lambda: _chunked_body(64)),
+    _Crowd("many small, a byte short", 600, lambda: _short_body(65_536)),
+    _Crowd("whole, all at once", 60, lambda: _whole_body(BODY_BYTES, "/plain/waits")),
+    _Crowd("a second one on the connection", 60, _pipelined_body),
+    _Crowd("long heads", 60, _long_head),
+    _Crowd("large answers unread", 60, lambda: _no_body("/plain/large")),
+    _Crowd("streams unread", 60, lambda: _no_body("/resume/long")),
+    _Crowd("once-only streams unread", 60, lambda: _no_body("/stream/long")),
+)
+FRONT, DIRECTORY, READINESS, PEER = 8227, 8224, 8220, PEER_PORT
+SILENT = (
+    # what it sends, the port where it connects
+    (_Crowd("heads that stop", 300, _unfinished_head), FRONT),
+    (_Crowd("silent connections", 300, _nothing), FRONT),
+    (_Crowd("heads that stop", 300, _unfinished_head), DIRECTORY),
+    (_Crowd("silent connections", 300, _nothing), READINESS),
+    (_Crowd("silent connections", 300, _nothing), PEER),
+)
+
+
+class CrowdTest(unittest.TestCase):
+    @params(*CROWDS)
+    def test_a_crowd_stays_within_the_memory_and_others_are_served(
+        self, crowd: _Crowd
+    ) -> None:
+        """Callers that don't end their bodies, or don't read their answers, ended a
+        process by its memory or held all of its endpoints' places."""
+        asyncio.run(self._check_memory(crowd))
+
+    async def _check_memory(self, crowd: _Crowd) -> None:
+        async with _site() as site:
+            self.assertTrue(await answered(site.ask))
+            pid = site.gateway.pid
+            base_bytes = resident_bytes(pid)
+            async with standing(crowd.members(site.gateway.front_address)):
+                self.assertTrue(site.gateway.is_running)
+                self.assertTrue(await answered(site.ask), crowd.name)
+                self.assertTrue(await answered(lambda: site.ask("/resume/x")))
+            self.assertTrue(await answered(site.ask), crowd.name)
+            growth_bytes = resident_bytes(pid, "VmHWM") - base_bytes
+            self.assertLess(growth_bytes, GROWTH_BYTES, crowd.name)
+
+    @params(*SILENT)
+    def test_a_crowd_leaves_descriptors_to_others(
+        self, crowd: _Crowd, port: int
+    ) -> None:
+        """Connections that say nothing held all descriptors, and nobody got in."""
+        asyncio.run(self._check_descriptors(crowd, port))
+
+    async def _check_descriptors(self, crowd: _Crowd, port: int) -> None:
+        async with _site(DESCRIPTORS) as site:
+            self.assertTrue(await answered(site.ask))
+            address = f"{loopback_ip(1)}:{port}"
+            async with standing(crowd.members(address)):
+                self.assertTrue(site.gateway.is_running)
+                self.assertLess(open_descriptors(site.gateway.pid), DESCRIPTORS)
+                self.assertTrue(await answered(site.ask), crowd.name)
+
+    @params(BODY_BYTES - 1, BODY_BYTES)
+    def test_a_body_of_the_limit_that_comes_slowly_is_served(self, size: int) -> None:
+        """Bounds meant for a crowd refused a single caller inside the limits."""
+        asyncio.run(self._check_slow_body(size))
+
+    async def _check_slow_body(self, size: int) -> None:
+        async with _site() as site:
+            host, port = site.gateway.front_address.split(":")
+            reader, writer = await asyncio.open_connection(host, int(port))
+            writer.write(head("/plain/x", HEADERS, f"Content-Length: {size}"))
+            for start in range(0, size, BODY_BYTES // 8):
+                writer.write(b"b" * min(BODY_BYTES // 8, size - start))
+                await asyncio.sleep(0.5)
+            async with asyncio.timeout(10.0):
+                self.assertIn(b" 200 ", await reader.readline())
+            writer.close()
+
+
+if __name__ == "__main__":
+    unittest.main()
