Callers' connections leave descriptors to the process and to other callers

What callers saw: 300 connections that said nothing, or stopped in their heads, held all descriptors of an entry, at any of its addresses: nobody got in, and the entry couldn't reach the log or its endpoints either.

Cause: heads had no limit of time, connections none of number.

A full address closes an idle connection for a new one: first those that have never sent a request, then the longest idle; one on which a request is in progress is never closed for that. A head has the configured headerTimeoutMs and half a second for its way. While there is room, idle connections live as long as before.

--- a/src/celerytrack/callers/connections.py
+++ b/src/celerytrack/callers/connections.py
@@ -51,6 +51,15 @@
 
         A full table closes the idle connection that is least likely to be used.
         """
+        if len(self._open) >= self.most:
+            idle = (c for c in self._open if c.is_idle)
+            victim = min(idle, key=lambda c: c.usefulness(now_s), default=None)
+            if victim is None:
+                self.refused += 1
+                return False
+            self.closed += 1
+            self._open.discard(victim)
+            victim.drop()
         self._open.add(connection)
         return True
 
@@ -170,6 +179,8 @@
             self.drop()
         elif self._head_timer is None:
             self._table.account.wait_for_caller(self._received, time.monotonic())
+            wait_s = self._table.times().head_s + HEAD_MARGIN_S
+            self._head_timer = self._loop.call_later(wait_s, self.drop)
 
     def _end_head(self) -> None:
         self._table.account.stop_waiting(self._received)
