Whole answers stay in the account until their callers have taken them

What callers saw: sixty of them that asked for a plain answer of 4 MiB and read nothing ended an entry by its memory.

Cause: an answer that is read whole gave its bytes back to the endpoint's bound as soon as it was handed to the caller's connection. What that connection held, a copy with the head before it, belonged to no bound.

Change: the bytes of an answer are held in the process's account while it is read and until the caller has taken it. Connections to endpoints buffer 64 KiB, not 256, before they stop reading.

--- a/src/celerytrack/bounded_connection.py
+++ b/src/celerytrack/bounded_connection.py
@@ -6,6 +6,7 @@
 import asyncio
 import fcntl
 import termios
+from collections.abc import Awaitable, Callable
 from typing import Any
 
 import aiohttp
@@ -14,6 +15,7 @@
 
 from celerytrack.answer_limits import DEFAULT_LIMITS, AnswerBytes, AnswerLimits
 
+Grow = Callable[[int], Awaitable[None]]
 SWITCHING_PROTOCOLS = 101
 """The only interim answer after which no other head follows."""
 
@@ -23,10 +25,11 @@
 
 
 async def read_body(
-    response: aiohttp.ClientResponse, answer_bytes: AnswerBytes
+    response: aiohttp.ClientResponse, answer_bytes: AnswerBytes, grow: Grow
 ) -> bytes:
     """Read an answer to its end.
 
+    :param grow: waits until there is memory for so many more bytes.
     :raises AnswerTooLargeError: if it is too large.
     """
     parts = []
@@ -34,6 +37,7 @@
         await answer_bytes.reserve(response, 0)
         while data := await response.content.readany():
             await answer_bytes.reserve(response, len(data))
+            await grow(len(data))
             parts.append(data)
         return b"".join(parts)
     finally:
--- a/src/celerytrack/entry/service_calls.py
+++ b/src/celerytrack/entry/service_calls.py
@@ -10,7 +10,8 @@
 from returns.result import Failure, Result, Success
 
 from celerytrack.answer_limits import AnswerBytes, AnswerTooLargeError
-from celerytrack.bounded_connection import read_body
+from celerytrack.bounded_connection import Grow, read_body
+from celerytrack.callers.answers import hold_reading, send_answer
 from celerytrack.entry.admission import AdmittedRequest, choose_replica, handle, reserve
 from celerytrack.entry.answers import StoredAnswer
 from celerytrack.entry.calls import (
@@ -41,7 +42,8 @@
     started_s = time.monotonic()
 
     async def replay(stored: StoredAnswer) -> web.StreamResponse:
-        return web.json_response(stored.body, headers={"X-Replayed": "1"})
+        replayed = web.json_response(stored.body, headers={"X-Replayed": "1"})
+        return await send_answer(state.callers.account, request, replayed)
 
     async def serve(admitted: AdmittedRequest) -> web.StreamResponse:
         answer = await _serve(state, admitted)
@@ -51,7 +53,8 @@
         if admitted.key is not None:
             stored = StoredAnswer(rid, body=answer)
             state.answers.put(admitted.cache_key, stored)
-        return web.json_response(answer, headers={"X-Request-Id": rid})
+        whole = web.json_response(answer, headers={"X-Request-Id": rid})
+        return await send_answer(state.callers.account, request, whole)
 
     return await handle(state, request, BackendKind.SERVICE, replay, serve)
 
@@ -100,14 +103,18 @@
 
 
 async def _send(state: EntryState, admitted: AdmittedRequest, ask: Ask) -> Any:
-    sent = await try_replicas(
-        state,
-        admitted,
-        ask,
-        lambda sent, post: _attempt(
-            post, admitted, state.answer_bytes[sent.replica.replica_id]
-        ),
-    )
+    hold, grow = hold_reading(state.callers.account)
+    try:
+        sent = await try_replicas(
+            state,
+            admitted,
+            ask,
+            lambda sent, post: _attempt(
+                post, admitted, state.answer_bytes[sent.replica.replica_id], grow
+            ),
+        )
+    finally:
+        state.callers.account.close(hold)
     match sent:
         case Failure(refusal):
             raise RefusedError(refusal)
@@ -145,7 +152,7 @@
 
 
 async def _attempt(
-    post: Post, admitted: AdmittedRequest, answer_bytes: AnswerBytes
+    post: Post, admitted: AdmittedRequest, answer_bytes: AnswerBytes, grow: Grow
 ) -> Result[Any, Refusal]:
     try:
         async with await post(f"/call/{admitted.work.name}", admitted.body) as answer:
@@ -153,7 +160,7 @@
                 return Failure(bad_status(answer.status))
             if answer.content_type != JSON_TYPE:
                 return Failure(replica_failed())
-            body = await read_body(answer, answer_bytes)
+            body = await read_body(answer, answer_bytes, grow)
             if may_go_on(answer, body[-1:]):
                 return Failure(replica_failed())
             return Success(json.loads(body))
--- a/src/celerytrack/gateway/attempts.py
+++ b/src/celerytrack/gateway/attempts.py
@@ -8,7 +8,8 @@
 from returns.result import Failure, Success
 
 from celerytrack.answer_limits import AnswerBytes, AnswerTooLargeError
-from celerytrack.bounded_connection import AnsweredResponse, read_body
+from celerytrack.bounded_connection import AnsweredResponse, Grow, read_body
+from celerytrack.callers.answers import hold_reading
 from celerytrack.gateway.answer_ends import (
     PROCESS_ENDED,
     ended_with_process,
@@ -227,6 +228,15 @@
     return facts.sealed and facts.request_id is not None
 
 
+def _hold_answer(gateway: Gateway, exchange: Exchange) -> Grow:
+    """Hold the memory of an answer that is read, in place of an earlier attempt's."""
+    account = gateway.callers.account
+    if exchange.answer_hold is not None:
+        account.close(exchange.answer_hold)
+    exchange.answer_hold, grow = hold_reading(account)
+    return grow
+
+
 async def _read_answer(
     gateway: Gateway,
     exchange: Exchange,
@@ -236,7 +246,7 @@
 ) -> AttemptResult:
     protocol = protocol_of(response)
     try:
-        body = await read_body(response, answer_bytes)
+        body = await read_body(response, answer_bytes, _hold_answer(gateway, exchange))
     except AnswerTooLargeError:
         return unusable_answer("an answer is too large")
     except CONNECTION_ERRORS as exc:
--- a/src/celerytrack/gateway/pipeline.py
+++ b/src/celerytrack/gateway/pipeline.py
@@ -7,6 +7,7 @@
 from aiohttp import web
 from returns.result import Failure, Success
 
+from celerytrack.callers.answers import send_answer
 from celerytrack.events import Event, log_event
 from celerytrack.gateway.admission import (
     NO_ENDPOINT_RETRY_AFTER_S,
@@ -94,7 +95,7 @@
         _check_quarantine(gateway, exchange, time.monotonic())
         if gateway.stop is not None:
             _admit_while_draining(gateway, exchange, gateway.stop, time.monotonic())
-        return await _serve(gateway, exchange)
+        answer = await _serve(gateway, exchange)
     except RefusedError as exc:
         return refuse(gateway, request, exchange, exc.refusal)
     except (CallerDisconnectedError, asyncio.CancelledError):
@@ -108,6 +109,13 @@
         raise asyncio.CancelledError from None
     finally:
         gateway.exchanges.discard(exchange)
+    if not isinstance(answer, web.Response):
+        return answer
+    try:
+        account = gateway.callers.account
+        return await send_answer(account, request, answer, exchange.answer_hold)
+    except ConnectionError:
+        raise asyncio.CancelledError from None
 
 
 def _check_quarantine(gateway: Gateway, exchange: Exchange, now_s: float) -> None:
--- a/src/celerytrack/gateway/relay_server.py
+++ b/src/celerytrack/gateway/relay_server.py
@@ -12,6 +12,7 @@
 from aiohttp import web
 from returns.result import Failure, Result, Success
 
+from celerytrack.callers.answers import send_answer
 from celerytrack.gateway.admission import admit
 from celerytrack.gateway.exchange import AttemptFailure, BufferedAnswer, Exchange
 from celerytrack.gateway.origins import only_origin
@@ -141,7 +142,16 @@
     endpoint_id = exchange.tried[-1] if len(exchange.tried) > tried else None
     result = result.alt(lambda failure: _with_helper(gateway, exchange, failure))
     log_relay_served(gateway, exchange, endpoint_id, result)
-    return await _respond(exchange, endpoint_id, result)
+    answer = await _respond(exchange, endpoint_id, result)
+    if not isinstance(answer, web.Response):
+        return answer
+    try:
+        account = gateway.callers.account
+        return await send_answer(
+            account, exchange.request, answer, exchange.answer_hold
+        )
+    except ConnectionError:
+        raise asyncio.CancelledError from None
 
 
 def _with_helper(
--- a/src/celerytrack/http_session.py
+++ b/src/celerytrack/http_session.py
@@ -22,7 +22,7 @@
 :data:`ACK_TIMEOUT_MS` after the last sign of the peer, whatever their number: with one
 second, a sound peer that is silent for a second would lose its connections."""
 _KEEPALIVE_PROBES = 2
-READ_BUFFER_BYTES = 131_072
+READ_BUFFER_BYTES = 32_768
 """Bytes of an answer that a connection buffers before it stops reading; it may go on to
 twice as many."""
 
