A stream that nobody reads gives its endpoint's place to a caller that would

What callers saw: with as many streams open that nobody read as endpoints take connections, every ordinary caller got 503, for as long as the others liked.

Cause: a stream kept its endpoint's connection and slot while its caller took nothing, up to the route's timeout; about 1 MB of each was held in no bound.

Change: a stream whose caller takes less than the endpoint sends is held in the process's account while it waits. A request that finds no room at any endpoint of its service ends the stream there that has stalled longest, a second at least, and is placed once more. A caller that goes on taking, however slowly, isn't stalled: each half second it is looked at whether it took something. Streams are passed on in pieces of at most 64 KiB.

--- a/src/celerytrack/callers/answers.py
+++ b/src/celerytrack/callers/answers.py
@@ -1,8 +1,11 @@
 """Writes answers to callers, who may take them slowly or not at all."""
 
+import asyncio
 import time
+from typing import cast
 
 from aiohttp import web
+from aiohttp.http_writer import StreamWriter
 
 from celerytrack.bounded_connection import Grow
 from celerytrack.callers.account import Hold, HoldKind, MemoryAccount
@@ -13,6 +16,13 @@
 """Bytes of an answer that fit a connection's write buffer in any case."""
 COPIES = 2
 """Copies of an answer that exist at once: the pieces that came, and all of them."""
+FREE_PLACE_S = 0.02
+"""Time in which a stream that was ended gives its place back."""
+READ_BYTES = 65_536
+"""Most bytes of a stream that are passed on at once."""
+STREAM_BYTES = 393_216
+"""Bytes that a stream holds which its caller doesn't take: what its endpoint's
+connection buffers, and what is on its way from there."""
 
 
 def hold_reading(account: MemoryAccount) -> tuple[Hold, Grow]:
@@ -79,6 +89,41 @@
     return head
 
 
+async def write_events(
+    account: MemoryAccount, request: web.BaseRequest, data: bytes, place: str
+) -> None:
+    """Write events of a stream that has begun, and wait until the caller takes them.
+
+    :param place: names the service of which the stream holds a place.
+    :raises ConnectionError: if the caller has left, or takes nothing.
+    """
+    writer = cast(StreamWriter, request.writer)
+    await writer.write(data, drain=False)
+    if not request.protocol.writing_paused:
+        return
+    now_s = time.monotonic()
+    hold = account.open(HoldKind.STREAM, lambda: _abort(request), now_s)
+    hold.place = place
+    account.begin_waiting(hold, lambda: _unsent_bytes(request), now_s)
+    account.grow(hold, STREAM_BYTES, now_s)
+    try:
+        await writer.drain()
+    finally:
+        account.close(hold)
+
+
+async def free_place(account: MemoryAccount, place: str) -> bool:
+    """End a stream that its caller doesn't read, in favour of a request that finds no
+    room.
+
+    :returns: whether there was one.
+    """
+    if not account.free_place(place, time.monotonic()):
+        return False
+    await asyncio.sleep(FREE_PLACE_S)
+    return True
+
+
 def _unsent_bytes(request: web.BaseRequest) -> int:
     transport = request.transport
     return 0 if transport is None else transport.get_write_buffer_size()
--- a/src/celerytrack/gateway/sending.py
+++ b/src/celerytrack/gateway/sending.py
@@ -5,6 +5,7 @@
 
 from returns.result import Failure, Success
 
+from celerytrack.callers.answers import free_place
 from celerytrack.gateway.attempt_failures import AttemptResult, withheld
 from celerytrack.gateway.attempts import attempt
 from celerytrack.gateway.crash_detector import Interrupted
@@ -50,6 +51,7 @@
         result = await relay(gateway, exchange)
         if not _may_fall_back(gateway, exchange, result):
             return result
+    may_free = True
     while True:
         if not await settle_origin(gateway, exchange):
             return Failure(no_endpoint(IN_DOUBT))
@@ -64,6 +66,11 @@
             if chosen is None:
                 if await settle_doubts(gateway, exchange):
                     continue
+                if may_free and await free_place(
+                    gateway.callers.account, exchange.service
+                ):
+                    may_free = False
+                    continue
                 return Failure(none_has_room(gateway, exchange, now_s))
             placement = Placement(chosen)
             return await _send_placed(gateway, exchange, placement, suspect_state)
@@ -76,6 +83,9 @@
             return await _send_leased(gateway, exchange, placed, suspect_state)
         if await settle_doubts(gateway, exchange):
             continue
+        if may_free and await free_place(gateway.callers.account, exchange.service):
+            may_free = False
+            continue
         if not await wait_for_opening(gateway, exchange):
             return Failure(refused_until_opening(gateway, exchange, placed))
 
--- a/src/celerytrack/gateway/stream_relay.py
+++ b/src/celerytrack/gateway/stream_relay.py
@@ -6,6 +6,7 @@
 from aiohttp import web
 from returns.result import Success
 
+from celerytrack.callers.answers import READ_BYTES, write_events
 from celerytrack.event_order import Disorder, Standing
 from celerytrack.gateway.answer_ends import (
     PROCESS_ENDED,
@@ -67,7 +68,7 @@
     has_passed_on = False
     while True:
         try:
-            data = await response.content.readany()
+            data = await response.content.read(READ_BYTES)
         except CONNECTION_ERRORS as exc:
             return connection_failure(Reason.UPSTREAM_CUT, Verdict.MAY_HAVE_RUN, exc)
         if not data:
@@ -125,7 +126,7 @@
         if dispatch is not None:
             dispatch.record_first_output(exchange.first_data_at_s)
         await _start_stream(gateway, exchange, dispatch, response)
-    await _write(exchange, received.data)
+    await _write(gateway, exchange, received.data)
 
 
 async def _start_stream(
@@ -154,10 +155,10 @@
         raise CallerDisconnectedError from None
 
 
-async def _write(exchange: Exchange, data: bytes) -> None:
-    assert exchange.response is not None
+async def _write(gateway: Gateway, exchange: Exchange, data: bytes) -> None:
     try:
-        await exchange.response.write(data)
+        account = gateway.callers.account
+        await write_events(account, exchange.request, data, exchange.service)
     except ConnectionError:
         raise CallerDisconnectedError from None
 
