The own interface reads bodies within the account, packed ones too

What callers saw: sixty chats of 4 MB that stopped a byte short ended an entry by its memory, also with an unknown key; eight packed bodies of 800 KB that held 800 MB of blanks stopped it for 14 s; 400 heads that stopped kept everybody out.

Cause: the own interface read, and unpacked, a body before it looked at the key, with no bound over all callers, and went on unpacking a body that it had refused.

Change: both interfaces take the same code. The key comes first; bodies, connections and heads of callers and of other entries' requests are in the process's account (settings: tuning.callers). The library unpacks nothing any more; gzip and deflate are unpacked here, up to 4 MiB and not further. A body may take two minutes. Another entry's request for which there is no memory is refused as one without capacity, a reason that earlier releases know.

--- a/src/celerytrack/cli/_serve.py
+++ b/src/celerytrack/cli/_serve.py
@@ -16,6 +16,14 @@
 Close = Callable[[web.AppRunner], Awaitable[None]]
 
 
+MakeSite = Callable[[web.AppRunner, str], web.BaseSite]
+
+
+def _make_site(runner: web.AppRunner, address: str) -> web.BaseSite:
+    host, port = address.rsplit(":", 1)
+    return web.TCPSite(runner, host, int(port), reuse_address=True)
+
+
 async def _noop() -> None:
     return None
 
@@ -30,19 +38,19 @@
     on_start: Hook = _noop,
     close: Close = _close,
     shutdown_timeout_s: float = SHUTDOWN_TIMEOUT_S,
+    make_site: MakeSite = _make_site,
 ) -> None:
     """Serve ``app`` on ``address`` (``host:port``) until a stop signal.
 
     :param on_start: awaited before the port opens.
     :param close: awaited after the signal, while the port is still open; closes it.
+    :param make_site: makes the listening socket.
     :param shutdown_timeout_s: how long closing waits for in-flight requests.
     """
-    host, port = address.rsplit(":", 1)
     await on_start()
     runner = web.AppRunner(app, access_log=None, shutdown_timeout=shutdown_timeout_s)
     await runner.setup()
-    site = web.TCPSite(runner, host, int(port), reuse_address=True)
-    await site.start()
+    await make_site(runner, address).start()
     await stop_event().wait()
     await close(runner)
 
--- a/src/celerytrack/cli/entry.py
+++ b/src/celerytrack/cli/entry.py
@@ -7,6 +7,8 @@
 from cleo.commands.command import Command
 from cleo.helpers import option
 
+from celerytrack.callers.callers import FRONT_SHARE
+from celerytrack.callers.sites import CallerSite
 from celerytrack.cli._serve import run, serve
 from celerytrack.entry.app import make_app
 from celerytrack.entry.relay_server import open_relay
@@ -50,8 +52,17 @@
             async def stop(runner: web.AppRunner) -> None:
                 await _stop(entry, runner, relay[0])
 
+            def make_site(runner: web.AppRunner, address: str) -> web.BaseSite:
+                table = entry.callers.table("front", FRONT_SHARE)
+                return CallerSite(runner, address, table)
+
             await serve(
-                make_app(entry), entry.spec.address, start, stop, LISTENER_S / 2
+                make_app(entry),
+                entry.spec.address,
+                start,
+                stop,
+                LISTENER_S / 2,
+                make_site,
             )
 
         run(main)
--- a/src/celerytrack/entry/admission.py
+++ b/src/celerytrack/entry/admission.py
@@ -11,9 +11,16 @@
 import attrs
 from aiohttp import web
 
+from celerytrack.callers.account import Hold
+from celerytrack.callers.bodies import BodyReader, BodyRefusedError
 from celerytrack.entry.answers import StoredAnswer
 from celerytrack.entry.refusals import RefusedError, refuse
-from celerytrack.entry.request_bodies import MalformedRequestError, read_json_object
+from celerytrack.entry.request_bodies import (
+    BODY_TIMEOUT_S,
+    MAX_BODY_BYTES,
+    MalformedRequestError,
+    read_json_object,
+)
 from celerytrack.entry.state import EntryState
 from celerytrack.entry.suspects import fingerprint, part_fingerprints_of
 from celerytrack.entry.unforeseen import Progress, follow_progress
@@ -47,6 +54,7 @@
     :ivar key: the caller's idempotency key, if it sent one.
     :ivar cache_key: ``account:key``, the key of its stored answer and its intent.
     :ivar progress: how far it has come.
+    :ivar hold: the memory that it takes, if it came from a caller.
     """
 
     body: Any
@@ -56,6 +64,7 @@
     request_id: RequestId
     cache_key: str
     progress: Progress = attrs.field(factory=Progress, eq=False)
+    hold: Hold | None = attrs.field(default=None, eq=False)
 
     @property
     def fingerprint(self) -> Fingerprint:
@@ -99,7 +108,7 @@
 
 
 async def admit(
-    state: EntryState, request: web.Request, kind: BackendKind
+    state: EntryState, request: web.Request, kind: BackendKind, reader: BodyReader
 ) -> AdmittedRequest:
     """Check a request before anything is reserved for it.
 
@@ -108,15 +117,19 @@
     """
     name = request.match_info.get("work_class", UNKNOWN_CLASS)
     try:
-        body = await read_json_object(request)
+        authenticate(request, current_config(state))
+        body = await read_json_object(request, reader)
     except MalformedRequestError as exc:
         detail = str(exc)
         refusal = did_not_run(Reason.BAD_REQUEST, None, detail)
         raise RefusedError(refusal, _known_class(state, name)) from None
+    except BodyRefusedError as exc:
+        raise RefusedError(exc.refusal, _known_class(state, name)) from None
     if kind is BackendKind.ENGINE:
         name = str(body.get("model", ""))
     try:
         config = current_config(state)
+        # The key may have been removed while the body was read.
         account = authenticate(request, config)
         work = _work_class(config, name, kind)
         if state.draining:
@@ -132,7 +145,8 @@
     except RefusedError as exc:
         raise RefusedError(exc.refusal, _known_class(state, name)) from None
     rid = request_id_for(account.account_id, key)
-    return AdmittedRequest(body, account, work, key, rid, f"{account.account_id}:{key}")
+    cache_key = f"{account.account_id}:{key}"
+    return AdmittedRequest(body, account, work, key, rid, cache_key, hold=reader.hold)
 
 
 def _known_class(state: EntryState, name: str) -> str:
@@ -161,10 +175,24 @@
     :param replay: answers a retry whose answer is still stored.
     :param serve: serves an admitted request; may raise ``RefusedError``.
     """
+    timeout_at_s = time.monotonic() + BODY_TIMEOUT_S
+    reader = BodyReader(state.callers.account, request, MAX_BODY_BYTES, timeout_at_s)
     try:
-        admitted = await admit(state, request, kind)
+        admitted = await admit(state, request, kind, reader)
+        return await _answer(state, request, admitted, replay, serve)
     except RefusedError as exc:
         return refuse(state.metrics, exc.work_class, exc.refusal)
+    finally:
+        state.callers.account.close(reader.hold)
+
+
+async def _answer(
+    state: EntryState,
+    request: web.Request,
+    admitted: AdmittedRequest,
+    replay: Callable[[StoredAnswer], Awaitable[web.StreamResponse]],
+    serve: Callable[[AdmittedRequest], Awaitable[web.StreamResponse]],
+) -> web.StreamResponse:
     follow_progress(request, admitted.progress)
     stored = state.answers.get(admitted.cache_key) if admitted.key else None
     if stored is not None:
--- a/src/celerytrack/entry/app.py
+++ b/src/celerytrack/entry/app.py
@@ -32,7 +32,6 @@
 
 ENTRIES_PER_ACCOUNT = 2
 """Entries in the answer of ``/v1/route``: the preferred one and one for failover."""
-_MAX_BODY_BYTES = 4 * 1024 * 1024
 
 Handler = Callable[[EntryState, web.Request], Awaitable[web.StreamResponse]]
 
@@ -127,7 +126,7 @@
             response.headers["Connection"] = "close"
             response.force_close()
 
-    app = web.Application(client_max_size=_MAX_BODY_BYTES)
+    app = web.Application()
     answer_unforeseen(app, state.metrics, refusal_response)
     app.on_response_prepare.append(close_connection)
     app.add_routes(
--- a/src/celerytrack/entry/relay_server.py
+++ b/src/celerytrack/entry/relay_server.py
@@ -14,6 +14,8 @@
 from aiohttp import web
 from returns.result import Failure, Result, Success
 
+from celerytrack.callers.bodies import BodyReader, BodyRefusedError
+from celerytrack.callers.sites import CallerSite
 from celerytrack.entry.admission import AdmittedRequest
 from celerytrack.entry.calls import (
     CONNECTION_ERRORS,
@@ -31,6 +33,7 @@
     RelayedCall,
     decode_call,
 )
+from celerytrack.entry.request_bodies import BODY_TIMEOUT_S
 from celerytrack.entry.state import EntryState
 from celerytrack.entry.unforeseen import answer_unforeseen, follow_progress
 from celerytrack.entry.upstream import bad_status, try_replicas_once
@@ -54,6 +57,8 @@
 
 MAX_BODY_BYTES = 8 * 1024 * 1024
 """Two bodies of the largest size that a caller may send."""
+RELAY_SHARE = 0.1
+"""Share of the descriptors for other entries' requests."""
 
 
 @attrs.define
@@ -71,12 +76,12 @@
     """Take requests of other entries, if this entry has an address for them."""
     if not state.spec.relay_address:
         return None
-    host, port = state.spec.relay_address.rsplit(":", 1)
     app = make_relay_app(state)
     # An entry that closes its connection gives its request up.
     runner = web.AppRunner(app, access_log=None, handler_cancellation=True)
     await runner.setup()
-    await web.TCPSite(runner, host, int(port), reuse_address=True).start()
+    table = state.callers.table("relay", RELAY_SHARE)
+    await CallerSite(runner, state.spec.relay_address, table).start()
     return runner
 
 
@@ -93,7 +98,7 @@
         # An earlier release knows no other reason.
         return _refuse(attrs.evolve(refusal, reason=Reason.UPSTREAM_FAILED))
 
-    app = web.Application(client_max_size=MAX_BODY_BYTES)
+    app = web.Application()
     answer_unforeseen(app, state.metrics, fault)
     app.add_routes([web.post(RELAY_PATH, relay), web.get(REPLICA_PATH, replica)])
     return app
@@ -122,14 +127,23 @@
         return _refuse(did_not_run(Reason.NO_CAPACITY, None, detail))
     state.relays_in_progress += 1
     state.begin_request()
+    timeout_at_s = time.monotonic() + BODY_TIMEOUT_S
+    reader = BodyReader(state.callers.account, request, MAX_BODY_BYTES, timeout_at_s)
     try:
-        call = decode_call(await request.read())
+        raw = await reader.read()
+        call = decode_call(raw)
         admitted = _admit(state, request, call)
         follow_progress(request, admitted.progress)
         return await _serve(state, request, call, admitted)
     except (UnreadableError, _NotAdmittedError) as exc:
         return _refuse(did_not_run(Reason.NO_CONFIG, None, str(exc)))
+    except BodyRefusedError as exc:
+        if exc.refusal.reason is Reason.BODY_TOO_LARGE:
+            return web.Response(status=exc.refusal.http_status)
+        # An earlier release knows no other reason.
+        return _refuse(attrs.evolve(exc.refusal, reason=Reason.NO_CAPACITY))
     finally:
+        state.callers.account.close(reader.hold)
         state.end_request()
         state.relays_in_progress -= 1
 
--- a/src/celerytrack/entry/request_bodies.py
+++ b/src/celerytrack/entry/request_bodies.py
@@ -1,18 +1,28 @@
 """Reading of callers' bodies: JSON objects, or the reason why a body is none."""
 
 import json
-import zlib
 from typing import Any
 
 from aiohttp import web
-from aiohttp.http_exceptions import HttpProcessingError
+
+from celerytrack.callers.bodies import BodyReader, BodyRefusedError, too_large
+from celerytrack.callers.unpacking import (
+    TooLargeError,
+    UnpackError,
+    unpack,
+)
+
+MAX_BODY_BYTES = 4 * 1024 * 1024
+"""Largest body of a caller, packed or not."""
+BODY_TIMEOUT_S = 120.0
+"""Longest time that a body may take to come."""
 
 
 class MalformedRequestError(ValueError):
     """A body can't be read; the message says why, for the caller."""
 
 
-async def read_json_object(request: web.Request) -> dict[str, Any]:
+async def read_json_object(request: web.Request, reader: BodyReader) -> dict[str, Any]:
     """The JSON object in the body of a request.
 
     It is UTF-8, whatever the headers say. Escapes of half a surrogate pair are taken,
@@ -20,11 +30,9 @@
     and an engine can tell better than an entry what to make of it.
 
     :raises MalformedRequestError: if there is none.
+    :raises BodyRefusedError: if it isn't read.
     """
-    try:
-        raw = await request.read()
-    except (web.RequestPayloadError, HttpProcessingError, zlib.error):
-        raise MalformedRequestError("the body's encoding can't be read") from None
+    raw = await _read_unpacked(request, reader)
     try:
         body = json.loads(raw.decode())
     except UnicodeDecodeError:
@@ -39,6 +47,20 @@
     return body
 
 
+async def _read_unpacked(request: web.Request, reader: BodyReader) -> bytes:
+    raw = await reader.read()
+    encoding = request.headers.get("Content-Encoding", "")
+    if not encoding:
+        return raw
+    reader.grow(MAX_BODY_BYTES)
+    try:
+        return unpack(raw, encoding, MAX_BODY_BYTES)
+    except TooLargeError:
+        raise BodyRefusedError(too_large(MAX_BODY_BYTES)) from None
+    except UnpackError as exc:
+        raise MalformedRequestError(str(exc)) from None
+
+
 def check_messages(body: dict[str, Any]) -> dict[str, Any]:
     """Return the body of a chat whose messages are a list of objects, or left out.
 
