What a JSON body becomes is held in the account before it is parsed

What callers saw: eight chats of 4 MB, most of which was a list of empty lists, were answered, and an entry's memory rose by 822 MB (the users' measurement).

Cause: nothing counted that a parsed body takes up to thirty times its bytes.

Change: before a body is parsed, an upper bound of what it becomes is held: its text twice, four bytes a character if it isn't ASCII, and so much for each list, object, key and value, which are counted in the raw bytes. If there is no room, the request is refused with 503, and it did not run. The same for other entries' requests.

--- a/src/celerytrack/callers/unpacking.py
+++ b/src/celerytrack/callers/unpacking.py
@@ -4,6 +4,14 @@
 
 _WINDOW_BITS = {"gzip": 31, "x-gzip": 31, "deflate": 15}
 _RAW_DEFLATE_BITS = -15
+_PARSE_BYTES = 2_048
+"""Memory of the parsing itself."""
+_VALUE_BYTES = 64
+"""Memory of an empty list, a short text or a key, with its place."""
+_OBJECT_BYTES = 232
+"""Memory of an object with a few keys."""
+_WIDE_BYTES = 4
+"""Bytes of a character in a text that has one beyond the 16-bit ones."""
 
 
 class TooLargeError(ValueError):
@@ -39,3 +47,11 @@
     if not unpacker.eof:
         raise UnpackError("the body's encoding can't be read: it breaks off")
     return body
+
+
+def parsed_json_bytes(raw: bytes) -> int:
+    """Most memory that a JSON text takes while it is parsed and afterwards."""
+    values = raw.count(b",") + raw.count(b"[") + raw.count(b":")
+    objects = raw.count(b"{")
+    text = len(raw) * (1 if raw.isascii() else _WIDE_BYTES)
+    return _PARSE_BYTES + 2 * text + values * _VALUE_BYTES + objects * _OBJECT_BYTES
--- a/src/celerytrack/entry/relay_server.py
+++ b/src/celerytrack/entry/relay_server.py
@@ -16,6 +16,7 @@
 
 from celerytrack.callers.bodies import BodyReader, BodyRefusedError
 from celerytrack.callers.sites import CallerSite
+from celerytrack.callers.unpacking import parsed_json_bytes
 from celerytrack.entry.admission import AdmittedRequest
 from celerytrack.entry.calls import (
     CONNECTION_ERRORS,
@@ -131,6 +132,7 @@
     reader = BodyReader(state.callers.account, request, MAX_BODY_BYTES, timeout_at_s)
     try:
         raw = await reader.read()
+        reader.grow(parsed_json_bytes(raw))
         call = decode_call(raw)
         admitted = _admit(state, request, call)
         follow_progress(request, admitted.progress)
--- a/src/celerytrack/entry/request_bodies.py
+++ b/src/celerytrack/entry/request_bodies.py
@@ -9,6 +9,7 @@
 from celerytrack.callers.unpacking import (
     TooLargeError,
     UnpackError,
+    parsed_json_bytes,
     unpack,
 )
 
@@ -33,6 +34,7 @@
     :raises BodyRefusedError: if it isn't read.
     """
     raw = await _read_unpacked(request, reader)
+    reader.grow(parsed_json_bytes(raw))
     try:
         body = json.loads(raw.decode())
     except UnicodeDecodeError:
