A chat that nobody reads gives its engine's place back, and keeps no copy for naught

What callers saw: a hundred chats of long answers that nobody read held the engine's slots, and ordinary chats were refused; memory rose with all that had been passed on.

Change: streams are written as on the platform's interface; placement ends a stalled stream of the model if no replica has room. What is kept for a replay is held in the account, only with a key; if there is no room, the answer goes on and isn't kept, as if it had been evicted from the cache.

--- a/src/celerytrack/entry/chat.py
+++ b/src/celerytrack/entry/chat.py
@@ -11,6 +11,7 @@
 from returns.result import Failure, Result, Success
 
 from celerytrack.answer_limits import AnswerTooLargeError
+from celerytrack.callers.answers import READ_BYTES, write_events
 from celerytrack.entry.admission import AdmittedRequest, handle, reserve
 from celerytrack.entry.answers import StoredAnswer
 from celerytrack.entry.calls import (
@@ -38,6 +39,8 @@
 
 _log = logging.getLogger(__name__)
 
+REPLAY = ""
+"""Place of a stored answer: it holds none of a replica."""
 _END_WAIT_S = 0.1
 """Timeout of the wait for the end of an engine's response after its last event."""
 
@@ -81,7 +84,7 @@
 
     async def replay(stored: StoredAnswer) -> web.StreamResponse:
         log_event(_log, Event.REQUEST_REPLAYED, request_id=stored.request_id)
-        return await _replay(request, stored)
+        return await _replay(state, request, stored)
 
     async def serve(admitted: AdmittedRequest) -> web.StreamResponse:
         return await _serve(state, request, _new_answer(admitted, started_s))
@@ -102,7 +105,7 @@
         raise RefusedError(did_not_run(Reason.BAD_REQUEST, None, detail))
     max_tokens = min(asked or work.max_output_tokens, work.max_output_tokens)
     ask = Ask(work.model, work.priority, prompt_blocks(prompt))
-    relay = AnswerRelay(admitted.request_id)
+    relay = AnswerRelay(admitted.request_id, keeps=admitted.key is not None)
     return _Answer(admitted, count_tokens(prompt), max_tokens, ask, started_s, relay)
 
 
@@ -251,7 +254,7 @@
     tokens_before = relay.tokens
     while not relay.complete:
         try:
-            data = await upstream.content.readany()
+            data = await upstream.content.read(READ_BYTES)
         except CONNECTION_ERRORS:
             raise _IncompleteStreamError from None
         if not data:
@@ -264,6 +267,7 @@
             # The engine goes on without end; the caller has paid for no more.
             raise _IncompleteStreamError
         if out:
+            _keep(state, answer, len(out))
             await _write(state, request, sent, answer, out, tokens_before)
         if relay.lacks_event:
             sent.replica.record_failure(time.time())
@@ -272,6 +276,15 @@
             raise _IncompleteStreamError
 
 
+def _keep(state: EntryState, answer: _Answer, count: int) -> None:
+    """Hold the memory of what is kept for a replay, or keep it no longer."""
+    hold = answer.admitted.hold
+    if not answer.relay.keeps or hold is None:
+        return
+    if not state.callers.account.try_grow(hold, count, time.monotonic()):
+        answer.relay.stop_keeping()
+
+
 async def _write(
     state: EntryState,
     request: web.Request,
@@ -291,7 +304,8 @@
     try:
         if answer.response is None:
             answer.response = await _start_response(state, request, answer)
-        await answer.response.write(out)
+        account = state.callers.account
+        await write_events(account, request, out, answer.admitted.work.model)
     except ConnectionError:
         raise _CallerDisconnectedError from None
 
@@ -328,7 +342,7 @@
 
 async def _finish(state: EntryState, answer: _Answer) -> web.StreamResponse:
     admitted, relay = answer.admitted, answer.relay
-    if admitted.key is not None:
+    if admitted.key is not None and relay.keeps:
         stored = StoredAnswer(admitted.request_id, stream=bytes(relay.relayed))
         state.answers.put(admitted.cache_key, stored)
     assert answer.response is not None
@@ -370,7 +384,9 @@
         return
 
 
-async def _replay(request: web.Request, stored: StoredAnswer) -> web.StreamResponse:
+async def _replay(
+    state: EntryState, request: web.Request, stored: StoredAnswer
+) -> web.StreamResponse:
     headers: dict[str, Any] = {
         "Content-Type": "text/event-stream",
         "X-Request-Id": stored.request_id,
@@ -378,5 +394,9 @@
     }
     response = web.StreamResponse(headers=headers)
     await response.prepare(request)
-    await response.write(stored.stream + DONE_EVENT)
+    account = state.callers.account
+    for start in range(0, len(stored.stream), READ_BYTES):
+        piece = stored.stream[start : start + READ_BYTES]
+        await write_events(account, request, piece, REPLAY)
+    await response.write(DONE_EVENT)
     return response
--- a/src/celerytrack/entry/placement.py
+++ b/src/celerytrack/entry/placement.py
@@ -5,6 +5,7 @@
 
 import attrs
 
+from celerytrack.callers.answers import free_place
 from celerytrack.entry.admission import AdmittedRequest, choose_replica
 from celerytrack.entry.notices import LeasedReplica
 from celerytrack.entry.refusals import RefusedError
@@ -81,11 +82,15 @@
         except RefusedError:
             return None
 
+    may_free = True
     while True:
         try:
             replica = _choose_replica(state, admitted, history, ask, suspect_state)
             break
         except RefusedError as exc:
+            if may_free and await free_place(state.callers.account, ask.model):
+                may_free = False
+                continue
             if not await _wait_for_opening(state, history, ask):
                 return exc.refusal
     if not state.notices.sync.limits.tracker:
--- a/src/celerytrack/entry/relay_server.py
+++ b/src/celerytrack/entry/relay_server.py
@@ -14,6 +14,8 @@
 from aiohttp import web
 from returns.result import Failure, Result, Success
 
+from celerytrack.callers.account import MemoryAccount
+from celerytrack.callers.answers import READ_BYTES, write_events
 from celerytrack.callers.bodies import BodyReader, BodyRefusedError
 from celerytrack.callers.sites import CallerSite
 from celerytrack.callers.unpacking import parsed_json_bytes
@@ -205,7 +207,8 @@
         if upstream.status != 200:
             upstream.release()
             return Failure(bad_status(upstream.status))
-        return await _pass_on(request, sent, upstream, answer)
+        account = state.callers.account
+        return await _pass_on(account, request, sent, upstream, answer)
 
     service = ServiceName(work.model)
     if state.reach.is_down(service):
@@ -228,6 +231,7 @@
 
 
 async def _pass_on(
+    account: MemoryAccount,
     request: web.Request,
     sent: Attempt,
     upstream: aiohttp.ClientResponse,
@@ -249,14 +253,14 @@
         await answer.response.prepare(request)
         while True:
             try:
-                data = await upstream.content.readany()
+                data = await upstream.content.read(READ_BYTES)
             except CONNECTION_ERRORS:
                 return Failure(replica_failed())
             if not data:
                 break
             if not sent.answered:
                 sent.record_first_token(time.time())
-            await answer.response.write(data)
+            await write_events(account, request, data, sent.replica.model)
             last_byte = data[-1:]
         if may_go_on(upstream, last_byte):
             return Failure(replica_failed())
--- a/src/celerytrack/sse.py
+++ b/src/celerytrack/sse.py
@@ -42,7 +42,8 @@
     :ivar is_disordered: whether an event came that does not follow: what the replica
         sends after it is no part of the answer.
     :ivar order: of the events of the present connection, by their token counts.
-    :ivar relayed: all bytes relayed so far.
+    :ivar keeps: whether what is relayed is kept.
+    :ivar relayed: all bytes relayed so far, while they are kept.
     """
 
     request_id: RequestId
@@ -50,11 +51,17 @@
     complete: bool = False
     is_disordered: bool = False
     order: EventOrder = attrs.field(factory=lambda: EventOrder(is_dense=False))
+    keeps: bool = True
     relayed: bytearray = attrs.field(factory=bytearray)
     _partial: bytearray = attrs.field(factory=bytearray)
     _event_head: bytes = attrs.field(init=False)
     _goes_on: bool = False
 
+    def stop_keeping(self) -> None:
+        """Forget what was relayed: the answer can't be replayed."""
+        self.keeps = False
+        self.relayed.clear()
+
     def __attrs_post_init__(self) -> None:
         self._event_head = f'data: {{"id": "{self.request_id}"'.encode()
 
@@ -87,7 +94,8 @@
         self.complete = done_at >= 0 and not self.is_disordered
         if out:
             self._count_tokens(out)
-            self.relayed += out
+            if self.keeps:
+                self.relayed += out
         return out
 
     @property
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -11,6 +11,8 @@
 from nose2.tools import params
 from returns.result import Failure, Success
 
+from celerytrack.callers.callers import Callers
+from celerytrack.callers.limits import CallerLimits
 from celerytrack.entry.notices import EntryNotices
 from celerytrack.entry.shared_deadline import SharedDeadline
 from celerytrack.entry.suspects import EntrySuspects
@@ -59,6 +61,7 @@
             addresses={r.replica_id: "nowhere" for r in replicas},
         ),
         suspects=_suspects(),
+        callers=Callers(CallerLimits()),
         notices=EntryNotices(
             EntryId("e"),
             "127.0.0.1:1",
