The last piece of a body isn't taken for a head that doesn't end

Cause: whether bytes belong to a body was asked after they had been parsed, when the last piece had ended it; they counted as the begin of another head, and its timer closed the connection.

Change: it is asked before.

Evidence: test_a_body_in_pieces_may_wait_longer_for_its_answer_than_a_head failed before and passes now.

--- a/src/celerytrack/callers/connections.py
+++ b/src/celerytrack/callers/connections.py
@@ -147,6 +147,7 @@
                 self.drop()
                 return
         requests = self._request_count
+        is_body = self._has_body_to_come
         super().data_received(data)
         if not data or self._manager is None:
             return
@@ -154,7 +155,7 @@
             self._end_head()
             if self._messages:
                 self._body = self._messages[-1][1]
-        elif self._body is None or self._body.is_eof():
+        elif not is_body:
             self._watch_head()
 
     def release_received(self) -> None:
@@ -166,8 +167,11 @@
     @property
     def _is_discarding(self) -> bool:
         """Whether the rest of a body comes whose request is over."""
-        is_body = self._body is not None and not self._body.is_eof()
-        return is_body and self.is_idle
+        return self._has_body_to_come and self.is_idle
+
+    @property
+    def _has_body_to_come(self) -> bool:
+        return self._body is not None and not self._body.is_eof()
 
     def _begin_request(self, *args: Any) -> web.BaseRequest:
         self.head_bytes = min(self._received.held_bytes, MAX_HEADER_BYTES)
--- a/tests/test_crowds.py
+++ b/tests/test_crowds.py
@@ -278,6 +278,23 @@
                 self.assertIn(b" 200 ", await reader.readline())
             writer.close()
 
+    def test_a_body_in_pieces_may_wait_longer_for_its_answer_than_a_head(self) -> None:
+        """The last piece of a body was taken for a head that didn't end: the connection
+        was closed in the middle of the answer."""
+        asyncio.run(self._check_pieces())
+
+    async def _check_pieces(self) -> None:
+        async with _site() as site:
+            host, port = site.gateway.front_address.split(":")
+            reader, writer = await asyncio.open_connection(host, int(port))
+            writer.write(head("/plain/waits", HEADERS, "Content-Length: 4"))
+            for piece in (b"bo", b"dy"):
+                writer.write(piece)
+                await asyncio.sleep(0.2)
+            async with asyncio.timeout(10.0):
+                self.assertIn(b" 200 ", await reader.readline())
+            writer.close()
+
 
 if __name__ == "__main__":
     unittest.main()
