--- a/src/celerytrack/callers/callers.py
+++ b/src/celerytrack/callers/callers.py
@@ -1,15 +1,22 @@
 """All that callers hold of one process."""
 
 import asyncio
+import collections
+import logging
 import time
 from collections.abc import Callable
 
-from celerytrack.callers.account import MemoryAccount
+from celerytrack.callers.account import HoldKind, MemoryAccount
 from celerytrack.callers.connections import ConnectionTable
 from celerytrack.callers.limits import CallerLimits, CallerTimes
+from celerytrack.events import Event, log_event
+
+_log = logging.getLogger(__name__)
 
 SWEEP_INTERVAL_S = 0.5
 """Interval at which what callers have taken is looked at."""
+LOG_INTERVAL_S = 5.0
+"""Least time between two lines about callers that were turned away."""
 FRONT_SHARE = 0.45
 """Share of the descriptors for callers' connections. Each request takes one more for
 its endpoint, and the log, other entries and probes take theirs."""
@@ -42,8 +49,36 @@
 
     async def run(self) -> None:
         """Look after holds and connections until cancelled."""
+        logged = self._turned_away()
+        logged_at_s = time.monotonic()
         while True:
             await asyncio.sleep(SWEEP_INTERVAL_S)
-            self.account.sweep(time.monotonic(), self._times().idle_s)
+            now_s = time.monotonic()
+            self.account.sweep(now_s, self._times().idle_s)
             for table in self.tables.values():
                 table.sweep()
+            counts = self._turned_away()
+            if counts != logged and now_s - logged_at_s >= LOG_INTERVAL_S:
+                self._log(counts - logged)
+                logged, logged_at_s = counts, now_s
+
+    def _turned_away(self) -> "collections.Counter[str]":
+        counts: collections.Counter[str] = collections.Counter()
+        for kind in HoldKind:
+            counts[f"evicted_{kind.value}"] = self.account.evictions[kind]
+            counts[f"refused_{kind.value}"] = self.account.refusals[kind]
+        for name, table in self.tables.items():
+            counts[f"closed_{name}"] = table.closed
+            counts[f"refused_{name}"] = table.refused
+        return counts
+
+    def _log(self, turned_away: "collections.Counter[str]") -> None:
+        log_event(
+            _log,
+            Event.CALLERS_TURNED_AWAY,
+            logging.WARNING,
+            held_bytes=self.account.total_bytes,
+            budget_bytes=self.account.budget_bytes,
+            connections={name: len(table) for name, table in self.tables.items()},
+            counts=dict(turned_away),
+        )
--- a/src/celerytrack/entry/state.py
+++ b/src/celerytrack/entry/state.py
@@ -11,6 +11,7 @@
 
 from celerytrack.answer_limits import DEFAULT_LIMITS, AnswerBytes
 from celerytrack.callers.callers import Callers
+from celerytrack.callers.metrics import register_callers
 from celerytrack.entry.answers import AnswerCache
 from celerytrack.entry.claims import Claims
 from celerytrack.entry.config_follower import ConfigFollower
@@ -121,6 +122,7 @@
         self.ended_with_links = defaultdict(set)
         register_limits(self.metrics.registry, self.notices.sync.limits)
         register_notices(self.metrics.registry, self.notices.sync)
+        register_callers(self.metrics.registry, self.callers)
         self._idle = asyncio.Event()
         self._tasks: list[asyncio.Task[None]] = []
         self._upstream: aiohttp.ClientSession | None = None
--- a/src/celerytrack/gateway/state.py
+++ b/src/celerytrack/gateway/state.py
@@ -11,6 +11,7 @@
 from celerytrack.answer_limits import AnswerBytes
 from celerytrack.callers.callers import Callers
 from celerytrack.callers.limits import CallerTimes
+from celerytrack.callers.metrics import register_callers
 from celerytrack.durations import RecentDurations
 from celerytrack.eras import EraChange, EraTracker
 from celerytrack.events import Event, log_event
@@ -125,6 +126,7 @@
         self.entry_id = EntryId(f"{settings.entry_id}@{settings.ip}")
         self.boot_id = uuid.uuid4().hex[:8]
         self.rng = random.Random(self.boot_id)
+        self.callers = Callers(settings.caller_limits, self._caller_times)
         self.eras = EraTracker()
         self.store = HedgedStore(StoreClient(settings.store_address, self.eras))
         self.peer_client = PeerClient()
@@ -213,6 +215,7 @@
         self.telemetry = Telemetry()
         register_limits(self.telemetry.registry, self.notices.limits)
         register_notices(self.telemetry.registry, self.notices)
+        register_callers(self.telemetry.registry, self.callers)
         self.eras.on_change(self._on_era_change)
         self.in_flight = 0
         self.exchanges: set[Exchange] = set()
@@ -230,7 +233,6 @@
             settings.answer_limits,
         )
         self.relayed_bytes = AnswerBytes(settings.answer_limits)
-        self.callers = Callers(settings.caller_limits, self._caller_times)
         self.crash_findings: CrashFindings
         self.crash_detector = CrashDetector(
             self.endpoints.is_superseded,
