A caller that reads slowly isn't taken for one that reads nothing

Cause: three. The kernel takes more of an answer only once a third of its buffer is free, up to a megabyte, so the process saw no progress for a second and more. When a crowd used the memory up at once, the caller yielded that had waited first, also if it had taken something since the last look. A stream's hold was a new one each time that it waited, and so had no history.

Change: what the caller has yet to take is asked of the kernel's queue too; before anyone yields it is looked at again; callers that have taken nothing yet yield before those that have; a stream keeps its hold; a second without progress became two.

--- a/src/celerytrack/callers/account.py
+++ b/src/celerytrack/callers/account.py
@@ -12,7 +12,7 @@
 
 import attrs
 
-STALL_S = 1.0
+STALL_S = 2.0
 """Time without progress after which a caller yields to others in need."""
 PROGRESS_BYTES = 16_384
 """Bytes that count as progress. A byte at a time is none."""
@@ -47,6 +47,7 @@
     :ivar progress_bytes: what it sent or took since the last progress.
     :ivar unsent: returns how many bytes it has yet to take, while it takes an answer.
     :ivar unsent_bytes: the same, when it was last looked at.
+    :ivar took: whether the caller has taken some of an answer that it kept waiting.
     :ivar evicted: whether it has yielded.
     :ivar place: what it keeps from others beside memory, if anything.
     """
@@ -59,6 +60,7 @@
     progress_bytes: int = 0
     unsent: Callable[[], int] | None = None
     unsent_bytes: int = 0
+    took: bool = False
     evicted: bool = False
     place: str | None = None
 
@@ -104,7 +106,8 @@
     def grow(self, hold: Hold, count: int, now_s: float) -> None:
         """Hold ``count`` more bytes that are in memory already.
 
-        If they are too many, the callers yield that have taken nothing for longest.
+        If they are too many, callers yield that have taken nothing yet, the first of
+        them first, and then those that have taken nothing for longest.
         """
         if hold.evicted:
             return
@@ -112,10 +115,11 @@
         while self.total_bytes > self.budget_bytes:
             if self._evict_stalled(hold, now_s):
                 continue
-            untaken = next((h for h in self._waiting if h.unsent is not None), None)
-            if untaken is None:
+            self._look(now_s)
+            unsent = [h for h in self._waiting if h.unsent is not None]
+            if not unsent:
                 return
-            self._evict(untaken)
+            self._evict(next((h for h in unsent if not h.took), unsent[0]))
 
     async def grow_answer(
         self, hold: Hold, count: int, clock: Callable[[], float]
@@ -162,6 +166,7 @@
     def record_progress(self, hold: Hold, count: int, now_s: float) -> None:
         """Record that the caller sent or took ``count`` bytes."""
         hold.heard_at_s = now_s
+        hold.took = hold.unsent is not None
         hold.progress_bytes += count
         if hold.progress_bytes < PROGRESS_BYTES:
             return
@@ -170,6 +175,12 @@
         if hold in self._waiting:
             self._waiting.move_to_end(hold)
 
+    def rest(self, hold: Hold) -> None:
+        """Let a hold wait no longer, since its caller has taken what there was."""
+        hold.took = True
+        self._waiting.pop(hold, None)
+        self.shrink(hold, hold.held_bytes)
+
     def shrink(self, hold: Hold, count: int) -> None:
         """Give back ``count`` bytes of a hold."""
         self._add(hold, -min(count, hold.held_bytes))
@@ -195,16 +206,22 @@
 
     def sweep(self, now_s: float, idle_s: float) -> None:
         """Record what callers took, and end the holds of those that are idle."""
+        self._look(now_s)
         for hold in list(self._waiting):
-            if hold.unsent is not None:
-                unsent_bytes = hold.unsent()
-                if unsent_bytes < hold.unsent_bytes:
-                    self.record_progress(hold, PROGRESS_BYTES, now_s)
-                hold.unsent_bytes = unsent_bytes
             if now_s - hold.heard_at_s > idle_s:
                 self._evict(hold)
         self._wake()
 
+    def _look(self, now_s: float) -> None:
+        """Record which callers have taken something since the last look."""
+        for hold in list(self._waiting):
+            if hold.unsent is None:
+                continue
+            unsent_bytes = hold.unsent()
+            if unsent_bytes < hold.unsent_bytes:
+                self.record_progress(hold, PROGRESS_BYTES, now_s)
+            hold.unsent_bytes = unsent_bytes
+
     def _fits(self, hold: Hold, count: int) -> bool:
         wanted = hold.held_bytes + count
         if self.total_bytes == hold.held_bytes:
--- a/src/celerytrack/callers/answers.py
+++ b/src/celerytrack/callers/answers.py
@@ -1,6 +1,9 @@
 """Writes answers to callers, who may take them slowly or not at all."""
 
 import asyncio
+import fcntl
+import sys
+import termios
 import time
 from typing import cast
 
@@ -9,6 +12,7 @@
 
 from celerytrack.bounded_connection import Grow
 from celerytrack.callers.account import Hold, HoldKind, MemoryAccount
+from celerytrack.callers.connections import CallerConnection
 
 PIECE_BYTES = 65_536
 """Bytes of an answer that are written at once."""
@@ -102,14 +106,27 @@
     if not request.protocol.writing_paused:
         return
     now_s = time.monotonic()
-    hold = account.open(HoldKind.STREAM, lambda: _abort(request), now_s)
-    hold.place = place
+    hold = _stream_hold(account, request, place, now_s)
     account.begin_waiting(hold, lambda: _unsent_bytes(request), now_s)
     account.grow(hold, STREAM_BYTES, now_s)
     try:
         await writer.drain()
     finally:
-        account.close(hold)
+        account.rest(hold)
+
+
+def _stream_hold(
+    account: MemoryAccount, request: web.BaseRequest, place: str, now_s: float
+) -> Hold:
+    """The hold of a stream, the same each time that it waits for its caller."""
+    connection = request.protocol
+    hold = connection.stream if isinstance(connection, CallerConnection) else None
+    if hold is None:
+        hold = account.open(HoldKind.STREAM, lambda: _abort(request), now_s)
+        hold.place = place
+        if isinstance(connection, CallerConnection):
+            connection.stream = hold
+    return hold
 
 
 async def free_place(account: MemoryAccount, place: str) -> bool:
@@ -125,8 +142,26 @@
 
 
 def _unsent_bytes(request: web.BaseRequest) -> int:
+    """Bytes that the caller has yet to take, of this process and of the kernel.
+
+    The kernel takes more from the process only once a third of its buffer is free.
+    """
     transport = request.transport
-    return 0 if transport is None else transport.get_write_buffer_size()
+    if transport is None:
+        return 0
+    return transport.get_write_buffer_size() + _queued_bytes(transport)
+
+
+def _queued_bytes(transport: asyncio.Transport) -> int:
+    sock = transport.get_extra_info("socket")
+    if sock is None or sock.fileno() < 0:
+        return 0
+    queued = bytearray(4)
+    try:
+        fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, queued)
+    except OSError:
+        return 0
+    return int.from_bytes(queued, sys.byteorder)
 
 
 def _abort(request: web.BaseRequest) -> None:
--- a/src/celerytrack/callers/connections.py
+++ b/src/celerytrack/callers/connections.py
@@ -8,7 +8,7 @@
 from aiohttp import web
 from aiohttp.streams import StreamReader
 
-from celerytrack.callers.account import HoldKind, MemoryAccount
+from celerytrack.callers.account import Hold, HoldKind, MemoryAccount
 from celerytrack.callers.limits import CallerTimes
 
 MAX_HEADER_BYTES = 65_536
@@ -81,6 +81,7 @@
     take, nor what comes on all connections before a request is handled.
 
     :ivar head_bytes: bytes that came up to the end of the last head.
+    :ivar stream: what a stream on it holds that has waited for its caller.
     """
 
     def __init__(
@@ -88,6 +89,7 @@
     ) -> None:
         super().__init__(manager, **options)
         self.head_bytes = 0
+        self.stream: Hold | None = None
         self._table = table
         self._opened_s = time.monotonic()
         self._wire: asyncio.WriteTransport | None = None
@@ -176,6 +178,7 @@
         return self._body is not None and not self._body.is_eof()
 
     def _begin_request(self, *args: Any) -> web.BaseRequest:
+        self.stream = None
         self.head_bytes = min(self._received.held_bytes, MAX_HEADER_BYTES)
         self.release_received()
         return self._make_request(*args)
--- a/tests/test_crowds.py
+++ b/tests/test_crowds.py
@@ -4,6 +4,7 @@
 import asyncio
 import contextlib
 import json
+import signal
 import unittest
 from collections.abc import AsyncIterator, Callable, Iterable, Iterator
 
@@ -45,6 +46,10 @@
 CONNECTION_LIMIT = 12
 """Connections that an endpoint takes."""
 ENDPOINT_WAITS_S = 3.0
+SLOW_PIECE_BYTES = 16_384
+SLOW_PAUSE_S = 0.02
+GRACE_S = 8.0
+"""Time from SIGTERM to SIGKILL of the processes here."""
 SETTINGS = f"""
 [callers]
 memoryBytes = {BUDGET_BYTES}
@@ -223,6 +228,23 @@
 )
 
 
+async def _read_slowly(site: Site, begun: asyncio.Event) -> bytes:
+    """Read a stream of some megabytes in small pieces; returns all that came."""
+    host, port = site.gateway.front_address.split(":")
+    reader, writer = await asyncio.open_connection(
+        host, int(port), limit=SLOW_PIECE_BYTES
+    )
+    more = "Content-Length: 0\r\nConnection: close"
+    writer.write(head("/resume/long", HEADERS, more))
+    data = b""
+    while piece := await reader.read(SLOW_PIECE_BYTES):
+        data += piece
+        begun.set()
+        await asyncio.sleep(SLOW_PAUSE_S)
+    writer.close()
+    return data
+
+
 class CrowdTest(unittest.TestCase):
     @params(*CROWDS)
     def test_a_crowd_stays_within_the_memory_and_others_are_served(
@@ -261,6 +283,36 @@
                 self.assertLess(open_descriptors(site.gateway.pid), DESCRIPTORS)
                 self.assertTrue(await answered(site.ask), crowd.name)
 
+    def test_a_stream_that_is_read_slowly_goes_on_beside_a_crowd(self) -> None:
+        """A sound caller on a slow link was taken for one that reads nothing."""
+        asyncio.run(self._check_slow_reader())
+
+    async def _check_slow_reader(self) -> None:
+        async with _site() as site:
+            begun = asyncio.Event()
+            slow = asyncio.create_task(_read_slowly(site, begun))
+            await begun.wait()
+            crowd = _Crowd("streams unread", 60, lambda: _no_body("/resume/long"))
+            async with standing(crowd.members(site.gateway.front_address)):
+                self.assertTrue(await answered(site.ask))
+                self.assertTrue((await slow).endswith(b"0\r\n\r\n"))
+
+    @params(
+        SHORT,
+        _Crowd("large answers unread", 60, lambda: _no_body("/plain/large")),
+        _Crowd("streams unread", 60, lambda: _no_body("/resume/long")),
+        _Crowd("heads that stop", 300, _unfinished_head),
+    )
+    def test_a_planned_stop_ends_beside_a_crowd(self, crowd: _Crowd) -> None:
+        """A process that waited for its callers was killed at the end of its grace."""
+        asyncio.run(self._check_stop(crowd))
+
+    async def _check_stop(self, crowd: _Crowd) -> None:
+        async with _site() as site:
+            async with standing(crowd.members(site.gateway.front_address)):
+                site.gateway.signal(signal.SIGTERM)
+                self.assertEqual(await site.gateway.wait_for_exit(GRACE_S), 0)
+
     @params(BODY_BYTES - 1, BODY_BYTES)
     def test_a_body_of_the_limit_that_comes_slowly_is_served(self, size: int) -> None:
         """Bounds meant for a crowd refused a single caller inside the limits."""
