The rest of a refused body takes no memory

What callers saw: a thousand of them with bodies of 4 MiB and an unknown key, each refused at once, made an entry of 200 MB take 220 MiB over its base (by hand, real processes). The small crowds of the tests didn't show it.

Cause: the rest of a refused body was parsed and read on, to keep the connection, and each connection could hold what the event loop reads at once, 256 KB, in no account.

Change: up to 64 KiB of the rest is read as before, so that small bodies leave their connection usable. What comes beyond is dropped as it comes, the refusal says that the connection closes, and it closes after three seconds, in which its caller can read the refusal.

--- a/src/celerytrack/callers/connections.py
+++ b/src/celerytrack/callers/connections.py
@@ -19,6 +19,11 @@
 READ_BUFFER_BYTES = 16_384
 """Bytes of a body that a connection buffers before it stops reading; it may go on to
 twice as many."""
+MAX_DISCARDED_BYTES = 65_536
+"""Rest of a refused body that is read so that its connection can be used on."""
+LINGERING_S = 3.0
+"""How long the rest of a refused body is taken, so that its caller reads the refusal
+before the connection closes."""
 CONNECTING_S = 0.5
 """Time in which the first head of a new connection is on its way."""
 HEAD_MARGIN_S = 0.5
@@ -95,6 +100,7 @@
         self._wire: asyncio.WriteTransport | None = None
         self._body: StreamReader | None = None
         self._unfinished_bytes = 0
+        self._discarded_bytes = 0
         self._received = table.account.open(
             HoldKind.RECEIVED, self.drop, self._opened_s
         )
@@ -144,7 +150,12 @@
 
     def data_received(self, data: bytes) -> None:
         """Take bytes, if there is memory for them."""
-        if data and not self._is_discarding:
+        if self._is_discarding:
+            self._discarded_bytes += len(data)
+            if self._discarded_bytes > MAX_DISCARDED_BYTES:
+                # The caller has its answer, and the connection is to close.
+                return
+        elif data:
             now_s = time.monotonic()
             if not self._table.account.try_grow(self._received, len(data), now_s):
                 self.drop()
@@ -179,6 +190,7 @@
 
     def _begin_request(self, *args: Any) -> web.BaseRequest:
         self.stream = None
+        self._discarded_bytes = 0
         self.head_bytes = min(self._received.held_bytes, MAX_HEADER_BYTES)
         self.release_received()
         return self._make_request(*args)
--- a/src/celerytrack/callers/sites.py
+++ b/src/celerytrack/callers/sites.py
@@ -7,6 +7,7 @@
 from aiohttp import web
 
 from celerytrack.callers.connections import (
+    LINGERING_S,
     READ_BUFFER_BYTES,
     CallerConnection,
     ConnectionTable,
@@ -50,6 +51,7 @@
             access_log=None,
             auto_decompress=False,
             read_bufsize=READ_BUFFER_BYTES,
+            lingering_time=LINGERING_S,
             **self._options,
         )
         self._server = await loop.create_server(
--- a/src/celerytrack/entry/admission.py
+++ b/src/celerytrack/entry/admission.py
@@ -12,7 +12,7 @@
 from aiohttp import web
 
 from celerytrack.callers.account import Hold
-from celerytrack.callers.bodies import BodyReader, BodyRefusedError
+from celerytrack.callers.bodies import BodyReader, BodyRefusedError, closes_unread
 from celerytrack.entry.answers import StoredAnswer
 from celerytrack.entry.refusals import RefusedError, refuse
 from celerytrack.entry.request_bodies import (
@@ -181,7 +181,10 @@
         admitted = await admit(state, request, kind, reader)
         return await _answer(state, request, admitted, replay, serve)
     except RefusedError as exc:
-        return refuse(state.metrics, exc.work_class, exc.refusal)
+        response = refuse(state.metrics, exc.work_class, exc.refusal)
+        if closes_unread(request):
+            response.force_close()
+        return response
     finally:
         state.callers.account.close(reader.hold)
 
