An answer for which there is no memory at all is given up, at no endpoint's cost

Cause: answers that wait for memory held what their connections buffer, up to 320 KB each, in no account: found by reading, after 4,000 mixed callers had gone beyond 200 MB.

Change: what the connection buffers is held before the answer is read. If there is no room even for that, and nobody stalls, the request ends with `overloaded`; since it has run, that is 502 and says so; it isn't tried again and counts against no endpoint. The account is cheaper: kinds are indexes, nobody is woken when nobody waits.

--- a/src/celerytrack/bounded_connection.py
+++ b/src/celerytrack/bounded_connection.py
@@ -6,8 +6,7 @@
 import asyncio
 import fcntl
 import termios
-from collections.abc import Awaitable, Callable
-from typing import Any
+from typing import Any, Protocol
 
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
@@ -15,29 +14,51 @@
 
 from celerytrack.answer_limits import DEFAULT_LIMITS, AnswerBytes, AnswerLimits
 
-Grow = Callable[[int], Awaitable[None]]
+CONNECTION_BYTES = 327_680
+"""Bytes of an answer that a connection may buffer while nobody reads it: its buffer,
+and what the event loop reads at once."""
 SWITCHING_PROTOCOLS = 101
 """The only interim answer after which no other head follows."""
 
 
+class AnswerNotHeldError(Exception):
+    """There is no memory for an answer."""
+
+
+class AnswerMemory(Protocol):
+    """The memory of the process for one answer that is read to its end."""
+
+    def begin(self, count: int) -> None:
+        """Take the memory of what a connection buffers.
+
+        :raises AnswerNotHeldError: if there is none.
+        """
+
+    async def grow(self, count: int) -> None:
+        """Wait until there is memory for ``count`` more bytes."""
+
+
 class EndlessAnswerError(aiohttp.ClientPayloadError):
     """The bytes of an answer lead to nothing: the connection was closed."""
 
 
 async def read_body(
-    response: aiohttp.ClientResponse, answer_bytes: AnswerBytes, grow: Grow
+    response: aiohttp.ClientResponse, answer_bytes: AnswerBytes, memory: AnswerMemory
 ) -> bytes:
     """Read an answer to its end.
 
-    :param grow: waits until there is memory for so many more bytes.
+    :param memory: what the process has for it.
+    :raises AnswerNotHeldError: if there is no memory even for what has come.
     :raises AnswerTooLargeError: if it is too large.
     """
     parts = []
     try:
         await answer_bytes.reserve(response, 0)
+        length = response.content_length or response.content.total_bytes
+        memory.begin(min(length, CONNECTION_BYTES))
         while data := await response.content.readany():
             await answer_bytes.reserve(response, len(data))
-            await grow(len(data))
+            await memory.grow(len(data))
             parts.append(data)
         return b"".join(parts)
     finally:
--- a/src/celerytrack/callers/account.py
+++ b/src/celerytrack/callers/account.py
@@ -22,17 +22,17 @@
 """Share of the budget for the others, which don't keep small requests out."""
 
 
-class HoldKind(enum.Enum):
-    """What the bytes of a hold are."""
+class HoldKind(enum.IntEnum):
+    """What the bytes of a hold are; an index, since each request counts some."""
 
-    RECEIVED = "received"
+    RECEIVED = 0
     """On a connection, not yet read: heads that aren't complete, requests that wait
     behind another."""
-    BODY = "body"
+    BODY = 1
     """Of a request: its head, its body, and what the body becomes."""
-    ANSWER = "answer"
+    ANSWER = 2
     """Of an answer that is read to its end before it is passed on."""
-    STREAM = "stream"
+    STREAM = 3
     """Of a stream whose caller takes less than the endpoint sends."""
 
 
@@ -70,6 +70,7 @@
 
     :param budget_bytes: most bytes that all hold together. One that is alone may go
         beyond it, within the limits of a single request.
+    :ivar held_bytes: bytes that are held now, by kind.
     :ivar evictions: how many holds yielded, by kind.
     :ivar refusals: how often there was no room, by kind.
     """
@@ -77,7 +78,7 @@
     def __init__(self, budget_bytes: int) -> None:
         self.budget_bytes = budget_bytes
         self.total_bytes = 0
-        self.held_bytes: collections.Counter[HoldKind] = collections.Counter()
+        self.held_bytes = [0] * len(HoldKind)
         self.evictions: collections.Counter[HoldKind] = collections.Counter()
         self.refusals: collections.Counter[HoldKind] = collections.Counter()
         # Those that wait for their caller, the longest without progress first.
@@ -250,5 +251,7 @@
         self.held_bytes[hold.kind] += count
 
     def _wake(self) -> None:
+        if not self._reading:
+            return
         self._changed.set()
         self._changed = asyncio.Event()
--- a/src/celerytrack/callers/answers.py
+++ b/src/celerytrack/callers/answers.py
@@ -10,7 +10,7 @@
 from aiohttp import web
 from aiohttp.http_writer import StreamWriter
 
-from celerytrack.bounded_connection import Grow
+from celerytrack.bounded_connection import AnswerNotHeldError
 from celerytrack.callers.account import Hold, HoldKind, MemoryAccount
 from celerytrack.callers.connections import CallerConnection
 
@@ -29,15 +29,28 @@
 connection buffers, and what is on its way from there."""
 
 
-def hold_reading(account: MemoryAccount) -> tuple[Hold, Grow]:
-    """Begin to hold an answer that is read to its end, its pieces and all of it."""
-    hold = account.open(HoldKind.ANSWER, lambda: None, time.monotonic())
-    account.begin_reading(hold)
+class AnswerReading:
+    """Holds an answer that is read to its end: its pieces, and all of it.
 
-    async def grow(count: int) -> None:
-        await account.grow_answer(hold, COPIES * count, time.monotonic)
+    :ivar hold: what it holds; its owner closes it.
+    """
+
+    def __init__(self, account: MemoryAccount) -> None:
+        self.hold = account.open(HoldKind.ANSWER, lambda: None, time.monotonic())
+        self._account = account
+        account.begin_reading(self.hold)
+
+    def begin(self, count: int) -> None:
+        """Hold what the endpoint's connection buffers.
+
+        :raises AnswerNotHeldError: if there is no memory for it.
+        """
+        if not self._account.try_grow(self.hold, count, time.monotonic()):
+            raise AnswerNotHeldError
 
-    return hold, grow
+    async def grow(self, count: int) -> None:
+        """Wait until there is memory for ``count`` more bytes."""
+        await self._account.grow_answer(self.hold, COPIES * count, time.monotonic)
 
 
 async def send_answer(
--- a/src/celerytrack/callers/callers.py
+++ b/src/celerytrack/callers/callers.py
@@ -65,8 +65,9 @@
     def _turned_away(self) -> "collections.Counter[str]":
         counts: collections.Counter[str] = collections.Counter()
         for kind in HoldKind:
-            counts[f"evicted_{kind.value}"] = self.account.evictions[kind]
-            counts[f"refused_{kind.value}"] = self.account.refusals[kind]
+            name = kind.name.lower()
+            counts[f"evicted_{name}"] = self.account.evictions[kind]
+            counts[f"refused_{name}"] = self.account.refusals[kind]
         for name, table in self.tables.items():
             counts[f"closed_{name}"] = table.closed
             counts[f"refused_{name}"] = table.refused
--- a/src/celerytrack/callers/metrics.py
+++ b/src/celerytrack/callers/metrics.py
@@ -39,9 +39,10 @@
             labels=["kind"],
         )
         for kind in HoldKind:
-            held.add_metric([kind.value], account.held_bytes[kind])
-            evicted.add_metric([kind.value], account.evictions[kind])
-            refused.add_metric([kind.value], account.refusals[kind])
+            name = kind.name.lower()
+            held.add_metric([name], account.held_bytes[kind])
+            evicted.add_metric([name], account.evictions[kind])
+            refused.add_metric([name], account.refusals[kind])
         return [held, evicted, refused, *self._connections()]
 
     def _connections(self) -> list[Metric]:
--- a/src/celerytrack/entry/service_calls.py
+++ b/src/celerytrack/entry/service_calls.py
@@ -10,8 +10,8 @@
 from returns.result import Failure, Result, Success
 
 from celerytrack.answer_limits import AnswerBytes, AnswerTooLargeError
-from celerytrack.bounded_connection import Grow, read_body
-from celerytrack.callers.answers import hold_reading, send_answer
+from celerytrack.bounded_connection import AnswerNotHeldError, read_body
+from celerytrack.callers.answers import AnswerReading, send_answer
 from celerytrack.entry.admission import AdmittedRequest, choose_replica, handle, reserve
 from celerytrack.entry.answers import StoredAnswer
 from celerytrack.entry.calls import (
@@ -103,18 +103,18 @@
 
 
 async def _send(state: EntryState, admitted: AdmittedRequest, ask: Ask) -> Any:
-    hold, grow = hold_reading(state.callers.account)
+    reading = AnswerReading(state.callers.account)
     try:
         sent = await try_replicas(
             state,
             admitted,
             ask,
             lambda sent, post: _attempt(
-                post, admitted, state.answer_bytes[sent.replica.replica_id], grow
+                post, admitted, state.answer_bytes[sent.replica.replica_id], reading
             ),
         )
     finally:
-        state.callers.account.close(hold)
+        state.callers.account.close(reading.hold)
     match sent:
         case Failure(refusal):
             raise RefusedError(refusal)
@@ -152,7 +152,10 @@
 
 
 async def _attempt(
-    post: Post, admitted: AdmittedRequest, answer_bytes: AnswerBytes, grow: Grow
+    post: Post,
+    admitted: AdmittedRequest,
+    answer_bytes: AnswerBytes,
+    reading: AnswerReading,
 ) -> Result[Any, Refusal]:
     try:
         async with await post(f"/call/{admitted.work.name}", admitted.body) as answer:
@@ -160,11 +163,14 @@
                 return Failure(bad_status(answer.status))
             if answer.content_type != JSON_TYPE:
                 return Failure(replica_failed())
-            body = await read_body(answer, answer_bytes, grow)
+            body = await read_body(answer, answer_bytes, reading)
             if may_go_on(answer, body[-1:]):
                 return Failure(replica_failed())
             return Success(json.loads(body))
     except CallFailedError as exc:
         return Failure(exc.refusal)
+    except AnswerNotHeldError:
+        detail = "callers hold all the memory that they may"
+        return Failure(may_have_run(Reason.OVERLOADED, 1.0, detail))
     except (*CONNECTION_ERRORS, AnswerTooLargeError, ValueError, RecursionError):
         return Failure(replica_failed())
--- a/src/celerytrack/entry/upstream.py
+++ b/src/celerytrack/entry/upstream.py
@@ -327,6 +327,8 @@
 
 def _is_no_fault(state: EntryState, replica: ReplicaLoad, refusal: Refusal) -> bool:
     """Whether a failed attempt is no sign of a fault of the replica."""
+    if refusal.reason is Reason.OVERLOADED:
+        return True
     return refusal in (replica_withheld(), links_lost()) or _is_backpressure(
         state, replica, refusal
     )
--- a/src/celerytrack/gateway/attempt_failures.py
+++ b/src/celerytrack/gateway/attempt_failures.py
@@ -28,6 +28,17 @@
     )
 
 
+def no_memory() -> AttemptFailure:
+    """The failure of an attempt for whose answer this entry has no memory."""
+    return AttemptFailure(
+        Reason.OVERLOADED,
+        Verdict.MAY_HAVE_RUN,
+        hard=False,
+        detail="callers hold all the memory that they may",
+        is_final=True,
+    )
+
+
 def links_lost() -> AttemptFailure:
     """Return the failure of a request that was given up with this entry's links."""
     detail = "this entry reaches no endpoint any more"
--- a/src/celerytrack/gateway/attempts.py
+++ b/src/celerytrack/gateway/attempts.py
@@ -8,8 +8,12 @@
 from returns.result import Failure, Success
 
 from celerytrack.answer_limits import AnswerBytes, AnswerTooLargeError
-from celerytrack.bounded_connection import AnsweredResponse, Grow, read_body
-from celerytrack.callers.answers import hold_reading
+from celerytrack.bounded_connection import (
+    AnsweredResponse,
+    AnswerNotHeldError,
+    read_body,
+)
+from celerytrack.callers.answers import AnswerReading
 from celerytrack.gateway.answer_ends import (
     PROCESS_ENDED,
     ended_with_process,
@@ -22,6 +26,7 @@
     AttemptResult,
     connection_failure,
     links_lost,
+    no_memory,
     unusable_answer,
     withheld,
 )
@@ -228,13 +233,14 @@
     return facts.sealed and facts.request_id is not None
 
 
-def _hold_answer(gateway: Gateway, exchange: Exchange) -> Grow:
+def _hold_answer(gateway: Gateway, exchange: Exchange) -> AnswerReading:
     """Hold the memory of an answer that is read, in place of an earlier attempt's."""
     account = gateway.callers.account
     if exchange.answer_hold is not None:
         account.close(exchange.answer_hold)
-    exchange.answer_hold, grow = hold_reading(account)
-    return grow
+    reading = AnswerReading(account)
+    exchange.answer_hold = reading.hold
+    return reading
 
 
 async def _read_answer(
@@ -247,6 +253,8 @@
     protocol = protocol_of(response)
     try:
         body = await read_body(response, answer_bytes, _hold_answer(gateway, exchange))
+    except AnswerNotHeldError:
+        return Failure(no_memory())
     except AnswerTooLargeError:
         return unusable_answer("an answer is too large")
     except CONNECTION_ERRORS as exc:
--- a/src/celerytrack/gateway/sending.py
+++ b/src/celerytrack/gateway/sending.py
@@ -37,7 +37,7 @@
 from celerytrack.limits.room import LeaseOutcome
 from celerytrack.routing.endpoint import Endpoint
 from celerytrack.suspects import SuspectState
-from celerytrack.verdict import Verdict
+from celerytrack.verdict import Reason, Verdict
 
 
 async def make_attempt(gateway: Gateway, exchange: Exchange) -> AttemptResult:
@@ -254,6 +254,7 @@
     return (
         failure.withheld
         or failure.links_down
+        or failure.reason is Reason.OVERLOADED
         or is_backpressure(gateway, endpoint, failure)
     )
 
--- a/tests/test_caller_account.py
+++ b/tests/test_caller_account.py
@@ -94,7 +94,7 @@
             self.account.close(holder.hold)
             self.account.close(holder.hold)
         self.assertEqual(self.account.total_bytes, 0)
-        self.assertEqual(sum(self.account.held_bytes.values()), 0)
+        self.assertEqual(sum(self.account.held_bytes), 0)
 
     @params((10, 1), (0, 0))
     def test_a_caller_that_takes_its_answer_slowly_goes_on(
