A body that comes right behind its head isn't taken for the rest of a refused one

Cause: between the moment at which the connection takes a request from its queue and the one at which its handler starts, nothing seemed to be in progress; bytes that came then counted as the rest of a request that was over, and were dropped. The same gap, and the time in which an answer is sent, made a connection look idle to a full table.

Change: the connection knows itself whether it handles a request, from taking it to the end of its answer.

--- a/src/celerytrack/callers/connections.py
+++ b/src/celerytrack/callers/connections.py
@@ -101,6 +101,7 @@
         self._body: StreamReader | None = None
         self._unfinished_bytes = 0
         self._discarded_bytes = 0
+        self._is_handling = False
         self._received = table.account.open(
             HoldKind.RECEIVED, self.drop, self._opened_s
         )
@@ -111,8 +112,8 @@
 
     @property
     def is_idle(self) -> bool:
-        """Whether no request is in progress or waits on it."""
-        return self._current_request is None and not self._messages
+        """Whether no request is in progress or waits on it, nor is one answered."""
+        return not self._is_handling and not self._messages
 
     def usefulness(self, now_s: float) -> tuple[bool, float]:
         """How likely the connection is to be used, to compare idle ones."""
@@ -189,12 +190,19 @@
         return self._body is not None and not self._body.is_eof()
 
     def _begin_request(self, *args: Any) -> web.BaseRequest:
+        self._is_handling = True
         self.stream = None
         self._discarded_bytes = 0
         self.head_bytes = min(self._received.held_bytes, MAX_HEADER_BYTES)
         self.release_received()
         return self._make_request(*args)
 
+    async def _handle_request(self, *args: Any) -> Any:
+        try:
+            return await super()._handle_request(*args)
+        finally:
+            self._is_handling = False
+
     def _watch_head(self, count: int) -> None:
         self._unfinished_bytes += count
         if self._unfinished_bytes > MAX_HEADER_BYTES:
