--- a/tests/crowds.py
+++ b/tests/crowds.py
@@ -35,6 +35,23 @@
     pieces: Iterable[bytes]
 
 
+@attrs.frozen
+class Crowd:
+    """A crowd of equal callers.
+
+    :ivar name: what it does.
+    :ivar size: number of callers.
+    :ivar sends: what each of them sends.
+    """
+
+    name: str
+    size: int
+    sends: Callable[[], Iterable[bytes]]
+
+    def members(self, address: str) -> list[Member]:
+        return [Member(address, self.sends()) for _ in range(self.size)]
+
+
 def resident_bytes(pid: int, field: str = "VmRSS") -> int:
     """Memory of a process now, or at its peak (``VmHWM``)."""
     status = pathlib.Path(f"/proc/{pid}/status").read_text()
--- a/tests/test_crowds.py
+++ b/tests/test_crowds.py
@@ -6,17 +6,16 @@
 import json
 import signal
 import unittest
-from collections.abc import AsyncIterator, Callable, Iterable, Iterator
+from collections.abc import AsyncIterator, Iterator
 
 import aiohttp
-import attrs
 from aiohttp import web
 from nose2.tools import params
 
 from celerytrack.platform.topics import CONFIG_KEY, CONFIG_TOPIC, ENDPOINTS_TOPIC
 from tests.crowds import (
     MIB,
-    Member,
+    Crowd,
     answered,
     chunk,
     head,
@@ -185,46 +184,29 @@
         yield b"X-Field-%d: %s\r\n" % (i, b"h" * 60_000)
 
 
-@attrs.frozen
-class _Crowd:
-    """A crowd of equal callers.
-
-    :ivar name: what it does.
-    :ivar size: number of callers.
-    :ivar sends: what each of them sends.
-    """
-
-    name: str
-    size: int
-    sends: Callable[[], Iterable[bytes]]
-
-    def members(self, address: str) -> list[Member]:
-        return [Member(address, self.sends()) for _ in range(self.size)]
-
-
-SHORT = _Crowd("a byte short", 60, lambda: _short_body(BODY_BYTES))
+SHORT = Crowd("a byte short", 60, lambda: _short_body(BODY_BYTES))
 CROWDS = (
     SHORT,
-    _Crowd("unknown key", 60, lambda: _short_body(BODY_BYTES, BAD_KEY)),
-    _Crowd("no such route", 60, lambda: _short_body(BODY_BYTES, path="/no/x")),
-    _Crowd("chunks without the last", 60, lambda: _chunked_body(16)),
-    _Crowd("chunks beyond the limit", 30, lambda: _chunked_body(64)),
-    _Crowd("many small, a byte short", 600, lambda: _short_body(65_536)),
-    _Crowd("whole, all at once", 60, lambda: _whole_body(BODY_BYTES, "/plain/waits")),
-    _Crowd("a second one on the connection", 60, _pipelined_body),
-    _Crowd("long heads", 60, _long_head),
-    _Crowd("large answers unread", 60, lambda: _no_body("/plain/large")),
-    _Crowd("streams unread", 60, lambda: _no_body("/resume/long")),
-    _Crowd("once-only streams unread", 60, lambda: _no_body("/stream/long")),
+    Crowd("unknown key", 60, lambda: _short_body(BODY_BYTES, BAD_KEY)),
+    Crowd("no such route", 60, lambda: _short_body(BODY_BYTES, path="/no/x")),
+    Crowd("chunks without the last", 60, lambda: _chunked_body(16)),
+    Crowd("chunks beyond the limit", 30, lambda: _chunked_body(64)),
+    Crowd("many small, a byte short", 600, lambda: _short_body(65_536)),
+    Crowd("whole, all at once", 60, lambda: _whole_body(BODY_BYTES, "/plain/waits")),
+    Crowd("a second one on the connection", 60, _pipelined_body),
+    Crowd("long heads", 60, _long_head),
+    Crowd("large answers unread", 60, lambda: _no_body("/plain/large")),
+    Crowd("streams unread", 60, lambda: _no_body("/resume/long")),
+    Crowd("once-only streams unread", 60, lambda: _no_body("/stream/long")),
 )
 FRONT, DIRECTORY, READINESS, PEER = 8227, 8224, 8220, PEER_PORT
 SILENT = (
     # what it sends, the port where it connects
-    (_Crowd("heads that stop", 300, _unfinished_head), FRONT),
-    (_Crowd("silent connections", 300, _nothing), FRONT),
-    (_Crowd("heads that stop", 300, _unfinished_head), DIRECTORY),
-    (_Crowd("silent connections", 300, _nothing), READINESS),
-    (_Crowd("silent connections", 300, _nothing), PEER),
+    (Crowd("heads that stop", 300, _unfinished_head), FRONT),
+    (Crowd("silent connections", 300, _nothing), FRONT),
+    (Crowd("heads that stop", 300, _unfinished_head), DIRECTORY),
+    (Crowd("silent connections", 300, _nothing), READINESS),
+    (Crowd("silent connections", 300, _nothing), PEER),
 )
 
 
@@ -248,13 +230,13 @@
 class CrowdTest(unittest.TestCase):
     @params(*CROWDS)
     def test_a_crowd_stays_within_the_memory_and_others_are_served(
-        self, crowd: _Crowd
+        self, crowd: Crowd
     ) -> None:
         """Callers that don't end their bodies, or don't read their answers, ended a
         process by its memory or held all of its endpoints' places."""
         asyncio.run(self._check_memory(crowd))
 
-    async def _check_memory(self, crowd: _Crowd) -> None:
+    async def _check_memory(self, crowd: Crowd) -> None:
         async with _site() as site:
             self.assertTrue(await answered(site.ask))
             pid = site.gateway.pid
@@ -269,12 +251,12 @@
 
     @params(*SILENT)
     def test_a_crowd_leaves_descriptors_to_others(
-        self, crowd: _Crowd, port: int
+        self, crowd: Crowd, port: int
     ) -> None:
         """Connections that say nothing held all descriptors, and nobody got in."""
         asyncio.run(self._check_descriptors(crowd, port))
 
-    async def _check_descriptors(self, crowd: _Crowd, port: int) -> None:
+    async def _check_descriptors(self, crowd: Crowd, port: int) -> None:
         async with _site(DESCRIPTORS) as site:
             self.assertTrue(await answered(site.ask))
             address = f"{loopback_ip(1)}:{port}"
@@ -292,22 +274,22 @@
             begun = asyncio.Event()
             slow = asyncio.create_task(_read_slowly(site, begun))
             await begun.wait()
-            crowd = _Crowd("streams unread", 60, lambda: _no_body("/resume/long"))
+            crowd = Crowd("streams unread", 60, lambda: _no_body("/resume/long"))
             async with standing(crowd.members(site.gateway.front_address)):
                 self.assertTrue(await answered(site.ask))
                 self.assertTrue((await slow).endswith(b"0\r\n\r\n"))
 
     @params(
         SHORT,
-        _Crowd("large answers unread", 60, lambda: _no_body("/plain/large")),
-        _Crowd("streams unread", 60, lambda: _no_body("/resume/long")),
-        _Crowd("heads that stop", 300, _unfinished_head),
+        Crowd("large answers unread", 60, lambda: _no_body("/plain/large")),
+        Crowd("streams unread", 60, lambda: _no_body("/resume/long")),
+        Crowd("heads that stop", 300, _unfinished_head),
     )
-    def test_a_planned_stop_ends_beside_a_crowd(self, crowd: _Crowd) -> None:
+    def test_a_planned_stop_ends_beside_a_crowd(self, crowd: Crowd) -> None:
         """A process that waited for its callers was killed at the end of its grace."""
         asyncio.run(self._check_stop(crowd))
 
-    async def _check_stop(self, crowd: _Crowd) -> None:
+    async def _check_stop(self, crowd: Crowd) -> None:
         async with _site() as site:
             async with standing(crowd.members(site.gateway.front_address)):
                 site.gateway.signal(signal.SIGTERM)
--- a/tests/test_own_crowds.py
+++ b/tests/test_own_crowds.py
@@ -6,14 +6,13 @@
 import json
 import resource
 import unittest
-from collections.abc import Callable, Iterator
+from collections.abc import Iterator
 
-import attrs
 from nose2.tools import params
 
 from tests.crowds import (
     MIB,
-    Member,
+    Crowd,
     answered,
     head,
     open_descriptors,
@@ -89,34 +88,17 @@
     yield b""
 
 
-@attrs.frozen
-class _Crowd:
-    """A crowd of equal callers.
-
-    :ivar name: what it does.
-    :ivar size: number of callers.
-    :ivar sends: what each of them sends.
-    """
-
-    name: str
-    size: int
-    sends: Callable[[], Iterator[bytes]]
-
-    def members(self, address: str) -> list[Member]:
-        return [Member(address, self.sends()) for _ in range(self.size)]
-
-
 CROWDS = (
-    _Crowd("chats a byte short", 60, lambda: _short_body(CHAT_PATH)),
-    _Crowd("calls a byte short", 60, lambda: _short_body(CALL_PATH)),
-    _Crowd("unknown key", 60, lambda: _short_body(CHAT_PATH, BAD_KEY)),
-    _Crowd("lists of empty lists", 16, _empty_lists),
-    _Crowd("packed blanks", 16, _blanks),
-    _Crowd("streams unread", 100, _long_answer),
+    Crowd("chats a byte short", 60, lambda: _short_body(CHAT_PATH)),
+    Crowd("calls a byte short", 60, lambda: _short_body(CALL_PATH)),
+    Crowd("unknown key", 60, lambda: _short_body(CHAT_PATH, BAD_KEY)),
+    Crowd("lists of empty lists", 16, _empty_lists),
+    Crowd("packed blanks", 16, _blanks),
+    Crowd("streams unread", 100, _long_answer),
 )
 SILENT = (
-    _Crowd("heads that stop", 300, _unfinished_head),
-    _Crowd("silent connections", 300, _nothing),
+    Crowd("heads that stop", 300, _unfinished_head),
+    Crowd("silent connections", 300, _nothing),
 )
 
 
@@ -136,13 +118,13 @@
 class OwnCrowdTest(unittest.TestCase):
     @params(*CROWDS)
     def test_a_crowd_stays_within_the_memory_and_others_are_served(
-        self, crowd: _Crowd
+        self, crowd: Crowd
     ) -> None:
         """Callers that don't end their bodies, pack them, fill them with values or
         don't read their answers ended a process by its memory."""
         asyncio.run(self._check_memory(crowd))
 
-    async def _check_memory(self, crowd: _Crowd) -> None:
+    async def _check_memory(self, crowd: Crowd) -> None:
         async with started(_fleet()) as fleet:
             self.assertTrue(await answered(lambda: _call(fleet)))
             self.assertTrue(await answered(lambda: _stream(fleet)))
@@ -157,11 +139,11 @@
             self.assertLess(growth_bytes, GROWTH_BYTES, crowd.name)
 
     @params(*SILENT)
-    def test_a_crowd_leaves_descriptors_to_others(self, crowd: _Crowd) -> None:
+    def test_a_crowd_leaves_descriptors_to_others(self, crowd: Crowd) -> None:
         """Connections that say nothing held all descriptors, and nobody got in."""
         asyncio.run(self._check_descriptors(crowd))
 
-    async def _check_descriptors(self, crowd: _Crowd) -> None:
+    async def _check_descriptors(self, crowd: Crowd) -> None:
         fleet = _fleet()
         tuning = json.loads(fleet.settings_path.read_text())
         tuning["tuning"]["callers"]["descriptors"] = DESCRIPTORS
