Read-through: shares of listeners stand together, a body that doesn't come has a test

No behaviour is changed: the shares of the descriptors are one table, the transport that a connection keeps has a name that says why.

--- a/src/celerytrack/callers/callers.py
+++ b/src/celerytrack/callers/callers.py
@@ -17,9 +17,16 @@
 """Interval at which what callers have taken is looked at."""
 LOG_INTERVAL_S = 5.0
 """Least time between two lines about callers that were turned away."""
-FRONT_SHARE = 0.45
-"""Share of the descriptors for callers' connections. Each request takes one more for
-its endpoint, and the log, other entries and probes take theirs."""
+SHARES = {
+    "front": 0.45,
+    "peer": 0.1,
+    "relay": 0.1,
+    "directory": 0.06,
+    "readiness": 0.05,
+    "metrics": 0.02,
+}
+"""Shares of the descriptors for connections to the listening addresses. Each request
+takes one more for its endpoint, and the log, other entries and probes take theirs."""
 
 
 class Callers:
@@ -36,13 +43,12 @@
         self._limits = limits
         self._times = times
 
-    def table(self, name: str, share: float) -> ConnectionTable:
+    def table(self, name: str) -> ConnectionTable:
         """Make the table of the connections to a listening address.
 
-        :param name: of the address, for metrics.
-        :param share: of the process's descriptors.
+        :param name: of the address in :data:`SHARES`.
         """
-        most = self._limits.connections(share)
+        most = self._limits.connections(SHARES[name])
         table = ConnectionTable(most, self.account, self._times)
         self.tables[name] = table
         return table
--- a/src/celerytrack/callers/connections.py
+++ b/src/celerytrack/callers/connections.py
@@ -97,7 +97,8 @@
         self.stream: Hold | None = None
         self._table = table
         self._opened_s = time.monotonic()
-        self._wire: asyncio.WriteTransport | None = None
+        # The library lets go of its transport before it has closed.
+        self._open_transport: asyncio.WriteTransport | None = None
         self._body: StreamReader | None = None
         self._unfinished_bytes = 0
         self._discarded_bytes = 0
@@ -122,7 +123,7 @@
 
     def is_left(self, idle_s: float) -> bool:
         """Whether it closes, but its caller has taken nothing for ``idle_s``."""
-        if self._wire is None or not self._wire.is_closing():
+        if self._open_transport is None or not self._open_transport.is_closing():
             return False
         idle_since_s = self._next_keepalive_close_time - self.keepalive_timeout
         return self.is_idle and self._loop.time() - idle_since_s > idle_s
@@ -130,15 +131,18 @@
     def drop(self) -> None:
         """Close it, without waiting until the caller has taken what is unsent."""
         self.force_close()
-        if self._wire is not None and self._wire.get_write_buffer_size():
-            self._wire.abort()
+        if (
+            self._open_transport is not None
+            and self._open_transport.get_write_buffer_size()
+        ):
+            self._open_transport.abort()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Take a connection, if there is room for it."""
         super().connection_made(transport)
         assert self.transport is not None
-        self._wire = self.transport
-        self._wire.set_write_buffer_limits(UNSENT_BYTES)
+        self._open_transport = self.transport
+        self._open_transport.set_write_buffer_limits(UNSENT_BYTES)
         if not self._table.add(self, time.monotonic()):
             self.force_close()
 
--- a/src/celerytrack/cli/entry.py
+++ b/src/celerytrack/cli/entry.py
@@ -7,7 +7,6 @@
 from cleo.commands.command import Command
 from cleo.helpers import option
 
-from celerytrack.callers.callers import FRONT_SHARE
 from celerytrack.callers.sites import CallerSite
 from celerytrack.cli._serve import run, serve
 from celerytrack.entry.app import make_app
@@ -53,7 +52,7 @@
                 await _stop(entry, runner, relay[0])
 
             def make_site(runner: web.AppRunner, address: str) -> web.BaseSite:
-                table = entry.callers.table("front", FRONT_SHARE)
+                table = entry.callers.table("front")
                 return CallerSite(runner, address, table)
 
             await serve(
--- a/src/celerytrack/entry/relay_server.py
+++ b/src/celerytrack/entry/relay_server.py
@@ -60,8 +60,6 @@
 
 MAX_BODY_BYTES = 8 * 1024 * 1024
 """Two bodies of the largest size that a caller may send."""
-RELAY_SHARE = 0.1
-"""Share of the descriptors for other entries' requests."""
 
 
 @attrs.define
@@ -83,7 +81,7 @@
     # An entry that closes its connection gives its request up.
     runner = web.AppRunner(app, access_log=None, handler_cancellation=True)
     await runner.setup()
-    table = state.callers.table("relay", RELAY_SHARE)
+    table = state.callers.table("relay")
     await CallerSite(runner, state.spec.relay_address, table).start()
     return runner
 
--- a/src/celerytrack/gateway/server.py
+++ b/src/celerytrack/gateway/server.py
@@ -10,7 +10,6 @@
 import attrs
 from aiohttp import web
 
-from celerytrack.callers.callers import FRONT_SHARE
 from celerytrack.events import Event, log_event
 from celerytrack.gateway.draining import abort_requests, drain, log_stage
 from celerytrack.gateway.endpoint_queries import handle_endpoint_query
@@ -113,14 +112,14 @@
 
     async def _listen(self) -> None:
         settings = self._gateway.settings
-        for name, share, address, handler in (
-            ("front", FRONT_SHARE, settings.front_address, self._front),
-            ("readiness", 0.05, settings.readiness_address, self._readiness),
-            ("directory", 0.06, settings.directory_address, self._directory),
-            ("peer", 0.1, settings.peer_address, self._peer),
-            ("metrics", 0.02, settings.metrics_address, self._metrics),
+        for name, address, handler in (
+            ("front", settings.front_address, self._front),
+            ("readiness", settings.readiness_address, self._readiness),
+            ("directory", settings.directory_address, self._directory),
+            ("peer", settings.peer_address, self._peer),
+            ("metrics", settings.metrics_address, self._metrics),
         ):
-            table = self._gateway.callers.table(name, share)
+            table = self._gateway.callers.table(name)
             await self._listeners.open(address, handler, table)
         await self._gateway.peer_messenger.open(settings.peer_address)
 
--- a/tests/test_crowds.py
+++ b/tests/test_crowds.py
@@ -295,6 +295,30 @@
                 site.gateway.signal(signal.SIGTERM)
                 self.assertEqual(await site.gateway.wait_for_exit(GRACE_S), 0)
 
+    @params(
+        # how the body is framed, what comes of it
+        ("Content-Length: 100000", b"b" * 500),
+        ("Transfer-Encoding: chunked", chunk(b"body")),
+    )
+    def test_a_body_that_does_not_come_is_refused_at_its_deadline(
+        self, framing: str, sent: bytes
+    ) -> None:
+        """It was waited for without end, and its caller learned nothing."""
+        answer = asyncio.run(self._play_late_body(framing, sent))
+        self.assertIn(b" 408 ", answer)
+        self.assertIn(b'"did_not_run"', answer)
+
+    async def _play_late_body(self, framing: str, sent: bytes) -> bytes:
+        async with _site() as site:
+            host, port = site.gateway.front_address.split(":")
+            reader, writer = await asyncio.open_connection(host, int(port))
+            headers = {**HEADERS, "X-Deadline-Ms": "1000"}
+            writer.write(head("/once/x", headers, framing) + sent)
+            async with asyncio.timeout(10.0):
+                answer = await reader.readuntil(b"}}")
+            writer.close()
+            return answer
+
     @params(BODY_BYTES - 1, BODY_BYTES)
     def test_a_body_of_the_limit_that_comes_slowly_is_served(self, size: int) -> None:
         """Bounds meant for a crowd refused a single caller inside the limits."""
