Requests at endpoints leave descriptors to the log and the other entries

What callers would have seen: with as many requests at endpoints as connections were allowed, each with one descriptor of its caller's and one of its endpoint's, an entry had none left to reach the log, other entries or another endpoint.

What the process itself has open wasn't taken off where only the operating system tells a limit.

--- a/src/celerytrack/callers/callers.py
+++ b/src/celerytrack/callers/callers.py
@@ -18,15 +18,15 @@
 LOG_INTERVAL_S = 5.0
 """Least time between two lines about callers that were turned away."""
 SHARES = {
-    "front": 0.45,
-    "peer": 0.1,
-    "relay": 0.1,
+    "front": 0.32,
+    "peer": 0.08,
+    "relay": 0.08,
     "directory": 0.06,
     "readiness": 0.05,
     "metrics": 0.02,
 }
 """Shares of the descriptors for connections to the listening addresses. Each request
-takes one more for its endpoint, and the log, other entries and probes take theirs."""
+on the first three takes one more, for its endpoint: all of it is under the whole."""
 
 
 class Callers:
--- a/src/celerytrack/callers/limits.py
+++ b/src/celerytrack/callers/limits.py
@@ -13,6 +13,9 @@
 a third, and the allocator keeps about as much again of what callers held."""
 UNLIMITED_DESCRIPTORS = 1_048_576
 """Descriptors of a process that the operating system doesn't limit."""
+OWN_DESCRIPTORS = 64
+"""Descriptors by which a process runs and reaches the log, other entries and endpoints
+that it probes."""
 MIN_CONNECTIONS = 4
 """Fewest connections that a listening address takes."""
 
@@ -41,6 +44,7 @@
         allowed, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
         if allowed == resource.RLIM_INFINITY:
             allowed = UNLIMITED_DESCRIPTORS
+        allowed = max(0, allowed - OWN_DESCRIPTORS)
         most = min(self.descriptors or allowed, allowed)
         return max(MIN_CONNECTIONS, int(share * most))
 
--- a/tests/crowd_by_hand.py
+++ b/tests/crowd_by_hand.py
@@ -58,9 +58,10 @@
     settings = f"[callers]\nmemoryBytes = {int(memory_mb * 250_000)}\n"
     kinds.SETTINGS = settings + f"descriptors = {FD_LIMIT - 200}\n"
     kinds.BODY_BYTES = body_mib * kinds.MIB
-    kinds.CONNECTION_LIMIT = 360
     async with contextlib.AsyncExitStack() as stack:
-        site = await stack.enter_async_context(kinds._site(FD_LIMIT))
+        site = await stack.enter_async_context(
+            kinds._site(FD_LIMIT, kinds.MANY_CONNECTIONS)
+        )
         base_bytes = resident_bytes(site.gateway.pid)
         good = []
         for _ in range(WAVES):
--- a/tests/test_crowds.py
+++ b/tests/test_crowds.py
@@ -44,6 +44,8 @@
 DESCRIPTORS = 160
 CONNECTION_LIMIT = 12
 """Connections that an endpoint takes."""
+MANY_CONNECTIONS = 360
+"""Connections that an endpoint takes which isn't the scarce one."""
 ENDPOINT_WAITS_S = 3.0
 SLOW_PIECE_BYTES = 16_384
 SLOW_PAUSE_S = 0.02
@@ -64,9 +66,9 @@
 EVENTS = 600
 
 
-def _config() -> bytes:
+def _config(connection_limit: int) -> bytes:
     data = json.loads(config(timeoutMs=60_000))
-    data["services"][0]["connLimit"] = CONNECTION_LIMIT
+    data["services"][0]["connLimit"] = connection_limit
     data["limits"] = {
         "headerBytes": 16_384,
         "bodyBytes": BODY_BYTES,
@@ -120,9 +122,11 @@
 
 
 @contextlib.asynccontextmanager
-async def _site(descriptors: int | None = None) -> AsyncIterator[Site]:
+async def _site(
+    descriptors: int | None = None, connection_limit: int = CONNECTION_LIMIT
+) -> AsyncIterator[Site]:
     log = KeyedLog()
-    log.put(CONFIG_TOPIC, CONFIG_KEY, _config())
+    log.put(CONFIG_TOPIC, CONFIG_KEY, _config(connection_limit))
     async with contextlib.AsyncExitStack() as stack:
         for name in ("i-1", "i-2"):
             endpoint = Endpoint(name, _answer)
@@ -319,6 +323,20 @@
             writer.close()
             return answer
 
+    def test_requests_at_endpoints_leave_descriptors_to_the_process(self) -> None:
+        """Each request has a connection of its caller's and one to its endpoint: with
+        both, callers took those by which the process reaches the log."""
+        asyncio.run(self._check_own_descriptors())
+
+    async def _check_own_descriptors(self) -> None:
+        crowd = Crowd("requests that wait", 300, lambda: _no_body("/plain/waits"))
+        async with _site(DESCRIPTORS, MANY_CONNECTIONS) as site:
+            self.assertTrue(await answered(site.ask))
+            async with standing(crowd.members(site.gateway.front_address)):
+                self.assertLess(open_descriptors(site.gateway.pid), DESCRIPTORS)
+                self.assertTrue(await answered(site.ask), crowd.name)
+            self.assertEqual(site.gateway.log_records("store_lost"), [])
+
     @params(BODY_BYTES - 1, BODY_BYTES)
     def test_a_body_of_the_limit_that_comes_slowly_is_served(self, size: int) -> None:
         """Bounds meant for a crowd refused a single caller inside the limits."""
