The cache of answers keeps what it counts: their text

What callers could do: have the answers of calls with an Idempotency-Key kept as parsed JSON, of which the cache counted the text. 16 MiB of lists as text are some 300 MB of lists, by the bound of parsed_json_bytes: in no account.

Change: the text is kept, and sent as it is; size_bytes is what it takes.

--- a/src/celerytrack/entry/answers.py
+++ b/src/celerytrack/entry/answers.py
@@ -5,9 +5,6 @@
 request ids for longer.
 """
 
-import json
-from typing import Any
-
 import attrs
 from cachetools import LRUCache
 
@@ -20,18 +17,17 @@
     """The answer of a finished request.
 
     :ivar stream: the events of a streamed answer.
-    :ivar body: the JSON value of a service call.
+    :ivar text: the JSON text that a service call answered.
     """
 
     request_id: str
     stream: bytes = b""
-    body: Any = None
+    text: str = ""
 
     @property
     def size_bytes(self) -> int:
         """Approximate memory that the stored answer takes."""
-        body = 0 if self.body is None else len(json.dumps(self.body))
-        return len(self.stream) + body + _OVERHEAD_BYTES
+        return len(self.stream) + len(self.text) + _OVERHEAD_BYTES
 
 
 def _make_cache() -> LRUCache[str, StoredAnswer]:
--- a/src/celerytrack/entry/service_calls.py
+++ b/src/celerytrack/entry/service_calls.py
@@ -42,18 +42,17 @@
     started_s = time.monotonic()
 
     async def replay(stored: StoredAnswer) -> web.StreamResponse:
-        replayed = web.json_response(stored.body, headers={"X-Replayed": "1"})
+        replayed = web.json_response(text=stored.text, headers={"X-Replayed": "1"})
         return await send_answer(state.callers.account, request, replayed)
 
     async def serve(admitted: AdmittedRequest) -> web.StreamResponse:
-        answer = await _serve(state, admitted)
+        text = json.dumps(await _serve(state, admitted))
         name, rid = admitted.work.name, admitted.request_id
         state.metrics.ttft.labels(name).observe(time.monotonic() - started_s)
         state.metrics.requests.labels(name, "done").inc()
         if admitted.key is not None:
-            stored = StoredAnswer(rid, body=answer)
-            state.answers.put(admitted.cache_key, stored)
-        whole = web.json_response(answer, headers={"X-Request-Id": rid})
+            state.answers.put(admitted.cache_key, StoredAnswer(rid, text=text))
+        whole = web.json_response(text=text, headers={"X-Request-Id": rid})
         return await send_answer(state.callers.account, request, whole)
 
     return await handle(state, request, BackendKind.SERVICE, replay, serve)
