A call's answer is held once, with what it becomes, and belongs to its request

Cause, by reading: the attempts of a call shared one hold that only grew, so that a call that was tried again held the failed answers too; the parsed answer of an endpoint was in no account; on the own interface an answer didn't belong to its request, so that it was given up beside a large body that was alone.

Change: each attempt begins its hold anew; a bound of what the answer becomes is held before it is parsed; both interfaces tell an answer's hold which request it belongs to.

--- a/src/celerytrack/callers/answers.py
+++ b/src/celerytrack/callers/answers.py
@@ -32,19 +32,23 @@
 class AnswerReading:
     """Holds an answer that is read to its end: its pieces, and all of it.
 
+    :param body: what the request holds that it answers.
     :ivar hold: what it holds; its owner closes it.
     """
 
-    def __init__(self, account: MemoryAccount) -> None:
+    def __init__(self, account: MemoryAccount, body: Hold | None) -> None:
         self.hold = account.open(HoldKind.ANSWER, lambda: None, time.monotonic())
         self._account = account
+        if body is not None:
+            self.hold.request = [*(body.request or (body,)), self.hold]
         account.begin_reading(self.hold)
 
     def begin(self, count: int) -> None:
-        """Hold what the endpoint's connection buffers.
+        """Hold ``count`` bytes in place of what was held before.
 
-        :raises AnswerNotHeldError: if there is no memory for it.
+        :raises AnswerNotHeldError: if there is no memory for them.
         """
+        self._account.shrink(self.hold, self.hold.held_bytes)
         if not self._account.try_grow(self.hold, count, time.monotonic()):
             raise AnswerNotHeldError
 
--- a/src/celerytrack/entry/service_calls.py
+++ b/src/celerytrack/entry/service_calls.py
@@ -12,6 +12,7 @@
 from celerytrack.answer_limits import AnswerBytes, AnswerTooLargeError
 from celerytrack.bounded_connection import AnswerNotHeldError, read_body
 from celerytrack.callers.answers import AnswerReading, send_answer
+from celerytrack.callers.unpacking import parsed_json_bytes
 from celerytrack.entry.admission import AdmittedRequest, choose_replica, handle, reserve
 from celerytrack.entry.answers import StoredAnswer
 from celerytrack.entry.calls import (
@@ -102,7 +103,7 @@
 
 
 async def _send(state: EntryState, admitted: AdmittedRequest, ask: Ask) -> Any:
-    reading = AnswerReading(state.callers.account)
+    reading = AnswerReading(state.callers.account, admitted.hold)
     try:
         sent = await try_replicas(
             state,
@@ -165,6 +166,7 @@
             body = await read_body(answer, answer_bytes, reading)
             if may_go_on(answer, body[-1:]):
                 return Failure(replica_failed())
+            reading.begin(parsed_json_bytes(body))
             return Success(json.loads(body))
     except CallFailedError as exc:
         return Failure(exc.refusal)
--- a/src/celerytrack/gateway/attempts.py
+++ b/src/celerytrack/gateway/attempts.py
@@ -238,10 +238,8 @@
     account = gateway.callers.account
     if exchange.answer_hold is not None:
         account.close(exchange.answer_hold)
-    reading = AnswerReading(account)
+    reading = AnswerReading(account, exchange.body_hold)
     exchange.answer_hold = reading.hold
-    if exchange.body_hold is not None:
-        reading.hold.request = [*exchange.body_hold.request, reading.hold]
     return reading
 
 
