Connections that are given up are counted, by listening address

Cause: a connection closed since its head didn't end, or its last answer wasn't taken, left neither a metric nor a line: an operator couldn't tell a crowd of these from calm.

A test shows that such a connection is closed and counted; another that one that was idle for four fifths of idleTimeoutMs takes the next request.

Evidence: test_a_head_that_does_not_end_is_closed_and_counted failed for want of the metric before; the idle connection was served before and is now.

--- a/src/celerytrack/callers/callers.py
+++ b/src/celerytrack/callers/callers.py
@@ -77,6 +77,7 @@
         for name, table in self.tables.items():
             counts[f"closed_{name}"] = table.closed
             counts[f"refused_{name}"] = table.refused
+            counts[f"given_up_{name}"] = table.given_up
         return counts
 
     def _log(self, turned_away: "collections.Counter[str]") -> None:
--- a/src/celerytrack/callers/connections.py
+++ b/src/celerytrack/callers/connections.py
@@ -36,6 +36,8 @@
     :param most: how many it takes.
     :ivar closed: how many idle ones were closed to make room.
     :ivar refused: how many new ones were closed since none was idle.
+    :ivar given_up: how many were closed since a head didn't end, or the last answer
+        was not taken.
     """
 
     def __init__(
@@ -46,6 +48,7 @@
         self.times = times
         self.closed = 0
         self.refused = 0
+        self.given_up = 0
         self._open: set[CallerConnection] = set()
 
     def __len__(self) -> int:
@@ -76,7 +79,12 @@
         """Drop connections that are to close and whose callers take nothing."""
         idle_s = self.times().idle_s
         for connection in [c for c in self._open if c.is_left(idle_s)]:
-            connection.drop()
+            self.give_up(connection)
+
+    def give_up(self, connection: "CallerConnection") -> None:
+        """Close a connection whose caller doesn't end what it has begun."""
+        self.given_up += 1
+        connection.drop()
 
 
 class CallerConnection(web.RequestHandler):
@@ -216,7 +224,7 @@
     def _watch_head(self, count: int) -> None:
         self._unfinished_bytes += count
         if self._unfinished_bytes > MAX_HEADER_BYTES:
-            self.drop()
+            self._table.give_up(self)
         elif self._head_timer is None:
             self._table.account.wait_for_caller(self._received, time.monotonic())
             self._start_head_timer()
@@ -227,7 +235,7 @@
 
     def _give_up_head(self) -> None:
         if self.is_idle:
-            self.drop()
+            self._table.give_up(self)
         else:
             # The request before it goes on.
             self._start_head_timer()
--- a/src/celerytrack/callers/metrics.py
+++ b/src/celerytrack/callers/metrics.py
@@ -61,11 +61,17 @@
             "New connections that were closed since none was idle.",
             labels=["listener"],
         )
+        given_up = CounterMetricFamily(
+            "celerytrack_caller_connections_given_up",
+            "Connections closed since a head didn't end, or an answer was not taken.",
+            labels=["listener"],
+        )
         for name, table in self._callers.tables.items():
             now.add_metric([name], len(table))
             closed.add_metric([name], table.closed)
             refused.add_metric([name], table.refused)
-        return [now, closed, refused]
+            given_up.add_metric([name], table.given_up)
+        return [now, closed, refused, given_up]
 
 
 def register_callers(registry: CollectorRegistry, callers: Callers) -> None:
--- a/tests/test_crowds.py
+++ b/tests/test_crowds.py
@@ -47,6 +47,7 @@
 MANY_CONNECTIONS = 360
 """Connections that an endpoint takes which isn't the scarce one."""
 ENDPOINT_WAITS_S = 3.0
+IDLE_TIMEOUT_S = 3
 SLOW_PIECE_BYTES = 16_384
 SLOW_PAUSE_S = 0.02
 GRACE_S = 8.0
@@ -73,7 +74,7 @@
         "headerBytes": 16_384,
         "bodyBytes": body_bytes,
         "headerTimeoutMs": 1_000,
-        "idleTimeoutMs": 3_000,
+        "idleTimeoutMs": IDLE_TIMEOUT_S * 1_000,
     }
     return json.dumps(data).encode()
 
@@ -343,6 +344,36 @@
                 self.assertIn(b" 200 ", await reader.readline())
             writer.close()
 
+    def test_a_head_that_does_not_end_is_closed_and_counted(self) -> None:
+        """Connections whose heads stopped stayed open, and nothing told of them."""
+        asyncio.run(self._check_late_head())
+
+    async def _check_late_head(self) -> None:
+        async with _site() as site:
+            host, port = site.gateway.front_address.split(":")
+            reader, writer = await asyncio.open_connection(host, int(port))
+            writer.writelines(_unfinished_head())
+            async with asyncio.timeout(10.0):
+                self.assertEqual(await reader.read(), b"")
+            writer.close()
+            metric = 'celerytrack_caller_connections_given_up_total{listener="front"}'
+            self.assertIn(f"{metric} 1.0", await site.gateway.metrics())
+
+    def test_a_connection_may_be_idle_for_four_fifths_of_its_limit(self) -> None:
+        """It was closed as its caller sent the next request."""
+        asyncio.run(self._check_idle())
+
+    async def _check_idle(self) -> None:
+        async with _site() as site:
+            host, port = site.gateway.front_address.split(":")
+            reader, writer = await asyncio.open_connection(host, int(port))
+            for _ in range(2):
+                writer.writelines(_whole_body(4, "/plain/x"))
+                async with asyncio.timeout(10.0):
+                    self.assertIn(b" 200 ", await reader.readuntil(b"good"))
+                await asyncio.sleep(0.8 * IDLE_TIMEOUT_S)
+            writer.close()
+
     def test_requests_at_endpoints_leave_descriptors_to_the_process(self) -> None:
         """Each request has a connection of its caller's and one to its endpoint: with
         both, callers took those by which the process reaches the log."""
