Whoever answers before a body was read says that the connection closes

Cause: what came of such a body was dropped beyond 64 KiB whoever had answered, but only refusals of the front said that the connection closes.

Change: the connection itself sees to it, for every answer and in both interfaces: if the body is unread, and longer than 64 KiB or in chunks, the answer says `close`, and from then on what comes is dropped; otherwise nothing is, and the connection is used on. What a handler left unread is given back to the account when the request is over.

--- a/src/celerytrack/callers/bodies.py
+++ b/src/celerytrack/callers/bodies.py
@@ -8,7 +8,7 @@
 from aiohttp.http_exceptions import HttpProcessingError
 
 from celerytrack.callers.account import SMALL_BYTES, HoldKind, MemoryAccount
-from celerytrack.callers.connections import MAX_DISCARDED_BYTES, CallerConnection
+from celerytrack.callers.connections import CallerConnection
 from celerytrack.verdict import Reason, Refusal, did_not_run
 
 COPIES = 2
@@ -50,14 +50,6 @@
     return did_not_run(Reason.BAD_REQUEST, None, detail)
 
 
-def closes_unread(request: web.BaseRequest) -> bool:
-    """Whether so much of a body is unread that its connection is to close."""
-    if request.content.is_eof():
-        return False
-    length = request.content_length
-    return length is None or length > MAX_DISCARDED_BYTES
-
-
 class BodyReader:
     """Reads one request's body.
 
--- a/src/celerytrack/callers/connections.py
+++ b/src/celerytrack/callers/connections.py
@@ -19,8 +19,8 @@
 READ_BUFFER_BYTES = 16_384
 """Bytes of a body that a connection buffers before it stops reading; it may go on to
 twice as many."""
-MAX_DISCARDED_BYTES = 65_536
-"""Rest of a refused body that is read so that its connection can be used on."""
+MAX_UNREAD_BYTES = 65_536
+"""Length of a refused body whose rest is read, to use its connection on."""
 LINGERING_S = 3.0
 """How long the rest of a refused body is taken, so that its caller reads the refusal
 before the connection closes."""
@@ -109,7 +109,7 @@
         self._open_transport: asyncio.WriteTransport | None = None
         self._body: StreamReader | None = None
         self._unfinished_bytes = 0
-        self._discarded_bytes = 0
+        self._closes_unread = False
         self._is_handling = False
         self._received = table.account.open(
             HoldKind.RECEIVED, self.drop, self._opened_s
@@ -163,12 +163,10 @@
 
     def data_received(self, data: bytes) -> None:
         """Take bytes, if there is memory for them."""
-        if self._is_discarding:
-            self._discarded_bytes += len(data)
-            if self._discarded_bytes > MAX_DISCARDED_BYTES:
-                # The caller has its answer, and the connection is to close.
-                return
-        elif data:
+        if self._closes_unread:
+            return
+        # The short rest of a body that was refused is read and dropped at once.
+        if data and not (self.is_idle and self._has_body_to_come):
             now_s = time.monotonic()
             if not self._table.account.try_grow(self._received, len(data), now_s):
                 self.drop()
@@ -197,11 +195,6 @@
             account = self._table.account
             account.shrink(self._received, self._received.held_bytes)
 
-    @property
-    def _is_discarding(self) -> bool:
-        """Whether the rest of a body comes whose request is over."""
-        return self._has_body_to_come and self.is_idle
-
     @property
     def _has_body_to_come(self) -> bool:
         return self._body is not None and not self._body.is_eof()
@@ -210,7 +203,6 @@
         self._is_handling = True
         self._received.request = []
         self.stream = None
-        self._discarded_bytes = 0
         self.head_bytes = min(self._received.held_bytes, MAX_HEADER_BYTES)
         self.release_received()
         return self._make_request(*args)
@@ -220,6 +212,17 @@
             return await super()._handle_request(*args)
         finally:
             self._is_handling = False
+            self.release_received()
+
+    async def finish_response(
+        self, request: web.BaseRequest, resp: web.StreamResponse, *args: Any
+    ) -> Any:
+        """Send an answer, which says so if its connection closes after it."""
+        if not resp.prepared and _has_much_unread(request):
+            # What comes of the body is dropped until the caller has read the answer.
+            self._closes_unread = True
+            resp.force_close()
+        return await super().finish_response(request, resp, *args)
 
     def _watch_head(self, count: int) -> None:
         self._unfinished_bytes += count
@@ -246,3 +249,11 @@
         if self._head_timer is not None:
             self._head_timer.cancel()
             self._head_timer = None
+
+
+def _has_much_unread(request: web.BaseRequest) -> bool:
+    """Whether so much of a body is unread that its connection is to close."""
+    if request.content.is_eof():
+        return False
+    length = request.content_length
+    return length is None or length > MAX_UNREAD_BYTES
--- a/src/celerytrack/entry/admission.py
+++ b/src/celerytrack/entry/admission.py
@@ -12,7 +12,7 @@
 from aiohttp import web
 
 from celerytrack.callers.account import Hold
-from celerytrack.callers.bodies import BodyReader, BodyRefusedError, closes_unread
+from celerytrack.callers.bodies import BodyReader, BodyRefusedError
 from celerytrack.entry.answers import StoredAnswer
 from celerytrack.entry.refusals import RefusedError, refuse
 from celerytrack.entry.request_bodies import (
@@ -181,10 +181,7 @@
         admitted = await admit(state, request, kind, reader)
         return await _answer(state, request, admitted, replay, serve)
     except RefusedError as exc:
-        response = refuse(state.metrics, exc.work_class, exc.refusal)
-        if closes_unread(request):
-            response.force_close()
-        return response
+        return refuse(state.metrics, exc.work_class, exc.refusal)
     finally:
         state.callers.account.close(reader.hold)
 
--- a/src/celerytrack/gateway/outcomes.py
+++ b/src/celerytrack/gateway/outcomes.py
@@ -7,7 +7,6 @@
 from aiohttp import web
 from returns.result import Failure, Result
 
-from celerytrack.callers.bodies import closes_unread
 from celerytrack.event_order import Disorder
 from celerytrack.events import Event, log_event
 from celerytrack.gateway.exchange import AttemptFailure, BufferedAnswer, Exchange
@@ -234,7 +233,7 @@
         config_version=gateway.routing_table.version if gateway.routing_table else None,
     )
     count_outcome(gateway, exchange, refusal.reason.value)
-    return refusal_response(refusal, gateway.leaving or closes_unread(request))
+    return refusal_response(refusal, gateway.leaving)
 
 
 def _age_ms(age_s: float) -> int | None:
--- a/tests/test_crowds.py
+++ b/tests/test_crowds.py
@@ -344,6 +344,40 @@
                 self.assertIn(b" 200 ", await reader.readline())
             writer.close()
 
+    @params(
+        # port, path, length of a body that comes late, whether the connection lasts
+        (FRONT, "/plain/x", 60_000, True),
+        (FRONT, "/no/x", 60_000, True),
+        (FRONT, "/no/x", 100_000, False),
+        (DIRECTORY, "/no/x", 100_000, False),
+    )
+    def test_a_connection_is_used_on_or_says_that_it_closes(
+        self, port: int, path: str, size: int, lasts: bool
+    ) -> None:
+        """The request after one that was refused unread was dropped with its body."""
+        asyncio.run(self._check_used_on(port, path, size, lasts))
+
+    async def _check_used_on(
+        self, port: int, path: str, size: int, lasts: bool
+    ) -> None:
+        async with _site() as site:
+            reader, writer = await asyncio.open_connection(loopback_ip(1), port)
+            head_piece, body = _whole_body(size, path)
+            writer.write(head_piece)
+            await asyncio.sleep(0.2)
+            writer.write(body)
+            async with asyncio.timeout(10.0):
+                first = await reader.readuntil(b"\r\n\r\n")
+                self.assertEqual(b"Connection: close" not in first, lasts)
+                length = first.partition(b"Content-Length: ")[2].partition(b"\r")[0]
+                await reader.readexactly(int(length))
+                if lasts:
+                    writer.writelines(_whole_body(4, "/plain/x"))
+                    self.assertIn(b" 200 ", await reader.readuntil(b"good"))
+            held = 'celerytrack_caller_bytes{kind="received"} 0.0'
+            self.assertIn(held, await site.gateway.metrics())
+            writer.close()
+
     def test_a_head_that_does_not_end_is_closed_and_counted(self) -> None:
         """Connections whose heads stopped stayed open, and nothing told of them."""
         asyncio.run(self._check_late_head())
