An entry that has no memory for one relayed request isn't passed over for the next

What callers saw: while an entry that other entries help lacked memory for a large body, small requests through it were refused too, for as long as it was passed over.

Cause: any refusal of a relayed request before it is sent was told as `no_config`, which means that the entry would refuse the next one as well.

--- a/src/celerytrack/gateway/relay_server.py
+++ b/src/celerytrack/gateway/relay_server.py
@@ -34,6 +34,11 @@
 from celerytrack.strict import UnreadableError
 from celerytrack.verdict import Reason, Refusal, Verdict, did_not_run
 
+_OF_THE_REQUEST = {
+    Reason.OVERLOADED: Reason.NO_CAPACITY,
+    Reason.BODY_TIMEOUT: Reason.DEADLINE,
+}
+"""Reasons that say nothing of the next request, as other entries know them."""
 MAX_UNSENT = 3
 """Endpoints that may be unreachable before a request is refused."""
 
@@ -61,7 +66,8 @@
         progress.exchange = exchange
         return await _serve(gateway, exchange, len(exchange.tried))
     except RefusedError as exc:
-        return _refuse(Reason.NO_CONFIG, f"not admitted here: {exc.refusal.detail}")
+        reason = _OF_THE_REQUEST.get(exc.refusal.reason, Reason.NO_CONFIG)
+        return _refuse(reason, f"not admitted here: {exc.refusal.detail}")
     except Exception as exc:
         refusal = record_fault(gateway, progress, exc)
         return _answer_fault(progress.exchange, refusal)
--- a/tests/test_relays.py
+++ b/tests/test_relays.py
@@ -10,6 +10,7 @@
 import aiohttp
 from aiohttp import web
 
+from celerytrack.callers.account import SMALL_BYTES, HoldKind
 from celerytrack.gateway.reach import potential_helpers
 from celerytrack.gateway.relay_format import RelayOrder, encode_order
 from celerytrack.gateway.state import Gateway
@@ -192,6 +193,25 @@
         self.assertGreaterEqual(used[0], 100)
         self.assertEqual(used[1], 0)
 
+    async def test_a_helper_without_memory_refuses_and_nothing_runs(self) -> None:
+        """Callers of one entry reached into the memory of another."""
+        endpoints = make_working(4)
+        fleet, _ = cut_fleet(endpoints, 2)
+        async with fleet:
+            await _cut(fleet, [0], LinkState.RESET)
+            account = fleet.gateways[1].callers.account
+            full = account.open(HoldKind.BODY, lambda: None, time.monotonic())
+            account.stop_waiting(full)
+            account.grow(full, account.budget_bytes, time.monotonic())
+            before = sum(len(e.seen) for e in endpoints)
+            body = b"b" * (2 * SMALL_BYTES)
+            status, headers, answer = await fleet.ask("/once/x", "large", body=body)
+            self.assertEqual((status, "Retry-After" in headers), (503, True))
+            self.assertIn(b"did_not_run", answer)
+            self.assertEqual(sum(len(e.seen) for e in endpoints), before)
+            self.assertEqual((await fleet.ask("/once/x", "small"))[0], 200)
+            self.assertEqual(account.total_bytes, account.budget_bytes)
+
     async def test_only_known_entries_may_send_requests_through_another(self) -> None:
         """Whoever reached the port for entries was served without admission."""
         endpoints = make_working(2)
