An answer's head is judged in one place before the library parses it

What callers saw: answers that are none, passed on: a status below 100 or above 599, the sizes of chunks or undecoded bytes as a body, a field of an HTTP/2.0 or 101 answer; and no answer at all (a closed connection) where a value held a control byte, since the library refused to send what it had parsed. It happens where answers are read, so with relayed requests and answers of the log too.

Cause: heads were left to the library's parser, which is lenient to servers.

Change: `answer_heads` decides without I/O what a head is (status line, names, values, framing, interim answers), and every connection of ours gives the parser a head only once it is whole and an answer's. Behind the end of a body nothing is parsed.

--- a/src/celerytrack/bounded_connection.py
+++ b/src/celerytrack/bounded_connection.py
@@ -1,4 +1,4 @@
-"""Connections that end an answer whose head or framing has no end.
+"""Connections that end an answer whose head is none, or whose framing has no end.
 
 They are closed by bytes that no request asked for.
 """
@@ -6,19 +6,22 @@
 import asyncio
 import fcntl
 import termios
+from collections.abc import Iterator
 from typing import Any, Protocol
 
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
 from aiohttp.connector import Connection
 
+from celerytrack.answer_heads import BrokenHeadError, HeadReader, WholeHead
 from celerytrack.answer_limits import DEFAULT_LIMITS, AnswerBytes, AnswerLimits
 
+PIECE_BYTES = 4_096
+"""Bytes of a chunked body that the library gets at once: what is behind the last chunk
+would be parsed with it, as more answers."""
 CONNECTION_BYTES = 327_680
 """Bytes of an answer that a connection may buffer while nobody reads it: its buffer,
 and what the event loop reads at once."""
-SWITCHING_PROTOCOLS = 101
-"""The only interim answer after which no other head follows."""
 
 
 class AnswerNotHeldError(Exception):
@@ -42,6 +45,10 @@
     """The bytes of an answer lead to nothing: the connection was closed."""
 
 
+class BrokenAnswerError(aiohttp.ClientPayloadError):
+    """The bytes in place of an answer's head are none: the connection was closed."""
+
+
 async def read_body(
     response: aiohttp.ClientResponse, answer_bytes: AnswerBytes, memory: AnswerMemory
 ) -> bytes:
@@ -87,8 +94,8 @@
 class BoundedConnection(ResponseHandler):
     """A connection to an endpoint that is bounded in bytes and time.
 
-    The library bounds a line of a head. It reads on without end if a head comes byte by
-    byte, after interim answers, and in the size or extension of a chunk.
+    The library gets a head only once it is whole and an answer's. It would read on
+    without end in the size or extension of a chunk.
 
     :ivar requests: requests that were sent on it so far.
     """
@@ -99,8 +106,11 @@
         super().__init__(loop)
         self.requests = 0
         self._limits = limits
+        self._head = HeadReader(limits.head_bytes)
         self._has_head = False
-        self._head_bytes = 0
+        self._is_chunked = False
+        self._body_left: int | None = None
+        self._skips_body = False
         self._framing_bytes = 0
         self._content_bytes = 0
         self._content: aiohttp.StreamReader | None = None
@@ -109,39 +119,90 @@
     def set_response_params(self, **params: Any) -> None:
         """Begin to read the answer to another request."""
         self.requests += 1
+        self._head = HeadReader(self._limits.head_bytes)
         self._has_head = False
-        self._head_bytes = self._framing_bytes = self._content_bytes = 0
+        self._framing_bytes = self._content_bytes = 0
         self._content = None
+        self._skips_body = params.get("skip_payload", False)
         super().set_response_params(**params)
 
     def feed_data(self, data: Any, size: int = 0) -> None:
         """Take a head that is complete."""
-        message, content = data
-        self._stop_head_timer()
-        if message.code >= 200 or message.code == SWITCHING_PROTOCOLS:
-            self._has_head = True
-            self._content = content
+        _, self._content = data
         super().feed_data(data, size)
 
     def data_received(self, data: bytes) -> None:
         """Take bytes, and close the connection if they are too many."""
         if data and self._is_answered():
-            # The library keeps them, and takes them for the next request's answer.
-            self.force_close()
-            if self.transport is not None:
-                self.transport.abort()
-            return
-        if not self._has_head:
-            self._head_bytes += len(data)
-            if self._head_timer is None and data:
-                self._head_timer = self._loop.call_later(
-                    self._limits.head_timeout_s, self._give_up, "a head takes too long"
-                )
-        super().data_received(data)
-        if self._has_head:
-            self._check_framing(len(data))
-        elif self._head_bytes > self._limits.head_bytes:
-            self._give_up("a head is too long")
+            self._close_spoiled()
+        elif self._parser is None or not data:
+            super().data_received(data)
+        elif self._has_head:
+            self._read_body(data)
+        else:
+            self._read_head(data)
+
+    def _read_head(self, data: bytes) -> None:
+        detail = ""
+        try:
+            whole = self._head.feed(data)
+        except BrokenHeadError as exc:
+            detail = str(exc)
+        if detail:
+            # Outside of the handler: the error would keep what was read.
+            self._give_up(BrokenAnswerError(detail))
+        elif whole is None:
+            self._watch_head()
+        else:
+            self._take_head(whole)
+
+    def _take_head(self, whole: WholeHead) -> None:
+        self._stop_head_timer()
+        self._has_head = True
+        self._is_chunked = whole.head.is_chunked
+        self._body_left = 0 if self._skips_body else whole.head.body_bytes
+        super().data_received(whole.raw)
+        if whole.body:
+            self._read_body(whole.body)
+
+    def _read_body(self, data: bytes) -> None:
+        """Have the body parsed, and nothing behind it."""
+        for piece in self._body_pieces(data):
+            if self._is_answered():
+                self._close_spoiled()
+                return
+            super().data_received(piece)
+            self._check_framing(len(piece))
+
+    def _body_pieces(self, data: bytes) -> Iterator[bytes]:
+        if self._is_chunked and not self._skips_body:
+            for start in range(0, len(data), PIECE_BYTES):
+                yield data[start : start + PIECE_BYTES]
+        elif self._body_left is None:
+            yield data
+        else:
+            count = min(self._body_left, len(data))
+            self._body_left -= count
+            if count:
+                yield data[:count]
+            if count < len(data):
+                self.force_close()
+
+    def _close_spoiled(self) -> None:
+        """Close the connection: the next answer wouldn't begin where it should."""
+        self.force_close()
+        if self.transport is not None:
+            self.transport.abort()
+
+    def _watch_head(self) -> None:
+        """Bound the time until a head that has begun is whole."""
+        if not self._head.has_begun:
+            self._stop_head_timer()
+        elif self._head_timer is None:
+            error = EndlessAnswerError("a head takes too long")
+            self._head_timer = self._loop.call_later(
+                self._limits.head_timeout_s, self._give_up, error
+            )
 
     def is_connected(self) -> bool:
         """Whether a request may be sent on it."""
@@ -177,16 +238,17 @@
             return
         self._framing_bytes += count
         if self._framing_bytes > self._limits.framing_bytes:
-            self._give_up("the framing of a body is too long")
+            error = EndlessAnswerError("the framing of a body is too long")
+            self._give_up(error)
 
     def _stop_head_timer(self) -> None:
         if self._head_timer is not None:
             self._head_timer.cancel()
             self._head_timer = None
 
-    def _give_up(self, detail: str) -> None:
+    def _give_up(self, error: aiohttp.ClientPayloadError) -> None:
         self._stop_head_timer()
-        error = EndlessAnswerError(detail)
+        self._head = HeadReader(self._limits.head_bytes)
         content = self._content
         if content is not None and not content.is_eof():
             content.set_exception(error)
