A check of identity takes only an answer for one

What callers saw: nothing by itself; an answer without length that ended with its endpoint's process could pass for whole, since the process that followed at its address answered the check with a head that is none (status 000, a control byte behind the id) or an interim one before it.

Cause: checks took heads apart by themselves, without asking whether they are one.

Change: they read with the reader of all answers. A broken head says nothing of who is there, as before when it named nobody; a head's lines may end by LF, and interim answers are passed over, as elsewhere.

--- a/src/celerytrack/gateway/identity_checks.py
+++ b/src/celerytrack/gateway/identity_checks.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable
 
 from celerytrack import http_session
+from celerytrack.answer_heads import BrokenHeadError, HeadReader, WholeHead
 from celerytrack.ids import EndpointId
 from celerytrack.platform.http import encode_identity_check, names_process
 from celerytrack.routing.endpoint import Endpoint
@@ -20,7 +21,6 @@
 """Delays before the checks while connections are closed without an answer: a listener
 that closes refuses soon after, an endpoint at its limit of connections goes on."""
 _MAX_HEAD_BYTES = 16_384
-_HEAD_END = b"\r\n\r\n"
 
 
 class Identity(enum.Enum):
@@ -109,17 +109,20 @@
         (socket.AF_INET, socket.SOCK_STREAM, socket.IPPROTO_TCP, "", target)
     )
     loop = asyncio.get_running_loop()
-    head = b""
+    reader = HeadReader(_MAX_HEAD_BYTES)
+    whole: WholeHead | None = None
     try:
         async with asyncio.timeout(MAX_WAIT_S):
             await loop.sock_connect(sock, target)
             request = encode_identity_check(address, health_path, endpoint_id)
             await loop.sock_sendall(sock, request)
-            while _HEAD_END not in head and len(head) < _MAX_HEAD_BYTES:
+            while whole is None:
                 data = await loop.sock_recv(sock, _MAX_HEAD_BYTES)
                 if not data:
                     return Identity.CLOSED
-                head += data
+                whole = reader.feed(data)
+    except BrokenHeadError:
+        return Identity.UNNAMED
     except ConnectionRefusedError:
         return Identity.NONE
     except TimeoutError:
@@ -128,4 +131,4 @@
         return Identity.CLOSED
     finally:
         sock.close()
-    return _IDENTITY_OF[names_process(head, endpoint_id)]
+    return _IDENTITY_OF[names_process(whole.head, endpoint_id)]
--- a/src/celerytrack/platform/http.py
+++ b/src/celerytrack/platform/http.py
@@ -7,6 +7,7 @@
 import attrs
 from multidict import CIMultiDict, CIMultiDictProxy
 
+from celerytrack.answer_heads import AnswerHead
 from celerytrack.ids import AccountId, EndpointId, PartId, RequestId
 from celerytrack.reachability.relayed import RELAYED_HEADER
 from celerytrack.strict import is_encodable
@@ -76,7 +77,7 @@
 _NOT_RELAYED = frozenset({"content-length", "expect", RELAY_HEADER.lower()})
 _NOT_RETURNED = frozenset({"content-length", "date", "server", RELAYED_HEADER.lower()})
 
-_FULL_STATUSES = frozenset({b"429", b"503"})
+_FULL_STATUSES = frozenset({429, 503})
 
 SKIPPED_AUTO_HEADERS = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
 """Headers that the client library would add by default. An endpoint that used an
@@ -321,23 +322,19 @@
     return "\r\n".join((*lines, "", "")).encode()
 
 
-def names_process(head: bytes, endpoint_id: EndpointId) -> bool | None:
+def names_process(head: AnswerHead, endpoint_id: EndpointId) -> bool | None:
     """Whether the head of the answer to such a request is of ``endpoint_id``.
 
     :returns: ``None`` if it doesn't say.
     """
-    status_line, *lines = head.partition(b"\r\n\r\n")[0].split(b"\r\n")
-    status = b"".join(status_line.split(b" ")[1:2])
-    if status == b"421":
+    if head.status == 421:
         return False
-    pairs = [line.partition(b":") for line in lines]
-    fields = [(name.lower(), value.strip()) for name, _, value in pairs]
-    named = [value for name, value in fields if name == _NAMED.lower().encode()]
+    named = head.values(_NAMED.lower().encode())
     if named:
         return named == [endpoint_id.encode()]
     # A full endpoint rejects a check like any request, and another one with 421.
-    is_rejected = any(name == _NOT_RUN.lower().encode() for name, _ in fields)
-    return True if status in _FULL_STATUSES and is_rejected else None
+    is_rejected = bool(head.values(_NOT_RUN.lower().encode()))
+    return True if head.status in _FULL_STATUSES and is_rejected else None
 
 
 def encode_addresses(addresses: list[str], ttl_s: float) -> dict[str, Any]:
--- a/tests/test_identity_checks.py
+++ b/tests/test_identity_checks.py
@@ -47,6 +47,16 @@
         (b"HTTP/1.1 400 No Id\r\nX-Not-Executed: 1\r\n\r\n", Identity.UNNAMED),
         (b"HTTP/1.1 404 No\r\n\r\n", Identity.UNNAMED),
         (b"\xff\xfe no answer \r\n\r\n", Identity.UNNAMED),
+        (b"HTTP/1.1 000 OK\r\nX-Replica-Id: i-7\r\n\r\n", Identity.UNNAMED),
+        (b"HTTP/1.1 200 OK\r\nX-Replica-Id : i-7\r\n\r\n", Identity.UNNAMED),
+        (b"HTTP/1.1 200 OK\r\nX-Replica-Id: i-7\x01\r\n\r\n", Identity.UNNAMED),
+        (b"HTTP/2.0 200 OK\r\nX-Replica-Id: i-7\r\n\r\n", Identity.UNNAMED),
+        (b"ICY 200 OK\r\nX-Replica-Id: i-7\r\n\r\n", Identity.UNNAMED),
+        (b"HTTP/1.1 200 OK\nX-Replica-Id: i-7\n\n", Identity.SAME),
+        (
+            b"HTTP/1.1 100 \r\n\r\nHTTP/1.1 200 \r\nX-Replica-Id: i-7\r\n\r\n",
+            Identity.SAME,
+        ),
         (b"HTTP/1.1 200 OK\r\nX-Rep", Identity.CLOSED),
         (None, Identity.CLOSED),
     )
