Bytes beyond ASCII in a value of an answer reach the caller

What callers saw: an answer whose head holds such bytes, obsolete but legal, came with a value from which they were missing (`caf` for `caf\xe9`); with the library in plain Python no answer came at all.

Cause: heads are read with `surrogateescape`, but the library writes them as UTF-8 without it: its compiled form leaves the bytes out, the other one raises.

--- a/src/celerytrack/callers/connections.py
+++ b/src/celerytrack/callers/connections.py
@@ -9,6 +9,7 @@
 from aiohttp.streams import StreamReader
 
 from celerytrack.callers.account import Hold, HoldKind, MemoryAccount
+from celerytrack.callers.head_writer import HeadWriter
 from celerytrack.callers.limits import CallerTimes
 
 MAX_HEADER_BYTES = 65_536
@@ -199,13 +200,21 @@
     def _has_body_to_come(self) -> bool:
         return self._body is not None and not self._body.is_eof()
 
-    def _begin_request(self, *args: Any) -> web.BaseRequest:
+    def _begin_request(
+        self,
+        message: Any,
+        payload: StreamReader,
+        protocol: web.RequestHandler,
+        writer: Any,
+        task: "asyncio.Task[None]",
+    ) -> web.BaseRequest:
         self._is_handling = True
         self._received.request = []
         self.stream = None
         self.head_bytes = min(self._received.held_bytes, MAX_HEADER_BYTES)
         self.release_received()
-        return self._make_request(*args)
+        writer = HeadWriter(self, self._loop)
+        return self._make_request(message, payload, protocol, writer, task)
 
     async def _handle_request(self, *args: Any) -> Any:
         try:
--- a/tests/test_broken_heads.py
+++ b/tests/test_broken_heads.py
@@ -236,3 +236,10 @@
         self, script: RawScript, paths: tuple[str, ...]
     ) -> list[RawAnswer]:
         return await asyncio.gather(*(_ask(path, script) for path in paths))
+
+    @params(b"caf\xe9", b"\x80\xff", "caf\u00e9".encode())
+    def test_bytes_beyond_ascii_in_a_value_stay(self, value: bytes) -> None:
+        """The library that writes heads left such bytes out."""
+        answer = asyncio.run(_ask("/plain/x", _sound(b"X-Odd: " + value)))
+        self.assertEqual(answer.status, 200, answer)
+        self.assertIn(b"X-Odd: " + value + b"\r\n", answer.head + b"\r\n")
