A head that can't be written ends in a truthful answer

Cause: short answers were written after the request's handling had ended, where an error closes the connection; a stream counted as begun before its head was written.

Change: the head is written within the handling, and a stream counts as begun only then; what isn't foreseen there gets a verdict as anywhere else.

--- a/src/celerytrack/callers/answers.py
+++ b/src/celerytrack/callers/answers.py
@@ -70,6 +70,8 @@
     """
     body = answer.body
     if not isinstance(body, bytes) or len(body) <= SHORT_BYTES:
+        # A head that can't be written shows here, while another answer may be given.
+        await answer.prepare(request)
         return answer
     now_s = time.monotonic()
     if hold is None:
--- a/src/celerytrack/gateway/stream_relay.py
+++ b/src/celerytrack/gateway/stream_relay.py
@@ -1,9 +1,11 @@
 """Relays a stream of events from an endpoint to the caller."""
 
 import time
+from typing import cast
 
 import aiohttp
 from aiohttp import web
+from aiohttp.http_writer import StreamWriter
 from returns.result import Success
 
 from celerytrack.callers.answers import READ_BYTES, write_events
@@ -153,6 +155,12 @@
         await answer.prepare(exchange.request)
     except ConnectionError:
         raise CallerDisconnectedError from None
+    except Exception:
+        # Nothing of it was sent, so another answer may be given in its place.
+        exchange.response = None
+        mark_whole(exchange.request)
+        cast(StreamWriter, exchange.request.writer).chunked = False
+        raise
 
 
 async def _write(gateway: Gateway, exchange: Exchange, data: bytes) -> None:
--- a/tests/test_broken_heads.py
+++ b/tests/test_broken_heads.py
@@ -2,9 +2,12 @@
 
 import asyncio
 import unittest
+from unittest import mock
 
+from multidict import CIMultiDict
 from nose2.tools import params
 
+from celerytrack.gateway import attempts, stream_relay
 from tests.gateway_fleet import Fleet
 from tests.raw_endpoints import (
     RawAnswer,
@@ -243,3 +246,17 @@
         answer = asyncio.run(_ask("/plain/x", _sound(b"X-Odd: " + value)))
         self.assertEqual(answer.status, 200, answer)
         self.assertIn(b"X-Odd: " + value + b"\r\n", answer.head + b"\r\n")
+
+    @params(*PATHS)
+    def test_a_head_that_cannot_be_written_ends_in_a_truthful_answer(
+        self, path: str
+    ) -> None:
+        """The library raised an error, and the caller's connection was closed."""
+        unwritable = CIMultiDict({"X-Odd": "a\x01"})
+        with (
+            mock.patch.object(attempts, "returned_headers", lambda _: unwritable),
+            mock.patch.object(stream_relay, "returned_headers", lambda _: unwritable),
+        ):
+            answer = asyncio.run(_ask(path, _good))
+        self.assertEqual((answer.status, answer.whole), (502, True), answer)
+        self.assertIn(b'"may_have_run"', answer.body)
