The own interface's log is read by the same rules as all answers

What callers saw: nothing directly. An append whose answer had the status 000 counted as refused, "nothing was written", though the log may have taken it; one with a folded line, a control byte or an undecoded body counted as confirmed.

Cause: this client had a session of the library, whose connections don't judge heads.

Change: it has a session like the other clients.

Evidence: all eight rows of test_an_append_whose_answer_is_none_may_have_taken_effect failed before, and all pass.

--- a/src/celerytrack/logclient.py
+++ b/src/celerytrack/logclient.py
@@ -12,8 +12,11 @@
 import attrs
 from returns.result import Failure, Result, Success
 
+from celerytrack.http_session import make_http_session
 from celerytrack.strict import UnreadableError, parse_lenient
 
+IDLE_S = 15.0
+"""Idle time after which a connection is not reused."""
 READ_IDLE_TIMEOUT_S = 2.0
 """Longest wait for the next bytes of a read, in addition to the time that the log may
 hold it. A change must be in force within five seconds, even if the read that was held
@@ -97,7 +100,7 @@
 
     def _http(self) -> aiohttp.ClientSession:
         if self._session is None or self._session.closed:
-            self._session = aiohttp.ClientSession(headers=self._headers)
+            self._session = make_http_session(IDLE_S, headers=self._headers)
         return self._session
 
     async def close(self) -> None:
