Chunks that no reader takes aren't parsed on; many answers without end at a real process

Cause: a body in chunks goes to the parser in pieces, so that what is behind the last chunk is no answer to it; the pieces went on while its reader had the parser paused.

Change: what is left waits on the connection, which reads no more meanwhile, until the reader goes on.

--- a/src/celerytrack/bounded_connection.py
+++ b/src/celerytrack/bounded_connection.py
@@ -6,7 +6,6 @@
 import asyncio
 import fcntl
 import termios
-from collections.abc import Iterator
 from typing import Any, Protocol
 
 import aiohttp
@@ -111,6 +110,7 @@
         self._is_chunked = False
         self._body_left: int | None = None
         self._skips_body = False
+        self._unparsed = b""
         self._framing_bytes = 0
         self._content_bytes = 0
         self._content: aiohttp.StreamReader | None = None
@@ -122,6 +122,7 @@
         self._head = HeadReader(self._limits.head_bytes)
         self._has_head = False
         self._framing_bytes = self._content_bytes = 0
+        self._unparsed = b""
         self._content = None
         self._skips_body = params.get("skip_payload", False)
         super().set_response_params(**params)
@@ -135,8 +136,12 @@
         """Take bytes, and close the connection if they are too many."""
         if data and self._is_answered():
             self._close_spoiled()
-        elif self._parser is None or not data:
+        elif self._parser is None:
             super().data_received(data)
+        elif not data:
+            # What was received goes on to be parsed.
+            super().data_received(data)
+            self._read_chunks(data)
         elif self._has_head:
             self._read_body(data)
         else:
@@ -159,7 +164,7 @@
     def _take_head(self, whole: WholeHead) -> None:
         self._stop_head_timer()
         self._has_head = True
-        self._is_chunked = whole.head.is_chunked
+        self._is_chunked = whole.head.is_chunked and not self._skips_body
         self._body_left = 0 if self._skips_body else whole.head.body_bytes
         super().data_received(whole.raw)
         if whole.body:
@@ -167,26 +172,30 @@
 
     def _read_body(self, data: bytes) -> None:
         """Have the body parsed, and nothing behind it."""
-        for piece in self._body_pieces(data):
+        if self._is_chunked:
+            self._read_chunks(data)
+            return
+        if self._body_left is not None:
+            if len(data) > self._body_left:
+                self.force_close()
+            data = data[: self._body_left]
+            self._body_left -= len(data)
+        if data:
+            super().data_received(data)
+
+    def _read_chunks(self, data: bytes) -> None:
+        data = self._unparsed + data
+        start = 0
+        while start < len(data) and not self._reading_paused:
             if self._is_answered():
+                self._unparsed = b""
                 self._close_spoiled()
                 return
+            piece = data[start : start + PIECE_BYTES]
+            start += len(piece)
             super().data_received(piece)
             self._check_framing(len(piece))
-
-    def _body_pieces(self, data: bytes) -> Iterator[bytes]:
-        if self._is_chunked and not self._skips_body:
-            for start in range(0, len(data), PIECE_BYTES):
-                yield data[start : start + PIECE_BYTES]
-        elif self._body_left is None:
-            yield data
-        else:
-            count = min(self._body_left, len(data))
-            self._body_left -= count
-            if count:
-                yield data[:count]
-            if count < len(data):
-                self.force_close()
+        self._unparsed = data[start:]
 
     def _close_spoiled(self) -> None:
         """Close the connection: the next answer wouldn't begin where it should."""
