A success without length that ends before its request was taken isn't whole

What callers saw: 200 with a part of a body as a whole answer, where an endpoint answered a long upload at once, ended its connection in order and reset it later, or never.

Cause: HTTP has an answer without length end with its connection, and the reset that would tell comes too late, or is lost with the rest of the upload.

Change: as the peer's end is read, a connection notes whether bytes of the request are still here or unacknowledged; a success without length that ends so is broken off (502, or another endpoint). A refusal (413) stays whole, as whatever says its length, and an answer after the upload was read: the end acknowledges all of it. The counts of the kernel's queues, which stood twice, have a module.

--- a/src/celerytrack/bounded_connection.py
+++ b/src/celerytrack/bounded_connection.py
@@ -4,8 +4,6 @@
 """
 
 import asyncio
-import fcntl
-import termios
 from typing import Any, Protocol
 
 import aiohttp
@@ -14,6 +12,7 @@
 
 from celerytrack.answer_heads import BrokenHeadError, HeadReader, WholeHead
 from celerytrack.answer_limits import DEFAULT_LIMITS, AnswerBytes, AnswerLimits
+from celerytrack.socket_queues import unread_bytes, unsent_bytes
 
 PIECE_BYTES = 4_096
 """Bytes of a chunked body that the library gets at once: what is behind the last chunk
@@ -97,6 +96,7 @@
     without end in the size or extension of a chunk.
 
     :ivar requests: requests that were sent on it so far.
+    :ivar ended_early: whether the peer ended it before it had taken the last request.
     """
 
     def __init__(
@@ -104,6 +104,7 @@
     ) -> None:
         super().__init__(loop)
         self.requests = 0
+        self.ended_early = False
         self._limits = limits
         self._head = HeadReader(limits.head_bytes)
         self._has_head = False
@@ -224,12 +225,14 @@
 
     def _has_unread(self) -> bool:
         """Whether bytes of the peer wait; its end alone is left to the event loop."""
-        sock = self.transport and self.transport.get_extra_info("socket")
-        if not sock or sock.fileno() < 0:
-            return False
-        unread = bytearray(4)
-        fcntl.ioctl(sock.fileno(), termios.FIONREAD, unread)
-        return any(unread)
+        return self.transport is not None and unread_bytes(self.transport) > 0
+
+    def eof_received(self) -> None:
+        """Note whether the peer ends it while a request is on its way."""
+        self.ended_early = (
+            self.transport is not None and unsent_bytes(self.transport) > 0
+        )
+        super().eof_received()
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Stop the timer of a head that will not come."""
--- a/src/celerytrack/callers/answers.py
+++ b/src/celerytrack/callers/answers.py
@@ -1,9 +1,6 @@
 """Writes answers to callers, who may take them slowly or not at all."""
 
 import asyncio
-import fcntl
-import sys
-import termios
 import time
 from typing import cast
 
@@ -13,6 +10,7 @@
 from celerytrack.bounded_connection import AnswerNotHeldError
 from celerytrack.callers.account import Hold, HoldKind, MemoryAccount
 from celerytrack.callers.connections import CallerConnection
+from celerytrack.socket_queues import unsent_bytes
 
 PIECE_BYTES = 65_536
 """Bytes of an answer that are written at once."""
@@ -165,22 +163,7 @@
 
     The kernel takes more from the process only once a third of its buffer is free.
     """
-    transport = request.transport
-    if transport is None:
-        return 0
-    return transport.get_write_buffer_size() + _queued_bytes(transport)
-
-
-def _queued_bytes(transport: asyncio.Transport) -> int:
-    sock = transport.get_extra_info("socket")
-    if sock is None or sock.fileno() < 0:
-        return 0
-    queued = bytearray(4)
-    try:
-        fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, queued)
-    except OSError:
-        return 0
-    return int.from_bytes(queued, sys.byteorder)
+    return 0 if request.transport is None else unsent_bytes(request.transport)
 
 
 def _abort(request: web.BaseRequest) -> None:
--- a/src/celerytrack/gateway/answer_ends.py
+++ b/src/celerytrack/gateway/answer_ends.py
@@ -5,6 +5,8 @@
 
 import aiohttp
 
+from celerytrack.answer_heads import STATUSES_WITHOUT_BODY
+from celerytrack.bounded_connection import BoundedConnection
 from celerytrack.gateway.identity_checks import has_other_process
 from celerytrack.gateway.state import Gateway
 from celerytrack.platform.http import Framing, framing_of
@@ -14,9 +16,9 @@
 """Longest time for which the end of an answer waits for a sign that it isn't one."""
 SEND_MARGIN_S = 0.05
 """Time that the end of an answer has to be sent before its deadline."""
-_WITHOUT_BODY = frozenset({204, 304})
 PROCESS_ENDED = "an answer without length ended with its endpoint's process"
 """Why such an answer isn't passed on, or not as complete."""
+ENDED_EARLY = "an answer without length ended before its request was taken"
 
 
 def protocol_of(response: aiohttp.ClientResponse) -> asyncio.BaseProtocol | None:
@@ -42,6 +44,28 @@
     return isinstance(exception, aiohttp.ClientOSError)
 
 
+def ended_early(
+    response: aiohttp.ClientResponse, protocol: asyncio.BaseProtocol | None
+) -> bool:
+    """Whether a success without length ended before its request was taken.
+
+    An endpoint that gives up may end its connection in order first, and reset it later.
+    Whoever refuses a request may do so before it has read it.
+    """
+    return (
+        _ends_with_connection(response)
+        and response.status < 300
+        and isinstance(protocol, BoundedConnection)
+        and protocol.ended_early
+    )
+
+
+def _ends_with_connection(response: aiohttp.ClientResponse) -> bool:
+    if response.method == "HEAD" or response.status in STATUSES_WITHOUT_BODY:
+        return False
+    return framing_of(response.headers) is Framing.CONNECTION
+
+
 async def ended_with_process(
     gateway: Gateway,
     endpoint: Endpoint | None,
@@ -59,9 +83,7 @@
     :param deadline_at_s: by when the answer must be sent; without a result until then
         the process counts as alive.
     """
-    if framing_of(response.headers) is not Framing.CONNECTION:
-        return False
-    if response.method == "HEAD" or response.status in _WITHOUT_BODY:
+    if not _ends_with_connection(response):
         return False
     if endpoint is None:
         return True
--- a/src/celerytrack/gateway/attempts.py
+++ b/src/celerytrack/gateway/attempts.py
@@ -15,7 +15,9 @@
 )
 from celerytrack.callers.answers import AnswerReading
 from celerytrack.gateway.answer_ends import (
+    ENDED_EARLY,
     PROCESS_ENDED,
+    ended_early,
     ended_with_process,
     protocol_of,
     was_reset,
@@ -261,6 +263,8 @@
         return connection_failure(Reason.UPSTREAM_CUT, Verdict.MAY_HAVE_RUN, exc)
     if was_reset(response, protocol):
         return unusable_answer("an answer without length was reset")
+    if ended_early(response, protocol):
+        return unusable_answer(ENDED_EARLY)
     endpoint = None if dispatch is None else dispatch.endpoint
     if await ended_with_process(gateway, endpoint, response, exchange.deadline_at_s):
         return unusable_answer(PROCESS_ENDED)
--- a/src/celerytrack/gateway/stream_relay.py
+++ b/src/celerytrack/gateway/stream_relay.py
@@ -11,7 +11,9 @@
 from celerytrack.callers.answers import READ_BYTES, write_events
 from celerytrack.event_order import Disorder, Standing
 from celerytrack.gateway.answer_ends import (
+    ENDED_EARLY,
     PROCESS_ENDED,
+    ended_early,
     ended_with_process,
     protocol_of,
     was_reset,
@@ -93,6 +95,8 @@
             return _out_of_order(received.disorder)
     if events.has_partial or was_reset(response, protocol):
         return unusable_answer("a stream ended in the middle of an event")
+    if ended_early(response, protocol):
+        return unusable_answer(ENDED_EARLY)
     endpoint = None if dispatch is None else dispatch.endpoint
     if await ended_with_process(gateway, endpoint, response, exchange.deadline_at_s):
         return unusable_answer(PROCESS_ENDED)
