Late in a planned stop, what can't be repeated is admitted by its deadline alone

What callers saw: a once-only request that came more than 3 s after the signal was passed on and cut at the end of the grace (504, "may have run"), where a refusal at once would have been "did not run".

Cause: it was admitted by what had been usual on its route, and the endpoints had become slower. Streams had a rule of their own for that time, other requests none.

Change: the rule of streams holds for requests that can't be repeated: from 2.8 s after the signal they are admitted only if their deadline comes before that of the answers. Requests that can be repeated are admitted as before, so that no more than needed is refused.

--- a/src/celerytrack/gateway/pipeline.py
+++ b/src/celerytrack/gateway/pipeline.py
@@ -138,6 +138,7 @@
         most_s=exchange.deadline_at_s - now_s,
         likely_s=gateway.durations.p95_s(exchange.route.name),
         stream=exchange.route.stream,
+        once=not exchange.route.is_retry_safe,
     )
     if gateway.closing or not stop.can_admit(lasting, now_s):
         detail = f"this entry stops; {lasting}"
--- a/src/celerytrack/planned_stop.py
+++ b/src/celerytrack/planned_stop.py
@@ -18,9 +18,9 @@
 """Share of the grace period in which callers may still arrive."""
 MAX_ACCEPT_S = 3.5
 """Callers cache address answers for one second, some for three."""
-STREAM_ADMISSION_S = 3.0
-"""How long after the signal a stream is admitted that will probably, but not certainly,
-end in time."""
+UNCERTAIN_ADMISSION_S = 3.0
+"""How long after the signal a stream, or a request that can't be repeated, is admitted
+that will probably, but not certainly, end in time."""
 MAX_SIGNAL_DELAY_S = 0.2
 """Longest delay of a signal: an instance that has used up its CPU quota is suspended
 for a tenth of a second."""
@@ -36,11 +36,13 @@
     :ivar likely_s: duration within which nearly all recent requests of its kind ended.
     :ivar stream: whether the answer is a stream; once begun, it can't be replaced by an
         error answer.
+    :ivar once: whether it can't be repeated: without an answer it stays in doubt.
     """
 
     most_s: float
     likely_s: float
     stream: bool
+    once: bool = False
 
 
 @attrs.frozen
@@ -84,9 +86,7 @@
         left_s = self.drain_deadline_s - now_s
         if lasting.most_s <= left_s:
             return True
-        if (
-            lasting.stream
-            and now_s - self.began_s > STREAM_ADMISSION_S - MAX_SIGNAL_DELAY_S
-        ):
+        is_late = now_s - self.began_s > UNCERTAIN_ADMISSION_S - MAX_SIGNAL_DELAY_S
+        if is_late and (lasting.stream or lasting.once):
             return False
         return lasting.likely_s <= left_s
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -69,6 +69,13 @@
     return web.Response(body=b"good", headers=_echo(request))
 
 
+async def _slow_when_late(request: web.BaseRequest) -> web.StreamResponse:
+    """Answer at once before a stop, and not in time after it."""
+    if request.headers["X-Attempt-Id"].startswith("before"):
+        return web.Response(body=b"good", headers=_echo(request))
+    return await _slow_answer(request)
+
+
 async def _large_answer(request: web.BaseRequest) -> web.StreamResponse:
     return web.Response(body=b"x" * 8_000_000, headers=_echo(request))
 
@@ -174,6 +181,25 @@
         lasting = Lasting(most_s, likely_s, stream)
         self.assertIs(stop.can_admit(lasting, 100.0 + after_s), admitted)
 
+    @params(
+        # seconds after the signal, longest and likely duration, admitted
+        (0.0, 15.0, 7.1, True),
+        (0.0, 15.0, 7.3, False),
+        (2.7, 15.0, 4.2, True),
+        (2.9, 15.0, 0.1, False),
+        (3.1, 4.5, 0.1, False),
+        (3.1, 4.0, 0.1, True),
+        (5.0, 2.0, 0.1, True),
+        (5.0, 2.5, 0.1, False),
+    )
+    def test_late_requests_that_cannot_be_repeated_are_admitted_by_their_deadline(
+        self, after_s, most_s, likely_s, admitted
+    ):
+        """What was usual so far let in a request that was cut and in doubt then."""
+        stop = PlannedStop(began_s=100.0, grace_s=8.0)
+        lasting = Lasting(most_s, likely_s, stream=False, once=True)
+        self.assertIs(stop.can_admit(lasting, 100.0 + after_s), admitted)
+
     @params((1.0,), (2.0,), (8.0,), (30.0,), (300.0,))
     def test_stages_fit_the_grace_time(self, grace_s):
         """Guards against stages of a stop that add up to more than the grace time."""
@@ -217,6 +243,36 @@
             self.assertEqual(float(outcome.retry_after or "nan"), 0.0)
             self.assertEqual(len(site.endpoint.seen), 0)
 
+    @params(
+        # path, status of the late request, whether it reaches the endpoint
+        ("/once/x", 503, False),
+        ("/plain/x", 504, True),
+    )
+    def test_late_request_to_an_endpoint_that_has_become_slow(
+        self, path, status, reached
+    ):
+        """Admitted by what was usual, a request that can't be repeated was cut, and
+        nobody knew whether it had run."""
+        outcome, seen = asyncio.run(self._play_late(path))
+        self.assertEqual((outcome.status, outcome.complete), (status, True))
+        verdict = b'"may_have_run"' if reached else b'"did_not_run"'
+        self.assertIn(verdict, outcome.body)
+        self.assertIs("late" in seen, reached)
+
+    async def _play_late(self, path: str) -> tuple[Outcome, set[str]]:
+        async with Site(_slow_when_late) as site:
+            for i in range(MIN_SAMPLES):
+                await site.ask(path, request_id=f"before-{i}")
+            keeps_up = asyncio.create_task(site.ask("/plain/x", request_id="long"))
+            await asyncio.sleep(0.1)
+            site.gateway.signal(signal.SIGTERM)
+            await asyncio.sleep(LATE_S)
+            late = await site.ask(path, request_id="late")
+            await keeps_up
+            self.assertEqual(await site.gateway.wait_for_exit(GRACE_S), 0)
+            seen = {request.headers["X-Attempt-Id"] for request in site.endpoint.seen}
+            return late, seen
+
     @params(
         # script that outlasts the stop, path, status of the answer
         (_long_stream, "/stream/x", 200),
