A request whose body finds no memory is refused, not dropped

What callers saw: a closed connection without an answer, and another entry that relayed a large request to one without memory a reset: 502 "may have run" for a request that nobody had run.

Cause: bytes beyond the account's budget had their connection dropped, also where they were the body of a request in progress, or came in one piece with its head.

Change: the head is taken, the body and what follows are dropped unread, and the request is refused at once (503 `overloaded`, did not run); the connection closes after that.

--- a/src/celerytrack/callers/account.py
+++ b/src/celerytrack/callers/account.py
@@ -216,6 +216,11 @@
                 self._evict(hold)
         self._wake()
 
+    def give_up(self, hold: Hold) -> None:
+        """Have a hold yield, unless it has yielded before."""
+        if not hold.evicted:
+            self._evict(hold)
+
     def _look(self, now_s: float) -> None:
         """Record which callers have taken something since the last look."""
         for hold in list(self._waiting):
--- a/src/celerytrack/callers/bodies.py
+++ b/src/celerytrack/callers/bodies.py
@@ -81,6 +81,8 @@
         if isinstance(connection, CallerConnection):
             self._connection = connection
             self.hold.request = connection.holds_with(self.hold)
+            if connection.has_lost_body and not self._request.content.is_eof():
+                raise BodyRefusedError(overloaded())
             self.grow(COPIES * connection.head_bytes)
         length = self._request.content_length or 0
         if length > self._max_bytes:
--- a/src/celerytrack/callers/connections.py
+++ b/src/celerytrack/callers/connections.py
@@ -30,6 +30,8 @@
 HEAD_MARGIN_S = 0.5
 """Time that a head may take beyond its limit, on its way here."""
 
+_HEAD_END = b"\r\n\r\n"
+
 
 class ConnectionTable:
     """The connections that callers have to one listening address.
@@ -94,6 +96,7 @@
     The library bounds a line of a head and the number of lines, not the time that they
     take, nor what comes on all connections before a request is handled.
 
+    :ivar has_lost_body: whether there was no memory for the body of its last request.
     :ivar head_bytes: bytes that came up to the end of the last head.
     :ivar stream: what a stream on it holds that has waited for its caller.
     """
@@ -102,6 +105,7 @@
         self, manager: web.Server, table: ConnectionTable, **options: Any
     ) -> None:
         super().__init__(manager, **options)
+        self.has_lost_body = False
         self.head_bytes = 0
         self.stream: Hold | None = None
         self._table = table
@@ -167,11 +171,16 @@
         if self._closes_unread:
             return
         # The short rest of a body that was refused is read and dropped at once.
-        if data and not (self.is_idle and self._has_body_to_come):
-            now_s = time.monotonic()
-            if not self._table.account.try_grow(self._received, len(data), now_s):
-                self.drop()
-                return
+        is_held = not data or (self.is_idle and self._has_body_to_come)
+        if is_held or self._hold_received(len(data)):
+            self._take(data)
+        else:
+            self._refuse_received(data)
+
+    def _hold_received(self, count: int) -> bool:
+        return self._table.account.try_grow(self._received, count, time.monotonic())
+
+    def _take(self, data: bytes) -> None:
         requests = self._request_count
         is_body = self._has_body_to_come
         super().data_received(data)
@@ -185,6 +194,26 @@
             # Some clients send an empty line after a body.
             self._watch_head(len(data))
 
+    def _refuse_received(self, data: bytes) -> None:
+        """Drop bytes for which there is no memory, and what follows them.
+
+        A request whose body they begin or go on with is refused before the connection
+        closes.
+        """
+        head, end, _ = data.partition(_HEAD_END)
+        if end and not self._has_body_to_come:
+            head += end
+            if self._hold_received(len(head)):
+                self._take(head)
+        if not self._has_body_to_come:
+            self.drop()
+            return
+        self._closes_unread = self.has_lost_body = True
+        if not self._messages:
+            for hold in self._received.request:
+                if hold.kind is HoldKind.BODY:
+                    self._table.account.give_up(hold)
+
     def holds_with(self, hold: Hold) -> list[Hold]:
         """The holds of the request that has ``hold``, with what is received for it."""
         self._received.request = [hold, self._received]
@@ -227,7 +256,7 @@
         self, request: web.BaseRequest, resp: web.StreamResponse, *args: Any
     ) -> Any:
         """Send an answer, which says so if its connection closes after it."""
-        if not resp.prepared and _has_much_unread(request):
+        if not resp.prepared and (self.has_lost_body or _has_much_unread(request)):
             # What comes of the body is dropped until the caller has read the answer.
             self._closes_unread = True
             resp.force_close()
