An answer that states a length beyond the limit is refused at once

What callers saw: a body of a terabyte was read up to 16 MiB, or waited for until the deadline (504), while it kept other answers of its endpoint from the memory that they share.

Cause: the length that a head states was not compared with the limit.

Change: it is, before anything is read.

Evidence: both rows of test_a_length_beyond_the_limit_is_refused_at_once failed before.

--- a/src/celerytrack/answer_limits.py
+++ b/src/celerytrack/answer_limits.py
@@ -58,6 +58,14 @@
         """Bytes that are held now."""
         return self._total
 
+    def check_length(self, count: int) -> None:
+        """Check the length that an answer states.
+
+        :raises AnswerTooLargeError: if it is too large by itself.
+        """
+        if count > self._limits.body_bytes:
+            raise AnswerTooLargeError
+
     async def reserve(self, answer: Hashable, count: int) -> None:
         """Reserve ``count`` more bytes for an answer, when they fit.
 
--- a/src/celerytrack/bounded_connection.py
+++ b/src/celerytrack/bounded_connection.py
@@ -58,6 +58,8 @@
     """
     parts = []
     try:
+        if not response.content.is_eof():
+            answer_bytes.check_length(response.content_length or 0)
         await answer_bytes.reserve(response, 0)
         length = response.content_length or response.content.total_bytes
         memory.begin(min(length, CONNECTION_BYTES))
--- a/tests/test_broken_heads.py
+++ b/tests/test_broken_heads.py
@@ -22,6 +22,8 @@
 PATHS = ("/plain/x", "/once/x", "/stream/x", "/resume/x")
 WHOLE = event(1) + event(2)
 LENGTH = b"Content-Length: %d" % len(WHOLE)
+NEVER_S = 4.0
+"""Longer than a request may take."""
 CHUNKED = b"Transfer-Encoding: chunked"
 CHUNKS = chunk(WHOLE) + chunk(b"")
 
@@ -240,6 +242,19 @@
     ) -> list[RawAnswer]:
         return await asyncio.gather(*(_ask(path, script) for path in paths))
 
+    @params("/plain/x", "/once/x")
+    def test_a_length_beyond_the_limit_is_refused_at_once(self, path: str) -> None:
+        """The body was read up to the limit, or waited for until the deadline."""
+
+        async def begin(request: RawRequest, writer: asyncio.StreamWriter) -> None:
+            line = b"Content-Length: 1000000000000"
+            writer.write(_raw(request, b"HTTP/1.1 200 OK", line, body=b"x"))
+            await writer.drain()
+            await asyncio.sleep(NEVER_S)
+
+        answer = asyncio.run(_ask(path, begin))
+        self.assertEqual((answer.status, answer.whole), (502, True), answer)
+
     @params(b"caf\xe9", b"\x80\xff", "caf\u00e9".encode())
     def test_bytes_beyond_ascii_in_a_value_stay(self, value: bytes) -> None:
         """The library that writes heads left such bytes out."""
