What is asked of the log, other entries and replicas has a largest answer

What callers saw: nothing yet. A body without end in such an answer (the load of a replica of the own interface, the row of an entry, a page of the log) was kept in memory until the call timed out.

Cause: only answers to callers' requests were bounded; these were read by the library.

Change: sessions for polls and for the log bound the bytes of any body (4 and 64 MiB) on the connection, which is closed beyond.

Evidence: all ten rows of test_a_body_without_end_is_not_read_on failed before (40 to 200 MiB taken, the server gives up at 200), all pass.

--- a/src/celerytrack/answer_limits.py
+++ b/src/celerytrack/answer_limits.py
@@ -23,6 +23,7 @@
     :ivar body_bytes: bytes of an answer that is read to its end before it is passed on.
     :ivar endpoint_bytes: bytes of all such answers of one endpoint together; the oldest
         one may go on to ``body_bytes``, so that one always gets on.
+    :ivar total_bytes: bytes of any body; ``None`` where streams may go on for long.
     """
 
     head_bytes: int = 65_536
@@ -31,9 +32,14 @@
     event_bytes: int = 262_144
     body_bytes: int = 16_777_216
     endpoint_bytes: int = 8_388_608
+    total_bytes: int | None = None
 
 
 DEFAULT_LIMITS = AnswerLimits()
+POLL_LIMITS = AnswerLimits(total_bytes=4_194_304)
+"""Of what endpoints, entries and the list of instances say when they are asked."""
+LOG_LIMITS = AnswerLimits(total_bytes=67_108_864)
+"""Of the log, a page of which may hold a large configuration."""
 
 
 class AnswerTooLargeError(Exception):
--- a/src/celerytrack/bounded_connection.py
+++ b/src/celerytrack/bounded_connection.py
@@ -185,6 +185,7 @@
             self._body_left -= len(data)
         if data:
             super().data_received(data)
+            self._check_total()
 
     def _read_chunks(self, data: bytes) -> None:
         data = self._unparsed + data
@@ -198,8 +199,16 @@
             start += len(piece)
             super().data_received(piece)
             self._check_framing(len(piece))
+        self._check_total()
         self._unparsed = data[start:]
 
+    def _check_total(self) -> None:
+        most = self._limits.total_bytes
+        if most is None or self._content is None:
+            return
+        if self._content.total_bytes > most:
+            self._give_up(EndlessAnswerError("a body is too large"))
+
     def _close_spoiled(self) -> None:
         """Close the connection: the next answer wouldn't begin where it should."""
         self.force_close()
--- a/src/celerytrack/entry/fleet_view.py
+++ b/src/celerytrack/entry/fleet_view.py
@@ -18,6 +18,7 @@
 import attrs
 
 from celerytrack.addresses import is_address
+from celerytrack.answer_limits import POLL_LIMITS
 from celerytrack.entry.peers import Heartbeat
 from celerytrack.events import Event, log_event
 from celerytrack.http_session import make_http_session
@@ -182,7 +183,7 @@
     async def refresh(self) -> None:
         """Read the instance list and the replicas' loads once."""
         if self._session is None:
-            self._session = make_http_session(POLL_IDLE_S)
+            self._session = make_http_session(POLL_IDLE_S, limits=POLL_LIMITS)
         try:
             timeout = aiohttp.ClientTimeout(total=self._poll_s * 2)
             async with self._session.get(self._url, timeout=timeout) as resp:
--- a/src/celerytrack/gateway/peer_requests.py
+++ b/src/celerytrack/gateway/peer_requests.py
@@ -12,6 +12,7 @@
 from aiohttp import web
 from attrs import validators as v
 
+from celerytrack.answer_limits import POLL_LIMITS
 from celerytrack.events import Event, log_event
 from celerytrack.gateway.end_witness import Witness
 from celerytrack.http_session import make_http_session
@@ -101,7 +102,9 @@
     def _session(self) -> aiohttp.ClientSession:
         if self._client_session is None:
             timeout = aiohttp.ClientTimeout(total=PEER_REQUEST_TIMEOUT_S)
-            self._client_session = make_http_session(CONNECTION_IDLE_S, timeout)
+            self._client_session = make_http_session(
+                CONNECTION_IDLE_S, timeout, limits=POLL_LIMITS
+            )
         return self._client_session
 
     @property
--- a/src/celerytrack/logclient.py
+++ b/src/celerytrack/logclient.py
@@ -12,6 +12,7 @@
 import attrs
 from returns.result import Failure, Result, Success
 
+from celerytrack.answer_limits import LOG_LIMITS
 from celerytrack.http_session import make_http_session
 from celerytrack.strict import UnreadableError, parse_lenient
 
@@ -100,7 +101,9 @@
 
     def _http(self) -> aiohttp.ClientSession:
         if self._session is None or self._session.closed:
-            self._session = make_http_session(IDLE_S, headers=self._headers)
+            self._session = make_http_session(
+                IDLE_S, headers=self._headers, limits=LOG_LIMITS
+            )
         return self._session
 
     async def close(self) -> None:
--- a/src/celerytrack/platform/store.py
+++ b/src/celerytrack/platform/store.py
@@ -15,6 +15,7 @@
 import attrs
 from returns.result import Failure, Result, Success
 
+from celerytrack.answer_limits import LOG_LIMITS
 from celerytrack.eras import Era, EraStatus, EraTracker
 from celerytrack.events import Event, log_event
 from celerytrack.http_session import make_http_session
@@ -117,7 +118,7 @@
     @property
     def _session(self) -> aiohttp.ClientSession:
         if self._http is None:
-            self._http = make_http_session(IDLE_S)
+            self._http = make_http_session(IDLE_S, limits=LOG_LIMITS)
         return self._http
 
     async def close(self) -> None:
