The early end of a connection belongs to its answer

From reading the diff; nothing of it was seen by callers. Whether an answer ended early is asked of the answer, also when its connection is given back already; of two heads on a connection the first counts; a body behind a head that the library refuses isn't parsed. Tests of uploads ask as other raw tests do.

--- a/src/celerytrack/bounded_connection.py
+++ b/src/celerytrack/bounded_connection.py
@@ -79,17 +79,23 @@
     """
 
     is_first: bool = False
+    _answered_on: "BoundedConnection | None" = None
 
     async def start(self, connection: Connection) -> "AnsweredResponse":
         """Read the head of the answer."""
         # A short answer has given its connection back by the end of this.
         protocol = connection.protocol
-        self.is_first = isinstance(protocol, BoundedConnection) and (
-            protocol.requests == 1
-        )
+        if isinstance(protocol, BoundedConnection):
+            self._answered_on = protocol
+            self.is_first = protocol.requests == 1
         await super().start(connection)
         return self
 
+    @property
+    def ended_early(self) -> bool:
+        """Whether the peer ended the connection before it had taken the request."""
+        return self._answered_on is not None and self._answered_on.ended_early
+
 
 class BoundedConnection(ResponseHandler):
     """A connection to an endpoint that is bounded in bytes and time.
@@ -132,7 +138,8 @@
 
     def feed_data(self, data: Any, size: int = 0) -> None:
         """Take a head that is complete."""
-        _, self._content = data
+        if self._content is None:
+            _, self._content = data
         super().feed_data(data, size)
 
     def data_received(self, data: bytes) -> None:
@@ -175,6 +182,9 @@
 
     def _read_body(self, data: bytes) -> None:
         """Have the body parsed, and nothing behind it."""
+        if self._content is None:
+            # The library refused the head.
+            return
         if self._is_chunked:
             self._read_chunks(data)
             return
--- a/src/celerytrack/gateway/answer_ends.py
+++ b/src/celerytrack/gateway/answer_ends.py
@@ -6,7 +6,7 @@
 import aiohttp
 
 from celerytrack.answer_heads import STATUSES_WITHOUT_BODY
-from celerytrack.bounded_connection import BoundedConnection
+from celerytrack.bounded_connection import AnsweredResponse
 from celerytrack.gateway.identity_checks import has_other_process
 from celerytrack.gateway.state import Gateway
 from celerytrack.platform.http import Framing, framing_of
@@ -44,9 +44,7 @@
     return isinstance(exception, aiohttp.ClientOSError)
 
 
-def ended_early(
-    response: aiohttp.ClientResponse, protocol: asyncio.BaseProtocol | None
-) -> bool:
+def ended_early(response: aiohttp.ClientResponse) -> bool:
     """Whether a success without length ended before its request was taken.
 
     An endpoint that gives up may end its connection in order first, and reset it later.
@@ -55,8 +53,8 @@
     return (
         _ends_with_connection(response)
         and response.status < 300
-        and isinstance(protocol, BoundedConnection)
-        and protocol.ended_early
+        and isinstance(response, AnsweredResponse)
+        and response.ended_early
     )
 
 
--- a/src/celerytrack/gateway/attempts.py
+++ b/src/celerytrack/gateway/attempts.py
@@ -263,7 +263,7 @@
         return connection_failure(Reason.UPSTREAM_CUT, Verdict.MAY_HAVE_RUN, exc)
     if was_reset(response, protocol):
         return unusable_answer("an answer without length was reset")
-    if ended_early(response, protocol):
+    if ended_early(response):
         return unusable_answer(ENDED_EARLY)
     endpoint = None if dispatch is None else dispatch.endpoint
     if await ended_with_process(gateway, endpoint, response, exchange.deadline_at_s):
--- a/src/celerytrack/gateway/stream_relay.py
+++ b/src/celerytrack/gateway/stream_relay.py
@@ -95,7 +95,7 @@
             return _out_of_order(received.disorder)
     if events.has_partial or was_reset(response, protocol):
         return unusable_answer("a stream ended in the middle of an event")
-    if ended_early(response, protocol):
+    if ended_early(response):
         return unusable_answer(ENDED_EARLY)
     endpoint = None if dispatch is None else dispatch.endpoint
     if await ended_with_process(gateway, endpoint, response, exchange.deadline_at_s):
--- a/tests/raw_endpoints.py
+++ b/tests/raw_endpoints.py
@@ -139,7 +139,9 @@
     rest: bytes
 
 
-async def ask_raw(fleet: Fleet, path: str, request_id: str, *headers: str) -> RawAnswer:
+async def ask_raw(
+    fleet: Fleet, path: str, request_id: str, *headers: str, body: bytes = b"body"
+) -> RawAnswer:
     """Send one request on a connection of its own, and read to its end."""
     address = fleet.gateways[0].settings.front_address
     host, port = address.split(":")
@@ -150,11 +152,11 @@
         f"X-Attempt-Id: {request_id}",
         "Authorization: Bearer key-of-t",
         "X-Deadline-Ms: 3000",
-        "Content-Length: 4",
+        f"Content-Length: {len(body)}",
         "Connection: close",
         *headers,
     )
-    writer.write("".join(f"{line}\r\n" for line in lines).encode() + b"\r\nbody")
+    writer.write("".join(f"{line}\r\n" for line in lines).encode() + b"\r\n" + body)
     try:
         async with asyncio.timeout(5.0):
             data = await reader.read(-1)
--- a/tests/test_unfinished_uploads.py
+++ b/tests/test_unfinished_uploads.py
@@ -14,10 +14,10 @@
     RawEndpoint,
     RawRequest,
     answer_head,
+    ask_raw,
     chunk,
     event,
     health_answer,
-    parse_answer,
 )
 
 UPLOAD_BYTES = 700_000
@@ -163,25 +163,7 @@
 
 async def _upload(path: str, endpoint: HastyEndpoint) -> RawAnswer:
     async with Fleet(endpoint) as fleet:
-        address = fleet.gateways[0].settings.front_address
-        host, port = address.split(":")
-        reader, writer = await asyncio.open_connection(host, int(port))
-        lines = (
-            f"POST {path} HTTP/1.1",
-            "Host: h.example",
-            "X-Attempt-Id: r1",
-            "Authorization: Bearer key-of-t",
-            "X-Deadline-Ms: 3000",
-            f"Content-Length: {UPLOAD_BYTES}",
-            "Connection: close",
-        )
-        head = "".join(f"{line}\r\n" for line in lines).encode()
-        writer.write(head + b"\r\n" + b"b" * UPLOAD_BYTES)
-        try:
-            async with asyncio.timeout(5.0):
-                return parse_answer(await reader.read(-1))
-        finally:
-            writer.close()
+        return await ask_raw(fleet, path, "r1", body=b"b" * UPLOAD_BYTES)
 
 
 class UnfinishedUploadTest(unittest.TestCase):
