A length of thousands of digits is no length

Cause: zeros in front were not counted, and Python makes no number of so many digits.

Change: a length has 18 digits at most.

--- a/src/celerytrack/answer_heads.py
+++ b/src/celerytrack/answer_heads.py
@@ -16,7 +16,7 @@
 MAX_INTERIM_ANSWERS = 100
 """Most interim answers before the final one."""
 MAX_LENGTH_DIGITS = 18
-"""Most digits of a body's length, zeros in front aside: within 63 bits."""
+"""Most digits of a body's length: within 63 bits."""
 
 _HEAD_END = re.compile(rb"\n\r?\n")
 _EMPTY_LINES = re.compile(rb"[\r\n]+")
@@ -25,7 +25,7 @@
 )
 _NAME = re.compile(rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+")
 _CONTROL = re.compile(rb"[\x00-\x08\x0a-\x1f\x7f]")
-_LENGTH = re.compile(rb"0*[0-9]{1,%d}" % MAX_LENGTH_DIGITS)
+_LENGTH = re.compile(rb"[0-9]{1,%d}" % MAX_LENGTH_DIGITS)
 _PROTOCOL = b"HTTP/1."
 _SHOWN_BYTES = 40
 """Bytes of a broken head that an error shows."""
--- a/tests/test_broken_heads.py
+++ b/tests/test_broken_heads.py
@@ -128,6 +128,9 @@
     "length that no number holds": _answers(
         b"HTTP/1.1 200 OK", b"Content-Length: 18446744073709551615"
     ),
+    "length of too many digits": _answers(
+        b"HTTP/1.1 200 OK", b"Content-Length: " + b"0" * 5_000 + b"4"
+    ),
     "empty length": _answers(b"HTTP/1.1 200 OK", b"Content-Length:"),
 }
 """Heads that are no answer to any request."""
