A head is checked by one expression, and short answers are parsed in one piece

A sound head takes one match, and the two fields of the framing are looked for once; what is wrong with a broken one is found out only then. What came with a head goes to the parser with it where its length tells that it is the body.

--- a/src/celerytrack/answer_heads.py
+++ b/src/celerytrack/answer_heads.py
@@ -20,10 +20,11 @@
 
 _HEAD_END = re.compile(rb"\n\r?\n")
 _EMPTY_LINES = re.compile(rb"[\r\n]+")
-_STATUS_LINE = re.compile(
-    rb"HTTP/(1\.[01]) ([1-5][0-9][0-9])(?: [\t\x20-\x7e\x80-\xff]*)?"
-)
-_NAME = re.compile(rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+")
+_TEXT = rb"[\t\x20-\x7e\x80-\xff]*"
+_NAME = rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+"
+_STATUS_LINE = re.compile(rb"HTTP/(1\.[01]) ([1-5][0-9][0-9])(?: " + _TEXT + rb")?\r?")
+_FIELD_NAME = re.compile(_NAME)
+_HEAD = re.compile(_STATUS_LINE.pattern + rb"(?:\n" + _NAME + rb":" + _TEXT + rb"\r?)*")
 _CONTROL = re.compile(rb"[\x00-\x08\x0a-\x1f\x7f]")
 _LENGTH = re.compile(rb"[0-9]{1,%d}" % MAX_LENGTH_DIGITS)
 _PROTOCOL = b"HTTP/1."
@@ -40,11 +41,15 @@
     """The head of one answer.
 
     :ivar status: from 100 to 599.
-    :ivar fields: lower-case names and values, in order.
+    :ivar lines: its fields, in order.
+    :ivar is_chunked: whether the body comes in chunks.
+    :ivar length_bytes: the length that it states.
     """
 
     status: int
-    fields: tuple[tuple[bytes, bytes], ...]
+    lines: list[bytes]
+    is_chunked: bool
+    length_bytes: int | None
 
     @property
     def is_interim(self) -> bool:
@@ -54,19 +59,19 @@
     @property
     def body_bytes(self) -> int | None:
         """Length of the body; ``None`` if chunks or the connection's end tell it."""
-        if self.status in STATUSES_WITHOUT_BODY:
-            return 0
-        lengths = self.values(b"content-length")
-        return int(lengths[0]) if lengths else None
-
-    @property
-    def is_chunked(self) -> bool:
-        """Whether the body comes in chunks."""
-        return bool(self.values(b"transfer-encoding"))
+        return 0 if self.status in STATUSES_WITHOUT_BODY else self.length_bytes
 
     def values(self, name: bytes) -> list[bytes]:
         """The values of the field with a lower-case name."""
-        return [value for other, value in self.fields if other == name]
+        return _values(self.lines, name)
+
+
+def _values(lines: list[bytes], name: bytes) -> list[bytes]:
+    start = name + b":"
+    count = len(start)
+    return [
+        line[count:].strip(b" \t\r") for line in lines if line[:count].lower() == start
+    ]
 
 
 def parse_head(head: bytes) -> AnswerHead:
@@ -75,31 +80,37 @@
     :param head: its lines, which end by CRLF or LF, without the empty one.
     :raises BrokenHeadError: naming what is wrong.
     """
-    first, *lines = (line.removesuffix(b"\r") for line in head.split(b"\n"))
-    match = _STATUS_LINE.fullmatch(first)
+    match = _HEAD.fullmatch(head)
     if match is None:
-        raise BrokenHeadError(f"no status line: {_shown(first)}")
-    parsed = AnswerHead(int(match[2]), tuple(map(_parse_field, lines)))
-    if parsed.status == SWITCHING_PROTOCOLS:
+        raise _error_of(head)
+    status = int(match[2])
+    if status == SWITCHING_PROTOCOLS:
         raise BrokenHeadError("a switch of protocols that no request asked for")
-    _check_framing(parsed, match[1])
-    return parsed
-
-
-def _parse_field(line: bytes) -> tuple[bytes, bytes]:
-    name, colon, value = line.partition(b":")
-    if not colon or _NAME.fullmatch(name) is None:
-        raise BrokenHeadError(f"no name of a field: {_shown(line)}")
-    if (control := _CONTROL.search(value)) is not None:
-        byte = control[0].hex()
-        raise BrokenHeadError(f"byte {byte} in the value of {_shown(name)}")
-    return name.lower(), value.strip(b" \t")
-
-
-def _check_framing(head: AnswerHead, version: bytes) -> None:
+    lines = head.split(b"\n")[1:]
+    codings = _values(lines, b"transfer-encoding")
+    lengths = _values(lines, b"content-length")
+    _check_framing(codings, lengths, match[1])
+    length_bytes = int(lengths[0]) if lengths else None
+    return AnswerHead(status, lines, bool(codings), length_bytes)
+
+
+def _error_of(head: bytes) -> BrokenHeadError:
+    """What is wrong with the lines of a head."""
+    first, *lines = head.split(b"\n")
+    if _STATUS_LINE.fullmatch(first) is None:
+        return BrokenHeadError(f"no status line: {_shown(first)}")
+    for line in lines:
+        name, colon, value = line.removesuffix(b"\r").partition(b":")
+        if not colon or _FIELD_NAME.fullmatch(name) is None:
+            return BrokenHeadError(f"no name of a field: {_shown(line)}")
+        if (control := _CONTROL.search(value)) is not None:
+            byte = control[0].hex()
+            return BrokenHeadError(f"byte {byte} in the value of {_shown(name)}")
+    return BrokenHeadError(f"no head: {_shown(head)}")
+
+
+def _check_framing(codings: list[bytes], lengths: list[bytes], version: bytes) -> None:
     """Check that it is clear where the body ends, and that it comes as it is."""
-    codings = head.values(b"transfer-encoding")
-    lengths = head.values(b"content-length")
     if codings:
         if [coding.lower() for coding in codings] != [b"chunked"]:
             shown = _shown(b", ".join(codings))
--- a/src/celerytrack/bounded_connection.py
+++ b/src/celerytrack/bounded_connection.py
@@ -176,9 +176,15 @@
         self._has_head = True
         self._is_chunked = whole.head.is_chunked and not self._skips_body
         self._body_left = 0 if self._skips_body else whole.head.body_bytes
+        body = whole.body
+        if self._body_left is not None and self._body_left >= len(body):
+            # In one piece, as most answers come.
+            self._body_left -= len(body)
+            super().data_received(whole.raw + body)
+            return
         super().data_received(whole.raw)
-        if whole.body:
-            self._read_body(whole.body)
+        if body:
+            self._read_body(body)
 
     def _read_body(self, data: bytes) -> None:
         """Have the body parsed, and nothing behind it."""
