--- a/review/parts_2.py
+++ b/review/parts_2.py
@@ -1,4 +1,4 @@
-"""Parts of the scripts of cases 6 to 10: the platform's store, replicas, entries, callers.
+"""Parts of the scripts of cases 6 to 10: store, replicas, entries and callers.
 
 They follow PROTOCOL.md and DEPLOY.md of the users; all is on loopback addresses.
 """
@@ -16,6 +16,7 @@
 import sys
 import tempfile
 import time
+from urllib.parse import unquote_plus
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 DEPS = ROOT / "target" / "deps"
@@ -25,7 +26,7 @@
 HEARTBEAT_S = 1.2
 
 
-class CannotRun(Exception):
+class CannotRunError(Exception):
     """The case could not be set up."""
 
 
@@ -165,7 +166,7 @@
                 params = {}
                 for item in query.split("&"):
                     name, _, value = item.partition("=")
-                    params[name] = _unquote(value)
+                    params[name] = unquote_plus(value)
                 status, answer = await self.answer(method, path, params, body)
                 if status is None:
                     break
@@ -233,7 +234,7 @@
             changed = self._changed
             try:
                 await asyncio.wait_for(changed.wait(), left_s)
-            except asyncio.TimeoutError:
+            except TimeoutError:
                 break
         if self.is_away:
             return 503, b""
@@ -264,12 +265,6 @@
         return 200, json.dumps(page).encode()
 
 
-def _unquote(text):
-    from urllib.parse import unquote_plus
-
-    return unquote_plus(text)
-
-
 def _pairs(body):
     found, at = [], 0
     while at < len(body):
@@ -464,13 +459,15 @@
     def __init__(self, record, number, ip, store_address, more=""):
         self.name = f"front-{number}"
         self.ip = ip
-        self.front = (ip, 8227)
+        self._ports = [free_port(ip) for _ in range(4)]
+        self.front = (ip, self._ports[0])
         self._record = record
         self._folder = tempfile.TemporaryDirectory()
         self._settings = pathlib.Path(self._folder.name) / "boot.toml"
         self._log = pathlib.Path(self._folder.name) / "log"
         self._process = None
-        self._settings.write_text(settings_text(self.name, ip, store_address) + more)
+        text = settings_text(self.name, ip, self._ports, store_address)
+        self._settings.write_text(text + more)
 
     async def start(self, within_s=20.0):
         with self._log.open("ab") as out:
@@ -490,14 +487,16 @@
         until_s = time.monotonic() + within_s
         while not await self.is_ready():
             if time.monotonic() > until_s:
-                raise CannotRun(f"{self.name} isn't ready: {self.log()[-1500:]}")
+                raise CannotRunError(f"{self.name} isn't ready: {self.log()[-1500:]}")
             await asyncio.sleep(0.05)
         self._record.line(f"{self.name} is ready")
 
     async def is_ready(self):
         try:
-            answer = await ask((self.ip, 8220), "GET", "/ready", {}, within_s=1.0)
-        except (OSError, asyncio.TimeoutError):
+            answer = await ask(
+                (self.ip, self._ports[1]), "GET", "/ready", {}, within_s=1.0
+            )
+        except (TimeoutError, OSError):
             return False
         return answer.status == 200
 
@@ -521,7 +520,8 @@
         self._folder.cleanup()
 
 
-def settings_text(name, ip, store_address):
+def settings_text(name, ip, ports, store_address):
+    front, readiness, directory, internal = ports
     return f"""node = "{name}"
 role = "entry"
 machineClass = "front"
@@ -529,7 +529,7 @@
 ip = "{ip}"
 zone = "z"
 region = "r"
-internalPorts = [7340,7355]
+internalPorts = [{internal},{internal + 1}]
 seeds = []
 bootstrap = true
 discovery = "platform"
@@ -538,9 +538,9 @@
 [zones]
 z = "r"
 [listen]
-front = "{ip}:8227"
-readiness = "{ip}:8220"
-directory = "{ip}:8224"
+front = "{ip}:{front}"
+readiness = "{ip}:{readiness}"
+directory = "{ip}:{directory}"
 [limits]
 cpuShare = 0.537
 cores = 2
@@ -651,7 +651,7 @@
         self._record.line(f"{request_id} {path} sent to {entry.name} {tokens or ''}")
         try:
             answer = await ask(entry.front, method, path, headers, **more)
-        except (OSError, asyncio.IncompleteReadError, asyncio.TimeoutError) as exc:
+        except (TimeoutError, OSError, asyncio.IncompleteReadError) as exc:
             self._record.line(f"{request_id} got no answer: {exc!r}")
             return request_id, None
         text = answer.body[:90] if answer.status != 200 else b""
@@ -711,7 +711,7 @@
     record.line(f"trouble: {trouble}")
     try:
         broken = asyncio.run(asyncio.wait_for(case(record, trouble), 115))
-    except (CannotRun, asyncio.TimeoutError, AssertionError) as exc:
+    except (TimeoutError, CannotRunError, AssertionError) as exc:
         record.line(f"the case could not run: {exc!r}")
         print(f"could not run: {exc!r}")
         sys.exit(2)
