--- a/tests/test_lost_origins.py
+++ b/tests/test_lost_origins.py
@@ -8,7 +8,7 @@
 
 from celerytrack.platform.topics import ENDPOINTS_TOPIC
 from tests.gateway_fleet import Fleet
-from tests.raw_endpoints import RawEndpoint, RawRequest, answer_head, chunk, event
+from tests.raw_versions import NEW, OLD, VersionNamingEndpoint
 
 GATEWAYS = 6
 STREAMS = 12
@@ -18,35 +18,14 @@
 RECORDED_S = 3.5
 """Longer than an entry waits after its start before it writes versions."""
 READ_S = 1.2
-OLD, NEW = "v1", "v2"
-
-
-class _Endpoint(RawEndpoint):
-    """An endpoint whose answers tell its version."""
-
-    def __init__(self, name: str, version: str) -> None:
-        super().__init__(name, self._write_answer, keeps=True)
-        self.version = version
-
-    def registration(self, **fields: object) -> bytes:
-        return super().registration(**{"version": self.version, **fields})
-
-    async def _write_answer(
-        self, request: RawRequest, writer: asyncio.StreamWriter
-    ) -> None:
-        first = int(request.header("Last-Event-Id") or 0) + 1
-        version = f"X-Wrote: {self.version}"
-        head = answer_head(request, "200 OK", version, "Transfer-Encoding: chunked")
-        body = b"".join(chunk(event(number)) for number in range(first, 6))
-        writer.write(head + body + chunk(b""))
 
 
 class _Site:
     """Endpoints of two versions, and the streams that callers begin and take up."""
 
     def __init__(self) -> None:
-        self.old = [_Endpoint(f"i-old-{n}", OLD) for n in range(2)]
-        self.new = [_Endpoint(f"i-new-{n}", NEW) for n in range(2)]
+        self.old = [VersionNamingEndpoint(f"i-old-{n}", OLD) for n in range(2)]
+        self.new = [VersionNamingEndpoint(f"i-new-{n}", NEW) for n in range(2)]
         self.released = False
         self.fleet = Fleet(*self.old, gateways=GATEWAYS)
 
--- a/tests/test_out_of_step.py
+++ b/tests/test_out_of_step.py
@@ -17,12 +17,11 @@
 from celerytrack.routing.versions import ESTABLISHED_AFTER_S
 from tests.entry_isolation import Isolation, isolate
 from tests.gateway_fleet import Fleet
-from tests.raw_endpoints import RawEndpoint, RawRequest, answer_head, chunk, event
+from tests.raw_versions import NEW, OLD, VersionNamingEndpoint
 
 GATEWAYS = 4
 STREAMS_PER_S = 20.0
 LASTS_S = 6.0
-OLD, NEW = "v1", "v2"
 KNOWN_S = 3.5
 """Longer than an entry waits after its start before it writes versions."""
 LEAST_NEW = 20
@@ -44,27 +43,6 @@
 """Long enough that endpoints which have just joined look no worse than the others."""
 
 
-class _Endpoint(RawEndpoint):
-    """An endpoint whose answers tell its version."""
-
-    def __init__(self, name: str, version: str) -> None:
-        super().__init__(name, self._write_answer, keeps=True)
-        self.version = version
-
-    def registration(self, **fields: object) -> bytes:
-        return super().registration(**{"version": self.version, **fields})
-
-    async def _write_answer(
-        self, request: RawRequest, writer: asyncio.StreamWriter
-    ) -> None:
-        await asyncio.sleep(FIRST_EVENT_AFTER_S)
-        first = int(request.header("Last-Event-Id") or 0) + 1
-        version = f"X-Wrote: {self.version}"
-        head = answer_head(request, "200 OK", version, "Transfer-Encoding: chunked")
-        body = b"".join(chunk(event(number)) for number in range(first, 6))
-        writer.write(head + body + chunk(b""))
-
-
 @attrs.frozen
 class _Stream:
     """The version that began a stream, and the one that went on with it.
@@ -93,6 +71,10 @@
     isolation: Isolation = Isolation()
 
 
+def _endpoint(name: str, version: str) -> VersionNamingEndpoint:
+    return VersionNamingEndpoint(name, version, FIRST_EVENT_AFTER_S)
+
+
 async def _ask(fleet: Fleet, name: str, gateway: int, **headers: str) -> str:
     """The version that answers a stream request; empty if it is refused."""
     status, answered, _ = await fleet.ask("/resume/x", name, gateway=gateway, **headers)
@@ -101,8 +83,8 @@
 
 async def _play(case: _Case) -> list[_Stream]:
     """Begin streams at the gateways in touch, and take them up at those cut off."""
-    old = [_Endpoint(f"i-old-{n}", OLD) for n in range(2)]
-    new = [_Endpoint(f"i-new-{n}", NEW) for n in range(2)]
+    old = [_endpoint(f"i-old-{n}", OLD) for n in range(2)]
+    new = [_endpoint(f"i-new-{n}", NEW) for n in range(2)]
     in_touch = [n for n in range(GATEWAYS) if n not in case.cut]
     async with Fleet(*old, gateways=GATEWAYS) as fleet:
         await asyncio.sleep(KNOWN_S)
@@ -165,7 +147,7 @@
 
 async def _play_replaced(gateways: int) -> list[str]:
     """Begin streams at each gateway once all have read that the version is another."""
-    old, new = _Endpoint("i-old", OLD), _Endpoint("i-new", NEW)
+    old, new = _endpoint("i-old", OLD), _endpoint("i-new", NEW)
     async with Fleet(old, gateways=gateways) as fleet:
         runner = await new.start()
         fleet.log.put(ENDPOINTS_TOPIC, new.name, new.registration())
@@ -184,7 +166,7 @@
     async def test_streams_are_told_when_the_new_version_takes_them(self) -> None:
         """The last endpoint of a version was replaced: the refusal of a stream named no
         reason, and a time at which it was refused again."""
-        old, new = _Endpoint("i-old", OLD), _Endpoint("i-new", NEW)
+        old, new = _endpoint("i-old", OLD), _endpoint("i-new", NEW)
         async with Fleet(old, gateways=2) as fleet:
             isolate(fleet, [1], Isolation())
             self.addAsyncCleanup((await new.start()).cleanup)
@@ -243,7 +225,7 @@
 
     The entry at which they began has ended.
     """
-    endpoints = [_Endpoint(f"i-old-{n}", OLD) for n in range(2)]
+    endpoints = [_endpoint(f"i-old-{n}", OLD) for n in range(2)]
     async with Fleet(*endpoints, gateways=GATEWAYS) as fleet:
         await asyncio.sleep(KNOWN_S)
         isolate(fleet, cut, isolation)
@@ -265,8 +247,8 @@
     If no version joins, all entries stand still, and the one at which the streams began
     has ended.
     """
-    old = [_Endpoint(f"i-old-{n}", OLD) for n in range(2)]
-    new = [_Endpoint(f"i-new-{n}", NEW) for n in range(2)]
+    old = [_endpoint(f"i-old-{n}", OLD) for n in range(2)]
+    new = [_endpoint(f"i-new-{n}", NEW) for n in range(2)]
     taker = GATEWAYS - 1
     async with Fleet(*old, gateways=GATEWAYS) as fleet:
         await asyncio.sleep(KNOWN_S)
@@ -342,8 +324,8 @@
 
 async def _play_restored_log() -> list[_Stream]:
     """Take streams up at an entry that reads a log which was restored from a backup."""
-    old = [_Endpoint(f"i-old-{n}", OLD) for n in range(2)]
-    new = [_Endpoint(f"i-new-{n}", NEW) for n in range(2)]
+    old = [_endpoint(f"i-old-{n}", OLD) for n in range(2)]
+    new = [_endpoint(f"i-new-{n}", NEW) for n in range(2)]
     taker = GATEWAYS - 1
     async with Fleet(*old, gateways=GATEWAYS) as fleet:
         await asyncio.sleep(KNOWN_S)
@@ -386,7 +368,7 @@
     async def test_a_version_that_came_and_went_in_a_skipped_part_is_read(self) -> None:
         """The newest registrations were read at once in place of many, and a version
         that was only in those between had never been there for this entry."""
-        endpoint = _Endpoint("i-old", OLD)
+        endpoint = _endpoint("i-old", OLD)
         async with Fleet(endpoint) as fleet:
             (gateway,) = fleet.gateways
             await fleet.wait_until(lambda: gateway.version_records.loaded)
