What began streams is kept by three more entries before a second version comes

Cause: an entry told the holders of a stream what had begun it only once it knew of a second version. Until then one process alone knew, and what it knew was lost with it, at the moment at which it began to matter.

Change: each entry sends what began its streams to three others, which are the same for all its streams, in batches each .1 s, by keys of 16 bytes (origins/copy_sender.py, copy_store.py); at least one is in another failure domain. Batches are acknowledged, and sent again after 1.5 s: what began behind a cut is kept once the cut ends. As a second version comes up, the entry tells the holders as before, and says so to the three. Those that don't hear that within .5 s, or that miss the entry for 2 s, take its streams over as if they had begun there: they tell the holders, or have copies of them kept in turn, so that copies outlive entries that are lost one after the other. Streams are known by keys inside an entry; named news still go out where the name is known, for entries of the release before. These log the new messages as unknown; since they acknowledge nothing they get one batch each 1.5 s.

Why it works: what is told is what the lost entry recorded as it passed on the first event, never an inference, so no stream goes on elsewhere that was refused for good reason before (a row cuts an entry off that begins streams at the new version: none of the others takes them for the old one's).

--- a/src/celerytrack/gateway/peer_messages.py
+++ b/src/celerytrack/gateway/peer_messages.py
@@ -35,9 +35,9 @@
     is_notice_message,
     notice_message_of,
 )
+from celerytrack.origins.message_fields import OriginMessageError
 from celerytrack.origins.messages import (
     OriginMessage,
-    OriginMessageError,
     encode_origin_message,
     is_origin_message,
     origin_message_of,
--- a/src/celerytrack/gateway/state.py
+++ b/src/celerytrack/gateway/state.py
@@ -39,10 +39,18 @@
 from celerytrack.gateway.version_records import VersionRecords
 from celerytrack.ids import EndpointId, EntryId, ServiceName
 from celerytrack.limits.metrics import register_limits
+from celerytrack.membership.member import Member
 from celerytrack.notices.metrics import register_notices
 from celerytrack.notices.owners import Peer
 from celerytrack.notices.sync import NoticeSync
 from celerytrack.notices.waiting import OpeningQueue
+from celerytrack.origins.copy_messages import (
+    CopiesAck,
+    CopiesEnd,
+    KeyedOriginNews,
+    OriginCopies,
+)
+from celerytrack.origins.copy_store import TakenOver
 from celerytrack.origins.messages import (
     EndpointEnded,
     OriginAnswer,
@@ -165,6 +173,8 @@
             self._peer_address,
             self.endpoints,
             started_s,
+            settings.zone,
+            _log_taken_over,
         )
         self.version_records = VersionRecords(
             self.store,
@@ -331,6 +341,10 @@
                 | OriginAnswer()
                 | VersionNews()
                 | VersionQuery()
+                | OriginCopies()
+                | CopiesAck()
+                | CopiesEnd()
+                | KeyedOriginNews()
             ):
                 self.origins.receive(message, time.monotonic())
             case VersionAnnouncement(asker):
@@ -363,20 +377,15 @@
         return [self.entry_id, *(member.entry_id for member in members)]
 
     def _origin_holders(self, now_s: float) -> list[Holder]:
-        holders = [
-            Holder(member.entry_id, member.peer_address, member.started_s)
-            for member in self.share_sync.members.live_peers(now_s)
-        ]
+        holders = list(map(_holder_of, self.share_sync.members.live_peers(now_s)))
         if not self.leaving:
             address = self.settings.peer_address or ""
-            holders.append(Holder(self.entry_id, address, self.started_s))
+            zone = self.settings.zone
+            holders.append(Holder(self.entry_id, address, self.started_s, zone))
         return holders
 
     def _possible_holders(self, now_s: float) -> list[Holder]:
-        return [
-            Holder(member.entry_id, member.peer_address, member.started_s)
-            for member in self.share_sync.members.possible_peers()
-        ]
+        return list(map(_holder_of, self.share_sync.members.possible_peers()))
 
     def _caller_times(self) -> CallerTimes:
         return self.routing_table.caller_times if self.routing_table else CallerTimes()
@@ -386,10 +395,7 @@
         if not self.share_sync.started or members.read_age_s(now_s) > VIEW_LEASE_S:
             return None
         # One whose rows are not written may read on, and have a view lease.
-        return [
-            Holder(member.entry_id, member.peer_address, member.started_s)
-            for member in members.known_peers()
-        ]
+        return list(map(_holder_of, members.known_peers()))
 
     def _sole_view(self, service: ServiceName, now_s: float) -> SoleView | None:
         if not self.version_records.loaded:
@@ -507,6 +513,20 @@
         await self.store.close()
 
 
+def _holder_of(member: Member) -> Holder:
+    return Holder(member.entry_id, member.peer_address, member.started_s, member.zone)
+
+
+def _log_taken_over(taken: TakenOver) -> None:
+    log_event(
+        _log,
+        Event.STREAMS_TAKEN_OVER,
+        entry=taken.primary.entry_id,
+        service=taken.service,
+        streams=sum(len(group.keys) for group in taken.groups),
+    )
+
+
 def _log_established(
     subject: ServiceVersion, missing: list[EntryId], took_s: float
 ) -> None:
--- a/src/celerytrack/origins/memory.py
+++ b/src/celerytrack/origins/memory.py
@@ -1,9 +1,12 @@
 """The origins of streams that one entry knows, without I/O."""
 
+import hashlib
 from collections import OrderedDict
+from typing import NewType
 
 import attrs
 
+from celerytrack.hashing import hash64
 from celerytrack.ids import AccountId, RequestId
 from celerytrack.origins.origin import StreamOrigin
 
@@ -12,6 +15,12 @@
 than a caller's tries of one stream last."""
 MAX_STREAMS = 65_536
 """Most streams whose origin is kept; the oldest is dropped first."""
+PLACE_BYTES = 8
+KEY_BYTES = PLACE_BYTES + 8
+
+StreamKey = NewType("StreamKey", bytes)
+"""Digest of a stream's name, the same at all entries: its place on the ring of holders,
+and bytes by which no caller can find a name that is taken for another's."""
 
 
 @attrs.frozen
@@ -26,6 +35,15 @@
     account: AccountId | None
     request_id: RequestId
 
+    @property
+    def key(self) -> StreamKey:
+        """The digest of the name; computed anew each time."""
+        text = f"{self.account or ''}\x00{self.request_id}"
+        place = hash64(text).to_bytes(PLACE_BYTES)
+        data = text.encode(errors="surrogatepass")
+        digest = hashlib.blake2b(data, digest_size=KEY_BYTES - PLACE_BYTES).digest()
+        return StreamKey(place + digest)
+
 
 @attrs.define
 class _Known:
@@ -46,12 +64,12 @@
     """The origins of streams, bounded in number and time."""
 
     def __init__(self) -> None:
-        self._streams: OrderedDict[StreamId, _Known] = OrderedDict()
+        self._streams: OrderedDict[StreamKey, _Known] = OrderedDict()
 
     def __len__(self) -> int:
         return len(self._streams)
 
-    def record(self, stream: StreamId, origin: StreamOrigin, now_s: float) -> None:
+    def record(self, stream: StreamKey, origin: StreamOrigin, now_s: float) -> None:
         """Record what began a stream.
 
         If two streams have one name, neither is known by it.
@@ -64,7 +82,7 @@
         self._streams.move_to_end(stream)
         self._expire(now_s)
 
-    def find(self, stream: StreamId, now_s: float) -> FoundOrigin | None:
+    def find(self, stream: StreamKey, now_s: float) -> FoundOrigin | None:
         """What began a stream, if it is known."""
         known = self._streams.get(stream)
         if known is None or now_s - known.used_s > KEEP_S:
@@ -73,7 +91,7 @@
         self._streams.move_to_end(stream)
         return FoundOrigin(known.origin, now_s - known.began_s)
 
-    def known_streams(self) -> list[tuple[StreamId, StreamOrigin]]:
+    def known_streams(self) -> list[tuple[StreamKey, StreamOrigin]]:
         """The streams whose origin is known."""
         return [
             (stream, known.origin)
--- a/src/celerytrack/origins/messages.py
+++ b/src/celerytrack/origins/messages.py
@@ -7,7 +7,24 @@
 import msgpack
 
 from celerytrack.ids import AccountId, EndpointId, EntryId, RequestId, ServiceName
+from celerytrack.origins.copy_messages import (
+    COPY_KINDS,
+    CopiesAck,
+    CopiesEnd,
+    CopyMessage,
+    KeyedOriginNews,
+    OriginCopies,
+    copy_fields_of,
+    copy_message_of,
+)
 from celerytrack.origins.memory import FoundOrigin, StreamId
+from celerytrack.origins.message_fields import (
+    fault,
+    name_of,
+    number_of,
+    origin_of,
+    version_of,
+)
 from celerytrack.origins.origin import StreamOrigin
 
 NEWS_KIND = "stream-origins"
@@ -32,12 +49,11 @@
         ANNOUNCEMENT_KIND,
         ACK_KIND,
         ENDED_KIND,
+        *COPY_KINDS,
     }
 )
 MAX_ORIGINS = 12
 """Most origins or versions in one message, which must fit a datagram."""
-MAX_NAME_CHARS = 256
-_MAX_NUMBER = 2**63
 
 
 @attrs.frozen
@@ -162,13 +178,10 @@
     | VersionAnnouncement
     | VersionAck
     | EndpointEnded
+    | CopyMessage
 )
 
 
-class OriginMessageError(ValueError):
-    """A message cannot be decoded."""
-
-
 def encode_origin_message(message: OriginMessage) -> bytes:
     """The bytes whose fields :func:`origin_message_of` reads."""
     match message:
@@ -202,6 +215,8 @@
             fields = (ACK_KIND, entry_id, service, version)
         case EndpointEnded(endpoint_id, born_ms):
             fields = (ENDED_KIND, endpoint_id, born_ms)
+        case OriginCopies() | CopiesAck() | CopiesEnd() | KeyedOriginNews():
+            fields = copy_fields_of(message)
     return bytes(msgpack.packb(fields))
 
 
@@ -218,83 +233,66 @@
     :raises OriginMessageError: naming what is wrong.
     """
     match fields:
+        case [str(kind), *_] if kind in COPY_KINDS:
+            return copy_message_of(fields)
         case ["stream-origins", list(rows)] if len(rows) <= MAX_ORIGINS:
             return OriginNews(tuple(map(_named_origin, rows)))
         case ["stream-origin?", asker, number, account, request_id]:
             stream = _stream(account, request_id)
-            return OriginQuery(EntryId(_name(asker)), _number(number), stream)
+            return OriginQuery(EntryId(name_of(asker)), number_of(number), stream)
         case ["stream-origin", entry_id, number, found]:
             known = None if found is None else _found(found)
-            return OriginAnswer(EntryId(_name(entry_id)), _number(number), known)
+            return OriginAnswer(EntryId(name_of(entry_id)), number_of(number), known)
         case ["versions?", asker]:
-            return VersionQuery(EntryId(_name(asker)))
+            return VersionQuery(EntryId(name_of(asker)))
         case ["versions", list(rows)] if len(rows) <= MAX_ORIGINS:
             return VersionNews(tuple(map(_seen, rows)))
         case ["sole-version?", asker, number, service, bool(passes_on)]:
-            name = ServiceName(_name(service))
+            name = ServiceName(name_of(service))
             return SoleVersionQuery(
-                EntryId(_name(asker)), _number(number), name, passes_on
+                EntryId(name_of(asker)), number_of(number), name, passes_on
             )
         case ["sole-version", entry_id, number, version, float(age_s)] if (
             0 <= age_s < math.inf
         ):
-            text = None if version is None else _version(version)
+            text = None if version is None else version_of(version)
             return SoleVersionAnswer(
-                EntryId(_name(entry_id)), _number(number), text, age_s
+                EntryId(name_of(entry_id)), number_of(number), text, age_s
             )
         case ["version?", asker, service, version]:
-            name = ServiceName(_name(service))
-            return VersionAnnouncement(EntryId(_name(asker)), name, _version(version))
+            name = ServiceName(name_of(service))
+            return VersionAnnouncement(
+                EntryId(name_of(asker)), name, version_of(version)
+            )
         case ["version-known", entry_id, service, version]:
-            name = ServiceName(_name(service))
-            return VersionAck(EntryId(_name(entry_id)), name, _version(version))
+            name = ServiceName(name_of(service))
+            return VersionAck(EntryId(name_of(entry_id)), name, version_of(version))
         case ["endpoint-ended", endpoint_id, born_ms]:
-            return EndpointEnded(EndpointId(_name(endpoint_id)), _number(born_ms))
-    raise OriginMessageError(f"not about origins: {str(fields)[:100]}")
+            return EndpointEnded(EndpointId(name_of(endpoint_id)), number_of(born_ms))
+    raise fault("not about origins", fields)
 
 
 def _named_origin(fields: Any) -> tuple[StreamId, StreamOrigin]:
     match fields:
         case [account, request_id, service, version]:
-            return _stream(account, request_id), _origin(service, version)
-    raise OriginMessageError(f"not an origin: {str(fields)[:100]}")
+            return _stream(account, request_id), origin_of(service, version)
+    raise fault("not an origin", fields)
 
 
 def _found(fields: Any) -> FoundOrigin:
     match fields:
         case [service, version, float(age_s)] if 0 <= age_s < math.inf:
-            return FoundOrigin(_origin(service, version), age_s)
-    raise OriginMessageError(f"not an origin: {str(fields)[:100]}")
+            return FoundOrigin(origin_of(service, version), age_s)
+    raise fault("not an origin", fields)
 
 
 def _seen(fields: Any) -> SeenVersion:
     found = _found(fields)
     if found.origin.version is None:
-        raise OriginMessageError(f"not a version: {str(fields)[:100]}")
+        raise fault("not a version", fields)
     return SeenVersion(found.origin.service, found.origin.version, found.age_s)
 
 
 def _stream(account: Any, request_id: Any) -> StreamId:
-    owner = None if account == "" else AccountId(_name(account))
-    return StreamId(owner, RequestId(_name(request_id)))
-
-
-def _origin(service: Any, version: Any) -> StreamOrigin:
-    text = None if version is None else _version(version)
-    return StreamOrigin(ServiceName(_name(service)), text)
-
-
-def _version(version: Any) -> str:
-    return "" if version == "" else _name(version)
-
-
-def _number(number: Any) -> int:
-    if type(number) is not int or not 0 <= number < _MAX_NUMBER:
-        raise OriginMessageError(f"not a number: {str(number)[:100]}")
-    return number
-
-
-def _name(text: Any) -> str:
-    if not isinstance(text, str) or not 0 < len(text) <= MAX_NAME_CHARS:
-        raise OriginMessageError(f"not a name: {str(text)[:100]}")
-    return text
+    owner = None if account == "" else AccountId(name_of(account))
+    return StreamId(owner, RequestId(name_of(request_id)))
--- a/src/celerytrack/origins/ring.py
+++ b/src/celerytrack/origins/ring.py
@@ -10,9 +10,10 @@
 import attrs
 
 from celerytrack.hashing import hash64
-from celerytrack.ids import EntryId
-from celerytrack.origins.memory import StreamId
+from celerytrack.ids import EntryId, Zone
+from celerytrack.origins.memory import PLACE_BYTES, StreamKey
 
+NO_ZONE = Zone("")
 POINTS_PER_ENTRY = 8
 """Points of each entry on the ring, which even out what the entries hold."""
 
@@ -22,11 +23,13 @@
     """An entry that may hold origins.
 
     :ivar started_s: start of its incarnation; a later one has forgotten everything.
+    :ivar zone: its failure domain.
     """
 
     entry_id: EntryId
     address: str
     started_s: float
+    zone: Zone = NO_ZONE
 
 
 class HolderRing:
@@ -44,9 +47,10 @@
         self._hashes = [point[0] for point in points]
         self._holders = [point[2] for point in points]
 
-    def holders_of(self, stream: StreamId, count: int) -> list[Holder]:
+    def holders_of(self, stream: StreamKey, count: int) -> list[Holder]:
         """The first ``count`` entries from the place of a stream on."""
-        start = bisect.bisect(self._hashes, _place(stream))
+        place = int.from_bytes(stream[:PLACE_BYTES])
+        start = bisect.bisect(self._hashes, place)
         found: dict[EntryId, Holder] = {}
         for offset in range(len(self._holders)):
             if len(found) == count:
@@ -54,7 +58,3 @@
             holder = self._holders[(start + offset) % len(self._holders)]
             found.setdefault(holder.entry_id, holder)
         return list(found.values())
-
-
-def _place(stream: StreamId) -> int:
-    return hash64(f"{stream.account or ''}\x00{stream.request_id}")
--- a/src/celerytrack/origins/sync.py
+++ b/src/celerytrack/origins/sync.py
@@ -1,9 +1,12 @@
 """Keeps the origins of streams in the memory of entries.
 
 The entry that passes on the first event of a stream records what wrote it. While a
-service has several versions, it tells three entries, which all entries find by the
-stream's name alone. Whoever is asked to go on with a stream that it doesn't know asks
-these, and two more, since two entries may know different members.
+service has several versions, it tells three entries, the stream's holders, which all
+entries find by the stream's name alone. Whoever is asked to go on with a stream that it
+doesn't know asks these, and two more, since two entries may know different members.
+
+While a service has one version, three entries that are the same for all streams of this
+one keep copies instead, and tell the holders in its place if it is lost.
 """
 
 import asyncio
@@ -15,9 +18,29 @@
 
 import attrs
 
-from celerytrack.ids import EntryId, ServiceName
+from celerytrack.ids import EntryId, ServiceName, Zone
+from celerytrack.origins.copy_messages import (
+    MAX_KEYS,
+    CopiesAck,
+    CopiesEnd,
+    KeyedOriginNews,
+    OriginCopies,
+)
+from celerytrack.origins.copy_sender import (
+    CopySender,
+    Primary,
+    choose_backups,
+    group_streams,
+)
+from celerytrack.origins.copy_store import CopyStore, TakenOver
 from celerytrack.origins.lookups import Lookup, Lookups
-from celerytrack.origins.memory import KEEP_S, FoundOrigin, OriginMemory, StreamId
+from celerytrack.origins.memory import (
+    KEEP_S,
+    FoundOrigin,
+    OriginMemory,
+    StreamId,
+    StreamKey,
+)
 from celerytrack.origins.messages import (
     MAX_ORIGINS,
     OriginAnswer,
@@ -29,7 +52,7 @@
     VersionQuery,
 )
 from celerytrack.origins.origin import StreamOrigin
-from celerytrack.origins.ring import Holder, HolderRing
+from celerytrack.origins.ring import NO_ZONE, Holder, HolderRing
 
 COPIES = 3
 """Entries that are told the origin of a stream."""
@@ -43,6 +66,11 @@
 """How often an entry that starts asks which versions there were."""
 RING_CACHE_S = 0.1
 """Time for which the members are not read again."""
+MEMBERS_INTERVAL_S = 1.0
+"""Interval at which they are read while no holder is told anything."""
+TOLD_WITHIN_S = 0.5
+"""Time from a service's second version until its streams' holders are told by the
+entry at which they began, unless that one is lost."""
 MAX_HANDED_OVER = 500
 """Most streams in a tick whose origin is looked at for members that are new to them."""
 MAX_OWN_STREAMS = 16_384
@@ -75,8 +103,14 @@
 
 @attrs.frozen
 class _OwnStream:
+    """A stream that began here, or at an entry that is lost.
+
+    :ivar name: ``None`` if only its key is known.
+    """
+
     origin: StreamOrigin
     began_s: float
+    name: StreamId | None
 
 
 class Versions(Protocol):
@@ -100,6 +134,9 @@
     :param address_of: returns the address of any known entry, also of one that leaves.
     :param versions: the versions of services.
     :param started_s: start of this entry.
+    :param zone: its failure domain.
+    :param on_taken_over: called with copies of other entries' streams that this one
+        acts on.
     """
 
     def __init__(
@@ -110,8 +147,15 @@
         address_of: Callable[[EntryId], str | None],
         versions: Versions,
         started_s: float,
+        zone: Zone = NO_ZONE,
+        on_taken_over: Callable[[TakenOver], None] = lambda taken: None,
     ) -> None:
+        self._on_taken_over = on_taken_over
         self.memory = OriginMemory()
+        self._zone = zone
+        self._sender = CopySender(Primary(entry_id, started_s), send)
+        self._store = CopyStore(entry_id, send, address_of)
+        self._several_since_s: dict[ServiceName, float] = {}
         self._entry_id = entry_id
         self._send = send
         self._live_holders = live_holders
@@ -125,26 +169,32 @@
         self._holders: frozenset[Holder] = frozenset()
         self._ring = HolderRing()
         self._ring_at_s = float("-inf")
+        self._members_at_s = float("-inf")
         self._told_here_s = float("-inf")
-        self._handover: collections.deque[tuple[StreamId, StreamOrigin]]
+        self._handover: collections.deque[tuple[StreamKey, StreamOrigin]]
         self._handover = collections.deque()
         self._handover_from = HolderRing()
-        self._told: OrderedDict[StreamId, _OwnStream] = OrderedDict()
+        self._told: OrderedDict[StreamKey, _OwnStream] = OrderedDict()
         self._untold: collections.defaultdict[
-            ServiceName, OrderedDict[StreamId, _OwnStream]
+            ServiceName, OrderedDict[StreamKey, _OwnStream]
         ] = collections.defaultdict(OrderedDict)
 
     def record_began(
         self, stream: StreamId, origin: StreamOrigin, now_s: float
     ) -> None:
         """Record that a stream began here, and tell its holders if it matters."""
-        self.memory.record(stream, origin, now_s)
-        untold = self._untold[origin.service]
-        untold[stream] = _OwnStream(origin, now_s)
+        key = stream.key
+        self._record_own(key, _OwnStream(origin, now_s, stream), now_s)
         if self._versions.has_versions(origin.service, now_s):
             self._tell_untold(origin.service, now_s)
         else:
-            _drop_old(untold, now_s)
+            self._sender.add(key, origin)
+
+    def _record_own(self, key: StreamKey, own: _OwnStream, now_s: float) -> None:
+        self.memory.record(key, own.origin, now_s)
+        untold = self._untold[own.origin.service]
+        untold[key] = own
+        _drop_old(untold, now_s)
 
     async def run(self) -> None:
         """Tell what has come to matter, until cancelled."""
@@ -155,11 +205,13 @@
     def tick(self, now_s: float) -> None:
         """Tell the holders what they may not know: when a service gets a second
         version, and when members change."""
+        self._follow_members(now_s)
+        self._take_over_untold(now_s)
         for service in list(self._untold):
             if self._untold[service] and self._versions.has_versions(service, now_s):
                 self._tell_untold(service, now_s)
-        if self._told or now_s - self._told_here_s <= KEEP_S:
-            self._update_ring(now_s)
+        self._sender.flush(now_s)
+        self._store.acknowledge(now_s)
         self._hand_over(now_s)
         if not self._versions_told and self._versions_asked < MAX_VERSION_QUERIES:
             self._ask_versions(now_s)
@@ -170,11 +222,20 @@
             case OriginNews(origins):
                 self._told_here_s = now_s
                 for stream, origin in origins:
-                    self.memory.record(stream, origin, now_s)
-                    if origin.version is not None:
-                        self._versions.record_version(
-                            origin.service, origin.version, now_s
-                        )
+                    self.memory.record(stream.key, origin, now_s)
+                    self._record_version(origin, now_s)
+            case KeyedOriginNews(groups):
+                self._told_here_s = now_s
+                for group in groups:
+                    for key in group.keys:
+                        self.memory.record(key, group.origin, now_s)
+                    self._record_version(group.origin, now_s)
+            case OriginCopies():
+                self._store.keep(message, now_s)
+            case CopiesAck():
+                self._sender.receive(message)
+            case CopiesEnd():
+                self._store.end(message)
             case OriginQuery(asker, number, stream):
                 self._answer(asker, number, stream, now_s)
             case OriginAnswer():
@@ -189,6 +250,10 @@
                         row.service, row.version, now_s - row.age_s
                     )
 
+    def _record_version(self, origin: StreamOrigin, now_s: float) -> None:
+        if origin.version is not None:
+            self._versions.record_version(origin.service, origin.version, now_s)
+
     def knows_versions(self, now_s: float) -> bool:
         """Whether this entry knows of each version that may have begun a stream.
 
@@ -214,7 +279,7 @@
 
     async def find(self, stream: StreamId, now_s: float) -> Finding:
         """Find what began a stream, here or at other entries."""
-        held = self.memory.find(stream, now_s)
+        held = self.memory.find(stream.key, now_s)
         if held is not None:
             return Finding(KnownOrigin(held, None), heard=True)
         with self._lookups.open(stream.account) as lookup:
@@ -223,12 +288,12 @@
             finding = await self._ask(lookup, stream, now_s)
         if finding.known is not None:
             origin = finding.known.found.origin
-            self.memory.record(stream, origin, time.monotonic())
+            self.memory.record(stream.key, origin, time.monotonic())
         return finding
 
     async def _ask(self, lookup: Lookup, stream: StreamId, now_s: float) -> Finding:
         self._update_ring(now_s)
-        holders = self._ring.holders_of(stream, ASKED + 1)
+        holders = self._ring.holders_of(stream.key, ASKED + 1)
         asked = [h for h in holders if h.entry_id != self._entry_id][:ASKED]
         if not asked:
             return Finding(None, heard=True)
@@ -248,7 +313,7 @@
     ) -> None:
         address = self._address_of(asker)
         if address is not None:
-            found = self.memory.find(stream, now_s)
+            found = self.memory.find(stream.key, now_s)
             self._send(address, OriginAnswer(self._entry_id, number, found))
 
     def _ask_versions(self, now_s: float) -> None:
@@ -274,16 +339,53 @@
         )
         self._send(address, VersionNews(seen))
 
+    def _follow_members(self, now_s: float) -> None:
+        if self._told or now_s - self._told_here_s <= KEEP_S:
+            self._update_ring(now_s)
+        if now_s - self._members_at_s < MEMBERS_INTERVAL_S:
+            return
+        self._members_at_s = now_s
+        self._update_ring(now_s)
+        live = {Primary(h.entry_id, h.started_s) for h in self._holders}
+        self._take_over(self._store.pop_orphans(live, now_s), now_s)
+
+    def _take_over_untold(self, now_s: float) -> None:
+        """Take over the streams whose holders the entry at which they began has not
+        told in time, and may not tell."""
+        for service in self._store.services():
+            if not self._versions.has_versions(service, now_s):
+                self._several_since_s.pop(service, None)
+                continue
+            since_s = self._several_since_s.setdefault(service, now_s)
+            before_s = now_s - TOLD_WITHIN_S
+            if since_s <= before_s:
+                copies = self._store.pop_received(service, before_s)
+                self._take_over(copies, now_s)
+
+    def _take_over(self, copies: Iterable[TakenOver], now_s: float) -> None:
+        """Treat streams of other entries as if they had begun here."""
+        for taken in copies:
+            self._on_taken_over(taken)
+            has_versions = self._versions.has_versions(taken.service, now_s)
+            untold = self._untold[taken.service]
+            for key, origin in taken.streams():
+                if key in self._told or key in untold:
+                    continue
+                self._record_own(key, _OwnStream(origin, now_s, None), now_s)
+                if not has_versions:
+                    self._sender.add(key, origin)
+
     def _tell_untold(self, service: ServiceName, now_s: float) -> None:
         self._update_ring(now_s)
         untold = self._untold.pop(service)
-        by_holder: collections.defaultdict[Holder, list[StreamId]]
+        by_holder: collections.defaultdict[Holder, list[StreamKey]]
         by_holder = collections.defaultdict(list)
-        for stream in untold:
-            for holder in self._ring.holders_of(stream, COPIES):
-                by_holder[holder].append(stream)
+        for key in untold:
+            for holder in self._ring.holders_of(key, COPIES):
+                by_holder[holder].append(key)
         self._told.update(untold)
         self._tell(by_holder)
+        self._sender.end(service)
         _drop_old(self._told, now_s)
 
     def _update_ring(self, now_s: float) -> None:
@@ -300,14 +402,25 @@
         if not self._handover:
             self._handover_from = before
         self._handover = collections.deque(self.memory.known_streams())
-        by_holder: collections.defaultdict[Holder, list[StreamId]]
+        by_holder: collections.defaultdict[Holder, list[StreamKey]]
         by_holder = collections.defaultdict(list)
-        for stream in self._told:
-            told = before.holders_of(stream, COPIES)
-            for holder in self._ring.holders_of(stream, COPIES):
+        for key in self._told:
+            told = before.holders_of(key, COPIES)
+            for holder in self._ring.holders_of(key, COPIES):
                 if holder not in told:
-                    by_holder[holder].append(stream)
+                    by_holder[holder].append(key)
         self._tell(by_holder)
+        self._update_backups()
+
+    def _update_backups(self) -> None:
+        others = [h for h in self._holders if h.entry_id != self._entry_id]
+        untold = [
+            (key, own.origin)
+            for streams in self._untold.values()
+            for key, own in streams.items()
+        ]
+        backups = choose_backups(self._entry_id, self._zone, others)
+        self._sender.set_backups(backups, untold)
 
     def _hand_over(self, now_s: float) -> None:
         """Tell members what they are to hold from now on: the entry at which a stream
@@ -315,32 +428,41 @@
 
         Of the entries that held a stream before, the first one that is left does it.
         """
-        by_holder: collections.defaultdict[Holder, list[tuple[StreamId, StreamOrigin]]]
+        by_holder: collections.defaultdict[Holder, list[tuple[StreamKey, StreamOrigin]]]
         by_holder = collections.defaultdict(list)
         for _ in range(min(len(self._handover), MAX_HANDED_OVER)):
-            stream, origin = self._handover.popleft()
+            key, origin = self._handover.popleft()
             if not self._versions.has_versions(origin.service, now_s):
                 continue
-            held = self._handover_from.holders_of(stream, COPIES)
+            held = self._handover_from.holders_of(key, COPIES)
             left = [holder for holder in held if holder in self._holders]
             if not left or left[0].entry_id != self._entry_id:
                 continue
-            for holder in self._ring.holders_of(stream, COPIES):
+            for holder in self._ring.holders_of(key, COPIES):
                 if holder not in held:
-                    by_holder[holder].append((stream, origin))
+                    by_holder[holder].append((key, origin))
         for holder, streams in by_holder.items():
-            for start in range(0, len(streams), MAX_ORIGINS):
-                news = OriginNews(tuple(streams[start : start + MAX_ORIGINS]))
-                self._send(holder.address, news)
+            self._send_keyed(holder, streams)
 
-    def _tell(self, by_holder: dict[Holder, list[StreamId]]) -> None:
-        for holder, streams in by_holder.items():
+    def _tell(self, by_holder: dict[Holder, list[StreamKey]]) -> None:
+        for holder, keys in by_holder.items():
             if holder.entry_id == self._entry_id:
                 continue
-            for start in range(0, len(streams), MAX_ORIGINS):
-                part = streams[start : start + MAX_ORIGINS]
-                origins = tuple((s, self._told[s].origin) for s in part)
-                self._send(holder.address, OriginNews(origins))
+            told = [(key, self._told[key]) for key in keys]
+            # Entries of an older release know streams by their names.
+            named = [(own.name, own.origin) for _, own in told if own.name is not None]
+            for start in range(0, len(named), MAX_ORIGINS):
+                news = OriginNews(tuple(named[start : start + MAX_ORIGINS]))
+                self._send(holder.address, news)
+            keyed = [(key, own.origin) for key, own in told if own.name is None]
+            self._send_keyed(holder, keyed)
+
+    def _send_keyed(
+        self, holder: Holder, streams: list[tuple[StreamKey, StreamOrigin]]
+    ) -> None:
+        for start in range(0, len(streams), MAX_KEYS):
+            groups = tuple(group_streams(streams[start : start + MAX_KEYS]))
+            self._send(holder.address, KeyedOriginNews(groups))
 
 
 async def _wait(lookup: Lookup, wait_s: float) -> None:
@@ -357,7 +479,7 @@
         await asyncio.sleep(max(0.0, until_s - loop.time()))
 
 
-def _drop_old(streams: "OrderedDict[StreamId, _OwnStream]", now_s: float) -> None:
+def _drop_old(streams: "OrderedDict[StreamKey, _OwnStream]", now_s: float) -> None:
     while streams:
         oldest = next(iter(streams.values()))
         if now_s - oldest.began_s <= KEEP_S and len(streams) <= MAX_OWN_STREAMS:
