What a take-up concluded about its stream is recorded

What callers saw: a stream was taken up where one version proved what had begun it; its entry was lost, a second version came up, and the next take-up was refused (0 of 20).

Cause: the origin that a take-up concludes from there being one version stayed in the request. The entry at which the stream had begun may be long gone.

Change: with the first event that is passed on, it is recorded under the name of the stream's first try, like that of a stream that begins here, and so copied.

Measured: test_streams_go_on_after_the_entry_of_a_take_up_was_lost fails before (0 of 20 go on) and passes after.

--- a/src/celerytrack/gateway/exchange.py
+++ b/src/celerytrack/gateway/exchange.py
@@ -99,6 +99,8 @@
     :ivar may_have_run: whether an endpoint may have run the request.
     :ivar response: the stream to the caller, once it has begun.
     :ivar origin: what wrote the events that the caller has, once it has some.
+    :ivar infers_origin: whether that is known since nothing else can have begun the
+        stream, so that no entry may have recorded it.
     :ivar origin_endpoint: the endpoint that wrote the first of them, if this entry
         sent the request there.
     :ivar writer: what writes the answer of the attempt in progress.
@@ -136,6 +138,7 @@
     may_have_run: bool = False
     response: web.StreamResponse | None = None
     origin: StreamOrigin | None = None
+    infers_origin: bool = False
     origin_endpoint: EndpointId | None = None
     writer: StreamOrigin | None = None
     framing: Framing | None = None
--- a/src/celerytrack/gateway/origins.py
+++ b/src/celerytrack/gateway/origins.py
@@ -32,6 +32,7 @@
     now_s = time.monotonic()
     origin = _sole_origin(gateway, exchange, now_s)
     if origin is not None:
+        exchange.infers_origin = True
         gateway.telemetry.taken_up.labels("one_version").inc()
         _log_found(gateway, exchange, origin, "one_version", now_s)
     else:
@@ -93,6 +94,7 @@
         gateway.telemetry.taken_up.labels("unknown").inc()
         _log_found(gateway, exchange, origin, "unknown", now_s)
     else:
+        exchange.infers_origin = True
         gateway.telemetry.taken_up.labels("one_version").inc()
         _log_found(gateway, exchange, origin, "one_version_after_asking", now_s)
     return origin
@@ -156,6 +158,8 @@
     """
     if dispatch is not None:
         exchange.writer = _writer_at(gateway, dispatch.endpoint)
+    if exchange.infers_origin:
+        _record_inferred(gateway, exchange)
     if exchange.origin is not None or exchange.writer is None:
         return
     exchange.origin = exchange.writer
@@ -188,6 +192,16 @@
         gateway.unresolved_origins.add(stream, exchange.origin_endpoint, now_s)
 
 
+def _record_inferred(gateway: Gateway, exchange: Exchange) -> None:
+    """Record what began a stream that is taken up: what proves it now may not do so at
+    the caller's next try."""
+    exchange.infers_origin = False
+    first, origin = exchange.facts.resumes, exchange.origin
+    if first is not None and origin is not None:
+        stream = StreamId(exchange.account, first)
+        gateway.origins.record_began(stream, origin, time.monotonic())
+
+
 def _writer_at(gateway: Gateway, endpoint: Endpoint) -> StreamOrigin:
     registration = endpoint.registration
     version = None if gateway.endpoints.is_doubted(endpoint) else registration.version
--- a/tests/test_lost_entries.py
+++ b/tests/test_lost_entries.py
@@ -222,6 +222,28 @@
             await asyncio.sleep(TAKEN_AFTER_S)
             return begun, await site.take_up(STREAMS)
 
+    def test_streams_go_on_after_the_entry_of_a_take_up_was_lost(self) -> None:
+        """What had begun a stream was known to the entry at which it went on alone."""
+        begun, taken = asyncio.run(self._play_take_up())
+        self.assertEqual(_mixed(begun, taken), 0, Counter(taken))
+        self.assertGreaterEqual(_same(begun, taken), LEAST_SHARE * STREAMS, taken)
+
+    async def _play_take_up(self) -> tuple[list[str], list[str]]:
+        site = _Site(GATEWAYS)
+        async with site.fleet as fleet:
+            await asyncio.sleep(KNOWN_S)
+            begun = await site.begin([0] * STREAMS)
+            for number in range(GATEWAYS):
+                await fleet.end_gateway(number)
+            await fleet.start_again(list(range(GATEWAYS)))
+            await asyncio.sleep(BACK_S)
+            self.assertEqual(await site.take_up(STREAMS, "early"), begun)
+            await asyncio.sleep(TOLD_S)
+            await fleet.end_gateway(site.in_touch()[0])
+            await site.release()
+            await asyncio.sleep(TAKEN_AFTER_S)
+            return begun, await site.take_up(STREAMS)
+
     def test_streams_of_a_lost_entry_that_was_cut_off_are_not_mixed(self) -> None:
         """An entry that others saw silent went on to begin streams at a new version."""
         begun, taken = asyncio.run(self._play_cut())
