Streams that began at an endpoint in doubt are kept by other entries too

What callers saw: endpoints came back, a stream began at one of them before it was known what ran there, its entry was lost within the next seconds and a second version came up: refused at all other entries.

Cause: the same as of the streams of a lost entry. What is in doubt stayed in one process until the doubt ended.

Change: copies of such streams name the endpoint. The entry that finds the origin says so by a copy that has it, or ends the copies of the service; where neither comes within 4.5 s, those that keep them find it from registrations that were read once any doubt had ended, as the entry itself would have.

--- a/src/celerytrack/gateway/origins.py
+++ b/src/celerytrack/gateway/origins.py
@@ -190,6 +190,9 @@
         gateway.origins.record_began(stream, origin, now_s)
     elif exchange.origin_endpoint is not None:
         gateway.unresolved_origins.add(stream, exchange.origin_endpoint, now_s)
+        gateway.origins.record_in_doubt(
+            stream, origin.service, exchange.origin_endpoint
+        )
 
 
 def _record_inferred(gateway: Gateway, exchange: Exchange) -> None:
--- a/src/celerytrack/origins/copy_messages.py
+++ b/src/celerytrack/origins/copy_messages.py
@@ -3,11 +3,12 @@
 A stream is named by its key alone: copies are sent for each stream that begins.
 """
 
+from collections.abc import Iterable, Iterator
 from typing import Any
 
 import attrs
 
-from celerytrack.ids import EntryId, ServiceName
+from celerytrack.ids import EndpointId, EntryId, ServiceName
 from celerytrack.origins.memory import KEY_BYTES, StreamKey
 from celerytrack.origins.message_fields import (
     OriginMessageError,
@@ -30,12 +31,41 @@
 """Most batches that one message acknowledges."""
 
 
+@attrs.frozen
+class BegunStream:
+    """A stream that has begun.
+
+    :ivar endpoint_id: the endpoint at which it began, if the version there was in
+        doubt.
+    """
+
+    key: StreamKey
+    origin: StreamOrigin
+    endpoint_id: EndpointId | None = None
+
+
 @attrs.frozen
 class StreamGroup:
-    """Streams that one version began."""
+    """Streams that one version, or an endpoint in doubt, began."""
 
     origin: StreamOrigin
     keys: tuple[StreamKey, ...]
+    endpoint_id: EndpointId | None = None
+
+    def streams(self) -> Iterator[BegunStream]:
+        """Each stream of the group."""
+        return (BegunStream(key, self.origin, self.endpoint_id) for key in self.keys)
+
+
+def group_streams(streams: Iterable[BegunStream]) -> tuple[StreamGroup, ...]:
+    """Streams by what began them."""
+    keys: dict[tuple[StreamOrigin, EndpointId | None], list[StreamKey]] = {}
+    for stream in streams:
+        keys.setdefault((stream.origin, stream.endpoint_id), []).append(stream.key)
+    return tuple(
+        StreamGroup(origin, tuple(found), endpoint_id)
+        for (origin, endpoint_id), found in keys.items()
+    )
 
 
 @attrs.frozen
@@ -125,7 +155,12 @@
 
 
 def _rows_of(groups: tuple[StreamGroup, ...]) -> list[tuple[Any, ...]]:
-    return [(g.origin.service, g.origin.version, b"".join(g.keys)) for g in groups]
+    rows = []
+    for group in groups:
+        origin = group.origin
+        row = (origin.service, origin.version, b"".join(group.keys))
+        rows.append(row if group.endpoint_id is None else (*row, group.endpoint_id))
+    return rows
 
 
 def _groups_of(rows: list[Any]) -> tuple[StreamGroup, ...]:
@@ -140,9 +175,16 @@
 
 def _group_of(fields: Any) -> StreamGroup:
     match fields:
-        case [service, version, bytes(data)] if 0 < len(data) <= MAX_KEYS * KEY_BYTES:
-            if len(data) % KEY_BYTES == 0:
-                starts = range(0, len(data), KEY_BYTES)
-                keys = tuple(StreamKey(data[at : at + KEY_BYTES]) for at in starts)
-                return StreamGroup(origin_of(service, version), keys)
+        case [service, version, bytes(data)]:
+            return StreamGroup(origin_of(service, version), _keys_of(data))
+        case [service, None, bytes(data), endpoint_id]:
+            endpoint = EndpointId(name_of(endpoint_id))
+            return StreamGroup(origin_of(service, None), _keys_of(data), endpoint)
     raise fault("not a group of streams", fields)
+
+
+def _keys_of(data: bytes) -> tuple[StreamKey, ...]:
+    if not 0 < len(data) <= MAX_KEYS * KEY_BYTES or len(data) % KEY_BYTES:
+        raise OriginMessageError(f"no keys of streams: {len(data)} bytes")
+    starts = range(0, len(data), KEY_BYTES)
+    return tuple(StreamKey(data[at : at + KEY_BYTES]) for at in starts)
--- a/src/celerytrack/origins/copy_sender.py
+++ b/src/celerytrack/origins/copy_sender.py
@@ -8,22 +8,24 @@
 
 import collections
 import itertools
-from collections.abc import Callable, Collection, Iterable, Iterator
+from collections.abc import Callable, Collection, Iterable
 
 import attrs
 
 from celerytrack.ids import EntryId, ServiceName, Zone
 from celerytrack.origins.copy_messages import (
     MAX_KEYS,
+    BegunStream,
     CopiesAck,
     CopiesEnd,
     CopyMessage,
     OriginCopies,
     StreamGroup,
+    group_streams,
 )
 from celerytrack.origins.memory import StreamKey
-from celerytrack.origins.origin import StreamOrigin
 from celerytrack.origins.ring import Holder
+from celerytrack.origins.unresolved import MAX_UNRESOLVED
 from celerytrack.routing.rendezvous import rendezvous
 
 BACKUPS = 3
@@ -36,7 +38,6 @@
 """Most streams that wait to be sent to an entry; the oldest is dropped first."""
 
 Send = Callable[[str, CopyMessage], None]
-Stream = tuple[StreamKey, StreamOrigin]
 
 
 @attrs.frozen
@@ -77,7 +78,7 @@
         doesn't, and gets one batch again and again.
     """
 
-    waiting: collections.deque[Stream] = attrs.field(
+    waiting: collections.deque[BegunStream] = attrs.field(
         factory=lambda: collections.deque(maxlen=MAX_WAITING)
     )
     unacked: dict[int, _Batch] = attrs.field(factory=dict)
@@ -96,10 +97,10 @@
         self._send = send
         self._numbers = itertools.count()
         self._backups: dict[Holder, _Backup] = {}
-        self._copied: set[ServiceName] = set()
+        self._in_doubt: dict[StreamKey, BegunStream] = {}
 
     def set_backups(
-        self, holders: Collection[Holder], streams: Collection[Stream]
+        self, holders: Collection[Holder], streams: Collection[BegunStream]
     ) -> None:
         """Set the entries that keep copies; those that are new get them all.
 
@@ -109,13 +110,20 @@
         self._backups = {holder: before.get(holder, _Backup()) for holder in holders}
         for holder, backup in self._backups.items():
             if holder not in before:
-                backup.waiting.extend(streams)
+                backup.waiting.extend((*streams, *self._in_doubt.values()))
 
-    def add(self, key: StreamKey, origin: StreamOrigin) -> None:
+    def add(self, stream: BegunStream) -> None:
         """Have copies kept of what began a stream."""
-        self._copied.add(origin.service)
+        if stream.endpoint_id is not None:
+            self._in_doubt[stream.key] = stream
+            if len(self._in_doubt) > MAX_UNRESOLVED:
+                del self._in_doubt[next(iter(self._in_doubt))]
         for backup in self._backups.values():
-            backup.waiting.append((key, origin))
+            backup.waiting.append(stream)
+
+    def end_doubt(self, key: StreamKey) -> bool:
+        """Whether a stream was in doubt, which it is no longer."""
+        return self._in_doubt.pop(key, None) is not None
 
     def flush(self, now_s: float) -> None:
         """Send what waits, and what was not acknowledged in time."""
@@ -142,14 +150,14 @@
                     backup.unacked.pop(number, None)
 
     def end(self, service: ServiceName) -> None:
-        """End the copies of a service: the holders of its streams have been told."""
-        if service not in self._copied:
-            return
-        self._copied.discard(service)
+        """End the copies of a service: the holders of its streams have been told, but
+        for those that are in doubt."""
+        in_doubt = [s for s in self._in_doubt.values() if s.origin.service == service]
         message = CopiesEnd(self._primary.entry_id, self._primary.started_s, service)
         for holder, backup in self._backups.items():
             _drop_service(backup, service)
             self._send(holder.address, message)
+            backup.waiting.extend(in_doubt)
 
     def _send_batch(
         self, holder: Holder, number: int, groups: tuple[StreamGroup, ...]
@@ -159,13 +167,13 @@
         self._send(holder.address, message)
 
 
-def _pop_groups(waiting: collections.deque[Stream]) -> tuple[StreamGroup, ...]:
+def _pop_groups(waiting: collections.deque[BegunStream]) -> tuple[StreamGroup, ...]:
     count = min(len(waiting), MAX_KEYS)
-    return tuple(group_streams(waiting.popleft() for _ in range(count)))
+    return group_streams(waiting.popleft() for _ in range(count))
 
 
 def _drop_service(backup: _Backup, service: ServiceName) -> None:
-    left = [stream for stream in backup.waiting if stream[1].service != service]
+    left = [stream for stream in backup.waiting if stream.origin.service != service]
     backup.waiting = collections.deque(left, MAX_WAITING)
     for number, batch in list(backup.unacked.items()):
         groups = tuple(g for g in batch.groups if g.origin.service != service)
@@ -173,13 +181,3 @@
             backup.unacked[number] = _Batch(groups, batch.sent_s)
         else:
             del backup.unacked[number]
-
-
-def group_streams(streams: Iterable[Stream]) -> Iterator[StreamGroup]:
-    """Streams by what began them."""
-    by_origin: collections.defaultdict[StreamOrigin, list[StreamKey]]
-    by_origin = collections.defaultdict(list)
-    for key, origin in streams:
-        by_origin[origin].append(key)
-    for origin, keys in by_origin.items():
-        yield StreamGroup(origin, tuple(keys))
--- a/src/celerytrack/origins/copy_store.py
+++ b/src/celerytrack/origins/copy_store.py
@@ -6,22 +6,29 @@
 
 import attrs
 
-from celerytrack.ids import EntryId, ServiceName
+from celerytrack.ids import EndpointId, EntryId, ServiceName
 from celerytrack.origins.copy_messages import (
     MAX_ACKED,
+    BegunStream,
     CopiesAck,
     CopiesEnd,
     OriginCopies,
     StreamGroup,
+    group_streams,
 )
-from celerytrack.origins.copy_sender import MAX_UNACKED, Primary, Send, Stream
-from celerytrack.origins.memory import KEEP_S
+from celerytrack.origins.copy_sender import MAX_UNACKED, Primary, Send
+from celerytrack.origins.memory import KEEP_S, StreamKey
+from celerytrack.origins.origin import StreamOrigin
+from celerytrack.origins.unresolved import MAX_UNRESOLVED
 
 ACK_INTERVAL_S = 0.5
 MAX_BATCHES = 4_096
 """Most batches of a service that are kept for an entry; the oldest is dropped first."""
 ORPHANED_AFTER_S = 2.0
 """Time without the entry that sent them after which others take over its streams."""
+RESOLVED_WITHIN_S = 4.5
+"""Time in which the entry at which a stream began in doubt has found its origin, unless
+it is lost: longer than a doubt and the next reads of the registrations."""
 
 
 @attrs.frozen
@@ -32,10 +39,10 @@
     service: ServiceName
     groups: tuple[StreamGroup, ...]
 
-    def streams(self) -> Iterator[Stream]:
-        """Each stream, with what began it."""
+    def streams(self) -> Iterator[BegunStream]:
+        """Each of the streams."""
         for group in self.groups:
-            yield from ((key, group.origin) for key in group.keys)
+            yield from group.streams()
 
 
 @attrs.frozen
@@ -44,18 +51,27 @@
     group: StreamGroup
 
 
+@attrs.frozen
+class _Doubt:
+    received_s: float
+    service: ServiceName
+    endpoint_id: EndpointId
+
+
 @attrs.define
 class _Copies:
     """The copies that are kept for one entry.
 
     :ivar seen: numbers of its last batches, which may be sent again.
     :ivar to_ack: numbers of batches to acknowledge.
+    :ivar doubts: streams that began at endpoints in doubt.
     :ivar absent_since_s: since when it is no live entry.
     """
 
     by_service: dict[ServiceName, collections.deque[_Kept]] = attrs.field(factory=dict)
     seen: OrderedDict[int, None] = attrs.field(factory=OrderedDict)
     to_ack: list[int] = attrs.field(factory=list)
+    doubts: dict[StreamKey, _Doubt] = attrs.field(factory=dict)
     absent_since_s: float | None = None
 
 
@@ -90,10 +106,7 @@
             if len(copies.seen) > 2 * MAX_UNACKED:
                 copies.seen.popitem(last=False)
             for group in message.groups:
-                kept = copies.by_service.setdefault(
-                    group.origin.service, collections.deque(maxlen=MAX_BATCHES)
-                )
-                kept.append(_Kept(now_s, group))
+                _keep_group(copies, group, now_s)
         if is_new or len(copies.to_ack) == MAX_ACKED:
             # The sender waits for the first one.
             self._acknowledge(primary, copies)
@@ -101,8 +114,12 @@
     def end(self, message: CopiesEnd) -> None:
         """Forget the copies that are no longer needed."""
         copies = self._copies.get(Primary(message.primary, message.started_s))
-        if copies is not None:
-            copies.by_service.pop(message.service, None)
+        if copies is None:
+            return
+        copies.by_service.pop(message.service, None)
+        for key, doubt in list(copies.doubts.items()):
+            if doubt.service == message.service:
+                del copies.doubts[key]
 
     def acknowledge(self, now_s: float) -> None:
         """Acknowledge what has come since the last time."""
@@ -129,6 +146,28 @@
             if groups:
                 yield TakenOver(primary, service, tuple(groups))
 
+    def pop_resolved(
+        self,
+        origin_at: Callable[[EndpointId, float], StreamOrigin | None],
+        now_s: float,
+    ) -> Iterator[TakenOver]:
+        """Remove the streams that began in doubt, and whose entry is late to say what
+        began them.
+
+        :param origin_at: what ran at an endpoint at a time; ``None`` while that is not
+            known.
+        """
+        for primary, copies in self._copies.items():
+            for key, doubt in list(copies.doubts.items()):
+                if now_s - doubt.received_s < RESOLVED_WITHIN_S:
+                    continue
+                origin = origin_at(doubt.endpoint_id, doubt.received_s)
+                if origin is not None or now_s - doubt.received_s > KEEP_S:
+                    del copies.doubts[key]
+                if origin is not None and origin.service == doubt.service:
+                    groups = group_streams([BegunStream(key, origin)])
+                    yield TakenOver(primary, doubt.service, groups)
+
     def pop_orphans(
         self, live: Collection[Primary], now_s: float
     ) -> Iterator[TakenOver]:
@@ -161,6 +200,21 @@
         self._send(address, CopiesAck(self._entry_id, primary.started_s, numbers))
 
 
+def _keep_group(copies: _Copies, group: StreamGroup, now_s: float) -> None:
+    service = group.origin.service
+    if group.endpoint_id is not None:
+        doubt = _Doubt(now_s, service, group.endpoint_id)
+        copies.doubts.update(dict.fromkeys(group.keys, doubt))
+        while len(copies.doubts) > MAX_UNRESOLVED:
+            del copies.doubts[next(iter(copies.doubts))]
+        return
+    if copies.doubts:
+        for key in group.keys:
+            copies.doubts.pop(key, None)
+    new: collections.deque[_Kept] = collections.deque(maxlen=MAX_BATCHES)
+    copies.by_service.setdefault(service, new).append(_Kept(now_s, group))
+
+
 def _drop_old(copies: _Copies, now_s: float) -> None:
     for service, kept in list(copies.by_service.items()):
         while kept and now_s - kept[0].received_s > KEEP_S:
--- a/src/celerytrack/origins/sync.py
+++ b/src/celerytrack/origins/sync.py
@@ -18,20 +18,17 @@
 
 import attrs
 
-from celerytrack.ids import EntryId, ServiceName, Zone
+from celerytrack.ids import EndpointId, EntryId, ServiceName, Zone
 from celerytrack.origins.copy_messages import (
     MAX_KEYS,
+    BegunStream,
     CopiesAck,
     CopiesEnd,
     KeyedOriginNews,
     OriginCopies,
-)
-from celerytrack.origins.copy_sender import (
-    CopySender,
-    Primary,
-    choose_backups,
     group_streams,
 )
+from celerytrack.origins.copy_sender import CopySender, Primary, choose_backups
 from celerytrack.origins.copy_store import CopyStore, TakenOver
 from celerytrack.origins.lookups import Lookup, Lookups
 from celerytrack.origins.memory import (
@@ -106,11 +103,13 @@
     """A stream that began here, or at an entry that is lost.
 
     :ivar name: ``None`` if only its key is known.
+    :ivar copied: whether other entries keep copies.
     """
 
     origin: StreamOrigin
     began_s: float
     name: StreamId | None
+    copied: bool
 
 
 class Versions(Protocol):
@@ -122,6 +121,11 @@
     def record_version(self, service: ServiceName, version: str, seen_s: float) -> None:
         """Record that an endpoint of a service had a version at a time."""
 
+    def origin_of_past(
+        self, endpoint_id: EndpointId, at_s: float
+    ) -> StreamOrigin | None:
+        """What ran at an endpoint at a time; ``None`` while that is not known."""
+
     def seen_versions(self) -> Iterable[tuple[ServiceName, str, float]]:
         """Each service and version, and when it was last seen."""
 
@@ -184,11 +188,21 @@
     ) -> None:
         """Record that a stream began here, and tell its holders if it matters."""
         key = stream.key
-        self._record_own(key, _OwnStream(origin, now_s, stream), now_s)
-        if self._versions.has_versions(origin.service, now_s):
+        has_versions = self._versions.has_versions(origin.service, now_s)
+        was_in_doubt = self._sender.end_doubt(key)
+        copied = was_in_doubt or not has_versions
+        self._record_own(key, _OwnStream(origin, now_s, stream, copied), now_s)
+        if has_versions:
             self._tell_untold(origin.service, now_s)
         else:
-            self._sender.add(key, origin)
+            self._sender.add(BegunStream(key, origin))
+
+    def record_in_doubt(
+        self, stream: StreamId, service: ServiceName, endpoint_id: EndpointId
+    ) -> None:
+        """Record that a stream began here, at an endpoint whose version is in doubt."""
+        origin = StreamOrigin(service, None)
+        self._sender.add(BegunStream(stream.key, origin, endpoint_id))
 
     def _record_own(self, key: StreamKey, own: _OwnStream, now_s: float) -> None:
         self.memory.record(key, own.origin, now_s)
@@ -348,6 +362,8 @@
         self._update_ring(now_s)
         live = {Primary(h.entry_id, h.started_s) for h in self._holders}
         self._take_over(self._store.pop_orphans(live, now_s), now_s)
+        resolved = self._store.pop_resolved(self._versions.origin_of_past, now_s)
+        self._take_over(resolved, now_s)
 
     def _take_over_untold(self, now_s: float) -> None:
         """Take over the streams whose holders the entry at which they began has not
@@ -368,12 +384,13 @@
             self._on_taken_over(taken)
             has_versions = self._versions.has_versions(taken.service, now_s)
             untold = self._untold[taken.service]
-            for key, origin in taken.streams():
-                if key in self._told or key in untold:
+            for stream in taken.streams():
+                if stream.key in self._told or stream.key in untold:
                     continue
-                self._record_own(key, _OwnStream(origin, now_s, None), now_s)
+                own = _OwnStream(stream.origin, now_s, None, not has_versions)
+                self._record_own(stream.key, own, now_s)
                 if not has_versions:
-                    self._sender.add(key, origin)
+                    self._sender.add(stream)
 
     def _tell_untold(self, service: ServiceName, now_s: float) -> None:
         self._update_ring(now_s)
@@ -385,7 +402,8 @@
                 by_holder[holder].append(key)
         self._told.update(untold)
         self._tell(by_holder)
-        self._sender.end(service)
+        if any(own.copied for own in untold.values()):
+            self._sender.end(service)
         _drop_old(self._told, now_s)
 
     def _update_ring(self, now_s: float) -> None:
@@ -415,7 +433,7 @@
     def _update_backups(self) -> None:
         others = [h for h in self._holders if h.entry_id != self._entry_id]
         untold = [
-            (key, own.origin)
+            BegunStream(key, own.origin)
             for streams in self._untold.values()
             for key, own in streams.items()
         ]
@@ -428,7 +446,7 @@
 
         Of the entries that held a stream before, the first one that is left does it.
         """
-        by_holder: collections.defaultdict[Holder, list[tuple[StreamKey, StreamOrigin]]]
+        by_holder: collections.defaultdict[Holder, list[BegunStream]]
         by_holder = collections.defaultdict(list)
         for _ in range(min(len(self._handover), MAX_HANDED_OVER)):
             key, origin = self._handover.popleft()
@@ -440,7 +458,7 @@
                 continue
             for holder in self._ring.holders_of(key, COPIES):
                 if holder not in held:
-                    by_holder[holder].append((key, origin))
+                    by_holder[holder].append(BegunStream(key, origin))
         for holder, streams in by_holder.items():
             self._send_keyed(holder, streams)
 
@@ -454,14 +472,12 @@
             for start in range(0, len(named), MAX_ORIGINS):
                 news = OriginNews(tuple(named[start : start + MAX_ORIGINS]))
                 self._send(holder.address, news)
-            keyed = [(key, own.origin) for key, own in told if own.name is None]
+            keyed = [BegunStream(k, own.origin) for k, own in told if own.name is None]
             self._send_keyed(holder, keyed)
 
-    def _send_keyed(
-        self, holder: Holder, streams: list[tuple[StreamKey, StreamOrigin]]
-    ) -> None:
+    def _send_keyed(self, holder: Holder, streams: list[BegunStream]) -> None:
         for start in range(0, len(streams), MAX_KEYS):
-            groups = tuple(group_streams(streams[start : start + MAX_KEYS]))
+            groups = group_streams(streams[start : start + MAX_KEYS])
             self._send(holder.address, KeyedOriginNews(groups))
 
 
--- a/src/celerytrack/routing/endpoints.py
+++ b/src/celerytrack/routing/endpoints.py
@@ -226,6 +226,15 @@
             return None
         return StreamOrigin(known.registration.service, known.registration.version)
 
+    def origin_of_past(
+        self, endpoint_id: EndpointId, at_s: float
+    ) -> StreamOrigin | None:
+        """What ran at an endpoint at a time, by registrations that were read after any
+        doubt of then had ended."""
+        if self.known_at_s < at_s + DOUBT_S:
+            return None
+        return self.origin_at(endpoint_id)
+
     def mark_crashed(self, crash: Crash, now_s: float) -> None:
         """Eject an endpoint that crashed, as observed by some entry.
 
--- a/tests/test_lost_entries.py
+++ b/tests/test_lost_entries.py
@@ -8,6 +8,7 @@
 import attrs
 from nose2.tools import params
 
+from celerytrack.ids import EndpointId
 from celerytrack.platform.topics import ENDPOINTS_TOPIC
 from tests.entry_isolation import Isolation, isolate
 from tests.gateway_fleet import Fleet
@@ -45,6 +46,8 @@
     :ivar cut_before: whether the first of them can't send datagrams as the streams
         begin, until a while before it is lost.
     :ivar taken_s: when the streams are taken up.
+    :ivar in_doubt: whether the first gateway doubts what runs at the endpoints as the
+        streams begin.
     """
 
     lost: tuple[int, ...] = (0,)
@@ -54,6 +57,7 @@
     gateways: int = GATEWAYS
     cut_before: bool = False
     taken_s: float = TAKEN_AFTER_S
+    in_doubt: bool = False
 
 
 class _Site:
@@ -77,6 +81,13 @@
     def _register(self, endpoint: VersionNamingEndpoint, value: bytes) -> None:
         self.fleet.log.put(ENDPOINTS_TOPIC, endpoint.name, value)
 
+    def doubt_endpoints(self, gateway: int) -> None:
+        """Have a gateway doubt that the endpoints are what is registered."""
+        for endpoint in self.old:
+            self.fleet.gateways[gateway].endpoints.doubt_incarnation(
+                EndpointId(endpoint.name), 0, time.monotonic()
+            )
+
     def in_touch(self) -> list[int]:
         """The numbers of the gateways that are not lost."""
         return sorted(set(range(len(self.fleet.gateways))) - self.fleet.killed)
@@ -144,6 +155,8 @@
         restore = None
         if case.cut_before:
             restore = isolate(fleet, case.lost[:1], Isolation(log=False))
+        if case.in_doubt:
+            site.doubt_endpoints(case.lost[0])
         begun = await site.begin([case.lost[0]] * STREAMS)
         await asyncio.sleep(TOLD_S)
         if restore is not None:
@@ -193,6 +206,8 @@
         _Case(lost=(0, 1), apart_s=1.0, release_s=2.0),
         _Case(lost=(0, 1, 2, 3, 4), apart_s=6.0, release_s=25.0, taken_s=26.5),
         _Case(cut_before=True),
+        _Case(in_doubt=True),
+        _Case(in_doubt=True, release_s=-0.3),
     )
     def test_streams_of_a_lost_entry_go_on_at_their_version(self, case: _Case) -> None:
         """What began a stream while its service had one version was known to one
--- a/tests/test_origin_copies.py
+++ b/tests/test_origin_copies.py
@@ -6,9 +6,10 @@
 import attrs
 from nose2.tools import params
 
-from celerytrack.ids import EntryId, RequestId, Zone
+from celerytrack.ids import EndpointId, EntryId, RequestId, Zone
 from celerytrack.origins.copy_messages import (
     MAX_KEYS,
+    BegunStream,
     CopiesAck,
     CopyMessage,
     KeyedOriginNews,
@@ -26,6 +27,7 @@
 from celerytrack.origins.copy_store import (
     ACK_INTERVAL_S,
     ORPHANED_AFTER_S,
+    RESOLVED_WITHIN_S,
     CopyStore,
 )
 from celerytrack.origins.memory import KEEP_S
@@ -97,7 +99,7 @@
     def _add(self, first: int, count: int) -> list[bytes]:
         keys = [key_of(str(number)) for number in range(first, first + count)]
         for key in keys:
-            self.sender.add(key, OLD_ORIGIN)
+            self.sender.add(BegunStream(key, OLD_ORIGIN))
         return list(keys)
 
     def _acknowledge(self, batches: list[OriginCopies]) -> None:
@@ -196,7 +198,7 @@
         self._keep(0, 0.0)
         self._keep(0, 0.1)
         (taken,) = self.store.pop_received(SERVICE, 1.0)
-        self.assertEqual(list(taken.streams()), [(key_of("0"), OLD_ORIGIN)])
+        self.assertEqual(list(taken.streams()), [BegunStream(key_of("0"), OLD_ORIGIN)])
 
     def test_an_entry_that_is_not_known_yet_is_not_lost(self) -> None:
         """Copies came before the row of an entry that had just started."""
@@ -266,6 +268,37 @@
         await self._run(network, network.now_s + TOLD_WITHIN_S + 2 * TICK_S)
         return self._held_share(network)
 
+    @params(
+        # lost, resolved by the entry before, resolved by others
+        (True, False, True),
+        (True, True, False),
+        (False, True, False),
+    )
+    def test_streams_that_began_in_doubt_are_resolved_once(
+        self, lost: bool, resolved: bool, by_others: bool
+    ) -> None:
+        """What was in doubt was lost with its entry, or judged twice."""
+        share, taken_over = asyncio.run(self._play_doubt(lost, resolved))
+        self.assertEqual((share, taken_over), (1.0, by_others))
+
+    async def _play_doubt(self, lost: bool, resolved: bool) -> tuple[float, bool]:
+        network = self._network(9, 0.0)
+        first = network.entries["a0"]
+        for number in range(STREAMS):
+            name = stream(str(number))
+            first.record_in_doubt(name, SERVICE, EndpointId("i"))
+        await self._run(network, network.now_s + 1.0)
+        network.versions.add(NEW)
+        if resolved:
+            await self._begin(network)
+        asked = network.resolved
+        if lost:
+            network.cut = {"a0"}
+            network.members = network.members[1:]
+        pause_s = RESOLVED_WITHIN_S + 2 * MEMBERS_INTERVAL_S
+        await self._run(network, network.now_s + pause_s)
+        return self._held_share(network), network.resolved > asked
+
     def test_copies_follow_the_members(self) -> None:
         """Streams were lost as the entries that kept copies were lost one by one."""
         self.assertEqual(asyncio.run(self._play_losses()), 1.0)
--- a/tests/test_origins.py
+++ b/tests/test_origins.py
@@ -144,14 +144,15 @@
 )
 _ages_s = st.floats(0, 1e6)
 _numbers = st.integers(0, 2**62)
+_keys = (
+    st.lists(_streams, min_size=1, max_size=5)
+    .map(lambda names: [name.key for name in names])
+    .map(tuple)
+)
+_in_doubt = st.builds(StreamOrigin, _names.map(ServiceName), st.none())
 _groups = st.lists(
-    st.builds(
-        StreamGroup,
-        _origins,
-        st.lists(_streams.map(lambda name: name.key), min_size=1, max_size=5).map(
-            tuple
-        ),
-    ),
+    st.builds(StreamGroup, _origins, _keys)
+    | st.builds(StreamGroup, _in_doubt, _keys, _names.map(EndpointId)),
     max_size=MAX_KEYS // 5,
 ).map(tuple)
 _times_s = st.floats(allow_nan=False, allow_infinity=False)
@@ -269,6 +270,7 @@
     :ivar cut: entries that receive nothing.
     :ivar sent: number of messages.
     :ivar now_s: time at which messages arrive.
+    :ivar resolved: how often it was asked what ran at an endpoint.
     """
 
     def __init__(self, count: int, lost_share: float = 0.0, seed: int = 1) -> None:
@@ -277,6 +279,7 @@
         self.cut: set[str] = set()
         self.sent = 0
         self.now_s = 1.0
+        self.resolved = 0
         self.versions = {OLD, NEW}
         self.members = holders(count)
         self.entries = {
@@ -300,6 +303,10 @@
     def record_version(self, service: ServiceName, version: str, seen_s: float) -> None:
         self.versions.add(version)
 
+    def origin_of_past(self, endpoint_id: EndpointId, at_s: float) -> StreamOrigin:
+        self.resolved += 1
+        return OLD_ORIGIN
+
     def seen_versions(self) -> list[tuple[ServiceName, str, float]]:
         return [(SERVICE, version, 0.0) for version in self.versions]
 
