--- a/tests/test_cut_own_answers.py
+++ b/tests/test_cut_own_answers.py
@@ -72,8 +72,13 @@
                 return 0, None
 
 
-def _answer(value: Any, framing: Framing) -> bytes:
-    return frame(json.dumps(value).encode(), framing, "Content-Type: application/json")
+def _answer(value: Any, framing: Framing, status: str = "200 OK") -> bytes:
+    return frame(
+        json.dumps(value).encode(),
+        framing,
+        "Content-Type: application/json",
+        status=status,
+    )
 
 
 async def _ask_each(framing: Framing, relayed: bool) -> list[tuple[Any, int, Any]]:
@@ -93,15 +98,17 @@
     return taken
 
 
-async def _ask_whole(framing: Framing, relayed: bool) -> list[Any]:
+async def _ask_whole(
+    framing: Framing, relayed: bool, status: str = "200 OK"
+) -> list[Any]:
     """The values that callers got."""
     got = []
     async with _CutFleet() as fleet:
         ask = fleet.ask_as_entry if relayed else fleet.ask
         for number, value in enumerate(VALUES):
-            fleet.answer = _answer(value, framing)
-            status, answered = await ask(number)
-            if status == 200:
+            fleet.answer = _answer(value, framing, status)
+            taken_status, answered = await ask(number)
+            if taken_status == 200:
                 got.append(answered)
     return got
 
@@ -145,6 +152,13 @@
         whole = list(VALUES[NUMBERS:] if unframed else VALUES)
         self.assertEqual(asyncio.run(_ask_whole(framing, relayed)), whole)
 
+    @params(*(("000", *row) for row in ROWS), *(("000 OK", *row) for row in ROWS))
+    def test_an_answer_whose_status_is_none_is_not_taken(
+        self, status: str, framing: Framing, relayed: bool
+    ) -> None:
+        """A replica in trouble sent the status 000, and its caller got the value."""
+        self.assertEqual(asyncio.run(_ask_whole(framing, relayed, status)), [])
+
 
 if __name__ == "__main__":
     unittest.main()
