Tests of ended entries and of entries back find the endpoint they share

Change: what gives an endpoint whose first event takes a while is named slow_endpoint, and both import it.

Measured: both modules pass (3 tests); every test module can be imported.

--- a/tests/test_ended_entries.py
+++ b/tests/test_ended_entries.py
@@ -7,14 +7,14 @@
 
 from tests.entry_isolation import Isolation, isolate
 from tests.gateway_fleet import Fleet
-from tests.test_out_of_step import KNOWN_S, OLD, _Endpoint, _take_up
+from tests.test_out_of_step import KNOWN_S, OLD, _take_up, slow_endpoint
 
 GATEWAYS = 4
 SILENT_AFTER_S = 2.0
 
 
 async def _play(ends: bool) -> Counter[int]:
-    endpoints = [_Endpoint(f"i-old-{n}", OLD) for n in range(2)]
+    endpoints = [slow_endpoint(f"i-old-{n}", OLD) for n in range(2)]
     async with Fleet(*endpoints, gateways=GATEWAYS) as fleet:
         await asyncio.sleep(KNOWN_S)
         last = GATEWAYS - 1
--- a/tests/test_entries_back.py
+++ b/tests/test_entries_back.py
@@ -13,7 +13,7 @@
 from celerytrack.platform.topics import ENDPOINTS_TOPIC
 from tests.gateway_fleet import Fleet
 from tests.keyed_log import KeyedLog
-from tests.test_out_of_step import KNOWN_S, LEAST_NEW, NEW, OLD, _ask, _Endpoint
+from tests.test_out_of_step import KNOWN_S, LEAST_NEW, NEW, OLD, _ask, slow_endpoint
 
 GATEWAYS = 3
 TAKER = 2
@@ -37,8 +37,8 @@
 
 async def _play() -> Counter[tuple[str, str]]:
     """Take streams up at an entry whose rows are not written, as a version joins."""
-    old = [_Endpoint(f"i-old-{n}", OLD) for n in range(2)]
-    new = [_Endpoint(f"i-new-{n}", NEW) for n in range(2)]
+    old = [slow_endpoint(f"i-old-{n}", OLD) for n in range(2)]
+    new = [slow_endpoint(f"i-new-{n}", NEW) for n in range(2)]
     refused: list[str] = []
     with _refused_appends(refused):
         async with Fleet(*old, gateways=GATEWAYS) as fleet:
--- a/tests/test_out_of_step.py
+++ b/tests/test_out_of_step.py
@@ -71,7 +71,7 @@
     isolation: Isolation = Isolation()
 
 
-def _endpoint(name: str, version: str) -> VersionNamingEndpoint:
+def slow_endpoint(name: str, version: str) -> VersionNamingEndpoint:
     return VersionNamingEndpoint(name, version, FIRST_EVENT_AFTER_S)
 
 
@@ -83,8 +83,8 @@
 
 async def _play(case: _Case) -> list[_Stream]:
     """Begin streams at the gateways in touch, and take them up at those cut off."""
-    old = [_endpoint(f"i-old-{n}", OLD) for n in range(2)]
-    new = [_endpoint(f"i-new-{n}", NEW) for n in range(2)]
+    old = [slow_endpoint(f"i-old-{n}", OLD) for n in range(2)]
+    new = [slow_endpoint(f"i-new-{n}", NEW) for n in range(2)]
     in_touch = [n for n in range(GATEWAYS) if n not in case.cut]
     async with Fleet(*old, gateways=GATEWAYS) as fleet:
         await asyncio.sleep(KNOWN_S)
@@ -147,7 +147,7 @@
 
 async def _play_replaced(gateways: int) -> list[str]:
     """Begin streams at each gateway once all have read that the version is another."""
-    old, new = _endpoint("i-old", OLD), _endpoint("i-new", NEW)
+    old, new = slow_endpoint("i-old", OLD), slow_endpoint("i-new", NEW)
     async with Fleet(old, gateways=gateways) as fleet:
         runner = await new.start()
         fleet.log.put(ENDPOINTS_TOPIC, new.name, new.registration())
@@ -166,7 +166,7 @@
     async def test_streams_are_told_when_the_new_version_takes_them(self) -> None:
         """The last endpoint of a version was replaced: the refusal of a stream named no
         reason, and a time at which it was refused again."""
-        old, new = _endpoint("i-old", OLD), _endpoint("i-new", NEW)
+        old, new = slow_endpoint("i-old", OLD), slow_endpoint("i-new", NEW)
         async with Fleet(old, gateways=2) as fleet:
             isolate(fleet, [1], Isolation())
             self.addAsyncCleanup((await new.start()).cleanup)
@@ -225,7 +225,7 @@
 
     The entry at which they began has ended.
     """
-    endpoints = [_endpoint(f"i-old-{n}", OLD) for n in range(2)]
+    endpoints = [slow_endpoint(f"i-old-{n}", OLD) for n in range(2)]
     async with Fleet(*endpoints, gateways=GATEWAYS) as fleet:
         await asyncio.sleep(KNOWN_S)
         isolate(fleet, cut, isolation)
@@ -247,8 +247,8 @@
     If no version joins, all entries stand still, and the one at which the streams began
     has ended.
     """
-    old = [_endpoint(f"i-old-{n}", OLD) for n in range(2)]
-    new = [_endpoint(f"i-new-{n}", NEW) for n in range(2)]
+    old = [slow_endpoint(f"i-old-{n}", OLD) for n in range(2)]
+    new = [slow_endpoint(f"i-new-{n}", NEW) for n in range(2)]
     taker = GATEWAYS - 1
     async with Fleet(*old, gateways=GATEWAYS) as fleet:
         await asyncio.sleep(KNOWN_S)
@@ -324,8 +324,8 @@
 
 async def _play_restored_log() -> list[_Stream]:
     """Take streams up at an entry that reads a log which was restored from a backup."""
-    old = [_endpoint(f"i-old-{n}", OLD) for n in range(2)]
-    new = [_endpoint(f"i-new-{n}", NEW) for n in range(2)]
+    old = [slow_endpoint(f"i-old-{n}", OLD) for n in range(2)]
+    new = [slow_endpoint(f"i-new-{n}", NEW) for n in range(2)]
     taker = GATEWAYS - 1
     async with Fleet(*old, gateways=GATEWAYS) as fleet:
         await asyncio.sleep(KNOWN_S)
@@ -368,7 +368,7 @@
     async def test_a_version_that_came_and_went_in_a_skipped_part_is_read(self) -> None:
         """The newest registrations were read at once in place of many, and a version
         that was only in those between had never been there for this entry."""
-        endpoint = _endpoint("i-old", OLD)
+        endpoint = slow_endpoint("i-old", OLD)
         async with Fleet(endpoint) as fleet:
             (gateway,) = fleet.gateways
             await fleet.wait_until(lambda: gateway.version_records.loaded)
