--- a/src/celerytrack/origins/sync.py
+++ b/src/celerytrack/origins/sync.py
@@ -20,16 +20,22 @@
 
 from celerytrack.ids import EndpointId, EntryId, ServiceName, Zone
 from celerytrack.origins.copy_messages import (
-    MAX_KEYS,
     BegunStream,
     CopiesAck,
     CopiesEnd,
     KeyedOriginNews,
     OriginCopies,
-    group_streams,
 )
 from celerytrack.origins.copy_sender import CopySender, Primary, choose_backups
 from celerytrack.origins.copy_store import CopyStore, TakenOver
+from celerytrack.origins.holders import (
+    COPIES,
+    OwnStream,
+    OwnStreams,
+    SendMessage,
+    StreamHolders,
+    drop_old,
+)
 from celerytrack.origins.lookups import Lookup, Lookups
 from celerytrack.origins.memory import (
     KEEP_S,
@@ -49,10 +55,8 @@
     VersionQuery,
 )
 from celerytrack.origins.origin import StreamOrigin
-from celerytrack.origins.ring import NO_ZONE, Holder, HolderRing
+from celerytrack.origins.ring import NO_ZONE, Holder
 
-COPIES = 3
-"""Entries that are told the origin of a stream."""
 ASKED = 5
 """Entries that are asked for it."""
 ASK_AGAIN_AFTER_S = (0.06, 0.14)
@@ -61,19 +65,11 @@
 TICK_S = 0.1
 MAX_VERSION_QUERIES = 10
 """How often an entry that starts asks which versions there were."""
-RING_CACHE_S = 0.1
-"""Time for which the members are not read again."""
 MEMBERS_INTERVAL_S = 1.0
 """Interval at which they are read while no holder is told anything."""
 TOLD_WITHIN_S = 0.5
 """Time from a service's second version until its streams' holders are told by the
 entry at which they began, unless that one is lost."""
-MAX_HANDED_OVER = 500
-"""Most streams in a tick whose origin is looked at for members that are new to them."""
-MAX_OWN_STREAMS = 16_384
-"""Most streams of this entry that are told again when members change."""
-
-SendMessage = Callable[[str, OriginMessage], None]
 
 
 @attrs.frozen
@@ -98,20 +94,6 @@
     heard: bool
 
 
-@attrs.frozen
-class _OwnStream:
-    """A stream that began here, or at an entry that is lost.
-
-    :ivar name: ``None`` if only its key is known.
-    :ivar copied: whether other entries keep copies.
-    """
-
-    origin: StreamOrigin
-    began_s: float
-    name: StreamId | None
-    copied: bool
-
-
 class Versions(Protocol):
     """The versions of services, as the registrations and other entries say."""
 
@@ -162,7 +144,6 @@
         self._several_since_s: dict[ServiceName, float] = {}
         self._entry_id = entry_id
         self._send = send
-        self._live_holders = live_holders
         self._address_of = address_of
         self._versions = versions
         self._started_s = started_s
@@ -170,18 +151,17 @@
         self._versions_asked = 0
         self._announced_s: dict[tuple[ServiceName, str], float] = {}
         self._lookups = Lookups()
-        self._holders: frozenset[Holder] = frozenset()
-        self._ring = HolderRing()
-        self._ring_at_s = float("-inf")
+        self._holders = StreamHolders(
+            entry_id,
+            send,
+            live_holders,
+            lambda: self.memory.known_streams(),
+            versions.has_versions,
+        )
         self._members_at_s = float("-inf")
         self._told_here_s = float("-inf")
-        self._handover: collections.deque[tuple[StreamKey, StreamOrigin]]
-        self._handover = collections.deque()
-        self._handover_from = HolderRing()
-        self._told: OrderedDict[StreamKey, _OwnStream] = OrderedDict()
-        self._untold: collections.defaultdict[
-            ServiceName, OrderedDict[StreamKey, _OwnStream]
-        ] = collections.defaultdict(OrderedDict)
+        self._untold: collections.defaultdict[ServiceName, OwnStreams]
+        self._untold = collections.defaultdict(OrderedDict)
 
     def record_began(
         self, stream: StreamId, origin: StreamOrigin, now_s: float
@@ -191,7 +171,7 @@
         has_versions = self._versions.has_versions(origin.service, now_s)
         was_in_doubt = self._sender.end_doubt(key)
         copied = was_in_doubt or not has_versions
-        self._record_own(key, _OwnStream(origin, now_s, stream, copied), now_s)
+        self._record_own(key, OwnStream(origin, now_s, stream, copied), now_s)
         if has_versions:
             self._tell_untold(origin.service, now_s)
         else:
@@ -204,11 +184,11 @@
         origin = StreamOrigin(service, None)
         self._sender.add(BegunStream(stream.key, origin, endpoint_id))
 
-    def _record_own(self, key: StreamKey, own: _OwnStream, now_s: float) -> None:
+    def _record_own(self, key: StreamKey, own: OwnStream, now_s: float) -> None:
         self.memory.record(key, own.origin, now_s)
         untold = self._untold[own.origin.service]
         untold[key] = own
-        _drop_old(untold, now_s)
+        drop_old(untold, now_s)
 
     async def run(self) -> None:
         """Tell what has come to matter, until cancelled."""
@@ -226,7 +206,7 @@
                 self._tell_untold(service, now_s)
         self._sender.flush(now_s)
         self._store.acknowledge(now_s)
-        self._hand_over(now_s)
+        self._holders.hand_over(now_s)
         if not self._versions_told and self._versions_asked < MAX_VERSION_QUERIES:
             self._ask_versions(now_s)
 
@@ -285,11 +265,10 @@
         if now_s - announced_s < KEEP_S:
             return
         self._announced_s[service, version] = now_s
-        self._update_ring(now_s)
+        self._update_members(now_s)
         news = VersionNews((SeenVersion(service, version, 0.0),))
-        for holder in self._holders:
-            if holder.entry_id != self._entry_id:
-                self._send(holder.address, news)
+        for holder in self._holders.others():
+            self._send(holder.address, news)
 
     async def find(self, stream: StreamId, now_s: float) -> Finding:
         """Find what began a stream, here or at other entries."""
@@ -306,9 +285,8 @@
         return finding
 
     async def _ask(self, lookup: Lookup, stream: StreamId, now_s: float) -> Finding:
-        self._update_ring(now_s)
-        holders = self._ring.holders_of(stream.key, ASKED + 1)
-        asked = [h for h in holders if h.entry_id != self._entry_id][:ASKED]
+        self._update_members(now_s)
+        asked = self._holders.other_holders_of(stream.key, ASKED)
         if not asked:
             return Finding(None, heard=True)
         query = OriginQuery(self._entry_id, lookup.number, stream)
@@ -332,9 +310,8 @@
 
     def _ask_versions(self, now_s: float) -> None:
         self._versions_asked += 1
-        self._update_ring(now_s)
-        others = [h for h in self._holders if h.entry_id != self._entry_id]
-        for holder in others[:COPIES]:
+        self._update_members(now_s)
+        for holder in self._holders.others()[:COPIES]:
             self._send(holder.address, VersionQuery(self._entry_id))
 
     def _answer_versions(self, asker: EntryId, now_s: float) -> None:
@@ -354,13 +331,13 @@
         self._send(address, VersionNews(seen))
 
     def _follow_members(self, now_s: float) -> None:
-        if self._told or now_s - self._told_here_s <= KEEP_S:
-            self._update_ring(now_s)
+        if self._holders.has_told or now_s - self._told_here_s <= KEEP_S:
+            self._update_members(now_s)
         if now_s - self._members_at_s < MEMBERS_INTERVAL_S:
             return
         self._members_at_s = now_s
-        self._update_ring(now_s)
-        live = {Primary(h.entry_id, h.started_s) for h in self._holders}
+        self._update_members(now_s)
+        live = {Primary(h.entry_id, h.started_s) for h in self._holders.members}
         self._take_over(self._store.pop_orphans(live, now_s), now_s)
         resolved = self._store.pop_resolved(self._versions.origin_of_past, now_s)
         self._take_over(resolved, now_s)
@@ -385,101 +362,34 @@
             has_versions = self._versions.has_versions(taken.service, now_s)
             untold = self._untold[taken.service]
             for stream in taken.streams():
-                if stream.key in self._told or stream.key in untold:
+                if stream.key in self._holders or stream.key in untold:
                     continue
-                own = _OwnStream(stream.origin, now_s, None, not has_versions)
+                own = OwnStream(stream.origin, now_s, None, not has_versions)
                 self._record_own(stream.key, own, now_s)
                 if not has_versions:
                     self._sender.add(stream)
 
     def _tell_untold(self, service: ServiceName, now_s: float) -> None:
-        self._update_ring(now_s)
+        self._update_members(now_s)
         untold = self._untold.pop(service)
-        by_holder: collections.defaultdict[Holder, list[StreamKey]]
-        by_holder = collections.defaultdict(list)
-        for key in untold:
-            for holder in self._ring.holders_of(key, COPIES):
-                by_holder[holder].append(key)
-        self._told.update(untold)
-        self._tell(by_holder)
+        self._holders.tell(untold, now_s)
         if any(own.copied for own in untold.values()):
             self._sender.end(service)
-        _drop_old(self._told, now_s)
 
-    def _update_ring(self, now_s: float) -> None:
-        """Follow the members; a holder that is new to a stream is told of it."""
-        if 0 <= now_s - self._ring_at_s < RING_CACHE_S:
-            return
-        self._ring_at_s = now_s
-        holders = frozenset(self._live_holders(now_s))
-        if holders == self._holders:
-            return
-        _drop_old(self._told, now_s)
-        before, self._ring = self._ring, HolderRing(holders)
-        self._holders = holders
-        if not self._handover:
-            self._handover_from = before
-        self._handover = collections.deque(self.memory.known_streams())
-        by_holder: collections.defaultdict[Holder, list[StreamKey]]
-        by_holder = collections.defaultdict(list)
-        for key in self._told:
-            told = before.holders_of(key, COPIES)
-            for holder in self._ring.holders_of(key, COPIES):
-                if holder not in told:
-                    by_holder[holder].append(key)
-        self._tell(by_holder)
-        self._update_backups()
+    def _update_members(self, now_s: float) -> None:
+        if self._holders.update(now_s):
+            self._update_backups()
 
     def _update_backups(self) -> None:
-        others = [h for h in self._holders if h.entry_id != self._entry_id]
         untold = [
             BegunStream(key, own.origin)
             for streams in self._untold.values()
             for key, own in streams.items()
         ]
+        others = self._holders.others()
         backups = choose_backups(self._entry_id, self._zone, others)
         self._sender.set_backups(backups, untold)
 
-    def _hand_over(self, now_s: float) -> None:
-        """Tell members what they are to hold from now on: the entry at which a stream
-        began may be lost, and with it the only one that would tell them.
-
-        Of the entries that held a stream before, the first one that is left does it.
-        """
-        by_holder: collections.defaultdict[Holder, list[BegunStream]]
-        by_holder = collections.defaultdict(list)
-        for _ in range(min(len(self._handover), MAX_HANDED_OVER)):
-            key, origin = self._handover.popleft()
-            if not self._versions.has_versions(origin.service, now_s):
-                continue
-            held = self._handover_from.holders_of(key, COPIES)
-            left = [holder for holder in held if holder in self._holders]
-            if not left or left[0].entry_id != self._entry_id:
-                continue
-            for holder in self._ring.holders_of(key, COPIES):
-                if holder not in held:
-                    by_holder[holder].append(BegunStream(key, origin))
-        for holder, streams in by_holder.items():
-            self._send_keyed(holder, streams)
-
-    def _tell(self, by_holder: dict[Holder, list[StreamKey]]) -> None:
-        for holder, keys in by_holder.items():
-            if holder.entry_id == self._entry_id:
-                continue
-            told = [(key, self._told[key]) for key in keys]
-            # Entries of an older release know streams by their names.
-            named = [(own.name, own.origin) for _, own in told if own.name is not None]
-            for start in range(0, len(named), MAX_ORIGINS):
-                news = OriginNews(tuple(named[start : start + MAX_ORIGINS]))
-                self._send(holder.address, news)
-            keyed = [BegunStream(k, own.origin) for k, own in told if own.name is None]
-            self._send_keyed(holder, keyed)
-
-    def _send_keyed(self, holder: Holder, streams: list[BegunStream]) -> None:
-        for start in range(0, len(streams), MAX_KEYS):
-            groups = group_streams(streams[start : start + MAX_KEYS])
-            self._send(holder.address, KeyedOriginNews(groups))
-
 
 async def _wait(lookup: Lookup, wait_s: float) -> None:
     """Wait for an answer that says what began the stream."""
@@ -493,11 +403,3 @@
     if lookup.found is None:
         # All said that they don't know: news of the stream may still be on its way.
         await asyncio.sleep(max(0.0, until_s - loop.time()))
-
-
-def _drop_old(streams: "OrderedDict[StreamKey, _OwnStream]", now_s: float) -> None:
-    while streams:
-        oldest = next(iter(streams.values()))
-        if now_s - oldest.began_s <= KEEP_S and len(streams) <= MAX_OWN_STREAMS:
-            return
-        streams.popitem(last=False)
--- a/tests/test_origins.py
+++ b/tests/test_origins.py
@@ -24,6 +24,7 @@
     StreamGroup,
 )
 from celerytrack.origins.copy_sender import BACKUPS
+from celerytrack.origins.holders import COPIES
 from celerytrack.origins.lookups import MAX_LOOKUPS_OF_ACCOUNT, Lookups
 from celerytrack.origins.memory import (
     KEEP_S,
@@ -52,7 +53,7 @@
 )
 from celerytrack.origins.origin import StreamOrigin
 from celerytrack.origins.ring import Holder, HolderRing
-from celerytrack.origins.sync import COPIES, OriginSync
+from celerytrack.origins.sync import OriginSync
 from celerytrack.platform.http import decode_request
 from celerytrack.routing.endpoints import RegistrationChange
 from celerytrack.routing.versions import ESTABLISHED_AFTER_S
