--- a/tests/test_lost_entries.py
+++ b/tests/test_lost_entries.py
@@ -8,11 +8,9 @@
 import attrs
 from nose2.tools import params
 
-from celerytrack.ids import EndpointId
-from celerytrack.platform.topics import ENDPOINTS_TOPIC
 from tests.entry_isolation import Isolation, isolate
-from tests.gateway_fleet import Fleet
-from tests.raw_versions import NEW, OLD, VersionNamingEndpoint
+from tests.raw_versions import NEW, OLD
+from tests.version_site import VersionSite, mixed_versions, same_versions
 
 GATEWAYS = 6
 STREAMS = 20
@@ -22,16 +20,12 @@
 """Time after which a stream is no longer one that has just begun."""
 TAKEN_AFTER_S = 3.2
 """Time from the loss until callers leave a stream that has gone silent."""
-TRIES_LAST_S = 3.0
 LEAST_SHARE = 0.95
 """Streams that go on, of those that entries in touch take up."""
 BACK_S = 1.2
 """Time in which an entry that was started again reads what there is."""
 CUT_S = 3.0
 """Time after a cut in which entries have told each other what they missed."""
-AT_ONCE = 5
-FIRST_EVENT_AFTER_S = 0.1
-"""Long enough that endpoints which have just joined look no worse than the others."""
 
 
 @attrs.frozen
@@ -60,87 +54,7 @@
     in_doubt: bool = False
 
 
-class _Site:
-    """Endpoints of two versions, and the streams that callers begin and take up."""
-
-    def __init__(self, gateways: int) -> None:
-        self.old = [
-            VersionNamingEndpoint(f"i-old-{n}", OLD, FIRST_EVENT_AFTER_S)
-            for n in range(3)
-        ]
-        self.new = VersionNamingEndpoint("i-new", NEW, FIRST_EVENT_AFTER_S)
-        self.fleet = Fleet(*self.old, gateways=gateways)
-
-    async def release(self, drains: bool = True) -> None:
-        """Start an endpoint of the new version; one of the old one drains or ends."""
-        await self.new.start()
-        self._register(self.new, self.new.registration())
-        drained = self.old[0].registration(state="draining") if drains else b""
-        self._register(self.old[0], drained)
-
-    def _register(self, endpoint: VersionNamingEndpoint, value: bytes) -> None:
-        self.fleet.log.put(ENDPOINTS_TOPIC, endpoint.name, value)
-
-    def doubt_endpoints(self, gateway: int) -> None:
-        """Have a gateway doubt that the endpoints are what is registered."""
-        for endpoint in self.old:
-            self.fleet.gateways[gateway].endpoints.doubt_incarnation(
-                EndpointId(endpoint.name), 0, time.monotonic()
-            )
-
-    def in_touch(self) -> list[int]:
-        """The numbers of the gateways that are not lost."""
-        return sorted(set(range(len(self.fleet.gateways))) - self.fleet.killed)
-
-    async def begin(self, gateways: list[int], name: str = "first") -> list[str]:
-        """Begin a stream at each of ``gateways``; the versions that wrote them."""
-        asked = [(f"{name}{n}", at) for n, at in enumerate(gateways)]
-        versions: list[str] = []
-        for start in range(0, len(asked), AT_ONCE):
-            part = asked[start : start + AT_ONCE]
-            versions += await asyncio.gather(*(self.ask(*one) for one in part))
-        return versions
-
-    async def take_up(self, count: int, name: str = "next") -> list[str]:
-        """Take streams up at the gateways in touch, again as these say; the versions at
-        which they go on, empty where they are refused."""
-        at = self.in_touch()
-        return await asyncio.gather(
-            *(self._take_up(n, at[n % len(at)], name) for n in range(count))
-        )
-
-    async def _take_up(self, number: int, gateway: int, name: str) -> str:
-        ends_s = time.monotonic() + TRIES_LAST_S
-        tried = 0
-        while True:
-            tried += 1
-            version, wait_s = await self._try(
-                f"{name}{number}-{tried}",
-                gateway,
-                Last_Event_Id="2",
-                Resumes=f"first{number}",
-            )
-            if version or time.monotonic() + wait_s > ends_s:
-                return version
-            await asyncio.sleep(wait_s)
-
-    async def ask(self, request_id: str, gateway: int) -> str:
-        """The version that writes a new stream; empty if it is refused."""
-        version, _ = await self._try(request_id, gateway)
-        return version
-
-    async def _try(
-        self, request_id: str, gateway: int, **headers: str
-    ) -> tuple[str, float]:
-        status, got, _ = await self.fleet.ask(
-            "/resume/x", request_id, gateway=gateway, **headers
-        )
-        if status == 200:
-            return got["X-Wrote"], 0.0
-        return "", float(got.get("Retry-After", TRIES_LAST_S))
-
-
-async def _lose(site: _Site, case: _Case) -> None:
+async def _lose(site: VersionSite, case: _Case) -> None:
     for number in case.lost:
         await site.fleet.end_gateway(number)
         if number != case.lost[-1]:
@@ -149,7 +63,7 @@
 
 async def _play(case: _Case) -> tuple[list[str], list[str], list[str]]:
     """The versions that began streams, at which they went on, and of new streams."""
-    site = _Site(case.gateways)
+    site = VersionSite(case.gateways)
     async with site.fleet as fleet:
         await asyncio.sleep(KNOWN_S)
         restore = None
@@ -179,15 +93,6 @@
         return begun, taken, fresh
 
 
-def _same(begun: list[str], taken: list[str]) -> int:
-    return sum(map(str.__eq__, begun, taken))
-
-
-def _mixed(begun: list[str], taken: list[str]) -> int:
-    pairs = zip(begun, taken, strict=True)
-    return sum(after not in ("", before) for before, after in pairs)
-
-
 class LostEntryTest(unittest.TestCase):
     @params(
         _Case(),
@@ -214,18 +119,22 @@
         entry, and lost with it as a second version came up."""
         begun, taken, fresh = asyncio.run(_play(case))
         self.assertEqual(begun, [OLD] * STREAMS)
-        self.assertEqual(_mixed(begun, taken), 0, Counter(taken))
+        self.assertEqual(mixed_versions(begun, taken), 0, Counter(taken))
         least = LEAST_SHARE * sum(map(bool, fresh))
-        self.assertGreaterEqual(_same(begun, taken), least, (Counter(taken), fresh))
+        self.assertGreaterEqual(
+            same_versions(begun, taken), least, (Counter(taken), fresh)
+        )
 
     def test_streams_go_on_after_entries_were_started_again_in_turn(self) -> None:
         """Entries forgot what they had kept for those that were lost before them."""
         begun, taken = asyncio.run(self._play_restarts())
-        self.assertEqual(_mixed(begun, taken), 0, Counter(taken))
-        self.assertGreaterEqual(_same(begun, taken), LEAST_SHARE * STREAMS, taken)
+        self.assertEqual(mixed_versions(begun, taken), 0, Counter(taken))
+        self.assertGreaterEqual(
+            same_versions(begun, taken), LEAST_SHARE * STREAMS, taken
+        )
 
     async def _play_restarts(self) -> tuple[list[str], list[str]]:
-        site = _Site(GATEWAYS)
+        site = VersionSite(GATEWAYS)
         async with site.fleet as fleet:
             await asyncio.sleep(KNOWN_S)
             begun = await site.begin([0] * STREAMS)
@@ -240,11 +149,13 @@
     def test_streams_go_on_after_the_entry_of_a_take_up_was_lost(self) -> None:
         """What had begun a stream was known to the entry at which it went on alone."""
         begun, taken = asyncio.run(self._play_take_up())
-        self.assertEqual(_mixed(begun, taken), 0, Counter(taken))
-        self.assertGreaterEqual(_same(begun, taken), LEAST_SHARE * STREAMS, taken)
+        self.assertEqual(mixed_versions(begun, taken), 0, Counter(taken))
+        self.assertGreaterEqual(
+            same_versions(begun, taken), LEAST_SHARE * STREAMS, taken
+        )
 
     async def _play_take_up(self) -> tuple[list[str], list[str]]:
-        site = _Site(GATEWAYS)
+        site = VersionSite(GATEWAYS)
         async with site.fleet as fleet:
             await asyncio.sleep(KNOWN_S)
             begun = await site.begin([0] * STREAMS)
@@ -259,14 +170,16 @@
             await asyncio.sleep(TAKEN_AFTER_S)
             return begun, await site.take_up(STREAMS)
 
-    def test_streams_of_a_lost_entry_that_was_cut_off_are_not_mixed(self) -> None:
+    def test_streams_of_a_lost_entry_that_was_cut_off_are_not_mixed(
+        self,
+    ) -> None:
         """An entry that others saw silent went on to begin streams at a new version."""
         begun, taken = asyncio.run(self._play_cut())
         self.assertEqual(set(begun), {OLD, NEW})
-        self.assertEqual(_mixed(begun, taken), 0, (begun, taken))
+        self.assertEqual(mixed_versions(begun, taken), 0, (begun, taken))
 
     async def _play_cut(self) -> tuple[list[str], list[str]]:
-        site = _Site(GATEWAYS)
+        site = VersionSite(GATEWAYS)
         async with site.fleet as fleet:
             await asyncio.sleep(KNOWN_S)
             old = await site.begin([0] * (STREAMS // 2))
