Entries that kept copies go on knowing streams whose holders were told

Cause: the entry told the holders (itself and the two that had just ended, which the membership still showed), and ended the copies. Who had kept them forgot them, so nobody in touch was left that knew.

Why this works: whoever kept copies knows the streams from then on like one that was told, says so if asked, and tells entries that become holders when one of the former is gone, whether or not those that are to do it answer. Nothing is sent for it while the members stay.

--- a/src/celerytrack/origins/copy_store.py
+++ b/src/celerytrack/origins/copy_store.py
@@ -111,15 +111,18 @@
             # The sender waits for the first one.
             self._acknowledge(primary, copies)
 
-    def end(self, message: CopiesEnd) -> None:
-        """Forget the copies that are no longer needed."""
-        copies = self._copies.get(Primary(message.primary, message.started_s))
+    def pop_ended(self, message: CopiesEnd) -> Iterator[TakenOver]:
+        """Remove the copies that others need no longer: the holders of their streams
+        were told."""
+        primary = Primary(message.primary, message.started_s)
+        copies = self._copies.get(primary)
         if copies is None:
             return
-        copies.by_service.pop(message.service, None)
         for key, doubt in list(copies.doubts.items()):
             if doubt.service == message.service:
                 del copies.doubts[key]
+        ended = copies.by_service.pop(message.service, ())
+        yield TakenOver(primary, message.service, tuple(k.group for k in ended))
 
     def acknowledge(self, now_s: float) -> None:
         """Acknowledge what has come since the last time."""
--- a/src/celerytrack/origins/holders.py
+++ b/src/celerytrack/origins/holders.py
@@ -149,19 +149,15 @@
 
     def hand_over(self, now_s: float) -> None:
         """Tell members what they are to hold from now on: the entry at which a stream
-        began may be lost, and with it the only one that would tell them.
-
-        Of the entries that held a stream before, the first one that is left does it.
-        """
+        began may be lost, and with it the only one that would tell them."""
         by_holder: collections.defaultdict[Holder, list[BegunStream]]
         by_holder = collections.defaultdict(list)
         for _ in range(min(len(self._handover), MAX_HANDED_OVER)):
             key, origin = self._handover.popleft()
-            if not self._has_versions(origin.service, now_s):
+            if key in self._told or not self._has_versions(origin.service, now_s):
                 continue
             held = self._handover_from.holders_of(key, COPIES)
-            left = [holder for holder in held if holder in self.members]
-            if not left or left[0].entry_id != self._entry_id:
+            if not self._is_to_hand_over(held):
                 continue
             for holder in self._ring.holders_of(key, COPIES):
                 if holder not in held:
@@ -169,6 +165,17 @@
         for holder, streams in by_holder.items():
             self._send_keyed(holder, streams)
 
+    def _is_to_hand_over(self, held: list[Holder]) -> bool:
+        """Of the entries that held a stream before, the first one that is left does it.
+
+        If one is gone, so may be those that are not missed yet: whoever knows the
+        stream without being a holder does it too.
+        """
+        left = [holder.entry_id for holder in held if holder in self.members]
+        if any(holder.entry_id == self._entry_id for holder in held):
+            return left[:1] == [self._entry_id]
+        return len(left) < len(held)
+
     def _send_told(self, by_holder: Mapping[Holder, list[StreamKey]]) -> None:
         for holder, keys in by_holder.items():
             if holder.entry_id == self._entry_id:
--- a/src/celerytrack/origins/sync.py
+++ b/src/celerytrack/origins/sync.py
@@ -229,7 +229,7 @@
             case CopiesAck():
                 self._sender.receive(message)
             case CopiesEnd():
-                self._store.end(message)
+                self._keep_told(self._store.pop_ended(message), now_s)
             case OriginQuery(asker, number, stream):
                 self._answer(asker, number, stream, now_s)
             case OriginAnswer():
@@ -369,6 +369,14 @@
                 if not has_versions:
                     self._sender.add(stream)
 
+    def _keep_told(self, copies: Iterable[TakenOver], now_s: float) -> None:
+        """Go on knowing streams of other entries whose holders were told: these may be
+        lost before the membership shows it."""
+        for taken in copies:
+            self._told_here_s = now_s
+            for stream in taken.streams():
+                self.memory.record(stream.key, stream.origin, now_s)
+
     def _tell_untold(self, service: ServiceName, now_s: float) -> None:
         self._update_members(now_s)
         untold = self._untold.pop(service)
--- a/tests/test_origin_copies.py
+++ b/tests/test_origin_copies.py
@@ -32,6 +32,7 @@
 )
 from celerytrack.origins.memory import KEEP_S
 from celerytrack.origins.messages import encode_origin_message
+from celerytrack.origins.ring import NO_ZONE
 from celerytrack.origins.sync import MEMBERS_INTERVAL_S, TICK_S, TOLD_WITHIN_S
 from tests.test_origins import OLD_ORIGIN, SERVICE, Network, holders, key_of, stream
 from tests.versioned_endpoints import NEW, OLD
@@ -214,7 +215,8 @@
     """What other entries find of streams whose entry is lost."""
 
     async def _run(self, network: Network, until_s: float) -> None:
-        live = [holder.address for holder in network.members]
+        members = [holder.address for holder in network.members]
+        live = [address for address in members if address not in network.cut]
         while network.now_s < until_s:
             network.now_s += TICK_S
             for address in live:
@@ -315,6 +317,31 @@
         await self._run(network, network.now_s + TOLD_WITHIN_S + 2 * TICK_S)
         return self._held_share(network)
 
+    def test_streams_are_found_after_all_that_were_told_are_lost(self) -> None:
+        """Copies were thrown away for holders that had ended just before."""
+        self.assertEqual(asyncio.run(self._play_lost_holders()), 1.0)
+
+    async def _play_lost_holders(self) -> float:
+        network = self._network(76, 0.0)
+        await self._begin(network)
+        others = network.members[1:]
+        kept = choose_backups(EntryId("e0"), NO_ZONE, others)
+        lost = [holder for holder in others if holder not in kept][::2]
+        network.cut = {holder.address for holder in lost}
+        network.versions.add(NEW)
+        await self._run(network, network.now_s + TOLD_WITHIN_S + 2 * TICK_S)
+        network.cut.add("a0")
+        for holder in (*lost, network.members[0]):
+            network.members.remove(holder)
+            await self._run(network, network.now_s + 2 * TICK_S)
+        asker = next(h for h in network.members if h not in kept)
+        found = 0
+        for number in range(STREAMS):
+            name = stream(str(number))
+            finding = await network.entries[asker.address].find(name, network.now_s)
+            found += finding.known is not None
+        return found / STREAMS
+
     def test_a_release_without_a_loss_is_told_once(self) -> None:
         """All entries that kept copies told the holders what the first one had."""
         self.assertEqual(*asyncio.run(self._play_release()))
